--- /dev/null
+++ b/Makefile
@@ -0,0 +1,116 @@
+# Build of every package, program, test and bench.  Files are found by
+# folder: a new module needs no line here.
+#
+#   make            libraries and programs
+#   make check      all unit and failure tests (SAN=address|undefined|thread)
+#   make demo       the main job on loopback
+#   make format     rewrite the sources in the house format
+#   make lint       formatter and linter, warnings are errors
+
+CC ?= gcc
+SAN ?=
+BUILD := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
+comma := ,
+PKGS := base core proto store backend config router control report check
+DEPS := glib-2.0 libcurl libmicrohttpd json-c msgpack libxxhash ck
+CPPFLAGS += -D_GNU_SOURCE -I. -Iinclude -DXXH_INLINE_ALL \
+	$(shell pkg-config --cflags glib-2.0 json-c)
+WARN := -Wall -Wextra -Werror -Wshadow -Wmissing-prototypes \
+	-Wstrict-prototypes -Wpointer-arith -Wwrite-strings
+CFLAGS += -std=gnu11 -O2 -g -pthread $(WARN) \
+	$(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
+LDLIBS := -lmicrohttpd -lcurl -ljson-c -lmsgpackc -lcsv -llog4c -lck -luv \
+	-lglib-2.0 -lm
+LDFLAGS += -pthread $(if $(SAN),-fsanitize=$(SAN))
+
+SRC := $(foreach p,$(PKGS),$(wildcard $p/*.c))
+OBJ := $(SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libdogwoodhub-all.a
+CORE_SRC := $(wildcard core/*.c)
+CORE_LIB := $(BUILD)/libdogwoodhub-core.a
+
+DAEMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c))
+CTL_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard ctl/*.c))
+BINS := $(if $(DAEMON_OBJ),$(BUILD)/dogwoodhub) \
+	$(if $(CTL_OBJ),$(BUILD)/dogwoodctl)
+# standin/NAME_standin.c and bench/NAME.c, examples/NAME.c: one program each
+STANDINS := $(patsubst %.c,$(BUILD)/%,$(wildcard standin/*.c))
+BENCHES := $(patsubst %.c,$(BUILD)/%,$(wildcard bench/*.c))
+EXAMPLES := $(patsubst %.c,$(BUILD)/%,$(wildcard examples/*.c))
+TESTS := $(patsubst %.c,$(BUILD)/%,$(wildcard tests/test_*.c))
+ALLC := $(SRC) $(wildcard daemon/*.c ctl/*.c standin/*.c bench/*.c \
+	examples/*.c tests/*.c fuzz/*.c)
+ALLH := $(foreach p,$(PKGS) include/dogwoodhub standin bench tests daemon ctl,\
+	$(wildcard $p/*.h))
+
+.PHONY: all check unit failure demo format lint tidy clean model bench \
+	deps install fuzz
+all: $(LIB) $(CORE_LIB) $(BINS) $(STANDINS) $(BENCHES) $(EXAMPLES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(CORE_LIB): $(CORE_SRC:%.c=$(BUILD)/%.o)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/dogwoodhub: $(DAEMON_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/dogwoodctl: $(CTL_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(STANDINS) $(BENCHES): $(BUILD)/%: $(BUILD)/%.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+# What an embedder links: core alone.
+$(EXAMPLES): $(BUILD)/%: $(BUILD)/%.o $(CORE_LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ -lm
+
+$(TESTS): $(BUILD)/%: $(BUILD)/%.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcunit
+
+unit: all $(TESTS)
+	tools/run_tests.sh $(BUILD) $(TESTS)
+
+failure: all
+	tools/run_failures.sh $(BUILD)
+
+check: unit failure
+
+demo: deps all
+	tools/demo.sh $(BUILD)
+
+model:
+	tools/run_models.sh
+
+deps:
+	tools/install_deps.sh
+
+format:
+	clang-format -i $(ALLC) $(ALLH)
+
+lint: tidy
+	clang-format --dry-run -Werror $(ALLC) $(ALLH)
+
+tidy: $(ALLC:%.c=$(BUILD)/tidy/%.ok)
+
+$(BUILD)/tidy/%.ok: %.c .clang-tidy $(ALLH)
+	@mkdir -p $(@D)
+	clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) 2>/dev/null
+	@touch $@
+
+PREFIX ?= /usr/local
+install: all
+	tools/install.sh $(BUILD) $(DESTDIR)$(PREFIX)
+
+clean:
+	rm -rf build build-*
+
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/base/http.c
@@ -0,0 +1,291 @@
+#include "base/http.h"
+
+#include <string.h>
+
+struct dh_http {
+	CURLM *multi;
+	uv_loop_t *loop;
+	uv_timer_t *timer;
+	GHashTable *live; /* CURL * -> struct transfer */
+};
+
+struct transfer {
+	dh_http_done_fn done;
+	void *arg;
+};
+
+struct watch {
+	uv_poll_t poll;
+	struct dh_http *http;
+	curl_socket_t fd;
+};
+
+static void
+handle_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void
+reap(struct dh_http *h)
+{
+	struct transfer *tr;
+	CURLMsg *msg;
+	CURLcode result;
+	CURL *easy;
+	int left;
+
+	while ((msg = curl_multi_info_read(h->multi, &left)) != NULL) {
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		easy = msg->easy_handle;
+		result = msg->data.result;
+		tr = g_hash_table_lookup(h->live, easy);
+		if (tr == NULL)
+			continue;
+		g_hash_table_steal(h->live, easy);
+		curl_multi_remove_handle(h->multi, easy);
+		tr->done(tr->arg, easy, result);
+		g_free(tr);
+	}
+}
+
+static void
+on_poll(uv_poll_t *poll, int status, int events)
+{
+	struct watch *w = poll->data;
+	struct dh_http *h = w->http;
+	int flags = 0, running;
+
+	if (status < 0)
+		flags = CURL_CSELECT_ERR;
+	if (events & UV_READABLE)
+		flags |= CURL_CSELECT_IN;
+	if (events & UV_WRITABLE)
+		flags |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(h->multi, w->fd, flags, &running);
+	reap(h);
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *socket_arg)
+{
+	struct dh_http *h = arg;
+	struct watch *w = socket_arg;
+	int events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (w != NULL) {
+			uv_poll_stop(&w->poll);
+			curl_multi_assign(h->multi, fd, NULL);
+			uv_close((uv_handle_t *)&w->poll, handle_closed);
+		}
+		return 0;
+	}
+	if (w == NULL) {
+		w = g_new0(struct watch, 1);
+		w->http = h;
+		w->fd = fd;
+		uv_poll_init_socket(h->loop, &w->poll, fd);
+		w->poll.data = w;
+		curl_multi_assign(h->multi, fd, w);
+	}
+	if (what != CURL_POLL_IN)
+		events |= UV_WRITABLE;
+	if (what != CURL_POLL_OUT)
+		events |= UV_READABLE;
+	uv_poll_start(&w->poll, events, on_poll);
+	return 0;
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	struct dh_http *h = timer->data;
+	int running;
+
+	curl_multi_socket_action(h->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	reap(h);
+}
+
+static int
+on_timeout(CURLM *multi, long timeout_ms, void *arg)
+{
+	struct dh_http *h = arg;
+
+	(void)multi;
+	if (timeout_ms < 0)
+		uv_timer_stop(h->timer);
+	else
+		uv_timer_start(h->timer, on_timer, (uint64_t)timeout_ms, 0);
+	return 0;
+}
+
+struct dh_http *
+dh_http_new(uv_loop_t *loop)
+{
+	struct dh_http *h = g_new0(struct dh_http, 1);
+
+	h->loop = loop;
+	h->live = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	h->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, h->timer);
+	h->timer->data = h;
+	h->multi = curl_multi_init();
+	g_assert(h->multi != NULL);
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
+	return h;
+}
+
+void
+dh_http_free(struct dh_http *h)
+{
+	GHashTableIter it;
+	gpointer easy;
+
+	if (h == NULL)
+		return;
+	g_hash_table_iter_init(&it, h->live);
+	while (g_hash_table_iter_next(&it, &easy, NULL))
+		curl_multi_remove_handle(h->multi, easy);
+	g_hash_table_destroy(h->live);
+	curl_multi_cleanup(h->multi);
+	uv_timer_stop(h->timer);
+	h->timer->data = h->timer;
+	uv_close((uv_handle_t *)h->timer, handle_closed);
+	g_free(h);
+}
+
+void
+dh_http_start(struct dh_http *h, CURL *easy, dh_http_done_fn done, void *arg)
+{
+	struct transfer *tr = g_new0(struct transfer, 1);
+
+	tr->done = done;
+	tr->arg = arg;
+	g_hash_table_insert(h->live, easy, tr);
+	curl_multi_add_handle(h->multi, easy);
+}
+
+void
+dh_http_cancel(struct dh_http *h, CURL *easy)
+{
+	if (g_hash_table_remove(h->live, easy))
+		curl_multi_remove_handle(h->multi, easy);
+}
+
+struct dh_http_fetch {
+	struct dh_http *http;
+	CURL *easy;
+	struct curl_slist *headers;
+	GString *body;
+	GHashTable *reply_headers;
+	dh_http_reply_fn done;
+	void *arg;
+};
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct dh_http_fetch *f = arg;
+
+	if (f->body->len + size * n > DH_HTTP_FETCH_MAX)
+		return 0;
+	g_string_append_len(f->body, data, (gssize)(size * n));
+	return size * n;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct dh_http_fetch *f = arg;
+	g_autofree char *line = g_strndup(data, size * n);
+	char *colon = strchr(line, ':');
+
+	if (colon == NULL)
+		return size * n;
+	*colon = '\0';
+	g_hash_table_replace(f->reply_headers, g_ascii_strdown(line, -1),
+	    g_strdup(g_strstrip(colon + 1)));
+	return size * n;
+}
+
+static void
+fetch_free(struct dh_http_fetch *f)
+{
+	curl_easy_cleanup(f->easy);
+	curl_slist_free_all(f->headers);
+	g_string_free(f->body, TRUE);
+	g_hash_table_unref(f->reply_headers);
+	g_free(f);
+}
+
+static void
+fetch_done(void *arg, CURL *easy, CURLcode result)
+{
+	struct dh_http_fetch *f = arg;
+	struct dh_http_reply reply = { .result = result };
+	long sent = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply.status);
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+	reply.sent = sent > 0;
+	reply.body = f->body->str;
+	reply.body_len = f->body->len;
+	reply.headers = f->reply_headers;
+	f->done(f->arg, &reply);
+	fetch_free(f);
+}
+
+struct dh_http_fetch *
+dh_http_fetch(struct dh_http *h, const struct dh_http_request *rq,
+    dh_http_reply_fn done, void *arg)
+{
+	struct dh_http_fetch *f = g_new0(struct dh_http_fetch, 1);
+	CURL *easy = curl_easy_init();
+	size_t i;
+
+	g_assert(easy != NULL);
+	f->http = h;
+	f->easy = easy;
+	f->body = g_string_new(NULL);
+	f->reply_headers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->done = done;
+	f->arg = arg;
+	for (i = 0; rq->headers != NULL && rq->headers[i] != NULL; i++)
+		f->headers = curl_slist_append(f->headers, rq->headers[i]);
+	f->headers = curl_slist_append(f->headers, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_URL, rq->url);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, rq->method);
+	if (rq->body != NULL) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)rq->body_len);
+		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, rq->body);
+	}
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, f->headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, f);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, f);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)rq->timeout_ms);
+	if (rq->fresh_connection)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	dh_http_start(h, easy, fetch_done, f);
+	return f;
+}
+
+void
+dh_http_fetch_cancel(struct dh_http_fetch *f)
+{
+	if (f == NULL)
+		return;
+	dh_http_cancel(f->http, f->easy);
+	fetch_free(f);
+}
--- /dev/null
+++ b/control/mailbox.h
@@ -0,0 +1,78 @@
+#ifndef DH_CONTROL_MAILBOX_H
+#define DH_CONTROL_MAILBOX_H
+
+#include <stdint.h>
+
+#include <uv.h>
+
+#include <dogwoodhub/types.h>
+
+/*
+ * Messages between one traffic thread and the control thread: a ring for one
+ * producer and one consumer, and a wake-up of the consumer's loop.
+ */
+
+enum dh_mail_kind {
+	DH_MAIL_PERMIT_ASK, /* traffic -> control */
+	DH_MAIL_PERMIT_END, /* traffic -> control: the outcome */
+	DH_MAIL_PERMIT, /* control -> traffic: the verdict */
+	DH_MAIL_LOAD, /* traffic -> control: requests of a slot */
+	DH_MAIL_HOT_KEY, /* traffic -> control: a key above its share */
+	DH_MAIL_BACKEND_SEEN, /* traffic -> control: passive health */
+	DH_MAIL_STOP, /* control -> traffic: finish and end */
+};
+
+enum dh_permit_verdict {
+	DH_PERMIT_RUN, /* send it now, once */
+	DH_PERMIT_WAS_DONE, /* ran before: status is the first answer's */
+	DH_PERMIT_IN_FLIGHT, /* another try of it is running */
+	DH_PERMIT_REFUSED, /* not run; may be asked again later */
+	DH_PERMIT_UNKNOWN, /* memory of it was lost: it may have run */
+};
+
+#define DH_REQUEST_ID_MAX 64
+
+struct dh_mail {
+	enum dh_mail_kind kind;
+	uint64_t token; /* PERMIT*: the asker's own mark */
+	uint32_t service; /* indexes into the configuration */
+	uint32_t slot;
+	uint32_t backend;
+	uint64_t revision; /* of the configuration they index */
+	union {
+		struct {
+			char id[DH_REQUEST_ID_MAX];
+			enum dh_permit_verdict verdict;
+			enum dh_outcome outcome;
+			uint32_t status; /* HTTP status of the answer */
+			int64_t deadline_ms; /* on dh_clock_ms() */
+		} permit;
+		struct {
+			uint64_t requests;
+			uint64_t busy_us; /* time spent on backend servers */
+		} load;
+		struct {
+			char key[DH_NAME_MAX];
+			uint32_t share_ppm; /* of the service's requests */
+		} hot;
+		struct {
+			bool answered;
+			int64_t latency_us;
+		} seen;
+	};
+};
+
+struct dh_mailbox;
+
+/* dh_mailbox_new -- size is a power of two.  consumer is the loop to wake;
+ * on_mail runs on it for each message.  The caller owns the mailbox. */
+struct dh_mailbox *dh_mailbox_new(uv_loop_t *consumer, uint32_t size,
+    void (*on_mail)(void *arg, const struct dh_mail *mail), void *arg);
+
+/* dh_mailbox_free -- on the consumer's thread, after the producer ended. */
+void dh_mailbox_free(struct dh_mailbox *mb);
+
+/* dh_mailbox_send -- false when the ring is full: the mail is not taken. */
+bool dh_mailbox_send(struct dh_mailbox *mb, const struct dh_mail *mail);
+
+#endif
--- /dev/null
+++ b/core/table.c
@@ -0,0 +1,139 @@
+#include <dogwoodhub/table.h>
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <dogwoodhub/key.h>
+
+static struct dh_slot *
+slots_new(uint32_t n)
+{
+	struct dh_slot *slots = calloc(n, sizeof(*slots));
+	uint32_t i;
+
+	for (i = 0; slots != NULL && i < n; i++) {
+		slots[i].owner = DH_NONE;
+		slots[i].standby = DH_NONE;
+	}
+	return slots;
+}
+
+struct dh_table *
+dh_table_new(const struct dh_conf *conf, uint64_t version)
+{
+	struct dh_table *t = calloc(1, sizeof(*t));
+	uint32_t n;
+	size_t i;
+
+	if (t == NULL)
+		return NULL;
+	t->version = version;
+	t->conf = conf;
+	t->slots = calloc(conf->nservices + 1, sizeof(*t->slots));
+	if (t->slots == NULL) {
+		free(t);
+		return NULL;
+	}
+	for (i = 0; i < conf->nservices; i++) {
+		n = dh_service_slots(&conf->services[i]);
+		if (n == 0)
+			continue;
+		t->slots[i] = slots_new(n);
+		if (t->slots[i] == NULL) {
+			dh_table_free(t);
+			return NULL;
+		}
+	}
+	return t;
+}
+
+struct dh_table *
+dh_table_copy(const struct dh_table *t, uint64_t version)
+{
+	struct dh_table *copy = dh_table_new(t->conf, version);
+	uint32_t n;
+	size_t i;
+
+	if (copy == NULL)
+		return NULL;
+	for (i = 0; i < t->conf->nservices; i++) {
+		n = dh_service_slots(&t->conf->services[i]);
+		if (t->slots[i] != NULL && copy->slots[i] != NULL)
+			memcpy(copy->slots[i], t->slots[i],
+			    n * sizeof(*t->slots[i]));
+	}
+	return copy;
+}
+
+void
+dh_table_free(struct dh_table *t)
+{
+	size_t i;
+
+	if (t == NULL)
+		return;
+	for (i = 0; i < t->conf->nservices; i++)
+		free(t->slots[i]);
+	free(t->slots);
+	free(t);
+}
+
+/* Compare a key of any bytes with a NUL-ended first key of a range. */
+static int
+key_cmp(const void *key, size_t len, const char *first)
+{
+	size_t n = strlen(first);
+	int c = memcmp(key, first, len < n ? len : n);
+
+	if (c != 0)
+		return c;
+	return (len > n) - (len < n);
+}
+
+/* The last range whose first key is not above key; keys below the first
+ * range belong to it. */
+static uint32_t
+range_slot(const struct dh_division *div, const void *key, size_t len)
+{
+	uint32_t low = 0, high = div->range.count, mid;
+
+	while (high - low > 1) {
+		mid = low + (high - low) / 2;
+		if (key_cmp(key, len, div->range.first_key[mid]) >= 0)
+			low = mid;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+uint32_t
+dh_table_slot(
+    const struct dh_table *t, uint32_t service, const void *key, size_t len)
+{
+	const struct dh_service *sv = &t->conf->services[service];
+
+	assert(sv->kind == DH_SERVICE_KEYED);
+	switch (sv->division.kind) {
+	case DH_DIVISION_HASH:
+		return dh_key_slot(key, len, sv->division.hash.slots);
+	case DH_DIVISION_RANGE:
+		return range_slot(&sv->division, key, len);
+	}
+	abort();
+}
+
+struct dh_route
+dh_table_route(
+    const struct dh_table *t, uint32_t service, const void *key, size_t len)
+{
+	uint32_t i = dh_table_slot(t, service, key, len);
+	const struct dh_slot *sl = &t->slots[service][i];
+
+	return (struct dh_route){ .service = service,
+		.slot = i,
+		.backend = sl->owner,
+		.fence = sl->fence,
+		.state = sl->state };
+}
--- /dev/null
+++ b/include/dogwoodhub/group.h
@@ -0,0 +1,235 @@
+#ifndef DOGWOODHUB_GROUP_H
+#define DOGWOODHUB_GROUP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <dogwoodhub/table.h>
+#include <dogwoodhub/types.h>
+
+/*
+ * Authority over one group: the slots of one keyed service (or part of it)
+ * on a bounded number of backend servers.  One VM leads, one is its deputy;
+ * the store arbitrates between terms, and backend servers that check fencing
+ * tokens do so too.
+ *
+ * dh_group_step() is a pure state machine: events and the time go in, actions
+ * come out.  It reads no clock and does no I/O.  Every VM that is a candidate
+ * for the group runs one; what it may do depends on its role.
+ *
+ * VMs, backend servers and availability zones are named here by
+ * dh_name_id(): the 64-bit hash of their names, 0 for none.
+ */
+uint64_t dh_name_id(const char *name);
+
+struct dh_group_params {
+	int64_t lease_ms; /* a backend server's lease */
+	int64_t renew_ms; /* between renewals, about lease_ms / 3 */
+	int64_t support_ms; /* how long an ack of deputy or store counts */
+	int64_t solo_limit_ms; /* longest renewing without any support */
+	int64_t store_outage_limit_ms; /* longest reassigning without store */
+	int64_t request_deadline_ms; /* longest a request may run */
+	int64_t move_ms; /* longest a planned move holds requests */
+	uint32_t drift_ppm; /* bound on clock rate differences */
+	bool trust_vm_list; /* "gone" in the VM list proves death */
+};
+
+struct dh_group_backend {
+	uint64_t id;
+	uint64_t zone;
+	uint32_t weight; /* capacity: its request slots */
+	bool checks_fence;
+	bool drain; /* its slots move away, it gets none */
+};
+
+struct dh_group_vm {
+	uint64_t id;
+	uint64_t incarnation;
+	uint64_t zone;
+	uint64_t region;
+	bool live; /* answers heartbeats */
+	bool leaving; /* hands over, is never chosen */
+};
+
+struct dh_assignment {
+	uint64_t owner; /* backend server */
+	uint64_t standby;
+	struct dh_fence fence;
+	enum dh_slot_state state;
+};
+
+/* The group's object in the store. */
+struct dh_group_record {
+	uint64_t term;
+	uint64_t leader, leader_incarnation;
+	uint64_t deputy, deputy_incarnation;
+	uint32_t nslots;
+	struct dh_assignment *slots;
+};
+
+enum dh_group_role {
+	DH_GROUP_IDLE, /* neither leader nor deputy */
+	DH_GROUP_DEPUTY,
+	DH_GROUP_TAKING, /* conditional update of a new term under way */
+	DH_GROUP_WAITING, /* leads; waits out the old authority */
+	DH_GROUP_LEADER,
+	DH_GROUP_SOLO, /* renews only: neither store nor partner */
+};
+
+/* Messages between leader and deputy. */
+enum dh_group_msg_kind {
+	DH_GROUP_MSG_HEARTBEAT, /* leader -> deputy: term, store age,
+				 * changed assignments */
+	DH_GROUP_MSG_ACK, /* deputy -> leader */
+	DH_GROUP_MSG_REVOKE, /* leader -> deputy: renew backend no more */
+	DH_GROUP_MSG_REVOKED, /* deputy -> leader: with its last renewal */
+	DH_GROUP_MSG_ASSIGN, /* leader -> deputy: hold assignments */
+	DH_GROUP_MSG_ASSIGNED, /* deputy -> leader */
+	DH_GROUP_MSG_HANDOVER, /* leader -> deputy: take the term now */
+};
+
+struct dh_group_msg {
+	enum dh_group_msg_kind kind;
+	uint64_t term;
+	uint64_t from, from_incarnation;
+	uint64_t seq; /* acks echo it */
+	uint64_t backend; /* REVOKE, REVOKED */
+	int64_t age_ms; /* REVOKED: since its last renewal sent;
+			 * HEARTBEAT: since the store confirmed */
+	uint32_t nslots; /* ASSIGN, HEARTBEAT: pairs that follow */
+	uint32_t *index;
+	struct dh_assignment *slots;
+};
+
+enum dh_group_order_kind {
+	DH_GROUP_ORDER_HELLO, /* ask incarnation and clock, grants nothing */
+	DH_GROUP_ORDER_GRANT, /* the whole set of slots it owns, and a lease */
+	DH_GROUP_ORDER_RENEW, /* lease only */
+	DH_GROUP_ORDER_RELEASE, /* finish and give up the listed slots */
+	DH_GROUP_ORDER_WARM, /* the listed slots will come: prepare */
+};
+
+/*
+ * An order to a backend server.  until_ms is the lease's end on the backend
+ * server's own clock: an order delayed past it has no effect.
+ */
+struct dh_group_order {
+	enum dh_group_order_kind kind;
+	uint64_t backend;
+	uint64_t incarnation; /* of the backend server; 0 with HELLO */
+	struct dh_fence fence; /* of the order */
+	int64_t sent_ms; /* our clock; the answer's event echoes it */
+	int64_t until_ms;
+	uint32_t nslots;
+	uint32_t *index; /* slots, with the fence of each */
+	struct dh_fence *fences;
+};
+
+enum dh_group_event_kind {
+	DH_GROUP_TICK,
+	DH_GROUP_STORE_READ, /* version 0: no object yet */
+	DH_GROUP_STORE_WRITTEN,
+	DH_GROUP_STORE_CONFLICT, /* read again */
+	DH_GROUP_STORE_UNKNOWN, /* no answer: a write may have happened */
+	DH_GROUP_PEER,
+	DH_GROUP_BACKEND_OK, /* accepted an order */
+	DH_GROUP_BACKEND_REFUSED, /* knows a higher fencing token */
+	DH_GROUP_BACKEND_SILENT, /* no answer in time */
+	DH_GROUP_BACKEND_DEAD, /* its address refuses connections: that
+				* incarnation is gone */
+	DH_GROUP_MOVE, /* planned move of slot to backend */
+	DH_GROUP_STOP, /* this process shuts down: hand over */
+};
+
+struct dh_group_event {
+	enum dh_group_event_kind kind;
+	union {
+		struct {
+			const struct dh_group_record *record;
+			uint64_t version;
+		} read;
+		struct {
+			uint64_t version;
+			uint64_t seq; /* of the STORE_PUT answered */
+		} written;
+		const struct dh_group_msg *msg;
+		struct {
+			uint64_t backend;
+			uint64_t incarnation;
+			int64_t clock_ms; /* its clock, in the answer */
+			int64_t sent_ms; /* echoed from the order */
+			enum dh_group_order_kind order;
+			struct dh_fence highest; /* REFUSED: what it knows */
+		} backend;
+		struct {
+			uint32_t slot;
+			uint64_t backend;
+		} move;
+	};
+};
+
+enum dh_group_action_kind {
+	DH_GROUP_DO_GET, /* read the group's object */
+	DH_GROUP_DO_PUT, /* conditional update */
+	DH_GROUP_DO_SEND, /* message to a VM */
+	DH_GROUP_DO_ORDER, /* order to a backend server */
+	DH_GROUP_DO_PUBLISH, /* assignments changed: take the view */
+};
+
+struct dh_group_action {
+	enum dh_group_action_kind kind;
+	union {
+		struct {
+			struct dh_group_record *record;
+			uint64_t expect;
+			uint64_t seq;
+		} put;
+		struct {
+			uint64_t to;
+			struct dh_group_msg msg;
+		} send;
+		struct dh_group_order order;
+	};
+};
+
+/* Actions of steps, in order.  The caller owns it, zeroes it first and calls
+ * dh_group_actions_clear() after carrying them out. */
+struct dh_group_actions {
+	struct dh_group_action *list;
+	size_t n, size;
+};
+
+void dh_group_actions_clear(struct dh_group_actions *a);
+void dh_group_actions_free(struct dh_group_actions *a);
+
+struct dh_group;
+
+struct dh_group *dh_group_new(const struct dh_group_params *p, uint64_t self,
+    uint64_t incarnation, uint32_t nslots);
+void dh_group_free(struct dh_group *g);
+
+/* dh_group_set_backends, dh_group_set_vms -- what the configuration and the
+ * membership say now; copied.  Effects show at the next step. */
+void dh_group_set_backends(
+    struct dh_group *g, const struct dh_group_backend *list, size_t n);
+void dh_group_set_vms(
+    struct dh_group *g, const struct dh_group_vm *list, size_t n);
+
+void dh_group_step(struct dh_group *g, const struct dh_group_event *ev,
+    int64_t now_ms, struct dh_group_actions *out);
+
+/* dh_group_next_ms -- when the next TICK is due at the latest. */
+int64_t dh_group_next_ms(const struct dh_group *g);
+
+/* What a VM may show: borrowed, valid until the next step. */
+struct dh_group_view {
+	enum dh_group_role role;
+	uint64_t term;
+	uint64_t leader, deputy;
+	uint32_t nslots;
+	const struct dh_assignment *slots; /* acknowledged */
+	bool store_down; /* acknowledged by leader and deputy only */
+};
+struct dh_group_view dh_group_view(const struct dh_group *g);
+
+#endif
--- /dev/null
+++ b/tests/test_table.c
@@ -0,0 +1,133 @@
+#include <CUnit/Basic.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <dogwoodhub/key.h>
+#include <dogwoodhub/table.h>
+
+#define HASH_SLOTS 97
+
+static char key_a[] = "a", key_m[] = "m", key_mm[] = "mm";
+static char *first_keys[] = { key_a, key_m, key_mm };
+
+static struct dh_service services[] = {
+	{ .name = "feed",
+	    .kind = DH_SERVICE_KEYED,
+	    .division = { .kind = DH_DIVISION_HASH,
+		.hash = { .slots = HASH_SLOTS } } },
+	{ .name = "any", .kind = DH_SERVICE_ANY },
+	{ .name = "album",
+	    .kind = DH_SERVICE_KEYED,
+	    .division = { .kind = DH_DIVISION_RANGE,
+		.range = { .count = 3, .first_key = first_keys } } },
+};
+
+static const struct dh_conf conf = {
+	.revision = 1, .services = services, .nservices = 3
+};
+
+static void
+test_hash_division_covers_every_slot(void)
+{
+	bool seen[HASH_SLOTS] = { false };
+	uint32_t i, slot, missing = 0;
+	char key[16];
+
+	for (i = 0; i < HASH_SLOTS * 100; i++) {
+		(void)snprintf(key, sizeof(key), "key-%u", i);
+		slot = dh_key_slot(key, strlen(key), HASH_SLOTS);
+		CU_ASSERT_FATAL(slot < HASH_SLOTS);
+		seen[slot] = true;
+	}
+	for (i = 0; i < HASH_SLOTS; i++)
+		missing += !seen[i];
+	CU_ASSERT_EQUAL(missing, 0);
+}
+
+static void
+test_hash_is_stable_over_releases(void)
+{
+	CU_ASSERT_EQUAL(dh_key_hash("", 0), 0x2d06800538d394c2ULL);
+}
+
+static void
+test_range_division_picks_last_first_key(void)
+{
+	struct dh_table *t = dh_table_new(&conf, 1);
+
+	CU_ASSERT_EQUAL(dh_table_slot(t, 2, "A", 1), 0);
+	CU_ASSERT_EQUAL(dh_table_slot(t, 2, "a", 1), 0);
+	CU_ASSERT_EQUAL(dh_table_slot(t, 2, "lzz", 3), 0);
+	CU_ASSERT_EQUAL(dh_table_slot(t, 2, "m", 1), 1);
+	CU_ASSERT_EQUAL(dh_table_slot(t, 2, "ml", 2), 1);
+	CU_ASSERT_EQUAL(dh_table_slot(t, 2, "mm", 2), 2);
+	CU_ASSERT_EQUAL(dh_table_slot(t, 2, "z", 1), 2);
+	dh_table_free(t);
+}
+
+static void
+test_new_table_routes_nowhere(void)
+{
+	struct dh_table *t = dh_table_new(&conf, 1);
+	struct dh_route r = dh_table_route(t, 0, "x", 1);
+
+	CU_ASSERT_EQUAL(r.backend, DH_NONE);
+	CU_ASSERT_EQUAL(r.state, DH_SLOT_UNOWNED);
+	CU_ASSERT_PTR_NULL(t->slots[1]);
+	dh_table_free(t);
+}
+
+static void
+test_copy_is_apart(void)
+{
+	struct dh_table *t = dh_table_new(&conf, 1), *copy;
+
+	t->slots[0][5].owner = 7;
+	copy = dh_table_copy(t, 2);
+	t->slots[0][5].owner = 8;
+	CU_ASSERT_EQUAL(copy->slots[0][5].owner, 7);
+	CU_ASSERT_EQUAL(copy->version, 2);
+	dh_table_free(t);
+	dh_table_free(copy);
+}
+
+static void
+test_fence_term_outranks_counter(void)
+{
+	struct dh_fence a = { .term = 1, .counter = 99 };
+	struct dh_fence b = { .term = 2, .counter = 1 };
+
+	CU_ASSERT(dh_fence_cmp(a, b) < 0);
+	CU_ASSERT(dh_fence_cmp(b, a) > 0);
+	CU_ASSERT_EQUAL(dh_fence_cmp(a, a), 0);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "hash covers slots", test_hash_division_covers_every_slot },
+		{ "hash is stable", test_hash_is_stable_over_releases },
+		{ "range", test_range_division_picks_last_first_key },
+		{ "new table", test_new_table_routes_nowhere },
+		{ "copy", test_copy_is_apart },
+		{ "fence", test_fence_term_outranks_counter },
+		CU_TEST_INFO_NULL,
+	};
+	CU_SuiteInfo suites[] = {
+		{ "table", NULL, NULL, NULL, NULL, tests },
+		CU_SUITE_INFO_NULL,
+	};
+	unsigned int failed;
+
+	if (CU_initialize_registry() != CUE_SUCCESS ||
+	    CU_register_suites(suites) != CUE_SUCCESS)
+		return EXIT_FAILURE;
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
