--- /dev/null
+++ b/router/exchange.h
@@ -0,0 +1,143 @@
+#ifndef DH_ROUTER_EXCHANGE_H
+#define DH_ROUTER_EXCHANGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <dogwoodhub/table.h>
+
+#include "router/buffer.h"
+#include "router/lane.h"
+#include "router/target.h"
+
+/*
+ * An exchange is one caller's request from its first header to the last byte
+ * of its answer.  It belongs to one lane and is touched on its thread only.
+ * Private to the router package.
+ */
+enum dh_phase {
+	DH_PHASE_NEW,
+	DH_PHASE_ROUTE,		/* waits for its slot to have an owner */
+	DH_PHASE_PERMIT,	/* waits for the permit to run */
+	DH_PHASE_TURN,		/* waits for its turn at the backend server */
+	DH_PHASE_BACKOFF,	/* waits before the next attempt */
+	DH_PHASE_SENT,		/* an attempt is under way */
+	DH_PHASE_ANSWER,	/* the backend server's answer streams */
+	DH_PHASE_LOCAL,		/* the answer is our own */
+};
+
+/* An answer of the router's own. */
+struct dh_local_answer {
+	unsigned int status;
+	enum dh_outcome outcome;
+	const char *reason;	/* static */
+	int64_t retry_after_ms;	/* 0: none */
+};
+
+struct dh_exchange {
+	struct dh_lane *lane;
+	GList link;		/* in lane->exchanges */
+	GList wait_link;	/* in lane->waiting */
+	bool is_waiting;
+	struct MHD_Connection *conn;
+	uv_timer_t *timer;
+	enum dh_phase phase;
+	struct dh_local_answer local;
+
+	/* the request */
+	char *url;		/* raw target */
+	char method[16];
+	struct dh_target target;
+	char id[DH_REQUEST_ID_MAX];
+	char idempotency_key[DH_REQUEST_ID_MAX];
+	bool unrepeatable;
+	bool has_body;
+	int64_t body_bytes;	/* -1: not told */
+	int64_t begun_us;
+	int64_t deadline_ms;
+	int64_t budget_ms;
+	int64_t objective_ms;
+	uint32_t attempt;
+
+	/* where it goes: copied, so that no table is held */
+	char group[DH_NAME_MAX + 16];
+	char address[DH_ADDRESS_MAX];
+	uint16_t port;
+	bool keyed;
+	struct dh_route route;
+	uint64_t revision;
+	uint64_t token;		/* of the permit asked for, 0: none */
+	bool permitted;
+
+	/* caller's side */
+	struct dh_buffer up;
+	bool up_ended;		/* the whole body was read */
+	bool suspended;
+	bool answered;		/* a response was queued */
+	bool aborted;		/* the caller has gone */
+
+	/* backend server's side */
+	CURL *easy;
+	struct curl_slist *headers;
+	struct dh_buffer down;
+	bool read_paused, write_paused;
+	bool head_ready;	/* status and headers are whole */
+	bool down_ended, down_failed;
+	unsigned int status;
+	int64_t answer_bytes;	/* -1: not told */
+	GPtrArray *answer_headers; /* name, value, ... */
+	bool not_run;		/* the backend server says so */
+	bool foreign;		/* the answer names another request */
+	char refused_reason[32];
+	uint64_t progress;	/* bytes moved, both ways */
+	uint64_t progress_seen;
+};
+
+/* dh_exchange_new -- a request whose first line has arrived. */
+struct dh_exchange *dh_exchange_new(
+    struct dh_lane *lane, struct MHD_Connection *conn, const char *url);
+
+/* dh_exchange_free -- the request has ended, one way or the other. */
+void dh_exchange_free(struct dh_exchange *ex);
+
+/* dh_exchange_begin -- its headers are whole: check the request and set it on
+ * its way. */
+void dh_exchange_begin(struct dh_exchange *ex, const char *method);
+
+/* dh_exchange_on_body -- n bytes of the body went into the buffer. */
+void dh_exchange_on_body(struct dh_exchange *ex, size_t n);
+void dh_exchange_on_body_end(struct dh_exchange *ex);
+
+/* dh_exchange_route -- try to route it with the table in force. */
+void dh_exchange_route(struct dh_exchange *ex);
+
+/* dh_exchange_permit -- the control thread's verdict. */
+void dh_exchange_permit(struct dh_exchange *ex, const struct dh_mail *mail);
+
+/* dh_exchange_refuse -- end it with an answer of our own, at once. */
+void dh_exchange_refuse(struct dh_exchange *ex, unsigned int status,
+    enum dh_outcome outcome, const char *reason, int64_t retry_after_ms);
+
+/* dh_exchange_send -- start an attempt (module upstream). */
+void dh_exchange_send(struct dh_exchange *ex);
+
+/* dh_exchange_unsend -- end the attempt under way, if any. */
+void dh_exchange_unsend(struct dh_exchange *ex);
+
+/* dh_exchange_on_head -- the answer's headers are whole. */
+void dh_exchange_on_head(struct dh_exchange *ex);
+
+/* dh_exchange_on_end -- the attempt has ended. */
+void dh_exchange_on_end(struct dh_exchange *ex, CURLcode result);
+
+/* dh_exchange_wake -- have the caller's side looked at again. */
+void dh_exchange_wake(struct dh_exchange *ex);
+
+/* dh_exchange_sleep -- leave the caller's side alone until then. */
+void dh_exchange_sleep(struct dh_exchange *ex);
+
+/* dh_exchange_answer -- queue the answer on the caller's side (module
+ * answer). */
+enum MHD_Result dh_exchange_answer(struct dh_exchange *ex);
+
+#endif
--- /dev/null
+++ b/router/lane.c
@@ -0,0 +1,349 @@
+#include "router/lane.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+#include <ck_pr.h>
+
+#include "base/clock.h"
+#include "router/exchange.h"
+
+/* How often requests without an owner look for a new table. */
+#define WAITING_POLL_MS 2
+/* How often callers that left are looked for. */
+#define SWEEP_MS 100
+/* Bounds the header block of a request. */
+#define CONNECTION_MEMORY (32u << 10)
+/* A caller's connection without traffic is closed after this. */
+#define CALLER_IDLE_S 75u
+#define SPARE_EASY_MAX 64u
+#define MAILBOX_SIZE 4096u
+
+struct dh_lane_counters *
+dh_lane_counters(struct dh_lane *lane, const char *service)
+{
+	static const char *const outcomes[] = { "done", "not-run", "unknown" };
+	struct dh_lane_counters *c =
+	    g_hash_table_lookup(lane->counters, service);
+	g_autofree char *plain = NULL;
+	size_t i;
+
+	if (c != NULL)
+		return c;
+	c = g_new0(struct dh_lane_counters, 1);
+	plain = g_strdup_printf("service=\"%s\"", service);
+	for (i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		g_autofree char *labels = g_strdup_printf(
+		    "service=\"%s\",outcome=\"%s\"", service, outcomes[i]);
+
+		c->outcome[i] = dh_counter_get("dh_requests_total", labels);
+	}
+	c->slo_total = dh_counter_get("dh_slo_total", plain);
+	c->slo_good = dh_counter_get("dh_slo_good_total", plain);
+	c->latency_us = dh_counter_get("dh_request_us_total", plain);
+	g_hash_table_insert(lane->counters, g_strdup(service), c);
+	return c;
+}
+
+CURL *
+dh_lane_easy(struct dh_lane *lane)
+{
+	CURL *easy = g_queue_pop_tail(&lane->spare_easy);
+
+	if (easy == NULL)
+		easy = curl_easy_init();
+	g_assert(easy != NULL);
+	return easy;
+}
+
+void
+dh_lane_easy_put(struct dh_lane *lane, CURL *easy)
+{
+	if (lane->spare_easy.length >= SPARE_EASY_MAX) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	g_queue_push_tail(&lane->spare_easy, easy);
+}
+
+static void
+on_waiting(uv_timer_t *timer)
+{
+	struct dh_lane *lane = timer->data;
+	guint n = lane->waiting.length;
+	struct dh_exchange *ex;
+	GList *link;
+
+	while (n-- > 0 && (link = g_queue_pop_head_link(&lane->waiting))) {
+		ex = link->data;
+		ex->is_waiting = false;
+		dh_exchange_route(ex);
+	}
+	if (lane->waiting.length == 0)
+		uv_timer_stop(timer);
+}
+
+void
+dh_lane_wait(struct dh_lane *lane, GList *link)
+{
+	g_queue_push_tail_link(&lane->waiting, link);
+	if (!uv_is_active((uv_handle_t *)lane->waiting_timer))
+		uv_timer_start(lane->waiting_timer, on_waiting, WAITING_POLL_MS,
+		    WAITING_POLL_MS);
+}
+
+/* A suspended connection is not polled: look at its socket ourselves. */
+static bool
+caller_left(struct dh_exchange *ex)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    ex->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	ssize_t n;
+	char c;
+
+	n = recv(info->connect_fd, &c, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+	struct dh_lane *lane = timer->data;
+	struct dh_exchange *ex;
+	GList *it;
+
+	for (it = lane->exchanges.head; it != NULL; it = it->next) {
+		ex = it->data;
+		if (!ex->suspended || ex->aborted || !caller_left(ex))
+			continue;
+		ex->aborted = true;
+		dh_exchange_unsend(ex);
+		dh_exchange_wake(ex);
+	}
+	uv_timer_start(timer, on_sweep, SWEEP_MS, 0);
+}
+
+static void
+on_mail(void *arg, const struct dh_mail *mail)
+{
+	struct dh_lane *lane = arg;
+	struct dh_exchange *ex;
+	gpointer key = GUINT_TO_POINTER(mail->token);
+
+	switch (mail->kind) {
+	case DH_MAIL_PERMIT:
+		ex = g_hash_table_lookup(lane->asked, key);
+		if (ex == NULL)
+			return;
+		g_hash_table_remove(lane->asked, key);
+		dh_exchange_permit(ex, mail);
+		break;
+	case DH_MAIL_PERMIT_ASK:
+	case DH_MAIL_PERMIT_END:
+	case DH_MAIL_LOAD:
+	case DH_MAIL_HOT_KEY:
+	case DH_MAIL_BACKEND_SEEN:
+	case DH_MAIL_STOP:
+		break;
+	}
+}
+
+/* The HTTP server's call-backs. */
+
+static void *
+on_target(void *arg, const char *target, struct MHD_Connection *conn)
+{
+	return dh_exchange_new(arg, conn, target);
+}
+
+static enum MHD_Result
+on_body(struct dh_exchange *ex, const char *data, size_t *len)
+{
+	size_t n;
+
+	if (ex->phase == DH_PHASE_LOCAL) {
+		/* Refused while the body was still coming: skip it. */
+		*len = 0;
+		return MHD_YES;
+	}
+	n = dh_buffer_put(&ex->up, data, *len);
+	*len -= n;
+	dh_exchange_on_body(ex, n);
+	if (*len > 0)
+		dh_exchange_sleep(ex);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+on_request(void *arg, struct MHD_Connection *conn, const char *path,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **state)
+{
+	struct dh_exchange *ex = *state;
+
+	(void)arg;
+	(void)conn;
+	(void)path;
+	(void)version;
+	ex->suspended = false;
+	if (ex->aborted)
+		return MHD_NO;
+	if (ex->phase == DH_PHASE_NEW) {
+		dh_exchange_begin(ex, method);
+		return ex->phase == DH_PHASE_LOCAL ? dh_exchange_answer(ex) :
+							   MHD_YES;
+	}
+	if (*len > 0)
+		return on_body(ex, data, len);
+	if (!ex->up_ended)
+		dh_exchange_on_body_end(ex);
+	if (ex->phase == DH_PHASE_LOCAL || ex->head_ready)
+		return dh_exchange_answer(ex);
+	dh_exchange_sleep(ex);
+	return MHD_YES;
+}
+
+static void
+on_completed(void *arg, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode why)
+{
+	struct dh_exchange *ex = *state;
+
+	(void)arg;
+	(void)conn;
+	if (ex == NULL)
+		return;
+	if (why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		ex->aborted = true;
+	dh_exchange_free(ex);
+	*state = NULL;
+}
+
+static void
+on_stop(uv_async_t *async)
+{
+	uv_stop(async->loop);
+}
+
+static void
+on_drain(uv_async_t *async)
+{
+	struct dh_lane *lane = async->data;
+
+	if (lane->draining)
+		return;
+	lane->draining = true;
+	dh_httpd_quiesce(lane->httpd);
+}
+
+static void
+lane_timers(struct dh_lane *lane)
+{
+	lane->waiting_timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(&lane->loop, lane->waiting_timer);
+	lane->waiting_timer->data = lane;
+	lane->sweep_timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(&lane->loop, lane->sweep_timer);
+	lane->sweep_timer->data = lane;
+	uv_timer_start(lane->sweep_timer, on_sweep, SWEEP_MS, 0);
+	uv_async_init(&lane->loop, &lane->stop, on_stop);
+	uv_async_init(&lane->loop, &lane->drain, on_drain);
+	lane->drain.data = lane;
+}
+
+static bool
+lane_listen(struct dh_lane *lane, uint16_t port, GError **error)
+{
+	const struct dh_settings *s = lane->settings;
+	struct dh_httpd_options o = {
+		.address = s->listen_address,
+		.port = port,
+		.shared_port = true,
+		.connections_max = s->requests_max,
+		.memory_per_connection = CONNECTION_MEMORY,
+		.idle_s = CALLER_IDLE_S,
+		.handler = on_request,
+		.target = on_target,
+		.completed = on_completed,
+		.arg = lane,
+	};
+
+	lane->httpd = dh_httpd_new(&lane->loop, &o, error);
+	if (lane->httpd == NULL)
+		return false;
+	lane->port = dh_httpd_port(lane->httpd);
+	return true;
+}
+
+static void *
+lane_main(void *arg)
+{
+	struct dh_lane *lane = arg;
+
+	uv_run(&lane->loop, UV_RUN_DEFAULT);
+	return NULL;
+}
+
+bool
+dh_lane_start(struct dh_lane *lane, uint16_t port, GError **error)
+{
+	uv_loop_init(&lane->loop);
+	g_queue_init(&lane->exchanges);
+	g_queue_init(&lane->waiting);
+	g_queue_init(&lane->spare_easy);
+	lane->asked = g_hash_table_new(NULL, NULL);
+	lane->counters =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	lane->http = dh_http_new(&lane->loop);
+	lane->reader = dh_publish_reader_new(lane->control->publish);
+	lane->from_control =
+	    dh_mailbox_new(&lane->loop, MAILBOX_SIZE, on_mail, lane);
+	lane->id_prefix = (uint64_t)dh_clock_wall_ms() << 8 | lane->index;
+	lane_timers(lane);
+	if (!lane_listen(lane, port, error))
+		return false;
+	if (pthread_create(&lane->thread, NULL, lane_main, lane) != 0)
+		g_error("cannot start a thread");
+	return true;
+}
+
+static void
+close_one(uv_handle_t *handle, void *arg)
+{
+	(void)arg;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+void
+dh_lane_stop(struct dh_lane *lane)
+{
+	struct dh_exchange *ex;
+	GList *it;
+	CURL *easy;
+
+	uv_async_send(&lane->stop);
+	pthread_join(lane->thread, NULL);
+	for (it = lane->exchanges.head; it != NULL; it = it->next) {
+		ex = it->data;
+		ex->aborted = true;
+		dh_exchange_unsend(ex);
+		dh_exchange_wake(ex);
+	}
+	dh_httpd_free(lane->httpd);
+	dh_http_free(lane->http);
+	while ((easy = g_queue_pop_head(&lane->spare_easy)) != NULL)
+		curl_easy_cleanup(easy);
+	dh_mailbox_free(lane->from_control);
+	uv_run(&lane->loop, UV_RUN_NOWAIT);
+	uv_walk(&lane->loop, close_one, NULL);
+	while (uv_run(&lane->loop, UV_RUN_DEFAULT) != 0)
+		continue;
+	uv_loop_close(&lane->loop);
+	g_free(lane->waiting_timer);
+	g_free(lane->sweep_timer);
+	g_hash_table_unref(lane->asked);
+	g_hash_table_unref(lane->counters);
+	dh_publish_reader_free(lane->reader);
+}
