--- /dev/null
+++ b/backend/order.c
@@ -0,0 +1,134 @@
+#include "backend/order.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+struct pending {
+	dh_order_fn done;
+	void *arg;
+};
+
+static const char *
+kind_name(enum dh_group_order_kind kind)
+{
+	switch (kind) {
+	case DH_GROUP_ORDER_HELLO:
+		return "hello";
+	case DH_GROUP_ORDER_GRANT:
+		return "grant";
+	case DH_GROUP_ORDER_RENEW:
+		return "renew";
+	case DH_GROUP_ORDER_RELEASE:
+		return "release";
+	case DH_GROUP_ORDER_WARM:
+		return "warm";
+	}
+	g_assert_not_reached();
+}
+
+char *
+dh_order_encode(const char *group, const struct dh_group_order *o)
+{
+	GString *text = g_string_new(NULL);
+	uint32_t i;
+
+	g_string_printf(text,
+	    "{\"group\":\"%s\",\"kind\":\"%s\",\"term\":%" PRIu64
+	    ",\"counter\":%" PRIu64 ",\"incarnation\":%" PRIu64
+	    ",\"until_ms\":%" PRId64 ",\"slots\":[",
+	    group, kind_name(o->kind), o->fence.term, o->fence.counter,
+	    o->incarnation, o->until_ms);
+	for (i = 0; i < o->nslots; i++)
+		g_string_append_printf(text, "%s[%u,%" PRIu64 ",%" PRIu64 "]",
+		    i == 0 ? "" : ",", o->index[i], o->fences[i].term,
+		    o->fences[i].counter);
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
+static int64_t
+field(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v)
+						      : 0;
+}
+
+static bool
+state_is(struct json_object *o, const char *state)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, "state", &v) &&
+	    g_strcmp0(json_object_get_string(v), state) == 0;
+}
+
+bool
+dh_order_decode(struct dh_order_reply *reply, const char *body)
+{
+	struct json_object *o = json_tokener_parse(body);
+	struct json_object *accepted;
+
+	if (o == NULL || !json_object_is_type(o, json_type_object) ||
+	    !json_object_object_get_ex(o, "accepted", &accepted)) {
+		json_object_put(o);
+		return false;
+	}
+	*reply = (struct dh_order_reply){
+		.result = json_object_get_boolean(accepted) ? DH_ORDER_ACCEPTED
+							    : DH_ORDER_REFUSED,
+		.incarnation = (uint64_t)field(o, "incarnation"),
+		.clock_ms = field(o, "clock_ms"),
+		.highest = { .term = (uint64_t)field(o, "term"),
+		    .counter = (uint64_t)field(o, "counter") },
+		.cold = state_is(o, "cold"),
+		.draining = state_is(o, "draining"),
+		.running = (uint32_t)field(o, "running"),
+		.queued = (uint32_t)field(o, "queued"),
+		.releasing = (uint32_t)field(o, "releasing"),
+	};
+	json_object_put(o);
+	return true;
+}
+
+static void
+on_reply(void *arg, const struct dh_http_reply *http)
+{
+	g_autofree struct pending *p = arg;
+	struct dh_order_reply reply = { .result = DH_ORDER_SILENT };
+
+	if (http->result == CURLE_COULDNT_CONNECT &&
+	    http->os_errno == ECONNREFUSED)
+		reply.result = DH_ORDER_DEAD;
+	else if (http->result == CURLE_OK &&
+	    !dh_order_decode(&reply, http->body))
+		reply.result = DH_ORDER_SILENT;
+	p->done(p->arg, &reply);
+}
+
+void
+dh_order_send(struct dh_http *http, const char *address, uint16_t port,
+    const char *group, const struct dh_group_order *o, int64_t timeout_ms,
+    dh_order_fn done, void *arg)
+{
+	static const char *const headers[] = { "Content-Type: application/json",
+		NULL };
+	g_autofree char *url =
+	    g_strdup_printf("http://%s:%u/_dh/order", address, port);
+	g_autofree char *body = dh_order_encode(group, o);
+	struct dh_http_request rq = { .method = "POST",
+		.url = url,
+		.headers = headers,
+		.body = body,
+		.body_len = strlen(body),
+		.timeout_ms = timeout_ms };
+	struct pending *p = g_new0(struct pending, 1);
+
+	p->done = done;
+	p->arg = arg;
+	dh_http_fetch(http, &rq, on_reply, p);
+}
--- a/base/http.c
+++ b/base/http.c
@@ -233,6 +233,7 @@
 
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply.status);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &reply.os_errno);
 	reply.sent = sent > 0;
 	reply.body = f->body->str;
 	reply.body_len = f->body->len;
--- a/base/http.h
+++ b/base/http.h
@@ -49,6 +49,7 @@
 struct dh_http_reply {
 	CURLcode result; /* CURLE_OK when a whole answer came */
 	long status; /* HTTP status, 0 when none came */
+	long os_errno; /* of a failed connection, 0 for none */
 	bool sent; /* some byte of the request may have left */
 	const char *body; /* NUL-ended; borrowed for the call */
 	size_t body_len;
