group.h: proofs of death, echoed times, support in the view

The sketch had no way to tell a proof that a VM ended from silence, no clock echo (a delayed heartbeat would have extended the deputy's support) and no sequence number on reads (a watch's result proves nothing about now).

--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -25,15 +25,33 @@
 struct dh_group_params {
 	int64_t lease_ms; /* a backend server's lease */
 	int64_t renew_ms; /* between renewals, about lease_ms / 3 */
+	int64_t heartbeat_ms; /* between heartbeats to the deputy */
+	int64_t suspect_ms; /* silence after which a partner counts as lost */
 	int64_t support_ms; /* how long an ack of deputy or store counts */
 	int64_t solo_limit_ms; /* longest renewing without any support */
 	int64_t store_outage_limit_ms; /* longest reassigning without store */
 	int64_t request_deadline_ms; /* longest a request may run */
 	int64_t move_ms; /* longest a planned move holds requests */
+	int64_t warm_ms; /* longest a planned move waits for a cold target */
+	int64_t order_ms; /* an order unanswered for so long is lost */
+	int64_t probe_ms; /* between HELLOs to backend servers without lease,
+			   * and between the deputy's */
+	int64_t put_wait_ms; /* a store write unanswered for so long counts
+			      * as a store outage */
+	int64_t confirm_ms; /* between reads that confirm the term while the
+			     * deputy answers */
+	int64_t candidate_ms; /* first candidate's wait without leader and
+			       * deputy */
+	int64_t rank_ms; /* further wait a rank */
+	int64_t deputy_grace_ms; /* how long a live deputy is left to take
+				  * over before others may */
+	uint32_t moves_at_once; /* planned moves under way */
 	uint32_t drift_ppm; /* bound on clock rate differences */
-	bool trust_vm_list; /* "gone" in the VM list proves death */
 };
 
+/* dh_group_params_defaults -- see docs/AUTHORITY.md for what they achieve. */
+struct dh_group_params dh_group_params_defaults(void);
+
 struct dh_group_backend {
 	uint64_t id;
 	uint64_t zone;
@@ -48,6 +66,9 @@
 	uint64_t zone;
 	uint64_t region;
 	bool live; /* answers heartbeats */
+	bool dead; /* proof that this incarnation has ended: its address
+		    * refused a connection, a later incarnation was seen, or
+		    * the VM list says so and the settings trust it */
 	bool leaving; /* hands over, is never chosen */
 };
 
@@ -63,6 +84,7 @@
 	uint64_t term;
 	uint64_t leader, leader_incarnation;
 	uint64_t deputy, deputy_incarnation;
+	uint64_t write_seq; /* of the leader's write: tells its own apart */
 	uint32_t nslots;
 	struct dh_assignment *slots;
 };
@@ -82,7 +104,9 @@
 				 * changed assignments */
 	DH_GROUP_MSG_ACK, /* deputy -> leader */
 	DH_GROUP_MSG_REVOKE, /* leader -> deputy: renew backend no more */
-	DH_GROUP_MSG_REVOKED, /* deputy -> leader: with its last renewal */
+	DH_GROUP_MSG_REVOKED, /* deputy -> leader: with its last renewal;
+			       * backend 0: it resigns, renews none */
+	DH_GROUP_MSG_RESTORE, /* leader -> deputy: may renew backend again */
 	DH_GROUP_MSG_ASSIGN, /* leader -> deputy: hold assignments */
 	DH_GROUP_MSG_ASSIGNED, /* deputy -> leader */
 	DH_GROUP_MSG_HANDOVER, /* leader -> deputy: take the term now */
@@ -92,10 +116,17 @@
 	enum dh_group_msg_kind kind;
 	uint64_t term;
 	uint64_t from, from_incarnation;
-	uint64_t seq; /* acks echo it */
-	uint64_t backend; /* REVOKE, REVOKED */
-	int64_t age_ms; /* REVOKED: since its last renewal sent;
-			 * HEARTBEAT: since the store confirmed */
+	uint64_t seq; /* acks echo it; rises with every message */
+	int64_t sent_ms; /* sender's clock */
+	int64_t echo_ms; /* sent_ms of the newest message of the receiver that
+			  * the sender has had, 0 for none */
+	uint64_t backend; /* REVOKE, REVOKED, RESTORE */
+	int64_t age_ms; /* REVOKED: since its last renewal sent, -1 for none;
+			 * HEARTBEAT, ASSIGN: since the store confirmed */
+	int64_t wait_ms; /* HEARTBEAT, ASSIGN: how long parties before this
+			  * pair may still renew */
+	bool doubt; /* HEARTBEAT, ASSIGN: slots with two possible owners */
+	bool synced; /* HEARTBEAT: the deputy has every assignment */
 	uint32_t nslots; /* ASSIGN, HEARTBEAT: pairs that follow */
 	uint32_t *index;
 	struct dh_assignment *slots;
@@ -133,7 +164,8 @@
 	DH_GROUP_STORE_UNKNOWN, /* no answer: a write may have happened */
 	DH_GROUP_PEER,
 	DH_GROUP_BACKEND_OK, /* accepted an order */
-	DH_GROUP_BACKEND_REFUSED, /* knows a higher fencing token */
+	DH_GROUP_BACKEND_REFUSED, /* knows a higher fencing token, or is not
+				   * the incarnation meant */
 	DH_GROUP_BACKEND_SILENT, /* no answer in time */
 	DH_GROUP_BACKEND_DEAD, /* its address refuses connections: that
 				* incarnation is gone */
@@ -145,13 +177,16 @@
 	enum dh_group_event_kind kind;
 	union {
 		struct {
-			const struct dh_group_record *record;
+			const struct dh_group_record *record; /* or NULL */
 			uint64_t version;
+			uint64_t seq; /* of the GET; 0: from a watch or a
+				       * peer, proves nothing about now */
 		} read;
 		struct {
 			uint64_t version;
-			uint64_t seq; /* of the STORE_PUT answered */
-		} written;
+			uint64_t seq; /* of the GET or PUT answered: WRITTEN,
+				       * CONFLICT, UNKNOWN */
+		} store;
 		const struct dh_group_msg *msg;
 		struct {
 			uint64_t backend;
@@ -159,7 +194,9 @@
 			int64_t clock_ms; /* its clock, in the answer */
 			int64_t sent_ms; /* echoed from the order */
 			enum dh_group_order_kind order;
-			struct dh_fence highest; /* REFUSED: what it knows */
+			struct dh_fence highest; /* it has accepted */
+			uint32_t releasing; /* slots still finishing */
+			bool cold; /* not ready for new slots */
 		} backend;
 		struct {
 			uint32_t slot;
@@ -179,6 +216,9 @@
 struct dh_group_action {
 	enum dh_group_action_kind kind;
 	union {
+		struct {
+			uint64_t seq;
+		} get;
 		struct {
 			struct dh_group_record *record;
 			uint64_t expect;
@@ -204,8 +244,14 @@
 
 struct dh_group;
 
-struct dh_group *dh_group_new(const struct dh_group_params *p, uint64_t self,
-    uint64_t incarnation, uint32_t nslots);
+/*
+ * dh_group_new -- group is the id of the group's name; of self, the id,
+ * incarnation, zone and region count.  nslots is 0 for a service of kind
+ * any: such a group has a leader and a deputy but assigns nothing.  The
+ * caller owns the result; it aborts without memory.
+ */
+struct dh_group *dh_group_new(const struct dh_group_params *p, uint64_t group,
+    const struct dh_group_vm *self, uint32_t nslots);
 void dh_group_free(struct dh_group *g);
 
 /* dh_group_set_backends, dh_group_set_vms -- what the configuration and the
@@ -229,6 +275,9 @@
 	uint32_t nslots;
 	const struct dh_assignment *slots; /* acknowledged */
 	bool store_down; /* acknowledged by leader and deputy only */
+	bool supported; /* leader with the deputy's or the store's support:
+			 * may give out permits and reassign */
+	bool stopped; /* after DH_GROUP_STOP: the process may end */
 };
 struct dh_group_view dh_group_view(const struct dh_group *g);
 
