--- /dev/null
+++ b/control/control.h
@@ -0,0 +1,77 @@
+#ifndef DH_CONTROL_CONTROL_H
+#define DH_CONTROL_CONTROL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <uv.h>
+
+#include <dogwoodhub/conf.h>
+#include <dogwoodhub/group.h>
+
+#include "base/http.h"
+#include "base/httpd.h"
+#include "config/settings.h"
+#include "control/publish.h"
+#include "router/router.h"
+#include "store/store.h"
+
+/*
+ * The control thread: it owns the configuration in force, the membership, the
+ * group machines and the routing table, and feeds the traffic threads.
+ */
+
+/* A configuration shared by tables; counted on the control thread only. */
+struct dh_conf_ref {
+	uint32_t refs;
+	struct dh_conf *conf;
+};
+
+struct dh_conf_ref *dh_conf_ref_new(struct dh_conf *conf);
+struct dh_conf_ref *dh_conf_ref_get(struct dh_conf_ref *ref);
+void dh_conf_ref_put(void *ref);
+
+struct dh_teams;
+struct dh_vms;
+struct dh_admin;
+
+struct dh_control {
+	const struct dh_settings *settings;
+	uv_loop_t loop;
+	struct dh_http *http;
+	struct dh_store *store;
+	struct dh_publish *publish;
+	struct dh_router *router;
+	struct dh_admin *admin;
+	struct dh_teams *teams;
+	struct dh_vms *vms;
+	struct dh_conf_ref *conf; /* in force, NULL before the first */
+	GHashTable *authorities; /* group name -> struct dh_authority */
+	uint64_t self; /* dh_name_id() of this VM */
+	uint64_t incarnation;
+	uint64_t table_version;
+	bool table_stale; /* rebuild before the loop next waits */
+	bool stopping;
+	int64_t stop_ms; /* when shutdown began */
+	uv_prepare_t rebuild;
+	uv_signal_t sigterm, sigint;
+	uv_timer_t shutdown;
+	int status; /* of the process */
+};
+
+/* dh_control_run -- run a process with these settings until it is told to
+ * stop; returns its exit status. */
+int dh_control_run(const struct dh_settings *s);
+
+/* dh_control_accept -- put conf, taken, in force; an older revision than the
+ * one in force is dropped. */
+void dh_control_accept(struct dh_control *ct, struct dh_conf *conf);
+
+/* dh_control_members_changed -- the VMs' list is another now. */
+void dh_control_members_changed(struct dh_control *ct);
+
+/* dh_control_stop -- begin a graceful shutdown. */
+void dh_control_stop(struct dh_control *ct);
+
+#endif
--- a/control/record.c
+++ b/control/record.c
@@ -20,9 +20,10 @@
 	g_string_printf(text,
 	    "{\"term\":%" PRIu64 ",\"leader\":\"%" PRIx64
 	    "\",\"leader_incarnation\":\"%" PRIx64 "\",\"deputy\":\"%" PRIx64
-	    "\",\"deputy_incarnation\":\"%" PRIx64 "\",\"slots\":[",
+	    "\",\"deputy_incarnation\":\"%" PRIx64
+	    "\",\"write_seq\":\"%" PRIx64 "\",\"slots\":[",
 	    r->term, r->leader, r->leader_incarnation, r->deputy,
-	    r->deputy_incarnation);
+	    r->deputy_incarnation, r->write_seq);
 	for (i = 0; i < r->nslots; i++) {
 		a = &r->slots[i];
 		g_string_append_printf(text,
@@ -116,6 +117,7 @@
 	r->leader_incarnation = hex_field(o, "leader_incarnation");
 	r->deputy = hex_field(o, "deputy");
 	r->deputy_incarnation = hex_field(o, "deputy_incarnation");
+	r->write_seq = hex_field(o, "write_seq");
 	json_object_put(o);
 	return r;
 }
--- /dev/null
+++ b/control/vms.h
@@ -0,0 +1,30 @@
+#ifndef DH_CONTROL_VMS_H
+#define DH_CONTROL_VMS_H
+
+#include "control/control.h"
+
+/*
+ * The VMs of the system as this one sees them, and the way to them.
+ */
+
+/* dh_vms_new -- registers this VM in the store and follows the others.  The
+ * caller owns the result. */
+struct dh_vms *dh_vms_new(struct dh_control *ct);
+void dh_vms_free(struct dh_vms *v);
+
+struct dh_group_vm dh_vms_self(const struct dh_vms *v);
+
+/* dh_vms_list -- every VM known, this one included; the caller frees it. */
+struct dh_group_vm *dh_vms_list(const struct dh_vms *v, size_t *n);
+
+/* dh_vms_name -- the name of a VM by its id, or NULL; borrowed. */
+const char *dh_vms_name(const struct dh_vms *v, uint64_t id);
+
+/* dh_vms_send_group -- send a group's message to a VM, if it can be reached. */
+void dh_vms_send_group(struct dh_vms *v, uint64_t to, const char *group,
+    const struct dh_group_msg *msg);
+
+/* dh_vms_leave -- tell the others that this VM shuts down. */
+void dh_vms_leave(struct dh_vms *v);
+
+#endif
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -19,6 +19,7 @@
 		.leader_incarnation = 5,
 		.deputy = 0x8000000000000001u,
 		.deputy_incarnation = 6,
+		.write_seq = 1ull << 63,
 		.nslots = 2,
 		.slots = slots };
 	g_autofree char *text = dh_record_encode(&r);
@@ -32,6 +33,7 @@
 	CU_ASSERT_EQUAL(got->leader_incarnation, 5);
 	CU_ASSERT_EQUAL(got->deputy, 0x8000000000000001u);
 	CU_ASSERT_EQUAL(got->deputy_incarnation, 6);
+	CU_ASSERT_EQUAL(got->write_seq, 1ull << 63);
 	CU_ASSERT_EQUAL_FATAL(got->nslots, 2);
 	CU_ASSERT_EQUAL(got->slots[0].owner, 0xfedcba9876543211u);
 	CU_ASSERT_EQUAL(got->slots[0].standby, 3);
