--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 
 CC ?= gcc
 SAN ?=
-BUILD := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
 comma := ,
+BUILD := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
 PKGS := base core proto store backend config router control report check
 DEPS := glib-2.0 libcurl libmicrohttpd json-c msgpack libxxhash ck
 CPPFLAGS += -D_GNU_SOURCE -I. -Iinclude -DXXH_INLINE_ALL \
@@ -33,14 +33,17 @@
 CTL_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard ctl/*.c))
 BINS := $(if $(DAEMON_OBJ),$(BUILD)/dogwoodhub) \
 	$(if $(CTL_OBJ),$(BUILD)/dogwoodctl)
-# standin/NAME_standin.c and bench/NAME.c, examples/NAME.c: one program each
+# standin/lib/*.c goes into a library for tests and standin programs;
+# standin/NAME.c and bench/NAME.c, examples/NAME.c: one program each
 STANDINS := $(patsubst %.c,$(BUILD)/%,$(wildcard standin/*.c))
+STANDIN_LIB := $(BUILD)/libdogwoodhub-standin.a
+STANDIN_SRC := $(wildcard standin/lib/*.c)
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(wildcard bench/*.c))
 EXAMPLES := $(patsubst %.c,$(BUILD)/%,$(wildcard examples/*.c))
 TESTS := $(patsubst %.c,$(BUILD)/%,$(wildcard tests/test_*.c))
-ALLC := $(SRC) $(wildcard daemon/*.c ctl/*.c standin/*.c bench/*.c \
+ALLC := $(SRC) $(STANDIN_SRC) $(wildcard daemon/*.c ctl/*.c standin/*.c bench/*.c \
 	examples/*.c tests/*.c fuzz/*.c)
-ALLH := $(foreach p,$(PKGS) include/dogwoodhub standin bench tests daemon ctl,\
+ALLH := $(foreach p,$(PKGS) include/dogwoodhub standin standin/lib bench tests daemon ctl,\
 	$(wildcard $p/*.h))
 
 .PHONY: all check unit failure demo format lint tidy clean model bench \
@@ -65,14 +68,18 @@
 $(BUILD)/dogwoodctl: $(CTL_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(STANDINS) $(BENCHES): $(BUILD)/%: $(BUILD)/%.o $(LIB)
+$(STANDIN_LIB): $(STANDIN_SRC:%.c=$(BUILD)/%.o)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(STANDINS) $(BENCHES): $(BUILD)/%: $(BUILD)/%.o $(STANDIN_LIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 # What an embedder links: core alone.
 $(EXAMPLES): $(BUILD)/%: $(BUILD)/%.o $(CORE_LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ -lm
 
-$(TESTS): $(BUILD)/%: $(BUILD)/%.o $(LIB)
+$(TESTS): $(BUILD)/%: $(BUILD)/%.o $(STANDIN_LIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 
 unit: all $(TESTS)
--- a/base/http.c
+++ b/base/http.c
@@ -141,6 +141,12 @@
 	return h;
 }
 
+uv_loop_t *
+dh_http_loop(const struct dh_http *h)
+{
+	return h->loop;
+}
+
 void
 dh_http_free(struct dh_http *h)
 {
--- a/base/http.h
+++ b/base/http.h
@@ -21,6 +21,9 @@
  * it and ends it with dh_http_free(). */
 struct dh_http *dh_http_new(uv_loop_t *loop);
 
+/* dh_http_loop -- the loop it was made with. */
+uv_loop_t *dh_http_loop(const struct dh_http *h);
+
 /* dh_http_free -- drop all transfers without calling back.  The loop must run
  * on (or be run once more) for its handles to close. */
 void dh_http_free(struct dh_http *h);
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,644 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "standin/lib/store.h"
+#include "store/store.h"
+#include "tests/cunit_main.h"
+
+#define OK (-1)
+
+static uv_loop_t loop;
+static struct dh_http *http;
+static struct dh_standin_store *standin;
+
+static const struct dh_store_times quick = {
+	.attempt_ms = 100,
+	.call_ms = 20000,
+	.backoff_min_ms = 1,
+	.backoff_max_ms = 4,
+	.wait_ms = 20,
+	.resync_ms = 40,
+};
+
+/* What a call came to. */
+struct result {
+	bool done;
+	int code; /* OK or enum dh_error */
+	struct dh_object *object;
+	unsigned int objects;
+};
+
+static void
+setup(void)
+{
+	uv_loop_init(&loop);
+	http = dh_http_new(&loop);
+	standin = dh_standin_store_start(0, 0, NULL, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(standin);
+}
+
+static void
+teardown(void)
+{
+	dh_http_free(http);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
+	dh_standin_store_stop(standin);
+}
+
+static struct dh_store *
+client(const char *writer)
+{
+	g_autofree char *url = g_strdup_printf(
+	    "http://127.0.0.1:%u", dh_standin_store_port(standin));
+	struct dh_store *st = dh_store_new(http, url, writer);
+
+	dh_store_set_times(st, &quick);
+	return st;
+}
+
+static void
+fault(const char *json)
+{
+	CU_ASSERT_TRUE_FATAL(dh_standin_store_fault(standin, json, NULL));
+}
+
+static void
+on_result(void *arg, const struct dh_object *object, const GError *error)
+{
+	struct result *r = arg;
+
+	CU_ASSERT_FALSE(r->done);
+	r->done = true;
+	r->code = error == NULL ? OK : error->code;
+	r->object = dh_object_copy(object);
+}
+
+static void
+on_each(void *arg, const struct dh_object *object, const GError *error)
+{
+	struct result *r = arg;
+
+	if (object != NULL) {
+		r->objects++;
+		return;
+	}
+	on_result(arg, object, error);
+}
+
+static void
+finish(struct result *r)
+{
+	while (!r->done)
+		uv_run(&loop, UV_RUN_ONCE);
+}
+
+static void
+clear(struct result *r)
+{
+	dh_object_free(r->object);
+	*r = (struct result){ 0 };
+}
+
+static void
+put(struct dh_store *st, const char *name, uint64_t expect, const char *value,
+    struct result *r)
+{
+	clear(r);
+	dh_store_put(st, name, expect, value, strlen(value), on_result, r);
+	CU_ASSERT_FALSE(r->done);
+	finish(r);
+}
+
+static void
+get(struct dh_store *st, const char *name, uint64_t version, struct result *r)
+{
+	clear(r);
+	dh_store_get(st, name, version, on_result, r);
+	CU_ASSERT_FALSE(r->done);
+	finish(r);
+}
+
+static void
+test_versions_and_conditions(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	get(st, "a/b", 0, &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_NOT_FOUND);
+	put(st, "a/b", 0, "one", &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(r.object->version, 1);
+	put(st, "a/b", 0, "other", &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_CONFLICT);
+	put(st, "a/b", 7, "other", &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_CONFLICT);
+	put(st, "a/b", 1, "two", &r);
+	CU_ASSERT_EQUAL(r.object->version, 2);
+	get(st, "a/b", 0, &r);
+	CU_ASSERT_STRING_EQUAL(r.object->value, "two");
+	CU_ASSERT_EQUAL(r.object->len, 3);
+	get(st, "a/b", 1, &r);
+	CU_ASSERT_STRING_EQUAL(r.object->value, "one");
+	get(st, "a/b", 3, &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_NOT_FOUND);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_value_limit(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+	g_autofree char *value = g_strnfill((1u << 20) + 1, 'x');
+
+	setup();
+	st = client("w");
+	put(st, "big", 0, value, &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_REFUSED);
+	value[1u << 20] = '\0';
+	put(st, "big", 0, value, &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_list_over_pages(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+	g_autofree char *value = g_strnfill(1u << 20, 'x');
+	char name[16];
+	int i;
+
+	setup();
+	st = client("w");
+	for (i = 0; i < 7; i++) {
+		(void)g_snprintf(name, sizeof(name), "t/%d", i);
+		put(st, name, 0, value, &r);
+	}
+	put(st, "u", 0, "", &r);
+	clear(&r);
+	dh_store_list(st, "t/", on_each, &r);
+	finish(&r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(r.objects, 7);
+	CU_ASSERT(dh_standin_store_calls(standin, DH_STANDIN_LIST) > 1);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+lost_reply(const char *order)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	put(st, "x", 0, "one", &r);
+	fault(order);
+	put(st, "x", 1, "two", &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(r.object->version, 2);
+	get(st, "x", 0, &r);
+	CU_ASSERT_EQUAL(r.object->version, 2);
+	CU_ASSERT_EQUAL(dh_standin_store_calls(standin, DH_STANDIN_DROPPED), 1);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_lost_reply_is_read_back(void)
+{
+	lost_reply("{\"kind\": \"lose-reply\", \"calls\": 1,"
+		   " \"mode\": \"silent\"}");
+	lost_reply("{\"kind\": \"lose-reply\", \"calls\": 1,"
+		   " \"mode\": \"close\"}");
+}
+
+static void
+wait_dropped(uint64_t n)
+{
+	while (dh_standin_store_calls(standin, DH_STANDIN_DROPPED) < n)
+		uv_run(&loop, UV_RUN_NOWAIT);
+}
+
+/* Another writer's version on top does not hide that ours took effect. */
+static void
+test_lost_reply_then_overwritten(void)
+{
+	struct dh_store *a, *b;
+	struct result ra = { 0 }, rb = { 0 };
+
+	setup();
+	a = client("a");
+	b = client("b");
+	fault("{\"kind\": \"lose-reply\", \"calls\": 1,"
+	      " \"mode\": \"silent\"}");
+	dh_store_put(a, "x", 0, "ours", 4, on_result, &ra);
+	wait_dropped(1);
+	put(b, "x", 1, "theirs", &rb);
+	CU_ASSERT_EQUAL(rb.code, OK);
+	put(b, "x", 2, "again", &rb);
+	CU_ASSERT_EQUAL(rb.code, OK);
+	finish(&ra);
+	CU_ASSERT_EQUAL(ra.code, OK);
+	CU_ASSERT_EQUAL(ra.object->version, 1);
+	clear(&ra);
+	clear(&rb);
+	dh_store_free(a);
+	dh_store_free(b);
+	teardown();
+}
+
+/* A request lost on its way: exactly one of two writers wins and both know. */
+static void
+test_lost_request_races_another_writer(void)
+{
+	struct dh_store *a, *b;
+	struct result ra = { 0 }, rb = { 0 }, r = { 0 };
+
+	setup();
+	a = client("a");
+	b = client("b");
+	fault("{\"kind\": \"down\", \"calls\": 1, \"mode\": \"silent\"}");
+	dh_store_put(a, "x", 0, "a", 1, on_result, &ra);
+	wait_dropped(1);
+	put(b, "x", 0, "b", &rb);
+	finish(&ra);
+	CU_ASSERT((ra.code == OK) != (rb.code == OK));
+	CU_ASSERT(ra.code == OK || ra.code == DH_ERROR_CONFLICT);
+	CU_ASSERT(rb.code == OK || rb.code == DH_ERROR_CONFLICT);
+	get(b, "x", 0, &r);
+	CU_ASSERT_STRING_EQUAL(r.object->value, ra.code == OK ? "a" : "b");
+	CU_ASSERT_EQUAL(r.object->version, 1);
+	clear(&ra);
+	clear(&rb);
+	clear(&r);
+	dh_store_free(a);
+	dh_store_free(b);
+	teardown();
+}
+
+static void
+test_outage_says_whether_it_had_effect(void)
+{
+	struct dh_store *st;
+	struct dh_store_times t = quick;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	fault("{\"kind\": \"down\", \"calls\": 3}");
+	put(st, "x", 0, "one", &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(dh_standin_store_calls(standin, DH_STANDIN_REFUSED), 3);
+	t.call_ms = 50;
+	dh_store_set_times(st, &t);
+	fault("{\"kind\": \"down\"}");
+	put(st, "x", 1, "two", &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_UNAVAILABLE);
+	get(st, "x", 0, &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_UNAVAILABLE);
+	fault("{\"kind\": \"down\", \"mode\": \"close\"}");
+	put(st, "x", 1, "three", &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_TIMEOUT);
+	fault("{\"kind\": \"clear\"}");
+	dh_store_set_times(st, &quick);
+	get(st, "x", 0, &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(r.object->version, 1);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_no_listener_is_unavailable(void)
+{
+	struct dh_store *st;
+	struct dh_store_times t = quick;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	t.call_ms = 30;
+	dh_store_set_times(st, &t);
+	dh_standin_store_stop(standin);
+	standin = NULL;
+	put(st, "x", 0, "one", &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_UNAVAILABLE);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_slow_store_answers(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	fault("{\"kind\": \"slow\", \"amount\": 300, \"calls\": 2}");
+	put(st, "x", 0, "one", &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(r.object->version, 1);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_stale_read_never_goes_back(void)
+{
+	struct dh_store *st;
+	struct dh_store_times t = quick;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	put(st, "x", 0, "one", &r);
+	put(st, "x", 1, "two", &r);
+	fault("{\"kind\": \"stale-read\", \"calls\": 2}");
+	get(st, "x", 0, &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(r.object->version, 2);
+	CU_ASSERT_EQUAL(dh_standin_store_calls(standin, DH_STANDIN_GET), 3);
+	t.call_ms = 30;
+	dh_store_set_times(st, &t);
+	fault("{\"kind\": \"stale-read\"}");
+	get(st, "x", 0, &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_UNAVAILABLE);
+	clear(&r);
+	dh_store_list(st, "", on_each, &r);
+	finish(&r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_UNAVAILABLE);
+	CU_ASSERT_EQUAL(r.objects, 0);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+/* Reading back a lost write on a stale replica is no proof of its absence. */
+static void
+test_lost_reply_with_stale_read(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	fault("{\"kind\": \"lose-reply\", \"calls\": 1,"
+	      " \"mode\": \"silent\"}");
+	fault("{\"kind\": \"stale-read\", \"calls\": 1}");
+	put(st, "x", 0, "one", &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(r.object->version, 1);
+	get(st, "x", 0, &r);
+	CU_ASSERT_EQUAL(r.object->version, 1);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+/* Nor is a conflict with a version above ours, seen when writing again. */
+static void
+test_lost_reply_overwritten_and_stale(void)
+{
+	struct dh_store *a, *b;
+	struct result ra = { 0 }, rb = { 0 };
+
+	setup();
+	a = client("a");
+	b = client("b");
+	fault("{\"kind\": \"lose-reply\", \"calls\": 1,"
+	      " \"mode\": \"silent\"}");
+	dh_store_put(a, "x", 0, "ours", 4, on_result, &ra);
+	wait_dropped(1);
+	put(b, "x", 1, "theirs", &rb);
+	fault("{\"kind\": \"stale-read\", \"amount\": 2, \"calls\": 1}");
+	finish(&ra);
+	CU_ASSERT_EQUAL(ra.code, OK);
+	CU_ASSERT_EQUAL(ra.object->version, 1);
+	clear(&ra);
+	clear(&rb);
+	dh_store_free(a);
+	dh_store_free(b);
+	teardown();
+}
+
+static void
+test_rate_limit_is_obeyed(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+
+	setup();
+	st = client("w");
+	fault("{\"kind\": \"rate-limit\", \"amount\": 0, \"for_ms\": 300}");
+	put(st, "x", 0, "one", &r);
+	CU_ASSERT_EQUAL(r.code, OK);
+	CU_ASSERT_EQUAL(dh_standin_store_calls(standin, DH_STANDIN_REFUSED), 1);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+/* What a watch told. */
+struct told {
+	uint64_t version;
+	unsigned int times;
+	bool went_back;
+	struct dh_store_watch *free_me;
+};
+
+static void
+on_told(void *arg, const struct dh_object *object, const GError *error)
+{
+	struct told *t = arg;
+
+	CU_ASSERT_PTR_NULL(error);
+	t->went_back = t->went_back || object->version <= t->version;
+	t->version = object->version;
+	t->times++;
+	if (t->free_me != NULL)
+		dh_store_watch_free(t->free_me);
+}
+
+static void
+wait_told(struct told *t, uint64_t version)
+{
+	while (t->version < version)
+		uv_run(&loop, UV_RUN_ONCE);
+}
+
+static void
+test_watch_tells_what_is_and_changes(void)
+{
+	struct dh_store *st;
+	struct dh_store_watch *w;
+	struct result r = { 0 };
+	struct told t = { 0 };
+	uint64_t i;
+
+	setup();
+	st = client("w");
+	put(st, "x", 0, "one", &r);
+	put(st, "y", 0, "other prefix", &r);
+	w = dh_store_watch(st, "x", on_told, &t);
+	wait_told(&t, 1);
+	for (i = 1; i < 5; i++) {
+		put(st, "x", i, "more", &r);
+		wait_told(&t, i + 1);
+	}
+	CU_ASSERT_EQUAL(t.times, 5);
+	CU_ASSERT_FALSE(t.went_back);
+	dh_store_watch_free(w);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+watch_survives(const char *order)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+	struct told t = { 0 };
+
+	setup();
+	st = client("w");
+	put(st, "x", 0, "one", &r);
+	(void)dh_store_watch(st, "x", on_told, &t);
+	wait_told(&t, 1);
+	fault(order);
+	put(st, "x", 1, "two", &r);
+	wait_told(&t, 2);
+	CU_ASSERT_EQUAL(t.times, 2);
+	CU_ASSERT_FALSE(t.went_back);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_watch_survives_faults(void)
+{
+	watch_survives("{\"kind\": \"silent-watch\", \"calls\": 2}");
+	watch_survives("{\"kind\": \"stale-watch\"}");
+	watch_survives("{\"kind\": \"down\", \"calls\": 3,"
+		       " \"mode\": \"close\"}");
+	watch_survives("{\"kind\": \"rate-limit\", \"amount\": 0,"
+		       " \"calls\": 1}");
+}
+
+/* A store that lost its state must not take anyone back. */
+static void
+test_watch_on_a_younger_store(void)
+{
+	struct dh_store *st, *other;
+	struct result r = { 0 };
+	struct told t = { 0 };
+	uint16_t port;
+
+	setup();
+	st = client("w");
+	other = client("o");
+	put(other, "x", 0, "one", &r);
+	put(other, "x", 1, "two", &r);
+	(void)dh_store_watch(st, "x", on_told, &t);
+	wait_told(&t, 2);
+	port = dh_standin_store_port(standin);
+	dh_standin_store_stop(standin);
+	standin = dh_standin_store_start(port, 0, NULL, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(standin);
+	put(other, "x", 0, "younger", &r);
+	CU_ASSERT_EQUAL(r.object->version, 1);
+	put(other, "x", 1, "younger", &r);
+	put(other, "x", 2, "younger", &r);
+	wait_told(&t, 3);
+	CU_ASSERT_EQUAL(t.times, 2);
+	CU_ASSERT_FALSE(t.went_back);
+	clear(&r);
+	dh_store_free(st);
+	dh_store_free(other);
+	teardown();
+}
+
+static void
+test_watch_freed_while_telling(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 };
+	struct told t = { 0 };
+
+	setup();
+	st = client("w");
+	put(st, "x/1", 0, "one", &r);
+	put(st, "x/2", 0, "one", &r);
+	t.free_me = dh_store_watch(st, "x/", on_told, &t);
+	wait_told(&t, 1);
+	put(st, "x/1", 1, "two", &r);
+	CU_ASSERT_EQUAL(t.times, 1);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+}
+
+static void
+test_free_drops_calls(void)
+{
+	struct dh_store *st;
+	struct result r = { 0 }, rw = { 0 };
+
+	setup();
+	st = client("w");
+	fault("{\"kind\": \"down\", \"mode\": \"silent\"}");
+	dh_store_put(st, "x", 0, "one", 3, on_result, &r);
+	dh_store_get(st, "x", 0, on_result, &r);
+	(void)dh_store_watch(st, "", on_result, &rw);
+	wait_dropped(2);
+	dh_store_free(st);
+	CU_ASSERT_FALSE(r.done);
+	CU_ASSERT_FALSE(rw.done);
+	teardown();
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "versions, conditions", test_versions_and_conditions },
+		{ "value limit", test_value_limit },
+		{ "list pages", test_list_over_pages },
+		{ "lost reply", test_lost_reply_is_read_back },
+		{ "lost, overwritten", test_lost_reply_then_overwritten },
+		{ "lost request", test_lost_request_races_another_writer },
+		{ "outage", test_outage_says_whether_it_had_effect },
+		{ "no listener", test_no_listener_is_unavailable },
+		{ "slow", test_slow_store_answers },
+		{ "stale read", test_stale_read_never_goes_back },
+		{ "lost, stale", test_lost_reply_with_stale_read },
+		{ "lost, over, stale", test_lost_reply_overwritten_and_stale },
+		{ "rate limit", test_rate_limit_is_obeyed },
+		{ "watch", test_watch_tells_what_is_and_changes },
+		{ "watch faults", test_watch_survives_faults },
+		{ "younger store", test_watch_on_a_younger_store },
+		{ "watch freed", test_watch_freed_while_telling },
+		{ "free", test_free_drops_calls },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("store", tests);
+}
