--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,369 @@
+#include "control/control.h"
+
+#include <inttypes.h>
+#include <signal.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "control/admin.h"
+#include "control/authority.h"
+#include "control/teams.h"
+#include "control/vms.h"
+
+/* How long callers are still taken after the health check has begun to fail,
+ * so that the balancer notices. */
+#define LAME_MS 1000
+#define SHUTDOWN_POLL_MS 20u
+
+struct dh_conf_ref *
+dh_conf_ref_new(struct dh_conf *conf)
+{
+	struct dh_conf_ref *ref = g_new0(struct dh_conf_ref, 1);
+
+	ref->refs = 1;
+	ref->conf = conf;
+	return ref;
+}
+
+struct dh_conf_ref *
+dh_conf_ref_get(struct dh_conf_ref *ref)
+{
+	ref->refs++;
+	return ref;
+}
+
+void
+dh_conf_ref_put(void *arg)
+{
+	struct dh_conf_ref *ref = arg;
+
+	if (ref == NULL || --ref->refs > 0)
+		return;
+	dh_conf_free(ref->conf);
+	g_free(ref);
+}
+
+/* The routing table */
+
+static uint32_t
+backend_index(GHashTable *by_id, uint64_t id)
+{
+	gpointer index;
+
+	if (id == 0 ||
+	    !g_hash_table_lookup_extended(by_id, &id, NULL, &index))
+		return DH_NONE;
+	return GPOINTER_TO_UINT(index);
+}
+
+static void
+fill_slots(struct dh_table *t, struct dh_authority *a, GHashTable *by_id)
+{
+	uint32_t sv = dh_conf_service(t->conf, dh_authority_service(a));
+	struct dh_group_view v = dh_authority_view(a);
+	uint32_t i;
+
+	if (sv == DH_NONE ||
+	    v.nslots != dh_service_slots(&t->conf->services[sv]))
+		return;
+	for (i = 0; i < v.nslots; i++)
+		t->slots[sv][i] = (struct dh_slot){
+			.owner = backend_index(by_id, v.slots[i].owner),
+			.standby = backend_index(by_id, v.slots[i].standby),
+			.fence = v.slots[i].fence,
+			.state = v.slots[i].state,
+		};
+}
+
+static GHashTable *
+index_backends(const struct dh_conf *conf)
+{
+	GHashTable *by_id = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, NULL);
+	uint64_t *id;
+	size_t i;
+
+	for (i = 0; i < conf->nbackends; i++) {
+		id = g_new(uint64_t, 1);
+		*id = dh_name_id(conf->backends[i].name);
+		g_hash_table_insert(by_id, id, GUINT_TO_POINTER((guint)i));
+	}
+	return by_id;
+}
+
+static void
+rebuild_table(struct dh_control *ct)
+{
+	g_autoptr(GHashTable) by_id = index_backends(ct->conf->conf);
+	struct dh_table *t =
+	    dh_table_new(ct->conf->conf, ++ct->table_version);
+	GHashTableIter it;
+	gpointer a;
+
+	if (t == NULL)
+		g_error("no memory for the routing table");
+	g_hash_table_iter_init(&it, ct->authorities);
+	while (g_hash_table_iter_next(&it, NULL, &a))
+		fill_slots(t, a, by_id);
+	dh_publish_set(
+	    ct->publish, t, dh_conf_ref_put, dh_conf_ref_get(ct->conf));
+	dh_counter_set(
+	    dh_counter_get("dh_table_version", ""), ct->table_version);
+}
+
+static void
+on_rebuild(uv_prepare_t *prepare)
+{
+	struct dh_control *ct = prepare->data;
+
+	if (ct->table_stale && ct->conf != NULL) {
+		ct->table_stale = false;
+		rebuild_table(ct);
+	}
+	dh_publish_poll(ct->publish);
+}
+
+/* Configuration and membership */
+
+static void
+update_authorities(struct dh_control *ct)
+{
+	const struct dh_conf *conf = ct->conf->conf;
+	struct dh_authority *a;
+	GHashTableIter it;
+	gpointer each;
+	size_t i;
+
+	for (i = 0; i < conf->nservices; i++) {
+		const struct dh_service *sv = &conf->services[i];
+		g_autofree char *name = g_strdup_printf("%s/0", sv->name);
+
+		if (g_hash_table_contains(ct->authorities, name))
+			continue;
+		a = dh_authority_new(ct, sv->name, 0, dh_service_slots(sv));
+		g_hash_table_insert(
+		    ct->authorities, g_steal_pointer(&name), a);
+	}
+	g_hash_table_iter_init(&it, ct->authorities);
+	while (g_hash_table_iter_next(&it, NULL, &each))
+		dh_authority_update(each);
+}
+
+void
+dh_control_accept(struct dh_control *ct, struct dh_conf *conf)
+{
+	if (ct->conf != NULL && conf->revision <= ct->conf->conf->revision) {
+		dh_conf_free(conf);
+		return;
+	}
+	dh_conf_ref_put(ct->conf);
+	ct->conf = dh_conf_ref_new(conf);
+	ct->table_stale = true;
+	dh_counter_set(
+	    dh_counter_get("dh_config_revision", ""), conf->revision);
+	dh_log(DH_LOG_INFO, "config.in_force",
+	    "revision=%" PRIu64 " services=%zu backend_servers=%zu",
+	    conf->revision, conf->nservices, conf->nbackends);
+	update_authorities(ct);
+}
+
+void
+dh_control_members_changed(struct dh_control *ct)
+{
+	GHashTableIter it;
+	gpointer a;
+
+	g_hash_table_iter_init(&it, ct->authorities);
+	while (g_hash_table_iter_next(&it, NULL, &a))
+		dh_authority_update(a);
+}
+
+/* Traffic threads */
+
+static void
+on_mail(void *arg, uint32_t lane, const struct dh_mail *mail)
+{
+	struct dh_control *ct = arg;
+	struct dh_mail reply = *mail;
+
+	switch (mail->kind) {
+	case DH_MAIL_PERMIT_ASK:
+		reply.kind = DH_MAIL_PERMIT;
+		reply.permit.verdict = DH_PERMIT_RUN;
+		(void)dh_router_mail(ct->router, lane, &reply);
+		break;
+	case DH_MAIL_PERMIT_END:
+	case DH_MAIL_PERMIT:
+	case DH_MAIL_LOAD:
+	case DH_MAIL_HOT_KEY:
+	case DH_MAIL_BACKEND_SEEN:
+	case DH_MAIL_STOP:
+		break;
+	}
+}
+
+/* Shutdown: fail the health check, hand the groups over, take no new
+ * connection, finish what is in flight, end. */
+
+static bool
+groups_stopped(struct dh_control *ct)
+{
+	GHashTableIter it;
+	gpointer a;
+
+	g_hash_table_iter_init(&it, ct->authorities);
+	while (g_hash_table_iter_next(&it, NULL, &a))
+		if (!dh_authority_view(a).stopped)
+			return false;
+	return true;
+}
+
+static void
+on_shutdown(uv_timer_t *timer)
+{
+	struct dh_control *ct = timer->data;
+	int64_t age_ms = dh_clock_ms() - ct->stop_ms;
+
+	if (age_ms >= LAME_MS)
+		dh_router_drain(ct->router);
+	if (age_ms > LAME_MS && dh_router_idle(ct->router) &&
+	    groups_stopped(ct)) {
+		uv_stop(&ct->loop);
+	} else if (age_ms > LAME_MS + ct->settings->drain_ms) {
+		dh_log(DH_LOG_WARN, "shutdown.cut",
+		    "drain_ms=%" PRId64, ct->settings->drain_ms);
+		ct->status = 1;
+		uv_stop(&ct->loop);
+	}
+}
+
+void
+dh_control_stop(struct dh_control *ct)
+{
+	GHashTableIter it;
+	gpointer a;
+
+	if (ct->stopping)
+		return;
+	ct->stopping = true;
+	ct->stop_ms = dh_clock_ms();
+	dh_log(DH_LOG_INFO, "shutdown.begin", "vm=%s", ct->settings->vm);
+	dh_vms_leave(ct->vms);
+	g_hash_table_iter_init(&it, ct->authorities);
+	while (g_hash_table_iter_next(&it, NULL, &a))
+		dh_authority_stop(a);
+	uv_timer_start(
+	    &ct->shutdown, on_shutdown, SHUTDOWN_POLL_MS, SHUTDOWN_POLL_MS);
+}
+
+static void
+on_signal(uv_signal_t *sig, int signum)
+{
+	(void)signum;
+	dh_control_stop(sig->data);
+}
+
+/* Start and end */
+
+static void
+loop_open(struct dh_control *ct)
+{
+	uv_loop_init(&ct->loop);
+	uv_prepare_init(&ct->loop, &ct->rebuild);
+	ct->rebuild.data = ct;
+	uv_prepare_start(&ct->rebuild, on_rebuild);
+	uv_timer_init(&ct->loop, &ct->shutdown);
+	ct->shutdown.data = ct;
+	uv_signal_init(&ct->loop, &ct->sigterm);
+	ct->sigterm.data = ct;
+	uv_signal_start(&ct->sigterm, on_signal, SIGTERM);
+	uv_signal_init(&ct->loop, &ct->sigint);
+	ct->sigint.data = ct;
+	uv_signal_start(&ct->sigint, on_signal, SIGINT);
+}
+
+static void
+authority_free(gpointer a)
+{
+	dh_authority_free(a);
+}
+
+static bool
+control_open(struct dh_control *ct, GError **error)
+{
+	const struct dh_settings *s = ct->settings;
+	struct dh_router_control rc = { .loop = &ct->loop,
+		.on_mail = on_mail,
+		.arg = ct };
+	g_autofree char *writer = NULL;
+
+	ct->self = dh_name_id(s->vm);
+	ct->incarnation = (uint64_t)dh_clock_wall_ms();
+	writer = g_strdup_printf("%s-%" PRIu64, s->vm, ct->incarnation);
+	ct->authorities = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, authority_free);
+	ct->http = dh_http_new(&ct->loop);
+	ct->store = dh_store_new(ct->http, s->store_url, writer);
+	ct->publish = dh_publish_new();
+	rc.publish = ct->publish;
+	ct->admin = dh_admin_new(ct, error);
+	if (ct->admin == NULL)
+		return false;
+	ct->router = dh_router_start(s, &rc, error);
+	if (ct->router == NULL)
+		return false;
+	ct->vms = dh_vms_new(ct);
+	ct->teams = dh_teams_new(ct);
+	return true;
+}
+
+static void
+close_one(uv_handle_t *handle, void *arg)
+{
+	(void)arg;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+static void
+control_close(struct dh_control *ct)
+{
+	if (ct->router != NULL)
+		dh_router_stop(ct->router);
+	dh_teams_free(ct->teams);
+	dh_admin_free(ct->admin);
+	dh_store_free(ct->store);
+	dh_http_free(ct->http);
+	g_hash_table_unref(ct->authorities);
+	dh_vms_free(ct->vms);
+	dh_publish_free(ct->publish);
+	dh_conf_ref_put(ct->conf);
+	uv_run(&ct->loop, UV_RUN_NOWAIT);
+	uv_walk(&ct->loop, close_one, NULL);
+	while (uv_run(&ct->loop, UV_RUN_DEFAULT) != 0)
+		continue;
+	uv_loop_close(&ct->loop);
+}
+
+int
+dh_control_run(const struct dh_settings *s)
+{
+	struct dh_control ct = { .settings = s };
+	g_autoptr(GError) error = NULL;
+
+	(void)signal(SIGPIPE, SIG_IGN);
+	loop_open(&ct);
+	if (control_open(&ct, &error)) {
+		dh_log(DH_LOG_INFO, "vm.up", "vm=%s port=%u incarnation=%" PRIu64,
+		    s->vm, dh_router_port(ct.router), ct.incarnation);
+		uv_run(&ct.loop, UV_RUN_DEFAULT);
+		dh_log(DH_LOG_INFO, "vm.down", "vm=%s status=%d", s->vm,
+		    ct.status);
+	} else {
+		dh_log(DH_LOG_ERROR, "vm.failed", "%s", error->message);
+		ct.status = 1;
+	}
+	control_close(&ct);
+	return ct.status;
+}
