--- /dev/null
+++ b/tests/test_admission.c
@@ -0,0 +1,410 @@
+#include <string.h>
+
+#include <dogwoodhub/admission.h>
+#include <dogwoodhub/ramp.h>
+#include <dogwoodhub/rng.h>
+
+#include "tests/cunit_main.h"
+
+#define MS INT64_C(1000)
+#define TICKETS 64
+#define FAR_US (1000 * MS)
+
+static struct dh_ticket tickets[TICKETS];
+
+static struct dh_admission *
+setup(uint32_t slots)
+{
+	struct dh_admission_params p = { .nbackends = 2,
+		.max_queued = 32,
+		.backend_queue = 16,
+		.queue_us = 500 * MS,
+		.ramp_us = 10000 * MS,
+		.max_retry_after_us = 2000 * MS,
+		.seed = 7 };
+	struct dh_admission *adm = dh_admission_new(&p);
+
+	memset(tickets, 0, sizeof(tickets));
+	dh_admission_set_slots(adm, 0, slots, false, 0);
+	return adm;
+}
+
+static enum dh_admit
+ask(struct dh_admission *adm, int i, uint32_t team, int64_t left_us,
+    int64_t now_us, int64_t *after_ms)
+{
+	tickets[i].team = team;
+	tickets[i].deadline_us = now_us + left_us;
+	return dh_admission_ask(adm, &tickets[i], now_us, after_ms);
+}
+
+/* Answer n requests one after another, all in 10 ms, none refused. */
+static int64_t
+answer_many(struct dh_admission *adm, int n, int64_t now_us)
+{
+	struct dh_ticket *run[TICKETS];
+	int64_t after_ms;
+	int i, j, nrun;
+
+	while (n > 0) {
+		nrun = 0;
+		for (i = 0; i < 8; i++)
+			if (ask(adm, i, 1, FAR_US, now_us, &after_ms) ==
+			    DH_ADMIT_RUN)
+				run[nrun++] = &tickets[i];
+			else
+				dh_admission_cancel(adm, &tickets[i]);
+		now_us += 10 * MS;
+		for (j = 0; j < nrun; j++, n--)
+			(void)dh_admission_end(
+			    adm, run[j], DH_ADMISSION_OK, 10 * MS, now_us);
+	}
+	return now_us;
+}
+
+static void
+test_limit_grows_to_slots_and_no_further(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t now_us, after_ms;
+
+	CU_ASSERT_EQUAL(dh_admission_limit_milli(adm, 0, 0), 1000);
+	now_us = answer_many(adm, 400, 0);
+	CU_ASSERT_EQUAL(dh_admission_limit_milli(adm, 0, now_us), 6000);
+	/* Not wound up beyond it either: one refusal shows. */
+	(void)ask(adm, 0, 1, FAR_US, now_us, &after_ms);
+	(void)dh_admission_end(
+	    adm, &tickets[0], DH_ADMISSION_SHED, 500, now_us);
+	CU_ASSERT_EQUAL(dh_admission_limit_milli(adm, 0, now_us), 4200);
+	dh_admission_free(adm);
+}
+
+static void
+test_shed_cuts_limit_to_one_then_pauses(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t now_us = answer_many(adm, 400, 0), after_ms = 0;
+	enum dh_admit verdict;
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		now_us += 100 * MS;
+		CU_ASSERT_EQUAL(
+		    ask(adm, 0, 1, FAR_US, now_us, &after_ms), DH_ADMIT_RUN);
+		(void)dh_admission_end(
+		    adm, &tickets[0], DH_ADMISSION_SHED, 500, now_us);
+	}
+	CU_ASSERT_EQUAL(dh_admission_limit_milli(adm, 0, now_us), 1000);
+	/* In the pause a request waits; its end is announced and honoured. */
+	CU_ASSERT_EQUAL(
+	    ask(adm, 0, 1, FAR_US, now_us, &after_ms), DH_ADMIT_QUEUE);
+	CU_ASSERT_PTR_NULL(dh_admission_poll(adm, now_us, &verdict, &after_ms));
+	now_us = dh_admission_wake_us(adm);
+	CU_ASSERT_PTR_EQUAL(
+	    dh_admission_poll(adm, now_us, &verdict, &after_ms), &tickets[0]);
+	CU_ASSERT_EQUAL(verdict, DH_ADMIT_RUN);
+	dh_admission_free(adm);
+}
+
+static void
+test_high_latency_cuts_limit(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t now_us = answer_many(adm, 400, 0), after_ms;
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		now_us += 50 * MS;
+		(void)ask(adm, 0, 1, FAR_US, now_us, &after_ms);
+		(void)dh_admission_end(
+		    adm, &tickets[0], DH_ADMISSION_OK, 50 * MS, now_us);
+	}
+	CU_ASSERT(dh_admission_limit_milli(adm, 0, now_us) < 3000);
+	dh_admission_free(adm);
+}
+
+static void
+test_too_late_is_refused_at_once(void)
+{
+	struct dh_admission *adm = setup(1);
+	int64_t after_ms = 0;
+
+	(void)answer_many(adm, 1, 0);
+	CU_ASSERT_EQUAL(ask(adm, 0, 1, FAR_US, 0, &after_ms), DH_ADMIT_RUN);
+	CU_ASSERT_EQUAL(ask(adm, 1, 1, 5 * MS, 0, &after_ms), DH_ADMIT_REFUSE);
+	CU_ASSERT(after_ms >= 1);
+	CU_ASSERT_EQUAL(tickets[1].state, DH_TICKET_IDLE);
+	CU_ASSERT_EQUAL(dh_admission_queued(adm, 0), 0);
+	dh_admission_free(adm);
+}
+
+static void
+test_long_queue_refuses_short_deadline(void)
+{
+	struct dh_admission *adm = setup(1);
+	int64_t after_ms = 0, now_us = answer_many(adm, 1, 0);
+	int i;
+
+	(void)ask(adm, 0, 1, FAR_US, now_us, &after_ms);
+	for (i = 1; i < 6; i++)
+		CU_ASSERT_EQUAL(
+		    ask(adm, i, 1, FAR_US, now_us, &after_ms), DH_ADMIT_QUEUE);
+	/* Sorted by deadline it goes first, so it can make it... */
+	CU_ASSERT_EQUAL(
+	    ask(adm, 6, 1, 40 * MS, now_us, &after_ms), DH_ADMIT_QUEUE);
+	dh_admission_cancel(adm, &tickets[6]);
+	/* ...but with 10 ms each only four can within 60 ms. */
+	for (i = 7; i < 11; i++)
+		CU_ASSERT_EQUAL(
+		    ask(adm, i, 1, 60 * MS, now_us, &after_ms), DH_ADMIT_QUEUE);
+	CU_ASSERT_EQUAL(
+	    ask(adm, 11, 1, 60 * MS, now_us, &after_ms), DH_ADMIT_REFUSE);
+	dh_admission_free(adm);
+}
+
+static void
+test_refused_come_back_spread(void)
+{
+	struct dh_admission *adm = setup(3);
+	int64_t after_ms = 0, last_ms = 0;
+	int i;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	for (i = 1; i < 20; i++) {
+		CU_ASSERT_EQUAL(
+		    ask(adm, i, 1, MS, 0, &after_ms), DH_ADMIT_REFUSE);
+		CU_ASSERT(after_ms > last_ms);
+		last_ms = after_ms;
+	}
+	for (i = 0; i < 5000; i++)
+		(void)ask(adm, 1, 1, MS, 0, &after_ms);
+	CU_ASSERT(after_ms <= 2000 && after_ms >= 1000);
+	dh_admission_free(adm);
+}
+
+static void
+test_queue_expires_at_its_time(void)
+{
+	struct dh_admission *adm = setup(1);
+	enum dh_admit verdict = DH_ADMIT_RUN;
+	int64_t after_ms = 0;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	CU_ASSERT_EQUAL(ask(adm, 1, 1, 100 * MS, 0, &after_ms), DH_ADMIT_QUEUE);
+	CU_ASSERT_PTR_NULL(
+	    dh_admission_poll(adm, 90 * MS, &verdict, &after_ms));
+	CU_ASSERT(dh_admission_wake_us(adm) <= 100 * MS);
+	CU_ASSERT_PTR_EQUAL(
+	    dh_admission_poll(adm, 100 * MS, &verdict, &after_ms), &tickets[1]);
+	CU_ASSERT_EQUAL(verdict, DH_ADMIT_REFUSE);
+	CU_ASSERT_EQUAL(dh_admission_wake_us(adm), INT64_MAX);
+	dh_admission_free(adm);
+}
+
+static void
+test_late_ticket_does_not_run_after_an_end(void)
+{
+	struct dh_admission *adm = setup(1);
+	enum dh_admit verdict = DH_ADMIT_RUN;
+	int64_t after_ms = 0;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	(void)ask(adm, 1, 1, 100 * MS, 0, &after_ms);
+	(void)ask(adm, 2, 1, 400 * MS, 0, &after_ms);
+	CU_ASSERT_PTR_EQUAL(dh_admission_end(adm, &tickets[0], DH_ADMISSION_OK,
+				120 * MS, 120 * MS),
+	    &tickets[2]);
+	CU_ASSERT_PTR_EQUAL(
+	    dh_admission_poll(adm, 120 * MS, &verdict, &after_ms), &tickets[1]);
+	CU_ASSERT_EQUAL(verdict, DH_ADMIT_REFUSE);
+	dh_admission_free(adm);
+}
+
+static void
+test_busy_team_leaves_room_and_turns(void)
+{
+	struct dh_admission *adm = setup(1);
+	struct dh_ticket *tk = &tickets[0];
+	int64_t after_ms, now_us = 0;
+	int i, queued = 0, turn = 0;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	for (i = 1; i < 40; i++)
+		queued +=
+		    ask(adm, i, 1, FAR_US, 0, &after_ms) == DH_ADMIT_QUEUE;
+	CU_ASSERT(queued >= 8 && queued < 16);
+	CU_ASSERT_EQUAL(ask(adm, 40, 2, FAR_US, 0, &after_ms), DH_ADMIT_QUEUE);
+	while (tk != NULL && tk->team == 1) {
+		now_us += 5 * MS;
+		tk = dh_admission_end(adm, tk, DH_ADMISSION_OK, 5 * MS, now_us);
+		turn++;
+	}
+	CU_ASSERT_PTR_EQUAL(tk, &tickets[40]);
+	CU_ASSERT(turn <= 3);
+	dh_admission_free(adm);
+}
+
+/* A team whose requests take four times as long gets as much time, not as
+ * many requests. */
+static void
+test_turns_are_by_time(void)
+{
+	struct dh_admission *adm = setup(1);
+	struct dh_ticket *tk = &tickets[0];
+	int64_t after_ms, now_us = 0, used_us[3] = { 0 }, cost_us;
+	int i, run = 0;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	for (i = 1; i < 13; i++)
+		(void)ask(adm, i, 1 + (uint32_t)i % 2, FAR_US, 0, &after_ms);
+	for (; run < 400 && tk != NULL; run++) {
+		struct dh_ticket *old = tk;
+
+		cost_us = old->team == 1 ? 4 * MS : MS;
+		used_us[old->team] += cost_us;
+		now_us += cost_us;
+		tk = dh_admission_end(
+		    adm, old, DH_ADMISSION_OK, cost_us, now_us);
+		old->deadline_us = now_us + FAR_US;
+		CU_ASSERT_EQUAL(dh_admission_ask(adm, old, now_us, &after_ms),
+		    DH_ADMIT_QUEUE);
+	}
+	CU_ASSERT_EQUAL(run, 400);
+	CU_ASSERT(used_us[1] < used_us[2] * 3 / 2);
+	CU_ASSERT(used_us[2] < used_us[1] * 3 / 2);
+	dh_admission_free(adm);
+}
+
+static void
+test_leaving_refuses_the_queue(void)
+{
+	struct dh_admission *adm = setup(1);
+	enum dh_admit verdict = DH_ADMIT_RUN;
+	int64_t after_ms = 0;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	(void)ask(adm, 1, 1, FAR_US, 0, &after_ms);
+	dh_admission_set_slots(adm, 0, 0, false, MS);
+	CU_ASSERT_PTR_EQUAL(
+	    dh_admission_poll(adm, MS, &verdict, &after_ms), &tickets[1]);
+	CU_ASSERT_EQUAL(verdict, DH_ADMIT_REFUSE);
+	CU_ASSERT_EQUAL(ask(adm, 2, 1, FAR_US, MS, &after_ms), DH_ADMIT_REFUSE);
+	CU_ASSERT_PTR_NULL(
+	    dh_admission_end(adm, &tickets[0], DH_ADMISSION_OK, MS, 2 * MS));
+	dh_admission_free(adm);
+}
+
+static void
+test_cold_backend_ramps(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t now_us;
+
+	dh_admission_set_slots(adm, 0, 6, true, 0);
+	now_us = answer_many(adm, 200, 0);
+	CU_ASSERT(now_us < 5000 * MS);
+	CU_ASSERT(dh_admission_limit_milli(adm, 0, now_us) < 4000);
+	now_us = answer_many(adm, 400, 10000 * MS);
+	CU_ASSERT_EQUAL(dh_admission_limit_milli(adm, 0, now_us), 6000);
+	CU_ASSERT_EQUAL(dh_ramp_share(0, 1000, 0), 100);
+	CU_ASSERT_EQUAL(dh_ramp_share(0, 1000, 500), 550);
+	CU_ASSERT_EQUAL(dh_ramp_share(0, 0, 0), DH_RAMP_FULL);
+	dh_admission_free(adm);
+}
+
+/* What a random run holds of one backend server. */
+struct random_run {
+	struct dh_admission *adm;
+	struct dh_rng rng;
+	int64_t now_us;
+	uint32_t running;
+};
+
+static void
+random_poll(struct random_run *r)
+{
+	enum dh_admit verdict;
+	int64_t after_ms = 0;
+
+	while (
+	    dh_admission_poll(r->adm, r->now_us, &verdict, &after_ms) != NULL)
+		r->running += verdict == DH_ADMIT_RUN;
+}
+
+static void
+random_step(struct random_run *r, struct dh_ticket *tk)
+{
+	enum dh_admission_outcome out =
+	    (enum dh_admission_outcome)dh_rng_below(&r->rng, 4);
+	int64_t after_ms = 0;
+
+	switch (tk->state) {
+	case DH_TICKET_IDLE:
+		tk->team = (uint32_t)dh_rng_below(&r->rng, 5);
+		tk->deadline_us =
+		    r->now_us + (int64_t)dh_rng_below(&r->rng, 200 * MS);
+		r->running += dh_admission_ask(r->adm, tk, r->now_us,
+				  &after_ms) == DH_ADMIT_RUN;
+		break;
+	case DH_TICKET_RUNNING:
+		r->running--;
+		tk = dh_admission_end(r->adm, tk, out, 3 * MS, r->now_us);
+		for (; tk != NULL; r->running++)
+			tk = dh_admission_next(r->adm, 0, r->now_us);
+		break;
+	case DH_TICKET_QUEUED:
+		if (dh_rng_below(&r->rng, 4) == 0)
+			dh_admission_cancel(r->adm, tk);
+		break;
+	case DH_TICKET_REFUSED:
+		break;
+	}
+}
+
+/* Any order of events: counts agree, the limit holds, none is stuck. */
+static void
+test_random_events(void)
+{
+	struct random_run r = { .rng = { 42 } };
+	uint32_t i;
+
+	r.adm = setup(6);
+	for (i = 0; i < 200000; i++) {
+		r.now_us += (int64_t)dh_rng_below(&r.rng, 400);
+		random_step(&r, &tickets[dh_rng_below(&r.rng, TICKETS)]);
+		random_poll(&r);
+		CU_ASSERT_FATAL(r.running <= 6);
+		CU_ASSERT_FATAL(dh_admission_running(r.adm, 0) == r.running);
+		CU_ASSERT_FATAL(dh_admission_queued(r.adm, 0) <= 16);
+		CU_ASSERT_FATAL(r.running > 0 ||
+		    dh_admission_queued(r.adm, 0) == 0 ||
+		    dh_admission_wake_us(r.adm) < r.now_us + 30 * MS);
+	}
+	r.now_us += 10000 * MS;
+	random_poll(&r);
+	CU_ASSERT_EQUAL(dh_admission_queued(r.adm, 0), 0);
+	dh_admission_free(r.adm);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "limit grows", test_limit_grows_to_slots_and_no_further },
+		{ "shed cuts", test_shed_cuts_limit_to_one_then_pauses },
+		{ "latency cuts", test_high_latency_cuts_limit },
+		{ "too late", test_too_late_is_refused_at_once },
+		{ "long queue", test_long_queue_refuses_short_deadline },
+		{ "come back spread", test_refused_come_back_spread },
+		{ "expires", test_queue_expires_at_its_time },
+		{ "late not run", test_late_ticket_does_not_run_after_an_end },
+		{ "busy team", test_busy_team_leaves_room_and_turns },
+		{ "turns by time", test_turns_are_by_time },
+		{ "leaving", test_leaving_refuses_the_queue },
+		{ "cold", test_cold_backend_ramps },
+		{ "random events", test_random_events },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("admission", tests);
+}
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -1,12 +1,11 @@
-#include <CUnit/Basic.h>
-
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <dogwoodhub/key.h>
 #include <dogwoodhub/table.h>
 
+#include "tests/cunit_main.h"
+
 #define HASH_SLOTS 97
 
 static char key_a[] = "a", key_m[] = "m", key_mm[] = "mm";
@@ -116,18 +115,6 @@
 		{ "fence", test_fence_term_outranks_counter },
 		CU_TEST_INFO_NULL,
 	};
-	CU_SuiteInfo suites[] = {
-		{ "table", NULL, NULL, NULL, NULL, tests },
-		CU_SUITE_INFO_NULL,
-	};
-	unsigned int failed;
-
-	if (CU_initialize_registry() != CUE_SUCCESS ||
-	    CU_register_suites(suites) != CUE_SUCCESS)
-		return EXIT_FAILURE;
-	CU_basic_set_mode(CU_BRM_VERBOSE);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+
+	return cunit_main("table", tests);
 }
