--- a/control/admin.c
+++ b/control/admin.c
@@ -16,8 +16,8 @@
 	struct dh_httpd *httpd;
 };
 
-static const char *const role_names[] = { "idle", "deputy", "taking",
-	"waiting", "leader", "solo" };
+static const char *const role_names[] = { "idle", "deputy", "taking", "waiting",
+	"leader", "solo" };
 
 static const char *
 vm_name(const struct dh_control *ct, uint64_t id)
@@ -41,8 +41,8 @@
 	    "\"owned\":%u,\"moving\":%u,\"store_down\":%s}",
 	    dh_authority_name(a), role_names[v.role], v.term,
 	    vm_name(ct, v.leader), vm_name(ct, v.deputy), v.nslots,
-	    count[DH_SLOT_UNOWNED], count[DH_SLOT_OWNED],
-	    count[DH_SLOT_MOVING], v.store_down ? "true" : "false");
+	    count[DH_SLOT_UNOWNED], count[DH_SLOT_OWNED], count[DH_SLOT_MOVING],
+	    v.store_down ? "true" : "false");
 }
 
 static void
@@ -87,8 +87,7 @@
 	    ",\"groups\":[",
 	    ct->settings->vm, ct->incarnation, ct->settings->zone,
 	    ct->settings->region, ct->stopping ? "true" : "false",
-	    ct->conf == NULL ? 0 : ct->conf->conf->revision,
-	    ct->table_version);
+	    ct->conf == NULL ? 0 : ct->conf->conf->revision, ct->table_version);
 	print_groups(out, ct);
 	g_string_append(out, "],\"vms\":[");
 	print_vms(out, ct);
@@ -139,9 +138,9 @@
 	if (strcmp(method, "GET") != 0)
 		return reply_text(conn, 405, "GET only\n", "text/plain");
 	if (strcmp(path, "/health") == 0)
-		return ct->stopping ?
-		    reply_text(conn, 503, "stopping\n", "text/plain") :
-		    reply_text(conn, 200, "ok\n", "text/plain");
+		return ct->stopping
+		    ? reply_text(conn, 503, "stopping\n", "text/plain")
+		    : reply_text(conn, 200, "ok\n", "text/plain");
 	if (strcmp(path, "/counters") == 0)
 		return reply_counters(conn);
 	if (strcmp(path, "/status") != 0)
--- a/control/authority.c
+++ b/control/authority.c
@@ -1,5 +1,6 @@
 #include "control/authority.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "backend/order.h"
@@ -12,17 +13,17 @@
 
 struct dh_authority {
 	struct dh_control *control;
-	char *name;		/* "SERVICE/PART" */
-	char *object;		/* its name in the store */
+	char *name; /* "SERVICE/PART" */
+	char *object; /* its name in the store */
 	char *service;
 	struct dh_group *group;
 	struct dh_group_params params;
 	struct dh_group_actions actions;
 	uv_timer_t *timer;
-	bool carrying;		/* inside carry_out(): events wait */
+	bool carrying; /* inside carry_out(): events wait */
 	enum dh_group_role role; /* last logged */
 	uint64_t term;
-	uint32_t pending;	/* calls that will still come back */
+	uint32_t pending; /* calls that will still come back */
 	bool freed;
 };
 
@@ -85,8 +86,8 @@
 		return;
 	if (object != NULL)
 		record = dh_record_decode(object->value, NULL);
-	if (record != NULL || g_error_matches(error, DH_ERROR,
-				  DH_ERROR_NOT_FOUND)) {
+	if (record != NULL ||
+	    g_error_matches(error, DH_ERROR, DH_ERROR_NOT_FOUND)) {
 		ev.kind = DH_GROUP_STORE_READ;
 		ev.read.record = record;
 		ev.read.version = object == NULL ? 0 : object->version;
@@ -250,8 +251,8 @@
 	a->carrying = false;
 	log_role(a);
 	wait_ms = dh_group_next_ms(a->group) - dh_clock_ms();
-	uv_timer_start(a->timer, on_timer,
-	    wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
+	uv_timer_start(
+	    a->timer, on_timer, wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
 }
 
 /* The settings' times over the defaults. */
@@ -269,8 +270,8 @@
 }
 
 struct dh_authority *
-dh_authority_new(struct dh_control *ct, const char *service, uint32_t part,
-    uint32_t nslots)
+dh_authority_new(
+    struct dh_control *ct, const char *service, uint32_t part, uint32_t nslots)
 {
 	struct dh_authority *a = g_new0(struct dh_authority, 1);
 	struct dh_group_vm self = dh_vms_self(ct->vms);
@@ -280,8 +281,7 @@
 	a->name = g_strdup_printf("%s/%u", service, part);
 	a->object = g_strdup_printf("groups/%s", a->name);
 	a->params = params_of(ct->settings);
-	a->group =
-	    dh_group_new(&a->params, dh_name_id(a->name), &self, nslots);
+	a->group = dh_group_new(&a->params, dh_name_id(a->name), &self, nslots);
 	a->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(&ct->loop, a->timer);
 	a->timer->data = a;
@@ -318,11 +318,12 @@
 		b = &conf->backends[i];
 		if (strcmp(b->service, a->service) != 0)
 			continue;
-		list[n++] = (struct dh_group_backend){ .id = dh_name_id(b->name),
-			.zone = dh_name_id(b->zone),
-			.weight = b->slots,
-			.checks_fence = b->checks_fence,
-			.drain = b->drain };
+		list[n++] =
+		    (struct dh_group_backend){ .id = dh_name_id(b->name),
+			    .zone = dh_name_id(b->zone),
+			    .weight = b->slots,
+			    .checks_fence = b->checks_fence,
+			    .drain = b->drain };
 	}
 	dh_group_set_backends(a->group, list, n);
 }
@@ -350,8 +351,8 @@
 }
 
 void
-dh_authority_record(struct dh_authority *a, const struct dh_group_record *r,
-    uint64_t version)
+dh_authority_record(
+    struct dh_authority *a, const struct dh_group_record *r, uint64_t version)
 {
 	struct dh_group_event ev = { .kind = DH_GROUP_STORE_READ,
 		.read = { .record = r, .version = version } };
--- a/control/authority.h
+++ b/control/authority.h
@@ -10,8 +10,8 @@
 struct dh_authority;
 
 /* dh_authority_new -- for part of a service; the caller owns it. */
-struct dh_authority *dh_authority_new(struct dh_control *ct,
-    const char *service, uint32_t part, uint32_t nslots);
+struct dh_authority *dh_authority_new(
+    struct dh_control *ct, const char *service, uint32_t part, uint32_t nslots);
 void dh_authority_free(struct dh_authority *a);
 
 /* dh_authority_update -- the configuration or the VMs' list has changed. */
@@ -22,12 +22,11 @@
     struct dh_authority *a, const struct dh_group_msg *msg);
 
 /* dh_authority_record -- the group's object as a watch or a peer tells it. */
-void dh_authority_record(struct dh_authority *a,
-    const struct dh_group_record *r, uint64_t version);
+void dh_authority_record(
+    struct dh_authority *a, const struct dh_group_record *r, uint64_t version);
 
 /* dh_authority_move -- ask for a planned move. */
-void dh_authority_move(
-    struct dh_authority *a, uint32_t slot, uint64_t backend);
+void dh_authority_move(struct dh_authority *a, uint32_t slot, uint64_t backend);
 
 /* dh_authority_stop -- hand over; view.stopped tells when it is done. */
 void dh_authority_stop(struct dh_authority *a);
--- a/control/control.c
+++ b/control/control.c
@@ -51,8 +51,7 @@
 {
 	gpointer index;
 
-	if (id == 0 ||
-	    !g_hash_table_lookup_extended(by_id, &id, NULL, &index))
+	if (id == 0 || !g_hash_table_lookup_extended(by_id, &id, NULL, &index))
 		return DH_NONE;
 	return GPOINTER_TO_UINT(index);
 }
@@ -79,8 +78,8 @@
 static GHashTable *
 index_backends(const struct dh_conf *conf)
 {
-	GHashTable *by_id = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, NULL);
+	GHashTable *by_id =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	uint64_t *id;
 	size_t i;
 
@@ -96,8 +95,7 @@
 rebuild_table(struct dh_control *ct)
 {
 	g_autoptr(GHashTable) by_id = index_backends(ct->conf->conf);
-	struct dh_table *t =
-	    dh_table_new(ct->conf->conf, ++ct->table_version);
+	struct dh_table *t = dh_table_new(ct->conf->conf, ++ct->table_version);
 	GHashTableIter it;
 	gpointer a;
 
@@ -142,8 +140,7 @@
 		if (g_hash_table_contains(ct->authorities, name))
 			continue;
 		a = dh_authority_new(ct, sv->name, 0, dh_service_slots(sv));
-		g_hash_table_insert(
-		    ct->authorities, g_steal_pointer(&name), a);
+		g_hash_table_insert(ct->authorities, g_steal_pointer(&name), a);
 	}
 	g_hash_table_iter_init(&it, ct->authorities);
 	while (g_hash_table_iter_next(&it, NULL, &each))
@@ -231,8 +228,8 @@
 	    groups_stopped(ct)) {
 		uv_stop(&ct->loop);
 	} else if (age_ms > LAME_MS + ct->settings->drain_ms) {
-		dh_log(DH_LOG_WARN, "shutdown.cut",
-		    "drain_ms=%" PRId64, ct->settings->drain_ms);
+		dh_log(DH_LOG_WARN, "shutdown.cut", "drain_ms=%" PRId64,
+		    ct->settings->drain_ms);
 		ct->status = 1;
 		uv_stop(&ct->loop);
 	}
@@ -293,9 +290,9 @@
 control_open(struct dh_control *ct, GError **error)
 {
 	const struct dh_settings *s = ct->settings;
-	struct dh_router_control rc = { .loop = &ct->loop,
-		.on_mail = on_mail,
-		.arg = ct };
+	struct dh_router_control rc = {
+		.loop = &ct->loop, .on_mail = on_mail, .arg = ct
+	};
 	g_autofree char *writer = NULL;
 
 	ct->self = dh_name_id(s->vm);
@@ -355,8 +352,9 @@
 	(void)signal(SIGPIPE, SIG_IGN);
 	loop_open(&ct);
 	if (control_open(&ct, &error)) {
-		dh_log(DH_LOG_INFO, "vm.up", "vm=%s port=%u incarnation=%" PRIu64,
-		    s->vm, dh_router_port(ct.router), ct.incarnation);
+		dh_log(DH_LOG_INFO, "vm.up",
+		    "vm=%s port=%u incarnation=%" PRIu64, s->vm,
+		    dh_router_port(ct.router), ct.incarnation);
 		uv_run(&ct.loop, UV_RUN_DEFAULT);
 		dh_log(DH_LOG_INFO, "vm.down", "vm=%s status=%d", s->vm,
 		    ct.status);
--- a/control/record.c
+++ b/control/record.c
@@ -20,8 +20,8 @@
 	g_string_printf(text,
 	    "{\"term\":%" PRIu64 ",\"leader\":\"%" PRIx64
 	    "\",\"leader_incarnation\":\"%" PRIx64 "\",\"deputy\":\"%" PRIx64
-	    "\",\"deputy_incarnation\":\"%" PRIx64
-	    "\",\"write_seq\":\"%" PRIx64 "\",\"slots\":[",
+	    "\",\"deputy_incarnation\":\"%" PRIx64 "\",\"write_seq\":\"%" PRIx64
+	    "\",\"slots\":[",
 	    r->term, r->leader, r->leader_incarnation, r->deputy,
 	    r->deputy_incarnation, r->write_seq);
 	for (i = 0; i < r->nslots; i++) {
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -5,9 +5,8 @@
 #include <ck_pr.h>
 
 #include "base/clock.h"
+#include "router/turn.h"
 
-#define BACKOFF_MS 5
-#define ATTEMPTS_MAX 8u
 #define RETRY_AFTER_MS 1000
 /* No byte in either direction for this long ends a streaming answer. */
 #define STALL_MS 15000
@@ -49,6 +48,8 @@
 	if (ex->token != 0)
 		g_hash_table_remove(lane->asked, GUINT_TO_POINTER(ex->token));
 	ex->token = 0;
+	if (ex->phase == DH_PHASE_TURN)
+		dh_turns_end(lane->turns, ex, DH_ADMISSION_CANCELLED);
 }
 
 /* What became of the request, as far as this VM knows. */
@@ -67,20 +68,19 @@
 static void
 count(struct dh_exchange *ex, enum dh_outcome outcome)
 {
-	struct dh_lane_counters *c;
+	struct dh_lane_service *sv = ex->service;
 	int64_t us = dh_clock_us() - ex->begun_us;
 	bool good;
 
-	if (ex->target.service[0] == '\0' || ex->budget_ms == 0)
+	if (sv == NULL)
 		return;
-	c = dh_lane_counters(ex->lane, ex->target.service);
 	good = outcome == DH_OUTCOME_DONE && !ex->down_failed &&
 	    ex->status < 500 &&
 	    ex->head_us - ex->begun_us <= ex->objective_ms * 1000;
-	dh_counter_add(c->outcome[outcome], 1);
-	dh_counter_add(c->latency_us, (uint64_t)us);
-	dh_counter_add(c->slo_total, 1);
-	dh_counter_add(c->slo_good, good ? 1 : 0);
+	dh_counter_add(sv->outcome[outcome], 1);
+	dh_counter_add(sv->latency_us, (uint64_t)us);
+	dh_counter_add(sv->slo_total, 1);
+	dh_counter_add(sv->slo_good, good ? 1 : 0);
 }
 
 static void
@@ -114,6 +114,7 @@
 
 	stop_waiting(ex);
 	dh_exchange_unsend(ex);
+	dh_turns_end(lane->turns, ex, DH_ADMISSION_CANCELLED);
 	count(ex, outcome);
 	permit_end(ex, outcome);
 	g_queue_unlink(&lane->exchanges, &ex->link);
@@ -256,6 +257,9 @@
 	int64_t asked_ms = text == NULL ? 0 : g_ascii_strtoll(text, NULL, 10);
 
 	ex->keyed = sv->kind == DH_SERVICE_KEYED;
+	ex->team = (uint32_t)dh_name_id(sv->team);
+	ex->service = dh_lane_service(ex->lane, sv->name, sv->retry_percent);
+	ex->park_max_ms = sv->queue_ms;
 	ex->budget_ms = sv->deadline_ms;
 	ex->objective_ms = sv->objective_latency_ms;
 	if (text != NULL)
@@ -317,6 +321,7 @@
 
 	ex->route.backend = backend;
 	ex->revision = t->conf->revision;
+	ex->backend_id = dh_name_id(b->name);
 	ex->port = b->port;
 	g_strlcpy(ex->address, b->address, sizeof(ex->address));
 	g_snprintf(ex->group, sizeof(ex->group), "%s/0", ex->target.service);
@@ -361,6 +366,7 @@
 	}
 	if (backend == DH_NONE)
 		return false;
+	dh_turns_update(ex->lane->turns, t->conf);
 	take_backend(ex, t, backend);
 	return true;
 }
@@ -385,6 +391,35 @@
 	return true;
 }
 
+static void
+ask_turn(struct dh_exchange *ex)
+{
+	int64_t retry_after_ms = 0;
+	enum dh_admit verdict =
+	    dh_turns_ask(ex->lane->turns, ex, &retry_after_ms);
+
+	dh_exchange_turn(ex, verdict, retry_after_ms);
+}
+
+/* Wait for the slot's owner, for a bounded time. */
+static void
+wait_for_owner(struct dh_exchange *ex)
+{
+	int64_t now_ms = dh_clock_ms(), until_ms;
+
+	ex->phase = DH_PHASE_ROUTE;
+	if (!dh_lane_wait(ex->lane, &ex->wait_link)) {
+		refuse_not_run(ex, 503, "queue-full");
+		return;
+	}
+	ex->is_waiting = true;
+	if (ex->parked_ms != 0)
+		return;
+	ex->parked_ms = now_ms;
+	until_ms = now_ms + ex->park_max_ms;
+	timer_at(ex, MIN(until_ms, ex->deadline_ms));
+}
+
 void
 dh_exchange_route(struct dh_exchange *ex)
 {
@@ -393,17 +428,37 @@
 
 	dh_publish_leave(ex->lane->reader);
 	if (!found) {
-		ex->phase = DH_PHASE_ROUTE;
-		ex->is_waiting = true;
-		dh_lane_wait(ex->lane, &ex->wait_link);
+		wait_for_owner(ex);
 		return;
 	}
+	if (ex->parked_ms != 0)
+		timer_at(ex, ex->deadline_ms);
+	ex->parked_ms = 0;
+	ex->shunned = false;
 	if (ex->unrepeatable && !ex->permitted) {
 		if (!ask_permit(ex))
 			refuse_not_run(ex, 503, "permit");
 		return;
 	}
-	dh_exchange_send(ex);
+	ask_turn(ex);
+}
+
+void
+dh_exchange_turn(
+    struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms)
+{
+	switch (verdict) {
+	case DH_ADMIT_RUN:
+		dh_exchange_send(ex);
+		break;
+	case DH_ADMIT_QUEUE:
+		ex->phase = DH_PHASE_TURN;
+		break;
+	case DH_ADMIT_REFUSE:
+		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "shed",
+		    MAX(retry_after_ms, 1));
+		break;
+	}
 }
 
 void
@@ -457,24 +512,62 @@
 /* The backend server's answer */
 
 static bool
-may_try_again(const struct dh_exchange *ex, int64_t backoff_ms)
+is_idempotent(const struct dh_exchange *ex)
 {
-	return ex->attempt < ATTEMPTS_MAX && !ex->aborted && ex->up.kept &&
-	    dh_clock_ms() + backoff_ms < ex->deadline_ms;
+	return !ex->unrepeatable &&
+	    (strcmp(ex->method, "GET") == 0 || strcmp(ex->method, "HEAD") == 0);
 }
 
-/* The last attempt has not run: try again, or say so. */
-static void
-not_run(struct dh_exchange *ex, const char *reason)
+/* Whether another owner of the slot could make the difference. */
+static bool
+is_ownership_failure(const struct dh_exchange *ex, const char *reason)
 {
-	int64_t backoff_ms = BACKOFF_MS << MIN(ex->attempt, 5u);
+	if (strcmp(reason, "connect") == 0)
+		return true;
+	return ex->not_run &&
+	    (strcmp(ex->refused_reason, "wrong-owner") == 0 ||
+		strcmp(ex->refused_reason, "lease") == 0);
+}
 
-	if (!may_try_again(ex, backoff_ms) || !dh_buffer_rewind(&ex->up)) {
-		refuse_not_run(ex, 503, reason);
+/* Wait, without an attempt, for the slot to get another owner. */
+static bool
+park_for_owner(struct dh_exchange *ex)
+{
+	if (!ex->keyed || !dh_buffer_rewind(&ex->up))
+		return false;
+	ex->shunned = true;
+	ex->shun = ex->route.fence;
+	dh_counter_add(ex->service->parked, 1);
+	dh_exchange_route(ex);
+	return true;
+}
+
+/* The last attempt ended without an answer: try again, wait for another
+ * owner, or say so at once. */
+static void
+after_failure(struct dh_exchange *ex, enum dh_outcome outcome,
+    unsigned int status, const char *reason)
+{
+	struct dh_lane_service *sv = ex->service;
+	struct dh_retry_attempt at = { .outcome = outcome,
+		.idempotent = is_idempotent(ex),
+		.number = ex->attempt,
+		.deadline_ms = ex->deadline_ms };
+	struct dh_retry_decision d = { .verdict = DH_RETRY_UNSAFE };
+
+	if (!ex->aborted && ex->up.kept)
+		d = dh_retry_decide(&sv->budget, &sv->retry, &at,
+		    &ex->lane->rng, dh_clock_ms());
+	if (d.verdict == DH_RETRY_AGAIN && dh_buffer_rewind(&ex->up)) {
+		dh_counter_add(sv->retries, 1);
+		ex->phase = DH_PHASE_BACKOFF;
+		timer_at(ex, dh_clock_ms() + d.delay_ms);
 		return;
 	}
-	ex->phase = DH_PHASE_BACKOFF;
-	timer_at(ex, dh_clock_ms() + backoff_ms);
+	if (is_ownership_failure(ex, reason) && !ex->aborted &&
+	    d.verdict != DH_RETRY_DEADLINE && park_for_owner(ex))
+		return;
+	dh_exchange_refuse(ex, status, outcome, reason, RETRY_AFTER_MS);
 }
 
 void
@@ -488,9 +581,25 @@
 		dh_exchange_wake(ex);
 }
 
+static enum dh_admission_outcome
+admission_outcome(enum dh_attempt_end end)
+{
+	switch (end) {
+	case DH_ATTEMPT_WHOLE:
+		return DH_ADMISSION_OK;
+	case DH_ATTEMPT_REFUSED:
+		return DH_ADMISSION_SHED;
+	case DH_ATTEMPT_UNSENT:
+	case DH_ATTEMPT_LOST:
+		return DH_ADMISSION_LOST;
+	}
+	g_assert_not_reached();
+}
+
 void
 dh_exchange_on_end(struct dh_exchange *ex, enum dh_attempt_end end)
 {
+	dh_turns_end(ex->lane->turns, ex, admission_outcome(end));
 	if (ex->head_ready) {
 		ex->down_ended = true;
 		ex->down_failed = end != DH_ATTEMPT_WHOLE;
@@ -499,15 +608,14 @@
 	}
 	switch (end) {
 	case DH_ATTEMPT_REFUSED:
-		not_run(ex, "refused");
+		after_failure(ex, DH_OUTCOME_NOT_RUN, 503, "refused");
 		break;
 	case DH_ATTEMPT_UNSENT:
-		not_run(ex, "connect");
+		after_failure(ex, DH_OUTCOME_NOT_RUN, 503, "connect");
 		break;
 	case DH_ATTEMPT_WHOLE:
 	case DH_ATTEMPT_LOST:
-		dh_exchange_refuse(
-		    ex, 502, DH_OUTCOME_UNKNOWN, "lost", RETRY_AFTER_MS);
+		after_failure(ex, DH_OUTCOME_UNKNOWN, 502, "lost");
 		break;
 	}
 }
@@ -526,6 +634,7 @@
 	ex->down_ended = true;
 	ex->aborted = true;
 	dh_exchange_unsend(ex);
+	dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_LOST);
 	dh_exchange_wake(ex);
 }
 
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <dogwoodhub/admission.h>
+#include <dogwoodhub/group.h>
 #include <dogwoodhub/table.h>
 
 #include "router/buffer.h"
@@ -74,6 +76,15 @@
 	uint16_t port;
 	bool keyed;
 	struct dh_route route;
+	uint64_t backend_id; /* dh_name_id() of the backend server */
+	uint32_t team; /* hash of the service's team */
+	struct dh_lane_service *service;
+	bool shunned; /* wait for another fence than... */
+	struct dh_fence shun; /* ...this */
+	int64_t parked_ms; /* since when it waits for an owner, or 0 */
+	int64_t park_max_ms; /* longest it may */
+	struct dh_ticket ticket; /* its place at the backend server */
+	int64_t sent_us;
 	uint64_t revision;
 	uint64_t token; /* of the permit asked for, 0: none */
 	bool permitted;
@@ -127,6 +138,10 @@
 void dh_exchange_refuse(struct dh_exchange *ex, unsigned int status,
     enum dh_outcome outcome, const char *reason, int64_t retry_after_ms);
 
+/* dh_exchange_turn -- its turn has come, or won't. */
+void dh_exchange_turn(
+    struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms);
+
 /* dh_exchange_send -- start an attempt (module upstream). */
 void dh_exchange_send(struct dh_exchange *ex);
 
--- a/router/lane.c
+++ b/router/lane.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "router/exchange.h"
+#include "router/turn.h"
 
 /* How often requests without an owner look for a new table. */
 #define WAITING_POLL_MS 2
@@ -19,30 +20,51 @@
 #define SPARE_EASY_MAX 64u
 #define MAILBOX_SIZE 4096u
 
-struct dh_lane_counters *
-dh_lane_counters(struct dh_lane *lane, const char *service)
+#define RETRY_BURST 10u
+#define RETRY_ATTEMPTS 4u
+#define RETRY_BASE_MS 5
+#define RETRY_MAX_MS 100
+
+static void
+count_outcomes(struct dh_lane_service *sv, const char *service)
 {
 	static const char *const outcomes[] = { "done", "not-run", "unknown" };
-	struct dh_lane_counters *c =
-	    g_hash_table_lookup(lane->counters, service);
-	g_autofree char *plain = NULL;
 	size_t i;
 
-	if (c != NULL)
-		return c;
-	c = g_new0(struct dh_lane_counters, 1);
-	plain = g_strdup_printf("service=\"%s\"", service);
 	for (i = 0; i < G_N_ELEMENTS(outcomes); i++) {
 		g_autofree char *labels = g_strdup_printf(
 		    "service=\"%s\",outcome=\"%s\"", service, outcomes[i]);
 
-		c->outcome[i] = dh_counter_get("dh_requests_total", labels);
+		sv->outcome[i] = dh_counter_get("dh_requests_total", labels);
 	}
-	c->slo_total = dh_counter_get("dh_slo_total", plain);
-	c->slo_good = dh_counter_get("dh_slo_good_total", plain);
-	c->latency_us = dh_counter_get("dh_request_us_total", plain);
-	g_hash_table_insert(lane->counters, g_strdup(service), c);
-	return c;
+}
+
+struct dh_lane_service *
+dh_lane_service(
+    struct dh_lane *lane, const char *service, uint32_t retry_percent)
+{
+	struct dh_lane_service *sv =
+	    g_hash_table_lookup(lane->services, service);
+	g_autofree char *labels = NULL;
+
+	if (sv != NULL)
+		return sv;
+	sv = g_new0(struct dh_lane_service, 1);
+	labels = g_strdup_printf("service=\"%s\"", service);
+	count_outcomes(sv, service);
+	sv->slo_total = dh_counter_get("dh_slo_total", labels);
+	sv->slo_good = dh_counter_get("dh_slo_good_total", labels);
+	sv->latency_us = dh_counter_get("dh_request_us_total", labels);
+	sv->retries = dh_counter_get("dh_retries_total", labels);
+	sv->parked = dh_counter_get("dh_parked_total", labels);
+	sv->retry = (struct dh_retry_params){ .percent = retry_percent,
+		.burst = RETRY_BURST,
+		.max_attempts = RETRY_ATTEMPTS,
+		.base_ms = RETRY_BASE_MS,
+		.max_ms = RETRY_MAX_MS };
+	dh_retry_budget_init(&sv->budget, &sv->retry);
+	g_hash_table_insert(lane->services, g_strdup(service), sv);
+	return sv;
 }
 
 CURL *
@@ -84,13 +106,16 @@
 		uv_timer_stop(timer);
 }
 
-void
+bool
 dh_lane_wait(struct dh_lane *lane, GList *link)
 {
+	if (lane->waiting.length >= lane->settings->queue_max)
+		return false;
 	g_queue_push_tail_link(&lane->waiting, link);
 	if (!uv_is_active((uv_handle_t *)lane->waiting_timer))
 		uv_timer_start(lane->waiting_timer, on_waiting, WAITING_POLL_MS,
 		    WAITING_POLL_MS);
+	return true;
 }
 
 /* A suspended connection is not polled: look at its socket ourselves. */
@@ -294,13 +319,16 @@
 	g_queue_init(&lane->waiting);
 	g_queue_init(&lane->spare_easy);
 	lane->asked = g_hash_table_new(NULL, NULL);
-	lane->counters =
+	lane->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	lane->http = dh_http_new(&lane->loop);
 	lane->reader = dh_publish_reader_new(lane->control->publish);
 	lane->from_control =
 	    dh_mailbox_new(&lane->loop, MAILBOX_SIZE, on_mail, lane);
 	lane->id_prefix = (uint64_t)dh_clock_wall_ms() << 8 | lane->index;
+	lane->rng.state = lane->id_prefix;
+	lane->turns = dh_turns_new(&lane->loop, lane->settings->queue_max,
+	    lane->id_prefix, dh_exchange_turn);
 	lane_timers(lane);
 	if (!lane_listen(lane, port, error))
 		return false;
@@ -345,6 +373,7 @@
 	g_free(lane->waiting_timer);
 	g_free(lane->sweep_timer);
 	g_hash_table_unref(lane->asked);
-	g_hash_table_unref(lane->counters);
+	g_hash_table_unref(lane->services);
 	dh_publish_reader_free(lane->reader);
+	dh_turns_free(lane->turns);
 }
--- a/router/lane.h
+++ b/router/lane.h
@@ -7,6 +7,9 @@
 #include <glib.h>
 #include <uv.h>
 
+#include <dogwoodhub/retry.h>
+#include <dogwoodhub/rng.h>
+
 #include "base/counter.h"
 #include "base/http.h"
 #include "base/httpd.h"
@@ -16,14 +19,20 @@
  * A lane is one traffic thread and all that is its own.  Private to the
  * router package.
  */
-struct dh_lane_counters {
+/* What a lane keeps for a service. */
+struct dh_lane_service {
+	struct dh_retry_params retry;
+	struct dh_retry_budget budget;
 	struct dh_counter *outcome[3]; /* by enum dh_outcome */
 	struct dh_counter *slo_total;
 	struct dh_counter *slo_good;
-	struct dh_counter *refused_bytes;
+	struct dh_counter *retries;
+	struct dh_counter *parked;
 	struct dh_counter *latency_us;
 };
 
+struct dh_turns;
+
 struct dh_lane {
 	uint32_t index;
 	const struct dh_settings *settings;
@@ -37,14 +46,16 @@
 	struct dh_httpd *httpd;
 	struct dh_http *http;
 	struct dh_publish_reader *reader;
+	struct dh_turns *turns;
 	struct dh_mailbox *to_control; /* consumed by the control thread */
 	struct dh_mailbox *from_control;
 	GQueue exchanges; /* all, by struct dh_exchange.link */
 	GQueue waiting; /* for an owner */
 	GQueue spare_easy; /* idle CURL handles */
 	GHashTable *asked; /* permit token -> exchange */
-	GHashTable *counters; /* service -> struct dh_lane_counters */
+	GHashTable *services; /* service -> struct dh_lane_service */
 	uint64_t next_token;
+	struct dh_rng rng;
 	uint64_t id_prefix;
 	uint32_t in_flight; /* read by the control thread */
 	bool draining;
@@ -58,16 +69,18 @@
 /* dh_lane_stop -- end the thread, cutting off what is left. */
 void dh_lane_stop(struct dh_lane *lane);
 
-/* dh_lane_counters -- the counters of a service; lives as long as the lane. */
-struct dh_lane_counters *dh_lane_counters(
-    struct dh_lane *lane, const char *service);
+/* dh_lane_service -- the state of a service, made with its retry
+ * percentage when new; lives as long as the lane. */
+struct dh_lane_service *dh_lane_service(
+    struct dh_lane *lane, const char *service, uint32_t retry_percent);
 
 /* dh_lane_easy -- a CURL handle in its first state; give back with
  * dh_lane_easy_put(). */
 CURL *dh_lane_easy(struct dh_lane *lane);
 void dh_lane_easy_put(struct dh_lane *lane, CURL *easy);
 
-/* dh_lane_wait -- have the exchange routed again with the next table. */
-void dh_lane_wait(struct dh_lane *lane, GList *link);
+/* dh_lane_wait -- have the exchange routed again with the next table; false
+ * when too many wait. */
+bool dh_lane_wait(struct dh_lane *lane, GList *link);
 
 #endif
--- /dev/null
+++ b/router/turn.c
@@ -0,0 +1,191 @@
+#include "router/turn.h"
+
+#include "base/clock.h"
+
+#define BACKENDS_MAX 8192u
+#define BACKEND_QUEUE_MAX 256u
+#define QUEUE_US 1000000
+#define RAMP_US 5000000
+#define RETRY_AFTER_MAX_US 5000000
+
+struct dh_turns {
+	struct dh_admission *adm;
+	GHashTable *index; /* backend server's id -> index + 1 */
+	uint32_t nindex;
+	uint64_t revision;
+	uv_timer_t *timer;
+	dh_turn_fn on_turn;
+};
+
+static void on_timer(uv_timer_t *timer);
+
+static struct dh_exchange *
+exchange_of(struct dh_ticket *tk)
+{
+	return (struct dh_exchange *)(void *)((char *)tk -
+	    offsetof(struct dh_exchange, ticket));
+}
+
+struct dh_turns *
+dh_turns_new(
+    uv_loop_t *loop, uint32_t queue_max, uint64_t seed, dh_turn_fn on_turn)
+{
+	struct dh_turns *ts = g_new0(struct dh_turns, 1);
+	struct dh_admission_params p = { .nbackends = BACKENDS_MAX,
+		.max_queued = queue_max,
+		.backend_queue = BACKEND_QUEUE_MAX,
+		.queue_us = QUEUE_US,
+		.ramp_us = RAMP_US,
+		.max_retry_after_us = RETRY_AFTER_MAX_US,
+		.seed = seed };
+
+	ts->adm = dh_admission_new(&p);
+	if (ts->adm == NULL)
+		g_error("no memory for admission");
+	ts->index =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	ts->on_turn = on_turn;
+	ts->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, ts->timer);
+	ts->timer->data = ts;
+	return ts;
+}
+
+void
+dh_turns_free(struct dh_turns *ts)
+{
+	if (ts == NULL)
+		return;
+	dh_admission_free(ts->adm);
+	g_hash_table_unref(ts->index);
+	g_free(ts);
+}
+
+static uint32_t
+index_of(const struct dh_turns *ts, uint64_t id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(ts->index, &id));
+}
+
+static uint32_t
+index_make(struct dh_turns *ts, uint64_t id, bool *is_new)
+{
+	uint32_t i = index_of(ts, id);
+	uint64_t *key;
+
+	*is_new = i == 0;
+	if (i != 0)
+		return i - 1;
+	if (ts->nindex == BACKENDS_MAX)
+		g_error("more than %u backend servers", BACKENDS_MAX);
+	key = g_new(uint64_t, 1);
+	*key = id;
+	g_hash_table_insert(ts->index, key, GUINT_TO_POINTER(++ts->nindex));
+	return ts->nindex - 1;
+}
+
+void
+dh_turns_update(struct dh_turns *ts, const struct dh_conf *conf)
+{
+	g_autofree bool *seen = NULL;
+	int64_t now_us;
+	bool is_new;
+	uint32_t i;
+	size_t b;
+
+	if (ts->revision == conf->revision)
+		return;
+	seen = g_new0(bool, BACKENDS_MAX);
+	now_us = dh_clock_us();
+	for (b = 0; b < conf->nbackends; b++) {
+		i = index_make(ts, dh_name_id(conf->backends[b].name), &is_new);
+		seen[i] = true;
+		dh_admission_set_slots(ts->adm, i, conf->backends[b].slots,
+		    is_new && ts->revision != 0, now_us);
+	}
+	for (i = 0; i < ts->nindex; i++)
+		if (!seen[i])
+			dh_admission_set_slots(ts->adm, i, 0, false, now_us);
+	ts->revision = conf->revision;
+}
+
+static void
+arm(struct dh_turns *ts)
+{
+	int64_t at_us = dh_admission_wake_us(ts->adm), wait_us;
+
+	if (at_us == INT64_MAX) {
+		uv_timer_stop(ts->timer);
+		return;
+	}
+	wait_us = at_us - dh_clock_us();
+	uv_timer_start(ts->timer, on_timer,
+	    wait_us > 0 ? (uint64_t)(wait_us + 999) / 1000 : 0, 0);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	struct dh_turns *ts = timer->data;
+	struct dh_ticket *tk;
+	enum dh_admit verdict;
+	int64_t retry_after_ms;
+
+	while ((tk = dh_admission_poll(
+		    ts->adm, dh_clock_us(), &verdict, &retry_after_ms)) != NULL)
+		ts->on_turn(exchange_of(tk), verdict, retry_after_ms);
+	arm(ts);
+}
+
+enum dh_admit
+dh_turns_ask(
+    struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
+{
+	enum dh_admit verdict;
+	uint32_t i = index_of(ts, ex->backend_id);
+
+	g_assert(i != 0);
+	ex->ticket = (struct dh_ticket){ .backend = i - 1,
+		.team = ex->team,
+		.deadline_us = ex->deadline_ms * 1000 };
+	verdict = dh_admission_ask(
+	    ts->adm, &ex->ticket, dh_clock_us(), retry_after_ms);
+	if (verdict == DH_ADMIT_QUEUE)
+		arm(ts);
+	return verdict;
+}
+
+void
+dh_turns_end(struct dh_turns *ts, struct dh_exchange *ex,
+    enum dh_admission_outcome outcome)
+{
+	struct dh_ticket *tk = &ex->ticket, *next;
+	int64_t now_us = dh_clock_us();
+	uint32_t backend = tk->backend;
+
+	switch (tk->state) {
+	case DH_TICKET_IDLE:
+		return;
+	case DH_TICKET_QUEUED:
+	case DH_TICKET_REFUSED:
+		dh_admission_cancel(ts->adm, tk);
+		return;
+	case DH_TICKET_RUNNING:
+		break;
+	}
+	next = dh_admission_end(
+	    ts->adm, tk, outcome, now_us - ex->sent_us, now_us);
+	while (next != NULL) {
+		ts->on_turn(exchange_of(next), DH_ADMIT_RUN, 0);
+		next = dh_admission_next(ts->adm, backend, dh_clock_us());
+	}
+	arm(ts);
+}
+
+uint32_t
+dh_turns_running(const struct dh_turns *ts, uint64_t backend_id)
+{
+	uint32_t i = index_of(ts, backend_id);
+
+	return i == 0 ? 0 : dh_admission_running(ts->adm, i - 1);
+}
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -319,8 +319,10 @@
 	    g_strdup_printf("http://%s:%u%s", ex->address, ex->port, ex->url);
 
 	g_assert(ex->easy == NULL);
-	ex->attempt++;
+	if (ex->attempt++ == 0)
+		dh_retry_first(&ex->service->budget, &ex->service->retry);
 	ex->phase = DH_PHASE_SENT;
+	ex->sent_us = dh_clock_us();
 	ex->easy = easy;
 	ex->not_run = false;
 	ex->foreign = false;
--- a/standin/backend.c
+++ b/standin/backend.c
@@ -15,12 +15,15 @@
 
 #include "base/clock.h"
 #include "base/httpd.h"
+#include "standin/lib/eventlog.h"
+#include "standin/lib/ownership.h"
 #include <dogwoodhub/types.h>
 
 #define CONNECTION_MEMORY (32u << 10)
 #define IDLE_S 120u
 #define BLOCK_BYTES (64u << 10)
-#define PATTERN_BYTES 4096u
+/* How much slower a cold backend server is. */
+#define COLD_FACTOR 4
 
 enum server_state { STATE_COLD, STATE_READY, STATE_DRAINING };
 
@@ -48,19 +51,6 @@
 	bool lie_idle; /* load reports say idle */
 };
 
-struct grant {
-	struct dh_fence fence;
-	bool releasing;
-	uint32_t running;
-};
-
-struct group {
-	char *name;
-	struct dh_fence highest;
-	int64_t until_ms;
-	GHashTable *grants; /* slot -> struct grant */
-};
-
 struct server {
 	struct options opt;
 	uv_loop_t loop;
@@ -69,13 +59,13 @@
 	int64_t start_ms;
 	enum server_state state;
 	struct fault fault;
-	GHashTable *groups; /* name -> struct group */
+	struct ownership *ownership;
 	GQueue waiting; /* struct request */
 	uint32_t running;
 	uint64_t done, refused;
 	int64_t busy_us;
 	GHashTable *runs; /* idempotency key -> count */
-	FILE *log;
+	struct eventlog *log;
 };
 
 enum request_phase { PHASE_READING, PHASE_WAITING, PHASE_RUNNING, PHASE_ENDED };
@@ -91,6 +81,9 @@
 	char *path;
 	char *key;
 	char *id;
+	char *request_id; /* the router's */
+	char *call; /* field of the event log, or "" */
+	char *service;
 	char *group;
 	uint32_t slot;
 	struct dh_fence fence;
@@ -100,7 +93,8 @@
 	bool cut;
 	uint64_t sent;
 	unsigned int status;
-	GString *answer;
+	uint32_t run; /* which run of this id it is */
+	bool unrepeatable;
 	const char *reason;
 };
 
@@ -160,22 +154,6 @@
 	return 0;
 }
 
-static void G_GNUC_PRINTF(3, 4)
-    log_event(struct server *s, const char *kind, const char *fmt, ...)
-{
-	va_list ap;
-
-	if (s->log == NULL)
-		return;
-	fprintf(s->log, "{\"t\":%" PRId64 ",\"src\":\"%s\",\"kind\":\"%s\"",
-	    dh_clock_ms(), s->opt.name, kind);
-	va_start(ap, fmt);
-	vfprintf(s->log, fmt, ap);
-	va_end(ap);
-	fputs("}\n", s->log);
-	fflush(s->log);
-}
-
 static enum server_state
 state_now(const struct server *s)
 {
@@ -187,30 +165,6 @@
 
 /* Orders */
 
-static void
-group_free(void *arg)
-{
-	struct group *g = arg;
-
-	g_free(g->name);
-	g_hash_table_unref(g->grants);
-	g_free(g);
-}
-
-static struct group *
-group_get(struct server *s, const char *name)
-{
-	struct group *g = g_hash_table_lookup(s->groups, name);
-
-	if (g != NULL)
-		return g;
-	g = g_new0(struct group, 1);
-	g->name = g_strdup(name);
-	g->grants = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	g_hash_table_insert(s->groups, g->name, g);
-	return g;
-}
-
 static int64_t
 json_int(struct json_object *o, const char *name)
 {
@@ -220,179 +174,28 @@
 						      : 0;
 }
 
-static const char *
-json_str(struct json_object *o, const char *name)
-{
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, name, &v)
-	    ? json_object_get_string(v)
-	    : "";
-}
-
-static uint32_t
-releasing_count(struct group *g)
-{
-	GHashTableIter it;
-	gpointer value;
-	uint32_t n = 0;
-
-	g_hash_table_iter_init(&it, g->grants);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += ((struct grant *)value)->releasing;
-	return n;
-}
-
-static void
-slot_drop(struct server *s, struct group *g, uint32_t slot)
-{
-	g_hash_table_remove(g->grants, GUINT_TO_POINTER(slot));
-	log_event(
-	    s, "released", ",\"group\":\"%s\",\"slot\":%u", g->name, slot);
-}
-
-static void
-grant_one(struct server *s, struct group *g, struct json_object *entry)
-{
-	uint32_t slot = (uint32_t)json_object_get_int64(
-	    json_object_array_get_idx(entry, 0));
-	struct grant *gr =
-	    g_hash_table_lookup(g->grants, GUINT_TO_POINTER(slot));
-	struct dh_fence f = {
-		.term = (uint64_t)json_object_get_int64(
-		    json_object_array_get_idx(entry, 1)),
-		.counter = (uint64_t)json_object_get_int64(
-		    json_object_array_get_idx(entry, 2)),
-	};
-
-	if (gr != NULL && dh_fence_cmp(gr->fence, f) == 0 && !gr->releasing)
-		return;
-	if (gr == NULL) {
-		gr = g_new0(struct grant, 1);
-		g_hash_table_insert(g->grants, GUINT_TO_POINTER(slot), gr);
-	}
-	gr->fence = f;
-	gr->releasing = false;
-	log_event(s, "granted",
-	    ",\"group\":\"%s\",\"slot\":%u,\"term\":%" PRIu64
-	    ",\"counter\":%" PRIu64 ",\"until\":%" PRId64,
-	    g->name, slot, f.term, f.counter, g->until_ms);
-}
-
-/* The slots listed are all that this backend server owns in the group. */
-static void
-grant_set(struct server *s, struct group *g, struct json_object *slots)
-{
-	g_autoptr(GHashTable) keep = g_hash_table_new(NULL, NULL);
-	size_t n = slots == NULL ? 0 : json_object_array_length(slots), i;
-	struct json_object *entry;
-	GHashTableIter it;
-	gpointer slot;
-
-	for (i = 0; i < n; i++) {
-		entry = json_object_array_get_idx(slots, i);
-		grant_one(s, g, entry);
-		g_hash_table_add(keep,
-		    GUINT_TO_POINTER((uint32_t)json_object_get_int64(
-			json_object_array_get_idx(entry, 0))));
-	}
-	g_hash_table_iter_init(&it, g->grants);
-	while (g_hash_table_iter_next(&it, &slot, NULL)) {
-		if (g_hash_table_contains(keep, slot))
-			continue;
-		g_hash_table_iter_remove(&it);
-		log_event(s, "released", ",\"group\":\"%s\",\"slot\":%u",
-		    g->name, GPOINTER_TO_UINT(slot));
-	}
-}
-
-static void
-release_set(struct server *s, struct group *g, struct json_object *slots)
-{
-	size_t n = slots == NULL ? 0 : json_object_array_length(slots), i;
-	struct json_object *entry;
-	struct grant *gr;
-	uint32_t slot;
-
-	for (i = 0; i < n; i++) {
-		entry = json_object_array_get_idx(slots, i);
-		slot = (uint32_t)json_object_get_int64(
-		    json_object_array_get_idx(entry, 0));
-		gr = g_hash_table_lookup(g->grants, GUINT_TO_POINTER(slot));
-		if (gr == NULL)
-			continue;
-		gr->releasing = true;
-		if (gr->running == 0)
-			slot_drop(s, g, slot);
-	}
-}
-
-static void
-lease_extend(struct server *s, struct group *g, int64_t until_ms)
-{
-	if (dh_clock_ms() > g->until_ms)
-		log_event(s, "expired", ",\"group\":\"%s\",\"until\":%" PRId64,
-		    g->name, g->until_ms);
-	g->until_ms = until_ms;
-	log_event(s, "lease", ",\"group\":\"%s\",\"until\":%" PRId64, g->name,
-	    until_ms);
-}
-
-static bool
-order_apply(struct server *s, struct group *g, struct json_object *o)
-{
-	const char *kind = json_str(o, "kind");
-	struct dh_fence f = { .term = (uint64_t)json_int(o, "term"),
-		.counter = (uint64_t)json_int(o, "counter") };
-	int64_t until_ms = json_int(o, "until_ms");
-	struct json_object *slots = NULL;
-
-	if (strcmp(kind, "hello") == 0)
-		return true;
-	if ((uint64_t)json_int(o, "incarnation") != s->incarnation)
-		return false;
-	if (s->opt.check_fence && dh_fence_cmp(f, g->highest) < 0)
-		return false;
-	json_object_object_get_ex(o, "slots", &slots);
-	if (strcmp(kind, "release") == 0) {
-		release_set(s, g, slots);
-	} else if (strcmp(kind, "grant") == 0 || strcmp(kind, "renew") == 0) {
-		if (until_ms <= dh_clock_ms())
-			return false;
-		lease_extend(s, g, until_ms);
-		if (kind[0] == 'g')
-			grant_set(s, g, slots);
-	}
-	if (dh_fence_cmp(f, g->highest) > 0)
-		g->highest = f;
-	return true;
-}
-
 static enum MHD_Result
 order_handle(struct request *rq)
 {
 	struct server *s = rq->server;
 	struct json_object *o = json_tokener_parse(rq->body->str);
 	g_autofree char *text = NULL;
-	struct group *g;
-	bool ok;
+	struct order_result r;
 
 	if (o == NULL)
 		return dh_httpd_reply(rq->conn, 400, "bad order\n", 10, NULL);
-	g = group_get(s, json_str(o, "group"));
-	ok = order_apply(s, g, o);
+	r = ownership_order(s->ownership, o);
 	json_object_put(o);
 	text = g_strdup_printf("{\"accepted\":%s,\"incarnation\":%" PRIu64
 			       ",\"clock_ms\":%" PRId64 ",\"term\":%" PRIu64
 			       ",\"counter\":%" PRIu64
-			       ",\"state\":\"%s\",\"running\":%u,\"queued\":%u,"
-			       "\"releasing\":%u}\n",
-	    ok ? "true" : "false", s->incarnation, dh_clock_ms(),
-	    g->highest.term, g->highest.counter, state_names[state_now(s)],
-	    s->fault.lie_idle ? 0 : s->running, s->waiting.length,
-	    releasing_count(g));
+			       ",\"state\":\"%s\",\"running\":%u,"
+			       "\"queued\":%u,\"releasing\":%u}\n",
+	    r.accepted ? "true" : "false", s->incarnation, dh_clock_ms(),
+	    r.highest.term, r.highest.counter, state_names[state_now(s)],
+	    s->fault.lie_idle ? 0 : s->running, s->waiting.length, r.releasing);
 	return dh_httpd_reply(
-	    rq->conn, ok ? 200 : 409, text, strlen(text), NULL);
+	    rq->conn, r.accepted ? 200 : 409, text, strlen(text), NULL);
 }
 
 static enum MHD_Result
@@ -434,28 +237,11 @@
 
 /* Requests */
 
-static struct grant *
-grant_of(struct request *rq, struct group **group)
-{
-	struct group *g;
-
-	if (rq->group == NULL)
-		return NULL;
-	g = g_hash_table_lookup(rq->server->groups, rq->group);
-	if (group != NULL)
-		*group = g;
-	return g == NULL
-	    ? NULL
-	    : g_hash_table_lookup(g->grants, GUINT_TO_POINTER(rq->slot));
-}
-
 /* Why the request may not start now, or NULL. */
 static const char *
 refusal(struct request *rq)
 {
 	struct server *s = rq->server;
-	struct group *g = NULL;
-	struct grant *gr;
 
 	if (rq->deadline_ms != 0 && dh_clock_ms() >= rq->deadline_ms)
 		return "deadline";
@@ -465,14 +251,7 @@
 		return "draining";
 	if (!s->opt.check_owner || rq->group == NULL)
 		return NULL;
-	gr = grant_of(rq, &g);
-	if (gr == NULL || gr->releasing)
-		return "wrong-owner";
-	if (dh_clock_ms() >= g->until_ms)
-		return "lease";
-	if (s->opt.check_fence && dh_fence_cmp(gr->fence, rq->fence) != 0)
-		return "wrong-owner";
-	return NULL;
+	return ownership_check(s->ownership, rq->group, rq->slot, rq->fence);
 }
 
 static void start_next(struct server *s);
@@ -490,8 +269,8 @@
 	rq->server->refused++;
 	rq->reason = reason;
 	rq->status = strcmp(reason, "wrong-owner") == 0 ? 421 : 503;
-	log_event(rq->server, "refused", ",\"id\":\"%s\",\"reason\":\"%s\"",
-	    rq->id, reason);
+	eventlog_add(rq->server->log, "refuse",
+	    ",\"id\":\"%s\"%s,\"reason\":\"%s\"", rq->id, rq->call, reason);
 }
 
 static uint32_t
@@ -507,22 +286,18 @@
 }
 
 static void
-finish(struct request *rq)
+finish(struct request *rq, unsigned int status)
 {
 	struct server *s = rq->server;
-	struct group *g = NULL;
-	struct grant *gr = grant_of(rq, &g);
 
 	s->running--;
 	s->done++;
 	s->busy_us += dh_clock_us() - rq->begun_us;
-	if (gr != NULL && gr->running > 0) {
-		gr->running--;
-		if (gr->releasing && gr->running == 0)
-			slot_drop(s, g, rq->slot);
-	}
-	log_event(s, "finish", ",\"id\":\"%s\"", rq->id);
-	rq->status = 200;
+	eventlog_add(s->log, "finish", ",\"id\":\"%s\"%s,\"status\":%u", rq->id,
+	    rq->call, status);
+	if (rq->group != NULL)
+		ownership_end(s->ownership, rq->group, rq->slot);
+	rq->status = status;
 	start_next(s);
 }
 
@@ -531,40 +306,44 @@
 {
 	struct request *rq = timer->data;
 
-	finish(rq);
+	finish(rq, 200);
 	answer(rq);
 }
 
+static void
+log_start(struct request *rq)
+{
+	struct server *s = rq->server;
+	g_autofree char *owned = NULL;
+
+	if (rq->group != NULL)
+		owned = g_strdup_printf(",\"group\":\"%s\",\"slot\":%u,"
+					"\"fence\":\"%" PRIu64 ".%" PRIu64
+					"\",\"lease\":%" PRId64,
+		    rq->group, rq->slot, rq->fence.term, rq->fence.counter,
+		    ownership_until(s->ownership, rq->group));
+	eventlog_add(s->log, "start",
+	    ",\"id\":\"%s\"%s,\"service\":\"%s\",\"key\":\"%s\","
+	    "\"unrepeatable\":%s%s",
+	    rq->id, rq->call, rq->service, rq->key,
+	    rq->unrepeatable ? "true" : "false", owned == NULL ? "" : owned);
+}
+
 static void
 run(struct request *rq)
 {
 	struct server *s = rq->server;
-	const char *unrepeatable = MHD_lookup_connection_value(
-	    rq->conn, MHD_HEADER_KIND, "Idempotency-Key");
-	struct grant *gr = grant_of(rq, NULL);
 	int64_t ms = s->opt.service_ms + s->fault.slow_ms;
-	uint32_t n = 1;
 
 	if (state_now(s) == STATE_COLD)
-		ms *= 4;
+		ms *= COLD_FACTOR;
 	s->running++;
-	if (gr != NULL)
-		gr->running++;
+	if (rq->group != NULL)
+		ownership_begin(s->ownership, rq->group, rq->slot);
 	rq->phase = PHASE_RUNNING;
 	rq->begun_us = dh_clock_us();
-	if (unrepeatable != NULL)
-		n = count_run(rq, unrepeatable);
-	g_string_printf(rq->answer,
-	    "{\"id\":\"%s\",\"key\":\"%s\",\"server\":\"%s\",\"run\":%u,"
-	    "\"bytes\":%" PRIu64 ",\"hash\":\"%016llx\"}\n",
-	    rq->id, rq->key, s->opt.name, n, rq->body_bytes,
-	    (unsigned long long)XXH64_digest(rq->hash));
-	log_event(s, "start",
-	    ",\"id\":\"%s\",\"key\":\"%s\",\"group\":\"%s\",\"slot\":%u,"
-	    "\"term\":%" PRIu64 ",\"counter\":%" PRIu64 ",\"unrepeatable\":%s",
-	    unrepeatable != NULL ? unrepeatable : rq->id, rq->key,
-	    rq->group == NULL ? "" : rq->group, rq->slot, rq->fence.term,
-	    rq->fence.counter, unrepeatable != NULL ? "true" : "false");
+	rq->run = rq->unrepeatable ? count_run(rq, rq->id) : 1;
+	log_start(rq);
 	uv_timer_start(rq->timer, on_service, (uint64_t)ms, 0);
 }
 
@@ -610,19 +389,25 @@
 	g_queue_push_tail(&s->waiting, rq);
 }
 
+/* The body is the request's id and a bar, over and over: whoever knows the id
+ * knows the body. */
 static ssize_t
 pattern_read(void *arg, uint64_t pos, char *buf, size_t max)
 {
 	struct request *rq = arg;
 	uint64_t left = rq->answer_bytes - pos;
 	size_t n = left < max ? (size_t)left : max, i;
+	size_t len = strlen(rq->id);
 
 	if (left == 0)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	if (rq->cut && pos >= rq->answer_bytes / 2)
 		return MHD_CONTENT_READER_END_WITH_ERROR;
-	for (i = 0; i < n; i++)
-		buf[i] = (char)('a' + (pos + i) % PATTERN_BYTES % 26);
+	for (i = 0; i < n; i++) {
+		size_t at = (size_t)((pos + i) % (len + 1));
+
+		buf[i] = at == len ? '|' : rq->id[at];
+	}
 	return (ssize_t)n;
 }
 
@@ -631,9 +416,19 @@
 {
 	struct MHD_Response *r = MHD_create_response_from_callback(
 	    rq->answer_bytes, BLOCK_BYTES, pattern_read, rq, NULL);
+	char run[16], bytes[24], hash[24];
 	enum MHD_Result result;
 
-	MHD_add_response_header(r, "Dh-Request-Id", rq->id);
+	g_snprintf(run, sizeof(run), "%u", rq->run);
+	g_snprintf(bytes, sizeof(bytes), "%" PRIu64, rq->body_bytes);
+	g_snprintf(hash, sizeof(hash), "%016" PRIx64,
+	    (uint64_t)XXH64_digest(rq->hash));
+	MHD_add_response_header(r, "Dh-Request-Id", rq->request_id);
+	MHD_add_response_header(r, "Test-Id", rq->id);
+	MHD_add_response_header(r, "Test-Server", rq->server->opt.name);
+	MHD_add_response_header(r, "Test-Run", run);
+	MHD_add_response_header(r, "Test-Bytes", bytes);
+	MHD_add_response_header(r, "Test-Hash", hash);
 	result = MHD_queue_response(rq->conn, 200, r);
 	MHD_destroy_response(r);
 	return result;
@@ -643,8 +438,8 @@
 reply_request(struct request *rq)
 {
 	struct server *s = rq->server;
-	const char *headers[] = { "Dh-Request-Id", rq->id, NULL, NULL, NULL,
-		NULL, NULL };
+	const char *headers[] = { "Dh-Request-Id", rq->request_id, NULL, NULL,
+		NULL, NULL, NULL };
 
 	if (rq->reason != NULL) {
 		headers[2] = "Dh-Outcome";
@@ -658,15 +453,11 @@
 		s->fault.drop_after_read--;
 		return MHD_NO;
 	}
-	if (rq->answer_bytes > 0) {
-		if (s->fault.cut_body > 0) {
-			s->fault.cut_body--;
-			rq->cut = true;
-		}
-		return reply_pattern(rq);
+	if (s->fault.cut_body > 0) {
+		s->fault.cut_body--;
+		rq->cut = true;
 	}
-	return dh_httpd_reply(
-	    rq->conn, 200, rq->answer->str, rq->answer->len, headers);
+	return reply_pattern(rq);
 }
 
 static const char *
@@ -683,6 +474,31 @@
 	return g_strdup(g_strv_length(parts) > 2 ? parts[2] : "");
 }
 
+static char *
+service_of(const char *path)
+{
+	g_auto(GStrv) parts = g_strsplit(path, "/", 3);
+
+	return g_strdup(g_strv_length(parts) > 1 ? parts[1] : "");
+}
+
+/* The caller's own id of the request, or else the router's. */
+static void
+take_id(struct request *rq)
+{
+	const char *id = header(rq, "Idempotency-Key");
+	const char *call = header(rq, "Test-Call");
+	const char *request_id = header(rq, "Dh-Request-Id");
+
+	rq->unrepeatable = id != NULL;
+	rq->request_id = g_strdup(request_id != NULL ? request_id : "");
+	if (id == NULL)
+		id = header(rq, "Test-Id");
+	rq->id = g_strdup(id != NULL ? id : rq->request_id);
+	rq->call = call == NULL ? g_strdup("")
+				: g_strdup_printf(",\"call\":\"%s\"", call);
+}
+
 static struct request *
 request_new(struct server *s, struct MHD_Connection *conn, const char *path)
 {
@@ -694,7 +510,6 @@
 	rq->conn = conn;
 	rq->path = g_strdup(path);
 	rq->body = g_string_new(NULL);
-	rq->answer = g_string_new(NULL);
 	rq->hash = XXH64_createState();
 	XXH64_reset(rq->hash, 0);
 	rq->timer = g_new0(uv_timer_t, 1);
@@ -702,8 +517,8 @@
 	rq->timer->data = rq;
 	text = header(rq, "Dh-Key");
 	rq->key = text != NULL ? g_strdup(text) : key_of(path);
-	text = header(rq, "Dh-Request-Id");
-	rq->id = g_strdup(text != NULL ? text : "");
+	take_id(rq);
+	rq->service = service_of(path);
 	rq->group = g_strdup(header(rq, "Dh-Group"));
 	text = header(rq, "Dh-Slot");
 	rq->slot = text != NULL ? (uint32_t)strtoul(text, NULL, 10) : 0;
@@ -714,7 +529,8 @@
 			rq->fence.counter = strtoull(dot + 1, NULL, 10);
 	}
 	text = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "size");
-	rq->answer_bytes = text != NULL ? strtoull(text, NULL, 10) : 0;
+	rq->answer_bytes =
+	    text != NULL ? strtoull(text, NULL, 10) : strlen(rq->id) + 1;
 	return rq;
 }
 
@@ -800,10 +616,12 @@
 		return;
 	g_queue_remove(&s->waiting, rq);
 	if (rq->phase == PHASE_RUNNING)
-		finish(rq);
+		finish(rq, 0);
 	uv_close((uv_handle_t *)rq->timer, timer_closed);
 	g_string_free(rq->body, TRUE);
-	g_string_free(rq->answer, TRUE);
+	g_free(rq->call);
+	g_free(rq->request_id);
+	g_free(rq->service);
 	XXH64_freeState(rq->hash);
 	g_free(rq->path);
 	g_free(rq->key);
@@ -838,12 +656,12 @@
 	uv_loop_init(&s->loop);
 	s->start_ms = dh_clock_ms();
 	s->incarnation = (uint64_t)dh_clock_wall_ms();
-	s->groups =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
+	s->log = eventlog_open(s->opt.log, s->opt.name);
+	s->ownership =
+	    ownership_new(s->incarnation, s->opt.check_fence, s->log);
+	eventlog_add(s->log, "up", ",\"incarnation\":%" PRIu64, s->incarnation);
 	s->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&s->waiting);
-	if (s->opt.log != NULL)
-		s->log = fopen(s->opt.log, "ae");
 	s->httpd = dh_httpd_new(&s->loop, &o, &error);
 	if (s->httpd == NULL)
 		fprintf(stderr, "backend: %s\n", error->message);
