Read a process's settings, checking every field

Comments are blanked and the strict parser of json-c decides what is valid (its lax mode takes comments, but also what is no JSON); a second walk notes the line of each value, since json-c keeps none. Even strict, it takes single quotes, which a test showed: refused before it sees them.

Proof: 28 faulty texts, each refused with the field and its line; they pass wrongly without the check for keys that stand twice, the lower bounds, the conditions over two fields, the check of UTF-8 or the count of lines.

--- a/config/settings.h
+++ b/config/settings.h
@@ -39,6 +39,11 @@
 /* dh_settings_defaults -- fill s with the default of every field. */
 void dh_settings_defaults(struct dh_settings *s);
 
+/* dh_settings_parse -- read and check text, which stays the caller's.  False
+ * with DH_ERROR_INVALID, the message naming the field and its line. */
+bool dh_settings_parse(
+    struct dh_settings *s, const char *text, size_t len, GError **error);
+
 /*
  * dh_settings_load -- read and check path.  False with DH_ERROR_INVALID, the
  * message naming the field and its line, or DH_ERROR_IO.
