Retry within a budget, break circuits on what the router sees

Retries: not run always, unknown only if idempotent, inside the deadline, full jitter, paid from a budget that first attempts fill. Breaker: failures in a row or a failing part of a window open it, one probe at a time closes it; reports move only the threshold and the time of the next probe.

--- /dev/null
+++ b/core/breaker.c
@@ -0,0 +1,146 @@
+#include <dogwoodhub/breaker.h>
+
+#include <string.h>
+
+#define BAD_ADVICE_DIVISOR 2 /* own failures needed after a bad report */
+#define GOOD_ADVICE_DIVISOR 4 /* least part of the open time kept */
+
+static int64_t
+open_time_ms(const struct dh_breaker *b, const struct dh_breaker_params *p)
+{
+	int64_t open_ms = p->open_ms;
+	uint32_t i;
+
+	for (i = 0; i < b->opened && open_ms < p->max_open_ms; i++)
+		open_ms *= 2;
+	return open_ms < p->max_open_ms ? open_ms : p->max_open_ms;
+}
+
+static void
+trip(struct dh_breaker *b, const struct dh_breaker_params *p,
+    struct dh_rng *rng, int64_t now_ms)
+{
+	int64_t open_ms = open_time_ms(b, p);
+
+	b->state = DH_BREAKER_OPEN;
+	b->epoch++;
+	b->probing = false;
+	b->good = 0;
+	b->opened++;
+	b->opened_ms = now_ms;
+	/* Routers that saw the same failure don't probe together. */
+	b->until_ms = now_ms + open_ms / 2 +
+	    (int64_t)dh_rng_below(rng, (uint64_t)open_ms / 2 + 1);
+}
+
+static void
+reset(struct dh_breaker *b)
+{
+	uint32_t epoch = b->epoch;
+
+	memset(b, 0, sizeof(*b));
+	b->epoch = epoch;
+}
+
+struct dh_breaker_pass
+dh_breaker_ask(
+    struct dh_breaker *b, const struct dh_breaker_params *p, int64_t now_ms)
+{
+	struct dh_breaker_pass pass = { .verdict = DH_BREAKER_PASS };
+
+	if (b->state == DH_BREAKER_OPEN && now_ms >= b->until_ms)
+		b->state = DH_BREAKER_HALF_OPEN;
+	pass.epoch = b->epoch;
+	switch (b->state) {
+	case DH_BREAKER_CLOSED:
+		break;
+	case DH_BREAKER_OPEN:
+		pass.verdict = DH_BREAKER_REFUSE;
+		pass.retry_after_ms = b->until_ms - now_ms;
+		break;
+	case DH_BREAKER_HALF_OPEN:
+		if (b->probing) {
+			pass.verdict = DH_BREAKER_REFUSE;
+			pass.retry_after_ms = p->open_ms;
+			break;
+		}
+		b->probing = true;
+		pass.probe = true;
+		break;
+	}
+	return pass;
+}
+
+static void
+end_closed(struct dh_breaker *b, const struct dh_breaker_params *p, bool failed,
+    struct dh_rng *rng, int64_t now_ms)
+{
+	uint32_t divisor =
+	    b->advice == DH_BREAKER_ADVICE_BAD ? BAD_ADVICE_DIVISOR : 1;
+
+	b->seen++;
+	b->bad += failed;
+	b->failures = failed ? b->failures + 1 : 0;
+	if (b->failures * divisor >= p->failures) {
+		trip(b, p, rng, now_ms);
+		return;
+	}
+	if (b->seen < p->window)
+		return;
+	if ((uint64_t)b->bad * 100 * divisor >=
+	    (uint64_t)p->percent * b->seen) {
+		trip(b, p, rng, now_ms);
+		return;
+	}
+	b->seen = 0;
+	b->bad = 0;
+}
+
+static void
+end_probe(struct dh_breaker *b, const struct dh_breaker_params *p,
+    enum dh_breaker_result result, struct dh_rng *rng, int64_t now_ms)
+{
+	b->probing = false;
+	switch (result) {
+	case DH_BREAKER_ANSWERED:
+		if (++b->good >= p->probes)
+			reset(b);
+		break;
+	case DH_BREAKER_FAILED:
+		trip(b, p, rng, now_ms);
+		break;
+	case DH_BREAKER_UNUSED:
+		break;
+	}
+}
+
+void
+dh_breaker_end(struct dh_breaker *b, const struct dh_breaker_params *p,
+    const struct dh_breaker_pass *pass, enum dh_breaker_result result,
+    struct dh_rng *rng, int64_t now_ms)
+{
+	if (pass->epoch != b->epoch)
+		return;
+	if (pass->probe) {
+		end_probe(b, p, result, rng, now_ms);
+		return;
+	}
+	if (b->state == DH_BREAKER_CLOSED && result != DH_BREAKER_UNUSED)
+		end_closed(b, p, result == DH_BREAKER_FAILED, rng, now_ms);
+}
+
+void
+dh_breaker_advise(struct dh_breaker *b, const struct dh_breaker_params *p,
+    enum dh_breaker_advice advice, int64_t now_ms)
+{
+	int64_t least_ms;
+
+	b->advice = advice;
+	if (advice != DH_BREAKER_ADVICE_GOOD)
+		return;
+	least_ms = b->opened_ms + p->open_ms / GOOD_ADVICE_DIVISOR;
+	if (least_ms < now_ms)
+		least_ms = now_ms;
+	if (b->until_ms > least_ms)
+		b->until_ms = least_ms;
+}
--- /dev/null
+++ b/core/retry.c
@@ -0,0 +1,74 @@
+#include <dogwoodhub/retry.h>
+
+#define CENTI 100
+
+void
+dh_retry_budget_init(struct dh_retry_budget *b, const struct dh_retry_params *p)
+{
+	b->centi = (uint64_t)p->burst * CENTI;
+}
+
+void
+dh_retry_first(struct dh_retry_budget *b, const struct dh_retry_params *p)
+{
+	uint64_t max = (uint64_t)p->burst * CENTI;
+
+	b->centi += p->percent;
+	if (b->centi > max)
+		b->centi = max;
+}
+
+/* Uniform below a bound that doubles ("full jitter"): refused requests of
+ * many routers don't come back together. */
+static int64_t
+backoff_ms(const struct dh_retry_params *p, uint32_t number, struct dh_rng *rng)
+{
+	int64_t bound_ms = p->base_ms;
+
+	while (number-- > 1 && bound_ms < p->max_ms)
+		bound_ms *= 2;
+	if (bound_ms > p->max_ms)
+		bound_ms = p->max_ms;
+	return (int64_t)dh_rng_below(rng, (uint64_t)bound_ms + 1);
+}
+
+static bool
+is_safe(const struct dh_retry_attempt *at)
+{
+	switch (at->outcome) {
+	case DH_OUTCOME_NOT_RUN:
+		return true;
+	case DH_OUTCOME_UNKNOWN:
+		return at->idempotent;
+	case DH_OUTCOME_DONE:
+		return false;
+	}
+	return false;
+}
+
+struct dh_retry_decision
+dh_retry_decide(struct dh_retry_budget *b, const struct dh_retry_params *p,
+    const struct dh_retry_attempt *at, struct dh_rng *rng, int64_t now_ms)
+{
+	struct dh_retry_decision d = { .verdict = DH_RETRY_AGAIN };
+
+	if (!is_safe(at)) {
+		d.verdict = DH_RETRY_UNSAFE;
+		return d;
+	}
+	if (at->number >= p->max_attempts) {
+		d.verdict = DH_RETRY_ATTEMPTS;
+		return d;
+	}
+	d.delay_ms = at->retry_after_ms + backoff_ms(p, at->number, rng);
+	if (now_ms + d.delay_ms + at->latency_ms >= at->deadline_ms) {
+		d.verdict = DH_RETRY_DEADLINE;
+		return d;
+	}
+	if (b->centi < CENTI) {
+		d.verdict = DH_RETRY_BUDGET;
+		return d;
+	}
+	b->centi -= CENTI;
+	return d;
+}
