--- a/router/exchange.c
+++ b/router/exchange.c
@@ -5,6 +5,7 @@
 #include <ck_pr.h>
 
 #include "base/clock.h"
+#include "router/pick.h"
 #include "router/turn.h"
 
 #define RETRY_AFTER_MS 1000
@@ -115,6 +116,8 @@
 	stop_waiting(ex);
 	dh_exchange_unsend(ex);
 	dh_turns_end(lane->turns, ex, DH_ADMISSION_CANCELLED);
+	dh_picker_settle(
+	    lane->picker, ex->planned_bytes, (int64_t)ex->progress);
 	count(ex, outcome);
 	permit_end(ex, outcome);
 	g_queue_unlink(&lane->exchanges, &ex->link);
@@ -327,23 +330,18 @@
 	g_snprintf(ex->group, sizeof(ex->group), "%s/0", ex->target.service);
 }
 
+/* What a request is expected to move over a billed link. */
+#define PLANNED_BYTES (16 << 10)
+
 static uint32_t
-choose_any(const struct dh_table *t, uint32_t service)
+choose_any(struct dh_exchange *ex, uint32_t service)
 {
-	const char *name = t->conf->services[service].name;
-	uint32_t chosen = DH_NONE, seen = 0;
-	size_t i;
-
-	for (i = 0; i < t->conf->nbackends; i++) {
-		const struct dh_backend *b = &t->conf->backends[i];
+	struct dh_pick pick = dh_picker_pick(
+	    ex->lane->picker, service, ex->backend_id, PLANNED_BYTES);
 
-		if (b->drain || strcmp(b->service, name) != 0)
-			continue;
-		seen++;
-		if (g_random_int_range(0, (gint32)seen) == 0)
-			chosen = (uint32_t)i;
-	}
-	return chosen;
+	ex->planned_bytes = pick.planned_bytes;
+	ex->pick_retry_ms = pick.retry_after_ms;
+	return pick.backend;
 }
 
 /* Fill in ex's route; false when nobody may serve it now. */
@@ -355,6 +353,8 @@
 
 	if (service == DH_NONE)
 		return false;
+	dh_turns_update(ex->lane->turns, t->conf);
+	dh_picker_update(ex->lane->picker, t->conf);
 	if (ex->keyed) {
 		ex->route = dh_table_route(
 		    t, service, ex->target.key, strlen(ex->target.key));
@@ -362,11 +362,10 @@
 							   : DH_NONE;
 	} else {
 		ex->route.service = service;
-		backend = choose_any(t, service);
+		backend = choose_any(ex, service);
 	}
 	if (backend == DH_NONE)
 		return false;
-	dh_turns_update(ex->lane->turns, t->conf);
 	take_backend(ex, t, backend);
 	return true;
 }
@@ -427,6 +426,11 @@
 	bool found = t != NULL && find_route(ex, t);
 
 	dh_publish_leave(ex->lane->reader);
+	if (!found && !ex->keyed) {
+		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "no-owner",
+		    MAX(ex->pick_retry_ms, 1));
+		return;
+	}
 	if (!found) {
 		wait_for_owner(ex);
 		return;
@@ -455,6 +459,9 @@
 		ex->phase = DH_PHASE_TURN;
 		break;
 	case DH_ADMIT_REFUSE:
+		if (ex->pass.verdict == DH_BREAKER_REFUSE &&
+		    ex->pass.retry_after_ms > 0 && park_for_owner(ex))
+			break;
 		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "shed",
 		    MAX(retry_after_ms, 1));
 		break;
@@ -529,19 +536,6 @@
 		strcmp(ex->refused_reason, "lease") == 0);
 }
 
-/* Wait, without an attempt, for the slot to get another owner. */
-static bool
-park_for_owner(struct dh_exchange *ex)
-{
-	if (!ex->keyed || !dh_buffer_rewind(&ex->up))
-		return false;
-	ex->shunned = true;
-	ex->shun = ex->route.fence;
-	dh_counter_add(ex->service->parked, 1);
-	dh_exchange_route(ex);
-	return true;
-}
-
 /* The last attempt ended without an answer: try again, wait for another
  * owner, or say so at once. */
 static void
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include <dogwoodhub/admission.h>
+#include <dogwoodhub/breaker.h>
 #include <dogwoodhub/group.h>
 #include <dogwoodhub/table.h>
 
@@ -83,7 +84,10 @@
 	struct dh_fence shun; /* ...this */
 	int64_t parked_ms; /* since when it waits for an owner, or 0 */
 	int64_t park_max_ms; /* longest it may */
+	int64_t pick_retry_ms; /* when to come back, if none can be picked */
+	int64_t planned_bytes; /* taken from the billed links' budget */
 	struct dh_ticket ticket; /* its place at the backend server */
+	struct dh_breaker_pass pass;
 	int64_t sent_us;
 	uint64_t revision;
 	uint64_t token; /* of the permit asked for, 0: none */
--- a/router/lane.c
+++ b/router/lane.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "router/exchange.h"
+#include "router/pick.h"
 #include "router/turn.h"
 
 /* How often requests without an owner look for a new table. */
@@ -329,6 +330,8 @@
 	lane->rng.state = lane->id_prefix;
 	lane->turns = dh_turns_new(&lane->loop, lane->settings->queue_max,
 	    lane->id_prefix, dh_exchange_turn);
+	lane->picker =
+	    dh_picker_new(lane->turns, lane->settings, lane->id_prefix);
 	lane_timers(lane);
 	if (!lane_listen(lane, port, error))
 		return false;
@@ -375,5 +378,6 @@
 	g_hash_table_unref(lane->asked);
 	g_hash_table_unref(lane->services);
 	dh_publish_reader_free(lane->reader);
+	dh_picker_free(lane->picker);
 	dh_turns_free(lane->turns);
 }
--- a/router/lane.h
+++ b/router/lane.h
@@ -32,6 +32,7 @@
 };
 
 struct dh_turns;
+struct dh_picker;
 
 struct dh_lane {
 	uint32_t index;
@@ -47,6 +48,7 @@
 	struct dh_http *http;
 	struct dh_publish_reader *reader;
 	struct dh_turns *turns;
+	struct dh_picker *picker;
 	struct dh_mailbox *to_control; /* consumed by the control thread */
 	struct dh_mailbox *from_control;
 	GQueue exchanges; /* all, by struct dh_exchange.link */
--- a/router/turn.c
+++ b/router/turn.c
@@ -2,16 +2,25 @@
 
 #include "base/clock.h"
 
-#define BACKENDS_MAX 8192u
 #define BACKEND_QUEUE_MAX 256u
 #define QUEUE_US 1000000
 #define RAMP_US 5000000
 #define RETRY_AFTER_MAX_US 5000000
 
+static const struct dh_breaker_params breaker_params = { .failures = 5,
+	.percent = 50,
+	.window = 20,
+	.probes = 2,
+	.open_ms = 100,
+	.max_open_ms = 2000 };
+
 struct dh_turns {
 	struct dh_admission *adm;
 	GHashTable *index; /* backend server's id -> index + 1 */
 	uint32_t nindex;
+	struct dh_balance_load *loads;
+	struct dh_breaker *breakers;
+	struct dh_rng rng;
 	uint64_t revision;
 	uv_timer_t *timer;
 	dh_turn_fn on_turn;
@@ -31,7 +40,7 @@
     uv_loop_t *loop, uint32_t queue_max, uint64_t seed, dh_turn_fn on_turn)
 {
 	struct dh_turns *ts = g_new0(struct dh_turns, 1);
-	struct dh_admission_params p = { .nbackends = BACKENDS_MAX,
+	struct dh_admission_params p = { .nbackends = DH_TURN_BACKENDS_MAX,
 		.max_queued = queue_max,
 		.backend_queue = BACKEND_QUEUE_MAX,
 		.queue_us = QUEUE_US,
@@ -44,6 +53,9 @@
 		g_error("no memory for admission");
 	ts->index =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	ts->loads = g_new0(struct dh_balance_load, DH_TURN_BACKENDS_MAX);
+	ts->breakers = g_new0(struct dh_breaker, DH_TURN_BACKENDS_MAX);
+	ts->rng.state = seed;
 	ts->on_turn = on_turn;
 	ts->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(loop, ts->timer);
@@ -58,6 +70,8 @@
 		return;
 	dh_admission_free(ts->adm);
 	g_hash_table_unref(ts->index);
+	g_free(ts->loads);
+	g_free(ts->breakers);
 	g_free(ts);
 }
 
@@ -67,6 +81,19 @@
 	return GPOINTER_TO_UINT(g_hash_table_lookup(ts->index, &id));
 }
 
+static void
+note_load(struct dh_turns *ts, uint32_t i, int64_t now_us)
+{
+	const struct dh_breaker *b = &ts->breakers[i];
+	bool open = b->state == DH_BREAKER_OPEN && now_us / 1000 < b->until_ms;
+
+	ts->loads[i] = (struct dh_balance_load){
+		.running = dh_admission_running(ts->adm, i),
+		.limit_milli =
+		    open ? 0 : dh_admission_limit_milli(ts->adm, i, now_us),
+	};
+}
+
 static uint32_t
 index_make(struct dh_turns *ts, uint64_t id, bool *is_new)
 {
@@ -76,8 +103,8 @@
 	*is_new = i == 0;
 	if (i != 0)
 		return i - 1;
-	if (ts->nindex == BACKENDS_MAX)
-		g_error("more than %u backend servers", BACKENDS_MAX);
+	if (ts->nindex == DH_TURN_BACKENDS_MAX)
+		g_error("more than %u backend servers", DH_TURN_BACKENDS_MAX);
 	key = g_new(uint64_t, 1);
 	*key = id;
 	g_hash_table_insert(ts->index, key, GUINT_TO_POINTER(++ts->nindex));
@@ -95,7 +122,7 @@
 
 	if (ts->revision == conf->revision)
 		return;
-	seen = g_new0(bool, BACKENDS_MAX);
+	seen = g_new0(bool, DH_TURN_BACKENDS_MAX);
 	now_us = dh_clock_us();
 	for (b = 0; b < conf->nbackends; b++) {
 		i = index_make(ts, dh_name_id(conf->backends[b].name), &is_new);
@@ -103,9 +130,11 @@
 		dh_admission_set_slots(ts->adm, i, conf->backends[b].slots,
 		    is_new && ts->revision != 0, now_us);
 	}
-	for (i = 0; i < ts->nindex; i++)
+	for (i = 0; i < ts->nindex; i++) {
 		if (!seen[i])
 			dh_admission_set_slots(ts->adm, i, 0, false, now_us);
+		note_load(ts, i, now_us);
+	}
 	ts->revision = conf->revision;
 }
 
@@ -123,6 +152,17 @@
 	    wait_us > 0 ? (uint64_t)(wait_us + 999) / 1000 : 0, 0);
 }
 
+static void
+end_pass(struct dh_turns *ts, struct dh_exchange *ex, uint32_t i,
+    enum dh_breaker_result result)
+{
+	if (ex->pass.verdict != DH_BREAKER_PASS)
+		return;
+	dh_breaker_end(&ts->breakers[i], &breaker_params, &ex->pass, result,
+	    &ts->rng, dh_clock_ms());
+	ex->pass.verdict = DH_BREAKER_REFUSE;
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -131,25 +171,54 @@
 	enum dh_admit verdict;
 	int64_t retry_after_ms;
 
-	while ((tk = dh_admission_poll(
-		    ts->adm, dh_clock_us(), &verdict, &retry_after_ms)) != NULL)
+	while ((tk = dh_admission_poll(ts->adm, dh_clock_us(), &verdict,
+		    &retry_after_ms)) != NULL) {
+		if (verdict == DH_ADMIT_REFUSE)
+			end_pass(ts, exchange_of(tk), tk->backend,
+			    DH_BREAKER_UNUSED);
 		ts->on_turn(exchange_of(tk), verdict, retry_after_ms);
+	}
 	arm(ts);
 }
 
+static enum dh_breaker_result
+breaker_result(enum dh_admission_outcome outcome)
+{
+	switch (outcome) {
+	case DH_ADMISSION_OK:
+	case DH_ADMISSION_SHED:
+		return DH_BREAKER_ANSWERED;
+	case DH_ADMISSION_LOST:
+		return DH_BREAKER_FAILED;
+	case DH_ADMISSION_CANCELLED:
+		return DH_BREAKER_UNUSED;
+	}
+	g_assert_not_reached();
+}
+
 enum dh_admit
 dh_turns_ask(
     struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
 {
 	enum dh_admit verdict;
 	uint32_t i = index_of(ts, ex->backend_id);
+	int64_t now_us = dh_clock_us();
 
 	g_assert(i != 0);
+	ex->pass = dh_breaker_ask(
+	    &ts->breakers[i - 1], &breaker_params, now_us / 1000);
+	if (ex->pass.verdict == DH_BREAKER_REFUSE) {
+		*retry_after_ms = ex->pass.retry_after_ms;
+		return DH_ADMIT_REFUSE;
+	}
 	ex->ticket = (struct dh_ticket){ .backend = i - 1,
 		.team = ex->team,
 		.deadline_us = ex->deadline_ms * 1000 };
-	verdict = dh_admission_ask(
-	    ts->adm, &ex->ticket, dh_clock_us(), retry_after_ms);
+	verdict =
+	    dh_admission_ask(ts->adm, &ex->ticket, now_us, retry_after_ms);
+	if (verdict == DH_ADMIT_REFUSE)
+		end_pass(ts, ex, i - 1, DH_BREAKER_UNUSED);
+	note_load(ts, i - 1, now_us);
 	if (verdict == DH_ADMIT_QUEUE)
 		arm(ts);
 	return verdict;
@@ -169,23 +238,32 @@
 	case DH_TICKET_QUEUED:
 	case DH_TICKET_REFUSED:
 		dh_admission_cancel(ts->adm, tk);
+		end_pass(ts, ex, backend, DH_BREAKER_UNUSED);
 		return;
 	case DH_TICKET_RUNNING:
 		break;
 	}
+	end_pass(ts, ex, backend, breaker_result(outcome));
 	next = dh_admission_end(
 	    ts->adm, tk, outcome, now_us - ex->sent_us, now_us);
 	while (next != NULL) {
 		ts->on_turn(exchange_of(next), DH_ADMIT_RUN, 0);
 		next = dh_admission_next(ts->adm, backend, dh_clock_us());
 	}
+	note_load(ts, backend, dh_clock_us());
 	arm(ts);
 }
 
 uint32_t
-dh_turns_running(const struct dh_turns *ts, uint64_t backend_id)
+dh_turns_index(const struct dh_turns *ts, uint64_t backend_id)
 {
 	uint32_t i = index_of(ts, backend_id);
 
-	return i == 0 ? 0 : dh_admission_running(ts->adm, i - 1);
+	return i == 0 ? DH_NONE : i - 1;
+}
+
+const struct dh_balance_load *
+dh_turns_loads(const struct dh_turns *ts)
+{
+	return ts->loads;
 }
--- a/router/turn.h
+++ b/router/turn.h
@@ -2,6 +2,7 @@
 #define DH_ROUTER_TURN_H
 
 #include <dogwoodhub/admission.h>
+#include <dogwoodhub/balance.h>
 #include <dogwoodhub/table.h>
 
 #include "router/exchange.h"
@@ -12,6 +13,9 @@
  */
 struct dh_turns;
 
+/* Backend servers a lane can know in its life. */
+#define DH_TURN_BACKENDS_MAX 8192u
+
 /* Called when a queued exchange's turn has come, or won't come in time. */
 typedef void (*dh_turn_fn)(
     struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms);
@@ -34,7 +38,9 @@
 void dh_turns_end(struct dh_turns *ts, struct dh_exchange *ex,
     enum dh_admission_outcome outcome);
 
-/* dh_turns_running -- requests of this lane at a backend server. */
-uint32_t dh_turns_running(const struct dh_turns *ts, uint64_t backend_id);
+/* dh_turns_index -- the index of a backend server by id, DH_NONE if unknown.
+ * dh_turns_loads -- what each has and may have, by index; borrowed. */
+uint32_t dh_turns_index(const struct dh_turns *ts, uint64_t backend_id);
+const struct dh_balance_load *dh_turns_loads(const struct dh_turns *ts);
 
 #endif
