Add the inner protocol: frames, typed messages, links

Cause: VMs had no way to talk to each other.

Messages are described once, field by field; three walkers pack, unpack and free them, so that the directions cannot drift apart and every bound stands in one place. Trailing zero fields are left out and unknown ones skipped; unknown kinds and enumerators are reported as such. msgpack-c sets aside memory for as many elements as an array announces (five bytes can ask for gigabytes), so a bounded scan of the heads goes before it.

Ruled out: maps with numbered keys (a byte a field more), a hand-written codec a kind (thirty functions to keep in step), keep-alive by the link itself (the membership's heartbeats do it).

--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,14 @@
 #   make            libraries and programs
 #   make check      all unit and failure tests (SAN=address|undefined|thread)
 #   make demo       the main job on loopback
+#   make fuzz       a fixed number of seeded cases for each fuzz/fuzz_*.c
 #   make format     rewrite the sources in the house format
 #   make lint       formatter and linter, warnings are errors
 
 CC ?= gcc
 SAN ?=
-BUILD := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
 comma := ,
+BUILD := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
 PKGS := base core proto store backend config router control report check
 DEPS := glib-2.0 libcurl libmicrohttpd json-c msgpack libxxhash ck
 CPPFLAGS += -D_GNU_SOURCE -I. -Iinclude -DXXH_INLINE_ALL \
@@ -89,6 +90,9 @@
 model:
 	tools/run_models.sh
 
+fuzz:
+	tools/run_fuzz.sh
+
 deps:
 	tools/install_deps.sh
 
--- a/control/mailbox.h
+++ b/control/mailbox.h
@@ -5,6 +5,7 @@
 
 #include <uv.h>
 
+#include <dogwoodhub/permit.h>
 #include <dogwoodhub/types.h>
 
 /*
@@ -22,16 +23,6 @@
 	DH_MAIL_STOP, /* control -> traffic: finish and end */
 };
 
-enum dh_permit_verdict {
-	DH_PERMIT_RUN, /* send it now, once */
-	DH_PERMIT_WAS_DONE, /* ran before: status is the first answer's */
-	DH_PERMIT_IN_FLIGHT, /* another try of it is running */
-	DH_PERMIT_REFUSED, /* not run; may be asked again later */
-	DH_PERMIT_UNKNOWN, /* memory of it was lost: it may have run */
-};
-
-#define DH_REQUEST_ID_MAX 64
-
 struct dh_mail {
 	enum dh_mail_kind kind;
 	uint64_t token; /* PERMIT*: the asker's own mark */
--- a/include/dogwoodhub/types.h
+++ b/include/dogwoodhub/types.h
@@ -7,6 +7,7 @@
 /* Sizes of names, in bytes with the closing NUL. */
 #define DH_NAME_MAX 64
 #define DH_ADDRESS_MAX 64
+#define DH_GROUP_NAME_MAX 80 /* "SERVICE/N" */
 
 /* No backend server, no VM, no service. */
 #define DH_NONE UINT32_MAX
--- /dev/null
+++ b/proto/msg.c
@@ -0,0 +1,810 @@
+#include "proto/msg.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "proto/bound.h"
+#include "proto/frame.h"
+
+/*
+ * Codec by description: each record lists its fields once, and three walkers
+ * (pack, unpack, clear) serve all of them.  So the two directions cannot
+ * drift apart, and every size check stands in one place.
+ */
+enum field_kind {
+	FIELD_U16,
+	FIELD_U32,
+	FIELD_U64,
+	FIELD_I64,
+	FIELD_BOOL,
+	FIELD_ENUM, /* limit: highest enumerator */
+	FIELD_NAME, /* char array; limit: its size with the NUL */
+	FIELD_BYTES, /* pointer; count_at: its uint32_t length */
+	FIELD_LIST, /* likewise; limit: most items */
+};
+
+struct field {
+	enum field_kind kind;
+	size_t at;
+	size_t count_at;
+	uint64_t limit;
+	const struct record *record; /* of a list's items */
+};
+
+struct record {
+	size_t size;
+	size_t n;
+	const struct field *fields;
+};
+
+#define F(kind_, type, member)                                       \
+	{                                                            \
+		.kind = (kind_), .at = offsetof(struct type, member) \
+	}
+#define F_ENUM(type, member, last)                                       \
+	{                                                                \
+		.kind = FIELD_ENUM, .at = offsetof(struct type, member), \
+		.limit = (last)                                          \
+	}
+#define F_NAME(type, member)                                             \
+	{                                                                \
+		.kind = FIELD_NAME, .at = offsetof(struct type, member), \
+		.limit = sizeof(((struct type *)NULL)->member)           \
+	}
+#define F_BYTES(type, member, count)                                      \
+	{                                                                 \
+		.kind = FIELD_BYTES, .at = offsetof(struct type, member), \
+		.count_at = offsetof(struct type, count)                  \
+	}
+#define F_LIST(type, member, count, item, most)                            \
+	{                                                                  \
+		.kind = FIELD_LIST, .at = offsetof(struct type, member),   \
+		.count_at = offsetof(struct type, count), .limit = (most), \
+		.record = &(item)                                          \
+	}
+#define RECORD(name, type, list)                                         \
+	static const struct record name = { .size = sizeof(struct type), \
+		.n = sizeof(list) / sizeof((list)[0]),                   \
+		.fields = (list) }
+
+/* Fields are numbered by place: append only, never reorder. */
+
+static const struct field hello_fields[] = {
+	F(FIELD_U32, dh_hello, version_min),
+	F(FIELD_U32, dh_hello, version_max),
+	F_ENUM(dh_hello, purpose, DH_HELLO_PROBE),
+	F(FIELD_U64, dh_hello, incarnation),
+	F_NAME(dh_hello, vm),
+	F_NAME(dh_hello, zone),
+	F_NAME(dh_hello, region),
+	F_NAME(dh_hello, address),
+	F(FIELD_U16, dh_hello, port),
+};
+RECORD(hello_record, dh_hello, hello_fields);
+
+static const struct field heartbeat_fields[] = {
+	F(FIELD_U64, dh_heartbeat, seq),
+	F(FIELD_U64, dh_heartbeat, members_digest),
+	F(FIELD_U64, dh_heartbeat, config_digest),
+	F(FIELD_U64, dh_heartbeat, table_digest),
+	F(FIELD_U64, dh_heartbeat, config_revision),
+	F(FIELD_U64, dh_heartbeat, table_version),
+	F(FIELD_BOOL, dh_heartbeat, leaving),
+};
+RECORD(heartbeat_record, dh_heartbeat, heartbeat_fields);
+
+static const struct field goodbye_fields[] = {
+	F_ENUM(dh_goodbye, reason, DH_GOODBYE_UNWANTED),
+};
+RECORD(goodbye_record, dh_goodbye, goodbye_fields);
+
+static const struct field member_fields[] = {
+	F_NAME(dh_member_record, name),
+	F(FIELD_U64, dh_member_record, incarnation),
+	F(FIELD_U64, dh_member_record, version),
+	F_ENUM(dh_member_record, state, DH_MEMBER_GONE),
+	F_NAME(dh_member_record, zone),
+	F_NAME(dh_member_record, region),
+	F_NAME(dh_member_record, address),
+	F(FIELD_U16, dh_member_record, peer_port),
+};
+RECORD(member_record, dh_member_record, member_fields);
+
+static const struct field members_fields[] = {
+	F(FIELD_BOOL, dh_members, all),
+	F_LIST(dh_members, list, n, member_record, DH_MSG_MEMBERS_MAX),
+};
+RECORD(members_record, dh_members, members_fields);
+
+/* struct dh_group_msg keeps indexes and assignments in two arrays; on the
+ * wire they are one list, of the same items as a table's. */
+struct group_wire {
+	char group[DH_GROUP_NAME_MAX];
+	enum dh_group_msg_kind kind;
+	uint64_t term;
+	uint64_t from;
+	uint64_t from_incarnation;
+	uint64_t seq;
+	uint64_t backend;
+	int64_t age_ms;
+	uint32_t nslots;
+	struct dh_slot_update *slots;
+};
+
+static const struct field slot_fields[] = {
+	F(FIELD_U32, dh_slot_update, slot),
+	F(FIELD_U64, dh_slot_update, assignment.owner),
+	F(FIELD_U64, dh_slot_update, assignment.standby),
+	F(FIELD_U64, dh_slot_update, assignment.fence.term),
+	F(FIELD_U64, dh_slot_update, assignment.fence.counter),
+	F_ENUM(dh_slot_update, assignment.state, DH_SLOT_MOVING),
+};
+RECORD(slot_record, dh_slot_update, slot_fields);
+
+static const struct field group_fields[] = {
+	F_NAME(group_wire, group),
+	F_ENUM(group_wire, kind, DH_GROUP_MSG_HANDOVER),
+	F(FIELD_U64, group_wire, term),
+	F(FIELD_U64, group_wire, from),
+	F(FIELD_U64, group_wire, from_incarnation),
+	F(FIELD_U64, group_wire, seq),
+	F(FIELD_U64, group_wire, backend),
+	F(FIELD_I64, group_wire, age_ms),
+	F_LIST(group_wire, slots, nslots, slot_record, DH_MSG_SLOTS_MAX),
+};
+RECORD(group_record, group_wire, group_fields);
+
+static const struct field team_fields[] = {
+	F_NAME(dh_team_update, team),
+	F(FIELD_U64, dh_team_update, version),
+	F(FIELD_U64, dh_team_update, base),
+	F(FIELD_BOOL, dh_team_update, deleted),
+	F(FIELD_U32, dh_team_update, offset),
+	F(FIELD_U32, dh_team_update, removed),
+	F_BYTES(dh_team_update, bytes, len),
+};
+RECORD(team_record, dh_team_update, team_fields);
+
+static const struct field config_fields[] = {
+	F(FIELD_BOOL, dh_config_push, more),
+	F_LIST(dh_config_push, list, n, team_record, DH_MSG_OBJECTS_MAX),
+};
+RECORD(config_record, dh_config_push, config_fields);
+
+static const struct field table_update_fields[] = {
+	F_NAME(dh_table_update, group),
+	F(FIELD_U64, dh_table_update, version.term),
+	F(FIELD_U64, dh_table_update, version.counter),
+	F(FIELD_U64, dh_table_update, base.term),
+	F(FIELD_U64, dh_table_update, base.counter),
+	F(FIELD_U32, dh_table_update, nslots),
+	F_LIST(dh_table_update, slots, n, slot_record, DH_MSG_SLOTS_MAX),
+};
+RECORD(table_update_record, dh_table_update, table_update_fields);
+
+static const struct field table_fields[] = {
+	F(FIELD_BOOL, dh_table_push, more),
+	F_LIST(dh_table_push, list, n, table_update_record, DH_MSG_OBJECTS_MAX),
+};
+RECORD(table_record, dh_table_push, table_fields);
+
+static const struct field held_fields[] = {
+	F_NAME(dh_relay_held, name),
+	F(FIELD_U64, dh_relay_held, version.term),
+	F(FIELD_U64, dh_relay_held, version.counter),
+};
+RECORD(held_record, dh_relay_held, held_fields);
+
+static const struct field pull_fields[] = {
+	F(FIELD_BOOL, dh_pull, attach),
+	F(FIELD_BOOL, dh_pull, members),
+	F_LIST(dh_pull, teams, nteams, held_record, DH_MSG_HELD_MAX),
+	F_LIST(dh_pull, tables, ntables, held_record, DH_MSG_HELD_MAX),
+};
+RECORD(pull_record, dh_pull, pull_fields);
+
+static const struct field move_fields[] = {
+	F_ENUM(dh_move, reason, DH_MOVE_LEAVING),
+	F_NAME(dh_move, vm),
+};
+RECORD(move_record, dh_move, move_fields);
+
+static const struct field permit_ask_fields[] = {
+	F_NAME(dh_permit_ask, group),
+	F_NAME(dh_permit_ask, id),
+	F(FIELD_U64, dh_permit_ask, asker),
+	F(FIELD_U64, dh_permit_ask, token),
+	F(FIELD_I64, dh_permit_ask, left_ms),
+};
+RECORD(permit_ask_record, dh_permit_ask, permit_ask_fields);
+
+static const struct field permit_verdict_fields[] = {
+	F_NAME(dh_permit_answer, group),
+	F_NAME(dh_permit_answer, id),
+	F(FIELD_U64, dh_permit_answer, token),
+	F_ENUM(dh_permit_answer, verdict, DH_PERMIT_UNKNOWN),
+	F(FIELD_U32, dh_permit_answer, status),
+	F(FIELD_I64, dh_permit_answer, retry_ms),
+};
+RECORD(permit_verdict_record, dh_permit_answer, permit_verdict_fields);
+
+static const struct field permit_end_fields[] = {
+	F_NAME(dh_permit_end, group),
+	F_NAME(dh_permit_end, id),
+	F(FIELD_U64, dh_permit_end, token),
+	F_ENUM(dh_permit_end, outcome, DH_OUTCOME_UNKNOWN),
+	F(FIELD_U32, dh_permit_end, status),
+};
+RECORD(permit_end_record, dh_permit_end, permit_end_fields);
+
+static const struct field permit_entry_fields[] = {
+	F_NAME(dh_permit_entry, id),
+	F(FIELD_U64, dh_permit_entry, asker),
+	F(FIELD_U64, dh_permit_entry, token),
+	F_ENUM(dh_permit_entry, state, DH_PERMIT_DROPPED),
+	F_ENUM(dh_permit_entry, outcome, DH_OUTCOME_UNKNOWN),
+	F(FIELD_U32, dh_permit_entry, status),
+	F(FIELD_I64, dh_permit_entry, left_ms),
+};
+RECORD(permit_entry_record, dh_permit_entry, permit_entry_fields);
+
+static const struct field permit_hold_fields[] = {
+	F_NAME(dh_permit_hold, group),
+	F(FIELD_U64, dh_permit_hold, term),
+	F(FIELD_U64, dh_permit_hold, seq),
+	F(FIELD_BOOL, dh_permit_hold, complete),
+	F_LIST(
+	    dh_permit_hold, list, n, permit_entry_record, DH_MSG_PERMITS_MAX),
+};
+RECORD(permit_hold_record, dh_permit_hold, permit_hold_fields);
+
+static const struct field permit_held_fields[] = {
+	F_NAME(dh_permit_held, group),
+	F(FIELD_U64, dh_permit_held, term),
+	F(FIELD_U64, dh_permit_held, seq),
+	F(FIELD_BOOL, dh_permit_held, refused),
+};
+RECORD(permit_held_record, dh_permit_held, permit_held_fields);
+
+static const struct field load_slot_fields[] = {
+	F(FIELD_U32, dh_load_slot, slot),
+	F(FIELD_U64, dh_load_slot, requests),
+	F(FIELD_U64, dh_load_slot, busy_us),
+};
+RECORD(load_slot_record, dh_load_slot, load_slot_fields);
+
+static const struct field load_backend_fields[] = {
+	F(FIELD_U64, dh_load_backend, backend),
+	F(FIELD_U64, dh_load_backend, answered),
+	F(FIELD_U64, dh_load_backend, failed),
+	F(FIELD_U64, dh_load_backend, latency_us),
+};
+RECORD(load_backend_record, dh_load_backend, load_backend_fields);
+
+static const struct field load_fields[] = {
+	F_NAME(dh_load, group),
+	F(FIELD_U32, dh_load, interval_ms),
+	F_LIST(dh_load, slots, nslots, load_slot_record, DH_MSG_SLOTS_MAX),
+	F_LIST(dh_load, backends, nbackends, load_backend_record,
+	    DH_MSG_OBJECTS_MAX),
+};
+RECORD(load_record, dh_load, load_fields);
+
+static const struct {
+	const char *name;
+	const struct record *record;
+} kinds[DH_MSG_KIND_MAX + 1] = {
+	[DH_MSG_HELLO] = { "hello", &hello_record },
+	[DH_MSG_HEARTBEAT] = { "heartbeat", &heartbeat_record },
+	[DH_MSG_GOODBYE] = { "goodbye", &goodbye_record },
+	[DH_MSG_MEMBERS] = { "members", &members_record },
+	[DH_MSG_GROUP] = { "group", &group_record },
+	[DH_MSG_CONFIG] = { "config", &config_record },
+	[DH_MSG_TABLE] = { "table", &table_record },
+	[DH_MSG_PULL] = { "pull", &pull_record },
+	[DH_MSG_MOVE] = { "move", &move_record },
+	[DH_MSG_PERMIT_ASK] = { "permit_ask", &permit_ask_record },
+	[DH_MSG_PERMIT_VERDICT] = { "permit_verdict", &permit_verdict_record },
+	[DH_MSG_PERMIT_END] = { "permit_end", &permit_end_record },
+	[DH_MSG_PERMIT_HOLD] = { "permit_hold", &permit_hold_record },
+	[DH_MSG_PERMIT_HELD] = { "permit_held", &permit_held_record },
+	[DH_MSG_LOAD] = { "load", &load_record },
+};
+
+const char *
+dh_msg_kind_name(enum dh_msg_kind kind)
+{
+	if ((unsigned int)kind > DH_MSG_KIND_MAX || kinds[kind].name == NULL)
+		return "unknown";
+	return kinds[kind].name;
+}
+
+/* Fields in place. */
+
+static uint64_t
+get_unsigned(const struct field *f, const void *rec)
+{
+	const char *p = (const char *)rec + f->at;
+	enum dh_msg_kind e;
+	uint16_t u16;
+	uint32_t u32;
+	uint64_t u64;
+
+	switch (f->kind) {
+	case FIELD_U16:
+		memcpy(&u16, p, sizeof(u16));
+		return u16;
+	case FIELD_U32:
+		memcpy(&u32, p, sizeof(u32));
+		return u32;
+	case FIELD_ENUM: /* every enum is an unsigned int here */
+		memcpy(&e, p, sizeof(e));
+		return (uint64_t)e;
+	case FIELD_BOOL:
+		return *(const bool *)p;
+	default:
+		memcpy(&u64, p, sizeof(u64));
+		return u64;
+	}
+}
+
+static uint32_t
+get_count(const struct field *f, const void *rec)
+{
+	uint32_t n;
+
+	memcpy(&n, (const char *)rec + f->count_at, sizeof(n));
+	return n;
+}
+
+static char *
+get_pointer(const struct field *f, const void *rec)
+{
+	char *p;
+
+	memcpy(&p, (const char *)rec + f->at, sizeof(p));
+	return p;
+}
+
+static void
+set_pointer(const struct field *f, void *rec, void *p, uint32_t n)
+{
+	memcpy((char *)rec + f->at, &p, sizeof(p));
+	memcpy((char *)rec + f->count_at, &n, sizeof(n));
+}
+
+static bool
+is_empty(const struct field *f, const void *rec)
+{
+	switch (f->kind) {
+	case FIELD_NAME:
+		return ((const char *)rec)[f->at] == '\0';
+	case FIELD_BYTES:
+	case FIELD_LIST:
+		return get_count(f, rec) == 0;
+	default:
+		return get_unsigned(f, rec) == 0;
+	}
+}
+
+/* Pack. */
+
+static size_t
+fields_used(const struct record *r, const void *rec)
+{
+	size_t n = r->n;
+
+	while (n > 0 && is_empty(&r->fields[n - 1], rec))
+		n--;
+	return n;
+}
+
+static bool pack_field(
+    msgpack_packer *pk, const struct field *f, const void *rec);
+
+/* The packers say false when a list has too many items. */
+static bool
+pack_record(msgpack_packer *pk, const struct record *r, const void *rec)
+{
+	size_t n = fields_used(r, rec), i;
+
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++)
+		if (!pack_field(pk, &r->fields[i], rec))
+			return false;
+	return true;
+}
+
+static bool
+pack_list(msgpack_packer *pk, const struct field *f, const void *rec)
+{
+	const char *items = get_pointer(f, rec);
+	uint32_t n = get_count(f, rec), i;
+
+	if (n > f->limit)
+		return false;
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++)
+		if (!pack_record(pk, f->record, items + i * f->record->size))
+			return false;
+	return true;
+}
+
+static bool
+pack_field(msgpack_packer *pk, const struct field *f, const void *rec)
+{
+	const char *name;
+
+	switch (f->kind) {
+	case FIELD_NAME:
+		name = (const char *)rec + f->at;
+		msgpack_pack_str_with_body(
+		    pk, name, strnlen(name, f->limit - 1));
+		break;
+	case FIELD_BYTES:
+		msgpack_pack_bin_with_body(
+		    pk, get_pointer(f, rec), get_count(f, rec));
+		break;
+	case FIELD_LIST:
+		return pack_list(pk, f, rec);
+	case FIELD_I64:
+		msgpack_pack_int64(pk, (int64_t)get_unsigned(f, rec));
+		break;
+	default:
+		msgpack_pack_uint64(pk, get_unsigned(f, rec));
+		break;
+	}
+	return true;
+}
+
+static uint8_t *
+pack_message(enum dh_msg_kind kind, const void *rec, size_t *len)
+{
+	static const char header[DH_FRAME_HEADER];
+	const struct record *r = kinds[kind].record;
+	size_t n = fields_used(r, rec), i;
+	msgpack_sbuffer out;
+	msgpack_packer pk;
+	bool fits = true;
+
+	msgpack_sbuffer_init(&out);
+	if (msgpack_sbuffer_write(&out, header, sizeof(header)) != 0)
+		return NULL;
+	msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, n + 1);
+	msgpack_pack_uint64(&pk, (uint64_t)kind);
+	for (i = 0; i < n && fits; i++)
+		fits = pack_field(&pk, &r->fields[i], rec);
+	/* A write that failed for lack of memory leaves the value short. */
+	if (!fits || out.size - DH_FRAME_HEADER > DH_FRAME_MAX ||
+	    !dh_msgpack_bounded((uint8_t *)out.data + DH_FRAME_HEADER,
+		out.size - DH_FRAME_HEADER, DH_MSG_ELEMENTS_MAX)) {
+		msgpack_sbuffer_destroy(&out);
+		return NULL;
+	}
+	dh_frame_header(
+	    (uint8_t *)out.data, (uint32_t)(out.size - DH_FRAME_HEADER));
+	*len = out.size;
+	return (uint8_t *)msgpack_sbuffer_release(&out);
+}
+
+/* Group messages: two arrays here, one list on the wire. */
+
+static uint8_t *
+encode_group(const struct dh_group_envelope *e, size_t *len)
+{
+	const struct dh_group_msg *m = &e->msg;
+	struct group_wire w = { .kind = m->kind,
+		.term = m->term,
+		.from = m->from,
+		.from_incarnation = m->from_incarnation,
+		.seq = m->seq,
+		.backend = m->backend,
+		.age_ms = m->age_ms,
+		.nslots = m->nslots };
+	uint8_t *frame;
+	uint32_t i;
+
+	memcpy(w.group, e->group, sizeof(w.group));
+	if (w.nslots > 0) {
+		w.slots = calloc(w.nslots, sizeof(*w.slots));
+		if (w.slots == NULL)
+			return NULL;
+	}
+	for (i = 0; i < w.nslots; i++) {
+		w.slots[i].slot = m->index[i];
+		w.slots[i].assignment = m->slots[i];
+	}
+	frame = pack_message(DH_MSG_GROUP, &w, len);
+	free(w.slots);
+	return frame;
+}
+
+static enum dh_msg_result
+group_from_wire(const struct group_wire *w, struct dh_group_envelope *e)
+{
+	struct dh_group_msg *m = &e->msg;
+	uint32_t i;
+
+	memcpy(e->group, w->group, sizeof(e->group));
+	*m = (struct dh_group_msg){ .kind = w->kind,
+		.term = w->term,
+		.from = w->from,
+		.from_incarnation = w->from_incarnation,
+		.seq = w->seq,
+		.backend = w->backend,
+		.age_ms = w->age_ms };
+	if (w->nslots == 0)
+		return DH_MSG_OK;
+	m->index = calloc(w->nslots, sizeof(*m->index));
+	m->slots = calloc(w->nslots, sizeof(*m->slots));
+	if (m->index == NULL || m->slots == NULL) {
+		free(m->index);
+		free(m->slots);
+		return DH_MSG_NOMEM;
+	}
+	m->nslots = w->nslots;
+	for (i = 0; i < w->nslots; i++) {
+		m->index[i] = w->slots[i].slot;
+		m->slots[i] = w->slots[i].assignment;
+	}
+	return DH_MSG_OK;
+}
+
+uint8_t *
+dh_msg_encode(const struct dh_msg *m, size_t *len)
+{
+	assert((unsigned int)m->kind <= DH_MSG_KIND_MAX);
+	assert(kinds[m->kind].record != NULL);
+	if (m->kind == DH_MSG_GROUP)
+		return encode_group(&m->group, len);
+	return pack_message(m->kind, &m->hello, len);
+}
+
+/* Unpack. */
+
+static enum dh_msg_result unpack_fields(const struct record *r,
+    const msgpack_object *values, uint32_t n, void *rec);
+
+static enum dh_msg_result
+unpack_name(const struct field *f, const msgpack_object *v, void *rec)
+{
+	if (v->type != MSGPACK_OBJECT_STR || v->via.str.size >= f->limit)
+		return DH_MSG_INVALID;
+	if (v->via.str.size == 0)
+		return DH_MSG_OK;
+	if (memchr(v->via.str.ptr, '\0', v->via.str.size) != NULL)
+		return DH_MSG_INVALID;
+	memcpy((char *)rec + f->at, v->via.str.ptr, v->via.str.size);
+	return DH_MSG_OK;
+}
+
+static enum dh_msg_result
+unpack_bytes(const struct field *f, const msgpack_object *v, void *rec)
+{
+	char *p;
+
+	if (v->type != MSGPACK_OBJECT_BIN)
+		return DH_MSG_INVALID;
+	if (v->via.bin.size == 0)
+		return DH_MSG_OK;
+	p = malloc(v->via.bin.size);
+	if (p == NULL)
+		return DH_MSG_NOMEM;
+	memcpy(p, v->via.bin.ptr, v->via.bin.size);
+	set_pointer(f, rec, p, v->via.bin.size);
+	return DH_MSG_OK;
+}
+
+static enum dh_msg_result
+unpack_list(const struct field *f, const msgpack_object *v, void *rec)
+{
+	const struct record *r = f->record;
+	enum dh_msg_result result;
+	const msgpack_object *item;
+	uint32_t i;
+	char *list;
+
+	if (v->type != MSGPACK_OBJECT_ARRAY || v->via.array.size > f->limit)
+		return DH_MSG_INVALID;
+	if (v->via.array.size == 0)
+		return DH_MSG_OK;
+	list = calloc(v->via.array.size, r->size);
+	if (list == NULL)
+		return DH_MSG_NOMEM;
+	/* From here on dh_msg_clear() finds it, also half filled. */
+	set_pointer(f, rec, list, v->via.array.size);
+	for (i = 0; i < v->via.array.size; i++) {
+		item = &v->via.array.ptr[i];
+		if (item->type != MSGPACK_OBJECT_ARRAY)
+			return DH_MSG_INVALID;
+		result = unpack_fields(r, item->via.array.ptr,
+		    item->via.array.size, list + i * r->size);
+		if (result != DH_MSG_OK)
+			return result;
+	}
+	return DH_MSG_OK;
+}
+
+static enum dh_msg_result
+unpack_signed(const struct field *f, const msgpack_object *v, void *rec)
+{
+	int64_t i64 = v->via.i64;
+
+	if (v->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		if (v->via.u64 > INT64_MAX)
+			return DH_MSG_INVALID;
+		i64 = (int64_t)v->via.u64;
+	} else if (v->type != MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+		return DH_MSG_INVALID;
+	}
+	memcpy((char *)rec + f->at, &i64, sizeof(i64));
+	return DH_MSG_OK;
+}
+
+static enum dh_msg_result
+unpack_unsigned(const struct field *f, const msgpack_object *v, void *rec)
+{
+	char *p = (char *)rec + f->at;
+	uint64_t u64 = v->via.u64;
+	uint32_t u32 = (uint32_t)u64;
+	uint16_t u16 = (uint16_t)u64;
+
+	if (v->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return DH_MSG_INVALID;
+	switch (f->kind) {
+	case FIELD_U16:
+		if (u64 > UINT16_MAX)
+			return DH_MSG_INVALID;
+		memcpy(p, &u16, sizeof(u16));
+		break;
+	case FIELD_U32:
+		if (u64 > UINT32_MAX)
+			return DH_MSG_INVALID;
+		memcpy(p, &u32, sizeof(u32));
+		break;
+	case FIELD_ENUM:
+		if (u64 > f->limit)
+			return DH_MSG_UNKNOWN;
+		memcpy(p, &u32, sizeof(u32));
+		break;
+	case FIELD_BOOL:
+		if (u64 > 1)
+			return DH_MSG_INVALID;
+		*(bool *)p = u64 == 1;
+		break;
+	default:
+		memcpy(p, &u64, sizeof(u64));
+		break;
+	}
+	return DH_MSG_OK;
+}
+
+static enum dh_msg_result
+unpack_field(const struct field *f, const msgpack_object *v, void *rec)
+{
+	switch (f->kind) {
+	case FIELD_NAME:
+		return unpack_name(f, v, rec);
+	case FIELD_BYTES:
+		return unpack_bytes(f, v, rec);
+	case FIELD_LIST:
+		return unpack_list(f, v, rec);
+	case FIELD_I64:
+		return unpack_signed(f, v, rec);
+	default:
+		return unpack_unsigned(f, v, rec);
+	}
+}
+
+static enum dh_msg_result
+unpack_fields(
+    const struct record *r, const msgpack_object *values, uint32_t n, void *rec)
+{
+	enum dh_msg_result result;
+	size_t i;
+
+	for (i = 0; i < r->n && i < n; i++) {
+		result = unpack_field(&r->fields[i], &values[i], rec);
+		if (result != DH_MSG_OK)
+			return result;
+	}
+	return DH_MSG_OK;
+}
+
+static void
+clear_record(const struct record *r, void *rec)
+{
+	const struct field *f;
+	uint32_t n, j;
+	size_t i;
+	char *p;
+
+	for (i = 0; i < r->n; i++) {
+		f = &r->fields[i];
+		if (f->kind != FIELD_LIST && f->kind != FIELD_BYTES)
+			continue;
+		p = get_pointer(f, rec);
+		n = get_count(f, rec);
+		for (j = 0; f->kind == FIELD_LIST && j < n; j++)
+			clear_record(f->record, p + j * f->record->size);
+		free(p);
+	}
+}
+
+static enum dh_msg_result
+decode_group(const msgpack_object *values, uint32_t n, struct dh_msg *out)
+{
+	struct group_wire w = { 0 };
+	enum dh_msg_result result;
+
+	result = unpack_fields(&group_record, values, n, &w);
+	if (result == DH_MSG_OK)
+		result = group_from_wire(&w, &out->group);
+	free(w.slots);
+	return result;
+}
+
+static enum dh_msg_result
+decode_object(const msgpack_object *v, struct dh_msg *out)
+{
+	const struct record *r;
+	enum dh_msg_result result;
+	const msgpack_object *values;
+	uint32_t n;
+
+	if (v->type != MSGPACK_OBJECT_ARRAY || v->via.array.size == 0)
+		return DH_MSG_INVALID;
+	values = v->via.array.ptr;
+	n = v->via.array.size - 1;
+	if (values[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return DH_MSG_INVALID;
+	if (values[0].via.u64 == 0 || values[0].via.u64 > DH_MSG_KIND_MAX)
+		return DH_MSG_UNKNOWN;
+	out->kind = (enum dh_msg_kind)values[0].via.u64;
+	if (out->kind == DH_MSG_GROUP)
+		return decode_group(values + 1, n, out);
+	r = kinds[out->kind].record;
+	result = unpack_fields(r, values + 1, n, &out->hello);
+	if (result != DH_MSG_OK)
+		clear_record(r, &out->hello);
+	return result;
+}
+
+enum dh_msg_result
+dh_msg_decode(const uint8_t *payload, size_t len, struct dh_msg *out)
+{
+	enum dh_msg_result result = DH_MSG_INVALID;
+	msgpack_unpack_return unpacked;
+	msgpack_unpacked u;
+	size_t off = 0;
+
+	memset(out, 0, sizeof(*out));
+	if (!dh_msgpack_bounded(payload, len, DH_MSG_ELEMENTS_MAX))
+		return DH_MSG_INVALID;
+	msgpack_unpacked_init(&u);
+	unpacked = msgpack_unpack_next(&u, (const char *)payload, len, &off);
+	if (unpacked == MSGPACK_UNPACK_SUCCESS)
+		result = decode_object(&u.data, out);
+	else if (unpacked == MSGPACK_UNPACK_NOMEM_ERROR)
+		result = DH_MSG_NOMEM;
+	msgpack_unpacked_destroy(&u);
+	if (result != DH_MSG_OK)
+		memset(out, 0, sizeof(*out));
+	return result;
+}
+
+void
+dh_msg_clear(struct dh_msg *m)
+{
+	if (m->kind == DH_MSG_GROUP) {
+		free(m->group.msg.index);
+		free(m->group.msg.slots);
+	} else if (m->kind != 0 && (unsigned int)m->kind <= DH_MSG_KIND_MAX) {
+		clear_record(kinds[m->kind].record, &m->hello);
+	}
+	memset(m, 0, sizeof(*m));
+}
