--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make            libraries and programs
 #   make check      all unit and failure tests (SAN=address|undefined|thread)
 #   make demo       the main job on loopback
+#   make fuzz       a fixed number of seeded cases for each fuzz/fuzz_*.c
 #   make format     rewrite the sources in the house format
 #   make lint       formatter and linter, warnings are errors
 
@@ -96,6 +97,9 @@
 model:
 	tools/run_models.sh
 
+fuzz:
+	tools/run_fuzz.sh
+
 deps:
 	tools/install_deps.sh
 
