--- a/standin/lib/eventlog.c
+++ b/base/history.c
@@ -1,4 +1,4 @@
-#include "standin/lib/eventlog.h"
+#include "base/history.h"
 
 #include <fcntl.h>
 #include <stdarg.h>
@@ -7,15 +7,15 @@
 
 #include "base/clock.h"
 
-struct eventlog {
+struct dh_history {
 	int fd;
 	char *source;
 };
 
-struct eventlog *
-eventlog_open(const char *path, const char *source)
+struct dh_history *
+dh_history_open(const char *path, const char *source)
 {
-	struct eventlog *log;
+	struct dh_history *log;
 	int fd;
 
 	if (path == NULL)
@@ -25,14 +25,14 @@
 		perror(path);
 		return NULL;
 	}
-	log = g_new0(struct eventlog, 1);
+	log = g_new0(struct dh_history, 1);
 	log->fd = fd;
 	log->source = g_strdup(source);
 	return log;
 }
 
 void
-eventlog_close(struct eventlog *log)
+dh_history_close(struct dh_history *log)
 {
 	if (log == NULL)
 		return;
@@ -42,7 +42,7 @@
 }
 
 void
-eventlog_add(struct eventlog *log, const char *ev, const char *fmt, ...)
+dh_history_add(struct dh_history *log, const char *ev, const char *fmt, ...)
 {
 	GString *line;
 	va_list ap;
@@ -57,6 +57,6 @@
 	va_end(ap);
 	g_string_append(line, "}\n");
 	if (write(log->fd, line->str, line->len) < 0)
-		perror("event log");
+		perror("history");
 	g_string_free(line, TRUE);
 }
--- a/bench/dhload.c
+++ b/bench/dhload.c
@@ -15,7 +15,7 @@
 
 #include "base/clock.h"
 #include "base/http.h"
-#include "standin/lib/eventlog.h"
+#include "base/history.h"
 #include <dogwoodhub/rng.h>
 
 #define TARGETS_MAX 64u
@@ -50,7 +50,7 @@
 	struct options opt;
 	uv_loop_t loop;
 	struct dh_http *http;
-	struct eventlog *log;
+	struct dh_history *log;
 	struct dh_rng rng;
 	double *zipf_sum; /* cumulative weight by rank */
 	uv_timer_t tick;
@@ -337,7 +337,7 @@
 	    ? g_strdup("")
 	    : g_strdup_printf(",\"echo\":\"%s\"", c->echo);
 
-	eventlog_add(c->load->log, "answer",
+	dh_history_add(c->load->log, "answer",
 	    ",\"call\":\"%s-%" PRIu64 "\",\"outcome\":\"%s\",\"status\":%ld%s,"
 	    "\"hash\":\"%016" PRIx64 "\",\"whole\":%s",
 	    c->load->opt.name, c->number, outcome_names[c->outcome], status,
@@ -447,7 +447,7 @@
 	curl_easy_reset(c->easy);
 	curl_easy_setopt(c->easy, CURLOPT_URL, url);
 	call_options(c);
-	eventlog_add(ld->log, "send",
+	dh_history_add(ld->log, "send",
 	    ",\"call\":\"%s-%" PRIu64 "\",\"id\":\"%s\",\"via\":\"%s\","
 	    "\"service\":\"%s\",\"key\":\"%s\",\"unrepeatable\":%s,"
 	    "\"expect\":\"%016" PRIx64 "\"",
@@ -604,7 +604,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	uv_loop_init(&ld.loop);
 	ld.http = dh_http_new(&ld.loop);
-	ld.log = eventlog_open(ld.opt.log, ld.opt.name);
+	ld.log = dh_history_open(ld.opt.log, ld.opt.name);
 	ld.rng.state = ld.opt.seed;
 	ld.latency_us = g_new(uint32_t, SAMPLES_MAX);
 	zipf_prepare(&ld);
--- a/control/authority.c
+++ b/control/authority.c
@@ -25,6 +25,7 @@
 	uint64_t term;
 	uint32_t pending; /* calls that will still come back */
 	bool freed;
+	struct dh_fence *noted; /* by slot: last in the history */
 };
 
 /* A call whose answer will be an event. */
@@ -53,6 +54,7 @@
 {
 	dh_group_free(a->group);
 	dh_group_actions_free(&a->actions);
+	g_free(a->noted);
 	g_free(a->name);
 	g_free(a->object);
 	g_free(a->service);
@@ -190,6 +192,53 @@
 	    a->params.order_ms, on_order, c);
 }
 
+static const char *
+vm_name(struct dh_authority *a, uint64_t id)
+{
+	const char *name = dh_vms_name(a->control->vms, id);
+
+	return name == NULL ? "" : name;
+}
+
+static void
+note_assignment(
+    struct dh_authority *a, const struct dh_group_view *v, uint32_t slot)
+{
+	const struct dh_assignment *as = &v->slots[slot];
+	const struct dh_backend *owner =
+	    find_backend(a->control->conf->conf, as->owner);
+	g_autofree char *holders = NULL;
+
+	if (v->store_down)
+		holders = g_strdup_printf(",\"holders\":[\"%s\",\"%s\"]",
+		    vm_name(a, v->leader), vm_name(a, v->deputy));
+	dh_history_add(a->control->history, "assign",
+	    ",\"group\":\"%s\",\"slot\":%u,\"owner\":\"%s\",\"fence\":"
+	    "\"%" PRIu64 ".%" PRIu64 "\",\"prev\":\"%" PRIu64 ".%" PRIu64
+	    "\",\"kept\":\"%s\"%s",
+	    a->name, slot, owner == NULL ? "" : owner->name, as->fence.term,
+	    as->fence.counter, a->noted[slot].term, a->noted[slot].counter,
+	    v->store_down ? "pair" : "store", holders == NULL ? "" : holders);
+}
+
+/* Tell the history which assignments the leader now acknowledges. */
+static void
+note_assignments(struct dh_authority *a)
+{
+	struct dh_group_view v = dh_group_view(a->group);
+	uint32_t i;
+
+	if (a->noted == NULL)
+		a->noted = g_new0(struct dh_fence, v.nslots + 1);
+	for (i = 0; i < v.nslots; i++) {
+		if (dh_fence_cmp(a->noted[i], v.slots[i].fence) == 0)
+			continue;
+		if (v.role == DH_GROUP_LEADER && a->control->conf != NULL)
+			note_assignment(a, &v, i);
+		a->noted[i] = v.slots[i].fence;
+	}
+}
+
 static void
 carry_out(struct dh_authority *a, const struct dh_group_action *act)
 {
@@ -209,6 +258,8 @@
 		break;
 	case DH_GROUP_DO_PUBLISH:
 		a->control->table_stale = true;
+		if (a->control->history != NULL)
+			note_assignments(a);
 		break;
 	}
 }
--- a/control/control.c
+++ b/control/control.c
@@ -159,6 +159,8 @@
 	ct->table_stale = true;
 	dh_counter_set(
 	    dh_counter_get("dh_config_revision", ""), conf->revision);
+	dh_history_add(
+	    ct->history, "force", ",\"revision\":%" PRIu64, conf->revision);
 	dh_log(DH_LOG_INFO, "config.in_force",
 	    "revision=%" PRIu64 " services=%zu backend_servers=%zu",
 	    conf->revision, conf->nservices, conf->nbackends);
@@ -297,6 +299,8 @@
 
 	ct->self = dh_name_id(s->vm);
 	ct->incarnation = (uint64_t)dh_clock_wall_ms();
+	dh_history_add(
+	    ct->history, "up", ",\"incarnation\":%" PRIu64, ct->incarnation);
 	writer = g_strdup_printf("%s-%" PRIu64, s->vm, ct->incarnation);
 	ct->authorities = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, authority_free);
@@ -310,7 +314,9 @@
 	ct->router = dh_router_start(s, &rc, error);
 	if (ct->router == NULL)
 		return false;
-	ct->vms = dh_vms_new(ct);
+	ct->vms = dh_vms_new(ct, error);
+	if (ct->vms == NULL)
+		return false;
 	ct->teams = dh_teams_new(ct);
 	return true;
 }
@@ -344,12 +350,13 @@
 }
 
 int
-dh_control_run(const struct dh_settings *s)
+dh_control_run(const struct dh_settings *s, const char *history_path)
 {
 	struct dh_control ct = { .settings = s };
 	g_autoptr(GError) error = NULL;
 
 	(void)signal(SIGPIPE, SIG_IGN);
+	ct.history = dh_history_open(history_path, s->vm);
 	loop_open(&ct);
 	if (control_open(&ct, &error)) {
 		dh_log(DH_LOG_INFO, "vm.up",
@@ -363,5 +370,6 @@
 		ct.status = 1;
 	}
 	control_close(&ct);
+	dh_history_close(ct.history);
 	return ct.status;
 }
--- a/control/control.h
+++ b/control/control.h
@@ -10,6 +10,7 @@
 #include <dogwoodhub/conf.h>
 #include <dogwoodhub/group.h>
 
+#include "base/history.h"
 #include "base/http.h"
 #include "base/httpd.h"
 #include "config/settings.h"
@@ -38,6 +39,7 @@
 
 struct dh_control {
 	const struct dh_settings *settings;
+	struct dh_history *history; /* or NULL */
 	uv_loop_t loop;
 	struct dh_http *http;
 	struct dh_store *store;
@@ -61,8 +63,9 @@
 };
 
 /* dh_control_run -- run a process with these settings until it is told to
- * stop; returns its exit status. */
-int dh_control_run(const struct dh_settings *s);
+ * stop; returns its exit status.  A history of its decisions goes to
+ * history_path, unless that is NULL. */
+int dh_control_run(const struct dh_settings *s, const char *history_path);
 
 /* dh_control_accept -- put conf, taken, in force; an older revision than the
  * one in force is dropped. */
--- /dev/null
+++ b/control/teams.c
@@ -0,0 +1,117 @@
+#include "control/teams.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "config/assemble.h"
+#include "config/schema.h"
+
+#define PREFIX "teams/"
+
+struct dh_teams {
+	struct dh_control *control;
+	GHashTable *by_name; /* name -> struct dh_team */
+	struct dh_store_watch *watch;
+	uv_timer_t *assemble; /* runs once after a burst of changes */
+};
+
+static void
+team_free(void *team)
+{
+	dh_team_free(team);
+}
+
+static void
+log_problems(const char *what, GPtrArray *problems)
+{
+	GString *text = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < problems->len; i++)
+		dh_problem_print(text, problems->pdata[i]);
+	dh_log(DH_LOG_WARN, "config.problem", "what=%s %s", what, text->str);
+	g_string_free(text, TRUE);
+}
+
+static void
+on_assemble(uv_timer_t *timer)
+{
+	struct dh_teams *tm = timer->data;
+	guint n;
+	g_autofree gpointer *teams = NULL;
+	g_autoptr(GList) values = g_hash_table_get_values(tm->by_name);
+	g_autoptr(GPtrArray) problems = dh_problems_new();
+	struct dh_conf *conf;
+	GList *it;
+
+	n = g_hash_table_size(tm->by_name);
+	teams = g_new0(gpointer, n + 1);
+	n = 0;
+	for (it = values; it != NULL; it = it->next)
+		teams[n++] = it->data;
+	conf = dh_assemble(
+	    (const struct dh_team *const *)(const void *)teams, n, problems);
+	if (problems->len > 0)
+		log_problems("merge", problems);
+	dh_control_accept(tm->control, conf);
+}
+
+static void
+on_change(void *arg, const struct dh_object *object, const GError *error)
+{
+	struct dh_teams *tm = arg;
+	g_autoptr(GPtrArray) problems = dh_problems_new();
+	struct dh_team *team, *old;
+	const char *name;
+
+	if (error != NULL || !g_str_has_prefix(object->name, PREFIX))
+		return;
+	name = object->name + strlen(PREFIX);
+	old = g_hash_table_lookup(tm->by_name, name);
+	if (old != NULL && old->version >= object->version)
+		return;
+	team = dh_team_parse(
+	    name, object->version, object->value, object->len, problems);
+	if (team == NULL) {
+		/* What this team declared before stays in force. */
+		dh_counter_add(
+		    dh_counter_get("dh_config_refused_total", ""), 1);
+		log_problems(name, problems);
+		return;
+	}
+	g_hash_table_replace(tm->by_name, g_strdup(name), team);
+	uv_timer_start(tm->assemble, on_assemble, 0, 0);
+}
+
+struct dh_teams *
+dh_teams_new(struct dh_control *ct)
+{
+	struct dh_teams *tm = g_new0(struct dh_teams, 1);
+
+	tm->control = ct;
+	tm->by_name =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, team_free);
+	tm->assemble = g_new0(uv_timer_t, 1);
+	uv_timer_init(&ct->loop, tm->assemble);
+	tm->assemble->data = tm;
+	tm->watch = dh_store_watch(ct->store, PREFIX, on_change, tm);
+	return tm;
+}
+
+static void
+timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+void
+dh_teams_free(struct dh_teams *tm)
+{
+	if (tm == NULL)
+		return;
+	uv_close((uv_handle_t *)tm->assemble, timer_closed);
+	g_hash_table_unref(tm->by_name);
+	g_free(tm);
+}
--- a/control/vms.h
+++ b/control/vms.h
@@ -7,9 +7,9 @@
  * The VMs of the system as this one sees them, and the way to them.
  */
 
-/* dh_vms_new -- registers this VM in the store and follows the others.  The
- * caller owns the result. */
-struct dh_vms *dh_vms_new(struct dh_control *ct);
+/* dh_vms_new -- registers this VM in the store and follows the others.  NULL
+ * with an error when its port can't be had.  The caller owns the result. */
+struct dh_vms *dh_vms_new(struct dh_control *ct, GError **error);
 void dh_vms_free(struct dh_vms *v);
 
 struct dh_group_vm dh_vms_self(const struct dh_vms *v);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -13,12 +13,14 @@
 
 struct arguments {
 	const char *config;
+	const char *history;
 	bool check;
 };
 
 static const struct argp_option options[] = {
 	{ "config", 'c', "FILE", 0, "settings: JSON with comments", 0 },
 	{ "check", 'k', 0, 0, "check the settings and exit", 0 },
+	{ "history", 'y', "FILE", 0, "append a history of decisions", 0 },
 	{ 0 },
 };
 
@@ -31,6 +33,9 @@
 	case 'c':
 		a->config = arg;
 		break;
+	case 'y':
+		a->history = arg;
+		break;
 	case 'k':
 		a->check = true;
 		break;
@@ -67,7 +72,7 @@
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	dh_log_open("dogwoodhub", (enum dh_log_level)s.log_level);
-	status = dh_control_run(&s);
+	status = dh_control_run(&s, a.history);
 	curl_global_cleanup();
 	return status;
 }
--- /dev/null
+++ b/tests/failure/lib.sh
@@ -0,0 +1,263 @@
+# Functions of the failure scenarios: start the real programs on loopback,
+# hurt them, and check the histories they leave.  Sourced by each scenario,
+# which is called with the build folder.
+
+build=$1
+name=$(basename "$0" .sh)
+dir=$(mktemp -d "${TMPDIR:-/tmp}/dh-$name.XXXXXX")
+base=${DH_PORT_BASE:-21000}
+store_port=$base
+pids=
+vms=
+
+# Everything started here ends with the scenario, by its pid.
+cleanup() {
+	for p in $pids; do
+		kill -CONT "$p" 2>/dev/null
+		kill -KILL "$p" 2>/dev/null
+	done
+	if [ "${DH_KEEP:-}" ]; then
+		echo "kept: $dir"
+	else
+		rm -rf "$dir"
+	fi
+}
+trap cleanup EXIT
+trap 'exit 130' INT TERM
+
+fail() {
+	echo "FAILED: $name: $*"
+	tail -n 15 "$dir"/*.err 2>/dev/null
+	exit 1
+}
+
+now_ms() {
+	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
+}
+
+# event KIND FIELDS: a line of the script's own history.
+event() {
+	printf '{"t":%s,"src":"script","ev":"%s"%s}\n' "$(now_ms)" "$1" "$2" \
+	    >>"$dir/script.hist"
+}
+
+# wait_for SECONDS WHAT COMMAND...: until the command succeeds.
+wait_for() {
+	limit=$1 what=$2
+	shift 2
+	i=0
+	while ! "$@" >/dev/null 2>&1; do
+		i=$((i + 1))
+		[ "$i" -lt $((limit * 20)) ] || fail "no $what after $limit s"
+		sleep 0.05
+	done
+}
+
+store_url() {
+	echo "http://127.0.0.1:$store_port"
+}
+
+start_store() {
+	"$build/standin/store" --port "$store_port" "$@" \
+	    2>"$dir/store.err" &
+	store_pid=$!
+	pids="$pids $store_pid"
+	wait_for 10 store curl -sf -o /dev/null \
+	    "$(store_url)/v1/objects?prefix=x"
+}
+
+store_fault() {
+	curl -sf -X POST -d "$1" "$(store_url)/_fault" >/dev/null ||
+	    fail "store fault $1"
+}
+
+# put_object NAME FILE: create an object in the store.
+put_object() {
+	curl -sf -X PUT -H 'If-None-Match: *' -H 'X-Writer: script' \
+	    --data-binary "@$2" "$(store_url)/v1/objects/$1" >/dev/null ||
+	    fail "cannot put $1"
+}
+
+backend_port() {
+	echo $((base + 100 + $1))
+}
+
+vm_port() {
+	echo $((base + 200 + $1 * 3))
+}
+
+# zone NUMBER: availability zones za zb (region r1), zc zd (region r2).
+zone() {
+	case $(($1 % 4)) in
+	1) echo za ;;
+	2) echo zb ;;
+	3) echo zc ;;
+	0) echo zd ;;
+	esac
+}
+
+region() {
+	case $(zone "$1") in
+	za | zb) echo r1 ;;
+	*) echo r2 ;;
+	esac
+}
+
+# start_backend NUMBER OPTIONS...
+start_backend() {
+	n=$1
+	shift
+	"$build/standin/backend" --name "b$n" --address 127.0.0.1 \
+	    --port "$(backend_port "$n")" --log "$dir/b$n.hist" "$@" \
+	    2>>"$dir/b$n.err" &
+	eval "backend_pid_$n=$!"
+	pids="$pids $!"
+}
+
+# write_team FILE BACKENDS: a team with services feed (keyed) and web (any).
+write_team() {
+	{
+		cat <<EOF
+{"services": {
+  "feed": {"service_kind": "keyed", "hash_slots": ${slots:-32},
+    "deadline_ms": ${deadline_ms:-2000}, "queue_ms": ${queue_ms:-1500}},
+  "web": {"service_kind": "any", "deadline_ms": ${deadline_ms:-2000}}},
+ "backend_servers": {
+EOF
+		i=1
+		while [ "$i" -le "$2" ]; do
+			service=feed
+			[ "$i" -le "${feed_backends:-$2}" ] || service=web
+			[ "$i" -eq 1 ] || echo ','
+			cat <<EOF
+  "b$i": {"service": "$service", "address": "127.0.0.1",
+    "port": $(backend_port "$i"), "zone": "$(zone "$i")",
+    "region": "$(region "$i")", "slots": 6, "connections": 130,
+    "checks_fence": ${checks_fence:-true}}
+EOF
+			i=$((i + 1))
+		done
+		echo '}}'
+	} >"$1"
+}
+
+# start_vm NUMBER
+start_vm() {
+	n=$1
+	p=$(vm_port "$n")
+	cat >"$dir/v$n.json" <<EOF
+{ // settings of one VM of scenario $name
+  "vm": "v$n", "zone": "$(zone "$n")", "region": "$(region "$n")",
+  "listen_address": "127.0.0.1", "listen_port": $p,
+  "admin_port": $((p + 1)), "peer_port": $((p + 2)),
+  "store_url": "$(store_url)", "threads": 1 }
+EOF
+	"$build/dogwoodhub" --config "$dir/v$n.json" \
+	    --history "$dir/v$n.hist" 2>>"$dir/v$n.err" &
+	eval "vm_pid_$n=$!"
+	pids="$pids $!"
+	case " $vms " in
+	*" $n "*) ;;
+	*) vms="$vms $n" ;;
+	esac
+}
+
+vm_url() {
+	echo "http://127.0.0.1:$(vm_port "$1")"
+}
+
+admin_url() {
+	echo "http://127.0.0.1:$(($(vm_port "$1") + 1))"
+}
+
+# serves VM KEY: whether the VM gets an answer for the key now.
+serves() {
+	curl -sf -m 3 -o /dev/null "$(vm_url "$1")/feed/$2"
+}
+
+# all_owned VM: every slot of feed has an owner, as this VM sees it.
+all_owned() {
+	curl -sf -m 2 "$(admin_url "$1")/status" |
+	    grep -q '"group":"feed/0"[^}]*"unowned":0[^}]*"moving":0'
+}
+
+# start_cluster VMS BACKENDS: the whole of it, serving.
+start_cluster() {
+	start_store
+	i=1
+	while [ "$i" -le "$2" ]; do
+		# shellcheck disable=SC2086
+		start_backend "$i" ${backend_options:-}
+		i=$((i + 1))
+	done
+	write_team "$dir/team.json" "$2"
+	put_object teams/t "$dir/team.json"
+	event accept ',"revision":1'
+	i=1
+	while [ "$i" -le "$1" ]; do
+		start_vm "$i"
+		i=$((i + 1))
+	done
+	for n in $vms; do
+		wait_for 30 "owner of every slot at v$n" all_owned "$n"
+		wait_for 10 "answer through v$n" serves "$n" key
+	done
+}
+
+# start_load NAME OPTIONS...: in the background, through every VM.
+start_load() {
+	load_name=$1
+	shift
+	targets=
+	for n in $vms; do
+		targets="$targets --target $(vm_url "$n")"
+	done
+	# shellcheck disable=SC2086
+	"$build/bench/dhload" $targets --service feed --name "$load_name" \
+	    --log "$dir/$load_name.hist" "$@" >"$dir/$load_name.out" 2>&1 &
+	load_pid=$!
+	pids="$pids $load_pid"
+}
+
+end_load() {
+	wait "$load_pid" || fail "load: $(cat "$dir/$load_name.out")"
+	cat "$dir/$load_name.out"
+}
+
+# Faults.  A name is b3 or v2.
+pid_of() {
+	case $1 in
+	b*) eval "echo \$backend_pid_${1#b}" ;;
+	v*) eval "echo \$vm_pid_${1#v}" ;;
+	esac
+}
+
+kill_now() {
+	event down ",\"name\":\"$1\""
+	kill -KILL "$(pid_of "$1")"
+}
+
+freeze() {
+	event fault ",\"kind\":\"pause\",\"name\":\"$1\",\"on\":true"
+	kill -STOP "$(pid_of "$1")"
+}
+
+thaw() {
+	kill -CONT "$(pid_of "$1")"
+	event fault ",\"kind\":\"pause\",\"name\":\"$1\",\"on\":false"
+}
+
+# stop_vm NUMBER: gracefully; waits for its end.
+stop_vm() {
+	event stop ",\"vm\":\"v$1\""
+	kill -TERM "$(pid_of "v$1")"
+	wait "$(pid_of "v$1")"
+	status=$?
+	event stopped ",\"vm\":\"v$1\",\"status\":$status"
+	[ "$status" -eq 0 ] || fail "v$1 ended with $status"
+}
+
+# check_history: every promise holds in what was seen.
+check_history() {
+	"$build/bench/dhcheck" "$dir"/*.hist || fail "history"
+}
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,59 @@
+#!/bin/sh
+# usage: demo.sh BUILD
+# The main job on loopback: a store, backend servers in three regions'
+# availability zones, three routers; real requests; a backend server is
+# killed and its keys are served again; a graceful shutdown.
+set -u
+DH_PORT_BASE=${DH_PORT_BASE:-23000}
+. "$(dirname "$0")/../tests/failure/lib.sh"
+
+say() {
+	printf '\n== %s\n' "$*"
+}
+
+say "Starting a store, 6 backend servers and 3 routers (files in $dir)"
+start_store
+i=1
+while [ "$i" -le 6 ]; do
+	start_backend "$i"
+	i=$((i + 1))
+done
+i=1
+while [ "$i" -le 3 ]; do
+	start_vm "$i"
+	i=$((i + 1))
+done
+
+say "Loading a sheet with dogwoodctl"
+feed_backends=5
+. "$(dirname "$0")/demo_sheet.sh"
+for n in $vms; do
+	wait_for 30 "owner of every slot at v$n" all_owned "$n"
+done
+ctl status
+
+say "One request, through each router"
+for n in $vms; do
+	curl -s -i -m 5 "$(vm_url "$n")/feed/child-7" |
+	    grep -iE '^(HTTP|Dh-|Test-Server)' | tr -d '\r' | paste -sd' ' -
+done
+
+say "Load for 6 s, 10 % of it unrepeatable; b2 is killed after 2 s"
+start_load load --rate 1000 --concurrency 500 --duration-ms 6000 \
+    --unrepeatable 10 --retries 2
+sleep 2
+kill_now b2
+end_load
+for n in $vms; do
+	wait_for 20 "owner of every slot at v$n" all_owned "$n"
+done
+echo "every slot has an owner again"
+
+say "Graceful shutdown of a router under load"
+start_load last --rate 500 --concurrency 500 --duration-ms 4000
+sleep 1
+stop_vm 1
+end_load
+
+say "The promises, checked on the histories"
+check_history
