--- a/config/json.c
+++ b/config/json.c
@@ -104,7 +104,7 @@
 		g_autofree char *key = walk_string(w);
 		g_autofree char *inner = *path == '\0'
 		    ? g_strdup(key)
-		    : g_strconcat(path, ".", key, NULL);
+		    : g_strconcat(path, DH_JSON_SEP, key, NULL);
 
 		walk_space(w);
 		if (*w->p == ':')
@@ -112,7 +112,7 @@
 		if (w->twice == NULL &&
 		    g_hash_table_contains(w->lines, inner)) {
 			w->twice = g_strdup_printf(
-			    "line %u: %s: stands twice", w->line, inner);
+			    "line %u: %s: stands twice", w->line, key);
 		}
 		walk_value(w, inner);
 		walk_space(w);
@@ -132,7 +132,8 @@
 	w->p++;
 	walk_space(w);
 	while (*w->p != '\0' && *w->p != ']') {
-		g_autofree char *inner = g_strdup_printf("%s[%u]", path, i++);
+		g_autofree char *inner =
+		    g_strdup_printf("%s" DH_JSON_SEP "%u", path, i++);
 
 		walk_value(w, inner);
 		walk_space(w);
--- a/config/json.h
+++ b/config/json.h
@@ -24,8 +24,11 @@
     const char *text, size_t len, GError **error);
 void dh_json_doc_free(struct dh_json_doc *doc);
 
-/* dh_json_doc_line -- line of the value at path ("a.b.c", "a[2].b"), counted
- * from 1; 0 if there is none. */
+/* What joins the keys (or array indices) of a path; no setting contains it. */
+#define DH_JSON_SEP "\x1f"
+
+/* dh_json_doc_line -- line of the value at path, counted from 1; 0 if there is
+ * none. */
 unsigned int dh_json_doc_line(const struct dh_json_doc *doc, const char *path);
 
 #endif
--- /dev/null
+++ b/config/schema.h
@@ -0,0 +1,150 @@
+#ifndef DH_CONFIG_SCHEMA_H
+#define DH_CONFIG_SCHEMA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include <dogwoodhub/types.h>
+
+#include "config/field.h"
+
+/*
+ * What a team declares: its object teams/TEAM in the store.
+ *
+ * A team's object is a set of declarations; each has a kind, a name and
+ * settings.  In JSON they are objects by name; in the sheet each is a row and
+ * each setting a column.  Here a setting is its canonical text, and NULL where
+ * the default holds.
+ */
+enum dh_kind {
+	DH_KIND_SERVICE,
+	DH_KIND_BACKEND_SERVER,
+	DH_KIND_PIN, /* its name is SERVICE/KEY */
+	DH_KINDS,
+};
+
+enum dh_column {
+	DH_COLUMN_SERVICE_KIND,
+	DH_COLUMN_DIVISION,
+	DH_COLUMN_HASH_SLOTS,
+	DH_COLUMN_FIRST_KEYS,
+	DH_COLUMN_WEIGHT_UNAVAILABLE,
+	DH_COLUMN_WEIGHT_CHURN,
+	DH_COLUMN_WEIGHT_IMBALANCE,
+	DH_COLUMN_UNREPEATABLE,
+	DH_COLUMN_DEADLINE_MS,
+	DH_COLUMN_QUEUE_MS,
+	DH_COLUMN_RETRY_PERCENT,
+	DH_COLUMN_OBJECTIVE_PPM,
+	DH_COLUMN_OBJECTIVE_LATENCY_MS,
+	DH_COLUMN_SERVICE,
+	DH_COLUMN_ADDRESS,
+	DH_COLUMN_PORT,
+	DH_COLUMN_ZONE,
+	DH_COLUMN_REGION,
+	DH_COLUMN_SLOTS,
+	DH_COLUMN_CONNECTIONS,
+	DH_COLUMN_CHECKS_FENCE,
+	DH_COLUMN_DRAIN,
+	DH_COLUMN_BACKEND_SERVER,
+	DH_COLUMNS,
+};
+
+/* dh_kind_name -- "service", "backend_server" or "pin". */
+const char *dh_kind_name(enum dh_kind kind);
+
+/* dh_kind_parse -- the kind of that name, DH_KINDS if there is none. */
+enum dh_kind dh_kind_parse(const char *name);
+
+/* dh_column_field -- name, type, range and default of a setting. */
+const struct dh_field *dh_column_field(enum dh_column column);
+
+/* dh_column_parse -- the setting of that name, DH_COLUMNS if there is none. */
+enum dh_column dh_column_parse(const char *name);
+
+/* dh_column_of -- whether declarations of this kind have the setting. */
+bool dh_column_of(enum dh_column column, enum dh_kind kind);
+
+/* dh_declaration_name_check -- whether name may name this kind. */
+bool dh_declaration_name_check(enum dh_kind kind, const char *name);
+
+struct dh_declaration {
+	enum dh_kind kind;
+	const char *name;
+	int64_t since_ms; /* wall clock: when it was first declared */
+	const char *values[DH_COLUMNS];
+};
+
+/* Texts belong to the team. */
+struct dh_team {
+	char name[DH_NAME_MAX];
+	uint64_t version; /* of its object */
+	GArray *declarations; /* struct dh_declaration, by kind and name */
+	GPtrArray *applied; /* ids of sheets applied, oldest first */
+	GStringChunk *texts;
+};
+
+/* Something wrong in a declaration. */
+struct dh_problem {
+	enum dh_kind kind; /* DH_KINDS: of the whole object */
+	char *name;
+	enum dh_column column; /* DH_COLUMNS: of the whole declaration */
+	unsigned int line; /* of the text, 0 if not known */
+	char *text;
+};
+
+/* dh_problems_new -- an empty list that owns its struct dh_problem. */
+GPtrArray *dh_problems_new(void);
+void dh_problem_add(GPtrArray *problems, enum dh_kind kind, const char *name,
+    enum dh_column column, unsigned int line, const char *text);
+
+/* dh_problem_print -- append a line for people. */
+void dh_problem_print(GString *out, const struct dh_problem *p);
+
+/* dh_team_new -- a team without declarations.  The caller owns it. */
+struct dh_team *dh_team_new(const char *name, uint64_t version);
+void dh_team_free(struct dh_team *t);
+
+/*
+ * dh_team_parse -- read and check a team's object.  NULL when it breaks the
+ * schema; problems then has all that is wrong.
+ */
+struct dh_team *dh_team_parse(const char *name, uint64_t version,
+    const char *text, size_t len, GPtrArray *problems);
+
+/* dh_team_print -- the object's JSON, the same for equal teams.  The caller
+ * frees it. */
+char *dh_team_print(const struct dh_team *t);
+
+/* dh_team_add -- add a declaration; texts are copied.  Then dh_team_sort(). */
+void dh_team_add(struct dh_team *t, const struct dh_declaration *d);
+void dh_team_sort(struct dh_team *t);
+
+/* dh_team_find -- in a sorted team; NULL if there is none.  Borrowed. */
+struct dh_declaration *dh_team_find(
+    const struct dh_team *t, enum dh_kind kind, const char *name);
+
+/* dh_team_check -- check what more than one setting or declaration must
+ * agree on.  False with problems added. */
+bool dh_team_check(const struct dh_team *t, GPtrArray *problems);
+
+/* dh_team_check_change -- check that now may follow before: how a service is
+ * divided can't change while it exists. */
+bool dh_team_check_change(const struct dh_team *before,
+    const struct dh_team *now, GPtrArray *problems);
+
+/* Values with the default where none is set. */
+const char *dh_declaration_text(
+    const struct dh_declaration *d, enum dh_column column);
+int64_t dh_declaration_integer(
+    const struct dh_declaration *d, enum dh_column column);
+bool dh_declaration_boolean(
+    const struct dh_declaration *d, enum dh_column column);
+
+/* dh_pin_key -- the key of a pin's name SERVICE/KEY; borrowed. */
+const char *dh_pin_key(const struct dh_declaration *pin);
+
+#endif
