--- a/proto/msg.c
+++ b/proto/msg.c
@@ -128,8 +128,13 @@
 	uint64_t from;
 	uint64_t from_incarnation;
 	uint64_t seq;
+	int64_t sent_ms;
+	int64_t echo_ms;
 	uint64_t backend;
 	int64_t age_ms;
+	int64_t wait_ms;
+	bool doubt;
+	bool synced;
 	uint32_t nslots;
 	struct dh_slot_update *slots;
 };
@@ -151,8 +156,13 @@
 	F(FIELD_U64, group_wire, from),
 	F(FIELD_U64, group_wire, from_incarnation),
 	F(FIELD_U64, group_wire, seq),
+	F(FIELD_I64, group_wire, sent_ms),
+	F(FIELD_I64, group_wire, echo_ms),
 	F(FIELD_U64, group_wire, backend),
 	F(FIELD_I64, group_wire, age_ms),
+	F(FIELD_I64, group_wire, wait_ms),
+	F(FIELD_BOOL, group_wire, doubt),
+	F(FIELD_BOOL, group_wire, synced),
 	F_LIST(group_wire, slots, nslots, slot_record, DH_MSG_SLOTS_MAX),
 };
 RECORD(group_record, group_wire, group_fields);
@@ -502,8 +512,13 @@
 		.from = m->from,
 		.from_incarnation = m->from_incarnation,
 		.seq = m->seq,
+		.sent_ms = m->sent_ms,
+		.echo_ms = m->echo_ms,
 		.backend = m->backend,
 		.age_ms = m->age_ms,
+		.wait_ms = m->wait_ms,
+		.doubt = m->doubt,
+		.synced = m->synced,
 		.nslots = m->nslots };
 	uint8_t *frame;
 	uint32_t i;
@@ -535,8 +550,13 @@
 		.from = w->from,
 		.from_incarnation = w->from_incarnation,
 		.seq = w->seq,
+		.sent_ms = w->sent_ms,
+		.echo_ms = w->echo_ms,
 		.backend = w->backend,
-		.age_ms = w->age_ms };
+		.age_ms = w->age_ms,
+		.wait_ms = w->wait_ms,
+		.doubt = w->doubt,
+		.synced = w->synced };
 	if (w->nslots == 0)
 		return DH_MSG_OK;
 	m->index = calloc(w->nslots, sizeof(*m->index));
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -390,6 +390,19 @@
 	return true;
 }
 
+/* Wait, without an attempt, for the slot to get another owner. */
+static bool
+park_for_owner(struct dh_exchange *ex)
+{
+	if (!ex->keyed || !dh_buffer_rewind(&ex->up))
+		return false;
+	ex->shunned = true;
+	ex->shun = ex->route.fence;
+	dh_counter_add(ex->service->parked, 1);
+	dh_exchange_route(ex);
+	return true;
+}
+
 static void
 ask_turn(struct dh_exchange *ex)
 {
@@ -451,6 +464,10 @@
 dh_exchange_turn(
     struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms)
 {
+	if (ex->aborted) {
+		dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_CANCELLED);
+		return;
+	}
 	switch (verdict) {
 	case DH_ADMIT_RUN:
 		dh_exchange_send(ex);
--- a/tests/msg_samples.h
+++ b/tests/msg_samples.h
@@ -139,8 +139,8 @@
 	switch (kind) {
 	case DH_MSG_GROUP:
 		m->group = (struct dh_group_envelope){ "feed/0",
-			{ DH_GROUP_MSG_ASSIGN, 3, 1, 77, 9, 5, -8, 2, index,
-			    sample_assignments() } };
+			{ DH_GROUP_MSG_ASSIGN, 3, 1, 77, 9, 41, -42, 5, -8, 43,
+			    true, true, 2, index, sample_assignments() } };
 		break;
 	case DH_MSG_CONFIG:
 	case DH_MSG_TABLE:
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -63,6 +63,11 @@
 	CU_ASSERT_EQUAL_FATAL(decode_frame(frame, len, &back), DH_MSG_OK);
 	CU_ASSERT_STRING_EQUAL(back.group.group, "feed/0");
 	CU_ASSERT_EQUAL(back.group.msg.age_ms, -8);
+	CU_ASSERT_EQUAL(back.group.msg.sent_ms, 41);
+	CU_ASSERT_EQUAL(back.group.msg.echo_ms, -42);
+	CU_ASSERT_EQUAL(back.group.msg.wait_ms, 43);
+	CU_ASSERT_TRUE(back.group.msg.doubt);
+	CU_ASSERT_TRUE(back.group.msg.synced);
 	CU_ASSERT_EQUAL(back.group.msg.index[1], 70000);
 	CU_ASSERT_EQUAL(back.group.msg.slots[0].owner, UINT64_MAX);
 	CU_ASSERT_EQUAL(back.group.msg.slots[1].fence.counter, 40);
