--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -63,7 +63,7 @@
 	store_pid=$!
 	pids="$pids $store_pid"
 	wait_for 10 store curl -sf -o /dev/null \
-	    "$(store_url)/v1/objects?prefix=x"
+	    "$(store_url)/v1/list?prefix=x"
 }
 
 store_fault() {
