Serve what the HTTP server left unfinished at once

Seen with strace: headers sent, the body's last byte 354 ms later. Ruled out: Nagle, admission. Now MHD_get_timeout() of 0 means another run before the loop waits. Also: a port in TIME_WAIT can be listened on again.

--- a/base/httpd.c
+++ b/base/httpd.c
@@ -9,13 +9,14 @@
 
 /* How often connection timeouts are looked at. */
 #define SWEEP_MS 500
+#define TURNS_MAX 4
 
 struct dh_httpd {
 	struct MHD_Daemon *daemon;
 	uv_poll_t *poll;
 	uv_timer_t *sweep;
 	uv_prepare_t *prepare;
-	bool pending; /* connections were resumed since the last run */
+	bool pending; /* there is work that no event will tell */
 	bool running; /* inside MHD_run() */
 	uint16_t port;
 	MHD_socket listen_fd;
@@ -24,10 +25,16 @@
 static void
 run(struct dh_httpd *h)
 {
+	MHD_UNSIGNED_LONG_LONG wait_ms;
+
 	h->running = true;
 	h->pending = false;
 	MHD_run(h->daemon);
 	h->running = false;
+	/* It polls by edges: what it could not finish it must be asked to go
+	 * on with, no event will tell. */
+	if (MHD_get_timeout(h->daemon, &wait_ms) == MHD_YES && wait_ms == 0)
+		h->pending = true;
 }
 
 static void
@@ -44,16 +51,18 @@
 	run(timer->data);
 }
 
-/* Resumed connections are served before the loop waits, so that a resume
- * costs no extra turn of the loop. */
+/* Work that is left is done before the loop waits, so that a resume costs no
+ * extra turn of the loop; past a few rounds other events get their turn. */
 static void
 on_prepare(uv_prepare_t *prepare)
 {
 	struct dh_httpd *h = prepare->data;
 	int turns;
 
-	for (turns = 0; h->pending && turns < 4; turns++)
+	for (turns = 0; h->pending && turns < TURNS_MAX; turns++)
 		run(h);
+	if (h->pending)
+		uv_timer_start(h->sweep, on_sweep, 0, SWEEP_MS);
 }
 
 static bool
@@ -87,6 +96,12 @@
 struct dh_httpd *
 dh_httpd_new(uv_loop_t *loop, const struct dh_httpd_options *o, GError **error)
 {
+	/* Given as 0 this option would forbid a port in TIME_WAIT as well. */
+	struct MHD_OptionItem shared[] = {
+		{ MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL },
+		{ MHD_OPTION_END, 0, NULL },
+	};
+	struct MHD_OptionItem none[] = { { MHD_OPTION_END, 0, NULL } };
 	struct sockaddr_in sin;
 	struct dh_httpd *h;
 
@@ -98,7 +113,6 @@
 	h = g_new0(struct dh_httpd, 1);
 	h->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
 	    o->port, NULL, NULL, o->handler, o->arg, MHD_OPTION_SOCK_ADDR, &sin,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, (unsigned int)o->shared_port,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)o->connections_max,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 	    (size_t)o->memory_per_connection, MHD_OPTION_CONNECTION_TIMEOUT,
@@ -106,7 +120,8 @@
 	    o->arg, MHD_OPTION_NOTIFY_CONNECTION, o->connection, o->arg,
 	    MHD_OPTION_URI_LOG_CALLBACK, o->target, o->arg,
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-	    1024u, MHD_OPTION_END);
+	    1024u, MHD_OPTION_ARRAY, o->shared_port ? shared : none,
+	    MHD_OPTION_END);
 	if (h->daemon == NULL) {
 		g_set_error(error, DH_ERROR, DH_ERROR_IO,
 		    "cannot listen on %s:%u", o->address, o->port);
