--- a/core/group_move.c
+++ b/core/group_move.c
@@ -199,6 +199,10 @@
 	uint64_t own = b->conf.id, to;
 	uint32_t i;
 
+	/* The deputy may have been out of reach and not know: it must not
+	 * renew by its copy before it has heard of the change. */
+	if (b->revoke != REVOKE_DONE && !b->ended)
+		g->peer.synced = false;
 	for (i = b->first; i != DH_NONE; i = g->link[i].next) {
 		if ((g->flags[i] & SLOT_PENDING) != 0 || doubtful(g, i))
 			continue;
@@ -207,6 +211,10 @@
 			continue;
 		propose(g, i, to,
 		    back ? g->cur[i].standby : group_spread_standby(g, i, to));
+		/* The deputy may have been out of reach and not know: it must
+		 * not renew by its copy before it has heard of this. */
+		if (b->revoke != REVOKE_DONE && !b->ended)
+			g->peer.synced = false;
 	}
 }
 
--- a/tests/group_fake.h
+++ b/tests/group_fake.h
@@ -146,6 +146,34 @@
 	    f->now_ms, f->backends[b].offset_ms, f->backends[b].ppm);
 }
 
+#define FAKE_TRACE(f, ...)                                        \
+	do {                                                      \
+		if ((f)->trace) {                                 \
+			printf("%6lld ", (long long)(f)->now_ms); \
+			printf(__VA_ARGS__);                      \
+		}                                                 \
+	} while (0)
+
+static inline void
+fake_trace_order(const struct fake *f, uint32_t vm, uint32_t b,
+    const struct dh_group_order *o, bool ok)
+{
+	static const char *const names[] = { "hello", "grant", "renew",
+		"release", "warm" };
+	uint32_t i;
+
+	if (!f->trace || o->kind == DH_GROUP_ORDER_HELLO)
+		return;
+	FAKE_TRACE(f, "vm %u -> backend %u: %s %llu.%llu for %lld%s, slots", vm,
+	    b, names[o->kind], (unsigned long long)o->fence.term,
+	    (unsigned long long)o->fence.counter,
+	    (long long)(o->until_ms - fake_backend_clock(f, b)),
+	    ok ? "" : " refused");
+	for (i = 0; i < o->nslots; i++)
+		printf(" %u", o->index[i]);
+	printf("\n");
+}
+
 /* ---- the heap of events ---- */
 
 static inline bool
@@ -303,6 +331,19 @@
 	f->breach_slot = slot;
 }
 
+/* The VM that leads by the store's record, or VMS. */
+static inline uint32_t
+fake_leader(const struct fake *f)
+{
+	return f->record == NULL ? VMS : fake_vm_index(f, f->record->leader);
+}
+
+static inline uint32_t
+fake_deputy(const struct fake *f)
+{
+	return f->record == NULL ? VMS : fake_vm_index(f, f->record->deputy);
+}
+
 /* ---- what must hold ---- */
 
 static inline bool
@@ -465,6 +506,7 @@
 	struct fake_vm *v = &f->vms[vm];
 
 	v->self.incarnation++;
+	FAKE_TRACE(f, "vm %u starts\n", vm);
 	v->group = dh_group_new(&f->p, dh_name_id("g"), &v->self, f->nslots);
 	v->paused_ms = v->tick_ms = 0;
 	v->stopping = v->refuses = false;
@@ -487,6 +529,7 @@
 	f->vms[vm].group = NULL;
 	f->vms[vm].refuses = refuses;
 	f->vms[vm].stopping = false;
+	FAKE_TRACE(f, "vm %u ends, %s\n", vm, refuses ? "refuses" : "silent");
 }
 
 /* ---- carrying out actions ---- */
@@ -643,6 +686,10 @@
 		f->record = op->action.put.record;
 		op->action.put.record = NULL;
 		a.store.version = ++f->version;
+		FAKE_TRACE(f,
+		    "vm %u wrote version %llu, term %llu, deputy %u\n", op->vm,
+		    (unsigned long long)f->version,
+		    (unsigned long long)f->record->term, fake_deputy(f));
 	}
 	if (op->emitted_ms == 0)
 		fake_store_reply(f, op, a, lost);
@@ -733,6 +780,7 @@
 		    f->vms[ev->vm].seen_incarnation[ev->backend];
 	} else {
 		ok = fake_backend_accepts(f, ev->backend, o);
+		fake_trace_order(f, ev->vm, ev->backend, o, ok);
 		if (ok)
 			fake_backend_obey(f, ev->backend, o);
 		a->kind = ok ? DH_GROUP_BACKEND_OK : DH_GROUP_BACKEND_REFUSED;
@@ -753,6 +801,7 @@
 {
 	struct fake_backend *fb = &f->backends[b];
 
+	FAKE_TRACE(f, "backend %u starts\n", b);
 	fb->up = true;
 	fb->refuses = false;
 	fb->incarnation++;
@@ -870,19 +919,6 @@
 	return fake_served(f) == f->nslots ? f->now_ms - start : -1;
 }
 
-/* The VM that leads by the store's record, or VMS. */
-static inline uint32_t
-fake_leader(const struct fake *f)
-{
-	return f->record == NULL ? VMS : fake_vm_index(f, f->record->leader);
-}
-
-static inline uint32_t
-fake_deputy(const struct fake *f)
-{
-	return f->record == NULL ? VMS : fake_vm_index(f, f->record->deputy);
-}
-
 static inline void
 fake_init(struct fake *f, uint64_t seed, const struct dh_group_params *p,
     uint32_t nvms, uint32_t nbackends, uint32_t nslots)
--- a/tests/test_group_schedule.c
+++ b/tests/test_group_schedule.c
@@ -4,7 +4,7 @@
 /*
  * Random schedules of faults over a whole group, by seed:
  *
- *	test_group_schedule [SEED [COUNT]]
+ *	test_group_schedule [SEED [COUNT [trace]]]
  *
  * runs COUNT seeds from SEED on; without arguments the number CI runs.
  */
@@ -16,6 +16,7 @@
 };
 
 static uint64_t first_seed = 1, count = DEFAULT_COUNT;
+static bool trace;
 
 /* Limits short enough for a schedule to reach their ends. */
 static struct dh_group_params
@@ -72,10 +73,13 @@
 	case 2:
 	case 3:
 		v->paused_ms = f->now_ms + fake_pick(f, 50, 3000);
+		FAKE_TRACE(
+		    f, "vm %u paused to %lld\n", vm, (long long)v->paused_ms);
 		break;
 	case 4:
 		v->stopping = true;
 		v->stop_ms = f->now_ms;
+		FAKE_TRACE(f, "vm %u stops\n", vm);
 		fake_step(
 		    f, vm, &(struct dh_group_event){ .kind = DH_GROUP_STOP });
 		break;
@@ -96,6 +100,7 @@
 	case 0:
 		fb->up = false;
 		fb->refuses = fake_chance(f, 50);
+		FAKE_TRACE(f, "backend %u ends\n", b);
 		break;
 	case 1:
 		fake_backend_start(f, b);
@@ -104,6 +109,8 @@
 	case 2:
 	case 3:
 		fb->frozen_ms = f->now_ms + fake_pick(f, 50, 3000);
+		FAKE_TRACE(f, "backend %u frozen to %lld\n", b,
+		    (long long)fb->frozen_ms);
 		break;
 	case 4:
 		fb->busy_until_ms = f->now_ms + fake_pick(f, 0, 1500);
@@ -116,8 +123,11 @@
 {
 	uint32_t vm = (uint32_t)fake_pick(f, 0, f->nvms - 1), i;
 	bool cut = fake_chance(f, 60);
+	int64_t what = fake_pick(f, 0, 4);
 
-	switch (fake_pick(f, 0, 4)) {
+	FAKE_TRACE(f, "links %lld of vm %u %s\n", (long long)what, vm,
+	    cut ? "cut" : "mended");
+	switch (what) {
 	case 0:
 		i = (uint32_t)fake_pick(f, 0, f->nvms - 1);
 		f->cut_vm[vm][i] = cut && i != vm;
@@ -151,6 +161,8 @@
 	bool cut = fake_chance(f, 60), across;
 	uint32_t i, k;
 
+	FAKE_TRACE(f, "zone %llu %s\n", (unsigned long long)zone,
+	    cut ? "cut" : "mended");
 	for (i = 0; i < f->nvms; i++) {
 		for (k = 0; k < f->nvms; k++) {
 			across = (f->vms[i].self.zone == zone) !=
@@ -175,6 +187,8 @@
 	switch (fake_pick(f, 0, 2)) {
 	case 0:
 		f->store_down_ms = f->now_ms + fake_pick(f, 100, 6000);
+		FAKE_TRACE(
+		    f, "store down to %lld\n", (long long)f->store_down_ms);
 		break;
 	case 1:
 		f->lose_reply_percent = (uint32_t)fake_pick(f, 0, 60);
@@ -285,7 +299,15 @@
 	uint32_t i;
 
 	fake_init(f, seed, &p, 2 + seed % 3, 2 + seed / 3 % 3, 6);
+	f->trace = trace;
 	clocks(f);
+	for (i = 0; i < f->nvms; i++)
+		FAKE_TRACE(f, "vm %u zone %llu\n", i,
+		    (unsigned long long)f->vms[i].self.zone);
+	for (i = 0; i < f->nbackends; i++)
+		FAKE_TRACE(f, "backend %u zone %llu checks %d\n", i,
+		    (unsigned long long)f->backends[i].conf.zone,
+		    f->backends[i].conf.checks_fence);
 	for (i = 0; i < f->nvms; i++) {
 		fake_vm_end(f, i, true);
 		fake_vm_start(f, i);
@@ -347,5 +369,6 @@
 		count = strtoull(argv[2], NULL, 10);
 	else if (argc > 1)
 		count = 1;
+	trace = argc > 3;
 	return cunit_main("group_schedule", tests);
 }
