--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -190,7 +190,8 @@
 	/* Earlier authorities. */
 	struct group_party parties[PARTIES_MAX];
 	uint32_t nparties;
-	int64_t pair_ms; /* until then an earlier pair may even reassign */
+	int64_t pair_ms; /* until then an earlier authority may even grant
+			  * to backend servers that restarted, or reassign */
 
 	/* Store. */
 	struct {
--- a/core/group_lease.c
+++ b/core/group_lease.c
@@ -253,7 +253,9 @@
 		return false;
 	if (group_supported(g))
 		return true;
-	if (!group_solo(g))
+	/* An incarnation that has had no grant of ours gets none now: a newer
+	 * leader may know that the one before it has ended. */
+	if (!group_solo(g) || b->hold != HOLD_OURS)
 		return false;
 	if (group_partner_gone(g))
 		return true;
@@ -479,9 +481,10 @@
 /* ---- answers ---- */
 
 /*
- * An earlier pair out of sight may still give the restarted backend server
- * slots: it has forgotten our fencing token.  It counts as unknown until it
- * has accepted an order of ours, or that pair's time is over.
+ * An earlier authority may still give the restarted backend server slots: it
+ * has forgotten our fencing token.  It counts as unknown until it has
+ * accepted an order of ours, or is found dead again when that authority can
+ * grant no more.
  */
 static void
 incarnation_over(struct dh_group *g, struct group_backend *b)
@@ -643,6 +646,7 @@
 	    ev->backend.incarnation != b->incarnation)
 		return;
 	suspect(g, b);
-	if (b->has_reading)
+	if (b->has_reading ||
+	    (b->hold == HOLD_UNKNOWN && ev->backend.sent_ms >= g->pair_ms))
 		incarnation_over(g, b);
 }
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -313,6 +313,7 @@
 		own = all = g->peer.gone_ms;
 	party_add(g, g->take.leader, g->take.leader_incarnation,
 	    g->take.old_term, own, all);
+	g->pair_ms = own;
 	/* Even if over by now: a lease renewed at its end may still run. */
 	party_add(g, 0, 0, g->take.old_term, g->peer.wait_ms, g->peer.wait_ms);
 }
