--- a/core/group_term.c
+++ b/core/group_term.c
@@ -379,7 +379,8 @@
 	uint32_t n = r->nslots < g->nslots ? r->nslots : g->nslots;
 
 	memset(g->cur, 0, g->nslots * sizeof(*g->cur));
-	memcpy(g->cur, r->slots, n * sizeof(*g->cur));
+	if (n > 0)
+		memcpy(g->cur, r->slots, n * sizeof(*g->cur));
 	memset(g->flags, 0, g->nslots);
 	g->npending = g->ndoubt = 0;
 }
