Add membership: who is there, who talks to whom, who relays

Cause: VMs need to know of each other without a watch each on the store.

Records of VMs merge in any order; only a VM raises its own version, so one that was paused or cut off and given up answers with a higher one. Up to 16 VMs all talk to all; beyond, each links to its successor, three others in its region and one outside. The relay tree follows a hash of names: a parent always has the lower hash, so that differing views cannot make a loop, and the loss of one VM moves its own children only.

Ruled out: a heap by place in the sorted order (each loss moves nearly all parents); a ring alone (hundreds of hops); two accusers (needs a round of its own): instead a refuted accusation holds its accuser back, doubling. The platform's list proves nothing here: a VM missing from it that answers is live. A heartbeat's "leaving" said what the record already says: dropped.

Found by the tests and mended: a child that left a silent parent dropped the link, so the parent counted as live again and was chosen anew, over and over (a suspect now keeps its link); a VM whose every parent had been avoided never chose again.

--- /dev/null
+++ b/core/member.c
@@ -0,0 +1,646 @@
+#include <dogwoodhub/member.h>
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <dogwoodhub/group.h>
+
+#include "core/member_state.h"
+#include "core/vec.h"
+
+#define RECORDS_PER_SEND 512
+
+void
+dh_member_params_defaults(struct dh_member_params *p)
+{
+	*p = (struct dh_member_params){ .heartbeat_ms = 500,
+		.suspect_ms = 1250,
+		.settle_ms = 100,
+		.hold_min_ms = 5000,
+		.hold_max_ms = 300000,
+		.forget_ms = 3600000,
+		.pull_ms = 3000,
+		.avoid_ms = 30000,
+		.mesh_max = 16,
+		.degree = 4,
+		.watchers = 3,
+		.fanout = 4,
+		.records_max = 16384 };
+}
+
+/* Actions. */
+
+struct dh_member_action *
+dh_member_act(
+    struct dh_member_actions *out, enum dh_member_action_kind kind, uint64_t vm)
+{
+	struct dh_member_action *a;
+
+	out->list =
+	    dh_vec_room(out->list, out->n, &out->size, sizeof(*out->list));
+	a = &out->list[out->n++];
+	*a = (struct dh_member_action){ .kind = kind, .vm = vm };
+	return a;
+}
+
+static void
+act_send(struct dh_member_actions *out, uint64_t to,
+    const struct dh_member_record *rec)
+{
+	struct dh_member_action *a = dh_member_act(out, DH_MEMBER_DO_SEND, to);
+
+	a->records = malloc(sizeof(*rec));
+	if (a->records == NULL)
+		abort();
+	a->records[0] = *rec;
+	a->n = 1;
+}
+
+void
+dh_member_actions_clear(struct dh_member_actions *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->n; i++)
+		free(a->list[i].records);
+	a->n = 0;
+}
+
+void
+dh_member_actions_free(struct dh_member_actions *a)
+{
+	dh_member_actions_clear(a);
+	free(a->list);
+	*a = (struct dh_member_actions){ 0 };
+}
+
+/* GONE records count for nothing: VMs forget them at different times. */
+static uint64_t
+record_digest(const struct member *m)
+{
+	if (m->rec.state == DH_MEMBER_GONE)
+		return 0;
+	return dh_member_mix(dh_member_mix(m->id, m->rec.incarnation),
+	    m->rec.version * 4 + (uint64_t)m->rec.state);
+}
+
+static int
+record_cmp(const struct dh_member_record *a, const struct dh_member_record *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation < b->incarnation ? -1 : 1;
+	if (a->version != b->version)
+		return a->version < b->version ? -1 : 1;
+	return (a->state > b->state) - (a->state < b->state);
+}
+
+/* The array of all. */
+
+/* Place of the first member whose id is not below id. */
+size_t
+dh_member_place(const struct dh_membership *v, uint64_t id)
+{
+	size_t low = 0, high = v->n, mid;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		if (v->all[mid]->id < id)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+struct member *
+dh_member_lookup(const struct dh_membership *v, uint64_t id)
+{
+	size_t i = dh_member_place(v, id);
+
+	return i < v->n && v->all[i]->id == id ? v->all[i] : NULL;
+}
+
+static struct member *
+insert(struct dh_membership *v, uint64_t id, const struct dh_member_record *rec)
+{
+	struct member *m = calloc(1, sizeof(*m));
+	size_t i = dh_member_place(v, id);
+
+	if (m == NULL)
+		abort();
+	m->id = id;
+	m->rank = dh_member_mix(id, 1);
+	m->rec = *rec;
+	m->shown = DH_MEMBER_GONE;
+	v->all = dh_vec_room(v->all, v->n, &v->size, sizeof(struct member *));
+	memmove(&v->all[i + 1], &v->all[i], (v->n - i) * sizeof(v->all[0]));
+	v->all[i] = m;
+	v->n++;
+	v->digest ^= record_digest(m);
+	return m;
+}
+
+static void
+mark_changed(struct dh_membership *v, struct member *m)
+{
+	m->spread = true;
+	v->spreading = true;
+	v->dirty = true;
+	v->view_changed = true;
+}
+
+static void
+set_record(struct dh_membership *v, struct member *m,
+    const struct dh_member_record *rec, int64_t now)
+{
+	v->digest ^= record_digest(m);
+	if (rec->incarnation != m->rec.incarnation) {
+		m->heard_ms = 0;
+		m->accused = false;
+		m->hold_ms = 0;
+	}
+	if (rec->state == DH_MEMBER_GONE && m->rec.state != DH_MEMBER_GONE)
+		m->gone_ms = now;
+	m->rec = *rec;
+	v->digest ^= record_digest(m);
+	mark_changed(v, m);
+}
+
+void
+dh_member_go_near(struct dh_membership *v, struct member *m)
+{
+	if (m->near)
+		return;
+	m->near = true;
+	v->near = dh_vec_room(
+	    v->near, v->nnear, &v->near_size, sizeof(struct member *));
+	v->near[v->nnear++] = m;
+}
+
+/* What this VM takes another for. */
+enum dh_member_state
+dh_member_state_of(
+    const struct dh_membership *v, const struct member *m, int64_t now)
+{
+	bool heard = m->heard_ms != 0;
+	bool fresh = heard && now - m->heard_ms <= v->p.suspect_ms;
+
+	if (m == v->self)
+		return m->rec.state;
+	if (m->rec.state == DH_MEMBER_GONE && !fresh)
+		return DH_MEMBER_GONE;
+	if (heard && !fresh)
+		return DH_MEMBER_SUSPECT;
+	if (m->rec.state == DH_MEMBER_LEAVING ||
+	    m->listed == DH_MEMBER_LISTED_LEAVING)
+		return DH_MEMBER_LEAVING;
+	return DH_MEMBER_LIVE;
+}
+
+struct dh_membership *
+dh_member_new(
+    const struct dh_member_params *p, const struct dh_member_record *self)
+{
+	struct dh_membership *v = calloc(1, sizeof(*v));
+
+	if (v == NULL)
+		abort();
+	assert(self->name[0] != '\0' && p->fanout > 0 && p->watchers > 0);
+	v->p = *p;
+	v->self = insert(v, dh_name_id(self->name), self);
+	v->self->rec.state = DH_MEMBER_LIVE;
+	v->digest = record_digest(v->self);
+	mark_changed(v, v->self);
+	return v;
+}
+
+void
+dh_member_free(struct dh_membership *v)
+{
+	size_t i;
+
+	if (v == NULL)
+		return;
+	for (i = 0; i < v->n; i++)
+		free(v->all[i]);
+	free(v->all);
+	free(v->near);
+	free(v->ranked);
+	free(v);
+}
+
+/* Events. */
+
+/*
+ * A record of this VM itself.  A higher incarnation: another process has the
+ * name, this one must end.  A worse word on this incarnation: it was given up
+ * while paused or cut off, and answers with a higher version.
+ */
+static void
+learn_self(struct dh_membership *v, const struct dh_member_record *rec,
+    struct dh_member_actions *out)
+{
+	struct dh_member_record *own = &v->self->rec;
+
+	assert(own != NULL);
+	if (rec->incarnation > own->incarnation && !v->stopped) {
+		v->stopped = true;
+		dh_member_act(out, DH_MEMBER_DO_STOP, 0);
+	}
+	if (rec->incarnation != own->incarnation || record_cmp(rec, own) <= 0)
+		return;
+	v->digest ^= record_digest(v->self);
+	own->version = rec->version + 1;
+	v->digest ^= record_digest(v->self);
+	mark_changed(v, v->self);
+}
+
+/* Our accusation was refuted: this VM and that one cannot hear each other
+ * while others can.  Each time we wait longer before we accuse it again. */
+static void
+hold_back(struct dh_membership *v, struct member *m, int64_t now)
+{
+	m->hold_ms = m->hold_ms == 0 ? v->p.hold_min_ms : m->hold_ms * 2;
+	if (m->hold_ms > v->p.hold_max_ms)
+		m->hold_ms = v->p.hold_max_ms;
+	m->hold_until_ms = now + m->hold_ms;
+	m->accused = false;
+}
+
+static void
+learn(struct dh_membership *v, const struct dh_member_record *rec, int64_t now,
+    struct dh_member_actions *out)
+{
+	uint64_t id = dh_name_id(rec->name);
+	struct member *m;
+
+	if (id == 0 || rec->state == DH_MEMBER_SUSPECT)
+		return;
+	m = dh_member_lookup(v, id);
+	if (m == v->self) {
+		learn_self(v, rec, out);
+		return;
+	}
+	if (m == NULL) {
+		/* A late word on one that was forgotten says nothing. */
+		if (rec->state == DH_MEMBER_GONE || v->n >= v->p.records_max)
+			return;
+		mark_changed(v, insert(v, id, rec));
+		return;
+	}
+	if (record_cmp(rec, &m->rec) <= 0)
+		return;
+	if (m->accused && rec->incarnation == m->rec.incarnation &&
+	    rec->state != DH_MEMBER_GONE)
+		hold_back(v, m, now);
+	set_record(v, m, rec, now);
+}
+
+/* Views that stay different: a word was lost on the way. */
+static void
+compare_views(struct dh_membership *v, struct member *m, uint64_t digest,
+    int64_t now, struct dh_member_actions *out)
+{
+	if (digest == v->digest) {
+		m->differs_ms = 0;
+	} else if (m->differs_ms == 0) {
+		m->differs_ms = now;
+	} else if (now - m->differs_ms >= v->p.pull_ms) {
+		m->differs_ms = now;
+		dh_member_act(out, DH_MEMBER_DO_PULL, m->id);
+	}
+}
+
+static void
+heard(struct dh_membership *v, const struct dh_member_event *ev, int64_t now,
+    struct dh_member_actions *out)
+{
+	struct member *m = dh_member_lookup(v, ev->vm);
+
+	if (m == v->self)
+		return;
+	if (m == NULL || ev->heard.incarnation > m->rec.incarnation) {
+		dh_member_act(out, DH_MEMBER_DO_PULL, ev->vm);
+		return;
+	}
+	if (ev->heard.incarnation < m->rec.incarnation ||
+	    m->rec.state == DH_MEMBER_GONE)
+		act_send(out, m->id, &m->rec);
+	if (ev->heard.incarnation < m->rec.incarnation)
+		return;
+	m->heard_ms = now;
+	dh_member_go_near(v, m);
+	compare_views(v, m, ev->heard.digest, now, out);
+}
+
+static void
+avoid(struct dh_membership *v, struct member *m, int64_t now)
+{
+	m->avoid_until_ms = now + v->p.avoid_ms;
+	v->avoid_due_ms = m->avoid_until_ms;
+}
+
+static void
+accuse(struct dh_membership *v, struct member *m, int64_t now)
+{
+	struct dh_member_record rec = m->rec;
+
+	m->heard_ms = 0;
+	avoid(v, m, now);
+	v->dirty = true;
+	if (rec.state == DH_MEMBER_GONE)
+		return;
+	if (now < m->hold_until_ms)
+		return;
+	rec.state = DH_MEMBER_GONE;
+	set_record(v, m, &rec, now);
+	m->accused = true;
+}
+
+static void
+link_event(struct dh_membership *v, const struct dh_member_event *ev,
+    int64_t now, struct dh_member_actions *out)
+{
+	struct member *m = dh_member_lookup(v, ev->vm);
+
+	if (m == NULL || m == v->self)
+		return;
+	m->up = ev->link == DH_MEMBER_LINK_UP;
+	switch (ev->link) {
+	case DH_MEMBER_LINK_UP:
+		m->heard_ms = now;
+		dh_member_go_near(v, m);
+		if (!v->pulled)
+			dh_member_act(out, DH_MEMBER_DO_PULL, m->id);
+		v->pulled = true;
+		break;
+	case DH_MEMBER_LINK_DOWN:
+		break;
+	case DH_MEMBER_LINK_LOST:
+	case DH_MEMBER_LINK_REFUSED:
+		accuse(v, m, now);
+		break;
+	}
+}
+
+static void
+listed(struct dh_membership *v, const struct dh_member_event *ev)
+{
+	struct member *m = dh_member_lookup(v, ev->vm);
+
+	if (m == NULL || m->listed == ev->listed)
+		return;
+	m->listed = ev->listed;
+	v->dirty = true;
+}
+
+static void
+moved(struct dh_membership *v, uint64_t id, int64_t now)
+{
+	struct member *m = dh_member_lookup(v, id);
+
+	if (m == NULL)
+		return;
+	avoid(v, m, now);
+	v->dirty = true;
+}
+
+static void
+set_grouped(struct dh_membership *v, const uint64_t *list, size_t n)
+{
+	struct member *m;
+	size_t i;
+
+	for (i = 0; i < v->nnear; i++)
+		v->near[i]->grouped = false;
+	for (i = 0; i < n; i++) {
+		m = dh_member_lookup(v, list[i]);
+		if (m == NULL || m == v->self)
+			continue;
+		m->grouped = true;
+		dh_member_go_near(v, m);
+	}
+	v->dirty = true;
+}
+
+static void
+leave(struct dh_membership *v)
+{
+	if (v->self->rec.state == DH_MEMBER_LEAVING)
+		return;
+	v->digest ^= record_digest(v->self);
+	v->self->rec.state = DH_MEMBER_LEAVING;
+	v->self->rec.version++;
+	v->digest ^= record_digest(v->self);
+	mark_changed(v, v->self);
+}
+
+/* Time. */
+
+/* Members whose state turned with time, or a parent that went silent. */
+static void
+notice_silence(struct dh_membership *v, int64_t now)
+{
+	struct member *m;
+	size_t i;
+
+	for (i = 0; i < v->nnear; i++) {
+		m = v->near[i];
+		if (dh_member_state_of(v, m, now) == m->shown)
+			continue;
+		v->dirty = true;
+		v->view_changed = true;
+	}
+}
+
+static void
+spread(struct dh_membership *v, struct dh_member_actions *out)
+{
+	struct dh_member_action *a = NULL;
+	struct member *m;
+	size_t i;
+
+	v->spreading = false;
+	for (i = 0; i < v->n; i++) {
+		m = v->all[i];
+		if (!m->spread)
+			continue;
+		m->spread = false;
+		if (a == NULL || a->n == RECORDS_PER_SEND) {
+			a = dh_member_act(out, DH_MEMBER_DO_SEND, 0);
+			a->records =
+			    calloc(RECORDS_PER_SEND, sizeof(*a->records));
+			if (a->records == NULL)
+				abort();
+		}
+		a->records[a->n++] = m->rec;
+	}
+}
+
+static bool
+forgettable(const struct dh_membership *v, const struct member *m, int64_t now)
+{
+	return m->rec.state == DH_MEMBER_GONE && !m->up && !m->grouped &&
+	    now - m->gone_ms >= v->p.forget_ms;
+}
+
+static void
+forget(struct dh_membership *v, int64_t now, struct dh_member_actions *out)
+{
+	size_t i, kept = 0, near = 0;
+	struct member *m;
+
+	v->swept_ms = now;
+	for (i = 0; i < v->nnear; i++)
+		if (!forgettable(v, v->near[i], now))
+			v->near[near++] = v->near[i];
+	v->nnear = near;
+	for (i = 0; i < v->n; i++) {
+		m = v->all[i];
+		if (!forgettable(v, m, now)) {
+			v->all[kept++] = m;
+			continue;
+		}
+		if (m->wanted)
+			dh_member_act(out, DH_MEMBER_DO_UNLINK, m->id);
+		free(m);
+	}
+	if (kept != v->n)
+		v->dirty = true;
+	v->n = kept;
+}
+
+/* This process stood still: that others were not heard meanwhile says
+ * nothing about them. */
+static void
+notice_own_pause(struct dh_membership *v, int64_t now)
+{
+	int64_t gap = now - v->ticked_ms;
+	size_t i;
+
+	v->ticked_ms = now;
+	if (gap <= v->p.suspect_ms / 2)
+		return;
+	for (i = 0; i < v->nnear; i++)
+		if (v->near[i]->heard_ms != 0)
+			v->near[i]->heard_ms += gap;
+}
+
+static void
+tick(struct dh_membership *v, int64_t now, struct dh_member_actions *out)
+{
+	if (now >= v->beat_due_ms) {
+		v->beat_due_ms = now + v->p.heartbeat_ms;
+		dh_member_act(out, DH_MEMBER_DO_BEAT, 0);
+	}
+	notice_own_pause(v, now);
+	notice_silence(v, now);
+	if (now - v->swept_ms >= v->p.forget_ms / 16)
+		forget(v, now, out);
+	if (v->avoid_due_ms != 0 && now >= v->avoid_due_ms) {
+		v->avoid_due_ms = 0;
+		v->dirty = true;
+	}
+	if (v->dirty && now - v->settled_ms >= v->p.settle_ms)
+		dh_overlay_choose(v, now, out);
+	if (v->spreading)
+		spread(v, out);
+	if (v->view_changed && !v->dirty) {
+		v->view_changed = false;
+		dh_member_act(out, DH_MEMBER_DO_VIEW, 0);
+	}
+}
+
+void
+dh_member_step(struct dh_membership *v, const struct dh_member_event *ev,
+    int64_t now_ms, struct dh_member_actions *out)
+{
+	switch (ev->kind) {
+	case DH_MEMBER_TICK:
+		tick(v, now_ms, out);
+		break;
+	case DH_MEMBER_LEARN:
+		learn(v, ev->record, now_ms, out);
+		break;
+	case DH_MEMBER_LISTED:
+		listed(v, ev);
+		break;
+	case DH_MEMBER_HEARD:
+		heard(v, ev, now_ms, out);
+		break;
+	case DH_MEMBER_LINK:
+		link_event(v, ev, now_ms, out);
+		break;
+	case DH_MEMBER_MOVED:
+		moved(v, ev->vm, now_ms);
+		break;
+	case DH_MEMBER_PARTNERS:
+		set_grouped(v, ev->partners.list, ev->partners.n);
+		break;
+	case DH_MEMBER_LEAVE:
+		leave(v);
+		break;
+	}
+}
+
+int64_t
+dh_member_next_ms(const struct dh_membership *v)
+{
+	int64_t settle = v->settled_ms + v->p.settle_ms;
+	int64_t next = v->beat_due_ms;
+
+	if ((v->dirty || v->spreading) && settle < next)
+		next = settle;
+	/* Silence is noticed twice as often as it is broken. */
+	if (v->ticked_ms + v->p.heartbeat_ms / 2 < next)
+		next = v->ticked_ms + v->p.heartbeat_ms / 2;
+	return next;
+}
+
+/* The view. */
+
+size_t
+dh_member_count(const struct dh_membership *v)
+{
+	return v->n;
+}
+
+struct dh_member_info
+dh_member_at(const struct dh_membership *v, size_t i)
+{
+	const struct member *m = v->all[i];
+
+	assert(i < v->n);
+	return (struct dh_member_info){ m->id, m->shown, m->listed, &m->rec };
+}
+
+bool
+dh_member_find(
+    const struct dh_membership *v, uint64_t id, struct dh_member_info *out)
+{
+	const struct member *m = dh_member_lookup(v, id);
+
+	if (m == NULL)
+		return false;
+	*out = (struct dh_member_info){ m->id, m->shown, m->listed, &m->rec };
+	return true;
+}
+
+uint64_t
+dh_member_digest(const struct dh_membership *v)
+{
+	return v->digest;
+}
+
+bool
+dh_member_watches(const struct dh_membership *v)
+{
+	return v->watches;
+}
+
+uint64_t
+dh_member_parent(const struct dh_membership *v)
+{
+	return v->parent;
+}
--- a/proto/msg.c
+++ b/proto/msg.c
@@ -82,6 +82,7 @@
 	F_NAME(dh_hello, region),
 	F_NAME(dh_hello, address),
 	F(FIELD_U16, dh_hello, port),
+	F(FIELD_U64, dh_hello, member_version),
 };
 RECORD(hello_record, dh_hello, hello_fields);
 
@@ -92,7 +93,6 @@
 	F(FIELD_U64, dh_heartbeat, table_digest),
 	F(FIELD_U64, dh_heartbeat, config_revision),
 	F(FIELD_U64, dh_heartbeat, table_version),
-	F(FIELD_BOOL, dh_heartbeat, leaving),
 };
 RECORD(heartbeat_record, dh_heartbeat, heartbeat_fields);
 
--- a/proto/msg.h
+++ b/proto/msg.h
@@ -71,6 +71,7 @@
 	char region[DH_NAME_MAX];
 	char address[DH_ADDRESS_MAX]; /* where it takes links */
 	uint16_t port;
+	uint64_t member_version; /* struct dh_member_record's version */
 };
 
 struct dh_heartbeat {
@@ -80,7 +81,6 @@
 	uint64_t table_digest; /* of the groups' versions it holds */
 	uint64_t config_revision; /* in force */
 	uint64_t table_version; /* published */
-	bool leaving;
 };
 
 enum dh_goodbye_reason {
--- a/tests/msg_samples.h
+++ b/tests/msg_samples.h
@@ -111,10 +111,10 @@
 	switch (kind) {
 	case DH_MSG_HELLO:
 		m->hello = (struct dh_hello){ 1, 2, DH_HELLO_PROBE, 77,
-			"entry-1", "a1", "a", "127.0.0.1", 65535 };
+			"entry-1", "a1", "a", "127.0.0.1", 65535, 4 };
 		break;
 	case DH_MSG_HEARTBEAT:
-		m->heartbeat = (struct dh_heartbeat){ 1, 2, 3, 4, 5, 6, true };
+		m->heartbeat = (struct dh_heartbeat){ 1, 2, 3, 4, 5, 6 };
 		break;
 	case DH_MSG_GOODBYE:
 		m->goodbye.reason = DH_GOODBYE_UNWANTED;
