--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -513,6 +513,7 @@
 	struct dh_link_server *server;
 	struct side a, b;
 	struct dh_link *l;
+	uint8_t *bytes;
 	uint32_t n;
 
 	side_init(&a, "entry-1", 7);
@@ -521,7 +522,8 @@
 	server = listen_at(&b, 0);
 	l = connect_to(&a, b.self.port);
 	CU_ASSERT(run_until(&b.ups, 1) && run_until(&a.ups, 1));
-	team.bytes = g_malloc0(team.len);
+	bytes = g_malloc0(team.len);
+	team.bytes = bytes;
 	/* The loop does not turn: nobody reads. */
 	for (n = 0; n < 10000 && sent == DH_CONN_SENT; n++)
 		sent = dh_link_send(l, &m);
@@ -531,10 +533,11 @@
 	CU_ASSERT_EQUAL(b.msgs, n - 1);
 	CU_ASSERT_EQUAL(dh_link_send(l, &m), DH_CONN_SENT);
 	team.len = DH_FRAME_MAX;
-	g_free(team.bytes);
-	team.bytes = g_malloc0(team.len);
+	g_free(bytes);
+	bytes = g_malloc0(team.len);
+	team.bytes = bytes;
 	CU_ASSERT_EQUAL(dh_link_send(l, &m), DH_CONN_TOO_LARGE);
-	g_free(team.bytes);
+	g_free(bytes);
 	finish(l, NULL, server);
 }
 
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -224,11 +224,13 @@
 	struct dh_team_update team = { .team = "t", .len = DH_FRAME_MAX };
 	struct dh_msg m = { .kind = DH_MSG_CONFIG,
 		.config = { .n = 1, .list = &team } };
+	uint8_t *bytes;
 	size_t len;
 
-	team.bytes = calloc(1, team.len);
+	bytes = calloc(1, team.len);
+	team.bytes = bytes;
 	CU_ASSERT_PTR_NULL(dh_msg_encode(&m, &len));
-	free(team.bytes);
+	free(bytes);
 	m = (struct dh_msg){ .kind = DH_MSG_MEMBERS };
 	m.members.n = DH_MSG_MEMBERS_MAX + 1;
 	m.members.list = calloc(m.members.n, sizeof(*m.members.list));
