--- a/Makefile
+++ b/Makefile
@@ -57,11 +57,11 @@
 
 $(LIB): $(OBJ)
 	@rm -f $@
-	ar rcs $@ $^
+	ar rcsP $@ $^
 
 $(CORE_LIB): $(CORE_SRC:%.c=$(BUILD)/%.o)
 	@rm -f $@
-	ar rcs $@ $^
+	ar rcsP $@ $^
 
 $(BUILD)/dogwoodhub: $(DAEMON_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -71,7 +71,7 @@
 
 $(STANDIN_LIB): $(STANDIN_SRC:%.c=$(BUILD)/%.o)
 	@rm -f $@
-	ar rcs $@ $^
+	ar rcsP $@ $^
 
 $(STANDINS) $(BENCHES): $(BUILD)/%: $(BUILD)/%.o $(STANDIN_LIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
--- a/control/authority.c
+++ b/control/authority.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "control/feed.h"
 #include "control/record.h"
 #include "control/vms.h"
 
@@ -239,6 +240,18 @@
 	}
 }
 
+static void
+publish(struct dh_authority *a)
+{
+	struct dh_group_view v = dh_group_view(a->group);
+
+	a->control->table_stale = true;
+	if (v.role == DH_GROUP_LEADER || v.role == DH_GROUP_WAITING)
+		dh_feed_table(a->control->feed, a->name, &v);
+	if (a->control->history != NULL)
+		note_assignments(a);
+}
+
 static void
 carry_out(struct dh_authority *a, const struct dh_group_action *act)
 {
@@ -257,9 +270,7 @@
 		do_order(a, &act->order);
 		break;
 	case DH_GROUP_DO_PUBLISH:
-		a->control->table_stale = true;
-		if (a->control->history != NULL)
-			note_assignments(a);
+		publish(a);
 		break;
 	}
 }
--- a/control/control.c
+++ b/control/control.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "control/admin.h"
 #include "control/authority.h"
+#include "control/feed.h"
 #include "control/teams.h"
 #include "control/vms.h"
 
@@ -56,23 +57,40 @@
 	return GPOINTER_TO_UINT(index);
 }
 
+/* An assignment with the higher fence is the later one; of equal ones the
+ * relayed one is the leader's own word. */
+static const struct dh_assignment *
+later(const struct dh_assignment *own, const struct dh_assignment *relayed)
+{
+	if (relayed == NULL)
+		return own;
+	return dh_fence_cmp(relayed->fence, own->fence) >= 0 ? relayed : own;
+}
+
 static void
-fill_slots(struct dh_table *t, struct dh_authority *a, GHashTable *by_id)
+fill_slots(struct dh_control *ct, struct dh_table *t, struct dh_authority *a,
+    GHashTable *by_id)
 {
 	uint32_t sv = dh_conf_service(t->conf, dh_authority_service(a));
 	struct dh_group_view v = dh_authority_view(a);
-	uint32_t i;
+	const struct dh_assignment *relayed, *as;
+	uint32_t i, n = 0;
 
 	if (sv == DH_NONE ||
 	    v.nslots != dh_service_slots(&t->conf->services[sv]))
 		return;
-	for (i = 0; i < v.nslots; i++)
+	relayed = dh_feed_slots(ct->feed, dh_authority_name(a), &n);
+	if (n != v.nslots || v.role == DH_GROUP_LEADER)
+		relayed = NULL;
+	for (i = 0; i < v.nslots; i++) {
+		as = later(&v.slots[i], relayed == NULL ? NULL : &relayed[i]);
 		t->slots[sv][i] = (struct dh_slot){
-			.owner = backend_index(by_id, v.slots[i].owner),
-			.standby = backend_index(by_id, v.slots[i].standby),
-			.fence = v.slots[i].fence,
-			.state = v.slots[i].state,
+			.owner = backend_index(by_id, as->owner),
+			.standby = backend_index(by_id, as->standby),
+			.fence = as->fence,
+			.state = as->state,
 		};
+	}
 }
 
 static GHashTable *
@@ -103,7 +121,7 @@
 		g_error("no memory for the routing table");
 	g_hash_table_iter_init(&it, ct->authorities);
 	while (g_hash_table_iter_next(&it, NULL, &a))
-		fill_slots(t, a, by_id);
+		fill_slots(ct, t, a, by_id);
 	dh_publish_set(
 	    ct->publish, t, dh_conf_ref_put, dh_conf_ref_get(ct->conf));
 	dh_counter_set(
@@ -314,11 +332,10 @@
 	ct->router = dh_router_start(s, &rc, error);
 	if (ct->router == NULL)
 		return false;
-	ct->vms = dh_vms_new(ct, error);
-	if (ct->vms == NULL)
-		return false;
 	ct->teams = dh_teams_new(ct);
-	return true;
+	ct->feed = dh_feed_new(ct);
+	ct->vms = dh_vms_new(ct, error);
+	return ct->vms != NULL;
 }
 
 static void
@@ -334,12 +351,13 @@
 {
 	if (ct->router != NULL)
 		dh_router_stop(ct->router);
-	dh_teams_free(ct->teams);
 	dh_admin_free(ct->admin);
 	dh_store_free(ct->store);
 	dh_http_free(ct->http);
 	g_hash_table_unref(ct->authorities);
 	dh_vms_free(ct->vms);
+	dh_feed_free(ct->feed);
+	dh_teams_free(ct->teams);
 	dh_publish_free(ct->publish);
 	dh_conf_ref_put(ct->conf);
 	uv_run(&ct->loop, UV_RUN_NOWAIT);
--- /dev/null
+++ b/control/feed.c
@@ -0,0 +1,388 @@
+#include "control/feed.h"
+
+#include <string.h>
+
+#include <dogwoodhub/relay.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "control/peers.h"
+#include "control/teams.h"
+#include "control/vms.h"
+
+#define TEAMS_PREFIX "teams/"
+
+struct dh_feed {
+	struct dh_control *control;
+	struct dh_relay *relay;
+	struct dh_store_watch *watch;
+	uint64_t parent;
+	GHashTable *neighbours; /* set of VMs attached to the relay */
+	struct dh_counter *refused;
+};
+
+static struct dh_peers *
+peers(const struct dh_feed *f)
+{
+	return dh_vms_peers(f->control->vms);
+}
+
+struct dh_feed *
+dh_feed_new(struct dh_control *ct)
+{
+	struct dh_feed *f = g_new0(struct dh_feed, 1);
+	struct dh_relay_params p;
+
+	f->control = ct;
+	dh_relay_params_defaults(&p);
+	f->relay = dh_relay_new(&p);
+	f->neighbours =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	f->refused = dh_counter_get("dh_relay_refused_total", "");
+	return f;
+}
+
+void
+dh_feed_free(struct dh_feed *f)
+{
+	if (f == NULL)
+		return;
+	dh_relay_free(f->relay);
+	g_hash_table_unref(f->neighbours);
+	g_free(f);
+}
+
+/* Sending */
+
+static bool
+send_item(struct dh_feed *f, uint64_t vm, struct dh_relay_item *item)
+{
+	struct dh_msg m = { 0 };
+
+	switch (item->kind) {
+	case DH_RELAY_TEAM:
+		m.kind = DH_MSG_CONFIG;
+		m.config.n = 1;
+		m.config.list = &item->team;
+		break;
+	case DH_RELAY_TABLE:
+		m.kind = DH_MSG_TABLE;
+		m.table.n = 1;
+		m.table.list = &item->table;
+		break;
+	}
+	return dh_peers_send(peers(f), vm, &m);
+}
+
+static void
+flush_one(struct dh_feed *f, uint64_t vm)
+{
+	struct dh_relay_item item;
+
+	while (dh_relay_next(f->relay, vm, &item)) {
+		if (!send_item(f, vm, &item))
+			return;
+		dh_relay_sent(f->relay, vm, &item);
+	}
+}
+
+void
+dh_feed_flush(struct dh_feed *f)
+{
+	GHashTableIter it;
+	gpointer vm;
+
+	g_hash_table_iter_init(&it, f->neighbours);
+	while (g_hash_table_iter_next(&it, &vm, NULL))
+		flush_one(f, *(uint64_t *)vm);
+}
+
+/* Ask a VM for what this one lacks. */
+static void
+pull(struct dh_feed *f, uint64_t vm, bool attach)
+{
+	size_t n = dh_relay_count(f->relay), i;
+	g_autofree struct dh_relay_held *teams =
+	    g_new0(struct dh_relay_held, n + 1);
+	g_autofree struct dh_relay_held *tables =
+	    g_new0(struct dh_relay_held, n + 1);
+	struct dh_msg m = { .kind = DH_MSG_PULL,
+		.pull = {
+		    .attach = attach, .teams = teams, .tables = tables } };
+	struct dh_relay_object o;
+	struct dh_relay_held *held;
+
+	for (i = 0; i < n; i++) {
+		o = dh_relay_at(f->relay, i);
+		held = o.kind == DH_RELAY_TEAM ? &teams[m.pull.nteams++]
+					       : &tables[m.pull.ntables++];
+		g_strlcpy(held->name, o.name, sizeof(held->name));
+		held->version = o.version;
+	}
+	(void)dh_peers_send(peers(f), vm, &m);
+}
+
+/* Neighbours */
+
+static void
+attach(struct dh_feed *f, uint64_t vm, const struct dh_pull *p)
+{
+	uint64_t *key;
+
+	if (!dh_relay_attach(
+		f->relay, vm, p->teams, p->nteams, p->tables, p->ntables)) {
+		struct dh_msg m = { .kind = DH_MSG_MOVE,
+			.move = { .reason = DH_MOVE_FULL } };
+
+		(void)dh_peers_send(peers(f), vm, &m);
+		return;
+	}
+	key = g_new(uint64_t, 1);
+	*key = vm;
+	g_hash_table_add(f->neighbours, key);
+	flush_one(f, vm);
+}
+
+static void
+detach(struct dh_feed *f, uint64_t vm)
+{
+	dh_relay_detach(f->relay, vm);
+	g_hash_table_remove(f->neighbours, &vm);
+}
+
+static void
+on_pull(struct dh_feed *f, uint64_t vm, const struct dh_pull *p)
+{
+	bool was = g_hash_table_contains(f->neighbours, &vm);
+
+	attach(f, vm, p);
+	if (!p->attach && !was) {
+		detach(f, vm);
+		return;
+	}
+	/* A child hears back, so that it sends what it knows upwards too. */
+	if (p->attach && vm != f->parent)
+		pull(f, vm, true);
+}
+
+void
+dh_feed_parent(struct dh_feed *f, uint64_t vm)
+{
+	if (f->parent == vm)
+		return;
+	if (f->parent != 0)
+		detach(f, f->parent);
+	f->parent = vm;
+	if (vm != 0)
+		pull(f, vm, true);
+}
+
+void
+dh_feed_link(struct dh_feed *f, uint64_t vm, bool up)
+{
+	detach(f, vm);
+	if (up && vm == f->parent)
+		pull(f, vm, true);
+}
+
+/* Taking */
+
+static void
+took_team(struct dh_feed *f, const char *team)
+{
+	struct dh_relay_object o;
+
+	if (!dh_relay_find(f->relay, DH_RELAY_TEAM, team, &o))
+		return;
+	dh_teams_take(f->control->teams, o.name, o.version.counter,
+	    (const char *)o.bytes, o.len);
+}
+
+static bool
+result_is_news(struct dh_feed *f, enum dh_relay_result r, const char *name)
+{
+	switch (r) {
+	case DH_RELAY_APPLIED:
+		return true;
+	case DH_RELAY_OLD:
+	case DH_RELAY_GAP:
+		return false;
+	case DH_RELAY_FULL:
+	case DH_RELAY_INVALID:
+		dh_counter_add(f->refused, 1);
+		dh_log(DH_LOG_WARN, "relay.refused", "object=%s", name);
+		return false;
+	}
+	g_assert_not_reached();
+}
+
+static void
+put_team(struct dh_feed *f, const struct dh_team_update *u, uint64_t from)
+{
+	enum dh_relay_result r = dh_relay_put_team(f->relay, u, from);
+
+	if (result_is_news(f, r, u->team))
+		took_team(f, u->team);
+	else if (r == DH_RELAY_GAP)
+		pull(f, from, false);
+}
+
+static void
+put_table(struct dh_feed *f, const struct dh_table_update *u, uint64_t from)
+{
+	enum dh_relay_result r = dh_relay_put_table(f->relay, u, from);
+
+	if (result_is_news(f, r, u->group))
+		f->control->table_stale = true;
+	else if (r == DH_RELAY_GAP)
+		pull(f, from, false);
+}
+
+void
+dh_feed_message(struct dh_feed *f, uint64_t vm, const struct dh_msg *m)
+{
+	uint32_t i;
+
+	switch (m->kind) {
+	case DH_MSG_CONFIG:
+		for (i = 0; i < m->config.n; i++)
+			put_team(f, &m->config.list[i], vm);
+		break;
+	case DH_MSG_TABLE:
+		for (i = 0; i < m->table.n; i++)
+			put_table(f, &m->table.list[i], vm);
+		break;
+	case DH_MSG_PULL:
+		on_pull(f, vm, &m->pull);
+		break;
+	default:
+		return;
+	}
+	dh_feed_flush(f);
+}
+
+static void
+on_store(void *arg, const struct dh_object *object, const GError *error)
+{
+	struct dh_feed *f = arg;
+	struct dh_team_update u = { 0 };
+
+	if (error != NULL || !g_str_has_prefix(object->name, TEAMS_PREFIX))
+		return;
+	if (g_strlcpy(u.team, object->name + strlen(TEAMS_PREFIX),
+		sizeof(u.team)) >= sizeof(u.team))
+		return;
+	u.version = object->version;
+	u.len = (uint32_t)object->len;
+	u.bytes = (const uint8_t *)object->value;
+	put_team(f, &u, 0);
+	dh_feed_flush(f);
+}
+
+void
+dh_feed_watch(struct dh_feed *f, bool on)
+{
+	if (on == (f->watch != NULL))
+		return;
+	dh_log(DH_LOG_INFO, "relay.watch", "on=%d", on);
+	if (on) {
+		f->watch = dh_store_watch(
+		    f->control->store, TEAMS_PREFIX, on_store, f);
+		return;
+	}
+	dh_store_watch_free(f->watch);
+	f->watch = NULL;
+}
+
+/* Tables of groups led here */
+
+static struct dh_relay_version
+next_version(const struct dh_feed *f, const char *group, uint64_t term)
+{
+	struct dh_relay_object o;
+
+	if (dh_relay_find(f->relay, DH_RELAY_TABLE, group, &o) &&
+	    o.version.term == term)
+		return (struct dh_relay_version){ term, o.version.counter + 1 };
+	return (struct dh_relay_version){ term, 1 };
+}
+
+/* The slots that differ from what is held; all when nothing is. */
+static uint32_t
+changed_slots(const struct dh_feed *f, const char *group,
+    const struct dh_group_view *v, struct dh_slot_update *out)
+{
+	struct dh_relay_object o;
+	bool held = dh_relay_find(f->relay, DH_RELAY_TABLE, group, &o) &&
+	    o.len == v->nslots;
+	uint32_t n = 0, i;
+
+	for (i = 0; i < v->nslots; i++) {
+		if (held &&
+		    memcmp(&o.slots[i], &v->slots[i], sizeof(o.slots[i])) == 0)
+			continue;
+		out[n].slot = i;
+		out[n++].assignment = v->slots[i];
+	}
+	return n;
+}
+
+void
+dh_feed_table(
+    struct dh_feed *f, const char *group, const struct dh_group_view *v)
+{
+	g_autofree struct dh_slot_update *slots =
+	    g_new0(struct dh_slot_update, v->nslots + 1);
+	struct dh_table_update u = { .nslots = v->nslots, .slots = slots };
+	struct dh_relay_object o;
+
+	if (v->nslots == 0)
+		return;
+	u.n = changed_slots(f, group, v, slots);
+	if (u.n == 0)
+		return;
+	g_strlcpy(u.group, group, sizeof(u.group));
+	u.version = next_version(f, group, v->term);
+	if (dh_relay_find(f->relay, DH_RELAY_TABLE, group, &o) &&
+	    o.len == v->nslots)
+		u.base = o.version;
+	put_table(f, &u, 0);
+	dh_feed_flush(f);
+}
+
+const struct dh_assignment *
+dh_feed_slots(const struct dh_feed *f, const char *group, uint32_t *n)
+{
+	struct dh_relay_object o;
+
+	if (!dh_relay_find(f->relay, DH_RELAY_TABLE, group, &o))
+		return NULL;
+	*n = o.len;
+	return o.slots;
+}
+
+/* Heartbeats */
+
+void
+dh_feed_summary(const struct dh_feed *f, struct dh_heartbeat *hb)
+{
+	struct dh_relay_summary s = dh_relay_summary(f->relay);
+
+	hb->config_digest = s.team_digest;
+	hb->table_digest = s.table_digest;
+	hb->config_revision = s.team_sum;
+	hb->table_version = s.table_sum;
+}
+
+void
+dh_feed_compare(struct dh_feed *f, uint64_t vm, const struct dh_heartbeat *hb)
+{
+	struct dh_relay_summary s = { .team_digest = hb->config_digest,
+		.table_digest = hb->table_digest,
+		.team_sum = hb->config_revision,
+		.table_sum = hb->table_version };
+
+	if (dh_relay_compare(f->relay, vm, &s, dh_clock_ms()))
+		pull(f, vm, false);
+}
--- a/control/peers.c
+++ b/control/peers.c
@@ -13,6 +13,7 @@
 	uint64_t vm;
 	char address[DH_ADDRESS_MAX];
 	uint16_t port;
+	bool wanted;
 	struct dh_link *out; /* ours, when we are the ones to connect */
 	struct dh_link *in; /* accepted */
 };
@@ -177,8 +178,15 @@
 	g_free(p);
 }
 
+static void
+connect_to(struct dh_peers *p, struct peer *pe)
+{
+	pe->out = dh_link_connect(&p->control->loop, &p->params, &p->self,
+	    pe->address, pe->port, &link_ops, p);
+}
+
 void
-dh_peers_know(
+dh_peers_want(
     struct dh_peers *p, uint64_t vm, const char *address, uint16_t port)
 {
 	struct peer *pe;
@@ -186,21 +194,43 @@
 	if (vm == p->control->self || port == 0)
 		return;
 	pe = make(p, vm);
-	if (pe->port == port && strcmp(pe->address, address) == 0)
+	pe->wanted = true;
+	if (pe->port == port && strcmp(pe->address, address) == 0 &&
+	    pe->out != NULL)
 		return;
 	pe->port = port;
 	g_strlcpy(pe->address, address, sizeof(pe->address));
 	dh_link_free(pe->out);
 	pe->out = NULL;
 	if (p->control->self < vm)
-		pe->out = dh_link_connect(&p->control->loop, &p->params,
-		    &p->self, address, port, &link_ops, p);
+		connect_to(p, pe);
+}
+
+void
+dh_peers_unwant(struct dh_peers *p, uint64_t vm)
+{
+	struct peer *pe = find(p, vm);
+
+	if (pe == NULL)
+		return;
+	pe->wanted = false;
+	dh_link_free(pe->out);
+	pe->out = NULL;
 }
 
 void
-dh_peers_forget(struct dh_peers *p, uint64_t vm)
+dh_peers_check(struct dh_peers *p)
 {
-	g_hash_table_remove(p->by_id, &vm);
+	GHashTableIter it;
+	gpointer each;
+
+	g_hash_table_iter_init(&it, p->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &each)) {
+		struct peer *pe = each;
+
+		if (pe->wanted && pe->out == NULL && pe->in == NULL)
+			connect_to(p, pe);
+	}
 }
 
 bool
@@ -236,11 +266,3 @@
 	}
 	free(frame);
 }
-
-bool
-dh_peers_is_up(const struct dh_peers *p, uint64_t vm)
-{
-	struct peer *pe = find(p, vm);
-
-	return pe != NULL && link_of(pe) != NULL;
-}
--- a/control/peers.h
+++ b/control/peers.h
@@ -5,8 +5,7 @@
 #include "proto/link.h"
 
 /*
- * Links to the other VMs: one for each pair, opened by the VM with the lower
- * id.  At today's size every VM has a link to every other.
+ * Links to other VMs, as the membership wants them.
  */
 struct dh_peers;
 
@@ -25,13 +24,17 @@
     const struct dh_peers_ops *ops, void *arg, GError **error);
 void dh_peers_free(struct dh_peers *p);
 
-/* dh_peers_know -- a VM and where it takes links; a changed address replaces
- * the link. */
-void dh_peers_know(
+/* dh_peers_want -- a link to this VM is wanted; a changed address replaces
+ * it.  The VM with the lower id connects; the other one does so too if nothing
+ * came by the next dh_peers_check(). */
+void dh_peers_want(
     struct dh_peers *p, uint64_t vm, const char *address, uint16_t port);
 
-/* dh_peers_forget -- link to this VM no more. */
-void dh_peers_forget(struct dh_peers *p, uint64_t vm);
+/* dh_peers_unwant -- the link is needed no more. */
+void dh_peers_unwant(struct dh_peers *p, uint64_t vm);
+
+/* dh_peers_check -- every few seconds. */
+void dh_peers_check(struct dh_peers *p);
 
 /* dh_peers_send -- false when there is no link or its queue is full: the
  * message is dropped and counted. */
@@ -40,6 +43,4 @@
 /* dh_peers_send_all -- to every VM with a link. */
 void dh_peers_send_all(struct dh_peers *p, const struct dh_msg *m);
 
-bool dh_peers_is_up(const struct dh_peers *p, uint64_t vm);
-
 #endif
--- a/control/teams.c
+++ b/control/teams.c
@@ -8,12 +8,9 @@
 #include "config/assemble.h"
 #include "config/schema.h"
 
-#define PREFIX "teams/"
-
 struct dh_teams {
 	struct dh_control *control;
 	GHashTable *by_name; /* name -> struct dh_team */
-	struct dh_store_watch *watch;
 	uv_timer_t *assemble; /* runs once after a burst of changes */
 };
 
@@ -58,24 +55,15 @@
 	dh_control_accept(tm->control, conf);
 }
 
-static void
-on_change(void *arg, const struct dh_object *object, const GError *error)
+void
+dh_teams_take(struct dh_teams *tm, const char *name, uint64_t version,
+    const char *text, size_t len)
 {
-	struct dh_teams *tm = arg;
 	g_autoptr(GPtrArray) problems = dh_problems_new();
-	struct dh_team *team, *old;
-	const char *name;
+	struct dh_team *team =
+	    dh_team_parse(name, version, text, len, problems);
 
-	if (error != NULL || !g_str_has_prefix(object->name, PREFIX))
-		return;
-	name = object->name + strlen(PREFIX);
-	old = g_hash_table_lookup(tm->by_name, name);
-	if (old != NULL && old->version >= object->version)
-		return;
-	team = dh_team_parse(
-	    name, object->version, object->value, object->len, problems);
 	if (team == NULL) {
-		/* What this team declared before stays in force. */
 		dh_counter_add(
 		    dh_counter_get("dh_config_refused_total", ""), 1);
 		log_problems(name, problems);
@@ -96,7 +84,6 @@
 	tm->assemble = g_new0(uv_timer_t, 1);
 	uv_timer_init(&ct->loop, tm->assemble);
 	tm->assemble->data = tm;
-	tm->watch = dh_store_watch(ct->store, PREFIX, on_change, tm);
 	return tm;
 }
 
--- a/control/vms.c
+++ b/control/vms.c
@@ -5,48 +5,59 @@
 
 #include <json-c/json.h>
 
+#include <dogwoodhub/member.h>
+
+#include "base/clock.h"
 #include "base/log.h"
 #include "control/authority.h"
+#include "control/feed.h"
 #include "control/peers.h"
 
 #define PREFIX "vms/"
 #define REGISTER_RETRY_MS 500u
-/* Between heartbeats on each link. */
-#define HEARTBEAT_MS 150u
-
-struct vm {
-	char name[DH_NAME_MAX];
-	struct dh_group_vm info;
-	uint64_t revision; /* of the configuration in force there */
+/* Between looks for links that nobody opened. */
+#define CHECK_MS 1000u
+
+/* What only this process knows of another VM. */
+struct note {
+	uint64_t id;
+	uint64_t refused; /* incarnation whose address refused */
+	uint64_t revision; /* in force there */
 };
 
 struct dh_vms {
 	struct dh_control *control;
-	GHashTable *by_id; /* id -> struct vm */
+	struct dh_membership *members;
+	struct dh_member_record self;
+	GHashTable *notes; /* id -> struct note */
+	struct dh_peers *peers;
 	struct dh_store_watch *watch;
-	struct dh_group_vm self;
+	uv_timer_t *tick;
+	uv_timer_t *check;
+	uv_timer_t *retry;
 	char *object; /* this VM's own, in the store */
 	char *value;
 	uint64_t own_version;
-	bool registered;
-	uv_timer_t *retry;
-	uv_timer_t *heartbeat;
-	struct dh_peers *peers;
 	uint64_t seq;
 };
 
-static void put_self(struct dh_vms *v);
+static void step(struct dh_vms *v, const struct dh_member_event *ev);
 
-static uint64_t
-field(struct json_object *o, const char *name)
+static struct note *
+note_of(struct dh_vms *v, uint64_t id)
 {
-	struct json_object *f;
-
-	return json_object_object_get_ex(o, name, &f)
-	    ? (uint64_t)json_object_get_int64(f)
-	    : 0;
+	struct note *n = g_hash_table_lookup(v->notes, &id);
+
+	if (n != NULL)
+		return n;
+	n = g_new0(struct note, 1);
+	n->id = id;
+	g_hash_table_insert(v->notes, &n->id, n);
+	return n;
 }
 
+/* Objects in the store */
+
 static const char *
 text_field(struct json_object *o, const char *name)
 {
@@ -57,219 +68,427 @@
 	    : "";
 }
 
-static struct vm *
-vm_make(struct dh_vms *v, const char *name)
+static uint64_t
+int_field(struct json_object *o, const char *name)
 {
-	uint64_t id = dh_name_id(name);
-	struct vm *vm = g_hash_table_lookup(v->by_id, &id);
+	struct json_object *f;
 
-	if (vm != NULL)
-		return vm;
-	vm = g_new0(struct vm, 1);
-	g_strlcpy(vm->name, name, sizeof(vm->name));
-	vm->info.id = id;
-	g_hash_table_insert(v->by_id, &vm->info.id, vm);
-	return vm;
+	return json_object_object_get_ex(o, name, &f)
+	    ? (uint64_t)json_object_get_int64(f)
+	    : 0;
 }
 
-/* Take a VM's word of itself, unless it is of a former incarnation. */
 static bool
-take(struct vm *vm, uint64_t incarnation, const char *zone, const char *region)
+record_decode(struct dh_member_record *r, const char *name, const char *text)
 {
-	if (incarnation < vm->info.incarnation)
-		return false;
-	if (incarnation > vm->info.incarnation) {
-		vm->info.dead = false;
-		vm->info.leaving = false;
+	struct json_object *o = json_tokener_parse(text);
+	bool ok = o != NULL && json_object_is_type(o, json_type_object);
+
+	*r = (struct dh_member_record){ .state = DH_MEMBER_LIVE, .version = 1 };
+	if (ok) {
+		r->incarnation = int_field(o, "incarnation");
+		r->peer_port = (uint16_t)int_field(o, "peer_port");
+		g_strlcpy(r->name, name, sizeof(r->name));
+		g_strlcpy(r->zone, text_field(o, "zone"), sizeof(r->zone));
+		g_strlcpy(
+		    r->region, text_field(o, "region"), sizeof(r->region));
+		g_strlcpy(
+		    r->address, text_field(o, "address"), sizeof(r->address));
 	}
-	vm->info.incarnation = incarnation;
-	vm->info.zone = dh_name_id(zone);
-	vm->info.region = dh_name_id(region);
-	return true;
+	json_object_put(o);
+	return ok && r->incarnation != 0 && r->address[0] != '\0';
 }
 
 static void
-learn(struct dh_vms *v, const char *name, const struct dh_object *object)
-{
-	struct json_object *o = json_tokener_parse(object->value);
-	struct vm *vm;
-
-	if (o != NULL && json_object_is_type(o, json_type_object)) {
-		vm = vm_make(v, name);
-		if (take(vm, field(o, "incarnation"), text_field(o, "zone"),
-			text_field(o, "region")))
-			dh_peers_know(v->peers, vm->info.id,
-			    text_field(o, "address"),
-			    (uint16_t)field(o, "peer_port"));
-	}
-	json_object_put(o);
+on_store(void *arg, const struct dh_object *object, const GError *error)
+{
+	struct dh_vms *v = arg;
+	struct dh_member_record r;
+	struct dh_member_event ev = { .kind = DH_MEMBER_LEARN, .record = &r };
+
+	if (error != NULL || !g_str_has_prefix(object->name, PREFIX))
+		return;
+	if (strcmp(object->name, v->object) == 0)
+		v->own_version = object->version;
+	if (record_decode(&r, object->name + strlen(PREFIX), object->value))
+		step(v, &ev);
 }
 
-/* The other VMs' links */
+static char *
+self_text(const struct dh_control *ct)
+{
+	const struct dh_settings *s = ct->settings;
+
+	return g_strdup_printf("{\"name\":\"%s\",\"incarnation\":%" PRIu64
+			       ",\"zone\":\"%s\",\"region\":\"%s\","
+			       "\"address\":\"%s\",\"admin_port\":%u,"
+			       "\"peer_port\":%u}",
+	    s->vm, ct->incarnation, s->zone, s->region, s->listen_address,
+	    s->admin_port, s->peer_port);
+}
+
+static void put_self(struct dh_vms *v);
 
 static void
-on_peer_up(void *arg, uint64_t id, const struct dh_hello *hello)
+on_retry(uv_timer_t *timer)
+{
+	put_self(timer->data);
+}
+
+static void
+on_put(void *arg, const struct dh_object *object, const GError *error)
 {
 	struct dh_vms *v = arg;
-	struct vm *vm = vm_make(v, hello->vm);
 
-	(void)id;
-	if (!take(vm, hello->incarnation, hello->zone, hello->region))
+	if (error != NULL) {
+		uv_timer_start(v->retry, on_retry, REGISTER_RETRY_MS, 0);
 		return;
-	vm->info.live = true;
-	vm->info.dead = false;
-	dh_peers_know(v->peers, vm->info.id, hello->address, hello->port);
-	dh_control_members_changed(v->control);
+	}
+	v->own_version = object->version;
+	dh_log(DH_LOG_INFO, "vm.registered", "vm=%s version=%" PRIu64,
+	    v->control->settings->vm, object->version);
 }
 
 static void
-on_peer_down(void *arg, uint64_t id, enum dh_link_down why)
+on_old(void *arg, const struct dh_object *object, const GError *error)
 {
 	struct dh_vms *v = arg;
-	struct vm *vm = g_hash_table_lookup(v->by_id, &id);
-	bool dead = why == DH_LINK_REFUSED;
 
-	if (vm == NULL || (!vm->info.live && vm->info.dead == dead))
-		return;
-	dh_log(DH_LOG_INFO, "peer.down", "vm=%s why=%s", vm->name,
-	    dh_link_down_name(why));
-	vm->info.live = false;
-	vm->info.dead = vm->info.dead || dead;
-	dh_control_members_changed(v->control);
+	(void)error;
+	if (object != NULL)
+		v->own_version = object->version;
+	dh_store_put(v->control->store, v->object, v->own_version, v->value,
+	    strlen(v->value), on_put, v);
 }
 
 static void
-on_heartbeat(struct dh_vms *v, uint64_t id, const struct dh_heartbeat *hb)
+put_self(struct dh_vms *v)
 {
-	struct vm *vm = g_hash_table_lookup(v->by_id, &id);
+	dh_store_get(v->control->store, v->object, 0, on_old, v);
+}
 
-	if (vm == NULL)
-		return;
-	vm->revision = hb->config_revision;
-	if (vm->info.leaving == hb->leaving)
-		return;
-	vm->info.leaving = hb->leaving;
-	dh_control_members_changed(v->control);
+static void
+watch(struct dh_vms *v, bool on)
+{
+	if (on && v->watch == NULL)
+		v->watch =
+		    dh_store_watch(v->control->store, PREFIX, on_store, v);
+	if (!on && v->watch != NULL) {
+		dh_store_watch_free(v->watch);
+		v->watch = NULL;
+	}
+	dh_feed_watch(v->control->feed, on);
 }
 
+/* Actions of the membership machine */
+
 static void
-on_message(void *arg, uint64_t id, const struct dh_msg *m)
+beat(struct dh_vms *v)
 {
-	struct dh_vms *v = arg;
-	struct dh_authority *a;
+	struct dh_msg m = { .kind = DH_MSG_HEARTBEAT,
+		.heartbeat = { .seq = ++v->seq,
+		    .members_digest = dh_member_digest(v->members) } };
 
-	switch (m->kind) {
-	case DH_MSG_HEARTBEAT:
-		on_heartbeat(v, id, &m->heartbeat);
+	dh_feed_summary(v->control->feed, &m.heartbeat);
+	dh_peers_send_all(v->peers, &m);
+	dh_feed_flush(v->control->feed);
+}
+
+static void
+want_link(struct dh_vms *v, uint64_t vm)
+{
+	struct dh_member_info info;
+
+	if (dh_member_find(v->members, vm, &info))
+		dh_peers_want(
+		    v->peers, vm, info.record->address, info.record->peer_port);
+}
+
+static void
+send_records(struct dh_vms *v, const struct dh_member_action *a)
+{
+	struct dh_msg m = { .kind = DH_MSG_MEMBERS,
+		.members = { .n = (uint32_t)a->n, .list = a->records } };
+
+	if (a->vm == 0)
+		dh_peers_send_all(v->peers, &m);
+	else
+		(void)dh_peers_send(v->peers, a->vm, &m);
+}
+
+static void
+carry_out(struct dh_vms *v, const struct dh_member_action *a)
+{
+	struct dh_msg pull = { .kind = DH_MSG_PULL,
+		.pull = { .members = true } };
+
+	switch (a->kind) {
+	case DH_MEMBER_DO_BEAT:
+		beat(v);
 		break;
-	case DH_MSG_GROUP:
-		a = g_hash_table_lookup(
-		    v->control->authorities, m->group.group);
-		if (a != NULL)
-			dh_authority_message(a, &m->group.msg);
+	case DH_MEMBER_DO_LINK:
+		want_link(v, a->vm);
 		break;
-	case DH_MSG_HELLO:
-	case DH_MSG_GOODBYE:
-	case DH_MSG_MEMBERS:
-	case DH_MSG_CONFIG:
-	case DH_MSG_TABLE:
-	case DH_MSG_PULL:
-	case DH_MSG_MOVE:
-	case DH_MSG_PERMIT_ASK:
-	case DH_MSG_PERMIT_VERDICT:
-	case DH_MSG_PERMIT_END:
-	case DH_MSG_PERMIT_HOLD:
-	case DH_MSG_PERMIT_HELD:
-	case DH_MSG_LOAD:
+	case DH_MEMBER_DO_UNLINK:
+		dh_peers_unwant(v->peers, a->vm);
+		break;
+	case DH_MEMBER_DO_SEND:
+		send_records(v, a);
+		break;
+	case DH_MEMBER_DO_PULL:
+		(void)dh_peers_send(v->peers, a->vm, &pull);
+		break;
+	case DH_MEMBER_DO_WATCH:
+		watch(v, a->on);
+		break;
+	case DH_MEMBER_DO_ATTACH:
+		dh_feed_parent(v->control->feed, a->vm);
+		break;
+	case DH_MEMBER_DO_VIEW:
+		dh_control_members_changed(v->control);
+		break;
+	case DH_MEMBER_DO_STOP:
+		dh_log(DH_LOG_WARN, "vm.superseded", "vm=%s", v->self.name);
+		dh_control_stop(v->control);
 		break;
 	}
 }
 
-static const struct dh_peers_ops peer_ops = { on_peer_up, on_message,
-	on_peer_down };
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct dh_member_event ev = { .kind = DH_MEMBER_TICK };
+
+	step(timer->data, &ev);
+}
 
 static void
-on_heartbeat_due(uv_timer_t *timer)
+step(struct dh_vms *v, const struct dh_member_event *ev)
 {
-	struct dh_vms *v = timer->data;
-	struct dh_control *ct = v->control;
-	struct dh_msg m = { .kind = DH_MSG_HEARTBEAT,
-		.heartbeat = { .seq = ++v->seq,
-		    .config_revision =
-			ct->conf == NULL ? 0 : ct->conf->conf->revision,
-		    .table_version = ct->table_version,
-		    .leaving = ct->stopping } };
+	struct dh_member_actions acts = { 0 };
+	int64_t wait_ms;
+	size_t i;
+
+	dh_member_step(v->members, ev, dh_clock_ms(), &acts);
+	for (i = 0; i < acts.n; i++)
+		carry_out(v, &acts.list[i]);
+	dh_member_actions_free(&acts);
+	wait_ms = dh_member_next_ms(v->members) - dh_clock_ms();
+	uv_timer_start(
+	    v->tick, on_tick, wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
+}
 
-	dh_peers_send_all(v->peers, &m);
+/* Links */
+
+static void
+learn_from_hello(struct dh_vms *v, const struct dh_hello *h)
+{
+	struct dh_member_record r = { .incarnation = h->incarnation,
+		.version = 1,
+		.state = DH_MEMBER_LIVE,
+		.peer_port = h->port };
+	struct dh_member_event ev = { .kind = DH_MEMBER_LEARN, .record = &r };
+
+	g_strlcpy(r.name, h->vm, sizeof(r.name));
+	g_strlcpy(r.zone, h->zone, sizeof(r.zone));
+	g_strlcpy(r.region, h->region, sizeof(r.region));
+	g_strlcpy(r.address, h->address, sizeof(r.address));
+	step(v, &ev);
 }
 
 static void
-on_change(void *arg, const struct dh_object *object, const GError *error)
+on_peer_up(void *arg, uint64_t id, const struct dh_hello *hello)
 {
 	struct dh_vms *v = arg;
-	const char *name;
+	struct dh_member_event ev = {
+		.kind = DH_MEMBER_LINK, .vm = id, .link = DH_MEMBER_LINK_UP
+	};
+
+	learn_from_hello(v, hello);
+	step(v, &ev);
+	dh_feed_link(v->control->feed, id, true);
+	beat(v);
+}
 
-	if (error != NULL || !g_str_has_prefix(object->name, PREFIX))
-		return;
-	name = object->name + strlen(PREFIX);
-	if (strcmp(object->name, v->object) == 0) {
-		v->own_version = object->version;
-		return;
+static enum dh_member_link
+link_state(enum dh_link_down why)
+{
+	switch (why) {
+	case DH_LINK_LOST:
+	case DH_LINK_UNREACHABLE:
+		return DH_MEMBER_LINK_LOST;
+	case DH_LINK_REFUSED:
+		return DH_MEMBER_LINK_REFUSED;
+	case DH_LINK_CLOSED:
+	case DH_LINK_GOODBYE:
+	case DH_LINK_SILENT:
+	case DH_LINK_RESTARTED:
+	case DH_LINK_VERSION:
+	case DH_LINK_PROTOCOL:
+		return DH_MEMBER_LINK_DOWN;
 	}
-	learn(v, name, object);
+	g_assert_not_reached();
+}
+
+static void
+on_peer_down(void *arg, uint64_t id, enum dh_link_down why)
+{
+	struct dh_vms *v = arg;
+	struct dh_member_event ev = {
+		.kind = DH_MEMBER_LINK, .vm = id, .link = link_state(why)
+	};
+	struct dh_member_info info;
+	const char *name = dh_vms_name(v, id);
+
+	if (why == DH_LINK_REFUSED && dh_member_find(v->members, id, &info))
+		note_of(v, id)->refused = info.record->incarnation;
+	dh_log(DH_LOG_INFO, "peer.down", "vm=%s why=%s",
+	    name == NULL ? "" : name, dh_link_down_name(why));
+	dh_feed_link(v->control->feed, id, false);
+	step(v, &ev);
 	dh_control_members_changed(v->control);
 }
 
 static void
-on_retry(uv_timer_t *timer)
+on_heartbeat(struct dh_vms *v, uint64_t id, const struct dh_heartbeat *hb)
 {
-	put_self(timer->data);
+	struct dh_member_event ev = { .kind = DH_MEMBER_HEARD,
+		.vm = id,
+		.heard = { .digest = hb->members_digest } };
+	struct dh_member_info info;
+
+	note_of(v, id)->revision = hb->config_revision;
+	if (dh_member_find(v->members, id, &info))
+		ev.heard.incarnation = info.record->incarnation;
+	step(v, &ev);
+	dh_feed_compare(v->control->feed, id, hb);
 }
 
 static void
-on_put(void *arg, const struct dh_object *object, const GError *error)
+on_members(struct dh_vms *v, const struct dh_members *m)
 {
-	struct dh_vms *v = arg;
+	struct dh_member_event ev = { .kind = DH_MEMBER_LEARN };
+	uint32_t i;
 
-	if (error == NULL) {
-		v->own_version = object->version;
-		v->registered = true;
-		dh_log(DH_LOG_INFO, "vm.registered", "vm=%s version=%" PRIu64,
-		    v->control->settings->vm, object->version);
-		return;
+	for (i = 0; i < m->n; i++) {
+		ev.record = &m->list[i];
+		step(v, &ev);
 	}
-	uv_timer_start(v->retry, on_retry, REGISTER_RETRY_MS, 0);
 }
 
+/* Tell a VM every record there is. */
 static void
-on_old(void *arg, const struct dh_object *object, const GError *error)
+send_all_records(struct dh_vms *v, uint64_t to)
+{
+	size_t n = dh_member_count(v->members), i;
+	g_autofree struct dh_member_record *list =
+	    g_new0(struct dh_member_record, n + 1);
+	struct dh_msg m = { .kind = DH_MSG_MEMBERS,
+		.members = { .all = true } };
+
+	for (i = 0; i < n; i++) {
+		if (m.members.n == DH_MSG_MEMBERS_MAX) {
+			m.members.list = list;
+			(void)dh_peers_send(v->peers, to, &m);
+			m.members.n = 0;
+		}
+		list[m.members.n++] = *dh_member_at(v->members, i).record;
+	}
+	m.members.list = list;
+	(void)dh_peers_send(v->peers, to, &m);
+}
+
+static void
+on_group(struct dh_vms *v, const struct dh_group_envelope *g)
+{
+	struct dh_authority *a =
+	    g_hash_table_lookup(v->control->authorities, g->group);
+
+	if (a != NULL)
+		dh_authority_message(a, &g->msg);
+}
+
+static void
+on_message(void *arg, uint64_t id, const struct dh_msg *m)
 {
 	struct dh_vms *v = arg;
+	struct dh_member_event moved = { .kind = DH_MEMBER_MOVED, .vm = id };
 
-	(void)error;
-	if (object != NULL)
-		v->own_version = object->version;
-	dh_store_put(v->control->store, v->object, v->own_version, v->value,
-	    strlen(v->value), on_put, v);
+	switch (m->kind) {
+	case DH_MSG_HEARTBEAT:
+		on_heartbeat(v, id, &m->heartbeat);
+		break;
+	case DH_MSG_MEMBERS:
+		on_members(v, &m->members);
+		break;
+	case DH_MSG_GROUP:
+		on_group(v, &m->group);
+		break;
+	case DH_MSG_MOVE:
+		step(v, &moved);
+		break;
+	case DH_MSG_PULL:
+		if (m->pull.members)
+			send_all_records(v, id);
+		else
+			dh_feed_message(v->control->feed, id, m);
+		break;
+	case DH_MSG_CONFIG:
+	case DH_MSG_TABLE:
+		dh_feed_message(v->control->feed, id, m);
+		break;
+	case DH_MSG_HELLO:
+	case DH_MSG_GOODBYE:
+	case DH_MSG_PERMIT_ASK:
+	case DH_MSG_PERMIT_VERDICT:
+	case DH_MSG_PERMIT_END:
+	case DH_MSG_PERMIT_HOLD:
+	case DH_MSG_PERMIT_HELD:
+	case DH_MSG_LOAD:
+		break;
+	}
 }
 
+static const struct dh_peers_ops peer_ops = { on_peer_up, on_message,
+	on_peer_down };
+
 static void
-put_self(struct dh_vms *v)
+on_check(uv_timer_t *timer)
 {
-	dh_store_get(v->control->store, v->object, 0, on_old, v);
+	struct dh_vms *v = timer->data;
+
+	dh_peers_check(v->peers);
 }
 
-static char *
-self_text(const struct dh_control *ct)
+/* Start and end */
+
+static uv_timer_t *
+timer_new(struct dh_vms *v)
 {
-	const struct dh_settings *s = ct->settings;
+	uv_timer_t *timer = g_new0(uv_timer_t, 1);
 
-	return g_strdup_printf("{\"name\":\"%s\",\"incarnation\":%" PRIu64
-			       ",\"zone\":\"%s\",\"region\":\"%s\","
-			       "\"address\":\"%s\",\"admin_port\":%u,"
-			       "\"peer_port\":%u}",
-	    s->vm, ct->incarnation, s->zone, s->region, s->listen_address,
-	    s->admin_port, s->peer_port);
+	uv_timer_init(&v->control->loop, timer);
+	timer->data = v;
+	return timer;
+}
+
+static void
+members_start(struct dh_vms *v)
+{
+	const struct dh_settings *s = v->control->settings;
+	struct dh_member_params p;
+
+	dh_member_params_defaults(&p);
+	v->self =
+	    (struct dh_member_record){ .incarnation = v->control->incarnation,
+		    .version = 1,
+		    .state = DH_MEMBER_LIVE,
+		    .peer_port = s->peer_port };
+	g_strlcpy(v->self.name, s->vm, sizeof(v->self.name));
+	g_strlcpy(v->self.zone, s->zone, sizeof(v->self.zone));
+	g_strlcpy(v->self.region, s->region, sizeof(v->self.region));
+	g_strlcpy(v->self.address, s->listen_address, sizeof(v->self.address));
+	v->members = dh_member_new(&p, &v->self);
 }
 
 struct dh_vms *
@@ -278,30 +497,21 @@
 	struct dh_vms *v = g_new0(struct dh_vms, 1);
 
 	v->control = ct;
-	v->by_id =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	v->self = (struct dh_group_vm){ .id = ct->self,
-		.incarnation = ct->incarnation,
-		.zone = dh_name_id(ct->settings->zone),
-		.region = dh_name_id(ct->settings->region),
-		.live = true };
 	v->peers = dh_peers_new(ct, &peer_ops, v, error);
 	if (v->peers == NULL) {
-		g_hash_table_unref(v->by_id);
 		g_free(v);
 		return NULL;
 	}
+	v->notes =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	v->object = g_strdup_printf(PREFIX "%s", ct->settings->vm);
 	v->value = self_text(ct);
-	v->retry = g_new0(uv_timer_t, 1);
-	uv_timer_init(&ct->loop, v->retry);
-	v->retry->data = v;
-	v->heartbeat = g_new0(uv_timer_t, 1);
-	uv_timer_init(&ct->loop, v->heartbeat);
-	v->heartbeat->data = v;
-	uv_timer_start(
-	    v->heartbeat, on_heartbeat_due, HEARTBEAT_MS, HEARTBEAT_MS);
-	v->watch = dh_store_watch(ct->store, PREFIX, on_change, v);
+	v->retry = timer_new(v);
+	v->tick = timer_new(v);
+	v->check = timer_new(v);
+	uv_timer_start(v->check, on_check, CHECK_MS, CHECK_MS);
+	members_start(v);
+	uv_timer_start(v->tick, on_tick, 0, 0);
 	put_self(v);
 	return v;
 }
@@ -319,43 +529,84 @@
 		return;
 	dh_peers_free(v->peers);
 	uv_close((uv_handle_t *)v->retry, timer_closed);
-	uv_close((uv_handle_t *)v->heartbeat, timer_closed);
-	g_hash_table_unref(v->by_id);
+	uv_close((uv_handle_t *)v->tick, timer_closed);
+	uv_close((uv_handle_t *)v->check, timer_closed);
+	dh_member_free(v->members);
+	g_hash_table_unref(v->notes);
 	g_free(v->object);
 	g_free(v->value);
 	g_free(v);
 }
 
+/* What others ask */
+
 struct dh_group_vm
 dh_vms_self(const struct dh_vms *v)
 {
-	return v->self;
+	return (struct dh_group_vm){ .id = v->control->self,
+		.incarnation = v->control->incarnation,
+		.zone = dh_name_id(v->self.zone),
+		.region = dh_name_id(v->self.region),
+		.live = true,
+		.leaving = v->control->stopping };
+}
+
+static struct dh_group_vm
+vm_of(const struct dh_vms *v, const struct dh_member_info *info)
+{
+	const struct dh_member_record *r = info->record;
+	const struct note *n = g_hash_table_lookup(v->notes, &info->id);
+	bool listed_dead = v->control->settings->trust_vm_list &&
+	    info->listed == DH_MEMBER_LISTED_MISSING;
+
+	return (struct dh_group_vm){ .id = info->id,
+		.incarnation = r->incarnation,
+		.zone = dh_name_id(r->zone),
+		.region = dh_name_id(r->region),
+		.live = info->state == DH_MEMBER_LIVE ||
+		    info->state == DH_MEMBER_LEAVING,
+		.dead =
+		    listed_dead || (n != NULL && n->refused == r->incarnation),
+		.leaving = info->state == DH_MEMBER_LEAVING ||
+		    info->listed == DH_MEMBER_LISTED_LEAVING };
 }
 
 struct dh_group_vm *
 dh_vms_list(const struct dh_vms *v, size_t *n)
 {
-	struct dh_group_vm *list =
-	    g_new0(struct dh_group_vm, g_hash_table_size(v->by_id) + 1);
-	GHashTableIter it;
-	gpointer vm;
-
-	*n = 0;
-	list[(*n)++] = v->self;
-	g_hash_table_iter_init(&it, v->by_id);
-	while (g_hash_table_iter_next(&it, NULL, &vm))
-		list[(*n)++] = ((struct vm *)vm)->info;
+	size_t count = dh_member_count(v->members), i;
+	struct dh_group_vm *list = g_new0(struct dh_group_vm, count + 1);
+	struct dh_member_info info;
+
+	for (i = 0; i < count; i++) {
+		info = dh_member_at(v->members, i);
+		list[i] = info.id == v->control->self ? dh_vms_self(v)
+						      : vm_of(v, &info);
+	}
+	*n = count;
 	return list;
 }
 
 const char *
 dh_vms_name(const struct dh_vms *v, uint64_t id)
 {
-	struct vm *vm = g_hash_table_lookup(v->by_id, &id);
+	struct dh_member_info info;
+
+	return dh_member_find(v->members, id, &info) ? info.record->name : NULL;
+}
+
+uint64_t
+dh_vms_revision(const struct dh_vms *v, uint64_t id)
+{
+	const struct note *n = g_hash_table_lookup(v->notes, &id);
+
+	return n == NULL ? 0 : n->revision;
+}
 
-	if (id == v->self.id)
-		return v->control->settings->vm;
-	return vm == NULL ? NULL : vm->name;
+struct dh_peers *
+dh_vms_peers(const struct dh_vms *v)
+{
+	return v->peers;
 }
 
 void
@@ -368,9 +619,19 @@
 	(void)dh_peers_send(v->peers, to, &m);
 }
 
+void
+dh_vms_partners(struct dh_vms *v, const uint64_t *list, size_t n)
+{
+	struct dh_member_event ev = { .kind = DH_MEMBER_PARTNERS,
+		.partners = { .list = list, .n = n } };
+
+	step(v, &ev);
+}
+
 void
 dh_vms_leave(struct dh_vms *v)
 {
-	v->self.leaving = true;
-	on_heartbeat_due(v->heartbeat);
+	struct dh_member_event ev = { .kind = DH_MEMBER_LEAVE };
+
+	step(v, &ev);
 }
--- a/control/vms.h
+++ b/control/vms.h
@@ -4,8 +4,11 @@
 #include "control/control.h"
 
 /*
- * The VMs of the system as this one sees them, and the way to them.
+ * The VMs of the system as this one sees them, and the way to them: hosts the
+ * membership machine (dogwoodhub/member.h) over the store's `vms/` objects,
+ * the platform's list and the links.
  */
+struct dh_peers;
 
 /* dh_vms_new -- registers this VM in the store and follows the others.  NULL
  * with an error when its port can't be had.  The caller owns the result. */
@@ -20,10 +23,20 @@
 /* dh_vms_name -- the name of a VM by its id, or NULL; borrowed. */
 const char *dh_vms_name(const struct dh_vms *v, uint64_t id);
 
+/* dh_vms_revision -- the configuration's revision that a VM last said it has
+ * in force, 0 if it never did. */
+uint64_t dh_vms_revision(const struct dh_vms *v, uint64_t id);
+
+/* dh_vms_peers -- the links; borrowed. */
+struct dh_peers *dh_vms_peers(const struct dh_vms *v);
+
 /* dh_vms_send_group -- send a group's message to a VM, if it can be reached. */
 void dh_vms_send_group(struct dh_vms *v, uint64_t to, const char *group,
     const struct dh_group_msg *msg);
 
+/* dh_vms_partners -- the VMs that groups on this one need links to. */
+void dh_vms_partners(struct dh_vms *v, const uint64_t *list, size_t n);
+
 /* dh_vms_leave -- tell the others that this VM shuts down. */
 void dh_vms_leave(struct dh_vms *v);
 
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -358,8 +358,7 @@
 	if (ex->keyed) {
 		ex->route = dh_table_route(
 		    t, service, ex->target.key, strlen(ex->target.key));
-		if (ex->shunned &&
-		    dh_fence_cmp(ex->shun, ex->route.fence) == 0)
+		if (ex->shunned && dh_fence_cmp(ex->shun, ex->route.fence) == 0)
 			return false;
 		backend = ex->route.state == DH_SLOT_OWNED ? ex->route.backend
 							   : DH_NONE;
