--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -169,6 +169,7 @@
 	uint64_t term; /* highest known */
 	uint64_t leader, leader_incarnation;
 	uint64_t deputy, deputy_incarnation;
+	uint64_t deputy_seq;
 	uint64_t counter; /* of fencing tokens in our term */
 	bool stopping, stopped;
 	int64_t stop_ms;
@@ -289,7 +290,7 @@
 uint64_t group_pick_deputy(struct dh_group *g, uint64_t not,
     uint64_t not_incarnation, uint64_t *incarnation);
 void group_deputy_tick(struct dh_group *g);
-void group_deputy_named(struct dh_group *g, uint64_t id, uint64_t incarnation);
+void group_deputy_named(struct dh_group *g, const struct dh_group_record *r);
 void group_party_ended(struct dh_group *g, uint64_t vm, uint64_t incarnation);
 int64_t group_quiet(const struct dh_group *g, const struct group_backend *b);
 int64_t group_parties_quiet(
--- a/core/group_peer.c
+++ b/core/group_peer.c
@@ -62,6 +62,7 @@
 	m->term = g->term;
 	m->from = g->self.id;
 	m->from_incarnation = g->self.incarnation;
+	m->deputy_seq = g->deputy_seq;
 	m->seq = ++g->peer.seq;
 	m->sent_ms = g->now_ms;
 	m->echo_ms = g->peer.echo_ms;
@@ -230,7 +231,8 @@
 {
 	struct group_backend *b;
 
-	if (m->term != g->term || m->from != g->deputy ||
+	if (m->term != g->term || m->deputy_seq != g->deputy_seq ||
+	    m->from != g->deputy ||
 	    m->from_incarnation != g->deputy_incarnation)
 		return;
 	g->peer.heard_ms = g->now_ms;
@@ -280,7 +282,8 @@
 static void
 deputy_begin(struct dh_group *g, const struct dh_group_msg *m)
 {
-	bool same = g->mode == MODE_DEPUTY && m->term == g->term;
+	bool same = g->mode == MODE_DEPUTY && m->term == g->term &&
+	    m->deputy_seq == g->deputy_seq;
 	uint32_t i;
 
 	if (same)
@@ -296,6 +299,7 @@
 	g->leader_incarnation = m->from_incarnation;
 	g->deputy = g->self.id;
 	g->deputy_incarnation = g->self.incarnation;
+	g->deputy_seq = m->deputy_seq;
 	group_peer_reset(g);
 	for (i = 0; i < g->nbackends; i++)
 		g->backends[i].revoked = false;
@@ -363,6 +367,8 @@
 {
 	struct dh_group_msg all = { .from = m->from, .seq = m->seq };
 
+	g->peer.resigned = true;
+	g->deputy_seq = m->deputy_seq;
 	reply(g, &all, DH_GROUP_MSG_REVOKED, -1);
 }
 
--- a/core/group_store.c
+++ b/core/group_store.c
@@ -127,9 +127,11 @@
 	r->leader_incarnation = g->self.incarnation;
 	r->deputy = g->deputy;
 	r->deputy_incarnation = g->deputy_incarnation;
+	r->deputy_seq = g->deputy_seq;
 	if (g->next_deputy != 0) {
 		r->deputy = g->next_deputy;
 		r->deputy_incarnation = g->next_deputy_incarnation;
+		r->deputy_seq = g->deputy_seq + 1;
 	}
 	r->unsettled = group_wait(g) > 0 || g->ndoubt > 0 ||
 	    (g->next_deputy != 0 && g->deputy != 0);
@@ -154,9 +156,8 @@
 		g->store.stored_gen = gen;
 	g->rec_unsettled = r->unsettled;
 	group_candidates_from(g, r);
-	if (r->deputy != g->deputy ||
-	    r->deputy_incarnation != g->deputy_incarnation)
-		group_deputy_named(g, r->deputy, r->deputy_incarnation);
+	if (r->deputy_seq != g->deputy_seq)
+		group_deputy_named(g, r);
 	group_commit_stored(g, r);
 }
 
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -402,6 +402,7 @@
 	g->leader_incarnation = g->self.incarnation;
 	g->deputy = r->deputy;
 	g->deputy_incarnation = r->deputy_incarnation;
+	g->deputy_seq = r->deputy_seq;
 	g->next_deputy = 0;
 	g->store.version = version;
 	g->store.known = true;
@@ -467,6 +468,7 @@
 	r->leader_incarnation = g->self.incarnation;
 	r->deputy = group_pick_deputy(g, g->take.leader,
 	    g->take.leader_incarnation, &r->deputy_incarnation);
+	r->deputy_seq = 1;
 	r->unsettled = !g->take.fresh;
 	if (g->take.term != r->term)
 		g->counter = 0;
@@ -497,8 +499,7 @@
 {
 	if (g->stopping)
 		return false;
-	if (r->deputy == g->self.id &&
-	    r->deputy_incarnation == g->self.incarnation)
+	if (is_self(g, r->deputy, r->deputy_incarnation))
 		return g->mode_before == MODE_DEPUTY ||
 		    !vm_serving(g, r->leader, r->leader_incarnation);
 	if (leader_serving(g, r->leader, r->leader_incarnation, r->deputy,
@@ -559,8 +560,8 @@
 		return;
 	}
 	pair = g->mode_before == MODE_DEPUTY && r->term == g->term &&
-	    is_self(g, r->deputy, r->deputy_incarnation) && g->peer.heard &&
-	    !g->peer.doubt;
+	    is_self(g, r->deputy, r->deputy_incarnation) &&
+	    r->deputy_seq == g->deputy_seq && g->peer.heard && !g->peer.doubt;
 	g->store.version = version;
 	g->store.known = true;
 	g->take.third = !pair;
@@ -622,7 +623,8 @@
 	if (r->term < g->term)
 		return;
 	if (g->mode == MODE_DEPUTY && r->term == g->term &&
-	    is_self(g, r->deputy, r->deputy_incarnation))
+	    is_self(g, r->deputy, r->deputy_incarnation) &&
+	    r->deputy_seq == g->deputy_seq)
 		return;
 	if (g->mode == MODE_DEPUTY) {
 		g->mode = MODE_IDLE;
@@ -635,6 +637,7 @@
 	g->leader_incarnation = r->leader_incarnation;
 	g->deputy = r->deputy;
 	g->deputy_incarnation = r->deputy_incarnation;
+	g->deputy_seq = r->deputy_seq;
 	slots_from(g, r);
 	group_lists(g);
 	group_publish(g);
@@ -698,6 +701,16 @@
 	g->peer.gone_fresh = g->now_ms - g->peer.base_ms < g->p.support_ms;
 }
 
+static void
+resign(struct dh_group *g)
+{
+	if (g->peer.resigned)
+		return;
+	g->peer.resigned = true;
+	group_peer_send(g, g->leader, DH_GROUP_MSG_REVOKED);
+	g->stopped = true;
+}
+
 static void
 deputy_watch(struct dh_group *g)
 {
@@ -707,8 +720,10 @@
 	partner_tick(g, g->leader, g->leader_incarnation);
 	if (g->peer.gone)
 		at = g->take.retry_ms;
-	if (g->stopping)
+	if (g->stopping) {
+		resign(g);
 		return;
+	}
 	if (g->now_ms < at || g->store.get_busy) {
 		group_due(g, at);
 		return;
@@ -810,7 +825,7 @@
 
 /* group_deputy_named -- the store names another deputy than before. */
 void
-group_deputy_named(struct dh_group *g, uint64_t id, uint64_t incarnation)
+group_deputy_named(struct dh_group *g, const struct dh_group_record *r)
 {
 	int64_t own, all;
 	uint32_t i;
@@ -825,9 +840,11 @@
 		party_add(
 		    g, g->deputy, g->deputy_incarnation, g->term, own, all);
 	}
-	g->deputy = id;
-	g->deputy_incarnation = incarnation;
-	if (id == g->next_deputy && incarnation == g->next_deputy_incarnation)
+	g->deputy = r->deputy;
+	g->deputy_incarnation = r->deputy_incarnation;
+	g->deputy_seq = r->deputy_seq;
+	if (r->deputy == g->next_deputy &&
+	    r->deputy_incarnation == g->next_deputy_incarnation)
 		g->next_deputy = 0;
 	group_peer_reset(g);
 	g->peer.named_ms = g->now_ms;
@@ -850,9 +867,7 @@
 	g->stop_ms = g->now_ms;
 	switch (g->mode) {
 	case MODE_DEPUTY:
-		g->peer.resigned = true;
-		group_peer_send(g, g->leader, DH_GROUP_MSG_REVOKED);
-		g->stopped = true;
+		resign(g);
 		break;
 	case MODE_IDLE:
 		g->stopped = true;
@@ -910,6 +925,8 @@
 void
 group_term_tick(struct dh_group *g)
 {
+	if (g->stopping && g->mode == MODE_IDLE)
+		g->stopped = true;
 	switch (g->mode) {
 	case MODE_IDLE:
 		candidate_tick(g);
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -84,6 +84,7 @@
 	uint64_t term;
 	uint64_t leader, leader_incarnation;
 	uint64_t deputy, deputy_incarnation;
+	uint64_t deputy_seq; /* rises in a term whenever a deputy is named */
 	uint64_t write_seq; /* of the leader's write: tells its own apart */
 	bool unsettled; /* authorities before this leader may still renew */
 	uint32_t nslots;
@@ -117,6 +118,7 @@
 	enum dh_group_msg_kind kind;
 	uint64_t term;
 	uint64_t from, from_incarnation;
+	uint64_t deputy_seq; /* of the record that names the deputy */
 	uint64_t seq; /* acks echo it; rises with every message */
 	int64_t sent_ms; /* sender's clock */
 	int64_t echo_ms; /* sent_ms of the newest message of the receiver that
