--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -320,8 +320,7 @@
 void group_peer_reset(struct dh_group *g);
 void group_peer_dirty(struct dh_group *g, uint32_t slot);
 void group_peer_dirty_all(struct dh_group *g);
-uint64_t group_peer_send(
-    struct dh_group *g, uint64_t to, enum dh_group_msg_kind kind);
+uint64_t group_peer_send(struct dh_group *g, enum dh_group_msg_kind kind);
 
 /* group_lease.c */
 bool group_alive(const struct group_backend *b);
--- a/core/group_peer.c
+++ b/core/group_peer.c
@@ -52,7 +52,8 @@
 }
 
 static struct dh_group_msg *
-msg_new(struct dh_group *g, uint64_t to, enum dh_group_msg_kind kind)
+msg_new(struct dh_group *g, uint64_t to, uint64_t incarnation,
+    enum dh_group_msg_kind kind)
 {
 	struct dh_group_action *a = group_act(g, DH_GROUP_DO_SEND);
 	struct dh_group_msg *m = &a->send.msg;
@@ -62,6 +63,7 @@
 	m->term = g->term;
 	m->from = g->self.id;
 	m->from_incarnation = g->self.incarnation;
+	m->to_incarnation = incarnation;
 	m->deputy_seq = g->deputy_seq;
 	m->seq = ++g->peer.seq;
 	m->sent_ms = g->now_ms;
@@ -77,9 +79,11 @@
 }
 
 uint64_t
-group_peer_send(struct dh_group *g, uint64_t to, enum dh_group_msg_kind kind)
+group_peer_send(struct dh_group *g, enum dh_group_msg_kind kind)
 {
-	return msg_new(g, to, kind)->seq;
+	if (g->mode == MODE_LEADING)
+		return msg_new(g, g->deputy, g->deputy_incarnation, kind)->seq;
+	return msg_new(g, g->leader, g->leader_incarnation, kind)->seq;
 }
 
 static const struct dh_assignment *
@@ -108,7 +112,8 @@
 static void
 batch_send(struct dh_group *g, bool first)
 {
-	struct dh_group_msg *m = msg_new(g, g->deputy, DH_GROUP_MSG_ASSIGN);
+	struct dh_group_msg *m =
+	    msg_new(g, g->deputy, g->deputy_incarnation, DH_GROUP_MSG_ASSIGN);
 	uint32_t i, n = g->peer.nflight;
 
 	m->nslots = n;
@@ -157,7 +162,7 @@
 			continue;
 		}
 		again = b->revoke_ms != DH_NEVER_MS;
-		m = msg_new(g, g->deputy,
+		m = msg_new(g, g->deputy, g->deputy_incarnation,
 		    b->revoke == REVOKE_ASKED ? DH_GROUP_MSG_REVOKE
 					      : DH_GROUP_MSG_RESTORE);
 		m->backend = b->conf.id;
@@ -174,7 +179,7 @@
 		group_due(g, g->peer.beat_ms + g->p.heartbeat_ms);
 		return;
 	}
-	group_peer_send(g, g->deputy, DH_GROUP_MSG_HANDOVER);
+	group_peer_send(g, DH_GROUP_MSG_HANDOVER);
 	g->peer.beat_ms = g->now_ms;
 }
 
@@ -197,7 +202,7 @@
 	} else if (due && g->peer.nflight > 0) {
 		batch_send(g, false);
 	} else if (due) {
-		group_peer_send(g, g->deputy, DH_GROUP_MSG_HEARTBEAT);
+		group_peer_send(g, DH_GROUP_MSG_HEARTBEAT);
 		g->peer.beat_ms = g->now_ms;
 	}
 	group_due(g, g->peer.beat_ms + g->p.heartbeat_ms);
@@ -272,7 +277,8 @@
 reply(struct dh_group *g, const struct dh_group_msg *to,
     enum dh_group_msg_kind kind, int64_t age_ms)
 {
-	struct dh_group_msg *m = msg_new(g, to->from, kind);
+	struct dh_group_msg *m =
+	    msg_new(g, to->from, to->from_incarnation, kind);
 
 	m->seq = to->seq;
 	m->backend = to->backend;
@@ -365,7 +371,9 @@
 static void
 deputy_resign(struct dh_group *g, const struct dh_group_msg *m)
 {
-	struct dh_group_msg all = { .from = m->from, .seq = m->seq };
+	struct dh_group_msg all = { .from = m->from,
+		.from_incarnation = m->from_incarnation,
+		.seq = m->seq };
 
 	g->peer.resigned = true;
 	g->deputy_seq = m->deputy_seq;
@@ -447,6 +455,8 @@
 void
 group_peer_msg(struct dh_group *g, const struct dh_group_msg *m)
 {
+	if (m->to_incarnation != g->self.incarnation)
+		return;
 	if (m->term < g->term) {
 		if (from_leader(m))
 			tell_term(g, m);
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -707,7 +707,7 @@
 	if (g->peer.resigned)
 		return;
 	g->peer.resigned = true;
-	group_peer_send(g, g->leader, DH_GROUP_MSG_REVOKED);
+	group_peer_send(g, DH_GROUP_MSG_REVOKED);
 	g->stopped = true;
 }
 
@@ -900,7 +900,7 @@
 	}
 	if (g->now_ms - g->peer.base_ms >= g->p.support_ms)
 		return;
-	g->handover_seq = group_peer_send(g, g->deputy, DH_GROUP_MSG_HANDOVER);
+	g->handover_seq = group_peer_send(g, DH_GROUP_MSG_HANDOVER);
 	g->peer.beat_ms = g->now_ms;
 	group_publish(g);
 }
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -118,6 +118,7 @@
 	enum dh_group_msg_kind kind;
 	uint64_t term;
 	uint64_t from, from_incarnation;
+	uint64_t to_incarnation; /* no other one reads it */
 	uint64_t deputy_seq; /* of the record that names the deputy */
 	uint64_t seq; /* acks echo it; rises with every message */
 	int64_t sent_ms; /* sender's clock */
