--- a/control/control.c
+++ b/control/control.c
@@ -35,14 +35,14 @@
 }
 
 void
-dh_conf_ref_put(void *arg)
+dh_conf_ref_put(void *ref)
 {
-	struct dh_conf_ref *ref = arg;
+	struct dh_conf_ref *r = ref;
 
-	if (ref == NULL || --ref->refs > 0)
+	if (r == NULL || --r->refs > 0)
 		return;
-	dh_conf_free(ref->conf);
-	g_free(ref);
+	dh_conf_free(r->conf);
+	g_free(r);
 }
 
 /* The routing table */
--- a/control/feed.c
+++ b/control/feed.c
@@ -308,6 +308,13 @@
 	return (struct dh_relay_version){ term, 1 };
 }
 
+static bool
+is_same(const struct dh_assignment *a, const struct dh_assignment *b)
+{
+	return a->owner == b->owner && a->standby == b->standby &&
+	    a->state == b->state && dh_fence_cmp(a->fence, b->fence) == 0;
+}
+
 /* The slots that differ from what is held; all when nothing is. */
 static uint32_t
 changed_slots(const struct dh_feed *f, const char *group,
@@ -319,8 +326,7 @@
 	uint32_t n = 0, i;
 
 	for (i = 0; i < v->nslots; i++) {
-		if (held &&
-		    memcmp(&o.slots[i], &v->slots[i], sizeof(o.slots[i])) == 0)
+		if (held && is_same(&o.slots[i], &v->slots[i]))
 			continue;
 		out[n].slot = i;
 		out[n++].assignment = v->slots[i];
