--- a/proto/msg.h
+++ b/proto/msg.h
@@ -170,6 +170,8 @@
 	bool complete; /* with this the deputy holds every permit */
 	uint32_t n;
 	struct dh_permit_entry *list;
+	int64_t lost_wall_ms; /* no permit before this is known, */
+	int64_t lost_left_ms; /* for so long; 0: none was lost */
 };
 
 struct dh_permit_held {
