--- a/core/admission.c
+++ b/core/admission.c
@@ -10,9 +10,15 @@
  * How the limit adapts.  It rises by one request per round of answers while
  * it is in use, and falls by a factor, at most once a round, when the backend
  * server refuses or its latency rises well above its base.  It never falls
- * below one request.  When even one is too many (more routers than slots),
- * refused routers pause for a random time that doubles with each refusal in
- * a row, as senders on a shared wire do; an answer halves it.
+ * below one request.  After a refusal the router pauses for a random time;
+ * when even one request is too many (more routers than slots) the time
+ * doubles with each refusal in a row, as for senders on a shared wire, and an
+ * answer halves it.  The longest pause is short: routers that pause long
+ * lose every place to those that have one.
+ *
+ * The base is the latency without congestion.  It rises only at a limit of
+ * one, when this router adds least to the congestion: else the limit would
+ * follow a queue that the routers build up themselves.
  *
  * How the queue is fair.  Deficit round robin over lanes, in units of the
  * backend server's time: a lane is charged the mean latency when a ticket is
@@ -28,18 +34,19 @@
 #define SLOW_FACTOR 2 /* latency above so many times the base */
 #define LATENCY_SAMPLES 32 /* weight of a new sample: 1/32 */
 #define BASE_FALL 64 /* the base falls by 1/64 of the gap a sample */
-#define BASE_RISE 1024 /* and rises by 1/1024 */
+#define BASE_RISE 128 /* and rises by 1/128 */
 #define DRAIN_SHIFT 3
 #define FIRST_LATENCY_US 5000
-#define PAUSE_DIVISOR 4 /* first pause: latency over this */
-#define PAUSE_MAX_FACTOR 4 /* longest pause: latency times this */
+#define PAUSE_DIVISOR 4 /* first pause: latency over this; longest: latency */
 #define LANE_ROOM_FACTOR 2
 #define MAX_DEBT 8 /* quanta a lane may owe */
+#define STANDING_DIVISOR 4 /* longest wait when a queue doesn't empty */
 
 struct lane {
 	struct dh_ticket *head, *tail;
 	uint32_t n;
 	int64_t deficit_us;
+	int64_t filled_us; /* since when it has not been empty */
 };
 
 struct server {
@@ -267,12 +274,13 @@
 		sv->limit_milli = sv->slots * MILLI;
 }
 
-/* Pause after a refusal, if not even one request was let in. */
+/* Pause after a refusal; each in a row doubles the pause, if not even one
+ * request was let in. */
 static void
 pause_begin(struct dh_admission *adm, struct server *sv, int64_t now_us)
 {
 	int64_t min_us = sv->latency_us / PAUSE_DIVISOR + 1;
-	int64_t max_us = sv->latency_us * PAUSE_MAX_FACTOR;
+	int64_t max_us = sv->latency_us;
 	int64_t jitter_us;
 
 	if (sv->pause_us < min_us)
@@ -282,7 +290,8 @@
 	jitter_us =
 	    (int64_t)dh_rng_below(&adm->rng, (uint64_t)sv->pause_us + 1);
 	sv->pause_until_us = now_us + sv->pause_us / 2 + jitter_us;
-	sv->pause_us *= 2;
+	if (sv->limit_milli < 2 * MILLI && sv->running == 0)
+		sv->pause_us *= 2;
 }
 
 static void
@@ -299,8 +308,10 @@
 	gap_us = sv->latency_us - sv->base_us;
 	if (sv->samples < LATENCY_SAMPLES)
 		sv->base_us = sv->latency_us;
-	else
-		sv->base_us += gap_us / (gap_us < 0 ? BASE_FALL : BASE_RISE);
+	else if (gap_us < 0)
+		sv->base_us += gap_us / BASE_FALL;
+	else if (sv->limit_milli < 2 * MILLI)
+		sv->base_us += gap_us / BASE_RISE;
 }
 
 static void
@@ -321,8 +332,7 @@
 		break;
 	case DH_ADMISSION_SHED:
 		adm->stats.shed++;
-		if (sv->limit_milli < 2 * MILLI && sv->running == 0 &&
-		    adm->params.fixed_limit == 0)
+		if (adm->params.fixed_limit == 0)
 			pause_begin(adm, sv, now_us);
 		limit_cut(sv, LIMIT_CUT_SHED, now_us);
 		break;
@@ -415,18 +425,26 @@
 	return sv->lanes[tk->lane].n < left * LANE_ROOM_FACTOR;
 }
 
-/* Latest start of a queued ticket, or now_us if it would come too late. */
+/*
+ * Latest start of a new ticket in the queue, or 0 if it would come too late.
+ * A queue is for bursts: one that doesn't empty only adds latency, so the
+ * wait in such a lane is kept short.
+ */
 static int64_t
 latest_start(const struct dh_admission *adm, const struct server *sv,
     const struct dh_ticket *tk, int64_t now_us)
 {
+	const struct lane *ln = &sv->lanes[tk->lane];
 	int64_t wait_us =
 	    (queued_before(sv, tk) + 1) * drain_us(adm, sv, now_us);
 	int64_t until_us = tk->deadline_us - sv->latency_us;
+	int64_t longest_us = adm->params.queue_us;
 
-	if (until_us > now_us + adm->params.queue_us)
-		until_us = now_us + adm->params.queue_us;
-	return now_us + wait_us < until_us ? until_us : now_us;
+	if (ln->n > 0 && now_us - ln->filled_us > adm->params.queue_us)
+		longest_us /= STANDING_DIVISOR;
+	if (until_us > now_us + longest_us)
+		until_us = now_us + longest_us;
+	return now_us + wait_us < until_us ? until_us : 0;
 }
 
 static void
@@ -442,16 +460,20 @@
 enqueue(struct dh_admission *adm, struct server *sv, struct dh_ticket *tk,
     int64_t now_us)
 {
-	int64_t until_us;
+	struct lane *ln = &sv->lanes[tk->lane];
 
 	if (!has_room(adm, sv, tk))
 		return false;
-	until_us = latest_start(adm, sv, tk, now_us);
-	if (until_us <= now_us)
+	/* One that comes back keeps the time it was given. */
+	if (tk->until_us == 0)
+		tk->until_us = latest_start(adm, sv, tk, now_us);
+	if (tk->until_us <= now_us)
 		return false;
+	if (ln->n == 0)
+		ln->filled_us = now_us;
 	tk->state = DH_TICKET_QUEUED;
-	lane_insert(&sv->lanes[tk->lane], tk);
-	timer_start(adm, &tk->timer, until_us);
+	lane_insert(ln, tk);
+	timer_start(adm, &tk->timer, tk->until_us);
 	sv->queued++;
 	adm->nqueued++;
 	adm->stats.queued++;
--- a/include/dogwoodhub/admission.h
+++ b/include/dogwoodhub/admission.h
@@ -60,6 +60,7 @@
 	enum dh_ticket_state state;
 	uint32_t lane;
 	int64_t charged_us;
+	int64_t until_us; /* latest start, once it has waited */
 	struct dh_admission_timer timer;
 	struct dh_ticket *prev, *next;
 };
@@ -99,6 +100,11 @@
 /*
  * dh_admission_ask -- may this request be sent?  On DH_ADMIT_REFUSE
  * *retry_after_ms says when to come back, and the ticket is idle again.
+ *
+ * A request that the backend server refused (DH_ADMISSION_SHED) may be asked
+ * for again with the same ticket as it is: it keeps its place by deadline and
+ * the time up to which it may wait.  The limit and the pause after a refusal
+ * bound how often it is sent, so this needs no retry budget.
  */
 enum dh_admit dh_admission_ask(struct dh_admission *adm, struct dh_ticket *tk,
     int64_t now_us, int64_t *retry_after_ms);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -33,6 +33,7 @@
 ask(struct dh_admission *adm, int i, uint32_t team, int64_t left_us,
     int64_t now_us, int64_t *after_ms)
 {
+	tickets[i] = (struct dh_ticket){ 0 };
 	tickets[i].team = team;
 	tickets[i].deadline_us = now_us + left_us;
 	return dh_admission_ask(adm, &tickets[i], now_us, after_ms);
@@ -123,6 +124,122 @@
 	dh_admission_free(adm);
 }
 
+/* Slow answers at a limit of one raise the base; at a higher limit they must
+ * not, or the limit would follow the queue that it makes itself. */
+static void
+test_lasting_slowness_keeps_limit_low(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t now_us = answer_many(adm, 400, 0), after_ms, sum_milli = 0;
+	int i, n;
+
+	for (i = 0; i < 2000; i++) {
+		/* The latency grows with this router's own requests. */
+		for (n = 0; n < 6; n++)
+			if (ask(adm, n, 1, FAR_US, now_us, &after_ms) !=
+			    DH_ADMIT_RUN)
+				break;
+		dh_admission_cancel(adm, &tickets[n < 6 ? n : 7]);
+		now_us += 10 * MS * (n + 1);
+		sum_milli += dh_admission_limit_milli(adm, 0, now_us);
+		while (n-- > 0)
+			(void)dh_admission_end(adm, &tickets[n],
+			    DH_ADMISSION_OK, 10 * MS * (n + 1), now_us);
+	}
+	CU_ASSERT(sum_milli / 2000 < 3500);
+	dh_admission_free(adm);
+}
+
+/* The next ticket whose time comes. */
+static struct dh_ticket *
+next_due(struct dh_admission *adm, int64_t *now_us, enum dh_admit *verdict)
+{
+	struct dh_ticket *tk;
+	int64_t after_ms;
+
+	do {
+		*now_us = dh_admission_wake_us(adm);
+		CU_ASSERT_FATAL(*now_us < INT64_MAX);
+		tk = dh_admission_poll(adm, *now_us, verdict, &after_ms);
+	} while (tk == NULL);
+	return tk;
+}
+
+static void
+test_shed_ticket_keeps_its_place_and_time(void)
+{
+	struct dh_admission *adm = setup(1);
+	struct dh_ticket *tk;
+	int64_t after_ms = 0, now_us = 0;
+	enum dh_admit verdict;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	(void)ask(adm, 1, 1, FAR_US + 1, 0, &after_ms);
+	CU_ASSERT_PTR_NULL(
+	    dh_admission_end(adm, &tickets[0], DH_ADMISSION_SHED, MS, MS));
+	CU_ASSERT_EQUAL(
+	    dh_admission_ask(adm, &tickets[0], MS, &after_ms), DH_ADMIT_QUEUE);
+	tk = next_due(adm, &now_us, &verdict);
+	CU_ASSERT_PTR_EQUAL(tk, &tickets[0]);
+	dh_admission_free(adm);
+}
+
+/* Refused again and again, it is sent ever less often and is given up 500 ms
+ * after the first time. */
+static void
+test_shed_again_and_again_ends(void)
+{
+	struct dh_admission *adm = setup(1);
+	struct dh_ticket *tk = &tickets[0];
+	enum dh_admit verdict = DH_ADMIT_RUN;
+	int64_t after_ms = 0, now_us = 0, last_us, first_us = 0, most_us = 0;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	while (verdict == DH_ADMIT_RUN) {
+		last_us = now_us;
+		(void)dh_admission_end(adm, tk, DH_ADMISSION_SHED, MS, now_us);
+		if (dh_admission_ask(adm, tk, now_us, &after_ms) ==
+		    DH_ADMIT_REFUSE)
+			break;
+		tk = next_due(adm, &now_us, &verdict);
+		if (first_us == 0)
+			first_us = now_us;
+		if (now_us - last_us > most_us)
+			most_us = now_us - last_us;
+	}
+	CU_ASSERT(first_us < 2 * MS);
+	CU_ASSERT(most_us > 3 * MS && most_us < 8 * MS);
+	CU_ASSERT(now_us >= 490 * MS && now_us <= 501 * MS);
+	dh_admission_free(adm);
+}
+
+/* With a queue that never empties, the wait allowed is a quarter. */
+static void
+test_standing_queue_is_kept_short(void)
+{
+	struct dh_admission *adm = setup(1);
+	struct dh_ticket *tk = &tickets[0];
+	int64_t after_ms, now_us;
+	uint32_t longest = 0, early = 0;
+	int i = 0;
+
+	(void)ask(adm, 0, 1, FAR_US, 0, &after_ms);
+	for (now_us = 0; now_us < 2000 * MS; now_us += 40 * MS) {
+		while (ask(adm, i = (i + 1) % TICKETS, 1, FAR_US, now_us,
+			   &after_ms) == DH_ADMIT_QUEUE)
+			;
+		if (now_us < 400 * MS && dh_admission_queued(adm, 0) > early)
+			early = dh_admission_queued(adm, 0);
+		longest = dh_admission_queued(adm, 0);
+		tk = dh_admission_end(
+		    adm, tk, DH_ADMISSION_OK, 40 * MS, now_us + 40 * MS);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(tk);
+	}
+	CU_ASSERT(early >= 10);
+	CU_ASSERT(longest <= 4);
+	dh_admission_free(adm);
+}
+
 static void
 test_too_late_is_refused_at_once(void)
 {
@@ -265,7 +382,8 @@
 		now_us += cost_us;
 		tk = dh_admission_end(
 		    adm, old, DH_ADMISSION_OK, cost_us, now_us);
-		old->deadline_us = now_us + FAR_US;
+		*old = (struct dh_ticket){ .team = old->team,
+			.deadline_us = now_us + FAR_US };
 		CU_ASSERT_EQUAL(dh_admission_ask(adm, old, now_us, &after_ms),
 		    DH_ADMIT_QUEUE);
 	}
@@ -340,6 +458,7 @@
 
 	switch (tk->state) {
 	case DH_TICKET_IDLE:
+		memset(tk, 0, sizeof(*tk));
 		tk->team = (uint32_t)dh_rng_below(&r->rng, 5);
 		tk->deadline_us =
 		    r->now_us + (int64_t)dh_rng_below(&r->rng, 200 * MS);
@@ -393,6 +512,10 @@
 		{ "limit grows", test_limit_grows_to_slots_and_no_further },
 		{ "shed cuts", test_shed_cuts_limit_to_one_then_pauses },
 		{ "latency cuts", test_high_latency_cuts_limit },
+		{ "slow for long", test_lasting_slowness_keeps_limit_low },
+		{ "shed again", test_shed_ticket_keeps_its_place_and_time },
+		{ "shed often", test_shed_again_and_again_ends },
+		{ "standing queue", test_standing_queue_is_kept_short },
 		{ "too late", test_too_late_is_refused_at_once },
 		{ "long queue", test_long_queue_refuses_short_deadline },
 		{ "come back spread", test_refused_come_back_spread },
