--- /dev/null
+++ b/control/asks.c
@@ -0,0 +1,162 @@
+/* The asking end of permits; control/permits.h describes it. */
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "control/authority.h"
+#include "control/peers.h"
+#include "control/permits.h"
+#include "control/vms.h"
+
+/* A traffic thread's token and its index make one that is unique here. */
+#define LANE_SHIFT 56u
+#define TOKEN_MASK ((1ull << LANE_SHIFT) - 1)
+/* Between looks into the store for a leader that can't be found. */
+#define REFRESH_MS 300
+
+struct dh_asks {
+	struct dh_control *control;
+	struct dh_counter *unsent;
+};
+
+struct dh_asks *
+dh_asks_new(struct dh_control *ct)
+{
+	struct dh_asks *as = g_new0(struct dh_asks, 1);
+
+	as->control = ct;
+	as->unsent = dh_counter_get("dh_permit_unsent_total", "");
+	return as;
+}
+
+void
+dh_asks_free(struct dh_asks *as)
+{
+	g_free(as);
+}
+
+static struct dh_authority *
+authority_of(struct dh_asks *as, const struct dh_mail *mail)
+{
+	struct dh_control *ct = as->control;
+	g_autofree char *group = NULL;
+
+	group = g_strdup_printf("%s/0", mail->permit.service);
+	return g_hash_table_lookup(ct->authorities, group);
+}
+
+static bool
+deliver(struct dh_asks *as, struct dh_authority *a, uint64_t to,
+    const struct dh_msg *m)
+{
+	struct dh_control *ct = as->control;
+
+	if (to == 0)
+		return false;
+	if (to == ct->self) {
+		dh_permit_host_message(dh_authority_permits(a), ct->self, m);
+		return true;
+	}
+	return dh_peers_is_up(dh_vms_peers(ct->vms), to) &&
+	    dh_peers_send(dh_vms_peers(ct->vms), to, m);
+}
+
+/* To the leader, or else to the deputy, which may be the leader by now. */
+static bool
+send_ask(struct dh_asks *as, struct dh_authority *a, const struct dh_msg *m)
+{
+	struct dh_group_view v = dh_authority_view(a);
+
+	if (deliver(as, a, v.leader, m) || deliver(as, a, v.deputy, m))
+		return true;
+	dh_counter_add(as->unsent, 1);
+	dh_authority_refresh(a, REFRESH_MS);
+	return false;
+}
+
+static void
+answer(struct dh_asks *as, uint64_t token, const struct dh_mail *verdict)
+{
+	struct dh_mail mail = *verdict;
+
+	mail.kind = DH_MAIL_PERMIT;
+	mail.token = token & TOKEN_MASK;
+	(void)dh_router_mail(
+	    as->control->router, (uint32_t)(token >> LANE_SHIFT), &mail);
+}
+
+static void
+refuse(struct dh_asks *as, uint64_t token)
+{
+	struct dh_mail mail = { .permit = { .verdict = DH_PERMIT_REFUSED,
+				    .retry_ms = REFRESH_MS } };
+
+	answer(as, token, &mail);
+}
+
+static void
+ask(struct dh_asks *as, struct dh_authority *a, uint64_t token,
+    const struct dh_mail *mail)
+{
+	struct dh_msg m = { .kind = DH_MSG_PERMIT_ASK,
+		.permit_ask = { .asker = as->control->self,
+		    .token = token,
+		    .left_ms = mail->permit.deadline_ms - dh_clock_ms() } };
+
+	g_strlcpy(m.permit_ask.group, dh_authority_name(a),
+	    sizeof(m.permit_ask.group));
+	g_strlcpy(m.permit_ask.id, mail->permit.id, sizeof(m.permit_ask.id));
+	if (!send_ask(as, a, &m))
+		refuse(as, token);
+}
+
+static void
+end(struct dh_asks *as, struct dh_authority *a, uint64_t token,
+    const struct dh_mail *mail)
+{
+	struct dh_msg m = { .kind = DH_MSG_PERMIT_END,
+		.permit_end = { .token = token,
+		    .outcome = mail->permit.outcome,
+		    .status = mail->permit.status } };
+
+	g_strlcpy(m.permit_end.group, dh_authority_name(a),
+	    sizeof(m.permit_end.group));
+	g_strlcpy(m.permit_end.id, mail->permit.id, sizeof(m.permit_end.id));
+	/* When it can't be sent the permit ends at its deadline, as unknown. */
+	(void)send_ask(as, a, &m);
+}
+
+void
+dh_asks_mail(struct dh_asks *as, uint32_t lane, const struct dh_mail *mail)
+{
+	struct dh_authority *a = authority_of(as, mail);
+	uint64_t token = (uint64_t)lane << LANE_SHIFT | mail->token;
+
+	if (mail->kind == DH_MAIL_PERMIT_END) {
+		if (a != NULL)
+			end(as, a, token, mail);
+	} else if (a == NULL) {
+		refuse(as, token);
+	} else {
+		ask(as, a, token, mail);
+	}
+}
+
+void
+dh_asks_verdict(struct dh_asks *as, const struct dh_permit_answer *m)
+{
+	struct dh_authority *a =
+	    g_hash_table_lookup(as->control->authorities, m->group);
+	struct dh_mail mail = { .permit = { .verdict = m->verdict,
+				    .status = m->status,
+				    .retry_ms = m->retry_ms } };
+
+	if (a == NULL)
+		return;
+	g_strlcpy(mail.permit.id, m->id, sizeof(mail.permit.id));
+	g_strlcpy(mail.permit.service, dh_authority_service(a),
+	    sizeof(mail.permit.service));
+	if (m->verdict == DH_PERMIT_REFUSED)
+		dh_authority_refresh(a, REFRESH_MS);
+	answer(as, m->token, &mail);
+}
--- a/control/authority.c
+++ b/control/authority.c
@@ -24,6 +24,8 @@
 	bool carrying; /* inside carry_out(): events wait */
 	enum dh_group_role role; /* last logged */
 	uint64_t term;
+	struct dh_permit_host *permits;
+	int64_t refreshed_ms;
 	uint32_t pending; /* calls that will still come back */
 	bool freed;
 	struct dh_fence *noted; /* by slot: last in the history */
@@ -302,6 +304,7 @@
 step(struct dh_authority *a, const struct dh_group_event *ev)
 {
 	int64_t now_ms = dh_clock_ms(), wait_ms;
+	struct dh_group_view view;
 	size_t i;
 
 	g_assert(!a->carrying);
@@ -312,6 +315,8 @@
 	dh_group_actions_clear(&a->actions);
 	a->carrying = false;
 	log_role(a);
+	view = dh_group_view(a->group);
+	dh_permit_host_view(a->permits, &view);
 	wait_ms = dh_group_next_ms(a->group) - dh_clock_ms();
 	uv_timer_start(
 	    a->timer, on_timer, wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
@@ -344,6 +349,7 @@
 	a->object = g_strdup_printf("groups/%s", a->name);
 	a->params = params_of(ct->settings);
 	a->group = dh_group_new(&a->params, dh_name_id(a->name), &self, nslots);
+	a->permits = dh_permit_host_new(ct, a->name);
 	a->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(&ct->loop, a->timer);
 	a->timer->data = a;
@@ -363,6 +369,7 @@
 	if (a == NULL)
 		return;
 	uv_close((uv_handle_t *)a->timer, timer_closed);
+	dh_permit_host_free(a->permits);
 	a->freed = true;
 	if (a->pending == 0)
 		authority_destroy(a);
@@ -439,6 +446,41 @@
 	step(a, &ev);
 }
 
+/* A read that answers no GET of the machine's own proves nothing about now,
+ * but tells who leads. */
+static void
+on_refresh(void *arg, const struct dh_object *object, const GError *error)
+{
+	g_autofree struct call *c = arg;
+	struct dh_authority *a = call_end(c);
+	struct dh_group_record *record;
+
+	(void)error;
+	if (a == NULL || object == NULL)
+		return;
+	record = dh_record_decode(object->value, NULL);
+	if (record != NULL)
+		dh_authority_record(a, record, object->version);
+	dh_record_free(record);
+}
+
+void
+dh_authority_refresh(struct dh_authority *a, int64_t interval_ms)
+{
+	int64_t now_ms = dh_clock_ms();
+
+	if (now_ms - a->refreshed_ms < interval_ms)
+		return;
+	a->refreshed_ms = now_ms;
+	dh_store_get(a->control->store, a->object, 0, on_refresh, call_new(a));
+}
+
+struct dh_permit_host *
+dh_authority_permits(const struct dh_authority *a)
+{
+	return a->permits;
+}
+
 const char *
 dh_authority_name(const struct dh_authority *a)
 {
--- a/control/authority.h
+++ b/control/authority.h
@@ -2,6 +2,7 @@
 #define DH_CONTROL_AUTHORITY_H
 
 #include "control/control.h"
+#include "control/permits.h"
 
 /*
  * An authority hosts one group machine: it brings it the store's, the peers'
@@ -31,6 +32,13 @@
 /* dh_authority_stop -- hand over; view.stopped tells when it is done. */
 void dh_authority_stop(struct dh_authority *a);
 
+/* dh_authority_refresh -- read the group's object again, unless that was done
+ * within interval_ms: its leader seems to be another. */
+void dh_authority_refresh(struct dh_authority *a, int64_t interval_ms);
+
+/* dh_authority_permits -- the group's permits on this VM; borrowed. */
+struct dh_permit_host *dh_authority_permits(const struct dh_authority *a);
+
 const char *dh_authority_name(const struct dh_authority *a);
 const char *dh_authority_service(const struct dh_authority *a);
 struct dh_group_view dh_authority_view(const struct dh_authority *a);
--- a/control/control.c
+++ b/control/control.c
@@ -9,6 +9,7 @@
 #include "control/admin.h"
 #include "control/authority.h"
 #include "control/feed.h"
+#include "control/permits.h"
 #include "control/teams.h"
 #include "control/vms.h"
 
@@ -202,15 +203,12 @@
 on_mail(void *arg, uint32_t lane, const struct dh_mail *mail)
 {
 	struct dh_control *ct = arg;
-	struct dh_mail reply = *mail;
 
 	switch (mail->kind) {
 	case DH_MAIL_PERMIT_ASK:
-		reply.kind = DH_MAIL_PERMIT;
-		reply.permit.verdict = DH_PERMIT_RUN;
-		(void)dh_router_mail(ct->router, lane, &reply);
-		break;
 	case DH_MAIL_PERMIT_END:
+		dh_asks_mail(ct->asks, lane, mail);
+		break;
 	case DH_MAIL_PERMIT:
 	case DH_MAIL_LOAD:
 	case DH_MAIL_HOT_KEY:
@@ -334,6 +332,7 @@
 		return false;
 	ct->teams = dh_teams_new(ct);
 	ct->feed = dh_feed_new(ct);
+	ct->asks = dh_asks_new(ct);
 	ct->vms = dh_vms_new(ct, error);
 	return ct->vms != NULL;
 }
@@ -357,6 +356,7 @@
 	g_hash_table_unref(ct->authorities);
 	dh_vms_free(ct->vms);
 	dh_feed_free(ct->feed);
+	dh_asks_free(ct->asks);
 	dh_teams_free(ct->teams);
 	dh_publish_free(ct->publish);
 	dh_conf_ref_put(ct->conf);
--- a/control/control.h
+++ b/control/control.h
@@ -37,6 +37,7 @@
 struct dh_vms;
 struct dh_admin;
 struct dh_feed;
+struct dh_asks;
 
 struct dh_control {
 	const struct dh_settings *settings;
@@ -50,6 +51,7 @@
 	struct dh_teams *teams;
 	struct dh_vms *vms;
 	struct dh_feed *feed;
+	struct dh_asks *asks;
 	struct dh_conf_ref *conf; /* in force, NULL before the first */
 	GHashTable *authorities; /* group name -> struct dh_authority */
 	uint64_t self; /* dh_name_id() of this VM */
--- a/control/mailbox.h
+++ b/control/mailbox.h
@@ -33,9 +33,11 @@
 	union {
 		struct {
 			char id[DH_REQUEST_ID_MAX];
+			char service[DH_NAME_MAX];
 			enum dh_permit_verdict verdict;
 			enum dh_outcome outcome;
 			uint32_t status; /* HTTP status of the answer */
+			int64_t retry_ms; /* when to ask again */
 			int64_t deadline_ms; /* on dh_clock_ms() */
 		} permit;
 		struct {
--- a/control/peers.c
+++ b/control/peers.c
@@ -53,7 +53,7 @@
 {
 	if (pe->out != NULL && dh_link_is_up(pe->out))
 		return pe->out;
-	return pe->in;
+	return pe->in != NULL && dh_link_is_up(pe->in) ? pe->in : NULL;
 }
 
 static struct peer *
@@ -266,3 +266,11 @@
 	}
 	free(frame);
 }
+
+bool
+dh_peers_is_up(const struct dh_peers *p, uint64_t vm)
+{
+	struct peer *pe = find(p, vm);
+
+	return pe != NULL && link_of(pe) != NULL;
+}
--- a/control/peers.h
+++ b/control/peers.h
@@ -43,4 +43,6 @@
 /* dh_peers_send_all -- to every VM with a link. */
 void dh_peers_send_all(struct dh_peers *p, const struct dh_msg *m);
 
+bool dh_peers_is_up(const struct dh_peers *p, uint64_t vm);
+
 #endif
--- /dev/null
+++ b/control/permits.c
@@ -0,0 +1,306 @@
+#include "control/permits.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "control/peers.h"
+#include "control/vms.h"
+
+/* When to come back to a leader that may not give permits now. */
+#define RETRY_MS 200
+
+/* No VM has this id. */
+#define NOT_LEADING UINT64_MAX
+
+struct dh_permit_host {
+	struct dh_control *control;
+	char group[DH_GROUP_NAME_MAX];
+	struct dh_permits *permits;
+	uv_timer_t *timer;
+	enum dh_group_role role;
+	uint64_t term; /* led or deputised now, 0: neither */
+	uint64_t held_term; /* last one led or deputised */
+	uint64_t deputy; /* while leading */
+	bool deputy_up; /* its link */
+	bool supported;
+};
+
+static void step(struct dh_permit_host *h, const struct dh_permit_event *ev);
+
+/* Actions */
+
+static void
+send_answer(struct dh_permit_host *h, const struct dh_permit_action *a)
+{
+	struct dh_msg m = { .kind = DH_MSG_PERMIT_VERDICT,
+		.permit_verdict = { .token = a->answer.token,
+		    .verdict = a->answer.verdict,
+		    .status = a->answer.status,
+		    .retry_ms = a->answer.retry_ms } };
+	struct dh_permit_event end = { .kind = DH_PERMIT_END,
+		.end = { .id = a->answer.id,
+		    .asker = a->to,
+		    .token = a->answer.token,
+		    .outcome = DH_OUTCOME_NOT_RUN } };
+
+	g_strlcpy(
+	    m.permit_verdict.group, h->group, sizeof(m.permit_verdict.group));
+	g_strlcpy(
+	    m.permit_verdict.id, a->answer.id, sizeof(m.permit_verdict.id));
+	if (a->to == h->control->self) {
+		dh_asks_verdict(h->control->asks, &m.permit_verdict);
+		return;
+	}
+	if (!dh_peers_send(dh_vms_peers(h->control->vms), a->to, &m) &&
+	    a->answer.verdict == DH_PERMIT_RUN)
+		step(h, &end);
+}
+
+static void
+send_hold(struct dh_permit_host *h, const struct dh_permit_action *a)
+{
+	struct dh_msg m = { .kind = DH_MSG_PERMIT_HOLD,
+		.permit_hold = { .term = a->hold.term,
+		    .seq = a->hold.seq,
+		    .complete = a->hold.complete,
+		    .n = a->hold.n,
+		    .list = a->hold.list,
+		    .lost_wall_ms = a->hold.lost_wall_ms,
+		    .lost_left_ms = a->hold.lost_left_ms } };
+
+	g_strlcpy(m.permit_hold.group, h->group, sizeof(m.permit_hold.group));
+	(void)dh_peers_send(dh_vms_peers(h->control->vms), a->to, &m);
+}
+
+static void
+send_held(struct dh_permit_host *h, const struct dh_permit_action *a)
+{
+	struct dh_msg m = { .kind = DH_MSG_PERMIT_HELD,
+		.permit_held = { .term = a->held.term,
+		    .seq = a->held.seq,
+		    .refused = a->held.refused } };
+
+	g_strlcpy(m.permit_held.group, h->group, sizeof(m.permit_held.group));
+	(void)dh_peers_send(dh_vms_peers(h->control->vms), a->to, &m);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	struct dh_permit_event ev = { .kind = DH_PERMIT_TICK };
+
+	step(timer->data, &ev);
+}
+
+static void
+arm(struct dh_permit_host *h)
+{
+	int64_t at_ms = dh_permits_next_ms(h->permits), wait_ms;
+
+	if (at_ms == INT64_MAX) {
+		uv_timer_stop(h->timer);
+		return;
+	}
+	wait_ms = at_ms - dh_clock_ms();
+	uv_timer_start(
+	    h->timer, on_timer, wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
+}
+
+static void
+step(struct dh_permit_host *h, const struct dh_permit_event *ev)
+{
+	struct dh_permit_actions acts = { 0 };
+	size_t i;
+
+	dh_permits_step(
+	    h->permits, ev, dh_clock_ms(), dh_clock_wall_ms(), &acts);
+	for (i = 0; i < acts.n; i++) {
+		switch (acts.list[i].kind) {
+		case DH_PERMIT_DO_ANSWER:
+			send_answer(h, &acts.list[i]);
+			break;
+		case DH_PERMIT_DO_HOLD:
+			send_hold(h, &acts.list[i]);
+			break;
+		case DH_PERMIT_DO_HELD:
+			send_held(h, &acts.list[i]);
+			break;
+		}
+	}
+	dh_permit_actions_free(&acts);
+	arm(h);
+}
+
+/* The group's role on this VM */
+
+static bool
+is_up(const struct dh_permit_host *h, uint64_t vm)
+{
+	return vm != 0 && dh_peers_is_up(dh_vms_peers(h->control->vms), vm);
+}
+
+static void
+lead(struct dh_permit_host *h, const struct dh_group_view *v)
+{
+	struct dh_permit_event ev = { .kind = DH_PERMIT_LEAD,
+		.lead = { .term = v->term,
+		    .from_term = v->term - 1,
+		    .named = v->term > 1 && h->held_term == v->term - 1,
+		    .deputy = v->deputy } };
+
+	h->term = h->held_term = v->term;
+	h->deputy = v->deputy;
+	h->deputy_up = is_up(h, v->deputy);
+	step(h, &ev);
+}
+
+static void
+follow_deputy(struct dh_permit_host *h, const struct dh_group_view *v)
+{
+	struct dh_permit_event ev = { .kind = DH_PERMIT_DEPUTY,
+		.deputy = v->deputy };
+	bool up = is_up(h, v->deputy);
+	bool changed = v->deputy != h->deputy || (up && !h->deputy_up);
+
+	h->deputy = v->deputy;
+	h->deputy_up = up;
+	if (changed)
+		step(h, &ev);
+}
+
+void
+dh_permit_host_view(struct dh_permit_host *h, const struct dh_group_view *v)
+{
+	struct dh_permit_event idle = { .kind = DH_PERMIT_IDLE };
+
+	h->supported = v->supported;
+	h->role = v->role;
+	switch (v->role) {
+	case DH_GROUP_LEADER:
+		if (h->term != v->term || h->deputy == NOT_LEADING)
+			lead(h, v);
+		else
+			follow_deputy(h, v);
+		break;
+	case DH_GROUP_DEPUTY:
+		h->term = h->held_term = v->term;
+		h->deputy = NOT_LEADING;
+		break;
+	case DH_GROUP_IDLE:
+		if (h->term != 0)
+			step(h, &idle);
+		h->term = 0;
+		break;
+	case DH_GROUP_TAKING:
+	case DH_GROUP_WAITING:
+	case DH_GROUP_SOLO:
+		break;
+	}
+}
+
+/* Messages */
+
+static void
+refuse(struct dh_permit_host *h, uint64_t to, const struct dh_permit_ask *q)
+{
+	struct dh_permit_action a = { .kind = DH_PERMIT_DO_ANSWER,
+		.to = to,
+		.answer = { .token = q->token,
+		    .verdict = DH_PERMIT_REFUSED,
+		    .retry_ms = RETRY_MS } };
+
+	g_strlcpy(a.answer.id, q->id, sizeof(a.answer.id));
+	send_answer(h, &a);
+}
+
+static void
+on_ask(struct dh_permit_host *h, uint64_t from, const struct dh_permit_ask *q)
+{
+	struct dh_permit_event ev = { .kind = DH_PERMIT_ASK,
+		.ask = { .id = q->id,
+		    .asker = from,
+		    .token = q->token,
+		    .left_ms = q->left_ms } };
+
+	if (h->role != DH_GROUP_LEADER || !h->supported)
+		refuse(h, from, q);
+	else
+		step(h, &ev);
+}
+
+void
+dh_permit_host_message(
+    struct dh_permit_host *h, uint64_t from, const struct dh_msg *m)
+{
+	struct dh_permit_event ev = { 0 };
+
+	switch (m->kind) {
+	case DH_MSG_PERMIT_ASK:
+		on_ask(h, from, &m->permit_ask);
+		return;
+	case DH_MSG_PERMIT_END:
+		ev.kind = DH_PERMIT_END;
+		ev.end.id = m->permit_end.id;
+		ev.end.asker = from;
+		ev.end.token = m->permit_end.token;
+		ev.end.outcome = m->permit_end.outcome;
+		ev.end.status = m->permit_end.status;
+		break;
+	case DH_MSG_PERMIT_HOLD:
+		ev.kind = DH_PERMIT_HOLD;
+		ev.hold.from = from;
+		ev.hold.term = m->permit_hold.term;
+		ev.hold.seq = m->permit_hold.seq;
+		ev.hold.complete = m->permit_hold.complete;
+		ev.hold.lost_wall_ms = m->permit_hold.lost_wall_ms;
+		ev.hold.lost_left_ms = m->permit_hold.lost_left_ms;
+		ev.hold.n = m->permit_hold.n;
+		ev.hold.list = m->permit_hold.list;
+		break;
+	case DH_MSG_PERMIT_HELD:
+		ev.kind = DH_PERMIT_HELD;
+		ev.held.from = from;
+		ev.held.term = m->permit_held.term;
+		ev.held.seq = m->permit_held.seq;
+		ev.held.refused = m->permit_held.refused;
+		break;
+	default:
+		return;
+	}
+	step(h, &ev);
+}
+
+struct dh_permit_host *
+dh_permit_host_new(struct dh_control *ct, const char *group)
+{
+	struct dh_permit_host *h = g_new0(struct dh_permit_host, 1);
+	struct dh_permit_params p;
+
+	dh_permit_params_defaults(&p);
+	h->control = ct;
+	g_strlcpy(h->group, group, sizeof(h->group));
+	h->permits = dh_permits_new(&p);
+	h->deputy = NOT_LEADING;
+	h->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(&ct->loop, h->timer);
+	h->timer->data = h;
+	return h;
+}
+
+static void
+timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+void
+dh_permit_host_free(struct dh_permit_host *h)
+{
+	if (h == NULL)
+		return;
+	uv_close((uv_handle_t *)h->timer, timer_closed);
+	dh_permits_free(h->permits);
+	g_free(h);
+}
--- a/control/vms.c
+++ b/control/vms.c
@@ -408,6 +408,17 @@
 		dh_authority_message(a, &g->msg);
 }
 
+static void
+on_permit(
+    struct dh_vms *v, uint64_t from, const char *group, const struct dh_msg *m)
+{
+	struct dh_authority *a =
+	    g_hash_table_lookup(v->control->authorities, group);
+
+	if (a != NULL)
+		dh_permit_host_message(dh_authority_permits(a), from, m);
+}
+
 static void
 on_message(void *arg, uint64_t id, const struct dh_msg *m)
 {
@@ -437,13 +448,23 @@
 	case DH_MSG_TABLE:
 		dh_feed_message(v->control->feed, id, m);
 		break;
-	case DH_MSG_HELLO:
-	case DH_MSG_GOODBYE:
 	case DH_MSG_PERMIT_ASK:
-	case DH_MSG_PERMIT_VERDICT:
+		on_permit(v, id, m->permit_ask.group, m);
+		break;
 	case DH_MSG_PERMIT_END:
+		on_permit(v, id, m->permit_end.group, m);
+		break;
 	case DH_MSG_PERMIT_HOLD:
+		on_permit(v, id, m->permit_hold.group, m);
+		break;
 	case DH_MSG_PERMIT_HELD:
+		on_permit(v, id, m->permit_held.group, m);
+		break;
+	case DH_MSG_PERMIT_VERDICT:
+		dh_asks_verdict(v->control->asks, &m->permit_verdict);
+		break;
+	case DH_MSG_HELLO:
+	case DH_MSG_GOODBYE:
 	case DH_MSG_LOAD:
 		break;
 	}
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -88,6 +88,7 @@
 permit_end(struct dh_exchange *ex, enum dh_outcome outcome)
 {
 	struct dh_mail mail = { .kind = DH_MAIL_PERMIT_END,
+		.token = ex->permit_token,
 		.service = ex->route.service,
 		.slot = ex->route.slot,
 		.revision = ex->revision };
@@ -95,6 +96,8 @@
 	if (!ex->permitted)
 		return;
 	g_strlcpy(mail.permit.id, ex->idempotency_key, sizeof(mail.permit.id));
+	g_strlcpy(mail.permit.service, ex->target.service,
+	    sizeof(mail.permit.service));
 	mail.permit.outcome = outcome;
 	mail.permit.status = ex->status;
 	if (!dh_mailbox_send(ex->lane->to_control, &mail))
@@ -383,11 +386,14 @@
 		.revision = ex->revision };
 
 	g_strlcpy(mail.permit.id, ex->idempotency_key, sizeof(mail.permit.id));
+	g_strlcpy(mail.permit.service, ex->target.service,
+	    sizeof(mail.permit.service));
 	mail.permit.deadline_ms = ex->deadline_ms;
 	ex->phase = DH_PHASE_PERMIT;
 	if (!dh_mailbox_send(lane->to_control, &mail))
 		return false;
 	ex->token = mail.token;
+	ex->permit_token = mail.token;
 	g_hash_table_insert(lane->asked, GUINT_TO_POINTER(ex->token), ex);
 	return true;
 }
@@ -505,7 +511,8 @@
 		    ex, 409, DH_OUTCOME_UNKNOWN, "in-flight", RETRY_AFTER_MS);
 		break;
 	case DH_PERMIT_REFUSED:
-		refuse_not_run(ex, 503, "permit");
+		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "permit",
+		    MAX(mail->permit.retry_ms, 1));
 		break;
 	case DH_PERMIT_UNKNOWN:
 		dh_exchange_refuse(
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -91,6 +91,7 @@
 	int64_t sent_us;
 	uint64_t revision;
 	uint64_t token; /* of the permit asked for, 0: none */
+	uint64_t permit_token; /* of the permit that was given */
 	bool permitted;
 
 	/* caller's side */
--- a/router/lane.c
+++ b/router/lane.c
@@ -150,6 +150,19 @@
 	uv_timer_start(timer, on_sweep, SWEEP_MS, 0);
 }
 
+/* A permit whose request has ended meanwhile is not used. */
+static void
+give_back(struct dh_lane *lane, const struct dh_mail *mail)
+{
+	struct dh_mail end = *mail;
+
+	if (mail->permit.verdict != DH_PERMIT_RUN)
+		return;
+	end.kind = DH_MAIL_PERMIT_END;
+	end.permit.outcome = DH_OUTCOME_NOT_RUN;
+	(void)dh_mailbox_send(lane->to_control, &end);
+}
+
 static void
 on_mail(void *arg, const struct dh_mail *mail)
 {
@@ -160,8 +173,10 @@
 	switch (mail->kind) {
 	case DH_MAIL_PERMIT:
 		ex = g_hash_table_lookup(lane->asked, key);
-		if (ex == NULL)
+		if (ex == NULL) {
+			give_back(lane, mail);
 			return;
+		}
 		g_hash_table_remove(lane->asked, key);
 		dh_exchange_permit(ex, mail);
 		break;
