--- a/core/group.c
+++ b/core/group.c
@@ -182,6 +182,7 @@
 	*b = (struct group_backend){ .conf = { .id = id } };
 	b->first = DH_NONE;
 	b->set_gen = 1;
+	b->seen_ms = DH_NEVER_MS;
 	b->answered_ms = b->order_ms = b->busy_ms = DH_NEVER_MS;
 	b->renewed_ms = b->settle_ms = b->release_ms = DH_NEVER_MS;
 	b->deputy_renewed_ms = b->solo_renewed_ms = DH_NEVER_MS;
--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -49,6 +49,7 @@
 
 	/* What its answers said. */
 	uint64_t incarnation; /* 0: none seen */
+	int64_t seen_ms; /* first answer of that incarnation */
 	bool has_reading;
 	int64_t clock_ms, clock_at_ms; /* its clock, ours at the arrival */
 	struct dh_fence highest;
@@ -191,8 +192,8 @@
 	/* Earlier authorities. */
 	struct group_party parties[PARTIES_MAX];
 	uint32_t nparties;
-	int64_t pair_ms; /* until then an earlier authority may even grant
-			  * to backend servers that restarted, or reassign */
+	int64_t pair_ms; /* until then an earlier pair may even reassign */
+	int64_t taken_ms; /* start of our term */
 
 	/* Store. */
 	struct {
@@ -334,6 +335,7 @@
 void group_lease_dead(struct dh_group *g, const struct dh_group_event *ev);
 void group_set_changed(struct dh_group *g, struct group_backend *b);
 bool group_grantable(const struct dh_group *g, uint32_t slot);
+bool group_confirmed(const struct dh_group *g, const struct group_backend *b);
 bool group_holds_nothing(
     const struct dh_group *g, const struct group_backend *b);
 
--- a/core/group_lease.c
+++ b/core/group_lease.c
@@ -82,6 +82,20 @@
 	    (b->ended || g->now_ms >= group_hold_end(g, b));
 }
 
+/*
+ * group_confirmed -- the store had our term after this incarnation started.
+ * A restarted backend server has forgotten the fencing tokens it accepted.
+ * Were it granted slots by a leader that does not know of its successor, the
+ * successor, which had the incarnation before refuse the old term, could not
+ * tell.  Whoever takes the term after the confirmation has to reckon with
+ * this incarnation.
+ */
+bool
+group_confirmed(const struct dh_group *g, const struct group_backend *b)
+{
+	return b->seen_ms <= g->store.base_ms;
+}
+
 bool
 group_grantable(const struct dh_group *g, uint32_t slot)
 {
@@ -337,7 +351,10 @@
 		return;
 	}
 	if (wants_grant(g, b)) {
-		send_grant(g, b);
+		if (group_confirmed(g, b))
+			send_grant(g, b);
+		else if (!g->store.failing)
+			group_get(g);
 		return;
 	}
 	if (b->count > 0 && g->now_ms - b->renewed_ms >= g->p.renew_ms) {
@@ -480,21 +497,16 @@
 
 /* ---- answers ---- */
 
-/*
- * An earlier authority may still give the restarted backend server slots: it
- * has forgotten our fencing token.  It counts as unknown until it has
- * accepted an order of ours, or is found dead again when that authority can
- * grant no more.
- */
 static void
-incarnation_over(struct dh_group *g, struct group_backend *b)
+incarnation_over(
+    struct dh_group *g, struct group_backend *b, enum group_hold hold)
 {
 	b->busy = false;
 	b->has_reading = false;
 	b->highest = (struct dh_fence){ 0, 0 };
 	if (g->mode != MODE_LEADING)
 		return;
-	b->hold = g->now_ms < g->pair_ms ? HOLD_UNKNOWN : HOLD_NONE;
+	b->hold = hold;
 	b->ended = b->hold == HOLD_NONE;
 	b->renewed_ms = b->settle_ms = DH_NEVER_MS;
 	b->deputy_renewed_ms = DH_NEVER_MS;
@@ -588,9 +600,13 @@
     const struct dh_group_event *ev)
 {
 	if (ev->backend.incarnation > b->incarnation) {
+		/* One that started before we had an order accepted there may
+		 * have slots from the authority before us. */
 		if (b->incarnation != 0)
-			incarnation_over(g, b);
+			incarnation_over(g, b,
+			    b->hold == HOLD_UNKNOWN ? HOLD_UNKNOWN : HOLD_NONE);
 		b->incarnation = ev->backend.incarnation;
+		b->seen_ms = g->now_ms;
 		b->has_reading = false;
 	}
 	if (!b->has_reading || ev->backend.clock_ms > b->clock_ms) {
@@ -646,7 +662,8 @@
 	    ev->backend.incarnation != b->incarnation)
 		return;
 	suspect(g, b);
-	if (b->has_reading ||
-	    (b->hold == HOLD_UNKNOWN && ev->backend.sent_ms >= g->pair_ms))
-		incarnation_over(g, b);
+	if (g->mode == MODE_LEADING && ev->backend.sent_ms < g->taken_ms)
+		return;
+	if (b->has_reading || b->hold != HOLD_NONE)
+		incarnation_over(g, b, HOLD_NONE);
 }
--- a/core/group_move.c
+++ b/core/group_move.c
@@ -87,10 +87,15 @@
 
 /* The deputy is told, and every possible version allows the new owner. */
 static bool
-held_by_both(const struct dh_group *g, uint32_t slot)
+held_by_both(struct dh_group *g, uint32_t slot)
 {
-	return (g->flags[slot] & (SLOT_DIRTY | SLOT_FLIGHT)) == 0 &&
-	    group_candidate(g, slot, g->next[slot].owner);
+	const struct group_backend *b;
+
+	if ((g->flags[slot] & (SLOT_DIRTY | SLOT_FLIGHT)) != 0 ||
+	    !group_candidate(g, slot, g->next[slot].owner))
+		return false;
+	b = group_backend(g, g->next[slot].owner);
+	return b != NULL && group_confirmed(g, b);
 }
 
 static bool
@@ -111,13 +116,15 @@
 	uint64_t id;
 	uint32_t k;
 
-	if (group_candidate(g, slot, g->next[slot].owner) &&
-	    group_alive(group_backend(g, g->next[slot].owner)))
+	b = group_backend(g, g->next[slot].owner);
+	if (group_candidate(g, slot, g->next[slot].owner) && b != NULL &&
+	    group_alive(b) && group_confirmed(g, b))
 		return;
 	for (k = 0; k < 2; k++) {
 		id = g->cand[slot].id[k];
 		b = group_backend(g, id);
-		if (b == NULL || id == g->next[slot].owner || !group_alive(b))
+		if (b == NULL || id == g->next[slot].owner || !group_alive(b) ||
+		    !group_confirmed(g, b))
 			continue;
 		propose(g, slot, id, g->next[slot].owner);
 		return;
@@ -185,17 +192,21 @@
 
 	s = group_backend(g, g->cur[slot].standby);
 	if (s != NULL && s->present && !s->conf.drain && group_alive(s) &&
-	    s->hold != HOLD_UNKNOWN)
+	    s->hold != HOLD_UNKNOWN &&
+	    (group_confirmed(g, s) || !group_store_down(g)))
 		return s->conf.id;
 	if (group_store_down(g))
 		return 0;
 	return group_spread_owner(g, slot, owner);
 }
 
-static void
+/* True when every slot has a proposal. */
+static bool
 reassign(struct dh_group *g, struct group_backend *b)
 {
-	bool back = group_alive(b) && b->present;
+	bool all = true;
+	bool back = group_alive(b) && b->present &&
+	    (group_confirmed(g, b) || !group_store_down(g));
 	uint64_t own = b->conf.id, to;
 	uint32_t i;
 
@@ -204,11 +215,15 @@
 	if (b->revoke != REVOKE_DONE && !b->ended)
 		g->peer.synced = false;
 	for (i = b->first; i != DH_NONE; i = g->link[i].next) {
-		if ((g->flags[i] & SLOT_PENDING) != 0 || doubtful(g, i))
+		if ((g->flags[i] & SLOT_PENDING) != 0)
 			continue;
-		to = back ? own : new_owner(g, i);
-		if (to == 0)
+		to = 0;
+		if (!doubtful(g, i))
+			to = back ? own : new_owner(g, i);
+		if (to == 0) {
+			all = false;
 			continue;
+		}
 		propose(g, i, to,
 		    back ? g->cur[i].standby : group_spread_standby(g, i, to));
 		/* The deputy may have been out of reach and not know: it must
@@ -216,6 +231,7 @@
 		if (b->revoke != REVOKE_DONE && !b->ended)
 			g->peer.synced = false;
 	}
+	return all;
 }
 
 /* Slots of a lost backend server: one update for all of them. */
@@ -231,11 +247,9 @@
 			continue;
 		if (group_holds_nothing(g, b) &&
 		    (!group_alive(b) || !b->present))
-			reassign(g, b);
-		else if (b->raise && group_alive(b) && group_clean(b)) {
-			reassign(g, b);
-			b->raise = false;
-		}
+			(void)reassign(g, b);
+		else if (b->raise && group_alive(b) && group_clean(b))
+			b->raise = !reassign(g, b);
 	}
 }
 
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -313,7 +313,6 @@
 		own = all = g->peer.gone_ms;
 	party_add(g, g->take.leader, g->take.leader_incarnation,
 	    g->take.old_term, own, all);
-	g->pair_ms = own;
 	/* Even if over by now: a lease renewed at its end may still run. */
 	party_add(g, 0, 0, g->take.old_term, g->peer.wait_ms, g->peer.wait_ms);
 }
@@ -397,6 +396,7 @@
 		g->take.old_term = r->term - 1;
 	}
 	g->mode = MODE_LEADING;
+	g->taken_ms = g->now_ms;
 	g->term = r->term;
 	g->leader = g->self.id;
 	g->leader_incarnation = g->self.incarnation;
