--- a/tests/test_apply.c
+++ b/tests/test_apply.c
@@ -145,6 +145,22 @@
 	teardown(&c);
 }
 
+/* A replica that has neither the team nor the revision yet. */
+static void
+test_stale_replica(void)
+{
+	struct client c;
+
+	setup(&c);
+	applies(&c, two_teams, false, "a accepted 1\nb accepted 1\n");
+	client_close(&c);
+	client_open(&c, "fresh");
+	fault("{\"kind\": \"stale-read\", \"calls\": 2}");
+	applies(&c, "revisions,a=1\nteam,kind,name,queue_ms\na,service,a1,7\n",
+	    false, "a accepted 2\n");
+	teardown(&c);
+}
+
 static void
 test_refused_whole(void)
 {
@@ -471,6 +487,7 @@
 {
 	CU_TestInfo tests[] = {
 		{ "apply, again", test_apply_and_again },
+		{ "stale replica", test_stale_replica },
 		{ "refused whole", test_refused_whole },
 		{ "half way", test_half_way },
 		{ "unreachable", test_unreachable_store },
