--- a/control/authority.c
+++ b/control/authority.c
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "control/feed.h"
+#include "control/planner.h"
 #include "control/record.h"
 #include "control/vms.h"
 
@@ -25,6 +26,7 @@
 	enum dh_group_role role; /* last logged */
 	uint64_t term;
 	struct dh_permit_host *permits;
+	struct dh_planner *planner;
 	int64_t refreshed_ms;
 	uint32_t pending; /* calls that will still come back */
 	bool freed;
@@ -350,6 +352,7 @@
 	a->params = params_of(ct->settings);
 	a->group = dh_group_new(&a->params, dh_name_id(a->name), &self, nslots);
 	a->permits = dh_permit_host_new(ct, a->name);
+	a->planner = dh_planner_new(ct, a, nslots);
 	a->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(&ct->loop, a->timer);
 	a->timer->data = a;
@@ -370,6 +373,7 @@
 		return;
 	uv_close((uv_handle_t *)a->timer, timer_closed);
 	dh_permit_host_free(a->permits);
+	dh_planner_free(a->planner);
 	a->freed = true;
 	if (a->pending == 0)
 		authority_destroy(a);
@@ -481,6 +485,12 @@
 	return a->permits;
 }
 
+struct dh_planner *
+dh_authority_planner(const struct dh_authority *a)
+{
+	return a->planner;
+}
+
 const char *
 dh_authority_name(const struct dh_authority *a)
 {
--- a/control/authority.h
+++ b/control/authority.h
@@ -9,6 +9,7 @@
  * and the backend servers' answers as events and carries its actions out.
  */
 struct dh_authority;
+struct dh_planner;
 
 /* dh_authority_new -- for part of a service; the caller owns it. */
 struct dh_authority *dh_authority_new(
@@ -39,6 +40,9 @@
 /* dh_authority_permits -- the group's permits on this VM; borrowed. */
 struct dh_permit_host *dh_authority_permits(const struct dh_authority *a);
 
+/* dh_authority_planner -- the group's placement on this VM; borrowed. */
+struct dh_planner *dh_authority_planner(const struct dh_authority *a);
+
 const char *dh_authority_name(const struct dh_authority *a);
 const char *dh_authority_service(const struct dh_authority *a);
 struct dh_group_view dh_authority_view(const struct dh_authority *a);
--- a/control/control.c
+++ b/control/control.c
@@ -10,6 +10,7 @@
 #include "control/authority.h"
 #include "control/feed.h"
 #include "control/permits.h"
+#include "control/planner.h"
 #include "control/teams.h"
 #include "control/vms.h"
 
@@ -199,6 +200,17 @@
 
 /* Traffic threads */
 
+static void
+on_load(struct dh_control *ct, struct dh_load_report *report)
+{
+	g_autofree struct dh_load_report *r = report;
+	g_autofree char *group = g_strdup_printf("%s/0", r->service);
+	struct dh_authority *a = g_hash_table_lookup(ct->authorities, group);
+
+	if (a != NULL)
+		dh_planner_report(dh_authority_planner(a), r);
+}
+
 static void
 on_mail(void *arg, uint32_t lane, const struct dh_mail *mail)
 {
@@ -209,8 +221,10 @@
 	case DH_MAIL_PERMIT_END:
 		dh_asks_mail(ct->asks, lane, mail);
 		break;
-	case DH_MAIL_PERMIT:
 	case DH_MAIL_LOAD:
+		on_load(ct, mail->load);
+		break;
+	case DH_MAIL_PERMIT:
 	case DH_MAIL_HOT_KEY:
 	case DH_MAIL_BACKEND_SEEN:
 	case DH_MAIL_STOP:
--- a/control/mailbox.h
+++ b/control/mailbox.h
@@ -17,12 +17,14 @@
 	DH_MAIL_PERMIT_ASK, /* traffic -> control */
 	DH_MAIL_PERMIT_END, /* traffic -> control: the outcome */
 	DH_MAIL_PERMIT, /* control -> traffic: the verdict */
-	DH_MAIL_LOAD, /* traffic -> control: requests of a slot */
+	DH_MAIL_LOAD, /* traffic -> control: requests by slot */
 	DH_MAIL_HOT_KEY, /* traffic -> control: a key above its share */
 	DH_MAIL_BACKEND_SEEN, /* traffic -> control: passive health */
 	DH_MAIL_STOP, /* control -> traffic: finish and end */
 };
 
+struct dh_load_report;
+
 struct dh_mail {
 	enum dh_mail_kind kind;
 	uint64_t token; /* PERMIT*: the asker's own mark */
@@ -40,10 +42,7 @@
 			int64_t retry_ms; /* when to ask again */
 			int64_t deadline_ms; /* on dh_clock_ms() */
 		} permit;
-		struct {
-			uint64_t requests;
-			uint64_t busy_us; /* time spent on backend servers */
-		} load;
+		struct dh_load_report *load; /* the receiver frees it */
 		struct {
 			char key[DH_NAME_MAX];
 			uint32_t share_ppm; /* of the service's requests */
--- a/control/vms.c
+++ b/control/vms.c
@@ -12,6 +12,7 @@
 #include "control/authority.h"
 #include "control/feed.h"
 #include "control/peers.h"
+#include "control/planner.h"
 
 #define PREFIX "vms/"
 #define REGISTER_RETRY_MS 500u
@@ -419,6 +420,16 @@
 		dh_permit_host_message(dh_authority_permits(a), from, m);
 }
 
+static void
+on_load(struct dh_vms *v, const struct dh_load *ld)
+{
+	struct dh_authority *a =
+	    g_hash_table_lookup(v->control->authorities, ld->group);
+
+	if (a != NULL)
+		dh_planner_load(dh_authority_planner(a), ld);
+}
+
 static void
 on_message(void *arg, uint64_t id, const struct dh_msg *m)
 {
@@ -463,9 +474,11 @@
 	case DH_MSG_PERMIT_VERDICT:
 		dh_asks_verdict(v->control->asks, &m->permit_verdict);
 		break;
+	case DH_MSG_LOAD:
+		on_load(v, &m->load);
+		break;
 	case DH_MSG_HELLO:
 	case DH_MSG_GOODBYE:
-	case DH_MSG_LOAD:
 		break;
 	}
 }
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -5,6 +5,7 @@
 #include <ck_pr.h>
 
 #include "base/clock.h"
+#include "router/load.h"
 #include "router/pick.h"
 #include "router/turn.h"
 
@@ -620,6 +621,9 @@
 dh_exchange_on_end(struct dh_exchange *ex, enum dh_attempt_end end)
 {
 	dh_turns_end(ex->lane->turns, ex, admission_outcome(end));
+	if (ex->keyed)
+		dh_loads_add(ex->lane->loads, ex->target.service,
+		    ex->route.slot, dh_clock_us() - ex->sent_us);
 	if (ex->head_ready) {
 		ex->down_ended = true;
 		ex->down_failed = end != DH_ATTEMPT_WHOLE;
--- a/router/lane.c
+++ b/router/lane.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "router/exchange.h"
+#include "router/load.h"
 #include "router/pick.h"
 #include "router/turn.h"
 
@@ -19,6 +20,8 @@
 /* A caller's connection without traffic is closed after this. */
 #define CALLER_IDLE_S 75u
 #define SPARE_EASY_MAX 64u
+/* Between reports of load. */
+#define LOAD_MS 1000u
 #define MAILBOX_SIZE 4096u
 
 #define RETRY_BURST 10u
@@ -279,6 +282,17 @@
 	dh_httpd_quiesce(lane->httpd);
 }
 
+static void
+on_load(uv_timer_t *timer)
+{
+	struct dh_lane *lane = timer->data;
+	struct dh_mail mail = { .kind = DH_MAIL_LOAD };
+
+	while ((mail.load = dh_loads_take(lane->loads)) != NULL)
+		if (!dh_mailbox_send(lane->to_control, &mail))
+			g_free(mail.load);
+}
+
 static void
 lane_timers(struct dh_lane *lane)
 {
@@ -289,6 +303,10 @@
 	uv_timer_init(&lane->loop, lane->sweep_timer);
 	lane->sweep_timer->data = lane;
 	uv_timer_start(lane->sweep_timer, on_sweep, SWEEP_MS, 0);
+	lane->load_timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(&lane->loop, lane->load_timer);
+	lane->load_timer->data = lane;
+	uv_timer_start(lane->load_timer, on_load, LOAD_MS, LOAD_MS);
 	uv_async_init(&lane->loop, &lane->stop, on_stop);
 	uv_async_init(&lane->loop, &lane->drain, on_drain);
 	lane->drain.data = lane;
@@ -347,6 +365,7 @@
 	    lane->id_prefix, dh_exchange_turn);
 	lane->picker =
 	    dh_picker_new(lane->turns, lane->settings, lane->id_prefix);
+	lane->loads = dh_loads_new();
 	lane_timers(lane);
 	if (!lane_listen(lane, port, error))
 		return false;
@@ -390,9 +409,11 @@
 	uv_loop_close(&lane->loop);
 	g_free(lane->waiting_timer);
 	g_free(lane->sweep_timer);
+	g_free(lane->load_timer);
 	g_hash_table_unref(lane->asked);
 	g_hash_table_unref(lane->services);
 	dh_publish_reader_free(lane->reader);
+	dh_loads_free(lane->loads);
 	dh_picker_free(lane->picker);
 	dh_turns_free(lane->turns);
 }
--- a/router/lane.h
+++ b/router/lane.h
@@ -33,6 +33,7 @@
 
 struct dh_turns;
 struct dh_picker;
+struct dh_loads;
 
 struct dh_lane {
 	uint32_t index;
@@ -43,12 +44,14 @@
 	uv_async_t stop;
 	uv_async_t drain;
 	uv_timer_t *waiting_timer; /* looks for a new table */
+	uv_timer_t *load_timer; /* reports load */
 	uv_timer_t *sweep_timer; /* looks for callers that left */
 	struct dh_httpd *httpd;
 	struct dh_http *http;
 	struct dh_publish_reader *reader;
 	struct dh_turns *turns;
 	struct dh_picker *picker;
+	struct dh_loads *loads;
 	struct dh_mailbox *to_control; /* consumed by the control thread */
 	struct dh_mailbox *from_control;
 	GQueue exchanges; /* all, by struct dh_exchange.link */
