Carry to_incarnation and deputy_seq of group messages over the wire

Cause: struct dh_group_msg had gained two fields that the codec did not know: they arrived as zero, so a receiver took every message for another incarnation's; tests/msg_samples.h did not compile any more.

The size of the structure is asserted next to the codec now, so that a new field fails the build until it is carried; the sample is set by names. Made to fail first: without the two fields in the codec the new checks fail, with one more field in the structure the build does.

--- a/proto/msg.c
+++ b/proto/msg.c
@@ -127,6 +127,8 @@
 	uint64_t term;
 	uint64_t from;
 	uint64_t from_incarnation;
+	uint64_t to_incarnation;
+	uint64_t deputy_seq;
 	uint64_t seq;
 	int64_t sent_ms;
 	int64_t echo_ms;
@@ -139,6 +141,11 @@
 	struct dh_slot_update *slots;
 };
 
+/* A field added to struct dh_group_msg is added here, in group_fields and in
+ * the two functions that copy it. */
+_Static_assert(sizeof(struct dh_group_msg) == 120,
+    "struct group_wire carries every field of struct dh_group_msg");
+
 static const struct field slot_fields[] = {
 	F(FIELD_U32, dh_slot_update, slot),
 	F(FIELD_U64, dh_slot_update, assignment.owner),
@@ -155,6 +162,8 @@
 	F(FIELD_U64, group_wire, term),
 	F(FIELD_U64, group_wire, from),
 	F(FIELD_U64, group_wire, from_incarnation),
+	F(FIELD_U64, group_wire, to_incarnation),
+	F(FIELD_U64, group_wire, deputy_seq),
 	F(FIELD_U64, group_wire, seq),
 	F(FIELD_I64, group_wire, sent_ms),
 	F(FIELD_I64, group_wire, echo_ms),
@@ -513,6 +522,8 @@
 		.term = m->term,
 		.from = m->from,
 		.from_incarnation = m->from_incarnation,
+		.to_incarnation = m->to_incarnation,
+		.deputy_seq = m->deputy_seq,
 		.seq = m->seq,
 		.sent_ms = m->sent_ms,
 		.echo_ms = m->echo_ms,
@@ -551,6 +562,8 @@
 		.term = w->term,
 		.from = w->from,
 		.from_incarnation = w->from_incarnation,
+		.to_incarnation = w->to_incarnation,
+		.deputy_seq = w->deputy_seq,
 		.seq = w->seq,
 		.sent_ms = w->sent_ms,
 		.echo_ms = w->echo_ms,
--- a/tests/msg_samples.h
+++ b/tests/msg_samples.h
@@ -138,9 +138,24 @@
 	*m = (struct dh_msg){ .kind = kind };
 	switch (kind) {
 	case DH_MSG_GROUP:
-		m->group = (struct dh_group_envelope){ "feed/0",
-			{ DH_GROUP_MSG_ASSIGN, 3, 1, 77, 9, 41, -42, 5, -8, 43,
-			    true, true, 2, index, sample_assignments() } };
+		m->group = (struct dh_group_envelope){ .group = "feed/0",
+			.msg = { .kind = DH_GROUP_MSG_ASSIGN,
+			    .term = 3,
+			    .from = 1,
+			    .from_incarnation = 77,
+			    .to_incarnation = 78,
+			    .deputy_seq = 4,
+			    .seq = 9,
+			    .sent_ms = 41,
+			    .echo_ms = -42,
+			    .backend = 5,
+			    .age_ms = -8,
+			    .wait_ms = 43,
+			    .doubt = true,
+			    .synced = true,
+			    .nslots = 2,
+			    .index = index,
+			    .slots = sample_assignments() } };
 		break;
 	case DH_MSG_CONFIG:
 	case DH_MSG_TABLE:
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -63,6 +63,9 @@
 	CU_ASSERT_EQUAL_FATAL(decode_frame(frame, len, &back), DH_MSG_OK);
 	CU_ASSERT_STRING_EQUAL(back.group.group, "feed/0");
 	CU_ASSERT_EQUAL(back.group.msg.age_ms, -8);
+	CU_ASSERT_EQUAL(back.group.msg.from_incarnation, 77);
+	CU_ASSERT_EQUAL(back.group.msg.to_incarnation, 78);
+	CU_ASSERT_EQUAL(back.group.msg.deputy_seq, 4);
 	CU_ASSERT_EQUAL(back.group.msg.sent_ms, 41);
 	CU_ASSERT_EQUAL(back.group.msg.echo_ms, -42);
 	CU_ASSERT_EQUAL(back.group.msg.wait_ms, 43);
