--- a/core/placement.c
+++ b/core/placement.c
@@ -29,8 +29,8 @@
 #define SAFE_LOAD 0.85 /* of capacity: above it requests queue or are shed */
 #define CHURN_S 60.0
 #define GAIN_MARGIN 1.5 /* gain must beat cost by this factor */
-#define START_DEVIATION 0.25 /* of any from the mean: balancing starts */
-#define STOP_DEVIATION 0.10 /* and stops */
+#define START_DEVIATION 0.35 /* of any from the mean: balancing starts */
+#define STOP_DEVIATION 0.20 /* and stops */
 #define SAMPLES 8 /* backend servers looked at for one slot */
 #define STUCK_MAX 8 /* sources without a gainful move in one plan */
 #define PIN_RATIO 0.25 /* of a backend server's mean load: key is pinned */
