--- a/control/authority.c
+++ b/control/authority.c
@@ -38,6 +38,7 @@
 	struct dh_authority *authority;
 	uint64_t seq;
 	uint64_t backend;
+	uint64_t incarnation; /* that the order was for */
 	int64_t sent_ms;
 	enum dh_group_order_kind order;
 };
@@ -144,6 +145,9 @@
 		    .releasing = reply->releasing,
 		    .cold = reply->cold } };
 
+	/* No answer names no incarnation: the one that was meant. */
+	if (ev.backend.incarnation == 0)
+		ev.backend.incarnation = c->incarnation;
 	if (a != NULL)
 		step(a, &ev);
 }
@@ -191,6 +195,7 @@
 		return;
 	c = call_new(a);
 	c->backend = o->backend;
+	c->incarnation = o->incarnation;
 	c->sent_ms = o->sent_ms;
 	c->order = o->kind;
 	dh_order_send(a->control->http, b->address, b->port, a->name, o,
