Keep a deputy's number and unsettled terms in the group's object

Cause: the codec dropped two fields that the group machine had gained; a deputy that read the object found itself renamed, fell back to idle and forgot the permits it held.

--- a/control/record.c
+++ b/control/record.c
@@ -20,10 +20,12 @@
 	g_string_printf(text,
 	    "{\"term\":%" PRIu64 ",\"leader\":\"%" PRIx64
 	    "\",\"leader_incarnation\":\"%" PRIx64 "\",\"deputy\":\"%" PRIx64
-	    "\",\"deputy_incarnation\":\"%" PRIx64 "\",\"write_seq\":\"%" PRIx64
-	    "\",\"slots\":[",
+	    "\",\"deputy_incarnation\":\"%" PRIx64
+	    "\",\"deputy_seq\":\"%" PRIx64 "\",\"write_seq\":\"%" PRIx64
+	    "\",\"unsettled\":%s,\"slots\":[",
 	    r->term, r->leader, r->leader_incarnation, r->deputy,
-	    r->deputy_incarnation, r->write_seq);
+	    r->deputy_incarnation, r->deputy_seq, r->write_seq,
+	    r->unsettled ? "true" : "false");
 	for (i = 0; i < r->nslots; i++) {
 		a = &r->slots[i];
 		g_string_append_printf(text,
@@ -101,6 +103,7 @@
 dh_record_decode(const char *text, GError **error)
 {
 	struct json_object *o = json_tokener_parse(text), *term = NULL;
+	struct json_object *unsettled;
 	struct dh_group_record *r = g_new0(struct dh_group_record, 1);
 
 	if (o == NULL || !json_object_is_type(o, json_type_object) ||
@@ -117,7 +120,10 @@
 	r->leader_incarnation = hex_field(o, "leader_incarnation");
 	r->deputy = hex_field(o, "deputy");
 	r->deputy_incarnation = hex_field(o, "deputy_incarnation");
+	r->deputy_seq = hex_field(o, "deputy_seq");
 	r->write_seq = hex_field(o, "write_seq");
+	r->unsettled = json_object_object_get_ex(o, "unsettled", &unsettled) &&
+	    json_object_get_boolean(unsettled);
 	json_object_put(o);
 	return r;
 }
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -71,6 +71,16 @@
 	    fail "store fault $1"
 }
 
+# store_outage MS [refuse|close|silent]: no call is served for so long.
+store_outage() {
+	event fault ',"kind":"store","on":true'
+	store_fault "{\"kind\": \"down\", \"mode\": \"${2:-silent}\", \"for_ms\": $1}"
+	(
+		sleep "$(($1 / 1000))"
+		event fault ',"kind":"store","on":false'
+	) &
+}
+
 # put_object NAME FILE: create an object in the store.
 put_object() {
 	curl -sf -X PUT -H 'If-None-Match: *' -H 'X-Writer: script' \
@@ -181,6 +191,25 @@
 	    grep -q '"group":"feed/0"[^}]*"unowned":0[^}]*"moving":0'
 }
 
+# leader_of GROUP VM, deputy_of GROUP VM: as the VM sees it.
+group_field() {
+	curl -sf -m 2 "$(admin_url "$2")/status" | tr '{' '\n' |
+	    grep "\"group\":\"$1\"" | sed "s/.*\"$3\":\"\([^\"]*\)\".*/\1/"
+}
+
+leader_of() {
+	group_field "$1" "$2" leader
+}
+
+deputy_of() {
+	group_field "$1" "$2" deputy
+}
+
+deputy_is_not() {
+	d=$(deputy_of "$1" "$2")
+	[ "$d" ] && [ "$d" != "$3" ]
+}
+
 # start_cluster VMS BACKENDS: the whole of it, serving.
 start_cluster() {
 	start_store
--- /dev/null
+++ b/tests/failure/vm_stopped.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# VMs are shut down gracefully under load, the leader's among them: nothing in
+# flight is cut off.
+. "$(dirname "$0")/lib.sh"
+start_cluster 4 4
+start_load load --rate 300 --concurrency 300 --duration-ms 7000 \
+    --unrepeatable 20 --retries 3
+sleep 1
+leader=$(leader_of feed/0 1)
+stop_vm "${leader#v}"
+end_load
+for n in $vms; do
+	[ "v$n" = "$leader" ] && continue
+	wait_for 30 "owner of every slot at v$n" all_owned "$n"
+	wait_for 10 "answer through v$n" serves "$n" key
+done
+check_history
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -19,7 +19,9 @@
 		.leader_incarnation = 5,
 		.deputy = 0x8000000000000001u,
 		.deputy_incarnation = 6,
+		.deputy_seq = 11,
 		.write_seq = 1ull << 63,
+		.unsettled = true,
 		.nslots = 2,
 		.slots = slots };
 	g_autofree char *text = dh_record_encode(&r);
@@ -34,6 +36,8 @@
 	CU_ASSERT_EQUAL(got->deputy, 0x8000000000000001u);
 	CU_ASSERT_EQUAL(got->deputy_incarnation, 6);
 	CU_ASSERT_EQUAL(got->write_seq, 1ull << 63);
+	CU_ASSERT_EQUAL(got->deputy_seq, 11);
+	CU_ASSERT_TRUE(got->unsettled);
 	CU_ASSERT_EQUAL_FATAL(got->nslots, 2);
 	CU_ASSERT_EQUAL(got->slots[0].owner, 0xfedcba9876543211u);
 	CU_ASSERT_EQUAL(got->slots[0].standby, 3);
