End a process cleanly: no poll of a freed publisher, no leak

Cause: the table's prepare handle ran once more after the publisher was freed (segmentation fault at shutdown, found by tests/failure/vm_stopped.sh).

--- a/control/control.c
+++ b/control/control.c
@@ -362,6 +362,8 @@
 static void
 control_close(struct dh_control *ct)
 {
+	uv_prepare_stop(&ct->rebuild);
+	uv_timer_stop(&ct->shutdown);
 	if (ct->router != NULL)
 		dh_router_stop(ct->router);
 	dh_admin_free(ct->admin);
--- a/control/publish.c
+++ b/control/publish.c
@@ -15,11 +15,13 @@
 	ck_epoch_t epoch;
 	ck_epoch_record_t writer;
 	struct entry *current;
+	struct dh_publish_reader *readers; /* ended ones too */
 };
 
 struct dh_publish_reader {
 	ck_epoch_record_t record;
 	struct dh_publish *publish;
+	struct dh_publish_reader *next;
 };
 
 static void
@@ -51,12 +53,18 @@
 void
 dh_publish_free(struct dh_publish *p)
 {
+	struct dh_publish_reader *r;
+
 	if (p == NULL)
 		return;
 	ck_epoch_barrier(&p->writer);
 	if (p->current != NULL)
 		entry_free(p->current);
 	ck_epoch_unregister(&p->writer);
+	while ((r = p->readers) != NULL) {
+		p->readers = r->next;
+		g_aligned_free(r);
+	}
 	g_aligned_free(p);
 }
 
@@ -90,6 +98,8 @@
 	    g_aligned_alloc0(1, sizeof(*r), CK_MD_CACHELINE);
 
 	r->publish = p;
+	r->next = p->readers;
+	p->readers = r;
 	ck_epoch_register(&p->epoch, &r->record, NULL);
 	return r;
 }
@@ -100,7 +110,7 @@
 	if (r == NULL)
 		return;
 	ck_epoch_unregister(&r->record);
-	/* The record stays on the epoch's list for reuse: not freed here. */
+	/* Its record stays on the epoch's list: freed with the publisher. */
 }
 
 const struct dh_table *
--- a/control/publish.h
+++ b/control/publish.h
@@ -26,7 +26,7 @@
 /* dh_publish_poll -- free what readers have left behind.  Control thread. */
 void dh_publish_poll(struct dh_publish *p);
 
-/* One reader a traffic thread, made and ended on that thread. */
+/* One reader a traffic thread; made before the threads start. */
 struct dh_publish_reader *dh_publish_reader_new(struct dh_publish *p);
 void dh_publish_reader_free(struct dh_publish_reader *r);
 
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -445,7 +445,8 @@
 {
 	uint32_t i, n = old->nslots < g->nslots ? old->nslots : g->nslots;
 
-	memcpy(r->slots, old->slots, n * sizeof(*r->slots));
+	if (n > 0)
+		memcpy(r->slots, old->slots, n * sizeof(*r->slots));
 	for (i = 0; i < g->nslots; i++) {
 		if (!g->take.third && (g->flags[i] & SLOT_TOLD) != 0 &&
 		    dh_fence_cmp(g->cur[i].fence, r->slots[i].fence) > 0)
--- a/router/turn.c
+++ b/router/turn.c
@@ -72,6 +72,7 @@
 	g_hash_table_unref(ts->index);
 	g_free(ts->loads);
 	g_free(ts->breakers);
+	g_free(ts->timer); /* closed with its loop */
 	g_free(ts);
 }
 
