--- a/core/group.c
+++ b/core/group.c
@@ -312,6 +312,24 @@
 	free(g);
 }
 
+/* Forget those that left the configuration and hold nothing. */
+static void
+backends_prune(struct dh_group *g)
+{
+	bool idle = g->mode == MODE_IDLE;
+	uint32_t i, n = 0;
+
+	if (!idle &&
+	    (g->mode != MODE_LEADING || g->npending > 0 || g->nmoves > 0 ||
+		g->ndoubt > 0))
+		return;
+	for (i = 0; i < g->nbackends; i++)
+		if (g->backends[i].present || g->backends[i].count > 0 ||
+		    (!idle && g->backends[i].hold != HOLD_NONE))
+			g->backends[n++] = g->backends[i];
+	g->nbackends = n;
+}
+
 void
 dh_group_set_backends(
     struct dh_group *g, const struct dh_group_backend *list, size_t n)
@@ -328,8 +346,9 @@
 		if (b == NULL)
 			b = backend_add(g, list[i].id);
 		b->conf = list[i];
-		b->present = true;
+		b->present = b->known = true;
 	}
+	backends_prune(g);
 	g->repair = true;
 }
 
--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -46,6 +46,7 @@
 struct group_backend {
 	struct dh_group_backend conf;
 	bool present; /* in the configuration */
+	bool known; /* has been: conf is its own */
 
 	/* What its answers said. */
 	uint64_t incarnation; /* 0: none seen */
--- a/core/group_lease.c
+++ b/core/group_lease.c
@@ -263,7 +263,7 @@
 static bool
 may_renew(const struct dh_group *g, const struct group_backend *b)
 {
-	if (!b->present)
+	if (!b->known)
 		return false;
 	if (group_supported(g))
 		return true;
@@ -335,7 +335,7 @@
 static void
 next_order(struct dh_group *g, struct group_backend *b)
 {
-	if (!b->present)
+	if (!b->known)
 		return;
 	if (!b->has_reading || b->suspect) {
 		hello_when_due(
@@ -418,7 +418,7 @@
 {
 	int64_t end;
 
-	if (b->hold == HOLD_NONE || (!b->suspect && b->present))
+	if (b->hold == HOLD_NONE || (!b->suspect && b->known))
 		return;
 	end = group_hold_end(g, b);
 	if (g->now_ms < end) {
@@ -451,7 +451,7 @@
 static bool
 deputy_may_renew(const struct dh_group *g, const struct group_backend *b)
 {
-	if (b->revoked || !b->present || b->count == 0 || !group_alive(b) ||
+	if (b->revoked || !b->known || b->count == 0 || !group_alive(b) ||
 	    b->highest.term > g->term || !group_solo(g))
 		return false;
 	if (group_partner_gone(g))
@@ -481,7 +481,7 @@
 	for (i = 0; i < g->nbackends; i++) {
 		b = &g->backends[i];
 		order_timeout(g, b);
-		if (b->busy || !b->present)
+		if (b->busy || !b->known)
 			continue;
 		if (!deputy_may_renew(g, b)) {
 			hello_when_due(g, b,
@@ -615,6 +615,8 @@
 	}
 	b->has_reading = true;
 	b->cold = ev->backend.cold;
+	if (b->suspect)
+		g->repair = true;
 	b->suspect = false;
 	b->answered_ms = g->now_ms;
 	if (dh_fence_cmp(ev->backend.highest, b->highest) > 0)
--- a/core/group_move.c
+++ b/core/group_move.c
@@ -245,8 +245,7 @@
 		b = &g->backends[i];
 		if (b->count == 0)
 			continue;
-		if (group_holds_nothing(g, b) &&
-		    (!group_alive(b) || !b->present))
+		if (group_holds_nothing(g, b) && (!group_alive(b) || !b->known))
 			(void)reassign(g, b);
 		else if (b->raise && group_alive(b) && group_clean(b))
 			b->raise = !reassign(g, b);
@@ -412,7 +411,7 @@
 	}
 	for (i = 0; i < g->nbackends; i++) {
 		b = &g->backends[i];
-		if (b->count > 0 && b->conf.drain && b->present &&
+		if (b->count > 0 && b->conf.drain && b->known &&
 		    g->nmoves < g->p.moves_at_once)
 			drain(g, b);
 	}
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -237,7 +237,7 @@
 		return DH_NEVER_MS;
 	if (b->revoke == REVOKE_DONE)
 		return b->deputy_renewed_ms;
-	if (b->present &&
+	if (b->known &&
 	    (!b->conf.checks_fence || b->conf.zone == vm_zone(g, g->deputy)))
 		limit = g->p.support_ms;
 	else
@@ -255,7 +255,7 @@
 	/* It refuses an older term once it has accepted ours. */
 	if (b->hold == HOLD_OURS && b->conf.checks_fence && p->term != g->term)
 		return DH_NEVER_MS;
-	if (!b->present)
+	if (!b->known)
 		return max_ms(p->own_ms, p->all_ms);
 	if (!b->conf.checks_fence)
 		return p->own_ms;
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -172,9 +172,11 @@
 	DH_GROUP_BACKEND_REFUSED, /* knows a higher fencing token, or is not
 				   * the incarnation meant */
 	DH_GROUP_BACKEND_SILENT, /* no answer in time */
-	DH_GROUP_BACKEND_DEAD, /* its address refuses connections: that
-				* incarnation is gone */
-	DH_GROUP_MOVE, /* planned move of slot to backend */
+	DH_GROUP_BACKEND_DEAD, /* its address refused the connection for the
+				* order sent at sent_ms: the incarnation last
+				* seen there is gone */
+	DH_GROUP_MOVE, /* planned move of slot to backend; dropped when it
+			* can't be made now */
 	DH_GROUP_STOP, /* this process shuts down: hand over */
 };
 
@@ -259,8 +261,13 @@
     const struct dh_group_vm *self, uint32_t nslots);
 void dh_group_free(struct dh_group *g);
 
-/* dh_group_set_backends, dh_group_set_vms -- what the configuration and the
- * membership say now; copied.  Effects show at the next step. */
+/*
+ * dh_group_set_backends, dh_group_set_vms -- what the configuration and the
+ * membership say now; copied.  Effects show at the next step.  A backend
+ * server that is left out is drained; go on delivering its orders until it
+ * owns nothing.  The VMs include this one.  A leader needs a list of backend
+ * servers that has been set before its first step.
+ */
 void dh_group_set_backends(
     struct dh_group *g, const struct dh_group_backend *list, size_t n);
 void dh_group_set_vms(
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -513,6 +513,24 @@
 	done(f);
 }
 
+/* Left out of the configuration: the same, by orders still delivered. */
+static void
+test_left_out(void)
+{
+	struct dh_group_backend list[BACKENDS];
+	struct fake *f = running();
+	uint32_t i, vm;
+
+	for (i = 0; i < BACKENDS; i++)
+		list[i] = f->backends[i].conf;
+	for (vm = 0; vm < VMS; vm++)
+		dh_group_set_backends(f->vms[vm].group, list, BACKENDS - 1);
+	check_gap(f, "left out of the configuration", 100);
+	for (i = 0; i < SLOTS; i++)
+		CU_ASSERT_NOT_EQUAL(owner_of(f, i), BACKENDS - 1);
+	done(f);
+}
+
 /* The leader may not revive its own zone by itself; the deputy takes over. */
 static void
 test_leader_zone_cut_off(void)
@@ -651,6 +669,7 @@
 		{ "move", test_move },
 		{ "move falls back", test_move_falls_back },
 		{ "drain", test_drain },
+		{ "left out", test_left_out },
 		{ "no fences checked", test_unchecked_backend },
 		{ "no slots", test_group_without_slots },
 		{ "until", test_until_is_bounded },
--- a/tests/test_group_schedule.c
+++ b/tests/test_group_schedule.c
@@ -4,9 +4,10 @@
 /*
  * Random schedules of faults over a whole group, by seed:
  *
- *	test_group_schedule [SEED [COUNT [trace]]]
+ *	test_group_schedule [SEED [COUNT [trace|first]]]
  *
- * runs COUNT seeds from SEED on; without arguments the number CI runs.
+ * runs COUNT seeds from SEED on; without arguments the number CI runs.  With
+ * "trace" it tells what happens, with "first" it ends at the first breach.
  */
 
 enum {
@@ -16,6 +17,7 @@
 };
 
 static uint64_t first_seed = 1, count = DEFAULT_COUNT;
+static uint64_t most = 10; /* breaches, then it ends */
 static bool trace;
 
 /* Limits short enough for a schedule to reach their ends. */
@@ -344,7 +346,7 @@
 			    (long long)f->now_ms);
 		}
 		fake_done(f);
-		if (bad >= 10)
+		if (bad >= most)
 			break;
 	}
 	free(f);
@@ -369,6 +371,8 @@
 		count = strtoull(argv[2], NULL, 10);
 	else if (argc > 1)
 		count = 1;
-	trace = argc > 3;
+	trace = argc > 3 && strcmp(argv[3], "trace") == 0;
+	if (argc > 3 && strcmp(argv[3], "first") == 0)
+		most = 1;
 	return cunit_main("group_schedule", tests);
 }
--- /dev/null
+++ b/tools/mutate_group.sh
@@ -0,0 +1,92 @@
+#!/bin/sh
+# usage: mutate_group.sh [COUNT [NAME]]
+# Remove one guard of the group authority at a time on a scratch copy under
+# build/mutate and expect the fault schedules to find a breach among COUNT
+# seeds.  Fails when a guard's removal goes unnoticed.
+set -eu
+count=${1:-8000}
+only=${2:-}
+dir=build/mutate
+missed=0 caught=0
+rm -rf "$dir"
+mkdir -p "$dir"
+
+# mutate NAME FILE SED: the edit must change FILE.
+mutate() {
+	[ -z "$only" ] || [ "$only" = "$1" ] || return 0
+	rm -rf "$dir/src"
+	mkdir -p "$dir/src"
+	cp -r core include "$dir/src"
+	sed -E "$3" "core/$2" >"$dir/src/core/$2"
+	if cmp -s "core/$2" "$dir/src/core/$2"; then
+		echo "$1: the edit changes nothing in core/$2"
+		missed=$((missed + 1))
+		return 0
+	fi
+	${CC:-gcc} -std=gnu11 -O2 -w -D_GNU_SOURCE -DXXH_INLINE_ALL \
+	    -I"$dir/src" -I"$dir/src/include" -I. -o "$dir/schedule" \
+	    "$dir"/src/core/*.c tests/test_group_schedule.c -lcunit -lm
+	if timeout 120 "$dir/schedule" 1 "$count" first >"$dir/$1.log" 2>&1; then
+		echo "$1: NOT NOTICED in $count schedules"
+		missed=$((missed + 1))
+	else
+		echo "$1: $(grep -m1 '^seed' "$dir/$1.log" ||
+		    echo 'no breach, but the run failed')"
+		caught=$((caught + 1))
+	fi
+}
+
+# The deputy's consent to a revocation is not waited for.
+mutate revocation group_term.c \
+    's/b->revoke == REVOKE_DONE/b->revoke != REVOKE_NONE/'
+# Alone, the leader and the deputy renew their own zone, too.
+mutate own-zone group_lease.c \
+    's/ && b->conf.zone != g->self.zone//'
+# Alone, they renew backend servers that check no fences.
+mutate solo-unchecked group_lease.c \
+    's/b->conf.checks_fence && (b->conf.zone != g)/\1/'
+# A new leader does not wait for the old one's renewals.
+mutate takeover-wait group_term.c \
+    's/(own|all) = now \+ group_slack.*/\1 = now;/'
+# A change of owner keeps the fencing token.
+mutate fence-raise group_move.c \
+    's/g->term, \+\+g->counter/g->term, g->counter/'
+# An order's end is not bound to the lease.
+mutate until group_lease.c \
+    's/b->clock_ms \+ group_short\(g, /b->clock_ms + 2 * (/'
+# The lease is not waited out.
+mutate lapse group_lease.c \
+    's/t \+= group_slack\(g, g->p.lease_ms\)/t += 1/'
+# A restart of a backend server goes unnoticed.
+mutate incarnation group_lease.c \
+    's/if \(b->incarnation != 0\)/if (false)/'
+# A leader that knows only the store does not doubt its owners.
+mutate doubt group_term.c \
+    's/^\t\tdoubt_all\(g\);//'
+# In an outage any backend server is given a slot.
+mutate candidates group_store.c \
+    's/return id != 0 \&\& .*/return true;/'
+# Renewing alone has no end.
+mutate solo-limit group_term.c \
+    's/(base|g->peer.base_ms) \+ g->p.solo_limit_ms/DH_FOREVER_MS/'
+# Support counts from the arrival, not from the echo.
+mutate echo group_peer.c \
+    's/g->peer.base_ms = m->echo_ms/g->peer.base_ms = g->now_ms/'
+# A lost answer counts as success.
+mutate lost-reply group_store.c \
+    's/^\tg->store.failing = true;/\tgroup_commit_stored(g, g->store.put_record ? g->store.put_record : \&(struct dh_group_record){0});/'
+# A replaced deputy is not waited for.
+mutate replaced-deputy group_term.c \
+    's/all = g->peer.heard_ms \+ group_slack.*/all = own;/'
+# Waits are not handed on to the next leader.
+mutate inherited-wait group_peer.c \
+    's/m->wait_ms = group_wait\(g\)/m->wait_ms = 0/'
+# The deputy renews by a copy that it has not been brought up to date.
+mutate synced group_term.c \
+    's/ \|\| !g->peer.synced \|\| / || /'
+# Older grants to a backend server without fence checks are not waited out.
+mutate settle group_lease.c \
+    's/b->busy_ms >= settle_end\(g, b\);/true;/'
+
+echo "$caught caught, $missed missed"
+[ "$missed" -eq 0 ]
