--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 ALLH := $(foreach p,$(PKGS) include/dogwoodhub standin standin/lib bench tests daemon ctl,\
 	$(wildcard $p/*.h))
 
-.PHONY: all check unit failure demo format lint tidy clean model bench \
+.PHONY: all check unit failure mutate demo format lint tidy clean model bench \
 	deps install fuzz
 all: $(LIB) $(CORE_LIB) $(BINS) $(STANDINS) $(BENCHES) $(EXAMPLES)
 
@@ -89,7 +89,11 @@
 failure: all
 	tools/run_failures.sh $(BUILD)
 
-check: unit failure
+# Guards of the group authority, removed one at a time, are missed.
+mutate:
+	tools/mutate_group.sh
+
+check: unit failure mutate
 
 demo: deps all
 	tools/demo.sh $(BUILD)
