--- a/core/member.c
+++ b/core/member.c
@@ -16,6 +16,8 @@
 {
 	*p = (struct dh_member_params){ .heartbeat_ms = 500,
 		.suspect_ms = 1250,
+		.sparse_heartbeat_ms = 1000,
+		.sparse_suspect_ms = 2500,
 		.settle_ms = 100,
 		.hold_min_ms = 5000,
 		.hold_max_ms = 300000,
@@ -23,7 +25,7 @@
 		.pull_ms = 3000,
 		.avoid_ms = 30000,
 		.mesh_max = 16,
-		.degree = 4,
+		.degree = 3,
 		.watchers = 3,
 		.fanout = 4,
 		.records_max = 16384 };
@@ -178,13 +180,24 @@
 	v->near[v->nnear++] = m;
 }
 
-/* What this VM takes another for. */
+static int64_t
+heartbeat_ms(const struct dh_membership *v)
+{
+	return v->sparse ? v->p.sparse_heartbeat_ms : v->p.heartbeat_ms;
+}
+
+static int64_t
+suspect_ms(const struct dh_membership *v)
+{
+	return v->sparse ? v->p.sparse_suspect_ms : v->p.suspect_ms;
+}
+
 enum dh_member_state
 dh_member_state_of(
     const struct dh_membership *v, const struct member *m, int64_t now)
 {
 	bool heard = m->heard_ms != 0;
-	bool fresh = heard && now - m->heard_ms <= v->p.suspect_ms;
+	bool fresh = heard && now - m->heard_ms <= suspect_ms(v);
 
 	if (m == v->self)
 		return m->rec.state;
@@ -520,7 +533,7 @@
 	size_t i;
 
 	v->ticked_ms = now;
-	if (gap <= v->p.suspect_ms / 2)
+	if (gap <= suspect_ms(v) / 2)
 		return;
 	for (i = 0; i < v->nnear; i++)
 		if (v->near[i]->heard_ms != 0)
@@ -531,7 +544,7 @@
 tick(struct dh_membership *v, int64_t now, struct dh_member_actions *out)
 {
 	if (now >= v->beat_due_ms) {
-		v->beat_due_ms = now + v->p.heartbeat_ms;
+		v->beat_due_ms = now + heartbeat_ms(v);
 		dh_member_act(out, DH_MEMBER_DO_BEAT, 0);
 	}
 	notice_own_pause(v, now);
@@ -593,8 +606,8 @@
 	if ((v->dirty || v->spreading) && settle < next)
 		next = settle;
 	/* Silence is noticed twice as often as it is broken. */
-	if (v->ticked_ms + v->p.heartbeat_ms / 2 < next)
-		next = v->ticked_ms + v->p.heartbeat_ms / 2;
+	if (v->ticked_ms + heartbeat_ms(v) / 2 < next)
+		next = v->ticked_ms + heartbeat_ms(v) / 2;
 	return next;
 }
 
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -40,6 +40,7 @@
 	uint64_t digest;
 	uint64_t parent;
 	bool watches;
+	bool sparse; /* too many VMs for all to talk to all */
 	bool dirty; /* choose again */
 	bool view_changed;
 	bool spreading; /* some record has its spread mark */
--- a/core/overlay.c
+++ b/core/overlay.c
@@ -4,6 +4,8 @@
 #include "core/member_state.h"
 #include "core/vec.h"
 
+#define RING_FIRST 16 /* salts of the rings; 1 is the tree's */
+
 static int
 rank_cmp(const void *a, const void *b)
 {
@@ -138,62 +140,67 @@
 		m->chosen = true;
 }
 
-/* One that is not gone before one that is, then by the hash of the pair. */
-static bool
-better_partner(const struct dh_membership *v, const struct member *a,
-    const struct member *b)
-{
-	bool gone_a = a->rec.state == DH_MEMBER_GONE, gone_b;
-
-	if (b == NULL)
-		return true;
-	gone_b = b->rec.state == DH_MEMBER_GONE;
-	if (gone_a != gone_b)
-		return gone_b;
-	return dh_member_mix(a->id, v->self->id) >
-	    dh_member_mix(b->id, v->self->id);
-}
-
-static void
-choose_best_partner(struct dh_membership *v, bool home)
+/*
+ * The next VM after this one in a ring, or NULL.  Each ring holds all VMs, or
+ * those of this region, in an order of its own: that of a hash.
+ */
+static struct member *
+ring_successor(
+    const struct dh_membership *v, uint64_t ring, bool home, bool gone)
 {
+	uint64_t self = dh_member_mix(v->self->id, ring), far, best_far = 0;
 	struct member *best = NULL, *m;
 	size_t i;
 
 	for (i = 0; i < v->n; i++) {
 		m = v->all[i];
-		if (m == v->self || m->chosen ||
-		    (strcmp(m->rec.region, v->self->rec.region) == 0) != home)
+		if (m == v->self || (m->rec.state == DH_MEMBER_GONE) != gone)
 			continue;
-		if (better_partner(v, m, best))
-			best = m;
+		if (home && strcmp(m->rec.region, v->self->rec.region) != 0)
+			continue;
+		far = dh_member_mix(m->id, ring) - self;
+		if (best != NULL && far >= best_far)
+			continue;
+		best = m;
+		best_far = far;
 	}
-	if (best != NULL)
-		best->chosen = true;
+	return best;
 }
 
-/* The next VM in the circle of ids that is not gone: so each VM that is not
- * gone is looked after by at least one. */
 static void
-choose_successor(struct dh_membership *v)
+choose_successor(struct dh_membership *v, uint64_t ring, bool home)
 {
-	size_t at = dh_member_place(v, v->self->id), i;
-	struct member *m;
+	struct member *m = ring_successor(v, ring, home, false);
 
-	for (i = 1; i < v->n; i++) {
-		m = v->all[(at + i) % v->n];
-		if (m->rec.state == DH_MEMBER_GONE)
-			continue;
+	if (m != NULL)
 		m->chosen = true;
-		return;
+}
+
+/* While all of the other regions are gone, keep asking for one of them: a
+ * region that was cut off finds back so. */
+static void
+choose_way_back(struct dh_membership *v)
+{
+	struct member *m;
+	size_t i;
+
+	for (i = 0; i < v->n; i++) {
+		m = v->all[i];
+		if (m->rec.state != DH_MEMBER_GONE &&
+		    strcmp(m->rec.region, v->self->rec.region) != 0)
+			return;
 	}
+	m = ring_successor(v, RING_FIRST, false, true);
+	if (m != NULL)
+		m->chosen = true;
 }
 
 /*
  * Partners.  A few VMs: all talk to all, gone ones too, so that one that was
- * cut off finds back.  Many: the successor, and `degree` others, of which one
- * in another region; with those that choose this VM that makes about twice as
- * many links, and a random graph of few hops.
+ * cut off finds back.  Many: the successors in `degree` rings, the first
+ * over all VMs and the others over this region.  So each VM is looked after
+ * by as many as it looks after itself, the loss of one moves a link of each
+ * ring only, and together they make a random graph of few hops.
  */
 static void
 choose_partners(struct dh_membership *v)
@@ -202,15 +209,16 @@
 
 	for (i = 0; i < v->n; i++)
 		there += v->all[i]->rec.state != DH_MEMBER_GONE;
-	if (there <= v->p.mesh_max) {
+	v->sparse = there > v->p.mesh_max;
+	if (!v->sparse) {
 		for (i = 0; i < v->n; i++)
 			v->all[i]->chosen = v->all[i] != v->self;
 		return;
 	}
-	choose_successor(v);
-	for (i = 0; i + 1 < v->p.degree; i++)
-		choose_best_partner(v, true);
-	choose_best_partner(v, false);
+	choose_successor(v, RING_FIRST, false);
+	for (i = 1; i < v->p.degree; i++)
+		choose_successor(v, RING_FIRST + i, true);
+	choose_way_back(v);
 }
 
 /* A suspect keeps its link until it answers or is given up: without the
--- a/core/relay.c
+++ b/core/relay.c
@@ -64,7 +64,7 @@
 {
 	*p = (struct dh_relay_params){ .objects_max = 8192,
 		.bytes_max = (size_t)24 * 1024 * 1024,
-		.neighbours_max = 17,
+		.neighbours_max = 9,
 		.pull_ms = 1000 };
 }
 
--- a/include/dogwoodhub/member.h
+++ b/include/dogwoodhub/member.h
@@ -45,6 +45,8 @@
 struct dh_member_params {
 	int64_t heartbeat_ms; /* between heartbeats on every link */
 	int64_t suspect_ms; /* silence that makes a partner suspect */
+	int64_t sparse_heartbeat_ms; /* likewise, above mesh_max VMs; shorter */
+	int64_t sparse_suspect_ms; /* than suspect_ms, as views may differ */
 	int64_t settle_ms; /* shortest time between two choices */
 	int64_t hold_min_ms; /* after a refuted accusation: doubles, */
 	int64_t hold_max_ms; /* before this VM accuses that one again */
@@ -52,7 +54,8 @@
 	int64_t pull_ms; /* views that differ so long are compared */
 	int64_t avoid_ms; /* a parent that sent us away is avoided */
 	uint32_t mesh_max; /* up to so many VMs all talk to all */
-	uint32_t degree; /* partners each VM chooses beyond that */
+	uint32_t degree; /* partners each VM chooses beyond that; as many
+			  * choose it */
 	uint32_t watchers; /* VMs that watch the store */
 	uint32_t fanout; /* of the relay tree */
 	uint32_t records_max;
