Take back requests for a slot's former owner when the owner changes

Cause: requests queued for, or sent to, a frozen backend server waited there although their slot had a new owner: a queue time of 1 s and the deadline set the pace.

--- a/bench/dhload.c
+++ b/bench/dhload.c
@@ -611,5 +611,11 @@
 	load_start(&ld);
 	uv_run(&ld.loop, UV_RUN_DEFAULT);
 	print_results(&ld);
+	dh_http_free(ld.http);
+	uv_run(&ld.loop, UV_RUN_NOWAIT);
+	dh_history_close(ld.log);
+	g_free(ld.latency_us);
+	g_free(ld.zipf_sum);
+	curl_global_cleanup();
 	return ld.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -563,6 +563,32 @@
 		strcmp(ex->refused_reason, "lease") == 0);
 }
 
+void
+dh_exchange_reroute(struct dh_exchange *ex, const struct dh_table *t)
+{
+	struct dh_route r;
+
+	if (!ex->keyed || ex->aborted || !ex->up.kept)
+		return;
+	if (ex->phase != DH_PHASE_TURN &&
+	    (ex->phase != DH_PHASE_SENT || !is_idempotent(ex)))
+		return;
+	if (ex->route.service >= t->conf->nservices ||
+	    t->slots[ex->route.service] == NULL ||
+	    dh_conf_service(t->conf, ex->target.service) != ex->route.service)
+		return;
+	r = dh_table_route(
+	    t, ex->route.service, ex->target.key, strlen(ex->target.key));
+	if (r.state != DH_SLOT_OWNED ||
+	    dh_fence_cmp(r.fence, ex->route.fence) == 0)
+		return;
+	dh_exchange_unsend(ex);
+	dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_LOST);
+	(void)dh_buffer_rewind(&ex->up);
+	ex->phase = DH_PHASE_ROUTE;
+	ex->needs_route = true;
+}
+
 /* The last attempt ended without an answer: try again, wait for another
  * owner, or say so at once. */
 static void
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -92,6 +92,7 @@
 	uint64_t revision;
 	uint64_t token; /* of the permit asked for, 0: none */
 	uint64_t permit_token; /* of the permit that was given */
+	bool needs_route; /* taken back, to be routed again */
 	bool permitted;
 
 	/* caller's side */
@@ -136,6 +137,11 @@
 /* dh_exchange_route -- try to route it with the table in force. */
 void dh_exchange_route(struct dh_exchange *ex);
 
+/* dh_exchange_reroute -- the table has changed: a request that still waits for
+ * its turn, or may be repeated and has no answer yet, is taken back for the
+ * slot's new owner; needs_route then tells. */
+void dh_exchange_reroute(struct dh_exchange *ex, const struct dh_table *t);
+
 /* dh_exchange_permit -- the control thread's verdict. */
 void dh_exchange_permit(struct dh_exchange *ex, const struct dh_mail *mail);
 
--- a/router/lane.c
+++ b/router/lane.c
@@ -15,6 +15,8 @@
 #define WAITING_POLL_MS 2
 /* How often callers that left are looked for. */
 #define SWEEP_MS 100
+/* How often a new table is looked for while none waits for one. */
+#define TABLE_POLL_MS 20
 /* Bounds the header block of a request. */
 #define CONNECTION_MEMORY (32u << 10)
 /* A caller's connection without traffic is closed after this. */
@@ -166,6 +168,36 @@
 	(void)dh_mailbox_send(lane->to_control, &end);
 }
 
+/* Attempts at a former owner that still have no answer go to the new one. */
+static void
+follow_table(struct dh_lane *lane)
+{
+	const struct dh_table *t = dh_publish_enter(lane->reader);
+	bool changed = t != NULL && t->version != lane->table_version;
+	struct dh_exchange *ex;
+	GList *it;
+
+	if (changed) {
+		lane->table_version = t->version;
+		for (it = lane->exchanges.head; it != NULL; it = it->next)
+			dh_exchange_reroute(it->data, t);
+	}
+	dh_publish_leave(lane->reader);
+	for (it = lane->exchanges.head; changed && it != NULL; it = it->next) {
+		ex = it->data;
+		if (!ex->needs_route)
+			continue;
+		ex->needs_route = false;
+		dh_exchange_route(ex);
+	}
+}
+
+static void
+on_table(uv_timer_t *timer)
+{
+	follow_table(timer->data);
+}
+
 static void
 on_mail(void *arg, const struct dh_mail *mail)
 {
@@ -303,6 +335,11 @@
 	uv_timer_init(&lane->loop, lane->sweep_timer);
 	lane->sweep_timer->data = lane;
 	uv_timer_start(lane->sweep_timer, on_sweep, SWEEP_MS, 0);
+	lane->table_timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(&lane->loop, lane->table_timer);
+	lane->table_timer->data = lane;
+	uv_timer_start(
+	    lane->table_timer, on_table, TABLE_POLL_MS, TABLE_POLL_MS);
 	lane->load_timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(&lane->loop, lane->load_timer);
 	lane->load_timer->data = lane;
@@ -410,6 +447,7 @@
 	g_free(lane->waiting_timer);
 	g_free(lane->sweep_timer);
 	g_free(lane->load_timer);
+	g_free(lane->table_timer);
 	g_hash_table_unref(lane->asked);
 	g_hash_table_unref(lane->services);
 	dh_publish_reader_free(lane->reader);
--- a/router/lane.h
+++ b/router/lane.h
@@ -44,6 +44,7 @@
 	uv_async_t stop;
 	uv_async_t drain;
 	uv_timer_t *waiting_timer; /* looks for a new table */
+	uv_timer_t *table_timer; /* follows the table */
 	uv_timer_t *load_timer; /* reports load */
 	uv_timer_t *sweep_timer; /* looks for callers that left */
 	struct dh_httpd *httpd;
@@ -60,6 +61,7 @@
 	GHashTable *asked; /* permit token -> exchange */
 	GHashTable *services; /* service -> struct dh_lane_service */
 	uint64_t next_token;
+	uint64_t table_version; /* last one looked at */
 	struct dh_rng rng;
 	uint64_t id_prefix;
 	uint32_t in_flight; /* read by the control thread */
