Relay who leads a group along with its table

Cause: a VM that neither leads nor deputises a group learned of a new leader only by reading the store when its permits had been refused; its status page showed the old pair for ever (tests/failure/deputy_killed.sh).

--- a/control/asks.c
+++ b/control/asks.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "control/authority.h"
+#include "control/feed.h"
 #include "control/peers.h"
 #include "control/permits.h"
 #include "control/vms.h"
@@ -66,8 +67,10 @@
 send_ask(struct dh_asks *as, struct dh_authority *a, const struct dh_msg *m)
 {
 	struct dh_group_view v = dh_authority_view(a);
+	struct dh_feed_lead lead =
+	    dh_feed_leader(as->control->feed, dh_authority_name(a), &v);
 
-	if (deliver(as, a, v.leader, m) || deliver(as, a, v.deputy, m))
+	if (deliver(as, a, lead.leader, m) || deliver(as, a, lead.deputy, m))
 		return true;
 	dh_counter_add(as->unsent, 1);
 	dh_authority_refresh(a, REFRESH_MS);
--- a/control/control.c
+++ b/control/control.c
@@ -61,12 +61,20 @@
 
 /* An assignment with the higher fence is the later one; of equal ones the
  * relayed one is the leader's own word. */
-static const struct dh_assignment *
-later(const struct dh_assignment *own, const struct dh_assignment *relayed)
+const struct dh_assignment *
+dh_control_slot(
+    const struct dh_control *ct, const struct dh_authority *a, uint32_t slot)
 {
-	if (relayed == NULL)
-		return own;
-	return dh_fence_cmp(relayed->fence, own->fence) >= 0 ? relayed : own;
+	struct dh_group_view v = dh_authority_view(a);
+	const struct dh_assignment *relayed;
+	uint32_t n = 0;
+
+	relayed = dh_feed_slots(ct->feed, dh_authority_name(a), &n);
+	if (relayed == NULL || n != v.nslots || v.role == DH_GROUP_LEADER)
+		return &v.slots[slot];
+	return dh_fence_cmp(relayed[slot].fence, v.slots[slot].fence) >= 0
+	    ? &relayed[slot]
+	    : &v.slots[slot];
 }
 
 static void
@@ -75,17 +83,14 @@
 {
 	uint32_t sv = dh_conf_service(t->conf, dh_authority_service(a));
 	struct dh_group_view v = dh_authority_view(a);
-	const struct dh_assignment *relayed, *as;
-	uint32_t i, n = 0;
+	const struct dh_assignment *as;
+	uint32_t i;
 
 	if (sv == DH_NONE ||
 	    v.nslots != dh_service_slots(&t->conf->services[sv]))
 		return;
-	relayed = dh_feed_slots(ct->feed, dh_authority_name(a), &n);
-	if (n != v.nslots || v.role == DH_GROUP_LEADER)
-		relayed = NULL;
 	for (i = 0; i < v.nslots; i++) {
-		as = later(&v.slots[i], relayed == NULL ? NULL : &relayed[i]);
+		as = dh_control_slot(ct, a, i);
 		t->slots[sv][i] = (struct dh_slot){
 			.owner = backend_index(by_id, as->owner),
 			.standby = backend_index(by_id, as->standby),
--- a/control/control.h
+++ b/control/control.h
@@ -75,6 +75,13 @@
  * one in force is dropped. */
 void dh_control_accept(struct dh_control *ct, struct dh_conf *conf);
 
+struct dh_authority;
+
+/* dh_control_slot -- the latest assignment known of a slot of a's group;
+ * borrowed until the next change. */
+const struct dh_assignment *dh_control_slot(
+    const struct dh_control *ct, const struct dh_authority *a, uint32_t slot);
+
 /* dh_control_members_changed -- the VMs' list is another now. */
 void dh_control_members_changed(struct dh_control *ct);
 
--- a/control/feed.c
+++ b/control/feed.c
@@ -340,18 +340,21 @@
 {
 	g_autofree struct dh_slot_update *slots =
 	    g_new0(struct dh_slot_update, v->nslots + 1);
-	struct dh_table_update u = { .nslots = v->nslots, .slots = slots };
+	struct dh_table_update u = { .nslots = v->nslots,
+		.slots = slots,
+		.leader = v->leader,
+		.deputy = v->deputy };
 	struct dh_relay_object o;
+	bool held;
 
-	if (v->nslots == 0)
-		return;
 	u.n = changed_slots(f, group, v, slots);
-	if (u.n == 0)
+	held = dh_relay_find(f->relay, DH_RELAY_TABLE, group, &o);
+	if (u.n == 0 && held && o.version.term == v->term &&
+	    o.leader == v->leader && o.deputy == v->deputy)
 		return;
 	g_strlcpy(u.group, group, sizeof(u.group));
 	u.version = next_version(f, group, v->term);
-	if (dh_relay_find(f->relay, DH_RELAY_TABLE, group, &o) &&
-	    o.len == v->nslots)
+	if (held && o.len == v->nslots)
 		u.base = o.version;
 	put_table(f, &u, 0);
 	dh_feed_flush(f);
@@ -368,6 +371,19 @@
 	return o.slots;
 }
 
+struct dh_feed_lead
+dh_feed_leader(const struct dh_feed *f, const char *group,
+    const struct dh_group_view *view)
+{
+	struct dh_feed_lead own = { view->term, view->leader, view->deputy };
+	struct dh_relay_object o;
+
+	if (!dh_relay_find(f->relay, DH_RELAY_TABLE, group, &o) ||
+	    o.version.term < view->term || view->role == DH_GROUP_LEADER)
+		return own;
+	return (struct dh_feed_lead){ o.version.term, o.leader, o.deputy };
+}
+
 /* Heartbeats */
 
 void
--- a/control/feed.h
+++ b/control/feed.h
@@ -36,6 +36,16 @@
 const struct dh_assignment *dh_feed_slots(
     const struct dh_feed *f, const char *group, uint32_t *n);
 
+/* Who leads a group, by the latest term that this VM knows of. */
+struct dh_feed_lead {
+	uint64_t term;
+	uint64_t leader, deputy; /* VMs, 0: none */
+};
+
+/* dh_feed_leader -- the later of what was relayed and of view. */
+struct dh_feed_lead dh_feed_leader(const struct dh_feed *f, const char *group,
+    const struct dh_group_view *view);
+
 /* dh_feed_summary -- fill in a heartbeat's summary.
  * dh_feed_compare -- a partner's heartbeat came. */
 void dh_feed_summary(const struct dh_feed *f, struct dh_heartbeat *hb);
--- a/control/planner.c
+++ b/control/planner.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "control/feed.h"
 #include "control/peers.h"
 #include "control/vms.h"
 
@@ -194,6 +195,7 @@
 		.load = { .interval_ms = PERIOD_MS,
 		    .nslots = r->n,
 		    .slots = slots } };
+	struct dh_feed_lead lead;
 	uint32_t i;
 
 	for (i = 0; i < r->n; i++)
@@ -202,11 +204,12 @@
 			.busy_us = r->counts[i].busy_us };
 	g_strlcpy(m.load.group, dh_authority_name(pl->authority),
 	    sizeof(m.load.group));
-	if (v.leader == pl->control->self)
+	lead = dh_feed_leader(pl->control->feed, m.load.group, &v);
+	if (lead.leader == pl->control->self)
 		dh_planner_load(pl, &m.load);
-	else if (dh_peers_is_up(dh_vms_peers(pl->control->vms), v.leader))
+	else if (dh_peers_is_up(dh_vms_peers(pl->control->vms), lead.leader))
 		(void)dh_peers_send(
-		    dh_vms_peers(pl->control->vms), v.leader, &m);
+		    dh_vms_peers(pl->control->vms), lead.leader, &m);
 }
 
 struct dh_planner *
--- a/core/relay.c
+++ b/core/relay.c
@@ -20,6 +20,7 @@
 	uint32_t len; /* bytes or slots */
 	uint8_t *bytes;
 	struct dh_assignment *slots;
+	uint64_t leader, deputy;
 	struct dh_relay_version *changed; /* of each slot */
 	/* TEAM: the change that made this version; base 0: none. */
 	uint64_t splice_base;
@@ -474,6 +475,8 @@
 	if (!table_resize(r, o, u->nslots))
 		return DH_RELAY_FULL;
 	table_apply(o, u);
+	o->leader = u->leader;
+	o->deputy = u->deputy;
 	set_version(r, o, u->version);
 	note_held(r, from, i, u->version);
 	return DH_RELAY_APPLIED;
@@ -499,7 +502,9 @@
 		.deleted = o->deleted,
 		.len = o->len,
 		.bytes = o->bytes,
-		.slots = o->slots };
+		.slots = o->slots,
+		.leader = o->leader,
+		.deputy = o->deputy };
 }
 
 bool
@@ -589,8 +594,10 @@
 	bool change = !version_is_zero(held) && is_base(o, held);
 	uint32_t i;
 
-	*u =
-	    (struct dh_table_update){ .version = o->version, .nslots = o->len };
+	*u = (struct dh_table_update){ .version = o->version,
+		.nslots = o->len,
+		.leader = o->leader,
+		.deputy = o->deputy };
 	memcpy(u->group, o->name, sizeof(u->group));
 	if (change)
 		u->base = held;
--- a/include/dogwoodhub/relay.h
+++ b/include/dogwoodhub/relay.h
@@ -54,6 +54,7 @@
 	uint32_t nslots; /* of the group */
 	uint32_t n;
 	struct dh_slot_update *slots;
+	uint64_t leader, deputy; /* VMs, in the version's term */
 };
 
 enum dh_relay_kind { DH_RELAY_TEAM, DH_RELAY_TABLE };
@@ -107,6 +108,7 @@
 	uint32_t len; /* bytes of a team's, slots of a group's */
 	const uint8_t *bytes;
 	const struct dh_assignment *slots;
+	uint64_t leader, deputy; /* of a group */
 };
 
 size_t dh_relay_count(const struct dh_relay *r);
--- a/proto/msg.c
+++ b/proto/msg.c
@@ -201,6 +201,8 @@
 	F(FIELD_U64, dh_table_update, base.counter),
 	F(FIELD_U32, dh_table_update, nslots),
 	F_LIST(dh_table_update, slots, n, slot_record, DH_MSG_SLOTS_MAX),
+	F(FIELD_U64, dh_table_update, leader),
+	F(FIELD_U64, dh_table_update, deputy),
 };
 RECORD(table_update_record, dh_table_update, table_update_fields);
 
--- a/tests/msg_samples.h
+++ b/tests/msg_samples.h
@@ -46,7 +46,9 @@
 		    .base = { 3, 40 },
 		    .nslots = 65536,
 		    .n = 2,
-		    .slots = slots },
+		    .slots = slots,
+		    .leader = UINT64_MAX,
+		    .deputy = 9 },
 		{ .group = "album/1", .version = { 1, 1 }, .nslots = 1 },
 	};
 	static struct dh_relay_held held[] = {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -73,6 +73,34 @@
 	return sent;
 }
 
+/* Who leads travels with the table, also of a group without slots. */
+static void
+test_leader_travels(void)
+{
+	struct dh_relay *a = dh_relay_new(&params);
+	struct dh_relay *b = dh_relay_new(&params);
+	struct dh_table_update u = {
+		.group = "web/0", .version = { 2, 1 }, .leader = 7, .deputy = 8
+	};
+	struct dh_relay_object o;
+
+	CU_ASSERT_EQUAL(dh_relay_put_table(a, &u, 0), DH_RELAY_APPLIED);
+	CU_ASSERT_TRUE(dh_relay_attach(a, 2, NULL, 0, NULL, 0));
+	(void)carry(a, 1, b, 2);
+	CU_ASSERT_TRUE_FATAL(dh_relay_find(b, DH_RELAY_TABLE, "web/0", &o));
+	CU_ASSERT_EQUAL(o.leader, 7);
+	CU_ASSERT_EQUAL(o.deputy, 8);
+	u.version.counter = 2;
+	u.base = o.version;
+	u.deputy = 9;
+	CU_ASSERT_EQUAL(dh_relay_put_table(a, &u, 0), DH_RELAY_APPLIED);
+	(void)carry(a, 1, b, 2);
+	CU_ASSERT_TRUE_FATAL(dh_relay_find(b, DH_RELAY_TABLE, "web/0", &o));
+	CU_ASSERT_EQUAL(o.deputy, 9);
+	dh_relay_free(a);
+	dh_relay_free(b);
+}
+
 static void
 test_never_back_and_idempotent(void)
 {
@@ -401,6 +429,7 @@
 main(void)
 {
 	CU_TestInfo tests[] = {
+		{ "leader travels", test_leader_travels },
 		{ "never back", test_never_back_and_idempotent },
 		{ "base", test_change_needs_its_base },
 		{ "deleted", test_deleted_stays_so },
