Avoid a placement target that does not take its moves

A frozen backend server owns nothing and looks idle, so it drew every move proposed for balance, one after another, for as long as the caller took it to be ready. A target whose move was not carried out now gets none for 10 s.

Proof: taking out either half of the rule makes test_placement ('takes nothing') fail. Admission's header now says that a refusal for any other reason than load is no DH_ADMISSION_SHED: it would cut the limit.

--- a/core/placement.c
+++ b/core/placement.c
@@ -33,6 +33,7 @@
 #define STOP_DEVIATION 0.20 /* and stops */
 #define SAMPLES 8 /* backend servers looked at for one slot */
 #define STUCK_MAX 8 /* sources without a gainful move in one plan */
+#define AVOID_MS 10000 /* a target that did not take a move */
 #define PIN_RATIO 0.25 /* of a backend server's mean load: key is pinned */
 #define UNPIN_RATIO 0.10
 #define FIRST_LOAD 1e-3F /* of a slot not counted yet: all are alike */
@@ -47,6 +48,7 @@
 	uint32_t owner, standby;
 	uint32_t next, prev; /* of the same owner */
 	int64_t moved_ms; /* INT64_MIN: never */
+	bool pending; /* moved for balance, not acknowledged yet */
 };
 
 struct pin {
@@ -63,6 +65,7 @@
 	uint32_t head; /* of its slots */
 	uint32_t nslots;
 	bool stuck; /* in this plan */
+	int64_t avoid_until_ms; /* gets nothing for balance until then */
 	double load;
 	double standby_load; /* of slots it stands by for */
 	double factor; /* reported to counted busy time */
@@ -77,6 +80,7 @@
 	uint32_t nall; /* slots and pins */
 	double tokens; /* moves left */
 	int64_t filled_ms;
+	int64_t planned_ms; /* time of the last plan */
 	bool balancing;
 	bool standbys_dirty;
 	double total, capacity; /* of ready backend servers, in a plan */
@@ -263,6 +267,7 @@
 		standby = choose_standby(pl, target);
 	set_standby(pl, i, standby);
 	pl->slots[i].moved_ms = plan->now_ms;
+	pl->slots[i].pending = reason == DH_PLACEMENT_BALANCE;
 	plan->out[plan->n++] = (struct dh_placement_move){ .slot = i,
 		.target = target,
 		.standby = standby,
@@ -421,7 +426,8 @@
 	double gain;
 
 	if (b == DH_NONE || b == a ||
-	    pl->servers[b].conf.state != DH_PLACEMENT_READY)
+	    pl->servers[b].conf.state != DH_PLACEMENT_READY ||
+	    now_ms < pl->servers[b].avoid_until_ms)
 		return;
 	gain = net_gain(pl, i, a, b, now_ms);
 	if (gain > c->gain) {
@@ -471,7 +477,8 @@
 			x.highest = b;
 			x.high_use = use;
 		}
-		if (use < x.low_use) {
+		if (use < x.low_use &&
+		    now_ms >= pl->servers[b].avoid_until_ms) {
 			x.lowest = b;
 			x.low_use = use;
 		}
@@ -532,6 +539,7 @@
 {
 	struct plan plan = { .out = out, .max = max, .now_ms = now_ms };
 
+	pl->planned_ms = now_ms;
 	survey(pl, now_ms);
 	plan_forced(pl, &plan);
 	plan_unpin(pl, &plan);
@@ -567,8 +575,16 @@
 dh_placement_set_owner(
     struct dh_placement *pl, uint32_t slot, uint32_t owner, uint32_t standby)
 {
+	struct slot *sl = &pl->slots[slot];
+
 	assert(slot < pl->nall);
-	if (owner != pl->slots[slot].owner) {
+	/* Whatever keeps a target from taking a move, it may look as if it had
+	 * nothing to do, and would draw all the others too. */
+	if (sl->pending && sl->owner != owner)
+		pl->servers[sl->owner].avoid_until_ms =
+		    pl->planned_ms + AVOID_MS;
+	sl->pending = false;
+	if (owner != sl->owner) {
 		unlink_slot(pl, slot);
 		link_slot(pl, slot, owner);
 	}
--- a/include/dogwoodhub/admission.h
+++ b/include/dogwoodhub/admission.h
@@ -73,9 +73,11 @@
 
 enum dh_admission_outcome {
 	DH_ADMISSION_OK, /* answered */
-	DH_ADMISSION_SHED, /* the backend server refused: not run */
+	DH_ADMISSION_SHED, /* refused because of its load: not run */
 	DH_ADMISSION_LOST, /* no answer, or no connection */
-	DH_ADMISSION_CANCELLED, /* given up on our side: says nothing */
+	/* Says nothing of its load: given up on our side, or refused for
+	 * another reason, as by a backend server that isn't the owner. */
+	DH_ADMISSION_CANCELLED,
 };
 
 struct dh_admission_stats {
--- a/include/dogwoodhub/placement.h
+++ b/include/dogwoodhub/placement.h
@@ -100,7 +100,8 @@
 bool dh_placement_assign(struct dh_placement *pl, int64_t now_ms);
 
 /* dh_placement_set_owner -- what is acknowledged; corrects what the planner
- * took to be carried out.  Either may be DH_NONE. */
+ * took to be carried out: a target that did not take a move proposed for
+ * balance gets no more of them for a while.  Either may be DH_NONE. */
 void dh_placement_set_owner(
     struct dh_placement *pl, uint32_t slot, uint32_t owner, uint32_t standby);
 uint32_t dh_placement_owner(const struct dh_placement *pl, uint32_t slot);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -560,6 +560,43 @@
 	dh_placement_free(pl);
 }
 
+/* A backend server that takes no slots looks idle; it must not draw moves
+ * without end. */
+static void
+test_target_that_takes_nothing_is_avoided(void)
+{
+	uint32_t old[SLOTS], i, refused = 0, taken = 0;
+	size_t n, k;
+	int s;
+
+	setup(&params);
+	(void)run(5);
+	set_state(11, DH_PLACEMENT_READY, false);
+	heat(1, 0.3);
+	for (i = 0; i < SLOTS; i++)
+		if (dh_placement_owner(pl, i) == 1)
+			dh_placement_set_owner(pl, i, 1, 11);
+	for (s = 0; s < 60; s++) {
+		second();
+		for (i = 0; i < SLOTS; i++)
+			old[i] = dh_placement_owner(pl, i);
+		n = dh_placement_plan(pl, now_ms, moves, 2);
+		for (k = 0; k < n; k++) {
+			i = moves[k].slot;
+			if (moves[k].target == 11) {
+				dh_placement_set_owner(pl, i, old[i], 11);
+				refused++;
+			} else {
+				taken++;
+			}
+		}
+	}
+	CU_ASSERT(refused >= 1 && refused <= 12);
+	CU_ASSERT(taken > 3);
+	CU_ASSERT(highest_use() < 0.9);
+	dh_placement_free(pl);
+}
+
 static void
 random_event(struct dh_rng *rng, bool *may)
 {
@@ -629,6 +666,7 @@
 		{ "reports", test_reports_are_checked },
 		{ "hot key", test_hot_key_is_pinned_apart_then_back },
 		{ "acknowledged", test_acknowledged_owner_wins },
+		{ "takes nothing", test_target_that_takes_nothing_is_avoided },
 		{ "random events", test_random_events },
 		CU_TEST_INFO_NULL,
 	};
