Follow the platform's list of VMs; a VM that starts in a store outage finds its peers by it

tests/failure/vm_started_in_outage.sh: store silent, v3 starts, has the configuration 2.0 s later (the list is first asked after 1-2 s) and serves.

--- a/control/vms.c
+++ b/control/vms.c
@@ -13,11 +13,16 @@
 #include "control/feed.h"
 #include "control/peers.h"
 #include "control/planner.h"
+#include "control/vmlist.h"
 
 #define PREFIX "vms/"
 #define REGISTER_RETRY_MS 500u
 /* Between looks for links that nobody opened. */
 #define CHECK_MS 1000u
+/* Every so many looks the platform's list is asked for... */
+#define LIST_CHECKS 2u
+/* ...by every VM while there are no more than this. */
+#define LIST_VMS_MAX 16u
 
 /* What only this process knows of another VM. */
 struct note {
@@ -35,6 +40,8 @@
 	struct dh_store_watch *watch;
 	uv_timer_t *tick;
 	uv_timer_t *check;
+	struct dh_vmlist *list; /* NULL: none is set */
+	uint32_t checks;
 	uv_timer_t *retry;
 	char *object; /* this VM's own, in the store */
 	char *value;
@@ -486,12 +493,40 @@
 static const struct dh_peers_ops peer_ops = { on_peer_up, on_message,
 	on_peer_down };
 
+static void
+on_listed(void *arg, const struct dh_vmlist_entry *e)
+{
+	static const enum dh_member_listed listed[] = {
+		[DH_VMLIST_LIVE] = DH_MEMBER_LISTED_LIVE,
+		[DH_VMLIST_LEAVING] = DH_MEMBER_LISTED_LEAVING,
+		[DH_VMLIST_MISSING] = DH_MEMBER_LISTED_MISSING,
+	};
+	struct dh_vms *v = arg;
+	uint64_t id = dh_name_id(e->name);
+	struct dh_member_event ev = {
+		.kind = DH_MEMBER_LISTED, .vm = id, .listed = listed[e->state]
+	};
+	struct dh_member_info info;
+	uint16_t port = e->peer_port != 0 ? e->peer_port : v->self.peer_port;
+
+	/* Unknown so far, as in a store outage: its greeting tells the rest. */
+	if (e->state == DH_VMLIST_LIVE && id != v->control->self &&
+	    !dh_member_find(v->members, id, &info))
+		dh_peers_want(v->peers, id, e->address, port);
+	step(v, &ev);
+	dh_control_members_changed(v->control);
+}
+
 static void
 on_check(uv_timer_t *timer)
 {
 	struct dh_vms *v = timer->data;
 
 	dh_peers_check(v->peers);
+	if (v->list != NULL && v->checks++ % LIST_CHECKS == 0 &&
+	    (dh_member_watches(v->members) ||
+		dh_member_count(v->members) <= LIST_VMS_MAX))
+		dh_vmlist_poll(v->list);
 }
 
 /* Start and end */
@@ -546,6 +581,9 @@
 	uv_timer_start(v->check, on_check, CHECK_MS, CHECK_MS);
 	members_start(v);
 	uv_timer_start(v->tick, on_tick, 0, 0);
+	if (ct->settings->vm_list_url[0] != '\0')
+		v->list = dh_vmlist_new(
+		    ct->http, ct->settings->vm_list_url, on_listed, v);
 	put_self(v);
 	return v;
 }
@@ -562,6 +600,7 @@
 	if (v == NULL)
 		return;
 	dh_peers_free(v->peers);
+	dh_vmlist_free(v->list);
 	uv_close((uv_handle_t *)v->retry, timer_closed);
 	uv_close((uv_handle_t *)v->tick, timer_closed);
 	uv_close((uv_handle_t *)v->check, timer_closed);
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -160,7 +160,7 @@
   "vm": "v$n", "zone": "$(zone "$n")", "region": "$(region "$n")",
   "listen_address": "127.0.0.1", "listen_port": $p,
   "admin_port": $((p + 1)), "peer_port": $((p + 2)),
-  "store_url": "$(store_url)", "threads": 1 }
+  "store_url": "$(store_url)", "threads": 1${vm_settings:-} }
 EOF
 	"$build/dogwoodhub" --config "$dir/v$n.json" \
 	    --history "$dir/v$n.hist" 2>>"$dir/v$n.err" &
