--- a/config/settings.c
+++ b/config/settings.c
@@ -40,6 +40,7 @@
 	INTEGER(listen_port, "8080", 1, UINT16_MAX),
 	INTEGER(admin_port, "8081", 1, UINT16_MAX),
 	INTEGER(peer_port, "8082", 0, UINT16_MAX),
+	INTEGER(peer_advertise_port, "0", 0, UINT16_MAX),
 	TEXT(store_url, DH_FIELD_URL, NULL),
 	TEXT(vm_list_url, DH_FIELD_URL, ""),
 	BOOLEAN(trust_vm_list, "false"),
--- a/config/settings.h
+++ b/config/settings.h
@@ -20,6 +20,7 @@
 	uint16_t listen_port; /* callers */
 	uint16_t admin_port; /* health, counters, status */
 	uint16_t peer_port; /* inner protocol; 0: none */
+	uint16_t peer_advertise_port; /* that others use; 0: peer_port */
 	char store_url[256]; /* "http://IP:port" */
 	char vm_list_url[256]; /* "" : none */
 	bool trust_vm_list; /* its "gone" is proof of death */
--- a/control/peers.c
+++ b/control/peers.c
@@ -4,6 +4,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "control/vms.h"
 
 #define SILENT_MS 800
 #define PROBE_MS 300
@@ -133,7 +134,7 @@
 		.version_max = DH_PROTO_VERSION_MAX,
 		.purpose = DH_HELLO_PEER,
 		.incarnation = ct->incarnation,
-		.port = s->peer_port };
+		.port = dh_vms_port(s) };
 	g_strlcpy(h->vm, s->vm, sizeof(h->vm));
 	g_strlcpy(h->zone, s->zone, sizeof(h->zone));
 	g_strlcpy(h->region, s->region, sizeof(h->region));
--- a/control/vms.c
+++ b/control/vms.c
@@ -122,6 +122,13 @@
 		step(v, &ev);
 }
 
+uint16_t
+dh_vms_port(const struct dh_settings *s)
+{
+	return s->peer_advertise_port != 0 ? s->peer_advertise_port
+					   : s->peer_port;
+}
+
 static char *
 self_text(const struct dh_control *ct)
 {
@@ -132,7 +139,7 @@
 			       "\"address\":\"%s\",\"admin_port\":%u,"
 			       "\"peer_port\":%u}",
 	    s->vm, ct->incarnation, s->zone, s->region, s->listen_address,
-	    s->admin_port, s->peer_port);
+	    s->admin_port, dh_vms_port(s));
 }
 
 static void put_self(struct dh_vms *v);
--- a/control/vms.h
+++ b/control/vms.h
@@ -15,6 +15,9 @@
 struct dh_vms *dh_vms_new(struct dh_control *ct, GError **error);
 void dh_vms_free(struct dh_vms *v);
 
+/* dh_vms_port -- the port on which others reach a VM with these settings. */
+uint16_t dh_vms_port(const struct dh_settings *s);
+
 struct dh_group_vm dh_vms_self(const struct dh_vms *v);
 
 /* dh_vms_list -- every VM known, this one included; the caller frees it. */
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -155,12 +155,19 @@
 start_vm() {
 	n=$1
 	p=$(vm_port "$n")
+	url=$(store_url)
+	advertise=0
+	if [ "$wire" ]; then
+		url="http://127.0.0.1:$((base + 400 + n))"
+		advertise=$((base + 300 + n))
+	fi
 	cat >"$dir/v$n.json" <<EOF
 { // settings of one VM of scenario $name
   "vm": "v$n", "zone": "$(zone "$n")", "region": "$(region "$n")",
   "listen_address": "127.0.0.1", "listen_port": $p,
   "admin_port": $((p + 1)), "peer_port": $((p + 2)),
-  "store_url": "$(store_url)", "threads": 1${vm_settings:-} }
+  "peer_advertise_port": $advertise,
+  "store_url": "$url", "threads": 1${vm_settings:-} }
 EOF
 	"$build/dogwoodhub" --config "$dir/v$n.json" \
 	    --history "$dir/v$n.hist" 2>>"$dir/v$n.err" &
@@ -172,6 +179,34 @@
 	esac
 }
 
+# start_wire VMS: put a cuttable wire between the VMs, and between each VM and
+# the store.  Before start_cluster.
+wire=
+start_wire() {
+	wire=$((base + 95))
+	maps=
+	i=1
+	while [ "$i" -le "$1" ]; do
+		maps="$maps *,v$i,$((base + 300 + i)),$(($(vm_port "$i") + 2))"
+		maps="$maps v$i,store,$((base + 400 + i)),$store_port"
+		i=$((i + 1))
+	done
+	# shellcheck disable=SC2086
+	"$build/standin/wire" "$wire" $maps 2>"$dir/wire.err" &
+	pids="$pids $!"
+	wait_for 10 wire curl -sf -o /dev/null -d '{"cut": []}' \
+	    "http://127.0.0.1:$wire/"
+}
+
+# cut PAIRS: as JSON, e.g. '["v1","v2"],["v1","store"]'; nothing heals all.
+cut() {
+	on=true
+	[ "$1" ] || on=false
+	event fault ",\"kind\":\"partition\",\"on\":$on"
+	curl -sf -d "{\"cut\": [$1]}" "http://127.0.0.1:$wire/" >/dev/null ||
+	    fail "cut $1"
+}
+
 vm_url() {
 	echo "http://127.0.0.1:$(vm_port "$1")"
 }
