A candidate that was cut off itself waits to hear of the leader again

Cause: a VM without links that the store answered again, or late, deposed a healthy leader at once; permits went with the old pair, since the new leader was of neither. Seen when two regions found each other again.

--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -182,6 +182,7 @@
 		uint64_t term; /* that a conditional update asks for */
 		bool third; /* not as the deputy that knows all */
 		bool fresh; /* the group is being created */
+		bool outage; /* the store did not answer the candidate */
 		/* What it replaces. */
 		uint64_t leader, leader_incarnation;
 		uint64_t deputy, deputy_incarnation;
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -435,8 +435,10 @@
 group_term_lost(struct dh_group *g)
 {
 	g->take.retry_ms = g->now_ms + STORE_RETRY_MS;
-	if (!g->store.put_open)
+	if (!g->store.put_open) {
 		g->mode = g->mode_before;
+		g->take.outage = g->mode == MODE_IDLE;
+	}
 }
 
 static void
@@ -556,6 +558,18 @@
 		group_term_taken(g, r, version);
 		return;
 	}
+	/* A candidate that the store did not answer, or late, was perhaps cut
+	 * off itself: the leader gets time to be heard of again. */
+	if ((g->take.outage ||
+		g->now_ms - g->store.get_ms >= g->p.support_ms) &&
+	    g->mode_before == MODE_IDLE && !g->store.put_open) {
+		g->take.outage = false;
+		g->mode = MODE_IDLE;
+		group_known(g, r, version);
+		g->leaderless_ms = DH_FOREVER_MS;
+		g->take.retry_ms = g->now_ms + g->p.deputy_grace_ms;
+		return;
+	}
 	if (!g->store.put_open && !take_allowed(g, r)) {
 		g->mode = g->mode_before;
 		group_known(g, r, version);
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -10,6 +10,8 @@
 #include "router/turn.h"
 
 #define RETRY_AFTER_MS 1000
+/* Longest wait for a permit; the leader may be cut off. */
+#define PERMIT_WAIT_MS 600
 /* No byte in either direction for this long ends a streaming answer. */
 #define STALL_MS 15000
 #define DEADLINE_MIN_MS 1
@@ -396,6 +398,7 @@
 	ex->token = mail.token;
 	ex->permit_token = mail.token;
 	g_hash_table_insert(lane->asked, GUINT_TO_POINTER(ex->token), ex);
+	timer_at(ex, MIN(ex->deadline_ms, dh_clock_ms() + PERMIT_WAIT_MS));
 	return true;
 }
 
@@ -501,6 +504,7 @@
 	switch (mail->permit.verdict) {
 	case DH_PERMIT_RUN:
 		ex->permitted = true;
+		timer_at(ex, ex->deadline_ms);
 		dh_exchange_route(ex);
 		break;
 	case DH_PERMIT_WAS_DONE:
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -5,7 +5,8 @@
 build=$1
 name=$(basename "$0" .sh)
 dir=$(mktemp -d "${TMPDIR:-/tmp}/dh-$name.XXXXXX")
-base=${DH_PORT_BASE:-21000}
+# Apart from other runs on the same machine, below the ephemeral ports.
+base=${DH_PORT_BASE:-$((20000 + $$ % 24 * 500))}
 store_port=$base
 pids=
 vms=
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -570,6 +570,37 @@
 	done(f);
 }
 
+static void
+cut_off(struct fake *f, uint32_t vm, bool on)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->nvms; i++)
+		f->cut_vm[vm][i] = f->cut_vm[i][vm] = on && i != vm;
+}
+
+/* A VM cut off from all others, which the store answers again before they
+ * do, does not depose a leader that is well. */
+static void
+test_cut_off_vm_deposes_nobody(void)
+{
+	struct fake *f = running();
+	uint32_t leader = leader_of(f), deputy = deputy_of(f), other;
+
+	for (other = 0; other == leader || other == deputy; other++)
+		continue;
+	cut_off(f, other, true);
+	f->cut_store[other] = true;
+	fake_run(f, f->now_ms + 5000);
+	f->cut_store[other] = false;
+	fake_run(f, f->now_ms + 1500);
+	cut_off(f, other, false);
+	fake_run(f, f->now_ms + 5000);
+	CU_ASSERT_EQUAL(f->record->term, 1);
+	CU_ASSERT_EQUAL(leader_of(f), leader);
+	done(f);
+}
+
 /* A backend server that checks no fences keeps its slots over a take-over
  * and gives them up only after its lease and its longest request. */
 static void
@@ -670,6 +701,7 @@
 		{ "move falls back", test_move_falls_back },
 		{ "drain", test_drain },
 		{ "left out", test_left_out },
+		{ "cut off", test_cut_off_vm_deposes_nobody },
 		{ "no fences checked", test_unchecked_backend },
 		{ "no slots", test_group_without_slots },
 		{ "until", test_until_is_bounded },
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -4,7 +4,6 @@
 # availability zones, three routers; real requests; a backend server is
 # killed and its keys are served again; a graceful shutdown.
 set -u
-DH_PORT_BASE=${DH_PORT_BASE:-23000}
 . "$(dirname "$0")/../tests/failure/lib.sh"
 
 say() {
