--- /dev/null
+++ b/models/group.pml
@@ -0,0 +1,1074 @@
+/*
+ * Authority over one slot: three VMs, the store, NB backend servers.
+ *
+ * Time is a tick that lowers every countdown by one.  Nothing is urgent: any
+ * party may stay silent for any number of ticks, so pause, partition, link
+ * loss, store outage and a frozen backend server are all "that step is not
+ * taken".  What is delayed sits in a one-place buffer (an order, an ack, a
+ * conditional update) and may take effect at any later moment.
+ *
+ * Each guard G_* is one rule of the protocol, 1 unless the command line says
+ * -DG_NAME=0; tools/run_models.sh removes them one by one.
+ */
+#ifndef CHECKS
+#define CHECKS 1 /* the backend servers check fences */
+#endif
+#ifndef NB
+#define NB 2 /* backend servers */
+#endif
+#ifndef LEASE
+#define LEASE 2
+#endif
+#ifndef SUPPORT
+#define SUPPORT 1
+#endif
+#ifndef SOLO
+#define SOLO 1
+#endif
+#ifndef OUTAGE
+#define OUTAGE 2 /* longest reassigning without the store */
+#endif
+#ifndef MAXTERM
+#define MAXTERM 2 /* terms after the first: MAXTERM - 1 */
+#endif
+#ifndef MAXVER
+#define MAXVER 1 /* changes of owner */
+#endif
+#ifndef VM_CRASHES
+#define VM_CRASHES 1
+#endif
+#ifndef RESTARTS
+#define RESTARTS 1 /* of backend servers */
+#endif
+#ifndef DELAYS
+#define DELAYS 1 /* orders delayed */
+#endif
+#ifndef NAMES
+#define NAMES 1 /* deputies replaced */
+#endif
+#ifndef ZONE_A
+#define ZONE_A 0 /* backend server 0 stands in the first leader's zone */
+#endif
+#ifndef GOAL
+#define GOAL 0 /* >0: that state must be reached, see goal() */
+#endif
+
+#ifndef G_FENCE
+#define G_FENCE 1 /* backend servers refuse lower fences */
+#endif
+#ifndef G_HELLO_FENCES
+#define G_HELLO_FENCES 1 /* hello raises the fence too */
+#endif
+#ifndef G_HELLO_FIRST
+#define G_HELLO_FIRST 1 /* a leader's orders follow an answered hello */
+#endif
+#ifndef G_LEASE_CLOCK
+#define G_LEASE_CLOCK 1 /* a frozen backend server's lease runs on */
+#endif
+#ifndef G_VM_CLOCK
+#define G_VM_CLOCK 1 /* a paused VM's authority runs on */
+#endif
+#ifndef G_ORDER_EXPIRY
+#define G_ORDER_EXPIRY 1 /* orders end when the lease they give ends */
+#endif
+#ifndef G_INCARNATION
+#define G_INCARNATION 1 /* orders name the backend server's incarnation */
+#endif
+#ifndef G_NEW_INCARNATION
+#define G_NEW_INCARNATION 1 /* granted only after a store confirmation that
+			     * was asked for after it was first heard of */
+#endif
+#ifndef G_VM_INCARNATION
+#define G_VM_INCARNATION 1 /* a restarted deputy is not the deputy */
+#endif
+#ifndef G_REVOKE
+#define G_REVOKE 1 /* reassign only once the deputy has revoked */
+#endif
+#ifndef G_REVOKE_LAST
+#define G_REVOKE_LAST 1 /* lapse counts the deputy's last renewal */
+#endif
+#ifndef G_REPLACE_WAIT
+#define G_REPLACE_WAIT 1 /* wait out a deputy replaced in the store */
+#endif
+#ifndef G_LAPSE
+#define G_LAPSE 1 /* grant only when the lease before has lapsed */
+#endif
+#ifndef G_OWN_ZONE
+#define G_OWN_ZONE 1 /* solo: not in one's own availability zone */
+#endif
+#ifndef G_SOLO_CHECKED
+#define G_SOLO_CHECKED 1 /* solo: not those that don't check fences */
+#endif
+#ifndef G_SOLO_LIMIT
+#define G_SOLO_LIMIT 1 /* solo renewing ends */
+#endif
+#ifndef G_SOLO_RENEW
+#define G_SOLO_RENEW 1 /* solo: no reassignment, no grant */
+#endif
+#ifndef G_OUTAGE_LIMIT
+#define G_OUTAGE_LIMIT 1 /* leader and deputy end without the store */
+#endif
+#ifndef G_ACK_AGE
+#define G_ACK_AGE 1 /* support counts from before the heartbeat was sent */
+#endif
+#ifndef G_CONFIRM_WRITE
+#define G_CONFIRM_WRITE 1 /* the store confirms by a conditional update, not
+			   * by a read, which may be stale */
+#endif
+#ifndef G_CONDITIONAL
+#define G_CONDITIONAL 1 /* updates are conditional */
+#endif
+#ifndef G_READ_BACK
+#define G_READ_BACK 1 /* a put without reply is read back */
+#endif
+#ifndef G_TAKE_STOPS_ACKS
+#define G_TAKE_STOPS_ACKS 1 /* a deputy that takes the term acks no more */
+#endif
+#ifndef G_TAKE_WAIT
+#define G_TAKE_WAIT 1 /* a takeover waits out the old authority */
+#endif
+#ifndef G_WAIT_FROM_EFFECT
+#define G_WAIT_FROM_EFFECT 1 /* ... from when its put is known to have taken
+			      * effect, not from when it was sent */
+#endif
+#ifndef G_THIRD_LIMIT
+#define G_THIRD_LIMIT 1 /* a third VM waits the store outage limit too */
+#endif
+#ifndef G_DEATH_LEASE
+#define G_DEATH_LEASE 1 /* proof of death leaves the lease to wait for */
+#endif
+#ifndef G_ASK_STANDBY
+#define G_ASK_STANDBY 1 /* after a takeover the standby may be the owner */
+#endif
+#ifndef G_STANDBY_ONLY
+#define G_STANDBY_ONLY 1 /* without store: only owner and standby recorded */
+#endif
+#ifndef G_SAME_TARGET
+#define G_SAME_TARGET 1 /* an unresolved record keeps its target */
+#endif
+#ifndef G_TAKE_NEWER
+#define G_TAKE_NEWER 1 /* the deputy takes the newer of its own record and
+			* the store's */
+#endif
+#ifndef G_THIRD_ASKS
+#define G_THIRD_ASKS 1 /* a third VM asks both for their assignments ... */
+#endif
+#ifndef G_ASK_AFTER
+#define G_ASK_AFTER 1 /* ... after its put has taken effect, not before */
+#endif
+#ifndef G_PROMISE
+#define G_PROMISE 1 /* who has answered a term hears no lower one */
+#endif
+#ifndef G_DEPUTY_ACTIVE
+#define G_DEPUTY_ACTIVE 1 /* a deputy renews only what its leader may */
+#endif
+#ifndef G_RECORD
+#define G_RECORD 1 /* acknowledge only what store or deputy holds */
+#endif
+#ifndef G_RELEASE
+#define G_RELEASE 1 /* a planned move waits for the owner's release */
+#endif
+#ifndef G_RELEASE_LAPSE
+#define G_RELEASE_LAPSE 1 /* ... and, where fences aren't checked, end
+			   * unanswered orders have expired */
+#endif
+#ifndef G_RELEASE_RAISES
+#define G_RELEASE_RAISES 1 /* a release carries a higher fence */
+#endif
+
+#define NV 3
+#define NONE 3
+#define ANY_WAIT (OUTAGE + SOLO + LEASE)
+
+/* role */
+#define IDLE 0
+#define DEPUTY 1
+#define TAKING 2
+#define LEADER 3
+
+/* kind of an order */
+#define GRANT 1
+#define RENEW 2
+
+#define ZONE_VM(v) (v)
+#define ZONE_B(b) ((b) == 0 -> ZONE_A : 1)
+#define STANDBY(b) ((b) == 0 -> 1 : 0)
+#define MIN(a, b) ((a) < (b) -> (a) : (b))
+#define MAX(a, b) ((a) > (b) -> (a) : (b))
+#define VB(v, b) ((v) * NB + (b))
+
+/* the store's object */
+unsigned s_term : 2 = 1;
+unsigned s_leader : 2 = 0;
+unsigned s_writer : 2 = 0; /* the leader's incarnation */
+unsigned s_deputy : 2 = 1;
+unsigned s_owner : 2 = 0;
+unsigned s_ver : 2 = 0;
+unsigned s_version : 5 = 0;
+
+/* VMs */
+byte role[NV];
+byte term[NV];
+byte inc[NV];
+byte auth[NV]; /* > SOLO: supported; 1..SOLO: solo; 0: nothing */
+byte out[NV]; /* left of the store outage limit */
+byte owner[NV]; /* what it holds as the assignment, */
+byte ver[NV]; /* and its counter */
+byte rec[NV]; /* owner recorded in the store, as far as it knows */
+byte deputy[NV]; /* of a leader */
+byte deputy_inc[NV];
+bool revoked[NV * NB]; /* renews it no more */
+bool agreed[NV]; /* the deputy has revoked the owner too */
+bool released[NV]; /* the owner has answered a release */
+byte target[NV]; /* unresolved record: new owner + 1 */
+bool was_deputy[NV]; /* TAKING: as the deputy of the term before */
+byte wait[NV * NB]; /* until then it may own the slot */
+bool asked[NV * NB]; /* has answered hello in this term */
+byte known[NV * NB]; /* its incarnation */
+bool sure[NV * NB]; /* the store has confirmed since it was heard of */
+
+/* backend servers */
+bool has[NB];
+byte lease[NB];
+byte f_term[NB];
+byte f_ver[NB];
+byte b_inc[NB];
+
+/* an order that is delayed */
+unsigned o_kind : 2;
+unsigned o_to : 2;
+unsigned o_term : 2;
+unsigned o_ver : 2;
+unsigned o_inc : 2;
+unsigned o_until : 3;
+
+/* an ack that is delayed */
+unsigned a_left : 2;
+unsigned a_to : 2;
+unsigned a_term : 2;
+
+/* a takeover's conditional update that is delayed */
+bool p_any;
+unsigned p_from : 2;
+unsigned p_inc : 2;
+unsigned p_term : 2;
+unsigned p_expect : 5;
+unsigned p_owner : 2;
+unsigned p_ver : 2;
+
+/* budgets */
+unsigned crashes : 2 = VM_CRASHES;
+unsigned restarts : 2 = RESTARTS;
+unsigned delays : 2 = DELAYS;
+unsigned names : 2 = NAMES;
+
+/* observers */
+unsigned led : 2 = 1; /* newest term that a VM knows it leads */
+unsigned acked : 2; /* counter of the newest acknowledged assignment */
+bool acked_pair; /* only leader and deputy hold it */
+unsigned acked_term : 2;
+unsigned excused : 2; /* newest term that a third VM has taken while it could
+		      * ask neither of the pair before it */
+byte i; /* 0 between steps */
+
+#define OWNS(b) (has[b] && lease[b] > 0)
+#if NB == 2
+#define MANY_OWN (OWNS(0) && OWNS(1))
+#define OTHERS_LAPSED(v, b) (wait[VB(v, 1 - (b))] == 0)
+#else
+#define MANY_OWN ((OWNS(0) && OWNS(1)) || (OWNS(0) && OWNS(2)) || \
+	(OWNS(1) && OWNS(2)))
+#define OTHERS_LAPSED(v, b) (((b) == 0 || wait[VB(v, 0)] == 0) && \
+	((b) == 1 || wait[VB(v, 1)] == 0) && \
+	((b) == 2 || wait[VB(v, 2)] == 0))
+#endif
+
+#define SUPPORTED(v) (auth[v] > SOLO)
+#define MAY_ASSIGN(v) (role[v] == LEADER && (SUPPORTED(v) || \
+	(!G_SOLO_RENEW && auth[v] > 0)))
+#define ACTIVE(v) (OTHERS_LAPSED(v, owner[v]) || !G_LAPSE)
+#define KEPT(v) (ver[v] >= acked || (acked_pair && acked_term < excused))
+#define CURRENT(v) (s_term == term[v] && s_leader == v && s_writer == inc[v])
+#define STORE_TAKES(v) (CURRENT(v) || !G_CONDITIONAL)
+#define BELOW(t, n, b) ((t) < f_term[b] || \
+	((t) == f_term[b] && (n) < f_ver[b]))
+#define REFUSED(t, n, b) (CHECKS && G_FENCE && BELOW(t, n, b))
+
+inline goal(n)
+{
+	assert(GOAL != n)
+}
+
+inline clear_target(v)
+{
+	target[v] = 0
+}
+
+inline forget(v)
+{
+	role[v] = IDLE;
+	auth[v] = 0;
+	out[v] = 0;
+	owner[v] = 0;
+	ver[v] = 0;
+	rec[v] = 0;
+	deputy[v] = 0;
+	deputy_inc[v] = 0;
+	agreed[v] = 0;
+	released[v] = 0;
+	target[v] = 0;
+	was_deputy[v] = 0;
+	i = 0;
+	do
+	:: i < NB ->
+		revoked[VB(v, i)] = 0;
+		wait[VB(v, i)] = 0;
+		asked[VB(v, i)] = 0;
+		known[VB(v, i)] = 0;
+		sure[VB(v, i)] = 0;
+		i++
+	:: else -> break
+	od;
+	i = 0
+}
+
+/* A backend server receives a grant or renewal. */
+inline accept(kd, b, t, n, bi, end)
+{
+	if
+	:: REFUSED(t, n, b) || (G_INCARNATION && bi != b_inc[b]) -> skip
+	:: else ->
+		if
+		:: BELOW(t, n, b) -> skip
+		:: else ->
+			f_term[b] = t;
+			f_ver[b] = n
+		fi;
+		if
+		:: kd == GRANT ->
+			has[b] = 1;
+			lease[b] = MAX(lease[b], end)
+		:: kd == RENEW && has[b] ->
+			lease[b] = MAX(lease[b], end)
+		:: else -> skip
+		fi;
+		assert(!MANY_OWN);
+		if
+		:: kd == GRANT && b == 1 && t == 1 && acked_pair -> goal(1)
+		:: kd == GRANT && b == 1 && t > 1 -> goal(2)
+		:: else -> skip
+		fi
+	fi
+}
+
+/* A VM sends an order; from here on the backend server may own the slot. */
+inline send(v, b, kind)
+{
+	wait[VB(v, b)] = MAX(wait[VB(v, b)], LEASE)
+}
+
+#define ORDER(v, b, kd) \
+	d_step { \
+		send(v, b, kd); \
+		accept(kd, b, term[v], ver[v], known[VB(v, b)], LEASE) \
+	}
+#define ORDER_LATE(v, b, kd) \
+	d_step { \
+		send(v, b, kd); \
+		delays--; \
+		o_kind = kd; \
+		o_to = b; \
+		o_term = term[v]; \
+		o_ver = ver[v]; \
+		o_inc = known[VB(v, b)]; \
+		o_until = LEASE \
+	}
+
+#define CAN_GRANT(v, b) (MAY_ASSIGN(v) && owner[v] == b && \
+	!revoked[VB(v, b)] && !released[v] && ACTIVE(v) && \
+	(asked[VB(v, b)] || !G_HELLO_FIRST) && \
+	(sure[VB(v, b)] || !G_NEW_INCARNATION))
+/* Solo: an authority without support. */
+#define CAN_SOLO(v, b) ((CHECKS || !G_SOLO_CHECKED) && \
+	(ZONE_VM(v) != ZONE_B(b) || !G_OWN_ZONE))
+#define CAN_RENEW(v, b) (role[v] != IDLE && auth[v] > 0 && \
+	owner[v] == b && !revoked[VB(v, b)] && !released[v] && \
+	((role[v] == LEADER && ACTIVE(v) && \
+	(asked[VB(v, b)] || !G_HELLO_FIRST) && \
+	(SUPPORTED(v) || CAN_SOLO(v, b))) || \
+	(role[v] != LEADER && CAN_SOLO(v, b))))
+
+#define ORDERS(v, b) \
+	:: atomic { CAN_GRANT(v, b) -> \
+		assert(term[v] < led || KEPT(v)); \
+		if \
+		:: ORDER(v, b, GRANT) \
+		:: delays > 0 && o_kind == 0 -> ORDER_LATE(v, b, GRANT) \
+		fi } \
+	:: atomic { CAN_RENEW(v, b) -> \
+		if \
+		:: ORDER(v, b, RENEW) \
+		:: delays > 0 && o_kind == 0 -> ORDER_LATE(v, b, RENEW) \
+		fi }
+
+/* Asks a backend server; one that checks fences refuses older terms after. */
+inline hello(v, b)
+{
+	if
+	:: REFUSED(term[v], ver[v], b) -> role[v] = IDLE; auth[v] = 0
+	:: else ->
+		if
+		:: G_HELLO_FENCES && !BELOW(term[v], ver[v], b) ->
+			f_term[b] = term[v];
+			f_ver[b] = ver[v]
+		:: else -> skip
+		fi;
+		if
+		:: CHECKS && (!asked[VB(v, b)] || known[VB(v, b)] != b_inc[b]) ->
+			wait[VB(v, b)] = (has[b] -> lease[b] : 0)
+		:: else -> skip
+		fi;
+		if
+		:: known[VB(v, b)] != b_inc[b] ->
+			known[VB(v, b)] = b_inc[b];
+			sure[VB(v, b)] = 0
+		:: else -> skip
+		fi;
+		asked[VB(v, b)] = 1
+	fi
+}
+
+#define HELLO(v, b) \
+	:: atomic { role[v] == LEADER && \
+	    (!asked[VB(v, b)] || known[VB(v, b)] != b_inc[b]) -> \
+		d_step { hello(v, b) } }
+
+/* Planned move: the owner finishes and gives up the slot. */
+inline release(v, b)
+{
+	if
+	:: REFUSED(term[v], ver[v], b) || known[VB(v, b)] != b_inc[b] -> skip
+	:: else ->
+		if
+		:: G_RELEASE ->
+			has[b] = 0;
+			lease[b] = 0;
+			if
+			:: !BELOW(term[v], ver[v] + 1, b) && G_RELEASE_RAISES ->
+				f_term[b] = term[v];
+				f_ver[b] = ver[v] + 1
+			:: else -> skip
+			fi
+		:: else -> skip
+		fi;
+		released[v] = 1;
+		if
+		:: CHECKS || !G_RELEASE_LAPSE -> wait[VB(v, b)] = 0
+		:: else -> skip
+		fi
+	fi
+}
+
+#define RELEASE(v, b) \
+	:: atomic { MAY_ASSIGN(v) && owner[v] == b && ACTIVE(v) && !released[v] && \
+	    !revoked[VB(v, b)] && ver[v] < MAXVER && CAN_GRANT(v, b) -> \
+		d_step { release(v, b) } }
+
+/* The leader revokes; the deputy's answer says when it last renewed. */
+inline revoke(v, d, b)
+{
+	revoked[VB(d, b)] = 1;
+	agreed[v] = 1;
+	if
+	:: G_REVOKE_LAST ->
+		wait[VB(v, b)] = MAX(wait[VB(v, b)], wait[VB(d, b)])
+	:: else -> skip
+	fi
+}
+
+#define PARTNERS(v, d) (role[v] == LEADER && deputy[v] == d && \
+	role[d] == DEPUTY && term[d] == term[v] && \
+	(deputy_inc[v] == inc[d] || !G_VM_INCARNATION))
+
+#define REVOKE(v, d, b) \
+	:: atomic { PARTNERS(v, d) && owner[v] == b && revoked[VB(v, b)] && \
+	    !agreed[v] -> \
+		if \
+		:: d_step { revoke(v, d, b) } \
+		:: !revoked[VB(d, b)] -> revoked[VB(d, b)] = 1 \
+		fi }
+
+#define REVOKES(v, b) \
+	:: atomic { MAY_ASSIGN(v) && owner[v] == b && !revoked[VB(v, b)] && \
+	    !released[v] && ver[v] < MAXVER -> \
+		revoked[VB(v, b)] = 1 }
+
+/* The lease of the owner has lapsed: the slot may go elsewhere. */
+#define CAN_REASSIGN(v, b, to) (MAY_ASSIGN(v) && owner[v] == b && \
+	ver[v] < MAXVER && (target[v] == 0 || target[v] == to + 1 || \
+	!G_SAME_TARGET) && \
+	(released[v] || (revoked[VB(v, b)] && (agreed[v] || \
+	deputy[v] == NONE || !G_REVOKE))) && \
+	(OTHERS_LAPSED(v, to) || !G_LAPSE))
+
+inline assigned(v, b, to, pair)
+{
+	if
+	:: term[v] >= led ->
+		assert(KEPT(v));
+		acked = ver[v] + 1;
+		acked_pair = pair;
+		acked_term = term[v]
+	:: else ->
+		/* a pair that the newer leader could not reach */
+		assert(pair && term[v] < excused)
+	fi;
+	owner[v] = to;
+	ver[v] = ver[v] + 1;
+	if
+	:: pair -> skip
+	:: else -> rec[v] = to
+	fi;
+	revoked[VB(v, b)] = 0;
+	agreed[v] = 0;
+	target[v] = 0;
+	if
+	:: released[v] -> goal(3)
+	:: else -> skip
+	fi;
+	released[v] = 0
+}
+
+inline record_store(v, to)
+{
+	s_owner = to;
+	s_ver = ver[v] + 1;
+	s_version++;
+	if
+	:: !G_CONDITIONAL ->
+		s_term = term[v];
+		s_leader = v;
+		s_writer = inc[v]
+	:: else -> skip
+	fi
+}
+
+inline record_pair(v, d, b, to)
+{
+	owner[d] = to;
+	ver[d] = ver[v] + 1;
+	revoked[VB(d, b)] = 1;
+	revoked[VB(d, to)] = 0
+}
+
+#define PAIR_TARGET(v, to) (!G_STANDBY_ONLY || to == rec[v] || \
+	to == STANDBY(rec[v]))
+
+#define REASSIGN(v, b, to) \
+	:: atomic { CAN_REASSIGN(v, b, to) -> \
+		if \
+		:: !STORE_TAKES(v) -> d_step { role[v] = IDLE; auth[v] = 0 } \
+		:: STORE_TAKES(v) -> \
+			d_step { \
+				record_store(v, to); \
+				assigned(v, b, to, 0) \
+			} \
+		:: STORE_TAKES(v) && target[v] == 0 -> \
+			d_step { record_store(v, to); target[v] = to + 1 } \
+		:: PARTNERS(v, 0) && !released[v] && PAIR_TARGET(v, to) -> \
+			PAIR(v, 0, b, to) \
+		:: PARTNERS(v, 1) && !released[v] && PAIR_TARGET(v, to) -> \
+			PAIR(v, 1, b, to) \
+		:: PARTNERS(v, 2) && !released[v] && PAIR_TARGET(v, to) -> \
+			PAIR(v, 2, b, to) \
+		:: !G_RECORD -> d_step { assigned(v, b, to, 1) } \
+		fi }
+#define PAIR(v, d, b, to) \
+	if \
+	:: d_step { \
+		record_pair(v, d, b, to); \
+		assigned(v, b, to, 1) \
+	} \
+	:: target[v] == 0 -> \
+		d_step { record_pair(v, d, b, to); target[v] = to + 1 } \
+	fi
+
+/* Heartbeat, and what an ack of it gives. */
+#define WORTH(v) (out[v] > 0 -> MIN(SUPPORT, out[v]) + SOLO : 0)
+#define HEARS(v, d) (role[v] == LEADER && deputy[v] == d && \
+	(term[d] < term[v] || \
+	(term[d] == term[v] && (role[d] == DEPUTY || \
+	(!G_TAKE_STOPS_ACKS && role[d] == TAKING) || \
+	(!G_VM_INCARNATION && role[d] == IDLE)))) && \
+	(deputy_inc[v] == inc[d] || !G_VM_INCARNATION))
+
+inline heartbeat(v, d)
+{
+	if
+	:: term[d] < term[v] || role[d] == IDLE ->
+		forget(d);
+		role[d] = DEPUTY;
+		term[d] = term[v]
+	:: else -> skip
+	fi;
+	auth[d] = MAX(auth[d], WORTH(v));
+	if
+	:: ver[v] >= ver[d] ->
+		owner[d] = owner[v];
+		ver[d] = ver[v];
+		rec[d] = rec[v];
+		i = 0;
+		do
+		:: i < NB ->
+			revoked[VB(d, i)] = revoked[VB(v, i)] ||
+			    (G_DEPUTY_ACTIVE && !ACTIVE(v));
+			known[VB(d, i)] = known[VB(v, i)];
+			i++
+		:: else -> break
+		od;
+		i = 0
+	:: else -> skip
+	fi
+}
+
+#define HEARTBEAT(v, d) \
+	:: atomic { HEARS(v, d) && !(role[d] == DEPUTY && auth[d] > WORTH(v) && \
+	    auth[v] > WORTH(v)) -> \
+		if \
+		:: d_step { \
+			heartbeat(v, d); \
+			auth[v] = MAX(auth[v], WORTH(v)) \
+		} \
+		:: d_step { heartbeat(v, d) } \
+		:: a_left == 0 && out[v] > 0 -> \
+			d_step { \
+				heartbeat(v, d); \
+				a_left = MIN(SUPPORT, out[v]); \
+				a_to = v; \
+				a_term = term[v] \
+			} \
+		fi }
+
+/* The store confirms the term, or says that it has gone. */
+inline confirm(v)
+{
+	if
+	:: CURRENT(v) || !G_CONFIRM_WRITE || !G_CONDITIONAL ->
+		auth[v] = SUPPORT + SOLO;
+		out[v] = OUTAGE;
+		i = 0;
+		do
+		:: i < NB ->
+			sure[VB(v, i)] = 1;
+			i++
+		:: else -> break
+		od;
+		i = 0
+	:: else ->
+		role[v] = IDLE;
+		auth[v] = 0
+	fi
+}
+
+#define CONFIRM(v) \
+	:: atomic { role[v] == LEADER -> d_step { confirm(v) } } \
+	:: atomic { role[v] == LEADER && CURRENT(v) && ver[v] > s_ver && \
+	    target[v] == 0 -> \
+		d_step { \
+			s_owner = owner[v]; \
+			s_ver = ver[v]; \
+			s_version++; \
+			rec[v] = owner[v] \
+		} }
+
+/* The leader names a deputy, or none, in the store. */
+inline name(v, d)
+{
+	names--;
+	s_deputy = d;
+	s_version++;
+	deputy[v] = d;
+	if
+	:: d != NONE -> deputy_inc[v] = inc[d]
+	:: else -> deputy_inc[v] = 0
+	fi;
+	agreed[v] = 0;
+	if
+	:: CHECKS && G_REPLACE_WAIT ->
+		wait[VB(v, owner[v])] =
+		    MAX(wait[VB(v, owner[v])], SUPPORT + SOLO + LEASE)
+	:: else -> skip
+	fi
+}
+
+#define NAME(v, d) \
+	:: atomic { role[v] == LEADER && CURRENT(v) && names > 0 && \
+	    deputy[v] != d -> \
+		d_step { name(v, d) } }
+
+/* Takeover. */
+#define NEWER(v) (G_TAKE_NEWER && role[v] == DEPUTY && ver[v] > s_ver && \
+	term[v] == s_term)
+#define IS_DEPUTY(v) (role[v] == DEPUTY && s_deputy == v && \
+	s_term == term[v])
+
+inline old_authority(v)
+{
+	/* i runs over the backend servers */
+	i = 0;
+	do
+	:: i < NB ->
+		asked[VB(v, i)] = 0;
+		if
+		:: !G_TAKE_WAIT -> wait[VB(v, i)] = 0
+		:: G_TAKE_WAIT && was_deputy[v] && i != p_owner &&
+		    (!revoked[VB(v, p_owner)] || !G_ASK_STANDBY) ->
+			wait[VB(v, i)] = 0
+		:: G_TAKE_WAIT && !was_deputy[v] && i != p_owner &&
+		    (i != STANDBY(p_owner) || !G_ASK_STANDBY) ->
+			wait[VB(v, i)] = 0
+		:: else ->
+			if
+			:: was_deputy[v] || !G_THIRD_LIMIT ->
+				wait[VB(v, i)] = SUPPORT + LEASE +
+				    (CHECKS && ZONE_B(i) != ZONE_VM(s_leader) ->
+				    SOLO : 0)
+			:: else ->
+				wait[VB(v, i)] = OUTAGE + LEASE +
+				    (CHECKS -> SOLO : 0)
+			fi
+		fi;
+		i++
+	:: else -> break
+	od;
+	i = 0
+}
+
+inline take(v)
+{
+	was_deputy[v] = IS_DEPUTY(v);
+	p_any = 1;
+	p_from = v;
+	p_inc = inc[v];
+	p_term = s_term + 1;
+	p_expect = s_version;
+	if
+	:: NEWER(v) ->
+		p_owner = owner[v];
+		p_ver = ver[v]
+	:: else ->
+		p_owner = s_owner;
+		p_ver = s_ver
+	fi;
+	if
+	:: !was_deputy[v] && G_THIRD_ASKS && !G_ASK_AFTER -> excused = s_term
+	:: else -> skip
+	fi;
+	role[v] = TAKING;
+	if
+	:: !G_WAIT_FROM_EFFECT -> old_authority(v)
+	:: else -> skip
+	fi
+}
+
+#define TAKE(v) \
+	:: atomic { (role[v] == IDLE || role[v] == DEPUTY) && !p_any && \
+	    s_term < MAXTERM && s_leader != v -> \
+		d_step { take(v) } }
+
+/* x, if not v itself, answers the new leader and drops the old term. */
+inline lead(v, x)
+{
+	/* p_owner and p_ver of the put are still those of the store */
+	if
+	:: G_WAIT_FROM_EFFECT -> old_authority(v)
+	:: else -> skip
+	fi;
+	role[v] = LEADER;
+	term[v] = p_term;
+	led = p_term;
+	owner[v] = p_owner;
+	ver[v] = p_ver;
+	rec[v] = p_owner;
+	auth[v] = 0;
+	out[v] = 0;
+	deputy[v] = NONE;
+	deputy_inc[v] = 0;
+	agreed[v] = 0;
+	released[v] = 0;
+	target[v] = 0;
+	i = 0;
+	do
+	:: i < NB ->
+		revoked[VB(v, i)] = 0;
+		sure[VB(v, i)] = 0;
+		i++
+	:: else -> break
+	od;
+	i = 0;
+	if
+	:: !was_deputy[v] && x == v && G_THIRD_ASKS && G_ASK_AFTER ->
+		excused = p_term
+	:: !was_deputy[v] && x != v && ver[x] > ver[v] &&
+	    term[x] == p_term - 1 ->
+		owner[v] = owner[x];
+		ver[v] = ver[x]
+	:: else -> skip
+	fi;
+	if
+	:: x != v && term[x] < term[v] ->
+		role[x] = IDLE;
+		auth[x] = 0;
+		if
+		:: G_PROMISE ->
+			term[x] = term[v];
+			owner[x] = owner[v];
+			ver[x] = ver[v]
+		:: else -> skip
+		fi
+	:: else -> skip
+	fi;
+	was_deputy[v] = 0
+}
+
+inline put_effect()
+{
+	s_term = p_term;
+	s_leader = p_from;
+	s_writer = p_inc;
+	s_deputy = NONE;
+	s_owner = p_owner;
+	s_ver = p_ver;
+	s_version++
+}
+
+inline put_gone()
+{
+	p_any = 0;
+	p_from = 0;
+	p_inc = 0;
+	p_term = 0;
+	p_expect = 0;
+	p_owner = 0;
+	p_ver = 0
+}
+
+#define PUT_LANDED (s_term == p_term && s_leader == p_from && \
+	s_writer == p_inc)
+#define PUT \
+	:: atomic { p_any && !PUT_LANDED && \
+	    (p_expect == s_version || !G_CONDITIONAL) -> \
+		d_step { put_effect() } } \
+	:: atomic { p_any && !PUT_LANDED && p_expect != s_version -> \
+		d_step { \
+			if \
+			:: role[p_from] == TAKING && inc[p_from] == p_inc -> \
+				role[p_from] = IDLE; \
+				auth[p_from] = 0 \
+			:: else -> skip \
+			fi; \
+			put_gone() \
+		} }
+
+#define LEAD(v) \
+	if \
+	:: d_step { lead(v, v); put_gone() } \
+	:: !was_deputy[v] && G_THIRD_ASKS && G_ASK_AFTER -> \
+		d_step { lead(v, ((v + 1) % NV)); put_gone() } \
+	:: !was_deputy[v] && G_THIRD_ASKS && G_ASK_AFTER -> \
+		d_step { lead(v, ((v + 2) % NV)); put_gone() } \
+	fi
+
+/* The taker learns what became of its put; a put whose sender has crashed
+ * is dropped from the model once it has landed. */
+#define LEARN \
+	:: atomic { p_any && role[p_from] == TAKING && inc[p_from] == p_inc && \
+	    (PUT_LANDED || !G_READ_BACK) -> \
+		if \
+		:: p_from == 0 -> LEAD(0) \
+		:: p_from == 1 -> LEAD(1) \
+		:: p_from == 2 -> LEAD(2) \
+		fi } \
+	:: atomic { p_any && inc[p_from] != p_inc && PUT_LANDED -> \
+		d_step { put_gone() } }
+
+/* Every other VM has no role any more: nothing but orders in flight. */
+#define ALONE(v) (role[(v + 1) % NV] == IDLE && role[(v + 2) % NV] == IDLE)
+#define DEATH(v, b) \
+	:: atomic { role[v] == LEADER && ALONE(v) && wait[VB(v, b)] > \
+	    (G_DEATH_LEASE -> LEASE : 0) -> \
+		wait[VB(v, b)] = (G_DEATH_LEASE -> LEASE : 0) }
+
+#define CRASH(v) \
+	:: atomic { crashes > 0 && role[v] != IDLE -> \
+		d_step { \
+			forget(v); \
+			term[v] = (G_VM_INCARNATION || s_deputy != v || \
+			    s_leader == v -> 0 : s_term); \
+			inc[v] = inc[v] + 1; \
+			crashes-- \
+		} }
+
+#define RESTART(b) \
+	:: atomic { restarts > 0 && (has[b] || f_term[b] > 0) -> \
+		d_step { \
+			has[b] = 0; \
+			lease[b] = 0; \
+			f_term[b] = 0; \
+			f_ver[b] = 0; \
+			b_inc[b] = b_inc[b] + 1; \
+			restarts-- \
+		} }
+
+inline tick_vm(v)
+{
+	if
+	:: auth[v] > 0 && (G_SOLO_LIMIT || auth[v] > SOLO) ->
+		auth[v] = auth[v] - 1
+	:: else -> skip
+	fi;
+	if
+	:: out[v] > 0 && G_OUTAGE_LIMIT -> out[v] = out[v] - 1
+	:: else -> skip
+	fi
+}
+
+inline tick()
+{
+	i = 0;
+	do
+	:: i < NV * NB ->
+		wait[i] = (wait[i] > 0 -> wait[i] - 1 : 0);
+		i++
+	:: else -> break
+	od;
+	i = 0;
+	do
+	:: i < NB ->
+		lease[i] = (lease[i] > 0 -> lease[i] - 1 : 0);
+		i++
+	:: else -> break
+	od;
+	i = 0;
+	if
+	:: o_kind != 0 && o_until > 0 -> o_until--
+	:: else -> skip
+	fi;
+	if
+	:: o_kind != 0 && o_until == 0 && G_ORDER_EXPIRY ->
+		o_kind = 0;
+		o_to = 0;
+		o_term = 0;
+		o_ver = 0;
+		o_inc = 0
+	:: else -> skip
+	fi;
+	if
+	:: a_left > 0 && G_ACK_AGE -> a_left--
+	:: else -> skip
+	fi;
+	if
+	:: a_left == 0 ->
+		a_to = 0;
+		a_term = 0
+	:: else -> skip
+	fi
+}
+
+#define TICK \
+	:: atomic { d_step { tick(); tick_vm(0); tick_vm(1); tick_vm(2) } } \
+	:: atomic { !G_LEASE_CLOCK && lease[0] > 0 -> \
+		d_step { \
+			lease[0] = lease[0] + 1; \
+			tick(); tick_vm(0); tick_vm(1); tick_vm(2) \
+		} } \
+	:: atomic { !G_VM_CLOCK -> d_step { tick(); tick_vm(1); tick_vm(2) } }
+
+inline late_order()
+{
+	if
+	:: G_ORDER_EXPIRY -> skip
+	:: else -> o_until = LEASE
+	fi;
+	accept(o_kind, o_to, o_term, o_ver, o_inc, o_until);
+	o_kind = 0;
+	o_to = 0;
+	o_term = 0;
+	o_ver = 0;
+	o_inc = 0;
+	o_until = 0
+}
+
+inline late_ack()
+{
+	if
+	:: role[a_to] == LEADER && term[a_to] == a_term && out[a_to] > 0 ->
+		auth[a_to] = MAX(auth[a_to], MIN(a_left, out[a_to]) + SOLO)
+	:: else -> skip
+	fi;
+	a_left = 0;
+	a_to = 0;
+	a_term = 0
+}
+
+#if NB == 2
+#define EACH_B(M, v) M(v, 0) M(v, 1)
+#define EACH_MOVE(v) REASSIGN(v, 0, 1) REASSIGN(v, 1, 0)
+#define EACH_REVOKE(v, d) REVOKE(v, d, 0) REVOKE(v, d, 1)
+#else
+#define EACH_B(M, v) M(v, 0) M(v, 1) M(v, 2)
+#define EACH_MOVE(v) REASSIGN(v, 0, 1) REASSIGN(v, 1, 0) \
+	REASSIGN(v, 0, 2) REASSIGN(v, 1, 2) REASSIGN(v, 2, 0) \
+	REASSIGN(v, 2, 1)
+#define EACH_REVOKE(v, d) REVOKE(v, d, 0) REVOKE(v, d, 1) REVOKE(v, d, 2)
+#endif
+#define EACH_PEER(v, d) HEARTBEAT(v, d) NAME(v, d) EACH_REVOKE(v, d)
+#define VM(v) \
+	EACH_B(ORDERS, v) EACH_B(HELLO, v) EACH_B(RELEASE, v) \
+	EACH_B(REVOKES, v) EACH_B(DEATH, v) EACH_MOVE(v) \
+	CONFIRM(v) NAME(v, NONE) TAKE(v) CRASH(v)
+
+init
+{
+	d_step {
+		role[0] = LEADER;
+		role[1] = DEPUTY;
+		term[0] = 1;
+		term[1] = 1;
+		auth[0] = SUPPORT + SOLO;
+		auth[1] = SUPPORT + SOLO;
+		out[0] = OUTAGE;
+		deputy[0] = 1;
+		f_term[0] = 1;
+		has[0] = 1;
+		lease[0] = LEASE;
+		wait[VB(0, 0)] = LEASE;
+		i = 0;
+		do
+		:: i < NB ->
+			sure[VB(0, i)] = 1;
+			asked[VB(0, i)] = 1;
+			i++
+		:: else -> break
+		od;
+		i = 0
+	}
+	do
+	TICK
+	VM(0)
+	VM(1)
+	VM(2)
+	EACH_PEER(0, 1)
+	EACH_PEER(0, 2)
+	EACH_PEER(1, 0)
+	EACH_PEER(1, 2)
+	EACH_PEER(2, 0)
+	EACH_PEER(2, 1)
+	PUT
+	LEARN
+	RESTART(0)
+	RESTART(1)
+	:: atomic { o_kind != 0 -> d_step { late_order() } }
+	:: atomic { a_left > 0 -> d_step { late_ack() } }
+	od
+}
