--- a/models/group.pml
+++ b/models/group.pml
@@ -26,7 +26,7 @@
 #define SOLO 1
 #endif
 #ifndef OUTAGE
-#define OUTAGE 2 /* longest reassigning without the store */
+#define OUTAGE 3 /* longest reassigning without the store */
 #endif
 #ifndef MAXTERM
 #define MAXTERM 2 /* terms after the first: MAXTERM - 1 */
@@ -156,8 +156,16 @@
 #ifndef G_ASK_AFTER
 #define G_ASK_AFTER 1 /* ... after its put has taken effect, not before */
 #endif
-#ifndef G_PROMISE
-#define G_PROMISE 1 /* who has answered a term hears no lower one */
+#ifndef G_ANSWER_HOLDS
+#define G_ANSWER_HOLDS 1 /* an answer counts only from the old pair, and only
+			  * if it has not restarted */
+#endif
+#ifndef G_NAME_RECORDS
+#define G_NAME_RECORDS 1 /* every put writes the whole record: naming a deputy
+			  * records what the old one was trusted with */
+#endif
+#ifndef G_ANSWER_DROPS
+#define G_ANSWER_DROPS 1 /* who answers a newer leader drops the old term */
 #endif
 #ifndef G_DEPUTY_ACTIVE
 #define G_DEPUTY_ACTIVE 1 /* a deputy renews only what its leader may */
@@ -178,7 +186,9 @@
 
 #define NV 3
 #define NONE 3
-#define ANY_WAIT (OUTAGE + SOLO + LEASE)
+/* From now until the last lease of an authority of so many ticks has ended:
+ * its last order leaves in the last of those ticks. */
+#define LAST_LEASE(ticks) ((ticks) + LEASE - 1)
 
 /* role */
 #define IDLE 0
@@ -253,6 +263,8 @@
 unsigned p_inc : 2;
 unsigned p_term : 2;
 unsigned p_expect : 5;
+unsigned p_leader : 2; /* those of the term before */
+unsigned p_deputy : 2;
 unsigned p_owner : 2;
 unsigned p_ver : 2;
 
@@ -267,6 +279,8 @@
 unsigned acked : 2; /* counter of the newest acknowledged assignment */
 bool acked_pair; /* only leader and deputy hold it */
 unsigned acked_term : 2;
+unsigned acked_deputy : 2 = NONE; /* with the leader, of a pair */
+bool holder;
 unsigned excused : 2; /* newest term that a third VM has taken while it could
 		      * ask neither of the pair before it */
 byte i; /* 0 between steps */
@@ -487,7 +501,8 @@
 }
 
 #define PARTNERS(v, d) (role[v] == LEADER && deputy[v] == d && \
-	role[d] == DEPUTY && term[d] == term[v] && \
+	(role[d] == DEPUTY || (role[d] == TAKING && !G_TAKE_STOPS_ACKS)) && \
+	term[d] == term[v] && \
 	(deputy_inc[v] == inc[d] || !G_VM_INCARNATION))
 
 #define REVOKE(v, d, b) \
@@ -511,14 +526,15 @@
 	deputy[v] == NONE || !G_REVOKE))) && \
 	(OTHERS_LAPSED(v, to) || !G_LAPSE))
 
-inline assigned(v, b, to, pair)
+inline assigned(v, b, to, pair, d)
 {
 	if
 	:: term[v] >= led ->
 		assert(KEPT(v));
 		acked = ver[v] + 1;
 		acked_pair = pair;
-		acked_term = term[v]
+		acked_term = term[v];
+		acked_deputy = d
 	:: else ->
 		/* a pair that the newer leader could not reach */
 		assert(pair && term[v] < excused)
@@ -571,7 +587,7 @@
 		:: STORE_TAKES(v) -> \
 			d_step { \
 				record_store(v, to); \
-				assigned(v, b, to, 0) \
+				assigned(v, b, to, 0, NONE) \
 			} \
 		:: STORE_TAKES(v) && target[v] == 0 -> \
 			d_step { record_store(v, to); target[v] = to + 1 } \
@@ -581,13 +597,13 @@
 			PAIR(v, 1, b, to) \
 		:: PARTNERS(v, 2) && !released[v] && PAIR_TARGET(v, to) -> \
 			PAIR(v, 2, b, to) \
-		:: !G_RECORD -> d_step { assigned(v, b, to, 1) } \
+		:: !G_RECORD -> d_step { assigned(v, b, to, 1, NONE) } \
 		fi }
 #define PAIR(v, d, b, to) \
 	if \
 	:: d_step { \
 		record_pair(v, d, b, to); \
-		assigned(v, b, to, 1) \
+		assigned(v, b, to, 1, d) \
 	} \
 	:: target[v] == 0 -> \
 		d_step { record_pair(v, d, b, to); target[v] = to + 1 } \
@@ -672,19 +688,24 @@
 
 #define CONFIRM(v) \
 	:: atomic { role[v] == LEADER -> d_step { confirm(v) } } \
-	:: atomic { role[v] == LEADER && CURRENT(v) && ver[v] > s_ver && \
-	    target[v] == 0 -> \
-		d_step { \
-			s_owner = owner[v]; \
-			s_ver = ver[v]; \
-			s_version++; \
-			rec[v] = owner[v] \
-		} }
+	:: atomic { role[v] == LEADER && CURRENT(v) && ver[v] > s_ver -> \
+		d_step { record_own(v); s_version++ } }
+
+inline record_own(v)
+{
+	s_owner = owner[v];
+	s_ver = ver[v];
+	rec[v] = owner[v]
+}
 
 /* The leader names a deputy, or none, in the store. */
 inline name(v, d)
 {
 	names--;
+	if
+	:: G_NAME_RECORDS && ver[v] > s_ver -> record_own(v)
+	:: else -> skip
+	fi;
 	s_deputy = d;
 	s_version++;
 	deputy[v] = d;
@@ -696,7 +717,7 @@
 	if
 	:: CHECKS && G_REPLACE_WAIT ->
 		wait[VB(v, owner[v])] =
-		    MAX(wait[VB(v, owner[v])], SUPPORT + SOLO + LEASE)
+		    MAX(wait[VB(v, owner[v])], LAST_LEASE(SUPPORT + SOLO))
 	:: else -> skip
 	fi
 }
@@ -730,11 +751,11 @@
 		:: else ->
 			if
 			:: was_deputy[v] || !G_THIRD_LIMIT ->
-				wait[VB(v, i)] = SUPPORT + LEASE +
-				    (CHECKS && ZONE_B(i) != ZONE_VM(s_leader) ->
+				wait[VB(v, i)] = LAST_LEASE(SUPPORT) +
+				    (CHECKS && ZONE_B(i) != ZONE_VM(p_leader) ->
 				    SOLO : 0)
 			:: else ->
-				wait[VB(v, i)] = OUTAGE + LEASE +
+				wait[VB(v, i)] = LAST_LEASE(OUTAGE) +
 				    (CHECKS -> SOLO : 0)
 			fi
 		fi;
@@ -752,6 +773,8 @@
 	p_inc = inc[v];
 	p_term = s_term + 1;
 	p_expect = s_version;
+	p_leader = s_leader;
+	p_deputy = s_deputy;
 	if
 	:: NEWER(v) ->
 		p_owner = owner[v];
@@ -761,7 +784,7 @@
 		p_ver = s_ver
 	fi;
 	if
-	:: !was_deputy[v] && G_THIRD_ASKS && !G_ASK_AFTER -> excused = s_term
+	:: !was_deputy[v] && G_THIRD_ASKS && !G_ASK_AFTER -> excused = p_term
 	:: else -> skip
 	fi;
 	role[v] = TAKING;
@@ -773,7 +796,7 @@
 
 #define TAKE(v) \
 	:: atomic { (role[v] == IDLE || role[v] == DEPUTY) && !p_any && \
-	    s_term < MAXTERM && s_leader != v -> \
+	    s_term < MAXTERM && (s_leader != v || s_writer != inc[v]) -> \
 		d_step { take(v) } }
 
 /* x, if not v itself, answers the new leader and drops the old term. */
@@ -784,6 +807,7 @@
 	:: G_WAIT_FROM_EFFECT -> old_authority(v)
 	:: else -> skip
 	fi;
+	holder = (acked_deputy == v && term[v] == p_term - 1);
 	role[v] = LEADER;
 	term[v] = p_term;
 	led = p_term;
@@ -807,7 +831,7 @@
 	od;
 	i = 0;
 	if
-	:: !was_deputy[v] && x == v && G_THIRD_ASKS && G_ASK_AFTER ->
+	:: !was_deputy[v] && x == v && G_THIRD_ASKS && G_ASK_AFTER && !holder ->
 		excused = p_term
 	:: !was_deputy[v] && x != v && ver[x] > ver[v] &&
 	    term[x] == p_term - 1 ->
@@ -816,18 +840,12 @@
 	:: else -> skip
 	fi;
 	if
-	:: x != v && term[x] < term[v] ->
+	:: x != v && term[x] < term[v] && G_ANSWER_DROPS ->
 		role[x] = IDLE;
-		auth[x] = 0;
-		if
-		:: G_PROMISE ->
-			term[x] = term[v];
-			owner[x] = owner[v];
-			ver[x] = ver[v]
-		:: else -> skip
-		fi
+		auth[x] = 0
 	:: else -> skip
 	fi;
+	holder = 0;
 	was_deputy[v] = 0
 }
 
@@ -849,6 +867,8 @@
 	p_inc = 0;
 	p_term = 0;
 	p_expect = 0;
+	p_leader = 0;
+	p_deputy = 0;
 	p_owner = 0;
 	p_ver = 0
 }
@@ -870,12 +890,17 @@
 			put_gone() \
 		} }
 
+/* Only the old leader and its deputy, with the old term in memory, can say
+ * what was acknowledged in it. */
+#define ANSWERS(v, x) (!was_deputy[v] && G_THIRD_ASKS && G_ASK_AFTER && \
+	(((x == p_leader || x == p_deputy) && term[x] == p_term - 1) || \
+	!G_ANSWER_HOLDS))
 #define LEAD(v) \
 	if \
 	:: d_step { lead(v, v); put_gone() } \
-	:: !was_deputy[v] && G_THIRD_ASKS && G_ASK_AFTER -> \
+	:: ANSWERS(v, (v + 1) % NV) -> \
 		d_step { lead(v, ((v + 1) % NV)); put_gone() } \
-	:: !was_deputy[v] && G_THIRD_ASKS && G_ASK_AFTER -> \
+	:: ANSWERS(v, (v + 2) % NV) -> \
 		d_step { lead(v, ((v + 2) % NV)); put_gone() } \
 	fi
 
--- /dev/null
+++ b/models/permit.pml
@@ -0,0 +1,441 @@
+/*
+ * Permits of unrepeatable requests: one request id, CALLS tries of its caller
+ * through different routers, three VMs that may lead, one backend server.
+ *
+ * Any step may stay out for ever, so loss, pause and partition need no step
+ * of their own.  Messages are states of a call: whatever a call waits for may
+ * come late or never.  Time is the counter `now`.
+ *
+ * Guards G_* as in group.pml.
+ */
+#ifndef CHECKS
+#define CHECKS 1 /* the backend server checks fences */
+#endif
+#ifndef CALLS
+#define CALLS 3
+#endif
+#ifndef END
+#define END 5 /* last tick */
+#endif
+#ifndef DEADLINE
+#define DEADLINE 1 /* ticks a call may take */
+#endif
+#ifndef RETENTION
+#define RETENTION 3
+#endif
+#ifndef SKEW
+#define SKEW 1 /* accepted error of the caller's clock */
+#endif
+#ifndef WORST_SKEW
+#define WORST_SKEW 2 /* its worst error */
+#endif
+#ifndef OUTAGE
+#define OUTAGE 1 /* an old pair may go on without the store */
+#endif
+#ifndef MAXTERM
+#define MAXTERM 2
+#endif
+#ifndef VM_CRASHES
+#define VM_CRASHES 2
+#endif
+#ifndef NAMES
+#define NAMES 1
+#endif
+#ifndef GOAL
+#define GOAL 0
+#endif
+
+#ifndef G_BOTH
+#define G_BOTH 1 /* leader and deputy hold a permit before it is used */
+#endif
+#ifndef G_SYNC
+#define G_SYNC 1 /* a new deputy first gets all permits */
+#endif
+#ifndef G_HELD_UNKNOWN
+#define G_HELD_UNKNOWN 1 /* an id held by another call is unknown */
+#endif
+#ifndef G_ASK_TO_REFUSE
+#define G_ASK_TO_REFUSE 1 /* a router alone never says not run */
+#endif
+#ifndef G_CLOSE
+#define G_CLOSE 1 /* a refusal closes the id for the longest deadline */
+#endif
+#ifndef G_CLOSE_BOTH
+#define G_CLOSE_BOTH 1 /* ... at the deputy too */
+#endif
+#ifndef G_RELEASE_HOLDER
+#define G_RELEASE_HOLDER 1 /* only the holder's call gives a permit back */
+#endif
+#ifndef G_PERMIT_EXPIRY
+#define G_PERMIT_EXPIRY 1 /* a call's deadline ends its ask, its permit and
+			   * its request */
+#endif
+#ifndef G_AGE
+#define G_AGE 1 /* an id older than the retention is unknown */
+#endif
+#ifndef G_SINCE
+#define G_SINCE 1 /* ids not newer than a loss of memory are unknown */
+#endif
+#ifndef G_SINCE_FENCE
+#define G_SINCE_FENCE 1 /* memory counts from when the old pair's permits are
+			 * void, not from the takeover */
+#endif
+#ifndef G_SKEW
+#define G_SKEW 1 /* "newer" allows for the clock's error */
+#endif
+#ifndef G_FUTURE
+#define G_FUTURE 1 /* ids from the future are refused */
+#endif
+#ifndef G_FRESH
+#define G_FRESH 1 /* no silent second send on a reused connection */
+#endif
+#ifndef G_TERM
+#define G_TERM 1 /* a deputy holds permits only for its own term */
+#endif
+
+#define NV 3
+#define NONE 3
+
+/* role of a VM */
+#define IDLE 0
+#define DEPUTY 1
+#define LEADER 2
+
+/* what a VM remembers of the id */
+#define HELD 1
+#define DONE 2
+#define CLOSED 3
+
+/* state of a call */
+#define UNSENT 0
+#define ASKING 1
+#define PERMIT 2
+#define SENT 3
+#define RUN 4
+#define UNUSED 5 /* answered not run; the permit may be given back */
+
+byte now = 0;
+byte uuid; /* its time, WORST_SKEW added */
+unsigned newest : 2 = 1; /* term in the store */
+unsigned fence : 2 = 1; /* term of the backend server's grant */
+byte taken; /* when a third VM took the term */
+bool pair_cut; /* an old pair may go on until taken + OUTAGE */
+
+unsigned crashes : 2 = VM_CRASHES;
+unsigned names : 2 = NAMES;
+
+byte role[NV];
+byte term[NV];
+byte deputy[NV];
+byte rec[NV];
+byte rec_call[NV];
+byte rec_time[NV];
+bool ready[NV]; /* its memory is complete from since[] on */
+bool lost[NV]; /* ... and was lost before */
+byte since[NV];
+
+byte state[CALLS];
+byte ends[CALLS]; /* deadline */
+byte call_term[CALLS];
+byte seen_refusals[CALLS]; /* when sent */
+
+/* observers */
+unsigned runs : 2;
+unsigned refusals : 3;
+
+#define AGREES(v) (deputy[v] != NONE && role[deputy[v]] == DEPUTY && \
+	(term[deputy[v]] == term[v] || !G_TERM))
+#define ACTING(v) (role[v] == LEADER && ready[v] && (term[v] == newest || \
+	(pair_cut && term[v] + 1 == newest && now < taken + OUTAGE)))
+#define ALIVE(k) (now <= ends[k] || !G_PERMIT_EXPIRY)
+#define MARGIN (G_SKEW -> SKEW : 0)
+#define NEW_ENOUGH(v) (!lost[v] || !G_SINCE || \
+	uuid > since[v] + WORST_SKEW + MARGIN)
+#define NOT_FUTURE (uuid <= now + WORST_SKEW + SKEW || !G_FUTURE)
+#define NOT_OLD (now + WORST_SKEW + MARGIN < uuid + RETENTION || !G_AGE)
+#define IN_TIME(v) (NEW_ENOUGH(v) && NOT_FUTURE && NOT_OLD)
+#define FREE(v) (rec[v] == 0 || \
+	(rec[v] == CLOSED && now > rec_time[v] + DEADLINE))
+
+inline goal(n)
+{
+	assert(GOAL != n)
+}
+
+inline hold(v, what, k)
+{
+	rec[v] = what;
+	rec_call[v] = k;
+	rec_time[v] = now
+}
+
+inline hold_both(v, what, k)
+{
+	hold(v, what, k);
+	if
+	:: AGREES(v) && (what != CLOSED || G_CLOSE_BOTH) ->
+		hold(deputy[v], what, k)
+	:: else -> skip
+	fi
+}
+
+inline not_run()
+{
+	assert(runs == 0);
+	refusals++
+}
+
+inline forget(v)
+{
+	rec[v] = 0;
+	rec_call[v] = 0;
+	rec_time[v] = 0
+}
+
+inline reset(v)
+{
+	forget(v);
+	role[v] = IDLE;
+	term[v] = 0;
+	deputy[v] = NONE;
+	ready[v] = 0;
+	lost[v] = 0;
+	since[v] = 0
+}
+
+#define SEND(k, before) \
+	:: atomic { state[k] == UNSENT && before -> \
+		d_step { \
+			state[k] = ASKING; \
+			ends[k] = now + DEADLINE; \
+			seen_refusals[k] = refusals \
+		} }
+
+/* The id is made with the first call; the caller's clock may be wrong. */
+#define MAKE_ID(skew) \
+	:: atomic { state[0] == UNSENT -> \
+		d_step { \
+			uuid = now + skew; \
+			state[0] = ASKING; \
+			ends[0] = now + DEADLINE; \
+			seen_refusals[0] = 0 \
+		} }
+
+#define ASK(k, v) \
+	:: atomic { state[k] == ASKING && ALIVE(k) && ACTING(v) -> \
+		if \
+		:: FREE(v) && IN_TIME(v) && (AGREES(v) || !G_BOTH) -> \
+			d_step { \
+				hold_both(v, HELD, k); \
+				state[k] = PERMIT; \
+				call_term[k] = term[v] \
+			} \
+		:: FREE(v) && IN_TIME(v) && AGREES(v) -> \
+			d_step { hold_both(v, HELD, k) } \
+		:: FREE(v) && IN_TIME(v) && AGREES(v) && G_CLOSE -> \
+			d_step { \
+				hold_both(v, CLOSED, k); \
+				state[k] = UNUSED; \
+				not_run() \
+			} \
+		:: FREE(v) && IN_TIME(v) && !G_CLOSE -> \
+			d_step { state[k] = UNUSED; not_run() } \
+		:: rec[v] == HELD && rec_call[v] == k -> \
+			d_step { state[k] = PERMIT; call_term[k] = term[v] } \
+		:: rec[v] == HELD && rec_call[v] != k && !G_HELD_UNKNOWN -> \
+			d_step { state[k] = UNUSED; not_run() } \
+		:: !FREE(v) && rec[v] == CLOSED -> \
+			d_step { state[k] = UNUSED; not_run() } \
+		fi }
+
+/* A router refuses by itself: the load is too high, no leader answers. */
+#define SHED(k) \
+	:: atomic { state[k] == ASKING && !G_ASK_TO_REFUSE -> \
+		d_step { state[k] = UNUSED; not_run() } }
+
+/* No byte has left the router. */
+#define CONNECTION_REFUSED(k) \
+	:: atomic { state[k] == PERMIT -> \
+		d_step { state[k] = UNUSED; not_run() } }
+
+#define REQUEST(k) \
+	:: atomic { state[k] == PERMIT && ALIVE(k) -> state[k] = SENT }
+
+#define ARRIVE(k) \
+	:: atomic { state[k] == SENT && ALIVE(k) && \
+	    (!CHECKS || call_term[k] == fence) -> \
+		d_step { \
+			runs++; \
+			assert(runs <= 1); \
+			assert(seen_refusals[k] == refusals); \
+			if \
+			:: G_FRESH -> state[k] = RUN \
+			:: else -> skip \
+			fi; \
+			if \
+			:: k > 0 && newest > 1 -> goal(1) \
+			:: else -> skip \
+			fi; \
+			if \
+			:: refusals > 0 -> goal(2) \
+			:: else -> skip \
+			fi \
+		} } \
+	:: atomic { state[k] == SENT && CHECKS && call_term[k] != fence && \
+	    ALIVE(k) -> \
+		d_step { state[k] = UNUSED; not_run() } }
+
+/* What becomes of the permit; the deputy may hear of it or not. */
+#define REPORT(k, v) \
+	:: atomic { role[v] == LEADER && rec[v] == HELD && state[k] == RUN && \
+	    rec_call[v] == k -> \
+		if \
+		:: d_step { hold_both(v, DONE, k) } \
+		:: d_step { hold(v, DONE, k) } \
+		fi } \
+	:: atomic { role[v] == LEADER && rec[v] == HELD && \
+	    state[k] == UNUSED && AGREES(v) && \
+	    (rec_call[v] == k || !G_RELEASE_HOLDER) -> \
+		d_step { hold_both(v, CLOSED, k) } }
+
+#define FORGET(v) \
+	:: atomic { rec[v] != 0 && now >= rec_time[v] + \
+	    (rec[v] == CLOSED -> DEADLINE + 1 : RETENTION) -> \
+		d_step { forget(v) } }
+
+#define CRASH(v) \
+	:: atomic { crashes > 0 && role[v] != IDLE -> \
+		d_step { reset(v); crashes-- } }
+
+#define TAKE_AS_DEPUTY(v) \
+	:: atomic { role[v] == DEPUTY && term[v] == newest && \
+	    newest < MAXTERM -> \
+		d_step { \
+			newest++; \
+			pair_cut = 0; \
+			role[v] = LEADER; \
+			term[v] = newest; \
+			deputy[v] = NONE; \
+			fence = newest \
+		} }
+
+/* A third VM takes the term through the store; x, of the old pair, answers
+ * it with its permits and drops the old term, or (x == v) neither does. */
+inline take(v, x)
+{
+	newest++;
+	if
+	:: x == v ->
+		reset(v);
+		taken = now;
+		pair_cut = 1;
+		lost[v] = 1;
+		ready[v] = !G_SINCE_FENCE;
+		since[v] = now
+	:: else ->
+		rec[v] = rec[x];
+		rec_call[v] = rec_call[x];
+		rec_time[v] = rec_time[x];
+		ready[v] = ready[x];
+		lost[v] = lost[x];
+		since[v] = since[x];
+		role[x] = IDLE;
+		pair_cut = 0;
+		fence = newest
+	fi;
+	role[v] = LEADER;
+	term[v] = newest;
+	deputy[v] = NONE
+}
+
+#define TAKE_AS_THIRD(v) \
+	:: atomic { role[v] == IDLE && newest < MAXTERM -> \
+		if \
+		:: d_step { take(v, v) } \
+		:: role[(v + 1) % NV] != IDLE && \
+		    term[(v + 1) % NV] == newest && ready[(v + 1) % NV] -> \
+			d_step { take(v, ((v + 1) % NV)) } \
+		:: role[(v + 2) % NV] != IDLE && \
+		    term[(v + 2) % NV] == newest && ready[(v + 2) % NV] -> \
+			d_step { take(v, ((v + 2) % NV)) } \
+		fi }
+
+/* Its grant is accepted where fences are checked; the old authority and the
+ * longest deadline are waited out where they aren't. */
+#define VOID_OLD(v) \
+	:: atomic { role[v] == LEADER && term[v] == newest && !ready[v] && \
+	    (CHECKS || now > taken + OUTAGE + DEADLINE) -> \
+		d_step { \
+			fence = term[v]; \
+			ready[v] = 1; \
+			since[v] = now \
+		} } \
+	:: atomic { role[v] == LEADER && term[v] == newest && ready[v] && \
+	    fence < term[v] -> fence = term[v] }
+
+#define NAME(v, d) \
+	:: atomic { role[v] == LEADER && term[v] == newest && ready[v] && \
+	    names > 0 && \
+	    deputy[v] != d && role[d] != LEADER -> \
+		d_step { \
+			names--; \
+			deputy[v] = d; \
+			role[d] = DEPUTY; \
+			term[d] = term[v]; \
+			deputy[d] = NONE; \
+			ready[d] = 1; \
+			lost[d] = lost[v]; \
+			since[d] = since[v]; \
+			if \
+			:: G_SYNC -> \
+				rec[d] = rec[v]; \
+				rec_call[d] = rec_call[v]; \
+				rec_time[d] = rec_time[v] \
+			:: else -> forget(d) \
+			fi \
+		} }
+
+#define VM(v) FORGET(v) CRASH(v) TAKE_AS_DEPUTY(v) TAKE_AS_THIRD(v) \
+	VOID_OLD(v)
+#define CALL(k) ASK(k, 0) ASK(k, 1) ASK(k, 2) SHED(k) \
+	CONNECTION_REFUSED(k) REQUEST(k) ARRIVE(k) REPORT(k, 0) \
+	REPORT(k, 1) REPORT(k, 2)
+
+init
+{
+	d_step {
+		role[0] = LEADER;
+		role[1] = DEPUTY;
+		term[0] = 1;
+		term[1] = 1;
+		deputy[0] = 1;
+		deputy[1] = NONE;
+		deputy[2] = NONE;
+		ready[0] = 1;
+		ready[1] = 1
+	}
+	do
+	:: atomic { now < END -> now++ }
+	MAKE_ID(0)
+	MAKE_ID(WORST_SKEW - SKEW)
+	MAKE_ID(WORST_SKEW)
+	MAKE_ID(WORST_SKEW + SKEW)
+	MAKE_ID(WORST_SKEW + WORST_SKEW)
+	SEND(1, state[0] != UNSENT)
+	CALL(0)
+	CALL(1)
+#if CALLS > 2
+	SEND(2, state[1] != UNSENT)
+	CALL(2)
+#endif
+	VM(0)
+	VM(1)
+	VM(2)
+	NAME(0, 1)
+	NAME(0, 2)
+	NAME(1, 0)
+	NAME(1, 2)
+	NAME(2, 0)
+	NAME(2, 1)
+	od
+}
