--- a/models/group.pml
+++ b/models/group.pml
@@ -46,6 +46,12 @@
 #ifndef NAMES
 #define NAMES 1 /* deputies replaced */
 #endif
+#ifndef LATE_ACKS
+#define LATE_ACKS 1 /* acks may be delayed */
+#endif
+#ifndef MOVES
+#define MOVES 1 /* planned moves happen */
+#endif
 #ifndef ZONE_A
 #define ZONE_A 0 /* backend server 0 stands in the first leader's zone */
 #endif
@@ -90,6 +96,9 @@
 #ifndef G_REPLACE_WAIT
 #define G_REPLACE_WAIT 1 /* wait out a deputy replaced in the store */
 #endif
+#ifndef G_FORMER_DEPUTY
+#define G_FORMER_DEPUTY 1 /* ... also when the new deputy takes the term */
+#endif
 #ifndef G_LAPSE
 #define G_LAPSE 1 /* grant only when the lease before has lapsed */
 #endif
@@ -228,6 +237,7 @@
 byte deputy[NV]; /* of a leader */
 byte deputy_inc[NV];
 bool revoked[NV * NB]; /* renews it no more */
+byte former[NV]; /* left of a replaced deputy's authority */
 bool agreed[NV]; /* the deputy has revoked the owner too */
 bool released[NV]; /* the owner has answered a release */
 byte target[NV]; /* unresolved record: new owner + 1 */
@@ -328,6 +338,7 @@
 	rec[v] = 0;
 	deputy[v] = 0;
 	deputy_inc[v] = 0;
+	former[v] = 0;
 	agreed[v] = 0;
 	released[v] = 0;
 	target[v] = 0;
@@ -484,7 +495,8 @@
 }
 
 #define RELEASE(v, b) \
-	:: atomic { MAY_ASSIGN(v) && owner[v] == b && ACTIVE(v) && !released[v] && \
+	:: atomic { MOVES && MAY_ASSIGN(v) && owner[v] == b && ACTIVE(v) && \
+	    !released[v] && \
 	    !revoked[VB(v, b)] && ver[v] < MAXVER && CAN_GRANT(v, b) -> \
 		d_step { release(v, b) } }
 
@@ -628,6 +640,7 @@
 	:: else -> skip
 	fi;
 	auth[d] = MAX(auth[d], WORTH(v));
+	former[d] = former[v];
 	if
 	:: ver[v] >= ver[d] ->
 		owner[d] = owner[v];
@@ -656,7 +669,7 @@
 			auth[v] = MAX(auth[v], WORTH(v)) \
 		} \
 		:: d_step { heartbeat(v, d) } \
-		:: a_left == 0 && out[v] > 0 -> \
+		:: LATE_ACKS && a_left == 0 && out[v] > 0 -> \
 			d_step { \
 				heartbeat(v, d); \
 				a_left = MIN(SUPPORT, out[v]); \
@@ -714,6 +727,7 @@
 	:: else -> deputy_inc[v] = 0
 	fi;
 	agreed[v] = 0;
+	former[v] = SUPPORT + SOLO;
 	if
 	:: CHECKS && G_REPLACE_WAIT ->
 		wait[VB(v, owner[v])] =
@@ -753,7 +767,14 @@
 			:: was_deputy[v] || !G_THIRD_LIMIT ->
 				wait[VB(v, i)] = LAST_LEASE(SUPPORT) +
 				    (CHECKS && ZONE_B(i) != ZONE_VM(p_leader) ->
-				    SOLO : 0)
+				    SOLO : 0);
+				if
+				:: was_deputy[v] && CHECKS && former[v] > 0 &&
+				    G_FORMER_DEPUTY ->
+					wait[VB(v, i)] = MAX(wait[VB(v, i)],
+					    LAST_LEASE(former[v]))
+				:: else -> skip
+				fi
 			:: else ->
 				wait[VB(v, i)] = LAST_LEASE(OUTAGE) +
 				    (CHECKS -> SOLO : 0)
@@ -784,7 +805,8 @@
 		p_ver = s_ver
 	fi;
 	if
-	:: !was_deputy[v] && G_THIRD_ASKS && !G_ASK_AFTER -> excused = p_term
+	:: !was_deputy[v] && G_THIRD_ASKS && !G_ASK_AFTER && acked_pair ->
+		excused = p_term
 	:: else -> skip
 	fi;
 	role[v] = TAKING;
@@ -816,6 +838,7 @@
 	rec[v] = p_owner;
 	auth[v] = 0;
 	out[v] = 0;
+	former[v] = 0;
 	deputy[v] = NONE;
 	deputy_inc[v] = 0;
 	agreed[v] = 0;
@@ -947,6 +970,10 @@
 
 inline tick_vm(v)
 {
+	if
+	:: former[v] > 0 -> former[v] = former[v] - 1
+	:: else -> skip
+	fi;
 	if
 	:: auth[v] > 0 && (G_SOLO_LIMIT || auth[v] > SOLO) ->
 		auth[v] = auth[v] - 1
--- a/models/permit.pml
+++ b/models/permit.pml
@@ -32,6 +32,9 @@
 #ifndef OUTAGE
 #define OUTAGE 1 /* an old pair may go on without the store */
 #endif
+#ifndef SUPPORT
+#define SUPPORT 1 /* a confirmation of the store counts so long */
+#endif
 #ifndef MAXTERM
 #define MAXTERM 2
 #endif
@@ -63,6 +66,9 @@
 #ifndef G_CLOSE_BOTH
 #define G_CLOSE_BOTH 1 /* ... at the deputy too */
 #endif
+#ifndef G_CLOSE_RENEWS
+#define G_CLOSE_RENEWS 1 /* ... and each further refusal closes it anew */
+#endif
 #ifndef G_RELEASE_HOLDER
 #define G_RELEASE_HOLDER 1 /* only the holder's call gives a permit back */
 #endif
@@ -86,12 +92,17 @@
 #ifndef G_FUTURE
 #define G_FUTURE 1 /* ids from the future are refused */
 #endif
+#ifndef G_CLOSE_FIRST
+#define G_CLOSE_FIRST 1 /* an unused permit is closed first, then the caller
+			 * is told that it has not run */
+#endif
+#ifndef G_REFUSE_STORE
+#define G_REFUSE_STORE 1 /* not run is said only with the store's recent
+			  * confirmation of the term */
+#endif
 #ifndef G_FRESH
 #define G_FRESH 1 /* no silent second send on a reused connection */
 #endif
-#ifndef G_TERM
-#define G_TERM 1 /* a deputy holds permits only for its own term */
-#endif
 
 #define NV 3
 #define NONE 3
@@ -112,11 +123,14 @@
 #define PERMIT 2
 #define SENT 3
 #define RUN 4
-#define UNUSED 5 /* answered not run; the permit may be given back */
+#define BACK 5 /* the permit was of no use and is given back */
+#define UNUSED 6 /* answered not run */
 
 byte now = 0;
 byte uuid; /* its time, WORST_SKEW added */
 unsigned newest : 2 = 1; /* term in the store */
+unsigned s_leader : 2 = 0;
+unsigned s_deputy : 2 = 1;
 unsigned fence : 2 = 1; /* term of the backend server's grant */
 byte taken; /* when a third VM took the term */
 bool pair_cut; /* an old pair may go on until taken + OUTAGE */
@@ -144,9 +158,11 @@
 unsigned refusals : 3;
 
 #define AGREES(v) (deputy[v] != NONE && role[deputy[v]] == DEPUTY && \
-	(term[deputy[v]] == term[v] || !G_TERM))
+	term[deputy[v]] == term[v])
 #define ACTING(v) (role[v] == LEADER && ready[v] && (term[v] == newest || \
 	(pair_cut && term[v] + 1 == newest && now < taken + OUTAGE)))
+#define MAY_REFUSE(v) (term[v] == newest || now < taken + SUPPORT || \
+	!G_REFUSE_STORE)
 #define ALIVE(k) (now <= ends[k] || !G_PERMIT_EXPIRY)
 #define MARGIN (G_SKEW -> SKEW : 0)
 #define NEW_ENOUGH(v) (!lost[v] || !G_SINCE || \
@@ -173,7 +189,8 @@
 {
 	hold(v, what, k);
 	if
-	:: AGREES(v) && (what != CLOSED || G_CLOSE_BOTH) ->
+	:: AGREES(v) && (what != CLOSED || G_CLOSE_BOTH) &&
+	    (what != HELD || G_BOTH) ->
 		hold(deputy[v], what, k)
 	:: else -> skip
 	fi
@@ -185,6 +202,16 @@
 	refusals++
 }
 
+inline unused(k)
+{
+	if
+	:: G_CLOSE_FIRST -> state[k] = BACK
+	:: else ->
+		state[k] = UNUSED;
+		not_run()
+	fi
+}
+
 inline forget(v)
 {
 	rec[v] = 0;
@@ -232,7 +259,8 @@
 			} \
 		:: FREE(v) && IN_TIME(v) && AGREES(v) -> \
 			d_step { hold_both(v, HELD, k) } \
-		:: FREE(v) && IN_TIME(v) && AGREES(v) && G_CLOSE -> \
+		:: FREE(v) && IN_TIME(v) && AGREES(v) && G_CLOSE && \
+		    MAY_REFUSE(v) -> \
 			d_step { \
 				hold_both(v, CLOSED, k); \
 				state[k] = UNUSED; \
@@ -244,8 +272,17 @@
 			d_step { state[k] = PERMIT; call_term[k] = term[v] } \
 		:: rec[v] == HELD && rec_call[v] != k && !G_HELD_UNKNOWN -> \
 			d_step { state[k] = UNUSED; not_run() } \
-		:: !FREE(v) && rec[v] == CLOSED -> \
-			d_step { state[k] = UNUSED; not_run() } \
+		:: !FREE(v) && rec[v] == CLOSED && \
+		    (AGREES(v) || !G_CLOSE_RENEWS) && MAY_REFUSE(v) -> \
+			d_step { \
+				if \
+				:: G_CLOSE_RENEWS -> hold_both(v, CLOSED, k) \
+				:: else -> skip \
+				fi; \
+				state[k] = UNUSED; \
+				not_run() \
+			} \
+		:: else -> skip /* unknown */ \
 		fi }
 
 /* A router refuses by itself: the load is too high, no leader answers. */
@@ -256,7 +293,7 @@
 /* No byte has left the router. */
 #define CONNECTION_REFUSED(k) \
 	:: atomic { state[k] == PERMIT -> \
-		d_step { state[k] = UNUSED; not_run() } }
+		d_step { unused(k) } }
 
 #define REQUEST(k) \
 	:: atomic { state[k] == PERMIT && ALIVE(k) -> state[k] = SENT }
@@ -283,9 +320,10 @@
 		} } \
 	:: atomic { state[k] == SENT && CHECKS && call_term[k] != fence && \
 	    ALIVE(k) -> \
-		d_step { state[k] = UNUSED; not_run() } }
+		d_step { unused(k) } }
 
-/* What becomes of the permit; the deputy may hear of it or not. */
+/* What becomes of the permit; the deputy may hear of it or not.  A permit's
+ * return may come twice. */
 #define REPORT(k, v) \
 	:: atomic { role[v] == LEADER && rec[v] == HELD && state[k] == RUN && \
 	    rec_call[v] == k -> \
@@ -293,9 +331,16 @@
 		:: d_step { hold_both(v, DONE, k) } \
 		:: d_step { hold(v, DONE, k) } \
 		fi } \
-	:: atomic { role[v] == LEADER && rec[v] == HELD && \
-	    state[k] == UNUSED && AGREES(v) && \
-	    (rec_call[v] == k || !G_RELEASE_HOLDER) -> \
+	:: atomic { state[k] == BACK && ACTING(v) && AGREES(v) && \
+	    ((rec[v] == HELD && (rec_call[v] == k || !G_RELEASE_HOLDER)) || \
+	    (FREE(v) && IN_TIME(v))) && MAY_REFUSE(v) -> \
+		d_step { \
+			hold_both(v, CLOSED, k); \
+			state[k] = UNUSED; \
+			not_run() \
+		} } \
+	:: atomic { state[k] == UNUSED && ACTING(v) && AGREES(v) && \
+	    rec[v] == HELD && (rec_call[v] == k || !G_RELEASE_HOLDER) -> \
 		d_step { hold_both(v, CLOSED, k) } }
 
 #define FORGET(v) \
@@ -309,9 +354,11 @@
 
 #define TAKE_AS_DEPUTY(v) \
 	:: atomic { role[v] == DEPUTY && term[v] == newest && \
-	    newest < MAXTERM -> \
+	    s_deputy == v && newest < MAXTERM -> \
 		d_step { \
 			newest++; \
+			s_leader = v; \
+			s_deputy = NONE; \
 			pair_cut = 0; \
 			role[v] = LEADER; \
 			term[v] = newest; \
@@ -343,20 +390,23 @@
 		pair_cut = 0;
 		fence = newest
 	fi;
+	s_leader = v;
+	s_deputy = NONE;
 	role[v] = LEADER;
 	term[v] = newest;
 	deputy[v] = NONE
 }
 
+#define ANSWERS(x) ((s_leader == x || s_deputy == x) && role[x] != IDLE && \
+	term[x] == newest && ready[x])
 #define TAKE_AS_THIRD(v) \
-	:: atomic { role[v] == IDLE && newest < MAXTERM -> \
+	:: atomic { s_leader != v && newest < MAXTERM && \
+	    (role[v] == IDLE || (role[v] == DEPUTY && s_deputy != v)) -> \
 		if \
 		:: d_step { take(v, v) } \
-		:: role[(v + 1) % NV] != IDLE && \
-		    term[(v + 1) % NV] == newest && ready[(v + 1) % NV] -> \
+		:: ANSWERS((v + 1) % NV) -> \
 			d_step { take(v, ((v + 1) % NV)) } \
-		:: role[(v + 2) % NV] != IDLE && \
-		    term[(v + 2) % NV] == newest && ready[(v + 2) % NV] -> \
+		:: ANSWERS((v + 2) % NV) -> \
 			d_step { take(v, ((v + 2) % NV)) } \
 		fi }
 
@@ -364,7 +414,8 @@
  * longest deadline are waited out where they aren't. */
 #define VOID_OLD(v) \
 	:: atomic { role[v] == LEADER && term[v] == newest && !ready[v] && \
-	    (CHECKS || now > taken + OUTAGE + DEADLINE) -> \
+	    (CHECKS -> now >= taken + SUPPORT : \
+	    now > taken + OUTAGE + DEADLINE) -> \
 		d_step { \
 			fence = term[v]; \
 			ready[v] = 1; \
@@ -376,9 +427,11 @@
 #define NAME(v, d) \
 	:: atomic { role[v] == LEADER && term[v] == newest && ready[v] && \
 	    names > 0 && \
-	    deputy[v] != d && role[d] != LEADER -> \
+	    deputy[v] != d && \
+	    (role[d] != LEADER || term[d] < newest) -> \
 		d_step { \
 			names--; \
+			s_deputy = d; \
 			deputy[v] = d; \
 			role[d] = DEPUTY; \
 			term[d] = term[v]; \
@@ -414,7 +467,7 @@
 		ready[0] = 1;
 		ready[1] = 1
 	}
-	do
+end:	do
 	:: atomic { now < END -> now++ }
 	MAKE_ID(0)
 	MAKE_ID(WORST_SKEW - SKEW)
