Bind a deputy's permits to the number it was named by

Cause: a VM that was replaced as deputy and named again in the same term kept the mark "holds every permit" from its first time. If it took the term before its leader had told it all anew, permits given through the deputy in between were unknown to it, and a request could have run twice.

HOLD carries the naming's number; the mark falls with a new number; a takeover inherits only under the number by which the replaced record named the VM. The group's view gives that number and whether the term was taken as the deputy the record named (core/group.c, two fields); control/permits.c passes them on.

--- a/control/permits.c
+++ b/control/permits.c
@@ -22,6 +22,7 @@
 	enum dh_group_role role;
 	uint64_t term; /* led or deputised now, 0: neither */
 	uint64_t held_term; /* last one led or deputised */
+	uint64_t held_naming; /* number of the deputy in that term */
 	uint64_t deputy; /* while leading */
 	bool deputy_up; /* its link */
 	bool supported;
@@ -63,6 +64,7 @@
 {
 	struct dh_msg m = { .kind = DH_MSG_PERMIT_HOLD,
 		.permit_hold = { .term = a->hold.term,
+		    .naming = a->hold.naming,
 		    .seq = a->hold.seq,
 		    .complete = a->hold.complete,
 		    .n = a->hold.n,
@@ -147,10 +149,13 @@
 	struct dh_permit_event ev = { .kind = DH_PERMIT_LEAD,
 		.lead = { .term = v->term,
 		    .from_term = v->term - 1,
-		    .named = v->term > 1 && h->held_term == v->term - 1,
-		    .deputy = v->deputy } };
+		    .named = v->inherited && h->held_term == v->term - 1,
+		    .from_naming = h->held_naming,
+		    .deputy = v->deputy,
+		    .naming = v->deputy_seq } };
 
 	h->term = h->held_term = v->term;
+	h->held_naming = v->deputy_seq;
 	h->deputy = v->deputy;
 	h->deputy_up = is_up(h, v->deputy);
 	step(h, &ev);
@@ -160,10 +165,12 @@
 follow_deputy(struct dh_permit_host *h, const struct dh_group_view *v)
 {
 	struct dh_permit_event ev = { .kind = DH_PERMIT_DEPUTY,
-		.deputy = v->deputy };
+		.lead = { .deputy = v->deputy, .naming = v->deputy_seq } };
 	bool up = is_up(h, v->deputy);
-	bool changed = v->deputy != h->deputy || (up && !h->deputy_up);
+	bool changed = v->deputy != h->deputy ||
+	    v->deputy_seq != h->held_naming || (up && !h->deputy_up);
 
+	h->held_naming = v->deputy_seq;
 	h->deputy = v->deputy;
 	h->deputy_up = up;
 	if (changed)
@@ -186,6 +193,7 @@
 		break;
 	case DH_GROUP_DEPUTY:
 		h->term = h->held_term = v->term;
+		h->held_naming = v->deputy_seq;
 		h->deputy = NOT_LEADING;
 		break;
 	case DH_GROUP_IDLE:
@@ -252,6 +260,7 @@
 		ev.kind = DH_PERMIT_HOLD;
 		ev.hold.from = from;
 		ev.hold.term = m->permit_hold.term;
+		ev.hold.naming = m->permit_hold.naming;
 		ev.hold.seq = m->permit_hold.seq;
 		ev.hold.complete = m->permit_hold.complete;
 		ev.hold.lost_wall_ms = m->permit_hold.lost_wall_ms;
--- a/core/group.c
+++ b/core/group.c
@@ -484,6 +484,8 @@
 		.term = g->term,
 		.leader = g->leader,
 		.deputy = g->deputy,
+		.deputy_seq = g->deputy_seq,
+		.inherited = g->mode == MODE_LEADING && !g->take.third,
 		.nslots = g->nslots,
 		.slots = g->cur,
 		.store_down = g->mode == MODE_LEADING &&
--- a/core/permit.c
+++ b/core/permit.c
@@ -20,6 +20,7 @@
 	struct permit_store store;
 	enum role role;
 	uint64_t term; /* that the permits belong to */
+	uint64_t naming; /* of the deputy in that term; DEPUTY: of this VM */
 	bool complete; /* DEPUTY: holds all; LEADER: the deputy does */
 	uint64_t deputy; /* LEADER; 0: none */
 	uint64_t
@@ -193,6 +194,7 @@
 	struct dh_permit_action *a = act(out, DH_PERMIT_DO_HOLD, v->deputy);
 
 	a->hold.term = v->term;
+	a->hold.naming = v->naming;
 	a->hold.seq = ++v->seq;
 	if (v->lost && now < v->lost_until_ms) {
 		a->hold.lost_wall_ms = v->lost_wall_ms;
@@ -352,15 +354,17 @@
 /*
  * This VM leads.  Its own permits count if they are all there are: it led
  * before, or was the deputy, named so by the very record that it replaced,
- * and complete.  Else what the two before it knew is lost, and so is whether
- * an id of that time has run; what this VM does hold stays true.
+ * and complete under the number it was named by.  Else what the two before it
+ * knew is lost, and so is whether an id of that time has run; what this VM does
+ * hold stays true.
  */
 static void
 lead(struct dh_permits *v, const struct dh_permit_event *ev, int64_t now,
     int64_t wall, struct dh_permit_actions *out)
 {
-	bool held =
-	    v->role == ROLE_LEADER || (v->role == ROLE_DEPUTY && v->complete);
+	bool held = v->role == ROLE_LEADER ||
+	    (v->role == ROLE_DEPUTY && v->complete &&
+		v->naming == ev->lead.from_naming);
 
 	assert(ev->lead.term > v->term || v->role == ROLE_LEADER);
 	refuse_all_waiting(v, now, out);
@@ -373,17 +377,19 @@
 	v->role = ROLE_LEADER;
 	v->term = ev->lead.term;
 	v->deputy = ev->lead.deputy;
+	v->naming = ev->lead.naming;
 	sync_start(v, now, out);
 }
 
 static void
-set_deputy(struct dh_permits *v, uint64_t deputy, int64_t now,
+set_deputy(struct dh_permits *v, const struct dh_permit_event *ev, int64_t now,
     struct dh_permit_actions *out)
 {
 	if (v->role != ROLE_LEADER)
 		return;
 	refuse_all_waiting(v, now, out);
-	v->deputy = deputy;
+	v->deputy = ev->lead.deputy;
+	v->naming = ev->lead.naming;
 	sync_start(v, now, out);
 }
 
@@ -559,17 +565,24 @@
 	return count <= v->p.count_max && bytes <= v->p.bytes_max;
 }
 
+/*
+ * The leader of a term, or of a naming within it, speaks for the first time.
+ * A VM that is named again after another was deputy lacks what was given in
+ * between: it is complete only when told so under the new number.
+ */
 static void
-follow(struct dh_permits *v, uint64_t term, int64_t now,
+follow(struct dh_permits *v, uint64_t term, uint64_t naming, int64_t now,
     struct dh_permit_actions *out)
 {
-	if (term == v->term)
+	if (term == v->term && naming == v->naming)
 		return;
 	refuse_all_waiting(v, now, out);
 	sync_stop(v);
+	if (term != v->term)
+		v->seq = 0;
 	v->role = ROLE_DEPUTY;
 	v->term = term;
-	v->seq = 0;
+	v->naming = naming;
 }
 
 static void
@@ -577,12 +590,13 @@
     struct dh_permit_actions *out)
 {
 	bool stale = ev->hold.term < v->term ||
-	    (ev->hold.term == v->term && v->role == ROLE_LEADER);
+	    (ev->hold.term == v->term &&
+		(v->role == ROLE_LEADER || ev->hold.naming < v->naming));
 	struct dh_permit_action *a;
 	uint32_t i;
 
 	if (!stale)
-		follow(v, ev->hold.term, now, out);
+		follow(v, ev->hold.term, ev->hold.naming, now, out);
 	/* From a connection that another has replaced. */
 	if (!stale && ev->hold.seq <= v->seq)
 		return;
@@ -689,7 +703,7 @@
 		lead(v, ev, now_ms, wall_ms, out);
 		break;
 	case DH_PERMIT_DEPUTY:
-		set_deputy(v, ev->deputy, now_ms, out);
+		set_deputy(v, ev, now_ms, out);
 		break;
 	case DH_PERMIT_IDLE:
 		go_idle(v, now_ms, out);
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -284,6 +284,9 @@
 	enum dh_group_role role;
 	uint64_t term;
 	uint64_t leader, deputy;
+	uint64_t deputy_seq; /* by which the deputy was named in this term */
+	bool inherited; /* leader: took the term as the deputy that the
+			 * record before it named */
 	uint32_t nslots;
 	const struct dh_assignment *slots; /* acknowledged */
 	bool store_down; /* acknowledged by leader and deputy only */
--- a/include/dogwoodhub/permit.h
+++ b/include/dogwoodhub/permit.h
@@ -88,9 +88,12 @@
 					     * the group is new */
 			bool named; /* that record named this incarnation
 				     * leader or deputy */
-			uint64_t deputy; /* 0: none */
+			uint64_t from_naming; /* number of that record's
+					       * deputy */
+			uint64_t deputy; /* 0: none; also DEPUTY */
+			uint64_t naming; /* of that deputy, counted within
+					  * the term; also DEPUTY */
 		} lead;
-		uint64_t deputy; /* DEPUTY */
 		struct {
 			const char *id;
 			uint64_t asker;
@@ -107,6 +110,7 @@
 		struct {
 			uint64_t from;
 			uint64_t term;
+			uint64_t naming;
 			uint64_t seq;
 			bool complete;
 			int64_t lost_wall_ms;
@@ -143,6 +147,7 @@
 		} answer;
 		struct {
 			uint64_t term;
+			uint64_t naming;
 			uint64_t seq;
 			bool complete;
 			int64_t lost_wall_ms;
--- a/proto/msg.c
+++ b/proto/msg.c
@@ -281,6 +281,7 @@
 	    dh_permit_hold, list, n, permit_entry_record, DH_MSG_PERMITS_MAX),
 	F(FIELD_I64, dh_permit_hold, lost_wall_ms),
 	F(FIELD_I64, dh_permit_hold, lost_left_ms),
+	F(FIELD_U64, dh_permit_hold, naming),
 };
 RECORD(permit_hold_record, dh_permit_hold, permit_hold_fields);
 
--- a/proto/msg.h
+++ b/proto/msg.h
@@ -172,6 +172,7 @@
 	struct dh_permit_entry *list;
 	int64_t lost_wall_ms; /* no permit before this is known, */
 	int64_t lost_left_ms; /* for so long; 0: none was lost */
+	uint64_t naming; /* of the deputy, counted within the term */
 };
 
 struct dh_permit_held {
--- a/tests/msg_samples.h
+++ b/tests/msg_samples.h
@@ -92,7 +92,7 @@
 		break;
 	case DH_MSG_PERMIT_HOLD:
 		m->permit_hold = (struct dh_permit_hold){ "feed/0", 3, 17, true,
-			2, list, 99, 88 };
+			2, list, 99, 88, 2 };
 		break;
 	default:
 		m->permit_held =
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -52,7 +52,12 @@
     uint64_t deputy)
 {
 	struct dh_permit_event ev = { .kind = DH_PERMIT_LEAD,
-		.lead = { term, from_term, named, deputy } };
+		.lead = { .term = term,
+		    .from_term = from_term,
+		    .named = named,
+		    .from_naming = 1,
+		    .deputy = deputy,
+		    .naming = 1 } };
 
 	step(v, &ev);
 }
@@ -95,10 +100,10 @@
 		}
 		if (a->kind == DH_PERMIT_DO_HOLD) {
 			ev = (struct dh_permit_event){ .kind = DH_PERMIT_HOLD,
-				.hold = { LEADER, a->hold.term, a->hold.seq,
-				    a->hold.complete, a->hold.lost_wall_ms,
-				    a->hold.lost_left_ms, a->hold.n,
-				    a->hold.list } };
+				.hold = { LEADER, a->hold.term, a->hold.naming,
+				    a->hold.seq, a->hold.complete,
+				    a->hold.lost_wall_ms, a->hold.lost_left_ms,
+				    a->hold.n, a->hold.list } };
 			step(deputy, &ev);
 			free(a->hold.list);
 		} else {
@@ -398,6 +403,53 @@
 	finish();
 }
 
+/* The deputy was replaced and is named again: until it is told all under its
+ * new number, permits given meanwhile are missing from what it holds. */
+static void
+test_deputy_named_again(void)
+{
+	struct dh_permit_entry e = {
+		.id = "y", .state = DH_PERMIT_RUNNING, .left_ms = 1000
+	};
+	struct dh_permit_event hold = { .kind = DH_PERMIT_HOLD,
+		.hold = {
+		    .from = LEADER, .term = 1, .naming = 3, .seq = 100 } };
+	struct dh_permit_event ev = { .kind = DH_PERMIT_LEAD,
+		.lead = { .term = 2,
+		    .from_term = 1,
+		    .named = true,
+		    .from_naming = 3,
+		    .deputy = DEPUTY,
+		    .naming = 1 } };
+	uint32_t told;
+
+	for (told = 0; told < 3; told++) {
+		start();
+		hold.hold.naming = 3;
+		hold.hold.seq = 100;
+		hold.hold.n = 0;
+		hold.hold.complete = told == 2;
+		if (told > 0)
+			step(deputy, &hold);
+		/* What was under way under the first number says nothing. */
+		dh_permit_actions_clear(&out);
+		hold.hold.naming = 1;
+		hold.hold.seq = 101;
+		hold.hold.n = 1;
+		hold.hold.list = &e;
+		hold.hold.complete = true;
+		if (told > 0)
+			step(deputy, &hold);
+		CU_ASSERT(told == 0 || out.list[0].held.refused);
+		dh_permit_actions_clear(&out);
+		step(deputy, &ev);
+		exchange(deputy, leader);
+		CU_ASSERT_EQUAL(ask_pair(deputy, leader, fresh(1), 1),
+		    told == 2 ? DH_PERMIT_RUN : DH_PERMIT_UNKNOWN);
+		finish();
+	}
+}
+
 static void
 test_ids_with_and_without_time(void)
 {
@@ -511,7 +563,7 @@
 test_new_deputy_is_filled(void)
 {
 	struct dh_permit_event ev = { .kind = DH_PERMIT_DEPUTY,
-		.deputy = DEPUTY };
+		.lead = { .deputy = DEPUTY, .naming = 1 } };
 	struct dh_permits *third = dh_permits_new(&params);
 	uint32_t i;
 
@@ -544,7 +596,7 @@
 test_batches_follow_what_is_dropped(void)
 {
 	struct dh_permit_event ev = { .kind = DH_PERMIT_DEPUTY,
-		.deputy = DEPUTY };
+		.lead = { .deputy = DEPUTY, .naming = 1 } };
 	struct dh_permit_event hold = { .kind = DH_PERMIT_HOLD,
 		.hold = { .from = 3, .term = 2, .seq = 1 } };
 	struct dh_permit_event held = { .kind = DH_PERMIT_HELD,
@@ -581,7 +633,11 @@
 		.state = DH_PERMIT_RUNNING,
 		.left_ms = 1000 };
 	struct dh_permit_event ev = { .kind = DH_PERMIT_HOLD,
-		.hold = { .from = LEADER, .term = 1, .n = 1, .list = &e } };
+		.hold = { .from = LEADER,
+		    .term = 1,
+		    .naming = 1,
+		    .n = 1,
+		    .list = &e } };
 
 	start();
 	ev.hold.seq = 101;
@@ -615,7 +671,7 @@
 
 struct world {
 	struct dh_permits *vm[VMS + 1]; /* by name, from 1 */
-	uint64_t term, leader, deputy;
+	uint64_t term, leader, deputy, naming;
 	struct truth truth[IDS];
 	struct dh_permit_event pool[POOL]; /* messages under way */
 	uint64_t pool_to[POOL];
@@ -675,10 +731,10 @@
 		w->pool_list[w->npool] = NULL;
 		if (a->kind == DH_PERMIT_DO_HOLD) {
 			*ev = (struct dh_permit_event){ .kind = DH_PERMIT_HOLD,
-				.hold = { from, a->hold.term, a->hold.seq,
-				    a->hold.complete, a->hold.lost_wall_ms,
-				    a->hold.lost_left_ms, a->hold.n,
-				    a->hold.list } };
+				.hold = { from, a->hold.term, a->hold.naming,
+				    a->hold.seq, a->hold.complete,
+				    a->hold.lost_wall_ms, a->hold.lost_left_ms,
+				    a->hold.n, a->hold.list } };
 			w->pool_list[w->npool] = a->hold.list;
 			a->hold.list = NULL;
 		} else {
@@ -717,12 +773,21 @@
 	w->vm[vm] = dh_permits_new(&params);
 }
 
+static void
+name_deputy(struct world *w)
+{
+	w->deputy = 1 + (w->leader + rnd(w, VMS - 1)) % VMS;
+	if (w->deputy == w->leader)
+		w->deputy = 1 + w->leader % VMS;
+}
+
 /* The record passes to another VM, by the rules of the group. */
 static void
-take_over(struct world *w)
+take_over(struct world *w, uint64_t next)
 {
 	struct dh_permit_event idle = { .kind = DH_PERMIT_IDLE };
-	uint64_t next = 1 + rnd(w, VMS), from = w->term, i;
+	struct dh_permit_event ev = { .kind = DH_PERMIT_LEAD };
+	uint64_t i;
 	bool named = next == w->leader || next == w->deputy;
 
 	if (rnd(w, 3) == 0) {
@@ -740,15 +805,35 @@
 			collect(w, i);
 		}
 	}
-	w->term++;
+	ev.lead.from_term = w->term++;
+	ev.lead.named = named;
+	ev.lead.from_naming = w->naming;
 	w->leader = next;
-	w->deputy = 1 + (next + rnd(w, VMS - 1)) % VMS;
-	if (w->deputy == w->leader)
-		w->deputy = 1 + w->leader % VMS;
-	lead(w->vm[next], w->term, from, named, w->deputy);
+	name_deputy(w);
+	w->naming = 1;
+	ev.lead.term = w->term;
+	ev.lead.deputy = w->deputy;
+	ev.lead.naming = w->naming;
+	step(w->vm[next], &ev);
 	collect(w, next);
 }
 
+/* Within the term another VM is named, or the same one again. */
+static void
+rename_deputy(struct world *w)
+{
+	struct dh_permit_event ev = { .kind = DH_PERMIT_DEPUTY };
+
+	name_deputy(w);
+	w->naming++;
+	ev.lead.deputy = w->deputy;
+	ev.lead.naming = w->naming;
+	step(w->vm[w->leader], &ev);
+	collect(w, w->leader);
+	if (rnd(w, 2) == 0)
+		take_over(w, w->deputy);
+}
+
 /* A router asks, or says what became of a request. */
 static void
 act_as_router(struct world *w)
@@ -776,7 +861,9 @@
 static void
 test_random_faults(void)
 {
-	struct world w = { .term = 1, .leader = 1, .deputy = 2, .rnd = 42 };
+	struct world w = {
+		.term = 1, .leader = 1, .deputy = 2, .naming = 1, .rnd = 42
+	};
 	uint32_t i, what;
 
 	dh_permit_params_defaults(&params);
@@ -797,7 +884,9 @@
 		else if (what < 995)
 			tick(w.vm[1 + rnd(&w, VMS)]);
 		else if (what < 997)
-			take_over(&w);
+			take_over(&w, 1 + rnd(&w, VMS));
+		else
+			rename_deputy(&w);
 		collect(&w, w.leader);
 	}
 	/* It is no test if nothing runs. */
@@ -822,6 +911,7 @@
 		{ "takeover", test_deputy_takes_over },
 		{ "memory lost", test_memory_lost_with_both },
 		{ "incomplete deputy", test_incomplete_deputy },
+		{ "named again", test_deputy_named_again },
 		{ "ids", test_ids_with_and_without_time },
 		{ "forgotten", test_forgotten_is_never_run_again },
 		{ "bounds", test_memory_is_bounded },
