--- a/control/peers.c
+++ b/control/peers.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "base/counter.h"
-#include "base/log.h"
 #include "control/vms.h"
 
 #define SILENT_MS 800
@@ -87,7 +86,6 @@
 		if (old != NULL)
 			dh_link_part(old, DH_GOODBYE_DUPLICATE);
 	}
-	dh_log(DH_LOG_INFO, "peer.up", "vm=%s", hello->vm);
 	p->ops->up(p->arg, vm, hello);
 }
 
--- a/control/vms.c
+++ b/control/vms.c
@@ -29,6 +29,7 @@
 	uint64_t id;
 	uint64_t refused; /* incarnation whose address refused */
 	uint64_t revision; /* in force there */
+	bool up; /* a link was up, as last logged */
 };
 
 struct dh_vms {
@@ -319,6 +320,9 @@
 		.kind = DH_MEMBER_LINK, .vm = id, .link = DH_MEMBER_LINK_UP
 	};
 
+	if (!note_of(v, id)->up)
+		dh_log(DH_LOG_INFO, "peer.up", "vm=%s", hello->vm);
+	note_of(v, id)->up = true;
 	learn_from_hello(v, hello);
 	step(v, &ev);
 	dh_feed_link(v->control->feed, id, true);
@@ -357,8 +361,10 @@
 
 	if (why == DH_LINK_REFUSED && dh_member_find(v->members, id, &info))
 		note_of(v, id)->refused = info.record->incarnation;
-	dh_log(DH_LOG_INFO, "peer.down", "vm=%s why=%s",
-	    name == NULL ? "" : name, dh_link_down_name(why));
+	if (note_of(v, id)->up)
+		dh_log(DH_LOG_INFO, "peer.down", "vm=%s why=%s",
+		    name == NULL ? "" : name, dh_link_down_name(why));
+	note_of(v, id)->up = dh_peers_is_up(v->peers, id);
 	dh_feed_link(v->control->feed, id, false);
 	step(v, &ev);
 	dh_control_members_changed(v->control);
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -3,7 +3,6 @@
 # The main job on loopback: a store, backend servers in three regions'
 # availability zones, three routers; real requests; a backend server is
 # killed and its keys are served again; a graceful shutdown.
-set -u
 . "$(dirname "$0")/../tests/failure/lib.sh"
 
 say() {
@@ -24,8 +23,10 @@
 done
 
 say "Loading a sheet with dogwoodctl"
-feed_backends=5
 . "$(dirname "$0")/demo_sheet.sh"
+write_sheet >"$dir/day.csv"
+ctl apply "$dir/day.csv" || fail "sheet"
+event accept ',"revision":2'
 for n in $vms; do
 	wait_for 30 "owner of every slot at v$n" all_owned "$n"
 done
