--- a/bench/bench_table.c
+++ b/bench/bench_table.c
@@ -148,8 +148,8 @@
 		(void)dh_admission_poll(adm, now_us, &verdict, &after_ms);
 	}
 	used = seconds_now() - start;
-	printf("%u | %u | %.1f | %.0f\n", nbackends, teams,
-	    used / (double)asked * NS,
+	printf("%u | %u | %zu | %.1f | %.0f\n", nbackends, teams,
+	    dh_admission_bytes(&p) / 1024, used / (double)asked * NS,
 	    100.0 * (double)dh_admission_stats(adm).queued / (double)asked);
 	dh_admission_free(adm);
 	memset(tickets, 0, sizeof(tickets));
@@ -277,7 +277,7 @@
 	printf("\ncounters | KiB | ns a request | merge of 11 ms\n");
 	for (n = 256; n <= 4096; n *= 4)
 		sketch_row(n);
-	printf("\nbackend servers | teams | admission ns a request (ask, "
+	printf("\nbackend servers | teams | KiB | admission ns a request (ask, "
 	       "poll, end) | queued %%\n");
 	admission_row(55, 1);
 	admission_row(55, 8);
--- a/core/admission.c
+++ b/core/admission.c
@@ -705,6 +705,14 @@
 	return adm->stats;
 }
 
+size_t
+dh_admission_bytes(const struct dh_admission_params *p)
+{
+	return sizeof(struct dh_admission) +
+	    p->nbackends * (sizeof(struct server) + sizeof(void *)) +
+	    p->max_queued * sizeof(void *);
+}
+
 struct dh_admission *
 dh_admission_new(const struct dh_admission_params *p)
 {
--- a/include/dogwoodhub/admission.h
+++ b/include/dogwoodhub/admission.h
@@ -146,6 +146,9 @@
 uint32_t dh_admission_running(const struct dh_admission *adm, uint32_t backend);
 uint32_t dh_admission_queued(const struct dh_admission *adm, uint32_t backend);
 
+/* dh_admission_bytes -- memory of an instance with these parameters. */
+size_t dh_admission_bytes(const struct dh_admission_params *p);
+
 struct dh_admission_stats dh_admission_stats(const struct dh_admission *adm);
 
 #endif
