--- a/base/history.c
+++ b/base/eventlog.c
@@ -1,4 +1,4 @@
-#include "base/history.h"
+#include "base/eventlog.h"
 
 #include <fcntl.h>
 #include <stdarg.h>
@@ -7,15 +7,15 @@
 
 #include "base/clock.h"
 
-struct dh_history {
+struct dh_eventlog {
 	int fd;
 	char *source;
 };
 
-struct dh_history *
-dh_history_open(const char *path, const char *source)
+struct dh_eventlog *
+dh_eventlog_open(const char *path, const char *source)
 {
-	struct dh_history *log;
+	struct dh_eventlog *log;
 	int fd;
 
 	if (path == NULL)
@@ -25,14 +25,14 @@
 		perror(path);
 		return NULL;
 	}
-	log = g_new0(struct dh_history, 1);
+	log = g_new0(struct dh_eventlog, 1);
 	log->fd = fd;
 	log->source = g_strdup(source);
 	return log;
 }
 
 void
-dh_history_close(struct dh_history *log)
+dh_eventlog_close(struct dh_eventlog *log)
 {
 	if (log == NULL)
 		return;
@@ -42,7 +42,7 @@
 }
 
 void
-dh_history_add(struct dh_history *log, const char *ev, const char *fmt, ...)
+dh_eventlog_add(struct dh_eventlog *log, const char *ev, const char *fmt, ...)
 {
 	GString *line;
 	va_list ap;
--- a/bench/dhload.c
+++ b/bench/dhload.c
@@ -15,7 +15,7 @@
 
 #include "base/clock.h"
 #include "base/http.h"
-#include "base/history.h"
+#include "base/eventlog.h"
 #include <dogwoodhub/rng.h>
 
 #define TARGETS_MAX 64u
@@ -23,7 +23,8 @@
 #define TICK_MS 1u
 
 struct options {
-	const char *targets[TARGETS_MAX];
+	char *targets[TARGETS_MAX]; /* URLs */
+	char *vias[TARGETS_MAX]; /* names in the history */
 	uint32_t ntargets;
 	const char *service;
 	const char *name;
@@ -50,7 +51,7 @@
 	struct options opt;
 	uv_loop_t loop;
 	struct dh_http *http;
-	struct dh_history *log;
+	struct dh_eventlog *log;
 	struct dh_rng rng;
 	double *zipf_sum; /* cumulative weight by rank */
 	uv_timer_t tick;
@@ -88,7 +89,8 @@
 };
 
 static const struct argp_option argp_options[] = {
-	{ "target", 't', "URL", 0, "http://IP:PORT, may be repeated", 0 },
+	{ "target", 't', "[NAME=]URL", 0, "http://IP:PORT, may be repeated",
+	    0 },
 	{ "service", 's', "NAME", 0, "service", 0 },
 	{ "name", 'n', "NAME", 0, "source in the history", 0 },
 	{ "log", 'l', "FILE", 0, "append a history", 0 },
@@ -107,6 +109,18 @@
 	{ 0 },
 };
 
+/* "NAME=URL" or "URL". */
+static void
+add_target(struct options *o, char *arg)
+{
+	char *url = strstr(arg, "=http");
+
+	o->vias[o->ntargets] = arg;
+	o->targets[o->ntargets++] = url == NULL ? arg : url + 1;
+	if (url != NULL)
+		*url = '\0';
+}
+
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
 {
@@ -116,7 +130,7 @@
 	case 't':
 		if (o->ntargets == TARGETS_MAX)
 			argp_error(state, "too many targets");
-		o->targets[o->ntargets++] = arg;
+		add_target(o, arg);
 		break;
 	case 's':
 		o->service = arg;
@@ -337,7 +351,7 @@
 	    ? g_strdup("")
 	    : g_strdup_printf(",\"echo\":\"%s\"", c->echo);
 
-	dh_history_add(c->load->log, "answer",
+	dh_eventlog_add(c->load->log, "answer",
 	    ",\"call\":\"%s-%" PRIu64 "\",\"outcome\":\"%s\",\"status\":%ld%s,"
 	    "\"hash\":\"%016" PRIx64 "\",\"whole\":%s",
 	    c->load->opt.name, c->number, outcome_names[c->outcome], status,
@@ -447,13 +461,12 @@
 	curl_easy_reset(c->easy);
 	curl_easy_setopt(c->easy, CURLOPT_URL, url);
 	call_options(c);
-	dh_history_add(ld->log, "send",
+	dh_eventlog_add(ld->log, "send",
 	    ",\"call\":\"%s-%" PRIu64 "\",\"id\":\"%s\",\"via\":\"%s\","
 	    "\"service\":\"%s\",\"key\":\"%s\",\"unrepeatable\":%s,"
 	    "\"expect\":\"%016" PRIx64 "\"",
-	    o->name, c->number, c->id, o->targets[c->target], o->service,
-	    c->key, c->unrepeatable ? "true" : "false",
-	    expected_hash(ld, c->id));
+	    o->name, c->number, c->id, o->vias[c->target], o->service, c->key,
+	    c->unrepeatable ? "true" : "false", expected_hash(ld, c->id));
 	dh_http_start(ld->http, c->easy, on_done, c);
 }
 
@@ -604,7 +617,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	uv_loop_init(&ld.loop);
 	ld.http = dh_http_new(&ld.loop);
-	ld.log = dh_history_open(ld.opt.log, ld.opt.name);
+	ld.log = dh_eventlog_open(ld.opt.log, ld.opt.name);
 	ld.rng.state = ld.opt.seed;
 	ld.latency_us = g_new(uint32_t, SAMPLES_MAX);
 	zipf_prepare(&ld);
@@ -613,7 +626,7 @@
 	print_results(&ld);
 	dh_http_free(ld.http);
 	uv_run(&ld.loop, UV_RUN_NOWAIT);
-	dh_history_close(ld.log);
+	dh_eventlog_close(ld.log);
 	g_free(ld.latency_us);
 	g_free(ld.zipf_sum);
 	curl_global_cleanup();
--- a/control/authority.c
+++ b/control/authority.c
@@ -222,7 +222,7 @@
 	if (v->store_down)
 		holders = g_strdup_printf(",\"holders\":[\"%s\",\"%s\"]",
 		    vm_name(a, v->leader), vm_name(a, v->deputy));
-	dh_history_add(a->control->history, "assign",
+	dh_eventlog_add(a->control->history, "assign",
 	    ",\"group\":\"%s\",\"slot\":%u,\"owner\":\"%s\",\"fence\":"
 	    "\"%" PRIu64 ".%" PRIu64 "\",\"prev\":\"%" PRIu64 ".%" PRIu64
 	    "\",\"kept\":\"%s\"%s",
--- a/control/control.c
+++ b/control/control.c
@@ -184,7 +184,7 @@
 	ct->table_stale = true;
 	dh_counter_set(
 	    dh_counter_get("dh_config_revision", ""), conf->revision);
-	dh_history_add(
+	dh_eventlog_add(
 	    ct->history, "force", ",\"revision\":%" PRIu64, conf->revision);
 	dh_log(DH_LOG_INFO, "config.in_force",
 	    "revision=%" PRIu64 " services=%zu backend_servers=%zu",
@@ -334,7 +334,7 @@
 
 	ct->self = dh_name_id(s->vm);
 	ct->incarnation = (uint64_t)dh_clock_wall_ms();
-	dh_history_add(
+	dh_eventlog_add(
 	    ct->history, "up", ",\"incarnation\":%" PRIu64, ct->incarnation);
 	writer = g_strdup_printf("%s-%" PRIu64, s->vm, ct->incarnation);
 	ct->authorities = g_hash_table_new_full(
@@ -395,7 +395,7 @@
 	g_autoptr(GError) error = NULL;
 
 	(void)signal(SIGPIPE, SIG_IGN);
-	ct.history = dh_history_open(history_path, s->vm);
+	ct.history = dh_eventlog_open(history_path, s->vm);
 	loop_open(&ct);
 	if (control_open(&ct, &error)) {
 		dh_log(DH_LOG_INFO, "vm.up",
@@ -409,6 +409,6 @@
 		ct.status = 1;
 	}
 	control_close(&ct);
-	dh_history_close(ct.history);
+	dh_eventlog_close(ct.history);
 	return ct.status;
 }
--- a/control/control.h
+++ b/control/control.h
@@ -10,7 +10,7 @@
 #include <dogwoodhub/conf.h>
 #include <dogwoodhub/group.h>
 
-#include "base/history.h"
+#include "base/eventlog.h"
 #include "base/http.h"
 #include "base/httpd.h"
 #include "config/settings.h"
@@ -41,7 +41,7 @@
 
 struct dh_control {
 	const struct dh_settings *settings;
-	struct dh_history *history; /* or NULL */
+	struct dh_eventlog *history; /* or NULL */
 	uv_loop_t loop;
 	struct dh_http *http;
 	struct dh_store *store;
--- a/standin/backend.c
+++ b/standin/backend.c
@@ -15,7 +15,7 @@
 
 #include "base/clock.h"
 #include "base/httpd.h"
-#include "base/history.h"
+#include "base/eventlog.h"
 #include "standin/lib/ownership.h"
 #include <dogwoodhub/types.h>
 
@@ -65,7 +65,7 @@
 	uint64_t done, refused;
 	int64_t busy_us;
 	GHashTable *runs; /* idempotency key -> count */
-	struct dh_history *log;
+	struct dh_eventlog *log;
 };
 
 enum request_phase { PHASE_READING, PHASE_WAITING, PHASE_RUNNING, PHASE_ENDED };
@@ -269,7 +269,7 @@
 	rq->server->refused++;
 	rq->reason = reason;
 	rq->status = strcmp(reason, "wrong-owner") == 0 ? 421 : 503;
-	dh_history_add(rq->server->log, "refuse",
+	dh_eventlog_add(rq->server->log, "refuse",
 	    ",\"id\":\"%s\"%s,\"reason\":\"%s\"", rq->id, rq->call, reason);
 }
 
@@ -293,7 +293,7 @@
 	s->running--;
 	s->done++;
 	s->busy_us += dh_clock_us() - rq->begun_us;
-	dh_history_add(s->log, "finish", ",\"id\":\"%s\"%s,\"status\":%u",
+	dh_eventlog_add(s->log, "finish", ",\"id\":\"%s\"%s,\"status\":%u",
 	    rq->id, rq->call, status);
 	if (rq->group != NULL)
 		ownership_end(s->ownership, rq->group, rq->slot);
@@ -322,7 +322,7 @@
 					"\",\"lease\":%" PRId64,
 		    rq->group, rq->slot, rq->fence.term, rq->fence.counter,
 		    ownership_until(s->ownership, rq->group));
-	dh_history_add(s->log, "start",
+	dh_eventlog_add(s->log, "start",
 	    ",\"id\":\"%s\"%s,\"service\":\"%s\",\"key\":\"%s\","
 	    "\"unrepeatable\":%s%s",
 	    rq->id, rq->call, rq->service, rq->key,
@@ -656,10 +656,10 @@
 	uv_loop_init(&s->loop);
 	s->start_ms = dh_clock_ms();
 	s->incarnation = (uint64_t)dh_clock_wall_ms();
-	s->log = dh_history_open(s->opt.log, s->opt.name);
+	s->log = dh_eventlog_open(s->opt.log, s->opt.name);
 	s->ownership =
 	    ownership_new(s->incarnation, s->opt.check_fence, s->log);
-	dh_history_add(
+	dh_eventlog_add(
 	    s->log, "up", ",\"incarnation\":%" PRIu64, s->incarnation);
 	s->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&s->waiting);
--- a/standin/lib/ownership.c
+++ b/standin/lib/ownership.c
@@ -21,7 +21,7 @@
 struct ownership {
 	uint64_t incarnation;
 	bool checks_fence;
-	struct dh_history *log;
+	struct dh_eventlog *log;
 	GHashTable *groups; /* name -> struct group */
 };
 
@@ -36,7 +36,7 @@
 }
 
 struct ownership *
-ownership_new(uint64_t incarnation, bool checks_fence, struct dh_history *log)
+ownership_new(uint64_t incarnation, bool checks_fence, struct dh_eventlog *log)
 {
 	struct ownership *ow = g_new0(struct ownership, 1);
 
@@ -115,7 +115,7 @@
 static void
 log_release(struct ownership *ow, struct group *g, uint32_t slot)
 {
-	dh_history_add(
+	dh_eventlog_add(
 	    ow->log, "release", ",\"group\":\"%s\",\"slot\":%u", g->name, slot);
 }
 
@@ -133,7 +133,7 @@
 	gr->fence = (struct dh_fence){ .term = (uint64_t)entry_int(entry, 1),
 		.counter = (uint64_t)entry_int(entry, 2) };
 	gr->releasing = false;
-	dh_history_add(ow->log, "grant",
+	dh_eventlog_add(ow->log, "grant",
 	    ",\"group\":\"%s\",\"slot\":%u,\"fence\":\"%" PRIu64 ".%" PRIu64
 	    "\",\"until\":%" PRId64,
 	    g->name, slot, gr->fence.term, gr->fence.counter, g->until_ms);
@@ -204,7 +204,7 @@
 	g_hash_table_iter_init(&it, g->grants);
 	while (g_hash_table_iter_next(&it, &slot, NULL)) {
 		g_hash_table_iter_remove(&it);
-		dh_history_add(ow->log, "expire",
+		dh_eventlog_add(ow->log, "expire",
 		    ",\"group\":\"%s\",\"slot\":%u", g->name,
 		    GPOINTER_TO_UINT(slot));
 	}
@@ -243,7 +243,7 @@
 	if (strcmp(kind, "grant") == 0)
 		grant_set(ow, g, slots);
 	else
-		dh_history_add(ow->log, "extend",
+		dh_eventlog_add(ow->log, "extend",
 		    ",\"group\":\"%s\",\"until\":%" PRId64, g->name,
 		    g->until_ms);
 	return true;
--- a/standin/lib/ownership.h
+++ b/standin/lib/ownership.h
@@ -9,7 +9,7 @@
 
 #include <dogwoodhub/types.h>
 
-#include "base/history.h"
+#include "base/eventlog.h"
 
 /*
  * What a backend server owns: groups, each with a lease and the slots granted
@@ -20,7 +20,7 @@
 /* ownership_new -- checks_fence: refuse orders and requests with a lower
  * fence.  log is borrowed. */
 struct ownership *ownership_new(
-    uint64_t incarnation, bool checks_fence, struct dh_history *log);
+    uint64_t incarnation, bool checks_fence, struct dh_eventlog *log);
 void ownership_free(struct ownership *ow);
 
 struct order_result {
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -275,7 +275,7 @@
 	shift
 	targets=
 	for n in $vms; do
-		targets="$targets --target $(vm_url "$n")"
+		targets="$targets --target v$n=$(vm_url "$n")"
 	done
 	# shellcheck disable=SC2086
 	"$build/bench/dhload" $targets --service feed --name "$load_name" \
