--- a/backend/order.c
+++ b/backend/order.c
@@ -6,7 +6,12 @@
 
 #include <json-c/json.h>
 
+/* Longest wait for the answer on a fresh connection. */
+#define PROBE_MS 50
+
 struct pending {
+	struct dh_http *http;
+	char *probe_url;
 	dh_order_fn done;
 	void *arg;
 };
@@ -95,19 +100,67 @@
 	return true;
 }
 
+static void
+finish(struct pending *p, const struct dh_order_reply *reply)
+{
+	p->done(p->arg, reply);
+	g_free(p->probe_url);
+	g_free(p);
+}
+
+static bool
+is_refused(const struct dh_http_reply *http)
+{
+	return http->result == CURLE_COULDNT_CONNECT &&
+	    http->os_errno == ECONNREFUSED;
+}
+
+static void
+on_probe(void *arg, const struct dh_http_reply *http)
+{
+	struct dh_order_reply reply = {
+		.result = is_refused(http) ? DH_ORDER_DEAD : DH_ORDER_SILENT
+	};
+
+	finish(arg, &reply);
+}
+
+/* The connection ended without an answer: a fresh one tells whether the
+ * backend server has ended too. */
+static void
+probe(struct pending *p)
+{
+	struct dh_http_request rq = { .method = "GET",
+		.url = p->probe_url,
+		.timeout_ms = PROBE_MS,
+		.fresh_connection = true };
+
+	dh_http_fetch(p->http, &rq, on_probe, p);
+}
+
+static bool
+was_closed(CURLcode result)
+{
+	return result == CURLE_GOT_NOTHING || result == CURLE_RECV_ERROR ||
+	    result == CURLE_SEND_ERROR || result == CURLE_PARTIAL_FILE;
+}
+
 static void
 on_reply(void *arg, const struct dh_http_reply *http)
 {
-	g_autofree struct pending *p = arg;
+	struct pending *p = arg;
 	struct dh_order_reply reply = { .result = DH_ORDER_SILENT };
 
-	if (http->result == CURLE_COULDNT_CONNECT &&
-	    http->os_errno == ECONNREFUSED)
+	if (was_closed(http->result)) {
+		probe(p);
+		return;
+	}
+	if (is_refused(http))
 		reply.result = DH_ORDER_DEAD;
 	else if (http->result == CURLE_OK &&
 	    !dh_order_decode(&reply, http->body))
 		reply.result = DH_ORDER_SILENT;
-	p->done(p->arg, &reply);
+	finish(p, &reply);
 }
 
 void
@@ -128,6 +181,8 @@
 		.timeout_ms = timeout_ms };
 	struct pending *p = g_new0(struct pending, 1);
 
+	p->http = http;
+	p->probe_url = g_strdup_printf("http://%s:%u/_dh/load", address, port);
 	p->done = done;
 	p->arg = arg;
 	dh_http_fetch(http, &rq, on_reply, p);
--- a/bench/dhload.c
+++ b/bench/dhload.c
@@ -105,6 +105,7 @@
 	{ "upload", 'U', "BYTES", 0, "of a request's body", 0 },
 	{ "timeout-ms", 'T', "MS", 0, "the caller's patience (10000)", 0 },
 	{ "seed", 'e', "N", 0, "of keys and ids", 0 },
+	{ "now", 'N', 0, 0, "print the histories' time and exit", 0 },
 	{ "json", 'j', 0, 0, "print JSON", 0 },
 	{ 0 },
 };
@@ -174,6 +175,9 @@
 	case 'e':
 		o->seed = strtoull(arg, NULL, 10);
 		break;
+	case 'N':
+		printf("%.3f\n", (double)dh_clock_us() / 1000.0);
+		exit(EXIT_SUCCESS);
 	case 'j':
 		o->json = true;
 		break;
--- a/control/control.c
+++ b/control/control.c
@@ -18,6 +18,8 @@
  * so that the balancer notices. */
 #define LAME_MS 1000
 #define SHUTDOWN_POLL_MS 20u
+#define WATCH_WAIT_MS 2000
+#define WATCH_RESYNC_MS 3000
 
 struct dh_conf_ref *
 dh_conf_ref_new(struct dh_conf *conf)
@@ -323,6 +325,18 @@
 	dh_authority_free(a);
 }
 
+/* A watch that went stale must not keep a change from being in force within
+ * seconds: it is short, and checked against a list as often. */
+static void
+set_store_times(struct dh_store *st)
+{
+	struct dh_store_times t = dh_store_times(st);
+
+	t.wait_ms = WATCH_WAIT_MS;
+	t.resync_ms = WATCH_RESYNC_MS;
+	dh_store_set_times(st, &t);
+}
+
 static bool
 control_open(struct dh_control *ct, GError **error)
 {
@@ -341,6 +355,7 @@
 	    g_str_hash, g_str_equal, g_free, authority_free);
 	ct->http = dh_http_new(&ct->loop);
 	ct->store = dh_store_new(ct->http, s->store_url, writer);
+	set_store_times(ct->store);
 	ct->publish = dh_publish_new();
 	rc.publish = ct->publish;
 	ct->admin = dh_admin_new(ct, error);
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -33,7 +33,7 @@
 }
 
 now_ms() {
-	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
+	"$build/bench/dhload" --now
 }
 
 # event KIND FIELDS: a line of the script's own history.
@@ -269,6 +269,15 @@
 	done
 }
 
+ctl() {
+	"$build/dogwoodctl" --store "$(store_url)" --quiet "$@"
+}
+
+# in_force VM REVISION
+in_force() {
+	curl -sf -m 2 "$(admin_url "$1")/status" | grep -q "\"revision\":$2,"
+}
+
 # start_load NAME OPTIONS...: in the background, through every VM.
 start_load() {
 	load_name=$1
@@ -298,6 +307,8 @@
 }
 
 kill_now() {
+	# Stopped first: it does nothing more after the time that is noted.
+	kill -STOP "$(pid_of "$1")"
 	event down ",\"name\":\"$1\""
 	kill -KILL "$(pid_of "$1")"
 }
--- a/tools/demo_sheet.sh
+++ b/tools/demo_sheet.sh
@@ -1,9 +1,5 @@
 # The demo's sheet: two teams, as planners would export it.  Sourced.
 
-ctl() {
-	"$build/dogwoodctl" --store "$(store_url)" "$@"
-}
-
 # sheet_backend TEAM SERVICE NUMBER SLOTS
 sheet_backend() {
 	echo "$1,backend_server,b$3,,,,$2,127.0.0.1,$(backend_port "$3"),$(zone "$3"),$(region "$3"),$4,130,true"
