Stand-in store: refuse a fault with an unknown field

Cause: the scenario store_reply_lost asked for "count" where the field is "calls"; the stand-in passed over it and lost every reply from then on.

The eight test programs of this package pass.

--- a/standin/lib/store.c
+++ b/standin/lib/store.c
@@ -557,6 +557,21 @@
 	return json_object_get_string(v);
 }
 
+static bool
+fields_known(struct json_object *root)
+{
+	static const char *const known[] = { "kind", "mode", "for_ms", "calls",
+		"amount" };
+
+	json_object_object_foreach(root, name, value)
+	{
+		(void)value;
+		if (name_index(known, G_N_ELEMENTS(known), name) < 0)
+			return false;
+	}
+	return true;
+}
+
 static bool
 fault_set(struct dh_standin_store *s, struct json_object *root)
 {
@@ -592,7 +607,7 @@
 	bool ok = root != NULL && json_object_is_type(root, json_type_object);
 
 	pthread_mutex_lock(&s->lock);
-	ok = ok && fault_set(s, root);
+	ok = ok && fields_known(root) && fault_set(s, root);
 	pthread_cond_broadcast(&s->changed);
 	pthread_mutex_unlock(&s->lock);
 	json_object_put(root);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -624,6 +624,22 @@
 	teardown();
 }
 
+/* A fault that is misspelt must not pass for another. */
+static void
+test_faults_are_checked(void)
+{
+	static const char *const bad[] = { "", "[]", "{}",
+		"{\"kind\": \"lost\"}",
+		"{\"kind\": \"down\", \"mode\": \"deaf\"}",
+		"{\"kind\": \"lose-reply\", \"count\": 3}" };
+	size_t i;
+
+	setup();
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		CU_ASSERT_FALSE(dh_standin_store_fault(standin, bad[i], NULL));
+	teardown();
+}
+
 int
 main(void)
 {
@@ -646,6 +662,7 @@
 		{ "younger store", test_watch_on_a_younger_store },
 		{ "watch freed", test_watch_freed_while_telling },
 		{ "free", test_free_drops_calls },
+		{ "faults checked", test_faults_are_checked },
 		CU_TEST_INFO_NULL,
 	};
 
