--- a/control/teams.c
+++ b/control/teams.c
@@ -8,6 +8,8 @@
 #include "config/assemble.h"
 #include "config/schema.h"
 
+#define PREFIX "teams/"
+
 struct dh_teams {
 	struct dh_control *control;
 	GHashTable *by_name; /* name -> struct dh_team */
@@ -55,6 +57,32 @@
 	dh_control_accept(tm->control, conf);
 }
 
+/* A VM that starts on a version that breaks the schema takes the last one
+ * before it that does not. */
+static void
+on_older(void *arg, const struct dh_object *object, const GError *error)
+{
+	struct dh_teams *tm = arg;
+
+	(void)error;
+	if (object == NULL || !g_str_has_prefix(object->name, PREFIX) ||
+	    g_hash_table_lookup(tm->by_name, object->name + strlen(PREFIX)) !=
+		NULL)
+		return;
+	dh_teams_take(tm, object->name + strlen(PREFIX), object->version,
+	    object->value, object->len);
+}
+
+static void
+look_back(struct dh_teams *tm, const char *name, uint64_t version)
+{
+	g_autofree char *object = g_strdup_printf(PREFIX "%s", name);
+
+	if (version > 1)
+		dh_store_get(
+		    tm->control->store, object, version - 1, on_older, tm);
+}
+
 void
 dh_teams_take(struct dh_teams *tm, const char *name, uint64_t version,
     const char *text, size_t len)
@@ -67,6 +95,8 @@
 		dh_counter_add(
 		    dh_counter_get("dh_config_refused_total", ""), 1);
 		log_problems(name, problems);
+		if (g_hash_table_lookup(tm->by_name, name) == NULL)
+			look_back(tm, name, version);
 		return;
 	}
 	g_hash_table_replace(tm->by_name, g_strdup(name), team);
--- /dev/null
+++ b/tests/failure/bad_object.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# A team's object is overwritten by something that breaks the schema: what the
+# team declared before stays in force, also on a VM that starts afterwards.
+. "$(dirname "$0")/lib.sh"
+start_cluster 2 4
+curl -sf -X PUT -H 'If-Match: "1"' -H 'X-Writer: script' -d '{"services": 7}' \
+    "$(store_url)/v1/objects/teams/t" >/dev/null || fail "cannot overwrite"
+sleep 1
+start_vm 3
+for n in $vms; do
+	wait_for 20 "owner of every slot at v$n" all_owned "$n"
+	wait_for 10 "answer through v$n" serves "$n" key
+done
+check_history
