Pins: a key's slot is moved to the backend server named, and kept there

A slot of its own for each pinned key was weighed and left: while VMs hold different revisions the key would have two slots, and so two owners. Test: tests/failure/pin.sh.

--- a/control/planner.c
+++ b/control/planner.c
@@ -127,6 +127,63 @@
 		    index_of(pl, v->slots[i].standby));
 }
 
+/*
+ * A pin places the whole slot that its key falls into: a slot of its own for
+ * each pinned key would have two owners while VMs hold different revisions.
+ */
+struct pinned {
+	uint32_t slot;
+	uint64_t backend; /* 0: of another service, or it leaves */
+};
+
+static struct pinned
+pinned_slot(const struct dh_planner *pl, const struct dh_pin *pin)
+{
+	const struct dh_table t = { .conf = pl->control->conf->conf };
+	uint32_t sv = dh_conf_service(t.conf, pin->service);
+	uint32_t b = dh_conf_backend(t.conf, pin->backend);
+
+	if (strcmp(pin->service, dh_authority_service(pl->authority)) != 0 ||
+	    sv == DH_NONE || b == DH_NONE || t.conf->backends[b].drain)
+		return (struct pinned){ 0 };
+	return (struct pinned){ .slot = dh_table_slot(
+				    &t, sv, pin->key, strlen(pin->key)),
+		.backend = dh_name_id(pin->backend) };
+}
+
+static bool
+is_pinned(const struct dh_planner *pl, uint32_t slot)
+{
+	const struct dh_conf *conf = pl->control->conf->conf;
+	struct pinned p;
+	size_t i;
+
+	for (i = 0; i < conf->npins; i++) {
+		p = pinned_slot(pl, &conf->pins[i]);
+		if (p.backend != 0 && p.slot == slot)
+			return true;
+	}
+	return false;
+}
+
+static void
+ask_for_pins(struct dh_planner *pl, const struct dh_group_view *v)
+{
+	const struct dh_conf *conf = pl->control->conf->conf;
+	struct pinned p;
+	size_t i;
+
+	for (i = 0; i < conf->npins; i++) {
+		p = pinned_slot(pl, &conf->pins[i]);
+		if (p.backend == 0 || p.slot >= v->nslots ||
+		    v->slots[p.slot].owner == p.backend ||
+		    v->slots[p.slot].state != DH_SLOT_OWNED)
+			continue;
+		dh_authority_move(pl->authority, p.slot, p.backend);
+		return;
+	}
+}
+
 /* The group itself moves slots off lost and leaving backend servers. */
 static void
 ask_for_moves(struct dh_planner *pl)
@@ -138,7 +195,8 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		if (moves[i].reason != DH_PLACEMENT_BALANCE)
+		if (moves[i].reason != DH_PLACEMENT_BALANCE ||
+		    is_pinned(pl, moves[i].slot))
 			continue;
 		target = g_array_index(pl->ids, uint64_t, moves[i].target);
 		dh_counter_add(pl->moves, 1);
@@ -167,7 +225,10 @@
 	update_backends(pl);
 	update_owners(pl, &v);
 	dh_placement_tick(pl->placement, PERIOD_MS);
-	if (++pl->periods > PERIODS_MIN && v.supported && !v.store_down)
+	if (!v.supported || v.store_down)
+		return;
+	ask_for_pins(pl, &v);
+	if (++pl->periods > PERIODS_MIN)
 		ask_for_moves(pl);
 }
 
