--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -5,8 +5,31 @@
 build=$1
 name=$(basename "$0" .sh)
 dir=$(mktemp -d "${TMPDIR:-/tmp}/dh-$name.XXXXXX")
-# Apart from other runs on the same machine, below the ephemeral ports.
-base=${DH_PORT_BASE:-$((20000 + $$ % 24 * 500))}
+
+# A block of 500 ports below the ephemeral ones, apart from other runs on the
+# same machine: a folder, made by one run only, marks the block as taken.
+take_ports() {
+	k=0
+	while [ "$k" -lt 24 ]; do
+		base=$((20000 + ($$ + k) % 24 * 500))
+		block="${TMPDIR:-/tmp}/dh-ports-$base"
+		owner=$(cat "$block/pid" 2>/dev/null)
+		if [ "$owner" ] && ! kill -0 "$owner" 2>/dev/null; then
+			rm -rf "$block"
+		fi
+		if mkdir "$block" 2>/dev/null; then
+			echo $$ >"$block/pid"
+			return
+		fi
+		k=$((k + 1))
+	done
+	echo "no free block of ports"
+	exit 1
+}
+
+block=
+base=${DH_PORT_BASE:-}
+[ "$base" ] || take_ports
 store_port=$base
 pids=
 vms=
@@ -17,6 +40,7 @@
 		kill -CONT "$p" 2>/dev/null
 		kill -KILL "$p" 2>/dev/null
 	done
+	[ -z "$block" ] || rm -rf "$block"
 	if [ "${DH_KEEP:-}" ]; then
 		echo "kept: $dir"
 	else
