--- a/router/exchange.c
+++ b/router/exchange.c
@@ -632,14 +632,37 @@
 		dh_exchange_wake(ex);
 }
 
+/* Refused because of the backend server's load, and no other reason. */
+static bool
+is_shed(const struct dh_exchange *ex)
+{
+	return strcmp(ex->refused_reason, "shed") == 0 ||
+	    strcmp(ex->refused_reason, "cold") == 0;
+}
+
+/* Ask for another turn with the place that it had; false when it can't be
+ * sent again. */
+static bool
+take_another_turn(struct dh_exchange *ex)
+{
+	enum dh_admit verdict;
+	int64_t retry_after_ms = 0;
+
+	if (!ex->keyed || ex->aborted || !dh_buffer_rewind(&ex->up))
+		return false;
+	verdict = dh_turns_again(ex->lane->turns, ex, &retry_after_ms);
+	dh_exchange_turn(ex, verdict, retry_after_ms);
+	return true;
+}
+
 static enum dh_admission_outcome
-admission_outcome(enum dh_attempt_end end)
+admission_outcome(const struct dh_exchange *ex, enum dh_attempt_end end)
 {
 	switch (end) {
 	case DH_ATTEMPT_WHOLE:
 		return DH_ADMISSION_OK;
 	case DH_ATTEMPT_REFUSED:
-		return DH_ADMISSION_SHED;
+		return is_shed(ex) ? DH_ADMISSION_SHED : DH_ADMISSION_CANCELLED;
 	case DH_ATTEMPT_UNSENT:
 	case DH_ATTEMPT_LOST:
 		return DH_ADMISSION_LOST;
@@ -650,7 +673,7 @@
 void
 dh_exchange_on_end(struct dh_exchange *ex, enum dh_attempt_end end)
 {
-	dh_turns_end(ex->lane->turns, ex, admission_outcome(end));
+	dh_turns_end(ex->lane->turns, ex, admission_outcome(ex, end));
 	if (ex->keyed)
 		dh_loads_add(ex->lane->loads, ex->target.service,
 		    ex->route.slot, dh_clock_us() - ex->sent_us);
@@ -662,6 +685,8 @@
 	}
 	switch (end) {
 	case DH_ATTEMPT_REFUSED:
+		if (is_shed(ex) && take_another_turn(ex))
+			break;
 		after_failure(ex, DH_OUTCOME_NOT_RUN, 503, "refused");
 		break;
 	case DH_ATTEMPT_UNSENT:
--- a/router/turn.c
+++ b/router/turn.c
@@ -197,34 +197,49 @@
 	g_assert_not_reached();
 }
 
-enum dh_admit
-dh_turns_ask(
-    struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
+static enum dh_admit
+ask(struct dh_turns *ts, struct dh_exchange *ex, uint32_t i,
+    int64_t *retry_after_ms)
 {
-	enum dh_admit verdict;
-	uint32_t i = index_of(ts, ex->backend_id);
 	int64_t now_us = dh_clock_us();
+	enum dh_admit verdict;
 
-	g_assert(i != 0);
-	ex->pass = dh_breaker_ask(
-	    &ts->breakers[i - 1], &breaker_params, now_us / 1000);
+	ex->pass =
+	    dh_breaker_ask(&ts->breakers[i], &breaker_params, now_us / 1000);
 	if (ex->pass.verdict == DH_BREAKER_REFUSE) {
 		*retry_after_ms = ex->pass.retry_after_ms;
 		return DH_ADMIT_REFUSE;
 	}
-	ex->ticket = (struct dh_ticket){ .backend = i - 1,
-		.team = ex->team,
-		.deadline_us = ex->deadline_ms * 1000 };
 	verdict =
 	    dh_admission_ask(ts->adm, &ex->ticket, now_us, retry_after_ms);
 	if (verdict == DH_ADMIT_REFUSE)
-		end_pass(ts, ex, i - 1, DH_BREAKER_UNUSED);
-	note_load(ts, i - 1, now_us);
+		end_pass(ts, ex, i, DH_BREAKER_UNUSED);
+	note_load(ts, i, now_us);
 	if (verdict == DH_ADMIT_QUEUE)
 		arm(ts);
 	return verdict;
 }
 
+enum dh_admit
+dh_turns_ask(
+    struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
+{
+	uint32_t i = index_of(ts, ex->backend_id);
+
+	g_assert(i != 0);
+	ex->ticket = (struct dh_ticket){ .backend = i - 1,
+		.team = ex->team,
+		.deadline_us = ex->deadline_ms * 1000 };
+	return ask(ts, ex, i - 1, retry_after_ms);
+}
+
+enum dh_admit
+dh_turns_again(
+    struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
+{
+	return ask(ts, ex, ex->ticket.backend, retry_after_ms);
+}
+
 void
 dh_turns_end(struct dh_turns *ts, struct dh_exchange *ex,
     enum dh_admission_outcome outcome)
--- a/router/turn.h
+++ b/router/turn.h
@@ -34,6 +34,11 @@
 enum dh_admit dh_turns_ask(
     struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms);
 
+/* dh_turns_again -- likewise, for one whose last attempt the backend server
+ * refused because of its load: it keeps its place. */
+enum dh_admit dh_turns_again(
+    struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms);
+
 /* dh_turns_end -- the attempt of ex has ended; others may run now. */
 void dh_turns_end(struct dh_turns *ts, struct dh_exchange *ex,
     enum dh_admission_outcome outcome);
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -326,6 +326,7 @@
 	ex->easy = easy;
 	ex->not_run = false;
 	ex->foreign = false;
+	ex->refused_reason[0] = '\0';
 	build_headers(ex);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, ex->headers);
