--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -446,6 +446,23 @@
 	done(f);
 }
 
+/* It has forgotten whose tokens it accepted: nothing for it until the store
+ * confirms that the leader has no successor. */
+static void
+test_restarted_backend_store_down(void)
+{
+	struct fake *f = running();
+	uint32_t i, b = owner_of(f, 0);
+
+	store_down(f);
+	fake_run(f, f->now_ms + 500);
+	fake_backend_start(f, b);
+	check_gap(f, "backend server restarted, store down", SERVED_MS);
+	for (i = 0; i < SLOTS; i++)
+		CU_ASSERT(!fake_believes(f, b, i));
+	done(f);
+}
+
 static void
 test_paused_leader(void)
 {
@@ -673,6 +690,222 @@
 	done(f);
 }
 
+/* ---- a deputy by itself, driven by messages ---- */
+
+static struct dh_group *
+deputy_new(struct dh_group_vm *self)
+{
+	struct dh_group_params p = dh_group_params_defaults();
+	struct dh_group_backend list[2] = {
+		{ .id = 11, .zone = 1, .weight = 6, .checks_fence = true },
+		{ .id = 12, .zone = 3, .weight = 6, .checks_fence = true },
+	};
+	struct dh_group_vm vms[2] = {
+		{ .id = 1, .incarnation = 5, .zone = 1, .live = true },
+		{ .id = 2, .incarnation = 7, .zone = 2, .live = true },
+	};
+	struct dh_group *g;
+
+	*self = vms[1];
+	g = dh_group_new(&p, 99, self, 1);
+	dh_group_set_backends(g, list, 2);
+	dh_group_set_vms(g, vms, 2);
+	return g;
+}
+
+/* A message of leader 1 in term 1 that gives slot 0 to backend server 11. */
+static void
+deputy_told(struct dh_group *g, int64_t now_ms, uint64_t seq,
+    uint64_t to_incarnation, struct dh_group_actions *out)
+{
+	uint32_t index = 0;
+	struct dh_assignment slot = { .owner = 11,
+		.standby = 12,
+		.fence = { 1, 9 },
+		.state = DH_SLOT_OWNED };
+	struct dh_group_msg m = { .kind = DH_GROUP_MSG_ASSIGN,
+		.term = 1,
+		.from = 1,
+		.from_incarnation = 5,
+		.to_incarnation = to_incarnation,
+		.deputy_seq = 1,
+		.seq = seq,
+		.sent_ms = now_ms,
+		.echo_ms = now_ms - 2,
+		.synced = true,
+		.nslots = 1,
+		.index = &index,
+		.slots = &slot };
+	struct dh_group_event ev = { .kind = DH_GROUP_PEER, .msg = &m };
+
+	dh_group_step(g, &ev, now_ms, out);
+}
+
+static const struct dh_group_action *
+action_of(const struct dh_group_actions *out, enum dh_group_action_kind kind)
+{
+	size_t i;
+
+	for (i = 0; i < out->n; i++)
+		if (out->list[i].kind == kind)
+			return &out->list[i];
+	return NULL;
+}
+
+/* The deputy takes over by a record that names it with deputy_seq; the
+ * record's token of slot 0 is lower than the one it was told. */
+static struct dh_assignment
+deputy_takes(uint64_t deputy_seq)
+{
+	struct dh_group_actions out = { 0 };
+	struct dh_group_event ev = { .kind = DH_GROUP_TICK };
+	struct dh_assignment slot = { .owner = 12,
+		.standby = 11,
+		.fence = { 1, 4 },
+		.state = DH_SLOT_OWNED };
+	struct dh_group_record r = { .term = 1,
+		.leader = 1,
+		.leader_incarnation = 5,
+		.deputy = 2,
+		.deputy_incarnation = 7,
+		.deputy_seq = deputy_seq,
+		.nslots = 1,
+		.slots = &slot };
+	const struct dh_group_action *a;
+	struct dh_group_vm self;
+	struct dh_group *g = deputy_new(&self);
+
+	deputy_told(g, 1000, 1, self.incarnation, &out);
+	dh_group_actions_clear(&out);
+	dh_group_step(g, &ev, 2000, &out);
+	a = action_of(&out, DH_GROUP_DO_GET);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	ev.kind = DH_GROUP_STORE_READ;
+	ev.read.record = &r;
+	ev.read.version = 3;
+	ev.read.seq = a->get.seq;
+	dh_group_actions_clear(&out);
+	dh_group_step(g, &ev, 2002, &out);
+	a = action_of(&out, DH_GROUP_DO_PUT);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	CU_ASSERT_EQUAL(a->put.expect, 3);
+	CU_ASSERT_EQUAL(a->put.record->term, 2);
+	slot = a->put.record->slots[0];
+	dh_group_actions_free(&out);
+	dh_group_free(g);
+	return slot;
+}
+
+static void
+test_deputy_keeps_what_it_was_told(void)
+{
+	struct dh_assignment slot = deputy_takes(1);
+
+	CU_ASSERT_EQUAL(slot.owner, 11);
+	CU_ASSERT_EQUAL(slot.fence.term, 1);
+	CU_ASSERT_EQUAL(slot.fence.counter, 9);
+}
+
+/* Replaced and named again since: its copy is outdated. */
+static void
+test_deputy_named_again_trusts_the_store(void)
+{
+	struct dh_assignment slot = deputy_takes(3);
+
+	CU_ASSERT_EQUAL(slot.owner, 12);
+	CU_ASSERT_EQUAL(slot.fence.term, 2);
+}
+
+static void
+test_message_for_an_earlier_incarnation(void)
+{
+	struct dh_group_actions out = { 0 };
+	struct dh_group_vm self;
+	struct dh_group *g = deputy_new(&self);
+
+	deputy_told(g, 1000, 1, self.incarnation - 1, &out);
+	CU_ASSERT_EQUAL(dh_group_view(g).role, DH_GROUP_IDLE);
+	CU_ASSERT_PTR_NULL(action_of(&out, DH_GROUP_DO_SEND));
+	deputy_told(g, 1001, 2, self.incarnation, &out);
+	CU_ASSERT_EQUAL(dh_group_view(g).role, DH_GROUP_DEPUTY);
+	CU_ASSERT_PTR_NOT_NULL(action_of(&out, DH_GROUP_DO_SEND));
+	dh_group_actions_free(&out);
+	dh_group_free(g);
+}
+
+/* Answer the orders of a step; how many renewed backend server 11. */
+static uint32_t
+answer_orders(
+    struct dh_group *g, int64_t now_ms, const struct dh_group_actions *out)
+{
+	struct dh_group_actions more = { 0 };
+	struct dh_group_event ok = { .kind = DH_GROUP_BACKEND_OK };
+	const struct dh_group_order *o;
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < out->n; i++) {
+		if (out->list[i].kind != DH_GROUP_DO_ORDER)
+			continue;
+		o = &out->list[i].order;
+		n += o->kind == DH_GROUP_ORDER_RENEW && o->backend == 11;
+		ok.backend.backend = o->backend;
+		ok.backend.order = o->kind;
+		ok.backend.sent_ms = o->sent_ms;
+		ok.backend.incarnation = 1;
+		ok.backend.clock_ms = now_ms;
+		dh_group_step(g, &ok, now_ms, &more);
+	}
+	dh_group_actions_free(&more);
+	return n;
+}
+
+/* Renewals that a deputy alone sends to backend server 11 in two seconds. */
+static uint32_t
+solo_renewals(bool synced, bool revoked)
+{
+	struct dh_group_actions out = { 0 };
+	struct dh_group_msg m = { .kind = DH_GROUP_MSG_HEARTBEAT,
+		.term = 1,
+		.from = 1,
+		.from_incarnation = 5,
+		.deputy_seq = 1,
+		.seq = 2,
+		.sent_ms = 1010,
+		.echo_ms = 1009,
+		.synced = synced };
+	struct dh_group_event ev = { .kind = DH_GROUP_PEER, .msg = &m };
+	struct dh_group_vm self;
+	struct dh_group *g = deputy_new(&self);
+	uint32_t n = 0;
+	int64_t now;
+
+	deputy_told(g, 1000, 1, self.incarnation, &out);
+	m.to_incarnation = self.incarnation;
+	if (revoked) {
+		m.kind = DH_GROUP_MSG_REVOKE;
+		m.backend = 11;
+	}
+	dh_group_step(g, &ev, 1010, &out);
+	ev.kind = DH_GROUP_TICK;
+	for (now = 1011; now < 3000; now++) {
+		n += answer_orders(g, now, &out);
+		dh_group_actions_clear(&out);
+		dh_group_step(g, &ev, now, &out);
+	}
+	dh_group_actions_free(&out);
+	dh_group_free(g);
+	return n;
+}
+
+static void
+test_deputy_alone(void)
+{
+	CU_ASSERT(solo_renewals(true, false) > 5);
+	CU_ASSERT_EQUAL(solo_renewals(false, false), 0);
+	CU_ASSERT_EQUAL(solo_renewals(true, true), 0);
+}
+
 int
 main(void)
 {
@@ -696,6 +929,8 @@
 		{ "frozen backend", test_frozen_backend },
 		{ "short freeze", test_short_freeze_moves_nothing },
 		{ "restarted backend", test_restarted_backend },
+		{ "restarted backend, store down",
+		    test_restarted_backend_store_down },
 		{ "paused leader", test_paused_leader },
 		{ "move", test_move },
 		{ "move falls back", test_move_falls_back },
@@ -705,6 +940,12 @@
 		{ "no fences checked", test_unchecked_backend },
 		{ "no slots", test_group_without_slots },
 		{ "until", test_until_is_bounded },
+		{ "deputy's copy", test_deputy_keeps_what_it_was_told },
+		{ "deputy named again",
+		    test_deputy_named_again_trusts_the_store },
+		{ "earlier incarnation",
+		    test_message_for_an_earlier_incarnation },
+		{ "deputy alone", test_deputy_alone },
 		CU_TEST_INFO_NULL,
 	};
 
