--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -752,6 +752,16 @@
 	return NULL;
 }
 
+static const struct dh_group_action *
+must_act(const struct dh_group_actions *out, enum dh_group_action_kind kind)
+{
+	const struct dh_group_action *a = action_of(out, kind);
+
+	if (a == NULL)
+		abort();
+	return a;
+}
+
 /* The deputy takes over by a record that names it with deputy_seq; the
  * record's token of slot 0 is lower than the one it was told. */
 static struct dh_assignment
@@ -778,16 +788,14 @@
 	deputy_told(g, 1000, 1, self.incarnation, &out);
 	dh_group_actions_clear(&out);
 	dh_group_step(g, &ev, 2000, &out);
-	a = action_of(&out, DH_GROUP_DO_GET);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	a = must_act(&out, DH_GROUP_DO_GET);
 	ev.kind = DH_GROUP_STORE_READ;
 	ev.read.record = &r;
 	ev.read.version = 3;
 	ev.read.seq = a->get.seq;
 	dh_group_actions_clear(&out);
 	dh_group_step(g, &ev, 2002, &out);
-	a = action_of(&out, DH_GROUP_DO_PUT);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	a = must_act(&out, DH_GROUP_DO_PUT);
 	CU_ASSERT_EQUAL(a->put.expect, 3);
 	CU_ASSERT_EQUAL(a->put.record->term, 2);
 	slot = a->put.record->slots[0];
