--- a/router/answer.c
+++ b/router/answer.c
@@ -20,13 +20,29 @@
 	g_assert_not_reached();
 }
 
+/*
+ * What the caller is told.  "Not run" of an unrepeatable request speaks of its
+ * id, and another try of it may have run or still run: only a leader and its
+ * deputy together could rule that out.  The caller may send the same id again
+ * in any case.
+ */
+static enum dh_outcome
+outcome_told(const struct dh_exchange *ex)
+{
+	if (ex->unrepeatable && ex->local.status == 503 &&
+	    ex->local.outcome == DH_OUTCOME_NOT_RUN)
+		return DH_OUTCOME_UNKNOWN;
+	return ex->local.outcome;
+}
+
 static enum MHD_Result
 answer_local(struct dh_exchange *ex)
 {
 	const struct dh_local_answer *a = &ex->local;
+	const char *outcome = outcome_name(outcome_told(ex));
 	char text[128], after_s[24], after_ms[24];
-	const char *headers[12] = { "Dh-Outcome", outcome_name(a->outcome),
-		"Dh-Reason", a->reason, "Dh-Request-Id", ex->id };
+	const char *headers[12] = { "Dh-Outcome", outcome, "Dh-Reason",
+		a->reason, "Dh-Request-Id", ex->id };
 	size_t n = 6;
 	int len;
 
