Test the data path on raw sockets; tell silent connections from frozen servers

Faults they found, each seen as a failing test first:

- "Content-Length : 3" went on to the backend server, and its body was read as the next request: header names must be tokens now.
- A refusal or answer of another request: a foreign "not-run" was believed, and the connection, out of step, was used again.
It is closed now.
- A refusal whose head was cut short was believed.
- "not run" was said after an earlier attempt may have run: when libcurl's second connection was refused, and after a retry, a reroute or a resend that ended unsent.
An exchange now remembers it and says unknown (502).
- A local answer to a request without a body closed the connection, dropping pipelined requests and costing a new connection for each refusal.
- A request ended by its deadline kept its place at the backend server until the caller had read the answer.

New module probe: when answers stop, GET /_dh/load on a new connection decides between lost connections (repeatable requests are sent again once, old connections are left for 25 s) and a frozen backend server (breaker). A server that has at least as many requests as we wait for is only slow. Requests in flight per backend server are bounded by its connections over 11 VMs and the lanes; this bounds connections without a queue inside libcurl.

Proof by removal on a scratch copy, one at a time: the connection share, the distrust of old connections, the resend, its idempotency check, own connections, the count of busy requests and the visible cut each fail a test. Removing the look at callers that left hung the test until killed. Not shown: the removal of the breaker's opening (that mutant did not compile).

--- a/router/exchange.c
+++ b/router/exchange.c
@@ -66,7 +66,7 @@
 		return DH_OUTCOME_DONE;
 	if (ex->phase == DH_PHASE_SENT)
 		return DH_OUTCOME_UNKNOWN;
-	return DH_OUTCOME_NOT_RUN;
+	return ex->may_have_run ? DH_OUTCOME_UNKNOWN : DH_OUTCOME_NOT_RUN;
 }
 
 static void
@@ -160,6 +160,11 @@
 {
 	stop_waiting(ex);
 	uv_timer_stop(&ex->timer);
+	/* That the last attempt has not run says nothing of the first. */
+	if (outcome == DH_OUTCOME_NOT_RUN && ex->may_have_run) {
+		outcome = DH_OUTCOME_UNKNOWN;
+		status = 502;
+	}
 	ex->phase = DH_PHASE_LOCAL;
 	ex->local = (struct dh_local_answer){ .status = status,
 		.outcome = outcome,
@@ -190,6 +195,20 @@
 	bool bad;
 };
 
+/* "Content-Length : 3" is no header of ours but may be the next server's. */
+static bool
+is_token(const char *name)
+{
+	static const char marks[] = "!#$%&'*+-.^_`|~";
+
+	if (name[0] == '\0')
+		return false;
+	for (; name[0] != '\0'; name++)
+		if (!g_ascii_isalnum(name[0]) && strchr(marks, name[0]) == NULL)
+			return false;
+	return true;
+}
+
 static enum MHD_Result
 framing_header(
     void *arg, enum MHD_ValueKind kind, const char *name, const char *value)
@@ -198,6 +217,8 @@
 	guint64 n;
 
 	(void)kind;
+	if (!is_token(name))
+		f->bad = true;
 	if (g_ascii_strcasecmp(name, "Transfer-Encoding") == 0) {
 		f->encodings++;
 		if (value == NULL || g_ascii_strcasecmp(value, "chunked") != 0)
@@ -586,6 +607,7 @@
 	if (r.state != DH_SLOT_OWNED ||
 	    dh_fence_cmp(r.fence, ex->route.fence) == 0)
 		return;
+	ex->may_have_run |= ex->phase == DH_PHASE_SENT;
 	dh_exchange_unsend(ex);
 	dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_LOST);
 	(void)dh_buffer_rewind(&ex->up);
@@ -593,6 +615,33 @@
 	ex->needs_route = true;
 }
 
+/* A part of its time, so that there is some left to send it again. */
+#define SILENT_MS 500
+#define SILENT_SHARE 4
+
+bool
+dh_exchange_is_silent(const struct dh_exchange *ex, int64_t at_us)
+{
+	int64_t ms = MIN(SILENT_MS, ex->budget_ms / SILENT_SHARE);
+
+	return ex->phase == DH_PHASE_SENT && ex->easy != NULL && ex->up_ended &&
+	    !ex->aborted && at_us - ex->sent_us >= ms * 1000;
+}
+
+void
+dh_exchange_resend(struct dh_exchange *ex)
+{
+	if (ex->resent || !is_idempotent(ex) || !dh_buffer_rewind(&ex->up))
+		return;
+	dh_exchange_unsend(ex);
+	dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_CANCELLED);
+	dh_counter_add(ex->service->retries, 1);
+	ex->may_have_run = true;
+	ex->resent = true;
+	ex->phase = DH_PHASE_ROUTE;
+	ex->needs_route = true;
+}
+
 /* The last attempt ended without an answer: try again, wait for another
  * owner, or say so at once. */
 static void
@@ -694,6 +743,7 @@
 		break;
 	case DH_ATTEMPT_WHOLE:
 	case DH_ATTEMPT_LOST:
+		ex->may_have_run = true;
 		after_failure(ex, DH_OUTCOME_UNKNOWN, 502, "lost");
 		break;
 	}
@@ -741,6 +791,7 @@
 		break;
 	case DH_PHASE_SENT:
 		dh_exchange_unsend(ex);
+		dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_CANCELLED);
 		dh_exchange_refuse(
 		    ex, 504, DH_OUTCOME_UNKNOWN, "deadline", RETRY_AFTER_MS);
 		break;
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -94,6 +94,8 @@
 	uint64_t permit_token; /* of the permit that was given */
 	bool needs_route; /* taken back, to be routed again */
 	bool permitted;
+	bool may_have_run; /* an earlier attempt may have */
+	bool resent; /* after its connection went silent */
 
 	/* caller's side */
 	struct dh_buffer up;
@@ -107,7 +109,8 @@
 	struct curl_slist *headers;
 	struct dh_buffer down;
 	bool read_paused, write_paused;
-	bool head_ready; /* status and headers are whole */
+	bool head_whole; /* its headers were all read... */
+	bool head_ready; /* ...and are the caller's answer */
 	bool down_ended, down_failed;
 	unsigned int status;
 	int64_t answer_bytes; /* -1: not told */
@@ -142,6 +145,14 @@
  * slot's new owner; needs_route then tells. */
 void dh_exchange_reroute(struct dh_exchange *ex, const struct dh_table *t);
 
+/* dh_exchange_is_silent -- the attempt under way has had no answer for long,
+ * as of that time. */
+bool dh_exchange_is_silent(const struct dh_exchange *ex, int64_t at_us);
+
+/* dh_exchange_resend -- the connection of its attempt is lost: if it may be
+ * repeated it is taken back and needs_route tells. */
+void dh_exchange_resend(struct dh_exchange *ex);
+
 /* dh_exchange_permit -- the control thread's verdict. */
 void dh_exchange_permit(struct dh_exchange *ex, const struct dh_mail *mail);
 
--- a/router/lane.c
+++ b/router/lane.c
@@ -9,6 +9,7 @@
 #include "router/exchange.h"
 #include "router/load.h"
 #include "router/pick.h"
+#include "router/probe.h"
 #include "router/turn.h"
 
 /* How often requests without an owner look for a new table. */
@@ -141,11 +142,15 @@
 on_sweep(uv_timer_t *timer)
 {
 	struct dh_lane *lane = timer->data;
+	int64_t now_us = dh_clock_us();
 	struct dh_exchange *ex;
 	GList *it;
 
 	for (it = lane->exchanges.head; it != NULL; it = it->next) {
 		ex = it->data;
+		if (dh_exchange_is_silent(ex, now_us))
+			dh_probes_ask(lane->probes, ex->backend_id, ex->address,
+			    ex->port);
 		if (!ex->suspended || ex->aborted || !caller_left(ex))
 			continue;
 		ex->aborted = true;
@@ -168,13 +173,28 @@
 	(void)dh_mailbox_send(lane->to_control, &end);
 }
 
+/* Route what was taken back. */
+static void
+route_again(struct dh_lane *lane)
+{
+	struct dh_exchange *ex;
+	GList *it;
+
+	for (it = lane->exchanges.head; it != NULL; it = it->next) {
+		ex = it->data;
+		if (!ex->needs_route)
+			continue;
+		ex->needs_route = false;
+		dh_exchange_route(ex);
+	}
+}
+
 /* Attempts at a former owner that still have no answer go to the new one. */
 static void
 follow_table(struct dh_lane *lane)
 {
 	const struct dh_table *t = dh_publish_enter(lane->reader);
 	bool changed = t != NULL && t->version != lane->table_version;
-	struct dh_exchange *ex;
 	GList *it;
 
 	if (changed) {
@@ -183,13 +203,42 @@
 			dh_exchange_reroute(it->data, t);
 	}
 	dh_publish_leave(lane->reader);
-	for (it = lane->exchanges.head; changed && it != NULL; it = it->next) {
+	if (changed)
+		route_again(lane);
+}
+
+/*
+ * A probe's verdict on requests without an answer.  The backend server that
+ * has fewer requests than we alone have sent it can't have ours: they went
+ * into connections that are silent.  One that has them all is only slow.
+ */
+static void
+on_probe(void *arg, const struct dh_probe_result *result)
+{
+	struct dh_lane *lane = arg;
+	struct dh_exchange *ex;
+	uint64_t silent = 0;
+	GList *it;
+
+	if (result->verdict == DH_PROBE_FROZEN) {
+		dh_turns_frozen(lane->turns, result->backend_id);
+		return;
+	}
+	for (it = lane->exchanges.head; it != NULL; it = it->next) {
 		ex = it->data;
-		if (!ex->needs_route)
-			continue;
-		ex->needs_route = false;
-		dh_exchange_route(ex);
+		silent += ex->backend_id == result->backend_id &&
+		    dh_exchange_is_silent(ex, result->begun_us);
+	}
+	if (!result->counted || result->busy >= silent)
+		return;
+	dh_probes_distrust(lane->probes, result->backend_id);
+	for (it = lane->exchanges.head; it != NULL; it = it->next) {
+		ex = it->data;
+		if (ex->backend_id == result->backend_id &&
+		    dh_exchange_is_silent(ex, result->begun_us))
+			dh_exchange_resend(ex);
 	}
+	route_again(lane);
 }
 
 static void
@@ -268,8 +317,11 @@
 		return MHD_NO;
 	if (ex->phase == DH_PHASE_NEW) {
 		dh_exchange_begin(ex, method);
-		return ex->phase == DH_PHASE_LOCAL ? dh_exchange_answer(ex)
-						   : MHD_YES;
+		/* An answer now costs the connection: what follows on it is
+		 * not read.  Needed only where a body may follow. */
+		return ex->phase == DH_PHASE_LOCAL && !ex->up_ended
+		    ? dh_exchange_answer(ex)
+		    : MHD_YES;
 	}
 	if (*len > 0)
 		return on_body(ex, data, len);
@@ -398,11 +450,12 @@
 	    dh_mailbox_new(&lane->loop, MAILBOX_SIZE, on_mail, lane);
 	lane->id_prefix = (uint64_t)dh_clock_wall_ms() << 8 | lane->index;
 	lane->rng.state = lane->id_prefix;
-	lane->turns = dh_turns_new(&lane->loop, lane->settings->queue_max,
-	    lane->id_prefix, dh_exchange_turn);
+	lane->turns = dh_turns_new(
+	    &lane->loop, lane->settings, lane->id_prefix, dh_exchange_turn);
 	lane->picker =
 	    dh_picker_new(lane->turns, lane->settings, lane->id_prefix);
 	lane->loads = dh_loads_new();
+	lane->probes = dh_probes_new(&lane->loop, on_probe, lane);
 	lane_timers(lane);
 	if (!lane_listen(lane, port, error))
 		return false;
@@ -436,6 +489,7 @@
 	}
 	dh_httpd_free(lane->httpd);
 	dh_http_free(lane->http);
+	dh_probes_free(lane->probes);
 	while ((easy = g_queue_pop_head(&lane->spare_easy)) != NULL)
 		curl_easy_cleanup(easy);
 	dh_mailbox_free(lane->from_control);
--- a/router/lane.h
+++ b/router/lane.h
@@ -34,6 +34,7 @@
 struct dh_turns;
 struct dh_picker;
 struct dh_loads;
+struct dh_probes;
 
 struct dh_lane {
 	uint32_t index;
@@ -53,6 +54,7 @@
 	struct dh_turns *turns;
 	struct dh_picker *picker;
 	struct dh_loads *loads;
+	struct dh_probes *probes;
 	struct dh_mailbox *to_control; /* consumed by the control thread */
 	struct dh_mailbox *from_control;
 	GQueue exchanges; /* all, by struct dh_exchange.link */
--- a/router/turn.c
+++ b/router/turn.c
@@ -4,6 +4,8 @@
 
 #define BACKEND_QUEUE_MAX 256u
 #define QUEUE_US 1000000
+/* VMs that share a backend server's connections. */
+#define VMS_MAX 11u
 #define RAMP_US 5000000
 #define RETRY_AFTER_MAX_US 5000000
 
@@ -24,6 +26,7 @@
 	uint64_t revision;
 	uv_timer_t *timer;
 	dh_turn_fn on_turn;
+	uint32_t threads; /* lanes of this VM */
 };
 
 static void on_timer(uv_timer_t *timer);
@@ -36,12 +39,12 @@
 }
 
 struct dh_turns *
-dh_turns_new(
-    uv_loop_t *loop, uint32_t queue_max, uint64_t seed, dh_turn_fn on_turn)
+dh_turns_new(uv_loop_t *loop, const struct dh_settings *s, uint64_t seed,
+    dh_turn_fn on_turn)
 {
 	struct dh_turns *ts = g_new0(struct dh_turns, 1);
 	struct dh_admission_params p = { .nbackends = DH_TURN_BACKENDS_MAX,
-		.max_queued = queue_max,
+		.max_queued = s->queue_max,
 		.backend_queue = BACKEND_QUEUE_MAX,
 		.queue_us = QUEUE_US,
 		.ramp_us = RAMP_US,
@@ -57,6 +60,7 @@
 	ts->breakers = g_new0(struct dh_breaker, DH_TURN_BACKENDS_MAX);
 	ts->rng.state = seed;
 	ts->on_turn = on_turn;
+	ts->threads = s->threads;
 	ts->timer = g_new0(uv_timer_t, 1);
 	uv_timer_init(loop, ts->timer);
 	ts->timer->data = ts;
@@ -112,6 +116,21 @@
 	return ts->nindex - 1;
 }
 
+/*
+ * Requests a lane may have at a backend server at once.  Each takes one
+ * connection, and an idle one is used before another is opened, so this
+ * bounds the connections too; libcurl is given no limit of its own, and never
+ * queues a request that admission has let run.  Only requests that insist on
+ * a new connection can leave more idle ones, as long as these are kept.
+ */
+static uint32_t
+lane_slots(const struct dh_turns *ts, const struct dh_backend *b)
+{
+	uint32_t share = b->connections / VMS_MAX / ts->threads;
+
+	return MIN(b->slots, MAX(share, 1));
+}
+
 void
 dh_turns_update(struct dh_turns *ts, const struct dh_conf *conf)
 {
@@ -128,7 +147,8 @@
 	for (b = 0; b < conf->nbackends; b++) {
 		i = index_make(ts, dh_name_id(conf->backends[b].name), &is_new);
 		seen[i] = true;
-		dh_admission_set_slots(ts->adm, i, conf->backends[b].slots,
+		dh_admission_set_slots(ts->adm, i,
+		    lane_slots(ts, &conf->backends[b]),
 		    is_new && ts->revision != 0, now_us);
 	}
 	for (i = 0; i < ts->nindex; i++) {
@@ -270,6 +290,26 @@
 	arm(ts);
 }
 
+void
+dh_turns_frozen(struct dh_turns *ts, uint64_t backend_id)
+{
+	uint32_t i = index_of(ts, backend_id), n;
+	int64_t now_us = dh_clock_us();
+	struct dh_breaker_pass pass;
+
+	if (i == 0)
+		return;
+	for (n = 0; n < breaker_params.failures; n++) {
+		pass = dh_breaker_ask(
+		    &ts->breakers[i - 1], &breaker_params, now_us / 1000);
+		if (pass.verdict == DH_BREAKER_REFUSE)
+			break;
+		dh_breaker_end(&ts->breakers[i - 1], &breaker_params, &pass,
+		    DH_BREAKER_FAILED, &ts->rng, now_us / 1000);
+	}
+	note_load(ts, i - 1, now_us);
+}
+
 uint32_t
 dh_turns_index(const struct dh_turns *ts, uint64_t backend_id)
 {
--- a/router/turn.h
+++ b/router/turn.h
@@ -5,6 +5,7 @@
 #include <dogwoodhub/balance.h>
 #include <dogwoodhub/table.h>
 
+#include "config/settings.h"
 #include "router/exchange.h"
 
 /*
@@ -20,9 +21,9 @@
 typedef void (*dh_turn_fn)(
     struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms);
 
-/* dh_turns_new -- the lane owns the result. */
-struct dh_turns *dh_turns_new(
-    uv_loop_t *loop, uint32_t queue_max, uint64_t seed, dh_turn_fn on_turn);
+/* dh_turns_new -- the lane owns the result; s is borrowed. */
+struct dh_turns *dh_turns_new(uv_loop_t *loop, const struct dh_settings *s,
+    uint64_t seed, dh_turn_fn on_turn);
 void dh_turns_free(struct dh_turns *ts);
 
 /* dh_turns_update -- take the backend servers of a configuration, if it is
@@ -43,6 +44,9 @@
 void dh_turns_end(struct dh_turns *ts, struct dh_exchange *ex,
     enum dh_admission_outcome outcome);
 
+/* dh_turns_frozen -- a probe says that it answers nobody: opens its breaker. */
+void dh_turns_frozen(struct dh_turns *ts, uint64_t backend_id);
+
 /* dh_turns_index -- the index of a backend server by id, DH_NONE if unknown.
  * dh_turns_loads -- what each has and may have, by index; borrowed. */
 uint32_t dh_turns_index(const struct dh_turns *ts, uint64_t backend_id);
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "router/exchange.h"
+#include "router/probe.h"
 
 #define CONNECT_TIMEOUT_MS 500L
 #define UNACKED_TIMEOUT_MS 3000
@@ -104,6 +105,7 @@
 	ex->answer_bytes = -1;
 	ex->not_run = false;
 	ex->foreign = false;
+	ex->head_whole = false;
 	if (ex->answer_headers != NULL)
 		g_ptr_array_unref(ex->answer_headers);
 	ex->answer_headers = g_ptr_array_new_with_free_func(g_free);
@@ -120,7 +122,11 @@
 	if (g_str_has_prefix(line, "HTTP/")) {
 		begin_head(ex, line);
 	} else if (line[0] == '\0') {
-		if (ex->status >= 200 && !ex->not_run && !ex->foreign)
+		ex->head_whole = true;
+		/* Out of step: an error, so that it is not used again. */
+		if (ex->foreign)
+			return 0;
+		if (ex->status >= 200 && !ex->not_run)
 			dh_exchange_on_head(ex);
 	} else if ((colon = strchr(line, ':')) != NULL && !ex->head_ready) {
 		*colon = '\0';
@@ -134,10 +140,11 @@
 {
 	long sent = 0;
 
+	/* Only a whole head tells whose answer it is. */
+	if (ex->foreign || (ex->not_run && !ex->head_whole))
+		return DH_ATTEMPT_LOST;
 	if (ex->not_run)
 		return DH_ATTEMPT_REFUSED;
-	if (ex->foreign)
-		return DH_ATTEMPT_LOST;
 	if (result == CURLE_OK)
 		return DH_ATTEMPT_WHOLE;
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
@@ -309,7 +316,8 @@
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
 	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BLOCK_BYTES);
 	curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, BLOCK_BYTES);
-	if (needs_own_connection(ex))
+	if (needs_own_connection(ex) ||
+	    dh_probes_distrusted(ex->lane->probes, ex->backend_id))
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
@@ -329,6 +337,7 @@
 	ex->not_run = false;
 	ex->foreign = false;
 	ex->refused_reason[0] = '\0';
+	ex->head_whole = false;
 	build_headers(ex);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, ex->headers);
--- /dev/null
+++ b/tests/test_datapath_faults.c
@@ -0,0 +1,403 @@
+/* The data path when backend servers and callers fail: no answer is cut
+ * unseen, none is another's, nothing runs twice, and "not run" is true. */
+#include "datapath_fake.h"
+
+#include "base/counter.h"
+
+#include "cunit_main.h"
+
+static struct world w;
+static struct reply r;
+
+#define POST(path, fields)                                          \
+	"POST " path " HTTP/1.1\r\n" HOST fields "Content-Length: " \
+	"4\r\n\r\nbody"
+#define POST0(path, fields) \
+	"POST " path " HTTP/1.1\r\n" HOST fields "Content-Length: 0\r\n\r\n"
+#define ONCE "Idempotency-Key: 0190-1\r\n"
+
+static void
+test_cut_answer(void)
+{
+	world_start(&w);
+	call(&w, &r, GET("/web/cut-length"));
+	CU_ASSERT(!r.whole);
+	call(&w, &r, GET("/web/cut-chunks"));
+	CU_ASSERT(!r.whole);
+	CU_ASSERT(r.status == 200 || r.status == 0);
+	call(&w, &r, POST("/web/cut-head", ""));
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/cut-head"), 1);
+	call(&w, &r, POST("/web/cut-refusal", ""));
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/cut-refusal"), 1);
+	world_stop(&w);
+}
+
+static void
+test_foreign_answer(void)
+{
+	uint32_t opened;
+
+	world_start(&w);
+	call(&w, &r, POST("/web/foreign", ""));
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT(strstr(r.body, "secret") == NULL);
+	opened = w.fake.opened;
+	/* That connection is out of step: it isn't used again. */
+	call(&w, &r, GET("/web/echo"));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(w.fake.opened, opened + 1);
+	/* Another request's refusal says nothing of this one. */
+	call(&w, &r, POST("/web/foreign-refusal", ""));
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/foreign-refusal"), 1);
+	world_stop(&w);
+}
+
+/* An answer nobody asked for is not the next request's. */
+static void
+test_stale_answer(void)
+{
+	int i;
+
+	world_start(&w);
+	for (i = 0; i < 5; i++) {
+		call(&w, &r, GET("/web/double"));
+		CU_ASSERT_STRING_EQUAL(r.body, "first");
+		call(&w, &r, GET("/web/echo"));
+		CU_ASSERT(g_str_has_prefix(r.body, "GET /web/echo "));
+	}
+	world_stop(&w);
+}
+
+/* Leave one idle connection, which dies with the next request it reads. */
+static void
+warm(void)
+{
+	call(&w, &r, GET("/web/echo"));
+	CU_ASSERT_EQUAL_FATAL(r.status, 200);
+}
+
+static void
+test_reused_dies(void)
+{
+	world_start(&w);
+	warm();
+	call(&w, &r, POST("/web/1/die", ""));
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/1/die"), 1);
+	warm();
+	call(&w, &r,
+	    "POST /web/2/die HTTP/1.1\r\n" HOST
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/2/die"), 1);
+	warm();
+	call(&w, &r, POST0("/web/3/die", ""));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/3/die"), 1);
+	warm();
+	call(&w, &r, "DELETE /web/4/die HTTP/1.1\r\n" HOST "\r\n");
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/4/die"), 1);
+	warm();
+	call(&w, &r, "GET /web/5/die HTTP/1.1\r\n" HOST ONCE "\r\n");
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/5/die"), 1);
+	world_stop(&w);
+	world_start(&w);
+	warm();
+	call(&w, &r, GET("/web/6/die"));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/6/die"), 2);
+	world_stop(&w);
+}
+
+/* Read by a backend server that then dies: it may have run. */
+static void
+test_reused_dies_for_good(void)
+{
+	world_start(&w);
+	warm();
+	w.fake.deaf = true;
+	call(&w, &r, GET("/web/die"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/die"), 1);
+	CU_ASSERT_EQUAL(r.status, 502);
+	CU_ASSERT(says(&r, "Dh-Outcome: unknown"));
+	world_stop(&w);
+}
+
+static void
+test_refused(void)
+{
+	world_start(&w);
+	call(&w, &r, POST("/web/refuse", ""));
+	CU_ASSERT(is_local(&r, 503, "not-run", "refused"));
+	CU_ASSERT(strstr(r.head, "\nRetry-After: ") != NULL);
+	CU_ASSERT(fake_seen(&w.fake, "/web/refuse") > 1);
+	call(&w, &r, POST("/pay/refuse", ONCE));
+	CU_ASSERT(is_local(&r, 503, "not-run", "refused"));
+	CU_ASSERT_EQUAL(g_atomic_int_get(&w.permits), 1);
+	CU_ASSERT(world_wait_end(&w, DH_OUTCOME_NOT_RUN, 1));
+	world_stop(&w);
+}
+
+static void
+test_unrepeatable(void)
+{
+	world_start(&w);
+	call(&w, &r, POST("/pay/echo", ONCE));
+	CU_ASSERT_EQUAL(r.status, 200);
+	call(&w, &r, POST("/pay/cut-head", ONCE));
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/pay/cut-head"), 1);
+	call(&w, &r, "GET /pay/cut-head?g HTTP/1.1\r\n" HOST ONCE "\r\n");
+	CU_ASSERT(is_local(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/pay/cut-head?g"), 1);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&w.permits), 3);
+	CU_ASSERT(world_wait_end(&w, DH_OUTCOME_DONE, 1));
+	CU_ASSERT(world_wait_end(&w, DH_OUTCOME_UNKNOWN, 2));
+	world_stop(&w);
+}
+
+static void
+test_unreachable(void)
+{
+	world_start(&w);
+	(void)shutdown(w.fake.fd, SHUT_RDWR);
+	call(&w, &r, POST("/web/echo", ""));
+	CU_ASSERT(is_local(&r, 503, "not-run", "connect"));
+	CU_ASSERT(strstr(r.head, "\nRetry-After: ") != NULL);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/echo"), 0);
+	world_stop(&w);
+}
+
+static void
+test_deadline(void)
+{
+	world_start(&w);
+	w.fake.busy = 100; /* it has them */
+	call(&w, &r, GET("/slow/hang"));
+	CU_ASSERT(is_local(&r, 504, "unknown", "deadline"));
+	CU_ASSERT(fake_wait_gone(&w.fake, 1));
+	call(&w, &r,
+	    "GET /web/hang HTTP/1.1\r\n" HOST "Dh-Deadline-Ms: 100\r\n\r\n");
+	CU_ASSERT(is_local(&r, 504, "unknown", "deadline"));
+	CU_ASSERT(fake_wait_gone(&w.fake, 2));
+	world_stop(&w);
+}
+
+/* The backend server's one slot is taken: who can't have it in time is told
+ * so, and has not run. */
+static void
+test_queue(void)
+{
+	struct caller c;
+
+	world_start(&w);
+	caller_open(&c, w.port);
+	fake_say(c.fd, GET("/tight/hang"));
+	CU_ASSERT(fake_wait_seen(&w.fake, "/tight/hang", 1));
+	call(&w, &r,
+	    "GET /tight/echo HTTP/1.1\r\n" HOST "Dh-Deadline-Ms: 100\r\n\r\n");
+	CU_ASSERT_EQUAL(r.status, 503);
+	CU_ASSERT(says(&r, "Dh-Outcome: not-run"));
+	CU_ASSERT(strstr(r.head, "\nRetry-After: ") != NULL);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/tight/echo"), 0);
+	caller_close(&c);
+	world_stop(&w);
+}
+
+static void
+test_caller_leaves(void)
+{
+	struct caller c;
+
+	world_start(&w);
+	caller_open(&c, w.port);
+	fake_say(c.fd, GET("/web/hang"));
+	CU_ASSERT(fake_wait_seen(&w.fake, "/web/hang", 1));
+	caller_close(&c);
+	CU_ASSERT(fake_wait_gone(&w.fake, 1));
+	caller_open(&c, w.port);
+	fake_say(c.fd, POST("/web/hang", ""));
+	CU_ASSERT(fake_wait_seen(&w.fake, "/web/hang", 2));
+	caller_close(&c);
+	CU_ASSERT(fake_wait_gone(&w.fake, 2));
+	call(&w, &r, GET("/web/echo"));
+	CU_ASSERT_EQUAL(r.status, 200);
+	world_stop(&w);
+}
+
+/* Leave three idle connections that swallow what they get: one of each of
+ * three backend servers at the same address. */
+static void
+warm_silent(void)
+{
+	static const char *const texts[] = { GET("/web/hold"),
+		GET("/tight/hold"), GET("/feed/key/hold") };
+	struct caller c[G_N_ELEMENTS(texts)];
+	char *path[G_N_ELEMENTS(texts)];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		caller_open(&c[i], w.port);
+		fake_say(c[i].fd, texts[i]);
+		path[i] = fake_wait_held(&w.fake);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(path[i]);
+	}
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		fake_release(&w.fake, path[i]);
+		caller_read(&c[i], &r, false);
+		caller_close(&c[i]);
+		g_free(path[i]);
+	}
+	g_mutex_lock(&w.fake.lock);
+	w.fake.silent_upto = w.fake.opened;
+	g_mutex_unlock(&w.fake.lock);
+}
+
+static void
+test_silent_connection(void)
+{
+	world_start(&w);
+	warm_silent();
+
+	call(&w, &r, GET("/web/echo?s"));
+
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT(strstr(r.body, "\nDh-Attempt: 2\n") != NULL);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/echo?s"), 2);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/_dh/load"), 1);
+	/* The other two are not tried. */
+	call(&w, &r, GET("/web/echo?t"));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/echo?t"), 1);
+	call(&w, &r, POST("/web/echo?u", ""));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/echo?u"), 1);
+	world_stop(&w);
+}
+
+/* What may not run twice is not sent twice. */
+static void
+test_silent_unrepeatable(void)
+{
+	world_start(&w);
+	warm_silent();
+	call(&w, &r, POST("/web/echo?s", "Dh-Deadline-Ms: 1500\r\n"));
+	CU_ASSERT(is_local(&r, 504, "unknown", "deadline"));
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/echo?s"), 1);
+	CU_ASSERT(fake_wait_seen(&w.fake, "/_dh/load", 1));
+	call(&w, &r, GET("/web/echo"));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/echo"), 1);
+	world_stop(&w);
+}
+
+/* It has the request: it is slow, and nothing is sent again. */
+static void
+test_slow_is_not_silent(void)
+{
+	struct caller c;
+
+	world_start(&w);
+	w.fake.busy = 1;
+	caller_open(&c, w.port);
+	fake_say(c.fd, GET("/web/hold"));
+	CU_ASSERT(fake_wait_seen(&w.fake, "/_dh/load", 2));
+	fake_release(&w.fake, "/web/hold");
+	caller_read(&c, &r, false);
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(fake_seen(&w.fake, "/web/hold"), 1);
+	caller_close(&c);
+	world_stop(&w);
+}
+
+static void
+test_frozen(void)
+{
+	struct dh_counter *frozen =
+	    dh_counter_get("dh_probes_total", "verdict=\"frozen\"");
+	uint64_t before = dh_counter_value(frozen);
+	struct caller c[3];
+	int i, refused = 0;
+
+	world_start(&w);
+	w.fake.frozen = true;
+	caller_open(&c[0], w.port);
+	fake_say(c[0].fd, GET("/web/echo"));
+	for (i = 0; dh_counter_value(frozen) == before && i < 20000; i++)
+		g_usleep(1000);
+	CU_ASSERT_EQUAL_FATAL(dh_counter_value(frozen), before + 1);
+	for (i = 1; i < 3; i++) {
+		caller_open(&c[i], w.port);
+		fake_say(c[i].fd,
+		    "GET /web/echo?2 HTTP/1.1\r\n" HOST
+		    "Dh-Deadline-Ms: 500\r\n\r\n");
+	}
+	/* At most one finds out whether it is back. */
+	for (i = 1; i < 3; i++) {
+		caller_read(&c[i], &r, false);
+		refused += r.status == 503 && says(&r, "Dh-Outcome: not-run");
+		caller_close(&c[i]);
+	}
+	CU_ASSERT(refused >= 1);
+	CU_ASSERT(fake_seen(&w.fake, "/web/echo?2") <= 1);
+	caller_close(&c[0]);
+	world_stop(&w);
+}
+
+/* The share of one VM of 22 connections is two, however many requests its
+ * limit lets in. */
+static void
+test_connection_share(void)
+{
+	enum { CALLERS = 8, ROUNDS = 30 };
+	struct caller c[CALLERS];
+	uint32_t n;
+	int i, round;
+
+	share_connections = 22;
+	world_start(&w);
+	share_connections = 0;
+	for (i = 0; i < CALLERS; i++)
+		caller_open(&c[i], w.port);
+	for (round = 0; round < ROUNDS; round++) {
+		for (i = 0; i < CALLERS; i++)
+			fake_say(c[i].fd, GET("/web/echo"));
+		for (i = 0; i < CALLERS; i++) {
+			caller_read(&c[i], &r, false);
+			CU_ASSERT(r.whole);
+		}
+	}
+	for (i = 0; i < CALLERS; i++)
+		caller_close(&c[i]);
+	n = w.fake.opened - fake_seen(&w.fake, "/_dh/load");
+	CU_ASSERT(n >= 1 && n <= 2);
+	world_stop(&w);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "cut answer", test_cut_answer },
+		{ "foreign answer", test_foreign_answer },
+		{ "stale answer", test_stale_answer },
+		{ "reused dies", test_reused_dies },
+		{ "reused dies for good", test_reused_dies_for_good },
+		{ "refused", test_refused },
+		{ "unrepeatable", test_unrepeatable },
+		{ "unreachable", test_unreachable },
+		{ "deadline", test_deadline },
+		{ "queue", test_queue },
+		{ "caller leaves", test_caller_leaves },
+		{ "silent connection", test_silent_connection },
+		{ "silent unrepeatable", test_silent_unrepeatable },
+		{ "slow is not silent", test_slow_is_not_silent },
+		{ "frozen", test_frozen },
+		{ "connection share", test_connection_share },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("datapath faults", tests);
+}
