--- a/control/control.c
+++ b/control/control.c
@@ -18,6 +18,8 @@
  * so that the balancer notices. */
 #define LAME_MS 1000
 #define SHUTDOWN_POLL_MS 20u
+/* How long callers' connections without a request are still waited for. */
+#define IDLE_CONNECTIONS_MS 3000
 #define WATCH_WAIT_MS 2000
 #define WATCH_RESYNC_MS 3000
 
@@ -264,7 +266,9 @@
 	if (age_ms >= LAME_MS)
 		dh_router_drain(ct->router);
 	if (age_ms > LAME_MS && dh_router_idle(ct->router) &&
-	    groups_stopped(ct)) {
+	    groups_stopped(ct) &&
+	    (dh_router_connections(ct->router) == 0 ||
+		age_ms > LAME_MS + IDLE_CONNECTIONS_MS)) {
 		uv_stop(&ct->loop);
 	} else if (age_ms > LAME_MS + ct->settings->drain_ms) {
 		dh_log(DH_LOG_WARN, "shutdown.cut", "drain_ms=%" PRId64,
@@ -285,6 +289,7 @@
 	ct->stopping = true;
 	ct->stop_ms = dh_clock_ms();
 	dh_log(DH_LOG_INFO, "shutdown.begin", "vm=%s", ct->settings->vm);
+	dh_router_lame(ct->router);
 	dh_vms_leave(ct->vms);
 	g_hash_table_iter_init(&it, ct->authorities);
 	while (g_hash_table_iter_next(&it, NULL, &a))
--- a/router/answer.c
+++ b/router/answer.c
@@ -2,6 +2,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include <ck_pr.h>
+
 #include "router/exchange.h"
 
 #define BLOCK_BYTES (16u << 10)
@@ -35,13 +37,19 @@
 	return ex->local.outcome;
 }
 
+static bool
+is_lame(const struct dh_exchange *ex)
+{
+	return ck_pr_load_32(&ex->lane->lame) != 0;
+}
+
 static enum MHD_Result
 answer_local(struct dh_exchange *ex)
 {
 	const struct dh_local_answer *a = &ex->local;
 	const char *outcome = outcome_name(outcome_told(ex));
 	char text[128], after_s[24], after_ms[24];
-	const char *headers[12] = { "Dh-Outcome", outcome, "Dh-Reason",
+	const char *headers[14] = { "Dh-Outcome", outcome, "Dh-Reason",
 		a->reason, "Dh-Request-Id", ex->id };
 	size_t n = 6;
 	int len;
@@ -56,6 +64,10 @@
 		headers[n++] = "Dh-Retry-After-Ms";
 		headers[n++] = after_ms;
 	}
+	if (is_lame(ex)) {
+		headers[n++] = "Connection";
+		headers[n++] = "close";
+	}
 	len = g_snprintf(text, sizeof(text), "%s: %s\n",
 	    outcome_name(a->outcome), a->reason);
 	ex->answered = true;
@@ -128,6 +140,8 @@
 		    ex->answer_headers->pdata[i + 1]);
 	MHD_add_response_header(r, "Dh-Outcome", "done");
 	MHD_add_response_header(r, "Dh-Request-Id", ex->id);
+	if (is_lame(ex))
+		MHD_add_response_header(r, "Connection", "close");
 	ex->answered = true;
 	result = MHD_queue_response(ex->conn, ex->status, r);
 	MHD_destroy_response(r);
--- a/router/lane.c
+++ b/router/lane.c
@@ -157,6 +157,7 @@
 		dh_exchange_unsend(ex);
 		dh_exchange_wake(ex);
 	}
+	ck_pr_store_32(&lane->connections, dh_httpd_connections(lane->httpd));
 	uv_timer_start(timer, on_sweep, SWEEP_MS, 0);
 }
 
@@ -364,6 +365,7 @@
 		return;
 	lane->draining = true;
 	dh_httpd_quiesce(lane->httpd);
+	ck_pr_store_32(&lane->connections, dh_httpd_connections(lane->httpd));
 }
 
 static void
--- a/router/lane.h
+++ b/router/lane.h
@@ -67,6 +67,8 @@
 	struct dh_rng rng;
 	uint64_t id_prefix;
 	uint32_t in_flight; /* read by the control thread */
+	uint32_t connections; /* likewise */
+	uint32_t lame; /* written by the control thread */
 	bool draining;
 	uint16_t port;
 };
--- a/router/router.c
+++ b/router/router.c
@@ -77,6 +77,15 @@
 	return r->lanes[0].port;
 }
 
+void
+dh_router_lame(struct dh_router *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->nlanes; i++)
+		ck_pr_store_32(&r->lanes[i].lame, 1);
+}
+
 void
 dh_router_drain(struct dh_router *r)
 {
@@ -97,6 +106,16 @@
 	return true;
 }
 
+uint32_t
+dh_router_connections(const struct dh_router *r)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < r->nlanes; i++)
+		n += ck_pr_load_32(&r->lanes[i].connections);
+	return n;
+}
+
 void
 dh_router_stop(struct dh_router *r)
 {
--- a/router/router.h
+++ b/router/router.h
@@ -38,11 +38,18 @@
 /* dh_router_port -- the port callers use. */
 uint16_t dh_router_port(const struct dh_router *r);
 
+/* dh_router_lame -- from now on every answer closes its connection, so that
+ * callers go elsewhere; requests are still taken. */
+void dh_router_lame(struct dh_router *r);
+
 /* dh_router_drain -- close the port; every request in flight is finished. */
 void dh_router_drain(struct dh_router *r);
 
-/* dh_router_idle -- true once drained and nothing is in flight. */
+/* dh_router_idle -- nothing is in flight.
+ * dh_router_connections -- connections of callers, as of the last tenth of a
+ * second. */
 bool dh_router_idle(const struct dh_router *r);
+uint32_t dh_router_connections(const struct dh_router *r);
 
 /* dh_router_stop -- end the threads, cutting off what is left. */
 void dh_router_stop(struct dh_router *r);
