--- /dev/null
+++ b/core/group_deputy.c
@@ -0,0 +1,123 @@
+#include "core/group_internal.h"
+
+/* The deputy, seen from the leader: which VM, and when another. */
+
+/* group_partner_tick -- look for proof that the partner has ended. */
+void
+group_partner_tick(struct dh_group *g, uint64_t vm, uint64_t incarnation)
+{
+	if (g->peer.gone || !group_dead(g, vm, incarnation))
+		return;
+	g->peer.gone = true;
+	g->peer.gone_ms = g->now_ms;
+	g->peer.gone_fresh = g->now_ms - g->peer.base_ms < g->p.support_ms;
+}
+
+static uint32_t
+deputy_fitness(const struct dh_group *g, const struct dh_group_vm *v)
+{
+	bool region = v->region == g->self.region;
+	bool zone = v->zone != g->self.zone;
+
+	return zone ? 2 + region : region;
+}
+
+uint64_t
+group_pick_deputy(struct dh_group *g, uint64_t not, uint64_t not_incarnation,
+    uint64_t *incarnation)
+{
+	const struct dh_group_vm *v, *top = NULL;
+	uint64_t rank, top_rank = 0;
+	uint32_t i, fit, top_fit = 0;
+
+	for (i = 0; i < g->nvms; i++) {
+		v = &g->vms[i];
+		if (v->id == g->self.id || !v->live || v->leaving || v->dead)
+			continue;
+		if (v->id == not &&v->incarnation == not_incarnation)
+			continue;
+		fit = deputy_fitness(g, v);
+		rank = group_rank(g->group, v->id);
+		if (top == NULL || fit > top_fit ||
+		    (fit == top_fit && rank > top_rank)) {
+			top = v;
+			top_fit = fit;
+			top_rank = rank;
+		}
+	}
+	*incarnation = top == NULL ? 0 : top->incarnation;
+	return top == NULL ? 0 : top->id;
+}
+
+static bool
+deputy_lost(struct dh_group *g)
+{
+	const struct dh_group_vm *v;
+	int64_t since = group_max_ms(g->peer.heard_ms, g->peer.named_ms);
+
+	if (g->deputy == 0 || g->peer.gone || g->peer.resigned)
+		return true;
+	v = group_vm(g, g->deputy, g->deputy_incarnation);
+	if (v != NULL && v->leaving)
+		return true;
+	group_due(g, since + g->p.suspect_ms);
+	return g->now_ms - since >= g->p.suspect_ms;
+}
+
+void
+group_deputy_tick(struct dh_group *g)
+{
+	const struct dh_group_vm *v;
+	uint64_t id, incarnation;
+
+	if (g->handover_seq != 0)
+		return;
+	if (g->deputy != 0)
+		group_partner_tick(g, g->deputy, g->deputy_incarnation);
+	v = group_vm(g, g->next_deputy, g->next_deputy_incarnation);
+	if (g->next_deputy != 0 && v != NULL && v->live && !v->leaving &&
+	    !v->dead)
+		return;
+	if (g->next_deputy == 0 && !deputy_lost(g))
+		return;
+	id = group_pick_deputy(
+	    g, g->deputy, g->deputy_incarnation, &incarnation);
+	if (id == 0)
+		return;
+	g->next_deputy = id;
+	g->next_deputy_incarnation = incarnation;
+	group_changed(g);
+}
+
+/* group_deputy_named -- the store names another deputy than before. */
+void
+group_deputy_named(struct dh_group *g, const struct dh_group_record *r)
+{
+	int64_t own, all;
+	uint32_t i;
+
+	if (g->deputy != 0 && g->peer.heard_ms != DH_NEVER_MS) {
+		own = g->peer.heard_ms + group_slack(g, g->p.support_ms);
+		all = g->peer.heard_ms + group_slack(g, g->p.solo_limit_ms);
+		if (g->peer.resigned)
+			own = all = g->peer.heard_ms;
+		if (g->peer.gone)
+			own = all = group_min_ms(all, g->peer.gone_ms);
+		group_party_add(
+		    g, g->deputy, g->deputy_incarnation, g->term, own, all);
+	}
+	g->deputy = r->deputy;
+	g->deputy_incarnation = r->deputy_incarnation;
+	g->deputy_seq = r->deputy_seq;
+	if (r->deputy == g->next_deputy &&
+	    r->deputy_incarnation == g->next_deputy_incarnation)
+		g->next_deputy = 0;
+	group_peer_reset(g);
+	g->peer.named_ms = g->now_ms;
+	for (i = 0; i < g->nbackends; i++) {
+		g->backends[i].revoke = REVOKE_NONE;
+		g->backends[i].revoke_ms = DH_NEVER_MS;
+	}
+	group_peer_dirty_all(g);
+	group_publish(g);
+}
--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -12,6 +12,8 @@
  *
  * group.c         dispatch of events, configuration, view
  * group_term.c    roles: candidate, deputy, take-over, hand-over
+ * group_wait.c    earlier authorities and how long they may renew
+ * group_deputy.c  choice and replacement of the deputy
  * group_store.c   reads and conditional updates of the group's object
  * group_peer.c    messages between leader and deputy
  * group_lease.c   orders to backend servers, leases, lapses
@@ -258,6 +260,18 @@
 	int64_t drain_ms; /* not before this, after a move that failed */
 };
 
+static inline int64_t
+group_max_ms(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static inline int64_t
+group_min_ms(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
 /* group.c */
 void *group_alloc(size_t n, size_t size);
 struct dh_group_action *group_act(
@@ -290,17 +304,27 @@
 void group_step_down(struct dh_group *g);
 void group_known(
     struct dh_group *g, const struct dh_group_record *r, uint64_t version);
-uint64_t group_pick_deputy(struct dh_group *g, uint64_t not,
-    uint64_t not_incarnation, uint64_t *incarnation);
-void group_deputy_tick(struct dh_group *g);
-void group_deputy_named(struct dh_group *g, const struct dh_group_record *r);
+bool group_dead(const struct dh_group *g, uint64_t vm, uint64_t incarnation);
+bool group_partner_gone(const struct dh_group *g);
+
+/* group_wait.c */
+void group_party_add(struct dh_group *g, uint64_t vm, uint64_t incarnation,
+    uint64_t term, int64_t own_ms, int64_t all_ms);
 void group_party_ended(struct dh_group *g, uint64_t vm, uint64_t incarnation);
-int64_t group_quiet(const struct dh_group *g, const struct group_backend *b);
+void group_parties_tick(struct dh_group *g);
+void group_parties_of_pair(struct dh_group *g);
+void group_parties_of_third(struct dh_group *g);
 int64_t group_parties_quiet(
     const struct dh_group *g, const struct group_backend *b);
+int64_t group_quiet(const struct dh_group *g, const struct group_backend *b);
 int64_t group_wait(const struct dh_group *g);
-bool group_dead(const struct dh_group *g, uint64_t vm, uint64_t incarnation);
-bool group_partner_gone(const struct dh_group *g);
+
+/* group_deputy.c */
+uint64_t group_pick_deputy(struct dh_group *g, uint64_t not,
+    uint64_t not_incarnation, uint64_t *incarnation);
+void group_partner_tick(struct dh_group *g, uint64_t vm, uint64_t incarnation);
+void group_deputy_tick(struct dh_group *g);
+void group_deputy_named(struct dh_group *g, const struct dh_group_record *r);
 
 /* group_store.c */
 void group_get(struct dh_group *g);
--- a/core/group_lease.c
+++ b/core/group_lease.c
@@ -34,19 +34,13 @@
 	    (b->conf.checks_fence || b->firm);
 }
 
-static int64_t
-max_ms(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
 /* group_hold_end -- when the last lease that anyone may have given ends. */
 int64_t
 group_hold_end(const struct dh_group *g, const struct group_backend *b)
 {
-	int64_t t = max_ms(b->renewed_ms, b->deputy_renewed_ms);
+	int64_t t = group_max_ms(b->renewed_ms, b->deputy_renewed_ms);
 
-	t = max_ms(t, group_quiet(g, b));
+	t = group_max_ms(t, group_quiet(g, b));
 	if (t == DH_NEVER_MS)
 		return t;
 	t += group_slack(g, g->p.lease_ms);
@@ -60,7 +54,7 @@
 static int64_t
 settle_end(const struct dh_group *g, const struct group_backend *b)
 {
-	int64_t t = max_ms(b->settle_ms, group_parties_quiet(g, b));
+	int64_t t = group_max_ms(b->settle_ms, group_parties_quiet(g, b));
 
 	return t == DH_NEVER_MS ? t : t + group_slack(g, g->p.lease_ms);
 }
@@ -71,7 +65,7 @@
 	(void)g;
 	b->set_gen++;
 	b->firm = false;
-	b->settle_ms = max_ms(b->settle_ms, b->renewed_ms);
+	b->settle_ms = group_max_ms(b->settle_ms, b->renewed_ms);
 }
 
 /* Nobody can renew what it held. */
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -914,6 +914,80 @@
 	CU_ASSERT_EQUAL(solo_renewals(true, true), 0);
 }
 
+/* One action of a leader that is alone with its deputy and the store; true
+ * when it was a message that says synced. */
+static bool
+leader_answer(struct dh_group *g, int64_t now_ms,
+    const struct dh_group_action *a, bool granted, struct dh_group_actions *out)
+{
+	struct dh_group_event ev = { .kind = DH_GROUP_TICK };
+	struct dh_group_msg m = { 0 };
+
+	if (a->kind == DH_GROUP_DO_GET) {
+		ev.kind = DH_GROUP_STORE_READ;
+		ev.read.seq = a->get.seq;
+	} else if (a->kind == DH_GROUP_DO_PUT) {
+		ev.kind = DH_GROUP_STORE_WRITTEN;
+		ev.store.seq = a->put.seq;
+		ev.store.version = a->put.expect + 1;
+	} else if (a->kind == DH_GROUP_DO_SEND) {
+		m = a->send.msg;
+		m.kind = m.kind == DH_GROUP_MSG_ASSIGN ? DH_GROUP_MSG_ASSIGNED
+						       : DH_GROUP_MSG_ACK;
+		m.to_incarnation = m.from_incarnation;
+		m.from = a->send.to;
+		m.from_incarnation = a->send.msg.to_incarnation;
+		m.echo_ms = m.sent_ms;
+		m.nslots = 0;
+		ev.kind = DH_GROUP_PEER;
+		ev.msg = &m;
+	} else if (a->kind == DH_GROUP_DO_ORDER &&
+	    (granted || a->order.kind == DH_GROUP_ORDER_HELLO)) {
+		ev.kind = DH_GROUP_BACKEND_OK;
+		ev.backend.backend = a->order.backend;
+		ev.backend.incarnation = 1;
+		ev.backend.order = a->order.kind;
+		ev.backend.sent_ms = a->order.sent_ms;
+		ev.backend.clock_ms = now_ms;
+	}
+	dh_group_step(g, &ev, now_ms, out);
+	return m.synced;
+}
+
+/* Whether the leader of a new group ever calls its deputy synced. */
+static bool
+ever_synced(bool granted)
+{
+	struct dh_group_actions out = { 0 }, now_out;
+	struct dh_group_event tick = { .kind = DH_GROUP_TICK };
+	struct dh_group_vm self;
+	struct dh_group *g = deputy_new(&self);
+	bool synced = false;
+	int64_t now;
+	size_t i;
+
+	for (now = 1000; now < 2000; now++) {
+		now_out = out;
+		out = (struct dh_group_actions){ 0 };
+		for (i = 0; i < now_out.n; i++)
+			synced |= leader_answer(
+			    g, now, &now_out.list[i], granted, &out);
+		dh_group_actions_free(&now_out);
+		dh_group_step(g, &tick, now, &out);
+	}
+	CU_ASSERT_EQUAL(dh_group_view(g).leader, self.id);
+	dh_group_actions_free(&out);
+	dh_group_free(g);
+	return synced;
+}
+
+static void
+test_synced_after_grants(void)
+{
+	CU_ASSERT(!ever_synced(false));
+	CU_ASSERT(ever_synced(true));
+}
+
 int
 main(void)
 {
@@ -954,6 +1028,7 @@
 		{ "earlier incarnation",
 		    test_message_for_an_earlier_incarnation },
 		{ "deputy alone", test_deputy_alone },
+		{ "synced after grants", test_synced_after_grants },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -45,7 +45,7 @@
 }
 
 # The deputy's consent to a revocation is not waited for.
-mutate revocation group_term.c \
+mutate revocation group_wait.c \
     's/b->revoke == REVOKE_DONE/b->revoke != REVOKE_NONE/'
 # Alone, the leader and the deputy renew their own zone, too.
 mutate own-zone group_lease.c \
@@ -54,7 +54,7 @@
 mutate solo-unchecked group_lease.c \
     's/b->conf.checks_fence && (b->conf.zone != g)/\1/'
 # A new leader does not wait for the old one's renewals.
-mutate takeover-wait group_term.c \
+mutate takeover-wait group_wait.c \
     's/(own|all) = now \+ group_slack.*/\1 = now;/'
 # A change of owner keeps the fencing token.
 mutate fence-raise group_move.c \
@@ -84,7 +84,7 @@
 mutate lost-reply group_store.c \
     's/^\tg->store.failing = true;/\tgroup_commit_stored(g, g->store.put_record ? g->store.put_record : \&(struct dh_group_record){0});/'
 # A replaced deputy is not waited for.
-mutate replaced-deputy group_term.c \
+mutate replaced-deputy group_deputy.c \
     's/all = g->peer.heard_ms \+ group_slack.*/all = own;/'
 # Waits are not handed on to the next leader.
 mutate inherited-wait group_peer.c \
@@ -101,9 +101,6 @@
 # A message reaches a later incarnation than it was meant for.
 mutate to-incarnation group_peer.c \
     's/m->to_incarnation != g->self.incarnation/false/'
-# The deputy renews what its leader has not granted.
-mutate granted group_peer.c \
-    's/ \&\& all_granted\(g\)//'
 # The pair acknowledges while the store may name another deputy.
 mutate naming group_move.c \
     's/g->store.put_open \&\& g->next_deputy != 0/false/'
