--- /dev/null
+++ b/bench/datapath.sh
@@ -0,0 +1,184 @@
+#!/bin/sh
+# usage: bench/datapath.sh BUILD
+# Speed of the data path on loopback: each figure three times, with the load
+# average, against the same client straight at the backend server in the same
+# run.  Takes under four minutes.
+. "$(dirname "$0")/../tests/failure/lib.sh"
+
+vms_max=11
+hz=$(getconf CLK_TCK)
+# b1 and b2 own the keys of feed; b3 serves web, b4 slow (100 ms, 6 slots).
+write_team() {
+	cat >"$1" <<JSON
+{"services": {
+  "feed": {"service_kind": "keyed", "hash_slots": 8, "deadline_ms": 2000,
+    "queue_ms": 1500},
+  "web": {"service_kind": "any", "deadline_ms": 5000},
+  "slow": {"service_kind": "any", "deadline_ms": 500, "queue_ms": 400}},
+ "backend_servers": {
+$(row b1 feed 64 4096), $(row b2 feed 64 4096),
+$(row b3 web 512 45056), $(row b4 slow 6 4096)
+}}
+JSON
+}
+
+row() {
+	printf '"%s": {"service": "%s", "address": "127.0.0.1", "port": %s,
+"zone": "za", "region": "r1", "slots": %s, "connections": %s,
+"checks_fence": true}' "$1" "$2" "$(backend_port "${1#b}")" "$3" "$4"
+}
+
+# ticks PID: processor time used, in clock ticks.
+ticks() {
+	sed 's/.*) //' "/proc/$1/stat" | awk '{ print $12 + $13 }'
+}
+
+rss_kb() {
+	awk '/^VmRSS/ { print $2 }' "/proc/$1/status"
+}
+
+# load NAME TARGETS OPTIONS...: one run of the client.
+load() {
+	what=$1 to=$2
+	shift 2
+	targets=
+	for t in $to; do
+		targets="$targets --target $t"
+	done
+	read -r avg _ </proc/loadavg
+	# shellcheck disable=SC2086
+	out=$("$build/bench/dhload" $targets --json --timeout-ms 5000 "$@")
+	echo "$what load=$avg $out"
+}
+
+urls() {
+	i=1
+	while [ "$i" -le "$1" ]; do
+		vm_url "$i"
+		i=$((i + 1))
+	done
+}
+
+# One router and none, in turn: throughput, then latency at a set rate.
+compare() {
+	direct=http://127.0.0.1:$(backend_port 3)
+	v=$(pid_of v1)
+	load warm "$(vm_url 1)" --service web -c 32 -d 1500 >/dev/null
+	for rep in 1 2 3; do
+		load "direct.$rep" "$direct" --service web -c 32 -d 2000
+		before=$(ticks "$v")
+		load "router.$rep" "$(vm_url 1)" --service web -c 32 -d 2000
+		used=$(($(ticks "$v") - before))
+		echo "$out" | sed 's/.*"done":\([0-9]*\).*/\1/' | awk \
+		    -v u="$used" -v hz="$hz" -v r="$rep" \
+		    '{ printf "cpu.%s us_per_request=%.0f\n", r, u / hz * 1e6 / $1 }'
+		load "direct1000.$rep" "$direct" --service web -r 1000 -d 2000
+		load "router1000.$rep" "$(vm_url 1)" --service web -r 1000 \
+		    -d 2000
+	done
+}
+
+routers() {
+	for n in 1 4 11; do
+		for rep in 1 2 3; do
+			load "routers$n.$rep" "$(urls "$n")" --service web \
+			    -c 44 -d 1500
+		done
+	done
+}
+
+stream() {
+	for rep in 1 2 3; do
+		load "stream.direct.$rep" \
+		    "http://127.0.0.1:$(backend_port 3)" --service web \
+		    -c 4 -S 16000000 -d 1500
+		load "stream.router.$rep" "$(vm_url 1)" --service web \
+		    -c 4 -S 16000000 -d 1500
+	done
+}
+
+# Idle connections through bash, busy ones are requests that wait.
+memory() {
+	v=$(pid_of v2)
+	port=$(vm_port 2)
+	for rep in 1 2 3; do
+		before=$(rss_kb "$v")
+		bash -c "for i in {1..500}; do
+			exec {fd}<>/dev/tcp/127.0.0.1/$port || exit 1
+			done; sleep 1.5" &
+		idle_pid=$!
+		sleep 1
+		echo "memory.idle.$rep connections=500 before_kb=$before" \
+		    "with_kb=$(rss_kb "$v")"
+		wait "$idle_pid"
+		before=$(rss_kb "$v")
+		"$build/bench/dhload" --target "$(vm_url 2)" --service web \
+		    -c 200 -S 65536 -d 2000 >/dev/null &
+		busy_pid=$!
+		sleep 1
+		echo "memory.busy.$rep connections=200 before_kb=$before" \
+		    "with_kb=$(rss_kb "$v")"
+		wait "$busy_pid"
+	done
+}
+
+# Six slots of 100 ms serve 60 requests a second: offer 30, then 120.
+overload() {
+	for rep in 1 2 3; do
+		load "offered30.$rep" "$(urls 3)" --service slow -r 30 -c 400 -d 3000
+		load "offered120.$rep" "$(urls 3)" --service slow -r 120 -c 400 \
+		    -d 3000
+		load "direct120.$rep" "http://127.0.0.1:$(backend_port 4)" \
+		    --service slow -r 120 -c 400 -d 3000 --timeout-ms 500
+	done
+}
+
+owner_of_key() {
+	for b in 1 2; do
+		eval "size_$b=$(wc -c <"$dir/b$b.hist")"
+	done
+	"$build/bench/dhload" --target "$(vm_url 1)" --service feed \
+	    --keys 1 -r 50 -d 500 >/dev/null
+	sleep 0.3
+	grown_1=$(($(wc -c <"$dir/b1.hist") - size_1))
+	grown_2=$(($(wc -c <"$dir/b2.hist") - size_2))
+	if [ "$grown_1" -gt "$grown_2" ]; then echo b1; else echo b2; fi
+}
+
+# One key without an answer: the longest gap, undisturbed and when its owner
+# is killed.
+unavailable() {
+	load gap.none "$(urls 3)" --service feed --keys 1 -r 300 -d 2000
+	for rep in 1 2 3; do
+		owner=$(owner_of_key)
+		(
+			sleep 1
+			kill -KILL "$(pid_of "$owner")"
+		) &
+		load "gap.kill.$rep.$owner" "$(urls 3)" --service feed \
+		    --keys 1 -r 300 -d 4000
+		start_backend "${owner#b}" $feed_options
+		wait_for 30 "owners again" all_owned 1
+		sleep 2
+	done
+}
+
+feed_options="--service-ms 1 --slots 64 --queue 256"
+start_store
+start_backend 1 $feed_options
+start_backend 2 $feed_options
+start_backend 3 --service-ms 0 --slots 512 --queue 512 --no-owner
+start_backend 4 --service-ms 100 --slots 6 --queue 12 --no-owner
+write_team "$dir/team.json"
+put_object teams/t "$dir/team.json"
+n=1
+while [ "$n" -le "$vms_max" ]; do
+	start_vm "$n"
+	n=$((n + 1))
+done
+for n in $vms; do
+	wait_for 30 "owners at v$n" all_owned "$n"
+done
+for part in ${PARTS:-compare routers stream memory overload unavailable}; do
+	"$part"
+done
