--- a/bench/store_calls.sh
+++ b/bench/store_calls.sh
@@ -3,7 +3,7 @@
 # Calls to the store by kind: a steady span, then a VM shut down and started
 # again, a VM killed and started again, and an availability zone lost.  Each
 # event is watched for EVENT_S seconds; "above" is what came on top of the
-# steady rate.  Set DH_PORT_BASE when several run at once.
+# steady rate.
 vm_count=${2:-3}
 steady_s=${3:-60}
 EVENT_S=15
