--- a/Makefile
+++ b/Makefile
@@ -94,7 +94,8 @@
 # glib's locks: it runs over the programs whose threads use neither.
 TSAN_TESTS := test_store test_apply
 sanitize:
-	$(MAKE) SAN=address,undefined unit failure
+	ASAN_OPTIONS=quarantine_size_mb=1 \
+		$(MAKE) SAN=address,undefined unit failure
 	$(MAKE) SAN=thread $(TSAN_TESTS:%=build-thread/tests/%)
 	G_SLICE=always-malloc tools/run_tests.sh build-thread \
 		$(TSAN_TESTS:%=build-thread/tests/%)
--- a/bench/dhload.c
+++ b/bench/dhload.c
@@ -631,7 +631,10 @@
 	uv_run(&ld.loop, UV_RUN_DEFAULT);
 	print_results(&ld);
 	dh_http_free(ld.http);
-	uv_run(&ld.loop, UV_RUN_NOWAIT);
+	if (ld.opt.rate > 0)
+		uv_close((uv_handle_t *)&ld.tick, NULL);
+	uv_run(&ld.loop, UV_RUN_DEFAULT);
+	uv_loop_close(&ld.loop);
 	dh_eventlog_close(ld.log);
 	g_free(ld.latency_us);
 	g_free(ld.zipf_sum);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -34,7 +34,9 @@
 	CU_ASSERT_STRING_EQUAL(s.store_url, "http://127.0.0.1:9000");
 	CU_ASSERT_EQUAL(s.log_level, DH_LOG_DEBUG);
 	CU_ASSERT_EQUAL(s.threads, 3);
-	CU_ASSERT_EQUAL(s.lease_ms, 500);
+	CU_ASSERT_EQUAL(s.lease_ms, 400);
+	CU_ASSERT_EQUAL(s.renew_ms, 150);
+	CU_ASSERT_EQUAL(s.support_ms, 230);
 	CU_ASSERT_EQUAL(s.listen_port, 8080);
 	CU_ASSERT_EQUAL(s.cross_region_bytes_s, 10000000);
 	CU_ASSERT_TRUE(s.trust_vm_list);
