A stopped lane's timers don't run over what is freed

Seen as crashes (two of twelve, then one of ten) and probably the one hang of test_datapath_faults, run twelve and ten at once.

--- a/router/lane.c
+++ b/router/lane.c
@@ -483,6 +483,11 @@
 
 	uv_async_send(&lane->stop);
 	pthread_join(lane->thread, NULL);
+	/* The loop runs on below, over what is freed by then. */
+	uv_timer_stop(lane->waiting_timer);
+	uv_timer_stop(lane->sweep_timer);
+	uv_timer_stop(lane->table_timer);
+	uv_timer_stop(lane->load_timer);
 	for (it = lane->exchanges.head; it != NULL; it = it->next) {
 		ex = it->data;
 		ex->aborted = true;
