--- a/router/exchange.c
+++ b/router/exchange.c
@@ -5,8 +5,10 @@
 #include <ck_pr.h>
 
 #include "base/clock.h"
+#include "router/intake.h"
 #include "router/load.h"
 #include "router/pick.h"
+#include "router/route.h"
 #include "router/turn.h"
 
 #define RETRY_AFTER_MS 1000
@@ -14,7 +16,6 @@
 #define PERMIT_WAIT_MS 600
 /* No byte in either direction for this long ends a streaming answer. */
 #define STALL_MS 15000
-#define DEADLINE_MIN_MS 1
 
 static void on_timer(uv_timer_t *timer);
 
@@ -180,127 +181,6 @@
 	    status == 503 ? RETRY_AFTER_MS : 0);
 }
 
-/* Checks of the request as it stands. */
-
-static const char *
-header(struct dh_exchange *ex, const char *name)
-{
-	return MHD_lookup_connection_value(ex->conn, MHD_HEADER_KIND, name);
-}
-
-struct framing {
-	uint32_t lengths;
-	uint32_t encodings;
-	int64_t bytes;
-	bool bad;
-};
-
-/* "Content-Length : 3" is no header of ours but may be the next server's. */
-static bool
-is_token(const char *name)
-{
-	static const char marks[] = "!#$%&'*+-.^_`|~";
-
-	if (name[0] == '\0')
-		return false;
-	for (; name[0] != '\0'; name++)
-		if (!g_ascii_isalnum(name[0]) && strchr(marks, name[0]) == NULL)
-			return false;
-	return true;
-}
-
-static enum MHD_Result
-framing_header(
-    void *arg, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-	struct framing *f = arg;
-	guint64 n;
-
-	(void)kind;
-	if (!is_token(name))
-		f->bad = true;
-	if (g_ascii_strcasecmp(name, "Transfer-Encoding") == 0) {
-		f->encodings++;
-		if (value == NULL || g_ascii_strcasecmp(value, "chunked") != 0)
-			f->bad = true;
-	} else if (g_ascii_strcasecmp(name, "Content-Length") == 0) {
-		f->lengths++;
-		if (value == NULL ||
-		    !g_ascii_string_to_unsigned(
-			value, 10, 0, G_MAXINT64, &n, NULL))
-			f->bad = true;
-		else
-			f->bytes = (int64_t)n;
-	}
-	return MHD_YES;
-}
-
-/* Two statements of a body's length may be read differently by the next
- * server: such a request is refused. */
-static bool
-check_framing(struct dh_exchange *ex)
-{
-	struct framing f = { 0 };
-
-	MHD_get_connection_values(
-	    ex->conn, MHD_HEADER_KIND, framing_header, &f);
-	if (f.bad || f.lengths + f.encodings > 1)
-		return false;
-	ex->body_bytes = f.encodings > 0 ? -1 : f.bytes;
-	ex->has_body = ex->body_bytes != 0;
-	ex->up_ended = !ex->has_body;
-	return true;
-}
-
-static bool
-check_id(struct dh_exchange *ex)
-{
-	const char *id = header(ex, "Idempotency-Key");
-
-	if (id == NULL)
-		return true;
-	ex->unrepeatable = true;
-	return id[0] != '\0' &&
-	    g_strlcpy(ex->idempotency_key, id, sizeof(ex->idempotency_key)) <
-	    sizeof(ex->idempotency_key);
-}
-
-static bool
-check_request(struct dh_exchange *ex, const char *method)
-{
-	const char *key = header(ex, "Dh-Key");
-
-	if (g_strlcpy(ex->method, method, sizeof(ex->method)) >=
-	    sizeof(ex->method))
-		return false;
-	if (!dh_target_parse(&ex->target, ex->url) || !check_framing(ex) ||
-	    !check_id(ex))
-		return false;
-	return key == NULL || dh_target_set_key(&ex->target, key);
-}
-
-/* Take the service's rules; false when the request breaks one. */
-static bool
-take_rules(struct dh_exchange *ex, const struct dh_service *sv)
-{
-	const char *text = header(ex, "Dh-Deadline-Ms");
-	int64_t asked_ms = text == NULL ? 0 : g_ascii_strtoll(text, NULL, 10);
-
-	ex->keyed = sv->kind == DH_SERVICE_KEYED;
-	ex->team = (uint32_t)dh_name_id(sv->team);
-	ex->service = dh_lane_service(ex->lane, sv->name, sv->retry_percent);
-	ex->park_max_ms = sv->queue_ms;
-	ex->budget_ms = sv->deadline_ms;
-	ex->objective_ms = sv->objective_latency_ms;
-	if (text != NULL)
-		ex->budget_ms =
-		    CLAMP(asked_ms, DEADLINE_MIN_MS, sv->deadline_ms);
-	ex->deadline_ms = dh_clock_ms() + ex->budget_ms;
-	if (sv->unrepeatable && !ex->unrepeatable)
-		return false;
-	return !ex->keyed || ex->target.key[0] != '\0';
-}
-
 static void
 timer_at(struct dh_exchange *ex, int64_t at_ms)
 {
@@ -320,7 +200,7 @@
 	g_snprintf(ex->id, sizeof(ex->id),
 	    "%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x", lane->id_prefix,
 	    ++lane->next_token);
-	if (!check_request(ex, method)) {
+	if (!dh_intake_check(ex, method)) {
 		refuse_not_run(ex, 400, "bad-request");
 		return;
 	}
@@ -328,7 +208,7 @@
 	service =
 	    t == NULL ? DH_NONE : dh_conf_service(t->conf, ex->target.service);
 	if (service != DH_NONE)
-		ok = take_rules(ex, &t->conf->services[service]);
+		ok = dh_intake_rules(ex, &t->conf->services[service]);
 	dh_publish_leave(lane->reader);
 	if (service == DH_NONE) {
 		refuse_not_run(ex, t == NULL ? 503 : 404, "no-service");
@@ -344,61 +224,6 @@
 
 /* Routing */
 
-static void
-take_backend(struct dh_exchange *ex, const struct dh_table *t, uint32_t backend)
-{
-	const struct dh_backend *b = &t->conf->backends[backend];
-
-	ex->route.backend = backend;
-	ex->revision = t->conf->revision;
-	ex->backend_id = dh_name_id(b->name);
-	ex->port = b->port;
-	g_strlcpy(ex->address, b->address, sizeof(ex->address));
-	g_snprintf(ex->group, sizeof(ex->group), "%s/0", ex->target.service);
-}
-
-/* What a request is expected to move over a billed link. */
-#define PLANNED_BYTES (16 << 10)
-
-static uint32_t
-choose_any(struct dh_exchange *ex, uint32_t service)
-{
-	struct dh_pick pick = dh_picker_pick(
-	    ex->lane->picker, service, ex->backend_id, PLANNED_BYTES);
-
-	ex->planned_bytes = pick.planned_bytes;
-	ex->pick_retry_ms = pick.retry_after_ms;
-	return pick.backend;
-}
-
-/* Fill in ex's route; false when nobody may serve it now. */
-static bool
-find_route(struct dh_exchange *ex, const struct dh_table *t)
-{
-	uint32_t service = dh_conf_service(t->conf, ex->target.service);
-	uint32_t backend;
-
-	if (service == DH_NONE)
-		return false;
-	dh_turns_update(ex->lane->turns, t->conf);
-	dh_picker_update(ex->lane->picker, t->conf);
-	if (ex->keyed) {
-		ex->route = dh_table_route(
-		    t, service, ex->target.key, strlen(ex->target.key));
-		if (ex->shunned && dh_fence_cmp(ex->shun, ex->route.fence) == 0)
-			return false;
-		backend = ex->route.state == DH_SLOT_OWNED ? ex->route.backend
-							   : DH_NONE;
-	} else {
-		ex->route.service = service;
-		backend = choose_any(ex, service);
-	}
-	if (backend == DH_NONE)
-		return false;
-	take_backend(ex, t, backend);
-	return true;
-}
-
 static bool
 ask_permit(struct dh_exchange *ex)
 {
@@ -469,7 +294,7 @@
 dh_exchange_route(struct dh_exchange *ex)
 {
 	const struct dh_table *t = dh_publish_enter(ex->lane->reader);
-	bool found = t != NULL && find_route(ex, t);
+	bool found = t != NULL && dh_route_find(ex, t);
 
 	dh_publish_leave(ex->lane->reader);
 	if (!found && !ex->keyed) {
--- /dev/null
+++ b/router/route.c
@@ -0,0 +1,60 @@
+#include "router/route.h"
+
+#include <string.h>
+
+#include "router/pick.h"
+#include "router/turn.h"
+
+static void
+take_backend(struct dh_exchange *ex, const struct dh_table *t, uint32_t backend)
+{
+	const struct dh_backend *b = &t->conf->backends[backend];
+
+	ex->route.backend = backend;
+	ex->revision = t->conf->revision;
+	ex->backend_id = dh_name_id(b->name);
+	ex->port = b->port;
+	g_strlcpy(ex->address, b->address, sizeof(ex->address));
+	g_snprintf(ex->group, sizeof(ex->group), "%s/0", ex->target.service);
+}
+
+/* What a request is expected to move over a billed link. */
+#define PLANNED_BYTES (16 << 10)
+
+static uint32_t
+choose_any(struct dh_exchange *ex, uint32_t service)
+{
+	struct dh_pick pick = dh_picker_pick(
+	    ex->lane->picker, service, ex->backend_id, PLANNED_BYTES);
+
+	ex->planned_bytes = pick.planned_bytes;
+	ex->pick_retry_ms = pick.retry_after_ms;
+	return pick.backend;
+}
+
+bool
+dh_route_find(struct dh_exchange *ex, const struct dh_table *t)
+{
+	uint32_t service = dh_conf_service(t->conf, ex->target.service);
+	uint32_t backend;
+
+	if (service == DH_NONE)
+		return false;
+	dh_turns_update(ex->lane->turns, t->conf);
+	dh_picker_update(ex->lane->picker, t->conf);
+	if (ex->keyed) {
+		ex->route = dh_table_route(
+		    t, service, ex->target.key, strlen(ex->target.key));
+		if (ex->shunned && dh_fence_cmp(ex->shun, ex->route.fence) == 0)
+			return false;
+		backend = ex->route.state == DH_SLOT_OWNED ? ex->route.backend
+							   : DH_NONE;
+	} else {
+		ex->route.service = service;
+		backend = choose_any(ex, service);
+	}
+	if (backend == DH_NONE)
+		return false;
+	take_backend(ex, t, backend);
+	return true;
+}
