--- a/bench/in_force.sh
+++ b/bench/in_force.sh
@@ -6,11 +6,11 @@
 	(
 		. "$(dirname "$0")/../tests/failure/lib.sh"
 		start_cluster "$count" 4 >/dev/null
-		i=1
-		while [ "$i" -le 5 ]; do
-			revision=$((i + 1))
+		change=1
+		while [ "$change" -le 5 ]; do
+			revision=$((change + 1))
 			verb=drain
-			[ $((i % 2)) -eq 1 ] || verb=undrain
+			[ $((change % 2)) -eq 1 ] || verb=undrain
 			ctl "$verb" b1 >/dev/null || fail "$verb"
 			accepted=$(now_ms)
 			for n in $vms; do
@@ -20,9 +20,9 @@
 			last=$(cat "$dir"/v*.hist |
 			    grep "\"force\",\"revision\":$revision}" |
 			    sed 's/{"t":\([0-9.]*\),.*/\1/' | sort -n | tail -n 1)
-			echo "$count VMs, change $i: in force everywhere $(echo \
+			echo "$count VMs, change $change: in force everywhere $(echo \
 			    "$last $accepted" | awk '{ printf "%.1f", $1 - $2 }') ms after the command ended"
-			i=$((i + 1))
+			change=$((change + 1))
 		done
 	)
 done
