One piece for timers on a loop and for members of a JSON object

Five copies of each stood in control, backend and the stand-ins; base/timer and base/jsonfield serve them now.

--- a/backend/order.c
+++ b/backend/order.c
@@ -4,7 +4,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include <json-c/json.h>
+#include "base/jsonfield.h"
 
 /* Longest wait for the answer on a fresh connection. */
 #define PROBE_MS 50
@@ -54,15 +54,6 @@
 	return g_string_free(text, FALSE);
 }
 
-static int64_t
-field(struct json_object *o, const char *name)
-{
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v)
-						      : 0;
-}
-
 static bool
 state_is(struct json_object *o, const char *state)
 {
@@ -86,15 +77,15 @@
 	*reply = (struct dh_order_reply){
 		.result = json_object_get_boolean(accepted) ? DH_ORDER_ACCEPTED
 							    : DH_ORDER_REFUSED,
-		.incarnation = (uint64_t)field(o, "incarnation"),
-		.clock_ms = field(o, "clock_ms"),
-		.highest = { .term = (uint64_t)field(o, "term"),
-		    .counter = (uint64_t)field(o, "counter") },
+		.incarnation = (uint64_t)dh_json_int(o, "incarnation"),
+		.clock_ms = dh_json_int(o, "clock_ms"),
+		.highest = { .term = (uint64_t)dh_json_int(o, "term"),
+		    .counter = (uint64_t)dh_json_int(o, "counter") },
 		.cold = state_is(o, "cold"),
 		.draining = state_is(o, "draining"),
-		.running = (uint32_t)field(o, "running"),
-		.queued = (uint32_t)field(o, "queued"),
-		.releasing = (uint32_t)field(o, "releasing"),
+		.running = (uint32_t)dh_json_int(o, "running"),
+		.queued = (uint32_t)dh_json_int(o, "queued"),
+		.releasing = (uint32_t)dh_json_int(o, "releasing"),
 	};
 	json_object_put(o);
 	return true;
--- a/control/authority.c
+++ b/control/authority.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "control/feed.h"
 #include "control/planner.h"
 #include "control/record.h"
@@ -358,25 +359,17 @@
 	a->group = dh_group_new(&a->params, dh_name_id(a->name), &self, nslots);
 	a->permits = dh_permit_host_new(ct, a->name);
 	a->planner = dh_planner_new(ct, a, nslots);
-	a->timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&ct->loop, a->timer);
-	a->timer->data = a;
+	a->timer = dh_timer_new(&ct->loop, a);
 	uv_timer_start(a->timer, on_timer, 0, 0);
 	return a;
 }
 
-static void
-timer_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
 void
 dh_authority_free(struct dh_authority *a)
 {
 	if (a == NULL)
 		return;
-	uv_close((uv_handle_t *)a->timer, timer_closed);
+	dh_timer_free(a->timer);
 	dh_permit_host_free(a->permits);
 	dh_planner_free(a->planner);
 	a->freed = true;
--- a/control/permits.c
+++ b/control/permits.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "control/peers.h"
 #include "control/vms.h"
 
@@ -292,24 +293,16 @@
 	g_strlcpy(h->group, group, sizeof(h->group));
 	h->permits = dh_permits_new(&p);
 	h->deputy = NOT_LEADING;
-	h->timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&ct->loop, h->timer);
-	h->timer->data = h;
+	h->timer = dh_timer_new(&ct->loop, h);
 	return h;
 }
 
-static void
-timer_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
 void
 dh_permit_host_free(struct dh_permit_host *h)
 {
 	if (h == NULL)
 		return;
-	uv_close((uv_handle_t *)h->timer, timer_closed);
+	dh_timer_free(h->timer);
 	dh_permits_free(h->permits);
 	g_free(h);
 }
--- a/control/planner.c
+++ b/control/planner.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "control/feed.h"
 #include "control/peers.h"
 #include "control/vms.h"
@@ -283,26 +284,18 @@
 	pl->nslots = nslots;
 	pl->ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	pl->moves = dh_counter_get("dh_placement_moves_total", "");
-	pl->timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&ct->loop, pl->timer);
-	pl->timer->data = pl;
+	pl->timer = dh_timer_new(&ct->loop, pl);
 	if (nslots > 0)
 		uv_timer_start(pl->timer, on_period, PERIOD_MS, PERIOD_MS);
 	return pl;
 }
 
-static void
-timer_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
 void
 dh_planner_free(struct dh_planner *pl)
 {
 	if (pl == NULL)
 		return;
-	uv_close((uv_handle_t *)pl->timer, timer_closed);
+	dh_timer_free(pl->timer);
 	drop_placement(pl);
 	g_array_unref(pl->ids);
 	g_free(pl);
--- a/control/teams.c
+++ b/control/teams.c
@@ -5,6 +5,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "config/assemble.h"
 #include "config/schema.h"
 
@@ -111,24 +112,16 @@
 	tm->control = ct;
 	tm->by_name =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, team_free);
-	tm->assemble = g_new0(uv_timer_t, 1);
-	uv_timer_init(&ct->loop, tm->assemble);
-	tm->assemble->data = tm;
+	tm->assemble = dh_timer_new(&ct->loop, tm);
 	return tm;
 }
 
-static void
-timer_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
 void
 dh_teams_free(struct dh_teams *tm)
 {
 	if (tm == NULL)
 		return;
-	uv_close((uv_handle_t *)tm->assemble, timer_closed);
+	dh_timer_free(tm->assemble);
 	g_hash_table_unref(tm->by_name);
 	g_free(tm);
 }
--- a/control/vmlist.c
+++ b/control/vmlist.c
@@ -2,9 +2,8 @@
 
 #include <string.h>
 
-#include <json-c/json.h>
-
 #include "base/counter.h"
+#include "base/jsonfield.h"
 
 #define TIMEOUT_MS 2000
 
@@ -47,16 +46,6 @@
 	g_free(l);
 }
 
-static const char *
-text_field(struct json_object *o, const char *name)
-{
-	struct json_object *f;
-
-	return json_object_object_get_ex(o, name, &f)
-	    ? json_object_get_string(f)
-	    : "";
-}
-
 static bool
 entry_decode(struct dh_vmlist_entry *e, struct json_object *o)
 {
@@ -65,14 +54,14 @@
 	*e = (struct dh_vmlist_entry){ .state = DH_VMLIST_LIVE };
 	if (!json_object_is_type(o, json_type_object))
 		return false;
-	if (strcmp(text_field(o, "state"), "leaving") == 0)
+	if (strcmp(dh_json_text(o, "state"), "leaving") == 0)
 		e->state = DH_VMLIST_LEAVING;
 	if (json_object_object_get_ex(o, "peer_port", &port))
 		e->peer_port = (uint16_t)json_object_get_int(port);
-	return g_strlcpy(e->name, text_field(o, "name"), sizeof(e->name)) <
+	return g_strlcpy(e->name, dh_json_text(o, "name"), sizeof(e->name)) <
 	    sizeof(e->name) &&
 	    e->name[0] != '\0' &&
-	    g_strlcpy(e->address, text_field(o, "address"),
+	    g_strlcpy(e->address, dh_json_text(o, "address"),
 		sizeof(e->address)) < sizeof(e->address);
 }
 
--- a/control/vms.c
+++ b/control/vms.c
@@ -3,12 +3,12 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include <json-c/json.h>
-
 #include <dogwoodhub/member.h>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/jsonfield.h"
+#include "base/timer.h"
 #include "control/authority.h"
 #include "control/feed.h"
 #include "control/peers.h"
@@ -67,26 +67,6 @@
 
 /* Objects in the store */
 
-static const char *
-text_field(struct json_object *o, const char *name)
-{
-	struct json_object *f;
-
-	return json_object_object_get_ex(o, name, &f)
-	    ? json_object_get_string(f)
-	    : "";
-}
-
-static uint64_t
-int_field(struct json_object *o, const char *name)
-{
-	struct json_object *f;
-
-	return json_object_object_get_ex(o, name, &f)
-	    ? (uint64_t)json_object_get_int64(f)
-	    : 0;
-}
-
 static bool
 record_decode(struct dh_member_record *r, const char *name, const char *text)
 {
@@ -95,14 +75,14 @@
 
 	*r = (struct dh_member_record){ .state = DH_MEMBER_LIVE, .version = 1 };
 	if (ok) {
-		r->incarnation = int_field(o, "incarnation");
-		r->peer_port = (uint16_t)int_field(o, "peer_port");
+		r->incarnation = (uint64_t)dh_json_int(o, "incarnation");
+		r->peer_port = (uint16_t)dh_json_int(o, "peer_port");
 		g_strlcpy(r->name, name, sizeof(r->name));
-		g_strlcpy(r->zone, text_field(o, "zone"), sizeof(r->zone));
+		g_strlcpy(r->zone, dh_json_text(o, "zone"), sizeof(r->zone));
 		g_strlcpy(
-		    r->region, text_field(o, "region"), sizeof(r->region));
+		    r->region, dh_json_text(o, "region"), sizeof(r->region));
 		g_strlcpy(
-		    r->address, text_field(o, "address"), sizeof(r->address));
+		    r->address, dh_json_text(o, "address"), sizeof(r->address));
 	}
 	json_object_put(o);
 	return ok && r->incarnation != 0 && r->address[0] != '\0';
@@ -544,16 +524,6 @@
 
 /* Start and end */
 
-static uv_timer_t *
-timer_new(struct dh_vms *v)
-{
-	uv_timer_t *timer = g_new0(uv_timer_t, 1);
-
-	uv_timer_init(&v->control->loop, timer);
-	timer->data = v;
-	return timer;
-}
-
 static void
 members_start(struct dh_vms *v)
 {
@@ -588,9 +558,9 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	v->object = g_strdup_printf(PREFIX "%s", ct->settings->vm);
 	v->value = self_text(ct);
-	v->retry = timer_new(v);
-	v->tick = timer_new(v);
-	v->check = timer_new(v);
+	v->retry = dh_timer_new(&ct->loop, v);
+	v->tick = dh_timer_new(&ct->loop, v);
+	v->check = dh_timer_new(&ct->loop, v);
 	uv_timer_start(v->check, on_check, CHECK_MS, CHECK_MS);
 	members_start(v);
 	uv_timer_start(v->tick, on_tick, 0, 0);
@@ -601,12 +571,6 @@
 	return v;
 }
 
-static void
-timer_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
 void
 dh_vms_free(struct dh_vms *v)
 {
@@ -614,9 +578,9 @@
 		return;
 	dh_peers_free(v->peers);
 	dh_vmlist_free(v->list);
-	uv_close((uv_handle_t *)v->retry, timer_closed);
-	uv_close((uv_handle_t *)v->tick, timer_closed);
-	uv_close((uv_handle_t *)v->check, timer_closed);
+	dh_timer_free(v->retry);
+	dh_timer_free(v->tick);
+	dh_timer_free(v->check);
 	dh_member_free(v->members);
 	g_hash_table_unref(v->notes);
 	g_free(v->object);
--- a/standin/backend.c
+++ b/standin/backend.c
@@ -10,11 +10,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <json-c/json.h>
 #include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/httpd.h"
+#include "base/jsonfield.h"
 #include "base/eventlog.h"
 #include "standin/lib/ownership.h"
 #include <dogwoodhub/types.h>
@@ -165,15 +165,6 @@
 
 /* Orders */
 
-static int64_t
-json_int(struct json_object *o, const char *name)
-{
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v)
-						      : 0;
-}
-
 static enum MHD_Result
 order_handle(struct request *rq)
 {
@@ -222,14 +213,14 @@
 	if (o == NULL)
 		return dh_httpd_reply(rq->conn, 400, "bad fault\n", 10, NULL);
 	s->fault = (struct fault){
-		.slow_ms = json_int(o, "slow_ms"),
-		.drop_after_read = (uint32_t)json_int(o, "drop_after_read"),
-		.cut_body = (uint32_t)json_int(o, "cut_body"),
-		.silent = (uint32_t)json_int(o, "silent"),
-		.shed = json_int(o, "shed") != 0,
-		.lie_idle = json_int(o, "lie_idle") != 0,
+		.slow_ms = dh_json_int(o, "slow_ms"),
+		.drop_after_read = (uint32_t)dh_json_int(o, "drop_after_read"),
+		.cut_body = (uint32_t)dh_json_int(o, "cut_body"),
+		.silent = (uint32_t)dh_json_int(o, "silent"),
+		.shed = dh_json_int(o, "shed") != 0,
+		.lie_idle = dh_json_int(o, "lie_idle") != 0,
 	};
-	if (json_int(o, "drain") != 0)
+	if (dh_json_int(o, "drain") != 0)
 		s->state = STATE_DRAINING;
 	json_object_put(o);
 	return dh_httpd_reply(rq->conn, 200, "ok\n", 3, NULL);
--- a/standin/lib/ownership.c
+++ b/standin/lib/ownership.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/jsonfield.h"
 
 struct grant {
 	struct dh_fence fence;
@@ -87,25 +88,6 @@
 	    : g_hash_table_lookup(g->grants, GUINT_TO_POINTER(slot));
 }
 
-static int64_t
-int_field(struct json_object *o, const char *name)
-{
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v)
-						      : 0;
-}
-
-static const char *
-text_field(struct json_object *o, const char *name)
-{
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, name, &v)
-	    ? json_object_get_string(v)
-	    : "";
-}
-
 static int64_t
 entry_int(struct json_object *entry, size_t i)
 {
@@ -223,7 +205,7 @@
 static bool
 apply(struct ownership *ow, struct group *g, struct json_object *o)
 {
-	const char *kind = text_field(o, "kind");
+	const char *kind = dh_json_text(o, "kind");
 	struct json_object *slots = NULL;
 
 	json_object_object_get_ex(o, "slots", &slots);
@@ -238,7 +220,7 @@
 		drop_expired(ow, g);
 		return false;
 	}
-	if (!extend(ow, g, int_field(o, "until_ms")))
+	if (!extend(ow, g, dh_json_int(o, "until_ms")))
 		return false;
 	if (strcmp(kind, "grant") == 0)
 		grant_set(ow, g, slots);
@@ -265,14 +247,14 @@
 struct order_result
 ownership_order(struct ownership *ow, struct json_object *o)
 {
-	struct group *g = group_make(ow, text_field(o, "group"));
-	struct dh_fence f = { .term = (uint64_t)int_field(o, "term"),
-		.counter = (uint64_t)int_field(o, "counter") };
-	bool hello = strcmp(text_field(o, "kind"), "hello") == 0;
+	struct group *g = group_make(ow, dh_json_text(o, "group"));
+	struct dh_fence f = { .term = (uint64_t)dh_json_int(o, "term"),
+		.counter = (uint64_t)dh_json_int(o, "counter") };
+	bool hello = strcmp(dh_json_text(o, "kind"), "hello") == 0;
 	bool ok = hello;
 
 	if (!hello &&
-	    (uint64_t)int_field(o, "incarnation") == ow->incarnation &&
+	    (uint64_t)dh_json_int(o, "incarnation") == ow->incarnation &&
 	    !(ow->checks_fence && dh_fence_cmp(f, g->highest) < 0)) {
 		ok = apply(ow, g, o);
 		if (ok && dh_fence_cmp(f, g->highest) > 0)
