--- a/proto/link.h
+++ b/proto/link.h
@@ -17,8 +17,8 @@
  * with jittered backoff until it is freed.  An accepted link belongs to its
  * server's user from its `up` on and ends with its `down`.
  *
- * A link on which nothing came for silent_ms isn't yet a lost VM: something
- * between the two ends may have lost track of this one connection.  So a
+ * A link on which nothing came for silent_ms isn't yet a lost VM: a middlebox
+ * may have dropped the state of this one connection.  So a
  * fresh connection asks; what it says decides the reason given to `down`.
  * Whoever uses a link sends heartbeats over it, several per silent_ms.
  */
--- a/tests/failure/backend_frozen.sh
+++ b/tests/failure/backend_frozen.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# A backend server freezes under load and comes back as if nothing had
-# happened: its slots went to others meanwhile, and it runs none of them.
+# A backend server is stopped under load and resumed past its lease: its slots
+# were reassigned meanwhile, and it must run none of them.
 . "$(dirname "$0")/lib.sh"
 start_cluster 3 4
 start_load load --rate 300 --concurrency 300 --duration-ms 6000 \
--- a/tests/failure/leader_paused.sh
+++ b/tests/failure/leader_paused.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The leader's VM is paused past its leases and comes back unaware.
+# The leader's process is stopped past the leases it gave, and resumed.
 . "$(dirname "$0")/lib.sh"
 start_cluster 4 4
 start_load load --rate 300 --concurrency 400 --duration-ms 7000 \
