--- a/control/control.c
+++ b/control/control.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <signal.h>
+#include <string.h>
 
 #include "base/clock.h"
 #include "base/counter.h"
@@ -139,6 +140,47 @@
 	    dh_counter_get("dh_table_version", ""), ct->table_version);
 }
 
+static void
+add_partner(const struct dh_control *ct, GArray *list, uint64_t vm)
+{
+	guint i;
+
+	if (vm == 0 || vm == ct->self)
+		return;
+	for (i = 0; i < list->len; i++)
+		if (g_array_index(list, uint64_t, i) == vm)
+			return;
+	g_array_append_val(list, vm);
+}
+
+/* Leader and deputy of each group: the pair talk to each other, and every
+ * router asks them for permits.  Beyond the size of a mesh the membership
+ * keeps links to these VMs. */
+static void
+tell_partners(struct dh_control *ct)
+{
+	g_autoptr(GArray) now = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct dh_feed_lead lead;
+	struct dh_group_view v;
+	GHashTableIter it;
+	gpointer a;
+
+	g_hash_table_iter_init(&it, ct->authorities);
+	while (g_hash_table_iter_next(&it, NULL, &a)) {
+		v = dh_authority_view(a);
+		lead = dh_feed_leader(ct->feed, dh_authority_name(a), &v);
+		add_partner(ct, now, lead.leader);
+		add_partner(ct, now, lead.deputy);
+	}
+	if (now->len == ct->partners->len &&
+	    memcmp(now->data, ct->partners->data,
+		now->len * sizeof(uint64_t)) == 0)
+		return;
+	g_array_set_size(ct->partners, 0);
+	g_array_append_vals(ct->partners, now->data, now->len);
+	dh_vms_partners(ct->vms, (const uint64_t *)(void *)now->data, now->len);
+}
+
 static void
 on_rebuild(uv_prepare_t *prepare)
 {
@@ -148,6 +190,8 @@
 		ct->table_stale = false;
 		rebuild_table(ct);
 	}
+	if (ct->vms != NULL)
+		tell_partners(ct);
 	dh_publish_poll(ct->publish);
 }
 
@@ -358,6 +402,7 @@
 	writer = g_strdup_printf("%s-%" PRIu64, s->vm, ct->incarnation);
 	ct->authorities = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, authority_free);
+	ct->partners = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	ct->http = dh_http_new(&ct->loop);
 	ct->store = dh_store_new(ct->http, s->store_url, writer);
 	set_store_times(ct->store);
@@ -399,6 +444,7 @@
 	dh_feed_free(ct->feed);
 	dh_asks_free(ct->asks);
 	dh_teams_free(ct->teams);
+	g_array_unref(ct->partners);
 	dh_publish_free(ct->publish);
 	dh_conf_ref_put(ct->conf);
 	uv_run(&ct->loop, UV_RUN_NOWAIT);
--- a/control/control.h
+++ b/control/control.h
@@ -53,6 +53,7 @@
 	struct dh_feed *feed;
 	struct dh_asks *asks;
 	struct dh_conf_ref *conf; /* in force, NULL before the first */
+	GArray *partners; /* uint64_t: VMs told to the membership */
 	GHashTable *authorities; /* group name -> struct dh_authority */
 	uint64_t self; /* dh_name_id() of this VM */
 	uint64_t incarnation;
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -265,6 +265,11 @@
 	group_field "$1" "$2" deputy
 }
 
+leader_is_not() {
+	l=$(leader_of "$1" "$2")
+	[ "$l" ] && [ "$l" != "$3" ]
+}
+
 deputy_is_not() {
 	d=$(deputy_of "$1" "$2")
 	[ "$d" ] && [ "$d" != "$3" ]
--- /dev/null
+++ b/tests/failure/many_vms.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# More VMs than talk all to all (16): configuration and tables come over the
+# relay tree, leader and deputy keep a link, and a leader's loss is met.
+. "$(dirname "$0")/lib.sh"
+start_cluster 20 4
+leader=$(leader_of feed/0 1)
+start_load load --rate 200 --concurrency 300 --duration-ms 5000 \
+    --unrepeatable 20 --retries 3
+sleep 1
+kill_now "$leader"
+end_load
+for n in $vms; do
+	[ "v$n" = "$leader" ] && continue
+	wait_for 30 "owner of every slot at v$n" all_owned "$n"
+	wait_for 10 "answer through v$n" serves "$n" key
+	wait_for 30 "another leader at v$n" leader_is_not feed/0 "$n" "$leader"
+done
+check_history
