--- a/control/control.c
+++ b/control/control.c
@@ -173,8 +173,9 @@
 		add_partner(ct, now, lead.deputy);
 	}
 	if (now->len == ct->partners->len &&
-	    memcmp(now->data, ct->partners->data,
-		now->len * sizeof(uint64_t)) == 0)
+	    (now->len == 0 ||
+		memcmp(now->data, ct->partners->data,
+		    now->len * sizeof(uint64_t)) == 0))
 		return;
 	g_array_set_size(ct->partners, 0);
 	g_array_append_vals(ct->partners, now->data, now->len);
