--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -27,7 +27,8 @@
 	${CC:-gcc} -o "$dir/direct" "$dir"/mutant/*.o "$dir/test_group.o" \
 	    -lcunit -lm
 	! timeout 300 "$dir/direct" >"$dir/$1.direct.log" 2>&1 || return 1
-	echo "$1: $(grep -m1 'FAILED' "$dir/$1.direct.log" | sed 's/^ *//')"
+	echo "$1: noticed by $(grep -m1 'FAILED' "$dir/$1.direct.log" |
+	    sed 's/^ *Test: /direct test "/; s/ *\.\.\..*/"/')"
 }
 
 # mutate NAME FILE SED: the edit must change FILE.
