Drop what nothing uses: three kinds of mail, two readers

DH_MAIL_HOT_KEY, _BACKEND_SEEN and _STOP were never sent; dh_admin_port() and dh_vms_revision() had no caller, and with the latter goes the field it read.

--- a/control/admin.c
+++ b/control/admin.c
@@ -182,9 +182,3 @@
 	dh_httpd_free(ad->httpd);
 	g_free(ad);
 }
-
-uint16_t
-dh_admin_port(const struct dh_admin *ad)
-{
-	return dh_httpd_port(ad->httpd);
-}
--- a/control/admin.h
+++ b/control/admin.h
@@ -13,6 +13,4 @@
 struct dh_admin *dh_admin_new(struct dh_control *ct, GError **error);
 void dh_admin_free(struct dh_admin *ad);
 
-uint16_t dh_admin_port(const struct dh_admin *ad);
-
 #endif
--- a/control/control.c
+++ b/control/control.c
@@ -279,9 +279,6 @@
 		on_load(ct, mail->load);
 		break;
 	case DH_MAIL_PERMIT:
-	case DH_MAIL_HOT_KEY:
-	case DH_MAIL_BACKEND_SEEN:
-	case DH_MAIL_STOP:
 		break;
 	}
 }
--- a/control/mailbox.h
+++ b/control/mailbox.h
@@ -18,9 +18,6 @@
 	DH_MAIL_PERMIT_END, /* traffic -> control: the outcome */
 	DH_MAIL_PERMIT, /* control -> traffic: the verdict */
 	DH_MAIL_LOAD, /* traffic -> control: requests by slot */
-	DH_MAIL_HOT_KEY, /* traffic -> control: a key above its share */
-	DH_MAIL_BACKEND_SEEN, /* traffic -> control: passive health */
-	DH_MAIL_STOP, /* control -> traffic: finish and end */
 };
 
 struct dh_load_report;
@@ -43,14 +40,6 @@
 			int64_t deadline_ms; /* on dh_clock_ms() */
 		} permit;
 		struct dh_load_report *load; /* the receiver frees it */
-		struct {
-			char key[DH_NAME_MAX];
-			uint32_t share_ppm; /* of the service's requests */
-		} hot;
-		struct {
-			bool answered;
-			int64_t latency_us;
-		} seen;
 	};
 };
 
--- a/control/vms.c
+++ b/control/vms.c
@@ -28,7 +28,6 @@
 struct note {
 	uint64_t id;
 	uint64_t refused; /* incarnation whose address refused */
-	uint64_t revision; /* in force there */
 	bool up; /* a link was up, as last logged */
 };
 
@@ -358,7 +357,6 @@
 		.heard = { .digest = hb->members_digest } };
 	struct dh_member_info info;
 
-	note_of(v, id)->revision = hb->config_revision;
 	if (dh_member_find(v->members, id, &info))
 		ev.heard.incarnation = info.record->incarnation;
 	step(v, &ev);
@@ -645,14 +643,6 @@
 	return dh_member_find(v->members, id, &info) ? info.record->name : NULL;
 }
 
-uint64_t
-dh_vms_revision(const struct dh_vms *v, uint64_t id)
-{
-	const struct note *n = g_hash_table_lookup(v->notes, &id);
-
-	return n == NULL ? 0 : n->revision;
-}
-
 struct dh_peers *
 dh_vms_peers(const struct dh_vms *v)
 {
--- a/control/vms.h
+++ b/control/vms.h
@@ -26,10 +26,6 @@
 /* dh_vms_name -- the name of a VM by its id, or NULL; borrowed. */
 const char *dh_vms_name(const struct dh_vms *v, uint64_t id);
 
-/* dh_vms_revision -- the configuration's revision that a VM last said it has
- * in force, 0 if it never did. */
-uint64_t dh_vms_revision(const struct dh_vms *v, uint64_t id);
-
 /* dh_vms_peers -- the links; borrowed. */
 struct dh_peers *dh_vms_peers(const struct dh_vms *v);
 
--- a/router/lane.c
+++ b/router/lane.c
@@ -268,9 +268,6 @@
 	case DH_MAIL_PERMIT_ASK:
 	case DH_MAIL_PERMIT_END:
 	case DH_MAIL_LOAD:
-	case DH_MAIL_HOT_KEY:
-	case DH_MAIL_BACKEND_SEEN:
-	case DH_MAIL_STOP:
 		break;
 	}
 }
