Two links between two VMs: leave one, by a rule both sides follow

Cause: when both VMs connected before either had heard of the other, both links stayed, and each side sent over the one it had connected. Each link then carried messages in one direction only, so each side found its own silent after 800 ms, had it replaced, and so for ever: the partner flapped every 0.8 s, tables and group messages got lost with it. Ruled out: the list's fetch, libcurl's timer, the store outage itself.

Now the link to the higher incarnation stays, else the one that the VM with the lower id connected; a peer is down only when no link to it is up.

--- a/control/peers.c
+++ b/control/peers.c
@@ -72,21 +72,63 @@
 	return NULL;
 }
 
+static void
+drop_out(struct peer *pe)
+{
+	dh_link_part(pe->out, DH_GOODBYE_DUPLICATE);
+	pe->out = NULL;
+}
+
+static void
+drop_in(struct peer *pe)
+{
+	dh_link_part(pe->in, DH_GOODBYE_DUPLICATE);
+	pe->in = NULL;
+}
+
+/*
+ * One link is to be left of two: each side sends over the one it connected,
+ * so both would be silent in one direction.  A link to a former incarnation
+ * goes; otherwise the one connected by the VM with the lower id stays, and
+ * that VM ends the other once its own is up.  The other VM only stops
+ * connecting: it may see its link end before the one that stays is up here.
+ */
+static void
+settle(const struct dh_peers *p, struct peer *pe)
+{
+	uint64_t out, in;
+
+	if (pe->out == NULL || pe->in == NULL || !dh_link_is_up(pe->in))
+		return;
+	if (!dh_link_is_up(pe->out)) {
+		if (p->control->self > pe->vm)
+			drop_out(pe);
+		return;
+	}
+	out = dh_link_peer(pe->out)->incarnation;
+	in = dh_link_peer(pe->in)->incarnation;
+	if (out < in)
+		drop_out(pe);
+	else if (out > in || p->control->self < pe->vm)
+		drop_in(pe);
+}
+
 static void
 on_up(void *arg, struct dh_link *l, const struct dh_hello *hello)
 {
+	struct dh_hello greeting = *hello; /* l may end here */
 	struct dh_peers *p = arg;
 	uint64_t vm = dh_name_id(hello->vm);
 	struct peer *pe = make(p, vm);
-	struct dh_link *old = pe->in;
 
-	if (pe->out != l && old != l) {
+	if (pe->out != l && pe->in != l) {
 		/* Accepted: the newest connection counts. */
+		if (pe->in != NULL)
+			drop_in(pe);
 		pe->in = l;
-		if (old != NULL)
-			dh_link_part(old, DH_GOODBYE_DUPLICATE);
 	}
-	p->ops->up(p->arg, vm, hello);
+	settle(p, pe);
+	p->ops->up(p->arg, vm, &greeting);
 }
 
 static void
@@ -108,7 +150,9 @@
 		return;
 	if (pe->in == l)
 		pe->in = NULL;
-	p->ops->down(p->arg, pe->vm, why);
+	settle(p, pe);
+	if (link_of(pe) == NULL)
+		p->ops->down(p->arg, pe->vm, why);
 }
 
 static const struct dh_link_ops link_ops = { on_up, on_msg, on_down };
@@ -273,3 +317,26 @@
 
 	return pe != NULL && link_of(pe) != NULL;
 }
+
+uint32_t
+dh_peers_links(const struct dh_peers *p)
+{
+	GHashTableIter it;
+	gpointer each;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, p->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &each)) {
+		const struct peer *pe = each;
+
+		n += pe->out != NULL && dh_link_is_up(pe->out);
+		n += pe->in != NULL && dh_link_is_up(pe->in);
+	}
+	return n;
+}
+
+uint16_t
+dh_peers_port(const struct dh_peers *p)
+{
+	return dh_link_server_port(p->server);
+}
--- a/control/peers.h
+++ b/control/peers.h
@@ -14,7 +14,7 @@
 	void (*up)(void *arg, uint64_t vm, const struct dh_hello *hello);
 	/* A message came; borrowed. */
 	void (*message)(void *arg, uint64_t vm, const struct dh_msg *m);
-	/* The link went down. */
+	/* No link is up any more, or an attempt to connect failed. */
 	void (*down)(void *arg, uint64_t vm, enum dh_link_down why);
 };
 
@@ -45,4 +45,10 @@
 
 bool dh_peers_is_up(const struct dh_peers *p, uint64_t vm);
 
+/* dh_peers_links -- links that are up. */
+uint32_t dh_peers_links(const struct dh_peers *p);
+
+/* dh_peers_port -- where it listens. */
+uint16_t dh_peers_port(const struct dh_peers *p);
+
 #endif
