Planned moves: wait for a deputy, and go on in a store outage

Cause: a move released a slot while the group had no deputy; the store went silent before it took the update, and nobody served the slot until it answered (config_in_outage: 9 slots MOVING, leader solo, no deputy). And a drain stood still for as long as the store was down, though leader and deputy can acknowledge a move to the recorded standby. Ruled out: giving the slot back to its owner, the update may have taken effect (AUTHORITY.md).

Now a release waits until a deputy is in place, 2 s at most, and with the store known to be down goes on to a recorded standby the pair can acknowledge.

--- a/core/group_move.c
+++ b/core/group_move.c
@@ -3,6 +3,9 @@
 
 #include "core/group_internal.h"
 
+/* Longest that a planned move waits for a deputy. */
+#define PAIR_WAIT_MS 2000
+
 /*
  * Changes of owner.  One is proposed only when the old owner holds the slot
  * no more: its lease is over, its incarnation is gone, or it has released
@@ -507,6 +510,38 @@
 			g->moves[i].warmed = true;
 }
 
+/*
+ * Between a slot's release and the store's word on its new owner nobody serves
+ * it.  Should the store fail just then, the pair can settle it; a leader alone
+ * cannot, and the slot would wait for the store.  So a planned move, which can
+ * wait, does so for a deputy to be in place, if not for ever.
+ */
+static bool
+pair_in_place(struct dh_group *g, const struct group_move *m)
+{
+	uint64_t incarnation;
+
+	if (g->deputy != 0 && g->next_deputy == 0 && g->peer.synced &&
+	    !g->peer.gone)
+		return true;
+	if (g->now_ms - m->since_ms >= PAIR_WAIT_MS)
+		return true;
+	group_due(g, m->since_ms + PAIR_WAIT_MS);
+	return group_pick_deputy(g, 0, 0, &incarnation) == 0;
+}
+
+/* Whether the proposal that follows a release can be acknowledged. */
+static bool
+move_may_release(struct dh_group *g, const struct group_move *m)
+{
+	const struct group_backend *to = group_backend(g, m->target);
+
+	if (!group_store_down(g))
+		return pair_in_place(g, m);
+	return pair_may_acknowledge(g) && to != NULL &&
+	    group_candidate(g, m->slot, m->target) && group_confirmed(g, to);
+}
+
 /* True while the move goes on. */
 static bool
 move_step(struct dh_group *g, struct group_move *m)
@@ -525,7 +560,8 @@
 			return false;
 		}
 		if (own->accepted_gen == own->set_gen &&
-		    (m->warmed || age >= g->p.warm_ms) && !group_store_down(g))
+		    (m->warmed || age >= g->p.warm_ms) &&
+		    move_may_release(g, m))
 			move_release(g, m);
 		group_due(g, m->since_ms + g->p.warm_ms);
 		return true;
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -277,6 +277,14 @@
 }
 
 # start_cluster VMS BACKENDS: the whole of it, serving.
+# has_deputy VM: feed's group has a leader and a deputy, as this VM sees it.
+has_deputy() {
+	[ "$(deputy_of feed/0 "$1")" ]
+}
+
+# start_cluster VMS BACKENDS: up to where the group has all that it needs to
+# bear a fault: a leader alone may only renew without the store, and not for
+# its own availability zone.
 start_cluster() {
 	start_store
 	i=1
@@ -295,6 +303,7 @@
 	done
 	for n in $vms; do
 		wait_for 30 "owner of every slot at v$n" all_owned "$n"
+		[ "$1" -eq 1 ] || wait_for 10 "deputy at v$n" has_deputy "$n"
 		wait_for 10 "answer through v$n" serves "$n" key
 	done
 }
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -532,6 +532,95 @@
 	done(f);
 }
 
+static void
+drain_one(struct fake *f, uint32_t b)
+{
+	uint32_t vm;
+
+	f->backends[b].conf.drain = true;
+	for (vm = 0; vm < VMS; vm++)
+		if (f->vms[vm].group != NULL)
+			fake_backends_set(f, vm);
+}
+
+/*
+ * A deputy is lost and a backend server drained at once; at any moment of the
+ * time in which another deputy is named the store goes silent.  No planned
+ * move is caught half way: every slot is served on by its old owner.
+ */
+static void
+test_drain_without_deputy_store_down(void)
+{
+	struct fake *f;
+	int64_t at;
+
+	for (at = 0; at < 2 * (int64_t)PHASES_MS; at += 5) {
+		f = running();
+		f->store_slow_ms = 8;
+		fake_vm_end(f, deputy_of(f), true);
+		drain_one(f, 2);
+		fake_run(f, f->now_ms + at);
+		store_down(f);
+		fake_run(f, f->now_ms + 3000);
+		CU_ASSERT_EQUAL(fake_served(f), f->nslots);
+		done(f);
+	}
+}
+
+/* Leader and deputy drain to the recorded standbys in a store outage: what
+ * found it out, and what came when they knew. */
+static void
+test_drain_store_down(void)
+{
+	struct fake *f = running();
+	struct dh_group_view v;
+	uint32_t i;
+
+	fake_run(f, f->now_ms + 2000);
+	store_down(f);
+	drain_one(f, 2);
+	check_gap(f, "drain, store down", SERVED_MS);
+	v = dh_group_view(f->vms[leader_of(f)].group);
+	CU_ASSERT_FATAL(v.store_down);
+	drain_one(f, 1);
+	check_gap(f, "another drain, store down", SERVED_MS);
+	v = dh_group_view(f->vms[leader_of(f)].group);
+	for (i = 0; i < SLOTS; i++) {
+		CU_ASSERT_NOT_EQUAL(v.slots[i].owner, f->backends[2].conf.id);
+		if (f->record->slots[i].standby != f->backends[2].conf.id)
+			CU_ASSERT_NOT_EQUAL(
+			    v.slots[i].owner, f->backends[1].conf.id);
+	}
+	f->store_down_ms = 0;
+	fake_run(f, f->now_ms + 4000);
+	for (i = 0; i < SLOTS; i++) {
+		CU_ASSERT_NOT_EQUAL(owner_of(f, i), 1);
+		CU_ASSERT_NOT_EQUAL(owner_of(f, i), 2);
+	}
+	CU_ASSERT_EQUAL(fake_served(f), f->nslots);
+	done(f);
+}
+
+/* With no VM left that could be deputy a drain goes on all the same. */
+static void
+test_drain_by_one_vm(void)
+{
+	struct fake *f = running();
+	uint32_t vm, leader = leader_of(f), i;
+
+	for (vm = 0; vm < VMS; vm++)
+		if (vm != leader)
+			fake_vm_end(f, vm, true);
+	fake_run(f, f->now_ms + 3000);
+	f->backends[2].conf.drain = true;
+	fake_backends_set(f, leader);
+	fake_run(f, f->now_ms + 10000);
+	for (i = 0; i < SLOTS; i++)
+		CU_ASSERT_NOT_EQUAL(owner_of(f, i), 2);
+	CU_ASSERT_EQUAL(fake_served(f), f->nslots);
+	done(f);
+}
+
 /* Left out of the configuration: the same, by orders still delivered. */
 static void
 test_left_out(void)
@@ -1070,6 +1159,10 @@
 		{ "move", test_move },
 		{ "move falls back", test_move_falls_back },
 		{ "drain", test_drain },
+		{ "drain without deputy, store down",
+		    test_drain_without_deputy_store_down },
+		{ "drain, store down", test_drain_store_down },
+		{ "drain by one VM", test_drain_by_one_vm },
 		{ "left out", test_left_out },
 		{ "cut off", test_cut_off_vm_deposes_nobody },
 		{ "stale reads", test_stale_reads_support_nobody },
