Request ids: apart between VMs started in the same millisecond

Permits were never touched: their id is the caller's. Now the VM's name is mixed in. Before: the three ids of one lane, VM and start compared equal by construction (no name in them); after: test_datapath 'request ids'.

--- a/router/lane.c
+++ b/router/lane.c
@@ -433,6 +433,12 @@
 	return NULL;
 }
 
+uint64_t
+dh_lane_id_prefix(const char *vm, int64_t wall_ms, uint32_t index)
+{
+	return dh_name_id(vm) ^ ((uint64_t)wall_ms << 8 | index);
+}
+
 bool
 dh_lane_start(struct dh_lane *lane, uint16_t port, GError **error)
 {
@@ -447,7 +453,8 @@
 	lane->reader = dh_publish_reader_new(lane->control->publish);
 	lane->from_control =
 	    dh_mailbox_new(&lane->loop, MAILBOX_SIZE, on_mail, lane);
-	lane->id_prefix = (uint64_t)dh_clock_wall_ms() << 8 | lane->index;
+	lane->id_prefix = dh_lane_id_prefix(
+	    lane->settings->vm, dh_clock_wall_ms(), lane->index);
 	lane->rng.state = lane->id_prefix;
 	lane->turns = dh_turns_new(
 	    &lane->loop, lane->settings, lane->id_prefix, dh_exchange_turn);
--- a/router/lane.h
+++ b/router/lane.h
@@ -73,6 +73,11 @@
 	uint16_t port;
 };
 
+/* dh_lane_id_prefix -- what the ids of a lane's requests begin with, apart
+ * from those of all other lanes, VMs and starts; also the seed of what the
+ * lane draws, so that VMs started together don't draw the same. */
+uint64_t dh_lane_id_prefix(const char *vm, int64_t wall_ms, uint32_t index);
+
 /* dh_lane_start -- listen on port and start the thread; false with an error
  * when the port can't be had. */
 bool dh_lane_start(struct dh_lane *lane, uint16_t port, GError **error);
--- a/tests/test_datapath.c
+++ b/tests/test_datapath.c
@@ -2,6 +2,8 @@
  * what is refused.  Faults of backend servers: test_datapath_faults.c. */
 #include <inttypes.h>
 
+#include "router/lane.h"
+
 #include "datapath_fake.h"
 
 #include "cunit_main.h"
@@ -364,6 +366,17 @@
 	world_stop(&w);
 }
 
+/* VMs and lanes that start in the same millisecond name requests apart. */
+static void
+test_request_ids_apart(void)
+{
+	uint64_t a = dh_lane_id_prefix("v1", 1796344382000, 0);
+
+	CU_ASSERT_NOT_EQUAL(a, dh_lane_id_prefix("v2", 1796344382000, 0));
+	CU_ASSERT_NOT_EQUAL(a, dh_lane_id_prefix("v1", 1796344382000, 1));
+	CU_ASSERT_NOT_EQUAL(a, dh_lane_id_prefix("v1", 1796344382001, 0));
+}
+
 int
 main(void)
 {
@@ -380,6 +393,7 @@
 		{ "out of order", test_out_of_order },
 		{ "large", test_large },
 		{ "drain", test_drain },
+		{ "request ids", test_request_ids_apart },
 		CU_TEST_INFO_NULL,
 	};
 
