Report page: draw the rate between two samples, and the time

Cause, seen in a browser for the first time: the burn rate of two rounds of samples is one interval, drawn as one point, that is, nothing; and no plot said from when to when. Now the rate is a level line over its interval, with the time at both ends.

--- a/report/page.c
+++ b/report/page.c
@@ -21,6 +21,7 @@
 	const char *colour;
 	double low, high;
 	double mark; /* a line across */
+	int64_t from_ms, to_ms; /* wall clock */
 	GString *path;
 	GString *out;
 };
@@ -48,6 +49,18 @@
 	    height_of(p, value));
 }
 
+static void
+plot_time(const struct plot *p, double x, const char *anchor, int64_t wall_ms)
+{
+	g_autoptr(GDateTime) at = g_date_time_new_from_unix_utc(wall_ms / 1000);
+	g_autofree char *text = g_date_time_format(at, "%F %T");
+
+	g_string_append_printf(p->out,
+	    "<text x=\"%.0f\" y=\"%.0f\" font-size=\"10\" "
+	    "text-anchor=\"%s\">%s</text>",
+	    x, HEIGHT - 4, anchor, text);
+}
+
 static void
 plot_finish(struct plot *p)
 {
@@ -60,11 +73,14 @@
 	    "<line x1=\"%.0f\" x2=\"%.0f\" y1=\"%.1f\" y2=\"%.1f\" "
 	    "stroke=\"#999\" stroke-dasharray=\"4\"/>"
 	    "<polyline fill=\"none\" stroke=\"%s\" stroke-width=\"1.5\" "
-	    "points=\"%s\"/></svg>\n",
+	    "points=\"%s\"/>",
 	    WIDTH, HEIGHT, p->title, MARGIN, p->title,
 	    height_of(p, p->high) + 4, p->high, height_of(p, p->low) + 4,
 	    p->low, MARGIN, WIDTH - MARGIN, height_of(p, p->mark),
 	    height_of(p, p->mark), p->colour, p->path->str);
+	plot_time(p, MARGIN, "start", p->from_ms);
+	plot_time(p, WIDTH - MARGIN, "end", p->to_ms);
+	g_string_append(p->out, "</svg>\n");
 	(void)g_string_free(p->path, TRUE);
 }
 
@@ -81,38 +97,55 @@
 }
 
 static double
-place(const struct dh_burn_service *sv, guint i)
+place(const struct plot *p, const struct dh_burn_service *sv, guint i)
 {
-	int64_t from_ms = point(sv, 0)->wall_ms;
-	int64_t to_ms = point(sv, sv->points->len - 1)->wall_ms;
+	return (double)(point(sv, i)->wall_ms - p->from_ms) /
+	    (double)MAX(p->to_ms - p->from_ms, 1);
+}
 
-	return (double)(point(sv, i)->wall_ms - from_ms) /
-	    (double)MAX(to_ms - from_ms, 1);
+static void
+plot_begin(struct plot *p, const struct dh_burn_service *sv, GString *out)
+{
+	p->from_ms = point(sv, 0)->wall_ms;
+	p->to_ms = point(sv, sv->points->len - 1)->wall_ms;
+	p->path = g_string_new(NULL);
+	p->out = out;
 }
 
+/* Level between two points: the rate is that of the whole time between. */
 static void
 plot_rate(GString *out, const struct dh_burn_service *sv, guint stride)
 {
-	struct plot p = { "burn rate (dashed: 1, the budget's pace)", "#06c", 0,
-		2, 1, g_string_new(NULL), out };
+	struct plot p = { .title = "burn rate (dashed: 1, the budget's pace)",
+		.colour = "#06c",
+		.high = 2,
+		.mark = 1 };
+	double rate;
 	guint i;
 
+	plot_begin(&p, sv, out);
 	for (i = stride; i < sv->points->len; i += stride)
 		p.high = MAX(p.high, rate_between(sv, i - stride, i));
-	for (i = stride; i < sv->points->len; i += stride)
-		plot_point(&p, place(sv, i), rate_between(sv, i - stride, i));
+	for (i = stride; i < sv->points->len; i += stride) {
+		rate = rate_between(sv, i - stride, i);
+		plot_point(&p, place(&p, sv, i - stride), rate);
+		plot_point(&p, place(&p, sv, i), rate);
+	}
 	plot_finish(&p);
 }
 
 static void
 plot_budget(GString *out, const struct dh_burn_service *sv, guint stride)
 {
-	struct plot p = { "budget left (dashed: none)", "#080", -0.5, 1, 0,
-		g_string_new(NULL), out };
+	struct plot p = { .title = "budget left (dashed: none)",
+		.colour = "#080",
+		.low = -0.5,
+		.high = 1 };
 	guint i;
 
+	plot_begin(&p, sv, out);
 	for (i = 0; i < sv->points->len; i += stride)
-		plot_point(&p, place(sv, i), 1 - rate_between(sv, 0, i));
+		plot_point(&p, place(&p, sv, i), 1 - rate_between(sv, 0, i));
 	plot_finish(&p);
 }
 
--- a/tests/test_burn.c
+++ b/tests/test_burn.c
@@ -193,6 +193,21 @@
 	dh_sample_free(t);
 }
 
+/* Every plot's line has two points or more: of one nothing is drawn. */
+static bool
+lines_drawn(const char *page)
+{
+	const char *at = page, *end;
+
+	while ((at = strstr(at, "points=\"")) != NULL) {
+		at += strlen("points=\"");
+		end = strchr(at, '"');
+		if (memchr(at, ' ', (size_t)(end - at)) == NULL)
+			return false;
+	}
+	return true;
+}
+
 static void
 test_forms(void)
 {
@@ -219,6 +234,7 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(page, "<polyline"));
 	CU_ASSERT_PTR_NULL(strstr(page, "http"));
 	CU_ASSERT_PTR_NULL(strstr(page, "nan"));
+	CU_ASSERT_TRUE(lines_drawn(page));
 	dh_burn_free(b);
 }
 
