--- /dev/null
+++ b/tests/failure/unchecked_backends.sh
@@ -0,0 +1,36 @@
+#!/bin/sh
+# Backend servers that obey whoever gives an order: the leader is cut off from
+# all but them, and one is drained meanwhile, to whom the former leader could
+# still give orders; later one is lost, and the leader.
+. "$(dirname "$0")/lib.sh"
+checks_fence=false
+backend_options=--no-check
+start_wire 4
+start_cluster 4 4
+start_load load --rate 300 --concurrency 400 --duration-ms 16000 \
+    --unrepeatable 20 --retries 3 --timeout-ms 4000
+sleep 1
+leader=$(leader_of feed/0 1)
+others=
+for n in $vms; do
+	[ "v$n" = "$leader" ] || others="$others[\"$leader\",\"v$n\"],"
+done
+cut "$others[\"$leader\",\"store\"]"
+sleep 1
+ctl drain b3 >/dev/null || fail drain
+event accept ',"revision":2'
+event drain ',"backend":"b3"'
+sleep 4
+cut ''
+sleep 2
+kill_now b2
+sleep 2
+second=$(leader_of feed/0 1)
+kill_now "$second"
+end_load
+for n in $vms; do
+	[ "v$n" != "$second" ] || continue
+	wait_for 30 "owner of every slot at v$n" all_owned "$n"
+	wait_for 10 "answer through v$n" serves "$n" key
+done
+check_history
