A new leader tells earlier authorities that are alive to end

Cause: after a take-over by a VM outside the pair only a proof of death or a message of the new deputy ended an earlier authority. A leader that was paused or cut off and came back was therefore waited out for store_outage_limit_ms + solo_limit_ms (16 min) at backend servers that check no fences: requests for their slots, and for slots whose standby they are, were refused though the status said "owned".

END goes to parties of older terms that may still renew; whoever gets it drops its authority, raises its term so that no late record or message gives it back, and answers ENDED. Ruled out: asking replaced deputies of the same term, too (a heartbeat on its way would name them again); answering while an own update is under way. pair_ms ends with the last party.

Not mended: `unsettled` in the object names nobody, so a third VM that takes over within solo_limit_ms of another take-over still waits 16 min for unchecked backend servers (AUTHORITY.md).

lib.sh: histories by writer, orders to the wire, group of all_owned, all_done.

--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -197,6 +197,7 @@
 	struct group_party parties[PARTIES_MAX];
 	uint32_t nparties;
 	int64_t pair_ms; /* until then an earlier pair may even reassign */
+	int64_t ask_ms; /* when the parties were last told to end */
 	int64_t taken_ms; /* start of our term */
 
 	/* Store. */
@@ -310,8 +311,10 @@
 /* group_wait.c */
 void group_party_add(struct dh_group *g, uint64_t vm, uint64_t incarnation,
     uint64_t term, int64_t own_ms, int64_t all_ms);
-void group_party_ended(struct dh_group *g, uint64_t vm, uint64_t incarnation);
+void group_party_ended(struct dh_group *g, uint64_t vm, uint64_t incarnation,
+    uint64_t before_term);
 void group_parties_tick(struct dh_group *g);
+void group_parties_ask(struct dh_group *g);
 void group_parties_of_pair(struct dh_group *g);
 void group_parties_of_third(struct dh_group *g);
 int64_t group_parties_quiet(
@@ -349,6 +352,7 @@
 void group_peer_dirty(struct dh_group *g, uint32_t slot);
 void group_peer_dirty_all(struct dh_group *g);
 uint64_t group_peer_send(struct dh_group *g, enum dh_group_msg_kind kind);
+void group_peer_end(struct dh_group *g, uint64_t vm, uint64_t incarnation);
 
 /* group_lease.c */
 bool group_alive(const struct group_backend *b);
--- a/core/group_peer.c
+++ b/core/group_peer.c
@@ -106,6 +106,12 @@
 	return msg_new(g, g->leader, g->leader_incarnation, kind)->seq;
 }
 
+void
+group_peer_end(struct dh_group *g, uint64_t vm, uint64_t incarnation)
+{
+	(void)msg_new(g, vm, incarnation, DH_GROUP_MSG_END);
+}
+
 static const struct dh_assignment *
 newest(const struct dh_group *g, uint32_t slot)
 {
@@ -256,6 +262,12 @@
 {
 	struct group_backend *b;
 
+	if (m->kind == DH_GROUP_MSG_ENDED) {
+		if (m->term == g->term)
+			group_party_ended(
+			    g, m->from, m->from_incarnation, g->term);
+		return;
+	}
 	if (m->term != g->term || m->deputy_seq != g->deputy_seq ||
 	    m->from != g->deputy ||
 	    m->from_incarnation != g->deputy_incarnation)
@@ -266,7 +278,7 @@
 	if (m->echo_ms != 0 && m->echo_ms > g->peer.base_ms &&
 	    m->kind != DH_GROUP_MSG_REVOKED)
 		g->peer.base_ms = m->echo_ms;
-	group_party_ended(g, m->from, m->from_incarnation);
+	group_party_ended(g, m->from, m->from_incarnation, UINT64_MAX);
 	switch (m->kind) {
 	case DH_GROUP_MSG_ASSIGNED:
 		batch_acked(g, m->seq);
@@ -455,15 +467,43 @@
 	case DH_GROUP_MSG_REVOKE:
 	case DH_GROUP_MSG_RESTORE:
 	case DH_GROUP_MSG_HANDOVER:
+	case DH_GROUP_MSG_END:
 		return true;
 	case DH_GROUP_MSG_ACK:
 	case DH_GROUP_MSG_ASSIGNED:
 	case DH_GROUP_MSG_REVOKED:
+	case DH_GROUP_MSG_ENDED:
 		return false;
 	}
 	return false;
 }
 
+/*
+ * A leader of a newer term waits for whatever authority we had.  It ends
+ * before the answer, and no record or message of an older term gives it back.
+ * While an update of our own may take effect there is no answer.
+ */
+static void
+end_msg(struct dh_group *g, const struct dh_group_msg *m)
+{
+	if (g->mode == MODE_TAKING)
+		return;
+	if (m->term > g->term) {
+		if (g->mode == MODE_DEPUTY) {
+			g->mode = MODE_IDLE;
+			group_peer_reset(g);
+		}
+		g->term = m->term;
+		g->leader = m->from;
+		g->leader_incarnation = m->from_incarnation;
+		g->deputy = g->deputy_incarnation = g->deputy_seq = 0;
+		g->leaderless_ms = DH_FOREVER_MS;
+		group_get(g);
+		group_publish(g);
+	}
+	reply(g, m, DH_GROUP_MSG_ENDED, -1);
+}
+
 /* The sender's term is over: let it know. */
 static void
 tell_term(struct dh_group *g, const struct dh_group_msg *m)
@@ -493,6 +533,10 @@
 	}
 	if (m->term == g->term && g->mode == MODE_LEADING)
 		return;
+	if (m->kind == DH_GROUP_MSG_END) {
+		end_msg(g, m);
+		return;
+	}
 	/* While its own update is under way it vouches for nobody. */
 	if (m->term == g->term && g->mode == MODE_TAKING) {
 		if (m->kind == DH_GROUP_MSG_HANDOVER &&
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -165,6 +165,7 @@
 	}
 	g->mode = MODE_LEADING;
 	g->taken_ms = g->now_ms;
+	g->ask_ms = DH_NEVER_MS;
 	g->term = r->term;
 	g->leader = g->self.id;
 	g->leader_incarnation = g->self.incarnation;
@@ -574,6 +575,7 @@
 	bool unsettled;
 
 	group_parties_tick(g);
+	group_parties_ask(g);
 	if (g->stopping)
 		leader_stop(g);
 	if (!g->rec_unsettled || g->next_deputy != 0 || !group_supported(g))
--- a/core/group_wait.c
+++ b/core/group_wait.c
@@ -71,16 +71,25 @@
 	    group_max_ms(own_ms, all_ms), group_max_ms(old.own_ms, old.all_ms));
 }
 
-/* Proof that the VM's authority has ended: it may have renewed up to now. */
+static bool
+party_open(const struct dh_group *g, const struct group_party *p)
+{
+	return group_max_ms(p->own_ms, p->all_ms) > g->now_ms;
+}
+
+/* Proof that the VM's authority in terms before that one has ended: it may have
+ * renewed up to now. */
 void
-group_party_ended(struct dh_group *g, uint64_t vm, uint64_t incarnation)
+group_party_ended(
+    struct dh_group *g, uint64_t vm, uint64_t incarnation, uint64_t before_term)
 {
 	struct group_party *p;
 	uint32_t i;
 
 	for (i = 0; i < g->nparties; i++) {
 		p = &g->parties[i];
-		if (p->vm != vm || p->incarnation != incarnation)
+		if (p->vm != vm || p->incarnation != incarnation ||
+		    p->term >= before_term)
 			continue;
 		p->own_ms = group_min_ms(p->own_ms, g->now_ms);
 		p->all_ms = group_min_ms(p->all_ms, g->now_ms);
@@ -92,23 +101,51 @@
 {
 	int64_t hold = group_slack(g, g->p.lease_ms) + g->p.request_deadline_ms;
 	struct group_party *p;
+	bool open = false;
 	uint32_t i, n = 0;
 
 	for (i = 0; i < g->nparties; i++) {
 		p = &g->parties[i];
 		if (p->vm != 0 && group_dead(g, p->vm, p->incarnation))
-			group_party_ended(g, p->vm, p->incarnation);
+			group_party_ended(g, p->vm, p->incarnation, UINT64_MAX);
 	}
 	for (i = 0; i < g->nparties; i++) {
 		p = &g->parties[i];
+		open = open || party_open(g, p);
 		if (group_max_ms(p->own_ms, p->all_ms) + hold >= g->now_ms)
 			g->parties[n++] = *p;
 	}
 	g->nparties = n;
-	if (g->pair_ms < g->now_ms)
+	if (!open || g->pair_ms < g->now_ms)
 		g->pair_ms = DH_NEVER_MS;
 }
 
+/*
+ * group_parties_ask -- tell those that may still renew in an older term that
+ * it is over.  One that is alive need not be waited out: it drops what
+ * authority it has before it answers.  A deputy replaced in our own term is
+ * not asked: a message on its way could name it again.
+ */
+void
+group_parties_ask(struct dh_group *g)
+{
+	bool due = g->now_ms - g->ask_ms >= g->p.heartbeat_ms;
+	const struct group_party *p;
+	uint32_t i;
+
+	for (i = 0; i < g->nparties; i++) {
+		p = &g->parties[i];
+		if (p->vm == 0 || p->vm == g->self.id || p->term == g->term ||
+		    !party_open(g, p))
+			continue;
+		if (due) {
+			group_peer_end(g, p->vm, p->incarnation);
+			g->ask_ms = g->now_ms;
+		}
+		group_due(g, g->ask_ms + g->p.heartbeat_ms);
+	}
+}
+
 /* Until when the present deputy may renew b. */
 static int64_t
 deputy_quiet(const struct dh_group *g, const struct group_backend *b)
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -100,7 +100,8 @@
 	DH_GROUP_SOLO, /* renews only: neither store nor partner */
 };
 
-/* Messages between leader and deputy. */
+/* Messages between leader and deputy, and between the leader and VMs that had
+ * authority before it. */
 enum dh_group_msg_kind {
 	DH_GROUP_MSG_HEARTBEAT, /* leader -> deputy: term, store age,
 				 * changed assignments */
@@ -112,6 +113,9 @@
 	DH_GROUP_MSG_ASSIGN, /* leader -> deputy: hold assignments */
 	DH_GROUP_MSG_ASSIGNED, /* deputy -> leader */
 	DH_GROUP_MSG_HANDOVER, /* leader -> deputy: take the term now */
+	DH_GROUP_MSG_END, /* leader -> former leader or deputy: its term is
+			   * over */
+	DH_GROUP_MSG_ENDED, /* the answer: it has no older authority left */
 };
 
 struct dh_group_msg {
--- a/proto/msg.c
+++ b/proto/msg.c
@@ -158,7 +158,7 @@
 
 static const struct field group_fields[] = {
 	F_NAME(group_wire, group),
-	F_ENUM(group_wire, kind, DH_GROUP_MSG_HANDOVER),
+	F_ENUM(group_wire, kind, DH_GROUP_MSG_ENDED),
 	F(FIELD_U64, group_wire, term),
 	F(FIELD_U64, group_wire, from),
 	F(FIELD_U64, group_wire, from_incarnation),
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -64,7 +64,7 @@
 # event KIND FIELDS: a line of the script's own history.
 event() {
 	printf '{"t":%s,"src":"script","ev":"%s"%s}\n' "$(now_ms)" "$1" "$2" \
-	    >>"$dir/script.hist"
+	    >>"$dir/${event_file:-script}.hist"
 }
 
 # wait_for SECONDS WHAT COMMAND...: until the command succeeds.
@@ -206,11 +206,11 @@
 }
 
 # start_wire VMS: put a cuttable wire between the VMs, and between each VM and
-# the store.  Before start_cluster.
+# the store, and where wire_maps says.  Before start_cluster.
 wire=
 start_wire() {
 	wire=$((base + 95))
-	maps=
+	maps=${wire_maps:-}
 	i=1
 	while [ "$i" -le "$1" ]; do
 		maps="$maps *,v$i,$((base + 300 + i)),$(($(vm_port "$i") + 2))"
@@ -224,13 +224,17 @@
 	    "http://127.0.0.1:$wire/"
 }
 
+wire_order() {
+	curl -sf -d "$1" "http://127.0.0.1:$wire/" >/dev/null ||
+	    fail "wire order $1"
+}
+
 # cut PAIRS: as JSON, e.g. '["v1","v2"],["v1","store"]'; nothing heals all.
 cut() {
 	on=true
 	[ "$1" ] || on=false
 	event fault ",\"kind\":\"partition\",\"on\":$on"
-	curl -sf -d "{\"cut\": [$1]}" "http://127.0.0.1:$wire/" >/dev/null ||
-	    fail "cut $1"
+	wire_order "{\"cut\": [$1]}"
 }
 
 vm_url() {
@@ -246,15 +250,15 @@
 	curl -sf -m 3 -o /dev/null "$(vm_url "$1")/feed/$2"
 }
 
-# all_owned VM: every slot of feed has an owner, as this VM sees it.
+# all_owned VM [GROUP]: every slot (of feed) has an owner, as this VM sees it.
 all_owned() {
-	curl -sf -m 2 "$(admin_url "$1")/status" |
-	    grep -q '"group":"feed/0"[^}]*"unowned":0[^}]*"moving":0'
+	curl -sf -m 2 "$(admin_url "$1")/status" | grep -q \
+	    "\"group\":\"${2:-feed/0}\"[^}]*\"unowned\":0[^}]*\"moving\":0"
 }
 
 # leader_of GROUP VM, deputy_of GROUP VM: as the VM sees it.
 group_field() {
-	curl -sf -m 2 "$(admin_url "$2")/status" | tr '{' '\n' |
+	curl -sf -m "${curl_s:-2}" "$(admin_url "$2")/status" | tr '{' '\n' |
 	    grep "\"group\":\"$1\"" | sed "s/.*\"$3\":\"\([^\"]*\)\".*/\1/"
 }
 
@@ -337,6 +341,18 @@
 	cat "$dir/$load_name.out"
 }
 
+# all_done SERVICE: whether 100 requests through all VMs are all answered.  Each
+# call has other keys and ids: no two requests have one id.
+load_seed=1000
+all_done() {
+	load_seed=$((load_seed + 1))
+	start_load "last-$load_seed" --service "$1" --rate 200 \
+	    --concurrency 500 --duration-ms 500 --unrepeatable 20 \
+	    --seed "$load_seed"
+	wait "$load_pid" &&
+	    grep -q 'not run 0, unknown 0, wrong 0, cut 0' "$dir/$load_name.out"
+}
+
 # Faults.  A name is b3 or v2.
 pid_of() {
 	case $1 in
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -678,6 +678,31 @@
 	done(f);
 }
 
+/* Both of the pair are paused until a third VM leads, and come back: they say
+ * that their term is over, which need not be waited out then. */
+static void
+test_pair_paused(void)
+{
+	struct dh_group_params p = dh_group_params_defaults();
+	struct fake *f = &fake;
+	uint32_t i;
+
+	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
+	for (i = 0; i < BACKENDS; i++)
+		f->backends[i].conf.checks_fence = false;
+	for (i = 0; i < VMS; i++)
+		fake_backends_set(f, i);
+	fake_run(f, f->now_ms + WARM_UP_MS);
+	f->vms[leader_of(f)].paused_ms = f->now_ms + 6000;
+	f->vms[deputy_of(f)].paused_ms = f->now_ms + 6000;
+	fake_run(f, f->now_ms + 5999);
+	CU_ASSERT_EQUAL(f->record->term, 2);
+	CU_ASSERT(fake_served(f) < f->nslots);
+	CU_ASSERT(fake_until_served(
+		      f, p.request_deadline_ms + p.lease_ms + SERVED_MS) >= 0);
+	done(f);
+}
+
 static void
 cut_off(struct fake *f, uint32_t vm, bool on)
 {
@@ -1056,6 +1081,61 @@
 	CU_ASSERT_EQUAL(solo_renewals(true, true), 0);
 }
 
+/* Whether the deputy of term 1 answers a leader of term 2 that its own term is
+ * over; after told_ms.  renewals: those it sends afterwards. */
+static bool
+ends(int64_t told_ms, uint32_t *renewals)
+{
+	struct dh_group_actions out = { 0 };
+	struct dh_group_msg m = { .kind = DH_GROUP_MSG_END,
+		.term = 2,
+		.from = 3,
+		.from_incarnation = 8,
+		.deputy_seq = 1,
+		.seq = 1 };
+	struct dh_group_event tick = { .kind = DH_GROUP_TICK };
+	struct dh_group_event ev = { .kind = DH_GROUP_PEER, .msg = &m };
+	const struct dh_group_action *a;
+	struct dh_group_vm self;
+	struct dh_group *g = deputy_new(&self);
+	int64_t now = 1000 + told_ms;
+	bool answered;
+
+	deputy_told(g, 1000, 1, self.incarnation, &out);
+	dh_group_actions_clear(&out);
+	dh_group_step(g, &tick, now, &out);
+	(void)answer_orders(g, now, &out);
+	dh_group_actions_clear(&out);
+	m.to_incarnation = self.incarnation;
+	dh_group_step(g, &ev, now, &out);
+	a = action_of(&out, DH_GROUP_DO_SEND);
+	answered = a != NULL && a->send.msg.kind == DH_GROUP_MSG_ENDED &&
+	    a->send.msg.term == 2 && a->send.to == 3;
+	CU_ASSERT_EQUAL(dh_group_view(g).role == DH_GROUP_IDLE, answered);
+	/* A message of its former leader that is late. */
+	deputy_told(g, now + 1, 2, self.incarnation, &out);
+	*renewals = 0;
+	for (now += 2; now < 4000; now++) {
+		dh_group_actions_clear(&out);
+		dh_group_step(g, &tick, now, &out);
+		*renewals += answer_orders(g, now, &out);
+	}
+	dh_group_actions_free(&out);
+	dh_group_free(g);
+	return answered;
+}
+
+static void
+test_former_deputy_ends(void)
+{
+	uint32_t renewals;
+
+	CU_ASSERT(ends(10, &renewals));
+	CU_ASSERT_EQUAL(renewals, 0);
+	/* Its own update is under way: it may be leading soon. */
+	CU_ASSERT(!ends(1000, &renewals));
+}
+
 /* One action of a leader that is alone with its deputy and the store; true
  * when it was a message that says synced. */
 static bool
@@ -1148,6 +1228,7 @@
 		{ "zone lost", test_zone_lost },
 		{ "leader's zone cut off", test_leader_zone_cut_off },
 		{ "pair lost", test_pair_lost },
+		{ "pair paused", test_pair_paused },
 		{ "hand-over", test_hand_over },
 		{ "lost reply", test_lost_reply },
 		{ "frozen backend", test_frozen_backend },
@@ -1176,6 +1257,7 @@
 		{ "earlier incarnation",
 		    test_message_for_an_earlier_incarnation },
 		{ "deputy alone", test_deputy_alone },
+		{ "former deputy ends", test_former_deputy_ends },
 		{ "synced after grants", test_synced_after_grants },
 		CU_TEST_INFO_NULL,
 	};
--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -124,6 +124,15 @@
 # The pair acknowledges while the store may name another deputy.
 mutate naming group_move.c \
     's/g->store.put_open \&\& g->next_deputy != 0/false/'
+# Former leaders and deputies that are alive are waited out.
+mutate end-asks group_term.c \
+    's/^\tgroup_parties_ask\(g\);//'
+# A former deputy answers that its term is over, and keeps its authority.
+mutate end-drops group_peer.c \
+    's/if \(g->mode == MODE_DEPUTY\) \{/if (false) {/'
+# A former deputy whose own update may still take effect answers it, too.
+mutate end-taking group_peer.c \
+    's/if \(g->mode == MODE_TAKING\)/if (false)/'
 
 echo "$caught caught, $missed missed"
 [ "$missed" -eq 0 ]
