dhload: time of refusals, times to come back, callers that heed them

datapath.sh: part 'shared' (2x load on six and on three slots through 1, 2 and 4 routers, and straight at the backend server); VMS_MAX bounds the VMs.

--- a/bench/datapath.sh
+++ b/bench/datapath.sh
@@ -5,19 +5,21 @@
 # run.  Takes under four minutes.
 . "$(dirname "$0")/../tests/failure/lib.sh"
 
-vms_max=11
+vms_max=${VMS_MAX:-11}
 hz=$(getconf CLK_TCK)
-# b1 and b2 own the keys of feed; b3 serves web, b4 slow (100 ms, 6 slots).
+# b1 and b2 own the keys of feed; b3 serves web, b4 slow (100 ms, 6 slots), b5
+# slow3 (100 ms, 3 slots).
 write_team() {
 	cat >"$1" <<JSON
 {"services": {
   "feed": {"service_kind": "keyed", "hash_slots": 8, "deadline_ms": 2000,
     "queue_ms": 1500},
   "web": {"service_kind": "any", "deadline_ms": 5000},
-  "slow": {"service_kind": "any", "deadline_ms": 500, "queue_ms": 400}},
+  "slow": {"service_kind": "any", "deadline_ms": 500, "queue_ms": 400},
+  "slow3": {"service_kind": "any", "deadline_ms": 500, "queue_ms": 400}},
  "backend_servers": {
 $(row b1 feed 64 4096), $(row b2 feed 64 4096),
-$(row b3 web 512 45056), $(row b4 slow 6 4096)
+$(row b3 web 512 45056), $(row b4 slow 6 4096), $(row b5 slow3 3 4096)
 }}
 JSON
 }
@@ -133,6 +135,25 @@
 	done
 }
 
+# Routers that share six and three slots, at twice what these serve.
+shared() {
+	for slots in 6 3; do
+		b=4 service=slow
+		[ "$slots" -eq 6 ] || b=5 service=slow3
+		for rep in 1 2 3; do
+			for n in 1 2 4; do
+				load "slots$slots.routers$n.$rep" "$(urls "$n")" \
+				    --service "$service" -r $((slots * 20)) \
+				    -c 400 -d 3000
+			done
+			load "slots$slots.direct.$rep" \
+			    "http://127.0.0.1:$(backend_port "$b")" \
+			    --service "$service" -r $((slots * 20)) -c 400 \
+			    -d 3000 --timeout-ms 500
+		done
+	done
+}
+
 owner_of_key() {
 	for b in 1 2; do
 		eval "size_$b=$(wc -c <"$dir/b$b.hist")"
@@ -169,6 +190,7 @@
 start_backend 2 $feed_options
 start_backend 3 --service-ms 0 --slots 512 --queue 512 --no-owner
 start_backend 4 --service-ms 100 --slots 6 --queue 12 --no-owner
+start_backend 5 --service-ms 100 --slots 3 --queue 6 --no-owner
 write_team "$dir/team.json"
 put_object teams/t "$dir/team.json"
 n=1
--- a/bench/dhload.c
+++ b/bench/dhload.c
@@ -36,6 +36,7 @@
 	int64_t duration_ms;
 	uint32_t unrepeatable_percent;
 	uint32_t retries; /* of the caller, with the same id */
+	bool as_told; /* a refused caller comes back when it was told to */
 	uint64_t size;
 	uint64_t upload;
 	int64_t timeout_ms;
@@ -47,6 +48,11 @@
 
 static const char *const outcome_names[] = { "done", "not-run", "unknown" };
 
+struct samples {
+	uint32_t *values;
+	size_t n;
+};
+
 struct load {
 	struct options opt;
 	uv_loop_t loop;
@@ -62,8 +68,9 @@
 	uint64_t cut;
 	uint64_t late; /* open loop: could not be sent in time */
 	uint64_t bytes;
-	uint32_t *latency_us; /* of answers that are done */
-	size_t nlatency;
+	struct samples latency_us; /* of answers that are done */
+	struct samples refusal_us; /* of those that are not run */
+	struct samples return_ms; /* told to those that are not run */
 	int64_t last_done_us;
 	int64_t longest_gap_us; /* between two answers that are done */
 	uint64_t next_call;
@@ -86,6 +93,9 @@
 	char echo[48];
 	enum call_outcome outcome;
 	bool outcome_told;
+	int64_t return_ms; /* when to come back, 0: not told */
+	int64_t tried_us; /* when this try was sent */
+	uv_timer_t *timer; /* until it comes back */
 };
 
 static const struct argp_option argp_options[] = {
@@ -101,6 +111,7 @@
 	{ "duration-ms", 'd', "MS", 0, "how long (5000)", 0 },
 	{ "unrepeatable", 'u', "PERCENT", 0, "with an Idempotency-Key", 0 },
 	{ "retries", 'R', "N", 0, "the caller tries again so often", 0 },
+	{ "as-told", 'a', 0, 0, "tries again when it was told to", 0 },
 	{ "size", 'S', "BYTES", 0, "of an answer", 0 },
 	{ "upload", 'U', "BYTES", 0, "of a request's body", 0 },
 	{ "timeout-ms", 'T', "MS", 0, "the caller's patience (10000)", 0 },
@@ -163,6 +174,9 @@
 	case 'R':
 		o->retries = (uint32_t)strtoul(arg, NULL, 10);
 		break;
+	case 'a':
+		o->as_told = true;
+		break;
 	case 'S':
 		o->size = strtoull(arg, NULL, 10);
 		break;
@@ -281,6 +295,8 @@
 	g_strstrip(value);
 	if (g_ascii_strcasecmp(line, "Test-Id") == 0)
 		g_strlcpy(c->echo, value, sizeof(c->echo));
+	if (g_ascii_strcasecmp(line, "Dh-Retry-After-Ms") == 0)
+		c->return_ms = g_ascii_strtoll(value, NULL, 10);
 	if (g_ascii_strcasecmp(line, "Dh-Outcome") != 0)
 		return size * n;
 	c->outcome_told = true;
@@ -312,6 +328,15 @@
 	g_free(c);
 }
 
+static void
+sample(struct samples *sm, int64_t value)
+{
+	if (sm->values == NULL)
+		sm->values = g_new(uint32_t, SAMPLES_MAX);
+	if (sm->n < SAMPLES_MAX)
+		sm->values[sm->n++] = (uint32_t)CLAMP(value, 0, UINT32_MAX);
+}
+
 static void
 note_done(struct load *ld, const struct call *c)
 {
@@ -320,9 +345,15 @@
 	if (ld->last_done_us != 0 && gap_us > ld->longest_gap_us)
 		ld->longest_gap_us = gap_us;
 	ld->last_done_us = now_us;
-	if (ld->nlatency < SAMPLES_MAX)
-		ld->latency_us[ld->nlatency++] =
-		    (uint32_t)MIN(now_us - c->due_us, UINT32_MAX);
+	sample(&ld->latency_us, now_us - c->due_us);
+}
+
+static void
+note_refused(struct load *ld, const struct call *c)
+{
+	sample(&ld->refusal_us, dh_clock_us() - c->tried_us);
+	if (c->return_ms > 0)
+		sample(&ld->return_ms, c->return_ms);
 }
 
 static enum call_outcome
@@ -346,7 +377,7 @@
 	const struct load *ld = c->load;
 
 	return c->outcome != CALL_DONE && c->tries <= ld->opt.retries &&
-	    dh_clock_us() < ld->end_us;
+	    (ld->opt.as_told || dh_clock_us() < ld->end_us);
 }
 
 static void
@@ -363,6 +394,35 @@
 	    echo, hash, whole ? "true" : "false");
 }
 
+static void
+timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void
+on_return(uv_timer_t *timer)
+{
+	struct call *c = timer->data;
+
+	c->timer = NULL;
+	uv_close((uv_handle_t *)timer, timer_closed);
+	call_send(c);
+}
+
+static void
+call_again(struct call *c)
+{
+	if (!c->load->opt.as_told || c->return_ms <= 0) {
+		call_send(c);
+		return;
+	}
+	c->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(&c->load->loop, c->timer);
+	c->timer->data = c;
+	uv_timer_start(c->timer, on_return, (uint64_t)c->return_ms, 0);
+}
+
 static void
 on_done(void *arg, CURL *easy, CURLcode result)
 {
@@ -385,8 +445,10 @@
 		else
 			note_done(ld, c);
 	}
+	if (c->outcome == CALL_NOT_RUN)
+		note_refused(ld, c);
 	if (wants_retry(c)) {
-		call_send(c);
+		call_again(c);
 		return;
 	}
 	ld->ended++;
@@ -454,6 +516,8 @@
 	c->target = (c->target + 1) % o->ntargets;
 	c->tries++;
 	c->outcome_told = false;
+	c->return_ms = 0;
+	c->tried_us = dh_clock_us();
 	c->echo[0] = '\0';
 	c->got = 0;
 	XXH64_reset(&c->hash, 0);
@@ -537,12 +601,17 @@
 	return (x > y) - (x < y);
 }
 
+static void
+samples_sort(struct samples *sm)
+{
+	if (sm->n > 0)
+		qsort(sm->values, sm->n, sizeof(*sm->values), compare_us);
+}
+
 static uint32_t
-percentile(const struct load *ld, double p)
+percentile(const struct samples *sm, double p)
 {
-	return ld->nlatency == 0
-	    ? 0
-	    : ld->latency_us[(size_t)((double)(ld->nlatency - 1) * p)];
+	return sm->n == 0 ? 0 : sm->values[(size_t)((double)(sm->n - 1) * p)];
 }
 
 static void
@@ -552,12 +621,19 @@
 	       ",\"unknown\":%" PRIu64 ",\"wrong\":%" PRIu64 ",\"cut\":%" PRIu64
 	       ",\"late\":%" PRIu64
 	       ",\"rate\":%.0f,\"mbytes_s\":%.1f,\"p50_us\":%u,"
-	       "\"p99_us\":%u,\"p999_us\":%u,\"gap_ms\":%.1f}\n",
+	       "\"p99_us\":%u,\"p999_us\":%u,\"gap_ms\":%.1f,"
+	       "\"refusal_p50_us\":%u,\"refusal_p90_us\":%u,"
+	       "\"refusal_p99_us\":%u,"
+	       "\"return_p50_ms\":%u,\"return_p99_ms\":%u}\n",
 	    ld->sent, ld->count[CALL_DONE], ld->count[CALL_NOT_RUN],
 	    ld->count[CALL_UNKNOWN], ld->wrong, ld->cut, ld->late,
-	    (double)ld->nlatency / s, (double)ld->bytes / 1e6 / s,
-	    percentile(ld, 0.5), percentile(ld, 0.99), percentile(ld, 0.999),
-	    (double)ld->longest_gap_us / 1000.0);
+	    (double)ld->latency_us.n / s, (double)ld->bytes / 1e6 / s,
+	    percentile(&ld->latency_us, 0.5), percentile(&ld->latency_us, 0.99),
+	    percentile(&ld->latency_us, 0.999),
+	    (double)ld->longest_gap_us / 1000.0,
+	    percentile(&ld->refusal_us, 0.5), percentile(&ld->refusal_us, 0.9),
+	    percentile(&ld->refusal_us, 0.99), percentile(&ld->return_ms, 0.5),
+	    percentile(&ld->return_ms, 0.99));
 }
 
 static void
@@ -570,8 +646,9 @@
 	    ld->count[CALL_UNKNOWN], ld->wrong, ld->cut, ld->late);
 	printf("%.0f done/s, %.1f MB/s, p50 %u us, p99 %u us, p99.9 %u us, "
 	       "longest gap %.1f ms\n",
-	    (double)ld->nlatency / s, (double)ld->bytes / 1e6 / s,
-	    percentile(ld, 0.5), percentile(ld, 0.99), percentile(ld, 0.999),
+	    (double)ld->latency_us.n / s, (double)ld->bytes / 1e6 / s,
+	    percentile(&ld->latency_us, 0.5), percentile(&ld->latency_us, 0.99),
+	    percentile(&ld->latency_us, 0.999),
 	    (double)ld->longest_gap_us / 1000.0);
 }
 
@@ -580,8 +657,9 @@
 {
 	double s = (double)ld->opt.duration_ms / 1000.0;
 
-	qsort(
-	    ld->latency_us, ld->nlatency, sizeof(*ld->latency_us), compare_us);
+	samples_sort(&ld->latency_us);
+	samples_sort(&ld->refusal_us);
+	samples_sort(&ld->return_ms);
 	if (ld->opt.json)
 		print_json(ld, s);
 	else
@@ -625,7 +703,6 @@
 	ld.http = dh_http_new(&ld.loop);
 	ld.log = dh_eventlog_open(ld.opt.log, ld.opt.name);
 	ld.rng.state = ld.opt.seed;
-	ld.latency_us = g_new(uint32_t, SAMPLES_MAX);
 	zipf_prepare(&ld);
 	load_start(&ld);
 	uv_run(&ld.loop, UV_RUN_DEFAULT);
@@ -636,7 +713,9 @@
 	uv_run(&ld.loop, UV_RUN_DEFAULT);
 	uv_loop_close(&ld.loop);
 	dh_eventlog_close(ld.log);
-	g_free(ld.latency_us);
+	g_free(ld.latency_us.values);
+	g_free(ld.refusal_us.values);
+	g_free(ld.return_ms.values);
 	g_free(ld.zipf_sum);
 	curl_global_cleanup();
 	return ld.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
