Admission: look again at who is too late when a place is free

At twice the load 3 to 5 of 360 requests ended unknown at their deadline. A trace of them (router's queue / backend server): 243 ms / 257 ms, 225 / 274, 251 / 249, ...: all in the first second of an overload. The latest start was fixed on arrival, from the latency of then (100 ms); by the time that the place came the backend server's own queue, which all routers fill, had grown to 12, and 250 to 300 ms were needed. Time was subtracted twice (by the lane and by admission), which hid it in a steady state only.

Now admission alone judges, when the place is free: time to the answer, a fast moving average and four deviations. The time to the answer's beginning counts, not its body's: a long download is not late. Ruled out: the margin of 20 ms (the requests had not been refused by the backend server, they were running).

--- a/core/admission.c
+++ b/core/admission.c
@@ -26,6 +26,14 @@
  * requests gets fewer of them.  A lane may hold twice the room that is left,
  * so that a busy team can't fill the queue before another one comes.  Within
  * a lane the earliest deadline goes first.
+ *
+ * Who is too late.  A request has to be answered by its deadline, so it starts
+ * only with the time left that this takes now: a fast moving average of the
+ * time to an answer and four times its deviation, as retransmission timers have
+ * it.  This is
+ * looked at again when its place comes, since the backend server's own queue
+ * may have grown while it waited.  One that finds neither a queue nor a request
+ * running is let in whatever the estimate: only answers can correct that.
  */
 
 #define MILLI 1000U
@@ -33,6 +41,9 @@
 #define LIMIT_CUT_SLOW 900U /* thousandths kept on high latency */
 #define SLOW_FACTOR 2 /* latency above so many times the base */
 #define LATENCY_SAMPLES 32 /* weight of a new sample: 1/32 */
+#define RECENT_SAMPLES 8 /* likewise, of what one takes now */
+#define DEVIATIONS 4 /* above the mean: what one may take now */
+#define FIRST_DEVIATION 8 /* share of the first answer */
 #define BASE_SAMPLES 8 /* that give the first base; the limit waits for it */
 #define BASE_FALL 64 /* the base falls by 1/64 of the gap a sample */
 #define BASE_RISE 1024 /* and rises by 1/1024 */
@@ -60,6 +71,8 @@
 	int64_t samples; /* of latency, up to LATENCY_SAMPLES */
 	int64_t latency_us; /* moving average */
 	int64_t base_us; /* latency without congestion */
+	int64_t answer_us; /* time to an answer: fast moving average */
+	int64_t deviation_us; /* mean distance from it */
 	int64_t drain_us; /* between tickets taken from the queue */
 	int64_t taken_us; /* last one taken while more waited; 0: none */
 	int64_t cut_us; /* last time the limit fell */
@@ -295,6 +308,35 @@
 		sv->pause_us *= 2;
 }
 
+static void
+learn_answer(struct server *sv, int64_t answer_us)
+{
+	int64_t gap_us = answer_us - sv->answer_us;
+
+	if (sv->samples == 0) {
+		sv->answer_us = answer_us;
+		sv->deviation_us = answer_us / FIRST_DEVIATION;
+		return;
+	}
+	sv->deviation_us += (llabs(gap_us) - sv->deviation_us) / RECENT_SAMPLES;
+	sv->answer_us += gap_us / RECENT_SAMPLES;
+}
+
+/* What a request that starts now may take until it is answered. */
+static int64_t
+expected_us(const struct server *sv)
+{
+	return sv->samples == 0 ? sv->latency_us
+				: sv->answer_us + DEVIATIONS * sv->deviation_us;
+}
+
+static bool
+ends_in_time(
+    const struct server *sv, const struct dh_ticket *tk, int64_t now_us)
+{
+	return now_us + expected_us(sv) <= tk->deadline_us;
+}
+
 static void
 learn_latency(struct server *sv, int64_t latency_us)
 {
@@ -316,7 +358,7 @@
 }
 
 static void
-learn(struct dh_admission *adm, struct server *sv,
+learn(struct dh_admission *adm, struct server *sv, const struct dh_ticket *tk,
     enum dh_admission_outcome outcome, int64_t latency_us, int64_t now_us)
 {
 	/* At least half in use: less says nothing of a higher limit. */
@@ -324,6 +366,8 @@
 
 	switch (outcome) {
 	case DH_ADMISSION_OK:
+		learn_answer(
+		    sv, tk->answer_us > 0 ? tk->answer_us : latency_us);
 		learn_latency(sv, latency_us);
 		sv->pause_us /= 2;
 		if (sv->latency_us > sv->base_us * SLOW_FACTOR)
@@ -438,7 +482,7 @@
 	const struct lane *ln = &sv->lanes[tk->lane];
 	int64_t wait_us =
 	    (queued_before(sv, tk) + 1) * drain_us(adm, sv, now_us);
-	int64_t until_us = tk->deadline_us - sv->latency_us;
+	int64_t until_us = tk->deadline_us - expected_us(sv);
 	int64_t longest_us = adm->params.queue_us;
 
 	if (ln->n > 0 && now_us - ln->filled_us > adm->params.queue_us)
@@ -482,6 +526,16 @@
 	return true;
 }
 
+static bool
+starts_at_once(const struct dh_admission *adm, const struct server *sv,
+    const struct dh_ticket *tk, int64_t now_us)
+{
+	if (sv->queued > 0 || !may_start(adm, sv, now_us))
+		return false;
+	return sv->running == 0 ? now_us < tk->deadline_us
+				: ends_in_time(sv, tk, now_us);
+}
+
 enum dh_admit
 dh_admission_ask(struct dh_admission *adm, struct dh_ticket *tk, int64_t now_us,
     int64_t *retry_after_ms)
@@ -492,8 +546,7 @@
 	assert(tk->state == DH_TICKET_IDLE);
 	tk->timer = (struct dh_admission_timer){ 0 };
 	tk->lane = (tk->team * 0x9e3779b1U >> 16) % DH_ADMISSION_LANES;
-	if (tk->deadline_us > now_us && sv->queued == 0 &&
-	    may_start(adm, sv, now_us)) {
+	if (starts_at_once(adm, sv, tk, now_us)) {
 		start(adm, sv, tk);
 		return DH_ADMIT_RUN;
 	}
@@ -547,7 +600,8 @@
 
 	while (sv->queued > 0 && may_start(adm, sv, now_us)) {
 		tk = pick_lane(sv)->head;
-		if (tk->timer.at_us <= now_us) {
+		if (tk->timer.at_us <= now_us ||
+		    !ends_in_time(sv, tk, now_us)) {
 			refuse_queued(adm, tk);
 			continue;
 		}
@@ -572,7 +626,7 @@
 	tk->state = DH_TICKET_IDLE;
 	sv->running--;
 	sv->lanes[tk->lane].deficit_us += tk->charged_us - used_us;
-	learn(adm, sv, outcome, latency_us, now_us);
+	learn(adm, sv, tk, outcome, latency_us, now_us);
 	return dh_admission_next(adm, tk->backend, now_us);
 }
 
--- a/include/dogwoodhub/admission.h
+++ b/include/dogwoodhub/admission.h
@@ -55,7 +55,10 @@
 struct dh_ticket {
 	uint32_t backend;
 	uint32_t team;
-	int64_t deadline_us;
+	int64_t deadline_us; /* when its answer has to begin */
+	/* Set before dh_admission_end(): the time to the beginning of the
+	 * answer, when its body took longer; 0: the whole latency. */
+	int64_t answer_us;
 	/* private */
 	enum dh_ticket_state state;
 	uint32_t lane;
--- a/router/turn.c
+++ b/router/turn.c
@@ -8,7 +8,6 @@
 #define VMS_MAX 11u
 #define RAMP_US 5000000
 #define RETRY_AFTER_MAX_US 5000000
-#define LATENCY_SMOOTHING 8
 
 static const struct dh_breaker_params breaker_params = { .failures = 5,
 	.percent = 50,
@@ -22,7 +21,6 @@
 	GHashTable *index; /* backend server's id -> index + 1 */
 	uint32_t nindex;
 	struct dh_balance_load *loads;
-	int64_t *latency_us; /* of answers, by index, smoothed */
 	struct dh_breaker *breakers;
 	struct dh_rng rng;
 	uint64_t revision;
@@ -60,7 +58,6 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	ts->loads = g_new0(struct dh_balance_load, DH_TURN_BACKENDS_MAX);
 	ts->breakers = g_new0(struct dh_breaker, DH_TURN_BACKENDS_MAX);
-	ts->latency_us = g_new0(int64_t, DH_TURN_BACKENDS_MAX);
 	ts->rng.state = seed;
 	ts->on_turn = on_turn;
 	ts->threads = s->threads;
@@ -79,7 +76,6 @@
 	g_hash_table_unref(ts->index);
 	g_free(ts->loads);
 	g_free(ts->breakers);
-	g_free(ts->latency_us);
 	g_free(ts->timer); /* closed with its loop */
 	g_free(ts);
 }
@@ -244,23 +240,6 @@
 	return verdict;
 }
 
-/* When it must start at the latest, to be answered by its deadline. */
-static int64_t
-latest_start_us(
-    const struct dh_turns *ts, uint32_t i, const struct dh_exchange *ex)
-{
-	int64_t deadline_us = ex->deadline_ms * 1000;
-	int64_t left_us = deadline_us - dh_clock_us();
-
-	return deadline_us - MIN(ts->latency_us[i], MAX(left_us, 0) / 2);
-}
-
-static void
-note_latency(struct dh_turns *ts, uint32_t i, int64_t us)
-{
-	ts->latency_us[i] += (us - ts->latency_us[i]) / LATENCY_SMOOTHING;
-}
-
 enum dh_admit
 dh_turns_ask(
     struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
@@ -270,7 +249,7 @@
 	g_assert(i != 0);
 	ex->ticket = (struct dh_ticket){ .backend = i - 1,
 		.team = ex->team,
-		.deadline_us = latest_start_us(ts, i - 1, ex) };
+		.deadline_us = ex->deadline_ms * 1000 };
 	return ask(ts, ex, i - 1, retry_after_ms);
 }
 
@@ -281,6 +260,18 @@
 	return ask(ts, ex, ex->ticket.backend, retry_after_ms);
 }
 
+/* Time to the beginning of the answer, from the end of the request's body: its
+ * deadline runs over the same. */
+static int64_t
+answer_us(const struct dh_exchange *ex)
+{
+	int64_t asked_us = (ex->deadline_ms - ex->budget_ms) * 1000;
+
+	if (!ex->head_ready)
+		return 0;
+	return MAX(ex->head_us - MAX(asked_us, ex->sent_us), 1);
+}
+
 void
 dh_turns_end(struct dh_turns *ts, struct dh_exchange *ex,
     enum dh_admission_outcome outcome)
@@ -301,8 +292,7 @@
 		break;
 	}
 	end_pass(ts, ex, backend, breaker_result(outcome));
-	if (outcome == DH_ADMISSION_OK)
-		note_latency(ts, backend, now_us - ex->sent_us);
+	tk->answer_us = answer_us(ex);
 	next = dh_admission_end(
 	    ts->adm, tk, outcome, now_us - ex->sent_us, now_us);
 	while (next != NULL) {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -363,6 +363,78 @@
 	dh_admission_free(adm);
 }
 
+/* It came in time for the latency of then, not for that of now. */
+static void
+test_latency_that_grew_refuses_who_waits(void)
+{
+	struct dh_admission *adm = setup(1);
+	int64_t after_ms = 0, now_us = answer_many(adm, 100, 0);
+	enum dh_admit verdict = DH_ADMIT_RUN;
+
+	(void)ask(adm, 0, 1, FAR_US, now_us, &after_ms);
+	CU_ASSERT_EQUAL(
+	    ask(adm, 1, 1, 100 * MS, now_us, &after_ms), DH_ADMIT_QUEUE);
+	CU_ASSERT_EQUAL(
+	    ask(adm, 2, 1, FAR_US, now_us, &after_ms), DH_ADMIT_QUEUE);
+	now_us += 60 * MS;
+	CU_ASSERT_PTR_EQUAL(dh_admission_end(adm, &tickets[0], DH_ADMISSION_OK,
+				60 * MS, now_us),
+	    &tickets[2]);
+	CU_ASSERT_PTR_EQUAL(
+	    dh_admission_poll(adm, now_us, &verdict, &after_ms), &tickets[1]);
+	CU_ASSERT_EQUAL(verdict, DH_ADMIT_REFUSE);
+	dh_admission_free(adm);
+}
+
+/* Only answers bring the estimate down again: some have to be let in. */
+static void
+test_slow_estimate_heals(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t after_ms = 0, now_us = answer_many(adm, 400, 0);
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		(void)ask(adm, 0, 1, FAR_US, now_us, &after_ms);
+		now_us += 90 * MS;
+		(void)dh_admission_end(
+		    adm, &tickets[0], DH_ADMISSION_OK, 90 * MS, now_us);
+	}
+	CU_ASSERT(dh_admission_limit_milli(adm, 0, now_us) >= 1000);
+	for (i = 0; i < 200; i++) {
+		CU_ASSERT_EQUAL(
+		    ask(adm, 0, 1, 50 * MS, now_us, &after_ms), DH_ADMIT_RUN);
+		now_us += 10 * MS;
+		(void)dh_admission_end(
+		    adm, &tickets[0], DH_ADMISSION_OK, 10 * MS, now_us);
+	}
+	(void)ask(adm, 0, 1, 50 * MS, now_us, &after_ms);
+	CU_ASSERT_EQUAL(
+	    ask(adm, 1, 1, 50 * MS, now_us, &after_ms), DH_ADMIT_RUN);
+	dh_admission_free(adm);
+}
+
+/* Bodies that stream for longer than the deadline are no late answers. */
+static void
+test_long_bodies_are_not_late(void)
+{
+	struct dh_admission *adm = setup(6);
+	int64_t after_ms = 0, now_us = answer_many(adm, 400, 0);
+	int i;
+
+	for (i = 0; i < 60; i++) {
+		(void)ask(adm, 0, 1, 15 * MS, now_us, &after_ms);
+		tickets[0].answer_us = 2 * MS;
+		now_us += 18 * MS;
+		(void)dh_admission_end(
+		    adm, &tickets[0], DH_ADMISSION_OK, 18 * MS, now_us);
+	}
+	(void)ask(adm, 0, 1, 15 * MS, now_us, &after_ms);
+	CU_ASSERT_EQUAL(
+	    ask(adm, 1, 1, 15 * MS, now_us, &after_ms), DH_ADMIT_RUN);
+	dh_admission_free(adm);
+}
+
 static void
 test_busy_team_leaves_room_and_turns(void)
 {
@@ -548,6 +620,9 @@
 		{ "come back spread", test_refused_come_back_spread },
 		{ "expires", test_queue_expires_at_its_time },
 		{ "late not run", test_late_ticket_does_not_run_after_an_end },
+		{ "latency grew", test_latency_that_grew_refuses_who_waits },
+		{ "heals", test_slow_estimate_heals },
+		{ "long bodies", test_long_bodies_are_not_late },
 		{ "busy team", test_busy_team_leaves_room_and_turns },
 		{ "turns by time", test_turns_are_by_time },
 		{ "leaving", test_leaving_refuses_the_queue },
