Configuration: services are found by a hash index, once a request

dh_conf_service() compared the names one by one, twice a request. An exchange keeps the index found for the revision that it was found in.

--- a/config/assemble.c
+++ b/config/assemble.c
@@ -275,6 +275,7 @@
 	conf->pins = must_alloc(pins->len, sizeof(struct dh_pin));
 	for (i = 0; i < pins->len; i++)
 		fill_pin(&conf->pins[i], &g_array_index(pins, struct claim, i));
+	(void)dh_conf_index(conf);
 	return conf;
 }
 
--- a/include/dogwoodhub/conf.h
+++ b/include/dogwoodhub/conf.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODHUB_CONF_H
 #define DOGWOODHUB_CONF_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -84,8 +85,15 @@
 	size_t nbackends;
 	struct dh_pin *pins;
 	size_t npins;
+	uint32_t *service_index; /* hash table of indices + 1, or NULL */
+	uint32_t service_index_size; /* a power of two */
 };
 
+/* dh_conf_index -- have dh_conf_service() look services up by hash.  Call it
+ * when their names are final; again if they change.  False without memory:
+ * look-ups then stay linear. */
+bool dh_conf_index(struct dh_conf *conf);
+
 /* dh_conf_free -- release conf and all it owns; conf may be NULL. */
 void dh_conf_free(struct dh_conf *conf);
 
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -32,6 +32,7 @@
 	ex->wait_link.data = ex;
 	ex->begun_us = dh_clock_us();
 	ex->answer_bytes = -1;
+	ex->conf_revision = UINT64_MAX;
 	dh_buffer_init(&ex->up);
 	dh_buffer_init(&ex->down);
 	uv_timer_init(&lane->loop, &ex->timer);
@@ -205,8 +206,7 @@
 		return;
 	}
 	t = dh_publish_enter(lane->reader);
-	service =
-	    t == NULL ? DH_NONE : dh_conf_service(t->conf, ex->target.service);
+	service = t == NULL ? DH_NONE : dh_route_service(ex, t->conf);
 	if (service != DH_NONE)
 		ok = dh_intake_rules(ex, &t->conf->services[service]);
 	dh_publish_leave(lane->reader);
@@ -425,7 +425,7 @@
 		return;
 	if (ex->route.service >= t->conf->nservices ||
 	    t->slots[ex->route.service] == NULL ||
-	    dh_conf_service(t->conf, ex->target.service) != ex->route.service)
+	    dh_route_service(ex, t->conf) != ex->route.service)
 		return;
 	r = dh_table_route(
 	    t, ex->route.service, ex->target.key, strlen(ex->target.key));
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -77,6 +77,8 @@
 	uint16_t port;
 	bool keyed;
 	struct dh_route route;
+	uint32_t conf_service; /* its service's index in the configuration... */
+	uint64_t conf_revision; /* ...of this revision */
 	uint64_t backend_id; /* dh_name_id() of the backend server */
 	uint32_t team; /* hash of the service's team */
 	struct dh_lane_service *service;
--- a/router/route.c
+++ b/router/route.c
@@ -32,10 +32,20 @@
 	return pick.backend;
 }
 
+uint32_t
+dh_route_service(struct dh_exchange *ex, const struct dh_conf *conf)
+{
+	if (ex->conf_revision != conf->revision) {
+		ex->conf_service = dh_conf_service(conf, ex->target.service);
+		ex->conf_revision = conf->revision;
+	}
+	return ex->conf_service;
+}
+
 bool
 dh_route_find(struct dh_exchange *ex, const struct dh_table *t)
 {
-	uint32_t service = dh_conf_service(t->conf, ex->target.service);
+	uint32_t service = dh_route_service(ex, t->conf);
 	uint32_t backend;
 
 	if (service == DH_NONE)
