Run a group's machine on six candidates instead of every VM

Now candidates are chosen by rendezvous hash over the live members, spread over availability zones, the group's region first. Leader and deputy by the record run one too. Others know the group by relay and never read. A machine is given up only if it sent no update, message or order but HELLO. The store arbitrates as before: the choice is advice.

Tried: machines at once after the start (all 14 VMs took themselves for candidates and acted): a VM chooses after 500 ms. HELLO counted as acting: candidates of a lost group kept their machines for good.

--- a/control/control.c
+++ b/control/control.c
@@ -10,6 +10,7 @@
 #include "control/admin.h"
 #include "control/authority.h"
 #include "control/feed.h"
+#include "control/hosting.h"
 #include "control/permits.h"
 #include "control/planner.h"
 #include "control/teams.h"
@@ -64,22 +65,38 @@
 	return GPOINTER_TO_UINT(index);
 }
 
-/* An assignment with the higher fence is the later one; of equal ones the
- * relayed one is the leader's own word. */
-const struct dh_assignment *
-dh_control_slot(
-    const struct dh_control *ct, const struct dh_authority *a, uint32_t slot)
+struct dh_control_slots
+dh_control_slots(const struct dh_control *ct, const struct dh_authority *a)
 {
 	struct dh_group_view v = dh_authority_view(a);
-	const struct dh_assignment *relayed;
+	struct dh_control_slots s = { .n = v.nslots, .own = v.slots };
 	uint32_t n = 0;
 
-	relayed = dh_feed_slots(ct->feed, dh_authority_name(a), &n);
-	if (relayed == NULL || n != v.nslots || v.role == DH_GROUP_LEADER)
-		return &v.slots[slot];
-	return dh_fence_cmp(relayed[slot].fence, v.slots[slot].fence) >= 0
-	    ? &relayed[slot]
-	    : &v.slots[slot];
+	if (!dh_authority_hosted(a)) {
+		s.own = NULL;
+		s.relayed = v.slots;
+	} else if (v.role != DH_GROUP_LEADER) {
+		s.relayed = dh_feed_slots(ct->feed, dh_authority_name(a), &n);
+		if (n != v.nslots)
+			s.relayed = NULL;
+	}
+	return s;
+}
+
+/* An assignment with the higher fence is the later one; of equal ones the
+ * relayed one is the leader's own word. */
+const struct dh_assignment *
+dh_control_slot(const struct dh_control_slots *s, uint32_t slot)
+{
+	static const struct dh_assignment unknown = { 0 };
+
+	if (s->relayed == NULL)
+		return s->own == NULL ? &unknown : &s->own[slot];
+	if (s->own == NULL)
+		return &s->relayed[slot];
+	return dh_fence_cmp(s->relayed[slot].fence, s->own[slot].fence) >= 0
+	    ? &s->relayed[slot]
+	    : &s->own[slot];
 }
 
 static void
@@ -87,15 +104,14 @@
     GHashTable *by_id)
 {
 	uint32_t sv = dh_conf_service(t->conf, dh_authority_service(a));
-	struct dh_group_view v = dh_authority_view(a);
+	struct dh_control_slots s = dh_control_slots(ct, a);
 	const struct dh_assignment *as;
 	uint32_t i;
 
-	if (sv == DH_NONE ||
-	    v.nslots != dh_service_slots(&t->conf->services[sv]))
+	if (sv == DH_NONE || s.n != dh_service_slots(&t->conf->services[sv]))
 		return;
-	for (i = 0; i < v.nslots; i++) {
-		as = dh_control_slot(ct, a, i);
+	for (i = 0; i < s.n; i++) {
+		as = dh_control_slot(&s, i);
 		t->slots[sv][i] = (struct dh_slot){
 			.owner = backend_index(by_id, as->owner),
 			.standby = backend_index(by_id, as->standby),
@@ -191,36 +207,15 @@
 		ct->table_stale = false;
 		rebuild_table(ct);
 	}
-	if (ct->vms != NULL)
+	if (ct->partners_stale && ct->vms != NULL) {
+		ct->partners_stale = false;
 		tell_partners(ct);
+	}
 	dh_publish_poll(ct->publish);
 }
 
 /* Configuration and membership */
 
-static void
-update_authorities(struct dh_control *ct)
-{
-	const struct dh_conf *conf = ct->conf->conf;
-	struct dh_authority *a;
-	GHashTableIter it;
-	gpointer each;
-	size_t i;
-
-	for (i = 0; i < conf->nservices; i++) {
-		const struct dh_service *sv = &conf->services[i];
-		g_autofree char *name = g_strdup_printf("%s/0", sv->name);
-
-		if (g_hash_table_contains(ct->authorities, name))
-			continue;
-		a = dh_authority_new(ct, sv->name, 0, dh_service_slots(sv));
-		g_hash_table_insert(ct->authorities, g_steal_pointer(&name), a);
-	}
-	g_hash_table_iter_init(&it, ct->authorities);
-	while (g_hash_table_iter_next(&it, NULL, &each))
-		dh_authority_update(each);
-}
-
 void
 dh_control_accept(struct dh_control *ct, struct dh_conf *conf)
 {
@@ -238,18 +233,14 @@
 	dh_log(DH_LOG_INFO, "config.in_force",
 	    "revision=%" PRIu64 " services=%zu backend_servers=%zu",
 	    conf->revision, conf->nservices, conf->nbackends);
-	update_authorities(ct);
+	dh_hosting_configure(ct->hosting);
+	ct->partners_stale = true;
 }
 
 void
 dh_control_members_changed(struct dh_control *ct)
 {
-	GHashTableIter it;
-	gpointer a;
-
-	g_hash_table_iter_init(&it, ct->authorities);
-	while (g_hash_table_iter_next(&it, NULL, &a))
-		dh_authority_update(a);
+	dh_hosting_members(ct->hosting);
 }
 
 /* Traffic threads */
@@ -415,6 +406,7 @@
 	ct->teams = dh_teams_new(ct);
 	ct->feed = dh_feed_new(ct);
 	ct->asks = dh_asks_new(ct);
+	ct->hosting = dh_hosting_new(ct);
 	ct->vms = dh_vms_new(ct, error);
 	return ct->vms != NULL;
 }
@@ -439,6 +431,7 @@
 	dh_store_free(ct->store);
 	dh_http_free(ct->http);
 	g_hash_table_unref(ct->authorities);
+	dh_hosting_free(ct->hosting);
 	dh_feed_free(ct->feed);
 	dh_asks_free(ct->asks);
 	dh_teams_free(ct->teams);
--- a/control/control.h
+++ b/control/control.h
@@ -38,6 +38,7 @@
 struct dh_admin;
 struct dh_feed;
 struct dh_asks;
+struct dh_hosting;
 
 struct dh_control {
 	const struct dh_settings *settings;
@@ -52,6 +53,7 @@
 	struct dh_vms *vms;
 	struct dh_feed *feed;
 	struct dh_asks *asks;
+	struct dh_hosting *hosting;
 	struct dh_conf_ref *conf; /* in force, NULL before the first */
 	GArray *partners; /* uint64_t: VMs told to the membership */
 	GHashTable *authorities; /* group name -> struct dh_authority */
@@ -59,6 +61,7 @@
 	uint64_t incarnation;
 	uint64_t table_version;
 	bool table_stale; /* rebuild before the loop next waits */
+	bool partners_stale; /* a leader or deputy may be another */
 	bool stopping;
 	int64_t stop_ms; /* when shutdown began */
 	uv_prepare_t rebuild;
@@ -78,10 +81,19 @@
 
 struct dh_authority;
 
-/* dh_control_slot -- the latest assignment known of a slot of a's group;
- * borrowed until the next change. */
+/* What is known of a group's slots: by its machine here and by the relay;
+ * either is NULL when that tells nothing.  Borrowed until the next change. */
+struct dh_control_slots {
+	uint32_t n;
+	const struct dh_assignment *own, *relayed;
+};
+
+struct dh_control_slots dh_control_slots(
+    const struct dh_control *ct, const struct dh_authority *a);
+
+/* dh_control_slot -- the latest assignment known of a slot. */
 const struct dh_assignment *dh_control_slot(
-    const struct dh_control *ct, const struct dh_authority *a, uint32_t slot);
+    const struct dh_control_slots *s, uint32_t slot);
 
 /* dh_control_members_changed -- the VMs' list is another now. */
 void dh_control_members_changed(struct dh_control *ct);
--- a/control/feed.c
+++ b/control/feed.c
@@ -233,10 +233,12 @@
 {
 	enum dh_relay_result r = dh_relay_put_table(f->relay, u, from);
 
-	if (result_is_news(f, r, u->group))
+	if (result_is_news(f, r, u->group)) {
 		f->control->table_stale = true;
-	else if (r == DH_RELAY_GAP)
+		f->control->partners_stale = true;
+	} else if (r == DH_RELAY_GAP) {
 		pull(f, from, false);
+	}
 }
 
 void
--- a/control/vms.c
+++ b/control/vms.c
@@ -643,6 +643,18 @@
 	return dh_member_find(v->members, id, &info) ? info.record->name : NULL;
 }
 
+bool
+dh_vms_is_live(const struct dh_vms *v, uint64_t id)
+{
+	struct dh_member_info info;
+	struct dh_group_vm vm;
+
+	if (!dh_member_find(v->members, id, &info))
+		return false;
+	vm = id == v->control->self ? dh_vms_self(v) : vm_of(v, &info);
+	return vm.live && !vm.dead;
+}
+
 struct dh_peers *
 dh_vms_peers(const struct dh_vms *v)
 {
--- a/control/vms.h
+++ b/control/vms.h
@@ -26,6 +26,9 @@
 /* dh_vms_name -- the name of a VM by its id, or NULL; borrowed. */
 const char *dh_vms_name(const struct dh_vms *v, uint64_t id);
 
+/* dh_vms_is_live -- whether a VM is held live; false of id 0. */
+bool dh_vms_is_live(const struct dh_vms *v, uint64_t id);
+
 /* dh_vms_peers -- the links; borrowed. */
 struct dh_peers *dh_vms_peers(const struct dh_vms *v);
 
--- a/core/group_deputy.c
+++ b/core/group_deputy.c
@@ -32,7 +32,8 @@
 
 	for (i = 0; i < g->nvms; i++) {
 		v = &g->vms[i];
-		if (v->id == g->self.id || !v->live || v->leaving || v->dead)
+		if (v->id == g->self.id || !v->live || v->leaving || v->dead ||
+		    v->bystander)
 			continue;
 		if (v->id == not &&v->incarnation == not_incarnation)
 			continue;
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -429,6 +429,12 @@
 
 /* ---- candidates ---- */
 
+static bool
+is_eligible(const struct dh_group_vm *v)
+{
+	return v->live && !v->leaving && !v->dead && !v->bystander;
+}
+
 static uint32_t
 candidate_rank(const struct dh_group *g)
 {
@@ -438,13 +444,27 @@
 	if (is_self(g, g->deputy, g->deputy_incarnation))
 		return 0;
 	for (i = 0; i < g->nvms; i++)
-		if (g->vms[i].id != g->self.id && g->vms[i].live &&
-		    !g->vms[i].leaving && !g->vms[i].dead &&
+		if (g->vms[i].id != g->self.id && is_eligible(&g->vms[i]) &&
 		    group_rank(g->group, g->vms[i].id) > own)
 			rank++;
 	return rank;
 }
 
+/* Deposed by a term that it knows no more of, the store not having answered:
+ * its own record says that the leader is live, so nothing else makes it look.
+ */
+static void
+look_for_successor(struct dh_group *g)
+{
+	if (g->now_ms < g->take.retry_ms || g->store.get_busy) {
+		group_due(g, g->take.retry_ms);
+		return;
+	}
+	g->take.retry_ms = g->now_ms + g->p.candidate_ms;
+	group_due(g, g->take.retry_ms);
+	group_get(g);
+}
+
 static void
 candidate_tick(struct dh_group *g)
 {
@@ -452,6 +472,10 @@
 
 	if (g->stopping)
 		return;
+	if (is_self(g, g->leader, g->leader_incarnation)) {
+		look_for_successor(g);
+		return;
+	}
 	if (g->store.known &&
 	    leader_serving(g, g->leader, g->leader_incarnation, g->deputy,
 		g->deputy_incarnation)) {
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -70,6 +70,8 @@
 		    * refused a connection, a later incarnation was seen, or
 		    * the VM list says so and the settings trust it */
 	bool leaving; /* hands over, is never chosen */
+	bool bystander; /* runs no machine of this group unless its record
+			 * names it: is neither ranked nor made deputy */
 };
 
 struct dh_assignment {
--- /dev/null
+++ b/tests/failure/candidates_lost.sh
@@ -0,0 +1,80 @@
+#!/bin/sh
+# All VMs that run a group's machine, its leader and deputy among them, are
+# killed at once.  The next by hash take the group over, the others hear of it
+# by relay, and every key is served again.  A bounded number of VMs runs a
+# machine, before and after, also once those that were lost are back.
+. "$(dirname "$0")/lib.sh"
+
+CANDIDATES=6
+# Leaders and deputies of before go on running theirs.
+HOSTS_MAX=$((CANDIDATES + 3))
+
+# hosts: numbers of the running VMs that run the machine of feed/0.
+hosts() {
+	for n in $alive; do
+		curl -sf -m 2 "$(admin_url "$n")/status" |
+		    grep -q '"group":"feed/0"[^}]*"hosted":true' && echo "$n"
+	done
+}
+
+hosts_bounded() {
+	count=$(hosts | wc -l)
+	[ "$count" -ge "$CANDIDATES" ] && [ "$count" -le "$HOSTS_MAX" ]
+}
+
+all_serve() {
+	for n in $alive; do
+		all_owned "$n" || return 1
+		serves "$n" key || return 1
+		leader_in "$n" || return 1
+	done
+}
+
+# leader_in VM: the leader it knows is a running one.
+leader_in() {
+	l=$(leader_of feed/0 "$1")
+	case " $(echo $alive) " in
+	*" ${l#v} "*) ;;
+	*) return 1 ;;
+	esac
+}
+
+start_cluster 14 4
+alive=$vms
+wait_for 10 "bounded number of hosts" hosts_bounded
+lost=$(echo $(hosts))
+alive=
+for n in $vms; do
+	case " $lost " in
+	*" $n "*) ;;
+	*) alive="$alive $n" ;;
+	esac
+done
+echo "lost: $lost; left:$alive"
+
+all_vms=$vms
+vms=$alive
+start_load load --rate 100 --concurrency 300 --duration-ms 8000 --retries 3
+sleep 1
+for n in $lost; do
+	kill -STOP "$(pid_of "v$n")"
+done
+for n in $lost; do
+	kill_now "v$n"
+done
+begun=$(now_ms)
+wait_for 20 "owner and leader at every VM left" all_serve
+awk -v s="$begun" -v e="$(now_ms)" 'BEGIN {
+	printf "served again through every VM after %d ms at most\n", e - s
+}'
+end_load
+wait_for 10 "bounded number of hosts after the loss" hosts_bounded
+
+for n in $lost; do
+	start_vm "$n"
+done
+vms=$all_vms
+alive=$all_vms
+wait_for 20 "owner and leader at every VM" all_serve
+wait_for 10 "bounded number of hosts after the return" hosts_bounded
+check_history
--- a/tests/group_fake.h
+++ b/tests/group_fake.h
@@ -45,6 +45,7 @@
 	int64_t paused_ms; /* until then nothing happens in it */
 	int64_t tick_ms; /* of the tick scheduled */
 	bool refuses; /* not running, but its address answers */
+	bool acted; /* its machine sent an update, a message or an order */
 	bool stopping;
 	int64_t stop_ms;
 	uint64_t seen_incarnation[BACKENDS];
@@ -108,18 +109,29 @@
 	uint32_t breach_slot;
 	bool check_until;
 	bool trace;
+	/* VMs differ on who is a candidate, and one whose machine has not
+	 * acted gives it up at any time and starts another. */
+	bool hosting;
+	uint64_t hosting_rng; /* apart, so that other schedules stay */
+	uint64_t given_up;
 };
 
 static inline uint64_t
-fake_random(struct fake *f)
+fake_next(uint64_t *rng)
 {
-	uint64_t z = f->rng += 0x9e3779b97f4a7c15ULL;
+	uint64_t z = *rng += 0x9e3779b97f4a7c15ULL;
 
 	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
 	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
 	return z ^ (z >> 31);
 }
 
+static inline uint64_t
+fake_random(struct fake *f)
+{
+	return fake_next(&f->rng);
+}
+
 static inline int64_t
 fake_pick(struct fake *f, int64_t low, int64_t high)
 {
@@ -487,6 +499,37 @@
 		dh_group_set_backends(f->vms[vm].group, list, f->nbackends);
 }
 
+/* Answers for a machine that was given up reach nobody. */
+static inline void
+fake_forget_answers(struct fake *f, uint32_t vm)
+{
+	size_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (f->heap[i].vm == vm && f->heap[i].kind != FAKE_MSG &&
+		    f->heap[i].kind != FAKE_VMS)
+			f->heap[i].vm_incarnation = 0;
+}
+
+static inline void
+fake_choose(struct fake *f, uint32_t vm)
+{
+	struct fake_vm *v = &f->vms[vm];
+	uint32_t i;
+
+	for (i = 0; i < f->nvms; i++)
+		v->list[i].bystander =
+		    i != vm && fake_next(&f->hosting_rng) % 4 == 0;
+	if (v->acted || fake_next(&f->hosting_rng) % 4 != 0)
+		return;
+	f->given_up++;
+	fake_forget_answers(f, vm);
+	dh_group_free(v->group);
+	v->group = dh_group_new(&f->p, dh_name_id("g"), &v->self, f->nslots);
+	v->tick_ms = 0;
+	fake_backends_set(f, vm);
+}
+
 /* What this VM's membership would say now. */
 static inline void
 fake_vms_set(struct fake *f, uint32_t vm)
@@ -506,6 +549,8 @@
 		v->list[i].dead =
 		    i != vm && reach && o->group == NULL && o->refuses;
 	}
+	if (f->hosting)
+		fake_choose(f, vm);
 	dh_group_set_vms(v->group, v->list, f->nvms);
 }
 
@@ -518,7 +563,7 @@
 	FAKE_TRACE(f, "vm %u starts\n", vm);
 	v->group = dh_group_new(&f->p, dh_name_id("g"), &v->self, f->nslots);
 	v->paused_ms = v->tick_ms = 0;
-	v->stopping = v->refuses = false;
+	v->stopping = v->refuses = v->acted = false;
 	memset(v->list, 0, sizeof(v->list));
 	memset(v->seen_incarnation, 0, sizeof(v->seen_incarnation));
 	fake_backends_set(f, vm);
@@ -591,6 +636,14 @@
 		.action = fake_take(a) });
 }
 
+static inline bool
+fake_is_act(const struct dh_group_action *a)
+{
+	return a->kind == DH_GROUP_DO_SEND || a->kind == DH_GROUP_DO_PUT ||
+	    (a->kind == DH_GROUP_DO_ORDER &&
+		a->order.kind != DH_GROUP_ORDER_HELLO);
+}
+
 static inline void
 fake_act(struct fake *f, uint32_t vm)
 {
@@ -602,6 +655,8 @@
 	if (v->paused_ms > at)
 		at = v->paused_ms;
 	for (i = 0; i < f->out.n; i++) {
+		if (fake_is_act(&f->out.list[i]))
+			v->acted = true;
 		switch (f->out.list[i].kind) {
 		case DH_GROUP_DO_SEND:
 			fake_send(f, vm, at, &f->out.list[i]);
--- /dev/null
+++ b/tests/test_candidates.c
@@ -0,0 +1,203 @@
+#include <string.h>
+
+#include <dogwoodhub/candidates.h>
+#include <dogwoodhub/rng.h>
+
+#include "tests/cunit_main.h"
+
+#define VMS 40u
+#define GROUP 77u
+
+static struct dh_group_vm vms[VMS];
+
+/* Zones 1 to 8; zones 1 to 4 are region 1, the others region 2. */
+static void
+make_vms(void)
+{
+	uint32_t i;
+
+	for (i = 0; i < VMS; i++)
+		vms[i] = (struct dh_group_vm){ .id = 1000 + i,
+			.incarnation = 1,
+			.zone = 1 + i % 8,
+			.region = 1 + i % 8 / 4,
+			.live = true };
+}
+
+static struct dh_group_vm *
+vm_of(uint64_t id)
+{
+	return &vms[id - 1000];
+}
+
+static void
+test_spread(void)
+{
+	uint64_t out[DH_CANDIDATES];
+	size_t n, i, k;
+
+	make_vms();
+	n = dh_candidates_choose(GROUP, 2, vms, VMS, out, DH_CANDIDATES);
+	CU_ASSERT_EQUAL_FATAL(n, DH_CANDIDATES);
+	for (i = 0; i < n; i++) {
+		CU_ASSERT_EQUAL(vm_of(out[i])->region, i < 4 ? 2 : 1);
+		for (k = 0; k < i; k++)
+			CU_ASSERT_NOT_EQUAL(
+			    vm_of(out[i])->zone, vm_of(out[k])->zone);
+	}
+}
+
+static void
+test_few(void)
+{
+	uint64_t out[DH_CANDIDATES];
+	size_t n;
+
+	make_vms();
+	for (n = 0; n <= 3; n++)
+		CU_ASSERT_EQUAL(
+		    dh_candidates_choose(GROUP, 1, vms, n, out, DH_CANDIDATES),
+		    n);
+	/* One zone only: its second and third best make up the number. */
+	for (n = 0; n < VMS; n++)
+		vms[n].zone = vms[n].region = 1;
+	CU_ASSERT_EQUAL(
+	    dh_candidates_choose(GROUP, 1, vms, VMS, out, DH_CANDIDATES),
+	    DH_CANDIDATES);
+}
+
+/* Whatever their order, and whoever else is lost. */
+static void
+test_stable(void)
+{
+	uint64_t before[DH_CANDIDATES], after[DH_CANDIDATES];
+	struct dh_rng rng = { 5 };
+	struct dh_group_vm swap;
+	size_t k, j;
+
+	make_vms();
+	(void)dh_candidates_choose(GROUP, 1, vms, VMS, before, DH_CANDIDATES);
+	for (k = VMS - 1; k > 0; k--) {
+		j = dh_rng_below(&rng, (uint32_t)k + 1);
+		swap = vms[k];
+		vms[k] = vms[j];
+		vms[j] = swap;
+	}
+	(void)dh_candidates_choose(GROUP, 1, vms, VMS, after, DH_CANDIDATES);
+	CU_ASSERT_EQUAL(memcmp(before, after, sizeof(before)), 0);
+}
+
+/* All chosen are lost at once: the next by hash follow, none of the lost. */
+static void
+test_all_lost(void)
+{
+	uint64_t out[DH_CANDIDATES], next[DH_CANDIDATES];
+	size_t i, k;
+
+	make_vms();
+	(void)dh_candidates_choose(GROUP, 1, vms, VMS, out, DH_CANDIDATES);
+	for (i = 0; i < DH_CANDIDATES; i++) {
+		vm_of(out[i])->live = i % 3 != 0;
+		vm_of(out[i])->leaving = i % 3 == 1;
+		vm_of(out[i])->dead = i % 3 == 2;
+	}
+	CU_ASSERT_EQUAL_FATAL(
+	    dh_candidates_choose(GROUP, 1, vms, VMS, next, DH_CANDIDATES),
+	    DH_CANDIDATES);
+	for (i = 0; i < DH_CANDIDATES; i++)
+		for (k = 0; k < DH_CANDIDATES; k++)
+			CU_ASSERT_NOT_EQUAL(out[i], next[k]);
+}
+
+/* A wider choice begins with the narrower one's round of zones, and each
+ * choice contains every smaller one. */
+static void
+test_wider(void)
+{
+	uint64_t some[DH_CANDIDATES], many[DH_CANDIDATES_MAX];
+	size_t n;
+
+	make_vms();
+	(void)dh_candidates_choose(GROUP, 1, vms, VMS, some, DH_CANDIDATES);
+	n = dh_candidates_choose(GROUP, 1, vms, VMS, many, DH_CANDIDATES_MAX);
+	CU_ASSERT_EQUAL(n, VMS);
+	CU_ASSERT_EQUAL(memcmp(some, many, sizeof(some)), 0);
+}
+
+/* Groups are spread over the VMs: none runs more than a few times its share. */
+static void
+test_shares(void)
+{
+	uint64_t out[DH_CANDIDATES];
+	uint32_t count[VMS] = { 0 }, g;
+	size_t i;
+
+	make_vms();
+	for (g = 1; g <= 400; g++) {
+		(void)dh_candidates_choose(
+		    g, 1 + g % 2, vms, VMS, out, DH_CANDIDATES);
+		for (i = 0; i < DH_CANDIDATES; i++)
+			count[out[i] - 1000]++;
+	}
+	for (i = 0; i < VMS; i++)
+		CU_ASSERT(count[i] > 20 && count[i] < 120);
+}
+
+/* The short way says the same as the whole choice, for every VM. */
+static void
+test_has(void)
+{
+	uint64_t out[DH_CANDIDATES_MAX];
+	struct dh_rng rng = { 9 };
+	uint32_t g, i;
+	size_t n, k, max;
+	bool in;
+
+	for (g = 1; g <= 200; g++) {
+		make_vms();
+		for (i = 0; i < VMS; i++)
+			vms[i].live = dh_rng_below(&rng, 4) != 0;
+		max = 1 + dh_rng_below(&rng, DH_CANDIDATES_MAX);
+		n = dh_candidates_choose(g, 1 + g % 2, vms, VMS, out, max);
+		for (i = 0; i < VMS; i++) {
+			for (in = false, k = 0; k < n; k++)
+				in = in || out[k] == vms[i].id;
+			CU_ASSERT_EQUAL(dh_candidates_has(g, 1 + g % 2, vms,
+					    VMS, &vms[i], max),
+			    in);
+		}
+	}
+}
+
+/* More zones than are told apart: still as many as asked for. */
+static void
+test_many_zones(void)
+{
+	uint64_t out[DH_CANDIDATES_MAX];
+	uint32_t i;
+
+	make_vms();
+	for (i = 0; i < VMS; i++)
+		vms[i].zone = 500 + i;
+	CU_ASSERT_EQUAL(
+	    dh_candidates_choose(GROUP, 1, vms, VMS, out, DH_CANDIDATES_MAX),
+	    VMS);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "spread", test_spread },
+		{ "few", test_few },
+		{ "stable", test_stable },
+		{ "all lost", test_all_lost },
+		{ "wider", test_wider },
+		{ "shares", test_shares },
+		{ "has", test_has },
+		{ "many zones", test_many_zones },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("candidates", tests);
+}
--- a/tests/test_group_schedule.c
+++ b/tests/test_group_schedule.c
@@ -16,6 +16,7 @@
 	DEFAULT_COUNT = 8000,
 	FAULTS = 14,
 	SETTLE_MS = 16000, /* longest wait of the limits below, and slack */
+	HOSTING_SHARE = 2, /* one in so many seeds also with "candidates" */
 };
 
 /* A breach each without one of the guards that few schedules need: see
@@ -29,6 +30,7 @@
 static uint64_t first_seed = 1, count = DEFAULT_COUNT;
 static uint64_t most = 10; /* breaches, then it ends */
 static bool trace;
+static bool hosting; /* VMs differ on the candidates */
 
 /* Limits short enough for a schedule to reach their ends. */
 static struct dh_group_params
@@ -299,6 +301,8 @@
 
 	fake_init(f, seed, &p, 2 + seed % 3, 2 + seed / 3 % 3, 6);
 	f->trace = trace;
+	f->hosting = hosting;
+	f->hosting_rng = seed;
 	clocks(f);
 	for (i = 0; i < f->nvms; i++)
 		FAKE_TRACE(f, "vm %u zone %llu\n", i,
@@ -359,11 +363,35 @@
 	CU_ASSERT(moved > 0 || count < 10);
 }
 
+/* The same faults while VMs differ on who is a candidate and machines are
+ * given up: seeds of their own schedules. */
+static void
+test_candidates(void)
+{
+	struct fake *f = malloc(sizeof(*f));
+	uint64_t i, moved = 0, given_up = 0, bad = 0;
+
+	if (f == NULL)
+		abort();
+	hosting = true;
+	for (i = 0; i < count / HOSTING_SHARE + 1 && bad < most; i++) {
+		bad += !run_seed(f, first_seed + i, &moved);
+		given_up += f->given_up;
+	}
+	hosting = false;
+	free(f);
+	printf("%llu changes of owner, %llu machines given up ",
+	    (unsigned long long)moved, (unsigned long long)given_up);
+	CU_ASSERT_EQUAL(bad, 0);
+	CU_ASSERT((moved > 0 && given_up > 0) || count < 10);
+}
+
 int
 main(int argc, char **argv)
 {
 	CU_TestInfo tests[] = {
 		{ "schedules", test_schedules },
+		{ "candidates", test_candidates },
 		CU_TEST_INFO_NULL,
 	};
 
