Routing table: a change of a slot copies its service's slots only

A new configuration still builds all.

The relay found objects by a scan of all (up to 8,192); now by hash, since every group's leader is looked up once a second.

Ruled out: writing in place (halves of a change are seen), chunks (a further look-up for each request).

--- a/bench/bench_table.c
+++ b/bench/bench_table.c
@@ -20,6 +20,8 @@
 
 #define DEFAULT_SLOTS 500000
 #define LOOKUPS 5000000
+#define GROUP_SLOTS 256u
+#define CHANGES 1000u
 #define REQUESTS 5000000
 #define MOVES_MAX 4096
 #define NS 1e9
@@ -35,40 +37,76 @@
 	return (double)ts.tv_sec + (double)ts.tv_nsec / NS;
 }
 
+/* Services of a group each. */
+static struct dh_conf
+make_conf(uint32_t nslots)
+{
+	struct dh_conf conf = { .nservices =
+				    (nslots + GROUP_SLOTS - 1) / GROUP_SLOTS };
+	size_t i;
+
+	conf.services = calloc(conf.nservices, sizeof(*conf.services));
+	for (i = 0; i < conf.nservices; i++)
+		conf.services[i] =
+		    (struct dh_service){ .kind = DH_SERVICE_KEYED,
+			    .division = { .kind = DH_DIVISION_HASH,
+				.hash = { .slots = GROUP_SLOTS } } };
+	return conf;
+}
+
+static struct dh_table *
+make_table(const struct dh_conf *conf)
+{
+	struct dh_table *t = dh_table_new(conf, 1);
+	size_t sv;
+	uint32_t i;
+
+	for (sv = 0; sv < conf->nservices; sv++)
+		for (i = 0; i < GROUP_SLOTS; i++)
+			t->slots[sv][i].owner = (uint32_t)(sv + i) % 7100;
+	return t;
+}
+
+/* One slot changed a table, the one before freed. */
+static struct dh_table *
+change(struct dh_table *t, struct dh_rng *rng, uint32_t services)
+{
+	struct dh_table *next = dh_table_copy(t, t->version + 1);
+	uint32_t sv = (uint32_t)dh_rng_below(rng, services);
+
+	dh_table_edit(next, sv)[dh_rng_below(rng, GROUP_SLOTS)].owner = sv;
+	dh_table_free(t);
+	return next;
+}
+
 static void
 table_row(uint32_t nslots)
 {
-	struct dh_service sv = { .name = "feed",
-		.kind = DH_SERVICE_KEYED,
-		.division = {
-		    .kind = DH_DIVISION_HASH, .hash = { .slots = nslots } } };
-	struct dh_conf conf = { .services = &sv, .nservices = 1 };
-	struct dh_table *t, *copy;
-	double start = seconds_now(), built, copied, looked;
+	struct dh_conf conf = make_conf(nslots);
+	uint32_t services = (uint32_t)conf.nservices, i;
+	double start = seconds_now(), built, changed, looked;
+	struct dh_table *t = make_table(&conf);
 	struct dh_rng rng = { 1 };
 	uint64_t key;
-	uint32_t i;
 
-	t = dh_table_new(&conf, 1);
-	for (i = 0; i < nslots; i++)
-		t->slots[0][i].owner = i % 7100;
 	built = seconds_now() - start;
 	start = seconds_now();
-	copy = dh_table_copy(t, 2);
-	for (i = 0; i < 100; i++)
-		copy->slots[0][dh_rng_below(&rng, nslots)].owner = i;
-	copied = seconds_now() - start;
+	for (i = 0; i < CHANGES; i++)
+		t = change(t, &rng, services);
+	changed = seconds_now() - start;
 	start = seconds_now();
 	for (i = 0; i < LOOKUPS; i++) {
 		key = dh_rng_next(&rng);
-		sink += dh_table_route(copy, 0, &key, sizeof(key)).backend;
+		sink += dh_table_route(
+		    t, (uint32_t)(key % services), &key, sizeof(key))
+			    .backend;
 	}
 	looked = seconds_now() - start;
-	printf("%u | %zu | %.2f | %.2f | %.1f\n", nslots,
-	    nslots * sizeof(struct dh_slot) / 1024, built * 1e3, copied * 1e3,
-	    looked / LOOKUPS * NS);
+	printf("%u | %zu | %.2f | %.1f | %.1f\n", services * GROUP_SLOTS,
+	    sizeof(struct dh_slot) * services * GROUP_SLOTS / 1024, built * 1e3,
+	    changed / CHANGES * 1e6, looked / LOOKUPS * NS);
 	dh_table_free(t);
-	dh_table_free(copy);
+	free(conf.services);
 }
 
 static void
@@ -270,7 +308,7 @@
 {
 	uint32_t n;
 
-	printf("slots | KiB | build ms | copy and 100 changes ms | lookup "
+	printf("slots | KiB | build ms | change of a slot us | lookup "
 	       "ns\n");
 	for (n = nslots / 64; n <= nslots; n *= 4)
 		table_row(n);
--- a/control/admin.c
+++ b/control/admin.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "control/authority.h"
 #include "control/feed.h"
+#include "control/tables.h"
 #include "control/vms.h"
 
 #define CONNECTION_MEMORY (16u << 10)
@@ -92,7 +93,8 @@
 	    ",\"groups\":[",
 	    ct->settings->vm, ct->incarnation, ct->settings->zone,
 	    ct->settings->region, ct->stopping ? "true" : "false",
-	    ct->conf == NULL ? 0 : ct->conf->conf->revision, ct->table_version);
+	    ct->conf == NULL ? 0 : ct->conf->conf->revision,
+	    dh_tables_version(ct->tables));
 	print_groups(out, ct);
 	g_string_append(out, "],\"vms\":[");
 	print_vms(out, ct);
--- a/control/authority.c
+++ b/control/authority.c
@@ -14,6 +14,7 @@
 #include "control/feed.h"
 #include "control/planner.h"
 #include "control/record.h"
+#include "control/tables.h"
 #include "control/vms.h"
 
 /* Leaders and deputies remembered, so that proof of their end is seen. */
@@ -291,7 +292,7 @@
 {
 	struct dh_group_view v = dh_group_view(a->group);
 
-	a->control->table_stale = true;
+	dh_tables_touch(a->control->tables, a->name);
 	if (v.role == DH_GROUP_LEADER || v.role == DH_GROUP_WAITING)
 		dh_feed_table(a->control->feed, a->name, &v);
 	if (a->control->history != NULL)
@@ -624,8 +625,10 @@
 static struct dh_feed_lead
 lead_of(const struct dh_authority *a)
 {
-	struct dh_group_view v = dh_authority_view(a);
+	struct dh_group_view v = { .role = DH_GROUP_IDLE };
 
+	if (a->group != NULL)
+		v = dh_group_view(a->group);
 	return dh_feed_leader(a->control->feed, a->name, &v);
 }
 
--- a/control/control.c
+++ b/control/control.c
@@ -13,6 +13,7 @@
 #include "control/hosting.h"
 #include "control/permits.h"
 #include "control/planner.h"
+#include "control/tables.h"
 #include "control/teams.h"
 #include "control/vms.h"
 
@@ -53,17 +54,7 @@
 	g_free(r);
 }
 
-/* The routing table */
-
-static uint32_t
-backend_index(GHashTable *by_id, uint64_t id)
-{
-	gpointer index;
-
-	if (id == 0 || !g_hash_table_lookup_extended(by_id, &id, NULL, &index))
-		return DH_NONE;
-	return GPOINTER_TO_UINT(index);
-}
+/* Groups' slots */
 
 struct dh_control_slots
 dh_control_slots(const struct dh_control *ct, const struct dh_authority *a)
@@ -99,63 +90,6 @@
 	    : &s->own[slot];
 }
 
-static void
-fill_slots(struct dh_control *ct, struct dh_table *t, struct dh_authority *a,
-    GHashTable *by_id)
-{
-	uint32_t sv = dh_conf_service(t->conf, dh_authority_service(a));
-	struct dh_control_slots s = dh_control_slots(ct, a);
-	const struct dh_assignment *as;
-	uint32_t i;
-
-	if (sv == DH_NONE || s.n != dh_service_slots(&t->conf->services[sv]))
-		return;
-	for (i = 0; i < s.n; i++) {
-		as = dh_control_slot(&s, i);
-		t->slots[sv][i] = (struct dh_slot){
-			.owner = backend_index(by_id, as->owner),
-			.standby = backend_index(by_id, as->standby),
-			.fence = as->fence,
-			.state = as->state,
-		};
-	}
-}
-
-static GHashTable *
-index_backends(const struct dh_conf *conf)
-{
-	GHashTable *by_id =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	uint64_t *id;
-	size_t i;
-
-	for (i = 0; i < conf->nbackends; i++) {
-		id = g_new(uint64_t, 1);
-		*id = dh_name_id(conf->backends[i].name);
-		g_hash_table_insert(by_id, id, GUINT_TO_POINTER((guint)i));
-	}
-	return by_id;
-}
-
-static void
-rebuild_table(struct dh_control *ct)
-{
-	g_autoptr(GHashTable) by_id = index_backends(ct->conf->conf);
-	struct dh_table *t = dh_table_new(ct->conf->conf, ++ct->table_version);
-	GHashTableIter it;
-	gpointer a;
-
-	if (t == NULL)
-		g_error("no memory for the routing table");
-	g_hash_table_iter_init(&it, ct->authorities);
-	while (g_hash_table_iter_next(&it, NULL, &a))
-		fill_slots(ct, t, a, by_id);
-	dh_publish_set(
-	    ct->publish, t, dh_conf_ref_put, dh_conf_ref_get(ct->conf));
-	dh_counter_set(
-	    dh_counter_get("dh_table_version", ""), ct->table_version);
-}
-
 static void
 add_partner(const struct dh_control *ct, GArray *list, uint64_t vm)
 {
@@ -203,10 +137,8 @@
 {
 	struct dh_control *ct = prepare->data;
 
-	if (ct->table_stale && ct->conf != NULL) {
-		ct->table_stale = false;
-		rebuild_table(ct);
-	}
+	if (ct->tables != NULL)
+		dh_tables_flush(ct->tables);
 	if (ct->partners_stale && ct->vms != NULL) {
 		ct->partners_stale = false;
 		tell_partners(ct);
@@ -225,7 +157,7 @@
 	}
 	dh_conf_ref_put(ct->conf);
 	ct->conf = dh_conf_ref_new(conf);
-	ct->table_stale = true;
+	dh_tables_configure(ct->tables);
 	dh_counter_set(
 	    dh_counter_get("dh_config_revision", ""), conf->revision);
 	dh_eventlog_add(
@@ -403,6 +335,7 @@
 	ct->router = dh_router_start(s, &rc, error);
 	if (ct->router == NULL)
 		return false;
+	ct->tables = dh_tables_new(ct);
 	ct->teams = dh_teams_new(ct);
 	ct->feed = dh_feed_new(ct);
 	ct->asks = dh_asks_new(ct);
@@ -436,6 +369,7 @@
 	dh_asks_free(ct->asks);
 	dh_teams_free(ct->teams);
 	g_array_unref(ct->partners);
+	dh_tables_free(ct->tables);
 	dh_publish_free(ct->publish);
 	dh_conf_ref_put(ct->conf);
 	uv_run(&ct->loop, UV_RUN_NOWAIT);
--- a/control/control.h
+++ b/control/control.h
@@ -39,6 +39,7 @@
 struct dh_feed;
 struct dh_asks;
 struct dh_hosting;
+struct dh_tables;
 
 struct dh_control {
 	const struct dh_settings *settings;
@@ -54,13 +55,12 @@
 	struct dh_feed *feed;
 	struct dh_asks *asks;
 	struct dh_hosting *hosting;
+	struct dh_tables *tables;
 	struct dh_conf_ref *conf; /* in force, NULL before the first */
 	GArray *partners; /* uint64_t: VMs told to the membership */
 	GHashTable *authorities; /* group name -> struct dh_authority */
 	uint64_t self; /* dh_name_id() of this VM */
 	uint64_t incarnation;
-	uint64_t table_version;
-	bool table_stale; /* rebuild before the loop next waits */
 	bool partners_stale; /* a leader or deputy may be another */
 	bool stopping;
 	int64_t stop_ms; /* when shutdown began */
--- a/control/feed.c
+++ b/control/feed.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "control/peers.h"
+#include "control/tables.h"
 #include "control/teams.h"
 #include "control/vms.h"
 
@@ -234,7 +235,7 @@
 	enum dh_relay_result r = dh_relay_put_table(f->relay, u, from);
 
 	if (result_is_news(f, r, u->group)) {
-		f->control->table_stale = true;
+		dh_tables_touch(f->control->tables, u->group);
 		f->control->partners_stale = true;
 	} else if (r == DH_RELAY_GAP) {
 		pull(f, from, false);
--- a/core/relay.c
+++ b/core/relay.c
@@ -49,6 +49,8 @@
 	struct dh_relay_params p;
 	struct object *objects;
 	size_t n, size;
+	uint32_t *places; /* open addressing by id: place + 1, 0: free */
+	size_t places_mask;
 	size_t bytes;
 	struct neighbour *neighbours;
 	size_t nneighbours, neighbours_size;
@@ -108,6 +110,13 @@
 	if (r == NULL)
 		abort();
 	r->p = *p;
+	r->places_mask = 1;
+	/* Half of it stays free. */
+	while (r->places_mask < 2 * p->objects_max + 1)
+		r->places_mask = r->places_mask * 2 + 1;
+	r->places = calloc(r->places_mask + 1, sizeof(*r->places));
+	if (r->places == NULL)
+		abort();
 	return r;
 }
 
@@ -131,25 +140,35 @@
 	for (i = 0; i < r->nneighbours; i++)
 		free(r->neighbours[i].held);
 	free(r->objects);
+	free(r->places);
 	free(r->neighbours);
 	free(r->scratch);
 	free(r);
 }
 
-static size_t
-find(const struct dh_relay *r, enum dh_relay_kind kind, const char *name)
+/* Where the place of an object is noted, or would be. */
+static uint32_t *
+place_of(const struct dh_relay *r, enum dh_relay_kind kind, const char *name)
 {
 	uint64_t id = dh_name_id(name);
 	const struct object *o;
-	size_t i;
+	size_t i = id & r->places_mask;
 
-	for (i = 0; i < r->n; i++) {
-		o = &r->objects[i];
+	for (; r->places[i] != 0; i = (i + 1) & r->places_mask) {
+		o = &r->objects[r->places[i] - 1];
 		if (o->id == id && o->kind == kind &&
 		    strcmp(o->name, name) == 0)
 			break;
 	}
-	return i;
+	return &r->places[i];
+}
+
+static size_t
+find(const struct dh_relay *r, enum dh_relay_kind kind, const char *name)
+{
+	uint32_t place = *place_of(r, kind, name);
+
+	return place == 0 ? r->n : place - 1;
 }
 
 static struct neighbour *
@@ -217,6 +236,7 @@
 	o = &r->objects[r->n++];
 	*o = (struct object){ .kind = kind, .id = dh_name_id(name) };
 	(void)strncpy(o->name, name, sizeof(o->name) - 1);
+	*place_of(r, kind, name) = (uint32_t)r->n;
 	return i;
 }
 
--- a/core/table.c
+++ b/core/table.c
@@ -1,40 +1,81 @@
 #include <dogwoodhub/table.h>
 
 #include <assert.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <dogwoodhub/key.h>
 
+/* The slots of one service, counted by the tables that have them. */
+struct block {
+	uint32_t refs;
+	struct dh_slot slots[];
+};
+
+static struct block *
+block_of(struct dh_slot *slots)
+{
+	return (struct block *)(void *)((char *)slots -
+	    offsetof(struct block, slots));
+}
+
+static struct block *
+block_new(uint32_t n)
+{
+	struct block *b = malloc(sizeof(*b) + n * sizeof(b->slots[0]));
+
+	if (b != NULL)
+		b->refs = 1;
+	return b;
+}
+
 static struct dh_slot *
 slots_new(uint32_t n)
 {
-	struct dh_slot *slots = calloc(n, sizeof(*slots));
+	struct block *b = block_new(n);
 	uint32_t i;
 
-	for (i = 0; slots != NULL && i < n; i++) {
-		slots[i].owner = DH_NONE;
-		slots[i].standby = DH_NONE;
-	}
-	return slots;
+	if (b == NULL)
+		return NULL;
+	for (i = 0; i < n; i++)
+		b->slots[i] =
+		    (struct dh_slot){ .owner = DH_NONE, .standby = DH_NONE };
+	return b->slots;
 }
 
-struct dh_table *
-dh_table_new(const struct dh_conf *conf, uint64_t version)
+static void
+slots_put(struct dh_slot *slots)
+{
+	if (slots != NULL && --block_of(slots)->refs == 0)
+		free(block_of(slots));
+}
+
+static struct dh_table *
+table_new(const struct dh_conf *conf, uint64_t version)
 {
 	struct dh_table *t = calloc(1, sizeof(*t));
-	uint32_t n;
-	size_t i;
 
 	if (t == NULL)
 		return NULL;
 	t->version = version;
 	t->conf = conf;
 	t->slots = calloc(conf->nservices + 1, sizeof(*t->slots));
-	if (t->slots == NULL) {
-		free(t);
+	if (t->slots != NULL)
+		return t;
+	free(t);
+	return NULL;
+}
+
+struct dh_table *
+dh_table_new(const struct dh_conf *conf, uint64_t version)
+{
+	struct dh_table *t = table_new(conf, version);
+	uint32_t n;
+	size_t i;
+
+	if (t == NULL)
 		return NULL;
-	}
 	for (i = 0; i < conf->nservices; i++) {
 		n = dh_service_slots(&conf->services[i]);
 		if (n == 0)
@@ -49,23 +90,39 @@
 }
 
 struct dh_table *
-dh_table_copy(const struct dh_table *t, uint64_t version)
+dh_table_copy(struct dh_table *t, uint64_t version)
 {
-	struct dh_table *copy = dh_table_new(t->conf, version);
-	uint32_t n;
+	struct dh_table *copy = table_new(t->conf, version);
 	size_t i;
 
 	if (copy == NULL)
 		return NULL;
 	for (i = 0; i < t->conf->nservices; i++) {
-		n = dh_service_slots(&t->conf->services[i]);
-		if (t->slots[i] != NULL && copy->slots[i] != NULL)
-			memcpy(copy->slots[i], t->slots[i],
-			    n * sizeof(*t->slots[i]));
+		copy->slots[i] = t->slots[i];
+		if (t->slots[i] != NULL)
+			block_of(t->slots[i])->refs++;
 	}
 	return copy;
 }
 
+struct dh_slot *
+dh_table_edit(struct dh_table *t, uint32_t service)
+{
+	struct dh_slot *old = t->slots[service];
+	uint32_t n = dh_service_slots(&t->conf->services[service]);
+	struct block *own;
+
+	if (old == NULL || block_of(old)->refs == 1)
+		return old;
+	own = block_new(n);
+	if (own == NULL)
+		return NULL;
+	memcpy(own->slots, old, n * sizeof(*old));
+	slots_put(old);
+	t->slots[service] = own->slots;
+	return own->slots;
+}
+
 void
 dh_table_free(struct dh_table *t)
 {
@@ -74,7 +131,7 @@
 	if (t == NULL)
 		return;
 	for (i = 0; i < t->conf->nservices; i++)
-		free(t->slots[i]);
+		slots_put(t->slots[i]);
 	free(t->slots);
 	free(t);
 }
--- a/include/dogwoodhub/table.h
+++ b/include/dogwoodhub/table.h
@@ -29,7 +29,8 @@
 struct dh_table {
 	uint64_t version; /* rises with every table published */
 	const struct dh_conf *conf; /* borrowed: outlives the table */
-	struct dh_slot **slots; /* [service][slot]; NULL if not keyed */
+	struct dh_slot **slots; /* [service][slot]; NULL if not keyed.  Written
+				 * through dh_table_edit() once copied */
 };
 
 /* Where a request for a key goes. */
@@ -45,8 +46,18 @@
  * memory.  The caller owns it; conf stays the caller's. */
 struct dh_table *dh_table_new(const struct dh_conf *conf, uint64_t version);
 
-/* dh_table_copy -- a copy with its own slots and the given version. */
-struct dh_table *dh_table_copy(const struct dh_table *t, uint64_t version);
+/*
+ * dh_table_copy -- a copy with the given version, or NULL without memory.
+ *
+ * Copies share the slots of each service until dh_table_edit() gives one of
+ * them its own; so a change costs about the slots of its service.  Tables that
+ * share slots are copied, edited and freed by one thread; any may read them.
+ */
+struct dh_table *dh_table_copy(struct dh_table *t, uint64_t version);
+
+/* dh_table_edit -- the slots of a keyed service, to be written by the caller:
+ * they are t's own from now on.  NULL without memory. */
+struct dh_slot *dh_table_edit(struct dh_table *t, uint32_t service);
 
 void dh_table_free(struct dh_table *t);
 
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -2,11 +2,13 @@
 #include <string.h>
 
 #include <dogwoodhub/key.h>
+#include <dogwoodhub/rng.h>
 #include <dogwoodhub/table.h>
 
 #include "tests/cunit_main.h"
 
 #define HASH_SLOTS 97
+#define HELD 6u /* versions that readers still hold */
 
 static char key_a[] = "a", key_m[] = "m", key_mm[] = "mm";
 static char *first_keys[] = { key_a, key_m, key_mm };
@@ -85,13 +87,71 @@
 
 	t->slots[0][5].owner = 7;
 	copy = dh_table_copy(t, 2);
-	t->slots[0][5].owner = 8;
+	dh_table_edit(t, 0)[5].owner = 8;
 	CU_ASSERT_EQUAL(copy->slots[0][5].owner, 7);
 	CU_ASSERT_EQUAL(copy->version, 2);
+	dh_table_edit(copy, 0)[5].owner = 9;
+	CU_ASSERT_EQUAL(t->slots[0][5].owner, 8);
 	dh_table_free(t);
+	CU_ASSERT_EQUAL(copy->slots[0][5].owner, 9);
 	dh_table_free(copy);
 }
 
+static bool
+is_same(const struct dh_table *a, const struct dh_table *b)
+{
+	return memcmp(a->slots[0], b->slots[0],
+		   HASH_SLOTS * sizeof(struct dh_slot)) == 0 &&
+	    memcmp(a->slots[2], b->slots[2], 3 * sizeof(struct dh_slot)) == 0;
+}
+
+/* A table made from scratch with what another one says. */
+static struct dh_table *
+from_scratch(const struct dh_table *t)
+{
+	struct dh_table *n = dh_table_new(&conf, t->version);
+
+	memcpy(n->slots[0], t->slots[0], HASH_SLOTS * sizeof(struct dh_slot));
+	memcpy(n->slots[2], t->slots[2], 3 * sizeof(struct dh_slot));
+	return n;
+}
+
+/* Random edits, each on a copy of the last: every version still held says
+ * what a table made from scratch at its time did. */
+static void
+test_edits_like_from_scratch(void)
+{
+	struct dh_table *held[HELD] = { 0 }, *scratch[HELD] = { 0 }, *t;
+	struct dh_rng rng = { 11 };
+	uint32_t i, k, service, slot, owner;
+
+	t = dh_table_new(&conf, 1);
+	for (i = 0; i < 5000; i++) {
+		k = (uint32_t)dh_rng_below(&rng, HELD);
+		dh_table_free(held[k]);
+		dh_table_free(scratch[k]);
+		held[k] = t;
+		scratch[k] = from_scratch(t);
+		t = dh_table_copy(t, i + 2);
+		for (k = 0; k < 1 + dh_rng_below(&rng, 3); k++) {
+			service = dh_rng_below(&rng, 2) == 0 ? 0 : 2;
+			slot = (uint32_t)dh_rng_below(
+			    &rng, service == 0 ? HASH_SLOTS : 3);
+			owner = (uint32_t)dh_rng_below(&rng, 1000);
+			dh_table_edit(t, service)[slot].owner = owner;
+			CU_ASSERT_EQUAL(t->slots[service][slot].owner, owner);
+		}
+		for (k = 0; k < HELD; k++)
+			CU_ASSERT(
+			    held[k] == NULL || is_same(held[k], scratch[k]));
+	}
+	dh_table_free(t);
+	for (k = 0; k < HELD; k++) {
+		dh_table_free(held[k]);
+		dh_table_free(scratch[k]);
+	}
+}
+
 static void
 test_fence_term_outranks_counter(void)
 {
@@ -112,6 +172,7 @@
 		{ "range", test_range_division_picks_last_first_key },
 		{ "new table", test_new_table_routes_nowhere },
 		{ "copy", test_copy_is_apart },
+		{ "edits like from scratch", test_edits_like_from_scratch },
 		{ "fence", test_fence_term_outranks_counter },
 		CU_TEST_INFO_NULL,
 	};
