--- a/control/admin.c
+++ b/control/admin.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "control/authority.h"
 #include "control/feed.h"
+#include "control/tables.h"
 #include "control/vms.h"
 
 #define CONNECTION_MEMORY (16u << 10)
@@ -34,15 +35,17 @@
 	struct dh_group_view v = dh_authority_view(a);
 	struct dh_feed_lead lead =
 	    dh_feed_leader(ct->feed, dh_authority_name(a), &v);
+	struct dh_control_slots s = dh_control_slots(ct, a);
 	uint32_t count[3] = { 0 }, i;
 
 	for (i = 0; i < v.nslots; i++)
-		count[dh_control_slot(ct, a, i)->state]++;
+		count[dh_control_slot(&s, i)->state]++;
 	g_string_append_printf(out,
-	    "{\"group\":\"%s\",\"role\":\"%s\",\"term\":%" PRIu64
+	    "{\"group\":\"%s\",\"role\":\"%s\",\"hosted\":%s,\"term\":%" PRIu64
 	    ",\"leader\":\"%s\",\"deputy\":\"%s\",\"slots\":%u,\"unowned\":%u,"
 	    "\"owned\":%u,\"moving\":%u,\"store_down\":%s}",
-	    dh_authority_name(a), role_names[v.role], lead.term,
+	    dh_authority_name(a), role_names[v.role],
+	    dh_authority_hosted(a) ? "true" : "false", lead.term,
 	    vm_name(ct, lead.leader), vm_name(ct, lead.deputy), v.nslots,
 	    count[DH_SLOT_UNOWNED], count[DH_SLOT_OWNED], count[DH_SLOT_MOVING],
 	    v.store_down ? "true" : "false");
@@ -90,7 +93,8 @@
 	    ",\"groups\":[",
 	    ct->settings->vm, ct->incarnation, ct->settings->zone,
 	    ct->settings->region, ct->stopping ? "true" : "false",
-	    ct->conf == NULL ? 0 : ct->conf->conf->revision, ct->table_version);
+	    ct->conf == NULL ? 0 : ct->conf->conf->revision,
+	    dh_tables_version(ct->tables));
 	print_groups(out, ct);
 	g_string_append(out, "],\"vms\":[");
 	print_vms(out, ct);
--- a/control/control.c
+++ b/control/control.c
@@ -10,8 +10,10 @@
 #include "control/admin.h"
 #include "control/authority.h"
 #include "control/feed.h"
+#include "control/hosting.h"
 #include "control/permits.h"
 #include "control/planner.h"
+#include "control/tables.h"
 #include "control/teams.h"
 #include "control/vms.h"
 
@@ -52,92 +54,40 @@
 	g_free(r);
 }
 
-/* The routing table */
+/* Groups' slots */
 
-static uint32_t
-backend_index(GHashTable *by_id, uint64_t id)
-{
-	gpointer index;
-
-	if (id == 0 || !g_hash_table_lookup_extended(by_id, &id, NULL, &index))
-		return DH_NONE;
-	return GPOINTER_TO_UINT(index);
-}
-
-/* An assignment with the higher fence is the later one; of equal ones the
- * relayed one is the leader's own word. */
-const struct dh_assignment *
-dh_control_slot(
-    const struct dh_control *ct, const struct dh_authority *a, uint32_t slot)
+struct dh_control_slots
+dh_control_slots(const struct dh_control *ct, const struct dh_authority *a)
 {
 	struct dh_group_view v = dh_authority_view(a);
-	const struct dh_assignment *relayed;
+	struct dh_control_slots s = { .n = v.nslots, .own = v.slots };
 	uint32_t n = 0;
 
-	relayed = dh_feed_slots(ct->feed, dh_authority_name(a), &n);
-	if (relayed == NULL || n != v.nslots || v.role == DH_GROUP_LEADER)
-		return &v.slots[slot];
-	return dh_fence_cmp(relayed[slot].fence, v.slots[slot].fence) >= 0
-	    ? &relayed[slot]
-	    : &v.slots[slot];
-}
-
-static void
-fill_slots(struct dh_control *ct, struct dh_table *t, struct dh_authority *a,
-    GHashTable *by_id)
-{
-	uint32_t sv = dh_conf_service(t->conf, dh_authority_service(a));
-	struct dh_group_view v = dh_authority_view(a);
-	const struct dh_assignment *as;
-	uint32_t i;
-
-	if (sv == DH_NONE ||
-	    v.nslots != dh_service_slots(&t->conf->services[sv]))
-		return;
-	for (i = 0; i < v.nslots; i++) {
-		as = dh_control_slot(ct, a, i);
-		t->slots[sv][i] = (struct dh_slot){
-			.owner = backend_index(by_id, as->owner),
-			.standby = backend_index(by_id, as->standby),
-			.fence = as->fence,
-			.state = as->state,
-		};
+	if (!dh_authority_hosted(a)) {
+		s.own = NULL;
+		s.relayed = v.slots;
+	} else if (v.role != DH_GROUP_LEADER) {
+		s.relayed = dh_feed_slots(ct->feed, dh_authority_name(a), &n);
+		if (n != v.nslots)
+			s.relayed = NULL;
 	}
+	return s;
 }
 
-static GHashTable *
-index_backends(const struct dh_conf *conf)
-{
-	GHashTable *by_id =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	uint64_t *id;
-	size_t i;
-
-	for (i = 0; i < conf->nbackends; i++) {
-		id = g_new(uint64_t, 1);
-		*id = dh_name_id(conf->backends[i].name);
-		g_hash_table_insert(by_id, id, GUINT_TO_POINTER((guint)i));
-	}
-	return by_id;
-}
-
-static void
-rebuild_table(struct dh_control *ct)
+/* An assignment with the higher fence is the later one; of equal ones the
+ * relayed one is the leader's own word. */
+const struct dh_assignment *
+dh_control_slot(const struct dh_control_slots *s, uint32_t slot)
 {
-	g_autoptr(GHashTable) by_id = index_backends(ct->conf->conf);
-	struct dh_table *t = dh_table_new(ct->conf->conf, ++ct->table_version);
-	GHashTableIter it;
-	gpointer a;
-
-	if (t == NULL)
-		g_error("no memory for the routing table");
-	g_hash_table_iter_init(&it, ct->authorities);
-	while (g_hash_table_iter_next(&it, NULL, &a))
-		fill_slots(ct, t, a, by_id);
-	dh_publish_set(
-	    ct->publish, t, dh_conf_ref_put, dh_conf_ref_get(ct->conf));
-	dh_counter_set(
-	    dh_counter_get("dh_table_version", ""), ct->table_version);
+	static const struct dh_assignment unknown = { 0 };
+
+	if (s->relayed == NULL)
+		return s->own == NULL ? &unknown : &s->own[slot];
+	if (s->own == NULL)
+		return &s->relayed[slot];
+	return dh_fence_cmp(s->relayed[slot].fence, s->own[slot].fence) >= 0
+	    ? &s->relayed[slot]
+	    : &s->own[slot];
 }
 
 static void
@@ -187,40 +137,17 @@
 {
 	struct dh_control *ct = prepare->data;
 
-	if (ct->table_stale && ct->conf != NULL) {
-		ct->table_stale = false;
-		rebuild_table(ct);
-	}
-	if (ct->vms != NULL)
+	if (ct->tables != NULL)
+		dh_tables_flush(ct->tables);
+	if (ct->partners_stale && ct->vms != NULL) {
+		ct->partners_stale = false;
 		tell_partners(ct);
+	}
 	dh_publish_poll(ct->publish);
 }
 
 /* Configuration and membership */
 
-static void
-update_authorities(struct dh_control *ct)
-{
-	const struct dh_conf *conf = ct->conf->conf;
-	struct dh_authority *a;
-	GHashTableIter it;
-	gpointer each;
-	size_t i;
-
-	for (i = 0; i < conf->nservices; i++) {
-		const struct dh_service *sv = &conf->services[i];
-		g_autofree char *name = g_strdup_printf("%s/0", sv->name);
-
-		if (g_hash_table_contains(ct->authorities, name))
-			continue;
-		a = dh_authority_new(ct, sv->name, 0, dh_service_slots(sv));
-		g_hash_table_insert(ct->authorities, g_steal_pointer(&name), a);
-	}
-	g_hash_table_iter_init(&it, ct->authorities);
-	while (g_hash_table_iter_next(&it, NULL, &each))
-		dh_authority_update(each);
-}
-
 void
 dh_control_accept(struct dh_control *ct, struct dh_conf *conf)
 {
@@ -230,7 +157,7 @@
 	}
 	dh_conf_ref_put(ct->conf);
 	ct->conf = dh_conf_ref_new(conf);
-	ct->table_stale = true;
+	dh_tables_configure(ct->tables);
 	dh_counter_set(
 	    dh_counter_get("dh_config_revision", ""), conf->revision);
 	dh_eventlog_add(
@@ -238,18 +165,14 @@
 	dh_log(DH_LOG_INFO, "config.in_force",
 	    "revision=%" PRIu64 " services=%zu backend_servers=%zu",
 	    conf->revision, conf->nservices, conf->nbackends);
-	update_authorities(ct);
+	dh_hosting_configure(ct->hosting);
+	ct->partners_stale = true;
 }
 
 void
 dh_control_members_changed(struct dh_control *ct)
 {
-	GHashTableIter it;
-	gpointer a;
-
-	g_hash_table_iter_init(&it, ct->authorities);
-	while (g_hash_table_iter_next(&it, NULL, &a))
-		dh_authority_update(a);
+	dh_hosting_members(ct->hosting);
 }
 
 /* Traffic threads */
@@ -412,9 +335,11 @@
 	ct->router = dh_router_start(s, &rc, error);
 	if (ct->router == NULL)
 		return false;
+	ct->tables = dh_tables_new(ct);
 	ct->teams = dh_teams_new(ct);
 	ct->feed = dh_feed_new(ct);
 	ct->asks = dh_asks_new(ct);
+	ct->hosting = dh_hosting_new(ct);
 	ct->vms = dh_vms_new(ct, error);
 	return ct->vms != NULL;
 }
@@ -439,10 +364,12 @@
 	dh_store_free(ct->store);
 	dh_http_free(ct->http);
 	g_hash_table_unref(ct->authorities);
+	dh_hosting_free(ct->hosting);
 	dh_feed_free(ct->feed);
 	dh_asks_free(ct->asks);
 	dh_teams_free(ct->teams);
 	g_array_unref(ct->partners);
+	dh_tables_free(ct->tables);
 	dh_publish_free(ct->publish);
 	dh_conf_ref_put(ct->conf);
 	uv_run(&ct->loop, UV_RUN_NOWAIT);
