Placement: hot keys that take their whole slot, fixed slots, no moves to who just started

The daemon can't give a key a slot of its own: VMs that hold different revisions would name two owners. With whole_slots a hot key marks the slot that it falls into. Its backend server sheds at once and from a budget of its own, by the same gain as for balance: either the key's slot goes or the others leave it. A key that has cooled is forgotten; nothing moves back. A service that does little (the key under 2 % of a backend server's capacity) pins nothing.

An operator's pin fixes its slot: before, the planner took such a move to be carried out, spent its budget on it and avoided the target for 10 s.

Mutants, each noticed: fix ignored ('fixed slot'), ramp ignored ('lying reports'), load not raised, budget not spent, no plan_hot ('hot key's slot'), no least load ('idle service').

--- a/core/hotkey.c
+++ b/core/hotkey.c
@@ -198,18 +198,39 @@
 	}
 }
 
+static void
+count_key(struct dh_hotkeys *h, uint64_t hash, const void *key, size_t len,
+    double weight)
+{
+	struct counter *c = counter_of(h, hash, key, len);
+
+	c->key.count += weight * h->worth;
+	heap_down(h, c->heap_pos);
+}
+
 void
 dh_hotkeys_add(struct dh_hotkeys *h, uint64_t hash, const void *key, size_t len,
     uint32_t weight, int64_t now_us)
 {
-	struct counter *c;
-
 	if (now_us >= h->step_us)
 		decay(h, now_us);
-	c = counter_of(h, hash, key, len);
-	c->key.count += weight * h->worth;
+	count_key(h, hash, key, len, weight);
 	h->total += weight * h->worth;
-	heap_down(h, c->heap_pos);
+}
+
+void
+dh_hotkeys_add_report(struct dh_hotkeys *h, const struct dh_hotkey *list,
+    size_t n, double total, int64_t now_us)
+{
+	size_t i;
+
+	if (now_us >= h->step_us)
+		decay(h, now_us);
+	for (i = 0; i < n; i++)
+		if (list[i].count > list[i].error)
+			count_key(h, list[i].hash, list[i].key, list[i].len,
+			    list[i].count - list[i].error);
+	h->total += total * h->worth;
 }
 
 double
--- a/core/placement.c
+++ b/core/placement.c
@@ -36,6 +36,7 @@
 #define AVOID_MS 10000 /* a target that did not take a move */
 #define PIN_RATIO 0.25 /* of a backend server's mean load: key is pinned */
 #define UNPIN_RATIO 0.10
+#define PIN_USE 0.02 /* least part of a backend server's capacity */
 #define FIRST_LOAD 1e-3F /* of a slot not counted yet: all are alike */
 #define REPORT_SLACK 0.2 /* difference that passes */
 #define REPORT_SIGMAS 4.0 /* and random scatter of counts */
@@ -48,7 +49,8 @@
 	uint32_t owner, standby;
 	uint32_t next, prev; /* of the same owner */
 	int64_t moved_ms; /* INT64_MIN: never */
-	bool pending; /* moved for balance, not acknowledged yet */
+	bool pending; /* moved by choice, not acknowledged yet */
+	bool fixed; /* stays where it is */
 };
 
 struct pin {
@@ -79,6 +81,7 @@
 	struct dh_rng rng;
 	uint32_t nall; /* slots and pins */
 	double tokens; /* moves left */
+	double hot_tokens;
 	int64_t filled_ms;
 	int64_t planned_ms; /* time of the last plan */
 	bool balancing;
@@ -267,7 +270,8 @@
 		standby = choose_standby(pl, target);
 	set_standby(pl, i, standby);
 	pl->slots[i].moved_ms = plan->now_ms;
-	pl->slots[i].pending = reason == DH_PLACEMENT_BALANCE;
+	pl->slots[i].pending =
+	    reason == DH_PLACEMENT_BALANCE || reason == DH_PLACEMENT_HOT;
 	plan->out[plan->n++] = (struct dh_placement_move){ .slot = i,
 		.target = target,
 		.standby = standby,
@@ -346,10 +350,12 @@
 {
 	uint32_t i = pl->params.nslots + k;
 
+	pl->pins[k].used = false;
+	if (pl->params.whole_slots)
+		return;
 	set_standby(pl, i, DH_NONE);
 	unlink_slot(pl, i);
 	pl->slots[i].load = 0;
-	pl->pins[k].used = false;
 }
 
 static void
@@ -360,6 +366,10 @@
 	for (k = 0; k < pl->params.max_pins && plan->n < plan->max; k++) {
 		if (!pl->pins[k].used || !pl->pins[k].cooled)
 			continue;
+		if (pl->params.whole_slots) {
+			unpin(pl, k);
+			continue;
+		}
 		i = pl->params.nslots + k;
 		home = pl->slots[pl->pins[k].home].owner;
 		if (home == DH_NONE)
@@ -414,6 +424,17 @@
 	return gain > GAIN_MARGIN * cost ? gain - cost : -1;
 }
 
+/* Whether a slot may move there by choice. */
+static bool
+may_receive(const struct dh_placement *pl, uint32_t b, int64_t now_ms)
+{
+	const struct server *sv = &pl->servers[b];
+
+	return sv->conf.state == DH_PLACEMENT_READY &&
+	    now_ms - sv->cold_ms >= pl->params.ramp_ms &&
+	    now_ms >= sv->avoid_until_ms;
+}
+
 struct candidate {
 	uint32_t slot, target;
 	double gain;
@@ -425,9 +446,7 @@
 {
 	double gain;
 
-	if (b == DH_NONE || b == a ||
-	    pl->servers[b].conf.state != DH_PLACEMENT_READY ||
-	    now_ms < pl->servers[b].avoid_until_ms)
+	if (b == DH_NONE || b == a || !may_receive(pl, b, now_ms))
 		return;
 	gain = net_gain(pl, i, a, b, now_ms);
 	if (gain > c->gain) {
@@ -447,8 +466,9 @@
 
 	for (i = pl->servers[a].head; i != DH_NONE; i = sl->next) {
 		sl = &pl->slots[i];
-		if (sl->moved_ms != INT64_MIN &&
-		    now_ms - sl->moved_ms < pl->params.dwell_ms)
+		if (sl->fixed ||
+		    (sl->moved_ms != INT64_MIN &&
+			now_ms - sl->moved_ms < pl->params.dwell_ms))
 			continue;
 		consider(pl, &c, i, a, lowest, now_ms);
 		consider(pl, &c, i, a, sl->standby, now_ms);
@@ -477,8 +497,7 @@
 			x.highest = b;
 			x.high_use = use;
 		}
-		if (use < x.low_use &&
-		    now_ms >= pl->servers[b].avoid_until_ms) {
+		if (use < x.low_use && may_receive(pl, b, now_ms)) {
 			x.lowest = b;
 			x.low_use = use;
 		}
@@ -501,13 +520,54 @@
 fill_tokens(struct dh_placement *pl, int64_t now_ms)
 {
 	double max = pl->params.moves_a_minute;
+	double hot_max = pl->params.hot_moves_a_minute;
+	double minutes = (double)(now_ms - pl->filled_ms) / 60000;
 
-	pl->tokens += max * (double)(now_ms - pl->filled_ms) / 60000;
-	if (pl->tokens > max)
-		pl->tokens = max;
+	pl->tokens = fmin(max, pl->tokens + max * minutes);
+	pl->hot_tokens = fmin(hot_max, pl->hot_tokens + hot_max * minutes);
 	pl->filled_ms = now_ms;
 }
 
+/*
+ * A hot key's backend server sheds by the same gain as for balance, but at
+ * once: it does not wait for a large deviation, nor for the budget that other
+ * moves have used up.  Either the key's slot goes where there is room, or,
+ * when the key alone is as much as others carry, the other slots leave it.
+ */
+static void
+plan_hot_server(struct dh_placement *pl, struct plan *plan, uint32_t a)
+{
+	double most = pl->total / pl->capacity * (1 + STOP_DEVIATION);
+	struct candidate c;
+
+	while (plan->n < plan->max && pl->hot_tokens >= 1 &&
+	    use_of(pl, a, plan->now_ms) > most) {
+		c = best_move(pl, a, find_extremes(pl, plan->now_ms).lowest,
+		    plan->now_ms);
+		if (c.slot == DH_NONE)
+			return;
+		emit(pl, plan, c.slot, c.target, DH_PLACEMENT_HOT);
+		pl->hot_tokens -= 1;
+	}
+}
+
+static void
+plan_hot(struct dh_placement *pl, struct plan *plan)
+{
+	uint32_t k, owner;
+
+	if (!pl->params.whole_slots || pl->nready < 2 || pl->total <= 0)
+		return;
+	for (k = 0; k < pl->params.max_pins; k++) {
+		if (!pl->pins[k].used)
+			continue;
+		owner = pl->slots[pl->pins[k].home].owner;
+		if (owner != DH_NONE &&
+		    pl->servers[owner].conf.state == DH_PLACEMENT_READY)
+			plan_hot_server(pl, plan, owner);
+	}
+}
+
 static void
 plan_balance(struct dh_placement *pl, struct plan *plan)
 {
@@ -515,7 +575,6 @@
 	struct candidate c;
 	int nstuck = 0;
 
-	fill_tokens(pl, plan->now_ms);
 	while (plan->n < plan->max && pl->tokens >= 1 && pl->nready > 1 &&
 	    pl->total > 0) {
 		x = find_extremes(pl, plan->now_ms);
@@ -545,6 +604,8 @@
 	plan_unpin(pl, &plan);
 	mend_standbys(pl);
 	survey(pl, now_ms);
+	fill_tokens(pl, now_ms);
+	plan_hot(pl, &plan);
 	plan_balance(pl, &plan);
 	return plan.n;
 }
@@ -591,6 +652,13 @@
 	set_standby(pl, slot, standby);
 }
 
+void
+dh_placement_fix(struct dh_placement *pl, uint32_t slot, bool fixed)
+{
+	assert(slot < pl->nall);
+	pl->slots[slot].fixed = fixed;
+}
+
 uint32_t
 dh_placement_owner(const struct dh_placement *pl, uint32_t slot)
 {
@@ -722,80 +790,122 @@
 
 /* Hot keys. */
 
-uint32_t
-dh_placement_pin(const struct dh_placement *pl, uint64_t hash)
+static uint32_t
+pin_find(const struct dh_placement *pl, uint64_t hash)
 {
 	uint32_t k;
 
 	for (k = 0; k < pl->params.max_pins; k++)
 		if (pl->pins[k].used && pl->pins[k].hash == hash)
-			return pl->params.nslots + k;
+			return k;
 	return DH_NONE;
 }
 
+uint32_t
+dh_placement_pin(const struct dh_placement *pl, uint64_t hash)
+{
+	uint32_t k;
+
+	k = pin_find(pl, hash);
+	if (k == DH_NONE)
+		return DH_NONE;
+	return pl->params.whole_slots ? pl->pins[k].home
+				      : pl->params.nslots + k;
+}
+
 static double
-all_load(const struct dh_placement *pl, uint32_t *nbackends)
+all_load(const struct dh_placement *pl, uint32_t *nbackends, double *nslots)
 {
 	double load = 0;
 	uint32_t b;
 
 	*nbackends = 0;
+	*nslots = 0;
 	for (b = 0; b < pl->params.max_backends; b++) {
 		if (pl->servers[b].conf.state != DH_PLACEMENT_READY)
 			continue;
 		load += pl->servers[b].load;
+		*nslots += pl->servers[b].conf.slots;
 		(*nbackends)++;
 	}
 	return load;
 }
 
+/* The slot weighs at least what its hot key does: known before the decayed
+ * counts show it. */
 static void
-pin_new(
-    struct dh_placement *pl, const struct dh_placement_hot *hot, double load)
+raise_load(struct dh_placement *pl, struct slot *sl, double load)
 {
-	struct slot *home = &pl->slots[hot->home], *sl;
-	uint32_t k, i, owner = home->owner;
+	double more = load - sl->load;
 
-	for (k = 0; k < pl->params.max_pins && pl->pins[k].used; k++)
-		;
-	if (k == pl->params.max_pins || owner == DH_NONE)
+	if (more <= 0)
 		return;
+	sl->load += (float)more;
+	pl->servers[sl->owner].load += more;
+	if (sl->standby != DH_NONE)
+		pl->servers[sl->standby].standby_load += more;
+}
+
+/* The key gets a slot of its own, whose load leaves the home slot now and not
+ * by the counts only. */
+static void
+split_pin(struct dh_placement *pl, struct slot *home, uint32_t i, double load)
+{
+	struct slot *sl = &pl->slots[i];
+
 	if (load > home->load)
 		load = home->load;
-	pl->pins[k] =
-	    (struct pin){ .hash = hot->hash, .home = hot->home, .used = true };
-	i = pl->params.nslots + k;
-	sl = &pl->slots[i];
-	/* Its load leaves the home slot now and not by the counts only. */
-	pl->servers[owner].load -= load;
+	pl->servers[home->owner].load -= load;
 	if (home->standby != DH_NONE)
 		pl->servers[home->standby].standby_load -= load;
 	home->load -= (float)load;
 	sl->load = (float)load;
 	sl->moved_ms = INT64_MIN;
-	link_slot(pl, i, owner);
+	link_slot(pl, i, home->owner);
 	set_standby(pl, i, home->standby);
 }
 
+static void
+pin_new(
+    struct dh_placement *pl, const struct dh_placement_hot *hot, double load)
+{
+	struct slot *home = &pl->slots[hot->home];
+	uint32_t k;
+
+	for (k = 0; k < pl->params.max_pins && pl->pins[k].used; k++)
+		;
+	if (k == pl->params.max_pins || home->owner == DH_NONE)
+		return;
+	pl->pins[k] =
+	    (struct pin){ .hash = hot->hash, .home = hot->home, .used = true };
+	if (pl->params.whole_slots)
+		raise_load(pl, home, load);
+	else
+		split_pin(pl, home, pl->params.nslots + k, load);
+}
+
 void
 dh_placement_hot_keys(
     struct dh_placement *pl, const struct dh_placement_hot *list, size_t n)
 {
-	uint32_t nbackends, at, k;
-	double total = all_load(pl, &nbackends), load, mean;
+	uint32_t nbackends, k;
+	double nslots, load, mean, least, total;
 	size_t j;
 
+	total = all_load(pl, &nbackends, &nslots);
 	if (nbackends == 0)
 		return;
 	mean = total / nbackends;
+	/* Where little is going on, any key is a large share of it. */
+	least = fmax(PIN_RATIO * mean, PIN_USE * nslots / nbackends);
 	for (k = 0; k < pl->params.max_pins; k++)
 		pl->pins[k].cooled = true;
 	for (j = 0; j < n; j++) {
 		load = list[j].share * total;
-		at = dh_placement_pin(pl, list[j].hash);
-		if (at != DH_NONE && load >= UNPIN_RATIO * mean)
-			pl->pins[at - pl->params.nslots].cooled = false;
-		else if (at == DH_NONE && load >= PIN_RATIO * mean)
+		k = pin_find(pl, list[j].hash);
+		if (k != DH_NONE && load >= UNPIN_RATIO * mean)
+			pl->pins[k].cooled = false;
+		else if (k == DH_NONE && load >= least)
 			pin_new(pl, &list[j], load);
 	}
 }
@@ -804,7 +914,8 @@
 dh_placement_bytes(const struct dh_placement_params *p)
 {
 	return sizeof(struct dh_placement) +
-	    ((size_t)p->nslots + p->max_pins) * sizeof(struct slot) +
+	    ((size_t)p->nslots + (p->whole_slots ? 0 : p->max_pins)) *
+	    sizeof(struct slot) +
 	    p->max_pins * sizeof(struct pin) +
 	    p->max_backends * (sizeof(struct server) + sizeof(uint32_t));
 }
@@ -835,8 +946,9 @@
 		return NULL;
 	pl->params = *p;
 	pl->rng.state = p->seed;
-	pl->nall = p->nslots + p->max_pins;
+	pl->nall = p->nslots + (p->whole_slots ? 0 : p->max_pins);
 	pl->tokens = p->moves_a_minute;
+	pl->hot_tokens = p->hot_moves_a_minute;
 	pl->slots = calloc(pl->nall, sizeof(*pl->slots));
 	pl->pins = calloc(p->max_pins + 1U, sizeof(*pl->pins));
 	pl->servers = calloc(p->max_backends + 1U, sizeof(*pl->servers));
--- a/include/dogwoodhub/hotkey.h
+++ b/include/dogwoodhub/hotkey.h
@@ -57,6 +57,15 @@
 void dh_hotkeys_merge(struct dh_hotkeys *h, const struct dh_hotkey *list,
     size_t n, double floor, double total);
 
+/*
+ * dh_hotkeys_add_report -- add what another sketch surely counted in a period
+ * that has passed: its list of keys, less their errors, and its total.  It
+ * costs time by the list only; lower bounds hold, upper bounds of keys that
+ * were not listed do not.
+ */
+void dh_hotkeys_add_report(struct dh_hotkeys *h, const struct dh_hotkey *list,
+    size_t n, double total, int64_t now_us);
+
 /* dh_hotkeys_bytes -- memory of a sketch of that size. */
 size_t dh_hotkeys_bytes(uint32_t size);
 
--- a/include/dogwoodhub/placement.h
+++ b/include/dogwoodhub/placement.h
@@ -18,15 +18,20 @@
  * backend server that is lost or leaving move at once.
  *
  * Slots [0, nslots) are the service's; [nslots, nslots + max_pins) are hot
- * keys pinned apart from their slot.  Times are of any one clock.
+ * keys pinned apart from their slot, unless whole_slots is set.  Times are of
+ * any one clock.
  */
 
 struct dh_placement_params {
 	struct dh_weights weights;
 	uint32_t nslots;
 	uint32_t max_pins;
+	/* A hot key moves the whole slot that it falls into: pins have no
+	 * slots of their own. */
+	bool whole_slots;
 	uint32_t max_backends;
 	uint32_t moves_a_minute; /* that only improve the balance */
+	uint32_t hot_moves_a_minute; /* for hot keys, with whole_slots */
 	int64_t horizon_ms; /* how long a gain is counted */
 	int64_t move_ms; /* a planned move holds a slot's requests so long */
 	int64_t dwell_ms; /* a slot moved stays at least so long */
@@ -46,7 +51,8 @@
 	enum dh_placement_state state;
 	uint32_t slots; /* requests it runs at once */
 	uint64_t zone;
-	bool cold; /* starts now: its capacity grows over ramp_ms */
+	bool cold; /* starts now: its capacity grows over ramp_ms; until
+		    * then no slot moves to it for balance or a hot key */
 };
 
 enum dh_placement_reason {
@@ -54,6 +60,7 @@
 	DH_PLACEMENT_DRAIN,
 	DH_PLACEMENT_UNPIN, /* a pinned key has cooled: back to its slot */
 	DH_PLACEMENT_BALANCE,
+	DH_PLACEMENT_HOT, /* a hot key, or what shares its backend server */
 };
 
 struct dh_placement_move {
@@ -104,6 +111,11 @@
  * balance gets no more of them for a while.  Either may be DH_NONE. */
 void dh_placement_set_owner(
     struct dh_placement *pl, uint32_t slot, uint32_t owner, uint32_t standby);
+
+/* dh_placement_fix -- whether a slot stays where it is, whatever its load:
+ * an operator has placed it. */
+void dh_placement_fix(struct dh_placement *pl, uint32_t slot, bool fixed);
+
 uint32_t dh_placement_owner(const struct dh_placement *pl, uint32_t slot);
 uint32_t dh_placement_standby(const struct dh_placement *pl, uint32_t slot);
 
@@ -125,7 +137,8 @@
 void dh_placement_hot_keys(
     struct dh_placement *pl, const struct dh_placement_hot *list, size_t n);
 
-/* dh_placement_pin -- the pin slot of a key, or DH_NONE. */
+/* dh_placement_pin -- the pin slot of a key (with whole_slots, the slot that
+ * it falls into), or DH_NONE if it is not pinned. */
 uint32_t dh_placement_pin(const struct dh_placement *pl, uint64_t hash);
 
 /*
--- a/tests/test_hotkey.c
+++ b/tests/test_hotkey.c
@@ -217,6 +217,35 @@
 	dh_hotkeys_free(h);
 }
 
+/* Reports of two routers a second, each of its own few keys. */
+static void
+test_reports_add_up_and_decay(void)
+{
+	struct dh_hotkeys *h = dh_hotkeys_new(&params);
+	struct dh_hotkey list[2] = {
+		{ .hash = 11, .count = 30, .len = 1, .key = "a" },
+		{ .hash = 12, .count = 20, .error = 15, .len = 1, .key = "b" }
+	};
+	int64_t now_us = 1000000;
+	int i;
+
+	for (i = 0; i < 100; i++, now_us += params.half_life_us / 10) {
+		dh_hotkeys_add_report(h, list, 2, 50, now_us);
+		dh_hotkeys_add_report(h, list, 1, 50, now_us);
+	}
+	CU_ASSERT_EQUAL_FATAL(dh_hotkeys_top(h, 0, top, SIZE), 2);
+	CU_ASSERT_EQUAL(top[0].hash, 11);
+	CU_ASSERT_STRING_EQUAL(top[0].key, "a");
+	CU_ASSERT_DOUBLE_EQUAL(top[0].count / dh_hotkeys_total(h), 0.6, 0.001);
+	CU_ASSERT_DOUBLE_EQUAL(top[1].count / dh_hotkeys_total(h), 0.05, 0.001);
+	/* Others' requests: in one half-life the first is at half. */
+	for (i = 0; i < 10; i++, now_us += params.half_life_us / 10)
+		dh_hotkeys_add_report(h, NULL, 0, 100, now_us);
+	CU_ASSERT_EQUAL(dh_hotkeys_top(h, 0.2, top, SIZE), 1);
+	CU_ASSERT_EQUAL(dh_hotkeys_top(h, 0.4, top, SIZE), 0);
+	dh_hotkeys_free(h);
+}
+
 int
 main(void)
 {
@@ -228,6 +257,7 @@
 		{ "merge uncounted", test_merge_allows_for_the_uncounted },
 		{ "merge hottest", test_merge_keeps_the_hottest },
 		{ "long key", test_long_key_is_counted_without_name },
+		{ "reports", test_reports_add_up_and_decay },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -523,6 +523,147 @@
 	dh_placement_free(pl);
 }
 
+static const struct dh_placement_params whole = {
+	.weights = { .unavailable = 1, .churn = 1, .imbalance = 1 },
+	.nslots = SLOTS,
+	.max_pins = PINS,
+	.whole_slots = true,
+	.max_backends = BACKENDS,
+	.moves_a_minute = 0,
+	.hot_moves_a_minute = 12,
+	.horizon_ms = 600000,
+	.move_ms = 50,
+	.dwell_ms = 30000,
+	.half_life_ms = 30000,
+	.ramp_ms = 10000,
+	.seed = 9
+};
+
+/* Plan until nothing is left to do; every move is for the hot key. */
+static size_t
+run_hot(int seconds)
+{
+	size_t n = 0, got, i;
+
+	while (seconds-- > 0) {
+		second();
+		got = dh_placement_plan(pl, now_ms, moves, MOVES_MAX);
+		for (i = 0; i < got; i++)
+			CU_ASSERT_EQUAL(moves[i].reason, DH_PLACEMENT_HOT);
+		n += got;
+	}
+	return n;
+}
+
+/* The whole slot counts as pinned; the other slots leave its backend server
+ * within the budget; once cooled, nothing moves any more. */
+static void
+test_hot_key_takes_its_slot(void)
+{
+	struct dh_placement_hot hot = { .hash = 77, .home = 5, .share = 0.1 };
+	uint32_t owner, before;
+
+	setup(&whole);
+	(void)run(10);
+	owner = dh_placement_owner(pl, 5);
+	before = owned_by(owner);
+	dh_placement_hot_keys(pl, &hot, 1);
+	CU_ASSERT_EQUAL(dh_placement_pin(pl, 77), 5);
+	CU_ASSERT_EQUAL(dh_placement_pin(pl, 78), DH_NONE);
+	slot_load[5] = 3;
+	CU_ASSERT_EQUAL(run_hot(1), 12);
+	CU_ASSERT_EQUAL(run_hot(4), 0);
+	(void)run_hot(120);
+	CU_ASSERT(dh_placement_utilisation(pl, dh_placement_owner(pl, 5)) <
+	    0.55 * 1.2 + 0.02);
+	CU_ASSERT(owned_by(dh_placement_owner(pl, 5)) < before / 2);
+	dh_placement_hot_keys(pl, &hot, 0);
+	CU_ASSERT_EQUAL(dh_placement_plan(pl, now_ms, moves, MOVES_MAX), 0);
+	CU_ASSERT_EQUAL(dh_placement_pin(pl, 77), DH_NONE);
+	slot_load[5] = 0;
+	CU_ASSERT_EQUAL(run_hot(60), 0);
+	dh_placement_free(pl);
+}
+
+static void
+test_hot_key_of_an_idle_service_stays(void)
+{
+	struct dh_placement_hot hot = { .hash = 77, .home = 5, .share = 0.9 };
+	uint32_t i;
+
+	setup(&whole);
+	for (i = 0; i < SLOTS; i++)
+		slot_load[i] = i == 5 ? 0.09 : 0.01 / SLOTS;
+	(void)run(300);
+	dh_placement_hot_keys(pl, &hot, 1);
+	CU_ASSERT_EQUAL(dh_placement_pin(pl, 77), DH_NONE);
+	dh_placement_free(pl);
+}
+
+/* No reason to move by choice moves a slot that is fixed. */
+static void
+test_fixed_slot_stays(void)
+{
+	struct dh_placement_hot hot = { .hash = 77, .home = 5, .share = 0.1 };
+	struct dh_placement_params p = whole;
+	uint32_t owner, i;
+
+	p.moves_a_minute = 600;
+	p.hot_moves_a_minute = 600;
+	p.dwell_ms = 0;
+	setup(&p);
+	(void)run(10);
+	owner = dh_placement_owner(pl, 5);
+	for (i = 0; i < SLOTS; i++)
+		dh_placement_fix(pl, i, dh_placement_owner(pl, i) == owner);
+	dh_placement_hot_keys(pl, &hot, 1);
+	slot_load[5] = 9;
+	CU_ASSERT_EQUAL(run(60), 0);
+	CU_ASSERT_EQUAL(dh_placement_owner(pl, 5), owner);
+	for (i = 0; i < SLOTS; i++)
+		dh_placement_fix(pl, i, false);
+	CU_ASSERT(run(2) > 0);
+	dh_placement_free(pl);
+}
+
+/* Backend servers that may not get a slot claim to do no work at all. */
+static void
+test_lying_reports_draw_no_move(void)
+{
+	static const enum dh_placement_state states[] = { DH_PLACEMENT_ABSENT,
+		DH_PLACEMENT_FROZEN, DH_PLACEMENT_DRAINING,
+		DH_PLACEMENT_READY };
+	struct dh_placement_hot hot = { .hash = 77, .home = 5, .share = 0.1 };
+	struct dh_placement_params p = whole;
+	struct dh_placement_report r[4] = { 0 };
+	size_t n, i;
+	uint32_t b;
+	int s;
+
+	p.moves_a_minute = 600;
+	p.hot_moves_a_minute = 600;
+	p.ramp_ms = 120000;
+	setup(&p);
+	(void)run(10);
+	for (b = 0; b < 4; b++)
+		set_state(b, states[b], b == 3);
+	while (dh_placement_plan(pl, now_ms, moves, MOVES_MAX) > 0)
+		continue;
+	dh_placement_hot_keys(pl, &hot, 1);
+	slot_load[5] = 9;
+	for (s = 0; s < 60; s++) {
+		second();
+		for (b = 0; b < 4; b++) {
+			r[b].done += 1;
+			(void)dh_placement_report(pl, b, &r[b]);
+		}
+		n = dh_placement_plan(pl, now_ms, moves, MOVES_MAX);
+		for (i = 0; i < n; i++)
+			CU_ASSERT(moves[i].target >= 4);
+	}
+	dh_placement_free(pl);
+}
+
 /* A share that can't be true takes no more than the slot's own load. */
 static void
 test_exaggerated_share_is_bounded(void)
@@ -665,6 +806,10 @@
 		{ "cold", test_cold_backend_fills_as_it_warms },
 		{ "reports", test_reports_are_checked },
 		{ "hot key", test_hot_key_is_pinned_apart_then_back },
+		{ "hot key's slot", test_hot_key_takes_its_slot },
+		{ "idle service", test_hot_key_of_an_idle_service_stays },
+		{ "fixed slot", test_fixed_slot_stays },
+		{ "lying reports", test_lying_reports_draw_no_move },
 		{ "acknowledged", test_acknowledged_owner_wins },
 		{ "takes nothing", test_target_that_takes_nothing_is_avoided },
 		{ "random events", test_random_events },
