Lanes count keys and backend servers' answers, and report both with the load

LOAD also says at last how many requests each backend server answered and failed, which the message had fields for.

Counts are of requests, not of their time: a backend server that hangs would make its keys look hot.

--- a/config/assemble.c
+++ b/config/assemble.c
@@ -213,6 +213,7 @@
 	sv->weights.unavailable = u32(c, DH_COLUMN_WEIGHT_UNAVAILABLE);
 	sv->weights.churn = u32(c, DH_COLUMN_WEIGHT_CHURN);
 	sv->weights.imbalance = u32(c, DH_COLUMN_WEIGHT_IMBALANCE);
+	sv->hot_keys = dh_declaration_boolean(d, DH_COLUMN_HOT_KEYS);
 	sv->unrepeatable = dh_declaration_boolean(d, DH_COLUMN_UNREPEATABLE);
 	sv->deadline_ms = dh_declaration_integer(d, DH_COLUMN_DEADLINE_MS);
 	sv->queue_ms = dh_declaration_integer(d, DH_COLUMN_QUEUE_MS);
--- a/config/schema.c
+++ b/config/schema.c
@@ -56,6 +56,8 @@
 	[DH_COLUMN_WEIGHT_IMBALANCE] = { INTEGER("weight_imbalance", "1", 0,
 					     1000000),
 	    SERVICE },
+	[DH_COLUMN_HOT_KEYS] = { OTHER("hot_keys", DH_FIELD_BOOLEAN, "true"),
+	    SERVICE },
 	[DH_COLUMN_UNREPEATABLE] = { OTHER("unrepeatable", DH_FIELD_BOOLEAN,
 					 "false"),
 	    SERVICE },
--- a/include/dogwoodhub/conf.h
+++ b/include/dogwoodhub/conf.h
@@ -47,6 +47,7 @@
 	enum dh_service_kind kind;
 	struct dh_division division;
 	struct dh_weights weights;
+	bool hot_keys; /* found, and their slots placed apart */
 	bool unrepeatable; /* every request, header or not */
 	int64_t deadline_ms; /* longest a request may take */
 	int64_t queue_ms; /* longest it may wait for a slot */
--- a/proto/msg.c
+++ b/proto/msg.c
@@ -308,12 +308,21 @@
 };
 RECORD(load_backend_record, dh_load_backend, load_backend_fields);
 
+static const struct field load_key_fields[] = {
+	F(FIELD_U64, dh_load_key, hash),
+	F(FIELD_U64, dh_load_key, requests),
+	F_NAME(dh_load_key, key),
+};
+RECORD(load_key_record, dh_load_key, load_key_fields);
+
 static const struct field load_fields[] = {
 	F_NAME(dh_load, group),
 	F(FIELD_U32, dh_load, interval_ms),
 	F_LIST(dh_load, slots, nslots, load_slot_record, DH_MSG_SLOTS_MAX),
 	F_LIST(dh_load, backends, nbackends, load_backend_record,
 	    DH_MSG_OBJECTS_MAX),
+	F(FIELD_U64, dh_load, key_total),
+	F_LIST(dh_load, keys, nkeys, load_key_record, DH_MSG_KEYS_MAX),
 };
 RECORD(load_record, dh_load, load_fields);
 
--- a/proto/msg.h
+++ b/proto/msg.h
@@ -35,6 +35,7 @@
 #define DH_MSG_HELD_MAX 8192
 #define DH_MSG_PERMITS_MAX 4096
 #define DH_MSG_SLOTS_MAX 65536
+#define DH_MSG_KEYS_MAX 128 /* hot keys */
 
 /* Kinds are numbers on the wire: append only. */
 enum dh_msg_kind {
@@ -195,6 +196,12 @@
 	uint64_t latency_us; /* sum over those answered */
 };
 
+struct dh_load_key {
+	uint64_t hash; /* dh_key_hash() */
+	uint64_t requests; /* at least so many */
+	char key[DH_NAME_MAX]; /* empty: too long */
+};
+
 struct dh_load {
 	char group[DH_GROUP_NAME_MAX];
 	uint32_t interval_ms; /* that the counts cover */
@@ -202,6 +209,9 @@
 	struct dh_load_slot *slots;
 	uint32_t nbackends;
 	struct dh_load_backend *backends;
+	uint64_t key_total; /* requests whose key was counted */
+	uint32_t nkeys;
+	struct dh_load_key *keys; /* hottest first */
 };
 
 struct dh_msg {
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -544,13 +544,25 @@
 	g_assert_not_reached();
 }
 
+static void
+count_load(struct dh_exchange *ex, enum dh_attempt_end end)
+{
+	struct dh_loads *ls = ex->lane->loads;
+	int64_t busy_us = dh_clock_us() - ex->sent_us;
+
+	dh_loads_add(ls, ex->target.service, ex->route.slot, busy_us);
+	dh_loads_backend(ls, ex->target.service, ex->backend_id,
+	    end == DH_ATTEMPT_WHOLE || end == DH_ATTEMPT_REFUSED, busy_us);
+	if (ex->counts_key && end == DH_ATTEMPT_WHOLE)
+		dh_loads_key(ls, ex->target.service, ex->target.key);
+}
+
 void
 dh_exchange_on_end(struct dh_exchange *ex, enum dh_attempt_end end)
 {
 	dh_turns_end(ex->lane->turns, ex, admission_outcome(ex, end));
 	if (ex->keyed)
-		dh_loads_add(ex->lane->loads, ex->target.service,
-		    ex->route.slot, dh_clock_us() - ex->sent_us);
+		count_load(ex, end);
 	if (ex->head_ready) {
 		ex->down_ended = true;
 		ex->down_failed = end != DH_ATTEMPT_WHOLE;
@@ -616,6 +628,9 @@
 		break;
 	case DH_PHASE_SENT:
 		dh_exchange_unsend(ex);
+		if (ex->keyed)
+			dh_loads_backend(ex->lane->loads, ex->target.service,
+			    ex->backend_id, false, 0);
 		dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_CANCELLED);
 		dh_exchange_refuse(
 		    ex, 504, DH_OUTCOME_UNKNOWN, "deadline", RETRY_AFTER_MS);
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -76,6 +76,7 @@
 	char address[DH_ADDRESS_MAX];
 	uint16_t port;
 	bool keyed;
+	bool counts_key; /* its service looks for hot keys */
 	struct dh_route route;
 	uint64_t backend_id; /* dh_name_id() of the backend server */
 	uint32_t team; /* hash of the service's team */
--- a/router/route.c
+++ b/router/route.c
@@ -43,6 +43,7 @@
 	dh_turns_update(ex->lane->turns, t->conf);
 	dh_picker_update(ex->lane->picker, t->conf);
 	if (ex->keyed) {
+		ex->counts_key = t->conf->services[service].hot_keys;
 		ex->route = dh_table_route(
 		    t, service, ex->target.key, strlen(ex->target.key));
 		if (ex->shunned && dh_fence_cmp(ex->shun, ex->route.fence) == 0)
--- a/tests/msg_samples.h
+++ b/tests/msg_samples.h
@@ -136,6 +136,8 @@
 	static uint32_t index[] = { 12, 70000 };
 	static struct dh_load_slot slots[] = { { 12, 1000, 5 }, { 13, 1, 2 } };
 	static struct dh_load_backend backends[] = { { 7, 99, 1, 12345 } };
+	static struct dh_load_key keys[] = { { UINT64_MAX, 40, "child-7" },
+		{ 9, 30, "" } };
 
 	*m = (struct dh_msg){ .kind = kind };
 	switch (kind) {
@@ -172,8 +174,8 @@
 		msg_sample_permit(kind, m);
 		break;
 	case DH_MSG_LOAD:
-		m->load =
-		    (struct dh_load){ "feed/0", 1000, 2, slots, 1, backends };
+		m->load = (struct dh_load){ "feed/0", 1000, 2, slots, 1,
+			backends, 1000, 2, keys };
 		break;
 	default:
 		msg_sample_peer(kind, m);
--- a/tests/test_assemble.c
+++ b/tests/test_assemble.c
@@ -64,6 +64,7 @@
 	CU_ASSERT_STRING_EQUAL(
 	    conf->services[1].division.range.first_key[1], "m");
 	CU_ASSERT_EQUAL(conf->services[1].retry_percent, 10);
+	CU_ASSERT(conf->services[1].hot_keys);
 	CU_ASSERT_EQUAL_FATAL(conf->nbackends, 1);
 	CU_ASSERT_STRING_EQUAL(conf->backends[0].name, "s-2");
 	CU_ASSERT_EQUAL(conf->backends[0].port, 8);
