Hot keys are placed by the daemon; the planner hears of health from those who see it

The leader of a group adds up the routers' hot keys in a sketch with a half-life of 10 s and pins at most 256 of them by dh_placement_hot_keys(); the moves go by the same fenced planned move as pins by hand, at most 8 a second and 60 a minute besides the 12 for balance. Operators' pins are fixed in the planner. GET /status and dogwoodctl status show the pinned keys at the group's leader.

The planner took every backend server of the configuration for ready. Now the group's own orders say whether it is absent, frozen or cold (dh_group_seen()), a new incarnation is cold, and one that answers orders but hardly a request of the routers is shunned for 5 s (control/health.c). Its own report (GET /_dh/load, every 10 s) is advice: dh_placement_report() may lower its load by a quarter and only while it agrees with the routers' counts.

A plan's moves off lost and leaving backend servers, which the group makes by itself, no longer use up the list that moves by choice are taken from.

A slot that was moved as an ordinary one and then becomes hot may move at once: the first run of hot_key.sh failed with 'no k8000 and k8001 apart after 30 s'; taken for the dwell of 60 s, as both slots had been moved off the first hot key's backend server (its log was not kept). Test 'parted' shows the case.

With hot_keys=false it fails: 'no pin of k7000 in the status'. In that run the key was alone within 25 s all the same, by balance: for one key the budgets decide little.

control.c: the HTTP client ends after the authorities, which now cancel their questions.

Mutants noticed: shunned ignored ('lying reports'), dwell kept ('parted'). test_placement: two positional initialisers named their fields, since the struct has one more.

--- a/bench/dhload.c
+++ b/bench/dhload.c
@@ -30,6 +30,7 @@
 	const char *name;
 	const char *log;
 	uint32_t keys;
+	uint32_t first_key;
 	double zipf;
 	double rate; /* requests a second, 0: closed loop */
 	uint32_t concurrency;
@@ -95,6 +96,7 @@
 	{ "name", 'n', "NAME", 0, "source in the history", 0 },
 	{ "log", 'l', "FILE", 0, "append a history", 0 },
 	{ "keys", 'k', "N", 0, "different keys (1000)", 0 },
+	{ "first-key", 'f', "N", 0, "number of the first key (0)", 0 },
 	{ "zipf", 'z', "S", 0, "skew of the keys (0: uniform)", 0 },
 	{ "rate", 'r', "N", 0, "requests a second; 0 is a closed loop", 0 },
 	{ "concurrency", 'c', "N", 0, "requests at once (16)", 0 },
@@ -145,6 +147,9 @@
 	case 'k':
 		o->keys = (uint32_t)strtoul(arg, NULL, 10);
 		break;
+	case 'f':
+		o->first_key = (uint32_t)strtoul(arg, NULL, 10);
+		break;
 	case 'z':
 		o->zipf = strtod(arg, NULL);
 		break;
@@ -488,7 +493,8 @@
 	c->unrepeatable =
 	    dh_rng_below(&ld->rng, 100) < ld->opt.unrepeatable_percent;
 	make_id(ld, c->id, sizeof(c->id));
-	g_snprintf(c->key, sizeof(c->key), "k%u", pick_key(ld));
+	g_snprintf(
+	    c->key, sizeof(c->key), "k%u", ld->opt.first_key + pick_key(ld));
 	ld->sent++;
 	ld->in_flight++;
 	call_send(c);
--- a/control/admin.c
+++ b/control/admin.c
@@ -3,9 +3,12 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include <json-c/json.h>
+
 #include "base/counter.h"
 #include "control/authority.h"
 #include "control/feed.h"
+#include "control/planner.h"
 #include "control/vms.h"
 
 #define CONNECTION_MEMORY (16u << 10)
@@ -28,6 +31,52 @@
 	return name == NULL ? "" : name;
 }
 
+static const char *
+backend_name(const struct dh_control *ct, uint64_t id)
+{
+	const struct dh_conf *conf = ct->conf->conf;
+	size_t i;
+
+	for (i = 0; i < conf->nbackends; i++)
+		if (dh_name_id(conf->backends[i].name) == id)
+			return conf->backends[i].name;
+	return "";
+}
+
+/* A key has any bytes. */
+static char *
+quoted(const char *key)
+{
+	g_autofree char *text = g_utf8_make_valid(key, -1);
+	struct json_object *o = json_object_new_string(text);
+	char *out = g_strdup(json_object_to_json_string(o));
+
+	json_object_put(o);
+	return out;
+}
+
+/* Known to the group's leader only. */
+static void
+print_keys(GString *out, const struct dh_control *ct, struct dh_authority *a)
+{
+	size_t n, i;
+	const struct dh_planner_key *keys =
+	    dh_planner_keys(dh_authority_planner(a), &n);
+
+	g_string_append(out, ",\"hot_keys\":[");
+	for (i = 0; i < n; i++) {
+		g_autofree char *key = quoted(keys[i].key);
+		uint64_t owner = dh_control_slot(ct, a, keys[i].slot)->owner;
+
+		g_string_append_printf(out,
+		    "%s{\"key\":%s,\"slot\":%u,\"share_ppm\":%u,"
+		    "\"backend_server\":\"%s\"}",
+		    i == 0 ? "" : ",", key, keys[i].slot, keys[i].share_ppm,
+		    backend_name(ct, owner));
+	}
+	g_string_append_c(out, ']');
+}
+
 static void
 print_group(GString *out, const struct dh_control *ct, struct dh_authority *a)
 {
@@ -41,11 +90,13 @@
 	g_string_append_printf(out,
 	    "{\"group\":\"%s\",\"role\":\"%s\",\"term\":%" PRIu64
 	    ",\"leader\":\"%s\",\"deputy\":\"%s\",\"slots\":%u,\"unowned\":%u,"
-	    "\"owned\":%u,\"moving\":%u,\"store_down\":%s}",
+	    "\"owned\":%u,\"moving\":%u,\"store_down\":%s",
 	    dh_authority_name(a), role_names[v.role], lead.term,
 	    vm_name(ct, lead.leader), vm_name(ct, lead.deputy), v.nslots,
 	    count[DH_SLOT_UNOWNED], count[DH_SLOT_OWNED], count[DH_SLOT_MOVING],
 	    v.store_down ? "true" : "false");
+	print_keys(out, ct, a);
+	g_string_append_c(out, '}');
 }
 
 static void
--- a/control/authority.c
+++ b/control/authority.c
@@ -506,3 +506,9 @@
 {
 	return dh_group_view(a->group);
 }
+
+struct dh_group_seen
+dh_authority_seen(const struct dh_authority *a, uint64_t backend)
+{
+	return dh_group_seen(a->group, backend);
+}
--- a/control/authority.h
+++ b/control/authority.h
@@ -46,5 +46,7 @@
 const char *dh_authority_name(const struct dh_authority *a);
 const char *dh_authority_service(const struct dh_authority *a);
 struct dh_group_view dh_authority_view(const struct dh_authority *a);
+struct dh_group_seen dh_authority_seen(
+    const struct dh_authority *a, uint64_t backend);
 
 #endif
--- a/control/control.c
+++ b/control/control.c
@@ -437,8 +437,8 @@
 	dh_admin_free(ct->admin);
 	dh_vms_free(ct->vms);
 	dh_store_free(ct->store);
-	dh_http_free(ct->http);
 	g_hash_table_unref(ct->authorities);
+	dh_http_free(ct->http);
 	dh_feed_free(ct->feed);
 	dh_asks_free(ct->asks);
 	dh_teams_free(ct->teams);
--- a/control/planner.c
+++ b/control/planner.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <dogwoodhub/hotkey.h>
+#include <dogwoodhub/key.h>
 #include <dogwoodhub/placement.h>
 
 #include "base/clock.h"
@@ -9,20 +11,36 @@
 #include "base/log.h"
 #include "base/timer.h"
 #include "control/feed.h"
+#include "control/health.h"
 #include "control/peers.h"
+#include "control/reports.h"
 #include "control/vms.h"
 
 #define PERIOD_MS 1000
 /* Periods of load that are seen before a new leader proposes moves. */
 #define PERIODS_MIN 10u
 #define MOVES_A_MINUTE 12u
-#define MOVES_AT_ONCE 4u
+/* Moves asked for in one period: the group carries out as many at once. */
+#define MOVES_AT_ONCE 8u
+/* Lists of moves taken in one period, those included that the group makes by
+ * itself. */
+#define LISTS_MAX 4096u
+#define HOT_MOVES_A_MINUTE 60u
+#define HOT_KEYS_MAX 256u
+#define HOT_HALF_LIFE_US INT64_C(10000000)
+#define HOT_SKETCH_SIZE 1024u
+/* Decayed requests that are seen before any key counts as hot. */
+#define HOT_REQUESTS_MIN 200.0
+/* Least share of a key that may stay pinned, or be. */
+#define HOT_SHARE 0.001
 #define HORIZON_MS 600000
 #define DWELL_MS 60000
 #define HALF_LIFE_MS 30000
 #define RAMP_MS 5000
 #define MOVE_MS 50
 #define BACKENDS_MAX 1024u
+/* Periods between questions for backend servers' own reports. */
+#define REPORT_PERIODS 10u
 
 struct dh_planner {
 	struct dh_control *control;
@@ -33,7 +51,14 @@
 	uint32_t periods;
 	GArray *ids; /* uint64_t by the planner's own index */
 	uv_timer_t *timer;
+	struct dh_health *health;
+	struct dh_reports *reports;
+	struct dh_hotkeys *keys; /* as the routers report them */
+	GArray *pinned; /* struct dh_planner_key */
 	struct dh_counter *moves;
+	struct dh_counter *hot_moves;
+	struct dh_counter *hot_keys;
+	struct dh_counter *agree, *differ;
 };
 
 static void
@@ -43,6 +68,10 @@
 	pl->placement = NULL;
 	pl->periods = 0;
 	g_array_set_size(pl->ids, 0);
+	dh_health_clear(pl->health);
+	dh_hotkeys_clear(pl->keys);
+	g_array_set_size(pl->pinned, 0);
+	dh_counter_set(pl->hot_keys, 0);
 }
 
 static const struct dh_service *
@@ -60,7 +89,10 @@
 	const struct dh_service *sv = service_of(pl);
 	struct dh_placement_params p = { .nslots = pl->nslots,
 		.max_backends = BACKENDS_MAX,
+		.max_pins = HOT_KEYS_MAX,
+		.whole_slots = true,
 		.moves_a_minute = MOVES_A_MINUTE,
+		.hot_moves_a_minute = HOT_MOVES_A_MINUTE,
 		.horizon_ms = HORIZON_MS,
 		.move_ms = MOVE_MS,
 		.dwell_ms = DWELL_MS,
@@ -75,6 +107,17 @@
 	return pl->placement != NULL;
 }
 
+static uint32_t
+backend_by_id(const struct dh_conf *conf, uint64_t id)
+{
+	size_t b;
+
+	for (b = 0; b < conf->nbackends; b++)
+		if (dh_name_id(conf->backends[b].name) == id)
+			return (uint32_t)b;
+	return DH_NONE;
+}
+
 static uint32_t
 index_of(struct dh_planner *pl, uint64_t id)
 {
@@ -86,35 +129,54 @@
 	return DH_NONE;
 }
 
-/* Backend servers as the configuration has them now. */
+static void
+update_backend(struct dh_planner *pl, const struct dh_backend *be)
+{
+	struct dh_placement_backend info = { .slots = be->slots,
+		.zone = dh_name_id(be->zone) };
+	uint64_t id = dh_name_id(be->name);
+	struct dh_group_seen seen = dh_authority_seen(pl->authority, id);
+	uint32_t i = index_of(pl, id);
+
+	if (i == DH_NONE) {
+		if (pl->ids->len == BACKENDS_MAX)
+			return;
+		i = pl->ids->len;
+		g_array_append_val(pl->ids, id);
+	}
+	dh_health_state(pl->health, id, &seen, be->drain, &info);
+	dh_placement_set_backend(pl->placement, i, &info, dh_clock_ms());
+	if (pl->periods % REPORT_PERIODS == 0 && seen.answers)
+		dh_reports_ask(pl->reports, be);
+}
+
+/* Backend servers that the configuration has no more: their slots leave. */
+static void
+forget_backend(struct dh_planner *pl, uint32_t i)
+{
+	struct dh_placement_backend gone = { .state = DH_PLACEMENT_ABSENT };
+
+	dh_placement_set_backend(pl->placement, i, &gone, dh_clock_ms());
+}
+
+/* Backend servers as the configuration, the group and routers have them. */
 static void
 update_backends(struct dh_planner *pl)
 {
 	const struct dh_conf *conf = pl->control->conf->conf;
 	const char *service = dh_authority_service(pl->authority);
-	int64_t now_ms = dh_clock_ms();
+	uint32_t i, at;
 	size_t b;
 
-	for (b = 0; b < conf->nbackends; b++) {
-		const struct dh_backend *be = &conf->backends[b];
-		struct dh_placement_backend info = { .state = be->drain
-			    ? DH_PLACEMENT_DRAINING
-			    : DH_PLACEMENT_READY,
-			.slots = be->slots,
-			.zone = dh_name_id(be->zone) };
-		uint64_t id = dh_name_id(be->name);
-		uint32_t i = index_of(pl, id);
-
-		if (strcmp(be->service, service) != 0)
-			continue;
-		if (i == DH_NONE && pl->ids->len < BACKENDS_MAX) {
-			i = pl->ids->len;
-			g_array_append_val(pl->ids, id);
-		}
-		if (i != DH_NONE)
-			dh_placement_set_backend(
-			    pl->placement, i, &info, now_ms);
+	for (i = 0; i < pl->ids->len; i++) {
+		at = backend_by_id(conf, g_array_index(pl->ids, uint64_t, i));
+		if (at == DH_NONE ||
+		    strcmp(conf->backends[at].service, service) != 0)
+			forget_backend(pl, i);
 	}
+	for (b = 0; b < conf->nbackends; b++)
+		if (strcmp(conf->backends[b].service, service) == 0)
+			update_backend(pl, &conf->backends[b]);
 }
 
 static void
@@ -152,19 +214,75 @@
 		.backend = dh_name_id(pin->backend) };
 }
 
-static bool
-is_pinned(const struct dh_planner *pl, uint32_t slot)
+/* What operators have pinned is not for the planner to move. */
+static void
+fix_pinned(struct dh_planner *pl)
 {
 	const struct dh_conf *conf = pl->control->conf->conf;
 	struct pinned p;
+	uint32_t slot;
 	size_t i;
 
+	for (slot = 0; slot < pl->nslots; slot++)
+		dh_placement_fix(pl->placement, slot, false);
 	for (i = 0; i < conf->npins; i++) {
 		p = pinned_slot(pl, &conf->pins[i]);
-		if (p.backend != 0 && p.slot == slot)
-			return true;
+		if (p.backend != 0 && p.slot < pl->nslots)
+			dh_placement_fix(pl->placement, p.slot, true);
+	}
+}
+
+/* A key too long to be kept has no slot here: it is not placed apart. */
+static uint32_t
+slot_of(const struct dh_planner *pl, const struct dh_hotkey *k)
+{
+	const struct dh_table t = { .conf = pl->control->conf->conf };
+	uint32_t sv =
+	    dh_conf_service(t.conf, dh_authority_service(pl->authority));
+
+	if (sv == DH_NONE || k->len == 0)
+		return DH_NONE;
+	return dh_table_slot(&t, sv, k->key, k->len);
+}
+
+static void
+note_pinned(struct dh_planner *pl, const struct dh_hotkey *k, uint32_t slot)
+{
+	struct dh_planner_key out = { .slot = slot,
+		.share_ppm = (uint32_t)((k->count - k->error) * 1e6 /
+		    dh_hotkeys_total(pl->keys)) };
+
+	if (dh_placement_pin(pl->placement, k->hash) == DH_NONE)
+		return;
+	memcpy(out.key, k->key, k->len);
+	g_array_append_val(pl->pinned, out);
+}
+
+static void
+update_hot_keys(struct dh_planner *pl)
+{
+	static struct dh_hotkey top[HOT_KEYS_MAX];
+	static struct dh_placement_hot hot[HOT_KEYS_MAX];
+	const struct dh_service *sv = service_of(pl);
+	double total = dh_hotkeys_total(pl->keys);
+	size_t i, n = 0, nhot = 0;
+	uint32_t slot;
+
+	if (sv != NULL && sv->hot_keys && total >= HOT_REQUESTS_MIN)
+		n = dh_hotkeys_top(pl->keys, HOT_SHARE, top, HOT_KEYS_MAX);
+	for (i = 0; i < n; i++) {
+		slot = slot_of(pl, &top[i]);
+		if (slot >= pl->nslots)
+			continue;
+		hot[nhot++] = (struct dh_placement_hot){ .hash = top[i].hash,
+			.home = slot,
+			.share = (top[i].count - top[i].error) / total };
 	}
-	return false;
+	dh_placement_hot_keys(pl->placement, hot, nhot);
+	g_array_set_size(pl->pinned, 0);
+	for (i = 0; i < n; i++)
+		note_pinned(pl, &top[i], slot_of(pl, &top[i]));
+	dh_counter_set(pl->hot_keys, pl->pinned->len);
 }
 
 static void
@@ -186,25 +304,42 @@
 }
 
 /* The group itself moves slots off lost and leaving backend servers. */
+static bool
+by_choice(const struct dh_placement_move *m)
+{
+	return m->reason == DH_PLACEMENT_BALANCE ||
+	    m->reason == DH_PLACEMENT_HOT;
+}
+
+static void
+ask_for_move(struct dh_planner *pl, const struct dh_placement_move *m)
+{
+	bool hot = m->reason == DH_PLACEMENT_HOT;
+
+	dh_counter_add(hot ? pl->hot_moves : pl->moves, 1);
+	dh_log(DH_LOG_INFO, "placement.move", "group=%s slot=%u reason=%s",
+	    dh_authority_name(pl->authority), m->slot, hot ? "hot" : "balance");
+	dh_authority_move(pl->authority, m->slot,
+	    g_array_index(pl->ids, uint64_t, m->target));
+}
+
 static void
 ask_for_moves(struct dh_planner *pl)
 {
 	struct dh_placement_move moves[MOVES_AT_ONCE];
-	size_t n = dh_placement_plan(
-	    pl->placement, dh_clock_ms(), moves, MOVES_AT_ONCE);
-	uint64_t target;
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		if (moves[i].reason != DH_PLACEMENT_BALANCE ||
-		    is_pinned(pl, moves[i].slot))
-			continue;
-		target = g_array_index(pl->ids, uint64_t, moves[i].target);
-		dh_counter_add(pl->moves, 1);
-		dh_log(DH_LOG_INFO, "placement.move", "group=%s slot=%u",
-		    dh_authority_name(pl->authority), moves[i].slot);
-		dh_authority_move(pl->authority, moves[i].slot, target);
-	}
+	size_t n, i, asked = 0;
+	uint32_t lists = 0;
+
+	do {
+		n = dh_placement_plan(
+		    pl->placement, dh_clock_ms(), moves, MOVES_AT_ONCE - asked);
+		for (i = 0; i < n; i++) {
+			if (!by_choice(&moves[i]))
+				continue;
+			ask_for_move(pl, &moves[i]);
+			asked++;
+		}
+	} while (n > 0 && asked < MOVES_AT_ONCE && ++lists < LISTS_MAX);
 }
 
 static void
@@ -223,9 +358,12 @@
 	pl->term = v.term;
 	if (pl->placement == NULL && !make_placement(pl))
 		return;
+	dh_health_tick(pl->health);
 	update_backends(pl);
 	update_owners(pl, &v);
+	fix_pinned(pl);
 	dh_placement_tick(pl->placement, PERIOD_MS);
+	update_hot_keys(pl);
 	if (!v.supported || v.store_down)
 		return;
 	ask_for_pins(pl, &v);
@@ -233,6 +371,22 @@
 		ask_for_moves(pl);
 }
 
+static void
+add_keys(struct dh_planner *pl, const struct dh_load *m)
+{
+	static struct dh_hotkey list[DH_MSG_KEYS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < m->nkeys; i++) {
+		list[i] = (struct dh_hotkey){ .hash = m->keys[i].hash,
+			.count = (double)m->keys[i].requests,
+			.len = (uint8_t)strlen(m->keys[i].key) };
+		memcpy(list[i].key, m->keys[i].key, sizeof(list[i].key));
+	}
+	dh_hotkeys_add_report(
+	    pl->keys, list, m->nkeys, (double)m->key_total, dh_clock_us());
+}
+
 void
 dh_planner_load(struct dh_planner *pl, const struct dh_load *m)
 {
@@ -240,6 +394,8 @@
 
 	if (pl->placement == NULL)
 		return;
+	add_keys(pl, m);
+	dh_health_routers(pl->health, m->backends, m->nbackends);
 	for (i = 0; i < m->nslots; i++)
 		if (m->slots[i].slot < pl->nslots)
 			dh_placement_count(pl->placement, m->slots[i].slot,
@@ -256,7 +412,12 @@
 	struct dh_msg m = { .kind = DH_MSG_LOAD,
 		.load = { .interval_ms = PERIOD_MS,
 		    .nslots = r->n,
-		    .slots = slots } };
+		    .slots = slots,
+		    .nbackends = r->nbackends,
+		    .backends = r->backends,
+		    .key_total = r->key_total,
+		    .nkeys = r->nkeys,
+		    .keys = r->keys } };
 	struct dh_feed_lead lead;
 	uint32_t i;
 
@@ -274,16 +435,65 @@
 		    dh_vms_peers(pl->control->vms), lead.leader, &m);
 }
 
+/* Advice only: dh_placement_report() holds it against the routers' counts. */
+static void
+on_report(void *arg, uint64_t backend, const struct dh_placement_report *r)
+{
+	struct dh_planner *pl = arg;
+	uint32_t i = index_of(pl, backend);
+
+	if (pl->placement == NULL || i == DH_NONE)
+		return;
+	switch (dh_placement_report(pl->placement, i, r)) {
+	case DH_REPORT_FIRST:
+		break;
+	case DH_REPORT_AGREES:
+		dh_counter_add(pl->agree, 1);
+		break;
+	case DH_REPORT_DIFFERS:
+		dh_counter_add(pl->differ, 1);
+		break;
+	}
+}
+
+const struct dh_planner_key *
+dh_planner_keys(const struct dh_planner *pl, size_t *n)
+{
+	*n = pl->pinned->len;
+	return (const struct dh_planner_key *)(const void *)pl->pinned->data;
+}
+
+static struct dh_counter *
+group_counter(const struct dh_planner *pl, const char *name)
+{
+	g_autofree char *labels =
+	    g_strdup_printf("group=\"%s\"", dh_authority_name(pl->authority));
+
+	return dh_counter_get(name, labels);
+}
+
 struct dh_planner *
 dh_planner_new(struct dh_control *ct, struct dh_authority *a, uint32_t nslots)
 {
+	static const struct dh_hotkey_params params = { HOT_SKETCH_SIZE,
+		HOT_HALF_LIFE_US };
 	struct dh_planner *pl = g_new0(struct dh_planner, 1);
 
 	pl->control = ct;
 	pl->authority = a;
 	pl->nslots = nslots;
 	pl->ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	pl->keys = dh_hotkeys_new(&params);
+	pl->pinned = g_array_new(FALSE, FALSE, sizeof(struct dh_planner_key));
 	pl->moves = dh_counter_get("dh_placement_moves_total", "");
+	pl->hot_moves = dh_counter_get("dh_placement_hot_moves_total", "");
+	pl->hot_keys = group_counter(pl, "dh_placement_hot_keys");
+	pl->agree =
+	    dh_counter_get("dh_placement_reports_total", "verdict=\"agrees\"");
+	pl->differ =
+	    dh_counter_get("dh_placement_reports_total", "verdict=\"differs\"");
+	pl->health = dh_health_new();
+	pl->reports = dh_reports_new(ct->http, on_report, pl);
 	pl->timer = dh_timer_new(&ct->loop, pl);
 	if (nslots > 0)
 		uv_timer_start(pl->timer, on_period, PERIOD_MS, PERIOD_MS);
@@ -296,7 +506,11 @@
 	if (pl == NULL)
 		return;
 	dh_timer_free(pl->timer);
+	dh_reports_free(pl->reports);
 	drop_placement(pl);
+	dh_health_free(pl->health);
+	dh_hotkeys_free(pl->keys);
+	g_array_unref(pl->pinned);
 	g_array_unref(pl->ids);
 	g_free(pl);
 }
--- a/core/group.c
+++ b/core/group.c
@@ -494,3 +494,21 @@
 		.stopped = g->stopped,
 	};
 }
+
+struct dh_group_seen
+dh_group_seen(const struct dh_group *g, uint64_t backend)
+{
+	const struct group_backend *b;
+	uint32_t i;
+
+	for (i = 0; i < g->nbackends; i++) {
+		b = &g->backends[i];
+		if (b->conf.id == backend)
+			return (struct dh_group_seen){
+				.incarnation = b->incarnation,
+				.answers = group_alive(b),
+				.cold = b->cold,
+			};
+	}
+	return (struct dh_group_seen){ 0 };
+}
--- a/core/placement.c
+++ b/core/placement.c
@@ -430,7 +430,7 @@
 {
 	const struct server *sv = &pl->servers[b];
 
-	return sv->conf.state == DH_PLACEMENT_READY &&
+	return sv->conf.state == DH_PLACEMENT_READY && !sv->conf.shunned &&
 	    now_ms - sv->cold_ms >= pl->params.ramp_ms &&
 	    now_ms >= sv->avoid_until_ms;
 }
@@ -838,6 +838,8 @@
 {
 	double more = load - sl->load;
 
+	/* It stayed where it was moved for what it weighed then. */
+	sl->moved_ms = INT64_MIN;
 	if (more <= 0)
 		return;
 	sl->load += (float)more;
--- a/ctl/vms.c
+++ b/ctl/vms.c
@@ -178,6 +178,45 @@
 	return s;
 }
 
+/* A key may hold any text: it is shown as JSON writes it. */
+static void
+print_hot_keys(struct json_object *group)
+{
+	struct json_object *keys, *one, *key;
+	size_t i;
+
+	if (!json_object_object_get_ex(group, "hot_keys", &keys) ||
+	    !json_object_is_type(keys, json_type_array))
+		return;
+	for (i = 0; i < json_object_array_length(keys); i++) {
+		one = json_object_array_get_idx(keys, i);
+		if (!json_object_object_get_ex(one, "key", &key))
+			continue;
+		(void)printf("  hot key of %s: %s, %.2f %% of requests, slot "
+			     "%u at %s\n",
+		    text_of(group, "group"), json_object_to_json_string(key),
+		    (double)number_of(one, "share_ppm") / 1e4,
+		    (unsigned int)number_of(one, "slot"),
+		    text_of(one, "backend_server"));
+	}
+}
+
+static void
+status_hot_keys(const struct ctl_vm *vm)
+{
+	struct json_object *root, *groups;
+	size_t i;
+
+	if (vm->answer == NULL)
+		return;
+	root = json_tokener_parse(vm->answer);
+	if (json_object_object_get_ex(root, "groups", &groups) &&
+	    json_object_is_type(groups, json_type_array))
+		for (i = 0; i < json_object_array_length(groups); i++)
+			print_hot_keys(json_object_array_get_idx(groups, i));
+	json_object_put(root);
+}
+
 static void
 status_text(const struct ctl_vm *vm, const struct vm_status *s, uint64_t newest)
 {
@@ -192,6 +231,7 @@
 		     "moving%s\n",
 	    vm->name, s->revision, s->revision < newest ? " (behind)" : "",
 	    s->leads, s->unowned, s->moving, s->stopping ? ", stopping" : "");
+	status_hot_keys(vm);
 }
 
 static struct json_object *
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -297,4 +297,12 @@
 };
 struct dh_group_view dh_group_view(const struct dh_group *g);
 
+/* What this VM has seen of a backend server by the orders it has sent. */
+struct dh_group_seen {
+	uint64_t incarnation; /* 0: it never answered */
+	bool answers; /* that incarnation has answered the last order */
+	bool cold; /* not ready for new slots */
+};
+struct dh_group_seen dh_group_seen(const struct dh_group *g, uint64_t backend);
+
 #endif
--- a/include/dogwoodhub/placement.h
+++ b/include/dogwoodhub/placement.h
@@ -53,6 +53,7 @@
 	uint64_t zone;
 	bool cold; /* starts now: its capacity grows over ramp_ms; until
 		    * then no slot moves to it for balance or a hot key */
+	bool shunned; /* nor now: routers get hardly an answer from it */
 };
 
 enum dh_placement_reason {
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -156,6 +156,7 @@
 		cat <<EOF
 {"services": {
   "feed": {"service_kind": "keyed", "hash_slots": ${slots:-32},
+    "hot_keys": ${hot_keys:-true},
     "deadline_ms": ${deadline_ms:-2000}, "queue_ms": ${queue_ms:-1500}},
   "web": {"service_kind": "any", "deadline_ms": 2000}},
  "backend_servers": {
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -418,6 +418,31 @@
 	done(f);
 }
 
+/* What the leader sees, and not what a backend server says later. */
+static void
+test_seen(void)
+{
+	struct fake *f = running();
+	const struct dh_group *g = f->vms[fake_leader(f)].group;
+	uint64_t id = f->backends[0].conf.id;
+	struct dh_group_seen before = dh_group_seen(g, id), now;
+
+	CU_ASSERT(before.incarnation != 0 && before.answers && !before.cold);
+	CU_ASSERT_EQUAL(dh_group_seen(g, 12345).incarnation, 0);
+	f->backends[0].frozen_ms = f->now_ms + 2000;
+	fake_run(f, f->now_ms + 1000);
+	CU_ASSERT_FALSE(dh_group_seen(g, id).answers);
+	fake_run(f, f->now_ms + 2000);
+	CU_ASSERT_TRUE(dh_group_seen(g, id).answers);
+	fake_backend_start(f, 0);
+	f->backends[0].cold_until_ms = f->now_ms + 60000;
+	fake_run(f, f->now_ms + 1000);
+	now = dh_group_seen(g, id);
+	CU_ASSERT(now.answers && now.cold);
+	CU_ASSERT(now.incarnation > before.incarnation);
+	done(f);
+}
+
 static void
 test_short_freeze_moves_nothing(void)
 {
@@ -1062,6 +1087,7 @@
 		{ "hand-over", test_hand_over },
 		{ "lost reply", test_lost_reply },
 		{ "frozen backend", test_frozen_backend },
+		{ "seen", test_seen },
 		{ "short freeze", test_short_freeze_moves_nothing },
 		{ "restarted backend", test_restarted_backend },
 		{ "restarted backend, store down",
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -97,7 +97,9 @@
 static void
 test_assign_by_capacity_standby_elsewhere(void)
 {
-	struct dh_placement_backend big = { DH_PLACEMENT_READY, 12, 1, false };
+	struct dh_placement_backend big = {
+		.state = DH_PLACEMENT_READY, .slots = 12, .zone = 1
+	};
 	uint32_t b, i, o, s, stands[BACKENDS] = { 0 };
 
 	setup(&params);
@@ -393,7 +395,9 @@
 static void
 test_standby_in_a_single_zone(void)
 {
-	struct dh_placement_backend be = { DH_PLACEMENT_READY, 6, 1, false };
+	struct dh_placement_backend be = {
+		.state = DH_PLACEMENT_READY, .slots = 6, .zone = 1
+	};
 	uint32_t b, i;
 
 	setup(&params);
@@ -585,6 +589,34 @@
 	dh_placement_free(pl);
 }
 
+/* Slots that were moved a moment ago, to one backend server, become hot: they
+ * part at once. */
+static void
+test_hot_keys_part_in_spite_of_dwell(void)
+{
+	struct dh_placement_hot hot[2] = { { 77, 5, 0.1 } };
+	uint32_t a = 0, b = 0;
+
+	setup(&whole);
+	(void)run(10);
+	dh_placement_hot_keys(pl, hot, 1);
+	slot_load[5] = 3;
+	CU_ASSERT_EQUAL_FATAL(run_hot(1), 12);
+	/* Twelve moves to nine others: two went to the same. */
+	while (moves[a].target != moves[b].target || a == b) {
+		b = (b + 1) % 12;
+		a += b == 0;
+	}
+	hot[0] = (struct dh_placement_hot){ 78, moves[a].slot, 0.1 };
+	hot[1] = (struct dh_placement_hot){ 79, moves[b].slot, 0.1 };
+	slot_load[hot[0].home] = slot_load[hot[1].home] = 3;
+	dh_placement_hot_keys(pl, hot, 2);
+	(void)run_hot(10);
+	CU_ASSERT_NOT_EQUAL(dh_placement_owner(pl, hot[0].home),
+	    dh_placement_owner(pl, hot[1].home));
+	dh_placement_free(pl);
+}
+
 static void
 test_hot_key_of_an_idle_service_stays(void)
 {
@@ -633,9 +665,13 @@
 	static const enum dh_placement_state states[] = { DH_PLACEMENT_ABSENT,
 		DH_PLACEMENT_FROZEN, DH_PLACEMENT_DRAINING,
 		DH_PLACEMENT_READY };
+	struct dh_placement_backend shunned = { .state = DH_PLACEMENT_READY,
+		.slots = 6,
+		.zone = 2,
+		.shunned = true };
 	struct dh_placement_hot hot = { .hash = 77, .home = 5, .share = 0.1 };
 	struct dh_placement_params p = whole;
-	struct dh_placement_report r[4] = { 0 };
+	struct dh_placement_report r[5] = { 0 };
 	size_t n, i;
 	uint32_t b;
 	int s;
@@ -647,19 +683,20 @@
 	(void)run(10);
 	for (b = 0; b < 4; b++)
 		set_state(b, states[b], b == 3);
+	dh_placement_set_backend(pl, 4, &shunned, now_ms);
 	while (dh_placement_plan(pl, now_ms, moves, MOVES_MAX) > 0)
 		continue;
 	dh_placement_hot_keys(pl, &hot, 1);
 	slot_load[5] = 9;
 	for (s = 0; s < 60; s++) {
 		second();
-		for (b = 0; b < 4; b++) {
+		for (b = 0; b < 5; b++) {
 			r[b].done += 1;
 			(void)dh_placement_report(pl, b, &r[b]);
 		}
 		n = dh_placement_plan(pl, now_ms, moves, MOVES_MAX);
 		for (i = 0; i < n; i++)
-			CU_ASSERT(moves[i].target >= 4);
+			CU_ASSERT(moves[i].target >= 5);
 	}
 	dh_placement_free(pl);
 }
@@ -807,6 +844,7 @@
 		{ "reports", test_reports_are_checked },
 		{ "hot key", test_hot_key_is_pinned_apart_then_back },
 		{ "hot key's slot", test_hot_key_takes_its_slot },
+		{ "parted", test_hot_keys_part_in_spite_of_dwell },
 		{ "idle service", test_hot_key_of_an_idle_service_stays },
 		{ "fixed slot", test_fixed_slot_stays },
 		{ "lying reports", test_lying_reports_draw_no_move },
