--- a/control/authority.h
+++ b/control/authority.h
@@ -74,5 +74,7 @@
 /* dh_authority_view -- of the machine; without one, what the relay tells, with
  * slots NULL while it has told none. */
 struct dh_group_view dh_authority_view(const struct dh_authority *a);
+struct dh_group_seen dh_authority_seen(
+    const struct dh_authority *a, uint64_t backend);
 
 #endif
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -76,6 +76,7 @@
 	char address[DH_ADDRESS_MAX];
 	uint16_t port;
 	bool keyed;
+	bool counts_key; /* its service looks for hot keys */
 	struct dh_route route;
 	uint32_t conf_service; /* its service's index in the configuration... */
 	uint64_t conf_revision; /* ...of this revision */
