A deposed leader that was cut off deposes nobody

Cause: after a cut from all VMs and the store the former leader read the new term at once, but its links came back up to a second later and one by one. The guard for candidates that were cut off looked only at how late the store had answered, and this read came in time.

Now such a VM waits deputy_grace_ms more until it has seen another leader serve. Ruled out: the same for every VM that never saw the leader serve, it would cost 3 s when all VMs are restarted.

--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -179,6 +179,7 @@
 	int64_t stop_ms;
 	uint64_t handover_seq; /* 0: not sent */
 	int64_t leaderless_ms; /* since when, DH_FOREVER_MS: not */
+	bool deposed; /* led once, and has seen no other leader serve since */
 	struct {
 		int64_t retry_ms;
 		uint64_t term; /* that a conditional update asks for */
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -385,6 +385,7 @@
 	group_move_reset(g);
 	group_peer_reset(g);
 	g->leaderless_ms = DH_FOREVER_MS;
+	g->deposed = true;
 	if (g->handover_seq != 0)
 		g->stopped = true;
 	g->handover_seq = 0;
@@ -481,14 +482,18 @@
 	    leader_serving(g, g->leader, g->leader_incarnation, g->deputy,
 		g->deputy_incarnation)) {
 		g->leaderless_ms = DH_FOREVER_MS;
+		g->deposed = false;
 		return;
 	}
 	if (g->leaderless_ms == DH_FOREVER_MS)
 		g->leaderless_ms = g->now_ms;
 	if (g->store.known && g->store.version != 0)
 		at += g->p.candidate_ms;
-	if (g->deputy != g->self.id &&
-	    vm_serving(g, g->deputy, g->deputy_incarnation))
+	/* A leader that was cut off hears of the store again before it hears
+	 * of who deposed it. */
+	if (g->deposed ||
+	    (g->deputy != g->self.id &&
+		vm_serving(g, g->deputy, g->deputy_incarnation)))
 		at += g->p.deputy_grace_ms;
 	at = group_max_ms(at + g->leaderless_ms, g->take.retry_ms);
 	if (g->now_ms < at || g->store.get_busy) {
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -759,6 +759,27 @@
 	done(f);
 }
 
+/* A leader that was cut off and deposed hears of the store before it hears of
+ * its successors: it deposes nobody. */
+static void
+test_deposed_leader_deposes_nobody(void)
+{
+	struct fake *f = running();
+	uint32_t first = leader_of(f), second = deputy_of(f);
+
+	cut_off(f, first, true);
+	f->cut_store[first] = true;
+	fake_run(f, f->now_ms + 5000);
+	CU_ASSERT_EQUAL(f->record->term, 2);
+	f->cut_store[first] = false;
+	fake_run(f, f->now_ms + 1500);
+	cut_off(f, first, false);
+	fake_run(f, f->now_ms + 5000);
+	CU_ASSERT_EQUAL(f->record->term, 2);
+	CU_ASSERT_EQUAL(leader_of(f), second);
+	done(f);
+}
+
 /* A deposed leader that still reads its own term from a replica left behind
  * takes that for no support: it must not renew what another now leads. */
 static void
@@ -1272,6 +1293,7 @@
 		{ "drain by one VM", test_drain_by_one_vm },
 		{ "left out", test_left_out },
 		{ "cut off", test_cut_off_vm_deposes_nobody },
+		{ "deposed leader", test_deposed_leader_deposes_nobody },
 		{ "stale reads", test_stale_reads_support_nobody },
 		{ "naming", test_no_pair_acknowledgement_while_naming },
 		{ "no fences checked", test_unchecked_backend },
--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -124,6 +124,9 @@
 # The pair acknowledges while the store may name another deputy.
 mutate naming group_move.c \
     's/g->store.put_open \&\& g->next_deputy != 0/false/'
+# A leader that was cut off deposes its successor.
+mutate deposed group_term.c \
+    's/g->deposed = true/g->deposed = false/'
 # Former leaders and deputies that are alive are waited out.
 mutate end-asks group_term.c \
     's/^\tgroup_parties_ask\(g\);//'
