--- a/control/asks.c
+++ b/control/asks.c
@@ -18,6 +18,7 @@
 struct dh_asks {
 	struct dh_control *control;
 	struct dh_counter *unsent;
+	struct dh_counter *sent;
 };
 
 struct dh_asks *
@@ -26,6 +27,7 @@
 	struct dh_asks *as = g_new0(struct dh_asks, 1);
 
 	as->control = ct;
+	as->sent = dh_counter_get("dh_permit_sent_total", "");
 	as->unsent = dh_counter_get("dh_permit_unsent_total", "");
 	return as;
 }
@@ -58,8 +60,11 @@
 		dh_permit_host_message(dh_authority_permits(a), ct->self, m);
 		return true;
 	}
-	return dh_peers_is_up(dh_vms_peers(ct->vms), to) &&
-	    dh_peers_send(dh_vms_peers(ct->vms), to, m);
+	if (!dh_peers_is_up(dh_vms_peers(ct->vms), to) ||
+	    !dh_peers_send(dh_vms_peers(ct->vms), to, m))
+		return false;
+	dh_counter_add(as->sent, 1);
+	return true;
 }
 
 /* To the leader, or else to the deputy, which may be the leader by now. */
--- a/control/permits.c
+++ b/control/permits.c
@@ -24,6 +24,7 @@
 	uv_timer_t *timer;
 	uv_timer_t *confirm_timer; /* not within a step of the group */
 	struct dh_counter *confirms;
+	struct dh_counter *sent;
 	enum dh_group_role role;
 	uint64_t term; /* led or deputised now, 0: neither */
 	uint64_t held_term; /* last one led or deputised */
@@ -38,6 +39,15 @@
 
 /* Actions */
 
+static bool
+send_to(struct dh_permit_host *h, uint64_t to, const struct dh_msg *m)
+{
+	if (!dh_peers_send(dh_vms_peers(h->control->vms), to, m))
+		return false;
+	dh_counter_add(h->sent, 1);
+	return true;
+}
+
 static void
 send_answer(struct dh_permit_host *h, const struct dh_permit_action *a)
 {
@@ -60,8 +70,7 @@
 		dh_asks_verdict(h->control->asks, &m.permit_verdict);
 		return;
 	}
-	if (!dh_peers_send(dh_vms_peers(h->control->vms), a->to, &m) &&
-	    a->answer.verdict == DH_PERMIT_RUN)
+	if (!send_to(h, a->to, &m) && a->answer.verdict == DH_PERMIT_RUN)
 		step(h, &end);
 }
 
@@ -79,7 +88,7 @@
 		    .lost_left_ms = a->hold.lost_left_ms } };
 
 	g_strlcpy(m.permit_hold.group, h->group, sizeof(m.permit_hold.group));
-	(void)dh_peers_send(dh_vms_peers(h->control->vms), a->to, &m);
+	(void)send_to(h, a->to, &m);
 }
 
 static void
@@ -91,7 +100,7 @@
 		    .refused = a->held.refused } };
 
 	g_strlcpy(m.permit_held.group, h->group, sizeof(m.permit_held.group));
-	(void)dh_peers_send(dh_vms_peers(h->control->vms), a->to, &m);
+	(void)send_to(h, a->to, &m);
 }
 
 static void
@@ -347,6 +356,7 @@
 	h->authority = authority;
 	h->timer = dh_timer_new(&ct->loop, h);
 	h->confirm_timer = dh_timer_new(&ct->loop, h);
+	h->sent = dh_counter_get("dh_permit_sent_total", "");
 	h->confirms = dh_counter_get("dh_permit_confirms_total", "");
 	return h;
 }
