Model: a deputy that can't reach the store gives no permits

Checked by hand with spin: without the guard LEADS an assertion breaks in takeover (2936 states) and names (5782); with it calls and names hold with the same states as before (115,843 and 1,566,999). The whole of run_models was not run again.

--- a/models/permit.pml
+++ b/models/permit.pml
@@ -100,6 +100,10 @@
 #define G_REFUSE_STORE 1 /* not run is said only with the store's recent
 			  * confirmation of the term */
 #endif
+#ifndef G_LEADS
+#define G_LEADS 1 /* a deputy that knows its leader dead, but can't ask the
+		   * store, gives no permits */
+#endif
 #ifndef G_FRESH
 #define G_FRESH 1 /* no silent second send on a reused connection */
 #endif
@@ -161,6 +165,11 @@
 	term[deputy[v]] == term[v])
 #define ACTING(v) (role[v] == LEADER && ready[v] && (term[v] == newest || \
 	(pair_cut && term[v] + 1 == newest && now < taken + OUTAGE)))
+#define LEADS(x, v) (role[x] == LEADER && term[x] == term[v])
+#define LEADER_DEAD(v) (!LEADS(0, v) && !LEADS(1, v) && !LEADS(2, v))
+#define ALONE(v) (!G_LEADS && role[v] == DEPUTY && ready[v] && \
+	LEADER_DEAD(v) && (term[v] == newest || \
+	(pair_cut && term[v] + 1 == newest && now < taken + OUTAGE)))
 #define MAY_REFUSE(v) (term[v] == newest || now < taken + SUPPORT || \
 	!G_REFUSE_STORE)
 #define ALIVE(k) (now <= ends[k] || !G_PERMIT_EXPIRY)
@@ -285,6 +294,15 @@
 		:: else -> skip /* unknown */ \
 		fi }
 
+#define ASK_DEPUTY(k, v) \
+	:: atomic { state[k] == ASKING && ALIVE(k) && ALONE(v) && FREE(v) && \
+	    IN_TIME(v) -> \
+		d_step { \
+			hold(v, HELD, k); \
+			state[k] = PERMIT; \
+			call_term[k] = term[v] \
+		} }
+
 /* A router refuses by itself: the load is too high, no leader answers. */
 #define SHED(k) \
 	:: atomic { state[k] == ASKING && !G_ASK_TO_REFUSE -> \
@@ -451,6 +469,7 @@
 #define VM(v) FORGET(v) CRASH(v) TAKE_AS_DEPUTY(v) TAKE_AS_THIRD(v) \
 	VOID_OLD(v)
 #define CALL(k) ASK(k, 0) ASK(k, 1) ASK(k, 2) SHED(k) \
+	ASK_DEPUTY(k, 0) ASK_DEPUTY(k, 1) ASK_DEPUTY(k, 2) \
 	CONNECTION_REFUSED(k) REQUEST(k) ARRIVE(k) REPORT(k, 0) \
 	REPORT(k, 1) REPORT(k, 2)
 
--- a/tools/run_models.sh
+++ b/tools/run_models.sh
@@ -194,6 +194,7 @@
 permit broken outage-u G_SINCE_FENCE
 permit broken takeover G_SKEW
 permit broken takeover G_FUTURE
+permit broken names G_LEADS
 permit broken takeover G_FRESH
 '
 large='
