--- a/core/group.c
+++ b/core/group.c
@@ -455,6 +455,9 @@
 
 	if (g->ndoubt > 0)
 		return true;
+	/* No backend server's fence tells the old pair's permits from ours. */
+	if (g->nslots == 0 && g->take.third && group_pair_before(g))
+		return true;
 	for (i = 0; i < g->nbackends; i++)
 		if (g->backends[i].count > 0 &&
 		    g->backends[i].hold == HOLD_UNKNOWN)
--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -291,6 +291,7 @@
 void group_link(struct dh_group *g, struct group_backend *b, uint32_t slot);
 
 /* group_term.c */
+bool group_pair_before(const struct dh_group *g);
 bool group_supported(const struct dh_group *g);
 bool group_solo(const struct dh_group *g);
 void group_term_tick(struct dh_group *g);
--- a/core/group_wait.c
+++ b/core/group_wait.c
@@ -201,6 +201,24 @@
 	    g, 0, 0, g->take.old_term, g->peer.wait_ms, g->peer.wait_ms);
 }
 
+/* Whether those before a VM that was not deputy may go on yet. */
+bool
+group_pair_before(const struct dh_group *g)
+{
+	const struct group_party *p;
+	uint32_t i;
+
+	if (g->now_ms < g->pair_ms)
+		return true;
+	for (i = 0; i < g->nparties; i++) {
+		p = &g->parties[i];
+		if (p->term < g->term &&
+		    g->now_ms < group_max_ms(p->own_ms, p->all_ms))
+			return true;
+	}
+	return false;
+}
+
 /* Neither leader nor informed deputy: the pair may go on out of our sight. */
 void
 group_parties_of_third(struct dh_group *g)
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -857,6 +857,71 @@
 	return slot;
 }
 
+/* Answer what the machine asks of a store that holds r. */
+static void
+store_answers(struct dh_group *g, const struct dh_group_record *r,
+    int64_t now_ms, struct dh_group_actions *out)
+{
+	struct dh_group_event ev = { 0 };
+	const struct dh_group_action *a = action_of(out, DH_GROUP_DO_PUT);
+
+	if (a != NULL) {
+		ev.kind = DH_GROUP_STORE_WRITTEN;
+		ev.store.version = a->put.expect + 1;
+		ev.store.seq = a->put.seq;
+	} else if ((a = action_of(out, DH_GROUP_DO_GET)) != NULL) {
+		ev.kind = DH_GROUP_STORE_READ;
+		ev.read.record = r;
+		ev.read.version = 3;
+		ev.read.seq = a->get.seq;
+	}
+	dh_group_actions_clear(out);
+	if (a != NULL)
+		dh_group_step(g, &ev, now_ms, out);
+}
+
+/* A third VM takes the term of a group that assigns nothing, in which no
+ * backend server could tell the permits of the pair before from its own: it
+ * may not lead while that pair, of which it has heard nothing, may go on. */
+static void
+test_third_waits_without_slots(void)
+{
+	struct dh_group_actions out = { 0 };
+	struct dh_group_event tick = { .kind = DH_GROUP_TICK };
+	struct dh_group_record r = { .term = 1,
+		.leader = 1,
+		.leader_incarnation = 5,
+		.deputy = 2,
+		.deputy_incarnation = 7,
+		.deputy_seq = 1 };
+	struct dh_group_vm self = { .id = 3, .incarnation = 9, .live = true };
+	struct dh_group_params p = dh_group_params_defaults();
+	enum dh_group_role role;
+	int64_t now_ms, taken_ms = 0;
+	struct dh_group *g;
+
+	g = dh_group_new(&p, 99, &self, 0);
+	dh_group_set_vms(g, &self, 1);
+	dh_group_set_backends(g, NULL, 0);
+	for (now_ms = 1000; now_ms < 1100000; now_ms += 20) {
+		dh_group_step(g, &tick, now_ms, &out);
+		store_answers(g, &r, now_ms, &out);
+		store_answers(g, &r, now_ms, &out);
+		dh_group_actions_clear(&out);
+		role = dh_group_view(g).role;
+		if (taken_ms == 0 && dh_group_view(g).term == 2)
+			taken_ms = now_ms;
+		if (role == DH_GROUP_LEADER)
+			break;
+	}
+	CU_ASSERT(taken_ms != 0);
+	CU_ASSERT(now_ms < 1100000);
+	CU_ASSERT(
+	    now_ms - taken_ms >= p.store_outage_limit_ms + p.solo_limit_ms);
+	dh_group_actions_free(&out);
+	dh_group_free(g);
+}
+
 static void
 test_deputy_keeps_what_it_was_told(void)
 {
@@ -1077,6 +1142,7 @@
 		{ "no fences checked", test_unchecked_backend },
 		{ "no slots", test_group_without_slots },
 		{ "until", test_until_is_bounded },
+		{ "third without slots", test_third_waits_without_slots },
 		{ "deputy's copy", test_deputy_keeps_what_it_was_told },
 		{ "deputy named again",
 		    test_deputy_named_again_trusts_the_store },
