--- a/control/asks.c
+++ b/control/asks.c
@@ -18,6 +18,7 @@
 struct dh_asks {
 	struct dh_control *control;
 	struct dh_counter *unsent;
+	struct dh_counter *sent;
 };
 
 struct dh_asks *
@@ -26,6 +27,7 @@
 	struct dh_asks *as = g_new0(struct dh_asks, 1);
 
 	as->control = ct;
+	as->sent = dh_counter_get("dh_permit_sent_total", "");
 	as->unsent = dh_counter_get("dh_permit_unsent_total", "");
 	return as;
 }
@@ -58,8 +60,11 @@
 		dh_permit_host_message(dh_authority_permits(a), ct->self, m);
 		return true;
 	}
-	return dh_peers_is_up(dh_vms_peers(ct->vms), to) &&
-	    dh_peers_send(dh_vms_peers(ct->vms), to, m);
+	if (!dh_peers_is_up(dh_vms_peers(ct->vms), to) ||
+	    !dh_peers_send(dh_vms_peers(ct->vms), to, m))
+		return false;
+	dh_counter_add(as->sent, 1);
+	return true;
 }
 
 /* To the leader, or else to the deputy, which may be the leader by now. */
@@ -129,6 +134,23 @@
 	(void)send_ask(as, a, &m);
 }
 
+/* Without a leader to be heard the router says unknown, at once. */
+static void
+close_id(struct dh_asks *as, struct dh_authority *a, uint64_t token,
+    const struct dh_mail *mail)
+{
+	struct dh_msg m = { .kind = DH_MSG_PERMIT_CLOSE,
+		.permit_close = {
+		    .token = token, .close_ms = mail->permit.close_ms } };
+
+	g_strlcpy(m.permit_close.group, dh_authority_name(a),
+	    sizeof(m.permit_close.group));
+	g_strlcpy(
+	    m.permit_close.id, mail->permit.id, sizeof(m.permit_close.id));
+	if (!send_ask(as, a, &m))
+		refuse(as, token);
+}
+
 void
 dh_asks_mail(struct dh_asks *as, uint32_t lane, const struct dh_mail *mail)
 {
@@ -140,6 +162,8 @@
 			end(as, a, token, mail);
 	} else if (a == NULL) {
 		refuse(as, token);
+	} else if (mail->kind == DH_MAIL_PERMIT_CLOSE) {
+		close_id(as, a, token, mail);
 	} else {
 		ask(as, a, token, mail);
 	}
--- a/control/authority.c
+++ b/control/authority.c
@@ -488,7 +488,7 @@
 	a->nslots = nslots;
 	a->width = DH_CANDIDATES;
 	a->params = params_of(ct->settings);
-	a->permits = dh_permit_host_new(ct, a->name);
+	a->permits = dh_permit_host_new(ct, a->name, a);
 	a->planner = dh_planner_new(ct, a, nslots);
 	a->timer = dh_timer_new(&ct->loop, a);
 	return a;
@@ -727,6 +727,15 @@
 		step(a, &ev);
 }
 
+void
+dh_authority_confirm(struct dh_authority *a)
+{
+	struct dh_group_event ev = { .kind = DH_GROUP_CONFIRM };
+
+	if (a->group != NULL)
+		step(a, &ev);
+}
+
 void
 dh_authority_stop(struct dh_authority *a)
 {
--- a/core/group.c
+++ b/core/group.c
@@ -399,6 +399,10 @@
 	case DH_GROUP_STOP:
 		group_term_stop(g);
 		break;
+	case DH_GROUP_CONFIRM:
+		if (g->mode == MODE_LEADING && g->handover_seq == 0)
+			group_confirm(g);
+		break;
 	}
 }
 
@@ -451,6 +455,9 @@
 
 	if (g->ndoubt > 0)
 		return true;
+	/* No backend server's fence tells the old pair's permits from ours. */
+	if (g->nslots == 0 && g->take.third && group_pair_before(g))
+		return true;
 	for (i = 0; i < g->nbackends; i++)
 		if (g->backends[i].count > 0 &&
 		    g->backends[i].hold == HOLD_UNKNOWN)
@@ -491,6 +498,7 @@
 		.store_down = g->mode == MODE_LEADING &&
 		    g->store.pair_gen > g->store.stored_gen,
 		.supported = g->mode == MODE_LEADING && group_supported(g),
+		.store_ms = g->store.base_ms,
 		.stopped = g->stopped,
 	};
 }
