--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -737,6 +737,44 @@
 		f->cut_vm[vm][i] = f->cut_vm[i][vm] = on && i != vm;
 }
 
+/* The pair, cut off from the others and from the store, goes on renewing what
+ * it leads; a third VM takes the term and cannot reach one backend server. */
+static void
+test_pair_out_of_sight(void)
+{
+	struct dh_group_params p = dh_group_params_defaults();
+	struct fake *f = &fake;
+	uint32_t i, k, leader, deputy, owner;
+	bool pair;
+
+	p.solo_limit_ms = 2000;
+	p.store_outage_limit_ms = 8000;
+	p.confirm_ms = 1000;
+	p.request_deadline_ms = 300;
+	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
+	for (i = 0; i < BACKENDS; i++)
+		f->backends[i].conf.checks_fence = false;
+	for (i = 0; i < VMS; i++)
+		fake_backends_set(f, i);
+	fake_run(f, f->now_ms + WARM_UP_MS);
+	leader = leader_of(f);
+	deputy = deputy_of(f);
+	owner = owner_of(f, 0);
+	for (i = 0; i < f->nvms; i++) {
+		pair = i == leader || i == deputy;
+		f->cut_store[i] = pair;
+		f->cut_backend[i][owner] = !pair;
+		for (k = 0; k < f->nvms; k++)
+			f->cut_vm[i][k] = pair != (k == leader || k == deputy);
+	}
+	fake_run(f, f->now_ms + 6000);
+	CU_ASSERT_EQUAL(f->record->term, 2);
+	CU_ASSERT_EQUAL(owner_of(f, 0), owner);
+	fake_run(f, f->now_ms + 10000);
+	CU_ASSERT_NOT_EQUAL(owner_of(f, 0), owner);
+	done(f);
+}
+
 /* A VM cut off from all others, which the store answers again before they
  * do, does not depose a leader that is well. */
 static void
@@ -1254,6 +1292,7 @@
 		{ "leader's zone cut off", test_leader_zone_cut_off },
 		{ "pair lost", test_pair_lost },
 		{ "pair paused", test_pair_paused },
+		{ "pair out of sight", test_pair_out_of_sight },
 		{ "hand-over", test_hand_over },
 		{ "lost reply", test_lost_reply },
 		{ "frozen backend", test_frozen_backend },
--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -23,7 +23,7 @@
 
 # fails_directly NAME: whether a test of test_group notices the mutant.
 fails_directly() {
-	rm "$dir/mutant/test_group_schedule.o"
+	rm -f "$dir/mutant/test_group_schedule.o"
 	${CC:-gcc} -o "$dir/direct" "$dir"/mutant/*.o "$dir/test_group.o" \
 	    -lcunit -lm
 	! timeout 300 "$dir/direct" >"$dir/$1.direct.log" 2>&1 || return 1
@@ -31,7 +31,8 @@
 	    sed 's/^ *Test: /direct test "/; s/ *\.\.\..*/"/')"
 }
 
-# mutate NAME FILE SED: the edit must change FILE.
+# mutate NAME FILE SED [direct]: the edit must change FILE.  With "direct" the
+# direct tests go first, since the schedules are known not to notice.
 mutate() {
 	[ -z "$only" ] || [ "$only" = "$1" ] || return 0
 	sed -E "$3" "core/$2" >"$dir/$2"
@@ -44,7 +45,9 @@
 	cp -r "$dir/obj" "$dir/mutant"
 	compile "$dir/$2" "$dir/mutant/${2%.c}.o"
 	${CC:-gcc} -o "$dir/schedule" "$dir"/mutant/*.o -lcunit -lm
-	if timeout 300 "$dir/schedule" first >"$dir/$1.log" 2>&1; then
+	if [ "${4:-}" ] && fails_directly "$1"; then
+		caught=$((caught + 1))
+	elif timeout 300 "$dir/schedule" first >"$dir/$1.log" 2>&1; then
 		if fails_directly "$1"; then
 			caught=$((caught + 1))
 			return 0
@@ -126,13 +129,34 @@
     's/g->store.put_open \&\& g->next_deputy != 0/false/'
 # Former leaders and deputies that are alive are waited out.
 mutate end-asks group_term.c \
-    's/^\tgroup_parties_ask\(g\);//'
+    's/^\tgroup_parties_ask\(g\);//' direct
 # A former deputy answers that its term is over, and keeps its authority.
 mutate end-drops group_peer.c \
-    's/if \(g->mode == MODE_DEPUTY\) \{/if (false) {/'
+    's/if \(g->mode == MODE_DEPUTY\) \{/if (false) {/' direct
 # A former deputy whose own update may still take effect answers it, too.
 mutate end-taking group_peer.c \
-    's/if \(g->mode == MODE_TAKING\)/if (false)/'
+    's/if \(g->mode == MODE_TAKING\)/if (false)/' direct
+# Any incarnation of a backend server is granted slots.
+mutate new-incarnation group_lease.c \
+    's/return b->seen_ms <= g->store.base_ms;/return true;/' direct
+# A third VM waits no longer than the deputy.
+mutate third-limit group_wait.c \
+    's/int64_t pair = solo \+ .*/int64_t pair = solo;/' direct
+# A deputy whose own update is under way still answers its leader.
+mutate take-stops-acks group_peer.c \
+    's/m->term == g->term \&\& g->mode == MODE_TAKING/false/'
+# A lost answer to the update that takes the term counts as failure.
+mutate read-back group_term.c \
+    's/if \(!g->store.put_open\) \{/if ((g->store.put_open = false) == false) {/'
+# The lease of the old term counts as over before the new one is accepted.
+mutate hello-fences group_wait.c \
+    's/b->hold == HOLD_OURS \&\& b->conf.checks_fence/b->conf.checks_fence/'
+# A deputy that takes over writes the older of two assignments.
+mutate take-newer group_term.c \
+    's/dh_fence_cmp\(g->cur\[i\].fence, r->slots\[i\].fence\) > 0/false/'
+# Whoever is proven dead left no lease behind.
+mutate death-lease group_wait.c \
+    's/group_min_ms\(p->(own|all)_ms, g->now_ms\)/DH_NEVER_MS/'
 
 echo "$caught caught, $missed missed"
 [ "$missed" -eq 0 ]
