--- a/standin/wire.c
+++ b/standin/wire.c
@@ -7,7 +7,8 @@
  * A MAP is SRC,DST,LISTEN_PORT,TARGET_PORT.  With SRC "*" the source is the VM
  * that the inner protocol's greeting names.
  * POST / with {"cut": [["v1", "v2"], ...]} sets the pairs that are cut, in
- * either order; {"cut": []} heals all.
+ * either order; {"cut": []} heals all.  {"silence": [["v1", "v2"], ...]} makes
+ * the connections that these pairs have now silent for good, new ones work.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -43,6 +44,7 @@
 	uv_connect_t connect;
 	bool connected, stopped, closing;
 	bool doomed; /* lost its greeting to a cut */
+	bool silent; /* for good */
 	uint32_t open; /* handles not yet closed */
 	struct dh_frame_decoder greeting;
 	GList link;
@@ -59,13 +61,14 @@
 	char *bytes;
 };
 
+/* Whether the pairs have a and b, in either order. */
 static bool
-is_cut(const struct wire *w, const char *a, const char *b)
+has_pair(const GPtrArray *pairs, const char *a, const char *b)
 {
 	guint i;
 
-	for (i = 0; i < w->cut->len; i++) {
-		g_auto(GStrv) pair = g_strsplit(w->cut->pdata[i], " ", 2);
+	for (i = 0; i < pairs->len; i++) {
+		g_auto(GStrv) pair = g_strsplit(pairs->pdata[i], " ", 2);
 
 		if ((strcmp(pair[0], a) == 0 && strcmp(pair[1], b) == 0) ||
 		    (strcmp(pair[0], b) == 0 && strcmp(pair[1], a) == 0))
@@ -169,7 +172,8 @@
 static void
 relay_apply(struct relay *r)
 {
-	bool cut = is_cut(r->wire, r->src, r->map->parts[1]);
+	bool cut =
+	    r->silent || has_pair(r->wire->cut, r->src, r->map->parts[1]);
 
 	if (r->closing || !r->connected || cut == r->stopped)
 		return;
@@ -198,11 +202,7 @@
 	}
 	r->connected = true;
 	r->stopped = true;
-	if (is_cut(r->wire, r->src, r->map->parts[1]))
-		return;
-	r->stopped = false;
-	uv_read_start((uv_stream_t *)&r->in, on_alloc, on_read);
-	uv_read_start((uv_stream_t *)&r->out, on_alloc, on_read);
+	relay_apply(r);
 }
 
 static void
@@ -250,33 +250,47 @@
 	    uv_listen((uv_stream_t *)&m->server, BACKLOG, on_connection) == 0;
 }
 
+/* Reads o's pairs under key, each as "A B"; false: there are none. */
 static bool
-take_cuts(struct wire *w, const char *body)
+take_pairs(struct json_object *o, const char *key, GPtrArray *pairs)
 {
-	struct json_object *o = json_tokener_parse(body), *list, *pair;
-	GList *it, *next;
+	struct json_object *list, *pair;
 	size_t i;
 
-	if (o == NULL || !json_object_object_get_ex(o, "cut", &list)) {
-		json_object_put(o);
+	if (!json_object_object_get_ex(o, key, &list))
 		return false;
-	}
-	g_ptr_array_set_size(w->cut, 0);
+	g_ptr_array_set_size(pairs, 0);
 	for (i = 0; i < json_object_array_length(list); i++) {
 		pair = json_object_array_get_idx(list, i);
-		g_ptr_array_add(w->cut,
+		g_ptr_array_add(pairs,
 		    g_strdup_printf("%s %s",
 			json_object_get_string(
 			    json_object_array_get_idx(pair, 0)),
 			json_object_get_string(
 			    json_object_array_get_idx(pair, 1))));
 	}
+	return true;
+}
+
+static bool
+take_order(struct wire *w, const char *body)
+{
+	g_autoptr(GPtrArray) silent = g_ptr_array_new_with_free_func(g_free);
+	struct json_object *o = json_tokener_parse(body);
+	bool ok = take_pairs(o, "cut", w->cut);
+	GList *it, *next;
+	struct relay *r;
+
+	ok = take_pairs(o, "silence", silent) || ok;
 	json_object_put(o);
 	for (it = w->relays.head; it != NULL; it = next) {
 		next = it->next;
-		relay_apply(it->data);
+		r = it->data;
+		if (has_pair(silent, r->src, r->map->parts[1]))
+			r->silent = true;
+		relay_apply(r);
 	}
-	return true;
+	return ok;
 }
 
 static enum MHD_Result
@@ -300,7 +314,7 @@
 		*len = 0;
 		return MHD_YES;
 	}
-	ok = take_cuts(w, body->str);
+	ok = take_order(w, body->str);
 	g_string_free(body, TRUE);
 	*state = NULL;
 	return dh_httpd_reply(
--- a/tools/run_failures.sh
+++ b/tools/run_failures.sh
@@ -16,7 +16,7 @@
 fi
 
 rm -f "$log"/*.status
-find tests/failure -name '*.sh' ! -name lib.sh | sort |
+find tests/failure -name '*.sh' ! -name '*lib.sh' | sort |
     xargs -P "${FAILURE_JOBS:-3}" -I{} sh "$0" "$build" {}
 
 passed=0 failed=0 known=0
