Lane: room for any number of backend servers, that of gone ones is used again

The test found another fault: requests that waited for a backend server which the configuration dropped were refused only with the lane's next event, not at once: the lane's timer was not set.

--- a/core/admission.c
+++ b/core/admission.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <dogwoodhub/ramp.h>
 #include <dogwoodhub/rng.h>
@@ -67,6 +68,7 @@
 	uint32_t limit_milli;
 	uint32_t running;
 	uint32_t queued;
+	uint32_t refused; /* tickets that dh_admission_poll() has to return */
 	uint32_t cursor; /* lane served now */
 	int64_t samples; /* of latency, up to LATENCY_SAMPLES */
 	int64_t latency_us; /* moving average */
@@ -238,9 +240,17 @@
 {
 	unqueue(adm, tk);
 	tk->state = DH_TICKET_REFUSED;
+	adm->servers[tk->backend].refused++;
 	lane_insert(&adm->refused, tk);
 }
 
+static void
+unrefuse(struct dh_admission *adm, struct dh_ticket *tk)
+{
+	adm->servers[tk->backend].refused--;
+	lane_remove(&adm->refused, tk);
+}
+
 /* The limit. */
 
 static uint32_t
@@ -635,7 +645,7 @@
 {
 	struct dh_ticket *tk = adm->refused.head;
 
-	lane_remove(&adm->refused, tk);
+	unrefuse(adm, tk);
 	tk->state = DH_TICKET_IDLE;
 	adm->stats.expired++;
 	*retry_after_ms = book(adm, &adm->servers[tk->backend], now_us);
@@ -690,7 +700,7 @@
 		unqueue(adm, tk);
 		break;
 	case DH_TICKET_REFUSED:
-		lane_remove(&adm->refused, tk);
+		unrefuse(adm, tk);
 		break;
 	case DH_TICKET_IDLE:
 		break;
@@ -767,6 +777,65 @@
 	    p->max_queued * sizeof(void *);
 }
 
+static void
+server_init(struct server *sv)
+{
+	*sv = (struct server){ .timer = { .of_backend = true },
+		.limit_milli = MILLI,
+		.latency_us = FIRST_LATENCY_US };
+}
+
+bool
+dh_admission_recycle(struct dh_admission *adm, uint32_t backend)
+{
+	struct server *sv = &adm->servers[backend];
+
+	assert(backend < adm->params.nbackends);
+	if (sv->running > 0 || sv->queued > 0 || sv->refused > 0)
+		return false;
+	timer_stop(adm, &sv->timer);
+	server_init(sv);
+	return true;
+}
+
+/* The timers of backend servers have moved with these. */
+static void
+move_timers(struct dh_admission *adm, struct server *servers, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (servers[i].timer.pos != 0)
+			adm->heap[servers[i].timer.pos] = &servers[i].timer;
+}
+
+bool
+dh_admission_grow(struct dh_admission *adm, uint32_t nbackends)
+{
+	size_t ntimers = (size_t)adm->params.max_queued + nbackends + 1;
+	uint32_t old = adm->params.nbackends, i;
+	struct dh_admission_timer **heap;
+	struct server *servers;
+
+	if (nbackends <= old)
+		return true;
+	heap = realloc((void *)adm->heap, ntimers * sizeof(*heap));
+	if (heap == NULL)
+		return false;
+	adm->heap = heap;
+	servers = calloc(nbackends + 1U, sizeof(*servers));
+	if (servers == NULL)
+		return false;
+	memcpy(servers, adm->servers, old * sizeof(*servers));
+	for (i = old; i < nbackends; i++)
+		server_init(&servers[i]);
+	move_timers(adm, servers, old);
+	free(adm->servers);
+	adm->servers = servers;
+	adm->params.nbackends = nbackends;
+	return true;
+}
+
 struct dh_admission *
 dh_admission_new(const struct dh_admission_params *p)
 {
@@ -784,11 +853,8 @@
 		dh_admission_free(adm);
 		return NULL;
 	}
-	for (i = 0; i < p->nbackends; i++) {
-		adm->servers[i].timer.of_backend = true;
-		adm->servers[i].limit_milli = MILLI;
-		adm->servers[i].latency_us = FIRST_LATENCY_US;
-	}
+	for (i = 0; i < p->nbackends; i++)
+		server_init(&adm->servers[i]);
 	return adm;
 }
 
--- a/include/dogwoodhub/admission.h
+++ b/include/dogwoodhub/admission.h
@@ -14,7 +14,8 @@
  * queue that is fair between teams.  A request that can't make its deadline
  * is refused at once, as not run, with the time to come back.
  *
- * No call allocates but dh_admission_new(), and none reads a clock.  Calls on
+ * No call allocates but dh_admission_new() and dh_admission_grow(), and none
+ * reads a clock.  Calls on
  * one instance must not overlap.  Backend servers are independent of one
  * another, so threads may each own an instance for some of them.
  */
@@ -94,6 +95,14 @@
 struct dh_admission *dh_admission_new(const struct dh_admission_params *p);
 void dh_admission_free(struct dh_admission *adm);
 
+/* dh_admission_grow -- room for more backend servers, without slots; false,
+ * and nothing is changed, without memory. */
+bool dh_admission_grow(struct dh_admission *adm, uint32_t nbackends);
+
+/* dh_admission_recycle -- forget a backend server, for another one to get its
+ * index; false, and nothing is changed, while tickets still name it. */
+bool dh_admission_recycle(struct dh_admission *adm, uint32_t backend);
+
 /*
  * dh_admission_set_slots -- a backend server's slots, as configured; 0 when
  * it has left: queued tickets are then refused through dh_admission_poll().
--- a/router/pick.c
+++ b/router/pick.c
@@ -91,7 +91,7 @@
 		if (conf->services[i].kind == DH_SERVICE_ANY)
 			pk->services[i] =
 			    candidates(pk, conf, conf->services[i].name);
-	pk->conf_index = g_new0(uint32_t, DH_TURN_BACKENDS_MAX);
+	pk->conf_index = g_new0(uint32_t, dh_turns_room(pk->turns));
 	for (i = 0; i < conf->nbackends; i++)
 		pk->conf_index[dh_turns_index(pk->turns,
 		    dh_name_id(conf->backends[i].name))] = (uint32_t)i;
--- a/router/turn.c
+++ b/router/turn.c
@@ -1,5 +1,7 @@
 #include "router/turn.h"
 
+#include <string.h>
+
 #include "base/clock.h"
 
 #define BACKEND_QUEUE_MAX 256u
@@ -16,10 +18,15 @@
 	.open_ms = 100,
 	.max_open_ms = 2000 };
 
+/* Room for backend servers at first. */
+#define ROOM_FIRST 64u
+
 struct dh_turns {
 	struct dh_admission *adm;
 	GHashTable *index; /* backend server's id -> index + 1 */
-	uint32_t nindex;
+	uint32_t nindex; /* indices ever used */
+	uint32_t room; /* of the arrays by index */
+	GArray *spare; /* uint32_t: indices to be used again */
 	struct dh_balance_load *loads;
 	struct dh_breaker *breakers;
 	struct dh_rng rng;
@@ -43,7 +50,7 @@
     dh_turn_fn on_turn)
 {
 	struct dh_turns *ts = g_new0(struct dh_turns, 1);
-	struct dh_admission_params p = { .nbackends = DH_TURN_BACKENDS_MAX,
+	struct dh_admission_params p = { .nbackends = ROOM_FIRST,
 		.max_queued = s->queue_max,
 		.backend_queue = BACKEND_QUEUE_MAX,
 		.queue_us = QUEUE_US,
@@ -56,8 +63,10 @@
 		g_error("no memory for admission");
 	ts->index =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	ts->loads = g_new0(struct dh_balance_load, DH_TURN_BACKENDS_MAX);
-	ts->breakers = g_new0(struct dh_breaker, DH_TURN_BACKENDS_MAX);
+	ts->room = ROOM_FIRST;
+	ts->spare = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	ts->loads = g_new0(struct dh_balance_load, ROOM_FIRST);
+	ts->breakers = g_new0(struct dh_breaker, ROOM_FIRST);
 	ts->rng.state = seed;
 	ts->on_turn = on_turn;
 	ts->threads = s->threads;
@@ -74,6 +83,7 @@
 		return;
 	dh_admission_free(ts->adm);
 	g_hash_table_unref(ts->index);
+	g_array_unref(ts->spare);
 	g_free(ts->loads);
 	g_free(ts->breakers);
 	g_free(ts->timer); /* closed with its loop */
@@ -99,6 +109,49 @@
 	};
 }
 
+static void
+arm(struct dh_turns *ts)
+{
+	int64_t at_us = dh_admission_wake_us(ts->adm), wait_us;
+
+	if (at_us == INT64_MAX) {
+		uv_timer_stop(ts->timer);
+		return;
+	}
+	wait_us = at_us - dh_clock_us();
+	uv_timer_start(ts->timer, on_timer,
+	    wait_us > 0 ? (uint64_t)(wait_us + 999) / 1000 : 0, 0);
+}
+
+static void
+make_room(struct dh_turns *ts)
+{
+	uint32_t room = ts->room * 2;
+
+	if (!dh_admission_grow(ts->adm, room))
+		g_error("no memory for admission");
+	ts->loads = g_renew(struct dh_balance_load, ts->loads, room);
+	ts->breakers = g_renew(struct dh_breaker, ts->breakers, room);
+	memset(ts->loads + ts->room, 0, ts->room * sizeof(ts->loads[0]));
+	memset(ts->breakers + ts->room, 0, ts->room * sizeof(ts->breakers[0]));
+	ts->room = room;
+}
+
+static uint32_t
+index_new(struct dh_turns *ts)
+{
+	uint32_t i;
+
+	if (ts->spare->len > 0) {
+		i = g_array_index(ts->spare, uint32_t, ts->spare->len - 1);
+		g_array_set_size(ts->spare, ts->spare->len - 1);
+		return i;
+	}
+	if (ts->nindex == ts->room)
+		make_room(ts);
+	return ts->nindex++;
+}
+
 static uint32_t
 index_make(struct dh_turns *ts, uint64_t id, bool *is_new)
 {
@@ -108,12 +161,51 @@
 	*is_new = i == 0;
 	if (i != 0)
 		return i - 1;
-	if (ts->nindex == DH_TURN_BACKENDS_MAX)
-		g_error("more than %u backend servers", DH_TURN_BACKENDS_MAX);
+	i = index_new(ts);
 	key = g_new(uint64_t, 1);
 	*key = id;
-	g_hash_table_insert(ts->index, key, GUINT_TO_POINTER(++ts->nindex));
-	return ts->nindex - 1;
+	g_hash_table_insert(ts->index, key, GUINT_TO_POINTER(i + 1));
+	return i;
+}
+
+static GHashTable *
+ids_of(const struct dh_conf *conf)
+{
+	GHashTable *ids =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	uint64_t *id;
+	size_t b;
+
+	for (b = 0; b < conf->nbackends; b++) {
+		id = g_new(uint64_t, 1);
+		*id = dh_name_id(conf->backends[b].name);
+		g_hash_table_add(ids, id);
+	}
+	return ids;
+}
+
+/* Those that are gone get no slots; their index is free once no request is
+ * left of them, or with the next configuration. */
+static void
+drop_gone(struct dh_turns *ts, const struct dh_conf *conf, int64_t now_us)
+{
+	g_autoptr(GHashTable) ids = ids_of(conf);
+	gpointer id, value;
+	GHashTableIter it;
+	uint32_t i;
+
+	g_hash_table_iter_init(&it, ts->index);
+	while (g_hash_table_iter_next(&it, &id, &value)) {
+		if (g_hash_table_contains(ids, id))
+			continue;
+		i = GPOINTER_TO_UINT(value) - 1;
+		dh_admission_set_slots(ts->adm, i, 0, false, now_us);
+		if (!dh_admission_recycle(ts->adm, i))
+			continue;
+		memset(&ts->breakers[i], 0, sizeof(ts->breakers[i]));
+		g_array_append_val(ts->spare, i);
+		g_hash_table_iter_remove(&it);
+	}
 }
 
 /*
@@ -134,7 +226,6 @@
 void
 dh_turns_update(struct dh_turns *ts, const struct dh_conf *conf)
 {
-	g_autofree bool *seen = NULL;
 	int64_t now_us;
 	bool is_new;
 	uint32_t i;
@@ -142,35 +233,19 @@
 
 	if (ts->revision == conf->revision)
 		return;
-	seen = g_new0(bool, DH_TURN_BACKENDS_MAX);
 	now_us = dh_clock_us();
+	drop_gone(ts, conf, now_us);
 	for (b = 0; b < conf->nbackends; b++) {
 		i = index_make(ts, dh_name_id(conf->backends[b].name), &is_new);
-		seen[i] = true;
 		dh_admission_set_slots(ts->adm, i,
 		    lane_slots(ts, &conf->backends[b]),
 		    is_new && ts->revision != 0, now_us);
 	}
-	for (i = 0; i < ts->nindex; i++) {
-		if (!seen[i])
-			dh_admission_set_slots(ts->adm, i, 0, false, now_us);
+	for (i = 0; i < ts->nindex; i++)
 		note_load(ts, i, now_us);
-	}
 	ts->revision = conf->revision;
-}
-
-static void
-arm(struct dh_turns *ts)
-{
-	int64_t at_us = dh_admission_wake_us(ts->adm), wait_us;
-
-	if (at_us == INT64_MAX) {
-		uv_timer_stop(ts->timer);
-		return;
-	}
-	wait_us = at_us - dh_clock_us();
-	uv_timer_start(ts->timer, on_timer,
-	    wait_us > 0 ? (uint64_t)(wait_us + 999) / 1000 : 0, 0);
+	/* Who waited for one that is gone is refused now. */
+	arm(ts);
 }
 
 static void
@@ -257,6 +332,11 @@
 dh_turns_again(
     struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
 {
+	/* Gone meanwhile, and its index may be another's. */
+	if (dh_turns_index(ts, ex->backend_id) != ex->ticket.backend) {
+		*retry_after_ms = 1;
+		return DH_ADMIT_REFUSE;
+	}
 	return ask(ts, ex, ex->ticket.backend, retry_after_ms);
 }
 
@@ -336,3 +416,9 @@
 {
 	return ts->loads;
 }
+
+uint32_t
+dh_turns_room(const struct dh_turns *ts)
+{
+	return ts->room;
+}
--- a/router/turn.h
+++ b/router/turn.h
@@ -14,9 +14,6 @@
  */
 struct dh_turns;
 
-/* Backend servers a lane can know in its life. */
-#define DH_TURN_BACKENDS_MAX 8192u
-
 /* Called when a queued exchange's turn has come, or won't come in time. */
 typedef void (*dh_turn_fn)(
     struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms);
@@ -52,4 +49,8 @@
 uint32_t dh_turns_index(const struct dh_turns *ts, uint64_t backend_id);
 const struct dh_balance_load *dh_turns_loads(const struct dh_turns *ts);
 
+/* dh_turns_room -- indices are below this; it grows with the backend servers
+ * known at once, those that are gone make room. */
+uint32_t dh_turns_room(const struct dh_turns *ts);
+
 #endif
