Orders: keep every connection, leave out what says nothing; count the bytes

Ruled out here: longer intervals of renewal (lease safety and the second in which a key is served again), raising the number for the router's lanes (a backend server's 130 connections are shared by all routers).

--- a/backend/order.c
+++ b/backend/order.c
@@ -34,23 +34,48 @@
 	g_assert_not_reached();
 }
 
+static bool
+has_slots(enum dh_group_order_kind kind)
+{
+	switch (kind) {
+	case DH_GROUP_ORDER_GRANT:
+	case DH_GROUP_ORDER_RELEASE:
+	case DH_GROUP_ORDER_WARM:
+		return true;
+	case DH_GROUP_ORDER_HELLO:
+	case DH_GROUP_ORDER_RENEW:
+		return false;
+	}
+	g_assert_not_reached();
+}
+
+static void
+encode_slots(GString *text, const struct dh_group_order *o)
+{
+	uint32_t i;
+
+	g_string_append(text, ",\"slots\":[");
+	for (i = 0; i < o->nslots; i++)
+		g_string_append_printf(text, "%s[%u,%" PRIu64 ",%" PRIu64 "]",
+		    i == 0 ? "" : ",", o->index[i], o->fences[i].term,
+		    o->fences[i].counter);
+	g_string_append(text, "]");
+}
+
 char *
 dh_order_encode(const char *group, const struct dh_group_order *o)
 {
 	GString *text = g_string_new(NULL);
-	uint32_t i;
 
 	g_string_printf(text,
 	    "{\"group\":\"%s\",\"kind\":\"%s\",\"term\":%" PRIu64
 	    ",\"counter\":%" PRIu64 ",\"incarnation\":%" PRIu64
-	    ",\"until_ms\":%" PRId64 ",\"slots\":[",
+	    ",\"until_ms\":%" PRId64,
 	    group, kind_name(o->kind), o->fence.term, o->fence.counter,
 	    o->incarnation, o->until_ms);
-	for (i = 0; i < o->nslots; i++)
-		g_string_append_printf(text, "%s[%u,%" PRIu64 ",%" PRIu64 "]",
-		    i == 0 ? "" : ",", o->index[i], o->fences[i].term,
-		    o->fences[i].counter);
-	g_string_append(text, "]}");
+	if (has_slots(o->kind))
+		encode_slots(text, o);
+	g_string_append_c(text, '}');
 	return g_string_free(text, FALSE);
 }
 
@@ -160,7 +185,7 @@
     dh_order_fn done, void *arg)
 {
 	static const char *const headers[] = { "Content-Type: application/json",
-		NULL };
+		"Accept:", NULL };
 	g_autofree char *url =
 	    g_strdup_printf("http://%s:%u/_dh/order", address, port);
 	g_autofree char *body = dh_order_encode(group, o);
--- a/base/http.c
+++ b/base/http.c
@@ -141,6 +141,12 @@
 	return h;
 }
 
+void
+dh_http_keep(struct dh_http *h, uint32_t connections)
+{
+	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, (long)connections);
+}
+
 uv_loop_t *
 dh_http_loop(const struct dh_http *h)
 {
--- a/base/http.h
+++ b/base/http.h
@@ -24,6 +24,10 @@
 /* dh_http_loop -- the loop it was made with. */
 uv_loop_t *dh_http_loop(const struct dh_http *h);
 
+/* dh_http_keep -- keep up to so many idle connections; at first four for each
+ * transfer under way, so that one to many servers in turn closes most. */
+void dh_http_keep(struct dh_http *h, uint32_t connections);
+
 /* dh_http_free -- drop all transfers without calling back.  The loop must run
  * on (or be run once more) for its handles to close. */
 void dh_http_free(struct dh_http *h);
--- a/control/control.c
+++ b/control/control.c
@@ -23,6 +23,8 @@
 #define SHUTDOWN_POLL_MS 20u
 /* How long callers' connections without a request are still waited for. */
 #define IDLE_CONNECTIONS_MS 3000
+/* To the backend servers of the groups led from here, one each. */
+#define CONNECTIONS_KEPT 1024u
 #define WATCH_WAIT_MS 2000
 #define WATCH_RESYNC_MS 3000
 
@@ -325,6 +327,7 @@
 	    g_str_hash, g_str_equal, g_free, authority_free);
 	ct->partners = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	ct->http = dh_http_new(&ct->loop);
+	dh_http_keep(ct->http, CONNECTIONS_KEPT);
 	ct->store = dh_store_new(ct->http, s->store_url, writer);
 	set_store_times(ct->store);
 	ct->publish = dh_publish_new();
