Assembler: index the services of the merged configuration

dh_conf_service() is by hash since, and the index was built in dh_assemble() only: a configuration of the parts was searched name by name. test_assembler looks every service up and compares whether there is an index; 1,202 asserts fail without the call.

--- a/config/assembler.c
+++ b/config/assembler.c
@@ -338,6 +338,7 @@
 	conf->pins = copy_list(as->lists[PINS], sizeof(struct dh_pin));
 	for (i = 0; i < conf->nservices; i++)
 		copy_ranges(&conf->services[i].division);
+	(void)dh_conf_index(conf);
 	add_parts(as, conf, problems);
 	return conf;
 }
--- a/tests/test_assembler.c
+++ b/tests/test_assembler.c
@@ -193,6 +193,11 @@
 	scratch = dh_assemble(list, n, scratch_out);
 	a = print(kept);
 	b = print(scratch);
+	CU_ASSERT_EQUAL(
+	    kept->service_index != NULL, scratch->service_index != NULL);
+	for (i = 0; i < kept->nservices; i++)
+		CU_ASSERT_EQUAL(
+		    dh_conf_service(kept, kept->services[i].name), i);
 	dh_conf_free(kept);
 	dh_conf_free(scratch);
 	*left_out = kept_out->len;
