Planner: the sketch of hot keys lives only where the group is led

Every VM hosts every group: 124 KiB for each would be 240 MB at 1,940 groups, and clearing it each second 16 KiB a group.

--- a/control/planner.c
+++ b/control/planner.c
@@ -53,7 +53,7 @@
 	uv_timer_t *timer;
 	struct dh_health *health;
 	struct dh_reports *reports;
-	struct dh_hotkeys *keys; /* as the routers report them */
+	struct dh_hotkeys *keys; /* as the routers report them; as placement */
 	GArray *pinned; /* struct dh_planner_key */
 	struct dh_counter *moves;
 	struct dh_counter *hot_moves;
@@ -69,7 +69,8 @@
 	pl->periods = 0;
 	g_array_set_size(pl->ids, 0);
 	dh_health_clear(pl->health);
-	dh_hotkeys_clear(pl->keys);
+	dh_hotkeys_free(pl->keys);
+	pl->keys = NULL;
 	g_array_set_size(pl->pinned, 0);
 	dh_counter_set(pl->hot_keys, 0);
 }
@@ -86,6 +87,8 @@
 static bool
 make_placement(struct dh_planner *pl)
 {
+	static const struct dh_hotkey_params hot = { HOT_SKETCH_SIZE,
+		HOT_HALF_LIFE_US };
 	const struct dh_service *sv = service_of(pl);
 	struct dh_placement_params p = { .nslots = pl->nslots,
 		.max_backends = BACKENDS_MAX,
@@ -104,6 +107,9 @@
 		return false;
 	p.weights = sv->weights;
 	pl->placement = dh_placement_new(&p);
+	pl->keys = dh_hotkeys_new(&hot);
+	if (pl->placement == NULL || pl->keys == NULL)
+		drop_placement(pl);
 	return pl->placement != NULL;
 }
 
@@ -475,15 +481,12 @@
 struct dh_planner *
 dh_planner_new(struct dh_control *ct, struct dh_authority *a, uint32_t nslots)
 {
-	static const struct dh_hotkey_params params = { HOT_SKETCH_SIZE,
-		HOT_HALF_LIFE_US };
 	struct dh_planner *pl = g_new0(struct dh_planner, 1);
 
 	pl->control = ct;
 	pl->authority = a;
 	pl->nslots = nslots;
 	pl->ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	pl->keys = dh_hotkeys_new(&params);
 	pl->pinned = g_array_new(FALSE, FALSE, sizeof(struct dh_planner_key));
 	pl->moves = dh_counter_get("dh_placement_moves_total", "");
 	pl->hot_moves = dh_counter_get("dh_placement_hot_moves_total", "");
@@ -509,7 +512,6 @@
 	dh_reports_free(pl->reports);
 	drop_placement(pl);
 	dh_health_free(pl->health);
-	dh_hotkeys_free(pl->keys);
 	g_array_unref(pl->pinned);
 	g_array_unref(pl->ids);
 	g_free(pl);
