--- a/bench/datapath.sh
+++ b/bench/datapath.sh
@@ -99,7 +99,8 @@
 	done
 }
 
-# Idle connections through bash, busy ones are requests that wait.
+# Idle connections through bash, busy ones are requests that wait, streams are
+# slow readers of 200 MB each.
 memory() {
 	v=$(pid_of v2)
 	port=$(vm_port 2)
@@ -121,6 +122,55 @@
 		echo "memory.busy.$rep connections=200 before_kb=$before" \
 		    "with_kb=$(rss_kb "$v")"
 		wait "$busy_pid"
+		before=$(rss_kb "$v")
+		streams=
+		for k in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do
+			curl -s -m 3 --limit-rate 10M -o /dev/null \
+			    "$(vm_url 2)/web/k$k?size=200000000" &
+			streams="$streams $!"
+		done
+		sleep 2
+		echo "memory.stream.$rep connections=$k before_kb=$before" \
+		    "with_kb=$(rss_kb "$v")"
+		# shellcheck disable=SC2086
+		wait $streams
+	done
+}
+
+# four_clients NAME URL...: one client for each of four URLs, in parallel.
+four_clients() {
+	what=$1
+	shift
+	clients= n=0
+	for t in "$@"; do
+		n=$((n + 1))
+		"$build/bench/dhload" --target "$t" --json --service web \
+		    -c 11 -d 1500 >"$dir/tail.$n" &
+		clients="$clients $!"
+	done
+	# shellcheck disable=SC2086
+	wait $clients
+	while [ "$n" -gt 0 ]; do
+		echo "$what.client$n.$rep load=$avg $(cat "$dir/tail.$n")"
+		n=$((n - 1))
+	done
+}
+
+# The tail through one router and four: one client, and one client a router,
+# that have as many requests at once in all; below what the backend server can
+# do; and four clients straight at it.
+tails() {
+	direct=http://127.0.0.1:$(backend_port 3)
+	for rep in 1 2 3; do
+		for n in 1 4; do
+			load "tail.routers$n.$rep" "$(urls "$n")" \
+			    --service web -c 44 -d 1500
+			load "tail.4000.routers$n.$rep" "$(urls "$n")" \
+			    --service web -r 4000 -c 200 -d 1500
+		done
+		# shellcheck disable=SC2046
+		four_clients tail.routers4 $(urls 4)
+		four_clients tail.direct "$direct" "$direct" "$direct" "$direct"
 	done
 }
 
