Permits: wait for the deputy at the start and when it changes

Cause: the first requests after a leader's start, or after its deputy or the link to it changed, were refused at once though a deputy was there within 100 ms. Now a permit waits for it, hold_ms at the most and only while one may be expected.

--- a/core/permit.c
+++ b/core/permit.c
@@ -12,6 +12,9 @@
 /* A batch that is not held after so many times hold_ms is sent again. */
 #define SYNC_RETRY_HOLDS 8
 #define UUID_LEN 36
+/* So many times hold_ms after a leader has lost its deputy, or begun without
+ * one, another may be expected: until then new permits wait for it. */
+#define ALONE_HOLDS 2
 /* Earlier than any time. */
 #define NEVER_MS (INT64_MIN / 2)
 
@@ -31,6 +34,7 @@
 	int64_t store_ms; /* LEADER: when the store confirmed the term */
 	int64_t confirm_asked_ms; /* last DO_CONFIRM since then, or NEVER_MS */
 	int64_t confirm_since_ms; /* first one, or NEVER_MS */
+	int64_t alone_ms; /* LEADER: without deputy since */
 	int64_t close_ms; /* longest deadline that a router named */
 	struct permit *sync_next; /* first one the deputy may lack */
 	struct permit *sync_after; /* first one after the batch under way */
@@ -319,6 +323,31 @@
 		refuse_waiting(v, v->wait_first, now, out);
 }
 
+static void
+ask_deputy(struct dh_permits *v, struct permit *p, int64_t now,
+    struct dh_permit_actions *out)
+{
+	tell_deputy(v, p, p->state, now, out);
+	p->hold_seq = v->deputy == 0 ? 0 : v->seq;
+}
+
+/* Another deputy, or another connection to it: permits that wait ask it, what
+ * is being closed is refused. */
+static void
+ask_all_waiting(
+    struct dh_permits *v, int64_t now, struct dh_permit_actions *out)
+{
+	struct permit *p, *next;
+
+	for (p = v->wait_first; p != NULL; p = next) {
+		next = p->wait_newer;
+		if (p->state == DH_PERMIT_CLOSED)
+			refuse_waiting(v, p, now, out);
+		else
+			ask_deputy(v, p, now, out);
+	}
+}
+
 static void
 sync_stop(struct dh_permits *v)
 {
@@ -471,6 +500,7 @@
 		v->store_ms = v->confirm_asked_ms = v->confirm_since_ms =
 		    NEVER_MS;
 	v->role = ROLE_LEADER;
+	v->alone_ms = now;
 	v->term = ev->lead.term;
 	v->deputy = ev->lead.deputy;
 	v->naming = ev->lead.naming;
@@ -483,10 +513,12 @@
 {
 	if (v->role != ROLE_LEADER)
 		return;
-	refuse_all_waiting(v, now, out);
+	if (v->deputy != 0 && ev->lead.deputy == 0)
+		v->alone_ms = now;
 	v->deputy = ev->lead.deputy;
 	v->naming = ev->lead.naming;
 	sync_start(v, now, out);
+	ask_all_waiting(v, now, out);
 }
 
 static void
@@ -554,11 +586,16 @@
 	p->asker = ev->ask.asker;
 	p->token = ev->ask.token;
 	p->asked_ms = now;
-	tell_deputy(v, p, DH_PERMIT_HOLDING, now, out);
-	p->hold_seq = v->seq;
+	ask_deputy(v, p, now, out);
 	wait_add(v, p);
 }
 
+static bool
+expects_deputy(const struct dh_permits *v, int64_t now)
+{
+	return v->deputy != 0 || now - v->alone_ms < ALONE_HOLDS * v->p.hold_ms;
+}
+
 /* An id that is not held. */
 static void
 ask_new(struct dh_permits *v, const struct dh_permit_event *ev, int64_t now,
@@ -572,7 +609,7 @@
 		    DH_PERMIT_UNKNOWN);
 		return;
 	}
-	if (v->deputy != 0 && (age == AGE_NEW || v->p.untimed_ids)) {
+	if (expects_deputy(v, now) && (age == AGE_NEW || v->p.untimed_ids)) {
 		if (!is_full(v, ev->ask.id)) {
 			grant(v, ev, now, out);
 			return;
@@ -861,6 +898,7 @@
 	if (ev->held.term > v->term) {
 		/* Another leads: no permit is ours to give. */
 		v->deputy = 0;
+		v->alone_ms = NEVER_MS;
 		sync_stop(v);
 		refuse_all_waiting(v, now, out);
 		return;
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -233,6 +233,48 @@
 	finish();
 }
 
+/* At the start, and when the deputy changes, a permit waits for the deputy, but
+ * not for longer than one may be expected. */
+static void
+test_waits_for_deputy(void)
+{
+	struct dh_permit_event named = { .kind = DH_PERMIT_DEPUTY,
+		.lead = { .deputy = DEPUTY, .naming = 1 } };
+	char id[DH_REQUEST_ID_MAX];
+
+	now = 1000;
+	leader = dh_permits_new(&params);
+	deputy = dh_permits_new(&params);
+	lead(leader, 1, 0, false, 0);
+	(void)snprintf(id, sizeof(id), "%s", fresh(1));
+	ask(leader, id, 1, 1000);
+	CU_ASSERT_EQUAL(out.n, 0);
+	now += params.hold_ms - 1;
+	step(leader, &named);
+	exchange(leader, deputy);
+	CU_ASSERT_EQUAL(verdict(), DH_PERMIT_RUN);
+	CU_ASSERT_EQUAL(dh_permits_stats(deputy).count, 1);
+	/* Its link comes up anew: what was lost with the old one is asked. */
+	(void)snprintf(id, sizeof(id), "%s", fresh(2));
+	ask(leader, id, 2, 1000);
+	dh_permit_actions_clear(&out);
+	step(leader, &named);
+	exchange(leader, deputy);
+	CU_ASSERT_EQUAL(verdict(), DH_PERMIT_RUN);
+	/* It is lost: refused when the wait is over, then at once. */
+	named.lead.deputy = 0;
+	step(leader, &named);
+	ask(leader, fresh(3), 3, 1000);
+	CU_ASSERT_EQUAL(out.n, 0);
+	now += params.hold_ms;
+	tick(leader);
+	CU_ASSERT_EQUAL(verdict(), DH_PERMIT_REFUSED);
+	now += params.hold_ms;
+	ask(leader, fresh(4), 4, 1000);
+	CU_ASSERT_EQUAL(verdict(), DH_PERMIT_REFUSED);
+	finish();
+}
+
 /* No answer from the deputy: refused in time, and never run by that try. */
 static void
 test_silent_deputy(void)
@@ -287,8 +329,12 @@
 	ask(leader, fresh(2), 2, 1000);
 	dh_permit_actions_clear(&out);
 	step(leader, &ev); /* the deputy is gone: those that wait are told */
+	CU_ASSERT_EQUAL(out.n, 0); /* if no other comes in their time */
+	now += params.hold_ms;
+	tick(leader);
 	exchange(leader, deputy);
 	CU_ASSERT_EQUAL(verdict(), DH_PERMIT_REFUSED);
+	now += params.hold_ms;
 	ask(leader, fresh(2), 3, 1000);
 	CU_ASSERT_EQUAL(verdict(), DH_PERMIT_REFUSED);
 	finish();
@@ -933,6 +979,7 @@
 		{ "both hold", test_run_only_once_both_hold },
 		{ "outcomes", test_outcomes },
 		{ "silent deputy", test_silent_deputy },
+		{ "waits for deputy", test_waits_for_deputy },
 		{ "no deputy", test_no_deputy_no_permit },
 		{ "takeover", test_deputy_takes_over },
 		{ "memory lost", test_memory_lost_with_both },
