--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -1,5 +1,7 @@
 /* The data path when backend servers and callers fail: no answer is cut
  * unseen, none is another's, nothing runs twice, and "not run" is true. */
+#include <poll.h>
+
 #include "datapath_fake.h"
 
 #include "base/counter.h"
@@ -213,6 +215,32 @@
 	world_stop(&w);
 }
 
+/* A body does not lengthen the wait for an owner (50 ms) to the deadline (15
+ * s): the answer is there before that of one whose deadline is 300 ms. */
+static void
+test_parked_with_body(void)
+{
+	struct caller parked, slow;
+	struct pollfd fd = { .events = POLLIN };
+
+	world_start(&w);
+	caller_open(&parked, w.port);
+	caller_open(&slow, w.port);
+	fake_say(parked.fd,
+	    "POST /orphan/key HTTP/1.1\r\n" HOST
+	    "Content-Length: 3\r\n\r\nabc");
+	fake_say(slow.fd, GET("/slow/hang"));
+	caller_read(&slow, &r, false);
+	CU_ASSERT(is_local(&r, 504, "unknown", "deadline"));
+	fd.fd = parked.fd;
+	CU_ASSERT_EQUAL(poll(&fd, 1, 0), 1);
+	caller_read(&parked, &r, false);
+	CU_ASSERT(is_local(&r, 503, "not-run", "no-owner"));
+	caller_close(&parked);
+	caller_close(&slow);
+	world_stop(&w);
+}
+
 static void
 test_unrepeatable(void)
 {
@@ -461,6 +489,7 @@
 		{ "refused", test_refused },
 		{ "close", test_close },
 		{ "close budget", test_close_budget },
+		{ "parked with body", test_parked_with_body },
 		{ "unrepeatable", test_unrepeatable },
 		{ "unreachable", test_unreachable },
 		{ "deadline", test_deadline },
