Router: a backend server whose breaker's pause is over is chosen again

Cause (found by random faults): the choice among the backend servers of a service of kind any leaves out those without room, and the room of one whose breaker had opened was reckoned anew only when it was asked. So it was never asked again, and a service with one backend server answered 503 until the next change of configuration. Now the lane's timer also ends the pauses of breakers.

--- a/router/turn.c
+++ b/router/turn.c
@@ -31,6 +31,7 @@
 	struct dh_breaker *breakers;
 	struct dh_rng rng;
 	uint64_t revision;
+	int64_t reopen_us; /* when the first open breaker lets one try */
 	uv_timer_t *timer;
 	dh_turn_fn on_turn;
 	uint32_t threads; /* lanes of this VM */
@@ -58,6 +59,7 @@
 		.max_retry_after_us = RETRY_AFTER_MAX_US,
 		.seed = seed };
 
+	ts->reopen_us = INT64_MAX;
 	ts->adm = dh_admission_new(&p);
 	if (ts->adm == NULL)
 		g_error("no memory for admission");
@@ -102,6 +104,8 @@
 	const struct dh_breaker *b = &ts->breakers[i];
 	bool open = b->state == DH_BREAKER_OPEN && now_us / 1000 < b->until_ms;
 
+	if (open)
+		ts->reopen_us = MIN(ts->reopen_us, b->until_ms * 1000);
 	ts->loads[i] = (struct dh_balance_load){
 		.running = dh_admission_running(ts->adm, i),
 		.limit_milli =
@@ -109,10 +113,26 @@
 	};
 }
 
+/* Nobody chooses a backend server without room, so nothing but the time makes
+ * a breaker that is over with its pause let one try. */
+static void
+reopen(struct dh_turns *ts, int64_t now_us)
+{
+	uint32_t i;
+
+	if (now_us < ts->reopen_us)
+		return;
+	ts->reopen_us = INT64_MAX;
+	for (i = 0; i < ts->nindex; i++)
+		if (ts->breakers[i].state == DH_BREAKER_OPEN)
+			note_load(ts, i, now_us);
+}
+
 static void
 arm(struct dh_turns *ts)
 {
-	int64_t at_us = dh_admission_wake_us(ts->adm), wait_us;
+	int64_t at_us = MIN(dh_admission_wake_us(ts->adm), ts->reopen_us);
+	int64_t wait_us;
 
 	if (at_us == INT64_MAX) {
 		uv_timer_stop(ts->timer);
@@ -274,6 +294,7 @@
 			    DH_BREAKER_UNUSED);
 		ts->on_turn(exchange_of(tk), verdict, retry_after_ms);
 	}
+	reopen(ts, dh_clock_us());
 	arm(ts);
 }
 
@@ -401,6 +422,7 @@
 		    DH_BREAKER_FAILED, &ts->rng, now_us / 1000);
 	}
 	note_load(ts, i - 1, now_us);
+	arm(ts);
 }
 
 uint32_t
