History checker: what was sent before a take-over to one that obeys anybody

The trace: b4 held the slot by 1.8 and by 2.8 without a break, so it had one owner; and nobody can have such a server refuse.

--- a/check/event.c
+++ b/check/event.c
@@ -262,6 +262,8 @@
 		ev->config.revision = (uint64_t)integer(r, "revision");
 		break;
 	case DH_EVENT_UP:
+		if (json_object_object_get(r->json, "checks") != NULL)
+			ev->up.unchecked = !boolean(r, "checks");
 		break;
 	default:
 		read_target(r, ev);
--- a/check/event.h
+++ b/check/event.h
@@ -78,6 +78,11 @@
 	const char *holders[2]; /* NULL unless pair */
 };
 
+/* UP. */
+struct dh_event_up {
+	bool unchecked; /* a backend server that obeys whoever gives an order */
+};
+
 /* FORCE, ACCEPT. */
 struct dh_event_config {
 	uint64_t revision;
@@ -99,6 +104,7 @@
 		struct dh_event_send send;
 		struct dh_event_answer answer;
 		struct dh_event_assign assign;
+		struct dh_event_up up;
 		struct dh_event_config config;
 		struct dh_event_target target;
 	};
--- a/standin/backend.c
+++ b/standin/backend.c
@@ -664,8 +664,9 @@
 	s->log = dh_eventlog_open(s->opt.log, s->opt.name);
 	s->ownership =
 	    ownership_new(s->incarnation, s->opt.check_fence, s->log);
-	dh_eventlog_add(
-	    s->log, "up", ",\"incarnation\":%" PRIu64, s->incarnation);
+	dh_eventlog_add(s->log, "up",
+	    ",\"incarnation\":%" PRIu64 ",\"checks\":%s", s->incarnation,
+	    s->opt.check_fence ? "true" : "false");
 	s->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&s->waiting);
 	s->httpd = dh_httpd_new(&s->loop, &o, &error);
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -15,6 +15,8 @@
 	    "\",\"until\":" until)
 #define EXTEND(t, src, until) \
 	L(t, src, "extend", ",\"group\":\"g\",\"until\":" until)
+#define UP_CHECKS(t, src, checks) \
+	L(t, src, "up", ",\"incarnation\":1,\"checks\":" checks)
 #define RELEASE(t, src, slot) \
 	L(t, src, "release", ",\"group\":\"g\",\"slot\":" slot)
 #define SEND(t, call, id, via, unrepeatable)                          \
@@ -111,6 +113,24 @@
 	    { GRANT("0", "a", "1", "1.1", "500"),
 		GRANT("9", "a", "1", "2.1", "509"),
 		KEYED("10", "a", "r1", "1", "1.1") } },
+	{ "work under an old fence, checked", DH_PROMISE_SINGLE_OWNER,
+	    DH_VERDICT_BROKEN, "t:4",
+	    { UP_CHECKS("0", "a", "true"), GRANT("0", "a", "1", "1.1", "500"),
+		GRANT("9", "a", "1", "2.1", "509"),
+		KEYED("10", "a", "r1", "1", "1.1") } },
+	{ "work under an old fence, unchecked", DH_PROMISE_SINGLE_OWNER,
+	    DH_VERDICT_HELD, NULL,
+	    { UP_CHECKS("0", "a", "false"), GRANT("0", "a", "1", "1.1", "500"),
+		GRANT("9", "a", "1", "2.1", "509"),
+		KEYED("10", "a", "r1", "1", "1.1") } },
+	{ "work under a later fence, unchecked", DH_PROMISE_SINGLE_OWNER,
+	    DH_VERDICT_BROKEN, "t:3",
+	    { UP_CHECKS("0", "a", "false"), GRANT("0", "a", "1", "1.1", "500"),
+		KEYED("10", "a", "r1", "1", "2.1") } },
+	{ "work without a lease, unchecked", DH_PROMISE_SINGLE_OWNER,
+	    DH_VERDICT_BROKEN, "t:3",
+	    { UP_CHECKS("0", "a", "false"), GRANT("0", "a", "1", "1.1", "500"),
+		KEYED("500", "a", "r1", "1", "1.1") } },
 	{ "one fence for two", DH_PROMISE_SINGLE_OWNER, DH_VERDICT_BROKEN,
 	    "t:2",
 	    { GRANT("0", "a", "1", "1.1", "500"),
