Shutdown: answer also those whom only the kernel has accepted

Cause: a VM that stops listening accepted one round of waiting connections (libmicrohttpd takes about ten) and closed the socket; the kernel reset the rest, requests on them included. Now it accepts until none waits. Before: test_httpd, 40 callers at once before the server looks, fails; after: all 40 are answered. What arrives between the last look and the close is still reset; the balancer, told by the health check 1 s earlier, sends nothing then.

--- a/base/httpd.c
+++ b/base/httpd.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,6 +11,7 @@
 /* How often connection timeouts are looked at. */
 #define SWEEP_MS 500
 #define TURNS_MAX 4
+#define ACCEPT_TURNS_MAX 64 /* of several connections each */
 
 struct dh_httpd {
 	struct MHD_Daemon *daemon;
@@ -148,11 +150,27 @@
 	h->pending = true;
 }
 
+/* The kernel resets what it has accepted and we have not. */
+static void
+accept_waiting(struct dh_httpd *h)
+{
+	struct pollfd p = { .events = POLLIN };
+	int turns;
+
+	p.fd = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_LISTEN_FD)
+		   ->listen_fd;
+	for (turns = 0; turns < ACCEPT_TURNS_MAX; turns++) {
+		run(h);
+		if (poll(&p, 1, 0) != 1)
+			return;
+	}
+}
+
 void
 dh_httpd_quiesce(struct dh_httpd *h)
 {
 	g_assert(!h->running);
-	run(h);
+	accept_waiting(h);
 	h->listen_fd = MHD_quiesce_daemon(h->daemon);
 	if (h->listen_fd != MHD_INVALID_SOCKET)
 		(void)close(h->listen_fd);
