Router: ask an owner without a lease again

Cause: the table names a new owner when its assignment is acknowledged, some ms before its grant has arrived. A request sent in between is refused for want of a lease and then waited for another fence, which never came: until queue_ms, then the caller tried again. That was the tail of every take-over. Ruled out: the grants (there after 0.9 s), the relay of tables.

--- a/router/exchange.c
+++ b/router/exchange.c
@@ -23,6 +23,9 @@
 #define CLOSES_MAX 20
 /* No byte in either direction for this long ends a streaming answer. */
 #define STALL_MS 15000
+/* Before an owner that said it holds no lease is asked again; doubles. */
+#define SHUN_MIN_MS INT64_C(20)
+#define SHUN_DOUBLINGS_MAX 4
 
 static void on_timer(uv_timer_t *timer);
 
@@ -320,14 +323,24 @@
 	return true;
 }
 
-/* Wait, without an attempt, for the slot to get another owner. */
+/*
+ * Wait, without an attempt, for the slot to get another owner.  One that told
+ * us that it holds no lease may be about to get it: the table names an owner
+ * as soon as its assignment is acknowledged, its grant is still on the way,
+ * and no other fence comes after it.  So that one is asked again, after a time
+ * that doubles.
+ */
 static bool
-park_for_owner(struct dh_exchange *ex)
+park_for_owner(struct dh_exchange *ex, bool is_refusal)
 {
+	int64_t ms = SHUN_MIN_MS << MIN(ex->shuns, SHUN_DOUBLINGS_MAX);
+
 	if (!ex->keyed || !dh_buffer_rewind(&ex->up))
 		return false;
 	ex->shunned = true;
 	ex->shun = ex->route.fence;
+	ex->shun_until_ms = is_refusal ? dh_clock_ms() + ms : INT64_MAX;
+	ex->shuns += is_refusal;
 	dh_counter_add(ex->service->parked, 1);
 	dh_exchange_route(ex);
 	return true;
@@ -419,7 +432,7 @@
 		break;
 	case DH_ADMIT_REFUSE:
 		if (ex->pass.verdict == DH_BREAKER_REFUSE &&
-		    ex->pass.retry_after_ms > 0 && park_for_owner(ex))
+		    ex->pass.retry_after_ms > 0 && park_for_owner(ex, false))
 			break;
 		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "shed",
 		    MAX(retry_after_ms, 1));
@@ -641,7 +654,8 @@
 		return;
 	}
 	if (is_ownership_failure(ex, reason) && !ex->aborted &&
-	    d.verdict != DH_RETRY_DEADLINE && park_for_owner(ex))
+	    d.verdict != DH_RETRY_DEADLINE &&
+	    park_for_owner(ex, strcmp(reason, "connect") != 0))
 		return;
 	dh_exchange_refuse(ex, status, outcome, reason, RETRY_AFTER_MS);
 }
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -87,7 +87,9 @@
 	uint32_t team; /* hash of the service's team */
 	struct dh_lane_service *service;
 	bool shunned; /* wait for another fence than... */
-	struct dh_fence shun; /* ...this */
+	struct dh_fence shun; /* ...this, or until... */
+	int64_t shun_until_ms; /* ...then */
+	uint32_t shuns; /* times it was to wait so */
 	int64_t parked_ms; /* since when it waits for an owner, or 0 */
 	int64_t park_max_ms; /* longest it may */
 	int64_t pick_retry_ms; /* when to come back, if none can be picked */
--- a/router/route.c
+++ b/router/route.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/clock.h"
 #include "router/pick.h"
 #include "router/turn.h"
 
@@ -56,7 +57,9 @@
 		ex->counts_key = t->conf->services[service].hot_keys;
 		ex->route = dh_table_route(
 		    t, service, ex->target.key, strlen(ex->target.key));
-		if (ex->shunned && dh_fence_cmp(ex->shun, ex->route.fence) == 0)
+		if (ex->shunned &&
+		    dh_fence_cmp(ex->shun, ex->route.fence) == 0 &&
+		    dh_clock_ms() < ex->shun_until_ms)
 			return false;
 		backend = ex->route.state == DH_SLOT_OWNED ? ex->route.backend
 							   : DH_NONE;
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -308,6 +308,25 @@
 	{ "fault", "HTTP/1.1 500 Bad\r\nContent-Length: 3\r\n\r\nbad", false },
 };
 
+#define FAKE_LEASELESS 8u /* tries */
+
+/* Without a lease at first; then it runs the request. */
+static void
+fake_leaseless(struct fake_conn *c, const struct fake_request *rq)
+{
+	guint n;
+
+	pthread_mutex_lock(&c->fake->lock);
+	n = GPOINTER_TO_UINT(g_hash_table_lookup(c->fake->seen, rq->path));
+	pthread_mutex_unlock(&c->fake->lock);
+	if (n > FAKE_LEASELESS)
+		fake_echo(c, rq);
+	else
+		fake_say(c->fd,
+		    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
+		    "Dh-Reason: lease\r\nContent-Length: 0\r\n\r\n");
+}
+
 struct fake_kind {
 	const char *name;
 	void (*run)(struct fake_conn *c, const struct fake_request *rq);
@@ -317,6 +336,7 @@
 	{ "echo", fake_echo }, /* tells what it read */
 	{ "hold", fake_hold }, /* until fake_release() */
 	{ "big", fake_big }, /* FAKE_BIG bytes */
+	{ "leaseless", fake_leaseless }, /* at first */
 	{ "hang", fake_hang }, /* until the router gives up */
 	{ "die", fake_die }, /* without an answer, if reused */
 };
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -215,6 +215,20 @@
 	world_stop(&w);
 }
 
+/* The table names an owner before its grant is there: it is asked again, until
+ * it has its lease, though no other table comes. */
+static void
+test_owner_without_lease_yet(void)
+{
+	world_start(&w);
+	call(&w, &r, GET("/feed/k/leaseless"));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT(strstr(r.body, "GET /feed/k/leaseless ") != NULL);
+	CU_ASSERT_EQUAL(
+	    fake_seen(&w.fake, "/feed/k/leaseless"), FAKE_LEASELESS + 1);
+	world_stop(&w);
+}
+
 /* A body does not lengthen the wait for an owner (50 ms) to the deadline (15
  * s): the answer is there before that of one whose deadline is 300 ms. */
 static void
@@ -490,6 +504,7 @@
 		{ "close", test_close },
 		{ "close budget", test_close_budget },
 		{ "parked with body", test_parked_with_body },
+		{ "owner without lease yet", test_owner_without_lease_yet },
 		{ "unrepeatable", test_unrepeatable },
 		{ "unreachable", test_unreachable },
 		{ "deadline", test_deadline },
