History checker: a try that was never sent says nothing of the id

random_faults_checked was broken in 4 of 20 runs under the address sanitizer: 'answered not run, but it ran'. The trace, the same in all three that were kept: the id ran through v1, which was killed before it answered; v2 and v3 told 'unknown'; then the caller could not connect to v4 (down at the time), and noted its own 'not run', status 0. No VM had said so. For an unrepeatable request the checker took that for the system's word on the id. Now status 0 is judged by its own call alone, which must not start, before or after: five cases in test_history, three of them broken.

--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -38,6 +38,10 @@
 	L(t, "caller", "answer", \
 	    ",\"call\":\"" call  \
 	    "\",\"outcome\":\"not-run\",\"status\":503,\"whole\":true")
+#define UNSENT(t, call)          \
+	L(t, "caller", "answer", \
+	    ",\"call\":\"" call  \
+	    "\",\"outcome\":\"not-run\",\"status\":0,\"whole\":true")
 #define NO_ANSWER(t, call)       \
 	L(t, "caller", "answer", \
 	    ",\"call\":\"" call  \
@@ -244,6 +248,28 @@
 		RUN("1", "a", "c1", "r1", "true"),
 		SEND("2", "c2", "r1", "v2", "true"), REFUSAL("3", "c2") } },
 
+	{ "the second try is not sent after the first ran", DH_PROMISE_NOT_RUN,
+	    DH_VERDICT_HELD, NULL,
+	    { SEND("0", "c1", "r1", "v1", "true"),
+		RUN("1", "a", "c1", "r1", "true"),
+		SEND("2", "c2", "r1", "v2", "true"), UNSENT("3", "c2") } },
+	{ "the second try is not sent, then the first runs", DH_PROMISE_NOT_RUN,
+	    DH_VERDICT_HELD, NULL,
+	    { SEND("0", "c1", "r1", "v1", "true"),
+		SEND("1", "c2", "r1", "v2", "true"), UNSENT("2", "c2"),
+		RUN("3", "a", "c1", "r1", "true") } },
+	{ "ran, said not to be sent", DH_PROMISE_NOT_RUN, DH_VERDICT_BROKEN,
+	    "t:2",
+	    { SEND("0", "c1", "r1", "v1", "true"),
+		RUN("1", "a", "c1", "r1", "true"), UNSENT("2", "c1") } },
+	{ "runs, was said not to be sent", DH_PROMISE_NOT_RUN,
+	    DH_VERDICT_BROKEN, "t:2",
+	    { SEND("0", "c1", "r1", "v1", "true"), UNSENT("1", "c1"),
+		RUN("2", "a", "c1", "r1", "true") } },
+	{ "runs untagged, was said not to be sent", DH_PROMISE_NOT_RUN,
+	    DH_VERDICT_BROKEN, "t:2",
+	    { SEND("0", "c1", "r1", "v1", "false"), UNSENT("1", "c1"),
+		UNTAGGED("2", "a", "r1") } },
 	{ "one run each", DH_PROMISE_AT_MOST_ONCE, DH_VERDICT_HELD, NULL,
 	    { SEND("0", "c1", "r1", "v1", "true"),
 		RUN("1", "a", "c1", "r1", "true"),
