Router: turn.c becomes admit.c

A newcomer had to guess what a lane's 'turns' were: the admission of its requests at backend servers. Names only: struct dh_admitter, dh_admitter_*, DH_PHASE_ADMISSION, test_admit.

--- a/router/turn.c
+++ b/router/admit.c
@@ -1,4 +1,4 @@
-#include "router/turn.h"
+#include "router/admit.h"
 
 #include <string.h>
 
@@ -21,7 +21,7 @@
 /* Room for backend servers at first. */
 #define ROOM_FIRST 64u
 
-struct dh_turns {
+struct dh_admitter {
 	struct dh_admission *adm;
 	GHashTable *index; /* backend server's id -> index + 1 */
 	uint32_t nindex; /* indices ever used */
@@ -33,7 +33,7 @@
 	uint64_t revision;
 	int64_t reopen_us; /* when the first open breaker lets one try */
 	uv_timer_t *timer;
-	dh_turn_fn on_turn;
+	dh_admitter_fn on_admitted;
 	uint32_t threads; /* lanes of this VM */
 };
 
@@ -46,11 +46,11 @@
 	    offsetof(struct dh_exchange, ticket));
 }
 
-struct dh_turns *
-dh_turns_new(uv_loop_t *loop, const struct dh_settings *s, uint64_t seed,
-    dh_turn_fn on_turn)
+struct dh_admitter *
+dh_admitter_new(uv_loop_t *loop, const struct dh_settings *s, uint64_t seed,
+    dh_admitter_fn on_admitted)
 {
-	struct dh_turns *ts = g_new0(struct dh_turns, 1);
+	struct dh_admitter *ad = g_new0(struct dh_admitter, 1);
 	struct dh_admission_params p = { .nbackends = ROOM_FIRST,
 		.max_queued = s->queue_max,
 		.backend_queue = BACKEND_QUEUE_MAX,
@@ -59,132 +59,132 @@
 		.max_retry_after_us = RETRY_AFTER_MAX_US,
 		.seed = seed };
 
-	ts->reopen_us = INT64_MAX;
-	ts->adm = dh_admission_new(&p);
-	if (ts->adm == NULL)
+	ad->reopen_us = INT64_MAX;
+	ad->adm = dh_admission_new(&p);
+	if (ad->adm == NULL)
 		g_error("no memory for admission");
-	ts->index =
+	ad->index =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	ts->room = ROOM_FIRST;
-	ts->spare = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	ts->loads = g_new0(struct dh_balance_load, ROOM_FIRST);
-	ts->breakers = g_new0(struct dh_breaker, ROOM_FIRST);
-	ts->rng.state = seed;
-	ts->on_turn = on_turn;
-	ts->threads = s->threads;
-	ts->timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(loop, ts->timer);
-	ts->timer->data = ts;
-	return ts;
+	ad->room = ROOM_FIRST;
+	ad->spare = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	ad->loads = g_new0(struct dh_balance_load, ROOM_FIRST);
+	ad->breakers = g_new0(struct dh_breaker, ROOM_FIRST);
+	ad->rng.state = seed;
+	ad->on_admitted = on_admitted;
+	ad->threads = s->threads;
+	ad->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, ad->timer);
+	ad->timer->data = ad;
+	return ad;
 }
 
 void
-dh_turns_free(struct dh_turns *ts)
+dh_admitter_free(struct dh_admitter *ad)
 {
-	if (ts == NULL)
+	if (ad == NULL)
 		return;
-	dh_admission_free(ts->adm);
-	g_hash_table_unref(ts->index);
-	g_array_unref(ts->spare);
-	g_free(ts->loads);
-	g_free(ts->breakers);
-	g_free(ts->timer); /* closed with its loop */
-	g_free(ts);
+	dh_admission_free(ad->adm);
+	g_hash_table_unref(ad->index);
+	g_array_unref(ad->spare);
+	g_free(ad->loads);
+	g_free(ad->breakers);
+	g_free(ad->timer); /* closed with its loop */
+	g_free(ad);
 }
 
 static uint32_t
-index_of(const struct dh_turns *ts, uint64_t id)
+index_of(const struct dh_admitter *ad, uint64_t id)
 {
-	return GPOINTER_TO_UINT(g_hash_table_lookup(ts->index, &id));
+	return GPOINTER_TO_UINT(g_hash_table_lookup(ad->index, &id));
 }
 
 static void
-note_load(struct dh_turns *ts, uint32_t i, int64_t now_us)
+note_load(struct dh_admitter *ad, uint32_t i, int64_t now_us)
 {
-	const struct dh_breaker *b = &ts->breakers[i];
+	const struct dh_breaker *b = &ad->breakers[i];
 	bool open = b->state == DH_BREAKER_OPEN && now_us / 1000 < b->until_ms;
 
 	if (open)
-		ts->reopen_us = MIN(ts->reopen_us, b->until_ms * 1000);
-	ts->loads[i] = (struct dh_balance_load){
-		.running = dh_admission_running(ts->adm, i),
+		ad->reopen_us = MIN(ad->reopen_us, b->until_ms * 1000);
+	ad->loads[i] = (struct dh_balance_load){
+		.running = dh_admission_running(ad->adm, i),
 		.limit_milli =
-		    open ? 0 : dh_admission_limit_milli(ts->adm, i, now_us),
+		    open ? 0 : dh_admission_limit_milli(ad->adm, i, now_us),
 	};
 }
 
 /* Nobody chooses a backend server without room, so nothing but the time makes
  * a breaker that is over with its pause let one try. */
 static void
-reopen(struct dh_turns *ts, int64_t now_us)
+reopen(struct dh_admitter *ad, int64_t now_us)
 {
 	uint32_t i;
 
-	if (now_us < ts->reopen_us)
+	if (now_us < ad->reopen_us)
 		return;
-	ts->reopen_us = INT64_MAX;
-	for (i = 0; i < ts->nindex; i++)
-		if (ts->breakers[i].state == DH_BREAKER_OPEN)
-			note_load(ts, i, now_us);
+	ad->reopen_us = INT64_MAX;
+	for (i = 0; i < ad->nindex; i++)
+		if (ad->breakers[i].state == DH_BREAKER_OPEN)
+			note_load(ad, i, now_us);
 }
 
 static void
-arm(struct dh_turns *ts)
+arm(struct dh_admitter *ad)
 {
-	int64_t at_us = MIN(dh_admission_wake_us(ts->adm), ts->reopen_us);
+	int64_t at_us = MIN(dh_admission_wake_us(ad->adm), ad->reopen_us);
 	int64_t wait_us;
 
 	if (at_us == INT64_MAX) {
-		uv_timer_stop(ts->timer);
+		uv_timer_stop(ad->timer);
 		return;
 	}
 	wait_us = at_us - dh_clock_us();
-	uv_timer_start(ts->timer, on_timer,
+	uv_timer_start(ad->timer, on_timer,
 	    wait_us > 0 ? (uint64_t)(wait_us + 999) / 1000 : 0, 0);
 }
 
 static void
-make_room(struct dh_turns *ts)
+make_room(struct dh_admitter *ad)
 {
-	uint32_t room = ts->room * 2;
+	uint32_t room = ad->room * 2;
 
-	if (!dh_admission_grow(ts->adm, room))
+	if (!dh_admission_grow(ad->adm, room))
 		g_error("no memory for admission");
-	ts->loads = g_renew(struct dh_balance_load, ts->loads, room);
-	ts->breakers = g_renew(struct dh_breaker, ts->breakers, room);
-	memset(ts->loads + ts->room, 0, ts->room * sizeof(ts->loads[0]));
-	memset(ts->breakers + ts->room, 0, ts->room * sizeof(ts->breakers[0]));
-	ts->room = room;
+	ad->loads = g_renew(struct dh_balance_load, ad->loads, room);
+	ad->breakers = g_renew(struct dh_breaker, ad->breakers, room);
+	memset(ad->loads + ad->room, 0, ad->room * sizeof(ad->loads[0]));
+	memset(ad->breakers + ad->room, 0, ad->room * sizeof(ad->breakers[0]));
+	ad->room = room;
 }
 
 static uint32_t
-index_new(struct dh_turns *ts)
+index_new(struct dh_admitter *ad)
 {
 	uint32_t i;
 
-	if (ts->spare->len > 0) {
-		i = g_array_index(ts->spare, uint32_t, ts->spare->len - 1);
-		g_array_set_size(ts->spare, ts->spare->len - 1);
+	if (ad->spare->len > 0) {
+		i = g_array_index(ad->spare, uint32_t, ad->spare->len - 1);
+		g_array_set_size(ad->spare, ad->spare->len - 1);
 		return i;
 	}
-	if (ts->nindex == ts->room)
-		make_room(ts);
-	return ts->nindex++;
+	if (ad->nindex == ad->room)
+		make_room(ad);
+	return ad->nindex++;
 }
 
 static uint32_t
-index_make(struct dh_turns *ts, uint64_t id, bool *is_new)
+index_make(struct dh_admitter *ad, uint64_t id, bool *is_new)
 {
-	uint32_t i = index_of(ts, id);
+	uint32_t i = index_of(ad, id);
 	uint64_t *key;
 
 	*is_new = i == 0;
 	if (i != 0)
 		return i - 1;
-	i = index_new(ts);
+	i = index_new(ad);
 	key = g_new(uint64_t, 1);
 	*key = id;
-	g_hash_table_insert(ts->index, key, GUINT_TO_POINTER(i + 1));
+	g_hash_table_insert(ad->index, key, GUINT_TO_POINTER(i + 1));
 	return i;
 }
 
@@ -207,23 +207,23 @@
 /* Those that are gone get no slots; their index is free once no request is
  * left of them, or with the next configuration. */
 static void
-drop_gone(struct dh_turns *ts, const struct dh_conf *conf, int64_t now_us)
+drop_gone(struct dh_admitter *ad, const struct dh_conf *conf, int64_t now_us)
 {
 	g_autoptr(GHashTable) ids = ids_of(conf);
 	gpointer id, value;
 	GHashTableIter it;
 	uint32_t i;
 
-	g_hash_table_iter_init(&it, ts->index);
+	g_hash_table_iter_init(&it, ad->index);
 	while (g_hash_table_iter_next(&it, &id, &value)) {
 		if (g_hash_table_contains(ids, id))
 			continue;
 		i = GPOINTER_TO_UINT(value) - 1;
-		dh_admission_set_slots(ts->adm, i, 0, false, now_us);
-		if (!dh_admission_recycle(ts->adm, i))
+		dh_admission_set_slots(ad->adm, i, 0, false, now_us);
+		if (!dh_admission_recycle(ad->adm, i))
 			continue;
-		memset(&ts->breakers[i], 0, sizeof(ts->breakers[i]));
-		g_array_append_val(ts->spare, i);
+		memset(&ad->breakers[i], 0, sizeof(ad->breakers[i]));
+		g_array_append_val(ad->spare, i);
 		g_hash_table_iter_remove(&it);
 	}
 }
@@ -236,66 +236,66 @@
  * a new connection can leave more idle ones, as long as these are kept.
  */
 static uint32_t
-lane_slots(const struct dh_turns *ts, const struct dh_backend *b)
+lane_slots(const struct dh_admitter *ad, const struct dh_backend *b)
 {
-	uint32_t share = b->connections / VMS_MAX / ts->threads;
+	uint32_t share = b->connections / VMS_MAX / ad->threads;
 
 	return MIN(b->slots, MAX(share, 1));
 }
 
 void
-dh_turns_update(struct dh_turns *ts, const struct dh_conf *conf)
+dh_admitter_update(struct dh_admitter *ad, const struct dh_conf *conf)
 {
 	int64_t now_us;
 	bool is_new;
 	uint32_t i;
 	size_t b;
 
-	if (ts->revision == conf->revision)
+	if (ad->revision == conf->revision)
 		return;
 	now_us = dh_clock_us();
-	drop_gone(ts, conf, now_us);
+	drop_gone(ad, conf, now_us);
 	for (b = 0; b < conf->nbackends; b++) {
-		i = index_make(ts, dh_name_id(conf->backends[b].name), &is_new);
-		dh_admission_set_slots(ts->adm, i,
-		    lane_slots(ts, &conf->backends[b]),
-		    is_new && ts->revision != 0, now_us);
+		i = index_make(ad, dh_name_id(conf->backends[b].name), &is_new);
+		dh_admission_set_slots(ad->adm, i,
+		    lane_slots(ad, &conf->backends[b]),
+		    is_new && ad->revision != 0, now_us);
 	}
-	for (i = 0; i < ts->nindex; i++)
-		note_load(ts, i, now_us);
-	ts->revision = conf->revision;
+	for (i = 0; i < ad->nindex; i++)
+		note_load(ad, i, now_us);
+	ad->revision = conf->revision;
 	/* Who waited for one that is gone is refused now. */
-	arm(ts);
+	arm(ad);
 }
 
 static void
-end_pass(struct dh_turns *ts, struct dh_exchange *ex, uint32_t i,
+end_pass(struct dh_admitter *ad, struct dh_exchange *ex, uint32_t i,
     enum dh_breaker_result result)
 {
 	if (ex->pass.verdict != DH_BREAKER_PASS)
 		return;
-	dh_breaker_end(&ts->breakers[i], &breaker_params, &ex->pass, result,
-	    &ts->rng, dh_clock_ms());
+	dh_breaker_end(&ad->breakers[i], &breaker_params, &ex->pass, result,
+	    &ad->rng, dh_clock_ms());
 	ex->pass.verdict = DH_BREAKER_REFUSE;
 }
 
 static void
 on_timer(uv_timer_t *timer)
 {
-	struct dh_turns *ts = timer->data;
+	struct dh_admitter *ad = timer->data;
 	struct dh_ticket *tk;
 	enum dh_admit verdict;
 	int64_t retry_after_ms;
 
-	while ((tk = dh_admission_poll(ts->adm, dh_clock_us(), &verdict,
+	while ((tk = dh_admission_poll(ad->adm, dh_clock_us(), &verdict,
 		    &retry_after_ms)) != NULL) {
 		if (verdict == DH_ADMIT_REFUSE)
-			end_pass(ts, exchange_of(tk), tk->backend,
+			end_pass(ad, exchange_of(tk), tk->backend,
 			    DH_BREAKER_UNUSED);
-		ts->on_turn(exchange_of(tk), verdict, retry_after_ms);
+		ad->on_admitted(exchange_of(tk), verdict, retry_after_ms);
 	}
-	reopen(ts, dh_clock_us());
-	arm(ts);
+	reopen(ad, dh_clock_us());
+	arm(ad);
 }
 
 static enum dh_breaker_result
@@ -314,51 +314,51 @@
 }
 
 static enum dh_admit
-ask(struct dh_turns *ts, struct dh_exchange *ex, uint32_t i,
+ask(struct dh_admitter *ad, struct dh_exchange *ex, uint32_t i,
     int64_t *retry_after_ms)
 {
 	int64_t now_us = dh_clock_us();
 	enum dh_admit verdict;
 
 	ex->pass =
-	    dh_breaker_ask(&ts->breakers[i], &breaker_params, now_us / 1000);
+	    dh_breaker_ask(&ad->breakers[i], &breaker_params, now_us / 1000);
 	if (ex->pass.verdict == DH_BREAKER_REFUSE) {
 		*retry_after_ms = ex->pass.retry_after_ms;
 		return DH_ADMIT_REFUSE;
 	}
 	verdict =
-	    dh_admission_ask(ts->adm, &ex->ticket, now_us, retry_after_ms);
+	    dh_admission_ask(ad->adm, &ex->ticket, now_us, retry_after_ms);
 	if (verdict == DH_ADMIT_REFUSE)
-		end_pass(ts, ex, i, DH_BREAKER_UNUSED);
-	note_load(ts, i, now_us);
+		end_pass(ad, ex, i, DH_BREAKER_UNUSED);
+	note_load(ad, i, now_us);
 	if (verdict == DH_ADMIT_QUEUE)
-		arm(ts);
+		arm(ad);
 	return verdict;
 }
 
 enum dh_admit
-dh_turns_ask(
-    struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
+dh_admitter_ask(
+    struct dh_admitter *ad, struct dh_exchange *ex, int64_t *retry_after_ms)
 {
-	uint32_t i = index_of(ts, ex->backend_id);
+	uint32_t i = index_of(ad, ex->backend_id);
 
 	g_assert(i != 0);
 	ex->ticket = (struct dh_ticket){ .backend = i - 1,
 		.team = ex->team,
 		.deadline_us = ex->deadline_ms * 1000 };
-	return ask(ts, ex, i - 1, retry_after_ms);
+	return ask(ad, ex, i - 1, retry_after_ms);
 }
 
 enum dh_admit
-dh_turns_again(
-    struct dh_turns *ts, struct dh_exchange *ex, int64_t *retry_after_ms)
+dh_admitter_again(
+    struct dh_admitter *ad, struct dh_exchange *ex, int64_t *retry_after_ms)
 {
 	/* Gone meanwhile, and its index may be another's. */
-	if (dh_turns_index(ts, ex->backend_id) != ex->ticket.backend) {
+	if (dh_admitter_index(ad, ex->backend_id) != ex->ticket.backend) {
 		*retry_after_ms = 1;
 		return DH_ADMIT_REFUSE;
 	}
-	return ask(ts, ex, ex->ticket.backend, retry_after_ms);
+	return ask(ad, ex, ex->ticket.backend, retry_after_ms);
 }
 
 /* Time to the beginning of the answer, from the end of the request's body: its
@@ -374,7 +374,7 @@
 }
 
 void
-dh_turns_end(struct dh_turns *ts, struct dh_exchange *ex,
+dh_admitter_end(struct dh_admitter *ad, struct dh_exchange *ex,
     enum dh_admission_outcome outcome)
 {
 	struct dh_ticket *tk = &ex->ticket, *next;
@@ -386,28 +386,28 @@
 		return;
 	case DH_TICKET_QUEUED:
 	case DH_TICKET_REFUSED:
-		dh_admission_cancel(ts->adm, tk);
-		end_pass(ts, ex, backend, DH_BREAKER_UNUSED);
+		dh_admission_cancel(ad->adm, tk);
+		end_pass(ad, ex, backend, DH_BREAKER_UNUSED);
 		return;
 	case DH_TICKET_RUNNING:
 		break;
 	}
-	end_pass(ts, ex, backend, breaker_result(outcome));
+	end_pass(ad, ex, backend, breaker_result(outcome));
 	tk->answer_us = answer_us(ex);
 	next = dh_admission_end(
-	    ts->adm, tk, outcome, now_us - ex->sent_us, now_us);
+	    ad->adm, tk, outcome, now_us - ex->sent_us, now_us);
 	while (next != NULL) {
-		ts->on_turn(exchange_of(next), DH_ADMIT_RUN, 0);
-		next = dh_admission_next(ts->adm, backend, dh_clock_us());
+		ad->on_admitted(exchange_of(next), DH_ADMIT_RUN, 0);
+		next = dh_admission_next(ad->adm, backend, dh_clock_us());
 	}
-	note_load(ts, backend, dh_clock_us());
-	arm(ts);
+	note_load(ad, backend, dh_clock_us());
+	arm(ad);
 }
 
 void
-dh_turns_frozen(struct dh_turns *ts, uint64_t backend_id)
+dh_admitter_frozen(struct dh_admitter *ad, uint64_t backend_id)
 {
-	uint32_t i = index_of(ts, backend_id), n;
+	uint32_t i = index_of(ad, backend_id), n;
 	int64_t now_us = dh_clock_us();
 	struct dh_breaker_pass pass;
 
@@ -415,32 +415,32 @@
 		return;
 	for (n = 0; n < breaker_params.failures; n++) {
 		pass = dh_breaker_ask(
-		    &ts->breakers[i - 1], &breaker_params, now_us / 1000);
+		    &ad->breakers[i - 1], &breaker_params, now_us / 1000);
 		if (pass.verdict == DH_BREAKER_REFUSE)
 			break;
-		dh_breaker_end(&ts->breakers[i - 1], &breaker_params, &pass,
-		    DH_BREAKER_FAILED, &ts->rng, now_us / 1000);
+		dh_breaker_end(&ad->breakers[i - 1], &breaker_params, &pass,
+		    DH_BREAKER_FAILED, &ad->rng, now_us / 1000);
 	}
-	note_load(ts, i - 1, now_us);
-	arm(ts);
+	note_load(ad, i - 1, now_us);
+	arm(ad);
 }
 
 uint32_t
-dh_turns_index(const struct dh_turns *ts, uint64_t backend_id)
+dh_admitter_index(const struct dh_admitter *ad, uint64_t backend_id)
 {
-	uint32_t i = index_of(ts, backend_id);
+	uint32_t i = index_of(ad, backend_id);
 
 	return i == 0 ? DH_NONE : i - 1;
 }
 
 const struct dh_balance_load *
-dh_turns_loads(const struct dh_turns *ts)
+dh_admitter_loads(const struct dh_admitter *ad)
 {
-	return ts->loads;
+	return ad->loads;
 }
 
 uint32_t
-dh_turns_room(const struct dh_turns *ts)
+dh_admitter_room(const struct dh_admitter *ad)
 {
-	return ts->room;
+	return ad->room;
 }
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -9,7 +9,7 @@
 #include "router/load.h"
 #include "router/pick.h"
 #include "router/route.h"
-#include "router/turn.h"
+#include "router/admit.h"
 
 #define RETRY_AFTER_MS 1000
 /* Longest wait for a permit; the leader may be cut off. */
@@ -64,8 +64,8 @@
 	if (ex->token != 0)
 		g_hash_table_remove(lane->asked, GUINT_TO_POINTER(ex->token));
 	ex->token = 0;
-	if (ex->phase == DH_PHASE_TURN)
-		dh_turns_end(lane->turns, ex, DH_ADMISSION_CANCELLED);
+	if (ex->phase == DH_PHASE_ADMISSION)
+		dh_admitter_end(lane->admitter, ex, DH_ADMISSION_CANCELLED);
 }
 
 /* What became of the request, as far as this VM knows. */
@@ -133,7 +133,7 @@
 
 	stop_waiting(ex);
 	dh_exchange_unsend(ex);
-	dh_turns_end(lane->turns, ex, DH_ADMISSION_CANCELLED);
+	dh_admitter_end(lane->admitter, ex, DH_ADMISSION_CANCELLED);
 	dh_picker_settle(
 	    lane->picker, ex->planned_bytes, (int64_t)ex->progress);
 	count(ex, outcome);
@@ -347,13 +347,13 @@
 }
 
 static void
-ask_turn(struct dh_exchange *ex)
+ask_admission(struct dh_exchange *ex)
 {
 	int64_t retry_after_ms = 0;
 	enum dh_admit verdict =
-	    dh_turns_ask(ex->lane->turns, ex, &retry_after_ms);
+	    dh_admitter_ask(ex->lane->admitter, ex, &retry_after_ms);
 
-	dh_exchange_turn(ex, verdict, retry_after_ms);
+	dh_exchange_admitted(ex, verdict, retry_after_ms);
 }
 
 /* How long it may wait: what is left then is for closing its id. */
@@ -410,15 +410,15 @@
 			refuse_not_run(ex, 503, "permit");
 		return;
 	}
-	ask_turn(ex);
+	ask_admission(ex);
 }
 
 void
-dh_exchange_turn(
+dh_exchange_admitted(
     struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms)
 {
 	if (ex->aborted) {
-		dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_CANCELLED);
+		dh_admitter_end(ex->lane->admitter, ex, DH_ADMISSION_CANCELLED);
 		return;
 	}
 	switch (verdict) {
@@ -427,7 +427,7 @@
 		dh_exchange_send(ex);
 		break;
 	case DH_ADMIT_QUEUE:
-		ex->phase = DH_PHASE_TURN;
+		ex->phase = DH_PHASE_ADMISSION;
 		timer_at(ex, wait_until_ms(ex));
 		break;
 	case DH_ADMIT_REFUSE:
@@ -526,7 +526,7 @@
 	case DH_PHASE_SENT:
 		timer_at(ex, ex->deadline_ms);
 		break;
-	case DH_PHASE_TURN:
+	case DH_PHASE_ADMISSION:
 		timer_at(ex, wait_until_ms(ex));
 		break;
 	case DH_PHASE_ROUTE:
@@ -584,7 +584,7 @@
 
 	if (!ex->keyed || ex->aborted || !ex->up.kept)
 		return;
-	if (ex->phase != DH_PHASE_TURN &&
+	if (ex->phase != DH_PHASE_ADMISSION &&
 	    (ex->phase != DH_PHASE_SENT || !is_idempotent(ex)))
 		return;
 	if (ex->route.service >= t->conf->nservices ||
@@ -598,7 +598,7 @@
 		return;
 	ex->may_have_run |= ex->phase == DH_PHASE_SENT;
 	dh_exchange_unsend(ex);
-	dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_LOST);
+	dh_admitter_end(ex->lane->admitter, ex, DH_ADMISSION_LOST);
 	(void)dh_buffer_rewind(&ex->up);
 	ex->phase = DH_PHASE_ROUTE;
 	ex->needs_route = true;
@@ -623,7 +623,7 @@
 	if (ex->resent || !is_idempotent(ex) || !dh_buffer_rewind(&ex->up))
 		return;
 	dh_exchange_unsend(ex);
-	dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_CANCELLED);
+	dh_admitter_end(ex->lane->admitter, ex, DH_ADMISSION_CANCELLED);
 	dh_counter_add(ex->service->retries, 1);
 	ex->may_have_run = true;
 	ex->resent = true;
@@ -679,18 +679,18 @@
 	    strcmp(ex->refused_reason, "cold") == 0;
 }
 
-/* Ask for another turn with the place that it had; false when it can't be
+/* Ask for admission again with the place that it had; false when it can't be
  * sent again. */
 static bool
-take_another_turn(struct dh_exchange *ex)
+ask_again(struct dh_exchange *ex)
 {
 	enum dh_admit verdict;
 	int64_t retry_after_ms = 0;
 
 	if (!ex->keyed || ex->aborted || !dh_buffer_rewind(&ex->up))
 		return false;
-	verdict = dh_turns_again(ex->lane->turns, ex, &retry_after_ms);
-	dh_exchange_turn(ex, verdict, retry_after_ms);
+	verdict = dh_admitter_again(ex->lane->admitter, ex, &retry_after_ms);
+	dh_exchange_admitted(ex, verdict, retry_after_ms);
 	return true;
 }
 
@@ -725,7 +725,7 @@
 void
 dh_exchange_on_end(struct dh_exchange *ex, enum dh_attempt_end end)
 {
-	dh_turns_end(ex->lane->turns, ex, admission_outcome(ex, end));
+	dh_admitter_end(ex->lane->admitter, ex, admission_outcome(ex, end));
 	if (ex->keyed)
 		count_load(ex, end);
 	if (ex->head_ready) {
@@ -736,7 +736,7 @@
 	}
 	switch (end) {
 	case DH_ATTEMPT_REFUSED:
-		if (is_shed(ex) && take_another_turn(ex))
+		if (is_shed(ex) && ask_again(ex))
 			break;
 		after_failure(ex, DH_OUTCOME_NOT_RUN, 503, "refused");
 		break;
@@ -765,7 +765,7 @@
 	ex->down_ended = true;
 	ex->aborted = true;
 	dh_exchange_unsend(ex);
-	dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_LOST);
+	dh_admitter_end(ex->lane->admitter, ex, DH_ADMISSION_LOST);
 	dh_exchange_wake(ex);
 }
 
@@ -791,7 +791,7 @@
 		stop_waiting(ex);
 		answer_local(ex);
 		break;
-	case DH_PHASE_TURN:
+	case DH_PHASE_ADMISSION:
 		refuse_not_run(ex, 503, "deadline");
 		break;
 	case DH_PHASE_BACKOFF:
@@ -803,7 +803,7 @@
 		if (ex->keyed)
 			dh_loads_backend(ex->lane->loads, ex->target.service,
 			    ex->backend_id, false, 0);
-		dh_turns_end(ex->lane->turns, ex, DH_ADMISSION_CANCELLED);
+		dh_admitter_end(ex->lane->admitter, ex, DH_ADMISSION_CANCELLED);
 		dh_exchange_refuse(
 		    ex, 504, DH_OUTCOME_UNKNOWN, "deadline", RETRY_AFTER_MS);
 		break;
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -22,7 +22,7 @@
 	DH_PHASE_NEW,
 	DH_PHASE_ROUTE, /* waits for its slot to have an owner */
 	DH_PHASE_PERMIT, /* waits for the permit to run */
-	DH_PHASE_TURN, /* waits for its turn at the backend server */
+	DH_PHASE_ADMISSION, /* waits for its turn at the backend server */
 	DH_PHASE_BACKOFF, /* waits before the next attempt */
 	DH_PHASE_SENT, /* an attempt is under way */
 	DH_PHASE_CLOSE, /* refused; asks whether its id has not run */
@@ -172,8 +172,8 @@
 void dh_exchange_refuse(struct dh_exchange *ex, unsigned int status,
     enum dh_outcome outcome, const char *reason, int64_t retry_after_ms);
 
-/* dh_exchange_turn -- its turn has come, or won't. */
-void dh_exchange_turn(
+/* dh_exchange_admitted -- its turn has come, or won't. */
+void dh_exchange_admitted(
     struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms);
 
 /* dh_exchange_send -- start an attempt (module upstream). */
--- a/router/lane.c
+++ b/router/lane.c
@@ -10,7 +10,7 @@
 #include "router/load.h"
 #include "router/pick.h"
 #include "router/probe.h"
-#include "router/turn.h"
+#include "router/admit.h"
 
 /* How often requests without an owner look for a new table. */
 #define WAITING_POLL_MS 2
@@ -222,7 +222,7 @@
 	GList *it;
 
 	if (result->verdict == DH_PROBE_FROZEN) {
-		dh_turns_frozen(lane->turns, result->backend_id);
+		dh_admitter_frozen(lane->admitter, result->backend_id);
 		return;
 	}
 	for (it = lane->exchanges.head; it != NULL; it = it->next) {
@@ -457,10 +457,10 @@
 	lane->id_prefix = dh_lane_id_prefix(
 	    lane->settings->vm, dh_clock_wall_ms(), lane->index);
 	lane->rng.state = lane->id_prefix;
-	lane->turns = dh_turns_new(
-	    &lane->loop, lane->settings, lane->id_prefix, dh_exchange_turn);
+	lane->admitter = dh_admitter_new(
+	    &lane->loop, lane->settings, lane->id_prefix, dh_exchange_admitted);
 	lane->picker =
-	    dh_picker_new(lane->turns, lane->settings, lane->id_prefix);
+	    dh_picker_new(lane->admitter, lane->settings, lane->id_prefix);
 	lane->loads = dh_loads_new();
 	lane->probes = dh_probes_new(&lane->loop, on_probe, lane);
 	lane_timers(lane);
@@ -520,5 +520,5 @@
 	dh_publish_reader_free(lane->reader);
 	dh_loads_free(lane->loads);
 	dh_picker_free(lane->picker);
-	dh_turns_free(lane->turns);
+	dh_admitter_free(lane->admitter);
 }
--- a/router/lane.h
+++ b/router/lane.h
@@ -31,7 +31,7 @@
 	struct dh_counter *latency_us;
 };
 
-struct dh_turns;
+struct dh_admitter;
 struct dh_picker;
 struct dh_loads;
 struct dh_probes;
@@ -51,7 +51,7 @@
 	struct dh_httpd *httpd;
 	struct dh_http *http;
 	struct dh_publish_reader *reader;
-	struct dh_turns *turns;
+	struct dh_admitter *admitter;
 	struct dh_picker *picker;
 	struct dh_loads *loads;
 	struct dh_probes *probes;
--- a/router/pick.c
+++ b/router/pick.c
@@ -8,23 +8,24 @@
 #define BUDGET_BURST_S 1
 
 struct dh_picker {
-	struct dh_turns *turns;
+	struct dh_admitter *admitter;
 	uint64_t zone, region;
 	uint64_t revision;
 	struct dh_balance **services; /* NULL for those of other kinds */
 	size_t nservices;
-	uint32_t *conf_index; /* turn's index -> configuration's */
+	uint32_t *conf_index; /* admitter's index -> configuration's */
 	struct dh_byte_budget budget;
 	struct dh_rng rng;
 };
 
 struct dh_picker *
-dh_picker_new(struct dh_turns *ts, const struct dh_settings *s, uint64_t seed)
+dh_picker_new(
+    struct dh_admitter *ad, const struct dh_settings *s, uint64_t seed)
 {
 	struct dh_picker *pk = g_new0(struct dh_picker, 1);
 	int64_t rate = (int64_t)(s->cross_region_bytes_s / s->threads);
 
-	pk->turns = ts;
+	pk->admitter = ad;
 	pk->zone = dh_name_id(s->zone);
 	pk->region = dh_name_id(s->region);
 	pk->rng.state = seed;
@@ -67,8 +68,8 @@
 		if (b->drain || strcmp(b->service, name) != 0)
 			continue;
 		list[n++] = (struct dh_balance_backend){
-			.backend =
-			    dh_turns_index(pk->turns, dh_name_id(b->name)),
+			.backend = dh_admitter_index(
+			    pk->admitter, dh_name_id(b->name)),
 			.zone = dh_name_id(b->zone),
 			.region = dh_name_id(b->region),
 		};
@@ -91,9 +92,9 @@
 		if (conf->services[i].kind == DH_SERVICE_ANY)
 			pk->services[i] =
 			    candidates(pk, conf, conf->services[i].name);
-	pk->conf_index = g_new0(uint32_t, dh_turns_room(pk->turns));
+	pk->conf_index = g_new0(uint32_t, dh_admitter_room(pk->admitter));
 	for (i = 0; i < conf->nbackends; i++)
-		pk->conf_index[dh_turns_index(pk->turns,
+		pk->conf_index[dh_admitter_index(pk->admitter,
 		    dh_name_id(conf->backends[i].name))] = (uint32_t)i;
 }
 
@@ -102,12 +103,13 @@
     struct dh_picker *pk, uint32_t service, uint64_t tried, int64_t bytes)
 {
 	uint32_t avoid =
-	    tried == 0 ? DH_NONE : dh_turns_index(pk->turns, tried);
+	    tried == 0 ? DH_NONE : dh_admitter_index(pk->admitter, tried);
 	struct dh_balance_choice c;
 
 	g_assert(service < pk->nservices && pk->services[service] != NULL);
-	c = dh_balance_pick(pk->services[service], dh_turns_loads(pk->turns),
-	    &pk->budget, bytes, avoid, &pk->rng, dh_clock_us());
+	c = dh_balance_pick(pk->services[service],
+	    dh_admitter_loads(pk->admitter), &pk->budget, bytes, avoid,
+	    &pk->rng, dh_clock_us());
 	if (c.backend == DH_NONE)
 		return (struct dh_pick){ .backend = DH_NONE,
 			.retry_after_ms = c.retry_after_ms };
--- a/router/pick.h
+++ b/router/pick.h
@@ -5,7 +5,7 @@
 #include <dogwoodhub/conf.h>
 
 #include "config/settings.h"
-#include "router/turn.h"
+#include "router/admit.h"
 
 /*
  * A lane's choice of a backend server for services of kind any.  Private to
@@ -13,13 +13,13 @@
  */
 struct dh_picker;
 
-/* dh_picker_new -- the lane owns the result; ts and s are borrowed. */
+/* dh_picker_new -- the lane owns the result; ad and s are borrowed. */
 struct dh_picker *dh_picker_new(
-    struct dh_turns *ts, const struct dh_settings *s, uint64_t seed);
+    struct dh_admitter *ad, const struct dh_settings *s, uint64_t seed);
 void dh_picker_free(struct dh_picker *pk);
 
 /* dh_picker_update -- take the candidates of a configuration, if it is
- * another than the last one's.  After dh_turns_update(). */
+ * another than the last one's.  After dh_admitter_update(). */
 void dh_picker_update(struct dh_picker *pk, const struct dh_conf *conf);
 
 struct dh_pick {
--- a/router/route.c
+++ b/router/route.c
@@ -4,7 +4,7 @@
 
 #include "base/clock.h"
 #include "router/pick.h"
-#include "router/turn.h"
+#include "router/admit.h"
 
 static void
 take_backend(struct dh_exchange *ex, const struct dh_table *t, uint32_t backend)
@@ -51,7 +51,7 @@
 
 	if (service == DH_NONE)
 		return false;
-	dh_turns_update(ex->lane->turns, t->conf);
+	dh_admitter_update(ex->lane->admitter, t->conf);
 	dh_picker_update(ex->lane->picker, t->conf);
 	if (ex->keyed) {
 		ex->counts_key = t->conf->services[service].hot_keys;
--- a/tests/test_turn.c
+++ b/tests/test_admit.c
@@ -1,20 +1,21 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "router/turn.h"
+#include "router/admit.h"
 #include "tests/cunit_main.h"
 
 #define BACKENDS 9000u
 #define SLOTS 6u
 
 static struct dh_backend backends[BACKENDS];
-static struct dh_turns *ts;
+static struct dh_admitter *ad;
 static struct dh_settings settings = { .queue_max = 64, .threads = 1 };
 static uv_loop_t loop;
 static uint32_t refused;
 
 static void
-on_turn(struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms)
+on_admitted(
+    struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms)
 {
 	(void)ex;
 	(void)retry_after_ms;
@@ -26,7 +27,7 @@
 {
 	uv_loop_init(&loop);
 	refused = 0;
-	ts = dh_turns_new(&loop, &settings, 1, on_turn);
+	ad = dh_admitter_new(&loop, &settings, 1, on_admitted);
 }
 
 static void
@@ -42,7 +43,7 @@
 	uv_walk(&loop, close_one, NULL);
 	uv_run(&loop, UV_RUN_DEFAULT);
 	uv_loop_close(&loop);
-	dh_turns_free(ts);
+	dh_admitter_free(ad);
 }
 
 /* A configuration of n backend servers, named from first on. */
@@ -60,7 +61,7 @@
 		backends[i].slots = SLOTS;
 		backends[i].connections = 130;
 	}
-	dh_turns_update(ts, &conf);
+	dh_admitter_update(ad, &conf);
 }
 
 static uint64_t
@@ -80,7 +81,7 @@
 	memset(ex, 0, sizeof(*ex));
 	ex->backend_id = id_of(number);
 	ex->deadline_ms = INT64_MAX / 2000;
-	return dh_turns_ask(ts, ex, &after_ms);
+	return dh_admitter_ask(ad, ex, &after_ms);
 }
 
 static void
@@ -93,13 +94,14 @@
 	CU_ASSERT_EQUAL(ask(&run, 2), DH_ADMIT_RUN);
 	CU_ASSERT_EQUAL(ask(&waits, 2), DH_ADMIT_QUEUE);
 	update(2, 0, BACKENDS);
-	CU_ASSERT(dh_turns_room(ts) >= BACKENDS);
-	CU_ASSERT_EQUAL(dh_turns_index(ts, id_of(2)), 2);
-	CU_ASSERT_EQUAL(dh_turns_loads(ts)[2].running, 1);
-	CU_ASSERT_EQUAL(dh_turns_index(ts, id_of(BACKENDS - 1)), BACKENDS - 1);
-	dh_turns_end(ts, &run, DH_ADMISSION_OK);
+	CU_ASSERT(dh_admitter_room(ad) >= BACKENDS);
+	CU_ASSERT_EQUAL(dh_admitter_index(ad, id_of(2)), 2);
+	CU_ASSERT_EQUAL(dh_admitter_loads(ad)[2].running, 1);
+	CU_ASSERT_EQUAL(
+	    dh_admitter_index(ad, id_of(BACKENDS - 1)), BACKENDS - 1);
+	dh_admitter_end(ad, &run, DH_ADMISSION_OK);
 	CU_ASSERT_EQUAL(waits.ticket.state, DH_TICKET_RUNNING);
-	dh_turns_end(ts, &waits, DH_ADMISSION_OK);
+	dh_admitter_end(ad, &waits, DH_ADMISSION_OK);
 	teardown();
 }
 
@@ -111,9 +113,10 @@
 	setup();
 	for (i = 1; i <= 2000; i++)
 		update(i, i * 55, 55);
-	CU_ASSERT(dh_turns_room(ts) <= 128);
-	CU_ASSERT_EQUAL(dh_turns_index(ts, id_of(55)), DH_NONE);
-	CU_ASSERT(dh_turns_index(ts, id_of(2000 * 55)) < dh_turns_room(ts));
+	CU_ASSERT(dh_admitter_room(ad) <= 128);
+	CU_ASSERT_EQUAL(dh_admitter_index(ad, id_of(55)), DH_NONE);
+	CU_ASSERT(
+	    dh_admitter_index(ad, id_of(2000 * 55)) < dh_admitter_room(ad));
 	teardown();
 }
 
@@ -130,20 +133,21 @@
 	CU_ASSERT_EQUAL(ask(&run, 0), DH_ADMIT_RUN);
 	CU_ASSERT_EQUAL(ask(&waits, 0), DH_ADMIT_QUEUE);
 	update(2, 100, 1);
-	CU_ASSERT_EQUAL(dh_turns_index(ts, id_of(0)), 0);
-	CU_ASSERT_EQUAL(dh_turns_index(ts, id_of(100)), 1);
+	CU_ASSERT_EQUAL(dh_admitter_index(ad, id_of(0)), 0);
+	CU_ASSERT_EQUAL(dh_admitter_index(ad, id_of(100)), 1);
 	uv_run(&loop, UV_RUN_NOWAIT);
 	CU_ASSERT_EQUAL(refused, 1);
-	dh_turns_end(ts, &run, DH_ADMISSION_SHED);
+	dh_admitter_end(ad, &run, DH_ADMISSION_SHED);
 	update(3, 200, 1);
-	i = dh_turns_index(ts, id_of(200));
+	i = dh_admitter_index(ad, id_of(200));
 	CU_ASSERT(i == 0 || i == 1);
-	CU_ASSERT_EQUAL(dh_turns_index(ts, id_of(0)), DH_NONE);
+	CU_ASSERT_EQUAL(dh_admitter_index(ad, id_of(0)), DH_NONE);
 	/* Not under its old index, which is another's now. */
-	CU_ASSERT_EQUAL(dh_turns_again(ts, &run, &after_ms), DH_ADMIT_REFUSE);
+	CU_ASSERT_EQUAL(
+	    dh_admitter_again(ad, &run, &after_ms), DH_ADMIT_REFUSE);
 	CU_ASSERT(after_ms > 0);
 	CU_ASSERT_EQUAL(ask(&other, 200), DH_ADMIT_RUN);
-	dh_turns_end(ts, &other, DH_ADMISSION_OK);
+	dh_admitter_end(ad, &other, DH_ADMISSION_OK);
 	teardown();
 }
 
@@ -157,5 +161,5 @@
 		CU_TEST_INFO_NULL,
 	};
 
-	return cunit_main("turn", tests);
+	return cunit_main("admit", tests);
 }
