--- a/tests/failure/bad_object.sh
+++ b/tests/failure/bad_object.sh
@@ -7,8 +7,5 @@
     "$(store_url)/v1/objects/teams/t" >/dev/null || fail "cannot overwrite"
 sleep 1
 start_vm 3
-for n in $vms; do
-	wait_for 20 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 20
 check_history
--- a/tests/failure/frozen_backend_paused_leader.sh
+++ b/tests/failure/frozen_backend_paused_leader.sh
@@ -13,8 +13,5 @@
 sleep 1
 thaw "$leader"
 end_load
-for n in $vms; do
-	wait_for 30 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 30
 check_history
--- a/tests/failure/leader_killed.sh
+++ b/tests/failure/leader_killed.sh
@@ -15,11 +15,5 @@
 [ "$second" != "$first" ] || fail "no successor to $first"
 kill_now "$second"
 end_load
-for n in $vms; do
-	case v$n in
-	"$first" | "$second") continue ;;
-	esac
-	wait_for 30 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 30 "$first" "$second"
 check_history
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -282,6 +282,29 @@
 }
 
 # start_cluster VMS BACKENDS: the whole of it, serving.
+# served_again SECONDS [LOST...]: every slot has an owner at every VM but those
+# lost, and each of these answers.
+served_again() {
+	again_s=$1
+	shift
+	for n in $vms; do
+		case " $* " in
+		*" v$n "*) continue ;;
+		esac
+		wait_for "$again_s" "owner of every slot at v$n" all_owned "$n"
+		wait_for 10 "answer through v$n" serves "$n" key
+	done
+}
+
+# cut_off VM: from all other VMs and the store, not from backend servers.
+cut_off() {
+	others=
+	for n in $vms; do
+		[ "v$n" = "$1" ] || others="$others[\"$1\",\"v$n\"],"
+	done
+	cut "$others[\"$1\",\"store\"]"
+}
+
 # has_deputy VM: feed's group has a leader and a deputy, as this VM sees it.
 has_deputy() {
 	[ "$(deputy_of feed/0 "$1")" ]
--- a/tests/failure/regions_cut.sh
+++ b/tests/failure/regions_cut.sh
@@ -12,16 +12,9 @@
 cut ''
 sleep 2
 leader=$(leader_of feed/0 1)
-others=
-for n in $vms; do
-	[ "v$n" = "$leader" ] || others="$others[\"$leader\",\"v$n\"],"
-done
-cut "$others[\"$leader\",\"store\"]"
+cut_off "$leader"
 sleep 3
 cut ''
 end_load
-for n in $vms; do
-	wait_for 60 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 60
 check_history
--- a/tests/failure/store_down_leader_killed.sh
+++ b/tests/failure/store_down_leader_killed.sh
@@ -10,9 +10,5 @@
 sleep 1
 kill_now "$leader"
 end_load
-for n in $vms; do
-	[ "v$n" = "$leader" ] && continue
-	wait_for 60 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 60 "$leader"
 check_history
--- a/tests/failure/store_down_regions_cut.sh
+++ b/tests/failure/store_down_regions_cut.sh
@@ -16,8 +16,5 @@
 sleep 2
 cut ''
 end_load
-for n in $vms; do
-	wait_for 60 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 60
 check_history
--- a/tests/failure/unchecked_backends.sh
+++ b/tests/failure/unchecked_backends.sh
@@ -11,11 +11,7 @@
     --unrepeatable 20 --retries 3 --timeout-ms 4000
 sleep 1
 leader=$(leader_of feed/0 1)
-others=
-for n in $vms; do
-	[ "v$n" = "$leader" ] || others="$others[\"$leader\",\"v$n\"],"
-done
-cut "$others[\"$leader\",\"store\"]"
+cut_off "$leader"
 sleep 1
 ctl drain b3 >/dev/null || fail drain
 event accept ',"revision":2'
@@ -28,9 +24,5 @@
 second=$(leader_of feed/0 1)
 kill_now "$second"
 end_load
-for n in $vms; do
-	[ "v$n" != "$second" ] || continue
-	wait_for 30 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 30 "$second"
 check_history
--- a/tests/failure/vm_stopped.sh
+++ b/tests/failure/vm_stopped.sh
@@ -9,9 +9,5 @@
 leader=$(leader_of feed/0 1)
 stop_vm "${leader#v}"
 end_load
-for n in $vms; do
-	[ "v$n" = "$leader" ] && continue
-	wait_for 30 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 30 "$leader"
 check_history
