Timers: base/timer where a module had written it again

The store's client had its own copy of dh_timer_new() and dh_timer_free(), the HTTP client, the HTTP server and the stand-in backend server one each in place. A lane's and its admission's timers, which end with the lane's loop, are now members like the lane's other handles: nothing to allocate and free apart. No behaviour changes.

--- a/base/http.c
+++ b/base/http.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/timer.h"
+
 struct dh_http {
 	CURLM *multi;
 	uv_loop_t *loop;
@@ -129,9 +131,7 @@
 
 	h->loop = loop;
 	h->live = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	h->timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(loop, h->timer);
-	h->timer->data = h;
+	h->timer = dh_timer_new(loop, h);
 	h->multi = curl_multi_init();
 	g_assert(h->multi != NULL);
 	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -166,9 +166,7 @@
 		curl_multi_remove_handle(h->multi, easy);
 	g_hash_table_destroy(h->live);
 	curl_multi_cleanup(h->multi);
-	uv_timer_stop(h->timer);
-	h->timer->data = h->timer;
-	uv_close((uv_handle_t *)h->timer, handle_closed);
+	dh_timer_free(h->timer);
 	g_free(h);
 }
 
--- a/base/httpd.c
+++ b/base/httpd.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "base/timer.h"
 
 /* How often connection timeouts are looked at. */
 #define SWEEP_MS 500
@@ -85,9 +86,7 @@
 	uv_poll_init(loop, h->poll, info->epoll_fd);
 	h->poll->data = h;
 	uv_poll_start(h->poll, UV_READABLE, on_poll);
-	h->sweep = g_new0(uv_timer_t, 1);
-	uv_timer_init(loop, h->sweep);
-	h->sweep->data = h;
+	h->sweep = dh_timer_new(loop, h);
 	uv_timer_start(h->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	h->prepare = g_new0(uv_prepare_t, 1);
 	uv_prepare_init(loop, h->prepare);
@@ -196,7 +195,7 @@
 	if (h == NULL)
 		return;
 	uv_close((uv_handle_t *)h->poll, handle_closed);
-	uv_close((uv_handle_t *)h->sweep, handle_closed);
+	dh_timer_free(h->sweep);
 	uv_close((uv_handle_t *)h->prepare, handle_closed);
 	MHD_stop_daemon(h->daemon);
 	g_free(h);
--- a/router/admit.c
+++ b/router/admit.c
@@ -32,7 +32,7 @@
 	struct dh_rng rng;
 	uint64_t revision;
 	int64_t reopen_us; /* when the first open breaker lets one try */
-	uv_timer_t *timer;
+	uv_timer_t timer; /* closed with its loop */
 	dh_admitter_fn on_admitted;
 	uint32_t threads; /* lanes of this VM */
 };
@@ -72,9 +72,8 @@
 	ad->rng.state = seed;
 	ad->on_admitted = on_admitted;
 	ad->threads = s->threads;
-	ad->timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(loop, ad->timer);
-	ad->timer->data = ad;
+	uv_timer_init(loop, &ad->timer);
+	ad->timer.data = ad;
 	return ad;
 }
 
@@ -88,7 +87,6 @@
 	g_array_unref(ad->spare);
 	g_free(ad->loads);
 	g_free(ad->breakers);
-	g_free(ad->timer); /* closed with its loop */
 	g_free(ad);
 }
 
@@ -135,11 +133,11 @@
 	int64_t wait_us;
 
 	if (at_us == INT64_MAX) {
-		uv_timer_stop(ad->timer);
+		uv_timer_stop(&ad->timer);
 		return;
 	}
 	wait_us = at_us - dh_clock_us();
-	uv_timer_start(ad->timer, on_timer,
+	uv_timer_start(&ad->timer, on_timer,
 	    wait_us > 0 ? (uint64_t)(wait_us + 999) / 1000 : 0, 0);
 }
 
--- a/router/lane.c
+++ b/router/lane.c
@@ -119,9 +119,9 @@
 	if (lane->waiting.length >= lane->settings->queue_max)
 		return false;
 	g_queue_push_tail_link(&lane->waiting, link);
-	if (!uv_is_active((uv_handle_t *)lane->waiting_timer))
-		uv_timer_start(lane->waiting_timer, on_waiting, WAITING_POLL_MS,
-		    WAITING_POLL_MS);
+	if (!uv_is_active((uv_handle_t *)&lane->waiting_timer))
+		uv_timer_start(&lane->waiting_timer, on_waiting,
+		    WAITING_POLL_MS, WAITING_POLL_MS);
 	return true;
 }
 
@@ -377,25 +377,24 @@
 			g_free(mail.load);
 }
 
+static void
+timer_init(struct dh_lane *lane, uv_timer_t *timer)
+{
+	uv_timer_init(&lane->loop, timer);
+	timer->data = lane;
+}
+
 static void
 lane_timers(struct dh_lane *lane)
 {
-	lane->waiting_timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&lane->loop, lane->waiting_timer);
-	lane->waiting_timer->data = lane;
-	lane->sweep_timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&lane->loop, lane->sweep_timer);
-	lane->sweep_timer->data = lane;
-	uv_timer_start(lane->sweep_timer, on_sweep, SWEEP_MS, 0);
-	lane->table_timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&lane->loop, lane->table_timer);
-	lane->table_timer->data = lane;
+	timer_init(lane, &lane->waiting_timer);
+	timer_init(lane, &lane->sweep_timer);
+	uv_timer_start(&lane->sweep_timer, on_sweep, SWEEP_MS, 0);
+	timer_init(lane, &lane->table_timer);
 	uv_timer_start(
-	    lane->table_timer, on_table, TABLE_POLL_MS, TABLE_POLL_MS);
-	lane->load_timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&lane->loop, lane->load_timer);
-	lane->load_timer->data = lane;
-	uv_timer_start(lane->load_timer, on_load, LOAD_MS, LOAD_MS);
+	    &lane->table_timer, on_table, TABLE_POLL_MS, TABLE_POLL_MS);
+	timer_init(lane, &lane->load_timer);
+	uv_timer_start(&lane->load_timer, on_load, LOAD_MS, LOAD_MS);
 	uv_async_init(&lane->loop, &lane->stop, on_stop);
 	uv_async_init(&lane->loop, &lane->drain, on_drain);
 	lane->drain.data = lane;
@@ -489,10 +488,10 @@
 	uv_async_send(&lane->stop);
 	pthread_join(lane->thread, NULL);
 	/* The loop runs on below, over what is freed by then. */
-	uv_timer_stop(lane->waiting_timer);
-	uv_timer_stop(lane->sweep_timer);
-	uv_timer_stop(lane->table_timer);
-	uv_timer_stop(lane->load_timer);
+	uv_timer_stop(&lane->waiting_timer);
+	uv_timer_stop(&lane->sweep_timer);
+	uv_timer_stop(&lane->table_timer);
+	uv_timer_stop(&lane->load_timer);
 	for (it = lane->exchanges.head; it != NULL; it = it->next) {
 		ex = it->data;
 		ex->aborted = true;
@@ -511,10 +510,6 @@
 	while (uv_run(&lane->loop, UV_RUN_DEFAULT) != 0)
 		continue;
 	uv_loop_close(&lane->loop);
-	g_free(lane->waiting_timer);
-	g_free(lane->sweep_timer);
-	g_free(lane->load_timer);
-	g_free(lane->table_timer);
 	g_hash_table_unref(lane->asked);
 	g_hash_table_unref(lane->services);
 	dh_publish_reader_free(lane->reader);
--- a/router/lane.h
+++ b/router/lane.h
@@ -44,10 +44,10 @@
 	uv_loop_t loop;
 	uv_async_t stop;
 	uv_async_t drain;
-	uv_timer_t *waiting_timer; /* looks for a new table */
-	uv_timer_t *table_timer; /* follows the table */
-	uv_timer_t *load_timer; /* reports load */
-	uv_timer_t *sweep_timer; /* looks for callers that left */
+	uv_timer_t waiting_timer; /* looks for a new table */
+	uv_timer_t table_timer; /* follows the table */
+	uv_timer_t load_timer; /* reports load */
+	uv_timer_t sweep_timer; /* looks for callers that left */
 	struct dh_httpd *httpd;
 	struct dh_http *http;
 	struct dh_publish_reader *reader;
--- a/standin/backend.c
+++ b/standin/backend.c
@@ -16,6 +16,7 @@
 #include "base/httpd.h"
 #include "base/jsonfield.h"
 #include "base/eventlog.h"
+#include "base/timer.h"
 #include "standin/lib/ownership.h"
 #include <dogwoodhub/types.h>
 
@@ -517,9 +518,7 @@
 	rq->body = g_string_new(NULL);
 	rq->hash = XXH64_createState();
 	XXH64_reset(rq->hash, 0);
-	rq->timer = g_new0(uv_timer_t, 1);
-	uv_timer_init(&s->loop, rq->timer);
-	rq->timer->data = rq;
+	rq->timer = dh_timer_new(&s->loop, rq);
 	text = header(rq, "Dh-Key");
 	rq->key = text != NULL ? g_strdup(text) : key_of(path);
 	take_id(rq);
@@ -602,12 +601,6 @@
 	return MHD_YES;
 }
 
-static void
-timer_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
 static void
 on_completed(void *arg, struct MHD_Connection *conn, void **state,
     enum MHD_RequestTerminationCode why)
@@ -622,7 +615,7 @@
 	g_queue_remove(&s->waiting, rq);
 	if (rq->phase == PHASE_RUNNING)
 		finish(rq, 0);
-	uv_close((uv_handle_t *)rq->timer, timer_closed);
+	dh_timer_free(rq->timer);
 	g_string_free(rq->body, TRUE);
 	g_free(rq->call);
 	g_free(rq->request_id);
--- a/store/call.c
+++ b/store/call.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/timer.h"
 #include "store/store_internal.h"
 
 /*
@@ -60,7 +61,7 @@
 store_call_free(struct store_call *c)
 {
 	dh_http_fetch_cancel(c->fetch);
-	store_timer_free(c->timer);
+	dh_timer_free(c->timer);
 	switch (c->kind) {
 	case CALL_GET:
 		break;
@@ -131,7 +132,7 @@
 	c->done = done;
 	c->arg = arg;
 	c->deadline_ms = dh_clock_ms() + st->times.call_ms;
-	c->timer = store_timer_new(st, c);
+	c->timer = dh_timer_new(dh_http_loop(st->http), c);
 	g_hash_table_add(st->calls, c);
 	return c;
 }
--- a/store/store.c
+++ b/store/store.c
@@ -47,29 +47,6 @@
 	return copy;
 }
 
-static void
-timer_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
-uv_timer_t *
-store_timer_new(struct dh_store *st, void *data)
-{
-	uv_timer_t *timer = g_new0(uv_timer_t, 1);
-
-	uv_timer_init(dh_http_loop(st->http), timer);
-	timer->data = data;
-	return timer;
-}
-
-void
-store_timer_free(uv_timer_t *timer)
-{
-	uv_timer_stop(timer);
-	uv_close((uv_handle_t *)timer, timer_closed);
-}
-
 /* Doubling, half of it random, so that clients spread out after an outage. */
 int64_t
 store_backoff_ms(struct dh_store *st, unsigned int failures)
--- a/store/store_internal.h
+++ b/store/store_internal.h
@@ -39,9 +39,7 @@
 	REPLY_REFUSED, /* trying again is of no use */
 };
 
-/* store.c: timers, waits between tries, versions seen, how the store does. */
-uv_timer_t *store_timer_new(struct dh_store *st, void *data);
-void store_timer_free(uv_timer_t *timer);
+/* store.c: waits between tries, versions seen, how the store does. */
 int64_t store_backoff_ms(struct dh_store *st, unsigned int failures);
 uint64_t store_version_lookup(GHashTable *table, const char *name);
 void store_version_raise(GHashTable *table, const char *name, uint64_t version);
--- a/store/watch.c
+++ b/store/watch.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "store/store_internal.h"
 
 struct dh_store_watch {
@@ -37,7 +38,7 @@
 store_watch_destroy(struct dh_store_watch *w)
 {
 	dh_http_fetch_cancel(w->fetch);
-	store_timer_free(w->timer);
+	dh_timer_free(w->timer);
 	g_hash_table_unref(w->told);
 	g_free(w->prefix);
 	g_free(w->after);
@@ -226,7 +227,7 @@
 	w->told =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->resync_due_ms = dh_clock_ms() + st->times.resync_ms;
-	w->timer = store_timer_new(st, w);
+	w->timer = dh_timer_new(dh_http_loop(st->http), w);
 	g_hash_table_add(st->watches, w);
 	watch_send(w);
 	return w;
