A group's name and its authority: one place each

'SERVICE/0' was built in five places of router and control, and the authority of a service looked up twice in the same words; dh_group_name() and dh_control_authority() serve all. Mails between threads carried service, slot, backend server and revision that nobody reads, and an exchange the revision for them. No behaviour changes.

--- a/control/asks.c
+++ b/control/asks.c
@@ -38,16 +38,6 @@
 	g_free(as);
 }
 
-static struct dh_authority *
-authority_of(struct dh_asks *as, const struct dh_mail *mail)
-{
-	struct dh_control *ct = as->control;
-	g_autofree char *group = NULL;
-
-	group = g_strdup_printf("%s/0", mail->permit.service);
-	return g_hash_table_lookup(ct->authorities, group);
-}
-
 static bool
 deliver(struct dh_asks *as, struct dh_authority *a, uint64_t to,
     const struct dh_msg *m)
@@ -154,7 +144,8 @@
 void
 dh_asks_mail(struct dh_asks *as, uint32_t lane, const struct dh_mail *mail)
 {
-	struct dh_authority *a = authority_of(as, mail);
+	struct dh_authority *a =
+	    dh_control_authority(as->control, mail->permit.service);
 	uint64_t token = (uint64_t)lane << LANE_SHIFT | mail->token;
 
 	if (mail->kind == DH_MAIL_PERMIT_END) {
--- a/control/authority.c
+++ b/control/authority.c
@@ -25,7 +25,7 @@
 
 struct dh_authority {
 	struct dh_control *control;
-	char *name; /* "SERVICE/PART" */
+	char name[DH_GROUP_NAME_MAX];
 	char *object; /* its name in the store */
 	char *service;
 	uint32_t nslots;
@@ -85,7 +85,6 @@
 	dh_group_actions_free(&a->actions);
 	g_free(a->noted);
 	g_free(a->backends);
-	g_free(a->name);
 	g_free(a->object);
 	g_free(a->service);
 	g_free(a);
@@ -483,7 +482,7 @@
 
 	a->control = ct;
 	a->service = g_strdup(service);
-	a->name = g_strdup_printf("%s/%u", service, part);
+	dh_group_name(a->name, service, part);
 	a->object = g_strdup_printf("groups/%s", a->name);
 	a->nslots = nslots;
 	a->width = DH_CANDIDATES;
--- a/control/control.c
+++ b/control/control.c
@@ -177,14 +177,22 @@
 	dh_hosting_members(ct->hosting);
 }
 
+struct dh_authority *
+dh_control_authority(const struct dh_control *ct, const char *service)
+{
+	char group[DH_GROUP_NAME_MAX];
+
+	dh_group_name(group, service, 0);
+	return g_hash_table_lookup(ct->authorities, group);
+}
+
 /* Traffic threads */
 
 static void
 on_load(struct dh_control *ct, struct dh_load_report *report)
 {
 	g_autofree struct dh_load_report *r = report;
-	g_autofree char *group = g_strdup_printf("%s/0", r->service);
-	struct dh_authority *a = g_hash_table_lookup(ct->authorities, group);
+	struct dh_authority *a = dh_control_authority(ct, r->service);
 
 	if (a != NULL)
 		dh_planner_report(dh_authority_planner(a), r);
--- a/control/control.h
+++ b/control/control.h
@@ -81,6 +81,10 @@
 
 struct dh_authority;
 
+/* dh_control_authority -- of a service's group, NULL if there is none. */
+struct dh_authority *dh_control_authority(
+    const struct dh_control *ct, const char *service);
+
 /* What is known of a group's slots: by its machine here and by the relay;
  * either is NULL when that tells nothing.  Borrowed until the next change. */
 struct dh_control_slots {
--- a/control/hosting.c
+++ b/control/hosting.c
@@ -100,13 +100,13 @@
 
 	for (i = 0; i < conf->nservices; i++) {
 		const struct dh_service *sv = &conf->services[i];
-		g_autofree char *name = g_strdup_printf("%s/0", sv->name);
-		struct dh_authority *a;
+		struct dh_authority *a = dh_control_authority(ct, sv->name);
 
-		if (g_hash_table_contains(ct->authorities, name))
+		if (a != NULL)
 			continue;
 		a = dh_authority_new(ct, sv->name, 0, dh_service_slots(sv));
-		g_hash_table_insert(ct->authorities, g_steal_pointer(&name), a);
+		g_hash_table_insert(
+		    ct->authorities, g_strdup(dh_authority_name(a)), a);
 	}
 }
 
--- a/control/mailbox.h
+++ b/control/mailbox.h
@@ -26,10 +26,6 @@
 struct dh_mail {
 	enum dh_mail_kind kind;
 	uint64_t token; /* PERMIT*: the asker's own mark */
-	uint32_t service; /* indexes into the configuration */
-	uint32_t slot;
-	uint32_t backend;
-	uint64_t revision; /* of the configuration they index */
 	union {
 		struct {
 			char id[DH_REQUEST_ID_MAX];
--- a/core/group.c
+++ b/core/group.c
@@ -1,6 +1,8 @@
 #include <dogwoodhub/group.h>
 
 #include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +16,12 @@
 	return name[0] == '\0' ? 0 : dh_key_hash(name, strlen(name)) | 1;
 }
 
+void
+dh_group_name(char out[DH_GROUP_NAME_MAX], const char *service, uint32_t part)
+{
+	(void)snprintf(out, DH_GROUP_NAME_MAX, "%s/%" PRIu32, service, part);
+}
+
 struct dh_group_params
 dh_group_params_defaults(void)
 {
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -22,6 +22,10 @@
  */
 uint64_t dh_name_id(const char *name);
 
+/* dh_group_name -- the name of the group of a part of a service's slots. */
+void dh_group_name(
+    char out[DH_GROUP_NAME_MAX], const char *service, uint32_t part);
+
 struct dh_group_params {
 	int64_t lease_ms; /* a backend server's lease */
 	int64_t renew_ms; /* between renewals, about lease_ms / 3 */
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -103,10 +103,7 @@
 permit_end(struct dh_exchange *ex, enum dh_outcome outcome)
 {
 	struct dh_mail mail = { .kind = DH_MAIL_PERMIT_END,
-		.token = ex->permit_token,
-		.service = ex->route.service,
-		.slot = ex->route.slot,
-		.revision = ex->revision };
+		.token = ex->permit_token };
 
 	if (!ex->permitted)
 		return;
@@ -304,10 +301,7 @@
 {
 	struct dh_lane *lane = ex->lane;
 	struct dh_mail mail = { .kind = DH_MAIL_PERMIT_ASK,
-		.token = ++lane->next_token,
-		.service = ex->route.service,
-		.slot = ex->route.slot,
-		.revision = ex->revision };
+		.token = ++lane->next_token };
 
 	g_strlcpy(mail.permit.id, ex->idempotency_key, sizeof(mail.permit.id));
 	g_strlcpy(mail.permit.service, ex->target.service,
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -75,7 +75,7 @@
 	uint32_t attempt;
 
 	/* where it goes: copied, so that no table is held */
-	char group[DH_NAME_MAX + 16];
+	char group[DH_GROUP_NAME_MAX];
 	char address[DH_ADDRESS_MAX];
 	uint16_t port;
 	bool keyed;
@@ -97,7 +97,6 @@
 	struct dh_ticket ticket; /* its place at the backend server */
 	struct dh_breaker_pass pass;
 	int64_t sent_us;
-	uint64_t revision;
 	uint64_t token; /* of the permit asked for, 0: none */
 	uint64_t permit_token; /* of the permit that was given */
 	bool needs_route; /* taken back, to be routed again */
--- a/router/route.c
+++ b/router/route.c
@@ -12,11 +12,10 @@
 	const struct dh_backend *b = &t->conf->backends[backend];
 
 	ex->route.backend = backend;
-	ex->revision = t->conf->revision;
 	ex->backend_id = dh_name_id(b->name);
 	ex->port = b->port;
 	g_strlcpy(ex->address, b->address, sizeof(ex->address));
-	g_snprintf(ex->group, sizeof(ex->group), "%s/0", ex->target.service);
+	dh_group_name(ex->group, ex->target.service, 0);
 }
 
 /* What a request is expected to move over a billed link. */
