Static for what only one file calls; two functions that nothing calls go

Twelve functions stood in headers for one file; dh_conn_queued() and the stand-in's ownership_free() had no caller. The authority's check that its machine runs here stands once instead of four times. No behaviour changes.

--- a/backend/order.c
+++ b/backend/order.c
@@ -62,8 +62,9 @@
 	g_string_append(text, "]");
 }
 
-char *
-dh_order_encode(const char *group, const struct dh_group_order *o)
+/* The JSON of an order; the caller frees it. */
+static char *
+order_encode(const char *group, const struct dh_group_order *o)
 {
 	GString *text = g_string_new(NULL);
 
@@ -88,8 +89,9 @@
 	    g_strcmp0(json_object_get_string(v), state) == 0;
 }
 
-bool
-dh_order_decode(struct dh_order_reply *reply, const char *body)
+/* Read an answer's body; false when it is none. */
+static bool
+order_decode(struct dh_order_reply *reply, const char *body)
 {
 	struct json_object *o = json_tokener_parse(body);
 	struct json_object *accepted;
@@ -173,8 +175,7 @@
 	}
 	if (is_refused(http))
 		reply.result = DH_ORDER_DEAD;
-	else if (http->result == CURLE_OK &&
-	    !dh_order_decode(&reply, http->body))
+	else if (http->result == CURLE_OK && !order_decode(&reply, http->body))
 		reply.result = DH_ORDER_SILENT;
 	finish(p, &reply);
 }
@@ -188,7 +189,7 @@
 		"Accept:", NULL };
 	g_autofree char *url =
 	    g_strdup_printf("http://%s:%u/_dh/order", address, port);
-	g_autofree char *body = dh_order_encode(group, o);
+	g_autofree char *body = order_encode(group, o);
 	struct dh_http_request rq = { .method = "POST",
 		.url = url,
 		.headers = headers,
--- a/backend/order.h
+++ b/backend/order.h
@@ -44,9 +44,4 @@
     const char *group, const struct dh_group_order *o, int64_t timeout_ms,
     dh_order_fn done, void *arg);
 
-/* dh_order_encode -- the JSON of an order; the caller frees it.
- * dh_order_decode -- read an answer's body; false when it is none. */
-char *dh_order_encode(const char *group, const struct dh_group_order *o);
-bool dh_order_decode(struct dh_order_reply *reply, const char *body);
-
 #endif
--- a/control/authority.c
+++ b/control/authority.c
@@ -705,15 +705,22 @@
 	step(a, &ev);
 }
 
-void
-dh_authority_record(
+/* Only a machine that runs here needs to know. */
+static void
+tell(struct dh_authority *a, const struct dh_group_event *ev)
+{
+	if (a->group != NULL)
+		step(a, ev);
+}
+
+static void
+take_record(
     struct dh_authority *a, const struct dh_group_record *r, uint64_t version)
 {
 	struct dh_group_event ev = { .kind = DH_GROUP_STORE_READ,
 		.read = { .record = r, .version = version } };
 
-	if (a->group != NULL)
-		step(a, &ev);
+	tell(a, &ev);
 }
 
 void
@@ -722,8 +729,7 @@
 	struct dh_group_event ev = { .kind = DH_GROUP_MOVE,
 		.move = { .slot = slot, .backend = backend } };
 
-	if (a->group != NULL)
-		step(a, &ev);
+	tell(a, &ev);
 }
 
 void
@@ -731,8 +737,7 @@
 {
 	struct dh_group_event ev = { .kind = DH_GROUP_CONFIRM };
 
-	if (a->group != NULL)
-		step(a, &ev);
+	tell(a, &ev);
 }
 
 void
@@ -740,8 +745,7 @@
 {
 	struct dh_group_event ev = { .kind = DH_GROUP_STOP };
 
-	if (a->group != NULL)
-		step(a, &ev);
+	tell(a, &ev);
 }
 
 /* A read that answers no GET of the machine's own proves nothing about now,
@@ -758,7 +762,7 @@
 		return;
 	record = dh_record_decode(object->value, NULL);
 	if (record != NULL)
-		dh_authority_record(a, record, object->version);
+		take_record(a, record, object->version);
 	dh_record_free(record);
 }
 
--- a/control/authority.h
+++ b/control/authority.h
@@ -47,10 +47,6 @@
 void dh_authority_message(
     struct dh_authority *a, const struct dh_group_msg *msg);
 
-/* dh_authority_record -- the group's object as a watch or a peer tells it. */
-void dh_authority_record(
-    struct dh_authority *a, const struct dh_group_record *r, uint64_t version);
-
 /* dh_authority_move -- ask for a planned move. */
 void dh_authority_move(struct dh_authority *a, uint32_t slot, uint64_t backend);
 
--- a/control/control.c
+++ b/control/control.c
@@ -28,8 +28,8 @@
 #define WATCH_WAIT_MS 2000
 #define WATCH_RESYNC_MS 3000
 
-struct dh_conf_ref *
-dh_conf_ref_new(struct dh_conf *conf)
+static struct dh_conf_ref *
+conf_ref_new(struct dh_conf *conf)
 {
 	struct dh_conf_ref *ref = g_new0(struct dh_conf_ref, 1);
 
@@ -158,7 +158,7 @@
 		return;
 	}
 	dh_conf_ref_put(ct->conf);
-	ct->conf = dh_conf_ref_new(conf);
+	ct->conf = conf_ref_new(conf);
 	dh_tables_configure(ct->tables);
 	dh_counter_set(
 	    dh_counter_get("dh_config_revision", ""), conf->revision);
--- a/control/control.h
+++ b/control/control.h
@@ -29,7 +29,6 @@
 	struct dh_conf *conf;
 };
 
-struct dh_conf_ref *dh_conf_ref_new(struct dh_conf *conf);
 struct dh_conf_ref *dh_conf_ref_get(struct dh_conf_ref *ref);
 void dh_conf_ref_put(void *ref);
 
--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -303,7 +303,6 @@
     struct dh_group *g, const struct dh_group_record *r, uint64_t version);
 void group_term_lost(struct dh_group *g);
 void group_term_stop(struct dh_group *g);
-void group_take(struct dh_group *g);
 void group_step_down(struct dh_group *g);
 void group_known(
     struct dh_group *g, const struct dh_group_record *r, uint64_t version);
@@ -359,7 +358,6 @@
 /* group_lease.c */
 bool group_alive(const struct group_backend *b);
 bool group_clean(const struct group_backend *b);
-int64_t group_hold_end(const struct dh_group *g, const struct group_backend *b);
 void group_lease_begin(struct dh_group *g);
 void group_lease_tick(struct dh_group *g);
 void group_lease_deputy_tick(struct dh_group *g);
@@ -367,13 +365,11 @@
 void group_lease_silent(struct dh_group *g, const struct dh_group_event *ev);
 void group_lease_dead(struct dh_group *g, const struct dh_group_event *ev);
 void group_set_changed(struct dh_group *g, struct group_backend *b);
-bool group_grantable(const struct dh_group *g, uint32_t slot);
 bool group_confirmed(const struct dh_group *g, const struct group_backend *b);
 bool group_holds_nothing(
     const struct dh_group *g, const struct group_backend *b);
 
 /* group_move.c */
-struct dh_fence group_next_fence(struct dh_group *g);
 void group_move_tick(struct dh_group *g);
 void group_move_wish(struct dh_group *g, uint32_t slot, uint64_t target);
 void group_move_released(
--- a/core/group_lease.c
+++ b/core/group_lease.c
@@ -34,9 +34,9 @@
 	    (b->conf.checks_fence || b->firm);
 }
 
-/* group_hold_end -- when the last lease that anyone may have given ends. */
-int64_t
-group_hold_end(const struct dh_group *g, const struct group_backend *b)
+/* When the last lease that anyone may have given ends. */
+static int64_t
+hold_end(const struct dh_group *g, const struct group_backend *b)
 {
 	int64_t t = group_max_ms(b->renewed_ms, b->deputy_renewed_ms);
 
@@ -73,7 +73,7 @@
 group_holds_nothing(const struct dh_group *g, const struct group_backend *b)
 {
 	return b->hold == HOLD_NONE &&
-	    (b->ended || g->now_ms >= group_hold_end(g, b));
+	    (b->ended || g->now_ms >= hold_end(g, b));
 }
 
 /*
@@ -90,8 +90,8 @@
 	return b->seen_ms <= g->store.base_ms;
 }
 
-bool
-group_grantable(const struct dh_group *g, uint32_t slot)
+static bool
+grantable(const struct dh_group *g, uint32_t slot)
 {
 	return (g->flags[slot] & (SLOT_PENDING | SLOT_DOUBT | SLOT_RELEASED)) ==
 	    0;
@@ -215,7 +215,7 @@
 	order_fence(g, o);
 	order_room(o, b->count);
 	for (i = b->first; i != DH_NONE && !b->raise; i = g->link[i].next)
-		if (group_grantable(g, i))
+		if (grantable(g, i))
 			order_slot(g, o, i);
 	lease_sent(g, b);
 }
@@ -414,7 +414,7 @@
 
 	if (b->hold == HOLD_NONE || (!b->suspect && b->known))
 		return;
-	end = group_hold_end(g, b);
+	end = hold_end(g, b);
 	if (g->now_ms < end) {
 		group_due(g, end);
 		return;
@@ -518,7 +518,7 @@
 	uint32_t i;
 
 	for (i = b->first; i != DH_NONE; i = g->link[i].next) {
-		if (!group_grantable(g, i) || g->cur[i].state == DH_SLOT_OWNED)
+		if (!grantable(g, i) || g->cur[i].state == DH_SLOT_OWNED)
 			continue;
 		g->cur[i].state = DH_SLOT_OWNED;
 		group_peer_dirty(g, i);
--- a/core/group_move.c
+++ b/core/group_move.c
@@ -17,8 +17,8 @@
  * granted the slot after that.  All proposals of a step share one update.
  */
 
-struct dh_fence
-group_next_fence(struct dh_group *g)
+static struct dh_fence
+next_fence(struct dh_group *g)
 {
 	return (struct dh_fence){ g->term, ++g->counter };
 }
@@ -39,7 +39,7 @@
 	g->pending_ms[slot] = g->now_ms;
 	g->next[slot] = (struct dh_assignment){ .owner = owner,
 		.standby = standby,
-		.fence = group_next_fence(g),
+		.fence = next_fence(g),
 		.state = DH_SLOT_UNOWNED };
 	group_peer_dirty(g, slot);
 	group_changed(g);
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -360,8 +360,8 @@
 	take_put(g, r);
 }
 
-void
-group_take(struct dh_group *g)
+static void
+take(struct dh_group *g)
 {
 	g->mode_before = g->mode;
 	g->mode = MODE_TAKING;
@@ -502,7 +502,7 @@
 	}
 	g->take.leader = g->leader;
 	g->take.old_term = g->term;
-	group_take(g);
+	take(g);
 }
 
 static void
@@ -532,7 +532,7 @@
 		group_due(g, at);
 		return;
 	}
-	group_take(g);
+	take(g);
 }
 
 static void
--- a/core/member.c
+++ b/core/member.c
@@ -100,8 +100,9 @@
 /* The array of all. */
 
 /* Place of the first member whose id is not below id. */
-size_t
-dh_member_place(const struct dh_membership *v, uint64_t id)
+/* Place of the first member whose id is not below id. */
+static size_t
+member_place(const struct dh_membership *v, uint64_t id)
 {
 	size_t low = 0, high = v->n, mid;
 
@@ -118,7 +119,7 @@
 struct member *
 dh_member_lookup(const struct dh_membership *v, uint64_t id)
 {
-	size_t i = dh_member_place(v, id);
+	size_t i = member_place(v, id);
 
 	return i < v->n && v->all[i]->id == id ? v->all[i] : NULL;
 }
@@ -127,7 +128,7 @@
 insert(struct dh_membership *v, uint64_t id, const struct dh_member_record *rec)
 {
 	struct member *m = calloc(1, sizeof(*m));
-	size_t i = dh_member_place(v, id);
+	size_t i = member_place(v, id);
 
 	if (m == NULL)
 		abort();
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -65,9 +65,7 @@
 	return x ^ (x >> 31);
 }
 
-/* dh_member_place -- place of the first member whose id is not below id.
- * dh_member_lookup -- the member of this id, or NULL. */
-size_t dh_member_place(const struct dh_membership *v, uint64_t id);
+/* dh_member_lookup -- the member of this id, or NULL. */
 struct member *dh_member_lookup(const struct dh_membership *v, uint64_t id);
 
 /* dh_member_state_of -- what this VM takes another for. */
--- a/ctl/config.c
+++ b/ctl/config.c
@@ -17,8 +17,8 @@
 	return CTL_USAGE;
 }
 
-void
-ctl_notes_text(const GPtrArray *notes)
+static void
+notes_text(const GPtrArray *notes)
 {
 	g_autoptr(GString) out = g_string_new(NULL);
 	guint i;
@@ -40,8 +40,8 @@
 	json_object_object_add(o, name, json_object_new_uint64(value));
 }
 
-struct json_object *
-ctl_notes_json(const GPtrArray *notes)
+static struct json_object *
+notes_json(const GPtrArray *notes)
 {
 	struct json_object *list = json_object_new_array(), *o;
 	const struct dh_note *n;
@@ -66,12 +66,12 @@
 	struct json_object *root;
 
 	if (!c->json) {
-		ctl_notes_text(notes);
+		notes_text(notes);
 		return;
 	}
 	root = json_object_new_object();
 	json_object_object_add(root, "teams", json_object_new_array());
-	json_object_object_add(root, "notes", ctl_notes_json(notes));
+	json_object_object_add(root, "notes", notes_json(notes));
 	ctl_print_json(root);
 }
 
@@ -88,7 +88,7 @@
 	put_number(o, "changed", t->changed);
 	put_number(o, "missing", t->missing);
 	put_number(o, "attempts", t->attempts);
-	json_object_object_add(o, "notes", ctl_notes_json(t->notes));
+	json_object_object_add(o, "notes", notes_json(t->notes));
 	return o;
 }
 
@@ -110,16 +110,16 @@
 			     ": %u added, %u deleted, %u settings changed\n",
 		    t->name, dh_apply_outcome_name(t->outcome), t->version,
 		    t->added, t->deleted, t->changed);
-		ctl_notes_text(t->notes);
+		notes_text(t->notes);
 	}
 	json_object_object_add(root, "teams", list);
-	json_object_object_add(root, "notes", ctl_notes_json(r->notes));
+	json_object_object_add(root, "notes", notes_json(r->notes));
 	if (c->json) {
 		ctl_print_json(root);
 		return;
 	}
 	json_object_put(root);
-	ctl_notes_text(r->notes);
+	notes_text(r->notes);
 }
 
 static bool
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -61,10 +61,6 @@
 /* ctl_read -- a whole file, "-" for standard input; NULL after a message. */
 char *ctl_read(const char *path, gsize *len);
 
-/* ctl_notes_text, ctl_notes_json -- notes for people; as a JSON array. */
-void ctl_notes_text(const GPtrArray *notes);
-struct json_object *ctl_notes_json(const GPtrArray *notes);
-
 /* ctl_print_json -- print root on a line and release it. */
 void ctl_print_json(struct json_object *root);
 
--- a/proto/conn.c
+++ b/proto/conn.c
@@ -246,9 +246,3 @@
 	free(frame);
 	return sent;
 }
-
-size_t
-dh_conn_queued(const struct dh_conn *c)
-{
-	return c->queued;
-}
--- a/proto/conn.h
+++ b/proto/conn.h
@@ -56,9 +56,6 @@
 enum dh_conn_sent dh_conn_send(
     struct dh_conn *c, const struct dh_msg *m, size_t queue_bytes);
 
-/* dh_conn_queued -- bytes that wait to be written. */
-size_t dh_conn_queued(const struct dh_conn *c);
-
 /* dh_conn_close -- end it; c may be NULL, and is gone for the caller. */
 void dh_conn_close(struct dh_conn *c);
 
--- a/router/exchange.c
+++ b/router/exchange.c
@@ -236,8 +236,11 @@
 	dh_exchange_wake(ex);
 }
 
-void
-dh_exchange_refuse(struct dh_exchange *ex, unsigned int status,
+/* End it with an answer of our own, at once; that an unrepeatable one has not
+ * run is first made true of its id, if the group's leader says so within
+ * CLOSE_WAIT_MS. */
+static void
+exchange_refuse(struct dh_exchange *ex, unsigned int status,
     enum dh_outcome outcome, const char *reason, int64_t retry_after_ms)
 {
 	stop_waiting(ex);
@@ -258,7 +261,7 @@
 static void
 refuse_not_run(struct dh_exchange *ex, unsigned int status, const char *reason)
 {
-	dh_exchange_refuse(ex, status, DH_OUTCOME_NOT_RUN, reason,
+	exchange_refuse(ex, status, DH_OUTCOME_NOT_RUN, reason,
 	    status == 503 ? RETRY_AFTER_MS : 0);
 }
 
@@ -387,7 +390,7 @@
 
 	dh_publish_leave(ex->lane->reader);
 	if (!found && !ex->keyed) {
-		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "no-owner",
+		exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "no-owner",
 		    MAX(ex->pick_retry_ms, 1));
 		return;
 	}
@@ -428,7 +431,7 @@
 		if (ex->pass.verdict == DH_BREAKER_REFUSE &&
 		    ex->pass.retry_after_ms > 0 && park_for_owner(ex, false))
 			break;
-		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "shed",
+		exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "shed",
 		    MAX(retry_after_ms, 1));
 		break;
 	}
@@ -487,23 +490,22 @@
 		dh_exchange_route(ex);
 		break;
 	case DH_PERMIT_WAS_DONE:
-		dh_exchange_refuse(
+		exchange_refuse(
 		    ex, mail->permit.status, DH_OUTCOME_DONE, "repeated", 0);
 		break;
 	case DH_PERMIT_IN_FLIGHT:
-		dh_exchange_refuse(
+		exchange_refuse(
 		    ex, 409, DH_OUTCOME_UNKNOWN, "in-flight", RETRY_AFTER_MS);
 		break;
 	case DH_PERMIT_NOT_RUN:
 	case DH_PERMIT_REFUSED:
 		ex->closing = true;
 		ex->closed = mail->permit.verdict == DH_PERMIT_NOT_RUN;
-		dh_exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "permit",
+		exchange_refuse(ex, 503, DH_OUTCOME_NOT_RUN, "permit",
 		    MAX(mail->permit.retry_ms, 1));
 		break;
 	case DH_PERMIT_UNKNOWN:
-		dh_exchange_refuse(
-		    ex, 409, DH_OUTCOME_UNKNOWN, "permit-lost", 0);
+		exchange_refuse(ex, 409, DH_OUTCOME_UNKNOWN, "permit-lost", 0);
 		break;
 	}
 }
@@ -651,7 +653,7 @@
 	    d.verdict != DH_RETRY_DEADLINE &&
 	    park_for_owner(ex, strcmp(reason, "connect") != 0))
 		return;
-	dh_exchange_refuse(ex, status, outcome, reason, RETRY_AFTER_MS);
+	exchange_refuse(ex, status, outcome, reason, RETRY_AFTER_MS);
 }
 
 void
@@ -798,7 +800,7 @@
 			dh_loads_backend(ex->lane->loads, ex->target.service,
 			    ex->backend_id, false, 0);
 		dh_admitter_end(ex->lane->admitter, ex, DH_ADMISSION_CANCELLED);
-		dh_exchange_refuse(
+		exchange_refuse(
 		    ex, 504, DH_OUTCOME_UNKNOWN, "deadline", RETRY_AFTER_MS);
 		break;
 	case DH_PHASE_ANSWER:
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -165,12 +165,6 @@
 /* dh_exchange_permit -- the control thread's verdict. */
 void dh_exchange_permit(struct dh_exchange *ex, const struct dh_mail *mail);
 
-/* dh_exchange_refuse -- end it with an answer of our own, at once; that an
- * unrepeatable one has not run is first made true of its id, if the group's
- * leader says so within CLOSE_WAIT_MS. */
-void dh_exchange_refuse(struct dh_exchange *ex, unsigned int status,
-    enum dh_outcome outcome, const char *reason, int64_t retry_after_ms);
-
 /* dh_exchange_admitted -- its turn has come, or won't. */
 void dh_exchange_admitted(
     struct dh_exchange *ex, enum dh_admit verdict, int64_t retry_after_ms);
--- a/standin/lib/ownership.c
+++ b/standin/lib/ownership.c
@@ -49,15 +49,6 @@
 	return ow;
 }
 
-void
-ownership_free(struct ownership *ow)
-{
-	if (ow == NULL)
-		return;
-	g_hash_table_unref(ow->groups);
-	g_free(ow);
-}
-
 static struct group *
 group_find(struct ownership *ow, const char *name)
 {
--- a/standin/lib/ownership.h
+++ b/standin/lib/ownership.h
@@ -21,7 +21,6 @@
  * fence.  log is borrowed. */
 struct ownership *ownership_new(
     uint64_t incarnation, bool checks_fence, struct dh_eventlog *log);
-void ownership_free(struct ownership *ow);
 
 struct order_result {
 	bool accepted;
--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -81,7 +81,7 @@
     's/(own|all) = now \+ group_slack.*/\1 = now;/'
 # A change of owner keeps the fencing token.
 mutate fence-raise group_move.c \
-    's/\.fence = group_next_fence\(g\)/.fence = g->cur[slot].fence/'
+    's/\.fence = next_fence\(g\)/.fence = g->cur[slot].fence/'
 # An order's end is not bound to the lease.
 mutate until group_lease.c \
     's/b->clock_ms \+ group_short\(g, /b->clock_ms + 2 * (/'
