One piece where two stood: scenarios, tests, mutation scripts, configuration

- config: dh_assemble_alloc() for both makers of configurations;
- base/httpd: dh_httpd_skip_body() for the two handlers that want no body;
- tests/problems.h, connect_both() of test_peers.

--- a/base/httpd.c
+++ b/base/httpd.c
@@ -201,6 +201,19 @@
 	g_free(h);
 }
 
+bool
+dh_httpd_skip_body(void **state, void *mark, size_t *len)
+{
+	if (*state == NULL) {
+		*state = mark;
+		return true;
+	}
+	if (*len == 0)
+		return false;
+	*len = 0;
+	return true;
+}
+
 enum MHD_Result
 dh_httpd_reply(struct MHD_Connection *c, unsigned int status, const void *body,
     size_t len, const char *const *headers)
--- a/base/httpd.h
+++ b/base/httpd.h
@@ -55,6 +55,11 @@
  * The loop must run on for its handles to close. */
 void dh_httpd_free(struct dh_httpd *h);
 
+/* dh_httpd_skip_body -- for a handler that wants no body: true while it is
+ * called for the head or for a piece of a body, which is dropped; then it only
+ * returns MHD_YES.  mark is any pointer but NULL. */
+bool dh_httpd_skip_body(void **state, void *mark, size_t *len);
+
 /* dh_httpd_reply -- queue a whole answer from a copied buffer; headers are
  * pairs "Name", "value", NULL-ended, or NULL. */
 enum MHD_Result dh_httpd_reply(struct MHD_Connection *c, unsigned int status,
--- a/config/assemble.c
+++ b/config/assemble.c
@@ -157,8 +157,8 @@
 	    to, dh_declaration_text(c->declaration, column), DH_NAME_MAX);
 }
 
-static void *
-must_alloc(size_t n, size_t size)
+void *
+dh_assemble_alloc(size_t n, size_t size)
 {
 	void *p = calloc(MAX(n, 1), size);
 
@@ -175,7 +175,7 @@
 
 	div->kind = DH_DIVISION_RANGE;
 	div->range.count = (uint32_t)n;
-	div->range.first_key = must_alloc(n, sizeof(char *));
+	div->range.first_key = dh_assemble_alloc(n, sizeof(char *));
 	for (i = 0; i < n; i++)
 		div->range.first_key[i] = strdup(
 		    json_object_get_string(json_object_array_get_idx(list, i)));
@@ -256,24 +256,24 @@
 static struct dh_conf *
 fill(const struct assembly *as)
 {
-	struct dh_conf *conf = must_alloc(1, sizeof(*conf));
+	struct dh_conf *conf = dh_assemble_alloc(1, sizeof(*conf));
 	const GArray *sv = as->claims[DH_KIND_SERVICE];
 	const GArray *bs = as->claims[DH_KIND_BACKEND_SERVER];
 	const GArray *pins = as->claims[DH_KIND_PIN];
 	guint i;
 
 	conf->nservices = sv->len;
-	conf->services = must_alloc(sv->len, sizeof(struct dh_service));
+	conf->services = dh_assemble_alloc(sv->len, sizeof(struct dh_service));
 	for (i = 0; i < sv->len; i++)
 		fill_service(
 		    &conf->services[i], &g_array_index(sv, struct claim, i));
 	conf->nbackends = bs->len;
-	conf->backends = must_alloc(bs->len, sizeof(struct dh_backend));
+	conf->backends = dh_assemble_alloc(bs->len, sizeof(struct dh_backend));
 	for (i = 0; i < bs->len; i++)
 		fill_backend(
 		    &conf->backends[i], &g_array_index(bs, struct claim, i));
 	conf->npins = pins->len;
-	conf->pins = must_alloc(pins->len, sizeof(struct dh_pin));
+	conf->pins = dh_assemble_alloc(pins->len, sizeof(struct dh_pin));
 	for (i = 0; i < pins->len; i++)
 		fill_pin(&conf->pins[i], &g_array_index(pins, struct claim, i));
 	(void)dh_conf_index(conf);
--- a/config/assemble.h
+++ b/config/assemble.h
@@ -25,4 +25,9 @@
 struct dh_conf *dh_assemble_ids(const struct dh_team *const *teams, size_t n,
     dh_id_fn id_of, GPtrArray *problems);
 
+/* dh_assemble_alloc -- zeroed memory for n parts of a configuration, at least
+ * one; of malloc(), as dh_conf_free() expects.  Ends the process if there is
+ * none. */
+void *dh_assemble_alloc(size_t n, size_t size);
+
 #endif
--- a/config/assembler.c
+++ b/config/assembler.c
@@ -246,16 +246,6 @@
 
 /* The whole */
 
-static void *
-must_alloc(size_t n, size_t size)
-{
-	void *p = calloc(MAX(n, 1), size);
-
-	if (p == NULL)
-		g_error("no memory for the configuration");
-	return p;
-}
-
 /* Ranges are the only thing that a configuration holds by pointer. */
 static void
 copy_ranges(struct dh_division *div)
@@ -265,7 +255,7 @@
 
 	if (div->kind != DH_DIVISION_RANGE)
 		return;
-	first_key = must_alloc(div->range.count, sizeof(char *));
+	first_key = dh_assemble_alloc(div->range.count, sizeof(char *));
 	for (i = 0; i < div->range.count; i++)
 		first_key[i] = strdup(div->range.first_key[i]);
 	div->range.first_key = first_key;
@@ -274,7 +264,7 @@
 static void *
 copy_list(const GPtrArray *list, size_t size)
 {
-	char *copy = must_alloc(list->len, size);
+	char *copy = dh_assemble_alloc(list->len, size);
 	guint i;
 
 	for (i = 0; i < list->len; i++)
@@ -327,7 +317,7 @@
 
 	if (as->contested > 0)
 		return from_scratch(as, problems);
-	conf = must_alloc(1, sizeof(*conf));
+	conf = dh_assemble_alloc(1, sizeof(*conf));
 	conf->nservices = as->lists[SERVICES]->len;
 	conf->services =
 	    copy_list(as->lists[SERVICES], sizeof(struct dh_service));
--- a/control/admin.c
+++ b/control/admin.c
@@ -186,14 +186,8 @@
 
 	(void)version;
 	(void)data;
-	if (*state == NULL) {
-		*state = ad;
+	if (dh_httpd_skip_body(state, ad, len))
 		return MHD_YES;
-	}
-	if (*len > 0) {
-		*len = 0;
-		return MHD_YES;
-	}
 	if (strcmp(method, "GET") != 0)
 		return reply_text(conn, 405, "GET only\n", "text/plain");
 	if (strcmp(path, "/health") == 0)
--- a/standin/vmlist.c
+++ b/standin/vmlist.c
@@ -26,14 +26,8 @@
 	(void)method;
 	(void)version;
 	(void)data;
-	if (*state == NULL) {
-		*state = arg;
+	if (dh_httpd_skip_body(state, arg, len))
 		return MHD_YES;
-	}
-	if (*len > 0) {
-		*len = 0;
-		return MHD_YES;
-	}
 	if (!g_file_get_contents(arg, &text, &size, NULL))
 		return dh_httpd_reply(conn, 503, "", 0, NULL);
 	return dh_httpd_reply(conn, 200, text, size, headers);
--- a/tests/failure/bad_object_in_outage.sh
+++ b/tests/failure/bad_object_in_outage.sh
@@ -3,16 +3,7 @@
 # it has the last good form from the others.  A VM that was there before hears
 # of the next good version when the store is back.
 . "$(dirname "$0")/lib.sh"
-vm_settings=", \"vm_list_url\": \"http://127.0.0.1:$((base + 90))\""
-cat >"$dir/vms.json" <<EOT
-{"version": 1, "vms": [
- {"name": "v1", "address": "127.0.0.1", "state": "live",
-  "peer_port": $(($(vm_port 1) + 2))},
- {"name": "v2", "address": "127.0.0.1", "state": "live",
-  "peer_port": $(($(vm_port 2) + 2))}]}
-EOT
-"$build/standin/vmlist" $((base + 90)) "$dir/vms.json" &
-pids="$pids $!"
+start_vmlist 2
 
 # overwrite VERSION FILE: replace the team's object.
 overwrite() {
--- a/tests/failure/config_in_outage.sh
+++ b/tests/failure/config_in_outage.sh
@@ -2,18 +2,7 @@
 # A change is accepted, then the store goes down; a VM that did not watch and
 # one that is restarted hold the change all the same, and none goes back.
 . "$(dirname "$0")/lib.sh"
-vm_settings=", \"vm_list_url\": \"http://127.0.0.1:$((base + 90))\""
-{
-	echo '{"version": 1, "vms": ['
-	for n in 1 2 3; do
-		[ "$n" -eq 1 ] || echo ,
-		echo "{\"name\": \"v$n\", \"address\": \"127.0.0.1\","
-		echo "\"state\": \"live\", \"peer_port\": $(($(vm_port $n) + 2))}"
-	done
-	echo ']}'
-} >"$dir/vms.json"
-"$build/standin/vmlist" $((base + 90)) "$dir/vms.json" &
-pids="$pids $!"
+start_vmlist 3
 start_cluster 3 4
 ctl drain b2 >/dev/null || fail drain
 event accept ',"revision":2'
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -305,6 +305,27 @@
 	cut "$others[\"$1\",\"store\"]"
 }
 
+# start_vmlist VMS: the platform's list of VMs names v1 to vVMS, live.  Before
+# start_cluster.
+start_vmlist() {
+	list_url="http://127.0.0.1:$((base + 90))"
+	vm_settings=", \"vm_list_url\": \"$list_url\""
+	{
+		echo '{"version": 1, "vms": ['
+		n=1
+		while [ "$n" -le "$1" ]; do
+			[ "$n" -eq 1 ] || echo ,
+			echo "{\"name\": \"v$n\", \"address\": \"127.0.0.1\","
+			echo "\"state\": \"live\","
+			echo "\"peer_port\": $(($(vm_port $n) + 2))}"
+			n=$((n + 1))
+		done
+		echo ']}'
+	} >"$dir/vms.json"
+	"$build/standin/vmlist" $((base + 90)) "$dir/vms.json" &
+	pids="$pids $!"
+}
+
 # has_deputy VM: feed's group has a leader and a deputy, as this VM sees it.
 has_deputy() {
 	[ "$(deputy_of feed/0 "$1")" ]
--- a/tests/failure/many_vms.sh
+++ b/tests/failure/many_vms.sh
@@ -9,10 +9,9 @@
 sleep 1
 kill_now "$leader"
 end_load
+served_again 30 "$leader"
 for n in $vms; do
 	[ "v$n" = "$leader" ] && continue
-	wait_for 30 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
 	wait_for 30 "another leader at v$n" leader_is_not feed/0 "$n" "$leader"
 done
 check_history
--- a/tests/failure/zone_lost.sh
+++ b/tests/failure/zone_lost.sh
@@ -10,8 +10,5 @@
 kill_now b1
 kill_now b5
 end_load
-for n in 2 3 4; do
-	wait_for 30 "owner of every slot at v$n" all_owned "$n"
-	wait_for 10 "answer through v$n" serves "$n" key
-done
+served_again 30 v1
 check_history
--- /dev/null
+++ b/tests/problems.h
@@ -0,0 +1,18 @@
+#ifndef DH_TESTS_PROBLEMS_H
+#define DH_TESTS_PROBLEMS_H
+
+#include "config/schema.h"
+
+/* problems_text -- all of them as for people; the caller frees it. */
+static inline char *
+problems_text(const GPtrArray *problems)
+{
+	GString *out = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < problems->len; i++)
+		dh_problem_print(out, problems->pdata[i]);
+	return g_string_free(out, FALSE);
+}
+
+#endif
--- a/tests/test_assemble.c
+++ b/tests/test_assemble.c
@@ -3,6 +3,7 @@
 
 #include "config/assemble.h"
 #include "tests/cunit_main.h"
+#include "tests/problems.h"
 
 #define TEAMS 3
 
@@ -40,17 +41,6 @@
 	return t;
 }
 
-static char *
-print(GPtrArray *problems)
-{
-	GString *out = g_string_new(NULL);
-	guint i;
-
-	for (i = 0; i < problems->len; i++)
-		dh_problem_print(out, g_ptr_array_index(problems, i));
-	return g_string_free(out, FALSE);
-}
-
 static void
 check_settled(const struct dh_conf *conf)
 {
@@ -110,7 +100,7 @@
 
 	dh_conf_free(
 	    dh_assemble((const struct dh_team *const *)teams, 2, problems));
-	all = print(problems);
+	all = problems_text(problems);
 	CU_ASSERT_STRING_EQUAL(all,
 	    "service s: team t0: left out: team t1 holds the name s\n"
 	    "backend_server s-1: team t0: left out: what it refers to is "
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -99,6 +99,16 @@
 	    dh_peers_is_up(b->peers, a->control.self);
 }
 
+static void
+connect_both(struct side *a, struct side *b)
+{
+	int64_t end = dh_clock_ms() + LIMIT_MS;
+
+	while (!both_up(a, b) && dh_clock_ms() < end)
+		turn(a, b);
+	CU_ASSERT_TRUE(both_up(a, b));
+}
+
 /* Heartbeats both ways until each side has heard enough of them. */
 static void
 beat_on(struct side *a, struct side *b)
@@ -123,7 +133,6 @@
 test_both_connect(void)
 {
 	struct side a, b;
-	int64_t end;
 
 	side_start(&a, "v1", 1);
 	side_start(&b, "v2", 1);
@@ -131,10 +140,7 @@
 	want(&b, &a);
 	dh_peers_check(a.peers);
 	dh_peers_check(b.peers);
-	end = dh_clock_ms() + LIMIT_MS;
-	while (!both_up(&a, &b) && dh_clock_ms() < end)
-		turn(&a, &b);
-	CU_ASSERT_TRUE(both_up(&a, &b));
+	connect_both(&a, &b);
 	beat_on(&a, &b);
 	CU_ASSERT_TRUE(a.beats >= BEATS);
 	CU_ASSERT_TRUE(b.beats >= BEATS);
@@ -158,10 +164,7 @@
 	side_start(&b, "v2", 1);
 	want(&a, &b);
 	want(&b, &a);
-	end = dh_clock_ms() + LIMIT_MS;
-	while (!both_up(&a, &b) && dh_clock_ms() < end)
-		turn(&a, &b);
-	CU_ASSERT_TRUE(both_up(&a, &b));
+	connect_both(&a, &b);
 	side_stop(&b);
 	end = dh_clock_ms() + LIMIT_MS;
 	while (a.downs == 0 && dh_clock_ms() < end) {
--- a/tests/test_schema.c
+++ b/tests/test_schema.c
@@ -2,6 +2,7 @@
 
 #include "config/schema.h"
 #include "tests/cunit_main.h"
+#include "tests/problems.h"
 
 static struct dh_team *
 parse(const char *text, GPtrArray *problems)
@@ -134,17 +135,6 @@
 	    "backend server\n" },
 };
 
-static char *
-print(GPtrArray *problems)
-{
-	GString *out = g_string_new(NULL);
-	guint i;
-
-	for (i = 0; i < problems->len; i++)
-		dh_problem_print(out, g_ptr_array_index(problems, i));
-	return g_string_free(out, FALSE);
-}
-
 static void
 test_every_problem_is_named(void)
 {
@@ -155,7 +145,7 @@
 		g_autofree char *all = NULL;
 
 		CU_ASSERT_PTR_NULL(parse(bads[i].text, problems));
-		all = print(problems);
+		all = problems_text(problems);
 		if (strcmp(all, bads[i].problems) != 0)
 			(void)printf("\n%s:\n%s", bads[i].text, all);
 		CU_ASSERT_STRING_EQUAL(all, bads[i].problems);
@@ -193,7 +183,7 @@
 	    problems);
 	CU_ASSERT_TRUE(dh_team_check_change(t, u, problems));
 	CU_ASSERT_FALSE(dh_team_check_change(t, v, problems));
-	all = print(problems);
+	all = problems_text(problems);
 	CU_ASSERT_STRING_EQUAL(all,
 	    "service s: hash_slots: can't change while the service exists\n");
 	dh_team_free(t);
--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -7,14 +7,7 @@
 set -eu
 only=${1:-}
 dir=build/mutate
-missed=0 caught=0
-rm -rf "$dir"
-mkdir -p "$dir/obj"
-
-compile() {
-	${CC:-gcc} -std=gnu11 -O2 -w -D_GNU_SOURCE -DXXH_INLINE_ALL -I. \
-	    -Iinclude -c -o "$2" "$1"
-}
+. "$(dirname "$0")/mutate_lib.sh"
 
 compile tests/test_group.c "$dir/test_group.o"
 for f in core/*.c tests/test_group_schedule.c; do
@@ -35,15 +28,7 @@
 # direct tests go first, since the schedules are known not to notice.
 mutate() {
 	[ -z "$only" ] || [ "$only" = "$1" ] || return 0
-	sed -E "$3" "core/$2" >"$dir/$2"
-	if cmp -s "core/$2" "$dir/$2"; then
-		echo "$1: the edit changes nothing in core/$2"
-		missed=$((missed + 1))
-		return 0
-	fi
-	rm -rf "$dir/mutant"
-	cp -r "$dir/obj" "$dir/mutant"
-	compile "$dir/$2" "$dir/mutant/${2%.c}.o"
+	edit "$1" "$2" "$3" || return 0
 	${CC:-gcc} -o "$dir/schedule" "$dir"/mutant/*.o -lcunit -lm
 	if [ "${4:-}" ] && fails_directly "$1"; then
 		caught=$((caught + 1))
@@ -161,5 +146,4 @@
 mutate death-lease group_wait.c \
     's/group_min_ms\(p->(own|all)_ms, g->now_ms\)/DH_NEVER_MS/'
 
-echo "$caught caught, $missed missed"
-[ "$missed" -eq 0 ]
+summary
--- a/tools/mutate_permit.sh
+++ b/tools/mutate_permit.sh
@@ -6,14 +6,7 @@
 set -eu
 only=${1:-}
 dir=build/mutate-permit
-missed=0 caught=0
-rm -rf "$dir"
-mkdir -p "$dir/obj"
-
-compile() {
-	${CC:-gcc} -std=gnu11 -O2 -w -D_GNU_SOURCE -DXXH_INLINE_ALL -I. \
-	    -Iinclude -c -o "$2" "$1"
-}
+. "$(dirname "$0")/mutate_lib.sh"
 
 for f in core/*.c tests/test_permit.c tests/test_permit_schedule.c; do
 	compile "$f" "$dir/obj/$(basename "$f" .c).o"
@@ -33,15 +26,7 @@
 # mutate NAME SED: the edit must change core/permit.c.
 mutate() {
 	[ -z "$only" ] || [ "$only" = "$1" ] || return 0
-	sed -E "$2" core/permit.c >"$dir/permit.c"
-	if cmp -s core/permit.c "$dir/permit.c"; then
-		echo "$1: the edit changes nothing"
-		missed=$((missed + 1))
-		return 0
-	fi
-	rm -rf "$dir/mutant"
-	cp -r "$dir/obj" "$dir/mutant"
-	compile "$dir/permit.c" "$dir/mutant/permit.o"
+	edit "$1" permit.c "$2" || return 0
 	by=
 	if run test_permit; then
 		by=$(grep 'FAILED' "$dir/test_permit.log" |
@@ -99,5 +84,4 @@
 mutate BOTH \
     's/^(\twait_add\(v, p\);)$/\1 if (p->state == DH_PERMIT_HOLDING) { (void)answer(out, p->asker, p->id, p->token, DH_PERMIT_RUN); }/'
 
-echo "$caught caught, $missed missed"
-[ "$missed" -eq 0 ]
+summary
