--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 SAN ?=
 comma := ,
 BUILD := build$(if $(SAN),-$(subst $(comma),-,$(SAN)))
-PKGS := base core proto store backend config router control report check
+PKGS := base core proto store backend config router control report check \
+	platform gateway
 DEPS := glib-2.0 libcurl libmicrohttpd json-c msgpack libxxhash ck
 # Libraries' headers as system headers: the linter reads every other one.
 LIB_CPPFLAGS := $(shell pkg-config --cflags glib-2.0 json-c)
@@ -22,7 +23,7 @@
 	-Wstrict-prototypes -Wpointer-arith -Wwrite-strings
 CFLAGS += -std=gnu11 -O2 -g -pthread $(WARN) \
 	$(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
-LDLIBS := -lmicrohttpd -lcurl -ljson-c -lmsgpackc -lcsv -llog4c -lck -luv \
+LDLIBS := -lhttp_parser -lmicrohttpd -lcurl -ljson-c -lmsgpackc -lcsv -llog4c -lck -luv \
 	-lglib-2.0 -lm
 LDFLAGS += -pthread $(if $(SAN),-fsanitize=$(SAN))
 
--- a/base/http.c
+++ b/base/http.c
@@ -1,9 +1,16 @@
 #include "base/http.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
+#include "base/log.h"
 #include "base/timer.h"
 
+/* Probes without an answer that end a connection. */
+#define KEEPALIVE_PROBES 2
+
 struct dh_http {
 	CURLM *multi;
 	uv_loop_t *loop;
@@ -196,8 +203,36 @@
 	GHashTable *reply_headers;
 	dh_http_reply_fn done;
 	void *arg;
+	uint32_t keepalive_s;
+	bool reset_on_close;
 };
 
+static int
+on_opened(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	const struct dh_http_fetch *f = arg;
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	int on = 1, seconds = (int)f->keepalive_s, probes = KEEPALIVE_PROBES;
+	int rc = 0;
+
+	(void)purpose;
+	if (f->reset_on_close)
+		rc |= setsockopt(
+		    fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	if (seconds > 0) {
+		rc |= setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+		rc |= setsockopt(
+		    fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+		rc |= setsockopt(
+		    fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+		rc |= setsockopt(
+		    fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	}
+	if (rc != 0)
+		dh_log(DH_LOG_WARN, "http.socket_option", "result=failed");
+	return CURL_SOCKOPT_OK;
+}
+
 static size_t
 on_body(char *data, size_t size, size_t n, void *arg)
 {
@@ -268,6 +303,12 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->done = done;
 	f->arg = arg;
+	f->keepalive_s = rq->keepalive_s;
+	f->reset_on_close = rq->reset_on_close;
+	if (f->keepalive_s > 0 || f->reset_on_close) {
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_opened);
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, f);
+	}
 	for (i = 0; rq->headers != NULL && rq->headers[i] != NULL; i++)
 		f->headers = curl_slist_append(f->headers, rq->headers[i]);
 	f->headers = curl_slist_append(f->headers, "Expect:");
--- a/base/http.h
+++ b/base/http.h
@@ -51,6 +51,11 @@
 	size_t body_len;
 	int64_t timeout_ms;
 	bool fresh_connection; /* do not reuse one */
+	/* A connection that this request opens: probes from the kernel end it
+	 * after keepalive_s of silence or three, 0 for none; closing resets
+	 * it, so that nothing of it arrives later. */
+	uint32_t keepalive_s;
+	bool reset_on_close;
 };
 
 struct dh_http_reply {
--- a/config/field.c
+++ b/config/field.c
@@ -111,6 +111,34 @@
 	return invalid(error, text, expected);
 }
 
+static char *
+check_decimal(const struct dh_field *f, const char *text, GError **error)
+{
+	g_autofree char *expected = NULL;
+	char *end;
+	double value = g_ascii_strtod(text, &end);
+
+	if (end != text && *end == '\0' && value >= (double)f->min &&
+	    value <= (double)f->max)
+		return g_strdup_printf("%.3f", value);
+	expected = g_strdup_printf("a number from %" G_GINT64_FORMAT
+				   " to %" G_GINT64_FORMAT,
+	    f->min, f->max);
+	return invalid(error, text, expected);
+}
+
+static char *
+check_text(const struct dh_field *f, const char *text, GError **error)
+{
+	const char *p;
+
+	for (p = text; *p != '\0' && !g_ascii_iscntrl(*p); p++)
+		;
+	if (*p == '\0' && p - text <= f->max && g_utf8_validate(text, -1, NULL))
+		return g_strdup(text);
+	return invalid(error, text, "printable, or too long");
+}
+
 static char *
 check_choice(const struct dh_field *f, const char *text, GError **error)
 {
@@ -182,6 +210,10 @@
 		return invalid(error, text, "of the form http://IP:port");
 	case DH_FIELD_INTEGER:
 		return check_integer(f, text, error);
+	case DH_FIELD_DECIMAL:
+		return check_decimal(f, text, error);
+	case DH_FIELD_TEXT:
+		return check_text(f, text, error);
 	case DH_FIELD_BOOLEAN:
 		if (g_ascii_strcasecmp(text, "true") == 0)
 			return g_strdup("true");
@@ -202,6 +234,8 @@
 	switch (f->type) {
 	case DH_FIELD_INTEGER:
 		return json_type_int;
+	case DH_FIELD_DECIMAL:
+		return json_type_double;
 	case DH_FIELD_BOOLEAN:
 		return json_type_boolean;
 	case DH_FIELD_KEYS:
@@ -218,6 +252,10 @@
 	enum json_type type = json_type_of(f);
 	const char *text = json_object_get_string(value);
 
+	if (f->type == DH_FIELD_DECIMAL &&
+	    json_object_is_type(value, json_type_int))
+		type = json_type_int;
+
 	if (!json_object_is_type(value, type)) {
 		g_set_error(error, DH_ERROR, DH_ERROR_INVALID,
 		    "%.80s is not of type %s", text == NULL ? "null" : text,
--- a/config/field.h
+++ b/config/field.h
@@ -18,7 +18,9 @@
 	DH_FIELD_ADDRESS, /* IP number */
 	DH_FIELD_URL, /* "http://IP:port" */
 	DH_FIELD_INTEGER, /* min..max */
+	DH_FIELD_DECIMAL, /* number with up to three places, min..max */
 	DH_FIELD_BOOLEAN,
+	DH_FIELD_TEXT, /* up to max bytes of UTF-8, no control characters */
 	DH_FIELD_CHOICE, /* one of choices */
 	DH_FIELD_KEYS, /* sorted, different keys: a JSON array of strings */
 };
--- /dev/null
+++ b/gateway/attempt.c
@@ -0,0 +1,255 @@
+/*
+ * One attempt of a request: which backend server, or none; and the message
+ * that goes there.
+ */
+#include <string.h>
+
+#include "base/opslog.h"
+#include "gateway/worker_internal.h"
+#include "platform/wire.h"
+
+/* An answer is overdue after this many times what was expected, and at least
+ * so much later. */
+#define OVERDUE_FACTOR 3.0
+#define OVERDUE_MIN_MS 150
+/* Weight of a new sample of a service's usual work. */
+#define WORK_GAIN 0.05
+
+void
+dh_request_give_back(struct dh_request *rq, enum dh_reply_kind kind,
+    const struct dh_message *answer)
+{
+	struct dh_pool *pool = rq->pool;
+	const char *load = answer == NULL
+	    ? NULL
+	    : dh_message_header(answer, dh_wire_headers.load);
+	int64_t now_ms = dh_worker_now_ms(rq->worker);
+	struct dh_reply r = { .kind = kind,
+		.latency_ms = now_ms - rq->sent_ms,
+		.ahead = rq->ahead,
+		.slots = pool->slots,
+		.way_ms = rq->worker->choice.way_ms[pool->tier] };
+	struct dh_service_state *s = rq->service_state;
+
+	r.has_load = load != NULL && dh_wire_load(load, &r.running, &r.waiting);
+	dh_backend_replied(&pool->load, &r, now_ms);
+	if (kind == DH_REPLY_GOOD)
+		s->work_ms = s->work_ms == 0 ? pool->load.work_ms
+					     : s->work_ms +
+			WORK_GAIN * (pool->load.work_ms - s->work_ms);
+}
+
+static void
+compose(struct dh_request *rq)
+{
+	const char *const skip[] = { dh_wire_headers.time_left_ms,
+		dh_wire_headers.expected_server, NULL };
+	const struct dh_message *in = rq->in;
+	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
+
+	if (rq->wire == NULL)
+		rq->wire = g_string_sized_new(512 + in->body->len);
+	g_string_printf(rq->wire, "%s %s HTTP/1.1\r\n",
+	    http_method_str((enum http_method)in->parser.method),
+	    in->target->str);
+	dh_message_copy_headers(in, skip, rq->wire);
+	g_string_append_printf(rq->wire, "%s: %lld\r\n%s: %s\r\n",
+	    dh_wire_headers.time_left_ms,
+	    (long long)(left_ms > 1 ? left_ms : 1),
+	    dh_wire_headers.expected_server, rq->pool->id);
+	if (in->body->len > 0 ||
+	    dh_message_header(in, "Content-Length") != NULL ||
+	    dh_message_header(in, "Transfer-Encoding") != NULL)
+		g_string_append_printf(
+		    rq->wire, "Content-Length: %zu\r\n", in->body->len);
+	g_string_append(rq->wire, "\r\n");
+	g_string_append_len(rq->wire, in->body->str, (gssize)in->body->len);
+}
+
+static void
+on_park_end(uv_timer_t *timer)
+{
+	struct dh_request *rq = timer->data;
+	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
+
+	dh_request_finish(rq, 503, "no owner of the key",
+	    dh_retry_after_ms(left_ms / 4, left_ms, &rq->worker->rng));
+}
+
+/* Wait for the next view, but not for long. */
+static void
+park(struct dh_request *rq)
+{
+	int64_t now_ms = dh_worker_now_ms(rq->worker);
+	int64_t until_ms = rq->arrived_ms + rq->worker->settings->park_ms;
+	char id[DH_NAME_MAX * 2 + 8];
+
+	if (now_ms >= until_ms) {
+		on_park_end(&rq->pause);
+		return;
+	}
+	if (rq->state != DH_REQUEST_PARKED) {
+		rq->state = DH_REQUEST_PARKED;
+		g_queue_push_tail_link(&rq->worker->parked, &rq->link);
+		dh_counter_add(rq->worker->c.parked, 1);
+		dh_ops(DH_OPS_REQUEST, "request.parked",
+		    ",\"id\":%s,\"key\":%u,\"owners\":%llu",
+		    dh_ops_text(id, sizeof(id), rq->id), rq->key,
+		    (unsigned long long)rq->view->owners_version);
+	}
+	uv_timer_start(
+	    &rq->pause, on_park_end, (uint64_t)(until_ms - now_ms), 0);
+}
+
+static bool
+was_tried(const struct dh_request *rq, uint32_t uid)
+{
+	uint32_t i;
+
+	for (i = 0; i < rq->ntried; i++)
+		if (rq->tried[i] == uid)
+			return true;
+	return false;
+}
+
+/* The backend servers that it may go to; 0 if it has to wait for an owner. */
+static size_t
+candidates(struct dh_request *rq, struct dh_candidate *list,
+    const struct dh_view_server **servers)
+{
+	struct dh_worker *w = rq->worker;
+	const struct dh_view *v = w->view;
+	const struct dh_view_service *s = &v->services[rq->service];
+	uint32_t most = (*v->deployment)->services[rq->service].connections_max;
+	int64_t now_ms = dh_worker_now_ms(w);
+	const struct dh_view_range *range;
+	const struct dh_view_server *server;
+	struct dh_pool *pool;
+	uint32_t one;
+	const uint32_t *from = s->servers;
+	size_t i, n = s->nservers, found = 0;
+
+	if (rq->keyed) {
+		range = dh_view_owner(v, rq->service, rq->key);
+		if (range == NULL || range->server == DH_NONE ||
+		    !range->settled)
+			return 0;
+		one = range->server;
+		from = &one;
+		n = 1;
+	}
+	for (i = 0; i < n && found < DH_CANDIDATES_MAX; i++) {
+		server = &v->servers[from[i]];
+		if (server->closed)
+			continue;
+		pool = dh_worker_pool(w, server);
+		servers[found] = server;
+		list[found++] = (struct dh_candidate){ .load = &pool->load,
+			.slots = server->slots,
+			.tier = server->tier,
+			.cold_until_ms = server->cold_until_ms,
+			.oldest_ms = dh_pool_oldest_ms(pool, now_ms),
+			.full = dh_pool_full(w, pool, most),
+			.tried = was_tried(rq, server->uid) };
+	}
+	return found;
+}
+
+static void
+on_overdue(uv_timer_t *timer)
+{
+	struct dh_request *rq = timer->data;
+	const struct dh_pool *pool = rq->pool;
+
+	/* A slow owner is not sent the same again: only where it has since
+	 * answered as much as was before this one is the answer lost. */
+	if (rq->keyed &&
+	    (double)(pool->answers - rq->answers) < rq->ahead + pool->slots) {
+		uv_timer_start(&rq->pause, on_overdue, OVERDUE_MIN_MS, 0);
+		return;
+	}
+	dh_upstream_drop(rq);
+	dh_request_attempt_ended(rq, DH_ATTEMPT_LOST, "answer overdue");
+}
+
+static void
+watch_for_answer(struct dh_request *rq)
+{
+	double wait_ms = rq->expected_ms * OVERDUE_FACTOR;
+	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
+
+	if (rq->route->repeat != DH_REPEAT_SAFE ||
+	    rq->attempts >= rq->route->attempts_max)
+		return;
+	if (wait_ms < rq->expected_ms + OVERDUE_MIN_MS)
+		wait_ms = rq->expected_ms + OVERDUE_MIN_MS;
+	if (wait_ms + rq->expected_ms < (double)left_ms)
+		uv_timer_start(&rq->pause, on_overdue, (uint64_t)wait_ms, 0);
+}
+
+static void
+send_to(struct dh_request *rq, const struct dh_view_server *server)
+{
+	struct dh_pool *pool = dh_worker_pool(rq->worker, server);
+	int64_t now_ms = dh_worker_now_ms(rq->worker);
+
+	if (rq->state == DH_REQUEST_PARKED)
+		g_queue_unlink(&rq->worker->parked, &rq->link);
+	uv_timer_stop(&rq->pause);
+	rq->state = DH_REQUEST_SENT;
+	rq->pool = pool;
+	(void)g_strlcpy(rq->server, pool->id, sizeof(rq->server));
+	rq->attempts++;
+	rq->sent_ms = now_ms;
+	rq->ahead = dh_backend_ahead(&pool->load, now_ms);
+	rq->answers = pool->answers;
+	dh_backend_sent(&pool->load);
+	compose(rq);
+	if (dh_upstream_send(rq, pool) && rq->state == DH_REQUEST_SENT &&
+	    rq->upstream != NULL && rq->pool == pool)
+		watch_for_answer(rq);
+}
+
+void
+dh_request_dispatch(struct dh_request *rq)
+{
+	struct dh_worker *w = rq->worker;
+	int64_t now_ms = dh_worker_now_ms(w);
+	struct dh_choice choice;
+	struct dh_wish wish = {
+		.target_left_ms =
+		    rq->arrived_ms + rq->route->target_ms - now_ms,
+		.left_ms = rq->deadline_ms - now_ms,
+		.kib = (double)rq->in->body->len / 1024 +
+		    rq->service_state->answer_kib,
+		.work_ms = rq->service_state->work_ms,
+		.rank = dh_deployment_rank(
+		    *rq->view->deployment, rq->service, rq->route->priority),
+	};
+	size_t n;
+
+	if (rq->state == DH_REQUEST_SENT)
+		rq->state = DH_REQUEST_NEW;
+	/* The owners are those that sent it away: newer ones are needed. */
+	if (rq->misdirected &&
+	    rq->misdirected_owners == w->view->owners_version) {
+		park(rq);
+		return;
+	}
+	rq->misdirected = false;
+	n = candidates(rq, w->candidates, w->candidate_servers);
+	if (n == 0 && rq->keyed) {
+		park(rq);
+		return;
+	}
+	choice =
+	    dh_choose(&w->choice, w->candidates, n, &wish, &w->rng, now_ms);
+	if (choice.index == SIZE_MAX) {
+		dh_request_finish(rq, 503,
+		    n == 0 ? "no backend server" : "no room in time",
+		    choice.retry_after_ms);
+		return;
+	}
+	rq->expected_ms = choice.expected_ms;
+	send_to(rq, w->candidate_servers[choice.index]);
+}
--- /dev/null
+++ b/gateway/duty.c
@@ -0,0 +1,523 @@
+#include "gateway/duty.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/opslog.h"
+#include "gateway/record.h"
+#include "platform/wire.h"
+
+/* Between plans: a hot range is spread within a second by several. */
+#define PLAN_MS 250
+/* A record of which nothing waits to be stored is written this much later. */
+#define LAZY_STORE_MS 1500
+#define STORE_TIMEOUT_MS 1500
+/* Pauses after a store call that failed, doubling. */
+#define STORE_PAUSE_MIN_MS 100
+#define STORE_PAUSE_MAX_MS 1000
+/* A grant's time is short of what the backend server takes at most. */
+#define DRIFT_PERMILLE 20
+/* Way of an order, and what two clocks differ by in counting a lease. */
+#define LEASE_MARGIN_MS 60
+#define PROBE_MS 250
+/* Orders at once; more wait for answers. */
+#define ORDERS_MAX 64
+
+struct order {
+	struct dh_duty *duty;
+	struct dh_http_fetch *fetch;
+	struct dh_key_order o;
+	GList link;
+};
+
+struct dh_duty {
+	struct dh_duty_context c;
+	char *service;
+	char *object; /* name in the store */
+	struct dh_keyspace *ks;
+	bool loaded;
+	uint64_t revision; /* of the object */
+	struct dh_objects_call *call;
+	bool in_doubt; /* a write may or may not have been taken */
+	uint64_t writing; /* serial under way, 0 for none */
+	uint64_t written_version;
+	int64_t write_at_ms; /* not before */
+	int64_t wrote_ms;
+	int64_t pause_ms;
+	int64_t planned_ms;
+	uint64_t version; /* of what was published or written */
+	uint64_t published_version;
+	uint64_t published; /* as dh_keyspace_current() counts */
+	char *text;
+	GQueue orders;
+	bool may_order;
+};
+
+static void pump(struct dh_duty *d);
+
+static const char *
+health_path(const struct dh_duty *d)
+{
+	const struct dh_deployment *dep = dh_registry_deployment(d->c.registry);
+	uint32_t i =
+	    dep == NULL ? DH_NONE : dh_deployment_service(dep, d->service);
+
+	return i == DH_NONE ? "/" : dep->services[i].health_path;
+}
+
+static void
+order_free(struct order *w)
+{
+	g_queue_unlink(&w->duty->orders, &w->link);
+	g_free(w);
+}
+
+/* What an answer to an order means. */
+static enum dh_key_answer
+answer_of(const struct order *w, const struct dh_http_reply *reply)
+{
+	if (reply->status == 0)
+		return reply->sent ? DH_KEY_SILENT : DH_KEY_UNSENT;
+	if (w->o.kind == DH_KEY_PROBE)
+		return reply->status == 421 ? DH_KEY_UNSENT : DH_KEY_ACCEPTED;
+	switch (reply->status) {
+	case 200:
+		return DH_KEY_ACCEPTED;
+	case 409:
+		return DH_KEY_REFUSED;
+	case 421: /* another backend server has the address */
+		return DH_KEY_UNSENT;
+	default:
+		return DH_KEY_SILENT;
+	}
+}
+
+static const char *
+order_name(enum dh_key_order_kind kind)
+{
+	switch (kind) {
+	case DH_KEY_GRANT:
+		return "grant";
+	case DH_KEY_RELEASE:
+		return "release";
+	case DH_KEY_PROBE:
+		return "probe";
+	}
+	return "";
+}
+
+static void
+log_order(const struct order *w, long status, enum dh_key_answer answer)
+{
+	static const char *const names[] = { "accepted", "refused", "silent",
+		"unsent" };
+
+	if (answer == DH_KEY_ACCEPTED && w->o.kind == DH_KEY_GRANT)
+		return;
+	dh_ops(DH_OPS_STATE, "order.answered",
+	    ",\"order\":\"%s\",\"server\":\"%s\",\"from\":%u,\"to\":%u,"
+	    "\"fence\":%llu,\"status\":%ld,\"answer\":\"%s\",\"term\":%llu",
+	    order_name(w->o.kind), w->o.server, w->o.from, w->o.to,
+	    (unsigned long long)w->o.fence, status, names[answer],
+	    (unsigned long long)w->duty->c.term);
+}
+
+static const char *
+handover_of(const struct dh_http_reply *reply)
+{
+	g_autofree char *name = g_ascii_strdown(dh_wire_headers.handover, -1);
+	const char *text = reply->headers == NULL
+	    ? NULL
+	    : g_hash_table_lookup(reply->headers, name);
+	const char *p;
+
+	for (p = text; p != NULL && *p != '\0'; p++)
+		if (!g_ascii_isalnum(*p) && strchr("._-+/=", *p) == NULL)
+			return NULL;
+	return text;
+}
+
+static void
+on_order(void *arg, const struct dh_http_reply *reply)
+{
+	struct order *w = arg;
+	struct dh_duty *d = w->duty;
+	enum dh_key_answer answer = answer_of(w, reply);
+	bool ours;
+
+	log_order(w, reply->status, answer);
+	ours = dh_keyspace_answer(
+	    d->ks, w->o.ticket, answer, handover_of(reply), dh_clock_ms());
+	order_free(w);
+	if (!ours) {
+		d->c.deposed(d->c.arg, "a higher token at a backend server");
+		return;
+	}
+	pump(d);
+}
+
+static void
+order_send(struct dh_duty *d, const struct dh_key_order *o)
+{
+	struct order *w;
+	g_autofree char *address =
+	    dh_registry_address(d->c.registry, o->server);
+	g_autofree char *url = NULL;
+	g_autofree char *body = NULL;
+	g_autofree char *expected =
+	    g_strconcat(dh_wire_headers.expected_server, ": ", o->server, NULL);
+	const char *const headers[] = { "Content-Type: application/json",
+		expected, NULL };
+	struct dh_http_request rq = { .method = "POST",
+		.headers = headers,
+		.timeout_ms = d->c.settings->order_ms,
+		.reset_on_close = true };
+
+	if (address == NULL) {
+		(void)dh_keyspace_answer(
+		    d->ks, o->ticket, DH_KEY_UNSENT, NULL, dh_clock_ms());
+		return;
+	}
+	switch (o->kind) {
+	case DH_KEY_GRANT:
+		url = g_strconcat("http://", address, dh_wire_grant_path, NULL);
+		body = dh_wire_grant(o);
+		break;
+	case DH_KEY_RELEASE:
+		url =
+		    g_strconcat("http://", address, dh_wire_release_path, NULL);
+		body = dh_wire_release(o);
+		/* Answered when the work that runs there has ended. */
+		rq.timeout_ms = d->c.settings->hold_ms;
+		break;
+	case DH_KEY_PROBE:
+		url = g_strconcat("http://", address, health_path(d), NULL);
+		rq.method = "GET";
+		rq.fresh_connection = true;
+		break;
+	}
+	rq.url = url;
+	rq.body = body;
+	rq.body_len = body == NULL ? 0 : strlen(body);
+	w = g_new0(struct order, 1);
+	w->duty = d;
+	w->o = *o;
+	w->link.data = w;
+	g_queue_push_tail_link(&d->orders, &w->link);
+	w->fetch = dh_http_fetch(d->c.http, &rq, on_order, w);
+}
+
+static void
+publish(struct dh_duty *d)
+{
+	struct dh_record r = { .term = d->c.term };
+	const struct dh_key_range *ranges;
+	size_t n;
+	uint64_t number = dh_keyspace_current(d->ks, NULL, NULL);
+
+	if (number == d->published && d->text != NULL)
+		return;
+	d->published = dh_keyspace_current(d->ks, &ranges, &n);
+	r.version = d->published_version = ++d->version;
+	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
+	r.nranges = n;
+	g_free(d->text);
+	d->text = dh_record_text(&r);
+	d->c.published(d->c.arg, d->service, d->text);
+}
+
+static void
+store_failed(struct dh_duty *d, const char *why)
+{
+	d->write_at_ms = dh_clock_ms() + d->pause_ms / 2 +
+	    g_random_int_range(0, (gint)d->pause_ms / 2 + 1);
+	d->pause_ms = MIN(d->pause_ms * 2, STORE_PAUSE_MAX_MS);
+	dh_ops(DH_OPS_STATE, "owners.store_failed",
+	    ",\"service\":\"%s\",\"why\":\"%s\",\"term\":%llu,"
+	    "\"version\":%llu",
+	    d->service, why, (unsigned long long)d->c.term,
+	    (unsigned long long)d->written_version);
+}
+
+static void
+write_taken(struct dh_duty *d, uint64_t revision)
+{
+	uint64_t serial = d->writing;
+
+	d->revision = revision;
+	d->writing = 0;
+	d->in_doubt = false;
+	d->pause_ms = STORE_PAUSE_MIN_MS;
+	d->wrote_ms = dh_clock_ms();
+	d->c.confirmed(d->c.arg);
+	dh_keyspace_stored(d->ks, serial, dh_clock_ms());
+	pump(d);
+}
+
+/* What the object shows after a conflict or a write without an answer. */
+static void
+compare(struct dh_duty *d, const struct dh_object_view *o)
+{
+	g_autoptr(GError) error = NULL;
+	struct dh_record r;
+
+	if (!dh_record_parse(&r, o->spec, &error)) {
+		d->c.deposed(d->c.arg, error->message);
+		return;
+	}
+	dh_record_clear(&r);
+	if (r.term > d->c.term) {
+		d->c.deposed(d->c.arg, "the record has a higher term");
+		return;
+	}
+	if (r.term == d->c.term && r.version == d->written_version) {
+		write_taken(d, o->revision);
+		return;
+	}
+	/* An older version: this write did not take effect, and cannot any
+	 * more once the next one has. */
+	d->revision = o->revision;
+	d->writing = 0;
+	d->in_doubt = false;
+}
+
+static void
+on_written(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_duty *d = arg;
+
+	d->call = NULL;
+	switch (r->result) {
+	case DH_OBJECTS_OK:
+		if (r->nitems == 1) {
+			write_taken(d, r->items[0].revision);
+			return;
+		}
+		d->in_doubt = true;
+		return;
+	case DH_OBJECTS_CONFLICT:
+		if (r->nitems == 1)
+			compare(d, &r->items[0]);
+		else
+			d->in_doubt = true;
+		return;
+	case DH_OBJECTS_NOT_DONE:
+		d->writing = 0;
+		store_failed(d, "store busy or down");
+		return;
+	case DH_OBJECTS_UNKNOWN:
+		d->in_doubt = true;
+		store_failed(d, "no answer to a write");
+		return;
+	case DH_OBJECTS_NOT_FOUND:
+	case DH_OBJECTS_HISTORY_GONE:
+	case DH_OBJECTS_REJECTED:
+		d->in_doubt = true;
+		store_failed(d, "write rejected");
+		return;
+	}
+}
+
+static void
+on_compared(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_duty *d = arg;
+
+	d->call = NULL;
+	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
+		compare(d, &r->items[0]);
+		return;
+	}
+	if (r->result == DH_OBJECTS_NOT_FOUND) {
+		d->revision = 0;
+		d->writing = 0;
+		d->in_doubt = false;
+		return;
+	}
+	store_failed(d, "cannot read the record back");
+}
+
+static void
+store(struct dh_duty *d, int64_t now_ms)
+{
+	struct dh_record r = { .term = d->c.term };
+	const struct dh_key_range *ranges;
+	g_autofree char *text = NULL;
+	uint64_t serial;
+
+	if (d->call != NULL || now_ms < d->write_at_ms)
+		return;
+	if (d->in_doubt) {
+		d->call = dh_objects_get(d->c.objects, d->c.kind, d->object,
+		    STORE_TIMEOUT_MS, on_compared, d);
+		return;
+	}
+	if (!dh_keyspace_urgent(d->ks) && now_ms - d->wrote_ms < LAZY_STORE_MS)
+		return;
+	serial = dh_keyspace_export(d->ks, &ranges, &r.nranges, &r.next_fence);
+	if (serial == 0)
+		return;
+	r.version = ++d->version;
+	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
+	text = dh_record_text(&r);
+	d->writing = serial;
+	d->written_version = r.version;
+	d->call = dh_objects_put(d->c.objects, d->c.kind, d->object,
+	    d->revision, text, STORE_TIMEOUT_MS, on_written, d);
+}
+
+static void
+pump(struct dh_duty *d)
+{
+	struct dh_key_order o;
+
+	store(d, dh_clock_ms());
+	if (dh_keyspace_urgent(d->ks) && d->text == NULL)
+		return;
+	publish(d);
+	while (d->may_order && d->orders.length < ORDERS_MAX &&
+	    dh_keyspace_next(d->ks, dh_clock_ms(), &o))
+		order_send(d, &o);
+}
+
+static void
+set_servers(struct dh_duty *d, int64_t now_ms)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
+
+	dh_registry_servers(d->c.registry, d->service, list);
+	dh_keyspace_set_servers(d->ks,
+	    (const struct dh_keyspace_server *)(void *)list->data, list->len,
+	    now_ms);
+}
+
+static void load(struct dh_duty *d);
+
+static void
+on_loaded(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_duty *d = arg;
+	g_autoptr(GError) error = NULL;
+	struct dh_record record = { 0 };
+
+	d->call = NULL;
+	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
+		d->revision = r->items[0].revision;
+		if (!dh_record_parse(&record, r->items[0].spec, &error))
+			dh_ops(DH_OPS_STATE, "owners.unreadable",
+			    ",\"service\":\"%s\",\"why\":\"%s\"", d->service,
+			    error->message);
+	} else if (r->result != DH_OBJECTS_NOT_FOUND) {
+		store_failed(d, "cannot read the record");
+		return;
+	}
+	if (record.term > d->c.term) {
+		dh_record_clear(&record);
+		d->c.deposed(d->c.arg, "the record has a higher term");
+		return;
+	}
+	dh_keyspace_take_over(d->ks, record.ranges, record.nranges,
+	    record.next_fence, dh_clock_ms());
+	dh_ops(DH_OPS_STATE, "owners.taken_over",
+	    ",\"service\":\"%s\",\"term\":%llu,\"from_term\":%llu,"
+	    "\"from_version\":%llu,\"ranges\":%zu",
+	    d->service, (unsigned long long)d->c.term,
+	    (unsigned long long)record.term, (unsigned long long)record.version,
+	    record.nranges);
+	dh_record_clear(&record);
+	d->loaded = true;
+	dh_duty_step(d, d->may_order);
+}
+
+static void
+load(struct dh_duty *d)
+{
+	if (d->call == NULL && dh_clock_ms() >= d->write_at_ms)
+		d->call = dh_objects_get(d->c.objects, d->c.kind, d->object,
+		    STORE_TIMEOUT_MS, on_loaded, d);
+}
+
+struct dh_duty *
+dh_duty_new(const struct dh_duty_context *c, const char *service)
+{
+	struct dh_duty *d = g_new0(struct dh_duty, 1);
+	struct dh_keyspace_params p = { .hold_ms = c->settings->hold_ms,
+		.renew_ms = c->settings->renew_ms,
+		.probe_ms = PROBE_MS,
+		.solo_ms = c->settings->solo_ms,
+		.drift_permille = DRIFT_PERMILLE,
+		.margin_ms = LEASE_MARGIN_MS };
+
+	d->c = *c;
+	d->service = g_strdup(service);
+	d->object = g_strconcat("service.", service, NULL);
+	d->ks = dh_keyspace_new(&p);
+	d->pause_ms = STORE_PAUSE_MIN_MS;
+	load(d);
+	return d;
+}
+
+void
+dh_duty_free(struct dh_duty *d)
+{
+	struct order *w;
+
+	if (d == NULL)
+		return;
+	while (d->orders.head != NULL) {
+		w = d->orders.head->data;
+		dh_http_fetch_cancel(w->fetch);
+		order_free(w);
+	}
+	dh_objects_cancel(d->call);
+	dh_keyspace_free(d->ks);
+	g_free(d->text);
+	g_free(d->service);
+	g_free(d->object);
+	g_free(d);
+}
+
+void
+dh_duty_step(struct dh_duty *d, bool may_order)
+{
+	int64_t now_ms = dh_clock_ms();
+
+	d->may_order = may_order;
+	if (!d->loaded) {
+		load(d);
+		return;
+	}
+	if (now_ms - d->planned_ms >= PLAN_MS) {
+		d->planned_ms = now_ms;
+		set_servers(d, now_ms);
+		dh_keyspace_plan(d->ks, now_ms);
+	}
+	pump(d);
+}
+
+void
+dh_duty_demand(struct dh_duty *d, uint32_t key)
+{
+	dh_keyspace_demand(d->ks, key);
+}
+
+void
+dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms)
+{
+	dh_keyspace_set_speed(d->ks, server, work_ms);
+}
+
+const char *
+dh_duty_text(const struct dh_duty *d)
+{
+	return d->text;
+}
+
+bool
+dh_duty_is_newest(const struct dh_duty *d, uint64_t term, uint64_t version)
+{
+	return term > d->c.term ||
+	    (term == d->c.term && version >= d->published_version);
+}
--- /dev/null
+++ b/gateway/duty.h
@@ -0,0 +1,54 @@
+#ifndef DH_GATEWAY_DUTY_H
+#define DH_GATEWAY_DUTY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/http.h"
+#include "gateway/record.h"
+#include "gateway/registry.h"
+#include "gateway/settings.h"
+#include "platform/objects.h"
+
+/*
+ * The leader's work for one keyed service: the machine of its ranges, its
+ * record in the store and the orders to its backend servers.  On the control
+ * thread.
+ */
+struct dh_duty;
+
+struct dh_duty_context {
+	const struct dh_gateway_settings *settings;
+	struct dh_http *http;
+	struct dh_objects *objects;
+	struct dh_registry *registry;
+	const char *kind; /* of the record's object */
+	uint64_t term;
+	/* The owners have changed; text is borrowed. */
+	void (*published)(void *arg, const char *service, const char *text);
+	/* The store has taken or confirmed a write of this term. */
+	void (*confirmed)(void *arg);
+	/* Another leader is in office. */
+	void (*deposed)(void *arg, const char *why);
+	void *arg;
+};
+
+/* dh_duty_new -- read the service's record and take it over. */
+struct dh_duty *dh_duty_new(
+    const struct dh_duty_context *c, const char *service);
+void dh_duty_free(struct dh_duty *d);
+
+/* dh_duty_step -- plan, store, and order what is due; orders only while
+ * may_order.  Called every few ten milliseconds. */
+void dh_duty_step(struct dh_duty *d, bool may_order);
+
+/* dh_duty_demand, dh_duty_speed -- what routers have seen. */
+void dh_duty_demand(struct dh_duty *d, uint32_t key);
+void dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms);
+
+/* dh_duty_text -- the owners as last published, NULL before; borrowed. */
+const char *dh_duty_text(const struct dh_duty *d);
+bool dh_duty_is_newest(
+    const struct dh_duty *d, uint64_t term, uint64_t version);
+
+#endif
--- /dev/null
+++ b/gateway/peer.c
@@ -0,0 +1,349 @@
+#include "gateway/peer.h"
+
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "base/counter.h"
+#include "base/error.h"
+#include "base/opslog.h"
+
+/* Largest datagram; a record of more ranges comes from the store. */
+#define DATAGRAM_MAX 60000
+#define KEYS_MAX 4096u
+#define SERVERS_MAX 512u
+
+enum message_kind { MESSAGE_BEAT = 1, MESSAGE_OWNERS = 2, MESSAGE_REPORT = 3 };
+
+struct dh_peer {
+	uv_udp_t udp;
+	uint16_t port;
+	struct dh_peer_handler h;
+	struct dh_counter *dropped;
+	char buffer[65536];
+};
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	struct dh_peer *p = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(p->buffer, sizeof(p->buffer));
+}
+
+static bool
+text_at(const msgpack_object_array *a, uint32_t i, char *to, size_t size)
+{
+	const msgpack_object *o = &a->ptr[i];
+
+	if (i >= a->size || o->type != MSGPACK_OBJECT_STR ||
+	    o->via.str.size >= size ||
+	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL)
+		return false;
+	memcpy(to, o->via.str.ptr, o->via.str.size);
+	to[o->via.str.size] = '\0';
+	return true;
+}
+
+static bool
+number_at(const msgpack_object_array *a, uint32_t i, uint64_t *value)
+{
+	if (i >= a->size || a->ptr[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return false;
+	*value = a->ptr[i].via.u64;
+	return true;
+}
+
+static const msgpack_object_array *
+array_at(const msgpack_object_array *a, uint32_t i, uint32_t most)
+{
+	if (i >= a->size || a->ptr[i].type != MSGPACK_OBJECT_ARRAY ||
+	    a->ptr[i].via.array.size > most)
+		return NULL;
+	return &a->ptr[i].via.array;
+}
+
+static bool
+take_beat(struct dh_peer *p, const msgpack_object_array *a, const char *ip)
+{
+	struct dh_beat b = { 0 };
+	uint64_t failing, vms;
+
+	if (!text_at(a, 1, b.vm, sizeof(b.vm)) || !number_at(a, 2, &b.term) ||
+	    !number_at(a, 3, &failing) || !number_at(a, 4, &vms))
+		return false;
+	b.failing = failing != 0;
+	b.vms = vms > 100000 ? 100000 : (uint32_t)vms;
+	p->h.beat(p->h.arg, &b, ip);
+	return true;
+}
+
+static bool
+take_owners(struct dh_peer *p, const msgpack_object_array *a)
+{
+	char service[DH_NAME_MAX];
+	g_autofree char *text = NULL;
+
+	if (!text_at(a, 1, service, sizeof(service)) || a->size < 3 ||
+	    a->ptr[2].type != MSGPACK_OBJECT_STR)
+		return false;
+	text = g_strndup(a->ptr[2].via.str.ptr, a->ptr[2].via.str.size);
+	p->h.owners(p->h.arg, service, text);
+	return true;
+}
+
+static bool
+read_versions(const msgpack_object_array *list, struct dh_peer_report *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < list->size; i++) {
+		const msgpack_object_array *o = array_at(list, i, 3);
+
+		if (o == NULL ||
+		    !text_at(o, 0, r->owners[i].service,
+			sizeof(r->owners[i].service)) ||
+		    !number_at(o, 1, &r->owners[i].term) ||
+		    !number_at(o, 2, &r->owners[i].version))
+			return false;
+	}
+	r->nowners = list->size;
+	return true;
+}
+
+static bool
+read_keys(const msgpack_object_array *list, struct dh_peer_report *r)
+{
+	struct dh_peer_key k;
+	uint64_t value;
+	uint32_t i;
+
+	for (i = 0; i < list->size; i++) {
+		if (!number_at(list, i, &value))
+			return false;
+		k.owners = (uint32_t)(value >> 16);
+		k.key = (uint32_t)(value & UINT16_MAX);
+		if (value >> 32 != 0 || k.owners >= r->nowners)
+			return false;
+		g_array_append_val(r->keys, k);
+	}
+	return true;
+}
+
+static bool
+read_servers(const msgpack_object_array *list, struct dh_peer_report *r)
+{
+	struct dh_peer_server s;
+	uint64_t value;
+	uint32_t i;
+
+	for (i = 0; i < list->size; i++) {
+		const msgpack_object_array *o = array_at(list, i, 2);
+
+		if (o == NULL || !text_at(o, 0, s.id, sizeof(s.id)) ||
+		    !number_at(o, 1, &value) || value > UINT32_MAX)
+			return false;
+		s.work_ms = (uint32_t)value;
+		g_array_append_val(r->servers, s);
+	}
+	return true;
+}
+
+static bool
+take_report(struct dh_peer *p, const msgpack_object_array *a, const char *ip)
+{
+	g_autoptr(GArray) keys =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_key));
+	g_autoptr(GArray) servers =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_server));
+	struct dh_peer_report r = { .keys = keys, .servers = servers };
+	const msgpack_object_array *l1 = array_at(a, 2, DH_PEER_SERVICES);
+	const msgpack_object_array *l2 = array_at(a, 3, KEYS_MAX);
+	const msgpack_object_array *l3 = array_at(a, 4, SERVERS_MAX);
+
+	if (!text_at(a, 1, r.vm, sizeof(r.vm)) || l1 == NULL || l2 == NULL ||
+	    l3 == NULL || !read_versions(l1, &r) || !read_keys(l2, &r) ||
+	    !read_servers(l3, &r))
+		return false;
+	p->h.report(p->h.arg, &r, ip);
+	return true;
+}
+
+static bool
+take(struct dh_peer *p, const msgpack_object *o, const char *ip)
+{
+	const msgpack_object_array *a = &o->via.array;
+	uint64_t kind;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || !number_at(a, 0, &kind))
+		return false;
+	switch (kind) {
+	case MESSAGE_BEAT:
+		return take_beat(p, a, ip);
+	case MESSAGE_OWNERS:
+		return take_owners(p, a);
+	case MESSAGE_REPORT:
+		return take_report(p, a, ip);
+	default: /* of a later release */
+		return false;
+	}
+}
+
+static void
+on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+    const struct sockaddr *from, unsigned int flags)
+{
+	struct dh_peer *p = udp->data;
+	msgpack_unpacked m;
+	char ip[DH_ADDRESS_MAX];
+	size_t at = 0;
+
+	if (n <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
+		return;
+	if (uv_ip4_name((const struct sockaddr_in *)(const void *)from, ip,
+		sizeof(ip)) != 0)
+		return;
+	msgpack_unpacked_init(&m);
+	if (msgpack_unpack_next(&m, buf->base, (size_t)n, &at) !=
+		MSGPACK_UNPACK_SUCCESS ||
+	    !take(p, &m.data, ip)) {
+		dh_counter_add(p->dropped, 1);
+		dh_ops(DH_OPS_STATE, "peer.bad_datagram",
+		    ",\"from\":\"%s\",\"bytes\":%zd", ip, n);
+	}
+	msgpack_unpacked_destroy(&m);
+}
+
+struct dh_peer *
+dh_peer_new(uv_loop_t *loop, const char *ip, uint16_t port,
+    const struct dh_peer_handler *h, GError **error)
+{
+	struct dh_peer *p = g_new0(struct dh_peer, 1);
+	struct sockaddr_in sin;
+	int rc;
+
+	p->port = port;
+	p->h = *h;
+	p->dropped = dh_counter_get("dh_peer_bad_datagrams_total", "");
+	uv_udp_init(loop, &p->udp);
+	p->udp.data = p;
+	rc = uv_ip4_addr(ip, port, &sin);
+	if (rc == 0)
+		rc = uv_udp_bind(&p->udp, (const struct sockaddr *)&sin, 0);
+	if (rc == 0)
+		rc = uv_udp_recv_start(&p->udp, on_alloc, on_datagram);
+	if (rc == 0)
+		return p;
+	g_set_error(error, DH_ERROR, DH_ERROR_IO, "cannot receive on %s:%u: %s",
+	    ip, port, uv_strerror(rc));
+	dh_peer_free(p);
+	return NULL;
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void
+dh_peer_free(struct dh_peer *p)
+{
+	if (p != NULL)
+		uv_close((uv_handle_t *)&p->udp, on_closed);
+}
+
+static void
+send_buffer(struct dh_peer *p, const char *ip, const msgpack_sbuffer *b)
+{
+	uv_buf_t buf = uv_buf_init(b->data, (unsigned int)b->size);
+	struct sockaddr_in sin;
+
+	if (b->size > DATAGRAM_MAX || uv_ip4_addr(ip, p->port, &sin) != 0 ||
+	    uv_udp_try_send(&p->udp, &buf, 1, (const struct sockaddr *)&sin) <
+		0)
+		dh_counter_add(
+		    dh_counter_get("dh_peer_unsent_datagrams_total", ""), 1);
+}
+
+static void
+pack_text(msgpack_packer *pk, const char *text)
+{
+	msgpack_pack_str_with_body(pk, text, strlen(text));
+}
+
+void
+dh_peer_send_beat(struct dh_peer *p, const char *ip, const struct dh_beat *beat)
+{
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 5);
+	msgpack_pack_uint32(&pk, MESSAGE_BEAT);
+	pack_text(&pk, beat->vm);
+	msgpack_pack_uint64(&pk, beat->term);
+	msgpack_pack_uint32(&pk, beat->failing);
+	msgpack_pack_uint32(&pk, beat->vms);
+	send_buffer(p, ip, &b);
+	msgpack_sbuffer_destroy(&b);
+}
+
+void
+dh_peer_send_owners(
+    struct dh_peer *p, const char *ip, const char *service, const char *text)
+{
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_uint32(&pk, MESSAGE_OWNERS);
+	pack_text(&pk, service);
+	pack_text(&pk, text);
+	send_buffer(p, ip, &b);
+	msgpack_sbuffer_destroy(&b);
+}
+
+void
+dh_peer_send_report(
+    struct dh_peer *p, const char *ip, const struct dh_peer_report *r)
+{
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+	uint32_t i;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 5);
+	msgpack_pack_uint32(&pk, MESSAGE_REPORT);
+	pack_text(&pk, r->vm);
+	msgpack_pack_array(&pk, r->nowners);
+	for (i = 0; i < r->nowners; i++) {
+		msgpack_pack_array(&pk, 3);
+		pack_text(&pk, r->owners[i].service);
+		msgpack_pack_uint64(&pk, r->owners[i].term);
+		msgpack_pack_uint64(&pk, r->owners[i].version);
+	}
+	msgpack_pack_array(&pk, r->keys->len);
+	for (i = 0; i < r->keys->len; i++) {
+		const struct dh_peer_key *k =
+		    &g_array_index(r->keys, struct dh_peer_key, i);
+
+		msgpack_pack_uint32(&pk, k->owners << 16 | k->key);
+	}
+	msgpack_pack_array(&pk, r->servers->len);
+	for (i = 0; i < r->servers->len; i++) {
+		const struct dh_peer_server *s =
+		    &g_array_index(r->servers, struct dh_peer_server, i);
+
+		msgpack_pack_array(&pk, 2);
+		pack_text(&pk, s->id);
+		msgpack_pack_uint32(&pk, s->work_ms);
+	}
+	send_buffer(p, ip, &b);
+	msgpack_sbuffer_destroy(&b);
+}
--- /dev/null
+++ b/gateway/peer.h
@@ -0,0 +1,74 @@
+#ifndef DH_GATEWAY_PEER_H
+#define DH_GATEWAY_PEER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <uv.h>
+
+#include <dogwoodhub/types.h>
+
+/*
+ * Datagrams between VMs, in msgpack: the leader's heartbeats and the owners of
+ * keys one way, what routers have seen the other.  All of it is advice: what
+ * must be agreed on is in the store.  On the control thread.
+ */
+struct dh_peer;
+
+/* The leader is in office. */
+struct dh_beat {
+	char vm[DH_NAME_MAX];
+	uint64_t term;
+	bool failing; /* it cannot reach the store, or is about to leave */
+	uint32_t vms; /* that report to it, itself included */
+};
+
+#define DH_PEER_SERVICES 16
+
+/* What a router has seen. */
+struct dh_peer_report {
+	char vm[DH_NAME_MAX];
+	uint32_t nowners; /* services whose owners it knows */
+	struct {
+		char service[DH_NAME_MAX];
+		uint64_t term, version;
+	} owners[DH_PEER_SERVICES];
+	GArray *keys; /* of struct dh_peer_key; borrowed */
+	GArray *servers; /* of struct dh_peer_server; borrowed */
+};
+
+struct dh_peer_key {
+	uint32_t owners; /* index into owners */
+	uint32_t key;
+};
+
+struct dh_peer_server {
+	char id[DH_NAME_MAX];
+	uint32_t work_ms;
+};
+
+struct dh_peer_handler {
+	void (*beat)(
+	    void *arg, const struct dh_beat *beat, const char *from_ip);
+	/* text is NUL-ended and borrowed. */
+	void (*owners)(void *arg, const char *service, const char *text);
+	void (*report)(void *arg, const struct dh_peer_report *report,
+	    const char *from_ip);
+	void *arg;
+};
+
+/* dh_peer_new -- receive on ip and port; NULL with DH_ERROR_IO. */
+struct dh_peer *dh_peer_new(uv_loop_t *loop, const char *ip, uint16_t port,
+    const struct dh_peer_handler *h, GError **error);
+void dh_peer_free(struct dh_peer *p);
+
+/* Send to the same port of another VM; a datagram may be lost. */
+void dh_peer_send_beat(
+    struct dh_peer *p, const char *ip, const struct dh_beat *beat);
+void dh_peer_send_owners(
+    struct dh_peer *p, const char *ip, const char *service, const char *text);
+void dh_peer_send_report(
+    struct dh_peer *p, const char *ip, const struct dh_peer_report *r);
+
+#endif
--- /dev/null
+++ b/gateway/record.c
@@ -0,0 +1,177 @@
+#include "gateway/record.h"
+
+#include <string.h>
+
+#include "base/error.h"
+
+#define RANGE_FIELDS 6
+
+static int
+server_index(GPtrArray *servers, GString *out, const char *id, int64_t born_ms)
+{
+	guint i;
+
+	if (id[0] == '\0')
+		return -1;
+	for (i = 0; i < servers->len; i++)
+		if (strcmp(servers->pdata[i], id) == 0)
+			return (int)i;
+	g_ptr_array_add(servers, (gpointer)(uintptr_t)id);
+	g_string_append_printf(
+	    out, "%s[\"%s\",%lld]", i == 0 ? "" : ",", id, (long long)born_ms);
+	return (int)i;
+}
+
+char *
+dh_record_text(const struct dh_record *r)
+{
+	g_autoptr(GPtrArray) servers = g_ptr_array_new();
+	g_autoptr(GString) names = g_string_new(NULL);
+	g_autoptr(GString) ranges = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < r->nranges; i++) {
+		const struct dh_key_range *k = &r->ranges[i];
+		int owner =
+		    server_index(servers, names, k->owner, k->owner_born_ms);
+		int former =
+		    server_index(servers, names, k->former, k->former_born_ms);
+
+		g_string_append_printf(ranges, "%s[%u,%d,%llu,%d,%llu,%d]",
+		    i == 0 ? "" : ",", k->to, owner,
+		    (unsigned long long)k->fence, former,
+		    (unsigned long long)k->former_fence, k->settled);
+	}
+	return g_strdup_printf("{\"term\":%llu,\"version\":%llu,\"next\":%llu,"
+			       "\"servers\":[%s],\"ranges\":[%s]}",
+	    (unsigned long long)r->term, (unsigned long long)r->version,
+	    (unsigned long long)r->next_fence, names->str, ranges->str);
+}
+
+static bool
+invalid(GError **error, const char *what)
+{
+	g_set_error(error, DH_ERROR, DH_ERROR_INVALID, "%s", what);
+	return false;
+}
+
+static struct json_object *
+array_of(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	if (!json_object_is_type(o, json_type_object) ||
+	    !json_object_object_get_ex(o, name, &v) ||
+	    !json_object_is_type(v, json_type_array))
+		return NULL;
+	return v;
+}
+
+static bool
+number_of(struct json_object *o, const char *name, uint64_t *value)
+{
+	struct json_object *v;
+
+	if (!json_object_is_type(o, json_type_object) ||
+	    !json_object_object_get_ex(o, name, &v) ||
+	    !json_object_is_type(v, json_type_int))
+		return false;
+	*value = (uint64_t)json_object_get_int64(v);
+	return true;
+}
+
+static bool
+read_server(struct json_object *servers, struct json_object *index, char *id,
+    int64_t *born_ms)
+{
+	int64_t i = json_object_get_int64(index);
+	struct json_object *s, *name;
+
+	if (!json_object_is_type(index, json_type_int) || i < -1)
+		return false;
+	if (i == -1)
+		return true;
+	if ((size_t)i >= json_object_array_length(servers))
+		return false;
+	s = json_object_array_get_idx(servers, (size_t)i);
+	if (!json_object_is_type(s, json_type_array) ||
+	    json_object_array_length(s) != 2)
+		return false;
+	name = json_object_array_get_idx(s, 0);
+	*born_ms = json_object_get_int64(json_object_array_get_idx(s, 1));
+	return json_object_is_type(name, json_type_string) &&
+	    g_strlcpy(id, json_object_get_string(name), DH_NAME_MAX) <
+	    DH_NAME_MAX;
+}
+
+static bool
+read_range(struct json_object *servers, struct json_object *o, uint32_t from,
+    struct dh_key_range *k)
+{
+	int64_t to;
+
+	if (!json_object_is_type(o, json_type_array) ||
+	    json_object_array_length(o) != RANGE_FIELDS)
+		return false;
+	to = json_object_get_int64(json_object_array_get_idx(o, 0));
+	if (to < from || to >= DH_KEYS)
+		return false;
+	k->from = from;
+	k->to = (uint32_t)to;
+	k->fence =
+	    (uint64_t)json_object_get_int64(json_object_array_get_idx(o, 2));
+	k->former_fence =
+	    (uint64_t)json_object_get_int64(json_object_array_get_idx(o, 4));
+	k->settled =
+	    json_object_get_int64(json_object_array_get_idx(o, 5)) == 1;
+	return read_server(servers, json_object_array_get_idx(o, 1), k->owner,
+		   &k->owner_born_ms) &&
+	    read_server(servers, json_object_array_get_idx(o, 3), k->former,
+		&k->former_born_ms);
+}
+
+bool
+dh_record_parse(struct dh_record *r, struct json_object *o, GError **error)
+{
+	struct json_object *servers = array_of(o, "servers");
+	struct json_object *ranges = array_of(o, "ranges");
+	uint32_t from = 0;
+	size_t i;
+
+	*r = (struct dh_record){ 0 };
+	if (servers == NULL || ranges == NULL ||
+	    !number_of(o, "term", &r->term) ||
+	    !number_of(o, "version", &r->version) ||
+	    !number_of(o, "next", &r->next_fence))
+		return invalid(error, "owners: a member is missing");
+	r->nranges = json_object_array_length(ranges);
+	if (r->nranges > DH_KEYS)
+		return invalid(error, "owners: too many ranges");
+	r->ranges = g_new0(struct dh_key_range, r->nranges + 1);
+	for (i = 0; i < r->nranges; i++) {
+		if (!read_range(servers, json_object_array_get_idx(ranges, i),
+			from, &r->ranges[i])) {
+			dh_record_clear(r);
+			return invalid(error, "owners: a range is wrong");
+		}
+		from = r->ranges[i].to + 1;
+	}
+	if (from != DH_KEYS) {
+		dh_record_clear(r);
+		return invalid(error, "owners: not all keys");
+	}
+	return true;
+}
+
+void
+dh_record_clear(struct dh_record *r)
+{
+	g_clear_pointer(&r->ranges, g_free);
+	r->nranges = 0;
+}
+
+bool
+dh_record_newer(const struct dh_record *a, const struct dh_record *b)
+{
+	return a->term != b->term ? a->term > b->term : a->version > b->version;
+}
--- /dev/null
+++ b/gateway/record.h
@@ -0,0 +1,40 @@
+#ifndef DH_GATEWAY_RECORD_H
+#define DH_GATEWAY_RECORD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <dogwoodhub/keyspace.h>
+
+#include <glib.h>
+#include <json.h>
+
+/*
+ * The owners of a service's keys as text: in the store, and between VMs.
+ * {"term":1,"version":2,"next":9,"servers":[["ID",BORN],..],
+ *  "ranges":[[TO,OWNER,FENCE,FORMER,FORMER_FENCE,SETTLED],..]}
+ * Ranges follow one another from key 0; OWNER and FORMER are indices into
+ * servers, -1 for none.
+ */
+struct dh_record {
+	uint64_t term; /* of the leader that wrote it */
+	uint64_t version; /* within the term */
+	uint64_t next_fence;
+	struct dh_key_range *ranges;
+	size_t nranges;
+};
+
+/* dh_record_text -- encode; the caller's to free. */
+char *dh_record_text(const struct dh_record *r);
+
+/* dh_record_parse -- decode; false with DH_ERROR_INVALID.  dh_record_clear
+ * frees the ranges. */
+bool dh_record_parse(
+    struct dh_record *r, struct json_object *o, GError **error);
+void dh_record_clear(struct dh_record *r);
+
+/* dh_record_newer -- whether a is newer than b. */
+bool dh_record_newer(const struct dh_record *a, const struct dh_record *b);
+
+#endif
--- /dev/null
+++ b/gateway/registry.c
@@ -0,0 +1,419 @@
+#include "gateway/registry.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/opslog.h"
+#include "base/timer.h"
+#include "gateway/mirror.h"
+#include "platform/wire.h"
+
+/* A keyed backend server that leaves gets its last requests so long before
+ * they would be too late: what a request and its keys' move need. */
+#define CLOSE_EARLY_MS 500
+/* How long one that left is remembered, so that its keys can be released. */
+#define FORGET_MS 60000
+/* Routers that share the backend servers, before the leader has said. */
+#define VMS_DEFAULT 8
+
+struct known {
+	struct dh_registration r;
+	uint32_t uid;
+	int64_t cold_until_ms;
+	int64_t leaving_ms; /* since when it leaves or is gone; 0: it stays */
+	int64_t
+	    missing_ms; /* since when its entry is missing; 0: it is there */
+	bool counted_out; /* missing and not awaited back */
+	bool replaced; /* another one has its address */
+};
+
+struct dh_registry {
+	const struct dh_gateway_settings *settings;
+	struct dh_mirror *servers_mirror, *config_mirror;
+	GHashTable *servers; /* id -> struct known */
+	struct dh_deployment **deployment;
+	uint32_t next_uid;
+	uint64_t views;
+	int64_t awaited_until_ms; /* missing entries may be back until then */
+	bool servers_reached;
+	uv_timer_t *timer; /* missing entries */
+	void (*changed)(void *arg);
+	void *arg;
+};
+
+static void
+drop_other_at_address(struct dh_registry *reg, const struct known *k)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct known *o = value;
+
+		if (o == k || o->replaced || o->r.port != k->r.port ||
+		    strcmp(o->r.address, k->r.address) != 0 ||
+		    o->r.born_ms > k->r.born_ms)
+			continue;
+		o->replaced = true;
+		dh_ops(DH_OPS_STATE, "server.replaced",
+		    ",\"server\":\"%s\",\"by\":\"%s\",\"address\":\"%s:%u\"",
+		    o->r.id, k->r.id, k->r.address, k->r.port);
+	}
+}
+
+static bool
+other_life(const struct known *k, const struct dh_registration *r)
+{
+	return k->r.born_ms != r->born_ms || k->r.port != r->port ||
+	    strcmp(k->r.address, r->address) != 0 ||
+	    strcmp(k->r.service, r->service) != 0;
+}
+
+static void
+update(struct dh_registry *reg, const struct dh_registration *r)
+{
+	struct known *k = g_hash_table_lookup(reg->servers, r->id);
+	int64_t now_ms = dh_clock_ms();
+	bool fresh = k == NULL;
+
+	if (fresh) {
+		k = g_new0(struct known, 1);
+		g_hash_table_insert(reg->servers, g_strdup(r->id), k);
+	}
+	if (fresh || other_life(k, r)) {
+		k->uid = ++reg->next_uid;
+		k->replaced = false;
+		k->leaving_ms = 0;
+	}
+	k->r = *r;
+	k->missing_ms = 0;
+	k->counted_out = false;
+	k->cold_until_ms = r->cold_left_ms > 0 ? now_ms + r->cold_left_ms : 0;
+	if (!r->draining)
+		k->leaving_ms = 0;
+	else if (k->leaving_ms == 0)
+		k->leaving_ms = now_ms;
+	drop_other_at_address(reg, k);
+	dh_ops(DH_OPS_STATE, fresh ? "server.joined" : "server.changed",
+	    ",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
+	    "\"zone\":\"%s\",\"slots\":%u,\"draining\":%s,\"born\":%lld",
+	    r->id, r->service, r->address, r->port, r->zone, r->slots,
+	    r->draining ? "true" : "false", (long long)r->born_ms);
+}
+
+static void
+on_server(void *arg, const struct dh_object_view *o)
+{
+	struct dh_registry *reg = arg;
+	g_autoptr(GError) error = NULL;
+	struct dh_registration r;
+	char name[128];
+
+	if (!dh_wire_registration(&r, o->name, o->spec, &error)) {
+		dh_ops(DH_OPS_STATE, "server.entry_ignored",
+		    ",\"entry\":%s,\"revision\":%llu,\"why\":\"%s\"",
+		    dh_ops_text(name, sizeof(name), o->name),
+		    (unsigned long long)o->revision, error->message);
+		return;
+	}
+	update(reg, &r);
+	reg->changed(reg->arg);
+}
+
+static void
+count_out(struct dh_registry *reg, struct known *k, int64_t now_ms)
+{
+	k->counted_out = true;
+	if (k->leaving_ms == 0)
+		k->leaving_ms = now_ms;
+	dh_ops(DH_OPS_STATE, "server.left",
+	    ",\"server\":\"%s\",\"missing_ms\":%lld", k->r.id,
+	    (long long)(now_ms - k->missing_ms));
+	reg->changed(reg->arg);
+}
+
+/* Entries that are missing and not awaited back. */
+static void
+on_timer(uv_timer_t *timer)
+{
+	struct dh_registry *reg = timer->data;
+	int64_t now_ms = dh_clock_ms();
+	GHashTableIter it;
+	gpointer value;
+
+	if (!reg->servers_reached)
+		return;
+	if (now_ms < reg->awaited_until_ms) {
+		uv_timer_start(reg->timer, on_timer,
+		    (uint64_t)(reg->awaited_until_ms - now_ms), 0);
+		return;
+	}
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct known *k = value;
+
+		if (k->missing_ms != 0 && !k->counted_out)
+			count_out(reg, k, now_ms);
+		else if (k->counted_out && now_ms - k->missing_ms > FORGET_MS)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+static void
+on_server_gone(void *arg, const char *name)
+{
+	struct dh_registry *reg = arg;
+	struct known *k = g_hash_table_lookup(reg->servers, name);
+
+	if (k == NULL || k->missing_ms != 0)
+		return;
+	k->missing_ms = dh_clock_ms();
+	uv_timer_start(reg->timer, on_timer, 0, 0);
+}
+
+static void
+on_servers_reached(void *arg, bool reached)
+{
+	struct dh_registry *reg = arg;
+	bool first = reg->views == 0 && reg->deployment == NULL;
+
+	if (reached && !reg->servers_reached && !first)
+		reg->awaited_until_ms =
+		    dh_clock_ms() + reg->settings->return_ms;
+	reg->servers_reached = reached;
+	if (reached)
+		uv_timer_start(reg->timer, on_timer, 0, 0);
+}
+
+static void
+on_config(void *arg, const struct dh_object_view *o)
+{
+	struct dh_registry *reg = arg;
+	g_autoptr(GError) error = NULL;
+	struct dh_deployment *d;
+
+	if (strcmp(o->name, dh_wire_config_name) != 0)
+		return;
+	d = dh_wire_deployment(o->spec, &error);
+	if (d == NULL) {
+		dh_ops(DH_OPS_STATE, "config.ignored",
+		    ",\"revision\":%llu,\"why\":\"%s\"",
+		    (unsigned long long)o->revision, error->message);
+		return;
+	}
+	if (reg->deployment != NULL &&
+	    d->version <= (*reg->deployment)->version) {
+		dh_deployment_free(d);
+		return;
+	}
+	dh_ops(DH_OPS_STATE, "config.in_force",
+	    ",\"version\":%lld,\"before\":%lld,\"revision\":%llu,"
+	    "\"routes\":%zu,\"services\":%zu",
+	    (long long)d->version,
+	    reg->deployment == NULL ? -1LL
+				    : (long long)(*reg->deployment)->version,
+	    (unsigned long long)o->revision, d->nroutes, d->nservices);
+	dh_deployment_unbox(reg->deployment);
+	reg->deployment = dh_deployment_box(d);
+	reg->changed(reg->arg);
+}
+
+static void
+on_config_gone(void *arg, const char *name)
+{
+	(void)arg;
+	/* What was accepted stays in force. */
+	dh_ops(DH_OPS_STATE, "config.object_gone", ",\"name\":\"%s\"", name);
+}
+
+static void
+on_config_reached(void *arg, bool reached)
+{
+	(void)arg;
+	(void)reached;
+}
+
+struct dh_registry *
+dh_registry_new(uv_loop_t *loop, struct dh_objects *o,
+    const struct dh_gateway_settings *s, void (*changed)(void *arg), void *arg)
+{
+	struct dh_registry *reg = g_new0(struct dh_registry, 1);
+	struct dh_mirror_handler servers = { on_server, on_server_gone,
+		on_servers_reached, reg };
+	struct dh_mirror_handler config = { on_config, on_config_gone,
+		on_config_reached, reg };
+
+	reg->settings = s;
+	reg->changed = changed;
+	reg->arg = arg;
+	reg->servers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	reg->timer = dh_timer_new(loop, reg);
+	reg->servers_mirror =
+	    dh_mirror_new(loop, o, dh_wire_kind_servers, DH_FRESH, &servers);
+	reg->config_mirror =
+	    dh_mirror_new(loop, o, dh_wire_kind_config, DH_FRESH, &config);
+	return reg;
+}
+
+void
+dh_registry_free(struct dh_registry *reg)
+{
+	if (reg == NULL)
+		return;
+	dh_mirror_free(reg->servers_mirror);
+	dh_mirror_free(reg->config_mirror);
+	dh_timer_free(reg->timer);
+	g_hash_table_destroy(reg->servers);
+	dh_deployment_unbox(reg->deployment);
+	g_free(reg);
+}
+
+const struct dh_deployment *
+dh_registry_deployment(const struct dh_registry *reg)
+{
+	return reg->deployment == NULL ? NULL : *reg->deployment;
+}
+
+bool
+dh_registry_ready(const struct dh_registry *reg)
+{
+	return reg->deployment != NULL && dh_mirror_listed(reg->servers_mirror);
+}
+
+/* When the backend server gets its last request; INT64_MAX if it stays. */
+static int64_t
+closes_ms(const struct dh_registry *reg, const struct known *k, bool keyed)
+{
+	int64_t most_ms = reg->settings->drain_ms - CLOSE_EARLY_MS;
+
+	if (k->replaced)
+		return 0;
+	if (k->leaving_ms == 0)
+		return INT64_MAX;
+	return k->leaving_ms + (keyed && most_ms > 0 ? most_ms : 0);
+}
+
+static enum dh_tier
+tier_of(const struct dh_registry *reg, const char *zone)
+{
+	g_autofree char *region = NULL;
+
+	if (strcmp(zone, reg->settings->zone) == 0)
+		return DH_TIER_ZONE;
+	region = dh_gateway_region(reg->settings, zone);
+	return strcmp(region, reg->settings->region) == 0 ? DH_TIER_REGION
+							  : DH_TIER_REMOTE;
+}
+
+static void
+view_server(struct dh_registry *reg, const struct known *k, uint32_t service,
+    struct dh_view_server *s)
+{
+	const struct dh_deployment *d = *reg->deployment;
+
+	*s = (struct dh_view_server){ .uid = k->uid,
+		.tier = tier_of(reg, k->r.zone),
+		.service = service,
+		.slots = k->r.slots,
+		.closed = dh_clock_ms() >=
+		    closes_ms(reg, k, d->services[service].keyed) };
+	(void)g_strlcpy(s->id, k->r.id, sizeof(s->id));
+	(void)uv_ip4_addr(k->r.address, k->r.port, &s->address);
+	/* The workers' clock does not count suspends: close enough. */
+	s->cold_until_ms = k->cold_until_ms == 0
+	    ? 0
+	    : (int64_t)(uv_hrtime() / 1000000) + k->cold_until_ms -
+		dh_clock_ms();
+}
+
+static void
+view_index(struct dh_view *v, uint32_t service)
+{
+	struct dh_view_service *s = &v->services[service];
+	size_t i;
+
+	s->servers = g_new(uint32_t, v->nservers + 1);
+	for (i = 0; i < v->nservers; i++)
+		if (v->servers[i].service == service)
+			s->servers[s->nservers++] = (uint32_t)i;
+}
+
+struct dh_view *
+dh_registry_view(struct dh_registry *reg)
+{
+	struct dh_view *v;
+	GHashTableIter it;
+	gpointer value;
+	uint32_t service;
+	size_t i;
+
+	if (reg->deployment == NULL)
+		return NULL;
+	v = dh_view_new(reg->deployment);
+	v->number = ++reg->views;
+	v->vms = VMS_DEFAULT;
+	v->servers =
+	    g_new0(struct dh_view_server, g_hash_table_size(reg->servers) + 1);
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct known *k = value;
+
+		service = dh_deployment_service(*reg->deployment, k->r.service);
+		if (service != DH_NONE)
+			view_server(
+			    reg, k, service, &v->servers[v->nservers++]);
+	}
+	for (i = 0; i < (*reg->deployment)->nservices; i++)
+		view_index(v, (uint32_t)i);
+	return v;
+}
+
+int64_t
+dh_registry_next_change_ms(const struct dh_registry *reg)
+{
+	int64_t now_ms = dh_clock_ms(), next_ms = INT64_MAX, at_ms;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		at_ms = closes_ms(reg, value, true);
+		if (at_ms > now_ms && at_ms < next_ms)
+			next_ms = at_ms;
+	}
+	return next_ms;
+}
+
+void
+dh_registry_servers(
+    const struct dh_registry *reg, const char *service, GArray *list)
+{
+	struct dh_keyspace_server s;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct known *k = value;
+
+		if (strcmp(k->r.service, service) != 0)
+			continue;
+		s = (struct dh_keyspace_server){ .born_ms = k->r.born_ms,
+			.slots = k->r.slots,
+			.leaving = k->leaving_ms != 0,
+			.dead = k->replaced };
+		(void)g_strlcpy(s.id, k->r.id, sizeof(s.id));
+		g_array_append_val(list, s);
+	}
+}
+
+char *
+dh_registry_address(const struct dh_registry *reg, const char *id)
+{
+	const struct known *k = g_hash_table_lookup(reg->servers, id);
+
+	return k == NULL ? NULL
+			 : g_strdup_printf("%s:%u", k->r.address, k->r.port);
+}
--- /dev/null
+++ b/gateway/request.c
@@ -0,0 +1,479 @@
+/*
+ * One request's life: where it may go, what its attempts mean, and the one
+ * answer that its caller gets.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/opslog.h"
+#include "gateway/worker_internal.h"
+#include "platform/wire.h"
+
+/* Before a configuration is known. */
+#define NO_CONFIG_RETRY_MS 500
+/* Part of the fleet's share of retries that is used, and how many a VM may
+ * make in a row beyond its part of the slack. */
+#define RETRY_SHARE_USED_PERCENT 70
+#define RETRY_BURST 8
+/* The caller's own clock runs out a little before ours says so. */
+#define DEADLINE_SLACK_MS 5
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+	struct dh_request *rq = handle->data;
+
+	if (--rq->closing > 0)
+		return;
+	dh_view_unref(rq->view);
+	if (rq->wire != NULL)
+		g_string_free(rq->wire, TRUE);
+	g_free(rq);
+}
+
+/* The request has its answer, or nobody waits for one. */
+static void
+request_end(struct dh_request *rq)
+{
+	if (rq->state == DH_REQUEST_ENDED)
+		return;
+	if (rq->state == DH_REQUEST_PARKED)
+		g_queue_unlink(&rq->worker->parked, &rq->link);
+	rq->state = DH_REQUEST_ENDED;
+	if (rq->upstream != NULL) {
+		dh_upstream_drop(rq);
+		dh_request_give_back(rq, DH_REPLY_DROPPED, NULL);
+	}
+	rq->client = NULL;
+	rq->in = NULL;
+	rq->worker->running--;
+	rq->closing = 2;
+	uv_close((uv_handle_t *)&rq->timer, on_timer_closed);
+	uv_close((uv_handle_t *)&rq->pause, on_timer_closed);
+}
+
+static void
+log_end(struct dh_request *rq, unsigned int status, const char *why)
+{
+	char id[DH_NAME_MAX * 2 + 8];
+	int64_t now_ms = dh_worker_now_ms(rq->worker);
+
+	dh_ops(DH_OPS_REQUEST, "request.end",
+	    ",\"id\":%s,\"status\":%u,\"why\":\"%s\",\"route\":\"%s\","
+	    "\"key\":%d,\"server\":\"%s\",\"attempts\":%u,\"unreachable\":%u,"
+	    "\"age_ms\":%lld,\"left_ms\":%lld,\"sent_ms_ago\":%lld,"
+	    "\"expected_ms\":%.0f,\"ahead\":%.1f,\"config\":%lld,"
+	    "\"view\":%llu,\"owners\":%llu",
+	    dh_ops_text(id, sizeof(id), rq->id), status, why,
+	    rq->route == NULL ? "" : rq->route->name,
+	    rq->keyed ? (int)rq->key : -1, rq->server, rq->attempts,
+	    rq->unreachable, (long long)(now_ms - rq->arrived_ms),
+	    (long long)(rq->deadline_ms - now_ms),
+	    rq->sent_ms == 0 ? -1LL : (long long)(now_ms - rq->sent_ms),
+	    rq->expected_ms, rq->ahead,
+	    rq->view == NULL ? -1LL
+			     : (long long)(*rq->view->deployment)->version,
+	    rq->view == NULL ? 0ULL : (unsigned long long)rq->view->number,
+	    rq->view == NULL ? 0ULL
+			     : (unsigned long long)rq->view->owners_version);
+}
+
+static void
+count_own_answer(struct dh_worker *w, unsigned int status)
+{
+	switch (status) {
+	case 503:
+	case 429:
+		dh_counter_add(w->c.refused, 1);
+		return;
+	case 502:
+	case 504:
+		dh_counter_add(w->c.unknown, 1);
+		return;
+	default:
+		dh_counter_add(w->c.failed, 1);
+		return;
+	}
+}
+
+void
+dh_request_finish(struct dh_request *rq, unsigned int status, const char *why,
+    int64_t retry_after_ms)
+{
+	struct dh_client *client = rq->client;
+	struct dh_worker *w = rq->worker;
+	GString *head;
+
+	/* What may have run is not said not to have run. */
+	if (status == 503 && rq->may_have_run)
+		status = 502;
+	log_end(rq, status, why);
+	count_own_answer(w, status);
+	if (client == NULL) {
+		request_end(rq);
+		return;
+	}
+	head = g_string_sized_new(256);
+	g_string_printf(head, "HTTP/1.1 %u %s\r\n", status,
+	    http_status_str((enum http_status)status));
+	if (rq->id[0] != '\0')
+		g_string_append_printf(
+		    head, "%s: %s\r\n", dh_wire_headers.request_id, rq->id);
+	if (status == 503 && retry_after_ms > 0)
+		g_string_append_printf(head, "Retry-After: %.3f\r\n",
+		    (double)retry_after_ms / 1000.0);
+	g_string_append(head, "Content-Type: text/plain\r\n");
+	request_end(rq);
+	dh_client_answer(client, head, why, strlen(why), false);
+}
+
+static void
+pass_on(struct dh_request *rq, struct dh_message *answer)
+{
+	struct dh_client *client = rq->client;
+	struct dh_worker *w = rq->worker;
+	unsigned int status = answer->parser.status_code;
+	int64_t age_ms = dh_worker_now_ms(w) - rq->arrived_ms;
+	const char *length;
+	GString *head;
+
+	dh_counter_add(w->c.done, 1);
+	if (age_ms > rq->route->target_ms)
+		dh_counter_add(w->c.late, 1);
+	dh_worker_latency(w, age_ms);
+	if (status >= 400 || rq->attempts > 1)
+		log_end(rq, status, "answered");
+	rq->service_state->answer_kib += 0.05 *
+	    ((double)answer->body->len / 1024 - rq->service_state->answer_kib);
+	if (client == NULL) {
+		request_end(rq);
+		return;
+	}
+	head = g_string_sized_new(answer->text->len + 256);
+	g_string_printf(head, "HTTP/1.1 %u %s\r\n", status,
+	    http_status_str((enum http_status)status));
+	dh_message_copy_headers(answer, NULL, head);
+	length = dh_message_header(answer, "Content-Length");
+	if (rq->head_only && length != NULL)
+		g_string_append_printf(head, "Content-Length: %s\r\n", length);
+	request_end(rq);
+	dh_client_answer(
+	    client, head, answer->body->str, answer->body->len, false);
+}
+
+/* This VM's part of the retries that all may make.  Connections fall unevenly
+ * on VMs, so some of the share is left. */
+static struct dh_retry_params
+retry_params(const struct dh_request *rq)
+{
+	const struct dh_gateway_settings *s = rq->worker->settings;
+	uint32_t vms = rq->worker->view->vms;
+	uint32_t most = rq->route->attempts_max;
+
+	return (struct dh_retry_params){
+		.percent = (uint32_t)s->retry_share_milli *
+		    RETRY_SHARE_USED_PERCENT / 1000,
+		.burst = s->retry_slack / 2 / (vms > 0 ? vms : 1) + RETRY_BURST,
+		.max_attempts = most < DH_ATTEMPTS_MAX ? most : DH_ATTEMPTS_MAX,
+	};
+}
+
+/* Whether one more attempt is allowed: by the kind, the route and the share
+ * of retries that this VM has. */
+static bool
+retry_allowed(struct dh_request *rq, enum dh_outcome outcome)
+{
+	struct dh_retry_params p = retry_params(rq);
+	struct dh_retry_attempt at = {
+		.outcome = outcome,
+		.idempotent = rq->route->repeat == DH_REPEAT_SAFE,
+		.number = rq->attempts,
+		.deadline_ms = rq->deadline_ms,
+		.latency_ms = (int64_t)rq->service_state->work_ms,
+	};
+	struct dh_retry_decision d = dh_retry_decide(&rq->service_state->budget,
+	    &p, &at, &rq->worker->rng, dh_worker_now_ms(rq->worker));
+
+	if (rq->client == NULL || d.verdict != DH_RETRY_AGAIN)
+		return false;
+	dh_counter_add(rq->worker->c.retries, 1);
+	return true;
+}
+
+static void
+note_tried(struct dh_request *rq)
+{
+	if (rq->pool != NULL && rq->ntried < DH_ATTEMPTS_MAX)
+		rq->tried[rq->ntried++] = rq->pool->uid;
+}
+
+static void
+log_attempt(struct dh_request *rq, const char *how, const char *why)
+{
+	char id[DH_NAME_MAX * 2 + 8];
+
+	dh_ops(DH_OPS_REQUEST, "attempt.end",
+	    ",\"id\":%s,\"how\":\"%s\",\"why\":\"%s\",\"server\":\"%s\","
+	    "\"attempt\":%u,\"after_ms\":%lld,\"ahead\":%.1f,\"view\":%llu",
+	    dh_ops_text(id, sizeof(id), rq->id), how, why, rq->server,
+	    rq->attempts,
+	    (long long)(dh_worker_now_ms(rq->worker) - rq->sent_ms), rq->ahead,
+	    (unsigned long long)rq->view->number);
+}
+
+/* Not run there; it may go elsewhere, or wait for the owner. */
+static void
+not_run(struct dh_request *rq, bool misdirected, const char *why)
+{
+	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
+
+	rq->may_have_run = false;
+	note_tried(rq);
+	log_attempt(rq, misdirected ? "misdirected" : "not_run", why);
+	if (!retry_allowed(rq, DH_OUTCOME_NOT_RUN)) {
+		dh_request_finish(rq, 503, why,
+		    dh_retry_after_ms(left_ms / 6, left_ms, &rq->worker->rng));
+		return;
+	}
+	if (misdirected && rq->keyed) {
+		rq->misdirected_owners = rq->worker->view->owners_version;
+		rq->misdirected = true;
+	}
+	dh_request_dispatch(rq);
+}
+
+void
+dh_request_answered(struct dh_request *rq, struct dh_message *answer)
+{
+	unsigned int status = answer->parser.status_code;
+
+	uv_timer_stop(&rq->pause);
+	if (dh_message_header(answer, dh_wire_headers.not_run) != NULL ||
+	    status == 421) {
+		dh_request_give_back(rq,
+		    status == 503 ? DH_REPLY_SHED : DH_REPLY_DROPPED, answer);
+		not_run(rq, status == 421,
+		    status == 421 ? "not the owner" : "backend server refused");
+		return;
+	}
+	dh_request_give_back(
+	    rq, status >= 500 ? DH_REPLY_ERROR : DH_REPLY_GOOD, answer);
+	if (status >= 500 && rq->route->repeat == DH_REPEAT_SAFE) {
+		note_tried(rq);
+		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
+			log_attempt(rq, "error", "backend server failed");
+			dh_request_dispatch(rq);
+			return;
+		}
+	}
+	pass_on(rq, answer);
+}
+
+void
+dh_request_attempt_ended(
+    struct dh_request *rq, enum dh_attempt_end how, const char *why)
+{
+	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
+
+	uv_timer_stop(&rq->pause);
+	note_tried(rq);
+	switch (how) {
+	case DH_ATTEMPT_UNREACHABLE:
+		dh_request_give_back(rq, DH_REPLY_UNREACHABLE, NULL);
+		log_attempt(rq, "unreachable", why);
+		rq->attempts--;
+		rq->unreachable++;
+		if (rq->client != NULL && rq->unreachable < DH_ATTEMPTS_MAX) {
+			dh_request_dispatch(rq);
+			return;
+		}
+		dh_request_finish(rq, 503, "backend server unreachable",
+		    dh_retry_after_ms(left_ms / 6, left_ms, &rq->worker->rng));
+		return;
+	case DH_ATTEMPT_LOST:
+		dh_request_give_back(rq, DH_REPLY_LOST, NULL);
+		log_attempt(rq, "lost", why);
+		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
+			dh_request_dispatch(rq);
+			return;
+		}
+		dh_request_finish(rq, 502, why, 0);
+		return;
+	case DH_ATTEMPT_NOT_RUN:
+	case DH_ATTEMPT_MISDIRECTED:
+		dh_request_give_back(rq, DH_REPLY_DROPPED, NULL);
+		not_run(rq, how == DH_ATTEMPT_MISDIRECTED, why);
+		return;
+	}
+}
+
+void
+dh_request_abandon(struct dh_request *rq)
+{
+	dh_counter_add(rq->worker->c.gone, 1);
+	log_end(rq, 0, "caller left");
+	rq->client = NULL;
+	rq->in = NULL;
+	/* What may run once only is left to end as it would. */
+	if (rq->state == DH_REQUEST_SENT &&
+	    rq->route->repeat == DH_REPEAT_NEVER)
+		return;
+	request_end(rq);
+}
+
+static void
+on_deadline(uv_timer_t *timer)
+{
+	struct dh_request *rq = timer->data;
+	bool sent = rq->upstream != NULL;
+
+	if (sent) {
+		dh_upstream_drop(rq);
+		dh_request_give_back(rq, DH_REPLY_LOST, NULL);
+	}
+	dh_request_finish(rq, rq->may_have_run ? 504 : 503,
+	    sent ? "no answer in time" : "no time left", 1);
+}
+
+/* The caller's time, if it says so, and the route's. */
+static void
+set_deadline(struct dh_request *rq)
+{
+	const char *text =
+	    dh_message_header(rq->in, dh_wire_headers.time_left_ms);
+	int64_t left_ms = rq->route->timeout_ms, told_ms;
+	char *end;
+
+	if (text != NULL) {
+		told_ms = strtoll(text, &end, 10);
+		if (end != text && told_ms - DEADLINE_SLACK_MS < left_ms)
+			left_ms = told_ms - DEADLINE_SLACK_MS;
+	}
+	if (left_ms < 0)
+		left_ms = 0;
+	rq->deadline_ms = rq->arrived_ms + left_ms;
+	uv_timer_start(&rq->timer, on_deadline, (uint64_t)left_ms, 0);
+}
+
+/* Find route and service in the worker's view; false after a final answer. */
+static bool
+route_request(struct dh_request *rq)
+{
+	struct dh_worker *w = rq->worker;
+	const char *host = dh_message_header(rq->in, "Host");
+	const char *key = dh_message_header(rq->in, dh_wire_headers.key);
+	const struct dh_deployment *d;
+
+	dh_view_unref(rq->view);
+	rq->view = dh_view_ref(w->view);
+	d = *rq->view->deployment;
+	rq->route = dh_deployment_match(d, host, rq->in->target->str);
+	if (rq->route == NULL) {
+		dh_request_finish(rq, 404, "no such route", 0);
+		return false;
+	}
+	rq->service = rq->route->parts[0].service;
+	if (rq->route->nparts > 1)
+		rq->service = dh_route_part_at(rq->route,
+		    dh_worker_service(w, rq->view, rq->service)->chosen++);
+	rq->service_state = dh_worker_service(w, rq->view, rq->service);
+	rq->keyed = d->services[rq->service].keyed;
+	if (rq->keyed && (key == NULL || !dh_wire_key(key, &rq->key))) {
+		dh_request_finish(rq, 400, "no key, or none that is valid", 0);
+		return false;
+	}
+	return true;
+}
+
+/* What can be said of it without a configuration; NULL if nothing is wrong. */
+static const char *
+malformed(const struct dh_message *in)
+{
+	const char *id = dh_message_header(in, dh_wire_headers.request_id);
+
+	if (dh_message_header_count(in, "Host") != 1)
+		return "exactly one Host is needed";
+	if (in->target->len == 0 || in->target->str[0] != '/')
+		return "the target must be a path";
+	if (id == NULL || id[0] == '\0' ||
+	    strlen(id) >= sizeof(((struct dh_request *)0)->id))
+		return "no request id, or too long";
+	return NULL;
+}
+
+static struct dh_request *
+request_new(struct dh_client *client, struct dh_message *in)
+{
+	struct dh_worker *w = dh_client_worker(client);
+	struct dh_request *rq = g_new0(struct dh_request, 1);
+
+	rq->worker = w;
+	rq->client = client;
+	rq->in = in;
+	rq->link.data = rq;
+	rq->arrived_ms = dh_worker_now_ms(w);
+	rq->deadline_ms = rq->arrived_ms;
+	rq->head_only = in->parser.method == HTTP_HEAD;
+	uv_timer_init(&w->loop, &rq->timer);
+	uv_timer_init(&w->loop, &rq->pause);
+	rq->timer.data = rq->pause.data = rq;
+	w->running++;
+	dh_client_set_request(client, rq);
+	dh_counter_add(w->c.requests, 1);
+	return rq;
+}
+
+void
+dh_request_start(struct dh_client *client, struct dh_message *in)
+{
+	struct dh_request *rq = request_new(client, in);
+	struct dh_retry_params p;
+	const char *wrong = malformed(in);
+
+	if (wrong != NULL) {
+		dh_request_finish(rq, 400, wrong, 0);
+		return;
+	}
+	(void)g_strlcpy(rq->id,
+	    dh_message_header(in, dh_wire_headers.request_id), sizeof(rq->id));
+	if (rq->worker->view == NULL) {
+		dh_request_finish(
+		    rq, 503, "no configuration yet", NO_CONFIG_RETRY_MS);
+		return;
+	}
+	if (!route_request(rq))
+		return;
+	set_deadline(rq);
+	if (rq->keyed)
+		dh_worker_saw_key(
+		    rq->worker, rq->service_state->quark, rq->key);
+	p = retry_params(rq);
+	dh_retry_first(&rq->service_state->budget, &p);
+	dh_request_dispatch(rq);
+}
+
+void
+dh_request_view_changed(struct dh_worker *w)
+{
+	g_autoptr(GPtrArray) list = g_ptr_array_new();
+	struct dh_request *rq;
+	GList *l;
+	guint i;
+
+	for (l = w->parked.head; l != NULL; l = l->next)
+		g_ptr_array_add(list, l->data);
+	for (i = 0; i < list->len; i++) {
+		rq = list->pdata[i];
+		if (rq->state != DH_REQUEST_PARKED)
+			continue;
+		if (rq->view->deployment != w->view->deployment) {
+			if (!route_request(rq))
+				continue;
+		} else {
+			dh_view_unref(rq->view);
+			rq->view = dh_view_ref(w->view);
+		}
+		dh_request_dispatch(rq);
+	}
+}
--- /dev/null
+++ b/gateway/worker.c
@@ -0,0 +1,411 @@
+#include "gateway/worker.h"
+
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <ck_pr.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/opslog.h"
+#include "gateway/worker_internal.h"
+
+/* How often connections are looked at. */
+#define TICK_MS 100
+/* Ticks between reports: a hot range is seen within a second by several. */
+#define REPORT_TICKS 2
+#define LISTEN_BACKLOG 1024
+/* Ways there and back, before anything is measured: within a zone, between
+ * zones, between regions. */
+#define WAY_ZONE_MS 1.0
+#define WAY_REGION_MS 2.0
+#define WAY_REMOTE_MS 18.0
+#define WORK_DEFAULT_MS 100.0
+#define ANSWER_DEFAULT_KIB 4.0
+
+static const int64_t latency_bounds_ms[DH_LATENCY_BUCKETS] = { 10, 25, 50, 100,
+	150, 200, 300, 400, 500, 1000, 2000, 5000 };
+
+int64_t
+dh_worker_now_ms(const struct dh_worker *w)
+{
+	return (int64_t)uv_now(&w->loop);
+}
+
+static void
+counters_init(struct dh_worker *w)
+{
+	struct dh_worker_counters *c = &w->c;
+	g_autofree char *label = NULL;
+	int i;
+
+	c->requests = dh_counter_get("dh_gateway_requests_total", "");
+	c->done = dh_counter_get("dh_gateway_answers_total", "by=\"backend\"");
+	c->late = dh_counter_get("dh_gateway_late_total", "");
+	c->refused =
+	    dh_counter_get("dh_gateway_answers_total", "by=\"refused\"");
+	c->unknown =
+	    dh_counter_get("dh_gateway_answers_total", "by=\"unknown\"");
+	c->failed =
+	    dh_counter_get("dh_gateway_answers_total", "by=\"invalid\"");
+	c->gone = dh_counter_get("dh_gateway_callers_left_total", "");
+	c->retries = dh_counter_get("dh_gateway_retries_total", "");
+	c->connects = dh_counter_get("dh_gateway_connects_total", "");
+	c->parked = dh_counter_get("dh_gateway_parked_total", "");
+	c->bad_answers = dh_counter_get("dh_gateway_bad_answers_total", "");
+	for (i = 0; i <= DH_LATENCY_BUCKETS; i++) {
+		g_free(label);
+		label = i == DH_LATENCY_BUCKETS
+		    ? g_strdup("le=\"+Inf\"")
+		    : g_strdup_printf(
+			  "le=\"%.3f\"", (double)latency_bounds_ms[i] / 1000.0);
+		c->latency[i] =
+		    dh_counter_get("dh_gateway_latency_seconds_bucket", label);
+	}
+	c->latency_sum =
+	    dh_counter_get("dh_gateway_latency_milliseconds_sum", "");
+}
+
+void
+dh_worker_latency(struct dh_worker *w, int64_t ms)
+{
+	int i;
+
+	dh_counter_add(w->c.latency_sum, (uint64_t)(ms > 0 ? ms : 0));
+	for (i = 0; i < DH_LATENCY_BUCKETS; i++)
+		if (ms <= latency_bounds_ms[i])
+			dh_counter_add(w->c.latency[i], 1);
+	dh_counter_add(w->c.latency[DH_LATENCY_BUCKETS], 1);
+}
+
+struct dh_pool *
+dh_worker_pool(struct dh_worker *w, const struct dh_view_server *s)
+{
+	struct dh_pool *pool =
+	    g_hash_table_lookup(w->pools, GUINT_TO_POINTER(s->uid));
+
+	if (pool != NULL)
+		return pool;
+	pool = g_new0(struct dh_pool, 1);
+	pool->uid = s->uid;
+	pool->address = s->address;
+	pool->tier = s->tier;
+	pool->slots = s->slots;
+	pool->listed = !s->closed;
+	(void)g_strlcpy(pool->id, s->id, sizeof(pool->id));
+	g_hash_table_insert(w->pools, GUINT_TO_POINTER(s->uid), pool);
+	return pool;
+}
+
+struct dh_service_state *
+dh_worker_service(
+    struct dh_worker *w, const struct dh_view *v, uint32_t service)
+{
+	const char *name = (*v->deployment)->services[service].name;
+	struct dh_service_state *s = g_hash_table_lookup(w->services, name);
+
+	if (s != NULL)
+		return s;
+	s = g_new0(struct dh_service_state, 1);
+	s->name = g_strdup(name);
+	s->quark = g_quark_from_string(name);
+	s->answer_kib = ANSWER_DEFAULT_KIB;
+	s->chosen = dh_rng_next(&w->rng);
+	g_hash_table_insert(w->services, s->name, s);
+	return s;
+}
+
+void
+dh_worker_saw_key(struct dh_worker *w, GQuark service, uint32_t key)
+{
+	struct dh_worker_report *r = w->report;
+
+	r->keys_seen++;
+	if (r->nkeys == DH_REPORT_KEYS)
+		return;
+	r->keys[r->nkeys].service = service;
+	r->keys[r->nkeys++].key = (uint16_t)key;
+}
+
+static void
+report_servers(struct dh_worker *w)
+{
+	struct dh_worker_report *r = w->report;
+	GHashTableIter it;
+	gpointer value;
+
+	r->nservers = 0;
+	g_hash_table_iter_init(&it, w->pools);
+	while (g_hash_table_iter_next(&it, NULL, &value) &&
+	    r->nservers < DH_REPORT_SERVERS) {
+		const struct dh_pool *p = value;
+
+		if (!p->listed || p->load.work_ms <= 0)
+			continue;
+		(void)g_strlcpy(r->servers[r->nservers].id, p->id,
+		    sizeof(r->servers[0].id));
+		r->servers[r->nservers++].work_ms =
+		    (uint32_t)(p->load.work_ms + 0.5);
+	}
+}
+
+static void
+report_out(struct dh_worker *w)
+{
+	struct dh_worker_report *old;
+
+	report_servers(w);
+	old = ck_pr_fas_ptr(&w->report_out, w->report);
+	if (old == NULL)
+		old = g_new(struct dh_worker_report, 1);
+	memset(old, 0, sizeof(*old));
+	w->report = old;
+}
+
+struct dh_worker_report *
+dh_worker_report(struct dh_worker *w)
+{
+	return ck_pr_fas_ptr(&w->report_out, NULL);
+}
+
+static gboolean
+pool_unused(gpointer key, gpointer value, gpointer arg)
+{
+	struct dh_pool *p = value;
+
+	(void)key;
+	(void)arg;
+	if (p->listed)
+		return FALSE;
+	dh_pool_close_idle(p);
+	return p->busy.length == 0 && p->load.own == 0;
+}
+
+static void
+adopt_view(struct dh_worker *w, struct dh_view *v)
+{
+	GHashTableIter it;
+	gpointer value;
+	size_t i;
+
+	dh_view_unref(w->view);
+	w->view = v;
+	g_hash_table_iter_init(&it, w->pools);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct dh_pool *)value)->listed = false;
+	for (i = 0; i < v->nservers; i++) {
+		struct dh_pool *p = g_hash_table_lookup(
+		    w->pools, GUINT_TO_POINTER(v->servers[i].uid));
+
+		if (p == NULL)
+			continue;
+		p->listed = !v->servers[i].closed;
+		p->slots = v->servers[i].slots;
+	}
+	g_hash_table_foreach_remove(w->pools, pool_unused, NULL);
+	dh_request_view_changed(w);
+}
+
+static void
+close_handle(uv_handle_t *handle, void *arg)
+{
+	(void)arg;
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+static void
+stop_listening(struct dh_worker *w)
+{
+	if (!w->accepting)
+		return;
+	w->accepting = false;
+	uv_close((uv_handle_t *)&w->listener, NULL);
+}
+
+static void
+drain_step(struct dh_worker *w, int64_t now_ms)
+{
+	int64_t since_ms = now_ms - w->drain_began_ms;
+
+	if (since_ms < w->drain_quiet_ms)
+		return;
+	stop_listening(w);
+	if ((w->clients.length == 0 && w->running == 0) ||
+	    since_ms >= w->drain_limit_ms)
+		uv_stop(&w->loop);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct dh_worker *w = timer->data;
+	int64_t now_ms = dh_worker_now_ms(w);
+
+	dh_clients_sweep(w, now_ms);
+	if (++w->ticks % REPORT_TICKS == 0)
+		report_out(w);
+	g_hash_table_foreach_remove(w->pools, pool_unused, NULL);
+	if (w->drain_began_ms != 0)
+		drain_step(w, now_ms);
+}
+
+static void
+on_wake(uv_async_t *wake)
+{
+	struct dh_worker *w = wake->data;
+	struct dh_view *v = ck_pr_fas_ptr(&w->next_view, NULL);
+
+	if (v != NULL)
+		adopt_view(w, v);
+	if (ck_pr_load_32(&w->drain_asked) != 0 && w->drain_began_ms == 0)
+		w->drain_began_ms = dh_worker_now_ms(w);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	struct dh_worker *w = listener->data;
+
+	if (status < 0) {
+		dh_ops(DH_OPS_STATE, "worker.accept_failed", ",\"why\":\"%s\"",
+		    uv_strerror(status));
+		return;
+	}
+	dh_client_accept(w);
+}
+
+static void *
+worker_run(void *arg)
+{
+	struct dh_worker *w = arg;
+
+	uv_run(&w->loop, UV_RUN_DEFAULT);
+	uv_walk(&w->loop, close_handle, NULL);
+	ck_pr_store_32(&w->done, 1);
+	return NULL;
+}
+
+/* Several workers accept on one port. */
+static bool
+share_port(struct dh_worker *w)
+{
+	int on = 1, fd;
+
+	if (w->settings->threads < 2)
+		return true;
+	return uv_fileno((uv_handle_t *)&w->listener, &fd) == 0 &&
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0;
+}
+
+static bool
+worker_listen(struct dh_worker *w, GError **error)
+{
+	uint16_t port;
+	g_autofree char *ip =
+	    dh_gateway_endpoint(w->settings->listen_url, &port);
+	struct sockaddr_in sin;
+	int rc;
+
+	uv_tcp_init_ex(&w->loop, &w->listener, AF_INET);
+	w->listener.data = w;
+	rc = uv_ip4_addr(ip, port, &sin);
+	if (rc == 0 && !share_port(w))
+		rc = UV_ENOTSUP;
+	if (rc == 0)
+		rc =
+		    uv_tcp_bind(&w->listener, (const struct sockaddr *)&sin, 0);
+	if (rc == 0)
+		rc = uv_listen(
+		    (uv_stream_t *)&w->listener, LISTEN_BACKLOG, on_connection);
+	if (rc != 0) {
+		g_set_error(error, DH_ERROR, DH_ERROR_IO,
+		    "cannot listen on %s:%u: %s", ip, port, uv_strerror(rc));
+		return false;
+	}
+	w->accepting = true;
+	return true;
+}
+
+static void
+service_free(gpointer p)
+{
+	struct dh_service_state *s = p;
+
+	g_free(s->name);
+	g_free(s);
+}
+
+struct dh_worker *
+dh_worker_new(
+    const struct dh_gateway_settings *s, uint32_t index, GError **error)
+{
+	struct dh_worker *w = g_new0(struct dh_worker, 1);
+
+	w->settings = s;
+	w->index = index;
+	w->rng.state = (uint64_t)dh_clock_us() ^ g_str_hash(s->vm) ^ index;
+	w->pools = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	w->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	w->report = g_new0(struct dh_worker_report, 1);
+	w->choice = (struct dh_choice_params){
+		.way_ms = { WAY_ZONE_MS, WAY_REGION_MS, WAY_REMOTE_MS },
+		.kib_ms = { 0, (double)s->zone_kib_milli / 1000.0,
+		    (double)s->region_kib_milli / 1000.0 },
+		.work_ms = WORK_DEFAULT_MS,
+	};
+	counters_init(w);
+	uv_loop_init(&w->loop);
+	uv_async_init(&w->loop, &w->wake, on_wake);
+	uv_timer_init(&w->loop, &w->tick);
+	w->wake.data = w->tick.data = w;
+	uv_timer_start(&w->tick, on_tick, TICK_MS, TICK_MS);
+	if (!worker_listen(w, error))
+		return NULL;
+	if (pthread_create(&w->thread, NULL, worker_run, w) != 0) {
+		g_set_error_literal(
+		    error, DH_ERROR, DH_ERROR_IO, "cannot start a thread");
+		return NULL;
+	}
+	return w;
+}
+
+void
+dh_worker_publish(struct dh_worker *w, struct dh_view *v)
+{
+	dh_view_unref(ck_pr_fas_ptr(&w->next_view, v));
+	uv_async_send(&w->wake);
+}
+
+void
+dh_worker_drain(struct dh_worker *w, int64_t quiet_ms, int64_t limit_ms)
+{
+	w->drain_quiet_ms = quiet_ms;
+	w->drain_limit_ms = limit_ms;
+	ck_pr_fence_store();
+	ck_pr_store_32(&w->drain_asked, 1);
+	uv_async_send(&w->wake);
+}
+
+bool
+dh_worker_done(const struct dh_worker *w)
+{
+	return ck_pr_load_32(&w->done) != 0;
+}
+
+void
+dh_worker_free(struct dh_worker *w)
+{
+	if (w == NULL)
+		return;
+	pthread_join(w->thread, NULL);
+	dh_view_unref(w->view);
+	dh_view_unref(ck_pr_fas_ptr(&w->next_view, NULL));
+	g_hash_table_destroy(w->pools);
+	g_hash_table_destroy(w->services);
+	g_free(w->report);
+	g_free(ck_pr_fas_ptr(&w->report_out, NULL));
+	g_free(w);
+}
--- /dev/null
+++ b/gateway/worker_internal.h
@@ -0,0 +1,175 @@
+#ifndef DH_GATEWAY_WORKER_INTERNAL_H
+#define DH_GATEWAY_WORKER_INTERNAL_H
+
+#include "gateway/worker.h"
+#include "gateway/message.h"
+
+/* Requests that one request may be sent as, whatever its route allows. */
+#define DH_ATTEMPTS_MAX 8
+/* Backend servers of a service that are looked at for one request. */
+#define DH_CANDIDATES_MAX 1024
+/* Bounds of the buckets of latency histograms. */
+#define DH_LATENCY_BUCKETS 12
+
+struct dh_request;
+struct dh_client;
+struct dh_upstream;
+
+/* What a worker knows of a backend server, by uid. */
+struct dh_pool {
+	uint32_t uid;
+	char id[DH_NAME_MAX];
+	struct sockaddr_in address;
+	enum dh_tier tier;
+	uint32_t slots;
+	struct dh_backend_load load;
+	GQueue idle; /* of struct dh_upstream, newest at the head */
+	GQueue busy; /* of struct dh_upstream, oldest request first */
+	uint64_t answers; /* that came from it */
+	bool listed; /* in the current view, and open */
+};
+
+/* What a worker knows of a service, by index in the view. */
+struct dh_service_state {
+	char *name;
+	GQuark quark; /* of name */
+	struct dh_retry_budget budget;
+	double work_ms; /* mean over its backend servers */
+	double answer_kib; /* mean size */
+	uint64_t chosen; /* requests so far, for weights */
+};
+
+struct dh_worker_counters {
+	struct dh_counter *requests, *done, *late, *refused, *unknown, *failed;
+	struct dh_counter *gone, *retries, *connects, *parked, *bad_answers;
+	struct dh_counter *log_sampled;
+	struct dh_counter *latency[DH_LATENCY_BUCKETS + 1];
+	struct dh_counter *latency_sum;
+};
+
+struct dh_worker {
+	const struct dh_gateway_settings *settings;
+	uint32_t index;
+	pthread_t thread;
+	uv_loop_t loop;
+	uv_tcp_t listener;
+	uv_async_t wake;
+	uv_timer_t tick;
+	struct dh_view *view;
+	struct dh_view *next_view; /* exchanged */
+	struct dh_worker_report *report; /* being filled */
+	struct dh_worker_report *report_out; /* exchanged */
+	uint32_t drain_asked; /* exchanged */
+	int64_t drain_quiet_ms, drain_limit_ms;
+	int64_t drain_began_ms; /* 0: not draining */
+	uint32_t ticks;
+	uint32_t done; /* exchanged */
+	bool listening;
+	bool accepting; /* the listener is open */
+	GHashTable *pools; /* uid -> struct dh_pool */
+	GHashTable *services; /* name -> struct dh_service_state */
+	GQueue clients;
+	GQueue parked; /* requests that wait for an owner */
+	uint32_t running; /* requests */
+	struct dh_rng rng;
+	struct dh_choice_params choice;
+	struct dh_worker_counters c;
+	/* Scratch of one dispatch. */
+	struct dh_candidate candidates[DH_CANDIDATES_MAX];
+	const struct dh_view_server *candidate_servers[DH_CANDIDATES_MAX];
+	char buffer[65536]; /* of reads */
+};
+
+/* What happened to an attempt. */
+enum dh_attempt_end {
+	DH_ATTEMPT_UNREACHABLE, /* no connection; nothing was sent */
+	DH_ATTEMPT_NOT_RUN, /* the backend server says so */
+	DH_ATTEMPT_MISDIRECTED, /* not the owner, or another instance */
+	DH_ATTEMPT_LOST, /* it may have run */
+};
+
+enum dh_request_state {
+	DH_REQUEST_NEW,
+	DH_REQUEST_PARKED,
+	DH_REQUEST_SENT,
+	DH_REQUEST_ENDED,
+};
+
+struct dh_request {
+	struct dh_worker *worker;
+	struct dh_client *client; /* NULL: left */
+	struct dh_message *in; /* the client's, until it has left */
+	struct dh_view *view; /* it was routed by */
+	const struct dh_http_route *route;
+	uint32_t service; /* index in view */
+	struct dh_service_state *service_state;
+	char id[DH_NAME_MAX * 2];
+	bool keyed;
+	uint32_t key;
+	int64_t arrived_ms;
+	int64_t deadline_ms; /* the caller's, at the latest the route's */
+	enum dh_request_state state;
+	struct dh_upstream *upstream;
+	struct dh_pool *pool; /* of the attempt, until it has ended */
+	char server[DH_NAME_MAX]; /* its name, for the log */
+	int64_t sent_ms; /* of the attempt */
+	double ahead; /* requests before it, when it was sent */
+	double expected_ms;
+	uint32_t attempts; /* that were sent */
+	uint32_t unreachable;
+	uint64_t answers; /* of the pool, when it was sent */
+	bool misdirected; /* by the owners of this version */
+	uint64_t misdirected_owners;
+	bool may_have_run;
+	bool head_only; /* HEAD */
+	uint32_t tried[DH_ATTEMPTS_MAX]; /* uids */
+	uint32_t ntried;
+	GString *wire; /* as sent to backend servers */
+	uv_timer_t timer; /* final answer */
+	uv_timer_t pause; /* of a parked one, or a late answer */
+	int closing; /* timers that are being closed */
+	GList link; /* in parked */
+};
+
+/* request.c */
+void dh_request_start(struct dh_client *client, struct dh_message *in);
+void dh_request_view_changed(struct dh_worker *w);
+/* The caller has left; the request may go on without it. */
+void dh_request_abandon(struct dh_request *rq);
+/* From upstream.c: the attempt ended. */
+void dh_request_answered(struct dh_request *rq, struct dh_message *answer);
+void dh_request_attempt_ended(
+    struct dh_request *rq, enum dh_attempt_end how, const char *why);
+/* attempt.c: choose a backend server and send. */
+void dh_request_dispatch(struct dh_request *rq);
+void dh_request_finish(struct dh_request *rq, unsigned int status,
+    const char *why, int64_t retry_after_ms);
+void dh_request_give_back(struct dh_request *rq, enum dh_reply_kind kind,
+    const struct dh_message *answer);
+
+/* upstream.c */
+bool dh_upstream_send(struct dh_request *rq, struct dh_pool *pool);
+void dh_upstream_drop(struct dh_request *rq);
+void dh_pool_close_idle(struct dh_pool *pool);
+bool dh_pool_full(const struct dh_worker *w, const struct dh_pool *pool,
+    uint32_t connections_max);
+int64_t dh_pool_oldest_ms(const struct dh_pool *pool, int64_t now_ms);
+
+/* client.c */
+void dh_client_accept(struct dh_worker *w);
+void dh_client_answer(struct dh_client *client, GString *head, const char *body,
+    size_t len, bool close);
+void dh_client_set_request(struct dh_client *client, struct dh_request *rq);
+struct dh_worker *dh_client_worker(const struct dh_client *client);
+void dh_clients_sweep(struct dh_worker *w, int64_t now_ms);
+
+/* worker.c */
+struct dh_pool *dh_worker_pool(
+    struct dh_worker *w, const struct dh_view_server *s);
+struct dh_service_state *dh_worker_service(
+    struct dh_worker *w, const struct dh_view *v, uint32_t service);
+void dh_worker_saw_key(struct dh_worker *w, GQuark service, uint32_t key);
+void dh_worker_latency(struct dh_worker *w, int64_t ms);
+int64_t dh_worker_now_ms(const struct dh_worker *w);
+
+#endif
--- a/tools/install_deps.sh
+++ b/tools/install_deps.sh
@@ -4,7 +4,7 @@
 pkgs="gcc make clang clang-format clang-tidy pkg-config curl spin
 libck-dev libmsgpack-dev libmicrohttpd-dev libcurl4-openssl-dev liblog4c-dev
 libglib2.0-dev libcunit1-dev libjson-c-dev libcsv-dev libxxhash-dev
-libclang-rt-14-dev libuv1-dev"
+libclang-rt-14-dev libuv1-dev libhttp-parser-dev"
 missing=
 for p in $pkgs; do
 	dpkg -s "$p" 2>/dev/null | grep -q '^Status: install ok' ||
