Leader beats to every announced VM; a record written meanwhile is read anew

Cause: a new leader knew no peers until they had heard of it through stale reads, so that it was replaced each second (11 terms before traffic); its first write met a record that the former leader had written after it was read.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -255,6 +255,20 @@
 	pump(d);
 }
 
+/* Start from a record of a former leader. */
+static void
+take_over(struct dh_duty *d, const struct dh_record *r)
+{
+	dh_keyspace_take_over(
+	    d->ks, r->ranges, r->nranges, r->next_fence, dh_clock_ms());
+	dh_ops(DH_OPS_STATE, "owners.taken_over",
+	    ",\"service\":\"%s\",\"term\":%llu,\"from_term\":%llu,"
+	    "\"from_version\":%llu,\"ranges\":%zu",
+	    d->service, (unsigned long long)d->c.term,
+	    (unsigned long long)r->term, (unsigned long long)r->version,
+	    r->nranges);
+}
+
 /* What the object shows after a conflict or a write without an answer. */
 static void
 compare(struct dh_duty *d, const struct dh_object_view *o)
@@ -266,17 +280,22 @@
 		d->c.deposed(d->c.arg, error->message);
 		return;
 	}
-	dh_record_clear(&r);
 	if (r.term > d->c.term) {
+		dh_record_clear(&r);
 		d->c.deposed(d->c.arg, "the record has a higher term");
 		return;
 	}
 	if (r.term == d->c.term && r.version == d->written_version) {
+		dh_record_clear(&r);
 		write_taken(d, o->revision);
 		return;
 	}
-	/* An older version: this write did not take effect, and cannot any
-	 * more once the next one has. */
+	/* The former leader wrote once more before our first write. */
+	if (r.term < d->c.term && o->revision != d->revision)
+		take_over(d, &r);
+	dh_record_clear(&r);
+	/* This write did not take effect, and cannot any more once the next
+	 * one has. */
 	d->revision = o->revision;
 	d->writing = 0;
 	d->in_doubt = false;
@@ -418,14 +437,7 @@
 		d->c.deposed(d->c.arg, "the record has a higher term");
 		return;
 	}
-	dh_keyspace_take_over(d->ks, record.ranges, record.nranges,
-	    record.next_fence, dh_clock_ms());
-	dh_ops(DH_OPS_STATE, "owners.taken_over",
-	    ",\"service\":\"%s\",\"term\":%llu,\"from_term\":%llu,"
-	    "\"from_version\":%llu,\"ranges\":%zu",
-	    d->service, (unsigned long long)d->c.term,
-	    (unsigned long long)record.term, (unsigned long long)record.version,
-	    record.nranges);
+	take_over(d, &record);
 	dh_record_clear(&record);
 	d->loaded = true;
 	dh_duty_step(d, d->may_order);
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -14,6 +14,7 @@
 #define KIND "dogwoodhub-owners"
 #define LEADER_OBJECT "leader"
 #define SERVICE_PREFIX "service."
+#define VM_PREFIX "vm." /* where each VM may be reached */
 #define STEP_MS 40
 #define REPORT_MS 250
 /* The leader asks the store whether it still leads. */
@@ -28,6 +29,7 @@
 /* Speeds change slowly: they are told less often than keys. */
 #define SPEED_REPORTS 4
 #define TAKE_PAUSE_MAX_MS 4000
+#define ANNOUNCE_PAUSE_MS 1000
 
 enum role {
 	ROLE_FOLLOWER,
@@ -41,7 +43,7 @@
 };
 
 struct peer_state {
-	int64_t heard_ms;
+	int64_t heard_ms; /* of its last report; 0: none yet */
 };
 
 struct dh_owners {
@@ -61,6 +63,10 @@
 	int64_t patience_ms; /* without a sign, before taking over */
 	int64_t take_pause_ms;
 	struct dh_objects_call *call;
+	struct dh_objects_call *announcement;
+	bool announced; /* this VM's address is in the store */
+	int64_t announce_ms; /* not before */
+	uint64_t announce_revision;
 	bool resigned;
 	/* As leader. */
 	GHashTable *duties; /* service -> struct dh_duty */
@@ -200,6 +206,56 @@
 		adopt_leader(o, term, vm, member_text(v->spec, "ip"));
 }
 
+static struct peer_state *
+peer_known(struct dh_owners *o, const char *ip)
+{
+	struct peer_state *p = g_hash_table_lookup(o->peers, ip);
+
+	if (p != NULL || ip[0] == '\0')
+		return p;
+	p = g_new0(struct peer_state, 1);
+	g_hash_table_insert(o->peers, g_strdup(ip), p);
+	return p;
+}
+
+static void
+see_vm(struct dh_owners *o, const struct dh_object_view *v)
+{
+	const char *ip = member_text(v->spec, "ip");
+
+	if (strcmp(ip, o->c.ip) != 0)
+		(void)peer_known(o, ip);
+}
+
+static void
+on_announced(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_owners *o = arg;
+
+	o->announcement = NULL;
+	o->announced = r->result == DH_OBJECTS_OK ||
+	    (r->result == DH_OBJECTS_CONFLICT && r->nitems == 1 &&
+		strcmp(member_text(r->items[0].spec, "ip"), o->c.ip) == 0);
+	o->announce_ms = dh_clock_ms() + ANNOUNCE_PAUSE_MS;
+	if (!o->announced && r->result == DH_OBJECTS_CONFLICT && r->nitems == 1)
+		o->announce_revision = r->items[0].revision;
+}
+
+/* Tell the other VMs, through the store, where this one is. */
+static void
+announce(struct dh_owners *o, int64_t now_ms)
+{
+	g_autofree char *name = NULL;
+	g_autofree char *spec = NULL;
+
+	if (o->announced || o->announcement != NULL || now_ms < o->announce_ms)
+		return;
+	name = g_strconcat(VM_PREFIX, o->c.settings->vm, NULL);
+	spec = g_strdup_printf("{\"ip\":\"%s\"}", o->c.ip);
+	o->announcement = dh_objects_put(o->c.objects, KIND, name,
+	    o->announce_revision, spec, STORE_TIMEOUT_MS, on_announced, o);
+}
+
 static void
 on_object(void *arg, const struct dh_object_view *v)
 {
@@ -207,6 +263,8 @@
 
 	if (strcmp(v->name, LEADER_OBJECT) == 0)
 		see_leader(o, v);
+	else if (g_str_has_prefix(v->name, VM_PREFIX))
+		see_vm(o, v);
 	else if (g_str_has_prefix(v->name, SERVICE_PREFIX))
 		learn_json(
 		    o, v->name + strlen(SERVICE_PREFIX), v->spec, "store");
@@ -350,14 +408,13 @@
 	gpointer ip, value;
 
 	(void)g_strlcpy(beat.vm, o->c.settings->vm, sizeof(beat.vm));
+	beat.vms = 1;
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, &value)) {
 		struct peer_state *p = value;
 
-		if (now_ms - p->heard_ms > PEER_MS)
-			g_hash_table_iter_remove(&it);
+		beat.vms += p->heard_ms != 0 && now_ms - p->heard_ms < PEER_MS;
 	}
-	beat.vms = g_hash_table_size(o->peers) + 1;
 	if (o->vms != beat.vms) {
 		o->vms = beat.vms;
 		o->c.changed(o->c.arg);
@@ -557,12 +614,10 @@
 
 	if (o->role != ROLE_LEADER)
 		return;
-	p = g_hash_table_lookup(o->peers, ip);
-	if (p == NULL) {
-		p = g_new0(struct peer_state, 1);
-		g_hash_table_insert(o->peers, g_strdup(ip), p);
+	if (strcmp(ip, o->c.ip) != 0) {
+		p = peer_known(o, ip);
+		p->heard_ms = dh_clock_ms();
 	}
-	p->heard_ms = dh_clock_ms();
 	for (i = 0; i < r->keys->len; i++) {
 		const struct dh_peer_key *k =
 		    &g_array_index(r->keys, struct dh_peer_key, i);
@@ -666,6 +721,7 @@
 	struct dh_owners *o = timer->data;
 	int64_t now_ms = dh_clock_ms();
 
+	announce(o, now_ms);
 	if (now_ms - o->report_ms >= REPORT_MS) {
 		o->report_ms = now_ms;
 		report(o);
@@ -718,6 +774,7 @@
 	g_hash_table_foreach_remove(o->duties, depose_later, NULL);
 	g_hash_table_destroy(o->duties);
 	dh_objects_cancel(o->call);
+	dh_objects_cancel(o->announcement);
 	dh_mirror_free(o->mirror);
 	dh_timer_free(o->timer);
 	dh_peer_free(o->peer);
