Owners: the VM's own address outlives its start

Cause: a borrowed text was freed, so that heartbeats went nowhere and a new leader was elected each second.

--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -225,6 +225,8 @@
 
 	if (strcmp(ip, o->c.ip) != 0)
 		(void)peer_known(o, ip);
+	dh_ops(DH_OPS_STATE, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
+	    v->name + strlen(VM_PREFIX), ip);
 }
 
 static void
@@ -237,6 +239,9 @@
 	    (r->result == DH_OBJECTS_CONFLICT && r->nitems == 1 &&
 		strcmp(member_text(r->items[0].spec, "ip"), o->c.ip) == 0);
 	o->announce_ms = dh_clock_ms() + ANNOUNCE_PAUSE_MS;
+	dh_ops(DH_OPS_STATE, "vm.announced",
+	    ",\"ip\":\"%s\",\"done\":%s,\"status\":%ld", o->c.ip,
+	    o->announced ? "true" : "false", r->status);
 	if (!o->announced && r->result == DH_OBJECTS_CONFLICT && r->nitems == 1)
 		o->announce_revision = r->items[0].revision;
 }
@@ -741,9 +746,11 @@
 		on_reached, o };
 
 	o->c = *c;
+	o->c.ip = g_strdup(c->ip);
 	o->peer =
 	    dh_peer_new(c->loop, c->ip, c->settings->peer_port, &peers, error);
 	if (o->peer == NULL) {
+		g_free((char *)(uintptr_t)o->c.ip);
 		g_free(o);
 		return NULL;
 	}
@@ -782,6 +789,7 @@
 	g_hash_table_destroy(o->peers);
 	g_hash_table_destroy(o->speeds);
 	g_array_free(o->keys, TRUE);
+	g_free((char *)(uintptr_t)o->c.ip);
 	g_free(o);
 }
 
