--- a/base/http.h
+++ b/base/http.h
@@ -50,6 +50,7 @@
 	const void *body; /* copied; NULL for none */
 	size_t body_len;
 	int64_t timeout_ms;
+	int64_t connect_ms; /* to open a connection; 0: the whole time */
 	bool fresh_connection; /* do not reuse one */
 	/* A connection that this request opens: probes from the kernel end it
 	 * after keepalive_s of silence or three, 0 for none; closing resets
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -183,8 +183,11 @@
 		    f->after == NULL ? "" : f->after, f->freshness,
 		    LIST_TIMEOUT_MS, on_list, f);
 	else
+		/* The first one after a failure shows whether it answers. */
 		f->call = dh_objects_watch(f->objects, f->kind, f->as_of,
-		    WATCH_WAIT_MS, f->freshness, WATCH_TIMEOUT_MS, on_watch, f);
+		    f->reached ? WATCH_WAIT_MS : 1, f->freshness,
+		    f->reached ? WATCH_TIMEOUT_MS : LIST_TIMEOUT_MS, on_watch,
+		    f);
 }
 
 struct dh_mirror *
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -204,6 +204,18 @@
 	}
 }
 
+/* Whether the connection was closed in order.  The loop reports the end of one
+ * that was reset after its last bytes in the same way. */
+static bool
+ended_in_order(struct dh_upstream *up)
+{
+	char byte;
+	int fd;
+
+	return uv_fileno((uv_handle_t *)&up->tcp, &fd) == 0 &&
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -220,7 +232,7 @@
 		take_bytes(up, buf->base, (size_t)n);
 		return;
 	}
-	if (n == UV_EOF && dh_message_end(&up->in) &&
+	if (n == UV_EOF && ended_in_order(up) && dh_message_end(&up->in) &&
 	    up->in.parser.status_code >= 200 && is_ours(up)) {
 		up->spoiled = true;
 		answer_complete(up, false);
