--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -181,7 +181,7 @@
 {
 	const struct server *s;
 
-	if (r->owner == DH_NONE || !dh_range_idle(r))
+	if (r->owner == DH_NONE || !dh_range_idle(r, pl->now_ms))
 		return false;
 	s = &pl->ks->servers[r->owner];
 	return s->leaving || !s->present;
@@ -256,7 +256,7 @@
 		const struct range *r = &ks->ranges[i];
 
 		if (r->owner != owner || r->state != RANGE_SETTLED ||
-		    !dh_range_idle(r))
+		    !dh_range_idle(r, pl->now_ms))
 			continue;
 		sum = 0;
 		for (a = b = r->from; b <= r->to; b++) {
@@ -286,7 +286,7 @@
 		const struct range *r = &ks->ranges[i];
 
 		if (r->owner != owner || r->state != RANGE_SETTLED ||
-		    !dh_range_idle(r))
+		    !dh_range_idle(r, pl->now_ms))
 			continue;
 		w = weight(pl, r->from, r->to);
 		if (w > win->weight)
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -42,20 +42,31 @@
 	free(ks);
 }
 
+/* The longest that a grant counts after it was sent. */
+static int64_t
+longest_hold_ms(const struct dh_keyspace *ks)
+{
+	return ks->p.hold_ms + ks->p.hold_ms * ks->p.drift_permille / 1000 +
+	    ks->p.margin_ms;
+}
+
 int64_t
 dh_range_lapse_ms(const struct dh_keyspace *ks, const struct range *r)
 {
-	int64_t hold_ms = ks->p.hold_ms +
-	    ks->p.hold_ms * ks->p.drift_permille / 1000 + ks->p.margin_ms;
-	int64_t own_ms = r->sent_ms == 0 ? 0 : r->sent_ms + hold_ms;
+	int64_t own_ms =
+	    r->sent_ms == 0 ? 0 : r->sent_ms + longest_hold_ms(ks);
 
 	return own_ms > r->foreign_ms ? own_ms : r->foreign_ms;
 }
 
 bool
-dh_range_idle(const struct range *r)
+dh_range_idle(const struct range *r, int64_t now_ms)
 {
-	return r->ticket == 0 && r->pending == PENDING_NONE &&
+	/* Until its owner has taken a token of this leader's, a former one
+	 * may renew the range whatever is ordered here. */
+	if (r->state == RANGE_SETTLED && r->foreign_ms != 0)
+		return false;
+	return r->ticket == 0 && now_ms >= r->doubt_ms && r->pending == PENDING_NONE &&
 	    (r->state == RANGE_SETTLED || r->state == RANGE_NONE);
 }
 
@@ -155,7 +166,7 @@
 	r->pending = PENDING_MOVE;
 	r->pending_owner = owner;
 	r->pending_fence = ks->next_fence++;
-	r->pending_serial = 0;
+	r->pending_serial = r->pending_first = 0;
 	ks->changed = true;
 	ks->keys_moved += r->to - r->from + 1;
 }
@@ -166,7 +177,7 @@
 	r->pending = PENDING_FENCE;
 	r->pending_owner = r->owner;
 	r->pending_fence = ks->next_fence++;
-	r->pending_serial = 0;
+	r->pending_serial = r->pending_first = 0;
 	ks->changed = true;
 }
 
@@ -207,8 +218,7 @@
 dh_keyspace_take_over(struct dh_keyspace *ks, const struct dh_key_range *ranges,
     size_t n, uint64_t next_fence, int64_t now_ms)
 {
-	int64_t foreign_ms = now_ms + ks->p.solo_ms + ks->p.hold_ms +
-	    ks->p.hold_ms * ks->p.drift_permille / 1000 + ks->p.margin_ms;
+	int64_t foreign_ms = now_ms + ks->p.solo_ms + longest_hold_ms(ks);
 	uint32_t at = 0;
 	size_t i;
 
@@ -380,6 +390,24 @@
 	return false;
 }
 
+static void
+note_export(struct range *r, uint64_t serial)
+{
+	r->pending_serial = serial;
+	if (r->pending_first == 0)
+		r->pending_first = serial;
+}
+
+void
+dh_keyspace_not_stored(struct dh_keyspace *ks, uint64_t serial)
+{
+	size_t i;
+
+	for (i = 0; i < ks->nranges; i++)
+		if (ks->ranges[i].pending_first == serial)
+			ks->ranges[i].pending_first = 0;
+}
+
 uint64_t
 dh_keyspace_export(struct dh_keyspace *ks, const struct dh_key_range **ranges,
     size_t *n, uint64_t *next_fence)
@@ -392,7 +420,7 @@
 	ks->serial++;
 	ks->changed = false;
 	for (i = 0; i < ks->nranges; i++) {
-		ks->ranges[i].pending_serial = ks->serial;
+		note_export(&ks->ranges[i], ks->serial);
 		export_planned(ks, ks->ranges[i], &ks->image[i]);
 	}
 	*ranges = ks->image;
@@ -480,13 +508,6 @@
 	return true;
 }
 
-/* Whether the order in flight or not answered may still be obeyed. */
-static bool
-in_doubt(const struct dh_keyspace *ks, const struct range *r, int64_t now_ms)
-{
-	return r->doubt_ms != 0 && now_ms < dh_range_lapse_ms(ks, r);
-}
-
 static bool
 range_next(struct dh_keyspace *ks, struct range *r, int64_t now_ms,
     struct dh_key_order *order)
@@ -513,6 +534,10 @@
 		if (s->dead || s->silent ||
 		    (r->state == RANGE_GRANTING && r->pending != PENDING_NONE))
 			return false;
+		/* The move may be on record already: a successor that read it
+		 * has the range released, and must not see it renewed. */
+		if (r->pending == PENDING_MOVE && r->pending_first != 0)
+			return false;
 		return order_fill(ks, r, r->owner, DH_KEY_GRANT, now_ms, order);
 	}
 	return false;
@@ -564,7 +589,6 @@
 	switch (answer) {
 	case DH_KEY_ACCEPTED:
 		r->foreign_ms = 0;
-		r->doubt_ms = 0;
 		r->handover[0] = '\0';
 		r->due_ms = r->order_sent_ms + ks->p.renew_ms;
 		s->silent = false;
@@ -577,7 +601,7 @@
 	case DH_KEY_REFUSED:
 		return false;
 	case DH_KEY_SILENT:
-		r->doubt_ms = r->order_sent_ms;
+		r->doubt_ms = r->order_sent_ms + longest_hold_ms(ks);
 		s->silent = true;
 		s->probe_ms = now_ms;
 		return true;
@@ -598,8 +622,8 @@
 		return;
 	}
 	/* A grant that nobody answered may be obeyed after the release. */
-	if (in_doubt(ks, r, now_ms)) {
-		r->due_ms = dh_range_lapse_ms(ks, r);
+	if (now_ms < r->doubt_ms) {
+		r->due_ms = r->doubt_ms;
 		return;
 	}
 	free_range(ks, r);
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -39,11 +39,13 @@
 	enum range_pending pending;
 	uint32_t pending_owner;
 	uint64_t pending_fence;
-	uint64_t pending_serial; /* export that holds it; 0: none */
+	uint64_t pending_serial; /* last export that holds it; 0: none */
+	uint64_t pending_first; /* first one that may have been stored */
 	uint64_t ticket; /* order in flight, 0 for none */
 	enum dh_key_order_kind ticket_kind;
 	int64_t sent_ms; /* of the last grant that may have arrived */
-	int64_t doubt_ms; /* of the last grant without an answer */
+	/* Until when a grant without an answer may be obeyed after others. */
+	int64_t doubt_ms;
 	int64_t order_sent_ms; /* of the order in flight */
 	int64_t due_ms; /* of the next order */
 	/* Until when a former leader may have prolonged the lease. */
@@ -76,7 +78,7 @@
 int64_t dh_range_lapse_ms(const struct dh_keyspace *ks, const struct range *r);
 
 /* Whether a change of this range may be planned now. */
-bool dh_range_idle(const struct range *r);
+bool dh_range_idle(const struct range *r, int64_t now_ms);
 
 /* Put on plan: the range goes to another owner. */
 void dh_range_plan_move(
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -322,6 +322,7 @@
 			d->in_doubt = true;
 		return;
 	case DH_OBJECTS_NOT_DONE:
+		dh_keyspace_not_stored(d->ks, d->writing);
 		d->writing = 0;
 		store_failed(d, "store busy or down");
 		return;
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -119,6 +119,10 @@
 void dh_keyspace_stored(
     struct dh_keyspace *ks, uint64_t serial, int64_t now_ms);
 
+/* dh_keyspace_not_stored -- the record of this serial was not stored and never
+ * will be.  What is not told of one of the two may have been stored. */
+void dh_keyspace_not_stored(struct dh_keyspace *ks, uint64_t serial);
+
 /* dh_keyspace_urgent -- whether something waits for the next export to be
  * stored; else what has changed is only good to know. */
 bool dh_keyspace_urgent(const struct dh_keyspace *ks);
