Plan: a hot key is left alone on a fast backend server, others make room

Cause: one key took up to 45 % of the requests; it was moved back and forth as the heaviest window, and its neighbours stayed on the full backend server.

--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -24,6 +24,12 @@
 #define MOVES_MAX 8
 #define RANGES_MAX 400
 
+/* A key that takes this part of a backend server's capacity alone is left
+ * where it is, and others make room for it. */
+#define HOT_SHARE 0.6
+/* It moves only to a backend server that is faster by so much. */
+#define HOT_FASTER 1.25
+
 struct plan {
 	struct dh_keyspace *ks;
 	int64_t now_ms;
@@ -31,6 +37,7 @@
 	double total; /* weight of all keys */
 	double capacity; /* of all usable backend servers, requests a second */
 	double work_ms; /* mean of the known */
+	double key_max; /* demand of a key that can be met, requests a second */
 	uint32_t usable;
 };
 
@@ -78,6 +85,21 @@
 	return r->pending == PENDING_MOVE ? r->pending_owner : r->owner;
 }
 
+/* Weight of a key: what one backend server can do for it at the most. */
+static double
+key_weight(const struct plan *pl, uint32_t key)
+{
+	double rate = (double)pl->ks->rate[key];
+
+	return pl->base + (rate < pl->key_max ? rate : pl->key_max);
+}
+
+static bool
+is_hot(const struct plan *pl, uint32_t key)
+{
+	return (double)pl->ks->rate[key] >= pl->key_max * HOT_SHARE;
+}
+
 static double
 weight(const struct plan *pl, uint32_t from, uint32_t to)
 {
@@ -85,8 +107,8 @@
 	uint32_t k;
 
 	for (k = from; k <= to; k++)
-		w += (double)pl->ks->rate[k];
-	return w + pl->base * (to - from + 1);
+		w += key_weight(pl, k);
+	return w;
 }
 
 static void
@@ -98,10 +120,6 @@
 	size_t i;
 
 	*pl = (struct plan){ .ks = ks, .now_ms = now_ms };
-	for (k = 0; k < DH_KEYS; k++)
-		demand += (double)ks->rate[k];
-	pl->base = (demand * BASE_SHARE + 1.0) / DH_KEYS;
-	pl->total = demand + pl->base * DH_KEYS;
 	for (i = 0; i < ks->nservers; i++) {
 		ks->servers[i].load = 0;
 		if (ks->servers[i].work_ms > 0) {
@@ -117,6 +135,15 @@
 		pl->usable++;
 		pl->capacity += capacity(pl, s);
 	}
+	if (pl->usable == 0)
+		return;
+	pl->key_max = pl->capacity / pl->usable;
+	for (k = 0; k < DH_KEYS; k++)
+		demand += (double)ks->rate[k] < pl->key_max
+		    ? (double)ks->rate[k]
+		    : pl->key_max;
+	pl->base = (demand * BASE_SHARE + 1.0) / DH_KEYS;
+	pl->total = demand + pl->base * DH_KEYS;
 	for (i = 0; i < ks->nranges; i++) {
 		k = planned_owner(&ks->ranges[i]);
 		if (k != DH_NONE)
@@ -242,55 +269,74 @@
 	double weight;
 };
 
-/* The fewest neighbouring keys of owner's that weigh as much as want. */
+/* The fewest neighbouring keys of a range that weigh as much as want, without
+ * a hot one. */
+static void
+window_in(const struct plan *pl, size_t i, double want, struct window *win)
+{
+	const struct range *r = &pl->ks->ranges[i];
+	uint32_t a = r->from, b;
+	double sum = 0;
+
+	for (b = r->from; b <= r->to; b++) {
+		if (is_hot(pl, b)) {
+			a = b + 1;
+			sum = 0;
+			continue;
+		}
+		sum += key_weight(pl, b);
+		while (a < b && sum - key_weight(pl, a) >= want)
+			sum -= key_weight(pl, a++);
+		if (sum >= want &&
+		    (win->weight <= 0 || b - a < win->to - win->from))
+			*win = (struct window){ i, a, b, sum };
+	}
+}
+
+/* What to take from owner so that it has about want less. */
 static bool
 find_window(
     const struct plan *pl, uint32_t owner, double want, struct window *win)
 {
-	const struct dh_keyspace *ks = pl->ks;
-	uint32_t width = UINT32_MAX, a, b;
-	double sum;
 	size_t i;
 
-	for (i = 0; i < ks->nranges; i++) {
-		const struct range *r = &ks->ranges[i];
+	*win = (struct window){ 0 };
+	for (i = 0; i < pl->ks->nranges; i++) {
+		const struct range *r = &pl->ks->ranges[i];
 
-		if (r->owner != owner || r->state != RANGE_SETTLED ||
-		    !dh_range_idle(r, pl->now_ms))
-			continue;
-		sum = 0;
-		for (a = b = r->from; b <= r->to; b++) {
-			sum += (double)ks->rate[b] + pl->base;
-			while (sum - (double)ks->rate[a] - pl->base >= want &&
-			    a < b)
-				sum -= (double)ks->rate[a++] + pl->base;
-			if (sum >= want && b - a + 1 < width) {
-				width = b - a + 1;
-				*win = (struct window){ i, a, b, sum };
-			}
-		}
+		if (r->owner == owner && r->state == RANGE_SETTLED &&
+		    dh_range_idle(r, pl->now_ms))
+			window_in(pl, i, want, win);
 	}
-	return width != UINT32_MAX;
+	return win->weight > 0;
 }
 
-/* The whole range of owner's that weighs most. */
+/* The heaviest part of a range of owner's that has no hot key. */
 static bool
-heaviest_range(const struct plan *pl, uint32_t owner, struct window *win)
+heaviest_part(const struct plan *pl, uint32_t owner, struct window *win)
 {
 	const struct dh_keyspace *ks = pl->ks;
+	uint32_t a, b;
 	double w;
 	size_t i;
 
-	win->weight = 0;
+	*win = (struct window){ 0 };
 	for (i = 0; i < ks->nranges; i++) {
 		const struct range *r = &ks->ranges[i];
 
 		if (r->owner != owner || r->state != RANGE_SETTLED ||
 		    !dh_range_idle(r, pl->now_ms))
 			continue;
-		w = weight(pl, r->from, r->to);
-		if (w > win->weight)
-			*win = (struct window){ i, r->from, r->to, w };
+		for (a = b = r->from, w = 0; b <= r->to; b++) {
+			if (is_hot(pl, b)) {
+				a = b + 1;
+				w = 0;
+				continue;
+			}
+			w += key_weight(pl, b);
+			if (w > win->weight)
+				*win = (struct window){ i, a, b, w };
+		}
 	}
 	return win->weight > 0;
 }
@@ -326,6 +372,65 @@
 	return found;
 }
 
+/* Give keys from .. to of range i, and no others, to another. */
+static void
+carve(struct plan *pl, const struct window *win, uint32_t to)
+{
+	size_t i = dh_range_cut(pl->ks, win->range, win->from);
+
+	if (win->to < pl->ks->ranges[i].to)
+		(void)dh_range_cut(pl->ks, i, win->to + 1);
+	move(pl, i, to);
+}
+
+static double
+utilization(const struct plan *pl, uint32_t server)
+{
+	const struct server *s = &pl->ks->servers[server];
+
+	return s->load / capacity(pl, s);
+}
+
+/* A hot key belongs on one of the fastest backend servers. */
+static bool
+speed_up(struct plan *pl)
+{
+	struct dh_keyspace *ks = pl->ks;
+	uint32_t k, to, best;
+	struct window win;
+	size_t i;
+
+	for (i = 0; i < ks->nranges; i++) {
+		const struct range *r = &ks->ranges[i];
+
+		if (r->state != RANGE_SETTLED || r->owner == DH_NONE ||
+		    !dh_range_idle(r, pl->now_ms))
+			continue;
+		for (k = r->from; k <= r->to && !is_hot(pl, k); k++)
+			;
+		if (k > r->to)
+			continue;
+		best = DH_NONE;
+		for (to = 0; to < ks->nservers; to++) {
+			const struct server *s = &ks->servers[to];
+
+			if (!usable(s) || utilization(pl, to) > 1 ||
+			    capacity(pl, s) < HOT_FASTER *
+				    capacity(pl, &ks->servers[r->owner]))
+				continue;
+			if (best == DH_NONE ||
+			    utilization(pl, to) < utilization(pl, best))
+				best = to;
+		}
+		if (best == DH_NONE)
+			continue;
+		win = (struct window){ i, k, k, 0 };
+		carve(pl, &win, best);
+		return true;
+	}
+	return false;
+}
+
 /* One change that evens out the load; false if there is none worth it. */
 static bool
 even_out(struct plan *pl)
@@ -335,13 +440,12 @@
 	double mean = pl->total / pl->capacity;
 	double used_from, used_to, want;
 	struct window win;
-	size_t i;
 
 	if (from == DH_NONE || to == DH_NONE || from == to ||
 	    ks->nranges >= RANGES_MAX)
 		return false;
-	used_from = ks->servers[from].load / capacity(pl, &ks->servers[from]);
-	used_to = ks->servers[to].load / capacity(pl, &ks->servers[to]);
+	used_from = utilization(pl, from);
+	used_to = utilization(pl, to);
 	if (has_ranges(pl, to) &&
 	    (used_from < BUSY_UTILIZATION || used_from < mean * BUSY_RATIO ||
 		used_from - used_to < BUSY_GAP))
@@ -354,16 +458,13 @@
 		    capacity(pl, &ks->servers[from]);
 	if (want <= 0 ||
 	    (!find_window(pl, from, want, &win) &&
-		!heaviest_range(pl, from, &win)))
+		!heaviest_part(pl, from, &win)))
 		return false;
 	if ((ks->servers[to].load + win.weight) /
 		capacity(pl, &ks->servers[to]) >=
 	    used_from)
 		return false;
-	i = dh_range_cut(ks, win.range, win.from);
-	if (win.to < ks->ranges[i].to)
-		(void)dh_range_cut(ks, i, win.to + 1);
-	move(pl, i, to);
+	carve(pl, &win, to);
 	return true;
 }
 
@@ -378,6 +479,8 @@
 	if (pl.usable == 0)
 		return;
 	place_all(&pl);
+	if (speed_up(&pl))
+		return;
 	for (moves = 0; moves < MOVES_MAX; moves++)
 		if (!even_out(&pl))
 			return;
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -31,6 +31,10 @@
 		.way_ms = rq->worker->choice.way_ms[pool->tier] };
 	struct dh_service_state *s = rq->service_state;
 
+	if (answer != NULL)
+		dh_counter_add(rq->keyed ? rq->worker->c.keyed_bytes[pool->tier]
+					 : rq->worker->c.bytes[pool->tier],
+		    rq->wire->len + answer->text->len + answer->body->len);
 	r.has_load = load != NULL && dh_wire_load(load, &r.running, &r.waiting);
 	dh_backend_replied(&pool->load, &r, now_ms);
 	if (kind == DH_REPLY_GOOD)
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -40,6 +40,19 @@
 	g_autofree char *label = NULL;
 	int i;
 
+	for (i = 0; i < DH_TIERS; i++) {
+		static const char *const tiers[DH_TIERS] = { "zone", "region",
+			"remote" };
+		g_autofree char *keyed = g_strdup_printf(
+		    "keyed=\"yes\",tier=\"%s\"", tiers[i]);
+		g_autofree char *other = g_strdup_printf(
+		    "keyed=\"no\",tier=\"%s\"", tiers[i]);
+
+		c->keyed_bytes[i] =
+		    dh_counter_get("dh_gateway_backend_bytes_total", keyed);
+		c->bytes[i] =
+		    dh_counter_get("dh_gateway_backend_bytes_total", other);
+	}
 	c->requests = dh_counter_get("dh_gateway_requests_total", "");
 	c->done = dh_counter_get("dh_gateway_answers_total", "by=\"backend\"");
 	c->late = dh_counter_get("dh_gateway_late_total", "");
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -42,7 +42,8 @@
 struct dh_worker_counters {
 	struct dh_counter *requests, *done, *late, *refused, *unknown, *failed;
 	struct dh_counter *gone, *retries, *connects, *parked, *bad_answers;
-	struct dh_counter *log_sampled;
+	/* Request and answer, by the tier of the backend server. */
+	struct dh_counter *bytes[DH_TIERS], *keyed_bytes[DH_TIERS];
 	struct dh_counter *latency[DH_LATENCY_BUCKETS + 1];
 	struct dh_counter *latency_sum;
 };
