--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -8,6 +8,9 @@
 #include "gateway/record.h"
 #include "platform/wire.h"
 
+/* Changes within this time go out together: a hot range moves in several
+ * pieces at once. */
+#define PUBLISH_MS 20
 /* Between plans: a hot range is spread within a second by several. */
 #define PLAN_MS 250
 /* A record of which nothing waits to be stored is written this much later. */
@@ -47,9 +50,9 @@
 	int64_t pause_ms;
 	int64_t planned_ms;
 	uint64_t version; /* of what was published or written */
-	uint64_t published_version;
-	uint64_t published; /* as dh_keyspace_current() counts */
-	char *text;
+	struct dh_record published;
+	uint64_t published_number; /* as dh_keyspace_current() counts */
+	int64_t published_ms;
 	GQueue orders;
 	bool may_order;
 };
@@ -211,20 +214,21 @@
 static void
 publish(struct dh_duty *d)
 {
-	struct dh_record r = { .term = d->c.term };
+	struct dh_record r = { .term = d->c.term }, before = d->published;
 	const struct dh_key_range *ranges;
-	size_t n;
 	uint64_t number = dh_keyspace_current(d->ks, NULL, NULL);
+	int64_t now_ms = dh_clock_ms();
 
-	if (number == d->published && d->text != NULL)
+	if ((number == d->published_number && before.ranges != NULL) ||
+	    now_ms - d->published_ms < PUBLISH_MS)
 		return;
-	d->published = dh_keyspace_current(d->ks, &ranges, &n);
-	r.version = d->published_version = ++d->version;
+	d->published_ms = now_ms;
+	d->published_number = dh_keyspace_current(d->ks, &ranges, &r.nranges);
+	r.version = ++d->version;
 	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
-	r.nranges = n;
-	g_free(d->text);
-	d->text = dh_record_text(&r);
-	d->c.published(d->c.arg, d->service, d->text);
+	d->published = dh_record_copy(&r);
+	d->c.published(d->c.arg, d->service, &before, &d->published);
+	dh_record_clear(&before);
 }
 
 static void
@@ -393,8 +397,6 @@
 	struct dh_key_order o;
 
 	store(d, dh_clock_ms());
-	if (dh_keyspace_urgent(d->ks) && d->text == NULL)
-		return;
 	publish(d);
 	while (d->may_order && d->orders.length < ORDERS_MAX &&
 	    dh_keyspace_next(d->ks, dh_clock_ms(), &o))
@@ -486,7 +488,7 @@
 	}
 	dh_objects_cancel(d->call);
 	dh_keyspace_free(d->ks);
-	g_free(d->text);
+	dh_record_clear(&d->published);
 	g_free(d->service);
 	g_free(d->object);
 	g_free(d);
@@ -522,15 +524,16 @@
 	dh_keyspace_set_speed(d->ks, server, work_ms);
 }
 
-const char *
+char *
 dh_duty_text(const struct dh_duty *d)
 {
-	return d->text;
+	return d->published.ranges == NULL ? NULL
+					   : dh_record_text(&d->published);
 }
 
 bool
 dh_duty_is_newest(const struct dh_duty *d, uint64_t term, uint64_t version)
 {
 	return term > d->c.term ||
-	    (term == d->c.term && version >= d->published_version);
+	    (term == d->c.term && version >= d->published.version);
 }
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -24,8 +24,10 @@
 	struct dh_registry *registry;
 	const char *kind; /* of the record's object */
 	uint64_t term;
-	/* The owners have changed; text is borrowed. */
-	void (*published)(void *arg, const char *service, const char *text);
+	/* The owners have changed, from before (no ranges at first); both are
+	 * borrowed. */
+	void (*published)(void *arg, const char *service,
+	    const struct dh_record *before, const struct dh_record *now);
 	/* The store has taken or confirmed a write of this term. */
 	void (*confirmed)(void *arg);
 	/* Another leader is in office. */
@@ -46,8 +48,9 @@
 void dh_duty_demand(struct dh_duty *d, uint32_t key);
 void dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms);
 
-/* dh_duty_text -- the owners as last published, NULL before; borrowed. */
-const char *dh_duty_text(const struct dh_duty *d);
+/* dh_duty_text -- the owners as last published, the caller's to free; NULL
+ * before. */
+char *dh_duty_text(const struct dh_duty *d);
 bool dh_duty_is_newest(
     const struct dh_duty *d, uint64_t term, uint64_t version);
 
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -261,6 +261,17 @@
 	    o->announce_revision, spec, STORE_TIMEOUT_MS, on_announced, o);
 }
 
+/* Whether the leader tells this VM of each change: the record in the store is
+ * then older, or a plan that is not carried out yet. */
+static bool
+told_by_leader(const struct dh_owners *o, const char *service)
+{
+	const struct known_owners *k = g_hash_table_lookup(o->known, service);
+
+	return k != NULL && k->record.term == o->term &&
+	    dh_clock_ms() - o->sign_ms < o->c.settings->silence_ms;
+}
+
 static void
 on_object(void *arg, const struct dh_object_view *v)
 {
@@ -270,7 +281,8 @@
 		see_leader(o, v);
 	else if (g_str_has_prefix(v->name, VM_PREFIX))
 		see_vm(o, v);
-	else if (g_str_has_prefix(v->name, SERVICE_PREFIX))
+	else if (g_str_has_prefix(v->name, SERVICE_PREFIX) &&
+	    !told_by_leader(o, v->name + strlen(SERVICE_PREFIX)))
 		learn_json(
 		    o, v->name + strlen(SERVICE_PREFIX), v->spec, "store");
 }
@@ -292,18 +304,40 @@
 /* --- leading --- */
 
 static void
-on_published(void *arg, const char *service, const char *text)
+add_change(void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
+{
+	struct dh_peer_change c = {
+		.from = from, .to = to, .settled = k->settled
+	};
+
+	(void)g_strlcpy(c.owner, k->owner, sizeof(c.owner));
+	g_array_append_val((GArray *)arg, c);
+}
+
+static void
+on_published(void *arg, const char *service, const struct dh_record *before,
+    const struct dh_record *now)
 {
 	struct dh_owners *o = arg;
-	struct json_object *spec = json_tokener_parse(text);
+	g_autoptr(GArray) changes =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_change));
+	struct dh_peer_delta d = { .term = now->term,
+		.base = before->version,
+		.version = now->version,
+		.changes = changes };
+	struct dh_record copy = dh_record_copy(now);
 	GHashTableIter it;
 	gpointer ip;
 
-	learn_json(o, service, spec, "leader");
-	json_object_put(spec);
+	(void)learn(o, service, &copy, "leader");
+	/* The first of a term is asked for by those that report. */
+	if (before->ranges == NULL)
+		return;
+	(void)g_strlcpy(d.service, service, sizeof(d.service));
+	dh_record_changes(before, now, add_change, changes);
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, NULL))
-		dh_peer_send_owners(o->peer, ip, service, text);
+		dh_peer_send_delta(o->peer, ip, &d);
 }
 
 static void
@@ -585,6 +619,29 @@
 	json_object_put(spec);
 }
 
+static void
+on_delta(void *arg, const struct dh_peer_delta *d)
+{
+	struct dh_owners *o = arg;
+	struct known_owners *k = g_hash_table_lookup(o->known, d->service);
+	struct dh_record r;
+	guint i;
+
+	/* Another base: the next report will show it. */
+	if (o->role == ROLE_LEADER || k == NULL || k->record.term != d->term ||
+	    k->record.version != d->base)
+		return;
+	r = dh_record_copy(&k->record);
+	r.version = d->version;
+	for (i = 0; i < d->changes->len; i++) {
+		const struct dh_peer_change *c =
+		    &g_array_index(d->changes, struct dh_peer_change, i);
+
+		dh_record_set(&r, c->from, c->to, c->owner, c->settled);
+	}
+	(void)learn(o, d->service, &r, "delta");
+}
+
 static void
 send_missing(
     struct dh_owners *o, const struct dh_peer_report *r, const char *ip)
@@ -741,7 +798,8 @@
 dh_owners_new(const struct dh_owners_context *c, GError **error)
 {
 	struct dh_owners *o = g_new0(struct dh_owners, 1);
-	struct dh_peer_handler peers = { on_beat, on_owners, on_report, o };
+	struct dh_peer_handler peers = { on_beat, on_owners, on_delta,
+		on_report, o };
 	struct dh_mirror_handler objects = { on_object, on_object_gone,
 		on_reached, o };
 
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -13,13 +13,20 @@
 #define KEYS_MAX 4096u
 #define SERVERS_MAX 512u
 
-enum message_kind { MESSAGE_BEAT = 1, MESSAGE_OWNERS = 2, MESSAGE_REPORT = 3 };
+#define CHANGES_MAX 4096u
+
+enum message_kind {
+	MESSAGE_BEAT = 1,
+	MESSAGE_OWNERS = 2,
+	MESSAGE_REPORT = 3,
+	MESSAGE_DELTA = 4,
+};
 
 struct dh_peer {
 	uv_udp_t udp;
 	uint16_t port;
 	struct dh_peer_handler h;
-	struct dh_counter *dropped;
+	struct dh_counter *dropped, *bytes;
 	char buffer[65536];
 };
 
@@ -93,6 +100,45 @@
 	return true;
 }
 
+static bool
+read_changes(const msgpack_object_array *list, GArray *changes)
+{
+	struct dh_peer_change c;
+	uint64_t from, to, settled;
+	uint32_t i;
+
+	for (i = 0; i < list->size; i++) {
+		const msgpack_object_array *o = array_at(list, i, 4);
+
+		if (o == NULL || !number_at(o, 0, &from) ||
+		    !number_at(o, 1, &to) ||
+		    !text_at(o, 2, c.owner, sizeof(c.owner)) ||
+		    !number_at(o, 3, &settled) || from > to || to > UINT16_MAX)
+			return false;
+		c.from = (uint32_t)from;
+		c.to = (uint32_t)to;
+		c.settled = settled != 0;
+		g_array_append_val(changes, c);
+	}
+	return true;
+}
+
+static bool
+take_delta(struct dh_peer *p, const msgpack_object_array *a)
+{
+	g_autoptr(GArray) changes =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_change));
+	struct dh_peer_delta d = { .changes = changes };
+	const msgpack_object_array *list = array_at(a, 5, CHANGES_MAX);
+
+	if (list == NULL || !text_at(a, 1, d.service, sizeof(d.service)) ||
+	    !number_at(a, 2, &d.term) || !number_at(a, 3, &d.base) ||
+	    !number_at(a, 4, &d.version) || !read_changes(list, changes))
+		return false;
+	p->h.delta(p->h.arg, &d);
+	return true;
+}
+
 static bool
 read_versions(const msgpack_object_array *list, struct dh_peer_report *r)
 {
@@ -183,6 +229,8 @@
 		return take_beat(p, a, ip);
 	case MESSAGE_OWNERS:
 		return take_owners(p, a);
+	case MESSAGE_DELTA:
+		return take_delta(p, a);
 	case MESSAGE_REPORT:
 		return take_report(p, a, ip);
 	default: /* of a later release */
@@ -225,6 +273,7 @@
 
 	p->port = port;
 	p->h = *h;
+	p->bytes = dh_counter_get("dh_peer_sent_bytes_total", "");
 	p->dropped = dh_counter_get("dh_peer_bad_datagrams_total", "");
 	uv_udp_init(loop, &p->udp);
 	p->udp.data = p;
@@ -260,6 +309,7 @@
 	uv_buf_t buf = uv_buf_init(b->data, (unsigned int)b->size);
 	struct sockaddr_in sin;
 
+	dh_counter_add(p->bytes, b->size);
 	if (b->size > DATAGRAM_MAX || uv_ip4_addr(ip, p->port, &sin) != 0 ||
 	    uv_udp_try_send(&p->udp, &buf, 1, (const struct sockaddr *)&sin) <
 		0)
@@ -308,6 +358,37 @@
 	msgpack_sbuffer_destroy(&b);
 }
 
+void
+dh_peer_send_delta(
+    struct dh_peer *p, const char *ip, const struct dh_peer_delta *d)
+{
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+	guint i;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 6);
+	msgpack_pack_uint32(&pk, MESSAGE_DELTA);
+	pack_text(&pk, d->service);
+	msgpack_pack_uint64(&pk, d->term);
+	msgpack_pack_uint64(&pk, d->base);
+	msgpack_pack_uint64(&pk, d->version);
+	msgpack_pack_array(&pk, d->changes->len);
+	for (i = 0; i < d->changes->len; i++) {
+		const struct dh_peer_change *c =
+		    &g_array_index(d->changes, struct dh_peer_change, i);
+
+		msgpack_pack_array(&pk, 4);
+		msgpack_pack_uint32(&pk, c->from);
+		msgpack_pack_uint32(&pk, c->to);
+		pack_text(&pk, c->owner);
+		msgpack_pack_uint32(&pk, c->settled);
+	}
+	send_buffer(p, ip, &b);
+	msgpack_sbuffer_destroy(&b);
+}
+
 void
 dh_peer_send_report(
     struct dh_peer *p, const char *ip, const struct dh_peer_report *r)
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -48,11 +48,25 @@
 	uint32_t work_ms;
 };
 
+/* How the owners differ from an earlier version, as far as routers care. */
+struct dh_peer_change {
+	uint32_t from, to; /* both inclusive */
+	char owner[DH_NAME_MAX]; /* "" for none */
+	bool settled;
+};
+
+struct dh_peer_delta {
+	char service[DH_NAME_MAX];
+	uint64_t term, base, version;
+	GArray *changes; /* of struct dh_peer_change; borrowed */
+};
+
 struct dh_peer_handler {
 	void (*beat)(
 	    void *arg, const struct dh_beat *beat, const char *from_ip);
 	/* text is NUL-ended and borrowed. */
 	void (*owners)(void *arg, const char *service, const char *text);
+	void (*delta)(void *arg, const struct dh_peer_delta *d);
 	void (*report)(void *arg, const struct dh_peer_report *report,
 	    const char *from_ip);
 	void *arg;
@@ -68,6 +82,8 @@
     struct dh_peer *p, const char *ip, const struct dh_beat *beat);
 void dh_peer_send_owners(
     struct dh_peer *p, const char *ip, const char *service, const char *text);
+void dh_peer_send_delta(
+    struct dh_peer *p, const char *ip, const struct dh_peer_delta *d);
 void dh_peer_send_report(
     struct dh_peer *p, const char *ip, const struct dh_peer_report *r);
 
--- a/gateway/record.c
+++ b/gateway/record.c
@@ -170,6 +170,87 @@
 	r->nranges = 0;
 }
 
+struct dh_record
+dh_record_copy(const struct dh_record *r)
+{
+	struct dh_record c = *r;
+
+	c.ranges = g_memdup2(r->ranges, r->nranges * sizeof(*r->ranges));
+	return c;
+}
+
+static bool
+alike(const struct dh_key_range *a, const struct dh_key_range *b)
+{
+	return a->settled == b->settled && strcmp(a->owner, b->owner) == 0;
+}
+
+static void
+append(GArray *list, struct dh_key_range k)
+{
+	struct dh_key_range *last;
+
+	if (list->len > 0) {
+		last = &g_array_index(list, struct dh_key_range, list->len - 1);
+		if (alike(last, &k)) {
+			last->to = k.to;
+			return;
+		}
+	}
+	g_array_append_val(list, k);
+}
+
+void
+dh_record_set(struct dh_record *r, uint32_t from, uint32_t to,
+    const char *owner, bool settled)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct dh_key_range));
+	struct dh_key_range k,
+	    set = { .from = from, .to = to, .settled = settled };
+	size_t i;
+
+	(void)g_strlcpy(set.owner, owner, sizeof(set.owner));
+	for (i = 0; i < r->nranges; i++) {
+		k = r->ranges[i];
+		if (k.from < from) {
+			k.to = MIN(k.to, from - 1);
+			append(list, k);
+			k = r->ranges[i];
+		}
+		if (k.from <= to && k.to >= to)
+			append(list, set);
+		if (k.to > to) {
+			k.from = MAX(k.from, to + 1);
+			append(list, k);
+		}
+	}
+	g_free(r->ranges);
+	r->nranges = list->len;
+	r->ranges = (struct dh_key_range *)(void *)g_array_free(list, FALSE);
+}
+
+void
+dh_record_changes(const struct dh_record *a, const struct dh_record *b,
+    void (*each)(
+	void *arg, uint32_t from, uint32_t to, const struct dh_key_range *in_b),
+    void *arg)
+{
+	const struct dh_key_range *ra, *rb;
+	size_t i = 0, j = 0;
+	uint32_t from = 0, to;
+
+	while (i < a->nranges && j < b->nranges) {
+		ra = &a->ranges[i];
+		rb = &b->ranges[j];
+		to = MIN(ra->to, rb->to);
+		if (!alike(ra, rb))
+			each(arg, from, to, rb);
+		from = to + 1;
+		i += ra->to == to;
+		j += rb->to == to;
+	}
+}
+
 bool
 dh_record_newer(const struct dh_record *a, const struct dh_record *b)
 {
--- a/gateway/record.h
+++ b/gateway/record.h
@@ -34,6 +34,21 @@
     struct dh_record *r, struct json_object *o, GError **error);
 void dh_record_clear(struct dh_record *r);
 
+/* dh_record_set -- give keys from .. to, both inclusive, another owner or
+ * state; "" for no owner.  Neighbours that then are alike for routers join. */
+void dh_record_set(struct dh_record *r, uint32_t from, uint32_t to,
+    const char *owner, bool settled);
+
+/* dh_record_changes -- call for each stretch of keys whose owner or state
+ * differs in b from a; both cover all keys. */
+void dh_record_changes(const struct dh_record *a, const struct dh_record *b,
+    void (*each)(
+	void *arg, uint32_t from, uint32_t to, const struct dh_key_range *in_b),
+    void *arg);
+
+/* dh_record_copy -- a deep copy; dh_record_clear() frees it. */
+struct dh_record dh_record_copy(const struct dh_record *r);
+
 /* dh_record_newer -- whether a is newer than b. */
 bool dh_record_newer(const struct dh_record *a, const struct dh_record *b);
 
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -43,10 +43,10 @@
 	for (i = 0; i < DH_TIERS; i++) {
 		static const char *const tiers[DH_TIERS] = { "zone", "region",
 			"remote" };
-		g_autofree char *keyed = g_strdup_printf(
-		    "keyed=\"yes\",tier=\"%s\"", tiers[i]);
-		g_autofree char *other = g_strdup_printf(
-		    "keyed=\"no\",tier=\"%s\"", tiers[i]);
+		g_autofree char *keyed =
+		    g_strdup_printf("keyed=\"yes\",tier=\"%s\"", tiers[i]);
+		g_autofree char *other =
+		    g_strdup_printf("keyed=\"no\",tier=\"%s\"", tiers[i]);
 
 		c->keyed_bytes[i] =
 		    dh_counter_get("dh_gateway_backend_bytes_total", keyed);
