--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -20,6 +20,10 @@
 #define BUSY_UTILIZATION 0.5
 #define BUSY_RATIO 1.25
 #define BUSY_GAP 0.12
+/* One with less than these parts of the mean load and of an even share of the
+ * keys is new, and is given keys whatever the load. */
+#define NEW_LOAD_SHARE 0.5
+#define NEW_KEYS_SHARE 0.25
 /* Changes planned at once, and ranges in all: each costs calls to renew. */
 #define MOVES_MAX 8
 #define RANGES_MAX 400
@@ -341,17 +345,6 @@
 	return win->weight > 0;
 }
 
-static bool
-has_ranges(const struct plan *pl, uint32_t server)
-{
-	size_t i;
-
-	for (i = 0; i < pl->ks->nranges; i++)
-		if (planned_owner(&pl->ks->ranges[i]) == server)
-			return true;
-	return false;
-}
-
 static uint32_t
 most_used(const struct plan *pl)
 {
@@ -431,6 +424,20 @@
 	return false;
 }
 
+static bool
+is_new(const struct plan *pl, uint32_t server, double mean)
+{
+	const struct dh_keyspace *ks = pl->ks;
+	uint32_t keys = 0;
+	size_t i;
+
+	for (i = 0; i < ks->nranges; i++)
+		if (planned_owner(&ks->ranges[i]) == server)
+			keys += ks->ranges[i].to - ks->ranges[i].from + 1;
+	return utilization(pl, server) < mean * NEW_LOAD_SHARE &&
+	    keys < NEW_KEYS_SHARE * DH_KEYS / pl->usable;
+}
+
 /* One change that evens out the load; false if there is none worth it. */
 static bool
 even_out(struct plan *pl)
@@ -446,16 +453,13 @@
 		return false;
 	used_from = utilization(pl, from);
 	used_to = utilization(pl, to);
-	if (has_ranges(pl, to) &&
+	if (!is_new(pl, to, mean) &&
 	    (used_from < BUSY_UTILIZATION || used_from < mean * BUSY_RATIO ||
 		used_from - used_to < BUSY_GAP))
 		return false;
 	want = (used_from - mean) * capacity(pl, &ks->servers[from]);
 	if (want > (mean - used_to) * capacity(pl, &ks->servers[to]))
 		want = (mean - used_to) * capacity(pl, &ks->servers[to]);
-	if (!has_ranges(pl, to) && want < mean / 2)
-		want = (used_from - used_to) / 2 *
-		    capacity(pl, &ks->servers[from]);
 	if (want <= 0 ||
 	    (!find_window(pl, from, want, &win) &&
 		!heaviest_part(pl, from, &win)))
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -53,8 +53,7 @@
 int64_t
 dh_range_lapse_ms(const struct dh_keyspace *ks, const struct range *r)
 {
-	int64_t own_ms =
-	    r->sent_ms == 0 ? 0 : r->sent_ms + longest_hold_ms(ks);
+	int64_t own_ms = r->sent_ms == 0 ? 0 : r->sent_ms + longest_hold_ms(ks);
 
 	return own_ms > r->foreign_ms ? own_ms : r->foreign_ms;
 }
@@ -66,7 +65,8 @@
 	 * may renew the range whatever is ordered here. */
 	if (r->state == RANGE_SETTLED && r->foreign_ms != 0)
 		return false;
-	return r->ticket == 0 && now_ms >= r->doubt_ms && r->pending == PENDING_NONE &&
+	return r->ticket == 0 && now_ms >= r->doubt_ms &&
+	    r->pending == PENDING_NONE &&
 	    (r->state == RANGE_SETTLED || r->state == RANGE_NONE);
 }
 
@@ -148,13 +148,15 @@
 	return s->born_ms == 0 || born_ms == 0 || s->born_ms == born_ms;
 }
 
+/* The former owner holds the range no more.  An owner that an earlier leader
+ * may have granted it stays in doubt. */
 static void
 free_range(struct dh_keyspace *ks, struct range *r)
 {
 	r->former = DH_NONE;
 	r->handover[0] = '\0';
 	r->state = r->owner == DH_NONE ? RANGE_NONE : RANGE_GRANTING;
-	r->sent_ms = r->doubt_ms = r->foreign_ms = 0;
+	r->sent_ms = r->doubt_ms = 0;
 	r->due_ms = 0;
 	ks->changed = true;
 	ks->visible++;
@@ -255,6 +257,7 @@
 		if (r->owner != s || r->state == RANGE_RELEASING)
 			continue;
 		r->ticket = 0;
+		r->foreign_ms = 0;
 		free_range(ks, r);
 		if (r->pending == PENDING_NONE)
 			plan_fence(ks, r);
@@ -377,15 +380,33 @@
 		abort();
 }
 
+/* Whether a change may go on record.  One that takes a range from its owner
+ * waits until no order to that owner can be carried out later: a successor
+ * that reads the record has the range released and knows of no such order. */
+static bool
+recordable(const struct range *r, int64_t now_ms)
+{
+	switch (r->pending) {
+	case PENDING_NONE:
+		return false;
+	case PENDING_FENCE:
+		return true;
+	case PENDING_MOVE:
+		return r->pending_first != 0 || r->state != RANGE_SETTLED ||
+		    (r->ticket == 0 && now_ms >= r->doubt_ms);
+	}
+	return false;
+}
+
 bool
-dh_keyspace_urgent(const struct dh_keyspace *ks)
+dh_keyspace_urgent(const struct dh_keyspace *ks, int64_t now_ms)
 {
 	size_t i;
 
 	if (ks->stored == 0)
 		return true;
 	for (i = 0; i < ks->nranges; i++)
-		if (ks->ranges[i].pending != PENDING_NONE)
+		if (recordable(&ks->ranges[i], now_ms))
 			return true;
 	return false;
 }
@@ -409,19 +430,26 @@
 }
 
 uint64_t
-dh_keyspace_export(struct dh_keyspace *ks, const struct dh_key_range **ranges,
-    size_t *n, uint64_t *next_fence)
+dh_keyspace_export(struct dh_keyspace *ks, int64_t now_ms,
+    const struct dh_key_range **ranges, size_t *n, uint64_t *next_fence)
 {
+	struct range *r;
 	size_t i;
 
-	if (!ks->changed && ks->stored == ks->serial)
+	if (!ks->changed && ks->stored == ks->serial &&
+	    !dh_keyspace_urgent(ks, now_ms))
 		return 0;
 	image_room(ks);
 	ks->serial++;
 	ks->changed = false;
 	for (i = 0; i < ks->nranges; i++) {
-		note_export(&ks->ranges[i], ks->serial);
-		export_planned(ks, ks->ranges[i], &ks->image[i]);
+		r = &ks->ranges[i];
+		if (recordable(r, now_ms)) {
+			note_export(r, ks->serial);
+			export_planned(ks, *r, &ks->image[i]);
+		} else {
+			export_range(ks, r, &ks->image[i]);
+		}
 	}
 	*ranges = ks->image;
 	*n = ks->nranges;
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -253,8 +253,7 @@
 	d->writing = 0;
 	d->in_doubt = false;
 	d->pause_ms = STORE_PAUSE_MIN_MS;
-	d->wrote_ms = dh_clock_ms();
-	d->c.confirmed(d->c.arg);
+	d->c.confirmed(d->c.arg, d->wrote_ms);
 	dh_keyspace_stored(d->ks, serial, dh_clock_ms());
 	pump(d);
 }
@@ -377,15 +376,18 @@
 		    STORE_TIMEOUT_MS, on_compared, d);
 		return;
 	}
-	if (!dh_keyspace_urgent(d->ks) && now_ms - d->wrote_ms < LAZY_STORE_MS)
+	if (!dh_keyspace_urgent(d->ks, now_ms) &&
+	    now_ms - d->wrote_ms < LAZY_STORE_MS)
 		return;
-	serial = dh_keyspace_export(d->ks, &ranges, &r.nranges, &r.next_fence);
+	serial = dh_keyspace_export(
+	    d->ks, now_ms, &ranges, &r.nranges, &r.next_fence);
 	if (serial == 0)
 		return;
 	r.version = ++d->version;
 	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
 	text = dh_record_text(&r);
 	d->writing = serial;
+	d->wrote_ms = now_ms;
 	d->written_version = r.version;
 	d->call = dh_objects_put(d->c.objects, d->c.kind, d->object,
 	    d->revision, text, STORE_TIMEOUT_MS, on_written, d);
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -28,8 +28,9 @@
 	 * borrowed. */
 	void (*published)(void *arg, const char *service,
 	    const struct dh_record *before, const struct dh_record *now);
-	/* The store has taken or confirmed a write of this term. */
-	void (*confirmed)(void *arg);
+	/* The store took a write of this term, which began then: until that
+	 * moment no other leader's record was stored. */
+	void (*confirmed)(void *arg, int64_t began_ms);
 	/* Another leader is in office. */
 	void (*deposed)(void *arg, const char *why);
 	void *arg;
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -341,11 +341,12 @@
 }
 
 static void
-on_confirmed(void *arg)
+on_confirmed(void *arg, int64_t began_ms)
 {
 	struct dh_owners *o = arg;
 
-	o->confirmed_ms = dh_clock_ms();
+	if (began_ms > o->confirmed_ms)
+		o->confirmed_ms = began_ms;
 }
 
 static gboolean
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -114,7 +114,7 @@
  * the instance until the next call, and the next token.  Returns a serial for
  * dh_keyspace_stored(), 0 if nothing has changed since the last one stored.
  */
-uint64_t dh_keyspace_export(struct dh_keyspace *ks,
+uint64_t dh_keyspace_export(struct dh_keyspace *ks, int64_t now_ms,
     const struct dh_key_range **ranges, size_t *n, uint64_t *next_fence);
 void dh_keyspace_stored(
     struct dh_keyspace *ks, uint64_t serial, int64_t now_ms);
@@ -125,7 +125,7 @@
 
 /* dh_keyspace_urgent -- whether something waits for the next export to be
  * stored; else what has changed is only good to know. */
-bool dh_keyspace_urgent(const struct dh_keyspace *ks);
+bool dh_keyspace_urgent(const struct dh_keyspace *ks, int64_t now_ms);
 
 /* dh_keyspace_current -- the owners as they are, for routers: *n ranges, owned
  * by the instance until the next call.  Returns a number that rises with each
--- /dev/null
+++ b/tests/test_keyspace.c
@@ -0,0 +1,439 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <dogwoodhub/keyspace.h>
+#include <dogwoodhub/rng.h>
+
+#include "tests/cunit_main.h"
+
+#define HOLD_MS 2000
+#define RENEW_MS 500
+#define SOLO_MS 15000
+#define DRIFT_PERMILLE 20
+
+static const struct dh_keyspace_params params = { .hold_ms = HOLD_MS,
+	.renew_ms = RENEW_MS,
+	.probe_ms = 250,
+	.solo_ms = SOLO_MS,
+	.drift_permille = DRIFT_PERMILLE,
+	.margin_ms = 60 };
+
+static struct dh_keyspace_server
+server(const char *id, int64_t born_ms)
+{
+	struct dh_keyspace_server s = { .born_ms = born_ms, .slots = 6 };
+
+	(void)snprintf(s.id, sizeof(s.id), "%s", id);
+	return s;
+}
+
+/* Store whatever is planned at once. */
+static void
+store(struct dh_keyspace *ks, int64_t now_ms)
+{
+	const struct dh_key_range *ranges;
+	uint64_t next, serial;
+	size_t n;
+
+	serial = dh_keyspace_export(ks, now_ms, &ranges, &n, &next);
+	if (serial != 0)
+		dh_keyspace_stored(ks, serial, now_ms);
+}
+
+/* Answer every order that is due in the same way; how many there were. */
+static int
+answer_all(struct dh_keyspace *ks, enum dh_key_answer answer, int64_t now_ms)
+{
+	struct dh_key_order o;
+	int n = 0;
+
+	while (n < 1000 && dh_keyspace_next(ks, now_ms, &o)) {
+		CU_ASSERT_TRUE(
+		    dh_keyspace_answer(ks, o.ticket, answer, "warm", now_ms));
+		n++;
+	}
+	return n;
+}
+
+static struct dh_keyspace *
+settled(const struct dh_keyspace_server *list, size_t n)
+{
+	struct dh_keyspace *ks = dh_keyspace_new(&params);
+	int64_t t;
+
+	dh_keyspace_take_over(ks, NULL, 0, 1, 0);
+	for (t = 1; t < 200; t += 20) {
+		dh_keyspace_set_servers(ks, list, n, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		(void)answer_all(ks, DH_KEY_ACCEPTED, t);
+	}
+	return ks;
+}
+
+static void
+test_first_owners_share_all_keys(void)
+{
+	struct dh_keyspace_server list[4] = { server("a", 1), server("b", 1),
+		server("c", 1), server("d", 1) };
+	struct dh_keyspace *ks = settled(list, 4);
+	const struct dh_key_range *r;
+	uint32_t keys[4] = { 0 };
+	size_t n, i;
+
+	(void)dh_keyspace_current(ks, &r, &n);
+	for (i = 0; i < n; i++) {
+		CU_ASSERT_TRUE(r[i].settled);
+		keys[r[i].owner[0] - 'a'] += r[i].to - r[i].from + 1;
+	}
+	for (i = 0; i < 4; i++) {
+		CU_ASSERT_TRUE(keys[i] > DH_KEYS / 8);
+		CU_ASSERT_TRUE(keys[i] < DH_KEYS / 2);
+	}
+	dh_keyspace_free(ks);
+}
+
+static void
+test_nothing_is_ordered_before_the_record_is_stored(void)
+{
+	struct dh_keyspace_server list[1] = { server("a", 1) };
+	struct dh_keyspace *ks = dh_keyspace_new(&params);
+	struct dh_key_order o;
+
+	dh_keyspace_take_over(ks, NULL, 0, 1, 0);
+	dh_keyspace_set_servers(ks, list, 1, 1);
+	dh_keyspace_plan(ks, 1);
+	CU_ASSERT_FALSE(dh_keyspace_next(ks, 2, &o));
+	store(ks, 3);
+	CU_ASSERT_TRUE(dh_keyspace_next(ks, 4, &o));
+	CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
+	dh_keyspace_free(ks);
+}
+
+static void
+test_silent_owner_keeps_its_keys_until_the_lease_has_run_out(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *r;
+	struct dh_key_order o;
+	int64_t t, sent_ms = 0;
+	size_t n;
+
+	/* One renewal of a has no answer, nor has any question later. */
+	for (t = 300; t < 6000; t += 20) {
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o)) {
+			bool dark = strcmp(o.server, "a") == 0;
+
+			if (dark && o.kind == DH_KEY_GRANT)
+				sent_ms = t;
+			dh_keyspace_answer(ks, o.ticket,
+			    dark ? DH_KEY_SILENT : DH_KEY_ACCEPTED, NULL, t);
+		}
+		(void)dh_keyspace_current(ks, &r, &n);
+		if (sent_ms != 0 &&
+		    t < sent_ms + HOLD_MS + HOLD_MS * DRIFT_PERMILLE / 1000)
+			CU_ASSERT_STRING_EQUAL(r[0].owner, "a");
+	}
+	(void)dh_keyspace_current(ks, &r, &n);
+	CU_ASSERT_STRING_EQUAL(r[0].owner, "b");
+	CU_ASSERT_TRUE(r[0].settled);
+	dh_keyspace_free(ks);
+}
+
+static void
+test_restarted_owner_is_granted_again_at_once(void)
+{
+	struct dh_keyspace_server list[1] = { server("a", 1) };
+	struct dh_keyspace *ks = settled(list, 1);
+	struct dh_key_order o = { 0 };
+	const struct dh_key_range *r;
+	uint64_t before;
+	size_t n;
+
+	(void)dh_keyspace_current(ks, &r, &n);
+	before = r[0].fence;
+	list[0].born_ms = 2;
+	dh_keyspace_set_servers(ks, list, 1, 300);
+	dh_keyspace_plan(ks, 300);
+	CU_ASSERT_FALSE(dh_keyspace_next(ks, 300, &o));
+	store(ks, 301);
+	CU_ASSERT_TRUE(dh_keyspace_next(ks, 302, &o));
+	CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
+	CU_ASSERT_TRUE(o.fence > before);
+	dh_keyspace_free(ks);
+}
+
+static void
+test_leaving_owner_releases_before_another_is_granted(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	struct dh_key_order o;
+	int released = 0;
+	int64_t t;
+
+	list[0].leaving = true;
+	for (t = 300; t < 500; t += 20) {
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o)) {
+			released += o.kind == DH_KEY_RELEASE;
+			if (o.kind == DH_KEY_GRANT && o.handover[0] != '\0') {
+				CU_ASSERT_STRING_EQUAL(o.server, "b");
+				CU_ASSERT_STRING_EQUAL(o.handover, "h");
+			}
+			dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, "h", t);
+		}
+	}
+	CU_ASSERT_TRUE(released >= 1);
+	CU_ASSERT_EQUAL(
+	    dh_keyspace_stats(ks).settled, dh_keyspace_stats(ks).ranges);
+	dh_keyspace_free(ks);
+}
+
+/* A grant that nobody answered may be carried out after a later one was. */
+static void
+test_range_in_doubt_is_not_released_to_another(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	struct dh_key_order o;
+	int64_t t, lost_ms = 0;
+
+	for (t = 600; t < 6000; t += 20) {
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o)) {
+			bool lose = lost_ms == 0 && o.kind == DH_KEY_GRANT &&
+			    strcmp(o.server, "a") == 0;
+
+			if (lose) {
+				lost_ms = t;
+				list[0].leaving = true;
+			}
+			if (lost_ms != 0 && o.kind == DH_KEY_RELEASE)
+				CU_ASSERT_TRUE(t >= lost_ms + HOLD_MS);
+			dh_keyspace_answer(ks, o.ticket,
+			    lose ? DH_KEY_SILENT : DH_KEY_ACCEPTED, NULL, t);
+		}
+	}
+	CU_ASSERT_TRUE(lost_ms != 0);
+	dh_keyspace_free(ks);
+}
+
+/* A successor may have read the move and had the range released. */
+static void
+test_no_renewal_while_a_move_may_be_on_record(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *ranges;
+	struct dh_key_order o;
+	uint64_t next, serial;
+	size_t n;
+
+	(void)answer_all(ks, DH_KEY_ACCEPTED, 700);
+	list[0].leaving = true;
+	dh_keyspace_set_servers(ks, list, 2, 900);
+	dh_keyspace_plan(ks, 900);
+	serial = dh_keyspace_export(ks, 900, &ranges, &n, &next);
+	CU_ASSERT_TRUE(serial != 0);
+	while (dh_keyspace_next(ks, 1400, &o)) {
+		CU_ASSERT_STRING_EQUAL(o.server, "b");
+		dh_keyspace_answer(ks, o.ticket, DH_KEY_ACCEPTED, NULL, 1400);
+	}
+	/* The store says that it was not taken: the owner is renewed. */
+	dh_keyspace_not_stored(ks, serial);
+	CU_ASSERT_TRUE(dh_keyspace_next(ks, 1420, &o));
+	CU_ASSERT_STRING_EQUAL(o.server, "a");
+	CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
+	dh_keyspace_free(ks);
+}
+
+static void
+test_refused_grant_shows_another_leader(void)
+{
+	struct dh_keyspace_server list[1] = { server("a", 1) };
+	struct dh_keyspace *ks = settled(list, 1);
+	struct dh_key_order o;
+
+	CU_ASSERT_TRUE(dh_keyspace_next(ks, 1000, &o));
+	CU_ASSERT_FALSE(
+	    dh_keyspace_answer(ks, o.ticket, DH_KEY_REFUSED, NULL, 1001));
+	dh_keyspace_free(ks);
+}
+
+/* Requests by key as routers would see them, for a while. */
+static void
+play_demand(struct dh_keyspace *ks, struct dh_keyspace_server *list, size_t n,
+    int64_t *t, int64_t for_ms, uint32_t first, uint32_t count, double share,
+    double per_s, struct dh_rng *rng)
+{
+	int64_t end = *t + for_ms;
+	double due = 0;
+
+	for (; *t < end; *t += 20) {
+		for (due += per_s * 0.02; due >= 1; due -= 1)
+			dh_keyspace_demand(ks,
+			    dh_rng_unit(rng) < share
+				? first + (uint32_t)dh_rng_below(rng, count)
+				: (uint32_t)dh_rng_below(rng, DH_KEYS));
+		dh_keyspace_set_servers(ks, list, n, *t);
+		if (*t % 240 == 0)
+			dh_keyspace_plan(ks, *t);
+		store(ks, *t);
+		(void)answer_all(ks, DH_KEY_ACCEPTED, *t);
+	}
+}
+
+static uint32_t
+owners_of(struct dh_keyspace *ks, uint32_t first, uint32_t count)
+{
+	const struct dh_key_range *r;
+	char seen[32] = { 0 };
+	uint32_t found = 0;
+	size_t n, i;
+
+	(void)dh_keyspace_current(ks, &r, &n);
+	for (i = 0; i < n; i++)
+		if (r[i].to >= first && r[i].from < first + count)
+			seen[r[i].owner[0] - 'a'] = 1;
+	for (i = 0; i < sizeof(seen); i++)
+		found += (uint32_t)seen[i];
+	return found;
+}
+
+/* 200 neighbouring keys take 45 % of what 18 backend servers can half do. */
+static void
+test_hot_range_is_spread_within_two_seconds(void)
+{
+	struct dh_keyspace_server list[18];
+	struct dh_keyspace *ks;
+	struct dh_rng rng = { 7 };
+	int64_t t = 480;
+	char id[2] = { 0 };
+	size_t i;
+
+	for (i = 0; i < 18; i++) {
+		id[0] = (char)('a' + i);
+		list[i] = server(id, 1);
+	}
+	ks = settled(list, 18);
+	play_demand(ks, list, 18, &t, 3000, 0, DH_KEYS, 0, 500, &rng);
+	CU_ASSERT_TRUE(owners_of(ks, 21000, 200) <= 2);
+	play_demand(ks, list, 18, &t, 2000, 21000, 200, 0.45, 500, &rng);
+	CU_ASSERT_TRUE(owners_of(ks, 21000, 200) >= 5);
+	/* With few keys: the others stayed where they were. */
+	CU_ASSERT_TRUE(
+	    dh_keyspace_stats(ks).keys_moved < DH_KEYS + DH_KEYS / 10);
+	dh_keyspace_free(ks);
+}
+
+/* One key alone exceeds a backend server: its neighbours leave, it stays. */
+static void
+test_hot_key_is_left_alone(void)
+{
+	struct dh_keyspace_server list[6];
+	struct dh_keyspace *ks;
+	const struct dh_key_range *r;
+	struct dh_rng rng = { 9 };
+	char id[2] = { 0 }, owner = 0;
+	uint32_t keys = 0;
+	int64_t t = 480;
+	size_t n, i;
+
+	for (i = 0; i < 6; i++) {
+		id[0] = (char)('a' + i);
+		list[i] = server(id, 1);
+	}
+	ks = settled(list, 6);
+	play_demand(ks, list, 6, &t, 5000, 30000, 1, 0.5, 250, &rng);
+	(void)dh_keyspace_current(ks, &r, &n);
+	for (i = 0; i < n; i++)
+		if (r[i].from <= 30000 && r[i].to >= 30000)
+			owner = r[i].owner[0];
+	for (i = 0; i < n; i++)
+		if (r[i].owner[0] == owner)
+			keys += r[i].to - r[i].from + 1;
+	CU_ASSERT_TRUE(keys < DH_KEYS / 12);
+	dh_keyspace_free(ks);
+}
+
+static void
+test_calm_demand_moves_nothing(void)
+{
+	struct dh_keyspace_server list[6];
+	struct dh_keyspace *ks;
+	struct dh_rng rng = { 3 };
+	char id[2] = { 0 };
+	uint64_t before;
+	int64_t t = 480;
+	size_t i;
+
+	for (i = 0; i < 6; i++) {
+		id[0] = (char)('a' + i);
+		list[i] = server(id, 1);
+	}
+	ks = settled(list, 6);
+	before = dh_keyspace_stats(ks).keys_moved;
+	play_demand(ks, list, 6, &t, 20000, 0, DH_KEYS, 0, 120, &rng);
+	CU_ASSERT_EQUAL(dh_keyspace_stats(ks).keys_moved, before);
+	dh_keyspace_free(ks);
+}
+
+static void
+test_new_backend_server_gets_keys(void)
+{
+	struct dh_keyspace_server list[4] = { server("a", 1), server("b", 1),
+		server("c", 1), server("d", 1) };
+	struct dh_keyspace *ks = settled(list, 3);
+	const struct dh_key_range *r;
+	struct dh_rng rng = { 5 };
+	uint32_t keys = 0;
+	int64_t t = 480;
+	size_t n, i;
+
+	play_demand(ks, list, 4, &t, 2000, 0, DH_KEYS, 0, 60, &rng);
+	(void)dh_keyspace_current(ks, &r, &n);
+	for (i = 0; i < n; i++)
+		if (r[i].owner[0] == 'd')
+			keys += r[i].to - r[i].from + 1;
+	CU_ASSERT_TRUE(keys > DH_KEYS / 16);
+	dh_keyspace_free(ks);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "first owners", test_first_owners_share_all_keys },
+		{ "record first",
+		    test_nothing_is_ordered_before_the_record_is_stored },
+		{ "silent owner",
+		    test_silent_owner_keeps_its_keys_until_the_lease_has_run_out },
+		{ "restarted owner",
+		    test_restarted_owner_is_granted_again_at_once },
+		{ "leaving owner",
+		    test_leaving_owner_releases_before_another_is_granted },
+		{ "range in doubt",
+		    test_range_in_doubt_is_not_released_to_another },
+		{ "move in doubt",
+		    test_no_renewal_while_a_move_may_be_on_record },
+		{ "another leader", test_refused_grant_shows_another_leader },
+		{ "hot range", test_hot_range_is_spread_within_two_seconds },
+		{ "hot key", test_hot_key_is_left_alone },
+		{ "calm", test_calm_demand_moves_nothing },
+		{ "new backend server", test_new_backend_server_gets_keys },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("keyspace", tests);
+}
