--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -93,6 +93,7 @@
 	copy_name(s->id, sizeof(s->id), id);
 	s->born_ms = born_ms;
 	s->leaving = true;
+	s->known_serial = ks->serial;
 	return (uint32_t)ks->nservers++;
 }
 
@@ -192,8 +193,7 @@
 }
 
 static void
-import_range(
-    struct dh_keyspace *ks, const struct dh_key_range *k, int64_t foreign_ms)
+import_range(struct dh_keyspace *ks, const struct dh_key_range *k)
 {
 	uint32_t owner = server_of_record(ks, k->owner, k->owner_born_ms);
 	struct range *r;
@@ -207,7 +207,7 @@
 	r->fence = k->fence;
 	r->former = server_of_record(ks, k->former, k->former_born_ms);
 	r->former_fence = k->former_fence;
-	r->foreign_ms = foreign_ms;
+	r->foreign_ms = ks->foreign_ms;
 	if (r->owner == DH_NONE)
 		r->state = RANGE_NONE;
 	else if (r->former != DH_NONE)
@@ -220,17 +220,17 @@
 dh_keyspace_take_over(struct dh_keyspace *ks, const struct dh_key_range *ranges,
     size_t n, uint64_t next_fence, int64_t now_ms)
 {
-	int64_t foreign_ms = now_ms + ks->p.solo_ms + longest_hold_ms(ks);
 	uint32_t at = 0;
 	size_t i;
 
+	ks->foreign_ms = now_ms + ks->p.solo_ms + longest_hold_ms(ks);
 	ks->nranges = 0;
 	if (next_fence > ks->next_fence)
 		ks->next_fence = next_fence;
 	for (i = 0; i < n; i++) {
 		if (ranges[i].from != at || ranges[i].to < at)
 			break;
-		import_range(ks, &ranges[i], foreign_ms);
+		import_range(ks, &ranges[i]);
 		at = ranges[i].to + 1;
 	}
 	if (at < DH_KEYS)
@@ -257,7 +257,8 @@
 		if (r->owner != s || r->state == RANGE_RELEASING)
 			continue;
 		r->ticket = 0;
-		r->foreign_ms = 0;
+		/* A former leader may take the new life for the old one. */
+		r->foreign_ms = ks->foreign_ms;
 		free_range(ks, r);
 		if (r->pending == PENDING_NONE)
 			plan_fence(ks, r);
@@ -286,6 +287,8 @@
 	if (!k->dead)
 		s->dead = false;
 	if (reborn) {
+		s->known_serial = ks->serial;
+		ks->changed = true;
 		s->silent = s->probing = false;
 		server_reborn(ks, i);
 	}
@@ -559,7 +562,7 @@
 	case RANGE_SETTLED:
 		s = &ks->servers[r->owner];
 		/* A first grant waits for its token to be on record. */
-		if (s->dead || s->silent ||
+		if (s->dead || s->silent || ks->stored <= s->known_serial ||
 		    (r->state == RANGE_GRANTING && r->pending != PENDING_NONE))
 			return false;
 		/* The move may be on record already: a successor that read it
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -25,6 +25,9 @@
 	bool dead;
 	bool silent; /* missed an answer: asked, not renewed */
 	bool probing;
+	/* Last export when this life became known: it is granted nothing
+	 * before a later one is stored. */
+	uint64_t known_serial;
 	int64_t probe_ms; /* when to ask next */
 	double work_ms; /* 0: not known */
 	double load; /* requests a second, as planned */
@@ -61,6 +64,7 @@
 	size_t nranges, ranges_size;
 	struct dh_key_range *image;
 	size_t image_size;
+	int64_t foreign_ms; /* until when a former leader may give orders */
 	uint64_t next_fence;
 	uint64_t next_ticket;
 	uint64_t serial; /* of the last export */
