--- a/base/opslog.c
+++ b/base/opslog.c
@@ -21,7 +21,7 @@
 	char vm[64];
 	uint32_t lines_per_s;
 	uint64_t second; /* that used counts */
-	uint32_t used;
+	uint32_t used[2]; /* by class */
 	uint64_t left_out;
 	uint64_t told; /* of left_out */
 } log_state = { .fd = -1 };
@@ -64,15 +64,16 @@
 static bool
 take(enum dh_ops_class class, uint64_t second)
 {
-	uint32_t limit = log_state.lines_per_s;
+	uint32_t limit = class == DH_OPS_STATE
+	    ? log_state.lines_per_s * STATE_FACTOR
+	    : log_state.lines_per_s;
 
 	if (ck_pr_load_64(&log_state.second) != second) {
 		ck_pr_store_64(&log_state.second, second);
-		ck_pr_store_32(&log_state.used, 0);
+		ck_pr_store_32(&log_state.used[DH_OPS_STATE], 0);
+		ck_pr_store_32(&log_state.used[DH_OPS_REQUEST], 0);
 	}
-	if (class == DH_OPS_STATE)
-		limit *= STATE_FACTOR;
-	return ck_pr_faa_32(&log_state.used, 1) < limit;
+	return ck_pr_faa_32(&log_state.used[class], 1) < limit;
 }
 
 static void
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -12,10 +12,8 @@
 
 /* Before a configuration is known. */
 #define NO_CONFIG_RETRY_MS 500
-/* Part of the fleet's share of retries that is used, and how many a VM may
- * make in a row beyond its part of the slack. */
+/* Part of the fleet's share of retries that is used. */
 #define RETRY_SHARE_USED_PERCENT 70
-#define RETRY_BURST 8
 /* The caller's own clock runs out a little before ours says so. */
 #define DEADLINE_SLACK_MS 5
 
@@ -174,7 +172,7 @@
 	return (struct dh_retry_params){
 		.percent = (uint32_t)s->retry_share_milli *
 		    RETRY_SHARE_USED_PERCENT / 1000,
-		.burst = s->retry_slack / 2 / (vms > 0 ? vms : 1) + RETRY_BURST,
+		.burst = s->retry_slack / 2 / (vms > 0 ? vms : 1) + DH_RETRY_BURST,
 		.max_attempts = most < DH_ATTEMPTS_MAX ? most : DH_ATTEMPTS_MAX,
 	};
 }
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -4,6 +4,9 @@
 #include "gateway/worker.h"
 #include "gateway/message.h"
 
+/* Retries that a VM may make in a row beyond its part of the fleet's slack:
+ * with ten VMs the whole stays within it. */
+#define DH_RETRY_BURST 4
 /* Requests that one request may be sent as, whatever its route allows. */
 #define DH_ATTEMPTS_MAX 8
 /* Backend servers of a service that are looked at for one request. */
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -261,7 +261,9 @@
 			finish_jobs(&queues[b], load, b, now, in_time, late);
 			start_jobs(&queues[b], now);
 		}
-		for (due += per_s * ROUND_MS / 1000; due >= 1; due -= 1) {
+		due += per_s * ROUND_MS / 1000;
+		while (due >= 1) {
+			due -= 1;
 			router = (int)dh_rng_below(&rng, ROUTERS);
 			for (b = 0; b < BACKENDS; b++)
 				list[b] =
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -281,11 +281,14 @@
 	double due = 0;
 
 	for (; *t < end; *t += 20) {
-		for (due += per_s * 0.02; due >= 1; due -= 1)
+		due += per_s * 0.02;
+		while (due >= 1) {
+			due -= 1;
 			dh_keyspace_demand(ks,
 			    dh_rng_unit(rng) < share
 				? first + (uint32_t)dh_rng_below(rng, count)
 				: (uint32_t)dh_rng_below(rng, DH_KEYS));
+		}
 		dh_keyspace_set_servers(ks, list, n, *t);
 		if (*t % 240 == 0)
 			dh_keyspace_plan(ks, *t);
--- /dev/null
+++ b/tests/test_owners_record.c
@@ -0,0 +1,179 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <dogwoodhub/rng.h>
+
+#include "gateway/record.h"
+#include "tests/cunit_main.h"
+
+static struct dh_record
+sample(void)
+{
+	struct dh_record r = { .term = 3, .version = 9, .next_fence = 40 };
+
+	r.nranges = 3;
+	r.ranges = g_new0(struct dh_key_range, 3);
+	r.ranges[0] = (struct dh_key_range){ .from = 0,
+		.to = 99,
+		.owner = "a",
+		.owner_born_ms = 7,
+		.fence = 30,
+		.settled = true };
+	r.ranges[1] = (struct dh_key_range){ .from = 100,
+		.to = 199,
+		.owner = "b",
+		.owner_born_ms = 8,
+		.fence = 31,
+		.former = "a",
+		.former_born_ms = 7,
+		.former_fence = 12 };
+	r.ranges[2] = (struct dh_key_range){ .from = 200, .to = DH_KEYS - 1 };
+	return r;
+}
+
+static bool
+parse(const char *text, struct dh_record *r)
+{
+	struct json_object *o = json_tokener_parse(text);
+	g_autoptr(GError) error = NULL;
+	bool ok = dh_record_parse(r, o, &error);
+
+	CU_ASSERT_TRUE(ok == (error == NULL));
+	json_object_put(o);
+	return ok;
+}
+
+static void
+test_text_and_back(void)
+{
+	struct dh_record r = sample(), back;
+	g_autofree char *text = dh_record_text(&r);
+	size_t i;
+
+	CU_ASSERT_TRUE_FATAL(parse(text, &back));
+	CU_ASSERT_EQUAL(back.term, 3);
+	CU_ASSERT_EQUAL(back.version, 9);
+	CU_ASSERT_EQUAL(back.next_fence, 40);
+	CU_ASSERT_EQUAL_FATAL(back.nranges, 3);
+	for (i = 0; i < 3; i++) {
+		CU_ASSERT_EQUAL(back.ranges[i].from, r.ranges[i].from);
+		CU_ASSERT_EQUAL(back.ranges[i].to, r.ranges[i].to);
+		CU_ASSERT_STRING_EQUAL(back.ranges[i].owner, r.ranges[i].owner);
+		CU_ASSERT_EQUAL(
+		    back.ranges[i].owner_born_ms, r.ranges[i].owner_born_ms);
+		CU_ASSERT_EQUAL(back.ranges[i].fence, r.ranges[i].fence);
+		CU_ASSERT_STRING_EQUAL(
+		    back.ranges[i].former, r.ranges[i].former);
+		CU_ASSERT_EQUAL(
+		    back.ranges[i].former_fence, r.ranges[i].former_fence);
+		CU_ASSERT_EQUAL(back.ranges[i].settled, r.ranges[i].settled);
+	}
+	dh_record_clear(&r);
+	dh_record_clear(&back);
+}
+
+static void
+test_texts_that_make_no_sense(void)
+{
+	static const char *const bad[] = { "{}", "[]", "null",
+		"{\"term\":1,\"version\":1,\"next\":1,\"servers\":[],"
+		"\"ranges\":[]}",
+		"{\"term\":1,\"version\":1,\"next\":1,\"servers\":[],"
+		"\"ranges\":[[65534,-1,0,-1,0,0]]}",
+		"{\"term\":1,\"version\":1,\"next\":1,\"servers\":[],"
+		"\"ranges\":[[65535,0,0,-1,0,0]]}",
+		"{\"term\":1,\"version\":1,\"next\":1,\"servers\":[[\"a\"]],"
+		"\"ranges\":[[65535,0,0,-1,0,0]]}",
+		"{\"term\":1,\"version\":1,\"next\":1,\"servers\":[],"
+		"\"ranges\":[[9,-1,0,-1,0,0],[5,-1,0,-1,0,0],"
+		"[65535,-1,0,-1,0,0]]}",
+		"{\"term\":\"1\",\"version\":1,\"next\":1,\"servers\":[],"
+		"\"ranges\":[[65535,-1,0,-1,0,0]]}" };
+	struct dh_record r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		CU_ASSERT_FALSE(parse(bad[i], &r));
+}
+
+static void
+collect(void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
+{
+	struct dh_key_range copy = *k;
+
+	copy.from = from;
+	copy.to = to;
+	g_array_append_val((GArray *)arg, copy);
+}
+
+static void
+count(void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
+{
+	(void)from;
+	(void)to;
+	(void)k;
+	(*(int *)arg)++;
+}
+
+/* Changes applied to the older record make it the newer one. */
+static void
+test_changes_of_random_records(void)
+{
+	struct dh_rng rng = { 11 };
+	struct dh_record a = sample(), b = dh_record_copy(&a);
+	g_autoptr(GArray) changes =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_key_range));
+	const struct dh_key_range *k;
+	char owner[2] = { 0 };
+	uint32_t from;
+	int i, left, total = 0;
+	guint c;
+
+	for (i = 0; i < 2000; i++) {
+		from = (uint32_t)dh_rng_below(&rng, DH_KEYS);
+		owner[0] = (char)('a' + dh_rng_below(&rng, 5));
+		dh_record_set(&b, from,
+		    from + (uint32_t)dh_rng_below(&rng, DH_KEYS - from), owner,
+		    dh_rng_below(&rng, 2) == 0);
+		CU_ASSERT_EQUAL(b.ranges[0].from, 0);
+		CU_ASSERT_EQUAL(b.ranges[b.nranges - 1].to, DH_KEYS - 1);
+		g_array_set_size(changes, 0);
+		dh_record_changes(&a, &b, collect, changes);
+		for (c = 0; c < changes->len; c++) {
+			k = &g_array_index(changes, struct dh_key_range, c);
+			dh_record_set(&a, k->from, k->to, k->owner, k->settled);
+			total++;
+		}
+		left = 0;
+		dh_record_changes(&a, &b, count, &left);
+		CU_ASSERT_EQUAL(left, 0);
+	}
+	CU_ASSERT_TRUE(total >= 1000);
+	dh_record_clear(&a);
+	dh_record_clear(&b);
+}
+
+static void
+test_newer(void)
+{
+	struct dh_record a = { .term = 2, .version = 1 };
+	struct dh_record b = { .term = 1, .version = 9 };
+
+	CU_ASSERT_TRUE(dh_record_newer(&a, &b));
+	CU_ASSERT_FALSE(dh_record_newer(&b, &a));
+	CU_ASSERT_FALSE(dh_record_newer(&a, &a));
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "text", test_text_and_back },
+		{ "bad texts", test_texts_that_make_no_sense },
+		{ "changes", test_changes_of_random_records },
+		{ "newer", test_newer },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("owners record", tests);
+}
--- /dev/null
+++ b/tests/test_worker.c
@@ -0,0 +1,627 @@
+/*
+ * The data path over loopback: a worker, a fake backend server that does what
+ * a request's path says, and callers.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "gateway/worker.h"
+#include "tests/cunit_main.h"
+
+#define ID "X-Dogwoodhub-Request-Id"
+#define STAMP "X-Dogwoodhub-Server-Stamp: s\r\n"
+#define SERVERS 2
+#define ANSWER_MAX 65536
+
+struct fake {
+	int fd;
+	uint16_t port;
+	int index;
+};
+
+static struct fake fakes[SERVERS];
+static struct dh_gateway_settings settings;
+static struct dh_worker *worker;
+static uint16_t port;
+static struct dh_deployment **deployment;
+/* What the fakes have seen. */
+static GMutex lock;
+static int runs, cancelled;
+static char last_head[4096];
+
+static int
+listen_on(uint16_t *out)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+	    listen(fd, 64) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&sin, &len) != 0)
+		abort();
+	*out = ntohs(sin.sin_port);
+	return fd;
+}
+
+static void
+say(int fd, const char *text)
+{
+	(void)!write(fd, text, strlen(text));
+}
+
+static void
+reset(int fd)
+{
+	struct linger l = { .l_onoff = 1 };
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+	(void)close(fd);
+}
+
+/* Answer one request; false if the connection is over. */
+static bool
+behave(struct fake *f, int fd, const char *head, const char *id)
+{
+	g_autofree char *good = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\n" STAMP ID
+	    ": %s\r\nX-From: %d\r\nContent-Length: 4\r\n\r\nbody",
+	    id, f->index);
+	char byte;
+
+	if (strstr(head, " /ok/") != NULL) {
+		say(fd, good);
+		return true;
+	}
+	if (strstr(head, " /foreign/") != NULL) {
+		say(fd,
+		    "HTTP/1.1 200 OK\r\n" STAMP ID
+		    ": other\r\nContent-Length: 3\r\n\r\nbad");
+		say(fd, good);
+		return true;
+	}
+	if (strstr(head, " /extra/") != NULL) {
+		say(fd, good);
+		say(fd,
+		    "HTTP/1.1 200 OK\r\n" STAMP ID
+		    ": other\r\nContent-Length: 3\r\n\r\nbad");
+		return true;
+	}
+	if (strstr(head, " /short/") != NULL) {
+		say(fd, "HTTP/1.1 200 OK\r\n" STAMP);
+		say(fd, "Content-Length: 9\r\n\r\nbody");
+		(void)close(fd);
+		return false;
+	}
+	if (strstr(head, " /unframed-reset/") != NULL) {
+		g_autofree char *text = g_strdup_printf(
+		    "HTTP/1.1 200 OK\r\n" STAMP ID ": %s\r\n\r\nbo", id);
+
+		say(fd, text);
+		(void)usleep(20000);
+		reset(fd);
+		return false;
+	}
+	if (strstr(head, " /unframed/") != NULL) {
+		g_autofree char *text = g_strdup_printf(
+		    "HTTP/1.1 200 OK\r\n" STAMP ID ": %s\r\n\r\nbody", id);
+
+		say(fd, text);
+		(void)close(fd);
+		return false;
+	}
+	if (strstr(head, " /nostamp/") != NULL) {
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 200 OK\r\n" ID
+				    ": %s\r\nContent-Length: 4\r\n\r\nbody",
+			id);
+
+		say(fd, text);
+		return true;
+	}
+	if (strstr(head, " /shed/") != NULL) {
+		say(fd,
+		    f->index == 0
+			? "HTTP/1.1 503 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
+			  "Content-Length: 0\r\n\r\n"
+			: good);
+		return true;
+	}
+	if (strstr(head, " /garbage/") != NULL) {
+		say(fd, "\x01\x02 nonsense\r\n\r\n");
+		return true;
+	}
+	/* Silence, until the other side closes. */
+	if (read(fd, &byte, 1) <= 0) {
+		g_mutex_lock(&lock);
+		cancelled++;
+		g_mutex_unlock(&lock);
+	}
+	(void)close(fd);
+	return false;
+}
+
+static bool
+serve_one(struct fake *f, int fd, char *buf, size_t size)
+{
+	size_t len = 0, want = 0;
+	char *end = NULL, *id, *body;
+	char name[128] = "";
+	ssize_t n;
+
+	while (end == NULL || len < want) {
+		n = read(fd, buf + len, size - 1 - len);
+		if (n <= 0) {
+			(void)close(fd);
+			return false;
+		}
+		len += (size_t)n;
+		buf[len] = '\0';
+		end = strstr(buf, "\r\n\r\n");
+		if (end == NULL)
+			continue;
+		body = strstr(buf, "Content-Length: ");
+		want = (size_t)(end - buf) + 4 +
+		    (body == NULL ? 0 : strtoul(body + 16, NULL, 10));
+	}
+	id = strstr(buf, ID ": ");
+	if (id != NULL)
+		(void)sscanf(id + strlen(ID ": "), "%127s", name);
+	g_mutex_lock(&lock);
+	runs++;
+	(void)g_strlcpy(last_head, buf, sizeof(last_head));
+	g_mutex_unlock(&lock);
+	return behave(f, fd, buf, name);
+}
+
+struct conn {
+	struct fake *f;
+	int fd;
+};
+
+static gpointer
+serve(gpointer arg)
+{
+	struct conn *c = arg;
+	char *buf = g_malloc(1 << 20);
+
+	while (serve_one(c->f, c->fd, buf, 1 << 20))
+		;
+	g_free(buf);
+	g_free(c);
+	return NULL;
+}
+
+static gpointer
+accept_all(gpointer arg)
+{
+	struct fake *f = arg;
+	struct conn *c;
+	int fd;
+
+	while ((fd = accept(f->fd, NULL, NULL)) >= 0) {
+		c = g_new0(struct conn, 1);
+		c->f = f;
+		c->fd = fd;
+		g_thread_unref(g_thread_new("conn", serve, c));
+	}
+	return NULL;
+}
+
+static void
+add_route(struct dh_deployment *d, const char *prefix, enum dh_repeat repeat,
+    uint32_t service)
+{
+	struct dh_http_route *r = &d->routes[d->nroutes++];
+
+	*r = (struct dh_http_route){ .name = strdup(prefix),
+		.host = strdup("h.example"),
+		.prefix = strdup(prefix),
+		.repeat = repeat,
+		.attempts_max = 2,
+		.target_ms = 400,
+		.timeout_ms = 1000,
+		.nparts = 1 };
+	r->parts = calloc(1, sizeof(*r->parts));
+	r->parts[0] = (struct dh_route_part){ service, 1 };
+}
+
+static struct dh_deployment *
+make_deployment(void)
+{
+	struct dh_deployment *d = dh_deployment_new();
+	int i;
+
+	d->version = 1;
+	d->header_bytes_max = 2000;
+	d->body_bytes_max = 100000;
+	d->header_timeout_ms = 500;
+	d->idle_timeout_ms = 5000;
+	d->services = calloc(2, sizeof(*d->services));
+	d->nservices = 2;
+	for (i = 0; i < 2; i++) {
+		d->services[i].name = strdup(i == 0 ? "any" : "keyed");
+		d->services[i].health_path = strdup("/health");
+		d->services[i].connections_max = 100;
+		d->services[i].keyed = i == 1;
+	}
+	d->routes = calloc(16, sizeof(*d->routes));
+	add_route(d, "/", DH_REPEAT_SAFE, 0);
+	add_route(d, "/shed/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/unframed-reset/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/short/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/silent-once/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/ok/keyed/", DH_REPEAT_SAFE, 1);
+	return d;
+}
+
+/* The first of the servers alone, or all; and the owner of the low keys. */
+static struct dh_view *
+make_view(size_t nservers, bool settled, uint64_t version)
+{
+	struct dh_view *v = dh_view_new(deployment);
+	size_t i, s;
+
+	v->vms = 1;
+	v->number = v->owners_version = version;
+	v->nservers = 2 * SERVERS;
+	v->servers = g_new0(struct dh_view_server, v->nservers);
+	for (s = 0; s < 2; s++) {
+		v->services[s].servers = g_new0(uint32_t, SERVERS);
+		for (i = 0; i < SERVERS; i++) {
+			struct dh_view_server *x = &v->servers[s * SERVERS + i];
+
+			x->uid = (uint32_t)(s * SERVERS + i + 1);
+			(void)g_snprintf(x->id, sizeof(x->id), "i-%zu", i);
+			x->address.sin_family = AF_INET;
+			x->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+			x->address.sin_port = htons(fakes[i].port);
+			x->service = (uint32_t)s;
+			x->slots = 4;
+			x->closed = i >= nservers;
+			v->services[s].servers[v->services[s].nservers++] =
+			    (uint32_t)(s * SERVERS + i);
+		}
+	}
+	v->services[1].nranges = 2;
+	v->services[1].ranges = g_new0(struct dh_view_range, 2);
+	v->services[1].ranges[0] =
+	    (struct dh_view_range){ 999, SERVERS, settled };
+	v->services[1].ranges[1] =
+	    (struct dh_view_range){ DH_KEYS - 1, DH_NONE, false };
+	return v;
+}
+
+static void
+publish(size_t nservers, bool settled)
+{
+	static uint64_t version;
+
+	dh_worker_publish(worker, make_view(nservers, settled, ++version));
+	(void)usleep(50000);
+}
+
+static void
+start(size_t nservers)
+{
+	g_autoptr(GError) error = NULL;
+	int fd = listen_on(&port);
+
+	(void)close(fd);
+	(void)g_snprintf(settings.listen_url, sizeof(settings.listen_url),
+	    "http://127.0.0.1:%u", port);
+	settings.threads = 1;
+	settings.connections_max = 1000;
+	settings.connect_ms = 250;
+	settings.park_ms = 300;
+	settings.retry_share_milli = 200;
+	settings.retry_slack = 60;
+	worker = dh_worker_new(&settings, 0, &error);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
+	publish(nservers, true);
+	runs = cancelled = 0;
+}
+
+static void
+stop(void)
+{
+	dh_worker_drain(worker, 0, 1);
+	dh_worker_free(worker);
+}
+
+static int
+dial(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons(port) };
+	struct timeval tv = { .tv_sec = 3 };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	(void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0)
+		abort();
+	return fd;
+}
+
+/* Read one answer; its status, 0 if the connection ended or was silent. */
+static unsigned int
+receive(int fd, char *buf)
+{
+	size_t len = 0, want = SIZE_MAX;
+	unsigned int status = 0;
+	char *end, *cl;
+	ssize_t n;
+
+	while (len < want && len < ANSWER_MAX - 1) {
+		n = read(fd, buf + len,
+		    want == SIZE_MAX ? 1
+				     : MIN(want - len, ANSWER_MAX - 1 - len));
+		if (n <= 0)
+			return 0;
+		len += (size_t)n;
+		buf[len] = '\0';
+		end = strstr(buf, "\r\n\r\n");
+		if (want != SIZE_MAX || end == NULL)
+			continue;
+		cl = strstr(buf, "Content-Length: ");
+		want = len + (cl == NULL ? 0 : strtoul(cl + 16, NULL, 10));
+	}
+	(void)sscanf(buf, "HTTP/1.1 %u", &status);
+	return status;
+}
+
+static unsigned int
+ask(int fd, const char *path, const char *extra, char *buf)
+{
+	g_autofree char *text =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n" ID
+			    ": r1\r\nX-Dogwoodhub-Deadline-Ms: 900\r\n%s\r\n",
+		path, extra);
+
+	say(fd, text);
+	return receive(fd, buf);
+}
+
+static unsigned int
+ask_once(const char *path, const char *extra, char *buf)
+{
+	int fd = dial();
+	unsigned int status = ask(fd, path, extra, buf);
+
+	(void)close(fd);
+	return status;
+}
+
+static char buf[ANSWER_MAX];
+
+static void
+test_passes_request_and_answer_on(void)
+{
+	int fd;
+
+	start(1);
+	fd = dial();
+	CU_ASSERT_EQUAL(ask(fd, "/ok/a?b=c", "X-Own: v\r\n", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\r\n\r\nbody"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, STAMP));
+	CU_ASSERT_PTR_NOT_NULL(strstr(last_head, "GET /ok/a?b=c HTTP/1.1"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(last_head, "X-Own: v\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(last_head, "X-Dogwoodhub-Target-Instance: i-0\r\n"));
+	/* The same connection again, and the time that is left. */
+	CU_ASSERT_EQUAL(ask(fd, "/ok/", "", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(last_head, "X-Dogwoodhub-Deadline-Ms: 8"));
+	(void)close(fd);
+	stop();
+}
+
+static void
+test_own_answers(void)
+{
+	int fd;
+
+	start(1);
+	CU_ASSERT_EQUAL(ask_once("/ok/", "Host: second\r\n", buf), 400);
+	CU_ASSERT_EQUAL(ask_once("/ok/keyed/", "", buf), 400);
+	fd = dial();
+	say(fd, "GET /ok/ HTTP/1.1\r\n" ID ": r\r\n\r\n");
+	CU_ASSERT_EQUAL(receive(fd, buf), 400);
+	/* One answer, not two. */
+	CU_ASSERT_PTR_NULL(strstr(buf + 5, "HTTP/1.1"));
+	(void)close(fd);
+	fd = dial();
+	say(fd,
+	    "GET /ok/ HTTP/1.1\r\nHost: other.example\r\n" ID ": r\r\n\r\n");
+	CU_ASSERT_EQUAL(receive(fd, buf), 404);
+	(void)close(fd);
+	CU_ASSERT_EQUAL(runs, 0);
+	stop();
+}
+
+static void
+test_half_sent_heads_are_closed(void)
+{
+	int64_t began = dh_clock_ms();
+	int fds[50];
+	size_t i;
+
+	start(1);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = dial();
+		say(fds[i], "GET /ok/ HTTP/1.1\r\nHos");
+	}
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		CU_ASSERT_EQUAL(receive(fds[i], buf), 408);
+		(void)close(fds[i]);
+	}
+	CU_ASSERT_TRUE(dh_clock_ms() - began < 1500);
+	stop();
+}
+
+static void
+test_spoiled_answers(void)
+{
+	start(2);
+	/* Skipped, or read again from the other; never passed on. */
+	CU_ASSERT_EQUAL(ask_once("/foreign/", "", buf), 200);
+	CU_ASSERT_PTR_NULL(strstr(buf, "bad"));
+	CU_ASSERT_EQUAL(ask_once("/extra/", "", buf), 200);
+	CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\r\n\r\nbody"));
+	CU_ASSERT_EQUAL(ask_once("/nostamp/", "", buf), 502);
+	CU_ASSERT_EQUAL(ask_once("/garbage/", "", buf), 502);
+	CU_ASSERT_EQUAL(ask_once("/unframed/", "", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\r\n\r\nbody"));
+	stop();
+}
+
+/* What may have run once is not sent again, nor called not run. */
+static void
+test_unrepeatable_request_is_sent_once(void)
+{
+	start(2);
+	CU_ASSERT_EQUAL(ask_once("/short/", "", buf), 502);
+	CU_ASSERT_EQUAL(runs, 1);
+	/* Reset right after its last bytes: not whole. */
+	CU_ASSERT_EQUAL(ask_once("/unframed-reset/", "", buf), 502);
+	CU_ASSERT_EQUAL(runs, 2);
+	stop();
+}
+
+static void
+test_not_run_is_sent_elsewhere(void)
+{
+	int i;
+
+	start(2);
+	for (i = 0; i < 4; i++)
+		CU_ASSERT_EQUAL(ask_once("/shed/", "", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "X-From: 1"));
+	publish(1, true);
+	CU_ASSERT_EQUAL(ask_once("/shed/", "", buf), 503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Retry-After: 0."));
+	CU_ASSERT_PTR_NULL(strstr(buf, STAMP));
+	stop();
+}
+
+static void
+test_no_answer_ends_at_the_deadline(void)
+{
+	int64_t began;
+
+	start(1);
+	began = dh_clock_ms();
+	CU_ASSERT_EQUAL(ask_once("/silent-once/", "", buf), 504);
+	CU_ASSERT_TRUE(dh_clock_ms() - began < 1000);
+	CU_ASSERT_TRUE(dh_clock_ms() - began > 800);
+	CU_ASSERT_EQUAL(runs, 1);
+	stop();
+}
+
+static void
+test_caller_leaves(void)
+{
+	int fd;
+
+	start(1);
+	fd = dial();
+	say(fd,
+	    "GET /silent/ HTTP/1.1\r\nHost: h.example\r\n" ID ": r9\r\n\r\n");
+	(void)usleep(100000);
+	CU_ASSERT_EQUAL(runs, 1);
+	(void)close(fd);
+	(void)usleep(200000);
+	CU_ASSERT_EQUAL(cancelled, 1);
+	stop();
+}
+
+static void
+test_key_waits_for_its_owner(void)
+{
+	int64_t began;
+	int fd;
+
+	start(1);
+	CU_ASSERT_EQUAL(
+	    ask_once("/ok/keyed/", "X-Dogwoodhub-Shard-Key: 5\r\n", buf), 200);
+	publish(1, false);
+	fd = dial();
+	say(fd,
+	    "GET /ok/keyed/ HTTP/1.1\r\nHost: h.example\r\n" ID
+	    ": r\r\nX-Dogwoodhub-Shard-Key: 5\r\n\r\n");
+	(void)usleep(100000);
+	publish(1, true);
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	(void)close(fd);
+	/* An owner that never comes. */
+	began = dh_clock_ms();
+	CU_ASSERT_EQUAL(
+	    ask_once("/ok/keyed/", "X-Dogwoodhub-Shard-Key: 5000\r\n", buf),
+	    503);
+	CU_ASSERT_TRUE(dh_clock_ms() - began < 400);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Retry-After: "));
+	stop();
+}
+
+static void
+test_drain_answers_and_closes(void)
+{
+	int fd, idle;
+
+	start(1);
+	fd = dial();
+	idle = dial();
+	CU_ASSERT_EQUAL(ask(fd, "/ok/", "", buf), 200);
+	CU_ASSERT_PTR_NULL(strstr(buf, "Connection: close"));
+	dh_worker_drain(worker, 300, 2000);
+	(void)usleep(50000);
+	CU_ASSERT_EQUAL(ask(fd, "/ok/", "", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Connection: close"));
+	(void)close(fd);
+	/* One that says nothing is closed after the quiet time. */
+	CU_ASSERT_EQUAL(read(idle, buf, 1), 0);
+	(void)close(idle);
+	(void)usleep(300000);
+	CU_ASSERT_TRUE(dh_worker_done(worker));
+	dh_worker_free(worker);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "pass on", test_passes_request_and_answer_on },
+		{ "own answers", test_own_answers },
+		{ "half-sent heads", test_half_sent_heads_are_closed },
+		{ "spoiled answers", test_spoiled_answers },
+		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
+		{ "not run", test_not_run_is_sent_elsewhere },
+		{ "no answer", test_no_answer_ends_at_the_deadline },
+		{ "caller leaves", test_caller_leaves },
+		{ "key waits", test_key_waits_for_its_owner },
+		{ "drain", test_drain_answers_and_closes },
+		CU_TEST_INFO_NULL,
+	};
+	int i;
+
+	deployment = dh_deployment_box(make_deployment());
+	for (i = 0; i < SERVERS; i++) {
+		fakes[i].index = i;
+		fakes[i].fd = listen_on(&fakes[i].port);
+		g_thread_unref(g_thread_new("fake", accept_all, &fakes[i]));
+	}
+	return cunit_main("worker", tests);
+}
