--- a/Makefile
+++ b/Makefile
@@ -112,6 +112,7 @@
 mutate:
 	tools/mutate_group.sh
 	tools/mutate_permit.sh
+	tools/mutate_keyspace.sh
 
 check: unit failure mutate
 
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -561,9 +561,9 @@
 	case RANGE_GRANTING:
 	case RANGE_SETTLED:
 		s = &ks->servers[r->owner];
-		/* A first grant waits for its token to be on record. */
-		if (s->dead || s->silent || ks->stored <= s->known_serial ||
-		    (r->state == RANGE_GRANTING && r->pending != PENDING_NONE))
+		/* A life that the term was not confirmed for since is
+		 * granted nothing. */
+		if (s->dead || s->silent || ks->stored <= s->known_serial)
 			return false;
 		/* The move may be on record already: a successor that read it
 		 * has the range released, and must not see it renewed. */
--- /dev/null
+++ b/tools/mutate_keyspace.sh
@@ -0,0 +1,65 @@
+#!/bin/sh
+# usage: mutate_keyspace.sh [NAME]
+# Remove one guard of the ownership of keys at a time on a scratch copy under
+# build/mutate-keyspace and expect test_keyspace or test_keyspace_schedule to
+# fail.  Fails when a guard's removal goes unnoticed.
+set -eu
+only=${1:-}
+dir=build/mutate-keyspace
+. "$(dirname "$0")/mutate_lib.sh"
+
+for f in core/keyspace.c core/keyplan.c tests/test_keyspace.c \
+    tests/test_keyspace_schedule.c; do
+	compile "$f" "$dir/obj/$(basename "$f" .c).o"
+done
+
+# run TEST ARGS: whether it notices the mutant.
+run() {
+	rm -rf "$dir/link"
+	cp -r "$dir/mutant" "$dir/link"
+	for t in test_keyspace test_keyspace_schedule; do
+		[ "$t" = "$1" ] || rm "$dir/link/$t.o"
+	done
+	${CC:-gcc} -o "$dir/$1" "$dir"/link/*.o -lcunit -lm
+	! timeout 300 "$dir/$@" >"$dir/$1.log" 2>&1
+}
+
+# mutate NAME SED: the edit must change core/keyspace.c.
+mutate() {
+	[ -z "$only" ] || [ "$only" = "$1" ] || return 0
+	edit "$1" keyspace.c "$2" || return 0
+	if run test_keyspace; then
+		echo "$1: noticed by cases"
+		caught=$((caught + 1))
+	elif run test_keyspace_schedule 1000 400; then
+		echo "$1: noticed by schedules"
+		caught=$((caught + 1))
+	else
+		echo "$1: NOT NOTICED"
+		missed=$((missed + 1))
+	fi
+}
+
+# Orders before the record of the term is stored.
+mutate RECORD_FIRST 's/if \(ks->stored == 0\)$/if (0)/'
+# A lease is not waited out.
+mutate LAPSE 's/r->sent_ms \+ longest_hold_ms\(ks\)/r->sent_ms/'
+# A former leader's orders are not waited out.
+mutate FOREIGN 's/now_ms \+ ks->p.solo_ms \+ longest_hold_ms\(ks\);/0;/'
+# A range that a former leader may renew is moved.
+mutate FOREIGN_IDLE \
+    's/r->state == RANGE_SETTLED \&\& r->foreign_ms != 0/0/'
+# An order without an answer is forgotten.
+mutate DOUBT 's/r->doubt_ms = r->order_sent_ms.*$/r->doubt_ms = 0;/'
+# A move goes on record while an order is open.
+mutate RECORD_OPEN \
+    's/\(r->ticket == 0 \&\& now_ms >= r->doubt_ms\)/1/'
+# The owner is renewed while its move may be on record.
+mutate RENEW_MOVED \
+    's/r->pending == PENDING_MOVE \&\& r->pending_first != 0/0/'
+# A new life is granted keys by a term that was confirmed before it.
+mutate NEW_LIFE 's/ks->stored <= s->known_serial/0/'
+# A release without an answer counts as one.
+mutate RELEASE 's/answer != DH_KEY_ACCEPTED/0/'
+
+summary
