--- a/core/choice.c
+++ b/core/choice.c
@@ -22,6 +22,8 @@
  * that is more urgent. */
 #define RANK_SHARE 0.75
 #define RANK_MAX 3
+/* A kind that nobody has asked for so long has no claim. */
+#define DEMAND_MEMORY_MS 2000
 /* Part of the objective that an expected answer may take where requests wait:
  * the rest covers what other routers send at the same time. */
 #define TARGET_SHARE 0.7
@@ -188,6 +190,20 @@
 	return target < most ? target : most;
 }
 
+uint32_t
+dh_demand_rank(struct dh_demand_seen *d, uint32_t priority, int64_t now_ms)
+{
+	uint32_t i, rank = 0;
+
+	if (priority >= DH_PRIORITIES)
+		priority = DH_PRIORITIES - 1;
+	d->at_ms[priority] = now_ms;
+	for (i = 0; i < priority; i++)
+		rank +=
+		    d->at_ms[i] != 0 && now_ms - d->at_ms[i] < DEMAND_MEMORY_MS;
+	return rank;
+}
+
 int64_t
 dh_retry_after_ms(int64_t after_ms, int64_t left_ms, struct dh_rng *rng)
 {
@@ -207,9 +223,9 @@
 dh_choose(const struct dh_choice_params *p, const struct dh_candidate *list,
     size_t n, const struct dh_wish *w, struct dh_rng *rng, int64_t now_ms)
 {
-	struct dh_choice best = { .index = SIZE_MAX };
-	double best_cost = 0, least_over = 0, cost, expected, work, over, fails;
-	bool any = false;
+	struct dh_choice best = { .index = SIZE_MAX, .nearest = SIZE_MAX };
+	double best_cost = 0, least_over = 0, nearest_ms = 0;
+	double cost, expected, work, over, fails;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
@@ -221,9 +237,11 @@
 		over = expected -
 		    allowed(c, w, expected, work, p->way_ms[c->tier]);
 		if (over > 0) {
-			if (!any || over < least_over)
+			if (best.nearest == SIZE_MAX || over < least_over) {
 				least_over = over;
-			any = true;
+				nearest_ms = expected;
+				best.nearest = i;
+			}
 			continue;
 		}
 		fails = fade(c->load->failing, c->load->failing_at_ms, now_ms,
@@ -239,8 +257,11 @@
 			best.expected_ms = expected;
 		}
 	}
-	if (best.index == SIZE_MAX)
-		best.retry_after_ms = dh_retry_after_ms(
-		    any ? (int64_t)least_over : DOWN_MIN_MS, w->left_ms, rng);
+	if (best.index != SIZE_MAX)
+		return best;
+	best.expected_ms = nearest_ms;
+	best.retry_after_ms = dh_retry_after_ms(
+	    best.nearest == SIZE_MAX ? DOWN_MIN_MS : (int64_t)least_over,
+	    w->left_ms, rng);
 	return best;
 }
--- a/core/deployment.c
+++ b/core/deployment.c
@@ -96,34 +96,3 @@
 	}
 	return r->parts[r->nparts - 1].service;
 }
-
-static bool
-leads_to(const struct dh_http_route *r, uint32_t service)
-{
-	size_t i;
-
-	for (i = 0; i < r->nparts; i++)
-		if (r->parts[i].service == service && r->parts[i].weight > 0)
-			return true;
-	return false;
-}
-
-uint32_t
-dh_deployment_rank(
-    const struct dh_deployment *d, uint32_t service, uint32_t priority)
-{
-	uint64_t seen = 0;
-	uint32_t rank = 0;
-	size_t i;
-
-	for (i = 0; i < d->nroutes; i++) {
-		uint32_t p = d->routes[i].priority;
-
-		if (p >= priority || p >= 64 || (seen >> p & 1) != 0 ||
-		    !leads_to(&d->routes[i], service))
-			continue;
-		seen |= (uint64_t)1 << p;
-		rank++;
-	}
-	return rank;
-}
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -214,6 +214,21 @@
 		watch_for_answer(rq);
 }
 
+/* For the log: which backend server came closest, and how full it was. */
+static void
+note_nearest(
+    struct dh_request *rq, const struct dh_choice *choice, int64_t now_ms)
+{
+	struct dh_worker *w = rq->worker;
+
+	if (choice->nearest == SIZE_MAX)
+		return;
+	(void)g_strlcpy(rq->server, w->candidate_servers[choice->nearest]->id,
+	    sizeof(rq->server));
+	rq->ahead =
+	    dh_backend_ahead(w->candidates[choice->nearest].load, now_ms);
+}
+
 void
 dh_request_dispatch(struct dh_request *rq)
 {
@@ -227,8 +242,8 @@
 		.kib = (double)rq->in->body->len / 1024 +
 		    rq->service_state->answer_kib,
 		.work_ms = rq->service_state->work_ms,
-		.rank = dh_deployment_rank(
-		    *rq->view->deployment, rq->service, rq->route->priority),
+		.rank = dh_demand_rank(
+		    &rq->service_state->seen, rq->route->priority, now_ms),
 	};
 	size_t n;
 
@@ -248,12 +263,13 @@
 	}
 	choice =
 	    dh_choose(&w->choice, w->candidates, n, &wish, &w->rng, now_ms);
+	rq->expected_ms = choice.expected_ms;
 	if (choice.index == SIZE_MAX) {
+		note_nearest(rq, &choice, now_ms);
 		dh_request_finish(rq, 503,
 		    n == 0 ? "no backend server" : "no room in time",
 		    choice.retry_after_ms);
 		return;
 	}
-	rq->expected_ms = choice.expected_ms;
 	send_to(rq, w->candidate_servers[choice.index]);
 }
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -37,6 +37,7 @@
 	char *name;
 	GQuark quark; /* of name */
 	struct dh_retry_budget budget;
+	struct dh_demand_seen seen;
 	double work_ms; /* mean over its backend servers */
 	double answer_kib; /* mean size */
 	uint64_t chosen; /* requests so far, for weights */
--- a/include/dogwoodhub/choice.h
+++ b/include/dogwoodhub/choice.h
@@ -88,7 +88,9 @@
 
 struct dh_choice {
 	size_t index; /* SIZE_MAX: refused */
-	double expected_ms;
+	size_t
+	    nearest; /* when refused: closest to being in time, or SIZE_MAX */
+	double expected_ms; /* there */
 	int64_t retry_after_ms; /* when refused; below a third of left_ms */
 };
 
@@ -97,6 +99,20 @@
     const struct dh_candidate *list, size_t n, const struct dh_wish *w,
     struct dh_rng *rng, int64_t now_ms);
 
+/* Priorities of requests to one service that are told apart; 0 is the most
+ * urgent, those above the last count as it. */
+#define DH_PRIORITIES 8
+
+/* When a request of each priority was last seen. */
+struct dh_demand_seen {
+	int64_t at_ms[DH_PRIORITIES];
+};
+
+/* dh_demand_rank -- note a request of this priority; how many more urgent ones
+ * have been seen lately. */
+uint32_t dh_demand_rank(
+    struct dh_demand_seen *d, uint32_t priority, int64_t now_ms);
+
 /* dh_retry_after_ms -- when a caller may come back: about after_ms, spread so
  * that the refused do not come together, and below a third of left_ms. */
 int64_t dh_retry_after_ms(
--- a/include/dogwoodhub/deployment.h
+++ b/include/dogwoodhub/deployment.h
@@ -74,11 +74,6 @@
  * to, so that any run of requests is shared out by weight. */
 uint32_t dh_route_part_at(const struct dh_http_route *r, uint64_t nth);
 
-/* dh_deployment_rank -- how many different priorities of routes to a service
- * are more urgent than this one. */
-uint32_t dh_deployment_rank(
-    const struct dh_deployment *d, uint32_t service, uint32_t priority);
-
 /* A backend server as it describes itself. */
 struct dh_registration {
 	char id[DH_NAME_MAX];
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -95,6 +95,21 @@
 	    dh_choose(&params, &c, 1, &other, &rng, 1000).index, SIZE_MAX);
 }
 
+/* Only what is asked for now counts, not what routes allow. */
+static void
+test_rank_counts_more_urgent_kinds_seen_lately(void)
+{
+	struct dh_demand_seen d = { 0 };
+
+	CU_ASSERT_EQUAL(dh_demand_rank(&d, 2, 1000), 0);
+	CU_ASSERT_EQUAL(dh_demand_rank(&d, 1, 1100), 0);
+	CU_ASSERT_EQUAL(dh_demand_rank(&d, 2, 1200), 1);
+	CU_ASSERT_EQUAL(dh_demand_rank(&d, 0, 1300), 0);
+	CU_ASSERT_EQUAL(dh_demand_rank(&d, 2, 1400), 2);
+	CU_ASSERT_EQUAL(dh_demand_rank(&d, 900, 1500), 3);
+	CU_ASSERT_EQUAL(dh_demand_rank(&d, 2, 9000), 0);
+}
+
 /* A slow one with nobody waiting keeps nobody behind it. */
 static void
 test_late_answer_where_nobody_waits(void)
@@ -315,6 +330,7 @@
 		{ "price of bytes", test_price_of_bytes_against_waiting },
 		{ "refused", test_refused_with_a_pause_below_a_third },
 		{ "less urgent first", test_less_urgent_is_refused_first },
+		{ "rank", test_rank_counts_more_urgent_kinds_seen_lately },
 		{ "late answer", test_late_answer_where_nobody_waits },
 		{ "failing one", test_failing_one_is_left_and_found_again },
 		{ "unreachable one",
