--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -228,6 +228,12 @@
 	return f->listed;
 }
 
+int64_t
+dh_mirror_reached_ms(const struct dh_mirror *f)
+{
+	return f->reached ? dh_clock_ms() - f->changed_ms : 0;
+}
+
 void
 dh_mirror_kick(struct dh_mirror *f)
 {
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -34,6 +34,10 @@
 /* dh_mirror_listed -- whether the kind has been listed once. */
 bool dh_mirror_listed(const struct dh_mirror *f);
 
+/* dh_mirror_reached_ms -- for how long the store has answered; 0 if it does
+ * not. */
+int64_t dh_mirror_reached_ms(const struct dh_mirror *f);
+
 /* dh_mirror_kick -- ask at once, if it waits after a failure. */
 void dh_mirror_kick(struct dh_mirror *f);
 
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -32,6 +32,8 @@
 /* Speeds change slowly: they are told less often than keys. */
 #define SPEED_REPORTS 4
 #define TAKE_PAUSE_MAX_MS 4000
+/* After an outage of the store the leader needs a question and its answer. */
+#define OUTAGE_GRACE_MS 1500
 #define ANNOUNCE_PAUSE_MS 1000
 
 enum role {
@@ -63,6 +65,7 @@
 	char leader_vm[DH_NAME_MAX];
 	char incarnation[32]; /* of this process */
 	int64_t sign_ms; /* last sign of a leader that is well */
+	int64_t beat_heard_ms; /* any heartbeat of it */
 	int64_t store_bad_ms; /* when the leader last lacked the store */
 	int64_t patience_ms; /* without a sign, before taking over */
 	int64_t take_pause_ms;
@@ -575,10 +578,20 @@
 	take(o);
 }
 
+/* Whether the leader is there and only lacks the store, as this VM has until
+ * just now: after an outage for all it goes on. */
+static bool
+lacks_store_as_we_did(const struct dh_owners *o, int64_t now_ms)
+{
+	return now_ms - o->beat_heard_ms < o->c.settings->silence_ms &&
+	    dh_mirror_reached_ms(o->mirror) < OUTAGE_GRACE_MS;
+}
+
 static void
 follow(struct dh_owners *o, int64_t now_ms)
 {
-	if (o->resigned || o->call != NULL || o->role != ROLE_FOLLOWER ||
+	if (lacks_store_as_we_did(o, now_ms) || o->resigned ||
+	    o->call != NULL || o->role != ROLE_FOLLOWER ||
 	    now_ms - o->sign_ms < o->patience_ms ||
 	    !dh_registry_ready(o->c.registry))
 		return;
@@ -608,6 +621,7 @@
 		o->leader_ip[0] = '\0';
 		adopt_leader(o, beat->term, beat->vm, ip);
 	}
+	o->beat_heard_ms = dh_clock_ms();
 	if (beat->failing)
 		o->store_bad_ms = dh_clock_ms();
 	else
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -172,7 +172,8 @@
 	return (struct dh_retry_params){
 		.percent = (uint32_t)s->retry_share_milli *
 		    RETRY_SHARE_USED_PERCENT / 1000,
-		.burst = s->retry_slack / 2 / (vms > 0 ? vms : 1) + DH_RETRY_BURST,
+		.burst =
+		    s->retry_slack / 2 / (vms > 0 ? vms : 1) + DH_RETRY_BURST,
 		.max_attempts = most < DH_ATTEMPTS_MAX ? most : DH_ATTEMPTS_MAX,
 	};
 }
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -124,8 +124,8 @@
 	s->name = g_strdup(name);
 	s->quark = g_quark_from_string(name);
 	s->answer_kib = ANSWER_DEFAULT_KIB;
-	dh_retry_budget_init(&s->budget,
-	    &(struct dh_retry_params){ .burst = DH_RETRY_BURST });
+	dh_retry_budget_init(
+	    &s->budget, &(struct dh_retry_params){ .burst = DH_RETRY_BURST });
 	s->chosen = dh_rng_next(&w->rng);
 	g_hash_table_insert(w->services, s->name, s);
 	return s;
--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,557 @@
+/*
+ * Stand-in for the users' platform: the object store in its form, and backend
+ * servers that take grants of keys, in one process on loopback.  It checks what
+ * the platform's users would: that no two backend servers hold a key, that no
+ * key is taken with a lower token, and that no request that must not repeat
+ * runs twice.  A broken promise is a line "BROKEN ..." and exit status 1.
+ *
+ * usage: platform STORE_PORT BACKEND_PORT N
+ * POST /_kill?i=N and /_start?i=N on the store's port end and start a backend
+ * server; POST /_store?mode=up|busy|silent changes what the store does;
+ * GET /_report says how many requests ran.
+ */
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <json.h>
+#include <microhttpd.h>
+
+#include "base/clock.h"
+
+#define KEYS 65536
+#define BACKENDS_MAX 16
+#define OBJECTS "/dogwoodhub/objects/"
+#define WORK_MS 20
+#define SLOTS 6
+#define ENTRY_LIFE_MS 2600
+
+struct object {
+	char *kind, *name;
+	uint64_t revision;
+	struct json_object *spec;
+	bool deleted;
+};
+
+struct backend {
+	int index;
+	bool up;
+	int64_t born_ms;
+	struct MHD_Daemon *daemon;
+	int64_t until_ms[KEYS];
+	uint64_t highest[KEYS];
+	uint32_t running;
+};
+
+struct call {
+	GString *body;
+};
+
+static GMutex lock;
+static GCond changed;
+static GPtrArray *objects;
+static uint64_t revision = 1;
+static enum { STORE_UP, STORE_BUSY, STORE_SILENT } mode;
+static struct backend backends[BACKENDS_MAX];
+static uint64_t given[KEYS]; /* highest token that was taken */
+static GHashTable *ran; /* ids of requests that must not repeat */
+static int nbackends, ran_total, misdirected;
+static uint16_t backend_port;
+static bool broken;
+
+static void
+complain(const char *what, uint32_t key, uint64_t fence)
+{
+	printf("BROKEN %s: key %u, token %llu\n", what, key,
+	    (unsigned long long)fence);
+	(void)fflush(stdout);
+	broken = true;
+}
+
+static enum MHD_Result
+reply(struct MHD_Connection *c, unsigned int status, const char *text,
+    const char *name, const char *value)
+{
+	struct MHD_Response *r = MHD_create_response_from_buffer(
+	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	if (name != NULL)
+		MHD_add_response_header(r, name, value);
+	MHD_add_response_header(r, "Content-Type", "application/json");
+	result = MHD_queue_response(c, status, r);
+	MHD_destroy_response(r);
+	return result;
+}
+
+static struct object *
+find(const char *kind, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < objects->len; i++) {
+		struct object *o = objects->pdata[i];
+
+		if (strcmp(o->kind, kind) == 0 && strcmp(o->name, name) == 0)
+			return o;
+	}
+	return NULL;
+}
+
+/* With the lock held. */
+static struct object *
+put(const char *kind, const char *name, struct json_object *spec)
+{
+	struct object *o = find(kind, name);
+
+	if (o == NULL) {
+		o = g_new0(struct object, 1);
+		o->kind = g_strdup(kind);
+		o->name = g_strdup(name);
+		g_ptr_array_add(objects, o);
+	}
+	json_object_put(o->spec);
+	o->spec = json_object_get(spec);
+	o->deleted = spec == NULL;
+	o->revision = ++revision;
+	g_cond_broadcast(&changed);
+	return o;
+}
+
+static char *
+text_of(const struct object *o)
+{
+	return g_strdup_printf(
+	    "{\"metadata\":{\"name\":\"%s\",\"revision\":%llu,\"created\":1,"
+	    "\"finalizers\":[],\"terminating\":false},\"spec\":%s,"
+	    "\"status\":null}",
+	    o->name, (unsigned long long)o->revision,
+	    o->spec == NULL ? "null" : json_object_to_json_string(o->spec));
+}
+
+static char *
+list_text(const char *kind, uint64_t since, bool events)
+{
+	GString *out = g_string_new(events ? "{\"events\":[" : "{\"items\":[");
+	guint i, n = 0;
+
+	for (i = 0; i < objects->len; i++) {
+		struct object *o = objects->pdata[i];
+		g_autofree char *text = NULL;
+
+		if (strcmp(o->kind, kind) != 0 || o->revision <= since ||
+		    (!events && o->deleted))
+			continue;
+		text = text_of(o);
+		if (n++ > 0)
+			g_string_append_c(out, ',');
+		if (events)
+			g_string_append_printf(out,
+			    "{\"deleted\":%s,\"object\":%s}",
+			    o->deleted ? "true" : "false", text);
+		else
+			g_string_append(out, text);
+	}
+	g_string_append_printf(out, "],\"more\":false,\"as_of\":%llu}",
+	    (unsigned long long)revision);
+	if (events && n == 0) {
+		g_string_free(out, TRUE);
+		return NULL;
+	}
+	return g_string_free(out, FALSE);
+}
+
+static enum MHD_Result
+store_get(struct MHD_Connection *c, const char *kind, const char *name)
+{
+	const char *since =
+	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "watch");
+	const char *wait =
+	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "wait_ms");
+	gint64 end = g_get_monotonic_time() +
+	    (wait == NULL ? 0 : atoi(wait)) * (gint64)1000;
+	g_autofree char *text = NULL;
+	struct object *o;
+
+	if (name != NULL) {
+		o = find(kind, name);
+		if (o == NULL || o->deleted)
+			return reply(c, 404, "{}", NULL, NULL);
+		text = text_of(o);
+		return reply(c, 200, text, NULL, NULL);
+	}
+	if (since == NULL) {
+		text = list_text(kind, 0, false);
+		return reply(c, 200, text, NULL, NULL);
+	}
+	for (;;) {
+		text = list_text(kind, strtoull(since, NULL, 10), true);
+		if (text != NULL || mode != STORE_UP ||
+		    !g_cond_wait_until(&changed, &lock, end))
+			break;
+	}
+	if (mode != STORE_UP)
+		return reply(c, 503, "{}", NULL, NULL);
+	if (text == NULL)
+		text = g_strdup_printf("{\"events\":[],\"as_of\":%llu}",
+		    (unsigned long long)revision);
+	return reply(c, 200, text, NULL, NULL);
+}
+
+static enum MHD_Result
+store_write(struct MHD_Connection *c, const char *kind, const char *name,
+    const char *body)
+{
+	struct json_object *root = json_tokener_parse(body), *meta, *v;
+	struct json_object *spec = NULL;
+	g_autofree char *text = NULL;
+	enum MHD_Result result;
+	uint64_t want = 0;
+	struct object *o;
+
+	if (root == NULL ||
+	    !json_object_object_get_ex(root, "metadata", &meta) ||
+	    !json_object_object_get_ex(root, "spec", &spec)) {
+		json_object_put(root);
+		return reply(c, 400, "{}", NULL, NULL);
+	}
+	if (name == NULL && json_object_object_get_ex(meta, "name", &v))
+		name = json_object_get_string(v);
+	else if (json_object_object_get_ex(meta, "revision", &v))
+		want = (uint64_t)json_object_get_int64(v);
+	o = find(kind, name);
+	if (o != NULL && !o->deleted && o->revision != want) {
+		text = text_of(o);
+		result = reply(c, 409, text, NULL, NULL);
+	} else if ((o == NULL || o->deleted) && want != 0) {
+		result = reply(c, 404, "{}", NULL, NULL);
+	} else {
+		text = text_of(put(kind, name, spec));
+		result = reply(c, 200, text, NULL, NULL);
+	}
+	json_object_put(root);
+	return result;
+}
+
+static void
+enter(struct backend *b)
+{
+	g_autofree char *name = g_strdup_printf("i-%d", b->index);
+	g_autofree char *text = g_strdup_printf(
+	    "{\"service\":\"keyed\",\"address\":\"127.0.0.1:%d\",\"zone\":"
+	    "\"z1\",\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+	    "\"cold_left_s\":0,\"sequence\":1,\"born\":%lld}",
+	    backend_port + b->index, SLOTS, (long long)b->born_ms);
+	struct json_object *spec = json_tokener_parse(text);
+
+	(void)put("servers", name, spec);
+	json_object_put(spec);
+}
+
+static gpointer
+lapse(gpointer arg)
+{
+	struct backend *b = arg;
+	g_autofree char *name = g_strdup_printf("i-%d", b->index);
+
+	(void)usleep(ENTRY_LIFE_MS * 1000);
+	g_mutex_lock(&lock);
+	if (!b->up)
+		(void)put("servers", name, NULL);
+	g_mutex_unlock(&lock);
+	return NULL;
+}
+
+static void
+set_up(struct backend *b, bool up)
+{
+	if (b->up == up)
+		return;
+	b->up = up;
+	memset(b->until_ms, 0, sizeof(b->until_ms));
+	memset(b->highest, 0, sizeof(b->highest));
+	if (up) {
+		b->born_ms = dh_clock_wall_ms();
+		enter(b);
+	} else {
+		g_thread_unref(g_thread_new("lapse", lapse, b));
+	}
+}
+
+static enum MHD_Result
+control(struct MHD_Connection *c, const char *url)
+{
+	const char *i =
+	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "i");
+	const char *m =
+	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "mode");
+	g_autofree char *text = NULL;
+
+	if (i != NULL && atoi(i) < nbackends)
+		set_up(&backends[atoi(i)], strcmp(url, "/_start") == 0);
+	if (m != NULL) {
+		mode = strcmp(m, "busy") == 0  ? STORE_BUSY
+		    : strcmp(m, "silent") == 0 ? STORE_SILENT
+					       : STORE_UP;
+		g_cond_broadcast(&changed);
+	}
+	text =
+	    g_strdup_printf("{\"ran\":%d,\"misdirected\":%d,\"broken\":%s}\n",
+		ran_total, misdirected, broken ? "true" : "false");
+	return reply(c, 200, text, NULL, NULL);
+}
+
+/* Gather the body; true once the call is whole. */
+static bool
+whole(void **state, const char *data, size_t *len)
+{
+	struct call *call = *state;
+
+	if (call == NULL) {
+		call = g_new0(struct call, 1);
+		call->body = g_string_new(NULL);
+		*state = call;
+		return false;
+	}
+	if (*len == 0)
+		return true;
+	g_string_append_len(call->body, data, (gssize)*len);
+	*len = 0;
+	return false;
+}
+
+static void
+on_completed(void *arg, struct MHD_Connection *c, void **state,
+    enum MHD_RequestTerminationCode why)
+{
+	struct call *call = *state;
+
+	(void)arg;
+	(void)c;
+	(void)why;
+	if (call == NULL)
+		return;
+	g_string_free(call->body, TRUE);
+	g_free(call);
+}
+
+static enum MHD_Result
+on_store(void *arg, struct MHD_Connection *c, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **state)
+{
+	g_auto(GStrv) path = NULL;
+	enum MHD_Result result;
+
+	(void)arg;
+	(void)version;
+	if (!whole(state, data, len))
+		return MHD_YES;
+	g_mutex_lock(&lock);
+	if (url[1] == '_') {
+		result = control(c, url);
+	} else if (mode == STORE_SILENT) {
+		g_mutex_unlock(&lock);
+		(void)usleep(3000 * 1000);
+		return MHD_NO;
+	} else if (mode == STORE_BUSY || !g_str_has_prefix(url, OBJECTS)) {
+		result = reply(c, 503, "{}", NULL, NULL);
+	} else {
+		path = g_strsplit(url + strlen(OBJECTS), "/", 2);
+		result = strcmp(method, "GET") == 0
+		    ? store_get(c, path[0], path[1])
+		    : store_write(c, path[0], path[1],
+			  ((struct call *)*state)->body->str);
+	}
+	g_mutex_unlock(&lock);
+	return result;
+}
+
+static enum MHD_Result
+take_grant(struct MHD_Connection *c, struct backend *b, struct json_object *o)
+{
+	int64_t now_ms = dh_clock_ms(), from, to;
+	struct json_object *v;
+	uint64_t fence;
+	uint32_t k;
+	int other;
+
+	from = json_object_object_get_ex(o, "from", &v)
+	    ? json_object_get_int64(v)
+	    : -1;
+	to = json_object_object_get_ex(o, "to", &v) ? json_object_get_int64(v)
+						    : -1;
+	fence = json_object_object_get_ex(o, "fence", &v)
+	    ? (uint64_t)json_object_get_int64(v)
+	    : 0;
+	if (from < 0 || to < from || to >= KEYS || fence == 0)
+		return reply(c, 400, "{}", NULL, NULL);
+	for (k = (uint32_t)from; k <= to; k++)
+		if (b->highest[k] > fence)
+			return reply(c, 409, "{}", NULL, NULL);
+	v = NULL;
+	(void)json_object_object_get_ex(o, "hold_s", &v);
+	for (k = (uint32_t)from; k <= to; k++) {
+		if (fence < given[k])
+			complain("lower token", k, fence);
+		for (other = 0; other < nbackends; other++)
+			if (other != b->index &&
+			    backends[other].until_ms[k] > now_ms)
+				complain("two holders", k, fence);
+		given[k] = b->highest[k] = fence;
+		b->until_ms[k] =
+		    now_ms + (int64_t)(json_object_get_double(v) * 1000);
+	}
+	return reply(c, 200, "{}", NULL, NULL);
+}
+
+static enum MHD_Result
+take_release(struct MHD_Connection *c, struct backend *b, struct json_object *o)
+{
+	struct json_object *from, *to;
+	int64_t k;
+
+	if (!json_object_object_get_ex(o, "from", &from) ||
+	    !json_object_object_get_ex(o, "to", &to))
+		return reply(c, 400, "{}", NULL, NULL);
+	for (k = json_object_get_int64(from);
+	     k <= json_object_get_int64(to) && k < KEYS; k++)
+		b->until_ms[k] = 0;
+	while (b->running > 0)
+		g_cond_wait(&changed, &lock);
+	return reply(c, 200, "{}", "X-Dogwoodhub-Handover", "5c0e7a21d94b36f8");
+}
+
+static enum MHD_Result
+run_request(struct MHD_Connection *c, struct backend *b, const char *method)
+{
+	const char *key = MHD_lookup_connection_value(
+	    c, MHD_HEADER_KIND, "X-Dogwoodhub-Shard-Key");
+	const char *id = MHD_lookup_connection_value(
+	    c, MHD_HEADER_KIND, "X-Dogwoodhub-Request-Id");
+	struct MHD_Response *r;
+	enum MHD_Result result;
+	int k = key == NULL ? -1 : atoi(key);
+
+	if (k < 0 || k >= KEYS || id == NULL ||
+	    b->until_ms[k] <= dh_clock_ms()) {
+		misdirected++;
+		return reply(c, 421, "{}", "X-Dogwoodhub-Not-Executed", "1");
+	}
+	if (strcmp(method, "GET") != 0 && !g_hash_table_add(ran, g_strdup(id)))
+		complain("ran twice", (uint32_t)k, 0);
+	ran_total++;
+	b->running++;
+	g_mutex_unlock(&lock);
+	(void)usleep(WORK_MS * 1000);
+	g_mutex_lock(&lock);
+	b->running--;
+	g_cond_broadcast(&changed);
+	if (!b->up)
+		return MHD_NO;
+	r = MHD_create_response_from_buffer(
+	    4, (void *)(uintptr_t) "body", MHD_RESPMEM_PERSISTENT);
+	MHD_add_response_header(r, "X-Dogwoodhub-Request-Id", id);
+	MHD_add_response_header(r, "X-Dogwoodhub-Server-Stamp", "s");
+	result = MHD_queue_response(c, 200, r);
+	MHD_destroy_response(r);
+	return result;
+}
+
+static enum MHD_Result
+on_backend(void *arg, struct MHD_Connection *c, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **state)
+{
+	struct backend *b = arg;
+	struct json_object *o;
+	enum MHD_Result result;
+
+	(void)version;
+	if (!whole(state, data, len))
+		return MHD_YES;
+	g_mutex_lock(&lock);
+	if (!b->up) {
+		result = MHD_NO;
+	} else if (strcmp(url, "/health") == 0) {
+		result = reply(c, 200, "{}", NULL, NULL);
+	} else if (g_str_has_prefix(url, "/dogwoodhub/")) {
+		o = json_tokener_parse(((struct call *)*state)->body->str);
+		result = strcmp(url, "/dogwoodhub/grant") == 0
+		    ? take_grant(c, b, o)
+		    : take_release(c, b, o);
+		json_object_put(o);
+	} else {
+		result = run_request(c, b, method);
+	}
+	g_mutex_unlock(&lock);
+	return result;
+}
+
+static struct MHD_Daemon *
+listen_on(uint16_t port, MHD_AccessHandlerCallback handler, void *arg)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons(port) };
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return MHD_start_daemon(
+	    MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
+	    port, NULL, NULL, handler, arg, MHD_OPTION_SOCK_ADDR, &sin,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+}
+
+static const char configuration[] =
+    "{\"version\":1,\"limits\":{\"header_bytes\":16384,\"body_bytes\":1000000,"
+    "\"header_timeout_s\":3,\"idle_timeout_s\":15},\"listeners\":[{\"host\":"
+    "\"h.example\",\"rules\":[{\"name\":\"read\",\"type\":\"safe\","
+    "\"target_latency_s\":0.4,\"priority\":1,\"match\":{\"path_prefix\":\"/r/"
+    "\"},\"action\":{\"service\":\"keyed\",\"timeout_s\":2,"
+    "\"max_attempts\":3}},{\"name\":\"write\",\"type\":\"unsafe\","
+    "\"target_latency_s\":0.4,\"priority\":1,\"match\":{\"path_prefix\":\"/w/"
+    "\"},\"action\":{\"service\":\"keyed\",\"timeout_s\":2,"
+    "\"max_attempts\":3}}]}],\"clusters\":[{\"name\":\"keyed\","
+    "\"health_path\":\"/health\",\"max_conns\":200,\"sharded\":true,"
+    "\"warm_s\":2.0}]}";
+
+int
+main(int argc, char **argv)
+{
+	struct json_object *spec = json_tokener_parse(configuration);
+	sigset_t set;
+	int i, number;
+
+	if (argc != 4 || atoi(argv[3]) > BACKENDS_MAX) {
+		fprintf(stderr, "usage: platform STORE_PORT BACKEND_PORT N\n");
+		return 2;
+	}
+	(void)signal(SIGPIPE, SIG_IGN);
+	/* Before any thread starts, so that sigwait() below gets them. */
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	(void)pthread_sigmask(SIG_BLOCK, &set, NULL);
+	objects = g_ptr_array_new();
+	ran = g_hash_table_new(g_str_hash, g_str_equal);
+	backend_port = (uint16_t)atoi(argv[2]);
+	nbackends = atoi(argv[3]);
+	(void)put("config", "main", spec);
+	json_object_put(spec);
+	for (i = 0; i < nbackends; i++) {
+		backends[i].index = i;
+		set_up(&backends[i], true);
+		if (listen_on((uint16_t)(backend_port + i), on_backend,
+			&backends[i]) == NULL)
+			return 2;
+	}
+	if (listen_on((uint16_t)atoi(argv[1]), on_store, NULL) == NULL)
+		return 2;
+	(void)sigwait(&set, &number);
+	return broken ? 1 : 0;
+}
--- /dev/null
+++ b/tests/failure/gateway_backend_killed.sh
@@ -0,0 +1,18 @@
+# A backend server falls silent, and comes back as a new life: its keys are
+# served by others once its leases have run out, and never by two.
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/gateway_lib.sh"
+
+start_platform 4
+for g in $gateways; do
+	start_gateway "$g"
+done
+wait_served 15 || { echo "not served at the start"; exit 1; }
+platform_control '/_kill?i=1' >/dev/null
+wait_served 8 || { echo "keys of the dead one are not served"; exit 1; }
+platform_control '/_start?i=1' >/dev/null
+load load 120 "$gateways"
+done=$(grep -c '^200$' "$dir/load")
+echo "done $done of 120"
+[ "$done" -ge 116 ] || { sort "$dir/load" | uniq -c; exit 1; }
+check_platform
--- /dev/null
+++ b/tests/failure/gateway_leader_killed.sh
@@ -0,0 +1,22 @@
+# The gateway that leads is killed while requests run: its successor renews all
+# leases before they end, so that the others serve on.
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/gateway_lib.sh"
+
+start_platform 4
+for g in $gateways; do
+	start_gateway "$g"
+done
+wait_served 15 || { echo "not served at the start"; exit 1; }
+old=$(leader)
+others=$(echo "$gateways" | sed "s/$old//")
+load load 240 "$others" &
+loader=$!
+sleep 1
+eval "kill -KILL \$gw$old"
+wait "$loader"
+done=$(grep -c '^200$' "$dir/load")
+echo "done $done of 240, leader $old, then $(leader)"
+[ "$(leader)" != "$old" ] || { echo "nobody took over"; exit 1; }
+[ "$done" -ge 236 ] || { sort "$dir/load" | uniq -c; exit 1; }
+check_platform
--- a/tests/test_opslog.c
+++ b/tests/test_opslog.c
@@ -61,7 +61,8 @@
 		dh_ops(DH_OPS_REQUEST, "request.end", ",\"id\":%s,\"n\":%d",
 		    dh_ops_text(text, sizeof(text), "a\"\\\nb"), i);
 	dh_ops(DH_OPS_STATE, "leader.lost", ",\"term\":%d", 3);
-	CU_ASSERT_EQUAL(dh_opslog_left_out() - before, 9u * LINES_PER_S);
+	CU_ASSERT_EQUAL(
+	    dh_opslog_left_out() - before, UINT64_C(9) * LINES_PER_S);
 	(void)drain(buf, sizeof(buf));
 	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\"ev\":\"leader.lost\""));
 	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\"ev\":\"log.left_out\""));
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -275,7 +275,7 @@
 
 	v->vms = 1;
 	v->number = v->owners_version = version;
-	v->nservers = 2 * SERVERS;
+	v->nservers = (size_t)2 * SERVERS;
 	v->servers = g_new0(struct dh_view_server, v->nservers);
 	for (s = 0; s < 2; s++) {
 		v->services[s].servers = g_new0(uint32_t, SERVERS);
