--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -24,6 +24,7 @@
 #define EVENTS_MAX 4096
 #define HOLD_MS 2000
 #define SOLO_MS 4000
+#define CONFIRM_MS 2000
 
 static const struct dh_keyspace_params params = { .hold_ms = HOLD_MS,
 	.renew_ms = 500,
@@ -363,6 +364,14 @@
 		dh_keyspace_plan(l->ks, w->now_ms);
 	}
 	write_record(w, i);
+	/* The leader asks the store whether it still leads. */
+	if (!l->cut && w->now_ms % CONFIRM_MS == 0) {
+		if (l->term != w->term) {
+			depose(l);
+			return;
+		}
+		l->confirmed_ms = w->now_ms;
+	}
 	if (w->now_ms - l->confirmed_ms >= SOLO_MS)
 		return;
 	while (dh_keyspace_next(l->ks, w->now_ms, &o))
