Choice: refused callers return spread over a longer part of their time

Cause: the pause came from the queue of the moment, 30 to 100 ms; those refused for a hot key met the same queue again and used up their tries. Now its mean is a quarter of the time left (a third is the most that callers wait).

--- a/core/choice.c
+++ b/core/choice.c
@@ -29,8 +29,9 @@
 #define TARGET_SHARE 0.7
 /* Part of the time left in which an answer must be expected. */
 #define LEFT_SHARE 0.9
-/* Least pause of a refused caller: a request's time at a backend server. */
-#define RETRY_AFTER_MIN_MS 30
+/* The mean pause of a refused caller is at least this part of its time left;
+ * callers wait for a third at the most. */
+#define RETRY_AFTER_SPREAD 4
 
 static double
 fade(double value, int64_t since_ms, int64_t now_ms, double memory_ms)
@@ -209,8 +210,10 @@
 {
 	int64_t most = left_ms / 3;
 
-	if (after_ms < RETRY_AFTER_MIN_MS)
-		after_ms = RETRY_AFTER_MIN_MS;
+	/* What is over now will be joined by others: a caller that returns in
+	 * the next moments meets the same queue, and has few tries. */
+	if (after_ms < left_ms / RETRY_AFTER_SPREAD)
+		after_ms = left_ms / RETRY_AFTER_SPREAD;
 	after_ms =
 	    after_ms / 2 + (int64_t)dh_rng_below(rng, (uint64_t)after_ms);
 	if (after_ms > most)
