--- a/base/http.c
+++ b/base/http.c
@@ -328,8 +328,8 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)rq->timeout_ms);
 	if (rq->connect_ms > 0)
-		curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-		    (long)rq->connect_ms);
+		curl_easy_setopt(
+		    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)rq->connect_ms);
 	if (rq->fresh_connection)
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 	dh_http_start(h, easy, fetch_done, f);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -164,11 +164,14 @@
 {
 	struct dh_request *rq = timer->data;
 	const struct dh_pool *pool = rq->pool;
+	int64_t now_ms = dh_worker_now_ms(rq->worker);
 
 	/* A slow owner is not sent the same again: only where it has since
-	 * answered as much as was before this one is the answer lost. */
+	 * answered as much as was before this one is the answer lost, or where
+	 * half of the time is over. */
 	if (rq->keyed &&
-	    (double)(pool->answers - rq->answers) < rq->ahead + pool->slots) {
+	    (double)(pool->answers - rq->answers) < rq->ahead + pool->slots &&
+	    now_ms - rq->arrived_ms < rq->deadline_ms - now_ms) {
 		uv_timer_start(&rq->pause, on_overdue, OVERDUE_MIN_MS, 0);
 		return;
 	}
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -45,7 +45,7 @@
 	}
 	rq->client = NULL;
 	rq->in = NULL;
-	rq->worker->running--;
+	g_queue_unlink(&rq->worker->requests, &rq->all_link);
 	rq->closing = 2;
 	uv_close((uv_handle_t *)&rq->timer, on_timer_closed);
 	uv_close((uv_handle_t *)&rq->pause, on_timer_closed);
@@ -321,10 +321,11 @@
 	request_end(rq);
 }
 
+/* Answer without one of a backend server's. */
 static void
-on_deadline(uv_timer_t *timer)
+give_up(struct dh_request *rq, const char *why_sent, const char *why_not,
+    int64_t retry_after_ms)
 {
-	struct dh_request *rq = timer->data;
 	bool sent = rq->upstream != NULL;
 
 	if (sent) {
@@ -332,7 +333,21 @@
 		dh_request_give_back(rq, DH_REPLY_LOST, NULL);
 	}
 	dh_request_finish(rq, rq->may_have_run ? 504 : 503,
-	    sent ? "no answer in time" : "no time left", 1);
+	    sent ? why_sent : why_not, retry_after_ms);
+}
+
+static void
+on_deadline(uv_timer_t *timer)
+{
+	give_up(timer->data, "no answer in time", "no time left", 1);
+}
+
+void
+dh_requests_give_up(struct dh_worker *w)
+{
+	while (w->requests.head != NULL)
+		give_up(w->requests.head->data, "no answer before the stop",
+		    "stopping", 1);
 }
 
 /* The caller's time, if it says so, and the route's. */
@@ -417,7 +432,8 @@
 	uv_timer_init(&w->loop, &rq->timer);
 	uv_timer_init(&w->loop, &rq->pause);
 	rq->timer.data = rq->pause.data = rq;
-	w->running++;
+	rq->all_link.data = rq;
+	g_queue_push_tail_link(&w->requests, &rq->all_link);
 	dh_client_set_request(client, rq);
 	dh_counter_add(w->c.requests, 1);
 	return rq;
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -16,6 +16,8 @@
 /* Ticks between reports: a hot range is seen within a second by several. */
 #define REPORT_TICKS 2
 #define LISTEN_BACKLOG 1024
+/* Before the end of a drain: time for the last answers to go out. */
+#define LAST_ANSWERS_MS 300
 /* Ways there and back, before anything is measured: within a zone, between
  * zones, between regions. */
 #define WAY_ZONE_MS 1.0
@@ -247,7 +249,9 @@
 	if (since_ms < w->drain_quiet_ms)
 		return;
 	stop_listening(w);
-	if ((w->clients.length == 0 && w->running == 0) ||
+	if (since_ms >= w->drain_limit_ms - LAST_ANSWERS_MS)
+		dh_requests_give_up(w);
+	if ((w->clients.length == 0 && w->requests.length == 0) ||
 	    since_ms >= w->drain_limit_ms)
 		uv_stop(&w->loop);
 }
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -75,7 +75,7 @@
 	GHashTable *services; /* name -> struct dh_service_state */
 	GQueue clients;
 	GQueue parked; /* requests that wait for an owner */
-	uint32_t running; /* requests */
+	GQueue requests; /* all that run */
 	struct dh_rng rng;
 	struct dh_choice_params choice;
 	struct dh_worker_counters c;
@@ -134,11 +134,14 @@
 	uv_timer_t pause; /* of a parked one, or a late answer */
 	int closing; /* timers that are being closed */
 	GList link; /* in parked */
+	GList all_link; /* in the worker's requests */
 };
 
 /* request.c */
 void dh_request_start(struct dh_client *client, struct dh_message *in);
 void dh_request_view_changed(struct dh_worker *w);
+/* Answer every request that runs: the process is about to end. */
+void dh_requests_give_up(struct dh_worker *w);
 /* The caller has left; the request may go on without it. */
 void dh_request_abandon(struct dh_request *rq);
 /* From upstream.c: the attempt ended. */
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -599,6 +599,24 @@
 	dh_worker_free(worker);
 }
 
+/* A backend server that never answers: the caller hears before the end. */
+static void
+test_drain_answers_what_is_left(void)
+{
+	int fd;
+
+	start(1);
+	fd = dial();
+	say(fd,
+	    "GET /silent-once/ HTTP/1.1\r\nHost: h.example\r\n" ID
+	    ": r7\r\n\r\n");
+	(void)usleep(50000);
+	dh_worker_drain(worker, 100, 600);
+	CU_ASSERT_EQUAL(receive(fd, buf), 504);
+	(void)close(fd);
+	dh_worker_free(worker);
+}
+
 int
 main(void)
 {
@@ -613,6 +631,7 @@
 		{ "caller leaves", test_caller_leaves },
 		{ "key waits", test_key_waits_for_its_owner },
 		{ "drain", test_drain_answers_and_closes },
+		{ "drain to the end", test_drain_answers_what_is_left },
 		CU_TEST_INFO_NULL,
 	};
 	int i;
