--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -159,12 +159,34 @@
 	return found;
 }
 
+/* Where it would go now; *n of the worker's candidates were looked at. */
+static struct dh_choice
+choose(struct dh_request *rq, size_t *n)
+{
+	struct dh_worker *w = rq->worker;
+	int64_t now_ms = dh_worker_now_ms(w);
+	struct dh_wish wish = {
+		.target_left_ms =
+		    rq->arrived_ms + rq->route->target_ms - now_ms,
+		.left_ms = rq->deadline_ms - now_ms,
+		.kib = (double)rq->in->body->len / 1024 +
+		    rq->service_state->answer_kib,
+		.work_ms = rq->service_state->work_ms,
+		.rank = dh_demand_rank(
+		    &rq->service_state->seen, rq->route->priority, now_ms),
+	};
+
+	*n = candidates(rq, w->candidates, w->candidate_servers);
+	return dh_choose(&w->choice, w->candidates, *n, &wish, &w->rng, now_ms);
+}
+
 static void
 on_overdue(uv_timer_t *timer)
 {
 	struct dh_request *rq = timer->data;
 	const struct dh_pool *pool = rq->pool;
 	int64_t now_ms = dh_worker_now_ms(rq->worker);
+	size_t n;
 
 	/* A slow owner is not sent the same again: only where it has since
 	 * answered as much as was before this one is the answer lost, or where
@@ -175,8 +197,9 @@
 		uv_timer_start(&rq->pause, on_overdue, OVERDUE_MIN_MS, 0);
 		return;
 	}
-	dh_upstream_drop(rq);
-	dh_request_attempt_ended(rq, DH_ATTEMPT_LOST, "answer overdue");
+	/* The attempt is ended only for another one. */
+	if (choose(rq, &n).index != SIZE_MAX)
+		dh_request_overdue(rq);
 }
 
 static void
@@ -236,18 +259,7 @@
 dh_request_dispatch(struct dh_request *rq)
 {
 	struct dh_worker *w = rq->worker;
-	int64_t now_ms = dh_worker_now_ms(w);
 	struct dh_choice choice;
-	struct dh_wish wish = {
-		.target_left_ms =
-		    rq->arrived_ms + rq->route->target_ms - now_ms,
-		.left_ms = rq->deadline_ms - now_ms,
-		.kib = (double)rq->in->body->len / 1024 +
-		    rq->service_state->answer_kib,
-		.work_ms = rq->service_state->work_ms,
-		.rank = dh_demand_rank(
-		    &rq->service_state->seen, rq->route->priority, now_ms),
-	};
 	size_t n;
 
 	if (rq->state == DH_REQUEST_SENT)
@@ -259,16 +271,14 @@
 		return;
 	}
 	rq->misdirected = false;
-	n = candidates(rq, w->candidates, w->candidate_servers);
+	choice = choose(rq, &n);
 	if (n == 0 && rq->keyed) {
 		park(rq);
 		return;
 	}
-	choice =
-	    dh_choose(&w->choice, w->candidates, n, &wish, &w->rng, now_ms);
 	rq->expected_ms = choice.expected_ms;
 	if (choice.index == SIZE_MAX) {
-		note_nearest(rq, &choice, now_ms);
+		note_nearest(rq, &choice, dh_worker_now_ms(w));
 		dh_request_finish(rq, 503,
 		    n == 0 ? "no backend server" : "no room in time",
 		    choice.retry_after_ms);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -30,7 +30,7 @@
  * answer. */
 #define QUIET_MS 2300
 /* Left between the end of a drain and the kill. */
-#define DRAIN_SLACK_MS 900
+#define DRAIN_SLACK_MS 400
 
 struct gateway {
 	struct dh_gateway_settings settings;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -307,6 +307,20 @@
 	}
 }
 
+void
+dh_request_overdue(struct dh_request *rq)
+{
+	/* While this VM stops, whoever is at work on it may end. */
+	if (rq->worker->drain_began_ms != 0 ||
+	    !retry_allowed(rq, DH_OUTCOME_UNKNOWN))
+		return;
+	dh_upstream_drop(rq);
+	note_tried(rq);
+	dh_request_give_back(rq, DH_REPLY_LOST, NULL);
+	log_attempt(rq, "lost", "answer overdue");
+	dh_request_dispatch(rq);
+}
+
 void
 dh_request_abandon(struct dh_request *rq)
 {
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -140,6 +140,8 @@
 /* request.c */
 void dh_request_start(struct dh_client *client, struct dh_message *in);
 void dh_request_view_changed(struct dh_worker *w);
+/* No answer when one was expected: try once more, if that is allowed. */
+void dh_request_overdue(struct dh_request *rq);
 /* Answer every request that runs: the process is about to end. */
 void dh_requests_give_up(struct dh_worker *w);
 /* The caller has left; the request may go on without it. */
