--- a/gateway/client.c
+++ b/gateway/client.c
@@ -372,6 +372,13 @@
 		reject(c, 408, "body took too long");
 }
 
+void
+dh_clients_close(struct dh_worker *w)
+{
+	while (w->clients.head != NULL)
+		client_close(w->clients.head->data);
+}
+
 void
 dh_clients_sweep(struct dh_worker *w, int64_t now_ms)
 {
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -224,14 +224,6 @@
 	dh_request_view_changed(w);
 }
 
-static void
-close_handle(uv_handle_t *handle, void *arg)
-{
-	(void)arg;
-	if (!uv_is_closing(handle))
-		uv_close(handle, NULL);
-}
-
 static void
 stop_listening(struct dh_worker *w)
 {
@@ -295,13 +287,34 @@
 	dh_client_accept(w);
 }
 
+/* Close all that is open, and the loop. */
+static void
+worker_end(struct dh_worker *w)
+{
+	GHashTableIter it;
+	gpointer pool;
+
+	dh_requests_give_up(w);
+	dh_clients_close(w);
+	g_hash_table_iter_init(&it, w->pools);
+	while (g_hash_table_iter_next(&it, NULL, &pool))
+		dh_pool_close_idle(pool);
+	stop_listening(w);
+	uv_close((uv_handle_t *)&w->wake, NULL);
+	uv_close((uv_handle_t *)&w->tick, NULL);
+	uv_run(&w->loop, UV_RUN_DEFAULT);
+	if (uv_loop_close(&w->loop) != 0)
+		dh_ops(DH_OPS_STATE, "worker.handles_left", ",\"index\":%u",
+		    w->index);
+}
+
 static void *
 worker_run(void *arg)
 {
 	struct dh_worker *w = arg;
 
 	uv_run(&w->loop, UV_RUN_DEFAULT);
-	uv_walk(&w->loop, close_handle, NULL);
+	worker_end(w);
 	ck_pr_store_32(&w->done, 1);
 	return NULL;
 }
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -171,6 +171,7 @@
     size_t len, bool close);
 void dh_client_set_request(struct dh_client *client, struct dh_request *rq);
 struct dh_worker *dh_client_worker(const struct dh_client *client);
+void dh_clients_close(struct dh_worker *w);
 void dh_clients_sweep(struct dh_worker *w, int64_t now_ms);
 
 /* worker.c */
