--- a/core/choice.c
+++ b/core/choice.c
@@ -175,14 +175,13 @@
 
 /* How long the answer may be expected to take for the request to be sent. */
 static double
-allowed(const struct dh_candidate *c, const struct dh_wish *w,
-    double expected_ms, double work_ms, double way_ms)
+allowed(
+    const struct dh_wish *w, double expected_ms, double work_ms, double way_ms)
 {
 	double most = (double)w->left_ms * LEFT_SHARE;
 	double target = (double)w->target_left_ms * TARGET_SHARE;
 	uint32_t i;
 
-	(void)c;
 	/* It would not wait there: nobody is kept behind it. */
 	if (expected_ms <= work_ms + way_ms)
 		return most;
@@ -237,8 +236,8 @@
 		if (c->full || now_ms < c->load->down_until_ms)
 			continue;
 		expected = expect(p, c, w, now_ms, &work);
-		over = expected -
-		    allowed(c, w, expected, work, p->way_ms[c->tier]);
+		over =
+		    expected - allowed(w, expected, work, p->way_ms[c->tier]);
 		if (over > 0) {
 			if (best.nearest == SIZE_MAX || over < least_over) {
 				least_over = over;
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -233,10 +233,3 @@
 {
 	return f->reached ? dh_clock_ms() - f->changed_ms : 0;
 }
-
-void
-dh_mirror_kick(struct dh_mirror *f)
-{
-	if (f->call == NULL)
-		uv_timer_start(f->timer, on_timer, 0, 0);
-}
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -38,7 +38,4 @@
  * not. */
 int64_t dh_mirror_reached_ms(const struct dh_mirror *f);
 
-/* dh_mirror_kick -- ask at once, if it waits after a failure. */
-void dh_mirror_kick(struct dh_mirror *f);
-
 #endif
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -32,7 +32,7 @@
 	bool listed; /* in the current view, and open */
 };
 
-/* What a worker knows of a service, by index in the view. */
+/* What a worker knows of a service, by name. */
 struct dh_service_state {
 	char *name;
 	GQuark quark; /* of name */
@@ -69,7 +69,6 @@
 	int64_t drain_began_ms; /* 0: not draining */
 	uint32_t ticks;
 	uint32_t done; /* exchanged */
-	bool listening;
 	bool accepting; /* the listener is open */
 	GHashTable *pools; /* uid -> struct dh_pool */
 	GHashTable *services; /* name -> struct dh_service_state */
