Group: the object names the earlier authorities that may still renew

A third VM that took the term then could ask nobody and waited store_outage_limit_ms + solo_limit_ms (16 min) for backend servers that check no fences.

Now the object lists up to eight (VM, incarnation) that led, or were replaced as deputy, since it was last settled. Whoever takes over asks each (END), or has proof of its end; only what is silent is waited for. An object of an earlier release, or a list that was too short, is treated as before.

Ruled out: dropping backend servers that check no fences. It would end the wait, but take the class from the product's users.

--- a/control/record.c
+++ b/control/record.c
@@ -8,6 +8,8 @@
 
 /* One slot is [owner, standby, term, counter, state]. */
 #define SLOT_FIELDS 5u
+/* One earlier authority is [vm, incarnation]. */
+#define EARLIER_FIELDS 2u
 #define SLOTS_MAX (1u << 20)
 
 char *
@@ -22,10 +24,16 @@
 	    "\",\"leader_incarnation\":\"%" PRIx64 "\",\"deputy\":\"%" PRIx64
 	    "\",\"deputy_incarnation\":\"%" PRIx64
 	    "\",\"deputy_seq\":\"%" PRIx64 "\",\"write_seq\":\"%" PRIx64
-	    "\",\"unsettled\":%s,\"slots\":[",
+	    "\",\"unsettled\":%s,\"earlier_more\":%s,\"earlier\":[",
 	    r->term, r->leader, r->leader_incarnation, r->deputy,
 	    r->deputy_incarnation, r->deputy_seq, r->write_seq,
-	    r->unsettled ? "true" : "false");
+	    r->unsettled ? "true" : "false",
+	    r->earlier.more ? "true" : "false");
+	for (i = 0; i < r->earlier.n; i++)
+		g_string_append_printf(text,
+		    "%s[\"%" PRIx64 "\",\"%" PRIx64 "\"]", i == 0 ? "" : ",",
+		    r->earlier.vms[i].vm, r->earlier.vms[i].incarnation);
+	g_string_append(text, "],\"slots\":[");
 	for (i = 0; i < r->nslots; i++) {
 		a = &r->slots[i];
 		g_string_append_printf(text,
@@ -99,11 +107,44 @@
 	return true;
 }
 
+static bool
+flag_field(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, name, &v) &&
+	    json_object_get_boolean(v);
+}
+
+/* A record of an earlier release names nobody. */
+static void
+decode_earlier(struct dh_group_earlier *e, struct json_object *o)
+{
+	struct json_object *list, *v;
+	size_t i;
+
+	e->more = flag_field(o, "earlier_more");
+	if (!json_object_object_get_ex(o, "earlier", &list) ||
+	    !json_object_is_type(list, json_type_array))
+		return;
+	for (i = 0; i < json_object_array_length(list); i++) {
+		v = json_object_array_get_idx(list, i);
+		if (e->n == DH_GROUP_EARLIER_MAX ||
+		    !json_object_is_type(v, json_type_array) ||
+		    json_object_array_length(v) != EARLIER_FIELDS) {
+			e->more = true;
+			continue;
+		}
+		e->vms[e->n].vm = hex_of(json_object_array_get_idx(v, 0));
+		e->vms[e->n++].incarnation =
+		    hex_of(json_object_array_get_idx(v, 1));
+	}
+}
+
 struct dh_group_record *
 dh_record_decode(const char *text, GError **error)
 {
 	struct json_object *o = json_tokener_parse(text), *term = NULL;
-	struct json_object *unsettled;
 	struct dh_group_record *r = g_new0(struct dh_group_record, 1);
 
 	if (o == NULL || !json_object_is_type(o, json_type_object) ||
@@ -122,8 +163,8 @@
 	r->deputy_incarnation = hex_field(o, "deputy_incarnation");
 	r->deputy_seq = hex_field(o, "deputy_seq");
 	r->write_seq = hex_field(o, "write_seq");
-	r->unsettled = json_object_object_get_ex(o, "unsettled", &unsettled) &&
-	    json_object_get_boolean(unsettled);
+	r->unsettled = flag_field(o, "unsettled");
+	decode_earlier(&r->earlier, o);
 	json_object_put(o);
 	return r;
 }
--- a/core/group_internal.h
+++ b/core/group_internal.h
@@ -27,7 +27,7 @@
 
 enum {
 	BATCH_MAX = 512, /* assignments in one message */
-	PARTIES_MAX = 8, /* earlier authorities remembered one by one */
+	PARTIES_MAX = DH_GROUP_EARLIER_MAX + 4, /* remembered one by one */
 	STORE_TIMEOUT_MS = 2000, /* then an operation counts as lost */
 	STORE_RETRY_MS = 100, /* between operations after a failure */
 	REPAIR_MS = 1000, /* between searches for unfit standbys */
@@ -191,8 +191,10 @@
 		uint64_t deputy, deputy_incarnation;
 		uint64_t old_term;
 		bool unsettled;
+		struct dh_group_earlier earlier; /* of its object */
 	} take;
 	bool rec_unsettled; /* what the object says */
+	struct dh_group_earlier rec_earlier;
 
 	/* Earlier authorities. */
 	struct group_party parties[PARTIES_MAX];
@@ -314,6 +316,8 @@
     uint64_t term, int64_t own_ms, int64_t all_ms);
 void group_party_ended(struct dh_group *g, uint64_t vm, uint64_t incarnation,
     uint64_t before_term);
+void group_earlier_add(
+    struct dh_group_earlier *e, uint64_t vm, uint64_t incarnation);
 void group_parties_tick(struct dh_group *g);
 void group_parties_ask(struct dh_group *g);
 void group_parties_of_pair(struct dh_group *g);
--- a/core/group_term.c
+++ b/core/group_term.c
@@ -161,6 +161,7 @@
 		g->take.third = true;
 		g->take.fresh = false;
 		g->take.unsettled = true;
+		g->take.earlier.more = true;
 		g->take.old_term = r->term - 1;
 	}
 	g->mode = MODE_LEADING;
@@ -179,6 +180,7 @@
 	g->store.want_gen++;
 	g->store.stored_gen = g->store.pair_gen = g->store.want_gen;
 	g->rec_unsettled = r->unsettled;
+	g->rec_earlier = r->earlier;
 	g->nparties = 0;
 	g->pair_ms = DH_NEVER_MS;
 	slots_from(g, r);
@@ -243,6 +245,11 @@
 	    g->take.leader_incarnation, &r->deputy_incarnation);
 	r->deputy_seq = 1;
 	r->unsettled = !g->take.fresh;
+	r->earlier = g->take.earlier;
+	group_earlier_add(
+	    &r->earlier, g->take.leader, g->take.leader_incarnation);
+	group_earlier_add(
+	    &r->earlier, g->take.deputy, g->take.deputy_incarnation);
 	if (g->take.term != r->term)
 		g->counter = 0;
 	g->take.term = r->term;
@@ -303,6 +310,7 @@
 	g->take.third = false;
 	g->take.fresh = true;
 	g->take.leader = g->take.deputy = 0;
+	g->take.earlier = (struct dh_group_earlier){ 0 };
 	g->take.old_term = 0;
 	take_put(g, NULL);
 }
@@ -357,6 +365,9 @@
 	g->take.deputy_incarnation = r->deputy_incarnation;
 	g->take.old_term = r->term;
 	g->take.unsettled = r->unsettled || g->peer.doubt;
+	g->take.earlier = r->earlier;
+	if (g->take.unsettled && r->earlier.n == 0)
+		g->take.earlier.more = true;
 	take_put(g, r);
 }
 
--- a/core/group_wait.c
+++ b/core/group_wait.c
@@ -71,6 +71,25 @@
 	    group_max_ms(own_ms, all_ms), group_max_ms(old.own_ms, old.all_ms));
 }
 
+/* group_earlier_add -- vm 0 is nobody. */
+void
+group_earlier_add(struct dh_group_earlier *e, uint64_t vm, uint64_t incarnation)
+{
+	uint32_t i;
+
+	if (vm == 0)
+		return;
+	for (i = 0; i < e->n; i++)
+		if (e->vms[i].vm == vm && e->vms[i].incarnation == incarnation)
+			return;
+	if (e->n == DH_GROUP_EARLIER_MAX) {
+		e->more = true;
+		return;
+	}
+	e->vms[e->n].vm = vm;
+	e->vms[e->n++].incarnation = incarnation;
+}
+
 static bool
 party_open(const struct dh_group *g, const struct group_party *p)
 {
@@ -222,6 +241,25 @@
 
 /* ---- after a take-over ---- */
 
+/* Those that the object names, until then; true if one may be alive. */
+static bool
+earlier_parties(struct dh_group *g, int64_t until_ms)
+{
+	const struct dh_group_earlier *e = &g->take.earlier;
+	bool dead, alive = false;
+	uint32_t i;
+
+	for (i = 0; i < e->n; i++) {
+		dead = group_dead(g, e->vms[i].vm, e->vms[i].incarnation);
+		alive = alive || !dead;
+		group_party_add(g, e->vms[i].vm, e->vms[i].incarnation,
+		    g->take.old_term,
+		    dead ? group_min_ms(until_ms, g->now_ms) : until_ms,
+		    dead ? group_min_ms(until_ms, g->now_ms) : until_ms);
+	}
+	return alive;
+}
+
 void
 group_parties_of_pair(struct dh_group *g)
 {
@@ -234,8 +272,11 @@
 	group_party_add(g, g->take.leader, g->take.leader_incarnation,
 	    g->take.old_term, own, all);
 	/* Even if over by now: a lease renewed at its end may still run. */
-	group_party_add(
-	    g, 0, 0, g->take.old_term, g->peer.wait_ms, g->peer.wait_ms);
+	if (g->take.earlier.more || g->take.earlier.n == 0)
+		group_party_add(g, 0, 0, g->take.old_term, g->peer.wait_ms,
+		    g->peer.wait_ms);
+	else
+		(void)earlier_parties(g, g->peer.wait_ms);
 }
 
 /* Whether those before a VM that was not deputy may go on yet. */
@@ -263,35 +304,37 @@
 	int64_t now = g->now_ms;
 	int64_t solo = now + group_slack(g, g->p.solo_limit_ms);
 	int64_t pair = solo + group_slack(g, g->p.store_outage_limit_ms);
-	bool ldead, ddead;
+	bool ldead, ddead, alone;
 
 	ldead = g->take.leader == 0 ||
 	    group_dead(g, g->take.leader, g->take.leader_incarnation);
 	ddead = g->take.deputy == 0 || g->take.deputy == g->self.id ||
 	    group_dead(g, g->take.deputy, g->take.deputy_incarnation);
-	if (g->take.unsettled) {
+	if (g->take.unsettled && g->take.earlier.more) {
 		group_party_add(g, 0, 0, g->take.old_term, pair, pair);
 		g->pair_ms = pair;
 		return;
 	}
-	if (!ldead && !ddead)
+	/* One that it replaced may not know yet, and support it. */
+	alone = !earlier_parties(g, pair);
+	if (!alone || (!ldead && !ddead))
 		g->pair_ms = pair;
 	if (g->take.leader != 0)
 		group_party_add(g, g->take.leader, g->take.leader_incarnation,
 		    g->take.old_term,
-		    ldead	? now
-			: ddead ? solo
-				: pair,
-		    ldead	? now
-			: ddead ? solo
-				: pair);
+		    ldead		 ? now
+			: ddead && alone ? solo
+					 : pair,
+		    ldead		 ? now
+			: ddead && alone ? solo
+					 : pair);
 	if (g->take.deputy != 0)
 		group_party_add(g, g->take.deputy, g->take.deputy_incarnation,
 		    g->take.old_term,
-		    ddead	? now
-			: ldead ? solo
-				: pair,
-		    ddead	? now
-			: ldead ? solo
-				: pair);
+		    ddead		 ? now
+			: ldead && alone ? solo
+					 : pair,
+		    ddead		 ? now
+			: ldead && alone ? solo
+					 : pair);
 }
--- a/include/dogwoodhub/group.h
+++ b/include/dogwoodhub/group.h
@@ -85,6 +85,17 @@
 	enum dh_slot_state state;
 };
 
+#define DH_GROUP_EARLIER_MAX 8
+
+/* Incarnations of VMs that had authority before and may still renew leases. */
+struct dh_group_earlier {
+	uint32_t n;
+	bool more; /* and others, of which nothing is known */
+	struct {
+		uint64_t vm, incarnation;
+	} vms[DH_GROUP_EARLIER_MAX];
+};
+
 /* The group's object in the store. */
 struct dh_group_record {
 	uint64_t term;
@@ -93,6 +104,7 @@
 	uint64_t deputy_seq; /* rises in a term whenever a deputy is named */
 	uint64_t write_seq; /* of the leader's write: tells its own apart */
 	bool unsettled; /* authorities before this leader may still renew */
+	struct dh_group_earlier earlier; /* which; empty unless unsettled */
 	uint32_t nslots;
 	struct dh_assignment *slots;
 };
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -728,6 +728,36 @@
 	done(f);
 }
 
+/* Two take-overs close together: the second one by a VM that knows only the
+ * store, while the first leader is paused as well.  The object names all that
+ * may still renew, so that they are asked when they come back. */
+static void
+test_two_takeovers_paused(void)
+{
+	struct dh_group_params p = dh_group_params_defaults();
+	struct fake *f = &fake;
+	uint32_t i, first;
+
+	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
+	for (i = 0; i < BACKENDS; i++)
+		f->backends[i].conf.checks_fence = false;
+	for (i = 0; i < VMS; i++)
+		fake_backends_set(f, i);
+	fake_run(f, f->now_ms + WARM_UP_MS);
+	first = leader_of(f);
+	f->vms[first].paused_ms = f->now_ms + 9000;
+	fake_run(f, f->now_ms + 2000);
+	CU_ASSERT_EQUAL(f->record->term, 2);
+	CU_ASSERT_NOT_EQUAL(leader_of(f), first);
+	f->vms[leader_of(f)].paused_ms = f->now_ms + 6000;
+	f->vms[deputy_of(f)].paused_ms = f->now_ms + 6000;
+	fake_run(f, f->now_ms + 7000);
+	CU_ASSERT_EQUAL(f->record->term, 3);
+	CU_ASSERT(fake_until_served(
+		      f, p.request_deadline_ms + p.lease_ms + SERVED_MS) >= 0);
+	done(f);
+}
+
 static void
 cut_off(struct fake *f, uint32_t vm, bool on)
 {
@@ -1378,6 +1408,7 @@
 		{ "leader's zone cut off", test_leader_zone_cut_off },
 		{ "pair lost", test_pair_lost },
 		{ "pair paused", test_pair_paused },
+		{ "two take-overs, paused", test_two_takeovers_paused },
 		{ "pair out of sight", test_pair_out_of_sight },
 		{ "hand-over", test_hand_over },
 		{ "lost reply", test_lost_reply },
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -22,6 +22,7 @@
 		.deputy_seq = 11,
 		.write_seq = 1ull << 63,
 		.unsettled = true,
+		.earlier = { .n = 2, .vms = { { UINT64_MAX, 3 }, { 4, 1 } } },
 		.nslots = 2,
 		.slots = slots };
 	g_autofree char *text = dh_record_encode(&r);
@@ -38,6 +39,11 @@
 	CU_ASSERT_EQUAL(got->write_seq, 1ull << 63);
 	CU_ASSERT_EQUAL(got->deputy_seq, 11);
 	CU_ASSERT_TRUE(got->unsettled);
+	CU_ASSERT_FALSE(got->earlier.more);
+	CU_ASSERT_EQUAL_FATAL(got->earlier.n, 2);
+	CU_ASSERT_EQUAL(got->earlier.vms[0].vm, UINT64_MAX);
+	CU_ASSERT_EQUAL(got->earlier.vms[0].incarnation, 3);
+	CU_ASSERT_EQUAL(got->earlier.vms[1].vm, 4);
 	CU_ASSERT_EQUAL_FATAL(got->nslots, 2);
 	CU_ASSERT_EQUAL(got->slots[0].owner, 0xfedcba9876543211u);
 	CU_ASSERT_EQUAL(got->slots[0].standby, 3);
@@ -47,6 +53,30 @@
 	dh_record_free(got);
 }
 
+/* Those that can't be read are not left out: others may still renew. */
+static void
+test_unreadable_earlier(void)
+{
+	static const char *const texts[] = { "[1]", "[[\"1\"]]",
+		"[[\"1\",\"1\"],[\"2\",\"1\"],[\"3\",\"1\"],[\"4\",\"1\"],"
+		"[\"5\",\"1\"],[\"6\",\"1\"],[\"7\",\"1\"],[\"8\",\"1\"],"
+		"[\"9\",\"1\"]]" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_autofree char *text = g_strdup_printf(
+		    "{\"term\":1,\"unsettled\":true,\"earlier\":%s,"
+		    "\"slots\":[]}",
+		    texts[i]);
+		struct dh_group_record *r = dh_record_decode(text, NULL);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+		CU_ASSERT_TRUE(r->earlier.more);
+		CU_ASSERT(r->earlier.n <= DH_GROUP_EARLIER_MAX);
+		dh_record_free(r);
+	}
+}
+
 static void
 test_refuses_what_is_no_record(void)
 {
@@ -69,6 +99,7 @@
 {
 	CU_TestInfo tests[] = {
 		{ "round trip", test_round_trip },
+		{ "unreadable earlier ones", test_unreadable_earlier },
 		{ "refused", test_refuses_what_is_no_record },
 		CU_TEST_INFO_NULL,
 	};
