--- a/core/group_wait.c
+++ b/core/group_wait.c
@@ -250,7 +250,10 @@
 	uint32_t i;
 
 	for (i = 0; i < e->n; i++) {
-		dead = group_dead(g, e->vms[i].vm, e->vms[i].incarnation);
+		/* A former deputy that leads now gives no older orders. */
+		dead = group_dead(g, e->vms[i].vm, e->vms[i].incarnation) ||
+		    (e->vms[i].vm == g->self.id &&
+			e->vms[i].incarnation == g->self.incarnation);
 		alive = alive || !dead;
 		group_party_add(g, e->vms[i].vm, e->vms[i].incarnation,
 		    g->take.old_term,
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -758,6 +758,39 @@
 	done(f);
 }
 
+/* The object names the VM itself, which was replaced as deputy: it waits for
+ * nobody but others. */
+static void
+test_replaced_deputy_takes_over(void)
+{
+	struct dh_group_params p = dh_group_params_defaults();
+	struct fake *f = &fake;
+	uint32_t i, first, replaced;
+
+	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
+	for (i = 0; i < BACKENDS; i++)
+		f->backends[i].conf.checks_fence = false;
+	for (i = 0; i < VMS; i++)
+		fake_backends_set(f, i);
+	fake_run(f, f->now_ms + WARM_UP_MS);
+	first = leader_of(f);
+	f->vms[first].paused_ms = f->now_ms + 9000;
+	fake_run(f, f->now_ms + 1500);
+	CU_ASSERT_EQUAL(f->record->term, 2);
+	replaced = deputy_of(f);
+	f->vms[replaced].paused_ms = f->now_ms + 1000;
+	fake_run(f, f->now_ms + 1500);
+	CU_ASSERT_NOT_EQUAL(deputy_of(f), replaced);
+	f->vms[leader_of(f)].paused_ms = f->now_ms + 6000;
+	f->vms[deputy_of(f)].paused_ms = f->now_ms + 6000;
+	fake_run(f, f->now_ms + 7000);
+	CU_ASSERT_EQUAL(f->record->term, 3);
+	CU_ASSERT_EQUAL(leader_of(f), replaced);
+	CU_ASSERT(fake_until_served(
+		      f, p.request_deadline_ms + p.lease_ms + SERVED_MS) >= 0);
+	done(f);
+}
+
 static void
 cut_off(struct fake *f, uint32_t vm, bool on)
 {
@@ -1409,6 +1442,7 @@
 		{ "pair lost", test_pair_lost },
 		{ "pair paused", test_pair_paused },
 		{ "two take-overs, paused", test_two_takeovers_paused },
+		{ "replaced deputy", test_replaced_deputy_takes_over },
 		{ "pair out of sight", test_pair_out_of_sight },
 		{ "hand-over", test_hand_over },
 		{ "lost reply", test_lost_reply },
