History check: what is sent to a killed VM was not cut off by its shutdown

The check excused a call only if the VM went down after it was sent. docs/HISTORY.md allows the case: the VM had gone down before the answer. Ruled out: a cut by the data path's shutdown, the process was stopped before the call was sent.

--- a/check/requests.c
+++ b/check/requests.c
@@ -159,6 +159,15 @@
 	return c;
 }
 
+/* Killed and not started again: nothing that is sent there is read. */
+static bool
+is_down(const struct dh_history *h, const char *name)
+{
+	const struct dh_change *ch = dh_history_change(h, name);
+
+	return ch != NULL && ch->down_us > ch->up_us;
+}
+
 static void
 note_send(struct dh_history *h, const struct dh_event *ev, struct dh_where at)
 {
@@ -174,7 +183,8 @@
 	c->sent = true;
 	c->sent_us = ev->t_us;
 	c->sent_at = at;
-	c->stop = g_hash_table_lookup(h->requests->stops, c->via);
+	if (!is_down(h, c->via))
+		c->stop = g_hash_table_lookup(h->requests->stops, c->via);
 }
 
 void
