Keyspace: a lease counts from the latest time at which its order may have arrived

Now: from the answer, or from giving the order up (its connection is reset then). Test 'late arrival' failed, passes; mutation ARRIVAL. Cost: another owner waits for up to one answer time longer.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -619,6 +619,7 @@
 
 	switch (answer) {
 	case DH_KEY_ACCEPTED:
+		r->sent_ms = now_ms;
 		r->foreign_ms = 0;
 		r->handover[0] = '\0';
 		r->due_ms = r->order_sent_ms + ks->p.renew_ms;
@@ -632,7 +633,8 @@
 	case DH_KEY_REFUSED:
 		return false;
 	case DH_KEY_SILENT:
-		r->doubt_ms = r->order_sent_ms + longest_hold_ms(ks);
+		r->sent_ms = now_ms;
+		r->doubt_ms = now_ms + longest_hold_ms(ks);
 		s->silent = true;
 		s->probe_ms = now_ms;
 		return true;
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -46,7 +46,7 @@
 	uint64_t pending_first; /* first one that may have been stored */
 	uint64_t ticket; /* order in flight, 0 for none */
 	enum dh_key_order_kind ticket_kind;
-	int64_t sent_ms; /* of the last grant that may have arrived */
+	int64_t sent_ms; /* when a grant may have arrived at the latest */
 	/* Until when a grant without an answer may be obeyed after others. */
 	int64_t doubt_ms;
 	int64_t order_sent_ms; /* of the order in flight */
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -111,6 +111,54 @@
 	dh_keyspace_free(ks);
 }
 
+/* An order may wait for a connection or for this VM's processor, and its time
+ * counts from its arrival: at the latest when it was answered or given up. */
+static void
+check_late_arrival(enum dh_key_answer answer)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *r;
+	struct dh_key_order o;
+	uint64_t late = 0;
+	int64_t t, answered_ms = 0;
+	size_t n;
+
+	for (t = 700; t < 6000; t += 10) {
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		if (late != 0 && answered_ms == 0 && t >= 700 + 350) {
+			answered_ms = t;
+			dh_keyspace_answer(ks, late, answer, NULL, t);
+		}
+		while (dh_keyspace_next(ks, t, &o)) {
+			if (strcmp(o.server, "a") != 0)
+				dh_keyspace_answer(
+				    ks, o.ticket, DH_KEY_ACCEPTED, NULL, t);
+			else if (late == 0 && o.kind == DH_KEY_GRANT)
+				late = o.ticket;
+			else
+				dh_keyspace_answer(
+				    ks, o.ticket, DH_KEY_UNSENT, NULL, t);
+		}
+		(void)dh_keyspace_current(ks, &r, &n);
+		if (answered_ms == 0 ||
+		    t < answered_ms + HOLD_MS + HOLD_MS * DRIFT_PERMILLE / 1000)
+			CU_ASSERT_STRING_EQUAL(r[0].owner, "a");
+	}
+	CU_ASSERT_TRUE(answered_ms != 0);
+	CU_ASSERT_STRING_EQUAL(r[0].owner, "b");
+	dh_keyspace_free(ks);
+}
+
+static void
+test_lease_counts_from_the_latest_arrival(void)
+{
+	check_late_arrival(DH_KEY_ACCEPTED);
+	check_late_arrival(DH_KEY_SILENT);
+}
+
 static void
 test_silent_owner_keeps_its_keys_until_the_lease_has_run_out(void)
 {
@@ -420,6 +468,7 @@
 		{ "first owners", test_first_owners_share_all_keys },
 		{ "record first",
 		    test_nothing_is_ordered_before_the_record_is_stored },
+		{ "late arrival", test_lease_counts_from_the_latest_arrival },
 		{ "silent owner",
 		    test_silent_owner_keeps_its_keys_until_the_lease_has_run_out },
 		{ "restarted owner",
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -49,8 +49,10 @@
 # A range that a former leader may renew is moved.
 mutate FOREIGN_IDLE \
     's/r->state == RANGE_SETTLED \&\& r->foreign_ms != 0/0/'
+# A lease counts from when its order was made, not from its latest arrival.
+mutate ARRIVAL '/case DH_KEY_ACCEPTED:/{n;s/r->sent_ms = now_ms;//}'
 # An order without an answer is forgotten.
-mutate DOUBT 's/r->doubt_ms = r->order_sent_ms.*$/r->doubt_ms = 0;/'
+mutate DOUBT 's/r->doubt_ms = now_ms \+.*$/r->doubt_ms = 0;/'
 # A move goes on record while an order is open.
 mutate RECORD_OPEN \
     's/\(r->ticket == 0 \&\& now_ms >= r->doubt_ms\)/1/'
