Gateway: the leader watches the store and tells the other VMs what changes

Now one VM, the leader, watches (0.7 s a watch, so that a dead connection shows soon) and sends what changed in datagrams; heartbeats say how far it is. The store's revision is the common cursor, so news and a VM's own calls mix: a VM that missed something asks once, one that hears no heartbeat for three beats, or a leader without the store, watches by itself. 0.1 s pass between an answer with changes and the next watch. The stale watch of the owners rests while the leader is heard. VMs of less than half the core of another are 0.4 s slower to stand for leader.

Ruled out: stale watches (seconds old, no news of a drain); a relay tree (the leader sends 70 datagrams for a change, some a second; its time was not what bound).

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -6,10 +6,15 @@
 #include "base/opslog.h"
 #include "base/timer.h"
 
-/* How long a watch waits at the store; each answer is a call that is paid. */
-#define WATCH_WAIT_MS 20000
-#define WATCH_TIMEOUT_MS (WATCH_WAIT_MS + 2000)
+/* Beyond the wait: the way there and back, and a slow store.  Short where
+ * others rely on this VM: they ask the store themselves then. */
+#define WATCH_GRACE_MS 2000
+#define WATCH_GRACE_SHORT_MS 500
 #define LIST_TIMEOUT_MS 1500
+/* From an answer to the next watch: changes come in flocks, and each answer
+ * is paid.  Small against the time in which a change has to be in force. */
+#define WATCH_PAUSE_MS 100
+#define WATCH_PAUSE_STALE_MS 300
 /* Pauses after a failure, doubling. */
 #define PAUSE_MIN_MS 100
 #define PAUSE_MAX_MS 500
@@ -21,12 +26,16 @@
 	enum dh_freshness freshness;
 	struct dh_mirror_handler h;
 	struct dh_objects_call *call;
-	GHashTable *known; /* name -> NULL */
+	GHashTable *known; /* name -> its revision, uint64_t */
 	GHashTable *seen; /* of the list under way */
 	char *after; /* continues the list */
 	uint64_t as_of; /* watch from here; 0: list first */
+	uint64_t news_as_of; /* of the last answer that had a change */
 	uint64_t list_as_of; /* of the list's first page */
 	int64_t pause_ms;
+	int64_t wait_ms;
+	bool fed; /* another VM tells what changes */
+	bool ask; /* the store once, without waiting for a change */
 	bool listed;
 	bool reached;
 	int64_t changed_ms; /* when reached last changed */
@@ -60,7 +69,9 @@
 static void
 fail(struct dh_mirror *f, const char *why)
 {
-	set_reached(f, false, why);
+	f->ask = true;
+	if (!f->fed || !f->listed)
+		set_reached(f, false, why);
 	uv_timer_start(f->timer, on_timer,
 	    (uint64_t)(f->pause_ms / 2 +
 		g_random_int_range(0, (gint)f->pause_ms / 2 + 1)),
@@ -76,7 +87,8 @@
 			f->h.gone(f->h.arg, o->name);
 		return;
 	}
-	g_hash_table_add(f->known, g_strdup(o->name));
+	g_hash_table_insert(f->known, g_strdup(o->name),
+	    g_memdup2(&o->revision, sizeof(o->revision)));
 	f->h.changed(f->h.arg, o);
 }
 
@@ -105,7 +117,7 @@
 	g_clear_pointer(&f->after, g_free);
 	drop_missing(f);
 	g_hash_table_remove_all(f->seen);
-	f->as_of = f->list_as_of;
+	f->as_of = f->news_as_of = f->list_as_of;
 	f->listed = true;
 	set_reached(f, true, "listed");
 }
@@ -149,12 +161,24 @@
 	f->call = NULL;
 	switch (r->result) {
 	case DH_OBJECTS_OK:
+		f->ask = false;
 		set_reached(f, true, "watch answered");
 		for (i = 0; i < r->nitems; i++)
 			take(f, &r->items[i]);
 		if (r->as_of > f->as_of)
 			f->as_of = r->as_of;
-		step(f);
+		if (r->nitems == 0) {
+			step(f);
+			return;
+		}
+		if (f->h.news != NULL)
+			f->h.news(f->h.arg, f->news_as_of, f->as_of, r->items,
+			    r->nitems);
+		f->news_as_of = f->as_of;
+		uv_timer_start(f->timer, on_timer,
+		    f->freshness == DH_STALE ? WATCH_PAUSE_STALE_MS
+					     : WATCH_PAUSE_MS,
+		    0);
 		return;
 	case DH_OBJECTS_HISTORY_GONE:
 		dh_ops(DH_OPS_STATE, "store.history_gone",
@@ -176,18 +200,106 @@
 static void
 step(struct dh_mirror *f)
 {
+	bool ask = f->ask || !f->reached;
+	int64_t grace_ms = f->wait_ms < DH_MIRROR_WAIT_MS ? WATCH_GRACE_SHORT_MS
+							  : WATCH_GRACE_MS;
+
 	if (f->call != NULL)
 		return;
 	if (f->as_of == 0 || f->after != NULL)
 		f->call = dh_objects_list(f->objects, f->kind,
 		    f->after == NULL ? "" : f->after, f->freshness,
 		    LIST_TIMEOUT_MS, on_list, f);
-	else
+	else if (f->ask || !f->fed)
 		/* The first one after a failure shows whether it answers. */
 		f->call = dh_objects_watch(f->objects, f->kind, f->as_of,
-		    f->reached ? WATCH_WAIT_MS : 1, f->freshness,
-		    f->reached ? WATCH_TIMEOUT_MS : LIST_TIMEOUT_MS, on_watch,
-		    f);
+		    ask ? 1 : f->wait_ms, f->freshness,
+		    ask ? LIST_TIMEOUT_MS : f->wait_ms + grace_ms, on_watch, f);
+}
+
+void
+dh_mirror_set_fed(struct dh_mirror *f, bool fed)
+{
+	if (f->fed == fed)
+		return;
+	f->fed = fed;
+	dh_ops(DH_OPS_STATE, fed ? "store.fed_by_leader" : "store.asked_again",
+	    ",\"kind\":\"%s\",\"as_of\":%llu", f->kind,
+	    (unsigned long long)f->as_of);
+	if (fed) {
+		if (f->listed)
+			set_reached(f, true, "told by the leader");
+		return;
+	}
+	f->ask = true;
+	step(f);
+}
+
+/* One that another VM has told.  The revision of a deleted object may be that
+ * of its last change. */
+static void
+take_told(struct dh_mirror *f, const struct dh_object_view *o)
+{
+	const uint64_t *known = g_hash_table_lookup(f->known, o->name);
+
+	if (o->deleted ? known != NULL && *known <= o->revision
+		       : o->revision > f->as_of)
+		take(f, o);
+}
+
+bool
+dh_mirror_take(struct dh_mirror *f, uint64_t since, uint64_t as_of,
+    const struct dh_object_view *items, size_t n)
+{
+	size_t i;
+
+	if (!f->listed || f->as_of == 0 || since > f->as_of)
+		return false;
+	if (as_of <= f->as_of)
+		return true;
+	for (i = 0; i < n; i++)
+		take_told(f, &items[i]);
+	f->as_of = f->news_as_of = as_of;
+	return true;
+}
+
+void
+dh_mirror_catch_up(struct dh_mirror *f)
+{
+	f->ask = true;
+	step(f);
+}
+
+void
+dh_mirror_set_wait(struct dh_mirror *f, int64_t wait_ms)
+{
+	bool shorter = wait_ms < f->wait_ms;
+
+	f->wait_ms = wait_ms;
+	if (!shorter || f->call == NULL || f->as_of == 0 || f->after != NULL)
+		return;
+	dh_objects_cancel(f->call);
+	f->call = NULL;
+	f->ask = true;
+	step(f);
+}
+
+uint64_t
+dh_mirror_as_of(const struct dh_mirror *f)
+{
+	return f->as_of;
+}
+
+uint64_t
+dh_mirror_news_as_of(const struct dh_mirror *f)
+{
+	return f->news_as_of;
+}
+
+bool
+dh_mirror_reached(const struct dh_mirror *f)
+{
+	return f->reached;
 }
 
 struct dh_mirror *
@@ -202,7 +314,9 @@
 	f->freshness = freshness;
 	f->h = *h;
 	f->pause_ms = PAUSE_MIN_MS;
-	f->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->wait_ms = DH_MIRROR_WAIT_MS;
+	f->known =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	step(f);
 	return f;
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -22,6 +22,10 @@
 	void (*gone)(void *arg, const char *name);
 	/* The store answers, or has stopped to. */
 	void (*reached)(void *arg, bool reached);
+	/* Optional: all that a watch brought, to be told to others.  It is
+	 * what changed after since, up to as_of. */
+	void (*news)(void *arg, uint64_t since, uint64_t as_of,
+	    const struct dh_object_view *items, size_t n);
 	void *arg;
 };
 
@@ -31,6 +35,40 @@
     const struct dh_mirror_handler *h);
 void dh_mirror_free(struct dh_mirror *f);
 
+/*
+ * dh_mirror_set_fed -- while on, another VM tells what changes: the store is
+ * not asked.  Turned off, the store is asked at once.
+ *
+ * dh_mirror_take -- what another VM's handler was called with.  False if
+ * something between what is known here and since is missing.
+ *
+ * dh_mirror_catch_up -- ask the store once for what is missing, also if fed.
+ */
+void dh_mirror_set_fed(struct dh_mirror *f, bool fed);
+bool dh_mirror_take(struct dh_mirror *f, uint64_t since, uint64_t as_of,
+    const struct dh_object_view *items, size_t n);
+void dh_mirror_catch_up(struct dh_mirror *f);
+
+/*
+ * dh_mirror_set_wait -- how long a watch waits at the store for something to
+ * change; DH_MIRROR_WAIT_MS at first, for each answer is paid.  Short for
+ * those on whom others rely: a dead connection shows only when it is over.
+ */
+#define DH_MIRROR_WAIT_MS 20000
+void dh_mirror_set_wait(struct dh_mirror *f, int64_t wait_ms);
+
+/*
+ * dh_mirror_as_of -- the store's revision up to which all is known here.
+ *
+ * dh_mirror_news_as_of -- the same at the last change: others that know as
+ * much have missed nothing.
+ */
+uint64_t dh_mirror_as_of(const struct dh_mirror *f);
+uint64_t dh_mirror_news_as_of(const struct dh_mirror *f);
+
+/* dh_mirror_reached -- whether the store, or the VM that feeds it, answers. */
+bool dh_mirror_reached(const struct dh_mirror *f);
+
 /* dh_mirror_listed -- whether the kind has been listed once. */
 bool dh_mirror_listed(const struct dh_mirror *f);
 
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -35,6 +35,11 @@
 /* After an outage of the store the leader needs a question and its answer. */
 #define OUTAGE_GRACE_MS 1500
 #define ANNOUNCE_PAUSE_MS 1000
+/* Heartbeats that may be missed before this VM follows the store itself. */
+#define FED_BEATS 3
+/* Leading takes processor time that a small VM needs for its callers: it lets
+ * one of over twice its size be first. */
+#define WEAK_PATIENCE_MS 400
 
 enum role {
 	ROLE_FOLLOWER,
@@ -49,6 +54,7 @@
 
 struct peer_state {
 	int64_t heard_ms; /* of its last report; 0: none yet */
+	int64_t core_share_milli; /* 0: not known */
 };
 
 struct dh_owners {
@@ -231,8 +237,9 @@
 {
 	const char *ip = member_text(v->spec, "ip");
 
-	if (strcmp(ip, o->c.ip) != 0)
-		(void)peer_known(o, ip);
+	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0')
+		peer_known(o, ip)->core_share_milli =
+		    (int64_t)member_number(v->spec, "core_share_milli");
 	dh_ops(DH_OPS_STATE, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
 	    v->name + strlen(VM_PREFIX), ip);
 }
@@ -264,7 +271,8 @@
 	if (o->announced || o->announcement != NULL || now_ms < o->announce_ms)
 		return;
 	name = g_strconcat(VM_PREFIX, o->c.settings->vm, NULL);
-	spec = g_strdup_printf("{\"ip\":\"%s\"}", o->c.ip);
+	spec = g_strdup_printf("{\"ip\":\"%s\",\"core_share_milli\":%lld}",
+	    o->c.ip, (long long)o->c.settings->core_share_milli);
 	o->announcement = dh_objects_put(o->c.objects, KIND, name,
 	    o->announce_revision, spec, STORE_TIMEOUT_MS, on_announced, o);
 }
@@ -379,6 +387,8 @@
 		dh_ops(DH_OPS_STATE, "leader.lost",
 		    ",\"term\":%llu,\"why\":\"%s\"",
 		    (unsigned long long)o->term, why);
+	if (o->role == ROLE_LEADER)
+		dh_registry_feed(o->c.registry, NULL, NULL);
 	o->role = ROLE_FOLLOWER;
 	o->solo = false;
 	o->leader_ip[0] = '\0';
@@ -390,10 +400,23 @@
 		TAKE_PAUSE_MAX_MS);
 }
 
+static void
+on_news(void *arg, const struct dh_registry_news *n)
+{
+	struct dh_owners *o = arg;
+	g_autofree const char **ips =
+	    (const char **)g_hash_table_get_keys_as_array(o->peers, NULL);
+
+	dh_peer_send_news(
+	    o->peer, ips, g_hash_table_size(o->peers), n, o->term);
+}
+
 static void
 become_leader(struct dh_owners *o, int64_t began_ms)
 {
 	o->role = ROLE_LEADER;
+	dh_mirror_set_fed(o->mirror, false);
+	dh_registry_feed(o->c.registry, on_news, o);
 	o->confirm_failed = false;
 	o->confirmed_ms = began_ms;
 	o->asked_ms = dh_clock_ms();
@@ -458,6 +481,7 @@
 	gpointer ip, value;
 
 	(void)g_strlcpy(beat.vm, o->c.settings->vm, sizeof(beat.vm));
+	dh_registry_cursors(o->c.registry, beat.cursors);
 	beat.vms = 1;
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, &value)) {
@@ -587,12 +611,40 @@
 	    dh_mirror_reached_ms(o->mirror) < OUTAGE_GRACE_MS;
 }
 
+/* Whether another VM could lead at a much smaller part of what it has. */
+static bool
+is_weak(const struct dh_owners *o)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((struct peer_state *)value)->core_share_milli >
+		    2 * o->c.settings->core_share_milli)
+			return true;
+	return false;
+}
+
+/* The leader tells what changes in the store, or, for want of its heartbeats,
+ * this VM asks itself. */
+static void
+follow_store(struct dh_owners *o, const struct dh_registry_cursor *cursors)
+{
+	dh_mirror_set_fed(o->mirror, cursors != NULL);
+	dh_registry_follow(o->c.registry, cursors);
+}
+
 static void
 follow(struct dh_owners *o, int64_t now_ms)
 {
+	if (now_ms - o->beat_heard_ms >
+	    FED_BEATS * o->c.settings->beat_ms + STEP_MS)
+		follow_store(o, NULL);
 	if (lacks_store_as_we_did(o, now_ms) || o->resigned ||
 	    o->call != NULL || o->role != ROLE_FOLLOWER ||
-	    now_ms - o->sign_ms < o->patience_ms ||
+	    now_ms - o->sign_ms <
+		o->patience_ms + (is_weak(o) ? WEAK_PATIENCE_MS : 0) ||
 	    !dh_registry_ready(o->c.registry))
 		return;
 	dh_ops(DH_OPS_STATE, "leader.silent",
@@ -622,6 +674,7 @@
 		adopt_leader(o, beat->term, beat->vm, ip);
 	}
 	o->beat_heard_ms = dh_clock_ms();
+	follow_store(o, beat->failing ? NULL : beat->cursors);
 	if (beat->failing)
 		o->store_bad_ms = dh_clock_ms();
 	else
@@ -666,6 +719,15 @@
 	(void)learn(o, d->service, &r, "delta");
 }
 
+static void
+on_peer_news(void *arg, const struct dh_registry_news *n, uint64_t term)
+{
+	struct dh_owners *o = arg;
+
+	if (o->role != ROLE_LEADER && term >= o->term)
+		dh_registry_take(o->c.registry, n);
+}
+
 static void
 send_missing(
     struct dh_owners *o, const struct dh_peer_report *r, const char *ip)
@@ -833,9 +895,9 @@
 {
 	struct dh_owners *o = g_new0(struct dh_owners, 1);
 	struct dh_peer_handler peers = { on_beat, on_owners, on_delta,
-		on_report, o };
+		on_report, on_peer_news, o };
 	struct dh_mirror_handler objects = { on_object, on_object_gone,
-		on_reached, o };
+		on_reached, NULL, o };
 
 	o->c = *c;
 	o->c.ip = g_strdup(c->ip);
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -14,12 +14,18 @@
 #define SERVERS_MAX 512u
 
 #define CHANGES_MAX 4096u
+/* Longest name of an object in the store that is taken. */
+#define NEWS_NAME_MAX 256
+#define NEWS_MAX 4096u
+/* What objects of one datagram may take, unless it is a single one. */
+#define NEWS_BYTES 20000
 
 enum message_kind {
 	MESSAGE_BEAT = 1,
 	MESSAGE_OWNERS = 2,
 	MESSAGE_REPORT = 3,
 	MESSAGE_DELTA = 4,
+	MESSAGE_NEWS = 5,
 };
 
 struct dh_peer {
@@ -71,6 +77,26 @@
 	return &a->ptr[i].via.array;
 }
 
+static bool
+read_cursors(const msgpack_object_array *list,
+    struct dh_registry_cursor cursors[DH_REGISTRY_KINDS])
+{
+	const msgpack_object_array *c;
+	uint64_t reached;
+	uint32_t i;
+
+	if (list == NULL || list->size != DH_REGISTRY_KINDS)
+		return false;
+	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
+		c = array_at(list, i, 2);
+		if (c == NULL || !number_at(c, 0, &cursors[i].as_of) ||
+		    !number_at(c, 1, &reached))
+			return false;
+		cursors[i].reached = reached != 0;
+	}
+	return true;
+}
+
 static bool
 take_beat(struct dh_peer *p, const msgpack_object_array *a, const char *ip)
 {
@@ -80,6 +106,8 @@
 	if (!text_at(a, 1, b.vm, sizeof(b.vm)) || !number_at(a, 2, &b.term) ||
 	    !number_at(a, 3, &failing) || !number_at(a, 4, &vms))
 		return false;
+	if (!read_cursors(array_at(a, 5, DH_REGISTRY_KINDS), b.cursors))
+		return false;
 	b.failing = failing != 0;
 	b.vms = vms > 100000 ? 100000 : (uint32_t)vms;
 	p->h.beat(p->h.arg, &b, ip);
@@ -216,6 +244,54 @@
 	return true;
 }
 
+static bool
+read_news_item(
+    const msgpack_object_array *o, struct dh_object_view *v, GPtrArray *names)
+{
+	char name[NEWS_NAME_MAX];
+	g_autofree char *spec = NULL;
+	uint64_t deleted;
+
+	if (o == NULL || !text_at(o, 0, name, sizeof(name)) ||
+	    !number_at(o, 1, &v->revision) || !number_at(o, 2, &deleted) ||
+	    o->size < 4 || o->ptr[3].type != MSGPACK_OBJECT_STR)
+		return false;
+	spec = g_strndup(o->ptr[3].via.str.ptr, o->ptr[3].via.str.size);
+	v->deleted = deleted != 0;
+	v->spec = v->deleted ? NULL : json_tokener_parse(spec);
+	v->name = g_strdup(name);
+	g_ptr_array_add(names, (char *)(uintptr_t)v->name);
+	return true;
+}
+
+static bool
+take_news(struct dh_peer *p, const msgpack_object_array *a)
+{
+	g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
+	const msgpack_object_array *list = array_at(a, 5, NEWS_MAX);
+	g_autofree struct dh_object_view *items = NULL;
+	struct dh_registry_news n = { 0 };
+	uint64_t term, kind;
+	uint32_t i;
+	bool ok = true;
+
+	if (list == NULL || !number_at(a, 1, &term) ||
+	    !number_at(a, 2, &kind) || kind >= DH_REGISTRY_KINDS ||
+	    !number_at(a, 3, &n.since) || !number_at(a, 4, &n.as_of))
+		return false;
+	items = g_new0(struct dh_object_view, list->size + 1);
+	for (i = 0; ok && i < list->size; i++)
+		ok = read_news_item(array_at(list, i, 4), &items[i], names);
+	n.kind = (enum dh_registry_kind)kind;
+	n.items = items;
+	n.nitems = list->size;
+	if (ok)
+		p->h.news(p->h.arg, &n, term);
+	for (i = 0; i < list->size; i++)
+		json_object_put(items[i].spec);
+	return ok;
+}
+
 static bool
 take(struct dh_peer *p, const msgpack_object *o, const char *ip)
 {
@@ -233,6 +309,8 @@
 		return take_delta(p, a);
 	case MESSAGE_REPORT:
 		return take_report(p, a, ip);
+	case MESSAGE_NEWS:
+		return take_news(p, a);
 	default: /* of a later release */
 		return false;
 	}
@@ -328,15 +406,22 @@
 {
 	msgpack_sbuffer b;
 	msgpack_packer pk;
+	uint32_t i;
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 5);
+	msgpack_pack_array(&pk, 6);
 	msgpack_pack_uint32(&pk, MESSAGE_BEAT);
 	pack_text(&pk, beat->vm);
 	msgpack_pack_uint64(&pk, beat->term);
 	msgpack_pack_uint32(&pk, beat->failing);
 	msgpack_pack_uint32(&pk, beat->vms);
+	msgpack_pack_array(&pk, DH_REGISTRY_KINDS);
+	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
+		msgpack_pack_array(&pk, 2);
+		msgpack_pack_uint64(&pk, beat->cursors[i].as_of);
+		msgpack_pack_uint32(&pk, beat->cursors[i].reached);
+	}
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
@@ -428,3 +513,71 @@
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
+
+static const char *
+spec_text(const struct dh_object_view *o)
+{
+	return o->spec == NULL
+	    ? ""
+	    : json_object_to_json_string_ext(o->spec, JSON_C_TO_STRING_PLAIN);
+}
+
+static void
+send_some_news(struct dh_peer *p, const char *const *ips, size_t nips,
+    const struct dh_registry_news *n, uint64_t term)
+{
+	const struct dh_object_view *o;
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+	size_t i;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 6);
+	msgpack_pack_uint32(&pk, MESSAGE_NEWS);
+	msgpack_pack_uint64(&pk, term);
+	msgpack_pack_uint32(&pk, n->kind);
+	msgpack_pack_uint64(&pk, n->since);
+	msgpack_pack_uint64(&pk, n->as_of);
+	msgpack_pack_array(&pk, n->nitems);
+	for (i = 0; i < n->nitems; i++) {
+		o = &n->items[i];
+		msgpack_pack_array(&pk, 4);
+		pack_text(&pk, o->name);
+		msgpack_pack_uint64(&pk, o->revision);
+		msgpack_pack_uint32(&pk, o->deleted);
+		pack_text(&pk, spec_text(o));
+	}
+	for (i = 0; i < nips; i++)
+		send_buffer(p, ips[i], &b);
+	msgpack_sbuffer_destroy(&b);
+}
+
+void
+dh_peer_send_news(struct dh_peer *p, const char *const *ips, size_t nips,
+    const struct dh_registry_news *news, uint64_t term)
+{
+	struct dh_registry_news part = *news;
+	const struct dh_object_view *o;
+	size_t i, bytes;
+
+	for (i = 0; i < news->nitems; i += part.nitems) {
+		part.items = &news->items[i];
+		part.nitems = 0;
+		part.as_of = part.since;
+		bytes = 0;
+		/* A part leads up to its last change; what was deleted need
+		 * not tell when. */
+		while (i + part.nitems < news->nitems &&
+		    (bytes < NEWS_BYTES || part.as_of == part.since)) {
+			o = &part.items[part.nitems++];
+			bytes += strlen(spec_text(o));
+			if (!o->deleted && o->revision > part.as_of)
+				part.as_of = o->revision;
+		}
+		if (i + part.nitems == news->nitems)
+			part.as_of = news->as_of;
+		send_some_news(p, ips, nips, &part, term);
+		part.since = part.as_of;
+	}
+}
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -9,6 +9,8 @@
 
 #include <dogwoodhub/types.h>
 
+#include "gateway/registry.h"
+
 /*
  * Datagrams between VMs, in msgpack: the leader's heartbeats and the owners of
  * keys one way, what routers have seen the other.  All of it is advice: what
@@ -22,6 +24,7 @@
 	uint64_t term;
 	bool failing; /* it cannot reach the store, or is about to leave */
 	uint32_t vms; /* that report to it, itself included */
+	struct dh_registry_cursor cursors[DH_REGISTRY_KINDS];
 };
 
 #define DH_PEER_SERVICES 16
@@ -69,6 +72,9 @@
 	void (*delta)(void *arg, const struct dh_peer_delta *d);
 	void (*report)(void *arg, const struct dh_peer_report *report,
 	    const char *from_ip);
+	/* All of it is borrowed. */
+	void (*news)(
+	    void *arg, const struct dh_registry_news *news, uint64_t term);
 	void *arg;
 };
 
@@ -84,6 +90,9 @@
     struct dh_peer *p, const char *ip, const char *service, const char *text);
 void dh_peer_send_delta(
     struct dh_peer *p, const char *ip, const struct dh_peer_delta *d);
+/* In as many datagrams as it takes. */
+void dh_peer_send_news(struct dh_peer *p, const char *const *ips, size_t nips,
+    const struct dh_registry_news *news, uint64_t term);
 void dh_peer_send_report(
     struct dh_peer *p, const char *ip, const struct dh_peer_report *r);
 
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -13,6 +13,11 @@
 #define CLOSE_EARLY_MS 500
 /* How long one that left is remembered, so that its keys can be released. */
 #define FORGET_MS 60000
+/* The leader's watch: as long as others may go without what it doesn't hear
+ * of, with what it takes to notice and to ask themselves. */
+#define FEED_WAIT_MS 700
+/* Behind the leader for so long, a VM asks the store: a datagram was lost. */
+#define BEHIND_MS 300
 /* Routers that share the backend servers, before the leader has said. */
 #define VMS_DEFAULT 8
 
@@ -29,7 +34,10 @@
 
 struct dh_registry {
 	const struct dh_gateway_settings *settings;
-	struct dh_mirror *servers_mirror, *config_mirror;
+	struct dh_mirror *mirrors[DH_REGISTRY_KINDS];
+	int64_t behind_ms[DH_REGISTRY_KINDS]; /* the leader, since; 0: not */
+	void (*news)(void *arg, const struct dh_registry_news *n);
+	void *news_arg;
 	GHashTable *servers; /* id -> struct known */
 	struct dh_deployment **deployment;
 	uint32_t next_uid;
@@ -244,15 +252,39 @@
 	(void)reached;
 }
 
+static void
+tell_news(struct dh_registry *reg, enum dh_registry_kind kind, uint64_t since,
+    uint64_t as_of, const struct dh_object_view *items, size_t n)
+{
+	struct dh_registry_news news = { kind, since, as_of, items, n };
+
+	if (reg->news != NULL)
+		reg->news(reg->news_arg, &news);
+}
+
+static void
+on_servers_news(void *arg, uint64_t since, uint64_t as_of,
+    const struct dh_object_view *items, size_t n)
+{
+	tell_news(arg, DH_REGISTRY_SERVERS, since, as_of, items, n);
+}
+
+static void
+on_config_news(void *arg, uint64_t since, uint64_t as_of,
+    const struct dh_object_view *items, size_t n)
+{
+	tell_news(arg, DH_REGISTRY_CONFIG, since, as_of, items, n);
+}
+
 struct dh_registry *
 dh_registry_new(uv_loop_t *loop, struct dh_objects *o,
     const struct dh_gateway_settings *s, void (*changed)(void *arg), void *arg)
 {
 	struct dh_registry *reg = g_new0(struct dh_registry, 1);
 	struct dh_mirror_handler servers = { on_server, on_server_gone,
-		on_servers_reached, reg };
+		on_servers_reached, on_servers_news, reg };
 	struct dh_mirror_handler config = { on_config, on_config_gone,
-		on_config_reached, reg };
+		on_config_reached, on_config_news, reg };
 
 	reg->settings = s;
 	reg->changed = changed;
@@ -260,9 +292,9 @@
 	reg->servers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	reg->timer = dh_timer_new(loop, reg);
-	reg->servers_mirror =
+	reg->mirrors[DH_REGISTRY_SERVERS] =
 	    dh_mirror_new(loop, o, dh_wire_kind_servers, DH_FRESH, &servers);
-	reg->config_mirror =
+	reg->mirrors[DH_REGISTRY_CONFIG] =
 	    dh_mirror_new(loop, o, dh_wire_kind_config, DH_FRESH, &config);
 	return reg;
 }
@@ -270,16 +302,85 @@
 void
 dh_registry_free(struct dh_registry *reg)
 {
+	size_t i;
+
 	if (reg == NULL)
 		return;
-	dh_mirror_free(reg->servers_mirror);
-	dh_mirror_free(reg->config_mirror);
+	for (i = 0; i < DH_REGISTRY_KINDS; i++)
+		dh_mirror_free(reg->mirrors[i]);
 	dh_timer_free(reg->timer);
 	g_hash_table_destroy(reg->servers);
 	dh_deployment_unbox(reg->deployment);
 	g_free(reg);
 }
 
+void
+dh_registry_feed(struct dh_registry *reg,
+    void (*news)(void *arg, const struct dh_registry_news *n), void *arg)
+{
+	size_t i;
+
+	reg->news = news;
+	reg->news_arg = arg;
+	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
+		if (news != NULL)
+			dh_mirror_set_fed(reg->mirrors[i], false);
+		dh_mirror_set_wait(reg->mirrors[i],
+		    news != NULL ? FEED_WAIT_MS : DH_MIRROR_WAIT_MS);
+	}
+}
+
+void
+dh_registry_cursors(const struct dh_registry *reg,
+    struct dh_registry_cursor cursors[DH_REGISTRY_KINDS])
+{
+	size_t i;
+
+	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
+		cursors[i].as_of = dh_mirror_news_as_of(reg->mirrors[i]);
+		cursors[i].reached = dh_mirror_reached(reg->mirrors[i]);
+	}
+}
+
+static void
+follow_kind(struct dh_registry *reg, enum dh_registry_kind kind,
+    const struct dh_registry_cursor *c)
+{
+	struct dh_mirror *f = reg->mirrors[kind];
+	int64_t now_ms = dh_clock_ms();
+
+	dh_mirror_set_fed(f, c != NULL && c->reached && c->as_of != 0);
+	if (c == NULL || c->as_of <= dh_mirror_as_of(f)) {
+		reg->behind_ms[kind] = 0;
+		return;
+	}
+	if (reg->behind_ms[kind] == 0) {
+		reg->behind_ms[kind] = now_ms;
+	} else if (now_ms - reg->behind_ms[kind] >= BEHIND_MS) {
+		reg->behind_ms[kind] = 0;
+		dh_mirror_catch_up(f);
+	}
+}
+
+void
+dh_registry_follow(
+    struct dh_registry *reg, const struct dh_registry_cursor *cursors)
+{
+	size_t i;
+
+	for (i = 0; i < DH_REGISTRY_KINDS; i++)
+		follow_kind(reg, (enum dh_registry_kind)i,
+		    cursors == NULL ? NULL : &cursors[i]);
+}
+
+void
+dh_registry_take(struct dh_registry *reg, const struct dh_registry_news *n)
+{
+	/* If something is missing the next heartbeats will show it. */
+	(void)dh_mirror_take(
+	    reg->mirrors[n->kind], n->since, n->as_of, n->items, n->nitems);
+}
+
 void
 dh_registry_set_witness(struct dh_registry *reg,
     bool (*fine)(void *arg, int64_t since_ms), void *arg)
@@ -297,7 +398,8 @@
 bool
 dh_registry_ready(const struct dh_registry *reg)
 {
-	return reg->deployment != NULL && dh_mirror_listed(reg->servers_mirror);
+	return reg->deployment != NULL &&
+	    dh_mirror_listed(reg->mirrors[DH_REGISTRY_SERVERS]);
 }
 
 /* When the backend server gets its last request; INT64_MAX if it stays. */
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -31,6 +31,49 @@
 void dh_registry_set_witness(struct dh_registry *r,
     bool (*fine)(void *arg, int64_t since_ms), void *arg);
 
+/* What the store is followed for, and how far that has come. */
+enum dh_registry_kind {
+	DH_REGISTRY_SERVERS,
+	DH_REGISTRY_CONFIG,
+	DH_REGISTRY_KINDS,
+};
+
+struct dh_registry_cursor {
+	uint64_t as_of; /* the store's revision at the last change */
+	bool reached; /* the store answers */
+};
+
+/* All that changed in a kind after since, up to as_of. */
+struct dh_registry_news {
+	enum dh_registry_kind kind;
+	uint64_t since, as_of;
+	const struct dh_object_view *items; /* borrowed */
+	size_t nitems;
+};
+
+/*
+ * One VM, the leader, watches the store and tells the others what changes; the
+ * others ask the store only for what they miss.
+ *
+ * dh_registry_feed -- be that VM: news is called with each change;
+ * NULL to be it no more.
+ *
+ * dh_registry_cursors -- how far this VM is, for the others.
+ *
+ * dh_registry_follow -- how far the leader is; NULL if it is not heard of, and
+ * then the store is asked.
+ *
+ * dh_registry_take -- news of the leader.
+ */
+void dh_registry_feed(struct dh_registry *r,
+    void (*news)(void *arg, const struct dh_registry_news *n), void *arg);
+void dh_registry_cursors(const struct dh_registry *r,
+    struct dh_registry_cursor cursors[DH_REGISTRY_KINDS]);
+void dh_registry_follow(
+    struct dh_registry *r, const struct dh_registry_cursor *cursors);
+void dh_registry_take(
+    struct dh_registry *r, const struct dh_registry_news *news);
+
 /* dh_registry_deployment -- the configuration in force, NULL before the
  * first; borrowed. */
 const struct dh_deployment *dh_registry_deployment(const struct dh_registry *r);
--- /dev/null
+++ b/tests/fake_objects.h
@@ -0,0 +1,119 @@
+#ifndef DH_TESTS_FAKE_OBJECTS_H
+#define DH_TESTS_FAKE_OBJECTS_H
+
+/*
+ * Stands in for platform/objects where a test links it: calls wait here until
+ * the test answers them.  One per kind of object at a time.
+ */
+#include <glib.h>
+
+#include "platform/objects.h"
+
+struct dh_objects_call {
+	char *kind;
+	bool watch;
+	uint64_t since;
+	int64_t wait_ms;
+	dh_objects_fn done;
+	void *arg;
+};
+
+static GPtrArray *fake_calls; /* open, oldest first */
+static uint32_t fake_made; /* so far */
+static uint32_t fake_cancelled;
+
+static struct dh_objects_call *
+fake_call(const char *kind, dh_objects_fn done, void *arg)
+{
+	struct dh_objects_call *c = g_new0(struct dh_objects_call, 1);
+
+	if (fake_calls == NULL)
+		fake_calls = g_ptr_array_new();
+	c->kind = g_strdup(kind);
+	c->done = done;
+	c->arg = arg;
+	g_ptr_array_add(fake_calls, c);
+	fake_made++;
+	return c;
+}
+
+static void
+fake_free(struct dh_objects_call *c)
+{
+	g_ptr_array_remove(fake_calls, c);
+	g_free(c->kind);
+	g_free(c);
+}
+
+struct dh_objects_call *
+dh_objects_list(struct dh_objects *o, const char *kind, const char *after,
+    enum dh_freshness freshness, int64_t timeout_ms, dh_objects_fn done,
+    void *arg)
+{
+	(void)o;
+	(void)after;
+	(void)freshness;
+	(void)timeout_ms;
+	return fake_call(kind, done, arg);
+}
+
+struct dh_objects_call *
+dh_objects_watch(struct dh_objects *o, const char *kind, uint64_t since,
+    int64_t wait_ms, enum dh_freshness freshness, int64_t timeout_ms,
+    dh_objects_fn done, void *arg)
+{
+	struct dh_objects_call *c = fake_call(kind, done, arg);
+
+	(void)o;
+	(void)freshness;
+	(void)timeout_ms;
+	c->watch = true;
+	c->since = since;
+	c->wait_ms = wait_ms;
+	return c;
+}
+
+void
+dh_objects_cancel(struct dh_objects_call *c)
+{
+	if (c == NULL)
+		return;
+	fake_cancelled++;
+	fake_free(c);
+}
+
+/* The open call for a kind, or NULL. */
+static struct dh_objects_call *
+fake_open(const char *kind)
+{
+	guint i;
+
+	for (i = 0; fake_calls != NULL && i < fake_calls->len; i++) {
+		struct dh_objects_call *c = fake_calls->pdata[i];
+
+		if (strcmp(c->kind, kind) == 0)
+			return c;
+	}
+	return NULL;
+}
+
+static void
+fake_answer(const char *kind, enum dh_objects_result result, uint64_t as_of,
+    const struct dh_object_view *items, size_t n)
+{
+	struct dh_objects_call *c = fake_open(kind);
+	struct dh_objects_reply r = {
+		.result = result, .items = items, .nitems = n, .as_of = as_of
+	};
+	dh_objects_fn done;
+	void *arg;
+
+	if (c == NULL)
+		return;
+	done = c->done;
+	arg = c->arg;
+	fake_free(c);
+	done(arg, &r);
+}
+
+#endif
--- /dev/null
+++ b/tests/test_mirror.c
@@ -0,0 +1,272 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "gateway/mirror.h"
+#include "tests/cunit_main.h"
+#include "tests/fake_objects.h"
+
+#define KIND "things"
+
+struct fixture {
+	uv_loop_t loop;
+	struct dh_mirror *f;
+	GString *log; /* "+NAME@REVISION " and "-NAME " */
+	uint64_t since, as_of; /* of the last news */
+	uint32_t news;
+	bool reached;
+};
+
+static void
+on_changed(void *arg, const struct dh_object_view *o)
+{
+	struct fixture *fx = arg;
+
+	g_string_append_printf(
+	    fx->log, "+%s@%llu ", o->name, (unsigned long long)o->revision);
+}
+
+static void
+on_gone(void *arg, const char *name)
+{
+	struct fixture *fx = arg;
+
+	g_string_append_printf(fx->log, "-%s ", name);
+}
+
+static void
+on_reached(void *arg, bool reached)
+{
+	((struct fixture *)arg)->reached = reached;
+}
+
+static void
+on_news(void *arg, uint64_t since, uint64_t as_of,
+    const struct dh_object_view *items, size_t n)
+{
+	struct fixture *fx = arg;
+
+	(void)items;
+	(void)n;
+	fx->since = since;
+	fx->as_of = as_of;
+	fx->news++;
+}
+
+/* What was reported since the last time. */
+static void
+check_log(struct fixture *fx, const char *expected)
+{
+	CU_ASSERT_STRING_EQUAL(fx->log->str, expected);
+	g_string_truncate(fx->log, 0);
+}
+
+static struct dh_object_view
+thing(const char *name, uint64_t revision)
+{
+	return (struct dh_object_view){ .name = name, .revision = revision };
+}
+
+static struct dh_object_view
+deleted(const char *name, uint64_t revision)
+{
+	return (struct dh_object_view){
+		.name = name, .revision = revision, .deleted = true
+	};
+}
+
+/* Listed: a and b, as of 10; the first watch is open. */
+static void
+start(struct fixture *fx)
+{
+	struct dh_mirror_handler h = { on_changed, on_gone, on_reached, on_news,
+		fx };
+	struct dh_object_view items[] = { thing("a", 3), thing("b", 7) };
+
+	memset(fx, 0, sizeof(*fx));
+	uv_loop_init(&fx->loop);
+	fx->log = g_string_new(NULL);
+	fx->f = dh_mirror_new(&fx->loop, NULL, KIND, DH_FRESH, &h);
+	CU_ASSERT_FALSE(dh_mirror_listed(fx->f));
+	fake_answer(KIND, DH_OBJECTS_OK, 10, items, 2);
+	CU_ASSERT_TRUE(dh_mirror_listed(fx->f));
+	check_log(fx, "+a@3 +b@7 ");
+}
+
+static void
+end(struct fixture *fx)
+{
+	dh_mirror_free(fx->f);
+	uv_run(&fx->loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&fx->loop), 0);
+	g_string_free(fx->log, TRUE);
+}
+
+static void
+run_for(struct fixture *fx, int64_t ms)
+{
+	int64_t end_ms = dh_clock_ms() + ms;
+
+	while (dh_clock_ms() < end_ms) {
+		uv_run(&fx->loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+static void
+test_watch_continues_after_a_pause(void)
+{
+	struct dh_object_view change = thing("a", 12);
+	struct fixture fx;
+	uint32_t made;
+
+	start(&fx);
+	CU_ASSERT_EQUAL(fake_open(KIND)->since, 10);
+	made = fake_made;
+	fake_answer(KIND, DH_OBJECTS_OK, 12, &change, 1);
+	check_log(&fx, "+a@12 ");
+	CU_ASSERT_EQUAL(fx.since, 10);
+	CU_ASSERT_EQUAL(fx.as_of, 12);
+	CU_ASSERT_EQUAL(fake_made, made);
+	run_for(&fx, 400);
+	CU_ASSERT_EQUAL(fake_made, made + 1);
+	CU_ASSERT_EQUAL(fake_open(KIND)->since, 12);
+	/* Nothing changed: the next one at once, and no news. */
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	CU_ASSERT_EQUAL(fake_open(KIND)->since, 20);
+	CU_ASSERT_EQUAL(fx.news, 1);
+	CU_ASSERT_EQUAL(dh_mirror_news_as_of(fx.f), 12);
+	end(&fx);
+}
+
+static void
+test_fed_asks_nothing(void)
+{
+	struct dh_object_view change = thing("c", 14);
+	struct fixture fx;
+	uint32_t made;
+
+	start(&fx);
+	dh_mirror_set_fed(fx.f, true);
+	made = fake_made;
+	/* The open one may still bring something. */
+	fake_answer(KIND, DH_OBJECTS_OK, 11, NULL, 0);
+	CU_ASSERT_TRUE(dh_mirror_take(fx.f, 11, 14, &change, 1));
+	check_log(&fx, "+c@14 ");
+	run_for(&fx, 300);
+	CU_ASSERT_EQUAL(fake_made, made);
+	CU_ASSERT_TRUE(dh_mirror_reached(fx.f));
+	/* Once, without waiting for a change. */
+	dh_mirror_catch_up(fx.f);
+	CU_ASSERT_EQUAL(fake_open(KIND)->since, 14);
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, 1);
+	fake_answer(KIND, DH_OBJECTS_OK, 15, NULL, 0);
+	CU_ASSERT_PTR_NULL(fake_open(KIND));
+	/* Fed no more: first to see whether the store answers. */
+	dh_mirror_set_fed(fx.f, false);
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, 1);
+	fake_answer(KIND, DH_OBJECTS_OK, 15, NULL, 0);
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, DH_MIRROR_WAIT_MS);
+	end(&fx);
+}
+
+static void
+test_news_with_a_gap_are_not_taken(void)
+{
+	struct dh_object_view change = thing("a", 14);
+	struct fixture fx;
+
+	start(&fx);
+	dh_mirror_set_fed(fx.f, true);
+	CU_ASSERT_FALSE(dh_mirror_take(fx.f, 12, 14, &change, 1));
+	check_log(&fx, "");
+	CU_ASSERT_EQUAL(dh_mirror_as_of(fx.f), 10);
+	end(&fx);
+}
+
+/* What is known from the store already comes again, and older. */
+static void
+test_news_that_overlap(void)
+{
+	struct dh_object_view own[] = { thing("a", 12), thing("c", 13),
+		deleted("b", 14), thing("d", 15) };
+	struct dh_object_view told[] = { thing("b", 9), thing("a", 12),
+		deleted("c", 13), deleted("d", 11), thing("e", 17) };
+	struct fixture fx;
+
+	start(&fx);
+	fake_answer(KIND, DH_OBJECTS_OK, 15, own, 4);
+	check_log(&fx, "+a@12 +c@13 -b +d@15 ");
+	dh_mirror_set_fed(fx.f, true);
+	CU_ASSERT_TRUE(dh_mirror_take(fx.f, 8, 12, told, 2));
+	check_log(&fx, "");
+	/* c was deleted at its last change or later; d came back since. */
+	CU_ASSERT_TRUE(dh_mirror_take(fx.f, 8, 18, told, 5));
+	check_log(&fx, "-c +e@17 ");
+	CU_ASSERT_EQUAL(dh_mirror_as_of(fx.f), 18);
+	end(&fx);
+}
+
+static void
+test_lost_store_is_told(void)
+{
+	struct fixture fx;
+
+	start(&fx);
+	CU_ASSERT_TRUE(fx.reached);
+	fake_answer(KIND, DH_OBJECTS_UNKNOWN, 0, NULL, 0);
+	CU_ASSERT_FALSE(fx.reached);
+	/* Another VM reaches it. */
+	dh_mirror_set_fed(fx.f, true);
+	CU_ASSERT_TRUE(fx.reached);
+	end(&fx);
+}
+
+static void
+test_shorter_wait_replaces_the_open_watch(void)
+{
+	struct fixture fx;
+	uint32_t cancelled;
+
+	start(&fx);
+	cancelled = fake_cancelled;
+	dh_mirror_set_wait(fx.f, 700);
+	CU_ASSERT_EQUAL(fake_cancelled, cancelled + 1);
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, 1);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, 700);
+	end(&fx);
+}
+
+static void
+test_history_gone_lists_again(void)
+{
+	struct dh_object_view items[] = { thing("b", 7) };
+	struct fixture fx;
+
+	start(&fx);
+	fake_answer(KIND, DH_OBJECTS_HISTORY_GONE, 0, NULL, 0);
+	CU_ASSERT_FALSE(fake_open(KIND)->watch);
+	/* Nothing is taken meanwhile: it may be older than the list. */
+	CU_ASSERT_FALSE(dh_mirror_take(fx.f, 10, 30, items, 1));
+	fake_answer(KIND, DH_OBJECTS_OK, 40, items, 1);
+	check_log(&fx, "+b@7 -a ");
+	CU_ASSERT_EQUAL(dh_mirror_as_of(fx.f), 40);
+	end(&fx);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "pause", test_watch_continues_after_a_pause },
+		{ "fed", test_fed_asks_nothing },
+		{ "gap", test_news_with_a_gap_are_not_taken },
+		{ "overlap", test_news_that_overlap },
+		{ "lost store", test_lost_store_is_told },
+		{ "shorter wait", test_shorter_wait_replaces_the_open_watch },
+		{ "history gone", test_history_gone_lists_again },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("mirror", tests);
+}
--- /dev/null
+++ b/tests/test_peer.c
@@ -0,0 +1,210 @@
+#include <string.h>
+
+#include "gateway/peer.h"
+#include "tests/cunit_main.h"
+
+#define PORT 27311
+#define FROM "127.0.0.1"
+#define TO "127.0.0.2"
+#define ITEMS 300
+
+struct fixture {
+	uv_loop_t loop;
+	struct dh_peer *from, *to;
+	struct dh_beat beat;
+	uint32_t beats, parts, items;
+	uint64_t as_of; /* up to which the parts lead */
+	bool in_order; /* each part begins where the one before ended */
+	uint32_t tombstones, specs;
+};
+
+static void
+on_beat(void *arg, const struct dh_beat *beat, const char *ip)
+{
+	struct fixture *fx = arg;
+
+	CU_ASSERT_STRING_EQUAL(ip, FROM);
+	fx->beat = *beat;
+	fx->beats++;
+}
+
+static void
+on_owners(void *arg, const char *service, const char *text)
+{
+	(void)arg;
+	(void)service;
+	(void)text;
+}
+
+static void
+on_delta(void *arg, const struct dh_peer_delta *d)
+{
+	(void)arg;
+	(void)d;
+}
+
+static void
+on_report(void *arg, const struct dh_peer_report *r, const char *ip)
+{
+	(void)arg;
+	(void)r;
+	(void)ip;
+}
+
+static void
+on_news(void *arg, const struct dh_registry_news *n, uint64_t term)
+{
+	struct fixture *fx = arg;
+	size_t i;
+
+	CU_ASSERT_EQUAL(term, 9);
+	CU_ASSERT_EQUAL(n->kind, DH_REGISTRY_CONFIG);
+	CU_ASSERT_TRUE(n->as_of > n->since);
+	fx->in_order = fx->in_order && n->since == fx->as_of;
+	fx->as_of = n->as_of;
+	fx->parts++;
+	fx->items += (uint32_t)n->nitems;
+	for (i = 0; i < n->nitems; i++) {
+		fx->tombstones += n->items[i].deleted;
+		fx->specs += n->items[i].spec != NULL;
+		CU_ASSERT_TRUE(
+		    n->items[i].deleted || n->items[i].revision <= n->as_of);
+	}
+}
+
+static void
+start(struct fixture *fx)
+{
+	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
+		on_news, fx };
+
+	memset(fx, 0, sizeof(*fx));
+	fx->in_order = true;
+	uv_loop_init(&fx->loop);
+	fx->from = dh_peer_new(&fx->loop, FROM, PORT, &h, NULL);
+	fx->to = dh_peer_new(&fx->loop, TO, PORT, &h, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->from);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->to);
+}
+
+static void
+run(struct fixture *fx)
+{
+	int i;
+
+	for (i = 0; i < 100; i++) {
+		uv_run(&fx->loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+static void
+end(struct fixture *fx)
+{
+	dh_peer_free(fx->from);
+	dh_peer_free(fx->to);
+	uv_run(&fx->loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&fx->loop), 0);
+}
+
+static void
+test_beat(void)
+{
+	struct dh_beat beat = { .vm = "vm-1",
+		.term = UINT64_MAX,
+		.failing = true,
+		.vms = 70,
+		.cursors = { { 17, true }, { 1ull << 40, false } } };
+	struct fixture fx;
+
+	start(&fx);
+	dh_peer_send_beat(fx.from, TO, &beat);
+	run(&fx);
+	CU_ASSERT_EQUAL(fx.beats, 1);
+	CU_ASSERT_STRING_EQUAL(fx.beat.vm, "vm-1");
+	CU_ASSERT_EQUAL(fx.beat.term, UINT64_MAX);
+	CU_ASSERT_TRUE(fx.beat.failing);
+	CU_ASSERT_EQUAL(fx.beat.cursors[0].as_of, 17);
+	CU_ASSERT_TRUE(fx.beat.cursors[0].reached);
+	CU_ASSERT_EQUAL(fx.beat.cursors[1].as_of, 1ull << 40);
+	CU_ASSERT_FALSE(fx.beat.cursors[1].reached);
+	end(&fx);
+}
+
+/* More than a datagram holds, tombstones of unknown age among it. */
+static void
+test_news_in_parts(void)
+{
+	static const char *const ips[] = { TO };
+	struct dh_object_view items[ITEMS];
+	struct dh_registry_news news = { DH_REGISTRY_CONFIG, 100, 100 + ITEMS,
+		items, ITEMS };
+	struct json_object *spec = json_object_new_object();
+	g_autofree char *text = g_strnfill(300, 'x');
+	struct fixture fx;
+	size_t i;
+
+	json_object_object_add(spec, "text", json_object_new_string(text));
+	for (i = 0; i < ITEMS; i++)
+		items[i] = (struct dh_object_view){ .name = "thing",
+			.revision = i % 3 == 0 ? 1 : 100 + i,
+			.deleted = i % 3 == 0,
+			.spec = i % 3 == 0 ? NULL : spec };
+	start(&fx);
+	fx.as_of = 100;
+	dh_peer_send_news(fx.from, ips, 1, &news, 9);
+	run(&fx);
+	CU_ASSERT_TRUE(fx.parts > 1);
+	CU_ASSERT_EQUAL(fx.items, ITEMS);
+	CU_ASSERT_EQUAL(fx.tombstones, ITEMS / 3);
+	CU_ASSERT_EQUAL(fx.specs, ITEMS - ITEMS / 3);
+	CU_ASSERT_TRUE(fx.in_order);
+	CU_ASSERT_EQUAL(fx.as_of, 100 + ITEMS);
+	json_object_put(spec);
+	end(&fx);
+}
+
+/* Cut or of other types: nothing is called. */
+static void
+test_bad_datagrams(void)
+{
+	static const unsigned char bad[][16] = { { 0x96, 1 }, { 0xc0 },
+		{ 0x93, 5, 1, 9 }, { 0x96, 5, 1, 7, 1, 2, 0x90 },
+		{ 0x96, 5, 1, 0, 1, 2, 0x91, 0x91, 1 },
+		{ 0x96, 1, 0xa1, 'v', 1, 0, 1, 0x91, 0x92, 1, 1 } };
+	static const size_t len[] = { 2, 1, 4, 7, 9, 11 };
+	struct sockaddr_in to;
+	struct fixture fx;
+	uv_udp_t udp;
+	uv_buf_t buf;
+	size_t i;
+
+	start(&fx);
+	uv_udp_init(&fx.loop, &udp);
+	uv_ip4_addr(TO, PORT, &to);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		buf = uv_buf_init(
+		    (char *)(uintptr_t)bad[i], (unsigned int)len[i]);
+		CU_ASSERT_EQUAL(uv_udp_try_send(&udp, &buf, 1,
+				    (const struct sockaddr *)&to),
+		    (int)len[i]);
+	}
+	run(&fx);
+	CU_ASSERT_EQUAL(fx.beats, 0);
+	CU_ASSERT_EQUAL(fx.parts, 0);
+	uv_close((uv_handle_t *)&udp, NULL);
+	end(&fx);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "beat", test_beat },
+		{ "news in parts", test_news_in_parts },
+		{ "bad datagrams", test_bad_datagrams },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("peer", tests);
+}
