Test of the store's outage: one attempt, and time for it on a busy machine

Traced by reading: with 50 ms for the call and pauses of 1 to 4 ms some fifteen attempts are made, and the last one is cut off by the end of the call where the machine is busy; a write whose attempt has no answer is TIMEOUT, rightly. The test now leaves room for exactly one attempt and counts it, so the same answer is due whatever the load.

--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -308,13 +308,17 @@
 	put(st, "x", 0, "one", &r);
 	CU_ASSERT_EQUAL(r.code, OK);
 	CU_ASSERT_EQUAL(dh_standin_store_calls(standin, DH_STANDIN_REFUSED), 3);
-	t.call_ms = 50;
+	/* Time for one attempt, also on a busy machine, and for no second:
+	 * one that the end of the call cuts off has no answer. */
+	t.attempt_ms = t.call_ms = 5000;
+	t.backoff_min_ms = t.backoff_max_ms = 20000;
 	dh_store_set_times(st, &t);
 	fault("{\"kind\": \"down\"}");
 	put(st, "x", 1, "two", &r);
 	CU_ASSERT_EQUAL(r.code, DH_ERROR_UNAVAILABLE);
 	get(st, "x", 0, &r);
 	CU_ASSERT_EQUAL(r.code, DH_ERROR_UNAVAILABLE);
+	CU_ASSERT_EQUAL(dh_standin_store_calls(standin, DH_STANDIN_REFUSED), 5);
 	fault("{\"kind\": \"down\", \"mode\": \"close\"}");
 	put(st, "x", 1, "three", &r);
 	CU_ASSERT_EQUAL(r.code, DH_ERROR_TIMEOUT);
