--- a/standin/wire.c
+++ b/standin/wire.c
@@ -7,8 +7,11 @@
  * A MAP is SRC,DST,LISTEN_PORT,TARGET_PORT.  With SRC "*" the source is the VM
  * that the inner protocol's greeting names.
  * POST / with {"cut": [["v1", "v2"], ...]} sets the pairs that are cut, in
- * either order; {"cut": []} heals all.  {"silence": [["v1", "v2"], ...]} makes
- * the connections that these pairs have now silent for good, new ones work.
+ * either order; {"cut": []} heals all.  {"cut_to": [["v1", "v2"], ...]} sets
+ * those where only what the first sends to the second is held back;
+ * {"slow": [...]} those where each way takes {"slow_ms": N} longer.
+ * {"silence": [...]} makes the connections that these pairs have now silent
+ * for good, {"reset": [...]} resets them; new ones work.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -35,6 +38,22 @@
 	uv_tcp_t server;
 };
 
+/* What was read and is passed on later. */
+struct chunk {
+	char *bytes;
+	size_t len;
+	uint64_t due_ms;
+};
+
+/* One direction of a relayed connection. */
+struct way {
+	uv_stream_t *from, *to;
+	uv_timer_t timer;
+	GQueue chunks; /* of struct chunk */
+	bool stopped; /* reads nothing */
+	bool ended; /* its sender has closed, behind what waits */
+};
+
 /* One relayed connection: two ends, each read into the other. */
 struct relay {
 	struct wire *wire;
@@ -45,6 +64,7 @@
 	bool connected, stopped, closing;
 	bool doomed; /* lost its greeting to a cut */
 	bool silent; /* for good */
+	struct way ways[2]; /* from in to out, and back */
 	uint32_t open; /* handles not yet closed */
 	struct dh_frame_decoder greeting;
 	GList link;
@@ -53,7 +73,8 @@
 struct wire {
 	uv_loop_t loop;
 	GQueue relays;
-	GPtrArray *cut; /* "A B" */
+	GPtrArray *cut, *cut_to, *slow; /* "A B" */
+	uint64_t slow_ms;
 };
 
 struct write {
@@ -61,22 +82,37 @@
 	char *bytes;
 };
 
-/* Whether the pairs have a and b, in either order. */
+/* Whether the pairs have a before b. */
 static bool
-has_pair(const GPtrArray *pairs, const char *a, const char *b)
+has_order(const GPtrArray *pairs, const char *a, const char *b)
 {
 	guint i;
 
 	for (i = 0; i < pairs->len; i++) {
 		g_auto(GStrv) pair = g_strsplit(pairs->pdata[i], " ", 2);
 
-		if ((strcmp(pair[0], a) == 0 && strcmp(pair[1], b) == 0) ||
-		    (strcmp(pair[0], b) == 0 && strcmp(pair[1], a) == 0))
+		if (strcmp(pair[0], a) == 0 && strcmp(pair[1], b) == 0)
 			return true;
 	}
 	return false;
 }
 
+/* Whether the pairs have a and b, in either order. */
+static bool
+has_pair(const GPtrArray *pairs, const char *a, const char *b)
+{
+	return has_order(pairs, a, b) || has_order(pairs, b, a);
+}
+
+static void
+chunk_free(gpointer p)
+{
+	struct chunk *c = p;
+
+	g_free(c->bytes);
+	g_free(c);
+}
+
 static void
 on_end_closed(uv_handle_t *handle)
 {
@@ -86,6 +122,8 @@
 		return;
 	g_queue_unlink(&r->wire->relays, &r->link);
 	dh_frame_clear(&r->greeting);
+	g_queue_clear_full(&r->ways[0].chunks, chunk_free);
+	g_queue_clear_full(&r->ways[1].chunks, chunk_free);
 	g_free(r);
 }
 
@@ -97,6 +135,21 @@
 	r->closing = true;
 	uv_close((uv_handle_t *)&r->in, on_end_closed);
 	uv_close((uv_handle_t *)&r->out, on_end_closed);
+	uv_close((uv_handle_t *)&r->ways[0].timer, on_end_closed);
+	uv_close((uv_handle_t *)&r->ways[1].timer, on_end_closed);
+}
+
+/* Both ends see a reset. */
+static void
+relay_reset(struct relay *r)
+{
+	if (r->closing)
+		return;
+	r->closing = true;
+	uv_tcp_close_reset(&r->in, on_end_closed);
+	uv_tcp_close_reset(&r->out, on_end_closed);
+	uv_close((uv_handle_t *)&r->ways[0].timer, on_end_closed);
+	uv_close((uv_handle_t *)&r->ways[1].timer, on_end_closed);
 }
 
 static void
@@ -133,18 +186,70 @@
 
 static void relay_apply(struct relay *r);
 
+static void
+pass_on(struct relay *r, uv_stream_t *to, char *bytes, size_t len)
+{
+	struct write *wr = g_new0(struct write, 1);
+	uv_buf_t out = uv_buf_init(bytes, (unsigned int)len);
+
+	wr->bytes = bytes;
+	if (uv_write(&wr->req, to, &out, 1, on_written) != 0) {
+		g_free(wr->bytes);
+		g_free(wr);
+		relay_close(r);
+	}
+}
+
+static void
+on_due(uv_timer_t *timer)
+{
+	struct relay *r = timer->data;
+	struct way *w = &r->ways[timer == &r->ways[1].timer];
+	uint64_t now_ms = uv_now(&r->wire->loop);
+	struct chunk *c;
+
+	while (!r->closing && (c = g_queue_peek_head(&w->chunks)) != NULL) {
+		if (c->due_ms > now_ms) {
+			uv_timer_start(timer, on_due, c->due_ms - now_ms, 0);
+			return;
+		}
+		(void)g_queue_pop_head(&w->chunks);
+		pass_on(r, w->to, c->bytes, c->len);
+		g_free(c);
+	}
+	if (w->ended)
+		relay_close(r);
+}
+
+/* Later, and behind what waits already. */
+static void
+pass_on_late(struct relay *r, struct way *w, char *bytes, size_t len)
+{
+	struct chunk *c = g_new0(struct chunk, 1);
+
+	c->bytes = bytes;
+	c->len = len;
+	c->due_ms = uv_now(&r->wire->loop) +
+	    (has_pair(r->wire->slow, r->src, r->map->parts[1])
+		    ? r->wire->slow_ms
+		    : 0);
+	g_queue_push_tail(&w->chunks, c);
+	if (w->chunks.length == 1)
+		uv_timer_start(
+		    &w->timer, on_due, c->due_ms - uv_now(&r->wire->loop), 0);
+}
+
 static void
 on_read(uv_stream_t *from, ssize_t n, const uv_buf_t *buf)
 {
 	struct relay *r = from->data;
-	uv_stream_t *to =
-	    (uv_stream_t *)(from == (uv_stream_t *)&r->in ? &r->out : &r->in);
-	struct write *wr;
-	uv_buf_t out;
+	struct way *w = &r->ways[from == r->ways[1].from];
 
 	if (n <= 0) {
 		g_free(buf->base);
-		if (n < 0)
+		if (n == UV_EOF && w->chunks.length > 0)
+			w->ended = true;
+		else if (n < 0)
 			relay_close(r);
 		return;
 	}
@@ -158,37 +263,41 @@
 			return;
 		}
 	}
-	wr = g_new0(struct write, 1);
-	wr->bytes = buf->base;
-	out = uv_buf_init(buf->base, (unsigned int)n);
-	if (uv_write(&wr->req, to, &out, 1, on_written) != 0) {
-		g_free(wr->bytes);
-		g_free(wr);
-		relay_close(r);
-	}
+	if (w->chunks.length > 0 ||
+	    has_pair(r->wire->slow, r->src, r->map->parts[1]))
+		pass_on_late(r, w, buf->base, (size_t)n);
+	else
+		pass_on(r, w->to, buf->base, (size_t)n);
 }
 
-/* Read from both ends, or from neither while the pair is cut. */
+static void
+way_apply(struct way *w, bool stop)
+{
+	if (w->stopped == stop)
+		return;
+	w->stopped = stop;
+	if (stop)
+		uv_read_stop(w->from);
+	else
+		uv_read_start(w->from, on_alloc, on_read);
+}
+
+/* Read from the ends whose way is not cut. */
 static void
 relay_apply(struct relay *r)
 {
-	bool cut =
-	    r->silent || has_pair(r->wire->cut, r->src, r->map->parts[1]);
+	const char *dst = r->map->parts[1];
+	bool cut = r->silent || has_pair(r->wire->cut, r->src, dst);
 
-	if (r->closing || !r->connected || cut == r->stopped)
+	if (r->closing || !r->connected)
 		return;
-	if (r->doomed) {
+	if (r->doomed && cut != r->stopped) {
 		relay_close(r);
 		return;
 	}
 	r->stopped = cut;
-	if (cut) {
-		uv_read_stop((uv_stream_t *)&r->in);
-		uv_read_stop((uv_stream_t *)&r->out);
-		return;
-	}
-	uv_read_start((uv_stream_t *)&r->in, on_alloc, on_read);
-	uv_read_start((uv_stream_t *)&r->out, on_alloc, on_read);
+	way_apply(&r->ways[0], cut || has_order(r->wire->cut_to, r->src, dst));
+	way_apply(&r->ways[1], cut || has_order(r->wire->cut_to, dst, r->src));
 }
 
 static void
@@ -201,7 +310,7 @@
 		return;
 	}
 	r->connected = true;
-	r->stopped = true;
+	r->stopped = r->ways[0].stopped = r->ways[1].stopped = true;
 	relay_apply(r);
 }
 
@@ -221,8 +330,13 @@
 	g_strlcpy(r->src, m->parts[0], sizeof(r->src));
 	uv_tcp_init(&m->wire->loop, &r->in);
 	uv_tcp_init(&m->wire->loop, &r->out);
+	uv_timer_init(&m->wire->loop, &r->ways[0].timer);
+	uv_timer_init(&m->wire->loop, &r->ways[1].timer);
+	r->ways[0].from = r->ways[1].to = (uv_stream_t *)&r->in;
+	r->ways[0].to = r->ways[1].from = (uv_stream_t *)&r->out;
 	r->in.data = r->out.data = r->connect.data = r;
-	r->open = 2;
+	r->ways[0].timer.data = r->ways[1].timer.data = r;
+	r->open = 4;
 	g_queue_push_tail_link(&m->wire->relays, &r->link);
 	uv_ip4_addr("127.0.0.1", atoi(m->parts[3]), &to);
 	if (uv_accept(server, (uv_stream_t *)&r->in) != 0 ||
@@ -276,18 +390,26 @@
 take_order(struct wire *w, const char *body)
 {
 	g_autoptr(GPtrArray) silent = g_ptr_array_new_with_free_func(g_free);
-	struct json_object *o = json_tokener_parse(body);
+	g_autoptr(GPtrArray) reset = g_ptr_array_new_with_free_func(g_free);
+	struct json_object *o = json_tokener_parse(body), *ms;
 	bool ok = take_pairs(o, "cut", w->cut);
 	GList *it, *next;
 	struct relay *r;
 
+	ok = take_pairs(o, "cut_to", w->cut_to) || ok;
+	ok = take_pairs(o, "slow", w->slow) || ok;
 	ok = take_pairs(o, "silence", silent) || ok;
+	ok = take_pairs(o, "reset", reset) || ok;
+	if (json_object_object_get_ex(o, "slow_ms", &ms))
+		w->slow_ms = (uint64_t)json_object_get_int64(ms);
 	json_object_put(o);
 	for (it = w->relays.head; it != NULL; it = next) {
 		next = it->next;
 		r = it->data;
 		if (has_pair(silent, r->src, r->map->parts[1]))
 			r->silent = true;
+		if (has_pair(reset, r->src, r->map->parts[1]))
+			relay_reset(r);
 		relay_apply(r);
 	}
 	return ok;
@@ -341,6 +463,8 @@
 	(void)signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&w.loop);
 	w.cut = g_ptr_array_new_with_free_func(g_free);
+	w.cut_to = g_ptr_array_new_with_free_func(g_free);
+	w.slow = g_ptr_array_new_with_free_func(g_free);
 	o.port = (uint16_t)strtoul(argv[1], NULL, 10);
 	if (dh_httpd_new(&w.loop, &o, &error) == NULL) {
 		fprintf(stderr, "wire: %s\n", error->message);
--- a/tools/mutate_group.sh
+++ b/tools/mutate_group.sh
@@ -145,5 +145,14 @@
 # Whoever is proven dead left no lease behind.
 mutate death-lease group_wait.c \
     's/group_min_ms\(p->(own|all)_ms, g->now_ms\)/DH_NEVER_MS/'
+# Those that the object names are not waited for.
+mutate earlier-waited group_wait.c \
+    's/alone = !earlier_parties\(g, pair\);/alone = true;/' direct
+# A replaced deputy is not named in the object.
+mutate earlier-named group_store.c \
+    's/if \(r->unsettled \&\& g->next_deputy != 0\)/if (false)/' direct
+# A leader forgets whom the object of the term before named.
+mutate earlier-kept group_term.c \
+    's/g->take.earlier = r->earlier;/g->take.earlier = (struct dh_group_earlier){ 0 };/' direct
 
 summary
