Keyspace: a new life releases what is about to move; the leader frees the records it sends

The machine took the keys of the old life for free and granted them elsewhere at once. Now keys on the move are released by the new life, or its lease is waited out; others go on at once, with a higher token. Ruled out by the log: no other leader (term 2 all the while), no order in doubt. Test 'new life under a move' failed, passes.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -241,9 +241,9 @@
 	ks->changed = true;
 }
 
-/* The backend server started anew: what it held before is free. */
+/* The backend server has ended, and another one has its address. */
 static void
-server_reborn(struct dh_keyspace *ks, uint32_t s)
+server_dead(struct dh_keyspace *ks, uint32_t s)
 {
 	struct range *r;
 	size_t i;
@@ -257,11 +257,41 @@
 		if (r->owner != s || r->state == RANGE_RELEASING)
 			continue;
 		r->ticket = 0;
+		free_range(ks, r);
+		if (r->pending == PENDING_NONE)
+			plan_fence(ks, r);
+	}
+}
+
+/* The backend server started anew.  It holds nothing of before, but may have
+ * taken a renewal that was meant for the life before: it goes on with its
+ * keys at once, and releases those that are on the move. */
+static void
+server_reborn(struct dh_keyspace *ks, uint32_t s)
+{
+	struct range *r;
+	size_t i;
+
+	for (i = 0; i < ks->nranges; i++) {
+		r = &ks->ranges[i];
+		if (r->state == RANGE_RELEASING && r->former == s) {
+			r->ticket = 0;
+			r->due_ms = 0;
+		}
+		if (r->owner != s || r->state == RANGE_RELEASING)
+			continue;
+		r->ticket = 0;
+		r->due_ms = 0;
 		/* A former leader may take the new life for the old one. */
 		r->foreign_ms = ks->foreign_ms;
-		free_range(ks, r);
+		if (r->pending == PENDING_MOVE)
+			continue;
+		r->state = RANGE_GRANTING;
+		r->handover[0] = '\0';
 		if (r->pending == PENDING_NONE)
 			plan_fence(ks, r);
+		ks->changed = true;
+		ks->visible++;
 	}
 }
 
@@ -270,7 +300,7 @@
 {
 	uint32_t i = server_find(ks, k->id);
 	struct server *s;
-	bool reborn;
+	bool reborn, ended;
 
 	if (i == DH_NONE)
 		i = server_add(ks, k->id, k->born_ms);
@@ -280,18 +310,17 @@
 	s->slots = k->slots;
 	s->leaving = k->leaving;
 	s->present = !k->dead;
-	if (k->dead && !s->dead) {
-		s->dead = true;
-		reborn = true;
-	}
-	if (!k->dead)
-		s->dead = false;
-	if (reborn) {
-		s->known_serial = ks->serial;
-		ks->changed = true;
-		s->silent = s->probing = false;
+	ended = k->dead && !s->dead;
+	s->dead = k->dead;
+	if (!reborn && !ended)
+		return;
+	s->known_serial = ks->serial;
+	ks->changed = true;
+	s->silent = s->probing = false;
+	if (ended)
+		server_dead(ks, i);
+	else
 		server_reborn(ks, i);
-	}
 }
 
 void
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -738,15 +738,18 @@
 
 	g_hash_table_iter_init(&it, o->duties);
 	while (g_hash_table_iter_next(&it, &service, &duty)) {
+		g_autofree char *text = NULL;
+
 		for (i = 0; i < r->nowners; i++)
 			if (strcmp(r->owners[i].service, service) == 0)
 				break;
-		if (dh_duty_text(duty) == NULL ||
-		    (i < r->nowners &&
-			dh_duty_is_newest(
-			    duty, r->owners[i].term, r->owners[i].version)))
+		if (i < r->nowners &&
+		    dh_duty_is_newest(
+			duty, r->owners[i].term, r->owners[i].version))
 			continue;
-		dh_peer_send_owners(o->peer, ip, service, dh_duty_text(duty));
+		text = dh_duty_text(duty);
+		if (text != NULL)
+			dh_peer_send_owners(o->peer, ip, service, text);
 	}
 }
 
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -93,8 +93,8 @@
 static void
 complain(const char *what, uint32_t key, uint64_t fence)
 {
-	printf("BROKEN %s: key %u, token %llu\n", what, key,
-	    (unsigned long long)fence);
+	printf("BROKEN %s: key %u, token %llu, at %lld\n", what, key,
+	    (unsigned long long)fence, (long long)dh_clock_wall_ms());
 	(void)fflush(stdout);
 	broken = true;
 }
@@ -500,13 +500,34 @@
 	return result;
 }
 
+/* Whether another one holds keys that are being granted. */
+static void
+check_holder(const struct backend *b, const struct backend *other,
+    uint32_t from, uint32_t to, uint64_t fence)
+{
+	int64_t now_ms = dh_clock_ms();
+	uint32_t k;
+
+	for (k = from; k <= to; k++) {
+		if (other->until_ms[k] <= now_ms)
+			continue;
+		complain("two holders", k, fence);
+		printf("granted %u to %u to %d; %d holds it with token %llu "
+		       "for %lld ms more\n",
+		    from, to, b->index, other->index,
+		    (unsigned long long)other->highest[k],
+		    (long long)(other->until_ms[k] - now_ms));
+		return;
+	}
+}
+
 static enum MHD_Result
 take_grant(struct MHD_Connection *c, struct backend *b, struct json_object *o)
 {
 	int64_t now_ms = dh_clock_ms(), from, to;
 	struct json_object *v;
 	uint64_t fence;
-	uint32_t k;
+	uint32_t k, lower = 0;
 	int other;
 
 	from = json_object_object_get_ex(o, "from", &v)
@@ -524,13 +545,13 @@
 			return reply(c, 409, "{}", NULL, NULL);
 	v = NULL;
 	(void)json_object_object_get_ex(o, "hold_s", &v);
+	for (other = 0; other < nbackends; other++)
+		if (other != b->index)
+			check_holder(b, &backends[other], (uint32_t)from,
+			    (uint32_t)to, fence);
 	for (k = (uint32_t)from; k <= to; k++) {
-		if (fence < given[k])
+		if (fence < given[k] && lower++ == 0)
 			complain("lower token", k, fence);
-		for (other = 0; other < nbackends; other++)
-			if (other != b->index &&
-			    backends[other].until_ms[k] > now_ms)
-				complain("two holders", k, fence);
 		given[k] = b->highest[k] = fence;
 		b->until_ms[k] = now_ms +
 		    (int64_t)(json_object_get_double(v) * 1000 * DRIFT);
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -152,6 +152,96 @@
 	dh_keyspace_free(ks);
 }
 
+/* A renewal may have reached a life that was not known yet: its time has to be
+ * waited out like any other, should the keys go elsewhere. */
+static void
+test_new_life_may_hold_what_was_renewed(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *r;
+	struct dh_key_order o;
+	int64_t t, renewed_ms = 0;
+	size_t n;
+
+	/* Until former leaders count no more. */
+	for (t = 200; t < 2 * SOLO_MS; t += 100)
+		(void)answer_all(ks, DH_KEY_ACCEPTED, t);
+	for (; t < 2 * SOLO_MS + 6000; t += 10) {
+		if (renewed_ms != 0 && t > renewed_ms)
+			list[0].born_ms = 2;
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o)) {
+			bool ok = strcmp(o.server, "a") != 0 || renewed_ms == 0;
+
+			if (strcmp(o.server, "a") == 0 && renewed_ms == 0)
+				renewed_ms = t;
+			dh_keyspace_answer(ks, o.ticket,
+			    ok ? DH_KEY_ACCEPTED : DH_KEY_UNSENT, NULL, t);
+		}
+		(void)dh_keyspace_current(ks, &r, &n);
+		if (renewed_ms != 0 &&
+		    t < renewed_ms + HOLD_MS + HOLD_MS * DRIFT_PERMILLE / 1000)
+			CU_ASSERT_STRING_EQUAL(r[0].owner, "a");
+	}
+	CU_ASSERT_STRING_EQUAL(r[0].owner, "b");
+	dh_keyspace_free(ks);
+}
+
+/* The owner starts anew while its keys are about to move: what was renewed may
+ * be held by the new life, which has to release it as well. */
+static void
+check_reborn_under_a_move(bool recorded)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *r;
+	struct dh_key_order o;
+	bool released = false, done = false;
+	int64_t t;
+	size_t n;
+
+	for (t = 200; t < 2 * SOLO_MS; t += 100)
+		(void)answer_all(ks, DH_KEY_ACCEPTED, t);
+	/* Taken by a life that is not known yet. */
+	(void)answer_all(ks, DH_KEY_ACCEPTED, t += RENEW_MS);
+	list[0].leaving = true;
+	dh_keyspace_set_servers(ks, list, 2, t);
+	dh_keyspace_plan(ks, t);
+	if (recorded)
+		store(ks, t);
+	list[0].born_ms = 2;
+	list[0].leaving = false;
+	dh_keyspace_set_servers(ks, list, 2, t);
+	for (n = 0; n < 100; n++, t += 10) {
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o)) {
+			if (strcmp(o.server, "a") == 0 &&
+			    o.kind == DH_KEY_RELEASE)
+				released = true;
+			if (strcmp(o.server, "b") == 0 && o.from == 0) {
+				CU_ASSERT_TRUE(released);
+				done = true;
+			}
+			dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, NULL, t);
+		}
+	}
+	CU_ASSERT_TRUE(done);
+	(void)dh_keyspace_current(ks, &r, &n);
+	CU_ASSERT_STRING_EQUAL(r[0].owner, "b");
+	dh_keyspace_free(ks);
+}
+
+static void
+test_new_life_releases_what_is_about_to_move(void)
+{
+	check_reborn_under_a_move(false);
+	check_reborn_under_a_move(true);
+}
+
 static void
 test_lease_counts_from_the_latest_arrival(void)
 {
@@ -468,6 +558,9 @@
 		{ "first owners", test_first_owners_share_all_keys },
 		{ "record first",
 		    test_nothing_is_ordered_before_the_record_is_stored },
+		{ "renewed new life", test_new_life_may_hold_what_was_renewed },
+		{ "new life under a move",
+		    test_new_life_releases_what_is_about_to_move },
 		{ "late arrival", test_lease_counts_from_the_latest_arrival },
 		{ "silent owner",
 		    test_silent_owner_keeps_its_keys_until_the_lease_has_run_out },
