Worker: the handle that wakes it stays open until its thread is joined

Core: publish() in the control thread calls uv_async_send() on a handle of a worker whose thread had ended and closed its loop; up to 0.1 s pass until the control thread sees that it is done. test_worker 'drain' now publishes then: aborted three times in three, passes.

--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -287,7 +287,8 @@
 	dh_client_accept(w);
 }
 
-/* Close all that is open, and the loop. */
+/* Close all that is open, but for what the control thread may still use to
+ * wake this one. */
 static void
 worker_end(struct dh_worker *w)
 {
@@ -300,12 +301,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &pool))
 		dh_pool_close_idle(pool);
 	stop_listening(w);
-	uv_close((uv_handle_t *)&w->wake, NULL);
+	uv_unref((uv_handle_t *)&w->wake);
 	uv_close((uv_handle_t *)&w->tick, NULL);
 	uv_run(&w->loop, UV_RUN_DEFAULT);
-	if (uv_loop_close(&w->loop) != 0)
-		dh_ops(DH_OPS_STATE, "worker.handles_left", ",\"index\":%u",
-		    w->index);
 }
 
 static void *
@@ -433,6 +431,11 @@
 	if (w == NULL)
 		return;
 	pthread_join(w->thread, NULL);
+	uv_close((uv_handle_t *)&w->wake, NULL);
+	uv_run(&w->loop, UV_RUN_DEFAULT);
+	if (uv_loop_close(&w->loop) != 0)
+		dh_ops(DH_OPS_STATE, "worker.handles_left", ",\"index\":%u",
+		    w->index);
 	dh_view_unref(w->view);
 	dh_view_unref(ck_pr_fas_ptr(&w->next_view, NULL));
 	g_hash_table_destroy(w->pools);
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -695,9 +695,9 @@
 	sigaddset(&set, SIGINT);
 	(void)pthread_sigmask(SIG_BLOCK, &set, NULL);
 	objects = g_ptr_array_new();
-	ran = g_hash_table_new(g_str_hash, g_str_equal);
-	refused = g_hash_table_new(g_str_hash, g_str_equal);
-	seen = g_hash_table_new(g_str_hash, g_str_equal);
+	ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	backend_port = (uint16_t)atoi(argv[2]);
 	advertised_port = argc == 5 ? (uint16_t)atoi(argv[4]) : backend_port;
 	nbackends = atoi(argv[3]);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -596,6 +596,9 @@
 	(void)close(idle);
 	(void)usleep(300000);
 	CU_ASSERT_TRUE(dh_worker_done(worker));
+	/* The control thread may not have seen that yet. */
+	publish(1, true);
+	dh_worker_drain(worker, 300, 2000);
 	dh_worker_free(worker);
 }
 
