Many backend servers: views share them, owners are found by hash, some are looked at for a request

Each change of an owner made a new view of all backend servers, with a look-up by name through all of them for each range and the list of zones taken apart for each; the leader found servers by name through all.

Now: a view shares the backend servers of the one before while only owners change; names are found by hash (view, keyspace); tier and address are worked out once an entry; of over 64 backend servers of a service 52 are looked at for a request, and all before it is refused; speeds are reported when they change, of keyed services; with many VMs changes of owners go out together for up to 0.15 s.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -4,9 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <dogwoodhub/key.h>
+
 #include "core/keyspace_internal.h"
 #include "core/vec.h"
 
+/* The low bits of a ticket: where its range was when the order was made. */
+#define TICKET_RANGE_BITS 17
+
 static void
 copy_name(char *to, size_t size, const char *from)
 {
@@ -35,6 +40,7 @@
 	if (ks == NULL)
 		return;
 	free(ks->servers);
+	free(ks->index);
 	free(ks->ranges);
 	free(ks->image);
 	free(ks->rate);
@@ -70,15 +76,44 @@
 	    (r->state == RANGE_SETTLED || r->state == RANGE_NONE);
 }
 
+/* Where the index has an id, or would. */
+static size_t
+index_slot(const struct dh_keyspace *ks, const char *id)
+{
+	size_t at = dh_key_hash(id, strlen(id)) & (ks->index_size - 1);
+
+	while (ks->index[at] != 0 &&
+	    strcmp(ks->servers[ks->index[at] - 1].id, id) != 0)
+		at = (at + 1) & (ks->index_size - 1);
+	return at;
+}
+
 static uint32_t
 server_find(const struct dh_keyspace *ks, const char *id)
+{
+	uint32_t found;
+
+	if (ks->index_size == 0)
+		return DH_NONE;
+	found = ks->index[index_slot(ks, id)];
+	return found == 0 ? DH_NONE : found - 1;
+}
+
+/* Room for one more server in the index. */
+static void
+index_grow(struct dh_keyspace *ks)
 {
 	size_t i;
 
+	if ((ks->nservers + 1) * 2 <= ks->index_size)
+		return;
+	ks->index_size = ks->index_size == 0 ? 16 : ks->index_size * 2;
+	free(ks->index);
+	ks->index = calloc(ks->index_size, sizeof(*ks->index));
+	if (ks->index == NULL)
+		abort();
 	for (i = 0; i < ks->nservers; i++)
-		if (strcmp(ks->servers[i].id, id) == 0)
-			return (uint32_t)i;
-	return DH_NONE;
+		ks->index[index_slot(ks, ks->servers[i].id)] = (uint32_t)i + 1;
 }
 
 static uint32_t
@@ -94,6 +129,8 @@
 	s->born_ms = born_ms;
 	s->leaving = true;
 	s->known_serial = ks->serial;
+	index_grow(ks);
+	ks->index[index_slot(ks, s->id)] = (uint32_t)ks->nservers + 1;
 	return (uint32_t)ks->nservers++;
 }
 
@@ -551,7 +588,8 @@
 {
 	memset(order, 0, sizeof(*order));
 	order->kind = kind;
-	order->ticket = ++ks->next_ticket;
+	order->ticket =
+	    ++ks->next_ticket << TICKET_RANGE_BITS | (uint64_t)(r - ks->ranges);
 	copy_name(order->server, sizeof(order->server), ks->servers[server].id);
 	order->from = r->from;
 	order->to = r->to;
@@ -692,13 +730,24 @@
 	copy_name(r->handover, sizeof(r->handover), handover);
 }
 
+/* Ranges are only cut while there is an order for one: it has moved up. */
+static struct range *
+range_of_ticket(struct dh_keyspace *ks, uint64_t ticket)
+{
+	size_t i = ticket & ((1u << TICKET_RANGE_BITS) - 1);
+
+	for (; i < ks->nranges; i++)
+		if (ks->ranges[i].ticket == ticket)
+			return &ks->ranges[i];
+	return NULL;
+}
+
 bool
 dh_keyspace_answer(struct dh_keyspace *ks, uint64_t ticket,
     enum dh_key_answer answer, const char *handover, int64_t now_ms)
 {
 	struct server *s;
 	struct range *r;
-	size_t i;
 
 	if (~ticket < ks->nservers) {
 		s = &ks->servers[~ticket];
@@ -707,12 +756,9 @@
 			s->silent = false;
 		return true;
 	}
-	for (i = 0; i < ks->nranges; i++)
-		if (ks->ranges[i].ticket == ticket)
-			break;
-	if (i == ks->nranges)
+	r = range_of_ticket(ks, ticket);
+	if (r == NULL)
 		return true;
-	r = &ks->ranges[i];
 	r->ticket = 0;
 	if (r->ticket_kind == DH_KEY_GRANT)
 		return grant_answered(ks, r, answer, now_ms);
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -60,6 +60,8 @@
 	struct dh_keyspace_params p;
 	struct server *servers;
 	size_t nservers, servers_size;
+	uint32_t *index; /* hash of an id: server and 1, or 0 */
+	size_t index_size; /* a power of two, at least twice nservers */
 	struct range *ranges; /* in order of keys, without gaps */
 	size_t nranges, ranges_size;
 	struct dh_key_range *image;
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -12,6 +12,12 @@
  * so much later. */
 #define OVERDUE_FACTOR 3.0
 #define OVERDUE_MIN_MS 150
+/* Of more backend servers than this only some are looked at, by tier: more of
+ * those whose bytes are cheap. */
+#define SAMPLE_ABOVE 64
+#define SAMPLE_ZONE 32
+#define SAMPLE_REGION 12
+#define SAMPLE_REMOTE 8
 /* Weight of a new sample of a service's usual work. */
 #define WORK_GAIN 0.05
 
@@ -116,46 +122,74 @@
 	return false;
 }
 
+static void
+add_candidate(
+    struct dh_request *rq, uint32_t server, size_t *found, int64_t now_ms)
+{
+	struct dh_worker *w = rq->worker;
+	const struct dh_view *v = w->view;
+	uint32_t most = (*v->deployment)->services[rq->service].connections_max;
+	const struct dh_view_server *s = &v->servers[server];
+	struct dh_pool *pool;
+
+	if (s->closed || *found == DH_CANDIDATES_MAX)
+		return;
+	pool = dh_worker_pool(w, s);
+	w->candidate_servers[*found] = s;
+	w->candidates[(*found)++] = (struct dh_candidate){ .load = &pool->load,
+		.slots = s->slots,
+		.tier = s->tier,
+		.cold_until_ms = s->cold_until_ms,
+		.oldest_ms = dh_pool_oldest_ms(pool, now_ms),
+		.full = dh_pool_full(w, pool, most),
+		.tried = was_tried(rq, s->uid) };
+}
+
+/* Some of each tier, from a place drawn anew: as good as all of many, at a
+ * cost that does not grow with them. */
+static size_t
+sample(struct dh_request *rq, int64_t now_ms)
+{
+	static const size_t most[DH_TIERS] = { SAMPLE_ZONE, SAMPLE_REGION,
+		SAMPLE_REMOTE };
+	const struct dh_view_service *s =
+	    &rq->worker->view->services[rq->service];
+	size_t tier, i, n, at, begin = 0, found = 0;
+
+	for (tier = 0; tier < DH_TIERS; tier++) {
+		n = s->tier_end[tier] - begin;
+		at = (size_t)dh_rng_below(&rq->worker->rng, n);
+		for (i = 0; i < n && i < most[tier]; i++)
+			add_candidate(rq, s->servers[begin + (at + i) % n],
+			    &found, now_ms);
+		begin = s->tier_end[tier];
+	}
+	return found;
+}
+
 /* The backend servers that it may go to; 0 if it has to wait for an owner. */
 static size_t
-candidates(struct dh_request *rq, struct dh_candidate *list,
-    const struct dh_view_server **servers)
+candidates(struct dh_request *rq, bool all)
 {
 	struct dh_worker *w = rq->worker;
 	const struct dh_view *v = w->view;
 	const struct dh_view_service *s = &v->services[rq->service];
-	uint32_t most = (*v->deployment)->services[rq->service].connections_max;
 	int64_t now_ms = dh_worker_now_ms(w);
 	const struct dh_view_range *range;
-	const struct dh_view_server *server;
-	struct dh_pool *pool;
-	uint32_t one;
-	const uint32_t *from = s->servers;
-	size_t i, n = s->nservers, found = 0;
+	size_t i, at, found = 0;
 
 	if (rq->keyed) {
 		range = dh_view_owner(v, rq->service, rq->key);
-		if (range == NULL || range->server == DH_NONE ||
-		    !range->settled)
-			return 0;
-		one = range->server;
-		from = &one;
-		n = 1;
-	}
-	for (i = 0; i < n && found < DH_CANDIDATES_MAX; i++) {
-		server = &v->servers[from[i]];
-		if (server->closed)
-			continue;
-		pool = dh_worker_pool(w, server);
-		servers[found] = server;
-		list[found++] = (struct dh_candidate){ .load = &pool->load,
-			.slots = server->slots,
-			.tier = server->tier,
-			.cold_until_ms = server->cold_until_ms,
-			.oldest_ms = dh_pool_oldest_ms(pool, now_ms),
-			.full = dh_pool_full(w, pool, most),
-			.tried = was_tried(rq, server->uid) };
+		if (range != NULL && range->server != DH_NONE && range->settled)
+			add_candidate(rq, range->server, &found, now_ms);
+		return found;
 	}
+	if (!all)
+		return sample(rq, now_ms);
+	at = (size_t)dh_rng_below(&w->rng, s->nservers);
+	for (i = 0; i < s->nservers; i++)
+		add_candidate(
+		    rq, s->servers[(at + i) % s->nservers], &found, now_ms);
 	return found;
 }
 
@@ -175,8 +209,17 @@
 		.rank = dh_demand_rank(
 		    &rq->service_state->seen, rq->route->priority, now_ms),
 	};
+	bool all = rq->keyed ||
+	    w->view->services[rq->service].nservers <= SAMPLE_ABOVE;
+	struct dh_choice choice;
 
-	*n = candidates(rq, w->candidates, w->candidate_servers);
+	*n = candidates(rq, all);
+	choice =
+	    dh_choose(&w->choice, w->candidates, *n, &wish, &w->rng, now_ms);
+	if (choice.index != SIZE_MAX || all)
+		return choice;
+	/* Nobody is refused while one that was not looked at has room. */
+	*n = candidates(rq, true);
 	return dh_choose(&w->choice, w->candidates, *n, &wish, &w->rng, now_ms);
 }
 
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -9,8 +9,11 @@
 #include "platform/wire.h"
 
 /* Changes within this time go out together: a hot range moves in several
- * pieces at once. */
+ * pieces at once.  Longer where many VMs have to be told, and each to make a
+ * view of it. */
 #define PUBLISH_MS 20
+#define PUBLISH_VMS 60 /* that are told so often */
+#define PUBLISH_MAX_MS 150
 /* Between plans: a hot range is spread within a second by several. */
 #define PLAN_MS 250
 /* A record of which nothing waits to be stored is written this much later. */
@@ -211,6 +214,14 @@
 	w->fetch = dh_http_fetch(d->c.http, &rq, on_order, w);
 }
 
+static int64_t
+publish_pause_ms(const struct dh_duty *d)
+{
+	int64_t ms = PUBLISH_MS * (int64_t)d->c.vms(d->c.arg) / PUBLISH_VMS;
+
+	return CLAMP(ms, PUBLISH_MS, PUBLISH_MAX_MS);
+}
+
 static void
 publish(struct dh_duty *d)
 {
@@ -220,7 +231,7 @@
 	int64_t now_ms = dh_clock_ms();
 
 	if ((number == d->published_number && before.ranges != NULL) ||
-	    now_ms - d->published_ms < PUBLISH_MS)
+	    now_ms - d->published_ms < publish_pause_ms(d))
 		return;
 	d->published_ms = now_ms;
 	d->published_number = dh_keyspace_current(d->ks, &ranges, &r.nranges);
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -24,6 +24,7 @@
 	struct dh_registry *registry;
 	const char *kind; /* of the record's object */
 	uint64_t term;
+	uint32_t (*vms)(void *arg); /* that are told of changes */
 	/* The owners have changed, from before (no ranges at first); both are
 	 * borrowed. */
 	void (*published)(void *arg, const char *service,
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -29,7 +29,8 @@
 #define STORE_TIMEOUT_MS 1000
 /* A peer that has not reported for so long is not counted. */
 #define PEER_MS 3000
-/* Speeds change slowly: they are told less often than keys. */
+/* Speeds change slowly: they are told less often than keys, and only those
+ * that have changed. */
 #define SPEED_REPORTS 4
 #define TAKE_PAUSE_MAX_MS 4000
 /* After an outage of the store the leader needs a question and its answer. */
@@ -426,6 +427,12 @@
 	    (unsigned long long)o->term);
 }
 
+static uint32_t
+count_vms(void *arg)
+{
+	return ((const struct dh_owners *)arg)->vms;
+}
+
 static void
 ensure_duties(struct dh_owners *o)
 {
@@ -436,6 +443,7 @@
 		.registry = o->c.registry,
 		.kind = KIND,
 		.term = o->term,
+		.vms = count_vms,
 		.published = on_published,
 		.confirmed = on_confirmed,
 		.deposed = on_deposed,
@@ -857,8 +865,10 @@
 	(void)g_strlcpy(r.vm, o->c.settings->vm, sizeof(r.vm));
 	report_services(o, &r);
 	report_keys(o, &r);
-	if (o->reports++ % SPEED_REPORTS == 0)
+	if (o->reports++ % SPEED_REPORTS == 0) {
 		report_speeds(o, &r);
+		g_hash_table_remove_all(o->speeds);
+	}
 	g_array_set_size(o->keys, 0);
 	if (o->role == ROLE_LEADER)
 		on_report(o, &r, o->c.ip);
@@ -952,16 +962,13 @@
 	g_free(o);
 }
 
+/* The owner of a range that routers know, or DH_NONE. */
 static uint32_t
 find_server(const struct dh_view *v, uint32_t service, const char *id)
 {
-	const struct dh_view_service *s = &v->services[service];
-	size_t i;
+	uint32_t i = dh_view_find(v, id);
 
-	for (i = 0; i < s->nservers; i++)
-		if (strcmp(v->servers[s->servers[i]].id, id) == 0)
-			return s->servers[i];
-	return DH_NONE;
+	return i != DH_NONE && v->servers[i].service == service ? i : DH_NONE;
 }
 
 static void
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -23,6 +23,8 @@
 
 struct known {
 	struct dh_registration r;
+	struct sockaddr_in address;
+	enum dh_tier tier;
 	uint32_t uid;
 	int64_t cold_until_ms;
 	int64_t leaving_ms; /* since when it leaves or is gone; 0: it stays */
@@ -42,6 +44,8 @@
 	struct dh_deployment **deployment;
 	uint32_t next_uid;
 	uint64_t views;
+	struct dh_view *base; /* without owners of keys; NULL: out of date */
+	int64_t next_change_ms; /* when base is out of date by itself */
 	int64_t awaited_until_ms; /* missing entries may be back until then */
 	bool servers_reached;
 	int64_t lost_ms; /* since when it was not */
@@ -52,6 +56,15 @@
 	void *arg;
 };
 
+/* A view made now differs from the one before. */
+static void
+note_change(struct dh_registry *reg)
+{
+	dh_view_unref(reg->base);
+	reg->base = NULL;
+	reg->changed(reg->arg);
+}
+
 static void
 drop_other_at_address(struct dh_registry *reg, const struct known *k)
 {
@@ -81,6 +94,18 @@
 	    strcmp(k->r.service, r->service) != 0;
 }
 
+static enum dh_tier
+tier_of(const struct dh_registry *reg, const char *zone)
+{
+	g_autofree char *region = NULL;
+
+	if (strcmp(zone, reg->settings->zone) == 0)
+		return DH_TIER_ZONE;
+	region = dh_gateway_region(reg->settings, zone);
+	return strcmp(region, reg->settings->region) == 0 ? DH_TIER_REGION
+							  : DH_TIER_REMOTE;
+}
+
 static void
 update(struct dh_registry *reg, const struct dh_registration *r)
 {
@@ -98,6 +123,8 @@
 		k->leaving_ms = 0;
 	}
 	k->r = *r;
+	(void)uv_ip4_addr(r->address, r->port, &k->address);
+	k->tier = tier_of(reg, r->zone);
 	k->missing_ms = 0;
 	k->counted_out = false;
 	k->cold_until_ms = r->cold_left_ms > 0 ? now_ms + r->cold_left_ms : 0;
@@ -129,7 +156,7 @@
 		return;
 	}
 	update(reg, &r);
-	reg->changed(reg->arg);
+	note_change(reg);
 }
 
 static void
@@ -141,7 +168,7 @@
 	dh_ops(DH_OPS_STATE, "server.left",
 	    ",\"server\":\"%s\",\"missing_ms\":%lld", k->r.id,
 	    (long long)(now_ms - k->missing_ms));
-	reg->changed(reg->arg);
+	note_change(reg);
 }
 
 /* Entries that are missing and not awaited back. */
@@ -234,7 +261,7 @@
 	    (unsigned long long)o->revision, d->nroutes, d->nservices);
 	dh_deployment_unbox(reg->deployment);
 	reg->deployment = dh_deployment_box(d);
-	reg->changed(reg->arg);
+	note_change(reg);
 }
 
 static void
@@ -309,6 +336,7 @@
 	for (i = 0; i < DH_REGISTRY_KINDS; i++)
 		dh_mirror_free(reg->mirrors[i]);
 	dh_timer_free(reg->timer);
+	dh_view_unref(reg->base);
 	g_hash_table_destroy(reg->servers);
 	dh_deployment_unbox(reg->deployment);
 	g_free(reg);
@@ -415,64 +443,80 @@
 	return k->leaving_ms + (keyed && most_ms > 0 ? most_ms : 0);
 }
 
-static enum dh_tier
-tier_of(const struct dh_registry *reg, const char *zone)
-{
-	g_autofree char *region = NULL;
-
-	if (strcmp(zone, reg->settings->zone) == 0)
-		return DH_TIER_ZONE;
-	region = dh_gateway_region(reg->settings, zone);
-	return strcmp(region, reg->settings->region) == 0 ? DH_TIER_REGION
-							  : DH_TIER_REMOTE;
-}
-
 static void
 view_server(struct dh_registry *reg, const struct known *k, uint32_t service,
-    struct dh_view_server *s)
+    int64_t now_ms, struct dh_view_server *s)
 {
 	const struct dh_deployment *d = *reg->deployment;
 
 	*s = (struct dh_view_server){ .uid = k->uid,
-		.tier = tier_of(reg, k->r.zone),
+		.address = k->address,
+		.tier = k->tier,
 		.service = service,
 		.slots = k->r.slots,
-		.closed = dh_clock_ms() >=
-		    closes_ms(reg, k, d->services[service].keyed) };
+		.closed =
+		    now_ms >= closes_ms(reg, k, d->services[service].keyed) };
 	(void)g_strlcpy(s->id, k->r.id, sizeof(s->id));
-	(void)uv_ip4_addr(k->r.address, k->r.port, &s->address);
 	/* The workers' clock does not count suspends: close enough. */
-	s->cold_until_ms = k->cold_until_ms == 0
-	    ? 0
-	    : (int64_t)(uv_hrtime() / 1000000) + k->cold_until_ms -
-		dh_clock_ms();
+	if (k->cold_until_ms != 0)
+		s->cold_until_ms = (int64_t)(uv_hrtime() / 1000000) +
+		    k->cold_until_ms - now_ms;
+}
+
+/* When a view will differ because time has passed. */
+static int64_t
+next_change_ms(const struct dh_registry *reg, int64_t now_ms)
+{
+	int64_t next_ms = INT64_MAX, at_ms;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		at_ms = closes_ms(reg, value, true);
+		if (at_ms > now_ms && at_ms < next_ms)
+			next_ms = at_ms;
+	}
+	return next_ms;
 }
 
 static void
-view_index(struct dh_view *v, uint32_t service)
+view_index(struct dh_view *v)
 {
-	struct dh_view_service *s = &v->services[service];
-	size_t i;
+	size_t i, nservices = (*v->deployment)->nservices;
+	struct dh_view_service *s;
+	int tier;
 
-	s->servers = g_new(uint32_t, v->nservers + 1);
+	v->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	for (i = 0; i < v->nservers; i++)
+		v->services[v->servers[i].service].nservers++;
+	for (i = 0; i < nservices; i++) {
+		s = &v->services[i];
+		s->servers = g_new(uint32_t, s->nservers + 1);
+		s->nservers = 0;
+	}
+	for (tier = 0; tier < DH_TIERS; tier++) {
+		for (i = 0; i < v->nservers; i++) {
+			s = &v->services[v->servers[i].service];
+			if ((int)v->servers[i].tier == tier)
+				s->servers[s->nservers++] = (uint32_t)i;
+		}
+		for (i = 0; i < nservices; i++)
+			v->services[i].tier_end[tier] = v->services[i].nservers;
+	}
 	for (i = 0; i < v->nservers; i++)
-		if (v->servers[i].service == service)
-			s->servers[s->nservers++] = (uint32_t)i;
+		g_hash_table_insert(
+		    v->by_id, v->servers[i].id, GUINT_TO_POINTER(i + 1));
 }
 
-struct dh_view *
-dh_registry_view(struct dh_registry *reg)
+static struct dh_view *
+make_base(struct dh_registry *reg, int64_t now_ms)
 {
-	struct dh_view *v;
+	struct dh_view *v = dh_view_new(reg->deployment);
 	GHashTableIter it;
 	gpointer value;
 	uint32_t service;
-	size_t i;
 
-	if (reg->deployment == NULL)
-		return NULL;
-	v = dh_view_new(reg->deployment);
-	v->number = ++reg->views;
 	v->vms = VMS_DEFAULT;
 	v->servers =
 	    g_new0(struct dh_view_server, g_hash_table_size(reg->servers) + 1);
@@ -482,28 +526,35 @@
 
 		service = dh_deployment_service(*reg->deployment, k->r.service);
 		if (service != DH_NONE)
-			view_server(
-			    reg, k, service, &v->servers[v->nservers++]);
+			view_server(reg, k, service, now_ms,
+			    &v->servers[v->nservers++]);
 	}
-	for (i = 0; i < (*reg->deployment)->nservices; i++)
-		view_index(v, (uint32_t)i);
+	view_index(v);
 	return v;
 }
 
-int64_t
-dh_registry_next_change_ms(const struct dh_registry *reg)
+struct dh_view *
+dh_registry_view(struct dh_registry *reg)
 {
-	int64_t now_ms = dh_clock_ms(), next_ms = INT64_MAX, at_ms;
-	GHashTableIter it;
-	gpointer value;
+	int64_t now_ms = dh_clock_ms();
+	struct dh_view *v;
 
-	g_hash_table_iter_init(&it, reg->servers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		at_ms = closes_ms(reg, value, true);
-		if (at_ms > now_ms && at_ms < next_ms)
-			next_ms = at_ms;
+	if (reg->deployment == NULL)
+		return NULL;
+	if (reg->base == NULL || now_ms >= reg->next_change_ms) {
+		dh_view_unref(reg->base);
+		reg->base = make_base(reg, now_ms);
+		reg->next_change_ms = next_change_ms(reg, now_ms);
 	}
-	return next_ms;
+	v = dh_view_new_like(reg->base);
+	v->number = ++reg->views;
+	return v;
+}
+
+int64_t
+dh_registry_next_change_ms(const struct dh_registry *reg)
+{
+	return reg->base == NULL ? INT64_MAX : reg->next_change_ms;
 }
 
 void
--- a/gateway/view.c
+++ b/gateway/view.c
@@ -1,5 +1,7 @@
 #include "gateway/view.h"
 
+#include <string.h>
+
 struct dh_deployment **
 dh_deployment_box(struct dh_deployment *d)
 {
@@ -35,6 +37,35 @@
 	return v;
 }
 
+struct dh_view *
+dh_view_new_like(struct dh_view *base)
+{
+	struct dh_view *v = dh_view_new(base->deployment);
+	size_t i;
+
+	v->base = dh_view_ref(base);
+	v->by_id = base->by_id;
+	v->servers = base->servers;
+	v->nservers = base->nservers;
+	v->vms = base->vms;
+	for (i = 0; i < (*v->deployment)->nservices; i++) {
+		v->services[i].servers = base->services[i].servers;
+		v->services[i].nservers = base->services[i].nservers;
+		memcpy(v->services[i].tier_end, base->services[i].tier_end,
+		    sizeof(v->services[i].tier_end));
+	}
+	return v;
+}
+
+uint32_t
+dh_view_find(const struct dh_view *v, const char *id)
+{
+	gpointer at =
+	    v->by_id == NULL ? NULL : g_hash_table_lookup(v->by_id, id);
+
+	return at == NULL ? DH_NONE : GPOINTER_TO_UINT(at) - 1;
+}
+
 struct dh_view *
 dh_view_ref(struct dh_view *v)
 {
@@ -50,11 +81,17 @@
 	if (v == NULL || !g_atomic_ref_count_dec(&v->refs))
 		return;
 	for (i = 0; i < (*v->deployment)->nservices; i++) {
-		g_free(v->services[i].servers);
+		if (v->base == NULL)
+			g_free(v->services[i].servers);
 		g_free(v->services[i].ranges);
 	}
 	g_free(v->services);
-	g_free(v->servers);
+	if (v->base == NULL) {
+		if (v->by_id != NULL)
+			g_hash_table_destroy(v->by_id);
+		g_free(v->servers);
+	}
+	dh_view_unref(v->base);
 	dh_deployment_unbox(v->deployment);
 	g_free(v);
 }
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -36,14 +36,17 @@
 };
 
 struct dh_view_service {
-	uint32_t *servers; /* indices */
+	uint32_t *servers; /* indices, nearest tier first */
 	size_t nservers;
+	size_t tier_end[DH_TIERS]; /* in servers */
 	struct dh_view_range *ranges; /* of a keyed service */
 	size_t nranges;
 };
 
 struct dh_view {
 	gatomicrefcount refs;
+	struct dh_view *base; /* whose backend servers these are; or NULL */
+	GHashTable *by_id; /* of backend servers, their index and 1; or NULL */
 	struct dh_deployment **deployment; /* g_atomic_rc_box */
 	struct dh_view_server *servers;
 	size_t nservers;
@@ -57,6 +60,14 @@
  * made by dh_deployment_box(). */
 struct dh_view *dh_view_new(struct dh_deployment **deployment);
 struct dh_view *dh_view_ref(struct dh_view *v);
+
+/* dh_view_new_like -- one with the configuration and the backend servers of
+ * base, which it shares, and without owners of keys. */
+struct dh_view *dh_view_new_like(struct dh_view *base);
+
+/* dh_view_find -- the index of a backend server, or DH_NONE.  By the thread
+ * that makes views. */
+uint32_t dh_view_find(const struct dh_view *v, const char *id);
 void dh_view_unref(struct dh_view *v);
 
 /* dh_deployment_box -- takes d over; freed with the last reference. */
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -15,6 +15,10 @@
 #define TICK_MS 100
 /* Ticks between reports: a hot range is seen within a second by several. */
 #define REPORT_TICKS 2
+/* A backend server's speed is told again when it has changed by this part, and
+ * from time to time: another VM may lead by then. */
+#define SPEED_CHANGE 0.15
+#define SPEED_AGAIN_MS 4000
 #define LISTEN_BACKLOG 1024
 /* Before the end of a drain: time for the last answers to go out. */
 #define LAST_ANSWERS_MS 300
@@ -108,6 +112,7 @@
 	pool->tier = s->tier;
 	pool->slots = s->slots;
 	pool->listed = !s->closed;
+	pool->keyed = (*w->view->deployment)->services[s->service].keyed;
 	(void)g_strlcpy(pool->id, s->id, sizeof(pool->id));
 	g_hash_table_insert(w->pools, GUINT_TO_POINTER(s->uid), pool);
 	return pool;
@@ -145,10 +150,26 @@
 	r->keys[r->nkeys++].key = (uint16_t)key;
 }
 
+/* Whether the leader, which places keys by it, should hear of the speed. */
+static bool
+speed_is_news(const struct dh_pool *p, int64_t now_ms)
+{
+	double told = p->told_work_ms, work = p->load.work_ms;
+
+	if (!p->keyed || !p->listed || work <= 0)
+		return false;
+	if (work > told * (1 + SPEED_CHANGE) ||
+	    work < told * (1 - SPEED_CHANGE))
+		return true;
+	return p->load.work_at_ms > p->told_ms &&
+	    now_ms - p->told_ms >= SPEED_AGAIN_MS;
+}
+
 static void
 report_servers(struct dh_worker *w)
 {
 	struct dh_worker_report *r = w->report;
+	int64_t now_ms = dh_worker_now_ms(w);
 	GHashTableIter it;
 	gpointer value;
 
@@ -156,14 +177,15 @@
 	g_hash_table_iter_init(&it, w->pools);
 	while (g_hash_table_iter_next(&it, NULL, &value) &&
 	    r->nservers < DH_REPORT_SERVERS) {
-		const struct dh_pool *p = value;
+		struct dh_pool *p = value;
 
-		if (!p->listed || p->load.work_ms <= 0)
+		if (!speed_is_news(p, now_ms))
 			continue;
+		p->told_work_ms = (uint32_t)(p->load.work_ms + 0.5);
+		p->told_ms = now_ms;
 		(void)g_strlcpy(r->servers[r->nservers].id, p->id,
 		    sizeof(r->servers[0].id));
-		r->servers[r->nservers++].work_ms =
-		    (uint32_t)(p->load.work_ms + 0.5);
+		r->servers[r->nservers++].work_ms = p->told_work_ms;
 	}
 }
 
@@ -202,12 +224,18 @@
 static void
 adopt_view(struct dh_worker *w, struct dh_view *v)
 {
+	bool same_servers =
+	    w->view != NULL && v->base != NULL && w->view->base == v->base;
 	GHashTableIter it;
 	gpointer value;
 	size_t i;
 
 	dh_view_unref(w->view);
 	w->view = v;
+	if (same_servers) {
+		dh_request_view_changed(w);
+		return;
+	}
 	g_hash_table_iter_init(&it, w->pools);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		((struct dh_pool *)value)->listed = false;
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -29,6 +29,9 @@
 	GQueue idle; /* of struct dh_upstream, newest at the head */
 	GQueue busy; /* of struct dh_upstream, oldest request first */
 	uint64_t answers; /* that came from it */
+	bool keyed; /* its service is */
+	uint32_t told_work_ms; /* last reported */
+	int64_t told_ms;
 	bool listed; /* in the current view, and open */
 };
 
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -8,7 +8,7 @@
 dir=build/mutate-keyspace
 . "$(dirname "$0")/mutate_lib.sh"
 
-for f in core/keyspace.c core/keyplan.c tests/test_keyspace.c \
+for f in core/key.c core/keyspace.c core/keyplan.c tests/test_keyspace.c \
     tests/test_keyspace_schedule.c; do
 	compile "$f" "$dir/obj/$(basename "$f" .c).o"
 done
