Choice: the sample of many backend servers is drawn in core, with a played load

test_choice plays 120 backend servers for four routers that see one another only in what answers tell: at 83 % and 125 % of what can be done a sample serves at least 97 % as many in time as looking at all does.

--- a/core/choice.c
+++ b/core/choice.c
@@ -33,6 +33,9 @@
  * callers wait for a third at the most. */
 #define RETRY_AFTER_SPREAD 4
 
+/* Looked at of many, by tier: more of those whose bytes are cheap. */
+static const size_t sample_most[DH_TIERS] = { 32, 12, 8 };
+
 static double
 fade(double value, int64_t since_ms, int64_t now_ms, double memory_ms)
 {
@@ -221,6 +224,24 @@
 	return after_ms > 0 ? after_ms : 1;
 }
 
+size_t
+dh_choice_sample(const size_t tier_end[DH_TIERS], struct dh_rng *rng,
+    uint32_t positions[DH_SAMPLE_MAX])
+{
+	bool all = tier_end[DH_TIERS - 1] <= DH_SAMPLE_MAX;
+	size_t tier, i, n, most, at, begin = 0, found = 0;
+
+	for (tier = 0; tier < DH_TIERS; tier++) {
+		n = tier_end[tier] - begin;
+		most = all || n < sample_most[tier] ? n : sample_most[tier];
+		at = (size_t)dh_rng_below(rng, n);
+		for (i = 0; i < most; i++)
+			positions[found++] = (uint32_t)(begin + (at + i) % n);
+		begin = tier_end[tier];
+	}
+	return found;
+}
+
 struct dh_choice
 dh_choose(const struct dh_choice_params *p, const struct dh_candidate *list,
     size_t n, const struct dh_wish *w, struct dh_rng *rng, int64_t now_ms)
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -12,12 +12,6 @@
  * so much later. */
 #define OVERDUE_FACTOR 3.0
 #define OVERDUE_MIN_MS 150
-/* Of more backend servers than this only some are looked at, by tier: more of
- * those whose bytes are cheap. */
-#define SAMPLE_ABOVE 64
-#define SAMPLE_ZONE 32
-#define SAMPLE_REGION 12
-#define SAMPLE_REMOTE 8
 /* Weight of a new sample of a service's usual work. */
 #define WORK_GAIN 0.05
 
@@ -145,28 +139,6 @@
 		.tried = was_tried(rq, s->uid) };
 }
 
-/* Some of each tier, from a place drawn anew: as good as all of many, at a
- * cost that does not grow with them. */
-static size_t
-sample(struct dh_request *rq, int64_t now_ms)
-{
-	static const size_t most[DH_TIERS] = { SAMPLE_ZONE, SAMPLE_REGION,
-		SAMPLE_REMOTE };
-	const struct dh_view_service *s =
-	    &rq->worker->view->services[rq->service];
-	size_t tier, i, n, at, begin = 0, found = 0;
-
-	for (tier = 0; tier < DH_TIERS; tier++) {
-		n = s->tier_end[tier] - begin;
-		at = (size_t)dh_rng_below(&rq->worker->rng, n);
-		for (i = 0; i < n && i < most[tier]; i++)
-			add_candidate(rq, s->servers[begin + (at + i) % n],
-			    &found, now_ms);
-		begin = s->tier_end[tier];
-	}
-	return found;
-}
-
 /* The backend servers that it may go to; 0 if it has to wait for an owner. */
 static size_t
 candidates(struct dh_request *rq, bool all)
@@ -176,7 +148,8 @@
 	const struct dh_view_service *s = &v->services[rq->service];
 	int64_t now_ms = dh_worker_now_ms(w);
 	const struct dh_view_range *range;
-	size_t i, at, found = 0;
+	uint32_t positions[DH_SAMPLE_MAX];
+	size_t i, n, found = 0;
 
 	if (rq->keyed) {
 		range = dh_view_owner(v, rq->service, rq->key);
@@ -184,12 +157,11 @@
 			add_candidate(rq, range->server, &found, now_ms);
 		return found;
 	}
-	if (!all)
-		return sample(rq, now_ms);
-	at = (size_t)dh_rng_below(&w->rng, s->nservers);
-	for (i = 0; i < s->nservers; i++)
+	n = all ? s->nservers
+		: dh_choice_sample(s->tier_end, &w->rng, positions);
+	for (i = 0; i < n; i++)
 		add_candidate(
-		    rq, s->servers[(at + i) % s->nservers], &found, now_ms);
+		    rq, s->servers[all ? i : positions[i]], &found, now_ms);
 	return found;
 }
 
@@ -210,7 +182,7 @@
 		    &rq->service_state->seen, rq->route->priority, now_ms),
 	};
 	bool all = rq->keyed ||
-	    w->view->services[rq->service].nservers <= SAMPLE_ABOVE;
+	    w->view->services[rq->service].nservers <= DH_SAMPLE_MAX;
 	struct dh_choice choice;
 
 	*n = candidates(rq, all);
--- a/include/dogwoodhub/choice.h
+++ b/include/dogwoodhub/choice.h
@@ -99,6 +99,17 @@
     const struct dh_candidate *list, size_t n, const struct dh_wish *w,
     struct dh_rng *rng, int64_t now_ms);
 
+/*
+ * dh_choice_sample -- of a list in the order of tiers, which end at tier_end,
+ * the positions to look at for one request: some of each tier, from a place
+ * drawn anew.  As good as all of many, at a cost that does not grow with them;
+ * but before a request is refused all are to be looked at.  All of a list that
+ * is no longer than DH_SAMPLE_MAX.  Returns how many.
+ */
+#define DH_SAMPLE_MAX 64
+size_t dh_choice_sample(const size_t tier_end[DH_TIERS], struct dh_rng *rng,
+    uint32_t positions[DH_SAMPLE_MAX]);
+
 /* Priorities of requests to one service that are told apart; 0 is the most
  * urgent, those above the last count as it. */
 #define DH_PRIORITIES 8
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -193,7 +193,7 @@
  * one another only in the load that answers tell.
  */
 #define ROUTERS 4
-#define BACKENDS 4
+#define BACKENDS 120
 #define ROUND_MS 5
 #define TARGET_MS 400
 
@@ -204,7 +204,7 @@
 };
 
 struct queue {
-	struct job jobs[512];
+	struct job jobs[128];
 	int n;
 };
 
@@ -257,22 +257,49 @@
 	}
 }
 
-static void
-play_load(double per_s, int64_t for_ms, int *in_time, int *late, int *refused)
+/* Of the router's knowledge of n backend servers: all, or a sample first as
+ * routers do it.  The index is that of the backend server. */
+static struct dh_choice
+choose_of(struct dh_backend_load *load, int n, bool some, int64_t now)
 {
-	static struct queue queues[BACKENDS];
-	struct dh_backend_load load[ROUTERS][BACKENDS] = { 0 };
+	const size_t tier_end[DH_TIERS] = { (size_t)n, (size_t)n, (size_t)n };
+	uint32_t positions[DH_SAMPLE_MAX];
 	struct dh_candidate list[BACKENDS];
 	struct dh_wish w = wish(1);
 	struct dh_choice c;
+	size_t i, found;
+
+	if (some) {
+		found = dh_choice_sample(tier_end, &rng, positions);
+		for (i = 0; i < found; i++)
+			list[i] = candidate(&load[positions[i]], DH_TIER_ZONE);
+		c = dh_choose(&params, list, found, &w, &rng, now);
+		if (c.index != SIZE_MAX) {
+			c.index = positions[c.index];
+			return c;
+		}
+	}
+	for (i = 0; i < (size_t)n; i++)
+		list[i] = candidate(&load[i], DH_TIER_ZONE);
+	return dh_choose(&params, list, (size_t)n, &w, &rng, now);
+}
+
+static void
+play_load(int backends, bool some, double per_s, int64_t for_ms, int *in_time,
+    int *late, int *refused)
+{
+	static struct queue queues[BACKENDS];
+	static struct dh_backend_load load[ROUTERS][BACKENDS];
+	struct dh_choice c;
 	double due = 0;
 	int64_t now;
 	int b, router;
 
 	memset(queues, 0, sizeof(queues));
+	memset(load, 0, sizeof(load));
 	*in_time = *late = *refused = 0;
 	for (now = ROUND_MS; now < for_ms; now += ROUND_MS) {
-		for (b = 0; b < BACKENDS; b++) {
+		for (b = 0; b < backends; b++) {
 			finish_jobs(&queues[b], load, b, now, in_time, late);
 			start_jobs(&queues[b], now);
 		}
@@ -280,10 +307,7 @@
 		while (due >= 1) {
 			due -= 1;
 			router = (int)dh_rng_below(&rng, ROUTERS);
-			for (b = 0; b < BACKENDS; b++)
-				list[b] =
-				    candidate(&load[router][b], DH_TIER_ZONE);
-			c = dh_choose(&params, list, BACKENDS, &w, &rng, now);
+			c = choose_of(load[router], backends, some, now);
 			if (c.index == SIZE_MAX) {
 				(*refused)++;
 				continue;
@@ -304,7 +328,7 @@
 {
 	int in_time, late, refused;
 
-	play_load(120, 20000, &in_time, &late, &refused);
+	play_load(4, false, 120, 20000, &in_time, &late, &refused);
 	CU_ASSERT_EQUAL(refused, 0);
 	CU_ASSERT_TRUE(late * 100 < in_time);
 }
@@ -315,13 +339,57 @@
 {
 	int in_time, late, refused;
 
-	play_load(480, 20000, &in_time, &late, &refused);
+	play_load(4, false, 480, 20000, &in_time, &late, &refused);
 	CU_ASSERT_TRUE(refused > 0);
 	/* 240 a second can be done; four in five of these are in time. */
 	CU_ASSERT_TRUE(in_time > 240 * 20 * 8 / 10);
 	CU_ASSERT_TRUE(late * 10 < in_time);
 }
 
+/* A sample of many serves as many callers in time as all of them do. */
+static void
+test_sample_serves_as_all_do(void)
+{
+	int in_time[2], late[2], refused[2], i;
+	const double per_s[] = { 6000, 9000 };
+	size_t k;
+
+	/* 7,200 a second can be done. */
+	for (k = 0; k < 2; k++) {
+		for (i = 0; i < 2; i++)
+			play_load(BACKENDS, i == 1, per_s[k], 4000, &in_time[i],
+			    &late[i], &refused[i]);
+		CU_ASSERT_TRUE(in_time[1] > in_time[0] * 97 / 100);
+		CU_ASSERT_TRUE(late[1] < late[0] + in_time[0] / 50);
+	}
+}
+
+static void
+test_sample_is_of_all_tiers(void)
+{
+	const size_t tier_end[DH_TIERS] = { 100, 100, 300 };
+	const size_t few[DH_TIERS] = { 3, 30, 64 };
+	uint32_t positions[DH_SAMPLE_MAX];
+	bool seen[300] = { false };
+	size_t i, k, n, zone, left = 0;
+
+	for (k = 0; k < 2000; k++) {
+		n = dh_choice_sample(tier_end, &rng, positions);
+		CU_ASSERT_TRUE(n <= DH_SAMPLE_MAX);
+		zone = 0;
+		for (i = 0; i < n; i++) {
+			CU_ASSERT_TRUE_FATAL(positions[i] < 300);
+			seen[positions[i]] = true;
+			zone += positions[i] < 100;
+		}
+		CU_ASSERT_TRUE(zone > n - zone && zone < n);
+	}
+	for (i = 0; i < 300; i++)
+		left += !seen[i];
+	CU_ASSERT_EQUAL(left, 0);
+	CU_ASSERT_EQUAL(dh_choice_sample(few, &rng, positions), 64);
+}
+
 int
 main(void)
 {
@@ -337,6 +405,8 @@
 		    test_unreachable_one_pauses_longer_each_time },
 		{ "silence", test_silence_counts_as_slowness },
 		{ "calm load", test_calm_load_is_served },
+		{ "sample", test_sample_is_of_all_tiers },
+		{ "load, sampled", test_sample_serves_as_all_do },
 		{ "overload", test_overload_serves_what_can_be_served_in_time },
 		CU_TEST_INFO_NULL,
 	};
