Peers: all owners of a service go in parts; changes are applied in one pass

With some 700 keyed backend servers the owners as text no longer fit in a datagram, and were made anew for each report that lacked them; followers then kept the store's record and could take no change of it. Now they go as binary parts of 1,024 ranges, 20 times a step at most. A set of changes is applied in one pass instead of one copy of the record each. Tests: test_peer 'owners in parts', test_owners_record.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -537,11 +537,10 @@
 	dh_keyspace_set_speed(d->ks, server, work_ms);
 }
 
-char *
-dh_duty_text(const struct dh_duty *d)
+const struct dh_record *
+dh_duty_record(const struct dh_duty *d)
 {
-	return d->published.ranges == NULL ? NULL
-					   : dh_record_text(&d->published);
+	return d->published.ranges == NULL ? NULL : &d->published;
 }
 
 bool
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -50,9 +50,8 @@
 void dh_duty_demand(struct dh_duty *d, uint32_t key);
 void dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms);
 
-/* dh_duty_text -- the owners as last published, the caller's to free; NULL
- * before. */
-char *dh_duty_text(const struct dh_duty *d);
+/* dh_duty_record -- the owners as last published; NULL before the first. */
+const struct dh_record *dh_duty_record(const struct dh_duty *d);
 bool dh_duty_is_newest(
     const struct dh_duty *d, uint64_t term, uint64_t version);
 
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -36,6 +36,9 @@
 /* After an outage of the store the leader needs a question and its answer. */
 #define OUTAGE_GRACE_MS 1500
 #define ANNOUNCE_PAUSE_MS 1000
+/* Times that all owners of a service are sent in a step: a new leader has to
+ * tell everybody, and its link has other work. */
+#define WHOLE_SENDS 20
 /* Heartbeats that may be missed before this VM follows the store itself. */
 #define FED_BEATS 3
 /* Leading takes processor time that a small VM needs for its callers: it lets
@@ -58,6 +61,15 @@
 	int64_t core_share_milli; /* 0: not known */
 };
 
+/* Parts of all owners of a service, as they come in. */
+struct incoming {
+	char service[DH_NAME_MAX];
+	uint64_t term, version;
+	uint32_t parts;
+	uint64_t got; /* a bit for each */
+	GArray *changes; /* of struct dh_record_change */
+};
+
 struct dh_owners {
 	struct dh_owners_context c;
 	struct dh_peer *peer;
@@ -91,6 +103,8 @@
 	int64_t beat_ms;
 	bool solo; /* without the store for too long: orders nothing */
 	uint32_t vms;
+	uint32_t whole_sends; /* left until the next step */
+	struct incoming incoming;
 	/* What workers have seen since the last report. */
 	GArray *keys; /* of struct seen_key */
 	GHashTable *speeds; /* server id -> work in ms */
@@ -320,28 +334,15 @@
 
 /* --- leading --- */
 
-static void
-add_change(void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
-{
-	struct dh_peer_change c = {
-		.from = from, .to = to, .settled = k->settled
-	};
-
-	(void)g_strlcpy(c.owner, k->owner, sizeof(c.owner));
-	g_array_append_val((GArray *)arg, c);
-}
-
 static void
 on_published(void *arg, const char *service, const struct dh_record *before,
     const struct dh_record *now)
 {
 	struct dh_owners *o = arg;
-	g_autoptr(GArray) changes =
-	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_change));
+	g_autoptr(GArray) changes = NULL;
 	struct dh_peer_delta d = { .term = now->term,
 		.base = before->version,
-		.version = now->version,
-		.changes = changes };
+		.version = now->version };
 	struct dh_record copy = dh_record_copy(now);
 	GHashTableIter it;
 	gpointer ip;
@@ -351,7 +352,7 @@
 	if (before->ranges == NULL)
 		return;
 	(void)g_strlcpy(d.service, service, sizeof(d.service));
-	dh_record_changes(before, now, add_change, changes);
+	d.changes = changes = dh_peer_changes(before, now);
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, NULL))
 		dh_peer_send_delta(o->peer, ip, &d);
@@ -693,15 +694,46 @@
 	}
 }
 
+static gint
+by_key(gconstpointer a, gconstpointer b)
+{
+	const struct dh_record_change *ca = a, *cb = b;
+
+	return (gint)ca->from - (gint)cb->from;
+}
+
 static void
-on_owners(void *arg, const char *service, const char *text)
+on_owners(void *arg, const struct dh_peer_part *p)
 {
 	struct dh_owners *o = arg;
-	struct json_object *spec = json_tokener_parse(text);
+	struct incoming *in = &o->incoming;
+	struct dh_record r;
 
-	if (o->role != ROLE_LEADER)
-		learn_json(o, service, spec, "peer");
-	json_object_put(spec);
+	if (o->role == ROLE_LEADER)
+		return;
+	if (strcmp(in->service, p->service) != 0 || in->term != p->term ||
+	    in->version != p->version || in->parts != p->parts) {
+		(void)g_strlcpy(in->service, p->service, sizeof(in->service));
+		in->term = p->term;
+		in->version = p->version;
+		in->parts = p->parts;
+		in->got = 0;
+		g_array_set_size(in->changes, 0);
+	}
+	if ((in->got >> p->part & 1) != 0)
+		return;
+	in->got |= 1ull << p->part;
+	g_array_append_vals(in->changes, p->changes->data, p->changes->len);
+	if (__builtin_popcountll(in->got) < (int)in->parts)
+		return;
+	g_array_sort(in->changes, by_key);
+	r = dh_record_none();
+	r.term = p->term;
+	r.version = p->version;
+	dh_record_apply(&r,
+	    (const struct dh_record_change *)(void *)in->changes->data,
+	    in->changes->len);
+	(void)learn(o, p->service, &r, "peer");
 }
 
 static void
@@ -710,7 +742,6 @@
 	struct dh_owners *o = arg;
 	struct known_owners *k = g_hash_table_lookup(o->known, d->service);
 	struct dh_record r;
-	guint i;
 
 	/* Another base: the next report will show it. */
 	if (o->role == ROLE_LEADER || k == NULL || k->record.term != d->term ||
@@ -718,12 +749,9 @@
 		return;
 	r = dh_record_copy(&k->record);
 	r.version = d->version;
-	for (i = 0; i < d->changes->len; i++) {
-		const struct dh_peer_change *c =
-		    &g_array_index(d->changes, struct dh_peer_change, i);
-
-		dh_record_set(&r, c->from, c->to, c->owner, c->settled);
-	}
+	dh_record_apply(&r,
+	    (const struct dh_record_change *)(void *)d->changes->data,
+	    d->changes->len);
 	(void)learn(o, d->service, &r, "delta");
 }
 
@@ -746,8 +774,6 @@
 
 	g_hash_table_iter_init(&it, o->duties);
 	while (g_hash_table_iter_next(&it, &service, &duty)) {
-		g_autofree char *text = NULL;
-
 		for (i = 0; i < r->nowners; i++)
 			if (strcmp(r->owners[i].service, service) == 0)
 				break;
@@ -755,9 +781,10 @@
 		    dh_duty_is_newest(
 			duty, r->owners[i].term, r->owners[i].version))
 			continue;
-		text = dh_duty_text(duty);
-		if (text != NULL)
-			dh_peer_send_owners(o->peer, ip, service, text);
+		if (dh_duty_record(duty) == NULL || o->whole_sends == 0)
+			continue;
+		o->whole_sends--;
+		dh_peer_send_owners(o->peer, ip, service, dh_duty_record(duty));
 	}
 }
 
@@ -883,6 +910,7 @@
 	int64_t now_ms = dh_clock_ms();
 
 	announce(o, now_ms);
+	o->whole_sends = WHOLE_SENDS;
 	if (now_ms - o->report_ms >= REPORT_MS) {
 		o->report_ms = now_ms;
 		report(o);
@@ -932,6 +960,8 @@
 	o->speeds =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	o->keys = g_array_new(FALSE, FALSE, sizeof(struct seen_key));
+	o->incoming.changes =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
 	renew_patience(o);
 	dh_registry_set_witness(c->registry, store_was_fine, o);
 	o->mirror =
@@ -958,6 +988,7 @@
 	g_hash_table_destroy(o->peers);
 	g_hash_table_destroy(o->speeds);
 	g_array_free(o->keys, TRUE);
+	g_array_free(o->incoming.changes, TRUE);
 	g_free((char *)(uintptr_t)o->c.ip);
 	g_free(o);
 }
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -14,6 +14,8 @@
 #define SERVERS_MAX 512u
 
 #define CHANGES_MAX 4096u
+/* Of owners that are told as a whole, in one datagram. */
+#define PART_CHANGES 1024u
 /* Longest name of an object in the store that is taken. */
 #define NEWS_NAME_MAX 256
 #define NEWS_MAX 4096u
@@ -114,25 +116,11 @@
 	return true;
 }
 
-static bool
-take_owners(struct dh_peer *p, const msgpack_object_array *a)
-{
-	char service[DH_NAME_MAX];
-	g_autofree char *text = NULL;
-
-	if (!text_at(a, 1, service, sizeof(service)) || a->size < 3 ||
-	    a->ptr[2].type != MSGPACK_OBJECT_STR)
-		return false;
-	text = g_strndup(a->ptr[2].via.str.ptr, a->ptr[2].via.str.size);
-	p->h.owners(p->h.arg, service, text);
-	return true;
-}
-
 static bool
 read_changes(const msgpack_object_array *list, GArray *changes)
 {
-	struct dh_peer_change c;
-	uint64_t from, to, settled;
+	struct dh_record_change c;
+	uint64_t from, to, settled, next = 0;
 	uint32_t i;
 
 	for (i = 0; i < list->size; i++) {
@@ -141,8 +129,10 @@
 		if (o == NULL || !number_at(o, 0, &from) ||
 		    !number_at(o, 1, &to) ||
 		    !text_at(o, 2, c.owner, sizeof(c.owner)) ||
-		    !number_at(o, 3, &settled) || from > to || to > UINT16_MAX)
+		    !number_at(o, 3, &settled) || from < next || from > to ||
+		    to > UINT16_MAX)
 			return false;
+		next = to + 1;
 		c.from = (uint32_t)from;
 		c.to = (uint32_t)to;
 		c.settled = settled != 0;
@@ -151,11 +141,32 @@
 	return true;
 }
 
+static bool
+take_owners(struct dh_peer *p, const msgpack_object_array *a)
+{
+	g_autoptr(GArray) changes =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
+	struct dh_peer_part o = { .changes = changes };
+	const msgpack_object_array *list = array_at(a, 6, CHANGES_MAX);
+	uint64_t part, parts;
+
+	if (list == NULL || !text_at(a, 1, o.service, sizeof(o.service)) ||
+	    !number_at(a, 2, &o.term) || !number_at(a, 3, &o.version) ||
+	    !number_at(a, 4, &part) || !number_at(a, 5, &parts) ||
+	    parts > DH_PEER_PARTS || part >= parts ||
+	    !read_changes(list, changes))
+		return false;
+	o.part = (uint32_t)part;
+	o.parts = (uint32_t)parts;
+	p->h.owners(p->h.arg, &o);
+	return true;
+}
+
 static bool
 take_delta(struct dh_peer *p, const msgpack_object_array *a)
 {
 	g_autoptr(GArray) changes =
-	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_change));
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
 	struct dh_peer_delta d = { .changes = changes };
 	const msgpack_object_array *list = array_at(a, 5, CHANGES_MAX);
 
@@ -426,21 +437,71 @@
 	msgpack_sbuffer_destroy(&b);
 }
 
+static void
+pack_changes(msgpack_packer *pk, const struct dh_record_change *c, size_t n)
+{
+	size_t i;
+
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++) {
+		msgpack_pack_array(pk, 4);
+		msgpack_pack_uint32(pk, c[i].from);
+		msgpack_pack_uint32(pk, c[i].to);
+		pack_text(pk, c[i].owner);
+		msgpack_pack_uint32(pk, c[i].settled);
+	}
+}
+
+static void
+collect_change(
+    void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
+{
+	struct dh_record_change c = {
+		.from = from, .to = to, .settled = k->settled
+	};
+
+	(void)g_strlcpy(c.owner, k->owner, sizeof(c.owner));
+	g_array_append_val((GArray *)arg, c);
+}
+
+GArray *
+dh_peer_changes(const struct dh_record *before, const struct dh_record *now)
+{
+	GArray *changes =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
+
+	dh_record_changes(before, now, collect_change, changes);
+	return changes;
+}
+
 void
-dh_peer_send_owners(
-    struct dh_peer *p, const char *ip, const char *service, const char *text)
+dh_peer_send_owners(struct dh_peer *p, const char *ip, const char *service,
+    const struct dh_record *record)
 {
+	struct dh_record none = dh_record_none();
+	g_autoptr(GArray) changes = dh_peer_changes(&none, record);
+	uint32_t part, parts = (changes->len + PART_CHANGES) / PART_CHANGES;
 	msgpack_sbuffer b;
 	msgpack_packer pk;
 
-	msgpack_sbuffer_init(&b);
-	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 3);
-	msgpack_pack_uint32(&pk, MESSAGE_OWNERS);
-	pack_text(&pk, service);
-	pack_text(&pk, text);
-	send_buffer(p, ip, &b);
-	msgpack_sbuffer_destroy(&b);
+	for (part = 0; part < parts; part++) {
+		msgpack_sbuffer_init(&b);
+		msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+		msgpack_pack_array(&pk, 7);
+		msgpack_pack_uint32(&pk, MESSAGE_OWNERS);
+		pack_text(&pk, service);
+		msgpack_pack_uint64(&pk, record->term);
+		msgpack_pack_uint64(&pk, record->version);
+		msgpack_pack_uint32(&pk, part);
+		msgpack_pack_uint32(&pk, parts);
+		pack_changes(&pk,
+		    &g_array_index(
+			changes, struct dh_record_change, part * PART_CHANGES),
+		    MIN(PART_CHANGES, changes->len - part * PART_CHANGES));
+		send_buffer(p, ip, &b);
+		msgpack_sbuffer_destroy(&b);
+	}
+	dh_record_clear(&none);
 }
 
 void
@@ -449,7 +510,6 @@
 {
 	msgpack_sbuffer b;
 	msgpack_packer pk;
-	guint i;
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
@@ -459,17 +519,9 @@
 	msgpack_pack_uint64(&pk, d->term);
 	msgpack_pack_uint64(&pk, d->base);
 	msgpack_pack_uint64(&pk, d->version);
-	msgpack_pack_array(&pk, d->changes->len);
-	for (i = 0; i < d->changes->len; i++) {
-		const struct dh_peer_change *c =
-		    &g_array_index(d->changes, struct dh_peer_change, i);
-
-		msgpack_pack_array(&pk, 4);
-		msgpack_pack_uint32(&pk, c->from);
-		msgpack_pack_uint32(&pk, c->to);
-		pack_text(&pk, c->owner);
-		msgpack_pack_uint32(&pk, c->settled);
-	}
+	pack_changes(&pk,
+	    &g_array_index(d->changes, struct dh_record_change, 0),
+	    d->changes->len);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -9,6 +9,7 @@
 
 #include <dogwoodhub/types.h>
 
+#include "gateway/record.h"
 #include "gateway/registry.h"
 
 /*
@@ -51,24 +52,28 @@
 	uint32_t work_ms;
 };
 
-/* How the owners differ from an earlier version, as far as routers care. */
-struct dh_peer_change {
-	uint32_t from, to; /* both inclusive */
-	char owner[DH_NAME_MAX]; /* "" for none */
-	bool settled;
+/* Part of all owners of a service: those that know none of its version. */
+struct dh_peer_part {
+	char service[DH_NAME_MAX];
+	uint64_t term, version;
+	uint32_t part, parts; /* from 0 on */
+	GArray
+	    *changes; /* of struct dh_record_change, from nothing; borrowed */
 };
 
+#define DH_PEER_PARTS 64
+
+/* How the owners differ from an earlier version. */
 struct dh_peer_delta {
 	char service[DH_NAME_MAX];
 	uint64_t term, base, version;
-	GArray *changes; /* of struct dh_peer_change; borrowed */
+	GArray *changes; /* of struct dh_record_change; borrowed */
 };
 
 struct dh_peer_handler {
 	void (*beat)(
 	    void *arg, const struct dh_beat *beat, const char *from_ip);
-	/* text is NUL-ended and borrowed. */
-	void (*owners)(void *arg, const char *service, const char *text);
+	void (*owners)(void *arg, const struct dh_peer_part *part);
 	void (*delta)(void *arg, const struct dh_peer_delta *d);
 	void (*report)(void *arg, const struct dh_peer_report *report,
 	    const char *from_ip);
@@ -83,11 +88,17 @@
     const struct dh_peer_handler *h, GError **error);
 void dh_peer_free(struct dh_peer *p);
 
+/* dh_peer_changes -- what differs in now, an array of struct dh_record_change;
+ * the caller's. */
+GArray *dh_peer_changes(
+    const struct dh_record *before, const struct dh_record *now);
+
 /* Send to the same port of another VM; a datagram may be lost. */
 void dh_peer_send_beat(
     struct dh_peer *p, const char *ip, const struct dh_beat *beat);
-void dh_peer_send_owners(
-    struct dh_peer *p, const char *ip, const char *service, const char *text);
+/* In as many datagrams as it takes. */
+void dh_peer_send_owners(struct dh_peer *p, const char *ip, const char *service,
+    const struct dh_record *record);
 void dh_peer_send_delta(
     struct dh_peer *p, const char *ip, const struct dh_peer_delta *d);
 /* In as many datagrams as it takes. */
--- a/gateway/record.c
+++ b/gateway/record.c
@@ -200,30 +200,56 @@
 	g_array_append_val(list, k);
 }
 
-void
-dh_record_set(struct dh_record *r, uint32_t from, uint32_t to,
-    const char *owner, bool settled)
+struct dh_record
+dh_record_none(void)
 {
-	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct dh_key_range));
-	struct dh_key_range k,
-	    set = { .from = from, .to = to, .settled = settled };
-	size_t i;
+	struct dh_record r = { .nranges = 1 };
 
-	(void)g_strlcpy(set.owner, owner, sizeof(set.owner));
-	for (i = 0; i < r->nranges; i++) {
-		k = r->ranges[i];
-		if (k.from < from) {
-			k.to = MIN(k.to, from - 1);
+	r.ranges = g_new0(struct dh_key_range, 1);
+	r.ranges[0].to = DH_KEYS - 1;
+	return r;
+}
+
+/* What becomes of one range; *c is the first change that may concern it. */
+static void
+apply_to_range(GArray *list, struct dh_key_range k,
+    const struct dh_record_change **c, const struct dh_record_change *end)
+{
+	struct dh_key_range piece;
+
+	while (k.from <= k.to) {
+		while (*c < end && (*c)->to < k.from)
+			(*c)++;
+		if (*c == end || (*c)->from > k.to) {
 			append(list, k);
-			k = r->ranges[i];
+			return;
 		}
-		if (k.from <= to && k.to >= to)
-			append(list, set);
-		if (k.to > to) {
-			k.from = MAX(k.from, to + 1);
-			append(list, k);
+		if ((*c)->from > k.from) {
+			piece = k;
+			piece.to = (*c)->from - 1;
+			append(list, piece);
+			k.from = (*c)->from;
 		}
+		piece = (struct dh_key_range){ .from = k.from,
+			.to = MIN(k.to, (*c)->to),
+			.settled = (*c)->settled };
+		(void)g_strlcpy(piece.owner, (*c)->owner, sizeof(piece.owner));
+		append(list, piece);
+		k.from = piece.to + 1;
 	}
+}
+
+void
+dh_record_apply(
+    struct dh_record *r, const struct dh_record_change *changes, size_t n)
+{
+	GArray *list = g_array_sized_new(FALSE, TRUE,
+	    sizeof(struct dh_key_range), (guint)(r->nranges + 2 * n));
+	const struct dh_record_change *c = changes;
+	size_t i;
+
+	for (i = 0; i < r->nranges; i++)
+		apply_to_range(list, r->ranges[i], &c, changes + n);
 	g_free(r->ranges);
 	r->nranges = list->len;
 	r->ranges = (struct dh_key_range *)(void *)g_array_free(list, FALSE);
--- a/gateway/record.h
+++ b/gateway/record.h
@@ -34,10 +34,21 @@
     struct dh_record *r, struct json_object *o, GError **error);
 void dh_record_clear(struct dh_record *r);
 
-/* dh_record_set -- give keys from .. to, both inclusive, another owner or
- * state; "" for no owner.  Neighbours that then are alike for routers join. */
-void dh_record_set(struct dh_record *r, uint32_t from, uint32_t to,
-    const char *owner, bool settled);
+/* Keys that have another owner or state, as far as routers care. */
+struct dh_record_change {
+	uint32_t from, to; /* both inclusive */
+	char owner[DH_NAME_MAX]; /* "" for none */
+	bool settled;
+};
+
+/* dh_record_apply -- make changes, which are in the order of keys and do not
+ * overlap.  Neighbours that then are alike for routers join. */
+void dh_record_apply(
+    struct dh_record *r, const struct dh_record_change *changes, size_t n);
+
+/* dh_record_none -- one in which no key has an owner; dh_record_clear() frees
+ * it. */
+struct dh_record dh_record_none(void);
 
 /* dh_record_changes -- call for each stretch of keys whose owner or state
  * differs in b from a; both cover all keys. */
--- a/tests/test_owners_record.c
+++ b/tests/test_owners_record.c
@@ -99,11 +99,12 @@
 static void
 collect(void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
 {
-	struct dh_key_range copy = *k;
+	struct dh_record_change c = {
+		.from = from, .to = to, .settled = k->settled
+	};
 
-	copy.from = from;
-	copy.to = to;
-	g_array_append_val((GArray *)arg, copy);
+	(void)g_strlcpy(c.owner, k->owner, sizeof(c.owner));
+	g_array_append_val((GArray *)arg, c);
 }
 
 static void
@@ -122,33 +123,43 @@
 	struct dh_rng rng = { 11 };
 	struct dh_record a = sample(), b = dh_record_copy(&a);
 	g_autoptr(GArray) changes =
-	    g_array_new(FALSE, TRUE, sizeof(struct dh_key_range));
-	const struct dh_key_range *k;
-	char owner[2] = { 0 };
-	uint32_t from;
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_record_change));
+	struct dh_record none = dh_record_none();
+	struct dh_record_change one = { 0 };
 	int i, left, total = 0;
-	guint c;
 
 	for (i = 0; i < 2000; i++) {
-		from = (uint32_t)dh_rng_below(&rng, DH_KEYS);
-		owner[0] = (char)('a' + dh_rng_below(&rng, 5));
-		dh_record_set(&b, from,
-		    from + (uint32_t)dh_rng_below(&rng, DH_KEYS - from), owner,
-		    dh_rng_below(&rng, 2) == 0);
+		one.from = (uint32_t)dh_rng_below(&rng, DH_KEYS);
+		one.to =
+		    one.from + (uint32_t)dh_rng_below(&rng, DH_KEYS - one.from);
+		one.owner[0] = (char)('a' + dh_rng_below(&rng, 5));
+		one.settled = dh_rng_below(&rng, 2) == 0;
+		dh_record_apply(&b, &one, 1);
+		if (i % 3 != 0)
+			continue;
 		CU_ASSERT_EQUAL(b.ranges[0].from, 0);
 		CU_ASSERT_EQUAL(b.ranges[b.nranges - 1].to, DH_KEYS - 1);
 		g_array_set_size(changes, 0);
 		dh_record_changes(&a, &b, collect, changes);
-		for (c = 0; c < changes->len; c++) {
-			k = &g_array_index(changes, struct dh_key_range, c);
-			dh_record_set(&a, k->from, k->to, k->owner, k->settled);
-			total++;
-		}
+		dh_record_apply(&a,
+		    &g_array_index(changes, struct dh_record_change, 0),
+		    changes->len);
+		total += (int)changes->len;
 		left = 0;
 		dh_record_changes(&a, &b, count, &left);
 		CU_ASSERT_EQUAL(left, 0);
+		CU_ASSERT_EQUAL(a.nranges, b.nranges);
 	}
 	CU_ASSERT_TRUE(total >= 1000);
+	/* The whole of it, for one that knows nothing. */
+	g_array_set_size(changes, 0);
+	dh_record_changes(&none, &b, collect, changes);
+	dh_record_apply(&none,
+	    &g_array_index(changes, struct dh_record_change, 0), changes->len);
+	left = 0;
+	dh_record_changes(&none, &b, count, &left);
+	CU_ASSERT_EQUAL(left, 0);
+	dh_record_clear(&none);
 	dh_record_clear(&a);
 	dh_record_clear(&b);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -16,6 +16,7 @@
 	uint64_t as_of; /* up to which the parts lead */
 	bool in_order; /* each part begins where the one before ended */
 	uint32_t tombstones, specs;
+	uint32_t all_parts;
 };
 
 static void
@@ -29,11 +30,17 @@
 }
 
 static void
-on_owners(void *arg, const char *service, const char *text)
+on_owners(void *arg, const struct dh_peer_part *p)
 {
-	(void)arg;
-	(void)service;
-	(void)text;
+	struct fixture *fx = arg;
+
+	CU_ASSERT_STRING_EQUAL(p->service, "keyed");
+	CU_ASSERT_EQUAL(p->term, 4);
+	CU_ASSERT_EQUAL(p->version, 17);
+	CU_ASSERT_TRUE(p->part < p->parts);
+	fx->parts++;
+	fx->items += p->changes->len;
+	fx->all_parts = p->parts;
 }
 
 static void
@@ -164,6 +171,32 @@
 	end(&fx);
 }
 
+/* All owners of many ranges; half of the keys have none. */
+static void
+test_owners_in_parts(void)
+{
+	struct dh_record r = { .term = 4, .version = 17, .nranges = 4096 };
+	struct fixture fx;
+	uint32_t i;
+
+	r.ranges = g_new0(struct dh_key_range, r.nranges);
+	for (i = 0; i < r.nranges; i++) {
+		r.ranges[i].from = i * 16;
+		r.ranges[i].to = i * 16 + 15;
+		if (i % 2 == 0)
+			g_snprintf(r.ranges[i].owner, sizeof(r.ranges[i].owner),
+			    "i-%x", i);
+	}
+	start(&fx);
+	dh_peer_send_owners(fx.from, TO, "keyed", &r);
+	run(&fx);
+	CU_ASSERT_TRUE(fx.parts > 1);
+	CU_ASSERT_EQUAL(fx.parts, fx.all_parts);
+	CU_ASSERT_EQUAL(fx.items, r.nranges / 2);
+	dh_record_clear(&r);
+	end(&fx);
+}
+
 /* Cut or of other types: nothing is called. */
 static void
 test_bad_datagrams(void)
@@ -202,6 +235,7 @@
 	CU_TestInfo tests[] = {
 		{ "beat", test_beat },
 		{ "news in parts", test_news_in_parts },
+		{ "owners in parts", test_owners_in_parts },
 		{ "bad datagrams", test_bad_datagrams },
 		CU_TEST_INFO_NULL,
 	};
