Duty: leases as long as many backend servers need, and the next leader waits for them

Renewing a range each 0.5 s takes 3,500 orders a second for 1,757 keyed backend servers. Above 300 of a service the lease grows with their number, up to 80 % of what they take (878 orders a second there); a silent one then loses its keys for longer, and holds fewer of them. The record says how long; a successor waits that out (test_keyspace 'longer leases before', mutation FOREIGN_HOLD). Ranges may be as many as two for each backend server: above 200 no hot range was spread.

--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -27,6 +27,7 @@
 /* Changes planned at once, and ranges in all: each costs calls to renew. */
 #define MOVES_MAX 8
 #define RANGES_MAX 400
+#define RANGES_SERVER 2 /* where that is more: for each backend server */
 
 /* A key that takes this part of a backend server's capacity alone is left
  * where it is, and others make room for it. */
@@ -449,7 +450,8 @@
 	struct window win;
 
 	if (from == DH_NONE || to == DH_NONE || from == to ||
-	    ks->nranges >= RANGES_MAX)
+	    (ks->nranges >= RANGES_MAX &&
+		ks->nranges >= (size_t)RANGES_SERVER * pl->usable))
 		return false;
 	used_from = utilization(pl, from);
 	used_to = utilization(pl, to);
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -50,12 +50,18 @@
 
 /* The longest that a grant counts after it was sent. */
 static int64_t
-longest_hold_ms(const struct dh_keyspace *ks)
+hold_limit_ms(const struct dh_keyspace *ks, int64_t hold_ms)
 {
-	return ks->p.hold_ms + ks->p.hold_ms * ks->p.drift_permille / 1000 +
+	return hold_ms + hold_ms * ks->p.drift_permille / 1000 +
 	    ks->p.margin_ms;
 }
 
+static int64_t
+longest_hold_ms(const struct dh_keyspace *ks)
+{
+	return hold_limit_ms(ks, ks->p.hold_ms);
+}
+
 int64_t
 dh_range_lapse_ms(const struct dh_keyspace *ks, const struct range *r)
 {
@@ -255,12 +261,14 @@
 
 void
 dh_keyspace_take_over(struct dh_keyspace *ks, const struct dh_key_range *ranges,
-    size_t n, uint64_t next_fence, int64_t now_ms)
+    size_t n, uint64_t next_fence, int64_t former_hold_ms, int64_t now_ms)
 {
+	int64_t hold_ms =
+	    former_hold_ms > ks->p.hold_ms ? former_hold_ms : ks->p.hold_ms;
 	uint32_t at = 0;
 	size_t i;
 
-	ks->foreign_ms = now_ms + ks->p.solo_ms + longest_hold_ms(ks);
+	ks->foreign_ms = now_ms + ks->p.solo_ms + hold_limit_ms(ks, hold_ms);
 	ks->nranges = 0;
 	if (next_fence > ks->next_fence)
 		ks->next_fence = next_fence;
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -27,6 +27,10 @@
 /* Way of an order, and what two clocks differ by in counting a lease. */
 #define LEASE_MARGIN_MS 60
 #define PROBE_MS 250
+/* Backend servers that are renewed with the leases of the settings, and how
+ * much of the longest lease that they take is used. */
+#define LEASE_SERVERS 300
+#define LEASE_MAX_PERCENT 80
 /* Orders at once; more wait for answers. */
 #define ORDERS_MAX 64
 
@@ -42,6 +46,7 @@
 	char *service;
 	char *object; /* name in the store */
 	struct dh_keyspace *ks;
+	int64_t hold_ms; /* of this term's grants */
 	bool loaded;
 	uint64_t revision; /* of the object */
 	struct dh_objects_call *call;
@@ -195,7 +200,7 @@
 		    g_strconcat("http://", address, dh_wire_release_path, NULL);
 		body = dh_wire_release(o);
 		/* Answered when the work that runs there has ended. */
-		rq.timeout_ms = d->c.settings->hold_ms;
+		rq.timeout_ms = d->hold_ms;
 		break;
 	case DH_KEY_PROBE:
 		url = g_strconcat("http://", address, health_path(d), NULL);
@@ -273,8 +278,8 @@
 static void
 take_over(struct dh_duty *d, const struct dh_record *r)
 {
-	dh_keyspace_take_over(
-	    d->ks, r->ranges, r->nranges, r->next_fence, dh_clock_ms());
+	dh_keyspace_take_over(d->ks, r->ranges, r->nranges, r->next_fence,
+	    (int64_t)r->hold_ms, dh_clock_ms());
 	dh_ops(DH_OPS_STATE, "owners.taken_over",
 	    ",\"service\":\"%s\",\"term\":%llu,\"from_term\":%llu,"
 	    "\"from_version\":%llu,\"ranges\":%zu",
@@ -395,6 +400,7 @@
 	if (serial == 0)
 		return;
 	r.version = ++d->version;
+	r.hold_ms = (uint64_t)d->hold_ms;
 	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
 	text = dh_record_text(&r);
 	d->writing = serial;
@@ -467,12 +473,29 @@
 		    STORE_TIMEOUT_MS, on_loaded, d);
 }
 
+/* Longer leases where there are many backend servers: renewing them all takes
+ * the leader as long, and one that falls silent holds fewer of the keys. */
+static int64_t
+lease_ms(const struct dh_duty_context *c, const char *service)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
+	int64_t ms;
+
+	dh_registry_servers(c->registry, service, list);
+	ms = c->settings->hold_ms * (int64_t)list->len / LEASE_SERVERS;
+	ms = MIN(ms, c->settings->hold_max_ms * LEASE_MAX_PERCENT / 100);
+	return MAX(ms, c->settings->hold_ms);
+}
+
 struct dh_duty *
 dh_duty_new(const struct dh_duty_context *c, const char *service)
 {
 	struct dh_duty *d = g_new0(struct dh_duty, 1);
-	struct dh_keyspace_params p = { .hold_ms = c->settings->hold_ms,
-		.renew_ms = c->settings->renew_ms,
+	int64_t hold_ms = lease_ms(c, service);
+	struct dh_keyspace_params p = { .hold_ms = hold_ms,
+		.renew_ms =
+		    c->settings->renew_ms * hold_ms / c->settings->hold_ms,
 		.probe_ms = PROBE_MS,
 		.solo_ms = c->settings->solo_ms,
 		.drift_permille = DRIFT_PERMILLE,
@@ -482,6 +505,7 @@
 	d->service = g_strdup(service);
 	d->object = g_strconcat("service.", service, NULL);
 	d->ks = dh_keyspace_new(&p);
+	d->hold_ms = hold_ms;
 	d->pause_ms = STORE_PAUSE_MIN_MS;
 	load(d);
 	return d;
--- a/gateway/record.c
+++ b/gateway/record.c
@@ -43,9 +43,11 @@
 		    (unsigned long long)k->former_fence, k->settled);
 	}
 	return g_strdup_printf("{\"term\":%llu,\"version\":%llu,\"next\":%llu,"
-			       "\"servers\":[%s],\"ranges\":[%s]}",
+			       "\"hold_ms\":%llu,\"servers\":[%s],"
+			       "\"ranges\":[%s]}",
 	    (unsigned long long)r->term, (unsigned long long)r->version,
-	    (unsigned long long)r->next_fence, names->str, ranges->str);
+	    (unsigned long long)r->next_fence, (unsigned long long)r->hold_ms,
+	    names->str, ranges->str);
 }
 
 static bool
@@ -142,7 +144,8 @@
 	if (servers == NULL || ranges == NULL ||
 	    !number_of(o, "term", &r->term) ||
 	    !number_of(o, "version", &r->version) ||
-	    !number_of(o, "next", &r->next_fence))
+	    !number_of(o, "next", &r->next_fence) ||
+	    !number_of(o, "hold_ms", &r->hold_ms))
 		return invalid(error, "owners: a member is missing");
 	r->nranges = json_object_array_length(ranges);
 	if (r->nranges > DH_KEYS)
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -85,12 +85,13 @@
 
 /*
  * dh_keyspace_take_over -- start from the record of a former leader (n may be
- * 0).  Every range gets a new token above next_fence - 1; nothing is ordered
- * before the new record is stored.
+ * 0), which granted for former_hold_ms, or 0 if that is not longer than this
+ * one grants.  Every range gets a new token above next_fence - 1; nothing is
+ * ordered before the new record is stored.
  */
 void dh_keyspace_take_over(struct dh_keyspace *ks,
     const struct dh_key_range *ranges, size_t n, uint64_t next_fence,
-    int64_t now_ms);
+    int64_t former_hold_ms, int64_t now_ms);
 
 /* dh_keyspace_set_servers -- all that are known now; one that is left out is
  * leaving, and may still hold its keys. */
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -62,7 +62,7 @@
 	struct dh_keyspace *ks = dh_keyspace_new(&params);
 	int64_t t;
 
-	dh_keyspace_take_over(ks, NULL, 0, 1, 0);
+	dh_keyspace_take_over(ks, NULL, 0, 1, 0, 0);
 	for (t = 1; t < 200; t += 20) {
 		dh_keyspace_set_servers(ks, list, n, t);
 		dh_keyspace_plan(ks, t);
@@ -101,7 +101,7 @@
 	struct dh_keyspace *ks = dh_keyspace_new(&params);
 	struct dh_key_order o;
 
-	dh_keyspace_take_over(ks, NULL, 0, 1, 0);
+	dh_keyspace_take_over(ks, NULL, 0, 1, 0, 0);
 	dh_keyspace_set_servers(ks, list, 1, 1);
 	dh_keyspace_plan(ks, 1);
 	CU_ASSERT_FALSE(dh_keyspace_next(ks, 2, &o));
@@ -190,6 +190,41 @@
 	dh_keyspace_free(ks);
 }
 
+/* Where the former leader granted for longer, that is waited out. */
+static void
+test_longer_leases_of_the_former_leader(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_key_range record = { .to = DH_KEYS - 1,
+		.owner = "a",
+		.owner_born_ms = 1,
+		.fence = 3,
+		.settled = true };
+	struct dh_keyspace *ks = dh_keyspace_new(&params);
+	const int64_t limit_ms = SOLO_MS + 8000 + 8000 * DRIFT_PERMILLE / 1000;
+	const struct dh_key_range *r;
+	struct dh_key_order o;
+	int64_t t;
+	size_t n;
+
+	dh_keyspace_take_over(ks, &record, 1, 4, 8000, 0);
+	for (t = 10; t < limit_ms + 2000; t += 20) {
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o))
+			dh_keyspace_answer(ks, o.ticket,
+			    strcmp(o.server, "a") == 0 ? DH_KEY_UNSENT
+						       : DH_KEY_ACCEPTED,
+			    NULL, t);
+		(void)dh_keyspace_current(ks, &r, &n);
+		if (t < limit_ms)
+			CU_ASSERT_STRING_EQUAL(r[0].owner, "a");
+	}
+	CU_ASSERT_STRING_EQUAL(r[0].owner, "b");
+	dh_keyspace_free(ks);
+}
+
 /* The owner starts anew while its keys are about to move: what was renewed may
  * be held by the new life, which has to release it as well. */
 static void
@@ -559,6 +594,8 @@
 		{ "record first",
 		    test_nothing_is_ordered_before_the_record_is_stored },
 		{ "renewed new life", test_new_life_may_hold_what_was_renewed },
+		{ "longer leases before",
+		    test_longer_leases_of_the_former_leader },
 		{ "new life under a move",
 		    test_new_life_releases_what_is_about_to_move },
 		{ "late arrival", test_lease_counts_from_the_latest_arrival },
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -221,7 +221,7 @@
 	l->term = ++w->term;
 	l->revision = w->revision;
 	l->confirmed_ms = w->now_ms;
-	dh_keyspace_take_over(l->ks, w->ranges, w->n, w->next, w->now_ms);
+	dh_keyspace_take_over(l->ks, w->ranges, w->n, w->next, 0, w->now_ms);
 }
 
 static void
--- a/tests/test_owners_record.c
+++ b/tests/test_owners_record.c
@@ -9,7 +9,9 @@
 static struct dh_record
 sample(void)
 {
-	struct dh_record r = { .term = 3, .version = 9, .next_fence = 40 };
+	struct dh_record r = {
+		.term = 3, .version = 9, .next_fence = 40, .hold_ms = 2500
+	};
 
 	r.nranges = 3;
 	r.ranges = g_new0(struct dh_key_range, 3);
@@ -54,6 +56,7 @@
 	CU_ASSERT_EQUAL(back.term, 3);
 	CU_ASSERT_EQUAL(back.version, 9);
 	CU_ASSERT_EQUAL(back.next_fence, 40);
+	CU_ASSERT_EQUAL(back.hold_ms, 2500);
 	CU_ASSERT_EQUAL_FATAL(back.nranges, 3);
 	for (i = 0; i < 3; i++) {
 		CU_ASSERT_EQUAL(back.ranges[i].from, r.ranges[i].from);
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -45,7 +45,9 @@
 # A lease is not waited out.
 mutate LAPSE 's/r->sent_ms \+ longest_hold_ms\(ks\)/r->sent_ms/'
 # A former leader's orders are not waited out.
-mutate FOREIGN 's/now_ms \+ ks->p.solo_ms \+ longest_hold_ms\(ks\);/0;/'
+mutate FOREIGN 's/now_ms \+ ks->p.solo_ms \+ hold_limit_ms\(ks, hold_ms\);/0;/'
+# A former leader's longer leases are not waited out.
+mutate FOREIGN_HOLD 's/former_hold_ms > ks->p.hold_ms \?/false ?/'
 # A range that a former leader may renew is moved.
 mutate FOREIGN_IDLE \
     's/r->state == RANGE_SETTLED \&\& r->foreign_ms != 0/0/'
