Gateway: rested connections that are forgotten; a VM that starts again leads sooner

Connections: a request that must not be repeated went out on one that had rested for up to 1.5 s and ended unknown (502) where the backend server had forgotten it; repeatable ones took a retry each time. The former now use those that rested below 250 ms, and a reset of one that rested teaches the service for 10 s. test_worker 'forgotten connections' failed (502), passes.

A VM whose entry is in the store already is known to a living leader; it waits for two heartbeats.

--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -39,6 +39,8 @@
 /* Times that all owners of a service are sent in a step: a new leader has to
  * tell everybody, and its link has other work. */
 #define WHOLE_SENDS 20
+/* Heartbeats that a VM which starts again waits for, before it leads. */
+#define START_BEATS 2
 /* Heartbeats that may be missed before this VM follows the store itself. */
 #define FED_BEATS 3
 /* Leading takes processor time that a small VM needs for its callers: it lets
@@ -259,6 +261,20 @@
 	    v->name + strlen(VM_PREFIX), ip);
 }
 
+/* This VM was here before: a leader that lives knows it, and its heartbeats
+ * come.  Where all were lost at once nobody leads, and each moment counts. */
+static void
+expect_beats(struct dh_owners *o)
+{
+	gint beat_ms = (gint)o->c.settings->beat_ms;
+
+	if (o->beat_heard_ms != 0 || o->role != ROLE_FOLLOWER)
+		return;
+	o->patience_ms = START_BEATS * beat_ms + g_random_int_range(0, beat_ms);
+	dh_ops(DH_OPS_STATE, "leader.expected", ",\"within_ms\":%lld",
+	    (long long)o->patience_ms);
+}
+
 static void
 on_announced(void *arg, const struct dh_objects_reply *r)
 {
@@ -269,6 +285,8 @@
 	    (r->result == DH_OBJECTS_CONFLICT && r->nitems == 1 &&
 		strcmp(member_text(r->items[0].spec, "ip"), o->c.ip) == 0);
 	o->announce_ms = dh_clock_ms() + ANNOUNCE_PAUSE_MS;
+	if (o->announced && r->result == DH_OBJECTS_CONFLICT)
+		expect_beats(o);
 	dh_ops(DH_OPS_STATE, "vm.announced",
 	    ",\"ip\":\"%s\",\"done\":%s,\"status\":%ld", o->c.ip,
 	    o->announced ? "true" : "false", r->status);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -21,8 +21,14 @@
  * they said of their timeout is kept to; the shorter for requests that must
  * not run twice, since a reset would leave open whether they ran. */
 #define IDLE_MAX_MS 4000
-#define IDLE_UNREPEATABLE_MAX_MS 1500
+#define IDLE_UNREPEATABLE_MAX_MS 250
 #define IDLE_SLACK_MS 1000
+/* After a rested connection was reset by the next request, none of the service
+ * is used that has rested for this part of that time, for so long. */
+#define IDLE_RESET_SHARE 0.5
+/* One that rested for less was cut for another reason. */
+#define IDLE_RESET_MIN_MS 100
+#define IDLE_RESET_MEMORY_MS 10000
 /* Part of a backend server's connections that the routers together use. */
 #define CONNECTIONS_PERCENT 80
 #define CONNECTIONS_MIN 2
@@ -41,6 +47,7 @@
 	uint32_t foreign;
 	int64_t idle_since_ms;
 	int64_t idle_max_ms;
+	int64_t rested_ms; /* before the request; 0: it is the first here */
 	GList link; /* in pool->idle or pool->busy */
 	GString *out; /* being written */
 };
@@ -83,12 +90,32 @@
 	uv_close((uv_handle_t *)&up->tcp, on_closed);
 }
 
+/* The connection may have been forgotten while it rested. */
+static void
+learn_forgotten(struct dh_service_state *s, const struct dh_upstream *up)
+{
+	int64_t now_ms = dh_worker_now_ms(up->worker);
+	int64_t most_ms = (int64_t)((double)up->rested_ms * IDLE_RESET_SHARE);
+
+	if (now_ms >= s->idle_until_ms || most_ms < s->idle_most_ms) {
+		s->idle_most_ms = most_ms;
+		dh_ops(DH_OPS_STATE, "connections.forgotten",
+		    ",\"service\":\"%s\",\"rested_ms\":%lld,"
+		    "\"used_below_ms\":%lld",
+		    s->name, (long long)up->rested_ms, (long long)most_ms);
+	}
+	s->idle_until_ms = now_ms + IDLE_RESET_MEMORY_MS;
+}
+
 /* The attempt ends without an answer. */
 static void
 upstream_fail(struct dh_upstream *up, enum dh_attempt_end how, const char *why)
 {
 	struct dh_request *rq = up->rq;
 
+	if (rq != NULL && how == DH_ATTEMPT_LOST &&
+	    up->rested_ms >= IDLE_RESET_MIN_MS && !up->in.began)
+		learn_forgotten(rq->service_state, up);
 	upstream_close(up);
 	if (rq == NULL)
 		return;
@@ -346,15 +373,19 @@
 	int64_t most_ms = rq->route->repeat == DH_REPEAT_SAFE
 	    ? IDLE_MAX_MS
 	    : IDLE_UNREPEATABLE_MAX_MS;
+	const struct dh_service_state *s = rq->service_state;
 	struct dh_upstream *up;
 	GList *link = pool->idle.head;
 
 	if (link == NULL)
 		return NULL;
 	up = link->data;
+	if (now_ms < s->idle_until_ms)
+		most_ms = MIN(most_ms, s->idle_most_ms);
 	if (now_ms - up->idle_since_ms >= most_ms ||
 	    now_ms - up->idle_since_ms >= up->idle_max_ms)
 		return NULL;
+	up->rested_ms = MAX(now_ms - up->idle_since_ms, 1);
 	g_queue_unlink(&pool->idle, link);
 	up->rq = rq;
 	g_queue_push_tail_link(&pool->busy, &up->link);
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -44,6 +44,8 @@
 	double work_ms; /* mean over its backend servers */
 	double answer_kib; /* mean size */
 	uint64_t chosen; /* requests so far, for weights */
+	/* Until then only connections that rested for less are used. */
+	int64_t idle_until_ms, idle_most_ms;
 };
 
 struct dh_worker_counters {
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -152,8 +152,12 @@
 	return false;
 }
 
+/* Connections that rested for so long are reset by the next request; 0: none
+ * are. */
+static int64_t forget_ms;
+
 static bool
-serve_one(struct fake *f, int fd, char *buf, size_t size)
+serve_one(struct fake *f, int fd, char *buf, size_t size, int64_t *rests_us)
 {
 	size_t len = 0, want = 0;
 	char *end = NULL, *id, *body;
@@ -175,6 +179,11 @@
 		want = (size_t)(end - buf) + 4 +
 		    (body == NULL ? 0 : strtoul(body + 16, NULL, 10));
 	}
+	if (forget_ms != 0 && *rests_us != 0 &&
+	    g_get_monotonic_time() - *rests_us >= forget_ms * 1000) {
+		reset(fd);
+		return false;
+	}
 	id = strstr(buf, ID ": ");
 	if (id != NULL)
 		(void)sscanf(id + strlen(ID ": "), "%127s", name);
@@ -182,7 +191,10 @@
 	runs++;
 	(void)g_strlcpy(last_head, buf, sizeof(last_head));
 	g_mutex_unlock(&lock);
-	return behave(f, fd, buf, name);
+	if (!behave(f, fd, buf, name))
+		return false;
+	*rests_us = g_get_monotonic_time();
+	return true;
 }
 
 struct conn {
@@ -195,8 +207,9 @@
 {
 	struct conn *c = arg;
 	char *buf = g_malloc(1 << 20);
+	int64_t rests_us = 0;
 
-	while (serve_one(c->f, c->fd, buf, 1 << 20))
+	while (serve_one(c->f, c->fd, buf, 1 << 20, &rests_us))
 		;
 	g_free(buf);
 	g_free(c);
@@ -263,6 +276,7 @@
 	add_route(d, "/short/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/silent-once/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/ok/keyed/", DH_REPEAT_SAFE, 1);
+	add_route(d, "/ok/once/", DH_REPEAT_NEVER, 0);
 	return d;
 }
 
@@ -501,6 +515,41 @@
 	stop();
 }
 
+static uint64_t
+retries(void)
+{
+	return dh_counter_value(dh_counter_get("dh_gateway_retries_total", ""));
+}
+
+/* Backend servers forget connections that rest: what must not be repeated is
+ * sent on none of them, and what is reset there is repeated, and teaches. */
+static void
+test_forgotten_connections(void)
+{
+	uint64_t before;
+	int fd, i;
+
+	start(1);
+	fd = dial();
+	forget_ms = 300;
+	CU_ASSERT_EQUAL(ask(fd, "/ok/", "", buf), 200);
+	(void)usleep(400000);
+	CU_ASSERT_EQUAL(ask(fd, "/ok/once/", "", buf), 200);
+	(void)usleep(400000);
+	before = retries();
+	CU_ASSERT_EQUAL(ask(fd, "/ok/", "", buf), 200);
+	CU_ASSERT_EQUAL(retries(), before + 1);
+	/* From now on no rested connection is tried. */
+	for (i = 0; i < 3; i++) {
+		(void)usleep(400000);
+		CU_ASSERT_EQUAL(ask(fd, "/ok/", "", buf), 200);
+	}
+	CU_ASSERT_EQUAL(retries(), before + 1);
+	forget_ms = 0;
+	(void)close(fd);
+	stop();
+}
+
 static void
 test_not_run_is_sent_elsewhere(void)
 {
@@ -632,6 +681,7 @@
 		{ "not run", test_not_run_is_sent_elsewhere },
 		{ "no answer", test_no_answer_ends_at_the_deadline },
 		{ "caller leaves", test_caller_leaves },
+		{ "forgotten connections", test_forgotten_connections },
 		{ "key waits", test_key_waits_for_its_owner },
 		{ "drain", test_drain_answers_and_closes },
 		{ "drain to the end", test_drain_answers_what_is_left },
