--- a/gateway/record.c
+++ b/gateway/record.c
@@ -144,9 +144,11 @@
 	if (servers == NULL || ranges == NULL ||
 	    !number_of(o, "term", &r->term) ||
 	    !number_of(o, "version", &r->version) ||
-	    !number_of(o, "next", &r->next_fence) ||
-	    !number_of(o, "hold_ms", &r->hold_ms))
+	    !number_of(o, "next", &r->next_fence))
 		return invalid(error, "owners: a member is missing");
+	/* Records of 0.2 have none: leases were those of the settings. */
+	if (!number_of(o, "hold_ms", &r->hold_ms))
+		r->hold_ms = 0;
 	r->nranges = json_object_array_length(ranges);
 	if (r->nranges > DH_KEYS)
 		return invalid(error, "owners: too many ranges");
--- a/tests/test_owners_record.c
+++ b/tests/test_owners_record.c
@@ -167,6 +167,21 @@
 	dh_record_clear(&b);
 }
 
+/* A record of an earlier release is still one: its owners hold their keys. */
+static void
+test_record_without_hold(void)
+{
+	struct dh_record r;
+
+	CU_ASSERT_TRUE_FATAL(parse("{\"term\":1,\"version\":2,\"next\":9,"
+				   "\"servers\":[[\"a\",7]],"
+				   "\"ranges\":[[65535,0,3,-1,0,1]]}",
+	    &r));
+	CU_ASSERT_EQUAL(r.hold_ms, 0);
+	CU_ASSERT_STRING_EQUAL(r.ranges[0].owner, "a");
+	dh_record_clear(&r);
+}
+
 static void
 test_newer(void)
 {
@@ -186,6 +201,7 @@
 		{ "bad texts", test_texts_that_make_no_sense },
 		{ "changes", test_changes_of_random_records },
 		{ "newer", test_newer },
+		{ "without hold", test_record_without_hold },
 		CU_TEST_INFO_NULL,
 	};
 
