--- /dev/null
+++ b/gateway/election.c
@@ -0,0 +1,365 @@
+/*
+ * Which VM leads, and what it does then.  The object "leader" in the store
+ * arbitrates; heartbeats say that the leader is there.
+ */
+#include "gateway/owners_internal.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/opslog.h"
+
+/* The leader asks the store whether it still leads. */
+#define CONFIRM_MS 2000
+#define CONFIRM_FAILING_MS 500
+/* Less than backend servers' entries live without the store, so that all know
+ * of an outage before entries lapse in it. */
+#define CONFIRM_TIMEOUT_MS 600
+/* Without an answer of the store for so long the leader calls itself failing,
+ * so that one that has the store takes over. */
+#define FAILING_MS 1200
+/* A peer that has not reported for so long is not counted. */
+#define PEER_MS 3000
+#define TAKE_PAUSE_MAX_MS 4000
+/* After an outage of the store the leader needs a question and its answer. */
+#define OUTAGE_GRACE_MS 1500
+/* Heartbeats that may be missed before this VM follows the store itself. */
+#define FED_BEATS 3
+/* Leading takes processor time that a small VM needs for its callers: it lets
+ * one of over twice its size be first. */
+#define WEAK_PATIENCE_MS 400
+
+static void
+on_published(void *arg, const char *service, const struct dh_record *before,
+    const struct dh_record *now)
+{
+	struct dh_owners *o = arg;
+	g_autoptr(GArray) changes = dh_peer_changes(before, now);
+	struct dh_peer_delta d = { .term = now->term,
+		.base = before->version,
+		.version = now->version };
+	struct dh_record copy = dh_record_copy(now);
+	GHashTableIter it;
+	gpointer ip;
+
+	(void)owners_learn(o, service, &copy, "leader");
+	/* The first of a term is asked for by those that report. */
+	if (before->ranges == NULL)
+		return;
+	(void)g_strlcpy(d.service, service, sizeof(d.service));
+	d.changes = changes;
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, &ip, NULL))
+		dh_peer_send_delta(o->peer, ip, &d);
+}
+
+static void
+on_confirmed(void *arg, int64_t began_ms)
+{
+	struct dh_owners *o = arg;
+
+	if (began_ms > o->confirmed_ms)
+		o->confirmed_ms = began_ms;
+}
+
+static gboolean
+duty_drop(gpointer key, gpointer value, gpointer arg)
+{
+	(void)key;
+	(void)arg;
+	dh_duty_free(value);
+	return TRUE;
+}
+
+void
+owners_drop_duties(struct dh_owners *o)
+{
+	g_hash_table_foreach_remove(o->duties, duty_drop, NULL);
+}
+
+static void
+on_deposed(void *arg, const char *why)
+{
+	owners_become_follower(arg, why);
+}
+
+void
+owners_become_follower(struct dh_owners *o, const char *why)
+{
+	if (o->role == ROLE_LEADER)
+		dh_ops(DH_OPS_STATE, "leader.lost",
+		    ",\"term\":%llu,\"why\":\"%s\"",
+		    (unsigned long long)o->term, why);
+	if (o->role == ROLE_LEADER)
+		dh_registry_feed(o->c.registry, NULL, NULL);
+	o->role = ROLE_FOLLOWER;
+	o->solo = false;
+	o->leader_ip[0] = '\0';
+	owners_drop_duties(o);
+	owners_renew_patience(o);
+	o->patience_ms += o->take_pause_ms;
+	o->take_pause_ms =
+	    MIN(MAX(o->take_pause_ms * 2, o->c.settings->silence_ms),
+		TAKE_PAUSE_MAX_MS);
+}
+
+static void
+on_news(void *arg, const struct dh_registry_news *n)
+{
+	struct dh_owners *o = arg;
+	g_autofree const char **ips =
+	    (const char **)g_hash_table_get_keys_as_array(o->peers, NULL);
+
+	dh_peer_send_news(
+	    o->peer, ips, g_hash_table_size(o->peers), n, o->term);
+}
+
+static void
+become_leader(struct dh_owners *o, int64_t began_ms)
+{
+	o->role = ROLE_LEADER;
+	dh_mirror_set_fed(o->mirror, false);
+	dh_registry_feed(o->c.registry, on_news, o);
+	o->confirm_failed = false;
+	o->confirmed_ms = began_ms;
+	o->asked_ms = dh_clock_ms();
+	(void)g_strlcpy(o->leader_vm, o->c.settings->vm, sizeof(o->leader_vm));
+	(void)g_strlcpy(o->leader_ip, o->c.ip, sizeof(o->leader_ip));
+	dh_ops(DH_OPS_STATE, "leader.elected", ",\"term\":%llu",
+	    (unsigned long long)o->term);
+}
+
+static uint32_t
+count_vms(void *arg)
+{
+	return ((const struct dh_owners *)arg)->vms;
+}
+
+static void
+ensure_duties(struct dh_owners *o)
+{
+	const struct dh_deployment *d = dh_registry_deployment(o->c.registry);
+	struct dh_duty_context c = { .settings = o->c.settings,
+		.http = o->c.http,
+		.objects = o->c.objects,
+		.registry = o->c.registry,
+		.kind = DH_OWNERS_KIND,
+		.term = o->term,
+		.vms = count_vms,
+		.published = on_published,
+		.confirmed = on_confirmed,
+		.deposed = on_deposed,
+		.arg = o };
+	size_t i;
+
+	for (i = 0; i < d->nservices; i++) {
+		if (!d->services[i].keyed ||
+		    g_hash_table_contains(o->duties, d->services[i].name))
+			continue;
+		g_hash_table_insert(o->duties, g_strdup(d->services[i].name),
+		    dh_duty_new(&c, d->services[i].name));
+	}
+}
+
+static void
+on_confirm(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_owners *o = arg;
+
+	o->call = NULL;
+	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
+	if (o->confirm_failed)
+		return;
+	owners_see_leader(o, &r->items[0]);
+	if (o->role == ROLE_LEADER && o->asked_ms > o->confirmed_ms)
+		o->confirmed_ms = o->asked_ms;
+}
+
+static bool
+failing(const struct dh_owners *o, int64_t now_ms)
+{
+	return o->resigned || o->confirm_failed ||
+	    now_ms - o->confirmed_ms > CONFIRM_MS + FAILING_MS;
+}
+
+void
+owners_send_beats(struct dh_owners *o, int64_t now_ms)
+{
+	struct dh_beat beat = { .term = o->term,
+		.failing = failing(o, now_ms) };
+	GHashTableIter it;
+	gpointer ip, value;
+
+	(void)g_strlcpy(beat.vm, o->c.settings->vm, sizeof(beat.vm));
+	dh_registry_cursors(o->c.registry, beat.cursors);
+	beat.vms = 1;
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, &ip, &value)) {
+		struct peer_state *p = value;
+
+		beat.vms += p->heard_ms != 0 && now_ms - p->heard_ms < PEER_MS;
+	}
+	if (o->vms != beat.vms) {
+		o->vms = beat.vms;
+		o->c.changed(o->c.arg);
+	}
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, &ip, NULL))
+		dh_peer_send_beat(o->peer, ip, &beat);
+}
+
+void
+owners_lead(struct dh_owners *o, int64_t now_ms)
+{
+	int64_t pause_ms = failing(o, now_ms) ? CONFIRM_FAILING_MS : CONFIRM_MS;
+	bool solo = now_ms - o->confirmed_ms >= o->c.settings->solo_ms;
+	GHashTableIter it;
+	gpointer duty;
+
+	if (solo != o->solo)
+		dh_ops(DH_OPS_STATE, solo ? "leader.solo_over" : "leader.solo",
+		    ",\"term\":%llu,\"confirmed_ms_ago\":%lld",
+		    (unsigned long long)o->term,
+		    (long long)(now_ms - o->confirmed_ms));
+	o->solo = solo;
+	ensure_duties(o);
+	if (o->call == NULL && now_ms - o->asked_ms >= pause_ms) {
+		o->asked_ms = now_ms;
+		o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND,
+		    DH_OWNERS_LEADER, CONFIRM_TIMEOUT_MS, on_confirm, o);
+	}
+	if (now_ms - o->beat_ms >= o->c.settings->beat_ms) {
+		o->beat_ms = now_ms;
+		owners_send_beats(o, now_ms);
+	}
+	g_hash_table_iter_init(&it, o->duties);
+	while (g_hash_table_iter_next(&it, NULL, &duty))
+		dh_duty_step(duty, !solo && !o->resigned);
+	if (now_ms - o->confirmed_ms < CONFIRM_MS)
+		o->take_pause_ms = 0;
+}
+
+/* --- taking over --- */
+
+static void
+give_up_taking(struct dh_owners *o, const char *why)
+{
+	dh_ops(DH_OPS_STATE, "leader.not_taken",
+	    ",\"term\":%llu,\"why\":\"%s\"", (unsigned long long)o->term, why);
+	o->role = ROLE_FOLLOWER;
+	owners_renew_patience(o);
+}
+
+static void
+on_taken(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_owners *o = arg;
+
+	o->call = NULL;
+	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
+		o->revision = r->items[0].revision;
+		o->term++;
+		become_leader(o, o->asked_ms);
+		return;
+	}
+	if (r->result == DH_OBJECTS_CONFLICT && r->nitems == 1)
+		owners_see_leader(o, &r->items[0]);
+	give_up_taking(o,
+	    r->result == DH_OBJECTS_CONFLICT ? "another was first"
+					     : "no answer of the store");
+}
+
+static void
+take(struct dh_owners *o)
+{
+	g_autofree char *spec =
+	    g_strdup_printf("{\"vm\":\"%s\",\"ip\":\"%s\",\"incarnation\":\"%"
+			    "s\",\"term\":%llu}",
+		o->c.settings->vm, o->c.ip, o->incarnation,
+		(unsigned long long)o->term + 1);
+
+	o->role = ROLE_TAKING;
+	o->asked_ms = dh_clock_ms();
+	o->call = dh_objects_put(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
+	    o->revision, spec, DH_OWNERS_STORE_TIMEOUT_MS, on_taken, o);
+}
+
+static void
+on_read(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_owners *o = arg;
+	uint64_t term = o->term;
+
+	o->call = NULL;
+	if (r->result == DH_OBJECTS_NOT_FOUND) {
+		o->revision = 0;
+		take(o);
+		return;
+	}
+	if (r->result != DH_OBJECTS_OK || r->nitems != 1) {
+		give_up_taking(o, "the store does not answer");
+		return;
+	}
+	o->revision = 0;
+	owners_see_leader(o, &r->items[0]);
+	if (o->term > term) {
+		give_up_taking(o, "another has just taken over");
+		return;
+	}
+	/* One's own write of an earlier try may stand there. */
+	if (owners_member_number(r->items[0].spec, "term") > o->term)
+		o->term = owners_member_number(r->items[0].spec, "term");
+	take(o);
+}
+
+/* Whether the leader is there and only lacks the store, as this VM has until
+ * just now: after an outage for all it goes on. */
+static bool
+lacks_store_as_we_did(const struct dh_owners *o, int64_t now_ms)
+{
+	return now_ms - o->beat_heard_ms < o->c.settings->silence_ms &&
+	    dh_mirror_reached_ms(o->mirror) < OUTAGE_GRACE_MS;
+}
+
+/* Whether another VM could lead at a much smaller part of what it has. */
+static bool
+is_weak(const struct dh_owners *o)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((struct peer_state *)value)->core_share_milli >
+		    2 * o->c.settings->core_share_milli)
+			return true;
+	return false;
+}
+
+void
+owners_follow_store(
+    struct dh_owners *o, const struct dh_registry_cursor *cursors)
+{
+	dh_mirror_set_fed(o->mirror, cursors != NULL);
+	dh_registry_follow(o->c.registry, cursors);
+}
+
+void
+owners_follow(struct dh_owners *o, int64_t now_ms)
+{
+	if (now_ms - o->beat_heard_ms >
+	    FED_BEATS * o->c.settings->beat_ms + DH_OWNERS_STEP_MS)
+		owners_follow_store(o, NULL);
+	if (lacks_store_as_we_did(o, now_ms) || o->resigned ||
+	    o->call != NULL || o->role != ROLE_FOLLOWER ||
+	    now_ms - o->sign_ms <
+		o->patience_ms + (is_weak(o) ? WEAK_PATIENCE_MS : 0) ||
+	    !dh_registry_ready(o->c.registry))
+		return;
+	dh_ops(DH_OPS_STATE, "leader.silent",
+	    ",\"leader\":\"%s\",\"term\":%llu,\"silent_ms\":%lld", o->leader_vm,
+	    (unsigned long long)o->term, (long long)(now_ms - o->sign_ms));
+	o->role = ROLE_READING;
+	o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
+	    DH_OWNERS_STORE_TIMEOUT_MS, on_read, o);
+}
--- /dev/null
+++ b/gateway/gossip.c
@@ -0,0 +1,258 @@
+/*
+ * What VMs tell one another: heartbeats, owners of keys and news of the store
+ * from the leader, reports of what routers have seen to it.
+ */
+#include "gateway/owners_internal.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/opslog.h"
+
+/* Speeds change slowly: they are told less often than keys, and only those
+ * that have changed. */
+#define SPEED_REPORTS 4
+
+static void
+on_beat(void *arg, const struct dh_beat *beat, const char *ip)
+{
+	struct dh_owners *o = arg;
+
+	if (beat->term < o->term)
+		return;
+	if (o->role == ROLE_LEADER) {
+		if (beat->term == o->term)
+			return;
+		owners_become_follower(o, "another leads in a higher term");
+	}
+	if (beat->term > o->term || strcmp(o->leader_ip, ip) != 0) {
+		o->leader_ip[0] = '\0';
+		owners_adopt_leader(o, beat->term, beat->vm, ip);
+	}
+	o->beat_heard_ms = dh_clock_ms();
+	owners_follow_store(o, beat->failing ? NULL : beat->cursors);
+	if (beat->failing)
+		o->store_bad_ms = dh_clock_ms();
+	else
+		o->sign_ms = dh_clock_ms();
+	if (o->vms != beat->vms) {
+		o->vms = beat->vms;
+		o->c.changed(o->c.arg);
+	}
+}
+
+static gint
+by_key(gconstpointer a, gconstpointer b)
+{
+	const struct dh_record_change *ca = a, *cb = b;
+
+	return (gint)ca->from - (gint)cb->from;
+}
+
+static void
+on_owners(void *arg, const struct dh_peer_part *p)
+{
+	struct dh_owners *o = arg;
+	struct incoming *in = &o->incoming;
+	struct dh_record r;
+
+	if (o->role == ROLE_LEADER)
+		return;
+	if (strcmp(in->service, p->service) != 0 || in->term != p->term ||
+	    in->version != p->version || in->parts != p->parts) {
+		(void)g_strlcpy(in->service, p->service, sizeof(in->service));
+		in->term = p->term;
+		in->version = p->version;
+		in->parts = p->parts;
+		in->got = 0;
+		g_array_set_size(in->changes, 0);
+	}
+	if ((in->got >> p->part & 1) != 0)
+		return;
+	in->got |= 1ull << p->part;
+	g_array_append_vals(in->changes, p->changes->data, p->changes->len);
+	if (__builtin_popcountll(in->got) < (int)in->parts)
+		return;
+	g_array_sort(in->changes, by_key);
+	r = dh_record_none();
+	r.term = p->term;
+	r.version = p->version;
+	dh_record_apply(&r,
+	    (const struct dh_record_change *)(void *)in->changes->data,
+	    in->changes->len);
+	(void)owners_learn(o, p->service, &r, "peer");
+}
+
+static void
+on_delta(void *arg, const struct dh_peer_delta *d)
+{
+	struct dh_owners *o = arg;
+	struct known_owners *k = g_hash_table_lookup(o->known, d->service);
+	struct dh_record r;
+
+	/* Another base: the next report will show it. */
+	if (o->role == ROLE_LEADER || k == NULL || k->record.term != d->term ||
+	    k->record.version != d->base)
+		return;
+	r = dh_record_copy(&k->record);
+	r.version = d->version;
+	dh_record_apply(&r,
+	    (const struct dh_record_change *)(void *)d->changes->data,
+	    d->changes->len);
+	(void)owners_learn(o, d->service, &r, "delta");
+}
+
+static void
+on_peer_news(void *arg, const struct dh_registry_news *n, uint64_t term)
+{
+	struct dh_owners *o = arg;
+
+	if (o->role != ROLE_LEADER && term >= o->term)
+		dh_registry_take(o->c.registry, n);
+}
+
+static void
+send_missing(
+    struct dh_owners *o, const struct dh_peer_report *r, const char *ip)
+{
+	GHashTableIter it;
+	gpointer service, duty;
+	uint32_t i;
+
+	g_hash_table_iter_init(&it, o->duties);
+	while (g_hash_table_iter_next(&it, &service, &duty)) {
+		for (i = 0; i < r->nowners; i++)
+			if (strcmp(r->owners[i].service, service) == 0)
+				break;
+		if (i < r->nowners &&
+		    dh_duty_is_newest(
+			duty, r->owners[i].term, r->owners[i].version))
+			continue;
+		if (dh_duty_record(duty) == NULL || o->whole_sends == 0)
+			continue;
+		o->whole_sends--;
+		dh_peer_send_owners(o->peer, ip, service, dh_duty_record(duty));
+	}
+}
+
+static void
+on_report(void *arg, const struct dh_peer_report *r, const char *ip)
+{
+	struct dh_owners *o = arg;
+	struct peer_state *p;
+	struct dh_duty *duty;
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	if (o->role != ROLE_LEADER)
+		return;
+	if (strcmp(ip, o->c.ip) != 0) {
+		p = owners_peer(o, ip);
+		p->heard_ms = dh_clock_ms();
+	}
+	for (i = 0; i < r->keys->len; i++) {
+		const struct dh_peer_key *k =
+		    &g_array_index(r->keys, struct dh_peer_key, i);
+
+		duty = g_hash_table_lookup(
+		    o->duties, r->owners[k->owners].service);
+		if (duty != NULL)
+			dh_duty_demand(duty, k->key);
+	}
+	g_hash_table_iter_init(&it, o->duties);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		for (i = 0; i < r->servers->len; i++)
+			dh_duty_speed(value,
+			    g_array_index(r->servers, struct dh_peer_server, i)
+				.id,
+			    g_array_index(r->servers, struct dh_peer_server, i)
+				.work_ms);
+	send_missing(o, r, ip);
+}
+
+static void
+report_keys(const struct dh_owners *o, struct dh_peer_report *r)
+{
+	struct dh_peer_key k;
+	uint32_t s;
+	guint i;
+
+	for (i = 0; i < o->keys->len; i++) {
+		const struct seen_key *seen =
+		    &g_array_index(o->keys, struct seen_key, i);
+
+		for (s = 0; s < r->nowners; s++)
+			if (strcmp(r->owners[s].service,
+				g_quark_to_string(seen->service)) == 0)
+				break;
+		if (s == r->nowners)
+			continue;
+		k = (struct dh_peer_key){ .owners = s, .key = seen->key };
+		g_array_append_val(r->keys, k);
+	}
+}
+
+static void
+report_speeds(const struct dh_owners *o, struct dh_peer_report *r)
+{
+	struct dh_peer_server s;
+	GHashTableIter it;
+	gpointer id, work;
+
+	g_hash_table_iter_init(&it, o->speeds);
+	while (g_hash_table_iter_next(&it, &id, &work)) {
+		(void)g_strlcpy(s.id, id, sizeof(s.id));
+		s.work_ms = GPOINTER_TO_UINT(work);
+		g_array_append_val(r->servers, s);
+	}
+}
+
+static void
+report_services(const struct dh_owners *o, struct dh_peer_report *r)
+{
+	const struct dh_deployment *d = dh_registry_deployment(o->c.registry);
+	const struct known_owners *k;
+	size_t i;
+
+	for (i = 0; d != NULL && i < d->nservices; i++) {
+		if (!d->services[i].keyed || r->nowners == DH_PEER_SERVICES)
+			continue;
+		k = g_hash_table_lookup(o->known, d->services[i].name);
+		(void)g_strlcpy(r->owners[r->nowners].service,
+		    d->services[i].name, sizeof(r->owners[0].service));
+		r->owners[r->nowners].term = k == NULL ? 0 : k->record.term;
+		r->owners[r->nowners++].version =
+		    k == NULL ? 0 : k->record.version;
+	}
+}
+
+void
+owners_report(struct dh_owners *o)
+{
+	g_autoptr(GArray) keys =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_key));
+	g_autoptr(GArray) servers =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_server));
+	struct dh_peer_report r = { .keys = keys, .servers = servers };
+
+	(void)g_strlcpy(r.vm, o->c.settings->vm, sizeof(r.vm));
+	report_services(o, &r);
+	report_keys(o, &r);
+	if (o->reports++ % SPEED_REPORTS == 0) {
+		report_speeds(o, &r);
+		g_hash_table_remove_all(o->speeds);
+	}
+	g_array_set_size(o->keys, 0);
+	if (o->role == ROLE_LEADER)
+		on_report(o, &r, o->c.ip);
+	else if (o->leader_ip[0] != '\0')
+		dh_peer_send_report(o->peer, o->leader_ip, &r);
+}
+
+struct dh_peer_handler
+owners_peer_handler(struct dh_owners *o)
+{
+	return (struct dh_peer_handler){ on_beat, on_owners, on_delta,
+		on_report, on_peer_news, o };
+}
