Stand-ins: a grant counts from its arrival, a reset loses what a cut held back

The logs show grants that were given up (reset) carried out when a freeze (3.3 s and more) or a cut (4 to 5 s) ended, with their full time from then. Ruled out: an order of the leader in that time, the tokens are older than those granted.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -67,6 +67,7 @@
 
 struct call {
 	GString *body;
+	int64_t arrived_ms;
 };
 
 static GMutex lock;
@@ -431,6 +432,7 @@
 	if (call == NULL) {
 		call = g_new0(struct call, 1);
 		call->body = g_string_new(NULL);
+		call->arrived_ms = dh_clock_ms();
 		*state = call;
 		return false;
 	}
@@ -522,9 +524,10 @@
 }
 
 static enum MHD_Result
-take_grant(struct MHD_Connection *c, struct backend *b, struct json_object *o)
+take_grant(struct MHD_Connection *c, struct backend *b, struct json_object *o,
+    int64_t arrived_ms)
 {
-	int64_t now_ms = dh_clock_ms(), from, to;
+	int64_t from, to, until_ms;
 	struct json_object *v;
 	uint64_t fence;
 	uint32_t k, lower = 0;
@@ -545,6 +548,13 @@
 			return reply(c, 409, "{}", NULL, NULL);
 	v = NULL;
 	(void)json_object_object_get_ex(o, "hold_s", &v);
+	/* Its time counts from its arrival, however late it is carried out. */
+	v = NULL;
+	(void)json_object_object_get_ex(o, "hold_s", &v);
+	until_ms =
+	    arrived_ms + (int64_t)(json_object_get_double(v) * 1000 * DRIFT);
+	if (until_ms <= dh_clock_ms())
+		return reply(c, 200, "{}", NULL, NULL);
 	for (other = 0; other < nbackends; other++)
 		if (other != b->index)
 			check_holder(b, &backends[other], (uint32_t)from,
@@ -553,8 +563,7 @@
 		if (fence < given[k] && lower++ == 0)
 			complain("lower token", k, fence);
 		given[k] = b->highest[k] = fence;
-		b->until_ms[k] = now_ms +
-		    (int64_t)(json_object_get_double(v) * 1000 * DRIFT);
+		b->until_ms[k] = until_ms;
 	}
 	return reply(c, 200, "{}", NULL, NULL);
 }
@@ -653,7 +662,7 @@
 	} else if (g_str_has_prefix(url, "/dogwoodhub/")) {
 		o = json_tokener_parse(((struct call *)*state)->body->str);
 		result = strcmp(url, "/dogwoodhub/grant") == 0
-		    ? take_grant(c, b, o)
+		    ? take_grant(c, b, o, ((struct call *)*state)->arrived_ms)
 		    : take_release(c, b, o);
 		json_object_put(o);
 	} else {
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -270,14 +270,29 @@
 		pass_on(r, w->to, buf->base, (size_t)n);
 }
 
+/* Whether the sender has reset the connection: what a cut held back of it is
+ * lost then, though the kernel would still hand it out. */
+static bool
+was_reset(const uv_stream_t *from)
+{
+	int fd, error = 0;
+	socklen_t len = sizeof(error);
+
+	return uv_fileno((const uv_handle_t *)from, &fd) == 0 &&
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
+	    error != 0;
+}
+
 static void
-way_apply(struct way *w, bool stop)
+way_apply(struct relay *r, struct way *w, bool stop)
 {
-	if (w->stopped == stop)
+	if (r->closing || w->stopped == stop)
 		return;
 	w->stopped = stop;
 	if (stop)
 		uv_read_stop(w->from);
+	else if (was_reset(w->from))
+		relay_close(r);
 	else
 		uv_read_start(w->from, on_alloc, on_read);
 }
@@ -296,8 +311,10 @@
 		return;
 	}
 	r->stopped = cut;
-	way_apply(&r->ways[0], cut || has_order(r->wire->cut_to, r->src, dst));
-	way_apply(&r->ways[1], cut || has_order(r->wire->cut_to, dst, r->src));
+	way_apply(
+	    r, &r->ways[0], cut || has_order(r->wire->cut_to, r->src, dst));
+	way_apply(
+	    r, &r->ways[1], cut || has_order(r->wire->cut_to, dst, r->src));
 }
 
 static void
