Mirror: what is missing is not left to a watch that waits already

Read in the diff: a VM that the leader feeds may still have a watch open from before, up to 20 s; a catch-up, or asking again without the leader, was left to it, though its connection may have gone silent. Such a watch is now given up and the store asked at once. test_mirror 'open watch' failed, passes.

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -36,6 +36,7 @@
 	int64_t wait_ms;
 	bool fed; /* another VM tells what changes */
 	bool ask; /* the store once, without waiting for a change */
+	bool waiting; /* the call under way waits for a change */
 	bool listed;
 	bool reached;
 	int64_t changed_ms; /* when reached last changed */
@@ -206,15 +207,30 @@
 
 	if (f->call != NULL)
 		return;
+	f->waiting = false;
 	if (f->as_of == 0 || f->after != NULL)
 		f->call = dh_objects_list(f->objects, f->kind,
 		    f->after == NULL ? "" : f->after, f->freshness,
 		    LIST_TIMEOUT_MS, on_list, f);
-	else if (f->ask || !f->fed)
+	else if (f->ask || !f->fed) {
 		/* The first one after a failure shows whether it answers. */
+		f->waiting = !ask;
 		f->call = dh_objects_watch(f->objects, f->kind, f->as_of,
 		    ask ? 1 : f->wait_ms, f->freshness,
 		    ask ? LIST_TIMEOUT_MS : f->wait_ms + grace_ms, on_watch, f);
+	}
+}
+
+/* Not by a watch that waits already: its connection may be dead. */
+static void
+ask_now(struct dh_mirror *f)
+{
+	if (f->call != NULL && f->waiting) {
+		dh_objects_cancel(f->call);
+		f->call = NULL;
+	}
+	f->ask = true;
+	step(f);
 }
 
 void
@@ -231,8 +247,7 @@
 			set_reached(f, true, "told by the leader");
 		return;
 	}
-	f->ask = true;
-	step(f);
+	ask_now(f);
 }
 
 /* One that another VM has told.  The revision of a deleted object may be that
@@ -266,8 +281,7 @@
 void
 dh_mirror_catch_up(struct dh_mirror *f)
 {
-	f->ask = true;
-	step(f);
+	ask_now(f);
 }
 
 void
@@ -276,12 +290,8 @@
 	bool shorter = wait_ms < f->wait_ms;
 
 	f->wait_ms = wait_ms;
-	if (!shorter || f->call == NULL || f->as_of == 0 || f->after != NULL)
-		return;
-	dh_objects_cancel(f->call);
-	f->call = NULL;
-	f->ask = true;
-	step(f);
+	if (shorter && f->call != NULL && f->waiting)
+		ask_now(f);
 }
 
 uint64_t
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -169,6 +169,31 @@
 	end(&fx);
 }
 
+/* The watch that was open before may be on a dead connection. */
+static void
+test_open_watch_is_not_relied_on(void)
+{
+	struct fixture fx;
+	uint32_t cancelled;
+
+	start(&fx);
+	dh_mirror_set_fed(fx.f, true);
+	cancelled = fake_cancelled;
+	dh_mirror_catch_up(fx.f);
+	CU_ASSERT_EQUAL(fake_cancelled, cancelled + 1);
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, 1);
+	/* What asks already goes on. */
+	dh_mirror_catch_up(fx.f);
+	dh_mirror_set_fed(fx.f, false);
+	CU_ASSERT_EQUAL(fake_cancelled, cancelled + 1);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	dh_mirror_set_fed(fx.f, true);
+	dh_mirror_set_fed(fx.f, false);
+	CU_ASSERT_EQUAL(fake_cancelled, cancelled + 2);
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, 1);
+	end(&fx);
+}
+
 static void
 test_news_with_a_gap_are_not_taken(void)
 {
@@ -260,6 +285,7 @@
 	CU_TestInfo tests[] = {
 		{ "pause", test_watch_continues_after_a_pause },
 		{ "fed", test_fed_asks_nothing },
+		{ "open watch", test_open_watch_is_not_relied_on },
 		{ "gap", test_news_with_a_gap_are_not_taken },
 		{ "overlap", test_news_that_overlap },
 		{ "lost store", test_lost_store_is_told },
