--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -382,9 +382,13 @@
 	up = link->data;
 	if (now_ms < s->idle_until_ms)
 		most_ms = MIN(most_ms, s->idle_most_ms);
+	/* The others rest for longer: another connection takes their place,
+	 * for the backend server counts them all. */
 	if (now_ms - up->idle_since_ms >= most_ms ||
-	    now_ms - up->idle_since_ms >= up->idle_max_ms)
+	    now_ms - up->idle_since_ms >= up->idle_max_ms) {
+		dh_pool_close_idle(pool);
 		return NULL;
+	}
 	up->rested_ms = MAX(now_ms - up->idle_since_ms, 1);
 	g_queue_unlink(&pool->idle, link);
 	up->rq = rq;
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -202,6 +202,8 @@
 	int fd;
 };
 
+static gint connections; /* open at the backend servers */
+
 static gpointer
 serve(gpointer arg)
 {
@@ -209,8 +211,10 @@
 	char *buf = g_malloc(1 << 20);
 	int64_t rests_us = 0;
 
+	(void)g_atomic_int_add(&connections, 1);
 	while (serve_one(c->f, c->fd, buf, 1 << 20, &rests_us))
 		;
+	(void)g_atomic_int_add(&connections, -1);
 	g_free(buf);
 	g_free(c);
 	return NULL;
@@ -545,6 +549,13 @@
 		CU_ASSERT_EQUAL(ask(fd, "/ok/", "", buf), 200);
 	}
 	CU_ASSERT_EQUAL(retries(), before + 1);
+	/* Those that are not used again are closed. */
+	for (i = 0; i < 3; i++) {
+		(void)usleep(300000);
+		CU_ASSERT_EQUAL(ask(fd, "/ok/once/", "", buf), 200);
+	}
+	(void)usleep(50000);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&connections), 1);
 	forget_ms = 0;
 	(void)close(fd);
 	stop();
