Keyspace: an order under way to the life before is waited for

Read in the diff: when an owner started anew, the order under way to it was forgotten. A renewal among them may reach the new life after that has released the keys, which were then granted elsewhere at once. Now its answer is waited for: a grant counts as one without an answer, a release as not carried out. test_keyspace 'order to the life before' failed, passes; mutation VOID.

The schedules' model gave no answer at all to an order whose server fell silent or started anew between sending and arrival; real orders always end.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -320,12 +320,12 @@
 	for (i = 0; i < ks->nranges; i++) {
 		r = &ks->ranges[i];
 		if (r->state == RANGE_RELEASING && r->former == s) {
-			r->ticket = 0;
+			r->ticket_void = r->ticket != 0;
 			r->due_ms = 0;
 		}
 		if (r->owner != s || r->state == RANGE_RELEASING)
 			continue;
-		r->ticket = 0;
+		r->ticket_void = r->ticket != 0;
 		r->due_ms = 0;
 		/* A former leader may take the new life for the old one. */
 		r->foreign_ms = ks->foreign_ms;
@@ -607,6 +607,7 @@
 		copy_name(
 		    order->handover, sizeof(order->handover), r->handover);
 	r->ticket = order->ticket;
+	r->ticket_void = false;
 	r->ticket_kind = kind;
 	r->order_sent_ms = now_ms;
 	if (kind == DH_KEY_GRANT)
@@ -738,7 +739,19 @@
 	copy_name(r->handover, sizeof(r->handover), handover);
 }
 
-/* Ranges are only cut while there is an order for one: it has moved up. */
+/* Which life has obeyed is not known: a grant counts as one without an answer,
+ * a release as not carried out. */
+static void
+void_answered(struct dh_keyspace *ks, struct range *r, int64_t now_ms)
+{
+	r->ticket_void = false;
+	if (r->ticket_kind != DH_KEY_GRANT)
+		return;
+	r->sent_ms = now_ms;
+	r->doubt_ms = now_ms + longest_hold_ms(ks);
+}
+
+/* Cuts of ranges before it have moved it up since. */
 static struct range *
 range_of_ticket(struct dh_keyspace *ks, uint64_t ticket)
 {
@@ -768,6 +781,11 @@
 	if (r == NULL)
 		return true;
 	r->ticket = 0;
+	if (r->ticket_void) {
+		void_answered(ks, r, now_ms);
+		return r->ticket_kind != DH_KEY_GRANT ||
+		    answer != DH_KEY_REFUSED;
+	}
 	if (r->ticket_kind == DH_KEY_GRANT)
 		return grant_answered(ks, r, answer, now_ms);
 	release_answered(ks, r, answer, handover, now_ms);
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -46,6 +46,7 @@
 	uint64_t pending_first; /* first one that may have been stored */
 	uint64_t ticket; /* order in flight, 0 for none */
 	enum dh_key_order_kind ticket_kind;
+	bool ticket_void; /* it was for a life that is over */
 	int64_t sent_ms; /* when a grant may have arrived at the latest */
 	/* Until when a grant without an answer may be obeyed after others. */
 	int64_t doubt_ms;
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -270,6 +270,53 @@
 	dh_keyspace_free(ks);
 }
 
+/* A renewal that is under way when the owner starts anew may reach the new life
+ * after it has released the keys: they go on only when that is over. */
+static void
+test_order_under_way_to_the_life_before(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	struct dh_key_order o;
+	uint64_t under_way = 0;
+	int64_t t, given_up_ms = 0, granted_ms = 0;
+
+	for (t = 200; t < 2L * SOLO_MS; t += 100)
+		(void)answer_all(ks, DH_KEY_ACCEPTED, t);
+	list[0].leaving = true;
+	dh_keyspace_set_servers(ks, list, 2, t);
+	dh_keyspace_plan(ks, t);
+	t += RENEW_MS;
+	while (dh_keyspace_next(ks, t, &o)) {
+		if (strcmp(o.server, "a") == 0 && o.from == 0)
+			under_way = o.ticket;
+		else
+			dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, NULL, t);
+	}
+	CU_ASSERT_TRUE(under_way != 0);
+	list[0].born_ms = 2;
+	dh_keyspace_set_servers(ks, list, 2, t);
+	for (; t < 2L * SOLO_MS + 6000; t += 10) {
+		store(ks, t);
+		if (given_up_ms == 0 && t >= 2L * SOLO_MS + RENEW_MS + 400) {
+			given_up_ms = t;
+			CU_ASSERT_TRUE(dh_keyspace_answer(
+			    ks, under_way, DH_KEY_SILENT, NULL, t));
+		}
+		while (dh_keyspace_next(ks, t, &o)) {
+			if (strcmp(o.server, "b") == 0 && o.from == 0 &&
+			    granted_ms == 0)
+				granted_ms = t;
+			dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, NULL, t);
+		}
+	}
+	CU_ASSERT_TRUE(granted_ms >=
+	    given_up_ms + HOLD_MS + HOLD_MS * DRIFT_PERMILLE / 1000);
+	dh_keyspace_free(ks);
+}
+
 static void
 test_new_life_releases_what_is_about_to_move(void)
 {
@@ -598,6 +645,8 @@
 		    test_longer_leases_of_the_former_leader },
 		{ "new life under a move",
 		    test_new_life_releases_what_is_about_to_move },
+		{ "order to the life before",
+		    test_order_under_way_to_the_life_before },
 		{ "late arrival", test_lease_counts_from_the_latest_arrival },
 		{ "silent owner",
 		    test_silent_owner_keeps_its_keys_until_the_lease_has_run_out },
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -194,12 +194,11 @@
 	if (late)
 		e.at_ms += between(w, 100, 6000);
 	post(w, e);
-	if (e.mute || s == NULL || s->dark) {
-		e.kind = EVENT_ANSWER;
-		e.answer = DH_KEY_SILENT;
-		e.at_ms = w->now_ms + 400;
-		post(w, e);
-	}
+	/* Given up then, unless it was answered. */
+	e.kind = EVENT_ANSWER;
+	e.answer = DH_KEY_SILENT;
+	e.at_ms = w->now_ms + 400;
+	post(w, e);
 }
 
 static void
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -63,6 +63,8 @@
     's/r->pending == PENDING_MOVE \&\& r->pending_first != 0/0/'
 # A new life is granted keys by a term that was confirmed before it.
 mutate NEW_LIFE 's/ks->stored <= s->known_serial/0/'
+# An order to the life before is forgotten when the owner starts anew.
+mutate VOID 's/r->ticket_void = r->ticket != 0;/r->ticket = 0;/'
 # A release without an answer counts as one.
 mutate RELEASE 's/answer != DH_KEY_ACCEPTED/0/'
 
