--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -111,6 +111,61 @@
 	dh_keyspace_free(ks);
 }
 
+/* Nor is anything asked of a former owner. */
+static void
+test_nothing_is_released_before_the_record_is_stored(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_key_range record = { .to = DH_KEYS - 1,
+		.owner = "b",
+		.owner_born_ms = 1,
+		.fence = 4,
+		.former = "a",
+		.former_born_ms = 1,
+		.former_fence = 3 };
+	struct dh_keyspace *ks = dh_keyspace_new(&params);
+	struct dh_key_order o;
+
+	dh_keyspace_take_over(ks, &record, 1, 5, 0, 0);
+	dh_keyspace_set_servers(ks, list, 2, 1);
+	CU_ASSERT_FALSE(dh_keyspace_next(ks, 2, &o));
+	store(ks, 3);
+	CU_ASSERT_TRUE(dh_keyspace_next(ks, 4, &o));
+	CU_ASSERT_EQUAL(o.kind, DH_KEY_RELEASE);
+	dh_keyspace_free(ks);
+}
+
+/* Until the owner has taken a token of this leader's, a former one may renew
+ * what has been released: nothing is moved before that is over. */
+static void
+test_range_that_a_former_leader_may_renew_stays(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_key_range record = { .to = DH_KEYS - 1,
+		.owner = "a",
+		.owner_born_ms = 1,
+		.fence = 3,
+		.settled = true };
+	struct dh_keyspace *ks = dh_keyspace_new(&params);
+	struct dh_key_order o;
+	int64_t t;
+
+	dh_keyspace_take_over(ks, &record, 1, 4, 0, 0);
+	list[0].leaving = true;
+	for (t = 10; t < SOLO_MS; t += 20) {
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o)) {
+			CU_ASSERT_NOT_EQUAL(o.kind, DH_KEY_RELEASE);
+			CU_ASSERT_STRING_EQUAL(o.server, "a");
+			dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_UNSENT, NULL, t);
+		}
+	}
+	dh_keyspace_free(ks);
+}
+
 /* An order may wait for a connection or for this VM's processor, and its time
  * counts from its arrival: at the latest when it was answered or given up. */
 static void
@@ -324,9 +379,50 @@
 	check_reborn_under_a_move(true);
 }
 
+/* The renewal is answered late, and the release that follows never. */
+static void
+check_late_arrival_before_a_release(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	struct dh_key_order o;
+	uint64_t late = 0;
+	int64_t t = 700, granted_ms = 0;
+
+	while (dh_keyspace_next(ks, t, &o)) {
+		if (strcmp(o.server, "a") == 0 && o.from == 0)
+			late = o.ticket;
+		else
+			dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, NULL, t);
+	}
+	CU_ASSERT_TRUE(late != 0);
+	t += 350;
+	dh_keyspace_answer(ks, late, DH_KEY_ACCEPTED, NULL, t);
+	list[0].leaving = true;
+	for (; t < 6000; t += 10) {
+		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next(ks, t, &o)) {
+			if (strcmp(o.server, "b") == 0 && o.from == 0 &&
+			    granted_ms == 0)
+				granted_ms = t;
+			dh_keyspace_answer(ks, o.ticket,
+			    strcmp(o.server, "a") == 0 ? DH_KEY_UNSENT
+						       : DH_KEY_ACCEPTED,
+			    NULL, t);
+		}
+	}
+	CU_ASSERT_TRUE(granted_ms >=
+	    700 + 350 + HOLD_MS + HOLD_MS * DRIFT_PERMILLE / 1000);
+	dh_keyspace_free(ks);
+}
+
 static void
 test_lease_counts_from_the_latest_arrival(void)
 {
+	check_late_arrival_before_a_release();
 	check_late_arrival(DH_KEY_ACCEPTED);
 	check_late_arrival(DH_KEY_SILENT);
 }
@@ -640,6 +736,10 @@
 		{ "first owners", test_first_owners_share_all_keys },
 		{ "record first",
 		    test_nothing_is_ordered_before_the_record_is_stored },
+		{ "record first, release",
+		    test_nothing_is_released_before_the_record_is_stored },
+		{ "former leader's range",
+		    test_range_that_a_former_leader_may_renew_stays },
 		{ "renewed new life", test_new_life_may_hold_what_was_renewed },
 		{ "longer leases before",
 		    test_longer_leases_of_the_former_leader },
