--- a/config/settings_table.c
+++ b/config/settings_table.c
@@ -56,11 +56,13 @@
 }
 
 void
-dh_settings_table_defaults(void *s, const struct dh_setting *table, size_t n)
+dh_settings_table_defaults(void *s, const struct dh_settings_schema *schema)
 {
+	const struct dh_setting *table = schema->table;
 	size_t i;
 
-	for (i = 0; i < n; i++)
+	memset(s, 0, schema->size);
+	for (i = 0; i < schema->n; i++)
 		if (table[i].field.fallback != NULL)
 			assign(s, &table[i], table[i].field.fallback);
 }
@@ -130,28 +132,29 @@
 	return true;
 }
 
-struct dh_json_doc *
-dh_settings_table_read(void *s, const struct dh_setting *table, size_t n,
+bool
+dh_settings_table_parse(void *s, const struct dh_settings_schema *schema,
     const char *text, size_t len, GError **error)
 {
-	struct dh_json_doc *doc = dh_json_doc_parse(text, len, error);
+	struct dh_json_doc *doc;
 	bool ok;
 
+	dh_settings_table_defaults(s, schema);
+	doc = dh_json_doc_parse(text, len, error);
 	if (doc == NULL)
-		return NULL;
+		return false;
 	if (!json_object_is_type(doc->root, json_type_object))
 		ok = dh_settings_fail(error, doc, "", "is not an object");
 	else
-		ok = read_fields(s, table, n, doc, error) &&
-		    check_required(table, n, doc, error);
-	if (ok)
-		return doc;
+		ok = read_fields(s, schema->table, schema->n, doc, error) &&
+		    check_required(schema->table, schema->n, doc, error) &&
+		    schema->check(s, doc, error);
 	dh_json_doc_free(doc);
-	return NULL;
+	return ok;
 }
 
-char *
-dh_settings_read_file(const char *path, size_t *len, GError **error)
+static char *
+read_file(const char *path, size_t *len, GError **error)
 {
 	g_autoptr(GError) io = NULL;
 	char *text;
@@ -168,3 +171,19 @@
 	}
 	return text;
 }
+
+bool
+dh_settings_table_load(void *s, const struct dh_settings_schema *schema,
+    const char *path, GError **error)
+{
+	g_autofree char *text = NULL;
+	size_t len;
+
+	text = read_file(path, &len, error);
+	if (text == NULL)
+		return false;
+	if (dh_settings_table_parse(s, schema, text, len, error))
+		return true;
+	g_prefix_error(error, "%s: ", path);
+	return false;
+}
--- a/config/settings_table.h
+++ b/config/settings_table.h
@@ -19,25 +19,32 @@
 	size_t size;
 };
 
-/* dh_settings_table_defaults -- set every member that has a default. */
+/* A struct of settings. */
+struct dh_settings_schema {
+	const struct dh_setting *table;
+	size_t n;
+	size_t size; /* of the struct */
+	/* Conditions over more than one field of it. */
+	bool (*check)(const void *s, struct dh_json_doc *doc, GError **error);
+};
+
+/* dh_settings_table_defaults -- set every member that has a default, and all
+ * others to zero. */
 void dh_settings_table_defaults(
-    void *s, const struct dh_setting *table, size_t n);
+    void *s, const struct dh_settings_schema *schema);
 
-/*
- * dh_settings_table_read -- read text, which stays the caller's, into s.
- * Returns the document, the caller's to free, for conditions over several
- * fields; NULL with DH_ERROR_INVALID, the message naming field and line.
- */
-struct dh_json_doc *dh_settings_table_read(void *s,
-    const struct dh_setting *table, size_t n, const char *text, size_t len,
-    GError **error);
+/* dh_settings_table_parse -- read and check text, which stays the caller's.
+ * False with DH_ERROR_INVALID, the message naming field and line. */
+bool dh_settings_table_parse(void *s, const struct dh_settings_schema *schema,
+    const char *text, size_t len, GError **error);
+
+/* dh_settings_table_load -- the same with a file, which the message names;
+ * DH_ERROR_IO besides. */
+bool dh_settings_table_load(void *s, const struct dh_settings_schema *schema,
+    const char *path, GError **error);
 
 /* dh_settings_fail -- set error to what is wrong with a field; false. */
 bool dh_settings_fail(
     GError **error, struct dh_json_doc *doc, const char *name, const char *why);
 
-/* dh_settings_read_file -- the text of a settings file, the caller's to free;
- * NULL with DH_ERROR_IO, or DH_ERROR_INVALID if it is too long. */
-char *dh_settings_read_file(const char *path, size_t *len, GError **error);
-
 #endif
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -369,12 +369,11 @@
 }
 
 void
-dh_keyspace_set_servers(struct dh_keyspace *ks,
-    const struct dh_keyspace_server *list, size_t n, int64_t now_ms)
+dh_keyspace_set_servers(
+    struct dh_keyspace *ks, const struct dh_keyspace_server *list, size_t n)
 {
 	size_t i;
 
-	(void)now_ms;
 	for (i = 0; i < ks->nservers; i++) {
 		ks->servers[i].present = false;
 		ks->servers[i].leaving = true;
@@ -577,11 +576,10 @@
 }
 
 void
-dh_keyspace_stored(struct dh_keyspace *ks, uint64_t serial, int64_t now_ms)
+dh_keyspace_stored(struct dh_keyspace *ks, uint64_t serial)
 {
 	size_t i;
 
-	(void)now_ms;
 	if (serial > ks->stored)
 		ks->stored = serial;
 	for (i = 0; i < ks->nranges; i++)
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -270,7 +270,7 @@
 	d->in_doubt = false;
 	d->pause_ms = STORE_PAUSE_MIN_MS;
 	d->c.confirmed(d->c.arg, d->wrote_ms);
-	dh_keyspace_stored(d->ks, serial, dh_clock_ms());
+	dh_keyspace_stored(d->ks, serial);
 	pump(d);
 }
 
@@ -423,15 +423,14 @@
 }
 
 static void
-set_servers(struct dh_duty *d, int64_t now_ms)
+set_servers(struct dh_duty *d)
 {
 	g_autoptr(GArray) list =
 	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
 
 	dh_registry_servers(d->c.registry, d->service, list);
 	dh_keyspace_set_servers(d->ks,
-	    (const struct dh_keyspace_server *)(void *)list->data, list->len,
-	    now_ms);
+	    (const struct dh_keyspace_server *)(void *)list->data, list->len);
 }
 
 static void load(struct dh_duty *d);
@@ -543,7 +542,7 @@
 	}
 	if (now_ms - d->planned_ms >= PLAN_MS) {
 		d->planned_ms = now_ms;
-		set_servers(d, now_ms);
+		set_servers(d);
 		dh_keyspace_plan(d->ks, now_ms);
 	}
 	pump(d);
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/jsonfield.h"
 #include "base/opslog.h"
 
 /* The leader asks the store whether it still leads. */
@@ -30,29 +31,35 @@
 #define WEAK_PATIENCE_MS 400
 
 static void
-on_published(void *arg, const char *service, const struct dh_record *before,
-    const struct dh_record *now)
+send_changes(struct dh_owners *o, const char *service,
+    const struct dh_record *before, const struct dh_record *now)
 {
-	struct dh_owners *o = arg;
-	g_autoptr(GArray) changes = dh_peer_changes(before, now);
+	g_autoptr(GArray) changes = dh_record_changes(before, now);
 	struct dh_peer_delta d = { .term = now->term,
 		.base = before->version,
-		.version = now->version };
-	struct dh_record copy = dh_record_copy(now);
+		.version = now->version,
+		.changes = changes };
 	GHashTableIter it;
 	gpointer ip;
 
-	(void)owners_learn(o, service, &copy, "leader");
-	/* The first of a term is asked for by those that report. */
-	if (before->ranges == NULL)
-		return;
 	(void)g_strlcpy(d.service, service, sizeof(d.service));
-	d.changes = changes;
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, NULL))
 		dh_peer_send_delta(o->peer, ip, &d);
 }
 
+static void
+on_published(void *arg, const char *service, const struct dh_record *before,
+    const struct dh_record *now)
+{
+	struct dh_record copy = dh_record_copy(now);
+
+	(void)owners_learn(arg, service, &copy, "leader");
+	/* The first of a term is asked for by those that report. */
+	if (before->ranges != NULL)
+		send_changes(arg, service, before, now);
+}
+
 static void
 on_confirmed(void *arg, int64_t began_ms)
 {
@@ -86,12 +93,12 @@
 void
 owners_become_follower(struct dh_owners *o, const char *why)
 {
-	if (o->role == ROLE_LEADER)
+	if (o->role == ROLE_LEADER) {
 		dh_ops(DH_OPS_STATE, "leader.lost",
 		    ",\"term\":%llu,\"why\":\"%s\"",
 		    (unsigned long long)o->term, why);
-	if (o->role == ROLE_LEADER)
 		dh_registry_feed(o->c.registry, NULL, NULL);
+	}
 	o->role = ROLE_FOLLOWER;
 	o->solo = false;
 	o->leader_ip[0] = '\0';
@@ -307,8 +314,8 @@
 		return;
 	}
 	/* One's own write of an earlier try may stand there. */
-	if (owners_member_number(r->items[0].spec, "term") > o->term)
-		o->term = owners_member_number(r->items[0].spec, "term");
+	term = (uint64_t)dh_json_int(r->items[0].spec, "term");
+	o->term = MAX(o->term, term);
 	take(o);
 }
 
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -139,6 +139,7 @@
 on_report(void *arg, const struct dh_peer_report *r, const char *ip)
 {
 	struct dh_owners *o = arg;
+	const struct dh_peer_server *s;
 	struct peer_state *p;
 	struct dh_duty *duty;
 	GHashTableIter it;
@@ -162,12 +163,11 @@
 	}
 	g_hash_table_iter_init(&it, o->duties);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		for (i = 0; i < r->servers->len; i++)
-			dh_duty_speed(value,
-			    g_array_index(r->servers, struct dh_peer_server, i)
-				.id,
-			    g_array_index(r->servers, struct dh_peer_server, i)
-				.work_ms);
+		for (i = 0; i < r->servers->len; i++) {
+			s = &g_array_index(
+			    r->servers, struct dh_peer_server, i);
+			dh_duty_speed(value, s->id, s->work_ms);
+		}
 	send_missing(o, r, ip);
 }
 
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/jsonfield.h"
 #include "base/opslog.h"
 #include "base/timer.h"
 
@@ -102,21 +103,10 @@
 	return json_object_get_string(v);
 }
 
-uint64_t
-owners_member_number(struct json_object *spec, const char *name)
-{
-	struct json_object *v;
-
-	if (!json_object_is_type(spec, json_type_object) ||
-	    !json_object_object_get_ex(spec, name, &v))
-		return 0;
-	return (uint64_t)json_object_get_int64(v);
-}
-
 void
 owners_see_leader(struct dh_owners *o, const struct dh_object_view *v)
 {
-	uint64_t term = owners_member_number(v->spec, "term");
+	uint64_t term = (uint64_t)dh_json_int(v->spec, "term");
 	const char *vm = member_text(v->spec, "vm");
 	const char *incarnation = member_text(v->spec, "incarnation");
 
@@ -149,7 +139,7 @@
 
 	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0')
 		owners_peer(o, ip)->core_share_milli =
-		    (int64_t)owners_member_number(v->spec, "core_share_milli");
+		    dh_json_int(v->spec, "core_share_milli");
 	dh_ops(DH_OPS_STATE, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
 	    v->name + strlen(VM_PREFIX), ip);
 }
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -105,7 +105,6 @@
 /* The leader's object, from a list, a watch or a read. */
 void owners_see_leader(struct dh_owners *o, const struct dh_object_view *v);
 struct peer_state *owners_peer(struct dh_owners *o, const char *ip);
-uint64_t owners_member_number(struct json_object *spec, const char *name);
 
 /* election.c */
 void owners_become_follower(struct dh_owners *o, const char *why);
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -469,34 +469,12 @@
 	}
 }
 
-static void
-collect_change(
-    void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
-{
-	struct dh_record_change c = {
-		.from = from, .to = to, .settled = k->settled
-	};
-
-	(void)g_strlcpy(c.owner, k->owner, sizeof(c.owner));
-	g_array_append_val((GArray *)arg, c);
-}
-
-GArray *
-dh_peer_changes(const struct dh_record *before, const struct dh_record *now)
-{
-	GArray *changes =
-	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
-
-	dh_record_changes(before, now, collect_change, changes);
-	return changes;
-}
-
 void
 dh_peer_send_owners(struct dh_peer *p, const char *ip, const char *service,
     const struct dh_record *record)
 {
 	struct dh_record none = dh_record_none();
-	g_autoptr(GArray) changes = dh_peer_changes(&none, record);
+	g_autoptr(GArray) changes = dh_record_changes(&none, record);
 	const struct dh_record_change *all =
 	    (const struct dh_record_change *)(void *)changes->data;
 	uint32_t part, parts = (changes->len + PART_CHANGES) / PART_CHANGES;
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -93,11 +93,6 @@
     const struct dh_peer_handler *h, GError **error);
 void dh_peer_free(struct dh_peer *p);
 
-/* dh_peer_changes -- what differs in now, an array of struct dh_record_change;
- * the caller's. */
-GArray *dh_peer_changes(
-    const struct dh_record *before, const struct dh_record *now);
-
 /* Send to the same port of another VM; a datagram may be lost. */
 void dh_peer_send_beat(
     struct dh_peer *p, const char *ip, const struct dh_beat *beat);
--- a/gateway/record.c
+++ b/gateway/record.c
@@ -260,26 +260,30 @@
 	r->ranges = (struct dh_key_range *)(void *)g_array_free(list, FALSE);
 }
 
-void
-dh_record_changes(const struct dh_record *a, const struct dh_record *b,
-    void (*each)(
-	void *arg, uint32_t from, uint32_t to, const struct dh_key_range *in_b),
-    void *arg)
+GArray *
+dh_record_changes(const struct dh_record *a, const struct dh_record *b)
 {
+	GArray *changes =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
 	const struct dh_key_range *ra, *rb;
+	struct dh_record_change c;
 	size_t i = 0, j = 0;
-	uint32_t from = 0, to;
 
+	c.from = 0;
 	while (i < a->nranges && j < b->nranges) {
 		ra = &a->ranges[i];
 		rb = &b->ranges[j];
-		to = MIN(ra->to, rb->to);
-		if (!alike(ra, rb))
-			each(arg, from, to, rb);
-		from = to + 1;
-		i += ra->to == to;
-		j += rb->to == to;
+		c.to = MIN(ra->to, rb->to);
+		if (!alike(ra, rb)) {
+			c.settled = rb->settled;
+			(void)g_strlcpy(c.owner, rb->owner, sizeof(c.owner));
+			g_array_append_val(changes, c);
+		}
+		i += ra->to == c.to;
+		j += rb->to == c.to;
+		c.from = c.to + 1;
 	}
+	return changes;
 }
 
 bool
--- a/gateway/record.h
+++ b/gateway/record.h
@@ -51,12 +51,9 @@
  * it. */
 struct dh_record dh_record_none(void);
 
-/* dh_record_changes -- call for each stretch of keys whose owner or state
- * differs in b from a; both cover all keys. */
-void dh_record_changes(const struct dh_record *a, const struct dh_record *b,
-    void (*each)(
-	void *arg, uint32_t from, uint32_t to, const struct dh_key_range *in_b),
-    void *arg);
+/* dh_record_changes -- what makes b of a, which both cover all keys, for
+ * dh_record_apply(): an array of struct dh_record_change, the caller's. */
+GArray *dh_record_changes(const struct dh_record *a, const struct dh_record *b);
 
 /* dh_record_copy -- a deep copy; dh_record_clear() frees it. */
 struct dh_record dh_record_copy(const struct dh_record *r);
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -57,9 +57,10 @@
 
 /* Conditions over more than one field. */
 static bool
-check_together(const struct dh_gateway_settings *s, struct dh_json_doc *doc,
-    GError **error)
+check_together(const void *settings, struct dh_json_doc *doc, GError **error)
 {
+	const struct dh_gateway_settings *s = settings;
+
 	if (s->hold_ms > s->hold_max_ms)
 		return dh_settings_fail(
 		    error, doc, "hold_ms", "must be at most hold_max_s");
@@ -73,38 +74,21 @@
 	return true;
 }
 
+static const struct dh_settings_schema schema = { table, G_N_ELEMENTS(table),
+	sizeof(struct dh_gateway_settings), check_together };
+
 bool
 dh_gateway_settings_parse(
     struct dh_gateway_settings *s, const char *text, size_t len, GError **error)
 {
-	struct dh_json_doc *doc;
-	bool ok;
-
-	*s = (struct dh_gateway_settings){ 0 };
-	dh_settings_table_defaults(s, table, G_N_ELEMENTS(table));
-	doc = dh_settings_table_read(
-	    s, table, G_N_ELEMENTS(table), text, len, error);
-	if (doc == NULL)
-		return false;
-	ok = check_together(s, doc, error);
-	dh_json_doc_free(doc);
-	return ok;
+	return dh_settings_table_parse(s, &schema, text, len, error);
 }
 
 bool
 dh_gateway_settings_load(
     struct dh_gateway_settings *s, const char *path, GError **error)
 {
-	g_autofree char *text = NULL;
-	size_t len;
-
-	text = dh_settings_read_file(path, &len, error);
-	if (text == NULL)
-		return false;
-	if (dh_gateway_settings_parse(s, text, len, error))
-		return true;
-	g_prefix_error(error, "%s: ", path);
-	return false;
+	return dh_settings_table_load(s, &schema, path, error);
 }
 
 char *
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -95,8 +95,8 @@
 
 /* dh_keyspace_set_servers -- all that are known now; one that is left out is
  * leaving, and may still hold its keys. */
-void dh_keyspace_set_servers(struct dh_keyspace *ks,
-    const struct dh_keyspace_server *list, size_t n, int64_t now_ms);
+void dh_keyspace_set_servers(
+    struct dh_keyspace *ks, const struct dh_keyspace_server *list, size_t n);
 
 /* dh_keyspace_demand -- a request for key was seen by some router. */
 void dh_keyspace_demand(struct dh_keyspace *ks, uint32_t key);
@@ -117,8 +117,7 @@
  */
 uint64_t dh_keyspace_export(struct dh_keyspace *ks, int64_t now_ms,
     const struct dh_key_range **ranges, size_t *n, uint64_t *next_fence);
-void dh_keyspace_stored(
-    struct dh_keyspace *ks, uint64_t serial, int64_t now_ms);
+void dh_keyspace_stored(struct dh_keyspace *ks, uint64_t serial);
 
 /* dh_keyspace_not_stored -- the record of this serial was not stored and never
  * will be.  What is not told of one of the two may have been stored. */
--- a/tests/failure/gateway_leader_killed.sh
+++ b/tests/failure/gateway_leader_killed.sh
@@ -3,11 +3,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/gateway_lib.sh"
 
-start_platform 4
-for g in $gateways; do
-	start_gateway "$g"
-done
-wait_served 15 || { echo "not served at the start"; exit 1; }
+start_all 4
 old=$(leader)
 others=$(echo "$gateways" | sed "s/$old//")
 load load 240 "$others" &
--- a/tests/failure/gateway_lib.sh
+++ b/tests/failure/gateway_lib.sh
@@ -71,6 +71,15 @@
 	return 1
 }
 
+# start_all BACKENDS [PORT]: the platform and all gateways, serving.
+start_all() {
+	start_platform "$@"
+	for g in $gateways; do
+		start_gateway "$g"
+	done
+	wait_served 15 || fail "not served at the start"
+}
+
 # load NAME N GATEWAYS: N requests, one in four of them unrepeatable; their
 # statuses, a line each, go to $dir/NAME.
 load() {
--- a/tests/failure/gateway_soak.sh
+++ b/tests/failure/gateway_soak.sh
@@ -23,11 +23,7 @@
 echo "seed $seed, $fault_s s of faults"
 mkdir "$dir/excuses"
 start_soak_wire
-start_platform $BACKENDS $((base + 430))
-for n in $gateways; do
-	start_gateway "$n"
-done
-wait_served 15 || fail "not served at the start"
+start_all $BACKENDS $((base + 430))
 
 # shellcheck disable=SC2046
 "$build/standin/caller" $((fault_s * 1000 + 1000)) "$seed" "$store_port" \
--- a/tests/failure/gateway_soak_lib.sh
+++ b/tests/failure/gateway_soak_lib.sh
@@ -46,10 +46,7 @@
 		n=$((n + 1))
 	done
 	# shellcheck disable=SC2086
-	"$build/standin/wire" "$wire" $maps 2>"$dir/wire.err" &
-	pids="$pids $!"
-	wait_for 10 wire curl -sf -o /dev/null -d '{"cut": []}' \
-	    "http://127.0.0.1:$wire/"
+	run_wire $maps
 }
 
 gateway_address() {
--- a/tests/failure/lib.sh
+++ b/tests/failure/lib.sh
@@ -206,6 +206,14 @@
 	esac
 }
 
+# run_wire MAP...
+run_wire() {
+	"$build/standin/wire" "$wire" "$@" 2>"$dir/wire.err" &
+	pids="$pids $!"
+	wait_for 10 wire curl -sf -o /dev/null -d '{"cut": []}' \
+	    "http://127.0.0.1:$wire/"
+}
+
 # start_wire VMS: put a cuttable wire between the VMs, and between each VM and
 # the store, and where wire_maps says.  Before start_cluster.
 wire=
@@ -219,10 +227,7 @@
 		i=$((i + 1))
 	done
 	# shellcheck disable=SC2086
-	"$build/standin/wire" "$wire" $maps 2>"$dir/wire.err" &
-	pids="$pids $!"
-	wait_for 10 wire curl -sf -o /dev/null -d '{"cut": []}' \
-	    "http://127.0.0.1:$wire/"
+	run_wire $maps
 }
 
 wire_order() {
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -703,21 +703,29 @@
 	done(f);
 }
 
-/* Both of the pair are paused until a third VM leads, and come back: they say
- * that their term is over, which need not be waited out then. */
+/* Running, with backend servers that check no fences. */
 static void
-test_pair_paused(void)
+start_unchecked(struct fake *f, const struct dh_group_params *p)
 {
-	struct dh_group_params p = dh_group_params_defaults();
-	struct fake *f = &fake;
 	uint32_t i;
 
-	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
+	fake_init(f, 1, p, VMS, BACKENDS, SLOTS);
 	for (i = 0; i < BACKENDS; i++)
 		f->backends[i].conf.checks_fence = false;
 	for (i = 0; i < VMS; i++)
 		fake_backends_set(f, i);
 	fake_run(f, f->now_ms + WARM_UP_MS);
+}
+
+/* Both of the pair are paused until a third VM leads, and come back: they say
+ * that their term is over, which need not be waited out then. */
+static void
+test_pair_paused(void)
+{
+	struct dh_group_params p = dh_group_params_defaults();
+	struct fake *f = &fake;
+
+	start_unchecked(f, &p);
 	f->vms[leader_of(f)].paused_ms = f->now_ms + 6000;
 	f->vms[deputy_of(f)].paused_ms = f->now_ms + 6000;
 	fake_run(f, f->now_ms + 5999);
@@ -736,14 +744,9 @@
 {
 	struct dh_group_params p = dh_group_params_defaults();
 	struct fake *f = &fake;
-	uint32_t i, first;
+	uint32_t first;
 
-	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
-	for (i = 0; i < BACKENDS; i++)
-		f->backends[i].conf.checks_fence = false;
-	for (i = 0; i < VMS; i++)
-		fake_backends_set(f, i);
-	fake_run(f, f->now_ms + WARM_UP_MS);
+	start_unchecked(f, &p);
 	first = leader_of(f);
 	f->vms[first].paused_ms = f->now_ms + 9000;
 	fake_run(f, f->now_ms + 2000);
@@ -765,14 +768,9 @@
 {
 	struct dh_group_params p = dh_group_params_defaults();
 	struct fake *f = &fake;
-	uint32_t i, first, replaced;
+	uint32_t first, replaced;
 
-	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
-	for (i = 0; i < BACKENDS; i++)
-		f->backends[i].conf.checks_fence = false;
-	for (i = 0; i < VMS; i++)
-		fake_backends_set(f, i);
-	fake_run(f, f->now_ms + WARM_UP_MS);
+	start_unchecked(f, &p);
 	first = leader_of(f);
 	f->vms[first].paused_ms = f->now_ms + 9000;
 	fake_run(f, f->now_ms + 1500);
@@ -814,12 +812,7 @@
 	p.store_outage_limit_ms = 8000;
 	p.confirm_ms = 1000;
 	p.request_deadline_ms = 300;
-	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
-	for (i = 0; i < BACKENDS; i++)
-		f->backends[i].conf.checks_fence = false;
-	for (i = 0; i < VMS; i++)
-		fake_backends_set(f, i);
-	fake_run(f, f->now_ms + WARM_UP_MS);
+	start_unchecked(f, &p);
 	leader = leader_of(f);
 	deputy = deputy_of(f);
 	owner = owner_of(f, 0);
@@ -942,12 +935,7 @@
 	uint32_t slot, b;
 	int64_t start;
 
-	fake_init(f, 1, &p, VMS, BACKENDS, SLOTS);
-	for (b = 0; b < BACKENDS; b++)
-		f->backends[b].conf.checks_fence = false;
-	for (b = 0; b < VMS; b++)
-		fake_backends_set(f, b);
-	fake_run(f, f->now_ms + WARM_UP_MS);
+	start_unchecked(f, &p);
 	fake_vm_end(f, leader_of(f), false);
 	check_gap(f, "leader lost, no fences checked", SERVED_MS);
 	slot = 0;
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -38,7 +38,7 @@
 
 	serial = dh_keyspace_export(ks, now_ms, &ranges, &n, &next);
 	if (serial != 0)
-		dh_keyspace_stored(ks, serial, now_ms);
+		dh_keyspace_stored(ks, serial);
 }
 
 /* Answer every order that is due in the same way; how many there were. */
@@ -64,7 +64,7 @@
 
 	dh_keyspace_take_over(ks, NULL, 0, 1, 0, 0);
 	for (t = 1; t < 200; t += 20) {
-		dh_keyspace_set_servers(ks, list, n, t);
+		dh_keyspace_set_servers(ks, list, n);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		(void)answer_all(ks, DH_KEY_ACCEPTED, t);
@@ -102,7 +102,7 @@
 	struct dh_key_order o;
 
 	dh_keyspace_take_over(ks, NULL, 0, 1, 0, 0);
-	dh_keyspace_set_servers(ks, list, 1, 1);
+	dh_keyspace_set_servers(ks, list, 1);
 	dh_keyspace_plan(ks, 1);
 	CU_ASSERT_FALSE(dh_keyspace_next(ks, 2, &o));
 	store(ks, 3);
@@ -127,7 +127,7 @@
 	struct dh_key_order o;
 
 	dh_keyspace_take_over(ks, &record, 1, 5, 0, 0);
-	dh_keyspace_set_servers(ks, list, 2, 1);
+	dh_keyspace_set_servers(ks, list, 2);
 	CU_ASSERT_FALSE(dh_keyspace_next(ks, 2, &o));
 	store(ks, 3);
 	CU_ASSERT_TRUE(dh_keyspace_next(ks, 4, &o));
@@ -153,7 +153,7 @@
 	dh_keyspace_take_over(ks, &record, 1, 4, 0, 0);
 	list[0].leaving = true;
 	for (t = 10; t < SOLO_MS; t += 20) {
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o)) {
@@ -180,7 +180,7 @@
 	size_t n;
 
 	for (t = 700; t < 6000; t += 10) {
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		if (late != 0 && answered_ms == 0 && t >= 700 + 350) {
@@ -225,7 +225,7 @@
 	for (; t < 2L * SOLO_MS + 6000; t += 10) {
 		if (renewed_ms != 0 && t > renewed_ms)
 			list[0].born_ms = 2;
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o)) {
@@ -264,7 +264,7 @@
 
 	dh_keyspace_take_over(ks, &record, 1, 4, 8000, 0);
 	for (t = 10; t < limit_ms + 2000; t += 20) {
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o))
@@ -298,13 +298,13 @@
 	/* Taken by a life that is not known yet. */
 	(void)answer_all(ks, DH_KEY_ACCEPTED, t += RENEW_MS);
 	list[0].leaving = true;
-	dh_keyspace_set_servers(ks, list, 2, t);
+	dh_keyspace_set_servers(ks, list, 2);
 	dh_keyspace_plan(ks, t);
 	if (recorded)
 		store(ks, t);
 	list[0].born_ms = 2;
 	list[0].leaving = false;
-	dh_keyspace_set_servers(ks, list, 2, t);
+	dh_keyspace_set_servers(ks, list, 2);
 	for (n = 0; n < 100; n++, t += 10) {
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o)) {
@@ -339,7 +339,7 @@
 	for (t = 200; t < 2L * SOLO_MS; t += 100)
 		(void)answer_all(ks, DH_KEY_ACCEPTED, t);
 	list[0].leaving = true;
-	dh_keyspace_set_servers(ks, list, 2, t);
+	dh_keyspace_set_servers(ks, list, 2);
 	dh_keyspace_plan(ks, t);
 	t += RENEW_MS;
 	while (dh_keyspace_next(ks, t, &o)) {
@@ -351,7 +351,7 @@
 	}
 	CU_ASSERT_TRUE(under_way != 0);
 	list[0].born_ms = 2;
-	dh_keyspace_set_servers(ks, list, 2, t);
+	dh_keyspace_set_servers(ks, list, 2);
 	for (; t < 2L * SOLO_MS + 6000; t += 10) {
 		store(ks, t);
 		if (given_up_ms == 0 && t >= 2L * SOLO_MS + RENEW_MS + 400) {
@@ -401,7 +401,7 @@
 	dh_keyspace_answer(ks, late, DH_KEY_ACCEPTED, NULL, t);
 	list[0].leaving = true;
 	for (; t < 6000; t += 10) {
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o)) {
@@ -439,7 +439,7 @@
 
 	/* One renewal of a has no answer, nor has any question later. */
 	for (t = 300; t < 6000; t += 20) {
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o)) {
@@ -474,7 +474,7 @@
 	(void)dh_keyspace_current(ks, &r, &n);
 	before = r[0].fence;
 	list[0].born_ms = 2;
-	dh_keyspace_set_servers(ks, list, 1, 300);
+	dh_keyspace_set_servers(ks, list, 1);
 	dh_keyspace_plan(ks, 300);
 	CU_ASSERT_FALSE(dh_keyspace_next(ks, 300, &o));
 	store(ks, 301);
@@ -495,7 +495,7 @@
 
 	list[0].leaving = true;
 	for (t = 300; t < 500; t += 20) {
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o)) {
@@ -524,7 +524,7 @@
 	int64_t t, lost_ms = 0;
 
 	for (t = 600; t < 6000; t += 20) {
-		dh_keyspace_set_servers(ks, list, 2, t);
+		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
 		while (dh_keyspace_next(ks, t, &o)) {
@@ -558,7 +558,7 @@
 
 	(void)answer_all(ks, DH_KEY_ACCEPTED, 700);
 	list[0].leaving = true;
-	dh_keyspace_set_servers(ks, list, 2, 900);
+	dh_keyspace_set_servers(ks, list, 2);
 	dh_keyspace_plan(ks, 900);
 	serial = dh_keyspace_export(ks, 900, &ranges, &n, &next);
 	CU_ASSERT_TRUE(serial != 0);
@@ -605,7 +605,7 @@
 				? first + (uint32_t)dh_rng_below(rng, count)
 				: (uint32_t)dh_rng_below(rng, DH_KEYS));
 		}
-		dh_keyspace_set_servers(ks, list, n, *t);
+		dh_keyspace_set_servers(ks, list, n);
 		if (*t % 240 == 0)
 			dh_keyspace_plan(ks, *t);
 		store(ks, *t);
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -288,7 +288,7 @@
 	}
 	l->revision = e->revision;
 	l->confirmed_ms = l->wrote_ms;
-	dh_keyspace_stored(l->ks, e->serial, w->now_ms);
+	dh_keyspace_stored(l->ks, e->serial);
 }
 
 static void
@@ -350,7 +350,7 @@
 			    .leaving = w->servers[s].leaving };
 		memcpy(list[s].id, w->servers[s].id, sizeof(w->servers[s].id));
 	}
-	dh_keyspace_set_servers(l->ks, list, SERVERS, w->now_ms);
+	dh_keyspace_set_servers(l->ks, list, SERVERS);
 	if (w->now_ms % 250 == 0) {
 		for (k = 0; k < 40; k++)
 			dh_keyspace_demand(
--- a/tests/test_owners_record.c
+++ b/tests/test_owners_record.c
@@ -99,24 +99,15 @@
 		CU_ASSERT_FALSE(parse(bad[i], &r));
 }
 
-static void
-collect(void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
+/* Make b of a; how many changes that took. */
+static int
+apply_changes(struct dh_record *a, const struct dh_record *b)
 {
-	struct dh_record_change c = {
-		.from = from, .to = to, .settled = k->settled
-	};
+	g_autoptr(GArray) changes = dh_record_changes(a, b);
 
-	(void)g_strlcpy(c.owner, k->owner, sizeof(c.owner));
-	g_array_append_val((GArray *)arg, c);
-}
-
-static void
-count(void *arg, uint32_t from, uint32_t to, const struct dh_key_range *k)
-{
-	(void)from;
-	(void)to;
-	(void)k;
-	(*(int *)arg)++;
+	dh_record_apply(a, &g_array_index(changes, struct dh_record_change, 0),
+	    changes->len);
+	return (int)changes->len;
 }
 
 /* Changes applied to the older record make it the newer one. */
@@ -125,11 +116,9 @@
 {
 	struct dh_rng rng = { 11 };
 	struct dh_record a = sample(), b = dh_record_copy(&a);
-	g_autoptr(GArray) changes =
-	    g_array_new(FALSE, TRUE, sizeof(struct dh_record_change));
 	struct dh_record none = dh_record_none();
 	struct dh_record_change one = { 0 };
-	int i, left, total = 0;
+	int i, total = 0;
 
 	for (i = 0; i < 2000; i++) {
 		one.from = (uint32_t)dh_rng_below(&rng, DH_KEYS);
@@ -138,30 +127,19 @@
 		one.owner[0] = (char)('a' + dh_rng_below(&rng, 5));
 		one.settled = dh_rng_below(&rng, 2) == 0;
 		dh_record_apply(&b, &one, 1);
-		if (i % 3 != 0)
-			continue;
 		CU_ASSERT_EQUAL(b.ranges[0].from, 0);
 		CU_ASSERT_EQUAL(b.ranges[b.nranges - 1].to, DH_KEYS - 1);
-		g_array_set_size(changes, 0);
-		dh_record_changes(&a, &b, collect, changes);
-		dh_record_apply(&a,
-		    &g_array_index(changes, struct dh_record_change, 0),
-		    changes->len);
-		total += (int)changes->len;
-		left = 0;
-		dh_record_changes(&a, &b, count, &left);
-		CU_ASSERT_EQUAL(left, 0);
+		/* Several changes at once. */
+		if (i % 3 != 0)
+			continue;
+		total += apply_changes(&a, &b);
+		CU_ASSERT_EQUAL(apply_changes(&a, &b), 0);
 		CU_ASSERT_EQUAL(a.nranges, b.nranges);
 	}
 	CU_ASSERT_TRUE(total >= 1000);
 	/* The whole of it, for one that knows nothing. */
-	g_array_set_size(changes, 0);
-	dh_record_changes(&none, &b, collect, changes);
-	dh_record_apply(&none,
-	    &g_array_index(changes, struct dh_record_change, 0), changes->len);
-	left = 0;
-	dh_record_changes(&none, &b, count, &left);
-	CU_ASSERT_EQUAL(left, 0);
+	(void)apply_changes(&none, &b);
+	CU_ASSERT_EQUAL(apply_changes(&none, &b), 0);
 	dh_record_clear(&none);
 	dh_record_clear(&a);
 	dh_record_clear(&b);
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -13,25 +13,14 @@
 	compile "$f" "$dir/obj/$(basename "$f" .c).o"
 done
 
-# run TEST ARGS: whether it notices the mutant.
-run() {
-	rm -rf "$dir/link"
-	cp -r "$dir/mutant" "$dir/link"
-	for t in test_keyspace test_keyspace_schedule; do
-		[ "$t" = "$1" ] || rm "$dir/link/$t.o"
-	done
-	${CC:-gcc} -o "$dir/$1" "$dir"/link/*.o -lcunit -lm
-	! timeout 300 "$dir/$@" >"$dir/$1.log" 2>&1
-}
-
 # mutate NAME SED: the edit must change core/keyspace.c.
 mutate() {
 	[ -z "$only" ] || [ "$only" = "$1" ] || return 0
 	edit "$1" keyspace.c "$2" || return 0
-	if run test_keyspace; then
+	if run test_keyspace test_keyspace_schedule; then
 		echo "$1: noticed by cases"
 		caught=$((caught + 1))
-	elif run test_keyspace_schedule 1000 400; then
+	elif run test_keyspace_schedule test_keyspace 1000 400; then
 		echo "$1: noticed by schedules"
 		caught=$((caught + 1))
 	else
--- a/tools/mutate_lib.sh
+++ b/tools/mutate_lib.sh
@@ -24,6 +24,18 @@
 	compile "$dir/$2" "$dir/mutant/${2%.c}.o" || exit 1
 }
 
+# run TEST OTHER ARGS...: whether TEST, linked with the mutant and without
+# OTHER's main(), notices it.
+run() {
+	test=$1 other=$2
+	shift 2
+	rm -rf "$dir/link"
+	cp -r "$dir/mutant" "$dir/link"
+	rm "$dir/link/$other.o"
+	${CC:-gcc} -o "$dir/$test" "$dir"/link/*.o -lcunit -lm
+	! timeout 300 "$dir/$test" "$@" >"$dir/$test.log" 2>&1
+}
+
 # summary: fails when something was missed.
 summary() {
 	echo "$caught caught, $missed missed"
--- a/tools/mutate_permit.sh
+++ b/tools/mutate_permit.sh
@@ -12,27 +12,16 @@
 	compile "$f" "$dir/obj/$(basename "$f" .c).o"
 done
 
-# run TEST: whether it notices the mutant.
-run() {
-	rm -rf "$dir/link"
-	cp -r "$dir/mutant" "$dir/link"
-	for t in test_permit test_permit_schedule; do
-		[ "$t" = "$1" ] || rm "$dir/link/$t.o"
-	done
-	${CC:-gcc} -o "$dir/$1" "$dir"/link/*.o -lcunit -lm
-	! timeout 300 "$dir/$1" >"$dir/$1.log" 2>&1
-}
-
 # mutate NAME SED: the edit must change core/permit.c.
 mutate() {
 	[ -z "$only" ] || [ "$only" = "$1" ] || return 0
 	edit "$1" permit.c "$2" || return 0
 	by=
-	if run test_permit; then
+	if run test_permit test_permit_schedule; then
 		by=$(grep 'FAILED' "$dir/test_permit.log" |
 		    sed 's/^ *Test: /"/; s/ *\.\.\..*/"/' | tr '\n' ' ')
 	fi
-	if run test_permit_schedule; then
+	if run test_permit_schedule test_permit; then
 		by="$by schedules"
 	fi
 	if [ "$by" ]; then
