--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -9,6 +9,8 @@
 #include "core/keyspace_internal.h"
 #include "core/vec.h"
 
+/* Weight of one router's measurement of a backend server's speed. */
+#define SPEED_GAIN 0.25
 /* The low bits of a ticket: where its range was when the order was made. */
 #define TICKET_RANGE_BITS 17
 
@@ -395,8 +397,14 @@
 {
 	uint32_t i = server_find(ks, server);
 
-	if (i != DH_NONE && work_ms > 0)
-		ks->servers[i].work_ms = work_ms;
+	struct server *s;
+
+	if (i == DH_NONE || work_ms <= 0)
+		return;
+	s = &ks->servers[i];
+	s->work_ms = s->work_ms == 0
+	    ? work_ms
+	    : s->work_ms + SPEED_GAIN * (work_ms - s->work_ms);
 }
 
 static void
@@ -613,6 +621,29 @@
 	return true;
 }
 
+/* Neighbours that the same owner holds under the same token go in one order:
+ * what leaves an overrun backend server does so by one connection. */
+static void
+release_together(struct dh_keyspace *ks, const struct range *first,
+    int64_t now_ms, struct dh_key_order *order)
+{
+	size_t i;
+
+	for (i = (size_t)(first - ks->ranges) + 1; i < ks->nranges; i++) {
+		struct range *r = &ks->ranges[i];
+
+		if (r->state != RANGE_RELEASING || r->former != first->former ||
+		    r->former_fence != first->former_fence || r->ticket != 0 ||
+		    now_ms < r->due_ms || now_ms >= dh_range_lapse_ms(ks, r))
+			return;
+		r->ticket = order->ticket;
+		r->ticket_void = false;
+		r->ticket_kind = DH_KEY_RELEASE;
+		r->order_sent_ms = now_ms;
+		order->to = r->to;
+	}
+}
+
 static bool
 range_next(struct dh_keyspace *ks, struct range *r, int64_t now_ms,
     struct dh_key_order *order)
@@ -630,8 +661,10 @@
 			free_range(ks, r);
 			return false;
 		}
-		return order_fill(
+		(void)order_fill(
 		    ks, r, r->former, DH_KEY_RELEASE, now_ms, order);
+		release_together(ks, r, now_ms, order);
+		return true;
 	case RANGE_GRANTING:
 	case RANGE_SETTLED:
 		s = &ks->servers[r->owner];
@@ -761,12 +794,29 @@
 	return NULL;
 }
 
+static bool
+range_answered(struct dh_keyspace *ks, struct range *r,
+    enum dh_key_answer answer, const char *handover, int64_t now_ms)
+{
+	r->ticket = 0;
+	if (r->ticket_void) {
+		void_answered(ks, r, now_ms);
+		return r->ticket_kind != DH_KEY_GRANT ||
+		    answer != DH_KEY_REFUSED;
+	}
+	if (r->ticket_kind == DH_KEY_GRANT)
+		return grant_answered(ks, r, answer, now_ms);
+	release_answered(ks, r, answer, handover, now_ms);
+	return true;
+}
+
 bool
 dh_keyspace_answer(struct dh_keyspace *ks, uint64_t ticket,
     enum dh_key_answer answer, const char *handover, int64_t now_ms)
 {
+	struct range *r, *end;
 	struct server *s;
-	struct range *r;
+	bool ours = true;
 
 	if (~ticket < ks->nservers) {
 		s = &ks->servers[~ticket];
@@ -778,16 +828,11 @@
 	r = range_of_ticket(ks, ticket);
 	if (r == NULL)
 		return true;
-	r->ticket = 0;
-	if (r->ticket_void) {
-		void_answered(ks, r, now_ms);
-		return r->ticket_kind != DH_KEY_GRANT ||
-		    answer != DH_KEY_REFUSED;
-	}
-	if (r->ticket_kind == DH_KEY_GRANT)
-		return grant_answered(ks, r, answer, now_ms);
-	release_answered(ks, r, answer, handover, now_ms);
-	return true;
+	/* A release may be of several ranges. */
+	end = ks->ranges + ks->nranges;
+	for (; r < end && r->ticket == ticket; r++)
+		ours &= range_answered(ks, r, answer, handover, now_ms);
+	return ours;
 }
 
 struct dh_keyspace_stats
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -30,7 +30,18 @@
 	uint64_t known_serial;
 	int64_t probe_ms; /* when to ask next */
 	double work_ms; /* 0: not known */
-	double load; /* requests a second, as planned */
+	/* Of a plan: requests a second, the variance of their estimate, keys
+	 * in all and hot ones. */
+	double load, variance;
+	uint32_t keys, hot;
+};
+
+/* Neighbouring keys whose demand is watched together for sudden changes. */
+#define KEY_BLOCK 64u
+#define KEY_BLOCKS (DH_KEYS / KEY_BLOCK)
+
+struct key_block {
+	double since_ms; /* the demand changed, or was first seen */
 };
 
 struct range {
@@ -76,6 +87,7 @@
 	uint64_t stored; /* serial of the last export that is stored */
 	float *rate; /* requests a second, by key */
 	uint32_t *fresh; /* requests since the last plan, by key */
+	struct key_block blocks[KEY_BLOCKS];
 	int64_t planned_ms;
 	size_t cursor; /* of dh_keyspace_next() */
 	uint64_t keys_moved;
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -31,8 +31,10 @@
  * much of the longest lease that they take is used. */
 #define LEASE_SERVERS 300
 #define LEASE_MAX_PERCENT 80
-/* Orders at once; more wait for answers. */
+/* Orders at once; more wait for answers.  A release is answered when work has
+ * ended, and must not keep renewals waiting. */
 #define ORDERS_MAX 64
+#define RELEASES_MAX 256
 
 struct order {
 	struct dh_duty *duty;
@@ -62,6 +64,7 @@
 	uint64_t published_number; /* as dh_keyspace_current() counts */
 	int64_t published_ms;
 	GQueue orders;
+	uint32_t releases; /* of them */
 	bool may_order;
 };
 
@@ -81,6 +84,7 @@
 order_free(struct order *w)
 {
 	g_queue_unlink(&w->duty->orders, &w->link);
+	w->duty->releases -= w->o.kind == DH_KEY_RELEASE;
 	g_free(w);
 }
 
@@ -216,6 +220,7 @@
 	w->o = *o;
 	w->link.data = w;
 	g_queue_push_tail_link(&d->orders, &w->link);
+	d->releases += o->kind == DH_KEY_RELEASE;
 	w->fetch = dh_http_fetch(d->c.http, &rq, on_order, w);
 }
 
@@ -417,7 +422,8 @@
 
 	store(d, dh_clock_ms());
 	publish(d);
-	while (d->may_order && d->orders.length < ORDERS_MAX &&
+	while (d->may_order && d->releases < RELEASES_MAX &&
+	    d->orders.length - d->releases < ORDERS_MAX &&
 	    dh_keyspace_next(d->ks, dh_clock_ms(), &o))
 		order_send(d, &o);
 }
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -56,7 +56,7 @@
 
 enum dh_key_order_kind {
 	DH_KEY_GRANT,
-	DH_KEY_RELEASE,
+	DH_KEY_RELEASE, /* of neighbouring ranges that have one token */
 	DH_KEY_PROBE, /* is it alive?  Extends nothing */
 };
 
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -686,6 +686,50 @@
 	dh_keyspace_free(ks);
 }
 
+/* Neighbouring keys that leave one owner for several: one release for all of
+ * them, and each new owner is granted its own when that is answered. */
+static void
+test_neighbours_are_released_together(void)
+{
+	struct dh_keyspace_server list[18];
+	struct dh_keyspace *ks;
+	struct dh_key_order o;
+	struct dh_rng rng = { 7 };
+	uint32_t keys = 0, releases = 0, grants = 0, i;
+	int64_t t = 480;
+	char id[2] = { 0 };
+
+	for (i = 0; i < 18; i++) {
+		id[0] = (char)('a' + i);
+		list[i] = server(id, 1);
+	}
+	ks = settled(list, 18);
+	play_demand(ks, list, 18, &t, 3000, 0, DH_KEYS, 0, 500, &rng);
+	for (i = 0; i < 500; i++)
+		dh_keyspace_demand(ks, 21000 + i % 200);
+	dh_keyspace_plan(ks, t);
+	store(ks, t);
+	while (dh_keyspace_next(ks, t, &o)) {
+		if (o.kind == DH_KEY_RELEASE) {
+			releases++;
+			keys += o.to - o.from + 1;
+			CU_ASSERT_TRUE(dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, "warm", t));
+		} else if (o.handover[0] != '\0') {
+			grants++;
+			CU_ASSERT_TRUE(dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, NULL, t));
+		}
+	}
+	/* The rest of those grants comes with the next turn. */
+	while (dh_keyspace_next(ks, t, &o))
+		grants += o.handover[0] != '\0';
+	CU_ASSERT_TRUE(keys >= grants);
+	CU_ASSERT_TRUE(grants >= 5);
+	CU_ASSERT_TRUE(releases * 2 <= grants);
+	dh_keyspace_free(ks);
+}
+
 static void
 test_calm_demand_moves_nothing(void)
 {
@@ -761,6 +805,7 @@
 		{ "another leader", test_refused_grant_shows_another_leader },
 		{ "hot range", test_hot_range_is_spread_within_two_seconds },
 		{ "hot key", test_hot_key_is_left_alone },
+		{ "released together", test_neighbours_are_released_together },
 		{ "calm", test_calm_demand_moves_nothing },
 		{ "new backend server", test_new_backend_server_gets_keys },
 		CU_TEST_INFO_NULL,
