Start of a fleet: stale reads until the leader tells, no announcement that stands

Cause: each of 295 VMs listed backend servers and configuration afresh, had its watches answered by each batch of entries that came up meanwhile, and wrote its address again: 10.6 calls a VM at a start.

A mirror now reads what may be seconds old for its first 2.5 s, at a tenth of the price, unless this VM leads; one that is behind the leader asks so once before it asks afresh. A VM finds its own entry in the list and leaves it.

Ruled out: no entries in the store at all: a new leader would not know whom to tell.

test_mirror: 'start' and 'behind' fail before; 'fed' first waits for the end of the start, since it checks the wait of a watch after it.

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -15,6 +15,13 @@
  * is paid.  Small against the time in which a change has to be in force. */
 #define WATCH_PAUSE_MS 100
 #define WATCH_PAUSE_STALE_MS 300
+/* A process that has just started reads what may be some seconds old, at a
+ * tenth of the price: until the leader tells it what is new.  Shorter than the
+ * time in which a VM that starts has to be in step with the store. */
+#define START_STALE_MS 2500
+/* Times that a VM which is behind the leader reads what may be old, before it
+ * reads what is new. */
+#define STALE_ASKS 1
 /* Pauses after a failure, doubling. */
 #define PAUSE_MIN_MS 100
 #define PAUSE_MAX_MS 500
@@ -34,8 +41,11 @@
 	uint64_t list_as_of; /* of the list's first page */
 	int64_t pause_ms;
 	int64_t wait_ms;
+	int64_t stale_until_ms; /* since the start; 0: no more */
+	uint32_t behind; /* asked in a row */
 	bool fed; /* another VM tells what changes */
 	bool ask; /* the store once, without waiting for a change */
+	bool ask_stale; /* for what may be old */
 	bool waiting; /* the call under way waits for a change */
 	bool listed;
 	bool reached;
@@ -44,6 +54,34 @@
 
 static void step(struct dh_mirror *f);
 
+static bool
+starting(const struct dh_mirror *f)
+{
+	return dh_clock_ms() < f->stale_until_ms;
+}
+
+static enum dh_freshness
+freshness_now(const struct dh_mirror *f)
+{
+	return starting(f) || f->ask_stale ? DH_STALE : f->freshness;
+}
+
+static int64_t
+watch_pause_ms(const struct dh_mirror *f)
+{
+	return f->freshness == DH_STALE || starting(f) ? WATCH_PAUSE_STALE_MS
+						       : WATCH_PAUSE_MS;
+}
+
+/* How long a watch may wait: one for old news ends with the start. */
+static int64_t
+watch_wait_ms(const struct dh_mirror *f)
+{
+	int64_t left_ms = f->stale_until_ms - dh_clock_ms();
+
+	return left_ms > 0 && left_ms < f->wait_ms ? left_ms : f->wait_ms;
+}
+
 static void
 set_reached(struct dh_mirror *f, bool reached, const char *why)
 {
@@ -71,6 +109,7 @@
 fail(struct dh_mirror *f, const char *why)
 {
 	f->ask = true;
+	f->ask_stale = false;
 	if (!f->fed || !f->listed)
 		set_reached(f, false, why);
 	uv_timer_start(f->timer, on_timer,
@@ -163,6 +202,7 @@
 	switch (r->result) {
 	case DH_OBJECTS_OK:
 		f->ask = false;
+		f->ask_stale = false;
 		set_reached(f, true, "watch answered");
 		for (i = 0; i < r->nitems; i++)
 			take(f, &r->items[i]);
@@ -176,10 +216,8 @@
 			f->h.news(f->h.arg, f->news_as_of, f->as_of, r->items,
 			    r->nitems);
 		f->news_as_of = f->as_of;
-		uv_timer_start(f->timer, on_timer,
-		    f->freshness == DH_STALE ? WATCH_PAUSE_STALE_MS
-					     : WATCH_PAUSE_MS,
-		    0);
+		uv_timer_start(
+		    f->timer, on_timer, (uint64_t)watch_pause_ms(f), 0);
 		return;
 	case DH_OBJECTS_HISTORY_GONE:
 		dh_ops(DH_OPS_STATE, "store.history_gone",
@@ -202,6 +240,7 @@
 step(struct dh_mirror *f)
 {
 	bool ask = f->ask || !f->reached;
+	int64_t wait_ms = watch_wait_ms(f);
 	int64_t grace_ms = f->wait_ms < DH_MIRROR_WAIT_MS ? WATCH_GRACE_SHORT_MS
 							  : WATCH_GRACE_MS;
 
@@ -210,14 +249,14 @@
 	f->waiting = false;
 	if (f->as_of == 0 || f->after != NULL)
 		f->call = dh_objects_list(f->objects, f->kind,
-		    f->after == NULL ? "" : f->after, f->freshness,
+		    f->after == NULL ? "" : f->after, freshness_now(f),
 		    LIST_TIMEOUT_MS, on_list, f);
 	else if (f->ask || !f->fed) {
 		/* The first one after a failure shows whether it answers. */
 		f->waiting = !ask;
 		f->call = dh_objects_watch(f->objects, f->kind, f->as_of,
-		    ask ? 1 : f->wait_ms, f->freshness,
-		    ask ? LIST_TIMEOUT_MS : f->wait_ms + grace_ms, on_watch, f);
+		    ask ? 1 : wait_ms, freshness_now(f),
+		    ask ? LIST_TIMEOUT_MS : wait_ms + grace_ms, on_watch, f);
 	}
 }
 
@@ -281,15 +320,26 @@
 void
 dh_mirror_catch_up(struct dh_mirror *f)
 {
+	if (f->behind++ < STALE_ASKS || starting(f))
+		f->ask_stale = true;
 	ask_now(f);
 }
 
+void
+dh_mirror_caught_up(struct dh_mirror *f)
+{
+	f->behind = 0;
+}
+
 void
 dh_mirror_set_wait(struct dh_mirror *f, int64_t wait_ms)
 {
 	bool shorter = wait_ms < f->wait_ms;
 
 	f->wait_ms = wait_ms;
+	/* Others rely on this VM now. */
+	if (shorter)
+		f->stale_until_ms = 0;
 	if (shorter && f->call != NULL && f->waiting)
 		ask_now(f);
 }
@@ -325,6 +375,8 @@
 	f->h = *h;
 	f->pause_ms = PAUSE_MIN_MS;
 	f->wait_ms = DH_MIRROR_WAIT_MS;
+	if (freshness == DH_FRESH)
+		f->stale_until_ms = dh_clock_ms() + START_STALE_MS;
 	f->known =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -29,7 +29,9 @@
 	void *arg;
 };
 
-/* dh_mirror_new -- start; o and loop must outlive it. */
+/* dh_mirror_new -- start; o and loop must outlive it.  The first seconds are
+ * read as they may have been some seconds ago, unless dh_mirror_set_wait() asks
+ * for a shorter wait. */
 struct dh_mirror *dh_mirror_new(uv_loop_t *loop, struct dh_objects *o,
     const char *kind, enum dh_freshness freshness,
     const struct dh_mirror_handler *h);
@@ -42,12 +44,16 @@
  * dh_mirror_take -- what another VM's handler was called with.  False if
  * something between what is known here and since is missing.
  *
- * dh_mirror_catch_up -- ask the store once for what is missing, also if fed.
+ * dh_mirror_catch_up -- ask the store once for what is missing, also if fed;
+ * for what may be some seconds old first, for it costs a tenth.
+ *
+ * dh_mirror_caught_up -- nothing is missing any more.
  */
 void dh_mirror_set_fed(struct dh_mirror *f, bool fed);
 bool dh_mirror_take(struct dh_mirror *f, uint64_t since, uint64_t as_of,
     const struct dh_object_view *items, size_t n);
 void dh_mirror_catch_up(struct dh_mirror *f);
+void dh_mirror_caught_up(struct dh_mirror *f);
 
 /*
  * dh_mirror_set_wait -- how long a watch waits at the store for something to
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -132,18 +132,6 @@
 	return p;
 }
 
-static void
-see_vm(struct dh_owners *o, const struct dh_object_view *v)
-{
-	const char *ip = member_text(v->spec, "ip");
-
-	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0')
-		owners_peer(o, ip)->core_share_milli =
-		    dh_json_int(v->spec, "core_share_milli");
-	dh_ops(DH_OPS_STATE, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
-	    v->name + strlen(VM_PREFIX), ip);
-}
-
 /* This VM was here before: a leader that lives knows it, and its heartbeats
  * come.  Where all were lost at once nobody leads, and each moment counts. */
 static void
@@ -158,6 +146,39 @@
 	    (long long)o->patience_ms);
 }
 
+/* What this VM's last life has written holds if it is still true. */
+static void
+see_own_entry(struct dh_owners *o, const struct dh_object_view *v,
+    const char *ip, int64_t core_share_milli)
+{
+	o->announce_revision = v->revision;
+	if (o->announced || o->announcement != NULL ||
+	    strcmp(ip, o->c.ip) != 0 ||
+	    core_share_milli != o->c.settings->core_share_milli)
+		return;
+	o->announced = true;
+	expect_beats(o);
+	dh_ops(DH_OPS_STATE, "vm.announced",
+	    ",\"ip\":\"%s\",\"done\":true,\"revision\":%llu", o->c.ip,
+	    (unsigned long long)v->revision);
+}
+
+static void
+see_vm(struct dh_owners *o, const struct dh_object_view *v)
+{
+	const char *ip = member_text(v->spec, "ip");
+	int64_t core_share_milli = dh_json_int(v->spec, "core_share_milli");
+
+	if (strcmp(v->name + strlen(VM_PREFIX), o->c.settings->vm) == 0) {
+		see_own_entry(o, v, ip, core_share_milli);
+		return;
+	}
+	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0')
+		owners_peer(o, ip)->core_share_milli = core_share_milli;
+	dh_ops(DH_OPS_STATE, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
+	    v->name + strlen(VM_PREFIX), ip);
+}
+
 static void
 on_announced(void *arg, const struct dh_objects_reply *r)
 {
@@ -184,7 +205,8 @@
 	g_autofree char *name = NULL;
 	g_autofree char *spec = NULL;
 
-	if (o->announced || o->announcement != NULL || now_ms < o->announce_ms)
+	if (o->announced || o->announcement != NULL ||
+	    now_ms < o->announce_ms || !dh_mirror_listed(o->mirror))
 		return;
 	name = g_strconcat(VM_PREFIX, o->c.settings->vm, NULL);
 	spec = g_strdup_printf("{\"ip\":\"%s\",\"core_share_milli\":%lld}",
--- a/tests/fake_objects.h
+++ b/tests/fake_objects.h
@@ -14,6 +14,7 @@
 	bool watch;
 	uint64_t since;
 	int64_t wait_ms;
+	enum dh_freshness freshness;
 	dh_objects_fn done;
 	void *arg;
 };
@@ -50,11 +51,13 @@
     enum dh_freshness freshness, int64_t timeout_ms, dh_objects_fn done,
     void *arg)
 {
+	struct dh_objects_call *c = fake_call(kind, done, arg);
+
 	(void)o;
 	(void)after;
-	(void)freshness;
 	(void)timeout_ms;
-	return fake_call(kind, done, arg);
+	c->freshness = freshness;
+	return c;
 }
 
 struct dh_objects_call *
@@ -65,8 +68,8 @@
 	struct dh_objects_call *c = fake_call(kind, done, arg);
 
 	(void)o;
-	(void)freshness;
 	(void)timeout_ms;
+	c->freshness = freshness;
 	c->watch = true;
 	c->since = since;
 	c->wait_ms = wait_ms;
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -138,6 +138,49 @@
 	end(&fx);
 }
 
+/* The dear reads are left to the leader while a fleet starts; they are made
+ * once the start is over, or at once by one on whom others rely. */
+static void
+test_start_reads_what_may_be_old(void)
+{
+	struct fixture fx;
+
+	start(&fx);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_STALE);
+	CU_ASSERT_TRUE(fake_open(KIND)->wait_ms <= 2500);
+	run_for(&fx, 2600);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	end(&fx);
+	start(&fx);
+	dh_mirror_set_wait(fx.f, 700);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	end(&fx);
+}
+
+/* One that is behind the leader asks for what may be old, then for what is
+ * new. */
+static void
+test_behind_asks_twice(void)
+{
+	struct fixture fx;
+
+	start(&fx);
+	run_for(&fx, 2600);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	dh_mirror_set_fed(fx.f, true);
+	dh_mirror_catch_up(fx.f);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_STALE);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	dh_mirror_catch_up(fx.f);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	fake_answer(KIND, DH_OBJECTS_OK, 30, NULL, 0);
+	dh_mirror_caught_up(fx.f);
+	dh_mirror_catch_up(fx.f);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_STALE);
+	end(&fx);
+}
+
 static void
 test_fed_asks_nothing(void)
 {
@@ -146,6 +189,7 @@
 	uint32_t made;
 
 	start(&fx);
+	run_for(&fx, 2600); /* the start is over */
 	dh_mirror_set_fed(fx.f, true);
 	made = fake_made;
 	/* The open one may still bring something. */
@@ -284,6 +328,8 @@
 {
 	CU_TestInfo tests[] = {
 		{ "pause", test_watch_continues_after_a_pause },
+		{ "start", test_start_reads_what_may_be_old },
+		{ "behind", test_behind_asks_twice },
 		{ "fed", test_fed_asks_nothing },
 		{ "open watch", test_open_watch_is_not_relied_on },
 		{ "gap", test_news_with_a_gap_are_not_taken },
