Gateway: backend servers that say they leave, or want nothing for a while, are left alone

An answer with the leaving header closes that life of the backend server for this VM, whatever its entry says: at once, and for keys half a second before the bound, when the leader, which hears of it in reports and in answers to orders, has moved them. A refusal's Retry-After keeps all requests away until it is over, good answers meanwhile included; callers that have nowhere else to go are told when.

A new connection that is reset at once was one too many: that backend server is left alone like one that cannot be reached, longer each time. Before, each VM tried again with the next request.

--- a/core/choice.c
+++ b/core/choice.c
@@ -96,17 +96,30 @@
 	l->others_at_ms = now_ms;
 }
 
+/* Ask it nothing for a while, longer each time in a row. */
+static void
+pause_asking(struct dh_backend_load *l, int64_t now_ms)
+{
+	int64_t pause_ms = DOWN_MIN_MS;
+	uint32_t i;
+
+	for (i = 0; i < l->down_times && pause_ms < DOWN_MAX_MS; i++)
+		pause_ms *= 2;
+	l->down_times++;
+	l->down_until_ms =
+	    now_ms + (pause_ms < DOWN_MAX_MS ? pause_ms : DOWN_MAX_MS);
+}
+
 void
 dh_backend_replied(
     struct dh_backend_load *l, const struct dh_reply *r, int64_t now_ms)
 {
-	uint32_t i;
-	int64_t pause_ms = DOWN_MIN_MS;
-
 	if (l->own > 0)
 		l->own--;
 	if (r->has_load)
 		learn_others(l, r, now_ms);
+	if (r->pause_ms > 0 && now_ms + r->pause_ms > l->held_until_ms)
+		l->held_until_ms = now_ms + r->pause_ms;
 	switch (r->kind) {
 	case DH_REPLY_GOOD:
 		l->down_times = 0;
@@ -129,12 +142,13 @@
 		if (l->work_ms > 0 && (double)r->latency_ms > l->work_ms)
 			learn_work(l, r, now_ms);
 		return;
+	case DH_REPLY_OVERRUN:
+		l->others += r->slots;
+		l->others_at_ms = now_ms;
+		pause_asking(l, now_ms);
+		return;
 	case DH_REPLY_UNREACHABLE:
-		for (i = 0; i < l->down_times && pause_ms < DOWN_MAX_MS; i++)
-			pause_ms *= 2;
-		l->down_times++;
-		l->down_until_ms =
-		    now_ms + (pause_ms < DOWN_MAX_MS ? pause_ms : DOWN_MAX_MS);
+		pause_asking(l, now_ms);
 		learn_failing(l, true, now_ms);
 		return;
 	case DH_REPLY_DROPPED:
@@ -242,6 +256,17 @@
 	return found;
 }
 
+/* How long it is not to be asked; 0 if it may be. */
+static int64_t
+paused_for_ms(const struct dh_backend_load *l, int64_t now_ms)
+{
+	int64_t until_ms = l->down_until_ms > l->held_until_ms
+	    ? l->down_until_ms
+	    : l->held_until_ms;
+
+	return until_ms > now_ms ? until_ms - now_ms : 0;
+}
+
 struct dh_choice
 dh_choose(const struct dh_choice_params *p, const struct dh_candidate *list,
     size_t n, const struct dh_wish *w, struct dh_rng *rng, int64_t now_ms)
@@ -249,12 +274,16 @@
 	struct dh_choice best = { .index = SIZE_MAX, .nearest = SIZE_MAX };
 	double best_cost = 0, least_over = 0, nearest_ms = 0;
 	double cost, expected, work, over, fails;
+	int64_t paused_ms, wait_ms = 0;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
 		const struct dh_candidate *c = &list[i];
 
-		if (c->full || now_ms < c->load->down_until_ms)
+		paused_ms = paused_for_ms(c->load, now_ms);
+		if (paused_ms > 0 && (wait_ms == 0 || paused_ms < wait_ms))
+			wait_ms = paused_ms;
+		if (c->full || paused_ms > 0)
 			continue;
 		expected = expect(p, c, w, now_ms, &work);
 		over =
@@ -283,8 +312,10 @@
 	if (best.index != SIZE_MAX)
 		return best;
 	best.expected_ms = nearest_ms;
-	best.retry_after_ms = dh_retry_after_ms(
-	    best.nearest == SIZE_MAX ? DOWN_MIN_MS : (int64_t)least_over,
-	    w->left_ms, rng);
+	if (best.nearest != SIZE_MAX)
+		wait_ms = (int64_t)least_over;
+	else if (wait_ms == 0)
+		wait_ms = DOWN_MIN_MS;
+	best.retry_after_ms = dh_retry_after_ms(wait_ms, w->left_ms, rng);
 	return best;
 }
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -15,6 +15,26 @@
 /* Weight of a new sample of a service's usual work. */
 #define WORK_GAIN 0.05
 
+/* How long the backend server wants nothing more, as its refusal says. */
+static int64_t
+asked_pause_ms(const struct dh_message *answer, const struct dh_pool *pool)
+{
+	const char *text;
+	int64_t ms;
+
+	if (answer == NULL || answer->parser.status_code != 503)
+		return 0;
+	text = dh_message_header(answer, dh_wire_headers.pause);
+	if (text == NULL)
+		return 0;
+	if (dh_wire_pause(text, &ms))
+		return ms;
+	dh_ops(DH_OPS_REQUEST, "pause.ignored",
+	    ",\"server\":\"%s\",\"why\":\"the value makes no sense\"",
+	    pool->id);
+	return 0;
+}
+
 void
 dh_request_give_back(struct dh_request *rq, enum dh_reply_kind kind,
     const struct dh_message *answer)
@@ -35,6 +55,7 @@
 		dh_counter_add(rq->keyed ? rq->worker->c.keyed_bytes[pool->tier]
 					 : rq->worker->c.bytes[pool->tier],
 		    rq->wire->len + answer->text->len + answer->body->len);
+	r.pause_ms = asked_pause_ms(answer, pool);
 	r.has_load = load != NULL && dh_wire_load(load, &r.running, &r.waiting);
 	dh_backend_replied(&pool->load, &r, now_ms);
 	if (kind == DH_REPLY_GOOD)
@@ -129,6 +150,8 @@
 	if (s->closed || *found == DH_CANDIDATES_MAX)
 		return;
 	pool = dh_worker_pool(w, s);
+	if (!dh_pool_open(w, pool, now_ms))
+		return;
 	w->candidate_servers[*found] = s;
 	w->candidates[(*found)++] = (struct dh_candidate){ .load = &pool->load,
 		.slots = s->slots,
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -40,6 +40,7 @@
 	struct dh_duty *duty;
 	struct dh_http_fetch *fetch;
 	struct dh_key_order o;
+	int64_t born_ms; /* the life that it was sent to */
 	GList link;
 };
 
@@ -139,12 +140,19 @@
 }
 
 static const char *
-handover_of(const struct dh_http_reply *reply)
+header_of(const struct dh_http_reply *reply, const char *header)
 {
-	g_autofree char *name = g_ascii_strdown(dh_wire_headers.handover, -1);
-	const char *text = reply->headers == NULL
+	g_autofree char *name = g_ascii_strdown(header, -1);
+
+	return reply->headers == NULL
 	    ? NULL
 	    : g_hash_table_lookup(reply->headers, name);
+}
+
+static const char *
+handover_of(const struct dh_http_reply *reply)
+{
+	const char *text = header_of(reply, dh_wire_headers.handover);
 	const char *p;
 
 	for (p = text; p != NULL && *p != '\0'; p++)
@@ -162,6 +170,9 @@
 	bool ours;
 
 	log_order(w, reply->status, answer);
+	if (dh_wire_leaving(header_of(reply, dh_wire_headers.leaving)))
+		dh_registry_said_leaving(
+		    d->c.registry, w->o.server, w->born_ms);
 	ours = dh_keyspace_answer(
 	    d->ks, w->o.ticket, answer, handover_of(reply), dh_clock_ms());
 	order_free(w);
@@ -218,6 +229,7 @@
 	w = g_new0(struct order, 1);
 	w->duty = d;
 	w->o = *o;
+	w->born_ms = dh_registry_born_ms(d->c.registry, o->server);
 	w->link.data = w;
 	g_queue_push_tail_link(&d->orders, &w->link);
 	d->releases += o->kind == DH_KEY_RELEASE;
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -168,6 +168,12 @@
 			    r->servers, struct dh_peer_server, i);
 			dh_duty_speed(value, s->id, s->work_ms);
 		}
+	for (i = 0; i < r->leaving->len; i++) {
+		const struct dh_peer_leaving *l =
+		    &g_array_index(r->leaving, struct dh_peer_leaving, i);
+
+		dh_registry_said_leaving(o->c.registry, l->id, l->born_ms);
+	}
 	send_missing(o, r, ip);
 }
 
@@ -234,7 +240,9 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_key));
 	g_autoptr(GArray) servers =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_server));
-	struct dh_peer_report r = { .keys = keys, .servers = servers };
+	struct dh_peer_report r = {
+		.keys = keys, .servers = servers, .leaving = o->leaving
+	};
 
 	(void)g_strlcpy(r.vm, o->c.settings->vm, sizeof(r.vm));
 	report_services(o, &r);
@@ -248,6 +256,7 @@
 		on_report(o, &r, o->c.ip);
 	else if (o->leader_ip[0] != '\0')
 		dh_peer_send_report(o->peer, o->leader_ip, &r);
+	g_array_set_size(o->leaving, 0);
 }
 
 struct dh_peer_handler
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -312,6 +312,7 @@
 	o->speeds =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	o->keys = g_array_new(FALSE, FALSE, sizeof(struct seen_key));
+	o->leaving = g_array_new(FALSE, FALSE, sizeof(struct dh_peer_leaving));
 	o->incoming.changes =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
 	owners_renew_patience(o);
@@ -341,6 +342,7 @@
 	g_hash_table_destroy(o->peers);
 	g_hash_table_destroy(o->speeds);
 	g_array_free(o->keys, TRUE);
+	g_array_free(o->leaving, TRUE);
 	g_array_free(o->incoming.changes, TRUE);
 	g_free((char *)(uintptr_t)o->c.ip);
 	g_free(o);
@@ -391,9 +393,16 @@
 void
 dh_owners_seen(struct dh_owners *o, const struct dh_worker_report *r)
 {
+	struct dh_peer_leaving l;
 	struct seen_key k;
 	uint32_t i;
 
+	for (i = 0; i < r->nleaving; i++) {
+		l.born_ms = r->leaving[i].born_ms;
+		(void)g_strlcpy(l.id, r->leaving[i].id, sizeof(l.id));
+		g_array_append_val(o->leaving, l);
+		dh_registry_said_leaving(o->c.registry, l.id, l.born_ms);
+	}
 	for (i = 0; i < r->nkeys; i++) {
 		k = (struct seen_key){ r->keys[i].service, r->keys[i].key };
 		g_array_append_val(o->keys, k);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -85,6 +85,7 @@
 	/* What workers have seen since the last report. */
 	GArray *keys; /* of struct seen_key */
 	GHashTable *speeds; /* server id -> work in ms */
+	GArray *leaving; /* of struct dh_peer_leaving */
 	int64_t report_ms;
 	uint32_t reports;
 };
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -239,6 +239,25 @@
 	return true;
 }
 
+static bool
+read_leaving(const msgpack_object_array *list, struct dh_peer_report *r)
+{
+	struct dh_peer_leaving s;
+	uint64_t born_ms;
+	uint32_t i;
+
+	for (i = 0; i < list->size; i++) {
+		const msgpack_object_array *o = array_at(list, i, 2);
+
+		if (o == NULL || !text_at(o, 0, s.id, sizeof(s.id)) ||
+		    !number_at(o, 1, &born_ms) || born_ms > INT64_MAX)
+			return false;
+		s.born_ms = (int64_t)born_ms;
+		g_array_append_val(r->leaving, s);
+	}
+	return true;
+}
+
 static bool
 take_report(const struct dh_peer_handler *h, const msgpack_object_array *a,
     const char *ip)
@@ -247,14 +266,20 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_key));
 	g_autoptr(GArray) servers =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_server));
-	struct dh_peer_report r = { .keys = keys, .servers = servers };
+	g_autoptr(GArray) leaving =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_leaving));
+	struct dh_peer_report r = {
+		.keys = keys, .servers = servers, .leaving = leaving
+	};
 	const msgpack_object_array *l1 = array_at(a, 2, DH_PEER_SERVICES);
 	const msgpack_object_array *l2 = array_at(a, 3, KEYS_MAX);
 	const msgpack_object_array *l3 = array_at(a, 4, SERVERS_MAX);
+	const msgpack_object_array *l4 = array_at(a, 5, SERVERS_MAX);
 
 	if (!text_at(a, 1, r.vm, sizeof(r.vm)) || l1 == NULL || l2 == NULL ||
-	    l3 == NULL || !read_versions(l1, &r) || !read_keys(l2, &r) ||
-	    !read_servers(l3, &r))
+	    l3 == NULL || l4 == NULL || !read_versions(l1, &r) ||
+	    !read_keys(l2, &r) || !read_servers(l3, &r) ||
+	    !read_leaving(l4, &r))
 		return false;
 	h->report(h->arg, &r, ip);
 	return true;
@@ -533,7 +558,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 5);
+	msgpack_pack_array(&pk, 6);
 	msgpack_pack_uint32(&pk, MESSAGE_REPORT);
 	pack_text(&pk, r->vm);
 	msgpack_pack_array(&pk, r->nowners);
@@ -559,6 +584,15 @@
 		pack_text(&pk, s->id);
 		msgpack_pack_uint32(&pk, s->work_ms);
 	}
+	msgpack_pack_array(&pk, r->leaving->len);
+	for (i = 0; i < r->leaving->len; i++) {
+		const struct dh_peer_leaving *s =
+		    &g_array_index(r->leaving, struct dh_peer_leaving, i);
+
+		msgpack_pack_array(&pk, 2);
+		pack_text(&pk, s->id);
+		msgpack_pack_uint64(&pk, (uint64_t)s->born_ms);
+	}
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -40,6 +40,13 @@
 	} owners[DH_PEER_SERVICES];
 	GArray *keys; /* of struct dh_peer_key; borrowed */
 	GArray *servers; /* of struct dh_peer_server; borrowed */
+	GArray *leaving; /* of struct dh_peer_leaving; borrowed */
+};
+
+/* A backend server whose answers say that it is leaving. */
+struct dh_peer_leaving {
+	char id[DH_NAME_MAX];
+	int64_t born_ms;
 };
 
 struct dh_peer_key {
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -8,9 +8,6 @@
 #include "gateway/mirror.h"
 #include "platform/wire.h"
 
-/* A keyed backend server that leaves gets its last requests so long before
- * they would be too late: what a request and its keys' move need. */
-#define CLOSE_EARLY_MS 500
 /* How long one that left is remembered, so that its keys can be released. */
 #define FORGET_MS 60000
 /* The leader's watch: as long as others may go without what it doesn't hear
@@ -31,6 +28,7 @@
 	int64_t
 	    missing_ms; /* since when its entry is missing; 0: it is there */
 	bool counted_out; /* missing and not awaited back */
+	bool said_leaving; /* in an answer: holds for the rest of this life */
 	bool replaced; /* another one has its address */
 };
 
@@ -119,7 +117,7 @@
 	}
 	if (fresh || other_life(k, r)) {
 		k->uid = ++reg->next_uid;
-		k->replaced = false;
+		k->replaced = k->said_leaving = false;
 		k->leaving_ms = 0;
 	}
 	k->r = *r;
@@ -128,7 +126,7 @@
 	k->missing_ms = 0;
 	k->counted_out = false;
 	k->cold_until_ms = r->cold_left_ms > 0 ? now_ms + r->cold_left_ms : 0;
-	if (!r->draining)
+	if (!r->draining && !k->said_leaving)
 		k->leaving_ms = 0;
 	else if (k->leaving_ms == 0)
 		k->leaving_ms = now_ms;
@@ -435,7 +433,7 @@
 static int64_t
 closes_ms(const struct dh_registry *reg, const struct known *k, bool keyed)
 {
-	int64_t most_ms = reg->settings->drain_ms - CLOSE_EARLY_MS;
+	int64_t most_ms = reg->settings->drain_ms - DH_CLOSE_EARLY_MS;
 
 	if (k->replaced)
 		return 0;
@@ -451,6 +449,7 @@
 	const struct dh_deployment *d = *reg->deployment;
 
 	*s = (struct dh_view_server){ .uid = k->uid,
+		.born_ms = k->r.born_ms,
 		.address = k->address,
 		.tier = k->tier,
 		.service = service,
@@ -581,6 +580,30 @@
 	}
 }
 
+void
+dh_registry_said_leaving(
+    struct dh_registry *reg, const char *id, int64_t born_ms)
+{
+	struct known *k = g_hash_table_lookup(reg->servers, id);
+
+	if (k == NULL || k->r.born_ms != born_ms || k->said_leaving)
+		return;
+	k->said_leaving = true;
+	if (k->leaving_ms == 0)
+		k->leaving_ms = dh_clock_ms();
+	dh_ops(DH_OPS_STATE, "server.said_leaving",
+	    ",\"server\":\"%s\",\"born\":%lld", id, (long long)born_ms);
+	note_change(reg);
+}
+
+int64_t
+dh_registry_born_ms(const struct dh_registry *reg, const char *id)
+{
+	const struct known *k = g_hash_table_lookup(reg->servers, id);
+
+	return k == NULL ? 0 : k->r.born_ms;
+}
+
 char *
 dh_registry_address(const struct dh_registry *reg, const char *id)
 {
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -95,6 +95,14 @@
 void dh_registry_servers(
     const struct dh_registry *r, const char *service, GArray *list);
 
+/* dh_registry_said_leaving -- an answer of this life of a backend server has
+ * said that it is leaving, whatever its entry in the store says. */
+void dh_registry_said_leaving(
+    struct dh_registry *r, const char *id, int64_t born_ms);
+
+/* dh_registry_born_ms -- which life of a backend server is known; 0: none. */
+int64_t dh_registry_born_ms(const struct dh_registry *r, const char *id);
+
 /* dh_registry_address -- where a backend server is or was last, as "IP:port",
  * the caller's to free; NULL if it was never heard of. */
 char *dh_registry_address(const struct dh_registry *r, const char *id);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -290,8 +290,11 @@
 		dh_request_finish(rq, 503, "backend server unreachable",
 		    dh_retry_after_ms(left_ms / 6, left_ms, &rq->worker->rng));
 		return;
+	case DH_ATTEMPT_OVERRUN:
 	case DH_ATTEMPT_LOST:
-		dh_request_give_back(rq, DH_REPLY_LOST, NULL);
+		dh_request_give_back(rq,
+		    how == DH_ATTEMPT_LOST ? DH_REPLY_LOST : DH_REPLY_OVERRUN,
+		    NULL);
 		log_attempt(rq, "lost", why);
 		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
 			dh_request_dispatch(rq);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -29,6 +29,9 @@
 /* One that rested for less was cut for another reason. */
 #define IDLE_RESET_MIN_MS 100
 #define IDLE_RESET_MEMORY_MS 10000
+/* A new connection that is reset within this time and the way there and back
+ * was one too many. */
+#define TURNED_AWAY_MS 30
 /* Part of a backend server's connections that the routers together use. */
 #define CONNECTIONS_PERCENT 80
 #define CONNECTIONS_MIN 2
@@ -43,6 +46,7 @@
 	uv_timer_t timer; /* of the connecting */
 	int closing; /* handles that are being closed */
 	bool connected, written, closed, spoiled;
+	int64_t connected_ms;
 	struct dh_message in;
 	uint32_t foreign;
 	int64_t idle_since_ms;
@@ -107,12 +111,27 @@
 	s->idle_until_ms = now_ms + IDLE_RESET_MEMORY_MS;
 }
 
+/* Whether the backend server has taken the connection only to reset it: it has
+ * as many as it allows. */
+static bool
+turned_away(const struct dh_upstream *up)
+{
+	double since_ms =
+	    (double)(dh_worker_now_ms(up->worker) - up->connected_ms);
+
+	return up->connected && up->rested_ms == 0 && !up->in.began &&
+	    since_ms <=
+	    TURNED_AWAY_MS + up->worker->choice.way_ms[up->pool->tier];
+}
+
 /* The attempt ends without an answer. */
 static void
 upstream_fail(struct dh_upstream *up, enum dh_attempt_end how, const char *why)
 {
 	struct dh_request *rq = up->rq;
 
+	if (rq != NULL && how == DH_ATTEMPT_LOST && turned_away(up))
+		how = DH_ATTEMPT_OVERRUN;
 	if (rq != NULL && how == DH_ATTEMPT_LOST &&
 	    up->rested_ms >= IDLE_RESET_MIN_MS && !up->in.began)
 		learn_forgotten(rq->service_state, up);
@@ -177,7 +196,9 @@
 		return;
 	}
 	learn_idle_time(up);
-	keep = !extra && !up->spoiled && up->written && up->pool->listed &&
+	keep = !extra &&
+	    dh_pool_open(up->worker, up->pool, dh_worker_now_ms(up->worker)) &&
+	    !up->spoiled && up->written && up->pool->listed &&
 	    up->idle_max_ms > 0 && http_should_keep_alive(&up->in.parser);
 	/* The connection may go with the request's next steps: the answer
 	 * stays. */
@@ -194,6 +215,24 @@
 	dh_message_clear(&answer);
 }
 
+/* A backend server says in all its answers that it leaves. */
+static void
+note_leaving(struct dh_upstream *up)
+{
+	struct dh_pool *pool = up->pool;
+
+	if (pool->leaving_ms != 0 ||
+	    !dh_wire_leaving(
+		dh_message_header(&up->in, dh_wire_headers.leaving)))
+		return;
+	pool->leaving_ms = dh_worker_now_ms(up->worker);
+	dh_ops(DH_OPS_STATE, "server.said_leaving",
+	    ",\"server\":\"%s\",\"born\":%lld,\"by\":\"answer\"", pool->id,
+	    (long long)pool->born_ms);
+	if (!pool->keyed)
+		dh_pool_close_idle(pool);
+}
+
 static void
 take_bytes(struct dh_upstream *up, const char *data, size_t len)
 {
@@ -211,6 +250,8 @@
 			upstream_fail(up, DH_ATTEMPT_LOST, "not an answer");
 			return;
 		}
+		if (up->in.parser.status_code >= 200)
+			note_leaving(up);
 		if (up->in.parser.status_code >= 200 && is_ours(up)) {
 			answer_complete(up, len > 0);
 			return;
@@ -262,6 +303,7 @@
 	if (n == UV_EOF && ended_in_order(up) && dh_message_end(&up->in) &&
 	    up->in.parser.status_code >= 200 && is_ours(up)) {
 		up->spoiled = true;
+		note_leaving(up);
 		answer_complete(up, false);
 		return;
 	}
@@ -332,6 +374,7 @@
 		return;
 	}
 	up->connected = true;
+	up->connected_ms = dh_worker_now_ms(up->worker);
 	(void)uv_tcp_nodelay(&up->tcp, 1);
 	if (uv_read_start((uv_stream_t *)&up->tcp, on_alloc, on_read) != 0) {
 		upstream_fail(up, DH_ATTEMPT_UNREACHABLE, "cannot read");
@@ -439,6 +482,18 @@
 		upstream_close(pool->idle.head->data);
 }
 
+bool
+dh_pool_open(
+    const struct dh_worker *w, const struct dh_pool *pool, int64_t now_ms)
+{
+	int64_t most_ms = w->settings->drain_ms - DH_CLOSE_EARLY_MS;
+
+	if (pool->leaving_ms == 0)
+		return true;
+	/* Its keys need time to move. */
+	return pool->keyed && now_ms - pool->leaving_ms < most_ms;
+}
+
 bool
 dh_pool_full(const struct dh_worker *w, const struct dh_pool *pool,
     uint32_t connections_max)
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -18,9 +18,14 @@
  * when the last request that was routed by it has ended.
  */
 
+/* A keyed backend server that leaves gets its last requests so long before
+ * they would be too late: what a request and its keys' move need. */
+#define DH_CLOSE_EARLY_MS 500
+
 struct dh_view_server {
 	uint32_t uid; /* of this id, life and address; never used again */
 	char id[DH_NAME_MAX];
+	int64_t born_ms; /* of this life */
 	struct sockaddr_in address;
 	enum dh_tier tier; /* as seen from this VM */
 	uint32_t service;
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -19,6 +19,8 @@
  * from time to time: another VM may lead by then. */
 #define SPEED_CHANGE 0.15
 #define SPEED_AGAIN_MS 4000
+/* A report of a backend server that leaves may be lost. */
+#define LEAVING_AGAIN_MS 1000
 #define LISTEN_BACKLOG 1024
 /* Before the end of a drain: time for the last answers to go out. */
 #define LAST_ANSWERS_MS 300
@@ -112,6 +114,7 @@
 	pool->tier = s->tier;
 	pool->slots = s->slots;
 	pool->listed = !s->closed;
+	pool->born_ms = s->born_ms;
 	pool->keyed = (*w->view->deployment)->services[s->service].keyed;
 	(void)g_strlcpy(pool->id, s->id, sizeof(pool->id));
 	g_hash_table_insert(w->pools, GUINT_TO_POINTER(s->uid), pool);
@@ -189,12 +192,38 @@
 	}
 }
 
+static void
+report_leaving(struct dh_worker *w)
+{
+	struct dh_worker_report *r = w->report;
+	int64_t now_ms = dh_worker_now_ms(w);
+	GHashTableIter it;
+	gpointer value;
+
+	r->nleaving = 0;
+	g_hash_table_iter_init(&it, w->pools);
+	while (g_hash_table_iter_next(&it, NULL, &value) &&
+	    r->nleaving < DH_REPORT_LEAVING) {
+		struct dh_pool *p = value;
+
+		if (p->leaving_ms == 0 || !p->listed ||
+		    (p->told_leaving_ms != 0 &&
+			now_ms - p->told_leaving_ms < LEAVING_AGAIN_MS))
+			continue;
+		p->told_leaving_ms = now_ms;
+		(void)g_strlcpy(r->leaving[r->nleaving].id, p->id,
+		    sizeof(r->leaving[0].id));
+		r->leaving[r->nleaving++].born_ms = p->born_ms;
+	}
+}
+
 static void
 report_out(struct dh_worker *w)
 {
 	struct dh_worker_report *old;
 
 	report_servers(w);
+	report_leaving(w);
 	old = ck_pr_fas_ptr(&w->report_out, w->report);
 	if (old == NULL)
 		old = g_new(struct dh_worker_report, 1);
--- a/gateway/worker.h
+++ b/gateway/worker.h
@@ -24,6 +24,7 @@
 /* Keys in a report; beyond, only one in several is told. */
 #define DH_REPORT_KEYS 512
 #define DH_REPORT_SERVERS 256
+#define DH_REPORT_LEAVING 64
 
 /* What a worker has seen since its last report. */
 struct dh_worker_report {
@@ -38,6 +39,12 @@
 		uint32_t work_ms;
 	} servers[DH_REPORT_SERVERS];
 	uint32_t nservers;
+	/* Backend servers whose answers say that they are leaving. */
+	struct {
+		char id[DH_NAME_MAX];
+		int64_t born_ms;
+	} leaving[DH_REPORT_LEAVING];
+	uint32_t nleaving;
 };
 
 struct dh_worker;
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -30,6 +30,9 @@
 	GQueue busy; /* of struct dh_upstream, oldest request first */
 	uint64_t answers; /* that came from it */
 	bool keyed; /* its service is */
+	int64_t born_ms; /* of this life */
+	int64_t leaving_ms; /* since an answer said that it leaves; 0: none */
+	int64_t told_leaving_ms; /* last reported */
 	uint32_t told_work_ms; /* last reported */
 	int64_t told_ms;
 	bool listed; /* in the current view, and open */
@@ -94,6 +97,7 @@
 	DH_ATTEMPT_UNREACHABLE, /* no connection; nothing was sent */
 	DH_ATTEMPT_NOT_RUN, /* the backend server says so */
 	DH_ATTEMPT_MISDIRECTED, /* not the owner, or another instance */
+	DH_ATTEMPT_OVERRUN, /* its new connection was reset; it may have run */
 	DH_ATTEMPT_LOST, /* it may have run */
 };
 
@@ -165,6 +169,9 @@
 bool dh_upstream_send(struct dh_request *rq, struct dh_pool *pool);
 void dh_upstream_drop(struct dh_request *rq);
 void dh_pool_close_idle(struct dh_pool *pool);
+/* Whether it may be sent requests, as far as its own answers tell. */
+bool dh_pool_open(
+    const struct dh_worker *w, const struct dh_pool *pool, int64_t now_ms);
 bool dh_pool_full(const struct dh_worker *w, const struct dh_pool *pool,
     uint32_t connections_max);
 int64_t dh_pool_oldest_ms(const struct dh_pool *pool, int64_t now_ms);
--- a/include/dogwoodhub/choice.h
+++ b/include/dogwoodhub/choice.h
@@ -29,6 +29,7 @@
 	int64_t failing_at_ms;
 	uint32_t own; /* this router's requests there */
 	int64_t down_until_ms; /* not to be asked before */
+	int64_t held_until_ms; /* it has asked for nothing before */
 	uint32_t down_times; /* in a row */
 };
 
@@ -38,6 +39,7 @@
 	DH_REPLY_SHED, /* not run for want of room */
 	DH_REPLY_LOST, /* none, or none that makes sense */
 	DH_REPLY_UNREACHABLE, /* no connection; nothing was sent */
+	DH_REPLY_OVERRUN, /* a new connection was reset at once */
 	DH_REPLY_DROPPED, /* given up here: says nothing about it */
 };
 
@@ -49,6 +51,7 @@
 	uint32_t slots;
 	bool has_load; /* the two below were told */
 	uint32_t running, waiting;
+	int64_t pause_ms; /* it wants no request for so long */
 };
 
 /* dh_backend_ahead -- requests there now, as far as is known. */
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -172,6 +172,55 @@
 }
 
 /* One that has not answered for long is slower than what was measured. */
+/* It wants nothing for a while, whatever else it answers meanwhile; who has no
+ * other place is told when that is over. */
+static void
+test_asked_pause_is_kept(void)
+{
+	struct dh_backend_load l = { .work_ms = 50, .work_at_ms = 1000 };
+	struct dh_candidate c = { .load = &l, .slots = 4 };
+	struct dh_wish w = { .target_left_ms = 400, .left_ms = 9000 };
+	struct dh_choice_params p = { .work_ms = 50 };
+	struct dh_reply shed = {
+		.kind = DH_REPLY_SHED, .slots = 4, .pause_ms = 2000
+	};
+	struct dh_reply good = {
+		.kind = DH_REPLY_GOOD, .latency_ms = 50, .slots = 4
+	};
+	struct dh_choice choice;
+
+	dh_backend_replied(&l, &shed, 1000);
+	dh_backend_replied(&l, &good, 1200);
+	choice = dh_choose(&p, &c, 1, &w, &rng, 2900);
+	CU_ASSERT_EQUAL(choice.index, SIZE_MAX);
+	choice = dh_choose(&p, &c, 1, &w, &rng, 1300);
+	CU_ASSERT_EQUAL(choice.index, SIZE_MAX);
+	CU_ASSERT_TRUE(choice.retry_after_ms >= 850);
+	choice = dh_choose(&p, &c, 1, &w, &rng, 3000);
+	CU_ASSERT_EQUAL(choice.index, 0);
+}
+
+/* A backend server at its limit of connections is asked less and less. */
+static void
+test_overrun_one_is_left_alone(void)
+{
+	struct dh_backend_load l = { 0 };
+	struct dh_candidate c = { .load = &l, .slots = 4 };
+	struct dh_wish w = { .target_left_ms = 400, .left_ms = 9000 };
+	struct dh_choice_params p = { .work_ms = 50 };
+	struct dh_reply r = { .kind = DH_REPLY_OVERRUN, .slots = 4 };
+	uint32_t asked = 0;
+	int64_t t;
+
+	for (t = 1000; t < 11000; t += 10)
+		if (dh_choose(&p, &c, 1, &w, &rng, t).index == 0) {
+			asked++;
+			dh_backend_replied(&l, &r, t);
+		}
+	CU_ASSERT_TRUE(asked >= 4);
+	CU_ASSERT_TRUE(asked <= 10);
+}
+
 static void
 test_silence_counts_as_slowness(void)
 {
@@ -403,6 +452,8 @@
 		{ "failing one", test_failing_one_is_left_and_found_again },
 		{ "unreachable one",
 		    test_unreachable_one_pauses_longer_each_time },
+		{ "asked pause", test_asked_pause_is_kept },
+		{ "overrun", test_overrun_one_is_left_alone },
 		{ "silence", test_silence_counts_as_slowness },
 		{ "calm load", test_calm_load_is_served },
 		{ "sample", test_sample_is_of_all_tiers },
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -153,6 +153,61 @@
 	end(&fx);
 }
 
+static void
+enter_server(int64_t born_ms, uint64_t revision)
+{
+	g_autofree char *text = g_strdup_printf(
+	    "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":2,\"state\":\"ready\",\"version\":\"1\","
+	    "\"cold_left_s\":0,\"sequence\":%llu,\"born\":%lld}",
+	    (unsigned long long)revision, (long long)born_ms);
+	struct json_object *spec = json_tokener_parse(text);
+	struct dh_object_view v = {
+		.name = "i-1", .revision = revision, .spec = spec
+	};
+
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, revision, &v, 1);
+	json_object_put(spec);
+}
+
+static bool
+is_leaving(const struct dh_registry *reg)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
+
+	dh_registry_servers(reg, "s", list);
+	CU_ASSERT_EQUAL_FATAL(list->len, 1);
+	return g_array_index(list, struct dh_keyspace_server, 0).leaving;
+}
+
+/* What an answer has said holds for that life, whatever the entry says. */
+static void
+test_leaving_by_an_answer(void)
+{
+	struct fixture fx;
+
+	start(&fx);
+	enter_server(100, 11);
+	follow_for(&fx, 400);
+	CU_ASSERT_FALSE(is_leaving(fx.reg));
+	dh_registry_said_leaving(fx.reg, "i-1", 99); /* of a life before */
+	CU_ASSERT_FALSE(is_leaving(fx.reg));
+	dh_registry_said_leaving(fx.reg, "i-1", 100);
+	CU_ASSERT_TRUE(is_leaving(fx.reg));
+	dh_registry_follow(fx.reg, NULL);
+	enter_server(100, 12);
+	CU_ASSERT_EQUAL(dh_registry_born_ms(fx.reg, "i-1"), 100);
+	CU_ASSERT_TRUE(is_leaving(fx.reg));
+	g_usleep(400000);
+	follow_for(&fx, 20);
+	dh_registry_follow(fx.reg, NULL);
+	enter_server(200, 13);
+	CU_ASSERT_EQUAL(dh_registry_born_ms(fx.reg, "i-1"), 200);
+	CU_ASSERT_FALSE(is_leaving(fx.reg));
+	end(&fx);
+}
+
 int
 main(void)
 {
@@ -162,6 +217,7 @@
 		{ "leader without the store",
 		    test_leader_without_the_store_is_not_relied_on },
 		{ "missed news", test_missed_news_are_asked_for },
+		{ "leaving", test_leaving_by_an_answer },
 		{ "as the leader", test_leader_watches_and_tells },
 		CU_TEST_INFO_NULL,
 	};
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -134,6 +134,7 @@
 static void
 test_headers(void)
 {
+	int64_t ms;
 	uint32_t a, b;
 
 	CU_ASSERT_TRUE(dh_wire_load("3,1,8", &a, &b));
@@ -141,6 +142,18 @@
 	CU_ASSERT_EQUAL(b, 1);
 	CU_ASSERT_FALSE(dh_wire_load("3", &a, &b));
 	CU_ASSERT_FALSE(dh_wire_load("x,1,2", &a, &b));
+	CU_ASSERT_TRUE(dh_wire_leaving("1"));
+	CU_ASSERT_FALSE(dh_wire_leaving("0"));
+	CU_ASSERT_FALSE(dh_wire_leaving(NULL));
+	CU_ASSERT_TRUE(dh_wire_pause("1.5", &ms));
+	CU_ASSERT_EQUAL(ms, 1500);
+	CU_ASSERT_TRUE(dh_wire_pause("0", &ms));
+	CU_ASSERT_EQUAL(ms, 0);
+	CU_ASSERT_FALSE(dh_wire_pause("", &ms));
+	CU_ASSERT_FALSE(dh_wire_pause("-1", &ms));
+	CU_ASSERT_FALSE(dh_wire_pause("1e99", &ms));
+	CU_ASSERT_FALSE(dh_wire_pause("Fri, 31 Dec 1999 23:59:59 GMT", &ms));
+	CU_ASSERT_FALSE(dh_wire_pause("2 s", &ms));
 	CU_ASSERT_FALSE(dh_wire_load("3,99999999999,2", &a, &b));
 	CU_ASSERT_TRUE(dh_wire_key("65535", &a));
 	CU_ASSERT_FALSE(dh_wire_key("65536", &a));
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -138,6 +138,22 @@
 			: good);
 		return true;
 	}
+	if (strstr(head, " /pause/") != NULL) {
+		say(fd,
+		    "HTTP/1.1 503 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
+		    "Retry-After: 0.7\r\nContent-Length: 0\r\n\r\n");
+		return true;
+	}
+	if (strstr(head, "/leaving/") != NULL) {
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 200 OK\r\n" STAMP ID
+				    ": %s\r\nServer-Leaving: "
+				    "1\r\nContent-Length: 4\r\n\r\nbody",
+			id);
+
+		say(fd, text);
+		return true;
+	}
 	if (strstr(head, " /garbage/") != NULL) {
 		say(fd, "\x01\x02 nonsense\r\n\r\n");
 		return true;
@@ -281,6 +297,7 @@
 	add_route(d, "/silent-once/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/ok/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/ok/once/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/leaving/keyed/", DH_REPEAT_SAFE, 1);
 	return d;
 }
 
@@ -577,6 +594,66 @@
 	stop();
 }
 
+/* One that refuses with a time is sent nothing until then, though it answers
+ * others well; where it is the only one, callers are refused at once. */
+static void
+test_pause_of_a_backend_server(void)
+{
+	int64_t began_us;
+	int before;
+
+	start(1);
+	CU_ASSERT_EQUAL(ask_once("/pause/", "", buf), 503);
+	CU_ASSERT_EQUAL(runs, 1);
+	began_us = g_get_monotonic_time();
+	before = runs;
+	while (g_get_monotonic_time() - began_us < 600000) {
+		CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 503);
+		CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Retry-After: "));
+		(void)usleep(50000);
+	}
+	CU_ASSERT_EQUAL(runs, before);
+	(void)usleep(200000);
+	CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 200);
+	stop();
+}
+
+/* One that says in an answer that it leaves is sent nothing new in this life,
+ * whatever its entry says; the owner of keys until they can have moved. */
+static void
+test_leaving_backend_server(void)
+{
+	struct dh_worker_report *r = NULL;
+	int i;
+
+	settings.drain_ms = 900;
+	start(1);
+	CU_ASSERT_EQUAL(ask_once("/leaving/", "", buf), 200);
+	CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 503);
+	CU_ASSERT_EQUAL(runs, 1);
+	/* Another takes its place. */
+	publish(2, true);
+	CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "X-From: 1"));
+	CU_ASSERT_EQUAL(
+	    ask_once("/leaving/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf),
+	    200);
+	CU_ASSERT_EQUAL(
+	    ask_once("/ok/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf), 200);
+	(void)usleep(450000);
+	CU_ASSERT_EQUAL(
+	    ask_once("/ok/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf), 503);
+	for (i = 0; i < 10 && (r == NULL || r->nleaving == 0); i++) {
+		g_free(r);
+		(void)usleep(100000);
+		r = dh_worker_report(worker);
+	}
+	CU_ASSERT_TRUE(r != NULL && r->nleaving > 0);
+	g_free(r);
+	stop();
+	settings.drain_ms = 0;
+}
+
 static void
 test_no_answer_ends_at_the_deadline(void)
 {
@@ -690,6 +767,8 @@
 		{ "spoiled answers", test_spoiled_answers },
 		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
 		{ "not run", test_not_run_is_sent_elsewhere },
+		{ "pause", test_pause_of_a_backend_server },
+		{ "leaving", test_leaving_backend_server },
 		{ "no answer", test_no_answer_ends_at_the_deadline },
 		{ "caller leaves", test_caller_leaves },
 		{ "forgotten connections", test_forgotten_connections },
