Mirror: a silent leader does not make all VMs read the store afresh at once

For half a second after the beats have ended the reads may be old; a successor usually tells by then. Lines about single backend servers, VMs and orders have a budget of their own, so that they do not push out the others; store calls are counted.

test_mirror 'silent leader'.

--- a/base/opslog.c
+++ b/base/opslog.c
@@ -21,7 +21,7 @@
 	char vm[64];
 	uint32_t lines_per_s;
 	uint64_t second; /* that used counts */
-	uint32_t used[2]; /* by class */
+	uint32_t used[DH_OPS_CLASSES]; /* by class */
 	uint64_t left_out;
 	uint64_t told; /* of left_out */
 } log_state = { .fd = -1 };
@@ -67,11 +67,12 @@
 	uint32_t limit = class == DH_OPS_STATE
 	    ? log_state.lines_per_s * STATE_FACTOR
 	    : log_state.lines_per_s;
+	int i;
 
 	if (ck_pr_load_64(&log_state.second) != second) {
 		ck_pr_store_64(&log_state.second, second);
-		ck_pr_store_32(&log_state.used[DH_OPS_STATE], 0);
-		ck_pr_store_32(&log_state.used[DH_OPS_REQUEST], 0);
+		for (i = 0; i < DH_OPS_CLASSES; i++)
+			ck_pr_store_32(&log_state.used[i], 0);
 	}
 	return ck_pr_faa_32(&log_state.used[class], 1) < limit;
 }
--- a/base/opslog.h
+++ b/base/opslog.h
@@ -15,6 +15,8 @@
 enum dh_ops_class {
 	DH_OPS_STATE, /* a belief changed; up to four times the budget */
 	DH_OPS_REQUEST, /* a decision about one request */
+	DH_OPS_MEMBER, /* one of many backend servers, VMs or ranges changed */
+	DH_OPS_CLASSES,
 };
 
 /* dh_opslog_open -- write to fd, which becomes non-blocking; vm stands in each
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -131,7 +131,7 @@
 
 	if (answer == DH_KEY_ACCEPTED && w->o.kind == DH_KEY_GRANT)
 		return;
-	dh_ops(DH_OPS_STATE, "order.answered",
+	dh_ops(DH_OPS_MEMBER, "order.answered",
 	    ",\"order\":\"%s\",\"server\":\"%s\",\"from\":%u,\"to\":%u,"
 	    "\"fence\":%llu,\"status\":%ld,\"answer\":\"%s\",\"term\":%llu",
 	    order_name(w->o.kind), w->o.server, w->o.from, w->o.to,
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -19,6 +19,9 @@
  * tenth of the price: until the leader tells it what is new.  Shorter than the
  * time in which a VM that starts has to be in step with the store. */
 #define START_STALE_MS 2500
+/* The same after the leader fell silent: another one leads by then, or the
+ * store is read afresh with what is left of the time for a change. */
+#define SUCCESSOR_MS 500
 /* Times that a VM which is behind the leader reads what may be old, before it
  * reads what is new. */
 #define STALE_ASKS 1
@@ -41,7 +44,7 @@
 	uint64_t list_as_of; /* of the list's first page */
 	int64_t pause_ms;
 	int64_t wait_ms;
-	int64_t stale_until_ms; /* since the start; 0: no more */
+	int64_t stale_until_ms; /* a leader is expected; 0: none is */
 	uint32_t behind; /* asked in a row */
 	bool fed; /* another VM tells what changes */
 	bool ask; /* the store once, without waiting for a change */
@@ -54,8 +57,9 @@
 
 static void step(struct dh_mirror *f);
 
+/* Whether a leader is expected to tell soon what is new. */
 static bool
-starting(const struct dh_mirror *f)
+expects_leader(const struct dh_mirror *f)
 {
 	return dh_clock_ms() < f->stale_until_ms;
 }
@@ -63,17 +67,19 @@
 static enum dh_freshness
 freshness_now(const struct dh_mirror *f)
 {
-	return starting(f) || f->ask_stale ? DH_STALE : f->freshness;
+	return expects_leader(f) || f->ask_stale ? DH_STALE : f->freshness;
 }
 
 static int64_t
 watch_pause_ms(const struct dh_mirror *f)
 {
-	return f->freshness == DH_STALE || starting(f) ? WATCH_PAUSE_STALE_MS
-						       : WATCH_PAUSE_MS;
+	return f->freshness == DH_STALE || expects_leader(f)
+	    ? WATCH_PAUSE_STALE_MS
+	    : WATCH_PAUSE_MS;
 }
 
-/* How long a watch may wait: one for old news ends with the start. */
+/* How long a watch may wait: one for old news no longer than a leader is
+ * expected. */
 static int64_t
 watch_wait_ms(const struct dh_mirror *f)
 {
@@ -289,6 +295,16 @@
 	ask_now(f);
 }
 
+void
+dh_mirror_feeder_silent(struct dh_mirror *f)
+{
+	if (!f->fed)
+		return;
+	if (f->freshness == DH_FRESH)
+		f->stale_until_ms = dh_clock_ms() + SUCCESSOR_MS;
+	dh_mirror_set_fed(f, false);
+}
+
 /* One that another VM has told.  The revision of a deleted object may be that
  * of its last change. */
 static void
@@ -320,7 +336,7 @@
 void
 dh_mirror_catch_up(struct dh_mirror *f)
 {
-	if (f->behind++ < STALE_ASKS || starting(f))
+	if (f->behind++ < STALE_ASKS || expects_leader(f))
 		f->ask_stale = true;
 	ask_now(f);
 }
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -41,6 +41,9 @@
  * dh_mirror_set_fed -- while on, another VM tells what changes: the store is
  * not asked.  Turned off, the store is asked at once.
  *
+ * dh_mirror_feeder_silent -- the VM that told is not heard: the store is asked,
+ * for half a second as it may have been some seconds ago.
+ *
  * dh_mirror_take -- what another VM's handler was called with.  False if
  * something between what is known here and since is missing.
  *
@@ -50,6 +53,7 @@
  * dh_mirror_caught_up -- nothing is missing any more.
  */
 void dh_mirror_set_fed(struct dh_mirror *f, bool fed);
+void dh_mirror_feeder_silent(struct dh_mirror *f);
 bool dh_mirror_take(struct dh_mirror *f, uint64_t since, uint64_t as_of,
     const struct dh_object_view *items, size_t n);
 void dh_mirror_catch_up(struct dh_mirror *f);
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -36,7 +36,7 @@
 		dh_record_clear(r);
 		return false;
 	}
-	dh_ops(DH_OPS_STATE, "owners.learned",
+	dh_ops(DH_OPS_MEMBER, "owners.learned",
 	    ",\"service\":\"%s\",\"term\":%llu,\"version\":%llu,"
 	    "\"ranges\":%zu,\"from\":\"%s\"",
 	    service, (unsigned long long)r->term,
@@ -175,7 +175,7 @@
 	}
 	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0')
 		owners_peer(o, ip)->core_share_milli = core_share_milli;
-	dh_ops(DH_OPS_STATE, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
+	dh_ops(DH_OPS_MEMBER, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
 	    v->name + strlen(VM_PREFIX), ip);
 }
 
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -131,7 +131,7 @@
 	else if (k->leaving_ms == 0)
 		k->leaving_ms = now_ms;
 	drop_other_at_address(reg, k);
-	dh_ops(DH_OPS_STATE, fresh ? "server.joined" : "server.changed",
+	dh_ops(DH_OPS_MEMBER, fresh ? "server.joined" : "server.changed",
 	    ",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
 	    "\"zone\":\"%s\",\"slots\":%u,\"draining\":%s,\"born\":%lld",
 	    r->id, r->service, r->address, r->port, r->zone, r->slots,
@@ -375,7 +375,10 @@
 	struct dh_mirror *f = reg->mirrors[kind];
 	int64_t now_ms = dh_clock_ms();
 
-	dh_mirror_set_fed(f, c != NULL && c->reached && c->as_of != 0);
+	if (c == NULL)
+		dh_mirror_feeder_silent(f);
+	else
+		dh_mirror_set_fed(f, c->reached && c->as_of != 0);
 	if (c == NULL || c->as_of <= dh_mirror_as_of(f)) {
 		reg->behind_ms[kind] = 0;
 		dh_mirror_caught_up(f);
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -181,6 +181,30 @@
 	end(&fx);
 }
 
+/* A leader that falls silent has a successor soon: many VMs do not read the
+ * store afresh at once, but they do when none comes. */
+static void
+test_silent_leader(void)
+{
+	struct fixture fx;
+
+	start(&fx);
+	run_for(&fx, 2600);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	dh_mirror_set_fed(fx.f, true);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	CU_ASSERT_PTR_NULL(fake_open(KIND));
+	dh_mirror_feeder_silent(fx.f);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_STALE);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_STALE);
+	CU_ASSERT_TRUE(fake_open(KIND)->wait_ms <= 500);
+	run_for(&fx, 510);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	end(&fx);
+}
+
 static void
 test_fed_asks_nothing(void)
 {
@@ -330,6 +354,7 @@
 		{ "pause", test_watch_continues_after_a_pause },
 		{ "start", test_start_reads_what_may_be_old },
 		{ "behind", test_behind_asks_twice },
+		{ "silent leader", test_silent_leader },
 		{ "fed", test_fed_asks_nothing },
 		{ "open watch", test_open_watch_is_not_relied_on },
 		{ "gap", test_news_with_a_gap_are_not_taken },
