Gateway: a bound on the memory of all messages

Idle connections kept the memory of their largest body.

Now all messages of a worker together take at most 30 % of the process's memory: counted after each eighth of it that is read, the less urgent and larger give way first (core/room); a caller is refused before its request has run, an answer's attempt is lost as by its kind's rules. One answer takes at most a quarter of that. Answers to orders are read up to 4 KB.

--- a/base/http.c
+++ b/base/http.c
@@ -203,6 +203,7 @@
 	GHashTable *reply_headers;
 	dh_http_reply_fn done;
 	void *arg;
+	size_t answer_max;
 	uint32_t keepalive_s;
 	bool reset_on_close;
 };
@@ -238,7 +239,7 @@
 {
 	struct dh_http_fetch *f = arg;
 
-	if (f->body->len + size * n > DH_HTTP_FETCH_MAX)
+	if (f->body->len + size * n > f->answer_max)
 		return 0;
 	g_string_append_len(f->body, data, (gssize)(size * n));
 	return size * n;
@@ -303,6 +304,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->done = done;
 	f->arg = arg;
+	f->answer_max = rq->answer_max > 0 ? rq->answer_max : DH_HTTP_FETCH_MAX;
 	f->keepalive_s = rq->keepalive_s;
 	f->reset_on_close = rq->reset_on_close;
 	if (f->keepalive_s > 0 || f->reset_on_close) {
--- a/base/http.h
+++ b/base/http.h
@@ -49,6 +49,7 @@
 	const char *const *headers; /* "Name: value", NULL-ended, or NULL */
 	const void *body; /* copied; NULL for none */
 	size_t body_len;
+	size_t answer_max; /* bytes of its body; 0: DH_HTTP_FETCH_MAX */
 	int64_t timeout_ms;
 	int64_t connect_ms; /* to open a connection; 0: the whole time */
 	bool fresh_connection; /* do not reuse one */
@@ -76,7 +77,7 @@
 /*
  * dh_http_fetch -- send rq and call back once, never before this returns.
  * The handle returned is good for dh_http_fetch_cancel() until the call back.
- * An answer of more than DH_HTTP_FETCH_MAX bytes is an error.
+ * An answer of more than answer_max bytes is an error.
  */
 #define DH_HTTP_FETCH_MAX (8u << 20)
 struct dh_http_fetch *dh_http_fetch(struct dh_http *h,
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -19,6 +19,8 @@
 #define LINGER_MS 1000
 /* Bytes that a caller may send ahead of its turn. */
 #define AHEAD_MAX (1u << 20)
+/* For callers whose bodies found no room. */
+#define NO_ROOM_RETRY_MS 500
 /* Answers up to this size go out in one piece with their heads. */
 #define JOIN_MAX 16384u
 
@@ -214,7 +216,8 @@
 
 /* Answer what is no request that could be routed, and close. */
 static void
-reject(struct dh_client *c, unsigned int status, const char *why)
+reject(struct dh_client *c, unsigned int status, const char *why,
+    int64_t retry_after_ms)
 {
 	GString *head = g_string_new(NULL);
 
@@ -224,6 +227,9 @@
 	dh_counter_add(c->worker->c.failed, 1);
 	g_string_printf(head, "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\n",
 	    status, http_status_str((enum http_status)status));
+	if (retry_after_ms > 0)
+		g_string_append_printf(head, "Retry-After: %.3f\r\n",
+		    (double)retry_after_ms / 1000.0);
 	dh_client_answer(c, head, why, strlen(why), true);
 }
 
@@ -263,13 +269,13 @@
 		dh_request_start(c, &c->in);
 		return used;
 	case DH_MESSAGE_BAD:
-		reject(c, 400, "not a request");
+		reject(c, 400, "not a request", 0);
 		return len;
 	case DH_MESSAGE_HEAD_TOO_LARGE:
-		reject(c, 431, "head too large");
+		reject(c, 431, "head too large", 0);
 		return len;
 	case DH_MESSAGE_BODY_TOO_LARGE:
-		reject(c, 413, "body too large");
+		reject(c, 413, "body too large", 0);
 		return len;
 	}
 	return len;
@@ -321,6 +327,7 @@
 		return;
 	}
 	c->since_ms = dh_worker_now_ms(c->worker);
+	dh_room_read(c->worker, (size_t)n);
 	pump(c, buf->base, (size_t)n);
 }
 
@@ -367,9 +374,44 @@
 		return;
 	}
 	if (!c->in.head_done && now_ms - c->began_ms >= header_ms)
-		reject(c, 408, "head took too long");
+		reject(c, 408, "head took too long", 0);
 	else if (c->in.head_done && now_ms - c->since_ms >= idle_ms)
-		reject(c, 408, "body took too long");
+		reject(c, 408, "body took too long", 0);
+}
+
+size_t
+dh_client_held(const struct dh_client *c)
+{
+	/* The request's body is held until the answer is there. */
+	return c->ahead->len +
+	    (c->state == CLIENT_READING ? 0 : c->in.body->allocated_len) +
+	    (c->out == NULL ? 0 : c->out->allocated_len);
+}
+
+size_t
+dh_client_reading(const struct dh_client *c, uint32_t *priority)
+{
+	const struct dh_view *v = c->worker->view;
+	const struct dh_http_route *route;
+
+	*priority = 0;
+	if (c->state != CLIENT_READING || !c->in.head_done)
+		return 0;
+	route = v == NULL
+	    ? NULL
+	    : dh_deployment_match(*v->deployment,
+		  dh_message_header(&c->in, "Host"), c->in.target->str);
+	*priority = route == NULL ? UINT32_MAX : route->priority;
+	return c->in.body->allocated_len;
+}
+
+void
+dh_client_no_room(struct dh_client *c)
+{
+	if (c->state != CLIENT_READING)
+		return;
+	dh_message_drop_body(&c->in);
+	reject(c, 503, "no room for the body", NO_ROOM_RETRY_MS);
 }
 
 void
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -31,6 +31,8 @@
  * much of the longest lease that they take is used. */
 #define LEASE_SERVERS 300
 #define LEASE_MAX_PERCENT 80
+/* Bytes of an order's answer, of which only status and headers count. */
+#define ANSWER_MAX 4096
 /* Orders at once; more wait for answers.  A release is answered when work has
  * ended, and must not keep renewals waiting. */
 #define ORDERS_MAX 64
@@ -197,6 +199,7 @@
 		expected, NULL };
 	struct dh_http_request rq = { .method = "POST",
 		.headers = headers,
+		.answer_max = ANSWER_MAX,
 		.timeout_ms = d->c.settings->order_ms,
 		.reset_on_close = true };
 
--- a/gateway/message.c
+++ b/gateway/message.c
@@ -10,6 +10,9 @@
 	"Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 	NULL };
 
+/* Room for a body that stays with a connection between messages. */
+#define BODY_KEPT 16384
+
 static bool
 head_room(struct dh_message *m, size_t len)
 {
@@ -165,6 +168,17 @@
 	m->target = NULL;
 }
 
+void
+dh_message_drop_body(struct dh_message *m)
+{
+	if (m->body->allocated_len <= BODY_KEPT) {
+		g_string_truncate(m->body, 0);
+		return;
+	}
+	g_string_free(m->body, TRUE);
+	m->body = g_string_new(NULL);
+}
+
 void
 dh_message_reset(struct dh_message *m)
 {
@@ -175,7 +189,7 @@
 	g_string_truncate(m->target, 0);
 	g_string_truncate(m->text, 0);
 	g_array_set_size(m->fields, 0);
-	g_string_truncate(m->body, 0);
+	dh_message_drop_body(m);
 	m->head_bytes = 0;
 	m->began = m->head_done = m->done = m->in_value = false;
 	m->no_body = m->head_over = m->body_over = false;
--- a/gateway/message.h
+++ b/gateway/message.h
@@ -48,6 +48,9 @@
 /* dh_message_reset -- empty again, for the next one of the connection. */
 void dh_message_reset(struct dh_message *m);
 
+/* dh_message_drop_body -- give back the memory of the body. */
+void dh_message_drop_body(struct dh_message *m);
+
 /* dh_message_feed -- take bytes; *used says how many belong to it. */
 enum dh_message_state dh_message_feed(
     struct dh_message *m, const char *data, size_t len, size_t *used);
--- /dev/null
+++ b/gateway/room.c
@@ -0,0 +1,116 @@
+/*
+ * Bound on the memory of all messages that a worker holds, callers' and
+ * backend servers'.
+ */
+#include <dogwoodhub/room.h>
+
+#include "base/opslog.h"
+#include "gateway/worker_internal.h"
+
+/* Part of a process's memory that bodies may take; the rest is for tables,
+ * views and the control thread. */
+#define ROOM_PERCENT 30
+/* All is counted anew each time that so small a part of it has been read. */
+#define COUNT_SHARE 8
+#define MIB (1u << 20)
+
+size_t
+dh_room_max(const struct dh_worker *w)
+{
+	return (size_t)w->settings->memory_mb * MIB / 100 * ROOM_PERCENT /
+	    w->settings->threads;
+}
+
+static void
+add(GArray *list, size_t bytes, uint32_t priority, void *owner, size_t *total)
+{
+	struct dh_room_user u = { bytes, priority, owner };
+
+	*total += bytes;
+	g_array_append_val(list, u);
+}
+
+static size_t
+count(struct dh_worker *w, GArray *clients, GArray *requests)
+{
+	size_t total = 0;
+	uint32_t priority;
+	GList *l;
+
+	for (l = w->clients.head; l != NULL; l = l->next) {
+		total += dh_client_held(l->data);
+		add(clients, dh_client_reading(l->data, &priority), priority,
+		    l->data, &total);
+	}
+	for (l = w->requests.head; l != NULL; l = l->next) {
+		struct dh_request *rq = l->data;
+
+		total += rq->wire == NULL ? 0 : rq->wire->allocated_len;
+		add(requests, dh_upstream_reading(rq),
+		    rq->route == NULL ? 0 : rq->route->priority, rq, &total);
+	}
+	return total;
+}
+
+/* Whether what a caller sends gives way before what a backend server does. */
+static bool
+caller_first(const struct dh_room_user *c, const struct dh_room_user *r)
+{
+	if (c == NULL || r == NULL)
+		return c != NULL;
+	return c->priority > r->priority ||
+	    (c->priority == r->priority && c->bytes > r->bytes);
+}
+
+static void
+give_way(struct dh_worker *w, GArray *clients, GArray *requests, size_t total)
+{
+	struct dh_room_user *c, *r, *u;
+	size_t most = dh_room_max(w);
+
+	while (total > most) {
+		c = dh_room_first(
+		    (struct dh_room_user *)(void *)clients->data, clients->len);
+		r = dh_room_first((struct dh_room_user *)(void *)requests->data,
+		    requests->len);
+		u = caller_first(c, r) ? c : r;
+		if (u == NULL)
+			return;
+		dh_ops(DH_OPS_REQUEST, "room.over",
+		    ",\"bytes\":%zu,\"of\":%zu,\"most\":%zu,\"priority\":%u,"
+		    "\"from\":\"%s\"",
+		    u->bytes, total, most, u->priority,
+		    u == c ? "caller" : "backend");
+		dh_counter_add(w->c.room_over, 1);
+		total -= u->bytes;
+		u->bytes = 0;
+		if (u == c)
+			dh_client_no_room(u->owner);
+		else
+			dh_upstream_no_room(u->owner);
+	}
+}
+
+static void
+check(struct dh_worker *w)
+{
+	g_autoptr(GArray) clients =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_room_user));
+	g_autoptr(GArray) requests =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_room_user));
+
+	size_t total = count(w, clients, requests);
+
+	dh_counter_set(w->c.room, total);
+	give_way(w, clients, requests, total);
+}
+
+void
+dh_room_read(struct dh_worker *w, size_t bytes)
+{
+	w->read_bytes += bytes;
+	if (w->read_bytes < dh_room_max(w) / COUNT_SHARE)
+		return;
+	w->read_bytes = 0;
+	check(w);
+}
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -27,6 +27,7 @@
 	uint16_t metrics_port; /* 0: none */
 	uint32_t threads; /* traffic threads */
 	int64_t core_share_milli; /* of a core that this VM has */
+	uint32_t memory_mb; /* that the process may use */
 	uint32_t log_lines_per_s;
 	uint32_t connections_max; /* of callers, per traffic thread */
 	int64_t drain_ms; /* a leaving backend server gets requests */
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -15,6 +15,7 @@
 /* Answers are held whole, so that one that ends early is never passed on. */
 #define ANSWER_HEAD_MAX 65536
 #define ANSWER_BODY_MAX (16u << 20)
+#define ANSWER_ROOM_SHARE 4 /* and one of them at most such a part of all */
 /* Answers to other requests that are skipped before ours. */
 #define FOREIGN_MAX 4
 /* Idle connections are used again for this long, and for this long if what
@@ -94,6 +95,15 @@
 	uv_close((uv_handle_t *)&up->tcp, on_closed);
 }
 
+static void
+answer_init(struct dh_upstream *up)
+{
+	size_t most = dh_room_max(up->worker) / ANSWER_ROOM_SHARE;
+
+	dh_message_init(&up->in, HTTP_RESPONSE, ANSWER_HEAD_MAX,
+	    MIN(most, ANSWER_BODY_MAX));
+}
+
 /* The connection may have been forgotten while it rested. */
 static void
 learn_forgotten(struct dh_service_state *s, const struct dh_upstream *up)
@@ -203,8 +213,7 @@
 	/* The connection may go with the request's next steps: the answer
 	 * stays. */
 	answer = up->in;
-	dh_message_init(
-	    &up->in, HTTP_RESPONSE, ANSWER_HEAD_MAX, ANSWER_BODY_MAX);
+	answer_init(up);
 	rq->upstream = NULL;
 	up->pool->answers++;
 	if (keep)
@@ -297,6 +306,7 @@
 		return;
 	}
 	if (n > 0) {
+		dh_room_read(up->worker, (size_t)n);
 		take_bytes(up, buf->base, (size_t)n);
 		return;
 	}
@@ -400,8 +410,7 @@
 	up->rq = rq;
 	up->link.data = up;
 	up->idle_max_ms = IDLE_MAX_MS;
-	dh_message_init(
-	    &up->in, HTTP_RESPONSE, ANSWER_HEAD_MAX, ANSWER_BODY_MAX);
+	answer_init(up);
 	uv_tcp_init(&w->loop, &up->tcp);
 	uv_timer_init(&w->loop, &up->timer);
 	up->tcp.data = up->timer.data = up->connect.data = up;
@@ -475,6 +484,20 @@
 	rq->upstream = NULL;
 }
 
+size_t
+dh_upstream_reading(const struct dh_request *rq)
+{
+	return rq->upstream == NULL ? 0 : rq->upstream->in.body->allocated_len;
+}
+
+void
+dh_upstream_no_room(struct dh_request *rq)
+{
+	if (rq->upstream != NULL)
+		upstream_fail(
+		    rq->upstream, DH_ATTEMPT_LOST, "no room for the answer");
+}
+
 void
 dh_pool_close_idle(struct dh_pool *pool)
 {
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -74,6 +74,8 @@
 	c->retries = dh_counter_get("dh_gateway_retries_total", "");
 	c->connects = dh_counter_get("dh_gateway_connects_total", "");
 	c->parked = dh_counter_get("dh_gateway_parked_total", "");
+	c->room = dh_counter_get("dh_gateway_room_bytes", "");
+	c->room_over = dh_counter_get("dh_gateway_room_over_total", "");
 	c->bad_answers = dh_counter_get("dh_gateway_bad_answers_total", "");
 	for (i = 0; i <= DH_LATENCY_BUCKETS; i++) {
 		g_free(label);
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -53,6 +53,7 @@
 
 struct dh_worker_counters {
 	struct dh_counter *requests, *done, *late, *refused, *unknown, *failed;
+	struct dh_counter *room, *room_over;
 	struct dh_counter *gone, *retries, *connects, *parked, *bad_answers;
 	/* Request and answer, by the tier of the backend server. */
 	struct dh_counter *bytes[DH_TIERS], *keyed_bytes[DH_TIERS];
@@ -76,6 +77,7 @@
 	int64_t drain_quiet_ms, drain_limit_ms;
 	int64_t drain_began_ms; /* 0: not draining */
 	uint32_t ticks;
+	size_t read_bytes; /* since memory was counted */
 	uint32_t done; /* exchanged */
 	bool accepting; /* the listener is open */
 	GHashTable *pools; /* uid -> struct dh_pool */
@@ -174,6 +176,9 @@
     const struct dh_worker *w, const struct dh_pool *pool, int64_t now_ms);
 bool dh_pool_full(const struct dh_worker *w, const struct dh_pool *pool,
     uint32_t connections_max);
+/* What the answer that is being read takes; and end that attempt. */
+size_t dh_upstream_reading(const struct dh_request *rq);
+void dh_upstream_no_room(struct dh_request *rq);
 int64_t dh_pool_oldest_ms(const struct dh_pool *pool, int64_t now_ms);
 
 /* client.c */
@@ -182,9 +187,22 @@
     size_t len, bool close);
 void dh_client_set_request(struct dh_client *client, struct dh_request *rq);
 struct dh_worker *dh_client_worker(const struct dh_client *client);
+/* What it holds beyond the message that it reads; and what that takes, of a
+ * kind of request with this priority. */
+size_t dh_client_held(const struct dh_client *client);
+size_t dh_client_reading(const struct dh_client *client, uint32_t *priority);
+/* Refuse what it reads. */
+void dh_client_no_room(struct dh_client *client);
 void dh_clients_close(struct dh_worker *w);
 void dh_clients_sweep(struct dh_worker *w, int64_t now_ms);
 
+/* room.c */
+/* The most that messages may take. */
+size_t dh_room_max(const struct dh_worker *w);
+/* So much was read: if all together is too much now, some give way, the one
+ * that was read from perhaps among them. */
+void dh_room_read(struct dh_worker *w, size_t bytes);
+
 /* worker.c */
 struct dh_pool *dh_worker_pool(
     struct dh_worker *w, const struct dh_view_server *s);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -70,6 +70,41 @@
 	(void)close(fd);
 }
 
+/* Bytes until the other side closes: in a head, in chunks, or without a
+ * length; the slow ones some at a time. */
+static bool
+say_without_end(int fd, const char *head, const char *id)
+{
+	bool in_head = strstr(head, "/endless-head") != NULL;
+	bool chunks = strstr(head, "/endless-chunks") != NULL;
+	bool slow = strstr(head, "/slow/") != NULL;
+	g_autofree char *begin =
+	    g_strdup_printf("HTTP/1.1 200 OK\r\n" STAMP ID ": %s\r\n%s%s", id,
+		chunks ? "Transfer-Encoding: chunked\r\n" : "",
+		in_head ? "" : "\r\n");
+	char part[4096 + 16];
+	size_t n;
+
+	memset(part, 'x', sizeof(part));
+	n = sizeof(part);
+	if (in_head)
+		memcpy(part + n - 6, ": y\r\nz", 6);
+	if (chunks) {
+		memcpy(part, "1000\r\n", 6);
+		memcpy(part + 6 + 4096, "\r\n", 2);
+		n = 4096 + 8;
+	}
+	say(fd, begin);
+	while (send(fd, part, n, MSG_NOSIGNAL) > 0)
+		if (slow)
+			(void)usleep(20000);
+	g_mutex_lock(&lock);
+	cancelled++;
+	g_mutex_unlock(&lock);
+	(void)close(fd);
+	return false;
+}
+
 /* Answer one request; false if the connection is over. */
 static bool
 behave(struct fake *f, int fd, const char *head, const char *id)
@@ -138,6 +173,8 @@
 			: good);
 		return true;
 	}
+	if (strstr(head, "/endless") != NULL)
+		return say_without_end(fd, head, id);
 	if (strstr(head, " /pause/") != NULL) {
 		say(fd,
 		    "HTTP/1.1 503 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
@@ -145,11 +182,10 @@
 		return true;
 	}
 	if (strstr(head, "/leaving/") != NULL) {
-		g_autofree char *text =
-		    g_strdup_printf("HTTP/1.1 200 OK\r\n" STAMP ID
-				    ": %s\r\nServer-Leaving: "
-				    "1\r\nContent-Length: 4\r\n\r\nbody",
-			id);
+		g_autofree char *text = g_strdup_printf(
+		    "HTTP/1.1 200 OK\r\n" STAMP ID ": %s\r\nServer-Leaving: "
+		    "1\r\nContent-Length: 4\r\n\r\nbody",
+		    id);
 
 		say(fd, text);
 		return true;
@@ -301,6 +337,8 @@
 	return d;
 }
 
+static uint32_t slots = 4; /* of each backend server */
+
 /* The first of the servers alone, or all; and the owner of the low keys. */
 static struct dh_view *
 make_view(size_t nservers, bool settled, uint64_t version)
@@ -323,7 +361,7 @@
 			x->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 			x->address.sin_port = htons(fakes[i].port);
 			x->service = (uint32_t)s;
-			x->slots = 4;
+			x->slots = slots;
 			x->closed = i >= nservers;
 			v->services[s].servers[v->services[s].nservers++] =
 			    (uint32_t)(s * SERVERS + i);
@@ -360,6 +398,8 @@
 	settings.connections_max = 1000;
 	settings.connect_ms = 250;
 	settings.park_ms = 300;
+	if (settings.memory_mb == 0)
+		settings.memory_mb = 256;
 	settings.retry_share_milli = 200;
 	settings.retry_slack = 60;
 	worker = dh_worker_new(&settings, 0, &error);
@@ -594,6 +634,114 @@
 	stop();
 }
 
+struct asker {
+	const char *path;
+	unsigned int status;
+	GThread *thread;
+};
+
+static gpointer
+ask_in_thread(gpointer arg)
+{
+	struct asker *a = arg;
+	g_autofree char *text = g_malloc(ANSWER_MAX);
+
+	a->status = ask_once(a->path, "", text);
+	return NULL;
+}
+
+/* Backend servers whose bytes never end: the connections are closed, memory
+ * stays within its bound, and other callers are served meanwhile. */
+static void
+test_answers_without_end(void)
+{
+	static const char *const paths[] = { "/endless-head/", "/endless-body/",
+		"/endless-chunks/", "/endless-head/slow/",
+		"/endless-body/slow/", "/endless-chunks/slow/" };
+	struct asker askers[48];
+	const struct dh_counter *over, *room;
+	uint64_t over_before, most = 0;
+	size_t i;
+
+	settings.memory_mb = 32;
+	slots = G_N_ELEMENTS(askers);
+	start(1);
+	over = dh_counter_get("dh_gateway_room_over_total", "");
+	room = dh_counter_get("dh_gateway_room_bytes", "");
+	over_before = dh_counter_value(over);
+	for (i = 0; i < G_N_ELEMENTS(askers); i++) {
+		askers[i].path = paths[i % G_N_ELEMENTS(paths)];
+		askers[i].thread =
+		    g_thread_new("ask", ask_in_thread, &askers[i]);
+	}
+	for (i = 0; i < 20; i++) {
+		CU_ASSERT_EQUAL(ask_once("/ok/keyed/",
+				    "X-Dogwoodhub-Shard-Key: 7\r\n", buf),
+		    200);
+		most = MAX(most, dh_counter_value(room));
+		(void)usleep(20000);
+	}
+	for (i = 0; i < G_N_ELEMENTS(askers); i++) {
+		(void)g_thread_join(askers[i].thread);
+		CU_ASSERT_TRUE(
+		    askers[i].status == 502 || askers[i].status == 504);
+	}
+	for (i = 0; i < 100; i++) {
+		(void)usleep(20000);
+		g_mutex_lock(&lock);
+		if (cancelled >= (int)G_N_ELEMENTS(askers))
+			i = 100;
+		g_mutex_unlock(&lock);
+	}
+	CU_ASSERT_TRUE(cancelled >= (int)G_N_ELEMENTS(askers));
+	CU_ASSERT_TRUE(dh_counter_value(over) > over_before);
+	/* A third of the memory, and what one turn of reads may add. */
+	CU_ASSERT_TRUE(most < (size_t)16 << 20);
+	printf("%.1f MB held, %d closed ... ", (double)most / 1e6, cancelled);
+	stop();
+	settings.memory_mb = 256;
+	slots = 4;
+}
+
+/* Callers' bodies that are too much together: some are refused, and have not
+ * run; others are served. */
+static void
+test_bodies_beyond_the_memory(void)
+{
+	static char part[65536];
+	unsigned int status;
+	int fds[160], refused = 0;
+	size_t i, n;
+
+	settings.memory_mb = 32;
+	start(1);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = dial();
+		say(fds[i],
+		    "POST /ok/ HTTP/1.1\r\nHost: h.example\r\n" ID
+		    ": r\r\nContent-Length: 99999\r\n\r\n");
+		for (n = 0; n < sizeof(part); n += 16384)
+			(void)send(fds[i], part, 16384, MSG_NOSIGNAL);
+	}
+	CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 200);
+	n = (size_t)runs;
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		while (recv(fds[i], buf, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
+			status = receive(fds[i], buf);
+			CU_ASSERT_EQUAL(status, 503);
+			CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Retry-After: "));
+			refused++;
+			break;
+		}
+		(void)close(fds[i]);
+	}
+	CU_ASSERT_TRUE(refused > 0);
+	CU_ASSERT_TRUE(refused < (int)G_N_ELEMENTS(fds));
+	CU_ASSERT_EQUAL(runs, (int)n);
+	stop();
+	settings.memory_mb = 256;
+}
+
 /* One that refuses with a time is sent nothing until then, though it answers
  * others well; where it is the only one, callers are refused at once. */
 static void
@@ -767,6 +915,8 @@
 		{ "spoiled answers", test_spoiled_answers },
 		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
 		{ "not run", test_not_run_is_sent_elsewhere },
+		{ "answers without end", test_answers_without_end },
+		{ "bodies", test_bodies_beyond_the_memory },
 		{ "pause", test_pause_of_a_backend_server },
 		{ "leaving", test_leaving_backend_server },
 		{ "no answer", test_no_answer_ends_at_the_deadline },
