--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -737,6 +737,25 @@
 	ks->nranges = n;
 }
 
+/* For whoever has to explain the plan. */
+static void
+note_loads(struct plan *pl)
+{
+	struct dh_keyspace *ks = pl->ks;
+	double used;
+	uint32_t s;
+
+	ks->hot_keys = 0;
+	ks->used_mean = pl->total / pl->capacity;
+	ks->used_most = 0;
+	for (s = 0; s < ks->nservers; s++) {
+		ks->hot_keys += ks->servers[s].hot;
+		used = usable(&ks->servers[s]) ? utilization(pl, s) : 0;
+		if (used > ks->used_most)
+			ks->used_most = used;
+	}
+}
+
 static void
 even_out(struct plan *pl)
 {
@@ -755,10 +774,12 @@
 	if (pl->first == NULL || pl->next == NULL || pl->heap == NULL ||
 	    pl->gone == NULL || pl->pieces == NULL)
 		abort();
+	note_loads(pl);
 	list_ranges(pl);
 	spread_hot(pl);
 	relieve_busy(pl);
 	fill_all_new(pl);
+	ks->changes = (uint32_t)pl->npieces;
 	carve(pl);
 	free(pl->first);
 	free(pl->next);
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -839,7 +839,11 @@
 dh_keyspace_stats(const struct dh_keyspace *ks)
 {
 	struct dh_keyspace_stats st = { .ranges = (uint32_t)ks->nranges,
-		.keys_moved = ks->keys_moved };
+		.keys_moved = ks->keys_moved,
+		.changes = ks->changes,
+		.hot_keys = ks->hot_keys,
+		.used_mean_milli = (uint32_t)(ks->used_mean * 1000.0),
+		.used_most_milli = (uint32_t)(ks->used_most * 1000.0) };
 	size_t i;
 
 	for (i = 0; i < ks->nranges; i++) {
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -91,6 +91,9 @@
 	int64_t planned_ms;
 	size_t cursor; /* of dh_keyspace_next() */
 	uint64_t keys_moved;
+	/* Of the last plan. */
+	uint32_t changes, hot_keys;
+	double used_mean, used_most;
 };
 
 /* When nobody can hold the range any more, if it is not renewed. */
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -551,6 +551,22 @@
 	g_free(d);
 }
 
+static void
+log_plan(const struct dh_duty *d)
+{
+	struct dh_keyspace_stats s = dh_keyspace_stats(d->ks);
+
+	if (s.changes == 0)
+		return;
+	dh_ops(DH_OPS_STATE, "owners.planned",
+	    ",\"service\":\"%s\",\"term\":%llu,\"changes\":%u,"
+	    "\"hot_keys\":%u,\"used_mean\":%.2f,\"used_most\":%.2f,"
+	    "\"ranges\":%u,\"moving\":%u,\"servers\":%u,\"silent\":%u",
+	    d->service, (unsigned long long)d->c.term, s.changes, s.hot_keys,
+	    s.used_mean_milli / 1000.0, s.used_most_milli / 1000.0, s.ranges,
+	    s.moving, s.servers, s.silent);
+}
+
 void
 dh_duty_step(struct dh_duty *d, bool may_order)
 {
@@ -565,6 +581,7 @@
 		d->planned_ms = now_ms;
 		set_servers(d);
 		dh_keyspace_plan(d->ks, now_ms);
+		log_plan(d);
 	}
 	pump(d);
 }
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -146,6 +146,10 @@
 	uint32_t ranges, settled, moving, ownerless;
 	uint32_t servers, silent;
 	uint64_t keys_moved; /* keys that were given another owner */
+	/* Of the last plan: changes to even out the load, hot keys, and
+	 * utilizations in thousandths before it. */
+	uint32_t changes, hot_keys;
+	uint32_t used_mean_milli, used_most_milli;
 };
 struct dh_keyspace_stats dh_keyspace_stats(const struct dh_keyspace *ks);
 
