Gateway: requests sent ahead are passed on side by side

They were served one after the other: right in order, but the last of three waited for the sum. A connection now has calls: up to 8 that may be repeated run at once, answered in the order in which they were sent; one that must not repeat begins when those before it are answered; nothing behind an answer that closes is passed on; a VM that stops closes with the last of those that it has passed on.

A route is looked up before a request has been checked now (and so was it for the bound on memory): a head without Host matches none instead of ending the process (test_worker 'own answers').

test_worker: 'sent ahead', 'behind others' and 'drain, sent ahead' fail before.

--- a/core/deployment.c
+++ b/core/deployment.c
@@ -50,8 +50,11 @@
 static bool
 host_matches(const char *host, const char *wanted)
 {
-	size_t len = strcspn(host, ":");
+	size_t len;
 
+	if (host == NULL)
+		return false;
+	len = strcspn(host, ":");
 	return strlen(wanted) == len && strncasecmp(host, wanted, len) == 0;
 }
 
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -1,6 +1,7 @@
 /*
- * Connections of callers: requests one after the other, each whole before it
- * is routed, each with exactly one answer.
+ * Connections of callers: each request is whole before it is routed and has
+ * exactly one answer, in the order of the requests.  Those that may be
+ * repeated are passed on side by side; what comes after another one waits.
  */
 #include <stdio.h>
 #include <string.h>
@@ -24,28 +25,42 @@
 /* Answers up to this size go out in one piece with their heads. */
 #define JOIN_MAX 16384u
 
+/* Requests of a connection that are passed on side by side. */
+#define SIDE_BY_SIDE_MAX 8
+
 enum client_state {
-	CLIENT_READING,
-	CLIENT_BUSY, /* a request of it has no answer yet */
-	CLIENT_WRITING,
+	CLIENT_OPEN,
 	CLIENT_LINGERING, /* answered for the last time */
 	CLIENT_CLOSED,
 };
 
+/* A request of a connection, from when it is whole until its answer is out. */
+struct dh_call {
+	struct dh_client *client;
+	struct dh_message in;
+	struct dh_request *rq; /* NULL: not begun, or answered */
+	bool safe; /* it may run beside others */
+	bool begun;
+	bool answered;
+	GString *head; /* of an answer that waits for those before */
+	GString *body;
+	bool close; /* the connection ends with the answer */
+	GList link; /* in client->calls */
+};
+
 struct dh_client {
 	struct dh_worker *worker;
 	uv_tcp_t tcp;
 	uv_write_t write;
 	uv_shutdown_t shutdown;
 	enum client_state state;
-	struct dh_message in;
+	struct dh_message in; /* being read */
 	GByteArray *ahead; /* read, not looked at yet */
-	struct dh_request *rq;
+	GQueue calls; /* without an answer that is out, oldest first */
 	GString *out; /* being written */
-	bool close_after;
+	bool close_after; /* it is written */
 	bool continued; /* told to send the body */
 	bool pumping;
-	bool reading;
 	int64_t since_ms; /* in this state, or since the last byte */
 	int64_t began_ms; /* of the message being read */
 	GList link; /* in w->clients */
@@ -54,15 +69,27 @@
 static void pump(struct dh_client *c, const char *data, size_t len);
 
 struct dh_worker *
-dh_client_worker(const struct dh_client *client)
+dh_call_worker(const struct dh_call *call)
 {
-	return client->worker;
+	return call->client->worker;
 }
 
 void
-dh_client_set_request(struct dh_client *client, struct dh_request *rq)
+dh_call_set_request(struct dh_call *call, struct dh_request *rq)
 {
-	client->rq = rq;
+	call->rq = rq;
+}
+
+static void
+call_free(struct dh_call *call)
+{
+	g_queue_unlink(&call->client->calls, &call->link);
+	dh_message_clear(&call->in);
+	if (call->head != NULL)
+		g_string_free(call->head, TRUE);
+	if (call->body != NULL)
+		g_string_free(call->body, TRUE);
+	g_free(call);
 }
 
 static void
@@ -80,14 +107,17 @@
 static void
 client_close(struct dh_client *c)
 {
-	struct dh_request *rq = c->rq;
+	struct dh_call *call;
 
 	if (c->state == CLIENT_CLOSED)
 		return;
 	c->state = CLIENT_CLOSED;
-	c->rq = NULL;
-	if (rq != NULL)
-		dh_request_abandon(rq);
+	while (c->calls.head != NULL) {
+		call = c->calls.head->data;
+		if (call->rq != NULL)
+			dh_request_abandon(call->rq);
+		call_free(call);
+	}
 	g_queue_unlink(&c->worker->clients, &c->link);
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
@@ -110,26 +140,34 @@
 	(void)status;
 }
 
-/* The answer is out: the next request, or the end. */
+/* Whether the next message may be read now. */
+static bool
+may_read(const struct dh_client *c)
+{
+	const struct dh_call *last =
+	    c->calls.tail == NULL ? NULL : c->calls.tail->data;
+
+	if (c->state != CLIENT_OPEN || c->close_after)
+		return false;
+	return last == NULL ||
+	    (last->safe && !last->close && c->worker->drain_began_ms == 0 &&
+		c->calls.length < SIDE_BY_SIDE_MAX);
+}
+
+/* The answers so far are out: the next request, or the end. */
 static void
-answer_written(struct dh_client *c)
+all_written(struct dh_client *c)
 {
 	c->since_ms = dh_worker_now_ms(c->worker);
-	if (c->close_after) {
-		c->state = CLIENT_LINGERING;
-		if (uv_shutdown(
-			&c->shutdown, (uv_stream_t *)&c->tcp, on_shut) != 0)
-			client_close(c);
+	if (!c->close_after)
 		return;
-	}
-	dh_message_reset(&c->in);
-	set_limits(c);
-	c->continued = false;
-	c->state = CLIENT_READING;
-	if (!c->pumping)
-		pump(c, NULL, 0);
+	c->state = CLIENT_LINGERING;
+	if (uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shut) != 0)
+		client_close(c);
 }
 
+static void flush(struct dh_client *c);
+
 static void
 on_written(uv_write_t *req, int status)
 {
@@ -137,12 +175,16 @@
 
 	g_string_free(c->out, TRUE);
 	c->out = NULL;
-	if (c->state != CLIENT_WRITING)
+	if (c->state != CLIENT_OPEN)
 		return;
-	if (status < 0)
+	if (status < 0) {
 		client_close(c);
-	else
-		answer_written(c);
+		return;
+	}
+	all_written(c);
+	flush(c);
+	if (!c->pumping)
+		pump(c, NULL, 0);
 }
 
 /* Send bytes, which stay the caller's. */
@@ -156,13 +198,12 @@
 	int n = uv_try_write((uv_stream_t *)&c->tcp, bufs, len > 0 ? 2 : 1);
 	size_t sent = n < 0 ? 0 : (size_t)n;
 
-	c->state = CLIENT_WRITING;
 	if (n < 0 && n != UV_EAGAIN) {
 		client_close(c);
 		return;
 	}
 	if (sent == head_len + len) {
-		answer_written(c);
+		all_written(c);
 		return;
 	}
 	c->out = g_string_new(NULL);
@@ -184,21 +225,19 @@
 	}
 }
 
-void
-dh_client_answer(struct dh_client *c, GString *head, const char *body,
-    size_t len, bool close)
+/* Send the answer of the oldest call, which then is over. */
+static void
+send_answer(struct dh_call *call, GString *head, const char *body, size_t len)
 {
+	struct dh_client *c = call->client;
+	bool head_only =
+	    call->in.parser.method == HTTP_HEAD && call->in.head_done;
 	unsigned int status = 0;
-	bool head_only = c->in.parser.method == HTTP_HEAD && c->in.head_done;
 
-	c->rq = NULL;
-	if (c->state == CLIENT_CLOSED) {
-		g_string_free(head, TRUE);
-		return;
-	}
 	(void)sscanf(head->str, "HTTP/1.1 %u", &status);
-	c->close_after = close || c->worker->drain_began_ms != 0 ||
-	    !http_should_keep_alive(&c->in.parser);
+	/* While this VM stops: once nothing is left that was passed on. */
+	c->close_after = call->close ||
+	    (c->worker->drain_began_ms != 0 && c->calls.length == 1);
 	if (head_only || status == 204 || status == 304)
 		len = 0;
 	else
@@ -211,7 +250,78 @@
 		len = 0;
 	}
 	client_send(c, head->str, head->len, body, len);
+	if (c->state != CLIENT_CLOSED)
+		call_free(call);
+}
+
+static void
+begin(struct dh_call *call)
+{
+	call->begun = true;
+	dh_request_start(call, &call->in);
+}
+
+/* Send what is ready, in order, and begin what had to wait for it. */
+static void
+flush(struct dh_client *c)
+{
+	struct dh_call *call;
+	GString *head;
+
+	while (c->state == CLIENT_OPEN && c->out == NULL &&
+	    c->calls.head != NULL) {
+		call = c->calls.head->data;
+		if (!call->begun) {
+			begin(call);
+			return;
+		}
+		if (!call->answered)
+			return;
+		head = g_steal_pointer(&call->head);
+		send_answer(call, head, call->body->str, call->body->len);
+		g_string_free(head, TRUE);
+	}
+}
+
+void
+dh_call_answer(struct dh_call *call, GString *head, const char *body,
+    size_t len, bool close)
+{
+	struct dh_client *c = call->client;
+
+	call->rq = NULL;
+	call->answered = true;
+	call->close =
+	    call->close || close || !http_should_keep_alive(&call->in.parser);
+	if (c->calls.head->data != call || c->out != NULL) {
+		call->head = head;
+		call->body = g_string_new_len(body, (gssize)len);
+		return;
+	}
+	send_answer(call, head, body, len);
 	g_string_free(head, TRUE);
+	if (c->state != CLIENT_OPEN)
+		return;
+	flush(c);
+	if (!c->pumping)
+		pump(c, NULL, 0);
+}
+
+/* The message that was read is a call now; the next one can be read. */
+static struct dh_call *
+call_new(struct dh_client *c)
+{
+	struct dh_call *call = g_new0(struct dh_call, 1);
+
+	call->client = c;
+	call->in = c->in;
+	call->in.parser.data = &call->in;
+	call->link.data = call;
+	g_queue_push_tail_link(&c->calls, &call->link);
+	dh_message_init(&c->in, HTTP_REQUEST, 0, 0);
+	set_limits(c);
+	c->continued = false;
+	return call;
 }
 
 /* Answer what is no request that could be routed, and close. */
@@ -219,6 +329,7 @@
 reject(struct dh_client *c, unsigned int status, const char *why,
     int64_t retry_after_ms)
 {
+	struct dh_call *call;
 	GString *head = g_string_new(NULL);
 
 	dh_ops(DH_OPS_REQUEST, "request.rejected",
@@ -230,7 +341,9 @@
 	if (retry_after_ms > 0)
 		g_string_append_printf(head, "Retry-After: %.3f\r\n",
 		    (double)retry_after_ms / 1000.0);
-	dh_client_answer(c, head, why, strlen(why), true);
+	call = call_new(c);
+	call->begun = true;
+	dh_call_answer(call, head, why, strlen(why), true);
 }
 
 static void
@@ -240,8 +353,9 @@
 	const char *expect = dh_message_header(&c->in, "Expect");
 	uv_buf_t buf = uv_buf_init((char *)(uintptr_t)line, sizeof(line) - 1);
 
-	if (c->continued || expect == NULL ||
-	    strcasecmp(expect, "100-continue") != 0)
+	/* Not before the answers to others. */
+	if (c->continued || c->calls.length > 0 || c->out != NULL ||
+	    expect == NULL || strcasecmp(expect, "100-continue") != 0)
 		return;
 	c->continued = true;
 	if (uv_try_write((uv_stream_t *)&c->tcp, &buf, 1) !=
@@ -249,6 +363,18 @@
 		client_close(c);
 }
 
+/* Begin what was read, now or after those before it. */
+static void
+take_call(struct dh_client *c)
+{
+	struct dh_call *call = call_new(c);
+
+	call->close = !http_should_keep_alive(&call->in.parser);
+	call->safe = dh_request_is_safe(c->worker, &call->in);
+	if (call->safe || c->calls.length == 1)
+		begin(call);
+}
+
 /* Feed a message from data; how many bytes it took. */
 static size_t
 feed(struct dh_client *c, const char *data, size_t len)
@@ -265,8 +391,7 @@
 			send_continue(c);
 		return len;
 	case DH_MESSAGE_DONE:
-		c->state = CLIENT_BUSY;
-		dh_request_start(c, &c->in);
+		take_call(c);
 		return used;
 	case DH_MESSAGE_BAD:
 		reject(c, 400, "not a request", 0);
@@ -294,18 +419,20 @@
 		g_byte_array_append(c->ahead, (const guint8 *)data, (guint)len);
 		len = 0;
 	}
-	while (c->state == CLIENT_READING && c->ahead->len > 0) {
+	while (may_read(c) && c->ahead->len > 0) {
 		used = feed(c, (const char *)c->ahead->data, c->ahead->len);
 		g_byte_array_remove_range(c->ahead, 0, (guint)used);
 	}
-	while (c->state == CLIENT_READING && len > 0) {
+	while (may_read(c) && len > 0) {
 		used = feed(c, data, len);
 		data += used;
 		len -= used;
 	}
-	if (len > 0 && (c->state == CLIENT_BUSY || c->state == CLIENT_WRITING))
+	if (len > 0 && c->state == CLIENT_OPEN)
 		g_byte_array_append(c->ahead, (const guint8 *)data, (guint)len);
 	c->pumping = false;
+	if (c->state == CLIENT_OPEN && c->in.head_done)
+		send_continue(c);
 }
 
 static void
@@ -321,8 +448,7 @@
 	}
 	if (c->state == CLIENT_LINGERING)
 		return;
-	if (c->ahead->len + (size_t)n > AHEAD_MAX &&
-	    c->state != CLIENT_READING) {
+	if (c->ahead->len + (size_t)n > AHEAD_MAX && !may_read(c)) {
 		client_close(c);
 		return;
 	}
@@ -382,10 +508,18 @@
 size_t
 dh_client_held(const struct dh_client *c)
 {
-	/* The request's body is held until the answer is there. */
-	return c->ahead->len +
-	    (c->state == CLIENT_READING ? 0 : c->in.body->allocated_len) +
-	    (c->out == NULL ? 0 : c->out->allocated_len);
+	size_t bytes =
+	    c->ahead->len + (c->out == NULL ? 0 : c->out->allocated_len);
+	const struct dh_call *call;
+	const GList *l;
+
+	for (l = c->calls.head; l != NULL; l = l->next) {
+		call = l->data;
+		bytes += call->in.body->allocated_len;
+		if (call->body != NULL)
+			bytes += call->body->allocated_len;
+	}
+	return bytes;
 }
 
 size_t
@@ -395,7 +529,7 @@
 	const struct dh_http_route *route;
 
 	*priority = 0;
-	if (c->state != CLIENT_READING || !c->in.head_done)
+	if (c->state != CLIENT_OPEN || !c->in.head_done)
 		return 0;
 	route = v == NULL
 	    ? NULL
@@ -408,12 +542,26 @@
 void
 dh_client_no_room(struct dh_client *c)
 {
-	if (c->state != CLIENT_READING)
+	if (c->state != CLIENT_OPEN)
 		return;
 	dh_message_drop_body(&c->in);
 	reject(c, 503, "no room for the body", NO_ROOM_RETRY_MS);
 }
 
+static void
+sweep_open(
+    struct dh_client *c, int64_t now_ms, int64_t header_ms, int64_t idle_ms)
+{
+	if (c->out != NULL) {
+		if (now_ms - c->since_ms >= idle_ms &&
+		    c->worker->drain_began_ms == 0)
+			client_close(c);
+		return;
+	}
+	if (c->calls.length == 0 || (c->in.began && may_read(c)))
+		sweep_reading(c, now_ms, header_ms, idle_ms);
+}
+
 void
 dh_clients_close(struct dh_worker *w)
 {
@@ -441,19 +589,13 @@
 		next = l->next;
 		c = l->data;
 		switch (c->state) {
-		case CLIENT_READING:
-			sweep_reading(c, now_ms, header_ms, idle_ms);
+		case CLIENT_OPEN:
+			sweep_open(c, now_ms, header_ms, idle_ms);
 			break;
 		case CLIENT_LINGERING:
 			if (now_ms - c->since_ms >= LINGER_MS)
 				client_close(c);
 			break;
-		case CLIENT_WRITING:
-			if (now_ms - c->since_ms >= idle_ms &&
-			    w->drain_began_ms == 0)
-				client_close(c);
-			break;
-		case CLIENT_BUSY:
 		case CLIENT_CLOSED:
 			break;
 		}
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -43,7 +43,7 @@
 		dh_upstream_drop(rq);
 		dh_request_give_back(rq, DH_REPLY_DROPPED, NULL);
 	}
-	rq->client = NULL;
+	rq->call = NULL;
 	rq->in = NULL;
 	g_queue_unlink(&rq->worker->requests, &rq->all_link);
 	rq->closing = 2;
@@ -99,7 +99,7 @@
 dh_request_finish(struct dh_request *rq, unsigned int status, const char *why,
     int64_t retry_after_ms)
 {
-	struct dh_client *client = rq->client;
+	struct dh_call *call = rq->call;
 	struct dh_worker *w = rq->worker;
 	GString *head;
 
@@ -108,7 +108,7 @@
 		status = 502;
 	log_end(rq, status, why);
 	count_own_answer(w, status);
-	if (client == NULL) {
+	if (call == NULL) {
 		request_end(rq);
 		return;
 	}
@@ -123,13 +123,13 @@
 		    (double)retry_after_ms / 1000.0);
 	g_string_append(head, "Content-Type: text/plain\r\n");
 	request_end(rq);
-	dh_client_answer(client, head, why, strlen(why), false);
+	dh_call_answer(call, head, why, strlen(why), false);
 }
 
 static void
 pass_on(struct dh_request *rq, struct dh_message *answer)
 {
-	struct dh_client *client = rq->client;
+	struct dh_call *call = rq->call;
 	struct dh_worker *w = rq->worker;
 	unsigned int status = answer->parser.status_code;
 	int64_t age_ms = dh_worker_now_ms(w) - rq->arrived_ms;
@@ -144,7 +144,7 @@
 		log_end(rq, status, "answered");
 	rq->service_state->answer_kib += 0.05 *
 	    ((double)answer->body->len / 1024 - rq->service_state->answer_kib);
-	if (client == NULL) {
+	if (call == NULL) {
 		request_end(rq);
 		return;
 	}
@@ -156,8 +156,7 @@
 	if (rq->head_only && length != NULL)
 		g_string_append_printf(head, "Content-Length: %s\r\n", length);
 	request_end(rq);
-	dh_client_answer(
-	    client, head, answer->body->str, answer->body->len, false);
+	dh_call_answer(call, head, answer->body->str, answer->body->len, false);
 }
 
 /* This VM's part of the retries that all may make.  Connections fall unevenly
@@ -194,7 +193,7 @@
 	struct dh_retry_decision d = dh_retry_decide(&rq->service_state->budget,
 	    &p, &at, &rq->worker->rng, dh_worker_now_ms(rq->worker));
 
-	if (rq->client == NULL || d.verdict != DH_RETRY_AGAIN)
+	if (rq->call == NULL || d.verdict != DH_RETRY_AGAIN)
 		return false;
 	dh_counter_add(rq->worker->c.retries, 1);
 	return true;
@@ -283,7 +282,7 @@
 		log_attempt(rq, "unreachable", why);
 		rq->attempts--;
 		rq->unreachable++;
-		if (rq->client != NULL && rq->unreachable < DH_ATTEMPTS_MAX) {
+		if (rq->call != NULL && rq->unreachable < DH_ATTEMPTS_MAX) {
 			dh_request_dispatch(rq);
 			return;
 		}
@@ -329,7 +328,7 @@
 {
 	dh_counter_add(rq->worker->c.gone, 1);
 	log_end(rq, 0, "caller left");
-	rq->client = NULL;
+	rq->call = NULL;
 	rq->in = NULL;
 	/* What may run once only is left to end as it would. */
 	if (rq->state == DH_REQUEST_SENT &&
@@ -434,13 +433,13 @@
 }
 
 static struct dh_request *
-request_new(struct dh_client *client, struct dh_message *in)
+request_new(struct dh_call *call, struct dh_message *in)
 {
-	struct dh_worker *w = dh_client_worker(client);
+	struct dh_worker *w = dh_call_worker(call);
 	struct dh_request *rq = g_new0(struct dh_request, 1);
 
 	rq->worker = w;
-	rq->client = client;
+	rq->call = call;
 	rq->in = in;
 	rq->link.data = rq;
 	rq->arrived_ms = dh_worker_now_ms(w);
@@ -451,15 +450,26 @@
 	rq->timer.data = rq->pause.data = rq;
 	rq->all_link.data = rq;
 	g_queue_push_tail_link(&w->requests, &rq->all_link);
-	dh_client_set_request(client, rq);
+	dh_call_set_request(call, rq);
 	dh_counter_add(w->c.requests, 1);
 	return rq;
 }
 
+bool
+dh_request_is_safe(const struct dh_worker *w, const struct dh_message *in)
+{
+	const struct dh_http_route *route = w->view == NULL
+	    ? NULL
+	    : dh_deployment_match(*w->view->deployment,
+		  dh_message_header(in, "Host"), in->target->str);
+
+	return route != NULL && route->repeat == DH_REPEAT_SAFE;
+}
+
 void
-dh_request_start(struct dh_client *client, struct dh_message *in)
+dh_request_start(struct dh_call *call, struct dh_message *in)
 {
-	struct dh_request *rq = request_new(client, in);
+	struct dh_request *rq = request_new(call, in);
 	struct dh_retry_params p;
 	const char *wrong = malformed(in);
 
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -15,6 +15,7 @@
 #define DH_LATENCY_BUCKETS 12
 
 struct dh_request;
+struct dh_call;
 struct dh_client;
 struct dh_upstream;
 
@@ -112,7 +113,7 @@
 
 struct dh_request {
 	struct dh_worker *worker;
-	struct dh_client *client; /* NULL: left */
+	struct dh_call *call; /* the caller's; NULL: it has left */
 	struct dh_message *in; /* the client's, until it has left */
 	struct dh_view *view; /* it was routed by */
 	const struct dh_http_route *route;
@@ -148,7 +149,9 @@
 };
 
 /* request.c */
-void dh_request_start(struct dh_client *client, struct dh_message *in);
+void dh_request_start(struct dh_call *call, struct dh_message *in);
+/* Whether a request may be repeated, as far as its route is known. */
+bool dh_request_is_safe(const struct dh_worker *w, const struct dh_message *in);
 void dh_request_view_changed(struct dh_worker *w);
 /* No answer when one was expected: try once more, if that is allowed. */
 void dh_request_overdue(struct dh_request *rq);
@@ -183,10 +186,12 @@
 
 /* client.c */
 void dh_client_accept(struct dh_worker *w);
-void dh_client_answer(struct dh_client *client, GString *head, const char *body,
+/* Answer a request of a connection, once those before it are answered; takes
+ * the head.  The call is over. */
+void dh_call_answer(struct dh_call *call, GString *head, const char *body,
     size_t len, bool close);
-void dh_client_set_request(struct dh_client *client, struct dh_request *rq);
-struct dh_worker *dh_client_worker(const struct dh_client *client);
+void dh_call_set_request(struct dh_call *call, struct dh_request *rq);
+struct dh_worker *dh_call_worker(const struct dh_call *call);
 /* What it holds beyond the message that it reads; and what that takes, of a
  * kind of request with this priority. */
 size_t dh_client_held(const struct dh_client *client);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -173,6 +173,11 @@
 			: good);
 		return true;
 	}
+	if (strstr(head, "/rest/") != NULL) {
+		(void)usleep(strstr(head, "/long/") != NULL ? 300000 : 100000);
+		say(fd, good);
+		return true;
+	}
 	if (strstr(head, "/endless") != NULL)
 		return say_without_end(fd, head, id);
 	if (strstr(head, " /pause/") != NULL) {
@@ -333,6 +338,7 @@
 	add_route(d, "/silent-once/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/ok/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/ok/once/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/rest/once/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/leaving/keyed/", DH_REPEAT_SAFE, 1);
 	return d;
 }
@@ -634,6 +640,112 @@
 	stop();
 }
 
+static void
+say_request(int fd, const char *path, const char *id, const char *extra)
+{
+	g_autofree char *text =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n" ID
+			    ": %s\r\nX-Dogwoodhub-Deadline-Ms: 900\r\n%s\r\n",
+		path, id, extra);
+
+	say(fd, text);
+}
+
+/* Requests that a caller sends before it has the first answer: at work side by
+ * side, answered in order. */
+static void
+test_requests_sent_ahead(void)
+{
+	int64_t began_us;
+	char id[32];
+	int fd, i;
+
+	start(1);
+	fd = dial();
+	began_us = g_get_monotonic_time();
+	say_request(fd, "/rest/long/", "r0", "");
+	say_request(fd, "/rest/", "r1", "");
+	say_request(fd, "/rest/", "r2", "");
+	for (i = 0; i < 3; i++) {
+		CU_ASSERT_EQUAL(receive(fd, buf), 200);
+		(void)g_snprintf(id, sizeof(id), ID ": r%d\r\n", i);
+		CU_ASSERT_PTR_NOT_NULL(strstr(buf, id));
+	}
+	CU_ASSERT_TRUE(g_get_monotonic_time() - began_us < 450000);
+	(void)close(fd);
+	stop();
+}
+
+/* One that must not repeat is not passed on before those ahead of it are
+ * answered; nor is anything behind an answer that closes. */
+static void
+test_requests_behind_others_wait(void)
+{
+	int fd;
+
+	start(1);
+	fd = dial();
+	say_request(fd, "/rest/", "r0", "");
+	say_request(fd, "/rest/once/", "r1", "");
+	say_request(fd, "/ok/", "r2", "");
+	(void)usleep(60000);
+	CU_ASSERT_EQUAL(runs, 1);
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	(void)usleep(40000);
+	CU_ASSERT_EQUAL(runs, 2);
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, ID ": r2\r\n"));
+	(void)close(fd);
+	runs = 0;
+	fd = dial();
+	say_request(fd, "/ok/", "r0", "Connection: close\r\n");
+	say_request(fd, "/ok/", "r1", "");
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Connection: close"));
+	CU_ASSERT_EQUAL(receive(fd, buf), 0);
+	CU_ASSERT_EQUAL(runs, 1);
+	(void)close(fd);
+	/* What is no request is answered last. */
+	fd = dial();
+	say_request(fd, "/rest/", "r0", "");
+	say(fd, "nonsense\r\n\r\n");
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	CU_ASSERT_EQUAL(receive(fd, buf), 400);
+	(void)close(fd);
+	/* A caller that leaves takes all of them along. */
+	cancelled = 0;
+	fd = dial();
+	say_request(fd, "/silent/", "r0", "");
+	say_request(fd, "/silent/", "r1", "");
+	(void)usleep(100000);
+	reset(fd);
+	(void)usleep(200000);
+	CU_ASSERT_EQUAL(cancelled, 2);
+	stop();
+}
+
+/* A VM that stops answers all that it has passed on, and closes with the last
+ * of them. */
+static void
+test_drain_with_requests_sent_ahead(void)
+{
+	int fd;
+
+	start(1);
+	fd = dial();
+	say_request(fd, "/rest/long/", "r0", "");
+	say_request(fd, "/rest/", "r1", "");
+	(void)usleep(50000);
+	dh_worker_drain(worker, 100, 3000);
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	CU_ASSERT_PTR_NULL(strstr(buf, "Connection: close"));
+	CU_ASSERT_EQUAL(receive(fd, buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Connection: close"));
+	(void)close(fd);
+	dh_worker_free(worker);
+}
+
 struct asker {
 	const char *path;
 	unsigned int status;
@@ -917,6 +1029,9 @@
 		{ "not run", test_not_run_is_sent_elsewhere },
 		{ "answers without end", test_answers_without_end },
 		{ "bodies", test_bodies_beyond_the_memory },
+		{ "sent ahead", test_requests_sent_ahead },
+		{ "behind others", test_requests_behind_others_wait },
+		{ "drain, sent ahead", test_drain_with_requests_sent_ahead },
 		{ "pause", test_pause_of_a_backend_server },
 		{ "leaving", test_leaving_backend_server },
 		{ "no answer", test_no_answer_ends_at_the_deadline },
