--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -230,6 +230,9 @@
 		    ",\"kind\":\"%s\",\"since\":%llu", f->kind,
 		    (unsigned long long)f->as_of);
 		f->as_of = 0;
+		/* An old list would bring back what has changed since. */
+		f->ask_stale = false;
+		f->stale_until_ms = 0;
 		step(f);
 		return;
 	case DH_OBJECTS_UNKNOWN:
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -181,6 +181,30 @@
 	end(&fx);
 }
 
+/* A list that may be old is never read in place of newer knowledge, nor a
+ * second time. */
+static void
+test_history_gone_while_reads_may_be_old(void)
+{
+	struct fixture fx;
+
+	start(&fx);
+	fake_answer(KIND, DH_OBJECTS_HISTORY_GONE, 0, NULL, 0);
+	CU_ASSERT_FALSE(fake_open(KIND)->watch);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	end(&fx);
+	start(&fx);
+	run_for(&fx, 2600);
+	fake_answer(KIND, DH_OBJECTS_OK, 20, NULL, 0);
+	dh_mirror_set_fed(fx.f, true);
+	dh_mirror_catch_up(fx.f);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_STALE);
+	fake_answer(KIND, DH_OBJECTS_HISTORY_GONE, 0, NULL, 0);
+	CU_ASSERT_FALSE(fake_open(KIND)->watch);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	end(&fx);
+}
+
 /* A leader that falls silent has a successor soon: many VMs do not read the
  * store afresh at once, but they do when none comes. */
 static void
@@ -355,6 +379,8 @@
 		{ "start", test_start_reads_what_may_be_old },
 		{ "behind", test_behind_asks_twice },
 		{ "silent leader", test_silent_leader },
+		{ "history gone, old reads",
+		    test_history_gone_while_reads_may_be_old },
 		{ "fed", test_fed_asks_nothing },
 		{ "open watch", test_open_watch_is_not_relied_on },
 		{ "gap", test_news_with_a_gap_are_not_taken },
