Election: a leader that is heard while the store is asked is not replaced in turn

test_owners is new (the election with the store played by hand): 'heard while asking' fails before. The announcement that stands is checked too.

--- a/gateway/election.c
+++ b/gateway/election.c
@@ -296,6 +296,7 @@
 {
 	struct dh_owners *o = arg;
 	uint64_t term = o->term;
+	bool heard = o->sign_ms > o->asked_ms;
 
 	o->call = NULL;
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
@@ -309,7 +310,8 @@
 	}
 	o->revision = 0;
 	owners_see_leader(o, &r->items[0]);
-	if (o->term > term) {
+	/* Also one that was heard while the answer was on its way. */
+	if (o->term > term || heard) {
 		give_up_taking(o, "another has just taken over");
 		return;
 	}
@@ -367,6 +369,7 @@
 	    ",\"leader\":\"%s\",\"term\":%llu,\"silent_ms\":%lld", o->leader_vm,
 	    (unsigned long long)o->term, (long long)(now_ms - o->sign_ms));
 	o->role = ROLE_READING;
+	o->asked_ms = now_ms;
 	o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
 	    DH_OWNERS_STORE_TIMEOUT_MS, on_read, o);
 }
--- a/tests/fake_objects.h
+++ b/tests/fake_objects.h
@@ -12,6 +12,8 @@
 struct dh_objects_call {
 	char *kind;
 	bool watch;
+	char *put; /* the spec to be written; NULL: it reads */
+	uint64_t revision; /* that it replaces */
 	uint64_t since;
 	int64_t wait_ms;
 	enum dh_freshness freshness;
@@ -43,6 +45,7 @@
 {
 	g_ptr_array_remove(fake_calls, c);
 	g_free(c->kind);
+	g_free(c->put);
 	g_free(c);
 }
 
@@ -76,6 +79,32 @@
 	return c;
 }
 
+/* Reads and writes of single objects wait under the object's name. */
+struct dh_objects_call *
+dh_objects_get(struct dh_objects *o, const char *kind, const char *name,
+    int64_t timeout_ms, dh_objects_fn done, void *arg)
+{
+	(void)o;
+	(void)kind;
+	(void)timeout_ms;
+	return fake_call(name, done, arg);
+}
+
+struct dh_objects_call *
+dh_objects_put(struct dh_objects *o, const char *kind, const char *name,
+    uint64_t revision, const char *spec, int64_t timeout_ms, dh_objects_fn done,
+    void *arg)
+{
+	struct dh_objects_call *c = fake_call(name, done, arg);
+
+	(void)o;
+	(void)kind;
+	(void)timeout_ms;
+	c->put = g_strdup(spec);
+	c->revision = revision;
+	return c;
+}
+
 void
 dh_objects_cancel(struct dh_objects_call *c)
 {
--- /dev/null
+++ b/tests/test_owners.c
@@ -0,0 +1,284 @@
+/*
+ * Which VM leads, as one VM sees it: the store is played by hand, the other VM
+ * by datagrams on loopback.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "gateway/owners.h"
+#include "gateway/peer.h"
+#include "platform/wire.h"
+#include "tests/cunit_main.h"
+#include "tests/fake_objects.h"
+
+#define KIND "dogwoodhub-owners"
+#define SELF "127.0.0.1"
+#define OTHER "127.0.0.2"
+#define PORT 17433
+
+static const char config[] =
+    "{\"version\":1,\"limits\":{\"header_bytes\":16384,\"body_bytes\":65536,"
+    "\"header_timeout_s\":3,\"idle_timeout_s\":15},\"listeners\":[],"
+    "\"clusters\":[]}";
+
+struct fixture {
+	uv_loop_t loop;
+	struct dh_http *http;
+	struct dh_registry *reg;
+	struct dh_owners *owners;
+	struct dh_peer *other;
+	struct dh_gateway_settings settings;
+};
+
+static void
+on_changed(void *arg)
+{
+	(void)arg;
+}
+
+static void
+on_beat(void *arg, const struct dh_beat *beat, const char *ip)
+{
+	(void)arg;
+	(void)beat;
+	(void)ip;
+}
+
+static void
+on_owners(void *arg, const struct dh_peer_part *p)
+{
+	(void)arg;
+	(void)p;
+}
+
+static void
+on_delta(void *arg, const struct dh_peer_delta *d)
+{
+	(void)arg;
+	(void)d;
+}
+
+static void
+on_report(void *arg, const struct dh_peer_report *r, const char *ip)
+{
+	(void)arg;
+	(void)r;
+	(void)ip;
+}
+
+static void
+on_news(void *arg, const struct dh_registry_news *n, uint64_t term)
+{
+	(void)arg;
+	(void)n;
+	(void)term;
+}
+
+static void
+answer_with(const char *name, enum dh_objects_result result, uint64_t revision,
+    const char *spec)
+{
+	struct json_object *o = json_tokener_parse(spec);
+	struct dh_object_view v = {
+		.name = name, .revision = revision, .spec = o
+	};
+
+	fake_answer(name, result, revision, &v, 1);
+	json_object_put(o);
+}
+
+static void
+run_for(struct fixture *fx, int64_t ms)
+{
+	int64_t end_ms = dh_clock_ms() + ms;
+
+	while (dh_clock_ms() < end_ms) {
+		uv_run(&fx->loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+/* A VM that knows a configuration, backend servers (none), and whose kind of
+ * objects holds what is given. */
+static void
+start(struct fixture *fx, const struct dh_object_view *items, size_t n)
+{
+	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
+		on_news, NULL };
+	struct json_object *o = json_tokener_parse(config);
+	struct dh_object_view v = {
+		.name = dh_wire_config_name, .revision = 5, .spec = o
+	};
+	struct dh_owners_context c = { .loop = &fx->loop,
+		.settings = &fx->settings,
+		.ip = SELF,
+		.changed = on_changed };
+
+	memset(fx, 0, sizeof(*fx));
+	(void)g_strlcpy(fx->settings.vm, "vm-1", sizeof(fx->settings.vm));
+	fx->settings.peer_port = PORT;
+	fx->settings.beat_ms = 60;
+	fx->settings.silence_ms = 200;
+	fx->settings.solo_ms = 15000;
+	fx->settings.core_share_milli = 500;
+	uv_loop_init(&fx->loop);
+	fx->http = dh_http_new(&fx->loop);
+	fx->reg =
+	    dh_registry_new(&fx->loop, NULL, &fx->settings, on_changed, NULL);
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, &v, 1);
+	json_object_put(o);
+	c.http = fx->http;
+	c.registry = fx->reg;
+	fx->owners = dh_owners_new(&c, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->owners);
+	fx->other = dh_peer_new(&fx->loop, OTHER, PORT, &h, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->other);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, items, n);
+}
+
+static void
+end(struct fixture *fx)
+{
+	dh_peer_free(fx->other);
+	dh_owners_free(fx->owners);
+	dh_registry_free(fx->reg);
+	dh_http_free(fx->http);
+	uv_run(&fx->loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&fx->loop), 0);
+}
+
+static void
+beat(struct fixture *fx, uint64_t term)
+{
+	struct dh_beat b = { .vm = "vm-2", .term = term, .vms = 2 };
+
+	b.cursors[DH_REGISTRY_SERVERS] =
+	    (struct dh_registry_cursor){ 10, true };
+	b.cursors[DH_REGISTRY_CONFIG] = (struct dh_registry_cursor){ 10, true };
+	dh_peer_send_beat(fx->other, SELF, &b);
+	run_for(fx, 20);
+}
+
+/* Wait until this VM asks the store who leads. */
+static void
+wait_for_question(struct fixture *fx)
+{
+	int i;
+
+	for (i = 0; i < 200 && fake_open("leader") == NULL; i++)
+		run_for(fx, 10);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
+	CU_ASSERT_PTR_NULL(fake_open("leader")->put);
+}
+
+static void
+test_silent_leader_is_replaced(void)
+{
+	struct fixture fx;
+
+	start(&fx, NULL, 0);
+	beat(&fx, 3);
+	wait_for_question(&fx);
+	answer_with("leader", DH_OBJECTS_OK, 40,
+	    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"x\","
+	    "\"term\":3}");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader")->put);
+	CU_ASSERT_EQUAL(fake_open("leader")->revision, 40);
+	CU_ASSERT_PTR_NOT_NULL(strstr(fake_open("leader")->put, "\"term\":4"));
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	CU_ASSERT_TRUE(dh_owners_leads(fx.owners));
+	/* One in a higher term is not argued with. */
+	beat(&fx, 5);
+	CU_ASSERT_FALSE(dh_owners_leads(fx.owners));
+	end(&fx);
+}
+
+/* Another was first, and is heard before the store answers: it is not
+ * replaced in turn. */
+static void
+test_leader_heard_while_asking(void)
+{
+	struct fixture fx;
+
+	start(&fx, NULL, 0);
+	beat(&fx, 3);
+	wait_for_question(&fx);
+	beat(&fx, 4);
+	answer_with("leader", DH_OBJECTS_OK, 41,
+	    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"y\","
+	    "\"term\":4}");
+	CU_ASSERT_PTR_NULL(fake_open("leader"));
+	CU_ASSERT_FALSE(dh_owners_leads(fx.owners));
+	end(&fx);
+}
+
+/* Another was first in the store. */
+static void
+test_conflict_in_the_store(void)
+{
+	struct fixture fx;
+
+	start(&fx, NULL, 0);
+	beat(&fx, 3);
+	wait_for_question(&fx);
+	answer_with("leader", DH_OBJECTS_OK, 40,
+	    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"x\","
+	    "\"term\":3}");
+	answer_with("leader", DH_OBJECTS_CONFLICT, 41,
+	    "{\"vm\":\"vm-3\",\"ip\":\"127.0.0.3\",\"incarnation\":\"z\","
+	    "\"term\":4}");
+	CU_ASSERT_FALSE(dh_owners_leads(fx.owners));
+	run_for(&fx, 100);
+	CU_ASSERT_PTR_NULL(fake_open("leader"));
+	end(&fx);
+}
+
+/* An address in the store that still holds is not written again. */
+static void
+test_address_that_stands(void)
+{
+	struct json_object *o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.1\",\"core_share_milli\":500}");
+	struct dh_object_view v = {
+		.name = "vm.vm-1", .revision = 7, .spec = o
+	};
+	struct fixture fx;
+
+	start(&fx, &v, 1);
+	run_for(&fx, 150);
+	CU_ASSERT_PTR_NULL(fake_open("vm.vm-1"));
+	end(&fx);
+	json_object_put(o);
+	/* One that is another's by now is replaced. */
+	o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.9\",\"core_share_milli\":500}");
+	v.spec = o;
+	start(&fx, &v, 1);
+	run_for(&fx, 150);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("vm.vm-1"));
+	CU_ASSERT_EQUAL(fake_open("vm.vm-1")->revision, 7);
+	end(&fx);
+	json_object_put(o);
+	/* The first time it is made. */
+	start(&fx, NULL, 0);
+	run_for(&fx, 150);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("vm.vm-1"));
+	CU_ASSERT_EQUAL(fake_open("vm.vm-1")->revision, 0);
+	end(&fx);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "silent leader", test_silent_leader_is_replaced },
+		{ "heard while asking", test_leader_heard_while_asking },
+		{ "conflict", test_conflict_in_the_store },
+		{ "address", test_address_that_stands },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("owners", tests);
+}
