Start: weak VMs begin with what a strong one of their availability zone knows

Cause: after a loss of power 295 VMs read the lists of backend servers (240 KB each) and of our objects from the store at once, 100 MB through its link of 1 Gbit/s, two thirds of that between regions.

The leader keeps a small object that names the VMs with at least twice the weakest's processor, by zone. A VM that starts reads it and takes the lists of backend servers and configuration from one of them, over the peers' port, in the store's form, so that one client and one mirror do for both; from the store where there is none, or it is not ready in 5 tries. The other VM's list counts like a read that may be old. Objects of our own kind still come from the store.

Ruled out: the whole list by datagrams (175 of them for one list, some are lost).

test_neighbour, test_mirror "another VM's list", test_owners 'strong'.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -409,7 +409,7 @@
 		return;
 	if (d->in_doubt) {
 		d->call = dh_objects_get(d->c.objects, d->c.kind, d->object,
-		    STORE_TIMEOUT_MS, on_compared, d);
+		    DH_FRESH, STORE_TIMEOUT_MS, on_compared, d);
 		return;
 	}
 	if (!dh_keyspace_urgent(d->ks, now_ms) &&
@@ -490,7 +490,7 @@
 {
 	if (d->call == NULL && dh_clock_ms() >= d->write_at_ms)
 		d->call = dh_objects_get(d->c.objects, d->c.kind, d->object,
-		    STORE_TIMEOUT_MS, on_loaded, d);
+		    DH_FRESH, STORE_TIMEOUT_MS, on_loaded, d);
 }
 
 /* Longer leases where there are many backend servers: renewing them all takes
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -24,6 +24,8 @@
 #define TAKE_PAUSE_MAX_MS 4000
 /* After an outage of the store the leader needs a question and its answer. */
 #define OUTAGE_GRACE_MS 1500
+/* Between looks at whom others begin with. */
+#define STRONG_MS 1500
 /* Heartbeats that may be missed before this VM follows the store itself. */
 #define FED_BEATS 3
 /* Leading takes processor time that a small VM needs for its callers: it lets
@@ -215,6 +217,61 @@
 		dh_peer_send_beat(o->peer, ip, &beat);
 }
 
+static void
+on_strong_written(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_owners *o = arg;
+
+	o->strong_call = NULL;
+	if (r->nitems == 1)
+		o->strong_revision = r->items[0].revision;
+	if (r->result == DH_OBJECTS_OK)
+		return;
+	dh_ops(
+	    DH_OPS_STATE, "strong.not_written", ",\"status\":%ld", r->status);
+	g_clear_pointer(&o->strong, g_free);
+}
+
+/* Keep the object that names those whom others begin with. */
+static void
+write_strong(struct dh_owners *o, int64_t now_ms)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_neighbour));
+	struct dh_neighbour n = { .core_share_milli =
+				      o->c.settings->core_share_milli };
+	g_autofree char *text = NULL;
+	GHashTableIter it;
+	gpointer ip, value;
+
+	if (o->strong_call != NULL || now_ms - o->strong_ms < STRONG_MS)
+		return;
+	o->strong_ms = now_ms;
+	(void)g_strlcpy(n.vm, o->c.settings->vm, sizeof(n.vm));
+	(void)g_strlcpy(n.zone, o->c.settings->zone, sizeof(n.zone));
+	(void)g_strlcpy(n.ip, o->c.ip, sizeof(n.ip));
+	g_array_append_val(list, n);
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, &ip, &value)) {
+		const struct peer_state *p = value;
+
+		n.core_share_milli = p->core_share_milli;
+		(void)g_strlcpy(n.vm, p->vm, sizeof(n.vm));
+		(void)g_strlcpy(n.zone, p->zone, sizeof(n.zone));
+		(void)g_strlcpy(n.ip, ip, sizeof(n.ip));
+		g_array_append_val(list, n);
+	}
+	text = dh_neighbours_text(
+	    (struct dh_neighbour *)(void *)list->data, list->len);
+	if (text == NULL || g_strcmp0(text, o->strong) == 0)
+		return;
+	g_free(o->strong);
+	o->strong = g_steal_pointer(&text);
+	o->strong_call = dh_objects_put(o->c.objects, DH_OWNERS_KIND,
+	    DH_NEIGHBOURS, o->strong_revision, o->strong,
+	    DH_OWNERS_STORE_TIMEOUT_MS, on_strong_written, o);
+}
+
 void
 owners_lead(struct dh_owners *o, int64_t now_ms)
 {
@@ -233,7 +290,8 @@
 	if (o->call == NULL && now_ms - o->asked_ms >= pause_ms) {
 		o->asked_ms = now_ms;
 		o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND,
-		    DH_OWNERS_LEADER, CONFIRM_TIMEOUT_MS, on_confirm, o);
+		    DH_OWNERS_LEADER, DH_FRESH, CONFIRM_TIMEOUT_MS, on_confirm,
+		    o);
 	}
 	if (now_ms - o->beat_ms >= o->c.settings->beat_ms) {
 		o->beat_ms = now_ms;
@@ -242,8 +300,10 @@
 	g_hash_table_iter_init(&it, o->duties);
 	while (g_hash_table_iter_next(&it, NULL, &duty))
 		dh_duty_step(duty, !solo && !o->resigned);
-	if (now_ms - o->confirmed_ms < CONFIRM_MS)
+	if (now_ms - o->confirmed_ms < CONFIRM_MS) {
 		o->take_pause_ms = 0;
+		write_strong(o, now_ms);
+	}
 }
 
 /* --- taking over --- */
@@ -371,5 +431,5 @@
 	o->role = ROLE_READING;
 	o->asked_ms = now_ms;
 	o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
-	    DH_OWNERS_STORE_TIMEOUT_MS, on_read, o);
+	    DH_FRESH, DH_OWNERS_STORE_TIMEOUT_MS, on_read, o);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -12,9 +12,10 @@
 #include "base/httpd.h"
 #include "base/opslog.h"
 #include "base/timer.h"
-#include "gateway/worker.h"
+#include "gateway/neighbour.h"
 #include "gateway/owners.h"
 #include "gateway/registry.h"
+#include "gateway/worker.h"
 #include "platform/objects.h"
 #include "platform/wire.h"
 
@@ -44,7 +45,10 @@
 	struct dh_objects *objects;
 	struct dh_registry *registry;
 	struct dh_owners *owners;
-	struct dh_httpd *ready, *metrics;
+	struct dh_httpd *ready, *metrics, *lists;
+	struct dh_neighbour_search *search; /* before the registry begins */
+	struct dh_objects *neighbour; /* the VM that it begins with, or NULL */
+	bool failed;
 	struct dh_worker **workers;
 	uint32_t nworkers;
 	uint32_t ticks;
@@ -90,7 +94,8 @@
 {
 	struct gateway *g = arg;
 	static int mark;
-	bool ok = dh_registry_ready(g->registry) && !g->leaving;
+	bool ok = g->registry != NULL && dh_registry_ready(g->registry) &&
+	    !g->leaving;
 
 	(void)method;
 	(void)version;
@@ -127,6 +132,35 @@
 	return dh_httpd_reply(c, 200, text->str, text->len, headers);
 }
 
+/* Another VM begins with what this one knows. */
+static enum MHD_Result
+on_list(void *arg, struct MHD_Connection *c, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **state)
+{
+	static const char *const headers[] = { "Content-Type",
+		"application/json", NULL };
+	const char *kind = dh_objects_kind(url);
+	struct gateway *g = arg;
+	static int mark;
+	GString *list;
+	enum MHD_Result rc;
+
+	(void)method;
+	(void)version;
+	(void)data;
+	if (dh_httpd_skip_body(state, &mark, len))
+		return MHD_YES;
+	list = g->registry == NULL || kind == NULL
+	    ? NULL
+	    : dh_registry_list(g->registry, kind);
+	if (list == NULL)
+		return dh_httpd_reply(c, 503, "", 0, NULL);
+	rc = dh_httpd_reply(c, 200, list->str, list->len, headers);
+	g_string_free(list, TRUE);
+	return rc;
+}
+
 static void
 note_settings_time(struct gateway *g)
 {
@@ -184,8 +218,9 @@
 		return;
 	g->leaving = true;
 	dh_ops(DH_OPS_STATE, "process.stopping", ",\"leads\":%s",
-	    dh_owners_leads(g->owners) ? "true" : "false");
-	dh_owners_resign(g->owners);
+	    g->owners != NULL && dh_owners_leads(g->owners) ? "true" : "false");
+	if (g->owners != NULL)
+		dh_owners_resign(g->owners);
 	for (i = 0; i < g->nworkers; i++)
 		dh_worker_drain(g->workers[i], QUIET_MS,
 		    g->settings.grace_ms - DRAIN_SLACK_MS);
@@ -222,7 +257,7 @@
 
 	for (i = 0; i < g->nworkers; i++) {
 		r = dh_worker_report(g->workers[i]);
-		if (r != NULL)
+		if (r != NULL && g->owners != NULL)
 			dh_owners_seen(g->owners, r);
 		g_free(r);
 	}
@@ -265,38 +300,74 @@
 	g->ready = dh_httpd_new(&g->loop, &o, error);
 	if (g->ready == NULL)
 		return false;
+	o.address = ip;
+	o.port = g->settings.peer_port;
+	o.handler = on_list;
+	g->lists = dh_httpd_new(&g->loop, &o, error);
+	if (g->lists == NULL)
+		return false;
 	if (g->settings.metrics_port == 0)
 		return true;
-	o.address = ip;
 	o.port = g->settings.metrics_port;
 	o.handler = on_metrics;
 	g->metrics = dh_httpd_new(&g->loop, &o, error);
 	return g->metrics != NULL;
 }
 
-static bool
-start(struct gateway *g, GError **error)
+/* Begin with what the neighbour knows, or the store. */
+static void
+on_neighbour(void *arg, const char *neighbour_ip)
 {
+	struct gateway *g = arg;
 	uint16_t port;
 	g_autofree char *ip =
 	    dh_gateway_endpoint(g->settings.listen_url, &port);
+	g_autofree char *url = NULL;
+	g_autoptr(GError) error = NULL;
+	char text[512];
 	struct dh_owners_context c = { .loop = &g->loop,
+		.http = g->http,
+		.objects = g->objects,
 		.settings = &g->settings,
 		.ip = ip,
 		.changed = on_changed,
 		.arg = g };
+
+	g->search = NULL;
+	if (neighbour_ip != NULL) {
+		url = g_strdup_printf(
+		    "http://%s:%u", neighbour_ip, g->settings.peer_port);
+		g->neighbour = dh_objects_new(g->http, url);
+	}
+	g->registry = dh_registry_new(
+	    &g->loop, g->objects, g->neighbour, &g->settings, on_changed, g);
+	c.registry = g->registry;
+	g->owners = dh_owners_new(&c, &error);
+	if (g->owners != NULL) {
+		if (g->leaving)
+			dh_owners_resign(g->owners);
+		return;
+	}
+	dh_ops(DH_OPS_STATE, "process.failed", ",\"why\":%s",
+	    dh_ops_text(text, sizeof(text), error->message));
+	g->failed = true;
+	uv_stop(&g->loop);
+}
+
+static bool
+start(struct gateway *g, GError **error)
+{
+	uint16_t port;
+	g_autofree char *ip =
+	    dh_gateway_endpoint(g->settings.listen_url, &port);
 	uint32_t i;
 
 	g->http = dh_http_new(&g->loop);
 	dh_http_keep(g->http, CONNECTIONS_KEPT);
 	g->objects = dh_objects_new(g->http, g->settings.store_url);
-	g->registry =
-	    dh_registry_new(&g->loop, g->objects, &g->settings, on_changed, g);
-	c.http = g->http;
-	c.objects = g->objects;
-	c.registry = g->registry;
-	g->owners = dh_owners_new(&c, error);
-	if (g->owners == NULL || !start_admin(g, ip, error))
+	g->search = dh_neighbour_find(
+	    g->objects, DH_OWNERS_KIND, &g->settings, on_neighbour, g);
+	if (!start_admin(g, ip, error))
 		return false;
 	g->workers = g_new0(struct dh_worker *, g->settings.threads);
 	for (i = 0; i < g->settings.threads; i++) {
@@ -315,10 +386,13 @@
 
 	for (i = 0; i < g->nworkers; i++)
 		dh_worker_free(g->workers[i]);
+	dh_neighbour_cancel(g->search);
 	dh_owners_free(g->owners);
 	dh_registry_free(g->registry);
+	dh_objects_free(g->neighbour);
 	dh_objects_free(g->objects);
 	dh_httpd_free(g->ready);
+	dh_httpd_free(g->lists);
 	dh_httpd_free(g->metrics);
 	dh_http_free(g->http);
 	dh_timer_free(g->tick);
@@ -356,5 +430,5 @@
 	dh_ops(DH_OPS_STATE, "process.stopped", ",\"lines_left_out\":%llu",
 	    (unsigned long long)dh_opslog_left_out());
 	stop(g);
-	return EXIT_SUCCESS;
+	return g->failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -25,6 +25,11 @@
 /* Times that a VM which is behind the leader reads what may be old, before it
  * reads what is new. */
 #define STALE_ASKS 1
+/* Another VM that starts as well may not have its list yet: asked again, so
+ * often, before the store is. */
+#define SOURCE_TIMEOUT_MS 400
+#define SOURCE_PAUSE_MS 60
+#define SOURCE_TRIES 5
 /* Pauses after a failure, doubling. */
 #define PAUSE_MIN_MS 100
 #define PAUSE_MAX_MS 500
@@ -36,7 +41,9 @@
 	enum dh_freshness freshness;
 	struct dh_mirror_handler h;
 	struct dh_objects_call *call;
-	GHashTable *known; /* name -> its revision, uint64_t */
+	struct dh_objects *source; /* of the first list; NULL: the store */
+	uint32_t source_tries;
+	GHashTable *known; /* name -> struct known */
 	GHashTable *seen; /* of the list under way */
 	char *after; /* continues the list */
 	uint64_t as_of; /* watch from here; 0: list first */
@@ -55,6 +62,20 @@
 	int64_t changed_ms; /* when reached last changed */
 };
 
+struct known {
+	uint64_t revision;
+	char *spec; /* as JSON text */
+};
+
+static void
+known_free(gpointer p)
+{
+	struct known *k = p;
+
+	g_free(k->spec);
+	g_free(k);
+}
+
 static void step(struct dh_mirror *f);
 
 /* Whether a leader is expected to tell soon what is new. */
@@ -128,13 +149,20 @@
 static void
 take(struct dh_mirror *f, const struct dh_object_view *o)
 {
+	struct known *k;
+
 	if (o->deleted) {
 		if (g_hash_table_remove(f->known, o->name))
 			f->h.gone(f->h.arg, o->name);
 		return;
 	}
-	g_hash_table_insert(f->known, g_strdup(o->name),
-	    g_memdup2(&o->revision, sizeof(o->revision)));
+	k = g_new0(struct known, 1);
+	k->revision = o->revision;
+	k->spec =
+	    g_strdup(o->spec == NULL ? "null"
+				     : json_object_to_json_string_ext(
+					   o->spec, JSON_C_TO_STRING_PLAIN));
+	g_hash_table_insert(f->known, g_strdup(o->name), k);
 	f->h.changed(f->h.arg, o);
 }
 
@@ -176,6 +204,14 @@
 	size_t i;
 
 	f->call = NULL;
+	if (f->source != NULL && r->result != DH_OBJECTS_OK) {
+		if (++f->source_tries == SOURCE_TRIES)
+			f->source = NULL;
+		uv_timer_start(f->timer, on_timer,
+		    f->source == NULL ? 0 : SOURCE_PAUSE_MS, 0);
+		return;
+	}
+	f->source = NULL;
 	if (r->result != DH_OBJECTS_OK && r->result != DH_OBJECTS_NOT_FOUND) {
 		g_clear_pointer(&f->after, g_free);
 		g_hash_table_remove_all(f->seen);
@@ -256,7 +292,10 @@
 	if (f->call != NULL)
 		return;
 	f->waiting = false;
-	if (f->as_of == 0 || f->after != NULL)
+	if (f->source != NULL)
+		f->call = dh_objects_list(f->source, f->kind, "", DH_FRESH,
+		    SOURCE_TIMEOUT_MS, on_list, f);
+	else if (f->as_of == 0 || f->after != NULL)
 		f->call = dh_objects_list(f->objects, f->kind,
 		    f->after == NULL ? "" : f->after, freshness_now(f),
 		    LIST_TIMEOUT_MS, on_list, f);
@@ -313,9 +352,9 @@
 static void
 take_told(struct dh_mirror *f, const struct dh_object_view *o)
 {
-	const uint64_t *known = g_hash_table_lookup(f->known, o->name);
+	const struct known *k = g_hash_table_lookup(f->known, o->name);
 
-	if (o->deleted ? known != NULL && *known <= o->revision
+	if (o->deleted ? k != NULL && k->revision <= o->revision
 		       : o->revision > f->as_of)
 		take(f, o);
 }
@@ -382,13 +421,15 @@
 }
 
 struct dh_mirror *
-dh_mirror_new(uv_loop_t *loop, struct dh_objects *o, const char *kind,
-    enum dh_freshness freshness, const struct dh_mirror_handler *h)
+dh_mirror_new(uv_loop_t *loop, struct dh_objects *o, struct dh_objects *source,
+    const char *kind, enum dh_freshness freshness,
+    const struct dh_mirror_handler *h)
 {
 	struct dh_mirror *f = g_new0(struct dh_mirror, 1);
 
 	f->timer = dh_timer_new(loop, f);
 	f->objects = o;
+	f->source = source;
 	f->kind = g_strdup(kind);
 	f->freshness = freshness;
 	f->h = *h;
@@ -397,7 +438,7 @@
 	if (freshness == DH_FRESH)
 		f->stale_until_ms = dh_clock_ms() + START_STALE_MS;
 	f->known =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, known_free);
 	f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	step(f);
 	return f;
@@ -417,6 +458,26 @@
 	g_free(f);
 }
 
+GString *
+dh_mirror_list(const struct dh_mirror *f)
+{
+	GString *list;
+	GHashTableIter it;
+	gpointer name, value;
+
+	if (!f->listed)
+		return NULL;
+	list = g_string_new(NULL);
+	g_hash_table_iter_init(&it, f->known);
+	while (g_hash_table_iter_next(&it, &name, &value)) {
+		const struct known *k = value;
+
+		dh_objects_append(list, name, k->revision, k->spec);
+	}
+	dh_objects_finish(list, f->as_of);
+	return list;
+}
+
 bool
 dh_mirror_listed(const struct dh_mirror *f)
 {
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
 #include <uv.h>
 
 #include "platform/objects.h"
@@ -31,10 +32,15 @@
 
 /* dh_mirror_new -- start; o and loop must outlive it.  The first seconds are
  * read as they may have been some seconds ago, unless dh_mirror_set_wait() asks
- * for a shorter wait. */
+ * for a shorter wait.  The first list comes from source, another VM, if that
+ * is not NULL and has it; source must outlive it too. */
 struct dh_mirror *dh_mirror_new(uv_loop_t *loop, struct dh_objects *o,
-    const char *kind, enum dh_freshness freshness,
+    struct dh_objects *source, const char *kind, enum dh_freshness freshness,
     const struct dh_mirror_handler *h);
+
+/* dh_mirror_list -- all that is known, as the store lists it; the caller's to
+ * free.  NULL before the first list. */
+GString *dh_mirror_list(const struct dh_mirror *f);
 void dh_mirror_free(struct dh_mirror *f);
 
 /*
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -154,6 +154,7 @@
 	o->announce_revision = v->revision;
 	if (o->announced || o->announcement != NULL ||
 	    strcmp(ip, o->c.ip) != 0 ||
+	    strcmp(member_text(v->spec, "zone"), o->c.settings->zone) != 0 ||
 	    core_share_milli != o->c.settings->core_share_milli)
 		return;
 	o->announced = true;
@@ -167,14 +168,21 @@
 see_vm(struct dh_owners *o, const struct dh_object_view *v)
 {
 	const char *ip = member_text(v->spec, "ip");
+	struct peer_state *p;
 	int64_t core_share_milli = dh_json_int(v->spec, "core_share_milli");
 
 	if (strcmp(v->name + strlen(VM_PREFIX), o->c.settings->vm) == 0) {
 		see_own_entry(o, v, ip, core_share_milli);
 		return;
 	}
-	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0')
-		owners_peer(o, ip)->core_share_milli = core_share_milli;
+	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0') {
+		p = owners_peer(o, ip);
+		p->core_share_milli = core_share_milli;
+		(void)g_strlcpy(
+		    p->vm, v->name + strlen(VM_PREFIX), sizeof(p->vm));
+		(void)g_strlcpy(
+		    p->zone, member_text(v->spec, "zone"), sizeof(p->zone));
+	}
 	dh_ops(DH_OPS_MEMBER, "vm.known", ",\"peer\":\"%s\",\"ip\":\"%s\"",
 	    v->name + strlen(VM_PREFIX), ip);
 }
@@ -209,8 +217,10 @@
 	    now_ms < o->announce_ms || !dh_mirror_listed(o->mirror))
 		return;
 	name = g_strconcat(VM_PREFIX, o->c.settings->vm, NULL);
-	spec = g_strdup_printf("{\"ip\":\"%s\",\"core_share_milli\":%lld}",
-	    o->c.ip, (long long)o->c.settings->core_share_milli);
+	spec = g_strdup_printf(
+	    "{\"ip\":\"%s\",\"core_share_milli\":%lld,\"zone\":\"%s\"}",
+	    o->c.ip, (long long)o->c.settings->core_share_milli,
+	    o->c.settings->zone);
 	o->announcement = dh_objects_put(o->c.objects, DH_OWNERS_KIND, name,
 	    o->announce_revision, spec, DH_OWNERS_STORE_TIMEOUT_MS,
 	    on_announced, o);
@@ -234,6 +244,8 @@
 
 	if (strcmp(v->name, DH_OWNERS_LEADER) == 0)
 		owners_see_leader(o, v);
+	else if (strcmp(v->name, DH_NEIGHBOURS) == 0)
+		o->strong_revision = v->revision;
 	else if (g_str_has_prefix(v->name, VM_PREFIX))
 		see_vm(o, v);
 	else if (g_str_has_prefix(v->name, SERVICE_PREFIX) &&
@@ -318,7 +330,7 @@
 	owners_renew_patience(o);
 	dh_registry_set_witness(c->registry, store_was_fine, o);
 	o->mirror = dh_mirror_new(
-	    c->loop, c->objects, DH_OWNERS_KIND, DH_STALE, &objects);
+	    c->loop, c->objects, NULL, DH_OWNERS_KIND, DH_STALE, &objects);
 	o->timer = dh_timer_new(c->loop, o);
 	uv_timer_start(
 	    o->timer, on_timer, DH_OWNERS_STEP_MS, DH_OWNERS_STEP_MS);
@@ -335,6 +347,8 @@
 	g_hash_table_destroy(o->duties);
 	dh_objects_cancel(o->call);
 	dh_objects_cancel(o->announcement);
+	dh_objects_cancel(o->strong_call);
+	g_free(o->strong);
 	dh_mirror_free(o->mirror);
 	dh_timer_free(o->timer);
 	dh_peer_free(o->peer);
--- a/gateway/owners.h
+++ b/gateway/owners.h
@@ -22,6 +22,8 @@
  */
 struct dh_owners;
 
+#define DH_OWNERS_KIND "dogwoodhub-owners" /* our kind in the store */
+
 struct dh_owners_context {
 	uv_loop_t *loop;
 	struct dh_http *http;
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -3,6 +3,7 @@
 
 #include "gateway/duty.h"
 #include "gateway/mirror.h"
+#include "gateway/neighbour.h"
 #include "gateway/owners.h"
 #include "gateway/peer.h"
 #include "gateway/record.h"
@@ -15,8 +16,6 @@
  * gossip.c     datagrams: heartbeats, owners, news of the store, reports
  */
 
-/* Our kind of objects in the store. */
-#define DH_OWNERS_KIND "dogwoodhub-owners"
 #define DH_OWNERS_LEADER "leader"
 /* The control thread's step for all of this. */
 #define DH_OWNERS_STEP_MS 40
@@ -36,6 +35,8 @@
 struct peer_state {
 	int64_t heard_ms; /* of its last report; 0: none yet */
 	int64_t core_share_milli; /* 0: not known */
+	char vm[DH_NAME_MAX];
+	char zone[DH_NAME_MAX]; /* "" if not known */
 };
 
 /* Parts of all owners of a service, as they come in. */
@@ -74,6 +75,10 @@
 	/* As leader. */
 	GHashTable *duties; /* service -> struct dh_duty */
 	GHashTable *peers; /* ip -> struct peer_state */
+	char *strong; /* as last written; NULL: not by this VM */
+	uint64_t strong_revision;
+	int64_t strong_ms; /* when it was looked at last */
+	struct dh_objects_call *strong_call;
 	int64_t confirmed_ms; /* when the call began that the store answered */
 	int64_t asked_ms;
 	bool confirm_failed; /* the last question had no answer */
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -303,7 +303,8 @@
 
 struct dh_registry *
 dh_registry_new(uv_loop_t *loop, struct dh_objects *o,
-    const struct dh_gateway_settings *s, void (*changed)(void *arg), void *arg)
+    struct dh_objects *source, const struct dh_gateway_settings *s,
+    void (*changed)(void *arg), void *arg)
 {
 	struct dh_registry *reg = g_new0(struct dh_registry, 1);
 	struct dh_mirror_handler servers = { on_server, on_server_gone,
@@ -317,10 +318,10 @@
 	reg->servers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	reg->timer = dh_timer_new(loop, reg);
-	reg->mirrors[DH_REGISTRY_SERVERS] =
-	    dh_mirror_new(loop, o, dh_wire_kind_servers, DH_FRESH, &servers);
-	reg->mirrors[DH_REGISTRY_CONFIG] =
-	    dh_mirror_new(loop, o, dh_wire_kind_config, DH_FRESH, &config);
+	reg->mirrors[DH_REGISTRY_SERVERS] = dh_mirror_new(
+	    loop, o, source, dh_wire_kind_servers, DH_FRESH, &servers);
+	reg->mirrors[DH_REGISTRY_CONFIG] = dh_mirror_new(
+	    loop, o, source, dh_wire_kind_config, DH_FRESH, &config);
 	return reg;
 }
 
@@ -425,6 +426,16 @@
 	return reg->deployment == NULL ? NULL : *reg->deployment;
 }
 
+GString *
+dh_registry_list(const struct dh_registry *reg, const char *kind)
+{
+	if (strcmp(kind, dh_wire_kind_servers) == 0)
+		return dh_mirror_list(reg->mirrors[DH_REGISTRY_SERVERS]);
+	if (strcmp(kind, dh_wire_kind_config) == 0)
+		return dh_mirror_list(reg->mirrors[DH_REGISTRY_CONFIG]);
+	return NULL;
+}
+
 bool
 dh_registry_ready(const struct dh_registry *reg)
 {
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -19,10 +19,16 @@
  */
 struct dh_registry;
 
-/* dh_registry_new -- s, loop and o must outlive it; changed is called when a
- * view made now would differ from the one before. */
+/* dh_registry_new -- s, loop, o and source must outlive it; changed is called
+ * when a view made now would differ from the one before.  It begins with what
+ * source knows, another VM, or the store if that is NULL. */
 struct dh_registry *dh_registry_new(uv_loop_t *loop, struct dh_objects *o,
-    const struct dh_gateway_settings *s, void (*changed)(void *arg), void *arg);
+    struct dh_objects *source, const struct dh_gateway_settings *s,
+    void (*changed)(void *arg), void *arg);
+
+/* dh_registry_list -- all that is known of a kind of objects, as the store
+ * lists it, the caller's to free; NULL if that is nothing. */
+GString *dh_registry_list(const struct dh_registry *r, const char *kind);
 void dh_registry_free(struct dh_registry *r);
 
 /* dh_registry_set_witness -- ask fine, when this VM reaches the store again,
--- a/tests/fake_objects.h
+++ b/tests/fake_objects.h
@@ -17,6 +17,7 @@
 	uint64_t since;
 	int64_t wait_ms;
 	enum dh_freshness freshness;
+	struct dh_objects *from; /* of a list: whom it asks */
 	dh_objects_fn done;
 	void *arg;
 };
@@ -56,9 +57,9 @@
 {
 	struct dh_objects_call *c = fake_call(kind, done, arg);
 
-	(void)o;
 	(void)after;
 	(void)timeout_ms;
+	c->from = o;
 	c->freshness = freshness;
 	return c;
 }
@@ -82,12 +83,16 @@
 /* Reads and writes of single objects wait under the object's name. */
 struct dh_objects_call *
 dh_objects_get(struct dh_objects *o, const char *kind, const char *name,
-    int64_t timeout_ms, dh_objects_fn done, void *arg)
+    enum dh_freshness freshness, int64_t timeout_ms, dh_objects_fn done,
+    void *arg)
 {
+	struct dh_objects_call *c = fake_call(name, done, arg);
+
 	(void)o;
 	(void)kind;
 	(void)timeout_ms;
-	return fake_call(name, done, arg);
+	c->freshness = freshness;
+	return c;
 }
 
 struct dh_objects_call *
@@ -105,6 +110,20 @@
 	return c;
 }
 
+void
+dh_objects_append(
+    GString *list, const char *name, uint64_t revision, const char *spec)
+{
+	g_string_append_printf(
+	    list, "%s@%llu=%s ", name, (unsigned long long)revision, spec);
+}
+
+void
+dh_objects_finish(GString *list, uint64_t as_of)
+{
+	g_string_append_printf(list, "as of %llu", (unsigned long long)as_of);
+}
+
 void
 dh_objects_cancel(struct dh_objects_call *c)
 {
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -85,7 +85,7 @@
 	memset(fx, 0, sizeof(*fx));
 	uv_loop_init(&fx->loop);
 	fx->log = g_string_new(NULL);
-	fx->f = dh_mirror_new(&fx->loop, NULL, KIND, DH_FRESH, &h);
+	fx->f = dh_mirror_new(&fx->loop, NULL, NULL, KIND, DH_FRESH, &h);
 	CU_ASSERT_FALSE(dh_mirror_listed(fx->f));
 	fake_answer(KIND, DH_OBJECTS_OK, 10, items, 2);
 	CU_ASSERT_TRUE(dh_mirror_listed(fx->f));
@@ -181,6 +181,54 @@
 	end(&fx);
 }
 
+/* The first list comes from another VM; the store is asked when that has none,
+ * and for all that comes later. */
+static void
+test_begins_with_another_vm(void)
+{
+	struct dh_mirror_handler h = { on_changed, on_gone, on_reached, on_news,
+		NULL };
+	struct dh_object_view items[] = { thing("a", 3), thing("b", 7) };
+	struct dh_objects *other = (struct dh_objects *)(void *)items;
+	struct json_object *spec = json_tokener_parse("{ \"x\": 1 }");
+	g_autoptr(GString) list = NULL;
+	struct fixture fx = { 0 };
+	int i;
+
+	items[0].spec = spec;
+	h.arg = &fx;
+	uv_loop_init(&fx.loop);
+	fx.log = g_string_new(NULL);
+	fx.f = dh_mirror_new(&fx.loop, NULL, other, KIND, DH_FRESH, &h);
+	CU_ASSERT_PTR_EQUAL(fake_open(KIND)->from, other);
+	CU_ASSERT_PTR_NULL(dh_mirror_list(fx.f));
+	fake_answer(KIND, DH_OBJECTS_NOT_DONE, 0, NULL, 0);
+	run_for(&fx, 100);
+	CU_ASSERT_PTR_EQUAL(fake_open(KIND)->from, other);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, items, 2);
+	check_log(&fx, "+a@3 +b@7 ");
+	CU_ASSERT_EQUAL(fake_open(KIND)->since, 10);
+	CU_ASSERT_TRUE(fake_open(KIND)->watch);
+	list = dh_mirror_list(fx.f);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(list);
+	CU_ASSERT_PTR_NOT_NULL(strstr(list->str, "a@3={\"x\":1} "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(list->str, "b@7=null "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(list->str, "as of 10"));
+	end(&fx);
+	memset(&fx, 0, sizeof(fx));
+	uv_loop_init(&fx.loop);
+	fx.log = g_string_new(NULL);
+	fx.f = dh_mirror_new(&fx.loop, NULL, other, KIND, DH_FRESH, &h);
+	for (i = 0; i < 5; i++) {
+		CU_ASSERT_PTR_EQUAL(fake_open(KIND)->from, other);
+		fake_answer(KIND, DH_OBJECTS_NOT_DONE, 0, NULL, 0);
+		run_for(&fx, 100);
+	}
+	CU_ASSERT_PTR_NULL(fake_open(KIND)->from);
+	end(&fx);
+	json_object_put(spec);
+}
+
 /* A list that may be old is never read in place of newer knowledge, nor a
  * second time. */
 static void
@@ -381,6 +429,7 @@
 		{ "silent leader", test_silent_leader },
 		{ "history gone, old reads",
 		    test_history_gone_while_reads_may_be_old },
+		{ "another VM's list", test_begins_with_another_vm },
 		{ "fed", test_fed_asks_nothing },
 		{ "open watch", test_open_watch_is_not_relied_on },
 		{ "gap", test_news_with_a_gap_are_not_taken },
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -116,6 +116,7 @@
 
 	memset(fx, 0, sizeof(*fx));
 	(void)g_strlcpy(fx->settings.vm, "vm-1", sizeof(fx->settings.vm));
+	(void)g_strlcpy(fx->settings.zone, "z", sizeof(fx->settings.zone));
 	fx->settings.peer_port = PORT;
 	fx->settings.beat_ms = 60;
 	fx->settings.silence_ms = 200;
@@ -123,8 +124,8 @@
 	fx->settings.core_share_milli = 500;
 	uv_loop_init(&fx->loop);
 	fx->http = dh_http_new(&fx->loop);
-	fx->reg =
-	    dh_registry_new(&fx->loop, NULL, &fx->settings, on_changed, NULL);
+	fx->reg = dh_registry_new(
+	    &fx->loop, NULL, NULL, &fx->settings, on_changed, NULL);
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
 	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, &v, 1);
 	json_object_put(o);
@@ -235,12 +236,36 @@
 	end(&fx);
 }
 
+/* The leader says whom others of a zone begin with. */
+static void
+test_strong_are_named(void)
+{
+	struct json_object *o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.9\",\"core_share_milli\":100,\"zone\":\"z\"}");
+	struct dh_object_view v = {
+		.name = "vm.vm-9", .revision = 7, .spec = o
+	};
+	struct fixture fx;
+
+	start(&fx, &v, 1);
+	beat(&fx, 3);
+	wait_for_question(&fx);
+	answer_with("leader", DH_OBJECTS_OK, 40, "{\"term\":3}");
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	run_for(&fx, 100);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("strong"));
+	CU_ASSERT_STRING_EQUAL(fake_open("strong")->put,
+	    "{\"vms\":[[\"vm-1\",\"z\",\"127.0.0.1\"]]}");
+	end(&fx);
+	json_object_put(o);
+}
+
 /* An address in the store that still holds is not written again. */
 static void
 test_address_that_stands(void)
 {
 	struct json_object *o = json_tokener_parse(
-	    "{\"ip\":\"127.0.0.1\",\"core_share_milli\":500}");
+	    "{\"ip\":\"127.0.0.1\",\"core_share_milli\":500,\"zone\":\"z\"}");
 	struct dh_object_view v = {
 		.name = "vm.vm-1", .revision = 7, .spec = o
 	};
@@ -276,6 +301,7 @@
 		{ "silent leader", test_silent_leader_is_replaced },
 		{ "heard while asking", test_leader_heard_while_asking },
 		{ "conflict", test_conflict_in_the_store },
+		{ "strong", test_strong_are_named },
 		{ "address", test_address_that_stands },
 		CU_TEST_INFO_NULL,
 	};
