Election: a leader that stood still asks the store before it orders anything

A duty orders nothing when its last step is silence_ms ago, whatever comes in first; the step that notices asks the store at once and orders only after the answer.

Ruled out: higher tokens (that life has seen none); the merge of releases (the ranges were released one by one).

test_owners 'stalled' fails with either guard's bound taken away.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -69,6 +69,7 @@
 	GQueue orders;
 	uint32_t releases; /* of them */
 	bool may_order;
+	int64_t stepped_ms; /* when that was said */
 };
 
 static void pump(struct dh_duty *d);
@@ -430,6 +431,15 @@
 	    d->revision, text, STORE_TIMEOUT_MS, on_written, d);
 }
 
+/* A process that stood still may have a successor whose orders these would
+ * undo: what comes in first after that starts none. */
+static bool
+may_order(const struct dh_duty *d)
+{
+	return d->may_order &&
+	    dh_clock_ms() - d->stepped_ms < d->c.settings->silence_ms;
+}
+
 static void
 pump(struct dh_duty *d)
 {
@@ -437,7 +447,7 @@
 
 	store(d, dh_clock_ms());
 	publish(d);
-	while (d->may_order && d->releases < RELEASES_MAX &&
+	while (may_order(d) && d->releases < RELEASES_MAX &&
 	    d->orders.length - d->releases < ORDERS_MAX &&
 	    dh_keyspace_next(d->ks, dh_clock_ms(), &o))
 		order_send(d, &o);
@@ -568,11 +578,12 @@
 }
 
 void
-dh_duty_step(struct dh_duty *d, bool may_order)
+dh_duty_step(struct dh_duty *d, bool orders)
 {
 	int64_t now_ms = dh_clock_ms();
 
-	d->may_order = may_order;
+	d->may_order = orders;
+	d->stepped_ms = now_ms;
 	if (!d->loaded) {
 		load(d);
 		return;
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -42,9 +42,9 @@
     const struct dh_duty_context *c, const char *service);
 void dh_duty_free(struct dh_duty *d);
 
-/* dh_duty_step -- plan, store, and order what is due; orders only while
- * may_order.  Called every few ten milliseconds. */
-void dh_duty_step(struct dh_duty *d, bool may_order);
+/* dh_duty_step -- plan, store, and order what is due, the last only with
+ * orders.  Called every few ten milliseconds. */
+void dh_duty_step(struct dh_duty *d, bool orders);
 
 /* dh_duty_demand, dh_duty_speed -- what routers have seen. */
 void dh_duty_demand(struct dh_duty *d, uint32_t key);
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -130,6 +130,8 @@
 	dh_mirror_set_fed(o->mirror, false);
 	dh_registry_feed(o->c.registry, on_news, o);
 	o->confirm_failed = false;
+	o->stalled = false;
+	o->stepped_ms = 0;
 	o->confirmed_ms = began_ms;
 	o->asked_ms = dh_clock_ms();
 	(void)g_strlcpy(o->leader_vm, o->c.settings->vm, sizeof(o->leader_vm));
@@ -182,6 +184,8 @@
 	owners_see_leader(o, &r->items[0]);
 	if (o->role == ROLE_LEADER && o->asked_ms > o->confirmed_ms)
 		o->confirmed_ms = o->asked_ms;
+	if (o->asked_ms >= o->stalled_ms)
+		o->stalled = false;
 }
 
 static bool
@@ -272,6 +276,25 @@
 	    DH_OWNERS_STORE_TIMEOUT_MS, on_strong_written, o);
 }
 
+/* After a stop for as long as makes others replace a leader, the store is to
+ * say that this one still is, before it orders anything. */
+static void
+note_stall(struct dh_owners *o, int64_t now_ms)
+{
+	int64_t stood_ms = now_ms - o->stepped_ms;
+
+	if (o->stepped_ms != 0 && stood_ms >= o->c.settings->silence_ms) {
+		o->stalled = true;
+		o->stalled_ms = now_ms;
+		dh_objects_cancel(o->call);
+		o->call = NULL;
+		dh_ops(DH_OPS_STATE, "leader.stalled",
+		    ",\"term\":%llu,\"stood_ms\":%lld",
+		    (unsigned long long)o->term, (long long)stood_ms);
+	}
+	o->stepped_ms = now_ms;
+}
+
 void
 owners_lead(struct dh_owners *o, int64_t now_ms)
 {
@@ -280,6 +303,8 @@
 	GHashTableIter it;
 	gpointer duty;
 
+	note_stall(o, now_ms);
+
 	if (solo != o->solo)
 		dh_ops(DH_OPS_STATE, solo ? "leader.solo_over" : "leader.solo",
 		    ",\"term\":%llu,\"confirmed_ms_ago\":%lld",
@@ -287,7 +312,9 @@
 		    (long long)(now_ms - o->confirmed_ms));
 	o->solo = solo;
 	ensure_duties(o);
-	if (o->call == NULL && now_ms - o->asked_ms >= pause_ms) {
+	if (o->call == NULL &&
+	    (now_ms - o->asked_ms >= pause_ms ||
+		(o->stalled && o->asked_ms < o->stalled_ms))) {
 		o->asked_ms = now_ms;
 		o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND,
 		    DH_OWNERS_LEADER, DH_FRESH, CONFIRM_TIMEOUT_MS, on_confirm,
@@ -299,7 +326,7 @@
 	}
 	g_hash_table_iter_init(&it, o->duties);
 	while (g_hash_table_iter_next(&it, NULL, &duty))
-		dh_duty_step(duty, !solo && !o->resigned);
+		dh_duty_step(duty, !solo && !o->resigned && !o->stalled);
 	if (now_ms - o->confirmed_ms < CONFIRM_MS) {
 		o->take_pause_ms = 0;
 		write_strong(o, now_ms);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -83,6 +83,9 @@
 	int64_t asked_ms;
 	bool confirm_failed; /* the last question had no answer */
 	int64_t beat_ms;
+	int64_t stepped_ms;
+	int64_t stalled_ms; /* when that was noticed */
+	bool stalled; /* it stood still, and has not asked the store since */
 	bool solo; /* without the store for too long: orders nothing */
 	uint32_t vms;
 	uint32_t whole_sends; /* left until the next step */
