Election: a leader that stood still goes on when no successor is heard

Waiting for the store alone would end all leases where the store is down and the leader stands still for a moment; that it is safe to go on is what solo_ms and the take-over's waits are for. Three heartbeats of silence do as well.

test_owners 'stalled' plays all three ends.

--- a/gateway/election.c
+++ b/gateway/election.c
@@ -24,6 +24,8 @@
 #define TAKE_PAUSE_MAX_MS 4000
 /* After an outage of the store the leader needs a question and its answer. */
 #define OUTAGE_GRACE_MS 1500
+/* Heartbeats of a successor that a leader which stood still waits for. */
+#define STALL_BEATS 3
 /* Between looks at whom others begin with. */
 #define STRONG_MS 1500
 /* Heartbeats that may be missed before this VM follows the store itself. */
@@ -276,8 +278,9 @@
 	    DH_OWNERS_STORE_TIMEOUT_MS, on_strong_written, o);
 }
 
-/* After a stop for as long as makes others replace a leader, the store is to
- * say that this one still is, before it orders anything. */
+/* After a stop for as long as makes others replace a leader it orders nothing
+ * until the store has said that it still leads, or a successor would have been
+ * heard: the store may be down, and then leases are to go on. */
 static void
 note_stall(struct dh_owners *o, int64_t now_ms)
 {
@@ -293,6 +296,9 @@
 		    (unsigned long long)o->term, (long long)stood_ms);
 	}
 	o->stepped_ms = now_ms;
+	if (o->stalled &&
+	    now_ms - o->stalled_ms > STALL_BEATS * o->c.settings->beat_ms)
+		o->stalled = false;
 }
 
 void
