--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -34,8 +34,8 @@
 	memset(fx, 0, sizeof(*fx));
 	fx->settings.return_ms = 2000;
 	uv_loop_init(&fx->loop);
-	fx->reg =
-	    dh_registry_new(&fx->loop, NULL, NULL, &fx->settings, on_changed, fx);
+	fx->reg = dh_registry_new(
+	    &fx->loop, NULL, NULL, &fx->settings, on_changed, fx);
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
 	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, NULL, 0);
 	fx->cursors[DH_REGISTRY_SERVERS] =
