--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -574,6 +574,41 @@
 	dh_keyspace_free(ks);
 }
 
+/* A renewal that is under way may be obeyed after a successor, which reads the
+ * move, has had the range released. */
+static void
+test_no_move_on_record_while_a_renewal_is_under_way(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *ranges;
+	uint64_t open[16], next;
+	struct dh_key_order o;
+	size_t n, i, nopen = 0, moved = 0;
+
+	list[0].leaving = true;
+	dh_keyspace_set_servers(ks, list, 2);
+	dh_keyspace_plan(ks, 900);
+	while (nopen < 16 && dh_keyspace_next(ks, 900, &o)) {
+		if (strcmp(o.server, "a") == 0)
+			open[nopen++] = o.ticket;
+		else
+			dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, NULL, 900);
+	}
+	CU_ASSERT_TRUE(nopen > 0);
+	CU_ASSERT_TRUE(dh_keyspace_export(ks, 901, &ranges, &n, &next) != 0);
+	for (i = 0; i < n; i++)
+		CU_ASSERT_STRING_EQUAL(ranges[i].former, "");
+	for (i = 0; i < nopen; i++)
+		dh_keyspace_answer(ks, open[i], DH_KEY_ACCEPTED, NULL, 920);
+	CU_ASSERT_TRUE(dh_keyspace_export(ks, 921, &ranges, &n, &next) != 0);
+	for (i = 0; i < n; i++)
+		moved += strcmp(ranges[i].former, "a") == 0;
+	CU_ASSERT_EQUAL(moved, nopen);
+	dh_keyspace_free(ks);
+}
+
 static void
 test_refused_grant_shows_another_leader(void)
 {
@@ -802,6 +837,8 @@
 		    test_range_in_doubt_is_not_released_to_another },
 		{ "move in doubt",
 		    test_no_renewal_while_a_move_may_be_on_record },
+		{ "renewal under way",
+		    test_no_move_on_record_while_a_renewal_is_under_way },
 		{ "another leader", test_refused_grant_shows_another_leader },
 		{ "hot range", test_hot_range_is_spread_within_two_seconds },
 		{ "hot key", test_hot_key_is_left_alone },
