test_worker: requests sent ahead are judged by what is at work, not by the clock

Now the backend server answers each only once all three are at work, and notes whether a request that must wait ran beside another; pauses and drains have seconds instead of tenths. As strict: serial handling fails each of them.

--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -105,6 +105,59 @@
 	return false;
 }
 
+#define TOGETHER 3
+static gint together; /* requests that wait for one another */
+
+/* Whether as many are at work at once as wait for one another. */
+static bool
+wait_for_others(void)
+{
+	int i;
+
+	(void)g_atomic_int_add(&together, 1);
+	for (i = 0; i < 160 && g_atomic_int_get(&together) < TOGETHER; i++)
+		(void)usleep(5000);
+	return g_atomic_int_get(&together) >= TOGETHER;
+}
+
+static gint resting; /* requests at work under /rest/ */
+static bool beside_rest; /* another was at work beside them */
+
+/* Answers that depend on what else is at work, or do not end; false if the
+ * request asks for none of these.  *open: whether the connection goes on. */
+static bool
+answers_by_turn(
+    int fd, const char *head, const char *id, const char *good, bool *open)
+{
+	g_autofree char *leaving = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\n" STAMP ID
+	    ": %s\r\nServer-Leaving: 1\r\nContent-Length: 4\r\n\r\nbody",
+	    id);
+
+	if (strstr(head, "/rest/") != NULL) {
+		beside_rest |= g_atomic_int_add(&resting, 1) > 0;
+		(void)usleep(strstr(head, "/long/") != NULL ? 300000 : 100000);
+		(void)g_atomic_int_add(&resting, -1);
+		say(fd, good);
+	} else if (strstr(head, "/together/") != NULL) {
+		say(fd,
+		    wait_for_others()
+			? good
+			: "HTTP/1.1 500 Alone\r\nContent-Length: 0\r\n\r\n");
+	} else if (strstr(head, "/endless") != NULL) {
+		*open = say_without_end(fd, head, id);
+	} else if (strstr(head, " /pause/") != NULL) {
+		say(fd,
+		    "HTTP/1.1 503 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
+		    "Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n");
+	} else if (strstr(head, "/leaving/") != NULL) {
+		say(fd, leaving);
+	} else {
+		return false;
+	}
+	return true;
+}
+
 /* Answer one request; false if the connection is over. */
 static bool
 behave(struct fake *f, int fd, const char *head, const char *id)
@@ -113,9 +166,11 @@
 	    "HTTP/1.1 200 OK\r\n" STAMP ID
 	    ": %s\r\nX-From: %d\r\nContent-Length: 4\r\n\r\nbody",
 	    id, f->index);
+	bool open = true;
 	char byte;
 
 	if (strstr(head, " /ok/") != NULL) {
+		beside_rest |= g_atomic_int_get(&resting) > 0;
 		say(fd, good);
 		return true;
 	}
@@ -173,28 +228,8 @@
 			: good);
 		return true;
 	}
-	if (strstr(head, "/rest/") != NULL) {
-		(void)usleep(strstr(head, "/long/") != NULL ? 300000 : 100000);
-		say(fd, good);
-		return true;
-	}
-	if (strstr(head, "/endless") != NULL)
-		return say_without_end(fd, head, id);
-	if (strstr(head, " /pause/") != NULL) {
-		say(fd,
-		    "HTTP/1.1 503 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
-		    "Retry-After: 0.7\r\nContent-Length: 0\r\n\r\n");
-		return true;
-	}
-	if (strstr(head, "/leaving/") != NULL) {
-		g_autofree char *text = g_strdup_printf(
-		    "HTTP/1.1 200 OK\r\n" STAMP ID ": %s\r\nServer-Leaving: "
-		    "1\r\nContent-Length: 4\r\n\r\nbody",
-		    id);
-
-		say(fd, text);
-		return true;
-	}
+	if (answers_by_turn(fd, head, id, good, &open))
+		return open;
 	if (strstr(head, " /garbage/") != NULL) {
 		say(fd, "\x01\x02 nonsense\r\n\r\n");
 		return true;
@@ -651,27 +686,51 @@
 	say(fd, text);
 }
 
+/* Wait for what the backend servers have seen to reach n, but not for ever. */
+static void
+wait_until(const int *seen, int n)
+{
+	int i, now = 0;
+
+	for (i = 0; i < 400 && now < n; i++) {
+		(void)usleep(5000);
+		g_mutex_lock(&lock);
+		now = *seen;
+		g_mutex_unlock(&lock);
+	}
+}
+
 /* Requests that a caller sends before it has the first answer: at work side by
  * side, answered in order. */
 static void
 test_requests_sent_ahead(void)
 {
-	int64_t began_us;
 	char id[32];
 	int fd, i;
 
 	start(1);
+	/* Each is answered once all are at work. */
+	together = 0;
+	fd = dial();
+	for (i = 0; i < TOGETHER; i++) {
+		(void)g_snprintf(id, sizeof(id), "r%d", i);
+		say_request(fd, "/together/", id, "");
+	}
+	for (i = 0; i < TOGETHER; i++) {
+		CU_ASSERT_EQUAL(receive(fd, buf), 200);
+		(void)g_snprintf(id, sizeof(id), ID ": r%d\r\n", i);
+		CU_ASSERT_PTR_NOT_NULL(strstr(buf, id));
+	}
+	(void)close(fd);
+	/* The last of them is done first. */
 	fd = dial();
-	began_us = g_get_monotonic_time();
 	say_request(fd, "/rest/long/", "r0", "");
-	say_request(fd, "/rest/", "r1", "");
-	say_request(fd, "/rest/", "r2", "");
-	for (i = 0; i < 3; i++) {
+	say_request(fd, "/ok/", "r1", "");
+	for (i = 0; i < 2; i++) {
 		CU_ASSERT_EQUAL(receive(fd, buf), 200);
 		(void)g_snprintf(id, sizeof(id), ID ": r%d\r\n", i);
 		CU_ASSERT_PTR_NOT_NULL(strstr(buf, id));
 	}
-	CU_ASSERT_TRUE(g_get_monotonic_time() - began_us < 450000);
 	(void)close(fd);
 	stop();
 }
@@ -684,18 +743,17 @@
 	int fd;
 
 	start(1);
+	beside_rest = false;
 	fd = dial();
 	say_request(fd, "/rest/", "r0", "");
 	say_request(fd, "/rest/once/", "r1", "");
 	say_request(fd, "/ok/", "r2", "");
-	(void)usleep(60000);
-	CU_ASSERT_EQUAL(runs, 1);
 	CU_ASSERT_EQUAL(receive(fd, buf), 200);
-	(void)usleep(40000);
-	CU_ASSERT_EQUAL(runs, 2);
 	CU_ASSERT_EQUAL(receive(fd, buf), 200);
 	CU_ASSERT_EQUAL(receive(fd, buf), 200);
 	CU_ASSERT_PTR_NOT_NULL(strstr(buf, ID ": r2\r\n"));
+	CU_ASSERT_FALSE(beside_rest);
+	CU_ASSERT_EQUAL(runs, 3);
 	(void)close(fd);
 	runs = 0;
 	fd = dial();
@@ -714,13 +772,13 @@
 	CU_ASSERT_EQUAL(receive(fd, buf), 400);
 	(void)close(fd);
 	/* A caller that leaves takes all of them along. */
-	cancelled = 0;
+	cancelled = runs = 0;
 	fd = dial();
 	say_request(fd, "/silent/", "r0", "");
 	say_request(fd, "/silent/", "r1", "");
-	(void)usleep(100000);
+	wait_until(&runs, 2);
 	reset(fd);
-	(void)usleep(200000);
+	wait_until(&cancelled, 2);
 	CU_ASSERT_EQUAL(cancelled, 2);
 	stop();
 }
@@ -736,7 +794,7 @@
 	fd = dial();
 	say_request(fd, "/rest/long/", "r0", "");
 	say_request(fd, "/rest/", "r1", "");
-	(void)usleep(50000);
+	wait_until(&runs, 2);
 	dh_worker_drain(worker, 100, 3000);
 	CU_ASSERT_EQUAL(receive(fd, buf), 200);
 	CU_ASSERT_PTR_NULL(strstr(buf, "Connection: close"));
@@ -867,13 +925,13 @@
 	CU_ASSERT_EQUAL(runs, 1);
 	began_us = g_get_monotonic_time();
 	before = runs;
-	while (g_get_monotonic_time() - began_us < 600000) {
+	while (g_get_monotonic_time() - began_us < 1000000) {
 		CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 503);
 		CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Retry-After: "));
 		(void)usleep(50000);
 	}
 	CU_ASSERT_EQUAL(runs, before);
-	(void)usleep(200000);
+	(void)usleep(1700000);
 	CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 200);
 	stop();
 }
@@ -886,7 +944,7 @@
 	struct dh_worker_report *r = NULL;
 	int i;
 
-	settings.drain_ms = 900;
+	settings.drain_ms = 2500;
 	start(1);
 	CU_ASSERT_EQUAL(ask_once("/leaving/", "", buf), 200);
 	CU_ASSERT_EQUAL(ask_once("/ok/", "", buf), 503);
@@ -900,7 +958,7 @@
 	    200);
 	CU_ASSERT_EQUAL(
 	    ask_once("/ok/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf), 200);
-	(void)usleep(450000);
+	(void)usleep(2100000);
 	CU_ASSERT_EQUAL(
 	    ask_once("/ok/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf), 503);
 	for (i = 0; i < 10 && (r == NULL || r->nleaving == 0); i++) {
