--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -22,9 +22,6 @@
 /* The same after the leader fell silent: another one leads by then, or the
  * store is read afresh with what is left of the time for a change. */
 #define SUCCESSOR_MS 500
-/* Times that a VM which is behind the leader reads what may be old, before it
- * reads what is new. */
-#define STALE_ASKS 1
 /* Another VM that starts as well may not have its list yet: asked again, so
  * often, before the store is. */
 #define SOURCE_TIMEOUT_MS 400
@@ -52,10 +49,8 @@
 	int64_t pause_ms;
 	int64_t wait_ms;
 	int64_t stale_until_ms; /* a leader is expected; 0: none is */
-	uint32_t behind; /* asked in a row */
 	bool fed; /* another VM tells what changes */
 	bool ask; /* the store once, without waiting for a change */
-	bool ask_stale; /* for what may be old */
 	bool waiting; /* the call under way waits for a change */
 	bool listed;
 	bool reached;
@@ -88,7 +83,7 @@
 static enum dh_freshness
 freshness_now(const struct dh_mirror *f)
 {
-	return expects_leader(f) || f->ask_stale ? DH_STALE : f->freshness;
+	return expects_leader(f) ? DH_STALE : f->freshness;
 }
 
 static int64_t
@@ -136,7 +131,6 @@
 fail(struct dh_mirror *f, const char *why)
 {
 	f->ask = true;
-	f->ask_stale = false;
 	if (!f->fed || !f->listed)
 		set_reached(f, false, why);
 	uv_timer_start(f->timer, on_timer,
@@ -244,7 +238,6 @@
 	switch (r->result) {
 	case DH_OBJECTS_OK:
 		f->ask = false;
-		f->ask_stale = false;
 		set_reached(f, true, "watch answered");
 		for (i = 0; i < r->nitems; i++)
 			take(f, &r->items[i]);
@@ -267,7 +260,6 @@
 		    (unsigned long long)f->as_of);
 		f->as_of = 0;
 		/* An old list would bring back what has changed since. */
-		f->ask_stale = false;
 		f->stale_until_ms = 0;
 		step(f);
 		return;
@@ -378,17 +370,9 @@
 void
 dh_mirror_catch_up(struct dh_mirror *f)
 {
-	if (f->behind++ < STALE_ASKS || expects_leader(f))
-		f->ask_stale = true;
 	ask_now(f);
 }
 
-void
-dh_mirror_caught_up(struct dh_mirror *f)
-{
-	f->behind = 0;
-}
-
 void
 dh_mirror_set_wait(struct dh_mirror *f, int64_t wait_ms)
 {
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -53,17 +53,13 @@
  * dh_mirror_take -- what another VM's handler was called with.  False if
  * something between what is known here and since is missing.
  *
- * dh_mirror_catch_up -- ask the store once for what is missing, also if fed;
- * for what may be some seconds old first, for it costs a tenth.
- *
- * dh_mirror_caught_up -- nothing is missing any more.
+ * dh_mirror_catch_up -- ask the store once for what is missing, also if fed.
  */
 void dh_mirror_set_fed(struct dh_mirror *f, bool fed);
 void dh_mirror_feeder_silent(struct dh_mirror *f);
 bool dh_mirror_take(struct dh_mirror *f, uint64_t since, uint64_t as_of,
     const struct dh_object_view *items, size_t n);
 void dh_mirror_catch_up(struct dh_mirror *f);
-void dh_mirror_caught_up(struct dh_mirror *f);
 
 /*
  * dh_mirror_set_wait -- how long a watch waits at the store for something to
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -382,7 +382,6 @@
 		dh_mirror_set_fed(f, c->reached && c->as_of != 0);
 	if (c == NULL || c->as_of <= dh_mirror_as_of(f)) {
 		reg->behind_ms[kind] = 0;
-		dh_mirror_caught_up(f);
 		return;
 	}
 	if (reg->behind_ms[kind] == 0) {
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -19,8 +19,10 @@
  */
 
 /* A keyed backend server that leaves gets its last requests so long before
- * they would be too late: what a request and its keys' move need. */
-#define DH_CLOSE_EARLY_MS 500
+ * they would be too late: a VM that missed the leader's datagram knows of it
+ * after the leader's pause, a heartbeat, the patience after it and a call, and
+ * a request takes its way. */
+#define DH_CLOSE_EARLY_MS 800
 
 struct dh_view_server {
 	uint32_t uid; /* of this id, life and address; never used again */
