Choice: the load told with an answer says how long it waited

Cause: a router's estimate of a backend server's work took waiting for work. It divided an answer's time by what the router knew to be ahead when it sent, but with many routers each sends to a backend server less than once a second, and what it knew of the others had faded.

Test: 'work and waiting' plays bursts from 75 routers; before 2.45 times the true work, now 1.24, and 4 times slower is still found.

--- a/core/choice.c
+++ b/core/choice.c
@@ -67,12 +67,16 @@
 	l->failing_at_ms = now_ms;
 }
 
-/* Work without waiting, from an answer that may have waited. */
+/* Work without waiting, from an answer that may have waited.  A router that
+ * sends there seldom did not know what was ahead: the load told with the answer
+ * is the best guess of it. */
 static void
 learn_work(struct dh_backend_load *l, const struct dh_reply *r, int64_t now_ms)
 {
 	double slots = r->slots > 0 ? r->slots : 1;
-	double waited = r->ahead >= slots ? (r->ahead - slots + 1) / slots : 0;
+	double told = r->has_load ? (double)r->running + r->waiting : 0;
+	double ahead = told > r->ahead ? told : r->ahead;
+	double waited = ahead >= slots ? (ahead - slots + 1) / slots : 0;
 	double sample = ((double)r->latency_ms - r->way_ms) / (1.0 + waited);
 
 	if (sample < 1.0)
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -246,6 +246,8 @@
 #define ROUND_MS 5
 #define TARGET_MS 400
 
+static int64_t usual_work_ms = WORK_MS; /* at backend servers */
+
 struct job {
 	int router;
 	int64_t sent_ms, start_ms, end_ms;
@@ -301,8 +303,8 @@
 				oldest = i;
 		if (oldest < 0)
 			return;
-		q->jobs[oldest].end_ms =
-		    now + WORK_MS / 2 + (int64_t)dh_rng_below(&rng, WORK_MS);
+		q->jobs[oldest].end_ms = now + usual_work_ms / 2 +
+		    (int64_t)dh_rng_below(&rng, (uint64_t)usual_work_ms);
 	}
 }
 
@@ -371,6 +373,55 @@
 	}
 }
 
+/* Requests in bursts at one backend server, from many routers that each send
+ * there seldom; the mean of what they measure. */
+static double
+measured_work_ms(int64_t work_ms, int64_t for_ms)
+{
+	static struct dh_backend_load load[75][BACKENDS];
+	static struct queue q;
+	const int routers = sizeof(load) / sizeof(load[0]);
+	const double most_per_s = SLOTS * 1000.0 / (double)work_ms;
+	int in_time = 0, late = 0, router;
+	double sum = 0, due = 0;
+	int64_t now;
+
+	memset(load, 0, sizeof(load));
+	memset(&q, 0, sizeof(q));
+	usual_work_ms = work_ms;
+	for (now = ROUND_MS; now < for_ms; now += ROUND_MS) {
+		finish_jobs(&q, load, 0, now, &in_time, &late);
+		start_jobs(&q, now);
+		due += most_per_s * ROUND_MS / 1000 *
+		    (now % (10 * work_ms) < 4 * work_ms ? 1.8 : 0.3);
+		for (; due >= 1; due -= 1) {
+			router = (int)dh_rng_below(&rng, (uint64_t)routers);
+			q.jobs[q.n++] = (struct job){ .router = router,
+				.sent_ms = now,
+				.ahead =
+				    dh_backend_ahead(&load[router][0], now) };
+			dh_backend_sent(&load[router][0]);
+		}
+	}
+	usual_work_ms = WORK_MS;
+	for (router = 0; router < routers; router++)
+		sum += load[router][0].work_ms;
+	return sum / routers;
+}
+
+/* What waits behind requests of other routers is not taken for work: else
+ * callers are refused who could be served, and keys moved from backend servers
+ * that have room. */
+static void
+test_work_is_told_from_waiting(void)
+{
+	CU_ASSERT_TRUE(measured_work_ms(WORK_MS, 60000) < WORK_MS * 1.25);
+	CU_ASSERT_TRUE(measured_work_ms(WORK_MS, 60000) > WORK_MS * 0.75);
+	/* A slow one is found out all the same. */
+	CU_ASSERT_TRUE(
+	    measured_work_ms(4 * WORK_MS, 60000) > 4 * WORK_MS * 0.75);
+}
+
 /* Half of what they can do: nobody is refused, hardly anybody late. */
 static void
 test_calm_load_is_served(void)
@@ -455,6 +506,7 @@
 		{ "asked pause", test_asked_pause_is_kept },
 		{ "overrun", test_overrun_one_is_left_alone },
 		{ "silence", test_silence_counts_as_slowness },
+		{ "work and waiting", test_work_is_told_from_waiting },
 		{ "calm load", test_calm_load_is_served },
 		{ "sample", test_sample_is_of_all_tiers },
 		{ "load, sampled", test_sample_serves_as_all_do },
