--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -52,8 +52,8 @@
 	SECONDS("retry_share", retry_share_milli, "0.2", 0, 10),
 	SECONDS("retry_window_s", retry_window_ms, "10", 1, 3600),
 	INTEGER(retry_slack, "60", 0, 1000000),
-	SECONDS("zone_kib_ms", zone_kib_milli, "4", 0, 10000),
-	SECONDS("region_kib_ms", region_kib_milli, "12", 0, 10000),
+	SECONDS("zone_kib_ms", zone_kib_milli, "12", 0, 10000),
+	SECONDS("region_kib_ms", region_kib_milli, "36", 0, 10000),
 };
 
 /* Conditions over more than one field. */
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -2,6 +2,7 @@
 
 #include <dogwoodhub/choice.h>
 
+#include "gateway/settings.h"
 #include "tests/cunit_main.h"
 
 #define SLOTS 6
@@ -464,6 +465,87 @@
 	}
 }
 
+#define REGIONS 3
+
+/* Callers in all regions, most in the first, at the part of what the backend
+ * servers of all can do together: how many answers crossed to another region.
+ */
+static void
+play_regions(const struct dh_choice_params *p, double part, int64_t for_ms,
+    int *in_time, int *late, int *refused, int *crossed)
+{
+	static struct queue queues[BACKENDS];
+	static struct dh_backend_load load[REGIONS][BACKENDS];
+	const int backends = REGIONS * 4;
+	struct dh_candidate list[REGIONS * 4];
+	struct dh_wish w = wish(4);
+	struct dh_choice c;
+	double due = 0;
+	int64_t now;
+	int b, r;
+
+	memset(queues, 0, sizeof(queues));
+	memset(load, 0, sizeof(load));
+	*in_time = *late = *refused = *crossed = 0;
+	for (now = ROUND_MS; now < for_ms; now += ROUND_MS) {
+		for (b = 0; b < backends; b++) {
+			finish_jobs(&queues[b], load, b, now, in_time, late);
+			start_jobs(&queues[b], now);
+		}
+		due += part * backends * SLOTS * ROUND_MS / WORK_MS * 2 *
+		    dh_rng_unit(&rng);
+		for (; due >= 1; due -= 1) {
+			r = (int)dh_rng_below(&rng, REGIONS + 1) % REGIONS;
+			for (b = 0; b < backends; b++)
+				list[b] = candidate(&load[r][b],
+				    b % REGIONS == r ? DH_TIER_REGION
+						     : DH_TIER_REMOTE);
+			c = dh_choose(p, list, (size_t)backends, &w, &rng, now);
+			if (c.index == SIZE_MAX) {
+				(*refused)++;
+				continue;
+			}
+			*crossed += list[c.index].tier == DH_TIER_REMOTE;
+			queues[c.index].jobs[queues[c.index].n++] =
+			    (struct job){ .router = r,
+				    .sent_ms = now,
+				    .ahead = dh_backend_ahead(
+					&load[r][c.index], now) };
+			dh_backend_sent(&load[r][c.index]);
+		}
+	}
+}
+
+/* The links between regions are spared while callers lose nothing by it. */
+static void
+test_links_are_spared(void)
+{
+	static const char text[] = "{ \"vm\": \"a\", \"zone\": \"z\", "
+				   "\"region\": \"r\", \"zones\": \"\", "
+				   "\"listen_url\": \"http://127.0.0.1:1\", "
+				   "\"ready_url\": \"http://127.0.0.1:2\", "
+				   "\"store_url\": \"http://127.0.0.1:3\", "
+				   "\"peer_port\": 4 }";
+	struct dh_gateway_settings s;
+	struct dh_choice_params p = params;
+	int in_time, late, refused, crossed, all;
+
+	CU_ASSERT_TRUE_FATAL(
+	    dh_gateway_settings_parse(&s, text, strlen(text), NULL));
+	p.kib_ms[DH_TIER_REGION] = (double)s.zone_kib_milli / 1000;
+	p.kib_ms[DH_TIER_REMOTE] = (double)s.region_kib_milli / 1000;
+	/* All regions can serve their own. */
+	play_regions(&p, 0.6, 20000, &in_time, &late, &refused, &crossed);
+	all = in_time + late + refused;
+	CU_ASSERT_TRUE(crossed * 500 < all);
+	CU_ASSERT_TRUE(late == 0 && refused == 0);
+	/* The first cannot: 5 in 100 of its callers have to go elsewhere. */
+	play_regions(&p, 0.7, 20000, &in_time, &late, &refused, &crossed);
+	all = in_time + late + refused;
+	CU_ASSERT_TRUE(crossed * 100 < all * 5);
+	CU_ASSERT_TRUE((late + refused) * 1000 < all);
+}
+
 static void
 test_sample_is_of_all_tiers(void)
 {
@@ -509,6 +591,7 @@
 		{ "work and waiting", test_work_is_told_from_waiting },
 		{ "calm load", test_calm_load_is_served },
 		{ "sample", test_sample_is_of_all_tiers },
+		{ "links", test_links_are_spared },
 		{ "load, sampled", test_sample_serves_as_all_do },
 		{ "overload", test_overload_serves_what_can_be_served_in_time },
 		CU_TEST_INFO_NULL,
