--- a/base/http.c
+++ b/base/http.c
@@ -288,6 +288,16 @@
 	fetch_free(f);
 }
 
+const char *
+dh_http_header(const struct dh_http_reply *reply, const char *name)
+{
+	g_autofree char *lower = g_ascii_strdown(name, -1);
+
+	return reply->headers == NULL
+	    ? NULL
+	    : g_hash_table_lookup(reply->headers, lower);
+}
+
 struct dh_http_fetch *
 dh_http_fetch(struct dh_http *h, const struct dh_http_request *rq,
     dh_http_reply_fn done, void *arg)
--- a/base/http.h
+++ b/base/http.h
@@ -70,6 +70,10 @@
 	GHashTable *headers; /* lower-case name -> value; borrowed */
 };
 
+/* dh_http_header -- the value of a header by its name in any case, NULL if it
+ * is missing; borrowed like all of the reply. */
+const char *dh_http_header(const struct dh_http_reply *reply, const char *name);
+
 typedef void (*dh_http_reply_fn)(void *arg, const struct dh_http_reply *reply);
 
 struct dh_http_fetch;
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -288,6 +288,45 @@
 	ks->changed = true;
 }
 
+void
+dh_keyspace_distrust(struct dh_keyspace *ks, int64_t within_ms)
+{
+	ks->distrust_ms = ks->foreign_ms - ks->p.solo_ms + within_ms;
+}
+
+bool
+dh_keyspace_distrusted(const struct dh_keyspace *ks)
+{
+	return ks->distrusted;
+}
+
+/* Whether the store lacks what was recorded last. */
+static bool
+is_forgotten(const struct dh_keyspace *ks)
+{
+	return ks->lost_serial != 0 && ks->stored <= ks->lost_serial;
+}
+
+bool
+dh_keyspace_forgotten(
+    struct dh_keyspace *ks, uint64_t fence_floor, int64_t now_ms)
+{
+	size_t i;
+
+	if (ks->stored == 0)
+		return false;
+	ks->lost_serial = ++ks->serial;
+	ks->changed = true;
+	ks->foreign_ms = now_ms + ks->p.solo_ms + longest_hold_ms(ks);
+	if (ks->next_fence <= fence_floor)
+		ks->next_fence = fence_floor + 1;
+	for (i = 0; i < ks->nranges; i++) {
+		ks->ranges[i].pending_serial = ks->ranges[i].pending_first = 0;
+		ks->ranges[i].foreign_ms = ks->foreign_ms;
+	}
+	return true;
+}
+
 /* The backend server has ended, and another one has its address. */
 static void
 server_dead(struct dh_keyspace *ks, uint32_t s)
@@ -487,7 +526,8 @@
 {
 	size_t i;
 
-	if (ks->stored == 0)
+	if (ks->stored == 0 || is_forgotten(ks) ||
+	    (ks->distrusted && now_ms >= ks->distrust_ms))
 		return true;
 	for (i = 0; i < ks->nranges; i++)
 		if (recordable(&ks->ranges[i], now_ms))
@@ -526,6 +566,7 @@
 	image_room(ks);
 	ks->serial++;
 	ks->changed = false;
+	ks->distrusted = now_ms < ks->distrust_ms;
 	for (i = 0; i < ks->nranges; i++) {
 		r = &ks->ranges[i];
 		if (recordable(r, now_ms)) {
@@ -652,6 +693,8 @@
 
 	if (r->ticket != 0 || now_ms < r->due_ms)
 		return false;
+	if (is_forgotten(ks) && r->state != RANGE_SETTLED)
+		return false;
 	switch (r->state) {
 	case RANGE_NONE:
 		return false;
@@ -707,7 +750,7 @@
     struct dh_keyspace *ks, int64_t now_ms, struct dh_key_order *order)
 {
 	/* No order of a term whose record is not stored. */
-	if (ks->stored == 0)
+	if (ks->stored == 0 || now_ms < ks->distrust_ms)
 		return false;
 	while (ks->cursor < ks->nranges)
 		if (range_next(ks, &ks->ranges[ks->cursor++], now_ms, order))
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -79,6 +79,11 @@
 	struct dh_key_range *image;
 	size_t image_size;
 	int64_t foreign_ms; /* until when a former leader may give orders */
+	int64_t distrust_ms; /* until when nothing is ordered */
+	bool distrusted; /* at the time of the last export */
+	/* The last export that the store has lost: only renewals until a later
+	 * one is stored.  0: none was lost. */
+	uint64_t lost_serial;
 	uint64_t next_fence;
 	uint64_t next_ticket;
 	uint64_t serial; /* of the last export */
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/opslog.h"
+#include "gateway/era.h"
 #include "gateway/record.h"
 #include "platform/wire.h"
 
@@ -31,6 +32,10 @@
  * much of the longest lease that they take is used. */
 #define LEASE_SERVERS 300
 #define LEASE_MAX_PERCENT 80
+/* A leader that reaches the store stops within this time after the store went
+ * back, if another one leads then: it hears of it by a watch, and without a
+ * term of the new era it may go on for DH_RECLAIM_MOST_MS. */
+#define UNAWARE_MS (DH_RECLAIM_MOST_MS + 1000)
 /* Bytes of an order's answer, of which only status and headers count. */
 #define ANSWER_MAX 4096
 /* Orders at once; more wait for answers.  A release is answered when work has
@@ -56,6 +61,8 @@
 	uint64_t revision; /* of the object */
 	struct dh_objects_call *call;
 	bool in_doubt; /* a write may or may not have been taken */
+	bool held; /* nothing may be stored */
+	bool lost; /* which revision the object has in the store */
 	uint64_t writing; /* serial under way, 0 for none */
 	uint64_t written_version;
 	int64_t write_at_ms; /* not before */
@@ -142,20 +149,10 @@
 	    (unsigned long long)w->duty->c.term);
 }
 
-static const char *
-header_of(const struct dh_http_reply *reply, const char *header)
-{
-	g_autofree char *name = g_ascii_strdown(header, -1);
-
-	return reply->headers == NULL
-	    ? NULL
-	    : g_hash_table_lookup(reply->headers, name);
-}
-
 static const char *
 handover_of(const struct dh_http_reply *reply)
 {
-	const char *text = header_of(reply, dh_wire_headers.handover);
+	const char *text = dh_http_header(reply, dh_wire_headers.handover);
 	const char *p;
 
 	for (p = text; p != NULL && *p != '\0'; p++)
@@ -173,7 +170,7 @@
 	bool ours;
 
 	log_order(w, reply->status, answer);
-	if (dh_wire_leaving(header_of(reply, dh_wire_headers.leaving)))
+	if (dh_wire_leaving(dh_http_header(reply, dh_wire_headers.leaving)))
 		dh_registry_said_leaving(
 		    d->c.registry, w->o.server, w->born_ms);
 	ours = dh_keyspace_answer(
@@ -295,18 +292,24 @@
 	pump(d);
 }
 
-/* Start from a record of a former leader. */
+/* Start from a record of a former leader.  One of an era before may not be its
+ * last one. */
 static void
 take_over(struct dh_duty *d, const struct dh_record *r)
 {
-	dh_keyspace_take_over(d->ks, r->ranges, r->nranges, r->next_fence,
-	    (int64_t)r->hold_ms, dh_clock_ms());
+	uint64_t floor = dh_era_floor(d->c.era);
+	bool old = r->nranges > 0 && (r->term < floor || r->distrusted);
+
+	dh_keyspace_take_over(d->ks, r->ranges, r->nranges,
+	    MAX(r->next_fence, floor + 1), (int64_t)r->hold_ms, dh_clock_ms());
+	if (old)
+		dh_keyspace_distrust(d->ks, UNAWARE_MS);
 	dh_ops(DH_OPS_STATE, "owners.taken_over",
 	    ",\"service\":\"%s\",\"term\":%llu,\"from_term\":%llu,"
-	    "\"from_version\":%llu,\"ranges\":%zu",
+	    "\"from_version\":%llu,\"ranges\":%zu,\"trusted\":%s",
 	    d->service, (unsigned long long)d->c.term,
 	    (unsigned long long)r->term, (unsigned long long)r->version,
-	    r->nranges);
+	    r->nranges, old ? "false" : "true");
 }
 
 /* What the object shows after a conflict or a write without an answer. */
@@ -347,6 +350,8 @@
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
+	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+		return;
 	switch (r->result) {
 	case DH_OBJECTS_OK:
 		if (r->nitems == 1) {
@@ -385,6 +390,8 @@
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
+	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		compare(d, &r->items[0]);
 		return;
@@ -398,6 +405,36 @@
 	store_failed(d, "cannot read the record back");
 }
 
+/* What the store has of the record after it went back: only its revision
+ * matters, for this leader knows better. */
+static void
+on_found_again(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_duty *d = arg;
+	g_autoptr(GError) error = NULL;
+	struct dh_record record = { 0 };
+
+	d->call = NULL;
+	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+		return;
+	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
+		if (dh_record_parse(&record, r->items[0].spec, &error) &&
+		    record.term > d->c.term) {
+			dh_record_clear(&record);
+			d->c.deposed(d->c.arg, "the record has a higher term");
+			return;
+		}
+		dh_record_clear(&record);
+		d->revision = r->items[0].revision;
+	} else if (r->result == DH_OBJECTS_NOT_FOUND) {
+		d->revision = 0;
+	} else {
+		store_failed(d, "cannot find the record again");
+		return;
+	}
+	d->lost = false;
+}
+
 static void
 store(struct dh_duty *d, int64_t now_ms)
 {
@@ -406,8 +443,13 @@
 	g_autofree char *text = NULL;
 	uint64_t serial;
 
-	if (d->call != NULL || now_ms < d->write_at_ms)
+	if (d->call != NULL || d->held || now_ms < d->write_at_ms)
+		return;
+	if (d->lost) {
+		d->call = dh_objects_get(d->c.objects, d->c.kind, d->object,
+		    DH_FRESH, STORE_TIMEOUT_MS, on_found_again, d);
 		return;
+	}
 	if (d->in_doubt) {
 		d->call = dh_objects_get(d->c.objects, d->c.kind, d->object,
 		    DH_FRESH, STORE_TIMEOUT_MS, on_compared, d);
@@ -422,6 +464,7 @@
 		return;
 	r.version = ++d->version;
 	r.hold_ms = (uint64_t)d->hold_ms;
+	r.distrusted = dh_keyspace_distrusted(d->ks);
 	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
 	text = dh_record_text(&r);
 	d->writing = serial;
@@ -474,6 +517,8 @@
 	struct dh_record record = { 0 };
 
 	d->call = NULL;
+	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		d->revision = r->items[0].revision;
 		if (!dh_record_parse(&record, r->items[0].spec, &error))
@@ -561,6 +606,33 @@
 	g_free(d);
 }
 
+bool
+dh_duty_went_back(struct dh_duty *d, uint64_t era)
+{
+	if (!d->loaded ||
+	    !dh_keyspace_forgotten(d->ks, dh_era_floor(era), dh_clock_ms()))
+		return false;
+	dh_objects_cancel(d->call);
+	d->call = NULL;
+	d->c.era = era;
+	d->writing = 0;
+	d->in_doubt = false;
+	d->held = d->lost = true;
+	return true;
+}
+
+void
+dh_duty_go_on(struct dh_duty *d, uint64_t term)
+{
+	d->c.term = term;
+	d->held = false;
+	d->write_at_ms = 0;
+	d->pause_ms = STORE_PAUSE_MIN_MS;
+	/* Owners are told anew, as those of this term. */
+	dh_record_clear(&d->published);
+	d->published_ms = 0;
+}
+
 static void
 log_plan(const struct dh_duty *d)
 {
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -17,6 +17,10 @@
  */
 struct dh_duty;
 
+/* For how long a leader renews leases, once it has heard that the store went
+ * back, before it has a term of the new era: a few calls of the store. */
+#define DH_RECLAIM_MOST_MS 1500
+
 struct dh_duty_context {
 	const struct dh_gateway_settings *settings;
 	struct dh_http *http;
@@ -24,6 +28,7 @@
 	struct dh_registry *registry;
 	const char *kind; /* of the record's object */
 	uint64_t term;
+	uint64_t era; /* of the store's data */
 	uint32_t (*vms)(void *arg); /* that are told of changes */
 	/* The owners have changed, from before (no ranges at first); both are
 	 * borrowed. */
@@ -46,6 +51,15 @@
  * orders.  Called every few ten milliseconds. */
 void dh_duty_step(struct dh_duty *d, bool orders);
 
+/*
+ * dh_duty_went_back -- the store has lost what was written last.  Only leases
+ * are renewed, and nothing is stored, until dh_duty_go_on(): this VM leads in a
+ * new term, of that era.  False if the duty has stored nothing yet, and is to
+ * be begun anew then.
+ */
+bool dh_duty_went_back(struct dh_duty *d, uint64_t era);
+void dh_duty_go_on(struct dh_duty *d, uint64_t term);
+
 /* dh_duty_demand, dh_duty_speed -- what routers have seen. */
 void dh_duty_demand(struct dh_duty *d, uint32_t key);
 void dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms);
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -13,6 +13,8 @@
 /* The leader asks the store whether it still leads. */
 #define CONFIRM_MS 2000
 #define CONFIRM_FAILING_MS 500
+/* The same when the store went back and names another one. */
+#define RECLAIM_PAUSE_MS 250
 /* Less than backend servers' entries live without the store, so that all know
  * of an outage before entries lapse in it. */
 #define CONFIRM_TIMEOUT_MS 600
@@ -105,6 +107,7 @@
 	}
 	o->role = ROLE_FOLLOWER;
 	o->solo = false;
+	o->went_back_ms = 0;
 	o->leader_ip[0] = '\0';
 	owners_drop_duties(o);
 	owners_renew_patience(o);
@@ -158,6 +161,7 @@
 		.registry = o->c.registry,
 		.kind = DH_OWNERS_KIND,
 		.term = o->term,
+		.era = dh_era_number(dh_registry_era(o->c.registry)),
 		.vms = count_vms,
 		.published = on_published,
 		.confirmed = on_confirmed,
@@ -174,12 +178,144 @@
 	}
 }
 
+/* A term that nobody has led in, not even one that the store has forgotten. */
+static uint64_t
+next_term(const struct dh_owners *o)
+{
+	uint64_t era = dh_era_number(dh_registry_era(o->c.registry));
+
+	return MAX(o->term, dh_era_floor(era)) + 1;
+}
+
+/* Name this VM as the leader of the next term, in place of what was read. */
+static void
+put_leader(struct dh_owners *o, dh_objects_fn done)
+{
+	g_autofree char *spec =
+	    g_strdup_printf("{\"vm\":\"%s\",\"ip\":\"%s\",\"incarnation\":\"%"
+			    "s\",\"term\":%llu}",
+		o->c.settings->vm, o->c.ip, o->incarnation,
+		(unsigned long long)next_term(o));
+
+	o->asked_ms = dh_clock_ms();
+	o->call = dh_objects_put(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
+	    o->revision, spec, DH_OWNERS_STORE_TIMEOUT_MS, done, o);
+}
+
+/* --- the store went back --- */
+
+static gboolean
+drop_unloaded(gpointer key, gpointer value, gpointer era)
+{
+	(void)key;
+	if (dh_duty_went_back(value, *(const uint64_t *)era))
+		return FALSE;
+	dh_duty_free(value);
+	return TRUE;
+}
+
+/*
+ * The store may name an earlier leader now, or none.  The one in office knows
+ * who holds what and goes on with its leases, as in an outage: for as long, and
+ * under its old tokens.  It takes a term of the new era once all of them have
+ * been renewed: an owner that another leader has reached refuses that.
+ */
+void
+owners_went_back(struct dh_owners *o, uint64_t era)
+{
+	dh_objects_cancel(o->call);
+	o->call = NULL;
+	o->revision = 0;
+	switch (o->role) {
+	case ROLE_FOLLOWER:
+		return;
+	case ROLE_READING:
+	case ROLE_TAKING:
+		o->role = ROLE_FOLLOWER;
+		owners_renew_patience(o);
+		return;
+	case ROLE_LEADER:
+		o->went_back_ms = dh_clock_ms();
+		o->asked_ms = 0;
+		o->confirm_failed = false;
+		g_hash_table_foreach_remove(o->duties, drop_unloaded, &era);
+		return;
+	}
+}
+
+static void
+on_reclaimed(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_owners *o = arg;
+	GHashTableIter it;
+	gpointer duty;
+
+	o->call = NULL;
+	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+		return;
+	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
+	if (o->confirm_failed)
+		return;
+	o->revision = r->items[0].revision;
+	o->term = next_term(o);
+	o->confirmed_ms = o->asked_ms;
+	o->went_back_ms = 0;
+	o->stalled = false;
+	g_hash_table_iter_init(&it, o->duties);
+	while (g_hash_table_iter_next(&it, NULL, &duty))
+		dh_duty_go_on(duty, o->term);
+	dh_ops(DH_OPS_STATE, "leader.went_on", ",\"term\":%llu",
+	    (unsigned long long)o->term);
+}
+
+static void
+on_reclaim_read(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_owners *o = arg;
+	uint64_t era = dh_era_number(dh_registry_era(o->c.registry));
+	uint64_t term;
+
+	o->call = NULL;
+	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+		return;
+	o->confirm_failed = false;
+	if (r->result == DH_OBJECTS_NOT_FOUND) {
+		o->revision = 0;
+	} else if (r->result != DH_OBJECTS_OK || r->nitems != 1) {
+		o->confirm_failed = true;
+		return;
+	} else {
+		term = (uint64_t)dh_json_int(r->items[0].spec, "term");
+		o->revision = r->items[0].revision;
+		if (term > dh_era_floor(era) && term > o->term) {
+			owners_become_follower(
+			    o, "another leads since the store went back");
+			return;
+		}
+	}
+	if (dh_clock_ms() - o->went_back_ms >=
+	    o->c.settings->renew_ms + o->c.settings->order_ms)
+		put_leader(o, on_reclaimed);
+}
+
+static void
+reclaim(struct dh_owners *o, int64_t now_ms)
+{
+	if (o->call != NULL || now_ms - o->asked_ms < RECLAIM_PAUSE_MS)
+		return;
+	o->asked_ms = now_ms;
+	o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
+	    DH_FRESH, CONFIRM_TIMEOUT_MS, on_reclaim_read, o);
+}
+
 static void
 on_confirm(void *arg, const struct dh_objects_reply *r)
 {
 	struct dh_owners *o = arg;
 
 	o->call = NULL;
+	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+		return;
 	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
 	if (o->confirm_failed)
 		return;
@@ -193,15 +329,19 @@
 static bool
 failing(const struct dh_owners *o, int64_t now_ms)
 {
+	/* It has answered when it said that it went back. */
+	int64_t answered_ms = MAX(o->confirmed_ms, o->went_back_ms);
+
 	return o->resigned || o->confirm_failed ||
-	    now_ms - o->confirmed_ms > CONFIRM_MS + FAILING_MS;
+	    now_ms - answered_ms > CONFIRM_MS + FAILING_MS;
 }
 
 void
 owners_send_beats(struct dh_owners *o, int64_t now_ms)
 {
 	struct dh_beat beat = { .term = o->term,
-		.failing = failing(o, now_ms) };
+		.failing = failing(o, now_ms),
+		.era = dh_era_number(dh_registry_era(o->c.registry)) };
 	GHashTableIter it;
 	gpointer ip, value;
 
@@ -229,6 +369,8 @@
 	struct dh_owners *o = arg;
 
 	o->strong_call = NULL;
+	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+		return;
 	if (r->nitems == 1)
 		o->strong_revision = r->items[0].revision;
 	if (r->result == DH_OBJECTS_OK)
@@ -305,7 +447,9 @@
 owners_lead(struct dh_owners *o, int64_t now_ms)
 {
 	int64_t pause_ms = failing(o, now_ms) ? CONFIRM_FAILING_MS : CONFIRM_MS;
-	bool solo = now_ms - o->confirmed_ms >= o->c.settings->solo_ms;
+	bool solo = now_ms - o->confirmed_ms >= o->c.settings->solo_ms ||
+	    (o->went_back_ms != 0 &&
+		now_ms - o->went_back_ms >= DH_RECLAIM_MOST_MS);
 	GHashTableIter it;
 	gpointer duty;
 
@@ -317,8 +461,11 @@
 		    (unsigned long long)o->term,
 		    (long long)(now_ms - o->confirmed_ms));
 	o->solo = solo;
-	ensure_duties(o);
-	if (o->call == NULL &&
+	if (o->went_back_ms != 0)
+		reclaim(o, now_ms);
+	else
+		ensure_duties(o);
+	if (o->went_back_ms == 0 && o->call == NULL &&
 	    (now_ms - o->asked_ms >= pause_ms ||
 		(o->stalled && o->asked_ms < o->stalled_ms))) {
 		o->asked_ms = now_ms;
@@ -356,9 +503,11 @@
 	struct dh_owners *o = arg;
 
 	o->call = NULL;
+	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		o->revision = r->items[0].revision;
-		o->term++;
+		o->term = next_term(o);
 		become_leader(o, o->asked_ms);
 		return;
 	}
@@ -372,16 +521,8 @@
 static void
 take(struct dh_owners *o)
 {
-	g_autofree char *spec =
-	    g_strdup_printf("{\"vm\":\"%s\",\"ip\":\"%s\",\"incarnation\":\"%"
-			    "s\",\"term\":%llu}",
-		o->c.settings->vm, o->c.ip, o->incarnation,
-		(unsigned long long)o->term + 1);
-
 	o->role = ROLE_TAKING;
-	o->asked_ms = dh_clock_ms();
-	o->call = dh_objects_put(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
-	    o->revision, spec, DH_OWNERS_STORE_TIMEOUT_MS, on_taken, o);
+	put_leader(o, on_taken);
 }
 
 static void
@@ -392,6 +533,8 @@
 	bool heard = o->sign_ms > o->asked_ms;
 
 	o->call = NULL;
+	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+		return;
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
 		o->revision = 0;
 		take(o);
--- /dev/null
+++ b/gateway/era.c
@@ -0,0 +1,99 @@
+#include "gateway/era.h"
+
+#include <glib.h>
+
+#include "base/opslog.h"
+
+/* Low bits of terms and tokens count within an era.  With the others they stay
+ * exact where a peer reads numbers as floating point, of 53 bits. */
+#define COUNT_BITS 32
+#define ERA_MASK ((1u << 20) - 1)
+
+struct follower {
+	void (*went_back)(void *arg, uint64_t era);
+	void *arg;
+};
+
+struct dh_era {
+	uint64_t number;
+	GArray *followers; /* of struct follower */
+};
+
+struct dh_era *
+dh_era_new(void)
+{
+	struct dh_era *e = g_new0(struct dh_era, 1);
+
+	e->followers = g_array_new(FALSE, FALSE, sizeof(struct follower));
+	return e;
+}
+
+void
+dh_era_free(struct dh_era *e)
+{
+	if (e == NULL)
+		return;
+	g_array_free(e->followers, TRUE);
+	g_free(e);
+}
+
+void
+dh_era_follow(
+    struct dh_era *e, void (*went_back)(void *arg, uint64_t era), void *arg)
+{
+	struct follower f = { went_back, arg };
+
+	g_array_append_val(e->followers, f);
+}
+
+void
+dh_era_unfollow(struct dh_era *e, void *arg)
+{
+	guint i;
+
+	for (i = e->followers->len; i-- > 0;)
+		if (g_array_index(e->followers, struct follower, i).arg == arg)
+			g_array_remove_index(e->followers, i);
+}
+
+bool
+dh_era_current(struct dh_era *e, uint64_t era)
+{
+	uint64_t before = e->number;
+	guint i;
+
+	if (era == 0 || era == before)
+		return true;
+	if (era < before)
+		return false;
+	e->number = era;
+	if (before == 0)
+		return true;
+	dh_ops(DH_OPS_STATE, "store.went_back", ",\"era\":%llu,\"before\":%llu",
+	    (unsigned long long)era, (unsigned long long)before);
+	for (i = 0; i < e->followers->len; i++) {
+		const struct follower *f =
+		    &g_array_index(e->followers, struct follower, i);
+
+		f->went_back(f->arg, era);
+	}
+	return false;
+}
+
+uint64_t
+dh_era_number(const struct dh_era *e)
+{
+	return e->number;
+}
+
+uint64_t
+dh_era_floor(uint64_t era)
+{
+	return (era & ERA_MASK) << COUNT_BITS;
+}
+
+uint64_t
+dh_era_of(uint64_t term)
+{
+	return term >> COUNT_BITS;
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -138,9 +138,10 @@
     const char *method, const char *version, const char *data, size_t *len,
     void **state)
 {
-	static const char *const headers[] = { "Content-Type",
-		"application/json", NULL };
+	const char *headers[] = { "Content-Type", "application/json",
+		dh_wire_headers.store_era, NULL, NULL };
 	const char *kind = dh_objects_kind(url);
+	g_autofree char *era = NULL;
 	struct gateway *g = arg;
 	static int mark;
 	GString *list;
@@ -156,6 +157,9 @@
 	    : dh_registry_list(g->registry, kind);
 	if (list == NULL)
 		return dh_httpd_reply(c, 503, "", 0, NULL);
+	era = g_strdup_printf("%llu",
+	    (unsigned long long)dh_era_number(dh_registry_era(g->registry)));
+	headers[3] = era;
 	rc = dh_httpd_reply(c, 200, list->str, list->len, headers);
 	g_string_free(list, TRUE);
 	return rc;
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -17,6 +17,7 @@
 on_beat(void *arg, const struct dh_beat *beat, const char *ip)
 {
 	struct dh_owners *o = arg;
+	bool current;
 
 	if (beat->term < o->term)
 		return;
@@ -30,7 +31,11 @@
 		owners_adopt_leader(o, beat->term, beat->vm, ip);
 	}
 	o->beat_heard_ms = dh_clock_ms();
-	owners_follow_store(o, beat->failing ? NULL : beat->cursors);
+	/* One of an earlier era has yet to hear that the store went back. */
+	current = dh_era_current(dh_registry_era(o->c.registry), beat->era) ||
+	    beat->era == dh_era_number(dh_registry_era(o->c.registry));
+	owners_follow_store(
+	    o, beat->failing || !current ? NULL : beat->cursors);
 	if (beat->failing)
 		o->store_bad_ms = dh_clock_ms();
 	else
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -34,6 +34,7 @@
 struct dh_mirror {
 	uv_timer_t *timer;
 	struct dh_objects *objects;
+	struct dh_era *era;
 	char *kind;
 	enum dh_freshness freshness;
 	struct dh_mirror_handler h;
@@ -160,6 +161,36 @@
 	f->h.changed(f->h.arg, o);
 }
 
+/* Start anew: nothing that was known tells what the store has now. */
+static void
+on_went_back(void *arg, uint64_t era)
+{
+	struct dh_mirror *f = arg;
+
+	(void)era;
+	dh_objects_cancel(f->call);
+	f->call = NULL;
+	f->source = NULL;
+	g_clear_pointer(&f->after, g_free);
+	g_hash_table_remove_all(f->seen);
+	f->as_of = f->news_as_of = 0;
+	f->stale_until_ms = 0;
+	step(f);
+}
+
+/* Whether an answer is of the era that was known.  One of a later era has made
+ * all start anew; one of an earlier era is as good as none. */
+static bool
+is_current(struct dh_mirror *f, const struct dh_objects_reply *r)
+{
+	if (dh_era_current(f->era, r->era))
+		return true;
+	if (f->call == NULL)
+		uv_timer_start(
+		    f->timer, on_timer, (uint64_t)WATCH_PAUSE_STALE_MS, 0);
+	return false;
+}
+
 /* What was known and is not in the list. */
 static void
 drop_missing(struct dh_mirror *f)
@@ -198,6 +229,8 @@
 	size_t i;
 
 	f->call = NULL;
+	if (!is_current(f, r))
+		return;
 	if (f->source != NULL && r->result != DH_OBJECTS_OK) {
 		if (++f->source_tries == SOURCE_TRIES)
 			f->source = NULL;
@@ -235,6 +268,8 @@
 	size_t i;
 
 	f->call = NULL;
+	if (!is_current(f, r))
+		return;
 	switch (r->result) {
 	case DH_OBJECTS_OK:
 		f->ask = false;
@@ -406,7 +441,7 @@
 
 struct dh_mirror *
 dh_mirror_new(uv_loop_t *loop, struct dh_objects *o, struct dh_objects *source,
-    const char *kind, enum dh_freshness freshness,
+    struct dh_era *era, const char *kind, enum dh_freshness freshness,
     const struct dh_mirror_handler *h)
 {
 	struct dh_mirror *f = g_new0(struct dh_mirror, 1);
@@ -414,6 +449,8 @@
 	f->timer = dh_timer_new(loop, f);
 	f->objects = o;
 	f->source = source;
+	f->era = era;
+	dh_era_follow(era, on_went_back, f);
 	f->kind = g_strdup(kind);
 	f->freshness = freshness;
 	f->h = *h;
@@ -433,6 +470,7 @@
 {
 	if (f == NULL)
 		return;
+	dh_era_unfollow(f->era, f);
 	dh_objects_cancel(f->call);
 	dh_timer_free(f->timer);
 	g_hash_table_destroy(f->known);
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -7,12 +7,13 @@
 #include <glib.h>
 #include <uv.h>
 
+#include "gateway/era.h"
 #include "platform/objects.h"
 
 /*
  * All objects of one kind, kept up to date: a list, then a watch, and a list
- * again when the store no longer knows what has changed.  On the control
- * thread.
+ * again when the store no longer knows what has changed or has gone back.  On
+ * the control thread.
  */
 struct dh_mirror;
 
@@ -30,13 +31,13 @@
 	void *arg;
 };
 
-/* dh_mirror_new -- start; o and loop must outlive it.  The first seconds are
- * read as they may have been some seconds ago, unless dh_mirror_set_wait() asks
- * for a shorter wait.  The first list comes from source, another VM, if that
- * is not NULL and has it; source must outlive it too. */
+/* dh_mirror_new -- start; o, era and loop must outlive it.  The first seconds
+ * are read as they may have been some seconds ago, unless dh_mirror_set_wait()
+ * asks for a shorter wait.  The first list comes from source, another VM, if
+ * that is not NULL and has it; source must outlive it too. */
 struct dh_mirror *dh_mirror_new(uv_loop_t *loop, struct dh_objects *o,
-    struct dh_objects *source, const char *kind, enum dh_freshness freshness,
-    const struct dh_mirror_handler *h);
+    struct dh_objects *source, struct dh_era *era, const char *kind,
+    enum dh_freshness freshness, const struct dh_mirror_handler *h);
 
 /* dh_mirror_list -- all that is known, as the store lists it; the caller's to
  * free.  NULL before the first list. */
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -193,6 +193,8 @@
 	struct dh_owners *o = arg;
 
 	o->announcement = NULL;
+	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+		return;
 	o->announced = r->result == DH_OBJECTS_OK ||
 	    (r->result == DH_OBJECTS_CONFLICT && r->nitems == 1 &&
 		strcmp(member_text(r->items[0].spec, "ip"), o->c.ip) == 0);
@@ -296,6 +298,21 @@
 	    dh_clock_ms() - o->sign_ms < o->c.settings->silence_ms;
 }
 
+/* What this VM wrote may be gone, and revisions mean nothing any more. */
+static void
+on_went_back(void *arg, uint64_t era)
+{
+	struct dh_owners *o = arg;
+
+	dh_objects_cancel(o->announcement);
+	dh_objects_cancel(o->strong_call);
+	o->announcement = o->strong_call = NULL;
+	o->announced = false;
+	o->announce_revision = o->strong_revision = 0;
+	g_clear_pointer(&o->strong, g_free);
+	owners_went_back(o, era);
+}
+
 struct dh_owners *
 dh_owners_new(const struct dh_owners_context *c, GError **error)
 {
@@ -329,8 +346,9 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
 	owners_renew_patience(o);
 	dh_registry_set_witness(c->registry, store_was_fine, o);
-	o->mirror = dh_mirror_new(
-	    c->loop, c->objects, NULL, DH_OWNERS_KIND, DH_STALE, &objects);
+	dh_era_follow(dh_registry_era(c->registry), on_went_back, o);
+	o->mirror = dh_mirror_new(c->loop, c->objects, NULL,
+	    dh_registry_era(c->registry), DH_OWNERS_KIND, DH_STALE, &objects);
 	o->timer = dh_timer_new(c->loop, o);
 	uv_timer_start(
 	    o->timer, on_timer, DH_OWNERS_STEP_MS, DH_OWNERS_STEP_MS);
@@ -343,6 +361,7 @@
 	if (o == NULL)
 		return;
 	dh_registry_set_witness(o->c.registry, NULL, NULL);
+	dh_era_unfollow(dh_registry_era(o->c.registry), o);
 	owners_drop_duties(o);
 	g_hash_table_destroy(o->duties);
 	dh_objects_cancel(o->call);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -87,6 +87,9 @@
 	int64_t stalled_ms; /* when that was noticed */
 	bool stalled; /* it stood still, and has not asked the store since */
 	bool solo; /* without the store for too long: orders nothing */
+	/* The store went back then, and this leader has no term of its new era
+	 * yet; 0: it has. */
+	int64_t went_back_ms;
 	uint32_t vms;
 	uint32_t whole_sends; /* left until the next step */
 	struct incoming incoming;
@@ -118,6 +121,8 @@
 /* election.c */
 void owners_become_follower(struct dh_owners *o, const char *why);
 void owners_drop_duties(struct dh_owners *o);
+/* The store has come back from an older copy. */
+void owners_went_back(struct dh_owners *o, uint64_t era);
 /* A step as the leader, and as any other VM. */
 void owners_lead(struct dh_owners *o, int64_t now_ms);
 void owners_follow(struct dh_owners *o, int64_t now_ms);
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -112,7 +112,8 @@
 	if (!text_at(a, 1, b.vm, sizeof(b.vm)) || !number_at(a, 2, &b.term) ||
 	    !number_at(a, 3, &failing) || !number_at(a, 4, &vms))
 		return false;
-	if (!read_cursors(array_at(a, 5, DH_REGISTRY_KINDS), b.cursors))
+	if (!read_cursors(array_at(a, 5, DH_REGISTRY_KINDS), b.cursors) ||
+	    !number_at(a, 6, &b.era))
 		return false;
 	b.failing = failing != 0;
 	b.vms = vms > 100000 ? 100000 : (uint32_t)vms;
@@ -318,7 +319,8 @@
 
 	if (list == NULL || !number_at(a, 1, &term) ||
 	    !number_at(a, 2, &kind) || kind >= DH_REGISTRY_KINDS ||
-	    !number_at(a, 3, &n.since) || !number_at(a, 4, &n.as_of))
+	    !number_at(a, 3, &n.since) || !number_at(a, 4, &n.as_of) ||
+	    !number_at(a, 6, &n.era))
 		return false;
 	items = g_new0(struct dh_object_view, list->size + 1);
 	for (i = 0; ok && i < list->size; i++)
@@ -463,7 +465,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 6);
+	msgpack_pack_array(&pk, 7);
 	msgpack_pack_uint32(&pk, MESSAGE_BEAT);
 	pack_text(&pk, beat->vm);
 	msgpack_pack_uint64(&pk, beat->term);
@@ -475,6 +477,7 @@
 		msgpack_pack_uint64(&pk, beat->cursors[i].as_of);
 		msgpack_pack_uint32(&pk, beat->cursors[i].reached);
 	}
+	msgpack_pack_uint64(&pk, beat->era);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
@@ -616,7 +619,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 6);
+	msgpack_pack_array(&pk, 7);
 	msgpack_pack_uint32(&pk, MESSAGE_NEWS);
 	msgpack_pack_uint64(&pk, term);
 	msgpack_pack_uint32(&pk, n->kind);
@@ -631,6 +634,7 @@
 		msgpack_pack_uint32(&pk, o->deleted);
 		pack_text(&pk, spec_text(o));
 	}
+	msgpack_pack_uint64(&pk, n->era);
 	for (i = 0; i < nips; i++)
 		send_buffer(p, ips[i], &b);
 	msgpack_sbuffer_destroy(&b);
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -25,6 +25,7 @@
 	uint64_t term;
 	bool failing; /* it cannot reach the store, or is about to leave */
 	uint32_t vms; /* that report to it, itself included */
+	uint64_t era; /* of the cursors' revisions */
 	struct dh_registry_cursor cursors[DH_REGISTRY_KINDS];
 };
 
--- a/gateway/record.c
+++ b/gateway/record.c
@@ -43,11 +43,12 @@
 		    (unsigned long long)k->former_fence, k->settled);
 	}
 	return g_strdup_printf("{\"term\":%llu,\"version\":%llu,\"next\":%llu,"
-			       "\"hold_ms\":%llu,\"servers\":[%s],"
+			       "\"hold_ms\":%llu,\"distrusted\":%d,"
+			       "\"servers\":[%s],"
 			       "\"ranges\":[%s]}",
 	    (unsigned long long)r->term, (unsigned long long)r->version,
 	    (unsigned long long)r->next_fence, (unsigned long long)r->hold_ms,
-	    names->str, ranges->str);
+	    r->distrusted, names->str, ranges->str);
 }
 
 static bool
@@ -135,6 +136,7 @@
 bool
 dh_record_parse(struct dh_record *r, struct json_object *o, GError **error)
 {
+	uint64_t flag;
 	struct json_object *servers = array_of(o, "servers");
 	struct json_object *ranges = array_of(o, "ranges");
 	uint32_t from = 0;
@@ -149,6 +151,8 @@
 	/* Records of 0.2 have none: leases were those of the settings. */
 	if (!number_of(o, "hold_ms", &r->hold_ms))
 		r->hold_ms = 0;
+	if (number_of(o, "distrusted", &flag))
+		r->distrusted = flag != 0;
 	r->nranges = json_object_array_length(ranges);
 	if (r->nranges > DH_KEYS)
 		return invalid(error, "owners: too many ranges");
--- a/gateway/record.h
+++ b/gateway/record.h
@@ -12,7 +12,7 @@
 
 /*
  * The owners of a service's keys as text: in the store, and between VMs.
- * {"term":1,"version":2,"next":9,"hold_ms":2000,"servers":[["ID",BORN],..],
+ * {"term":1,"version":2,"next":9,"hold_ms":2000,"distrusted":0,"servers":[["ID",BORN],..],
  *  "ranges":[[TO,OWNER,FENCE,FORMER,FORMER_FENCE,SETTLED],..]}
  * Ranges follow one another from key 0; OWNER and FORMER are indices into
  * servers, -1 for none.
@@ -22,6 +22,7 @@
 	uint64_t version; /* within the term */
 	uint64_t next_fence;
 	uint64_t hold_ms; /* of its grants; 0: not known here */
+	bool distrusted; /* others may hold keys that it does not know of */
 	struct dh_key_range *ranges;
 	size_t nranges;
 };
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -8,6 +8,10 @@
 #include "gateway/mirror.h"
 #include "platform/wire.h"
 
+/* Entries that the store had before it went back stand for so long: three
+ * heartbeats of a backend server that is gone, or one that leaves has said so
+ * again. */
+#define RECALLED_MS 5000
 /* How long one that left is remembered, so that its keys can be released. */
 #define FORGET_MS 60000
 /* The leader's watch: as long as others may go without what it doesn't hear
@@ -30,10 +34,12 @@
 	bool counted_out; /* missing and not awaited back */
 	bool said_leaving; /* in an answer: holds for the rest of this life */
 	bool replaced; /* another one has its address */
+	bool recalled; /* it left; the entry that says otherwise may be old */
 };
 
 struct dh_registry {
 	const struct dh_gateway_settings *settings;
+	struct dh_era *era;
 	struct dh_mirror *mirrors[DH_REGISTRY_KINDS];
 	int64_t behind_ms[DH_REGISTRY_KINDS]; /* the leader, since; 0: not */
 	void (*news)(void *arg, const struct dh_registry_news *n);
@@ -45,11 +51,15 @@
 	struct dh_view *base; /* without owners of keys; NULL: out of date */
 	int64_t next_change_ms; /* when base is out of date by itself */
 	int64_t awaited_until_ms; /* missing entries may be back until then */
+	/* The store went back, and until when entries may be those of before.
+	 */
+	int64_t went_back_ms, recalled_until_ms;
 	bool servers_reached;
 	int64_t lost_ms; /* since when it was not */
 	bool (*fine)(void *arg, int64_t since_ms);
 	void *fine_arg;
 	uv_timer_t *timer; /* missing entries */
+	uv_timer_t *recall_timer;
 	void (*changed)(void *arg);
 	void *arg;
 };
@@ -126,7 +136,10 @@
 	k->missing_ms = 0;
 	k->counted_out = false;
 	k->cold_until_ms = r->cold_left_ms > 0 ? now_ms + r->cold_left_ms : 0;
-	if (!r->draining && !k->said_leaving)
+	k->recalled = !r->draining && !k->said_leaving &&
+	    now_ms < reg->recalled_until_ms && k->leaving_ms != 0 &&
+	    k->leaving_ms <= reg->went_back_ms;
+	if (!r->draining && !k->said_leaving && !k->recalled)
 		k->leaving_ms = 0;
 	else if (k->leaving_ms == 0)
 		k->leaving_ms = now_ms;
@@ -196,6 +209,51 @@
 	}
 }
 
+/* What the entries say now that they are not those of before the store went
+ * back. */
+static void
+end_recall(struct dh_registry *reg)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	reg->recalled_until_ms = 0;
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct known *k = value;
+
+		if (!k->recalled || k->missing_ms != 0)
+			continue;
+		k->recalled = false;
+		k->leaving_ms = 0;
+		dh_ops(
+		    DH_OPS_STATE, "server.back", ",\"server\":\"%s\"", k->r.id);
+		note_change(reg);
+	}
+}
+
+static void
+on_recall_timer(uv_timer_t *timer)
+{
+	end_recall(timer->data);
+}
+
+/* The store is a copy some seconds old.  Backend servers write their entries
+ * again; what is missing is awaited, and what it says of those that have left
+ * since may be old. */
+static void
+on_went_back(void *arg, uint64_t era)
+{
+	struct dh_registry *reg = arg;
+	int64_t now_ms = dh_clock_ms();
+
+	(void)era;
+	reg->awaited_until_ms = now_ms + reg->settings->return_ms;
+	reg->went_back_ms = now_ms;
+	reg->recalled_until_ms = now_ms + RECALLED_MS;
+	uv_timer_start(reg->recall_timer, on_recall_timer, RECALLED_MS, 0);
+}
+
 static void
 on_server_gone(void *arg, const char *name)
 {
@@ -281,7 +339,8 @@
 tell_news(struct dh_registry *reg, enum dh_registry_kind kind, uint64_t since,
     uint64_t as_of, const struct dh_object_view *items, size_t n)
 {
-	struct dh_registry_news news = { kind, since, as_of, items, n };
+	struct dh_registry_news news = { kind, since, as_of, items, n,
+		dh_era_number(reg->era) };
 
 	if (reg->news != NULL)
 		reg->news(reg->news_arg, &news);
@@ -318,10 +377,13 @@
 	reg->servers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	reg->timer = dh_timer_new(loop, reg);
-	reg->mirrors[DH_REGISTRY_SERVERS] = dh_mirror_new(
-	    loop, o, source, dh_wire_kind_servers, DH_FRESH, &servers);
+	reg->recall_timer = dh_timer_new(loop, reg);
+	reg->era = dh_era_new();
+	dh_era_follow(reg->era, on_went_back, reg);
+	reg->mirrors[DH_REGISTRY_SERVERS] = dh_mirror_new(loop, o, source,
+	    reg->era, dh_wire_kind_servers, DH_FRESH, &servers);
 	reg->mirrors[DH_REGISTRY_CONFIG] = dh_mirror_new(
-	    loop, o, source, dh_wire_kind_config, DH_FRESH, &config);
+	    loop, o, source, reg->era, dh_wire_kind_config, DH_FRESH, &config);
 	return reg;
 }
 
@@ -335,6 +397,8 @@
 	for (i = 0; i < DH_REGISTRY_KINDS; i++)
 		dh_mirror_free(reg->mirrors[i]);
 	dh_timer_free(reg->timer);
+	dh_timer_free(reg->recall_timer);
+	dh_era_free(reg->era);
 	dh_view_unref(reg->base);
 	g_hash_table_destroy(reg->servers);
 	dh_deployment_unbox(reg->deployment);
@@ -407,8 +471,9 @@
 dh_registry_take(struct dh_registry *reg, const struct dh_registry_news *n)
 {
 	/* If something is missing the next heartbeats will show it. */
-	(void)dh_mirror_take(
-	    reg->mirrors[n->kind], n->since, n->as_of, n->items, n->nitems);
+	if (dh_era_current(reg->era, n->era))
+		(void)dh_mirror_take(reg->mirrors[n->kind], n->since, n->as_of,
+		    n->items, n->nitems);
 }
 
 void
@@ -419,6 +484,12 @@
 	reg->fine_arg = arg;
 }
 
+struct dh_era *
+dh_registry_era(const struct dh_registry *reg)
+{
+	return reg->era;
+}
+
 const struct dh_deployment *
 dh_registry_deployment(const struct dh_registry *reg)
 {
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -9,6 +9,7 @@
 
 #include <dogwoodhub/keyspace.h>
 
+#include "gateway/era.h"
 #include "gateway/settings.h"
 #include "gateway/view.h"
 #include "platform/objects.h"
@@ -55,6 +56,7 @@
 	uint64_t since, as_of;
 	const struct dh_object_view *items; /* borrowed */
 	size_t nitems;
+	uint64_t era; /* of the revisions */
 };
 
 /*
@@ -80,6 +82,9 @@
 void dh_registry_take(
     struct dh_registry *r, const struct dh_registry_news *news);
 
+/* dh_registry_era -- the era of the store's data, for all who ask the store. */
+struct dh_era *dh_registry_era(const struct dh_registry *r);
+
 /* dh_registry_deployment -- the configuration in force, NULL before the
  * first; borrowed. */
 const struct dh_deployment *dh_registry_deployment(const struct dh_registry *r);
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -88,10 +88,31 @@
  * 0), which granted for former_hold_ms, or 0 if that is not longer than this
  * one grants.  Every range gets a new token above next_fence - 1; nothing is
  * ordered before the new record is stored.
+ *
+ * dh_keyspace_distrust -- the record that was taken over just now may lack what
+ * was written after it: others may hold keys until the former leader has
+ * stopped, within within_ms, and its leases are over.  Nothing is ordered
+ * before.
+ *
+ * dh_keyspace_distrusted -- whether that holds at the time of the last export:
+ * whoever takes that record over has to distrust it as well.
  */
 void dh_keyspace_take_over(struct dh_keyspace *ks,
     const struct dh_key_range *ranges, size_t n, uint64_t next_fence,
     int64_t former_hold_ms, int64_t now_ms);
+void dh_keyspace_distrust(struct dh_keyspace *ks, int64_t within_ms);
+bool dh_keyspace_distrusted(const struct dh_keyspace *ks);
+
+/*
+ * dh_keyspace_forgotten -- the store has lost what this leader stored last.
+ * It still knows who holds what: leases are renewed, but nothing else is
+ * ordered before all of it is stored again.  New tokens are above fence_floor.
+ * Another leader may have been forgotten as well: a range is not moved before
+ * its owner has accepted a renewal.  False if nothing was stored yet: then
+ * there is nothing to go on with.
+ */
+bool dh_keyspace_forgotten(
+    struct dh_keyspace *ks, uint64_t fence_floor, int64_t now_ms);
 
 /* dh_keyspace_set_servers -- all that are known now; one that is left out is
  * leaving, and may still hold its keys. */
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -16,6 +16,9 @@
  * /_closed?i=N		it must get no request from now on
  * /_store?mode=M		up, busy, silent, lost (writes take effect and
  *have no answer), slow, late (executed after the caller has given up)
+ * /_back?ms=N		the store has been away and comes back as it was so
+ *			long ago; what others than the gateways wrote is
+ *			written again
  * /_config?version=N	a higher version, with a route /vN/ besides
  * /_refused?id=X		a caller was told that X has not run
  * /_seen?id=X		whether a backend server has got X
@@ -42,6 +45,9 @@
 #define SLOTS 6
 #define ENTRY_LIFE_MS 2600
 #define SLOW_MS 300
+/* Until all that others than the gateways wrote before the store went back is
+ * written again. */
+#define WRITE_AGAIN_MS 800
 /* Longer than any caller of the store waits. */
 #define LATE_MS 2500
 /* Backend servers' clocks may run so much slow. */
@@ -54,6 +60,12 @@
 	bool deleted;
 };
 
+/* One write, so that the store can go back. */
+struct past {
+	int64_t at_ms;
+	struct object object;
+};
+
 struct backend {
 	int index;
 	bool up, frozen, closed;
@@ -73,7 +85,9 @@
 static GMutex lock;
 static GCond changed;
 static GPtrArray *objects;
-static uint64_t revision = 1;
+static uint64_t revision = 1, era = 1;
+static GArray *history; /* of struct past */
+static int config_version = 1;
 static enum {
 	STORE_UP,
 	STORE_BUSY,
@@ -108,8 +122,12 @@
 	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result result;
 
+	g_autofree char *text_era =
+	    g_strdup_printf("%llu", (unsigned long long)era);
+
 	if (name != NULL)
 		MHD_add_response_header(r, name, value);
+	MHD_add_response_header(r, "Store-Era", text_era);
 	MHD_add_response_header(r, "Content-Type", "application/json");
 	result = MHD_queue_response(c, status, r);
 	MHD_destroy_response(r);
@@ -135,6 +153,7 @@
 put(const char *kind, const char *name, struct json_object *spec)
 {
 	struct object *o = find(kind, name);
+	struct past p = { .at_ms = dh_clock_ms() };
 
 	if (o == NULL) {
 		o = g_new0(struct object, 1);
@@ -146,10 +165,44 @@
 	o->spec = json_object_get(spec);
 	o->deleted = spec == NULL;
 	o->revision = ++revision;
+	p.object = *o;
+	p.object.spec = json_object_get(spec);
+	g_array_append_val(history, p);
 	g_cond_broadcast(&changed);
 	return o;
 }
 
+/* All objects as they were then.  With the lock held. */
+static void
+go_back(int64_t at_ms)
+{
+	guint i;
+
+	for (i = 0; i < objects->len; i++) {
+		struct object *o = objects->pdata[i];
+
+		json_object_put(o->spec);
+		o->spec = NULL;
+		o->deleted = true;
+		o->revision = 0;
+	}
+	for (revision = i = 0; i < history->len; i++) {
+		struct past *p = &g_array_index(history, struct past, i);
+		struct object *o = find(p->object.kind, p->object.name);
+
+		if (p->at_ms > at_ms) {
+			g_array_set_size(history, i);
+			break;
+		}
+		json_object_put(o->spec);
+		o->spec = json_object_get(p->object.spec);
+		o->deleted = p->object.deleted;
+		revision = o->revision = p->object.revision;
+	}
+	era++;
+	g_cond_broadcast(&changed);
+}
+
 static char *
 text_of(const struct object *o)
 {
@@ -217,6 +270,8 @@
 		return reply(c, 200, text, NULL, NULL);
 	}
 	for (;;) {
+		if (strtoull(since, NULL, 10) > revision)
+			return reply(c, 410, "{}", NULL, NULL);
 		text = list_text(kind, strtoull(since, NULL, 10), true);
 		if (text != NULL || mode != STORE_UP ||
 		    !g_cond_wait_until(&changed, &lock, end))
@@ -347,10 +402,30 @@
 	    match, "path_prefix", json_object_new_string(prefix));
 	json_object_object_add(rule, "match", match);
 	json_object_array_add(rules, rule);
+	config_version = version;
 	(void)put("config", "main", spec);
 	json_object_put(spec);
 }
 
+static gpointer
+write_again(gpointer arg)
+{
+	int i;
+
+	(void)arg;
+	(void)usleep(WRITE_AGAIN_MS * 1000);
+	g_mutex_lock(&lock);
+	for (i = 0; i < nbackends; i++)
+		if (backends[i].up)
+			enter(&backends[i]);
+		else
+			g_thread_unref(
+			    g_thread_new("lapse", lapse, &backends[i]));
+	configure(config_version);
+	g_mutex_unlock(&lock);
+	return NULL;
+}
+
 static void
 set_mode(const char *name)
 {
@@ -402,8 +477,14 @@
 	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "version");
 	const char *id =
 	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "id");
+	const char *ms =
+	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "ms");
 	g_autofree char *text = NULL;
 
+	if (ms != NULL && strcmp(url, "/_back") == 0) {
+		go_back(dh_clock_ms() - atoi(ms));
+		g_thread_unref(g_thread_new("again", write_again, NULL));
+	}
 	if (id != NULL && strcmp(url, "/_refused") == 0)
 		note_refused(id);
 	if (id != NULL && strcmp(url, "/_seen") == 0)
@@ -703,6 +784,7 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	(void)pthread_sigmask(SIG_BLOCK, &set, NULL);
+	history = g_array_new(FALSE, TRUE, sizeof(struct past));
 	objects = g_ptr_array_new();
 	ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/fake_objects.h
+++ b/tests/fake_objects.h
@@ -25,6 +25,7 @@
 static GPtrArray *fake_calls; /* open, oldest first */
 static uint32_t fake_made; /* so far */
 static uint32_t fake_cancelled;
+static uint64_t fake_era; /* that answers tell */
 
 static struct dh_objects_call *
 fake_call(const char *kind, dh_objects_fn done, void *arg)
@@ -153,9 +154,11 @@
     const struct dh_object_view *items, size_t n)
 {
 	struct dh_objects_call *c = fake_open(kind);
-	struct dh_objects_reply r = {
-		.result = result, .items = items, .nitems = n, .as_of = as_of
-	};
+	struct dh_objects_reply r = { .result = result,
+		.items = items,
+		.nitems = n,
+		.as_of = as_of,
+		.era = fake_era };
 	dh_objects_fn done;
 	void *arg;
 
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -395,7 +395,8 @@
 		start_jobs(&q, now);
 		due += most_per_s * ROUND_MS / 1000 *
 		    (now % (10 * work_ms) < 4 * work_ms ? 1.8 : 0.3);
-		for (; due >= 1; due -= 1) {
+		while (due >= 1) {
+			due -= 1;
 			router = (int)dh_rng_below(&rng, (uint64_t)routers);
 			q.jobs[q.n++] = (struct job){ .router = router,
 				.sent_ms = now,
@@ -494,7 +495,8 @@
 		}
 		due += part * backends * SLOTS * ROUND_MS / WORK_MS * 2 *
 		    dh_rng_unit(&rng);
-		for (; due >= 1; due -= 1) {
+		while (due >= 1) {
+			due -= 1;
 			r = (int)dh_rng_below(&rng, REGIONS + 1) % REGIONS;
 			for (b = 0; b < backends; b++)
 				list[b] = candidate(&load[r][b],
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -609,6 +609,82 @@
 	dh_keyspace_free(ks);
 }
 
+/* The store has lost the record: leases go on under their tokens, but no key
+ * goes to another before all is stored again, and then with a token that no
+ * forgotten leader can have given. */
+static void
+test_record_was_forgotten(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *r;
+	struct dh_key_order o;
+	uint64_t next, serial, granted = 0;
+	int64_t t;
+	size_t n;
+	int i;
+
+	/* A move is stored, and the store forgets it. */
+	list[0].leaving = true;
+	dh_keyspace_set_servers(ks, list, 2);
+	dh_keyspace_plan(ks, 300);
+	store(ks, 300);
+	CU_ASSERT_TRUE(dh_keyspace_forgotten(ks, 1000, 300));
+	for (t = 310; t < 2000; t += 100)
+		for (i = 0; i < 50 && dh_keyspace_next(ks, t, &o); i++) {
+			CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
+			CU_ASSERT_STRING_EQUAL(o.server, "b");
+			CU_ASSERT_TRUE(o.fence < 1000);
+			CU_ASSERT_TRUE(dh_keyspace_answer(
+			    ks, o.ticket, DH_KEY_ACCEPTED, NULL, t));
+			granted++;
+		}
+	CU_ASSERT_TRUE(granted > 2);
+	CU_ASSERT_TRUE(dh_keyspace_urgent(ks, t));
+	serial = dh_keyspace_export(ks, t, &r, &n, &next);
+	CU_ASSERT_NOT_EQUAL(serial, 0);
+	CU_ASSERT_TRUE(next > 1000);
+	dh_keyspace_stored(ks, serial);
+	for (; t < 8000; t += 100) {
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		(void)answer_all(ks, DH_KEY_ACCEPTED, t);
+	}
+	(void)dh_keyspace_current(ks, &r, &n);
+	for (i = 0; i < (int)n; i++)
+		CU_ASSERT_TRUE(r[i].settled && strcmp(r[i].owner, "b") == 0);
+	dh_keyspace_free(ks);
+}
+
+/* A record that may not be the last one of its leader: others may hold keys
+ * until that leader has stopped and its leases are over. */
+static void
+test_record_is_not_trusted(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_key_range record = { .to = DH_KEYS - 1,
+		.owner = "b",
+		.owner_born_ms = 1,
+		.fence = 4,
+		.settled = true };
+	struct dh_keyspace *ks = dh_keyspace_new(&params);
+	struct dh_key_order o;
+	int64_t t, over_ms = 1000 + HOLD_MS * 102 / 100 + 60 + 1500;
+
+	dh_keyspace_take_over(ks, &record, 1, 5000, 0, 1000);
+	dh_keyspace_distrust(ks, 1500);
+	for (t = 1000; t < over_ms; t += 20) {
+		dh_keyspace_set_servers(ks, list, 2);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		CU_ASSERT_FALSE(dh_keyspace_next(ks, t, &o));
+	}
+	CU_ASSERT_TRUE(dh_keyspace_next(ks, over_ms + 20, &o));
+	CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
+	CU_ASSERT_TRUE(o.fence >= 5000);
+	dh_keyspace_free(ks);
+}
+
 static void
 test_refused_grant_shows_another_leader(void)
 {
@@ -839,6 +915,8 @@
 		    test_no_renewal_while_a_move_may_be_on_record },
 		{ "renewal under way",
 		    test_no_move_on_record_while_a_renewal_is_under_way },
+		{ "record forgotten", test_record_was_forgotten },
+		{ "record not trusted", test_record_is_not_trusted },
 		{ "another leader", test_refused_grant_shows_another_leader },
 		{ "hot range", test_hot_range_is_spread_within_two_seconds },
 		{ "hot key", test_hot_key_is_left_alone },
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -1,8 +1,9 @@
 /*
  * Leaders of one service under faults drawn from a seed, in virtual time: lost
  * and late answers, orders carried out late, backend servers that fall silent,
- * restart or leave, leaders that are cut off and replaced.  At no moment do two
- * backend servers hold a key, and no key is taken with a lower token.
+ * restart or leave, leaders that are cut off and replaced, a store that comes
+ * back from a copy some seconds old.  At no moment do two backend servers hold
+ * a key, and no key is taken with a lower token.
  *
  * usage: test_keyspace_schedule [FIRST COUNT]
  */
@@ -13,6 +14,7 @@
 #include <dogwoodhub/keyspace.h>
 #include <dogwoodhub/rng.h>
 
+#include "gateway/era.h"
 #include "tests/cunit_main.h"
 
 #define SERVERS 5
@@ -25,6 +27,11 @@
 #define HOLD_MS 2000
 #define SOLO_MS 4000
 #define CONFIRM_MS 2000
+#define WATCH_MS 700 /* the leader hears of the store at least so often */
+#define UNAWARE_MS 2500
+#define RECLAIM_MS 900
+#define RECLAIM_MOST_MS 1500
+#define COPIES 5 /* of the store, one a second */
 
 static const struct dh_keyspace_params params = { .hold_ms = HOLD_MS,
 	.renew_ms = 500,
@@ -57,8 +64,8 @@
 	enum dh_key_answer answer;
 	struct dh_key_range *ranges; /* a write */
 	size_t n;
-	uint64_t next, serial, term, revision;
-	bool taken;
+	uint64_t next, serial, term, revision, era;
+	bool taken, distrusted;
 };
 
 struct leader {
@@ -68,8 +75,21 @@
 	bool cut; /* from the store */
 	int64_t confirmed_ms;
 	int64_t wrote_ms;
+	uint64_t era;
+	int64_t back_ms; /* the store went back; 0: it leads in its era */
 };
 
+/* What the store has. */
+struct stored {
+	struct dh_key_range *ranges;
+	size_t n;
+	uint64_t next, term, revision;
+	uint64_t leader_term; /* of the leader's object */
+	bool distrusted;
+};
+
+static uint32_t went_back; /* how often a store did */
+
 struct world {
 	struct dh_rng rng;
 	int64_t now_ms;
@@ -77,10 +97,8 @@
 	struct leader leaders[LEADERS];
 	struct event events[EVENTS_MAX];
 	size_t nevents;
-	/* The record. */
-	struct dh_key_range *ranges;
-	size_t n;
-	uint64_t next, term, revision;
+	struct stored store, copies[COPIES];
+	uint64_t era;
 	uint64_t given[SAMPLES]; /* highest token that was taken */
 	const char *broken;
 };
@@ -210,6 +228,16 @@
 	l->writing = false;
 }
 
+static uint64_t
+next_term(const struct world *w, const struct leader *l)
+{
+	uint64_t term = dh_era_floor(w->era);
+
+	if (w->store.leader_term > term)
+		term = w->store.leader_term;
+	return (l->term > term ? l->term : term) + 1;
+}
+
 static void
 elect(struct world *w, int i)
 {
@@ -217,10 +245,18 @@
 
 	depose(l);
 	l->ks = dh_keyspace_new(&params);
-	l->term = ++w->term;
-	l->revision = w->revision;
+	l->era = w->era;
+	l->back_ms = 0;
+	l->term = w->store.leader_term = next_term(w, l);
+	l->revision = w->store.revision;
 	l->confirmed_ms = w->now_ms;
-	dh_keyspace_take_over(l->ks, w->ranges, w->n, w->next, 0, w->now_ms);
+	dh_keyspace_take_over(l->ks, w->store.ranges, w->store.n,
+	    w->store.next > dh_era_floor(w->era) ? w->store.next
+						 : dh_era_floor(w->era) + 1,
+	    0, w->now_ms);
+	if (w->store.n > 0 &&
+	    (dh_era_of(w->store.term) < w->era || w->store.distrusted))
+		dh_keyspace_distrust(l->ks, UNAWARE_MS);
 }
 
 static void
@@ -232,13 +268,15 @@
 		.leader = i,
 		.life = l->life,
 		.term = l->term,
+		.era = l->era,
 		.revision = l->revision };
 
-	if (l->writing || l->cut)
+	if (l->writing || l->cut || l->back_ms != 0)
 		return;
 	e.serial = dh_keyspace_export(l->ks, w->now_ms, &ranges, &e.n, &e.next);
 	if (e.serial == 0)
 		return;
+	e.distrusted = dh_keyspace_distrusted(l->ks);
 	e.ranges = malloc(e.n * sizeof(*ranges));
 	memcpy(e.ranges, ranges, e.n * sizeof(*ranges));
 	e.at_ms = w->now_ms + between(w, 2, 20);
@@ -256,13 +294,16 @@
 {
 	struct event back = *e;
 
-	back.taken = e->revision == w->revision;
+	/* What was on its way when the store went back counts as lost. */
+	back.taken = e->era == w->era && e->revision == w->store.revision;
 	if (back.taken) {
-		free(w->ranges);
-		w->ranges = e->ranges;
-		w->n = e->n;
-		w->next = e->next;
-		w->revision++;
+		w->store.term = e->term;
+		w->store.distrusted = e->distrusted;
+		free(w->store.ranges);
+		w->store.ranges = e->ranges;
+		w->store.n = e->n;
+		w->store.next = e->next;
+		w->store.revision++;
 	} else {
 		free(e->ranges);
 	}
@@ -271,15 +312,51 @@
 	/* A lost answer is read back later. */
 	back.at_ms =
 	    w->now_ms + (e->mute ? between(w, 300, 1500) : between(w, 2, 20));
-	back.revision = w->revision;
+	back.revision = w->store.revision;
 	post(w, back);
 }
 
+/* The leader hears that the store went back. */
+static void
+learn_era(struct world *w, struct leader *l)
+{
+	l->era = w->era;
+	l->back_ms = w->now_ms;
+	l->writing = false;
+	if (!dh_keyspace_forgotten(l->ks, dh_era_floor(w->era), w->now_ms))
+		depose(l);
+}
+
+/* A leader that knows who holds what takes a term of the new era. */
+static void
+reclaim(struct world *w, struct leader *l)
+{
+	if (l->cut)
+		return;
+	if (dh_era_of(w->store.leader_term) == w->era &&
+	    w->store.leader_term > l->term) {
+		depose(l);
+		return;
+	}
+	if (w->now_ms - l->back_ms < RECLAIM_MS)
+		return;
+	l->term = w->store.leader_term = next_term(w, l);
+	l->revision = w->store.revision;
+	l->confirmed_ms = w->now_ms;
+	l->back_ms = 0;
+}
+
 static void
 written(struct world *w, struct event *e)
 {
 	struct leader *l = &w->leaders[e->leader];
 
+	if (e->era != l->era)
+		return;
+	if (w->era != l->era) {
+		learn_era(w, l);
+		return;
+	}
 	l->writing = false;
 	if (!e->taken) {
 		/* A rival has written: this one finds its term over. */
@@ -362,21 +439,60 @@
 				DH_KEYS);
 		dh_keyspace_plan(l->ks, w->now_ms);
 	}
+	if (l->era == w->era && l->back_ms != 0)
+		reclaim(w, l);
+	if (l->ks == NULL)
+		return;
 	write_record(w, i);
+	if (!l->cut && l->era != w->era && w->now_ms % WATCH_MS == 0)
+		learn_era(w, l);
+	if (l->ks == NULL)
+		return;
 	/* The leader asks the store whether it still leads. */
-	if (!l->cut && w->now_ms % CONFIRM_MS == 0) {
-		if (l->term != w->term) {
+	if (!l->cut && l->era == w->era && l->back_ms == 0 &&
+	    w->now_ms % CONFIRM_MS == 0) {
+		if (l->term != w->store.leader_term) {
 			depose(l);
 			return;
 		}
 		l->confirmed_ms = w->now_ms;
 	}
-	if (w->now_ms - l->confirmed_ms >= SOLO_MS)
+	if (w->now_ms - l->confirmed_ms >= SOLO_MS ||
+	    (l->back_ms != 0 && w->now_ms - l->back_ms >= RECLAIM_MOST_MS))
 		return;
 	while (dh_keyspace_next(l->ks, w->now_ms, &o))
 		order(w, i, &o);
 }
 
+static void
+copy_store(struct stored *to, const struct stored *from)
+{
+	free(to->ranges);
+	*to = *from;
+	to->ranges = malloc((from->n + 1) * sizeof(*to->ranges));
+	if (from->n > 0)
+		memcpy(to->ranges, from->ranges, from->n * sizeof(*to->ranges));
+}
+
+/* A leader that neither the store nor other VMs reach, but backend servers do,
+ * may go on with what the copy lacks: that is not covered, so the store goes
+ * back only while nobody is cut off from it. */
+static void
+go_back(struct world *w)
+{
+	int l, copy;
+
+	for (l = 0; l < LEADERS; l++)
+		if (w->leaders[l].cut)
+			return;
+	copy = (int)dh_rng_below(&w->rng, COPIES);
+	if (w->copies[copy].ranges == NULL)
+		return;
+	copy_store(&w->store, &w->copies[copy]);
+	w->era++;
+	went_back++;
+}
+
 static void
 faults(struct world *w)
 {
@@ -385,6 +501,10 @@
 
 	if (w->now_ms % 200 != 0)
 		return;
+	if (w->now_ms % 1000 == 0)
+		copy_store(&w->copies[w->now_ms / 1000 % COPIES], &w->store);
+	if (chance(w, 4))
+		go_back(w);
 	if (chance(w, 3))
 		w->servers[s].dark = !w->servers[s].dark;
 	if (chance(w, 2)) {
@@ -440,7 +560,8 @@
 
 	memset(&w, 0, sizeof(w));
 	w.rng.state = seed;
-	w.next = 1;
+	w.store.next = 1;
+	w.era = 1;
 	for (l = 0; l < SERVERS; l++) {
 		(void)snprintf(
 		    w.servers[l].id, sizeof(w.servers[l].id), "s%d", l);
@@ -477,7 +598,9 @@
 	for (i = 0; i < w.nevents; i++)
 		if (w.events[i].kind == EVENT_WRITE)
 			free(w.events[i].ranges);
-	free(w.ranges);
+	free(w.store.ranges);
+	for (l = 0; l < COPIES; l++)
+		free(w.copies[l].ranges);
 	return w.broken;
 }
 
@@ -498,6 +621,7 @@
 			return;
 		}
 	}
+	CU_ASSERT_TRUE(went_back >= count / 2);
 }
 
 int
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -9,6 +9,7 @@
 
 struct fixture {
 	uv_loop_t loop;
+	struct dh_era *era;
 	struct dh_mirror *f;
 	GString *log; /* "+NAME@REVISION " and "-NAME " */
 	uint64_t since, as_of; /* of the last news */
@@ -84,8 +85,10 @@
 
 	memset(fx, 0, sizeof(*fx));
 	uv_loop_init(&fx->loop);
+	fx->era = dh_era_new();
 	fx->log = g_string_new(NULL);
-	fx->f = dh_mirror_new(&fx->loop, NULL, NULL, KIND, DH_FRESH, &h);
+	fx->f =
+	    dh_mirror_new(&fx->loop, NULL, NULL, fx->era, KIND, DH_FRESH, &h);
 	CU_ASSERT_FALSE(dh_mirror_listed(fx->f));
 	fake_answer(KIND, DH_OBJECTS_OK, 10, items, 2);
 	CU_ASSERT_TRUE(dh_mirror_listed(fx->f));
@@ -96,6 +99,7 @@
 end(struct fixture *fx)
 {
 	dh_mirror_free(fx->f);
+	dh_era_free(fx->era);
 	uv_run(&fx->loop, UV_RUN_DEFAULT);
 	CU_ASSERT_EQUAL(uv_loop_close(&fx->loop), 0);
 	g_string_free(fx->log, TRUE);
@@ -197,8 +201,9 @@
 	items[0].spec = spec;
 	h.arg = &fx;
 	uv_loop_init(&fx.loop);
+	fx.era = dh_era_new();
 	fx.log = g_string_new(NULL);
-	fx.f = dh_mirror_new(&fx.loop, NULL, other, KIND, DH_FRESH, &h);
+	fx.f = dh_mirror_new(&fx.loop, NULL, other, fx.era, KIND, DH_FRESH, &h);
 	CU_ASSERT_PTR_EQUAL(fake_open(KIND)->from, other);
 	CU_ASSERT_PTR_NULL(dh_mirror_list(fx.f));
 	fake_answer(KIND, DH_OBJECTS_NOT_DONE, 0, NULL, 0);
@@ -216,8 +221,9 @@
 	end(&fx);
 	memset(&fx, 0, sizeof(fx));
 	uv_loop_init(&fx.loop);
+	fx.era = dh_era_new();
 	fx.log = g_string_new(NULL);
-	fx.f = dh_mirror_new(&fx.loop, NULL, other, KIND, DH_FRESH, &h);
+	fx.f = dh_mirror_new(&fx.loop, NULL, other, fx.era, KIND, DH_FRESH, &h);
 	for (i = 0; i < 5; i++) {
 		CU_ASSERT_PTR_EQUAL(fake_open(KIND)->from, other);
 		fake_answer(KIND, DH_OBJECTS_NOT_DONE, 0, NULL, 0);
@@ -277,6 +283,51 @@
 	end(&fx);
 }
 
+/* The store is a copy some seconds old: all is listed anew, and what bears a
+ * revision or an answer of before is left. */
+static void
+test_store_went_back(void)
+{
+	struct dh_object_view items[] = { thing("a", 2), thing("c", 4) };
+	struct dh_object_view change = thing("d", 9);
+	struct fixture fx;
+
+	fake_era = 1;
+	start(&fx);
+	run_for(&fx, 2600);
+	fake_era = 2;
+	/* By chance the revision is one that it has. */
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open(KIND));
+	CU_ASSERT_FALSE(fake_open(KIND)->watch);
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	CU_ASSERT_FALSE(dh_mirror_take(fx.f, 8, 9, &change, 1));
+	fake_answer(KIND, DH_OBJECTS_OK, 5, items, 2);
+	check_log(&fx, "+a@2 +c@4 -b ");
+	CU_ASSERT_EQUAL(dh_mirror_as_of(fx.f), 5);
+	CU_ASSERT_EQUAL(fake_open(KIND)->since, 5);
+	/* An answer of before is as good as none. */
+	fake_era = 1;
+	fake_answer(KIND, DH_OBJECTS_OK, 12, &change, 1);
+	check_log(&fx, "");
+	CU_ASSERT_EQUAL(dh_mirror_as_of(fx.f), 5);
+	run_for(&fx, 400);
+	CU_ASSERT_EQUAL(fake_open(KIND)->since, 5);
+	/* Once more, while it lists; also one that is told by the leader. */
+	dh_mirror_set_fed(fx.f, true);
+	fake_era = 3;
+	fake_answer(KIND, DH_OBJECTS_OK, 9, &change, 1);
+	fake_era = 4;
+	fake_answer(KIND, DH_OBJECTS_OK, 9, &change, 1);
+	check_log(&fx, "");
+	fake_answer(KIND, DH_OBJECTS_OK, 3, items, 1);
+	check_log(&fx, "+a@2 -c ");
+	CU_ASSERT_TRUE(dh_mirror_take(fx.f, 3, 9, &change, 1));
+	check_log(&fx, "+d@9 ");
+	fake_era = 0;
+	end(&fx);
+}
+
 static void
 test_fed_asks_nothing(void)
 {
@@ -430,6 +481,7 @@
 		{ "history gone, old reads",
 		    test_history_gone_while_reads_may_be_old },
 		{ "another VM's list", test_begins_with_another_vm },
+		{ "went back", test_store_went_back },
 		{ "fed", test_fed_asks_nothing },
 		{ "open watch", test_open_watch_is_not_relied_on },
 		{ "gap", test_news_with_a_gap_are_not_taken },
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -384,6 +384,88 @@
 	check_stalled(false, true);
 }
 
+/* Leads in era 1. */
+static void
+lead_in_first_era(struct fixture *fx)
+{
+	fake_era = 1;
+	start(fx, NULL, 0);
+	wait_for_question(fx);
+	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("leader")->put, "\"term\":4294967297"));
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	CU_ASSERT_TRUE(dh_owners_leads(fx->owners));
+	run_for(fx, 60);
+	answer_with("service.s", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+	answer_with("service.s", DH_OBJECTS_OK, 50, "{}");
+}
+
+/* The leader goes on, in a term of the new era, and stores what it knows in
+ * place of what the copy has. */
+static void
+test_leader_goes_on_when_the_store_went_back(void)
+{
+	struct fixture fx;
+	int i;
+
+	lead_in_first_era(&fx);
+	fake_era = 2;
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, NULL, 0);
+	CU_ASSERT_TRUE(dh_owners_leads(fx.owners));
+	for (i = 0; i < 10; i++) {
+		run_for(&fx, 60);
+		if (fake_open("leader") == NULL)
+			continue;
+		/* Nothing is written before leases have been renewed. */
+		if (fake_open("leader")->put != NULL)
+			break;
+		CU_ASSERT_PTR_NULL(fake_open("service.s"));
+		answer_with("leader", DH_OBJECTS_OK, 30,
+		    "{\"vm\":\"vm-9\",\"ip\":\"127.0.0.9\","
+		    "\"incarnation\":\"x\",\"term\":4294967296}");
+	}
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader")->put);
+	CU_ASSERT_EQUAL(fake_open("leader")->revision, 30);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("leader")->put, "\"term\":8589934593"));
+	answer_with("leader", DH_OBJECTS_OK, 31, "{}");
+	CU_ASSERT_TRUE(dh_owners_leads(fx.owners));
+	run_for(&fx, 60);
+	/* The revision is asked for first. */
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+	CU_ASSERT_PTR_NULL(fake_open("service.s")->put);
+	answer_with("service.s", DH_OBJECTS_OK, 22, "{}");
+	run_for(&fx, 60);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+	CU_ASSERT_EQUAL(fake_open("service.s")->revision, 22);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("service.s")->put, "\"term\":8589934593"));
+	fake_era = 0;
+	end(&fx);
+}
+
+/* Another was first in the new era. */
+static void
+test_leader_gives_way_when_the_store_went_back(void)
+{
+	struct fixture fx;
+
+	lead_in_first_era(&fx);
+	fake_era = 2;
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, NULL, 0);
+	run_for(&fx, 60);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
+	answer_with("leader", DH_OBJECTS_OK, 30,
+	    "{\"vm\":\"vm-9\",\"ip\":\"127.0.0.9\",\"incarnation\":\"x\","
+	    "\"term\":8589934593}");
+	CU_ASSERT_FALSE(dh_owners_leads(fx.owners));
+	fake_era = 0;
+	end(&fx);
+}
+
 int
 main(void)
 {
@@ -394,6 +476,9 @@
 		{ "strong", test_strong_are_named },
 		{ "stalled", test_stalled_leader_orders_nothing },
 		{ "address", test_address_that_stands },
+		{ "went back", test_leader_goes_on_when_the_store_went_back },
+		{ "went back, replaced",
+		    test_leader_gives_way_when_the_store_went_back },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_owners_record.c
+++ b/tests/test_owners_record.c
@@ -9,9 +9,11 @@
 static struct dh_record
 sample(void)
 {
-	struct dh_record r = {
-		.term = 3, .version = 9, .next_fence = 40, .hold_ms = 2500
-	};
+	struct dh_record r = { .term = 3,
+		.version = 9,
+		.next_fence = 40,
+		.hold_ms = 2500,
+		.distrusted = true };
 
 	r.nranges = 3;
 	r.ranges = g_new0(struct dh_key_range, 3);
@@ -57,6 +59,7 @@
 	CU_ASSERT_EQUAL(back.version, 9);
 	CU_ASSERT_EQUAL(back.next_fence, 40);
 	CU_ASSERT_EQUAL(back.hold_ms, 2500);
+	CU_ASSERT_TRUE(back.distrusted);
 	CU_ASSERT_EQUAL_FATAL(back.nranges, 3);
 	for (i = 0; i < 3; i++) {
 		CU_ASSERT_EQUAL(back.ranges[i].from, r.ranges[i].from);
@@ -156,6 +159,7 @@
 				   "\"ranges\":[[65535,0,3,-1,0,1]]}",
 	    &r));
 	CU_ASSERT_EQUAL(r.hold_ms, 0);
+	CU_ASSERT_FALSE(r.distrusted);
 	CU_ASSERT_STRING_EQUAL(r.ranges[0].owner, "a");
 	dh_record_clear(&r);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -66,6 +66,7 @@
 
 	CU_ASSERT_EQUAL(term, 9);
 	CU_ASSERT_EQUAL(n->kind, DH_REGISTRY_CONFIG);
+	CU_ASSERT_EQUAL(n->era, 6);
 	CU_ASSERT_TRUE(n->as_of > n->since);
 	fx->in_order = fx->in_order && n->since == fx->as_of;
 	fx->as_of = n->as_of;
@@ -121,6 +122,7 @@
 		.term = UINT64_MAX,
 		.failing = true,
 		.vms = 70,
+		.era = 5,
 		.cursors = { { 17, true }, { 1ull << 40, false } } };
 	struct fixture fx;
 
@@ -131,6 +133,7 @@
 	CU_ASSERT_STRING_EQUAL(fx.beat.vm, "vm-1");
 	CU_ASSERT_EQUAL(fx.beat.term, UINT64_MAX);
 	CU_ASSERT_TRUE(fx.beat.failing);
+	CU_ASSERT_EQUAL(fx.beat.era, 5);
 	CU_ASSERT_EQUAL(fx.beat.cursors[0].as_of, 17);
 	CU_ASSERT_TRUE(fx.beat.cursors[0].reached);
 	CU_ASSERT_EQUAL(fx.beat.cursors[1].as_of, 1ull << 40);
@@ -145,7 +148,7 @@
 	static const char *const ips[] = { TO };
 	struct dh_object_view items[ITEMS];
 	struct dh_registry_news news = { DH_REGISTRY_CONFIG, 100, 100 + ITEMS,
-		items, ITEMS };
+		items, ITEMS, 6 };
 	struct json_object *spec = json_object_new_object();
 	g_autofree char *text = g_strnfill(300, 'x');
 	struct fixture fx;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -208,6 +208,62 @@
 	end(&fx);
 }
 
+/* The store went back to before the backend server had left: it is not used
+ * again because of that, unless its entry stands. */
+static void
+test_left_before_the_store_went_back(void)
+{
+	struct dh_object_view gone = {
+		.name = "i-1", .revision = 12, .deleted = true
+	};
+	struct fixture fx;
+
+	fake_era = 1;
+	start(&fx);
+	enter_server(100, 11);
+	follow_for(&fx, 400);
+	dh_registry_follow(fx.reg, NULL);
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 12, &gone, 1);
+	follow_for(&fx, 100);
+	CU_ASSERT_TRUE(is_leaving(fx.reg));
+	fake_era = 2;
+	dh_registry_follow(fx.reg, NULL);
+	g_usleep(350000);
+	follow_for(&fx, 20);
+	dh_registry_follow(fx.reg, NULL);
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 9, NULL, 0);
+	enter_server(100, 8);
+	CU_ASSERT_TRUE(is_leaving(fx.reg));
+	follow_for(&fx, 4700);
+	CU_ASSERT_TRUE(is_leaving(fx.reg));
+	follow_for(&fx, 600);
+	CU_ASSERT_FALSE(is_leaving(fx.reg));
+	fake_era = 0;
+	end(&fx);
+}
+
+/* Entries that the copy lacks are awaited. */
+static void
+test_missing_since_the_store_went_back(void)
+{
+	struct fixture fx;
+
+	fake_era = 1;
+	start(&fx);
+	enter_server(100, 11);
+	follow_for(&fx, 400);
+	dh_registry_follow(fx.reg, NULL);
+	fake_era = 2;
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 11, NULL, 0);
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 9, NULL, 0);
+	follow_for(&fx, 1500);
+	CU_ASSERT_FALSE(is_leaving(fx.reg));
+	follow_for(&fx, 1000);
+	CU_ASSERT_TRUE(is_leaving(fx.reg));
+	fake_era = 0;
+	end(&fx);
+}
+
 int
 main(void)
 {
@@ -218,6 +274,9 @@
 		    test_leader_without_the_store_is_not_relied_on },
 		{ "missed news", test_missed_news_are_asked_for },
 		{ "leaving", test_leaving_by_an_answer },
+		{ "left, went back", test_left_before_the_store_went_back },
+		{ "missing, went back",
+		    test_missing_since_the_store_went_back },
 		{ "as the leader", test_leader_watches_and_tells },
 		CU_TEST_INFO_NULL,
 	};
