--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -421,7 +421,7 @@
 	CU_ASSERT_TRUE(measured_work_ms(WORK_MS, 60000) > WORK_MS * 0.75);
 	/* A slow one is found out all the same. */
 	CU_ASSERT_TRUE(
-	    measured_work_ms(4 * WORK_MS, 60000) > 4 * WORK_MS * 0.75);
+	    measured_work_ms(4LL * WORK_MS, 60000) > 4 * WORK_MS * 0.75);
 }
 
 /* Half of what they can do: nobody is refused, hardly anybody late. */
