Keyspace: a backend server's speed is the mean of what routers measured

Cause: a VM told the leader its own running estimate of each backend server's work, made of few requests, and the leader took each with the same weight.

Change: routers tell the mean and number of their measurements since the last report; the leader averages over the last 32.

--- a/core/choice.c
+++ b/core/choice.c
@@ -85,6 +85,8 @@
 	    ? sample
 	    : l->work_ms + WORK_GAIN * (sample - l->work_ms);
 	l->work_at_ms = now_ms;
+	l->unreported_ms += sample;
+	l->unreported++;
 }
 
 static void
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -9,8 +9,9 @@
 #include "core/keyspace_internal.h"
 #include "core/vec.h"
 
-/* Weight of one router's measurement of a backend server's speed. */
-#define SPEED_GAIN 0.25
+/* Measurements of a backend server's speed that are averaged over: enough that
+ * one is told from another of half its speed, few enough to follow changes. */
+#define SPEED_SAMPLES 32
 /* The low bits of a ticket: where its range was when the order was made. */
 #define TICKET_RANGE_BITS 17
 
@@ -431,19 +432,21 @@
 }
 
 void
-dh_keyspace_set_speed(
-    struct dh_keyspace *ks, const char *server, double work_ms)
+dh_keyspace_measured(struct dh_keyspace *ks, const char *server, double work_ms,
+    uint32_t samples)
 {
 	uint32_t i = server_find(ks, server);
-
 	struct server *s;
 
-	if (i == DH_NONE || work_ms <= 0)
+	if (i == DH_NONE || work_ms <= 0 || samples == 0)
 		return;
 	s = &ks->servers[i];
-	s->work_ms = s->work_ms == 0
-	    ? work_ms
-	    : s->work_ms + SPEED_GAIN * (work_ms - s->work_ms);
+	s->work_samples = samples < SPEED_SAMPLES - s->work_samples
+	    ? s->work_samples + samples
+	    : SPEED_SAMPLES;
+	if (samples > s->work_samples)
+		samples = s->work_samples;
+	s->work_ms += (work_ms - s->work_ms) * samples / s->work_samples;
 }
 
 static void
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -29,7 +29,8 @@
 	 * before a later one is stored. */
 	uint64_t known_serial;
 	int64_t probe_ms; /* when to ask next */
-	double work_ms; /* 0: not known */
+	double work_ms; /* mean of the last work_samples; 0: not known */
+	uint32_t work_samples;
 	/* Of a plan: requests a second, the variance of their estimate, keys
 	 * in all and hot ones. */
 	double load, variance;
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -676,9 +676,10 @@
 }
 
 void
-dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms)
+dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms,
+    uint32_t samples)
 {
-	dh_keyspace_set_speed(d->ks, server, work_ms);
+	dh_keyspace_measured(d->ks, server, work_ms, samples);
 }
 
 const struct dh_record *
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -9,8 +9,7 @@
 #include "base/clock.h"
 #include "base/opslog.h"
 
-/* Speeds change slowly: they are told less often than keys, and only those
- * that have changed. */
+/* Speeds change slowly: they are told less often than keys. */
 #define SPEED_REPORTS 4
 
 static void
@@ -171,7 +170,8 @@
 		for (i = 0; i < r->servers->len; i++) {
 			s = &g_array_index(
 			    r->servers, struct dh_peer_server, i);
-			dh_duty_speed(value, s->id, s->work_ms);
+			dh_duty_speed(
+			    value, s->id, s->work_ms, s->samples);
 		}
 	for (i = 0; i < r->leaving->len; i++) {
 		const struct dh_peer_leaving *l =
@@ -207,16 +207,12 @@
 static void
 report_speeds(const struct dh_owners *o, struct dh_peer_report *r)
 {
-	struct dh_peer_server s;
 	GHashTableIter it;
-	gpointer id, work;
+	gpointer speed;
 
 	g_hash_table_iter_init(&it, o->speeds);
-	while (g_hash_table_iter_next(&it, &id, &work)) {
-		(void)g_strlcpy(s.id, id, sizeof(s.id));
-		s.work_ms = GPOINTER_TO_UINT(work);
-		g_array_append_val(r->servers, s);
-	}
+	while (g_hash_table_iter_next(&it, NULL, &speed))
+		g_array_append_vals(r->servers, speed, 1);
 }
 
 static void
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -339,7 +339,7 @@
 	o->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	o->speeds =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	o->keys = g_array_new(FALSE, FALSE, sizeof(struct seen_key));
 	o->leaving = g_array_new(FALSE, FALSE, sizeof(struct dh_peer_leaving));
 	o->incoming.changes =
@@ -423,6 +423,23 @@
 	}
 }
 
+static void
+add_speed(
+    struct dh_owners *o, const char *id, uint32_t work_ms, uint32_t samples)
+{
+	struct dh_peer_server *s = g_hash_table_lookup(o->speeds, id);
+	uint64_t sum_ms = (uint64_t)work_ms * samples;
+
+	if (s == NULL) {
+		s = g_new0(struct dh_peer_server, 1);
+		(void)g_strlcpy(s->id, id, sizeof(s->id));
+		g_hash_table_insert(o->speeds, s->id, s);
+	}
+	sum_ms += (uint64_t)s->work_ms * s->samples;
+	s->samples += samples;
+	s->work_ms = (uint32_t)(sum_ms / s->samples);
+}
+
 void
 dh_owners_seen(struct dh_owners *o, const struct dh_worker_report *r)
 {
@@ -441,8 +458,8 @@
 		g_array_append_val(o->keys, k);
 	}
 	for (i = 0; i < r->nservers; i++)
-		g_hash_table_insert(o->speeds, g_strdup(r->servers[i].id),
-		    GUINT_TO_POINTER(r->servers[i].work_ms));
+		add_speed(o, r->servers[i].id, r->servers[i].work_ms,
+		    r->servers[i].samples);
 }
 
 void
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -95,7 +95,7 @@
 	struct incoming incoming;
 	/* What workers have seen since the last report. */
 	GArray *keys; /* of struct seen_key */
-	GHashTable *speeds; /* server id -> work in ms */
+	GHashTable *speeds; /* server id -> struct dh_peer_server */
 	GArray *leaving; /* of struct dh_peer_leaving */
 	int64_t report_ms;
 	uint32_t reports;
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -225,16 +225,18 @@
 read_servers(const msgpack_object_array *list, struct dh_peer_report *r)
 {
 	struct dh_peer_server s;
-	uint64_t value;
+	uint64_t work_ms, samples;
 	uint32_t i;
 
 	for (i = 0; i < list->size; i++) {
-		const msgpack_object_array *o = array_at(list, i, 2);
+		const msgpack_object_array *o = array_at(list, i, 3);
 
 		if (o == NULL || !text_at(o, 0, s.id, sizeof(s.id)) ||
-		    !number_at(o, 1, &value) || value > UINT32_MAX)
+		    !number_at(o, 1, &work_ms) || work_ms > UINT32_MAX ||
+		    !number_at(o, 2, &samples) || samples > UINT32_MAX)
 			return false;
-		s.work_ms = (uint32_t)value;
+		s.work_ms = (uint32_t)work_ms;
+		s.samples = (uint32_t)samples;
 		g_array_append_val(r->servers, s);
 	}
 	return true;
@@ -583,9 +585,10 @@
 		const struct dh_peer_server *s =
 		    &g_array_index(r->servers, struct dh_peer_server, i);
 
-		msgpack_pack_array(&pk, 2);
+		msgpack_pack_array(&pk, 3);
 		pack_text(&pk, s->id);
 		msgpack_pack_uint32(&pk, s->work_ms);
+		msgpack_pack_uint32(&pk, s->samples);
 	}
 	msgpack_pack_array(&pk, r->leaving->len);
 	for (i = 0; i < r->leaving->len; i++) {
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -57,7 +57,8 @@
 
 struct dh_peer_server {
 	char id[DH_NAME_MAX];
-	uint32_t work_ms;
+	uint32_t work_ms; /* mean of the measurements since the last report */
+	uint32_t samples;
 };
 
 /* Part of all owners of a service: those that know none of its version. */
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -15,10 +15,6 @@
 #define TICK_MS 100
 /* Ticks between reports: a hot range is seen within a second by several. */
 #define REPORT_TICKS 2
-/* A backend server's speed is told again when it has changed by this part, and
- * from time to time: another VM may lead by then. */
-#define SPEED_CHANGE 0.15
-#define SPEED_AGAIN_MS 4000
 /* A report of a backend server that leaves may be lost. */
 #define LEAVING_AGAIN_MS 1000
 #define LISTEN_BACKLOG 1024
@@ -155,26 +151,11 @@
 	r->keys[r->nkeys++].key = (uint16_t)key;
 }
 
-/* Whether the leader, which places keys by it, should hear of the speed. */
-static bool
-speed_is_news(const struct dh_pool *p, int64_t now_ms)
-{
-	double told = p->told_work_ms, work = p->load.work_ms;
-
-	if (!p->keyed || !p->listed || work <= 0)
-		return false;
-	if (work > told * (1 + SPEED_CHANGE) ||
-	    work < told * (1 - SPEED_CHANGE))
-		return true;
-	return p->load.work_at_ms > p->told_ms &&
-	    now_ms - p->told_ms >= SPEED_AGAIN_MS;
-}
-
+/* The leader places keys by the speed of backend servers. */
 static void
 report_servers(struct dh_worker *w)
 {
 	struct dh_worker_report *r = w->report;
-	int64_t now_ms = dh_worker_now_ms(w);
 	GHashTableIter it;
 	gpointer value;
 
@@ -183,14 +164,17 @@
 	while (g_hash_table_iter_next(&it, NULL, &value) &&
 	    r->nservers < DH_REPORT_SERVERS) {
 		struct dh_pool *p = value;
+		struct dh_backend_load *l = &p->load;
 
-		if (!speed_is_news(p, now_ms))
+		if (!p->keyed || !p->listed || l->unreported == 0)
 			continue;
-		p->told_work_ms = (uint32_t)(p->load.work_ms + 0.5);
-		p->told_ms = now_ms;
 		(void)g_strlcpy(r->servers[r->nservers].id, p->id,
 		    sizeof(r->servers[0].id));
-		r->servers[r->nservers++].work_ms = p->told_work_ms;
+		r->servers[r->nservers].samples = l->unreported;
+		r->servers[r->nservers++].work_ms =
+		    (uint32_t)(l->unreported_ms / l->unreported + 0.5);
+		l->unreported = 0;
+		l->unreported_ms = 0;
 	}
 }
 
--- a/gateway/worker.h
+++ b/gateway/worker.h
@@ -36,7 +36,8 @@
 	uint32_t keys_seen; /* of which so many are told */
 	struct {
 		char id[DH_NAME_MAX];
-		uint32_t work_ms;
+		uint32_t work_ms; /* mean of the measurements */
+		uint32_t samples;
 	} servers[DH_REPORT_SERVERS];
 	uint32_t nservers;
 	/* Backend servers whose answers say that they are leaving. */
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -34,8 +34,6 @@
 	int64_t born_ms; /* of this life */
 	int64_t leaving_ms; /* since an answer said that it leaves; 0: none */
 	int64_t told_leaving_ms; /* last reported */
-	uint32_t told_work_ms; /* last reported */
-	int64_t told_ms;
 	bool listed; /* in the current view, and open */
 };
 
--- a/include/dogwoodhub/choice.h
+++ b/include/dogwoodhub/choice.h
@@ -23,6 +23,9 @@
 struct dh_backend_load {
 	double work_ms; /* a request that does not wait; 0: not known */
 	int64_t work_at_ms;
+	/* Measured since it was last reported: the sum, and of how many. */
+	double unreported_ms;
+	uint32_t unreported;
 	double others; /* requests of other routers there, estimated */
 	int64_t others_at_ms;
 	double failing; /* share of recent requests that failed there */
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -122,10 +122,10 @@
 /* dh_keyspace_demand -- a request for key was seen by some router. */
 void dh_keyspace_demand(struct dh_keyspace *ks, uint32_t key);
 
-/* dh_keyspace_set_speed -- how long a request takes at a backend server when
- * it does not wait, in milliseconds, as routers measure it. */
-void dh_keyspace_set_speed(
-    struct dh_keyspace *ks, const char *server, double work_ms);
+/* dh_keyspace_measured -- how long requests took at a backend server without
+ * their waiting, in milliseconds: the mean of so many that routers measured. */
+void dh_keyspace_measured(struct dh_keyspace *ks, const char *server,
+    double work_ms, uint32_t samples);
 
 /* dh_keyspace_plan -- look for ranges without a living owner and for
  * backend servers with too much or too little load, and plan changes. */
--- a/tests/test_keyplan.c
+++ b/tests/test_keyplan.c
@@ -273,8 +273,8 @@
 		for (; p->fresh[k] > 0; p->fresh[k]--)
 			dh_keyspace_demand(p->ks, k);
 	for (k = 0; k < p->l.servers; k++)
-		dh_keyspace_set_speed(
-		    p->ks, p->list[k].id, p->l.work_ms / p->speed[k]);
+		dh_keyspace_measured(
+		    p->ks, p->list[k].id, p->l.work_ms / p->speed[k], 8);
 }
 
 static void
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -799,6 +800,56 @@
 
 /* Neighbouring keys that leave one owner for several: one release for all of
  * them, and each new owner is granted its own when that is answered. */
+/* The same load, and each router tells of the few requests that it had there:
+ * work varies from one to the next, and half of the backend servers take twice
+ * as long.  Whether the hot key's owner is a fast one. */
+static bool
+hot_key_goes_to_fast(uint64_t seed)
+{
+	struct dh_keyspace_server list[8];
+	struct dh_keyspace *ks;
+	const struct dh_key_range *r;
+	struct dh_rng rng = { seed };
+	char id[2] = { 0 }, owner = 0;
+	int64_t t = 480;
+	double work_ms;
+	size_t n, i, k;
+
+	for (i = 0; i < 8; i++) {
+		id[0] = (char)('a' + i);
+		list[i] = server(id, 1);
+	}
+	ks = settled(list, 8);
+	for (k = 0; k < 10; k++) {
+		play_demand(ks, list, 8, &t, 500, 30000, 1, 0.5, 250, &rng);
+		for (i = 0; i < 8 * 5; i++) {
+			work_ms = i % 2 == 0 ? 80 : 160;
+			work_ms *= -log(1.0 - dh_rng_unit(&rng));
+			dh_keyspace_measured(
+			    ks, list[i % 8].id, work_ms + 1, 1);
+		}
+	}
+	(void)dh_keyspace_current(ks, &r, &n);
+	for (i = 0; i < n; i++)
+		if (r[i].from <= 30000 && r[i].to >= 30000)
+			owner = r[i].owner[0];
+	dh_keyspace_free(ks);
+	return (owner - 'a') % 2 == 0;
+}
+
+static void
+test_hot_key_goes_to_a_fast_backend_server(void)
+{
+	uint64_t seed;
+	int fast = 0;
+
+	for (seed = 1; seed <= 40; seed++)
+		fast += hot_key_goes_to_fast(seed);
+	CU_ASSERT_TRUE(fast >= 38);
+	if (fast < 38)
+		printf("fast in %d of 40", fast);
+}
+
 static void
 test_neighbours_are_released_together(void)
 {
@@ -920,6 +971,8 @@
 		{ "another leader", test_refused_grant_shows_another_leader },
 		{ "hot range", test_hot_range_is_spread_within_two_seconds },
 		{ "hot key", test_hot_key_is_left_alone },
+		{ "hot key, speeds",
+		    test_hot_key_goes_to_a_fast_backend_server },
 		{ "released together", test_neighbours_are_released_together },
 		{ "calm", test_calm_demand_moves_nothing },
 		{ "new backend server", test_new_backend_server_gets_keys },
