--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -822,7 +822,7 @@
 	ks = settled(list, 8);
 	for (k = 0; k < 10; k++) {
 		play_demand(ks, list, 8, &t, 500, 30000, 1, 0.5, 250, &rng);
-		for (i = 0; i < 8 * 5; i++) {
+		for (i = 0; i < 40; i++) {
 			work_ms = i % 2 == 0 ? 80 : 160;
 			work_ms *= -log(1.0 - dh_rng_unit(&rng));
 			dh_keyspace_measured(
