Keyspace: a move that the store refused is not carried out by a later record

Cause: a write of the record that is refused for certain (the store is busy) took back that its moves may be stored, but not in which export they were. If the range was being renewed at the next export, the move was left out of that record, and was carried out all the same once that one was stored: its new owner was granted keys that the record gave to the old one, and the next leader renewed the old one.

Ruled out: joining of ranges at a take-over (former and settled are looked at); a former leader that renews (its token was the newer one).

Test: test_keyspace 'move left out', fails before. The schedules have a store that refuses writes.

--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -610,6 +610,37 @@
 	dh_keyspace_free(ks);
 }
 
+/* A move was refused by a busy store, and is left out of the next record, since
+ * its range is being renewed: that record does not carry it out. */
+static void
+test_move_left_out_of_the_record(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = settled(list, 2);
+	const struct dh_key_range *r;
+	struct dh_key_order o;
+	uint64_t next, serial;
+	size_t n, i;
+
+	list[0].leaving = true;
+	dh_keyspace_set_servers(ks, list, 2);
+	dh_keyspace_plan(ks, 300);
+	serial = dh_keyspace_export(ks, 300, &r, &n, &next);
+	dh_keyspace_not_stored(ks, serial);
+	/* Renewals without an answer yet. */
+	while (dh_keyspace_next(ks, 900, &o))
+		CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
+	serial = dh_keyspace_export(ks, 910, &r, &n, &next);
+	CU_ASSERT_NOT_EQUAL_FATAL(serial, 0);
+	for (i = 0; i < n; i++)
+		CU_ASSERT_STRING_EQUAL(r[i].former, "");
+	dh_keyspace_stored(ks, serial);
+	(void)dh_keyspace_current(ks, &r, &n);
+	for (i = 0; i < n; i++)
+		CU_ASSERT_TRUE(r[i].settled);
+	dh_keyspace_free(ks);
+}
+
 /* The store has lost the record: leases go on under their tokens, but no key
  * goes to another before all is stored again, and then with a token that no
  * forgotten leader can have given. */
@@ -966,6 +997,7 @@
 		    test_no_renewal_while_a_move_may_be_on_record },
 		{ "renewal under way",
 		    test_no_move_on_record_while_a_renewal_is_under_way },
+		{ "move left out", test_move_left_out_of_the_record },
 		{ "record forgotten", test_record_was_forgotten },
 		{ "record not trusted", test_record_is_not_trusted },
 		{ "another leader", test_refused_grant_shows_another_leader },
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -65,7 +65,7 @@
 	struct dh_key_range *ranges; /* a write */
 	size_t n;
 	uint64_t next, serial, term, revision, era;
-	bool taken, distrusted;
+	bool taken, refused, distrusted;
 };
 
 struct leader {
@@ -294,8 +294,11 @@
 {
 	struct event back = *e;
 
+	/* Busy: nothing was done, and never will be. */
+	back.refused = w->now_ms < CALM_MS && !e->mute && chance(w, 10);
 	/* What was on its way when the store went back counts as lost. */
-	back.taken = e->era == w->era && e->revision == w->store.revision;
+	back.taken = !back.refused && e->era == w->era &&
+	    e->revision == w->store.revision;
 	if (back.taken) {
 		w->store.term = e->term;
 		w->store.distrusted = e->distrusted;
@@ -358,6 +361,10 @@
 		return;
 	}
 	l->writing = false;
+	if (e->refused) {
+		dh_keyspace_not_stored(l->ks, e->serial);
+		return;
+	}
 	if (!e->taken) {
 		/* A rival has written: this one finds its term over. */
 		depose(l);
