--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -322,7 +322,9 @@
 	if (ks->next_fence <= fence_floor)
 		ks->next_fence = fence_floor + 1;
 	for (i = 0; i < ks->nranges; i++) {
-		ks->ranges[i].pending_serial = ks->ranges[i].pending_first = 0;
+		/* Another leader may have read a move before it was lost:
+		 * the range is still not renewed. */
+		ks->ranges[i].pending_serial = 0;
 		ks->ranges[i].foreign_ms = ks->foreign_ms;
 	}
 	return true;
