--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -676,8 +676,8 @@
 }
 
 void
-dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms,
-    uint32_t samples)
+dh_duty_speed(
+    struct dh_duty *d, const char *server, uint32_t work_ms, uint32_t samples)
 {
 	dh_keyspace_measured(d->ks, server, work_ms, samples);
 }
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -63,8 +63,8 @@
 /* dh_duty_demand, dh_duty_speed -- what routers have seen: a request, the mean
  * of so many measurements. */
 void dh_duty_demand(struct dh_duty *d, uint32_t key);
-void dh_duty_speed(struct dh_duty *d, const char *server, uint32_t work_ms,
-    uint32_t samples);
+void dh_duty_speed(
+    struct dh_duty *d, const char *server, uint32_t work_ms, uint32_t samples);
 
 /* dh_duty_record -- the owners as last published; NULL before the first. */
 const struct dh_record *dh_duty_record(const struct dh_duty *d);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -170,8 +170,7 @@
 		for (i = 0; i < r->servers->len; i++) {
 			s = &g_array_index(
 			    r->servers, struct dh_peer_server, i);
-			dh_duty_speed(
-			    value, s->id, s->work_ms, s->samples);
+			dh_duty_speed(value, s->id, s->work_ms, s->samples);
 		}
 	for (i = 0; i < r->leaving->len; i++) {
 		const struct dh_peer_leaving *l =
