--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -265,6 +265,14 @@
 	dh_record_clear(&before);
 }
 
+/* Whether an answer is of the era that was known; if not the duty may be gone.
+ */
+static bool
+is_current(const struct dh_duty *d, const struct dh_objects_reply *r)
+{
+	return dh_era_current(dh_registry_era(d->c.registry), r->era);
+}
+
 static void
 store_failed(struct dh_duty *d, const char *why)
 {
@@ -350,7 +358,7 @@
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
-	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+	if (!is_current(d, r))
 		return;
 	switch (r->result) {
 	case DH_OBJECTS_OK:
@@ -390,7 +398,7 @@
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
-	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+	if (!is_current(d, r))
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		compare(d, &r->items[0]);
@@ -415,7 +423,7 @@
 	struct dh_record record = { 0 };
 
 	d->call = NULL;
-	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+	if (!is_current(d, r))
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		if (dh_record_parse(&record, r->items[0].spec, &error) &&
@@ -517,7 +525,7 @@
 	struct dh_record record = { 0 };
 
 	d->call = NULL;
-	if (!dh_era_current(dh_registry_era(d->c.registry), r->era))
+	if (!is_current(d, r))
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		d->revision = r->items[0].revision;
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -161,7 +161,7 @@
 		.registry = o->c.registry,
 		.kind = DH_OWNERS_KIND,
 		.term = o->term,
-		.era = dh_era_number(dh_registry_era(o->c.registry)),
+		.era = owners_era(o),
 		.vms = count_vms,
 		.published = on_published,
 		.confirmed = on_confirmed,
@@ -182,7 +182,7 @@
 static uint64_t
 next_term(const struct dh_owners *o)
 {
-	uint64_t era = dh_era_number(dh_registry_era(o->c.registry));
+	uint64_t era = owners_era(o);
 
 	return MAX(o->term, dh_era_floor(era)) + 1;
 }
@@ -251,7 +251,7 @@
 	gpointer duty;
 
 	o->call = NULL;
-	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+	if (!owners_is_current(o, r->era))
 		return;
 	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
 	if (o->confirm_failed)
@@ -272,11 +272,11 @@
 on_reclaim_read(void *arg, const struct dh_objects_reply *r)
 {
 	struct dh_owners *o = arg;
-	uint64_t era = dh_era_number(dh_registry_era(o->c.registry));
+	uint64_t era = owners_era(o);
 	uint64_t term;
 
 	o->call = NULL;
-	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+	if (!owners_is_current(o, r->era))
 		return;
 	o->confirm_failed = false;
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
@@ -314,7 +314,7 @@
 	struct dh_owners *o = arg;
 
 	o->call = NULL;
-	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+	if (!owners_is_current(o, r->era))
 		return;
 	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
 	if (o->confirm_failed)
@@ -341,7 +341,7 @@
 {
 	struct dh_beat beat = { .term = o->term,
 		.failing = failing(o, now_ms),
-		.era = dh_era_number(dh_registry_era(o->c.registry)) };
+		.era = owners_era(o) };
 	GHashTableIter it;
 	gpointer ip, value;
 
@@ -369,7 +369,7 @@
 	struct dh_owners *o = arg;
 
 	o->strong_call = NULL;
-	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+	if (!owners_is_current(o, r->era))
 		return;
 	if (r->nitems == 1)
 		o->strong_revision = r->items[0].revision;
@@ -503,7 +503,7 @@
 	struct dh_owners *o = arg;
 
 	o->call = NULL;
-	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+	if (!owners_is_current(o, r->era))
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		o->revision = r->items[0].revision;
@@ -533,7 +533,7 @@
 	bool heard = o->sign_ms > o->asked_ms;
 
 	o->call = NULL;
-	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+	if (!owners_is_current(o, r->era))
 		return;
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
 		o->revision = 0;
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -31,8 +31,7 @@
 	}
 	o->beat_heard_ms = dh_clock_ms();
 	/* One of an earlier era has yet to hear that the store went back. */
-	current = dh_era_current(dh_registry_era(o->c.registry), beat->era) ||
-	    beat->era == dh_era_number(dh_registry_era(o->c.registry));
+	current = owners_is_current(o, beat->era) || beat->era == owners_era(o);
 	owners_follow_store(
 	    o, beat->failing || !current ? NULL : beat->cursors);
 	if (beat->failing)
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -120,6 +120,18 @@
 		owners_adopt_leader(o, term, vm, member_text(v->spec, "ip"));
 }
 
+uint64_t
+owners_era(const struct dh_owners *o)
+{
+	return dh_era_number(dh_registry_era(o->c.registry));
+}
+
+bool
+owners_is_current(const struct dh_owners *o, uint64_t era)
+{
+	return dh_era_current(dh_registry_era(o->c.registry), era);
+}
+
 struct peer_state *
 owners_peer(struct dh_owners *o, const char *ip)
 {
@@ -193,7 +205,7 @@
 	struct dh_owners *o = arg;
 
 	o->announcement = NULL;
-	if (!dh_era_current(dh_registry_era(o->c.registry), r->era))
+	if (!owners_is_current(o, r->era))
 		return;
 	o->announced = r->result == DH_OBJECTS_OK ||
 	    (r->result == DH_OBJECTS_CONFLICT && r->nitems == 1 &&
