Election: a leader that reclaims its term knows its own write

Cause: when the store went back and the answer to the write of the new term was lost, the next read showed a term above the leader's own, and it gave way to itself: keys were without an owner until another one had distrusted the record (4.6 s). Seen by reading the change.

Now the incarnation is looked at. Test: test_owners 'went back, lost answer', fails before.

--- a/gateway/election.c
+++ b/gateway/election.c
@@ -287,7 +287,9 @@
 	} else {
 		term = (uint64_t)dh_json_int(r->items[0].spec, "term");
 		o->revision = r->items[0].revision;
-		if (term > dh_era_floor(era) && term > o->term) {
+		/* One's own write, of which no answer came, may stand there. */
+		if (term > dh_era_floor(era) && term > o->term &&
+		    !owners_is_own(o, r->items[0].spec)) {
 			owners_become_follower(
 			    o, "another leads since the store went back");
 			return;
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -103,16 +103,21 @@
 	return json_object_get_string(v);
 }
 
+bool
+owners_is_own(const struct dh_owners *o, struct json_object *spec)
+{
+	return strcmp(member_text(spec, "incarnation"), o->incarnation) == 0;
+}
+
 void
 owners_see_leader(struct dh_owners *o, const struct dh_object_view *v)
 {
 	uint64_t term = (uint64_t)dh_json_int(v->spec, "term");
 	const char *vm = member_text(v->spec, "vm");
-	const char *incarnation = member_text(v->spec, "incarnation");
 
 	if (v->revision > o->revision)
 		o->revision = v->revision;
-	if (term < o->term || strcmp(incarnation, o->incarnation) == 0)
+	if (term < o->term || owners_is_own(o, v->spec))
 		return;
 	if (o->role == ROLE_LEADER && term > o->term)
 		owners_become_follower(o, "the store names another leader");
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -116,6 +116,8 @@
     struct dh_owners *o, uint64_t term, const char *vm, const char *ip);
 /* The leader's object, from a list, a watch or a read. */
 void owners_see_leader(struct dh_owners *o, const struct dh_object_view *v);
+/* Whether this process wrote that spec of the leader's object. */
+bool owners_is_own(const struct dh_owners *o, struct json_object *spec);
 /* The era of the store's data, and whether what bears another may be used: if
  * not, all that depends on it has been told. */
 uint64_t owners_era(const struct dh_owners *o);
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -447,6 +447,40 @@
 	end(&fx);
 }
 
+/* Its write had no answer, and took effect. */
+static void
+test_lost_answer_when_the_store_went_back(void)
+{
+	g_autofree char *written = NULL;
+	struct fixture fx;
+	int i;
+
+	lead_in_first_era(&fx);
+	fake_era = 2;
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, NULL, 0);
+	for (i = 0; i < 60 && dh_owners_leads(fx.owners); i++) {
+		run_for(&fx, 20);
+		if (fake_open("leader") == NULL)
+			continue;
+		if (fake_open("leader")->put == NULL) {
+			answer_with("leader",
+			    written == NULL ? DH_OBJECTS_NOT_FOUND
+					    : DH_OBJECTS_OK,
+			    31, written == NULL ? "{}" : written);
+			continue;
+		}
+		if (written != NULL)
+			break;
+		written = g_strdup(fake_open("leader")->put);
+		fake_answer("leader", DH_OBJECTS_UNKNOWN, 0, NULL, 0);
+	}
+	CU_ASSERT_TRUE(dh_owners_leads(fx.owners));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
+	CU_ASSERT_EQUAL(fake_open("leader")->revision, 31);
+	fake_era = 0;
+	end(&fx);
+}
+
 /* Another was first in the new era. */
 static void
 test_leader_gives_way_when_the_store_went_back(void)
@@ -477,6 +511,8 @@
 		{ "stalled", test_stalled_leader_orders_nothing },
 		{ "address", test_address_that_stands },
 		{ "went back", test_leader_goes_on_when_the_store_went_back },
+		{ "went back, lost answer",
+		    test_lost_answer_when_the_store_went_back },
 		{ "went back, replaced",
 		    test_leader_gives_way_when_the_store_went_back },
 		CU_TEST_INFO_NULL,
