--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -13,11 +13,11 @@
 #include "platform/wire.h"
 #include "tests/cunit_main.h"
 #include "tests/fake_objects.h"
+#include "tests/free_port.h"
 
 #define KIND "dogwoodhub-owners"
 #define SELF "127.0.0.1"
 #define OTHER "127.0.0.2"
-#define PORT 17433
 
 static const char config[] =
     "{\"version\":1,\"limits\":{\"header_bytes\":16384,\"body_bytes\":65536,"
@@ -25,6 +25,8 @@
     "\"clusters\":[{\"name\":\"s\",\"health_path\":\"/health/\","
     "\"max_conns\":10,\"sharded\":true}]}";
 
+static uint16_t port; /* of all VMs */
+
 struct fixture {
 	uv_loop_t loop;
 	struct dh_http *http;
@@ -121,7 +123,7 @@
 	memset(fx, 0, sizeof(*fx));
 	(void)g_strlcpy(fx->settings.vm, "vm-1", sizeof(fx->settings.vm));
 	(void)g_strlcpy(fx->settings.zone, "z", sizeof(fx->settings.zone));
-	fx->settings.peer_port = PORT;
+	fx->settings.peer_port = port;
 	fx->settings.beat_ms = 60;
 	fx->settings.silence_ms = 200;
 	fx->settings.solo_ms = 15000;
@@ -141,7 +143,7 @@
 	c.registry = fx->reg;
 	fx->owners = dh_owners_new(&c, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->owners);
-	fx->other = dh_peer_new(&fx->loop, OTHER, PORT, &h, NULL);
+	fx->other = dh_peer_new(&fx->loop, OTHER, port, &h, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->other);
 	fake_answer(KIND, DH_OBJECTS_OK, 10, items, n);
 }
@@ -518,5 +520,6 @@
 		CU_TEST_INFO_NULL,
 	};
 
+	port = free_port();
 	return cunit_main("owners", tests);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -2,12 +2,14 @@
 
 #include "gateway/peer.h"
 #include "tests/cunit_main.h"
+#include "tests/free_port.h"
 
-#define PORT 27311
 #define FROM "127.0.0.1"
 #define TO "127.0.0.2"
 #define ITEMS 300
 
+static uint16_t port; /* of all VMs */
+
 struct fixture {
 	uv_loop_t loop;
 	struct dh_peer *from, *to;
@@ -89,8 +91,8 @@
 	memset(fx, 0, sizeof(*fx));
 	fx->in_order = true;
 	uv_loop_init(&fx->loop);
-	fx->from = dh_peer_new(&fx->loop, FROM, PORT, &h, NULL);
-	fx->to = dh_peer_new(&fx->loop, TO, PORT, &h, NULL);
+	fx->from = dh_peer_new(&fx->loop, FROM, port, &h, NULL);
+	fx->to = dh_peer_new(&fx->loop, TO, port, &h, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->from);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->to);
 }
@@ -217,7 +219,7 @@
 
 	start(&fx);
 	uv_udp_init(&fx.loop, &udp);
-	uv_ip4_addr(TO, PORT, &to);
+	uv_ip4_addr(TO, port, &to);
 	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
 		buf = uv_buf_init(
 		    (char *)(uintptr_t)bad[i], (unsigned int)len[i]);
@@ -243,5 +245,6 @@
 		CU_TEST_INFO_NULL,
 	};
 
+	port = free_port();
 	return cunit_main("peer", tests);
 }
