Era: an answer of an earlier era is as good as none, in one place

Cause: whoever asked the store dropped an answer of another era. That is right where the era is later, for then all start anew; of an earlier one nobody is told, and a VM that was about to lead stayed so for good.

Change: dh_era_answer() hands such an answer on as one without a result, which each caller knows what to do with already. Two small functions fewer; a name that said less than it does (drop_unstored). Test: test_owners 'earlier era', fails before.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -265,14 +265,6 @@
 	dh_record_clear(&before);
 }
 
-/* Whether an answer is of the era that was known; if not the duty may be gone.
- */
-static bool
-is_current(const struct dh_duty *d, const struct dh_objects_reply *r)
-{
-	return dh_era_current(dh_registry_era(d->c.registry), r->era);
-}
-
 static void
 store_failed(struct dh_duty *d, const char *why)
 {
@@ -355,10 +347,12 @@
 static void
 on_written(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
-	if (!is_current(d, r))
+	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
+	if (r == NULL)
 		return;
 	switch (r->result) {
 	case DH_OBJECTS_OK:
@@ -395,10 +389,12 @@
 static void
 on_compared(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
-	if (!is_current(d, r))
+	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
+	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		compare(d, &r->items[0]);
@@ -418,12 +414,14 @@
 static void
 on_found_again(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_duty *d = arg;
 	g_autoptr(GError) error = NULL;
 	struct dh_record record = { 0 };
 
 	d->call = NULL;
-	if (!is_current(d, r))
+	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
+	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		if (dh_record_parse(&record, r->items[0].spec, &error) &&
@@ -520,12 +518,14 @@
 static void
 on_loaded(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_duty *d = arg;
 	g_autoptr(GError) error = NULL;
 	struct dh_record record = { 0 };
 
 	d->call = NULL;
-	if (!is_current(d, r))
+	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
+	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		d->revision = r->items[0].revision;
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -161,7 +161,7 @@
 		.registry = o->c.registry,
 		.kind = DH_OWNERS_KIND,
 		.term = o->term,
-		.era = owners_era(o),
+		.era = dh_era_number(owners_known_era(o)),
 		.vms = count_vms,
 		.published = on_published,
 		.confirmed = on_confirmed,
@@ -182,7 +182,7 @@
 static uint64_t
 next_term(const struct dh_owners *o)
 {
-	uint64_t era = owners_era(o);
+	uint64_t era = dh_era_number(owners_known_era(o));
 
 	return MAX(o->term, dh_era_floor(era)) + 1;
 }
@@ -205,7 +205,7 @@
 /* --- the store went back --- */
 
 static gboolean
-drop_unloaded(gpointer key, gpointer value, gpointer era)
+drop_unstored(gpointer key, gpointer value, gpointer era)
 {
 	(void)key;
 	if (dh_duty_went_back(value, *(const uint64_t *)era))
@@ -238,7 +238,7 @@
 		o->went_back_ms = dh_clock_ms();
 		o->asked_ms = 0;
 		o->confirm_failed = false;
-		g_hash_table_foreach_remove(o->duties, drop_unloaded, &era);
+		g_hash_table_foreach_remove(o->duties, drop_unstored, &era);
 		return;
 	}
 }
@@ -246,12 +246,14 @@
 static void
 on_reclaimed(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 	GHashTableIter it;
 	gpointer duty;
 
 	o->call = NULL;
-	if (!owners_is_current(o, r->era))
+	r = dh_era_answer(owners_known_era(o), r, &none);
+	if (r == NULL)
 		return;
 	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
 	if (o->confirm_failed)
@@ -271,12 +273,14 @@
 static void
 on_reclaim_read(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
-	uint64_t era = owners_era(o);
+	uint64_t era = dh_era_number(owners_known_era(o));
 	uint64_t term;
 
 	o->call = NULL;
-	if (!owners_is_current(o, r->era))
+	r = dh_era_answer(owners_known_era(o), r, &none);
+	if (r == NULL)
 		return;
 	o->confirm_failed = false;
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
@@ -313,10 +317,12 @@
 static void
 on_confirm(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
 	o->call = NULL;
-	if (!owners_is_current(o, r->era))
+	r = dh_era_answer(owners_known_era(o), r, &none);
+	if (r == NULL)
 		return;
 	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
 	if (o->confirm_failed)
@@ -343,7 +349,7 @@
 {
 	struct dh_beat beat = { .term = o->term,
 		.failing = failing(o, now_ms),
-		.era = owners_era(o) };
+		.era = dh_era_number(owners_known_era(o)) };
 	GHashTableIter it;
 	gpointer ip, value;
 
@@ -368,10 +374,12 @@
 static void
 on_strong_written(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
 	o->strong_call = NULL;
-	if (!owners_is_current(o, r->era))
+	r = dh_era_answer(owners_known_era(o), r, &none);
+	if (r == NULL)
 		return;
 	if (r->nitems == 1)
 		o->strong_revision = r->items[0].revision;
@@ -502,10 +510,12 @@
 static void
 on_taken(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
 	o->call = NULL;
-	if (!owners_is_current(o, r->era))
+	r = dh_era_answer(owners_known_era(o), r, &none);
+	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		o->revision = r->items[0].revision;
@@ -530,12 +540,14 @@
 static void
 on_read(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 	uint64_t term = o->term;
 	bool heard = o->sign_ms > o->asked_ms;
 
 	o->call = NULL;
-	if (!owners_is_current(o, r->era))
+	r = dh_era_answer(owners_known_era(o), r, &none);
+	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
 		o->revision = 0;
--- a/gateway/era.c
+++ b/gateway/era.c
@@ -75,6 +75,18 @@
 	return false;
 }
 
+const struct dh_objects_reply *
+dh_era_answer(struct dh_era *e, const struct dh_objects_reply *reply,
+    struct dh_objects_reply *none)
+{
+	if (dh_era_current(e, reply->era))
+		return reply;
+	if (reply->era == e->number)
+		return NULL;
+	*none = (struct dh_objects_reply){ .result = DH_OBJECTS_UNKNOWN };
+	return none;
+}
+
 uint64_t
 dh_era_number(const struct dh_era *e)
 {
--- a/gateway/era.h
+++ b/gateway/era.h
@@ -6,6 +6,8 @@
 
 #include <dogwoodhub/era.h>
 
+#include "platform/objects.h"
+
 /*
  * The era of the store's data.  The store may come back from a copy that is
  * some seconds old: what was written since is gone, its revisions go back and
@@ -31,6 +33,14 @@
  */
 bool dh_era_current(struct dh_era *e, uint64_t era);
 
+/*
+ * dh_era_answer -- what an answer of the store says now: itself in the era that
+ * was known; none, an answer without a result, in an earlier one.  NULL in a
+ * later one: those who follow have been called, and who asked may be gone.
+ */
+const struct dh_objects_reply *dh_era_answer(struct dh_era *e,
+    const struct dh_objects_reply *reply, struct dh_objects_reply *none);
+
 /* dh_era_number -- the highest that was heard of; 0: none yet. */
 uint64_t dh_era_number(const struct dh_era *e);
 
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -31,7 +31,8 @@
 	}
 	o->beat_heard_ms = dh_clock_ms();
 	/* One of an earlier era has yet to hear that the store went back. */
-	current = owners_is_current(o, beat->era) || beat->era == owners_era(o);
+	current = dh_era_current(owners_known_era(o), beat->era) ||
+	    beat->era == dh_era_number(owners_known_era(o));
 	owners_follow_store(
 	    o, beat->failing || !current ? NULL : beat->cursors);
 	if (beat->failing)
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -125,16 +125,10 @@
 		owners_adopt_leader(o, term, vm, member_text(v->spec, "ip"));
 }
 
-uint64_t
-owners_era(const struct dh_owners *o)
+struct dh_era *
+owners_known_era(const struct dh_owners *o)
 {
-	return dh_era_number(dh_registry_era(o->c.registry));
-}
-
-bool
-owners_is_current(const struct dh_owners *o, uint64_t era)
-{
-	return dh_era_current(dh_registry_era(o->c.registry), era);
+	return dh_registry_era(o->c.registry);
 }
 
 struct peer_state *
@@ -207,10 +201,12 @@
 static void
 on_announced(void *arg, const struct dh_objects_reply *r)
 {
+	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
 	o->announcement = NULL;
-	if (!owners_is_current(o, r->era))
+	r = dh_era_answer(owners_known_era(o), r, &none);
+	if (r == NULL)
 		return;
 	o->announced = r->result == DH_OBJECTS_OK ||
 	    (r->result == DH_OBJECTS_CONFLICT && r->nitems == 1 &&
@@ -363,9 +359,9 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
 	owners_renew_patience(o);
 	dh_registry_set_witness(c->registry, store_was_fine, o);
-	dh_era_follow(dh_registry_era(c->registry), on_went_back, o);
+	dh_era_follow(owners_known_era(o), on_went_back, o);
 	o->mirror = dh_mirror_new(c->loop, c->objects, NULL,
-	    dh_registry_era(c->registry), DH_OWNERS_KIND, DH_STALE, &objects);
+	    owners_known_era(o), DH_OWNERS_KIND, DH_STALE, &objects);
 	o->timer = dh_timer_new(c->loop, o);
 	uv_timer_start(
 	    o->timer, on_timer, DH_OWNERS_STEP_MS, DH_OWNERS_STEP_MS);
@@ -378,7 +374,7 @@
 	if (o == NULL)
 		return;
 	dh_registry_set_witness(o->c.registry, NULL, NULL);
-	dh_era_unfollow(dh_registry_era(o->c.registry), o);
+	dh_era_unfollow(owners_known_era(o), o);
 	owners_drop_duties(o);
 	g_hash_table_destroy(o->duties);
 	dh_objects_cancel(o->call);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -118,10 +118,8 @@
 void owners_see_leader(struct dh_owners *o, const struct dh_object_view *v);
 /* Whether this process wrote that spec of the leader's object. */
 bool owners_is_own(const struct dh_owners *o, struct json_object *spec);
-/* The era of the store's data, and whether what bears another may be used: if
- * not, all that depends on it has been told. */
-uint64_t owners_era(const struct dh_owners *o);
-bool owners_is_current(const struct dh_owners *o, uint64_t era);
+/* The era of the store's data. */
+struct dh_era *owners_known_era(const struct dh_owners *o);
 struct peer_state *owners_peer(struct dh_owners *o, const char *ip);
 
 /* election.c */
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -212,12 +212,12 @@
 /* What the entries say now that they are not those of before the store went
  * back. */
 static void
-end_recall(struct dh_registry *reg)
+on_recall_timer(uv_timer_t *timer)
 {
+	struct dh_registry *reg = timer->data;
 	GHashTableIter it;
 	gpointer value;
 
-	reg->recalled_until_ms = 0;
 	g_hash_table_iter_init(&it, reg->servers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct known *k = value;
@@ -232,12 +232,6 @@
 	}
 }
 
-static void
-on_recall_timer(uv_timer_t *timer)
-{
-	end_recall(timer->data);
-}
-
 /* The store is a copy some seconds old.  Backend servers write their entries
  * again; what is missing is awaited, and what it says of those that have left
  * since may be old. */
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -483,6 +483,30 @@
 	end(&fx);
 }
 
+/* An answer of an earlier era is as good as none: this VM stands again. */
+static void
+test_answer_of_an_earlier_era(void)
+{
+	struct fixture fx;
+
+	fake_era = 2;
+	start(&fx, NULL, 0);
+	wait_for_question(&fx);
+	fake_era = 1;
+	answer_with("leader", DH_OBJECTS_OK, 90, "{\"term\":3}");
+	CU_ASSERT_PTR_NULL(fake_open("leader"));
+	wait_for_question(&fx);
+	fake_era = 2;
+	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
+	fake_era = 1;
+	answer_with("leader", DH_OBJECTS_OK, 91, "{}");
+	CU_ASSERT_FALSE(dh_owners_leads(fx.owners));
+	wait_for_question(&fx);
+	fake_era = 0;
+	end(&fx);
+}
+
 /* Another was first in the new era. */
 static void
 test_leader_gives_way_when_the_store_went_back(void)
@@ -515,6 +539,7 @@
 		{ "went back", test_leader_goes_on_when_the_store_went_back },
 		{ "went back, lost answer",
 		    test_lost_answer_when_the_store_went_back },
+		{ "earlier era", test_answer_of_an_earlier_era },
 		{ "went back, replaced",
 		    test_leader_gives_way_when_the_store_went_back },
 		CU_TEST_INFO_NULL,
