--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -309,6 +309,16 @@
 	}
 }
 
+/* A router sends one more there. */
+static void
+add_job(struct queue *q, struct dh_backend_load *l, int router, int64_t now)
+{
+	q->jobs[q->n++] = (struct job){ .router = router,
+		.sent_ms = now,
+		.ahead = dh_backend_ahead(l, now) };
+	dh_backend_sent(l);
+}
+
 /* Of the router's knowledge of n backend servers: all, or a sample first as
  * routers do it.  The index is that of the backend server. */
 static struct dh_choice
@@ -364,12 +374,8 @@
 				(*refused)++;
 				continue;
 			}
-			queues[c.index].jobs[queues[c.index].n++] =
-			    (struct job){ .router = router,
-				    .sent_ms = now,
-				    .ahead = dh_backend_ahead(
-					&load[router][c.index], now) };
-			dh_backend_sent(&load[router][c.index]);
+			add_job(&queues[c.index], &load[router][c.index],
+			    router, now);
 		}
 	}
 }
@@ -398,11 +404,7 @@
 		while (due >= 1) {
 			due -= 1;
 			router = (int)dh_rng_below(&rng, (uint64_t)routers);
-			q.jobs[q.n++] = (struct job){ .router = router,
-				.sent_ms = now,
-				.ahead =
-				    dh_backend_ahead(&load[router][0], now) };
-			dh_backend_sent(&load[router][0]);
+			add_job(&q, &load[router][0], router, now);
 		}
 	}
 	usual_work_ms = WORK_MS;
@@ -508,12 +510,7 @@
 				continue;
 			}
 			*crossed += list[c.index].tier == DH_TIER_REMOTE;
-			queues[c.index].jobs[queues[c.index].n++] =
-			    (struct job){ .router = r,
-				    .sent_ms = now,
-				    .ahead = dh_backend_ahead(
-					&load[r][c.index], now) };
-			dh_backend_sent(&load[r][c.index]);
+			add_job(&queues[c.index], &load[r][c.index], r, now);
 		}
 	}
 }
