Store: an era that counts from 0 is one as well

Cause: 0 meant 'not told' inside and on the wire. A store that begins with era 0 and comes back from a copy once would have been taken for one that tells its first era: nothing would have started anew. A VM's own list said 0 where it knew of none, and was complained of. Seen by reading the change.

Now the adapter decodes to numbers above 0, and a list of a VM that knows of none has no such header.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -138,11 +138,12 @@
     const char *method, const char *version, const char *data, size_t *len,
     void **state)
 {
-	const char *headers[] = { "Content-Type", "application/json",
-		dh_wire_headers.store_era, NULL, NULL };
+	const char *headers[] = { "Content-Type", "application/json", NULL,
+		NULL, NULL };
 	const char *kind = dh_objects_kind(url);
 	g_autofree char *era = NULL;
 	struct gateway *g = arg;
+	uint64_t number;
 	static int mark;
 	GString *list;
 	enum MHD_Result rc;
@@ -157,9 +158,12 @@
 	    : dh_registry_list(g->registry, kind);
 	if (list == NULL)
 		return dh_httpd_reply(c, 503, "", 0, NULL);
-	era = g_strdup_printf("%llu",
-	    (unsigned long long)dh_era_number(dh_registry_era(g->registry)));
-	headers[3] = era;
+	number = dh_era_number(dh_registry_era(g->registry));
+	if (number != 0) {
+		era = dh_wire_era_text(number);
+		headers[2] = dh_wire_headers.store_era;
+		headers[3] = era;
+	}
 	rc = dh_httpd_reply(c, 200, list->str, list->len, headers);
 	g_string_free(list, TRUE);
 	return rc;
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -85,7 +85,7 @@
 static GMutex lock;
 static GCond changed;
 static GPtrArray *objects;
-static uint64_t revision = 1, era = 1;
+static uint64_t revision = 1, era = 0;
 static GArray *history; /* of struct past */
 static int config_version = 1;
 static enum {
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -181,6 +181,27 @@
 	    release, "{\"from\":4096,\"to\":8191,\"fence\":12}");
 }
 
+/* Also a store that has never come back from a copy is told from one that says
+ * nothing. */
+static void
+test_store_era(void)
+{
+	g_autofree char *text = NULL;
+	uint64_t first = 0, next = 0, era = 7;
+
+	CU_ASSERT_TRUE(dh_wire_era("0", &first));
+	CU_ASSERT_TRUE(dh_wire_era("1", &next));
+	CU_ASSERT_NOT_EQUAL(first, 0);
+	CU_ASSERT_EQUAL(next, first + 1);
+	text = dh_wire_era_text(first);
+	CU_ASSERT_STRING_EQUAL(text, "0");
+	CU_ASSERT_FALSE(dh_wire_era("", &era));
+	CU_ASSERT_FALSE(dh_wire_era("-1", &era));
+	CU_ASSERT_FALSE(dh_wire_era("2x", &era));
+	CU_ASSERT_FALSE(dh_wire_era("99999999999999999999", &era));
+	CU_ASSERT_EQUAL(era, 7);
+}
+
 int
 main(void)
 {
@@ -192,6 +213,7 @@
 		    test_configurations_that_make_no_sense },
 		{ "headers", test_headers },
 		{ "orders", test_orders },
+		{ "store's era", test_store_era },
 		CU_TEST_INFO_NULL,
 	};
 
