Leader: one that is asked to stop leads until another does

Cause: a leader that got SIGTERM ordered nothing from that moment on and ended once its callers were done (2.3 s).

Ruled out: a hand-over without the store (the object "leader" arbitrates); danger in ordering on: such a leader is one that was replaced and has not heard of it yet, which the tokens and the record's condition bear.

Change: a resigned leader goes on as before, calling itself failing, until it hears of another. The process stays until then, at most grace_ms less the slack before the kill, if other VMs report to it.

--- a/gateway/election.c
+++ b/gateway/election.c
@@ -489,7 +489,7 @@
 	}
 	g_hash_table_iter_init(&it, o->duties);
 	while (g_hash_table_iter_next(&it, NULL, &duty))
-		dh_duty_step(duty, !solo && !o->resigned && !o->stalled);
+		dh_duty_step(duty, !solo && !o->stalled);
 	if (now_ms - o->confirmed_ms < CONFIRM_MS) {
 		o->take_pause_ms = 0;
 		write_strong(o, now_ms);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -53,7 +53,7 @@
 	uint32_t nworkers;
 	uint32_t ticks;
 	int64_t next_change_ms;
-	bool leaving;
+	int64_t leave_by_ms; /* 0: not asked to stop */
 };
 
 static void
@@ -95,7 +95,7 @@
 	struct gateway *g = arg;
 	static int mark;
 	bool ok = g->registry != NULL && dh_registry_ready(g->registry) &&
-	    !g->leaving;
+	    g->leave_by_ms == 0;
 
 	(void)method;
 	(void)version;
@@ -222,9 +222,9 @@
 {
 	uint32_t i;
 
-	if (g->leaving)
+	if (g->leave_by_ms != 0)
 		return;
-	g->leaving = true;
+	g->leave_by_ms = dh_clock_ms() + g->settings.grace_ms - DRAIN_SLACK_MS;
 	dh_ops(DH_OPS_STATE, "process.stopping", ",\"leads\":%s",
 	    g->owners != NULL && dh_owners_leads(g->owners) ? "true" : "false");
 	if (g->owners != NULL)
@@ -256,6 +256,15 @@
 	return true;
 }
 
+/* Leases that only this VM renews are worth the whole time of the drain. */
+static bool
+may_end(const struct gateway *g)
+{
+	return workers_done(g) &&
+	    (g->owners == NULL || !dh_owners_needed(g->owners) ||
+		dh_clock_ms() >= g->leave_by_ms);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -273,7 +282,7 @@
 		publish(g);
 	if (++g->ticks % SETTINGS_TICKS == 0)
 		look_at_settings(g);
-	if (g->leaving && workers_done(g))
+	if (g->leave_by_ms != 0 && may_end(g))
 		uv_stop(&g->loop);
 }
 
@@ -352,7 +361,7 @@
 	c.registry = g->registry;
 	g->owners = dh_owners_new(&c, &error);
 	if (g->owners != NULL) {
-		if (g->leaving)
+		if (g->leave_by_ms != 0)
 			dh_owners_resign(g->owners);
 		return;
 	}
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -483,6 +483,12 @@
 		owners_send_beats(o, dh_clock_ms());
 }
 
+bool
+dh_owners_needed(const struct dh_owners *o)
+{
+	return o->role == ROLE_LEADER && !o->solo && o->vms > 1;
+}
+
 bool
 dh_owners_leads(const struct dh_owners *o)
 {
--- a/gateway/owners.h
+++ b/gateway/owners.h
@@ -46,9 +46,14 @@
 /* dh_owners_seen -- what a worker has seen. */
 void dh_owners_seen(struct dh_owners *o, const struct dh_worker_report *r);
 
-/* dh_owners_resign -- lead no more: this VM is about to stop. */
+/* dh_owners_resign -- this VM is about to stop: it does not take the lead any
+ * more, and leads only until another VM does. */
 void dh_owners_resign(struct dh_owners *o);
 
+/* dh_owners_needed -- whether nobody would renew the leases of backend servers,
+ * on which other VMs rely, if this one stopped now. */
+bool dh_owners_needed(const struct dh_owners *o);
+
 bool dh_owners_leads(const struct dh_owners *o);
 
 #endif
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -171,6 +171,22 @@
 	run_for(fx, 20);
 }
 
+/* The other VM is there, and follows. */
+static void
+report(struct fixture *fx)
+{
+	struct dh_peer_report r = { .vm = "vm-2" };
+
+	r.keys = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_key));
+	r.servers = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_server));
+	r.leaving = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_leaving));
+	dh_peer_send_report(fx->other, SELF, &r);
+	run_for(fx, 100);
+	g_array_unref(r.keys);
+	g_array_unref(r.servers);
+	g_array_unref(r.leaving);
+}
+
 /* Wait until this VM asks the store who leads. */
 static void
 wait_for_question(struct fixture *fx)
@@ -317,65 +333,142 @@
 	return n;
 }
 
-/* A leader that stood still may have a successor: it orders nothing before the
- * store has said that it still leads, or a successor has had the time for some
- * heartbeats. */
-static void
-check_stalled(bool confirmed, bool replaced)
+/* A backend server that answers no order: a socket which listens. */
+struct silent_server {
+	int fd;
+	char *entry; /* in the store */
+};
+
+static struct silent_server
+silent_server_start(void)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), i, seen = 0;
-	g_autofree char *leader = NULL;
-	g_autofree char *entry = NULL;
-	struct fixture fx;
+	struct silent_server s = { .fd = socket(AF_INET,
+				       SOCK_STREAM | SOCK_NONBLOCK, 0) };
 
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	CU_ASSERT_EQUAL_FATAL(
-	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
-	CU_ASSERT_EQUAL_FATAL(listen(fd, 64), 0);
+	    bind(s.fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(s.fd, 64), 0);
 	CU_ASSERT_EQUAL_FATAL(
-	    getsockname(fd, (struct sockaddr *)&sin, &len), 0);
-	entry = g_strdup_printf(
+	    getsockname(s.fd, (struct sockaddr *)&sin, &len), 0);
+	s.entry = g_strdup_printf(
 	    "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
 	    "\"version\":\"1\",\"slots\":2,\"state\":\"ready\",\"sequence\":1,"
 	    "\"cold_left_s\":0,\"born\":5}",
 	    ntohs(sin.sin_port));
-	start(&fx, NULL, 0);
-	run_for(&fx, 350);
-	answer_with(dh_wire_kind_servers, DH_OBJECTS_OK, 11, entry);
-	wait_for_question(&fx);
+	return s;
+}
+
+static void
+silent_server_end(struct silent_server *s)
+{
+	(void)close(s->fd);
+	g_free(s->entry);
+}
+
+/* Leads, and has ordered.  Returns the leader's object, for g_free(). */
+static char *
+lead_and_order(struct fixture *fx, const struct silent_server *s)
+{
+	char *leader;
+	int i, seen = 0;
+
+	start(fx, NULL, 0);
+	run_for(fx, 350);
+	answer_with(dh_wire_kind_servers, DH_OBJECTS_OK, 11, s->entry);
+	wait_for_question(fx);
 	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
 	leader = g_strdup(fake_open("leader")->put);
 	answer_with("leader", DH_OBJECTS_OK, 41, leader);
-	CU_ASSERT_TRUE(dh_owners_leads(fx.owners));
+	CU_ASSERT_TRUE(dh_owners_leads(fx->owners));
 	for (i = 0; i < 100 && seen == 0; i++) {
-		run_for(&fx, 10);
+		run_for(fx, 10);
 		answer_with("service.s", DH_OBJECTS_NOT_FOUND, 0, "{}");
 		if (fake_open("service.s") != NULL &&
 		    fake_open("service.s")->put != NULL)
 			answer_with("service.s", DH_OBJECTS_OK, 50, "{}");
-		seen += take_connections(fd);
+		seen += take_connections(s->fd);
 	}
 	CU_ASSERT_TRUE(seen > 0);
+	return leader;
+}
+
+/* A leader that stood still may have a successor: it orders nothing before the
+ * store has said that it still leads, or a successor has had the time for some
+ * heartbeats. */
+static void
+check_stalled(bool confirmed, bool replaced)
+{
+	struct silent_server s = silent_server_start();
+	g_autofree char *leader = NULL;
+	struct fixture fx;
+	int i, seen = 0;
+
+	leader = lead_and_order(&fx, &s);
 	fx.settings.beat_ms = 300; /* longer than a busy machine stands still */
 	g_usleep(300000);
-	(void)take_connections(fd);
+	(void)take_connections(s.fd);
 	run_for(&fx, 60);
-	CU_ASSERT_EQUAL(take_connections(fd), 0);
+	CU_ASSERT_EQUAL(take_connections(s.fd), 0);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
 	if (confirmed)
 		answer_with("leader", DH_OBJECTS_OK, 41, leader);
 	if (replaced)
 		beat(&fx, 9);
-	for (i = seen = 0; i < 20 && seen == 0; i++) {
+	for (i = 0; i < 20 && seen == 0; i++) {
 		run_for(&fx, 100);
-		seen = take_connections(fd);
+		seen = take_connections(s.fd);
 	}
 	CU_ASSERT_EQUAL(seen > 0, !replaced);
 	CU_ASSERT_EQUAL(dh_owners_leads(fx.owners), !replaced);
 	end(&fx);
-	(void)close(fd);
+	silent_server_end(&s);
+}
+
+/* A leader that is about to stop orders until another one leads: without the
+ * store none can, and leases are to go on. */
+static void
+test_resigned_leader_goes_on(void)
+{
+	struct silent_server s = silent_server_start();
+	g_autofree char *leader = NULL;
+	struct fixture fx;
+	int i, seen = 0;
+
+	leader = lead_and_order(&fx, &s);
+	report(&fx);
+	dh_owners_resign(fx.owners);
+	CU_ASSERT_TRUE(dh_owners_needed(fx.owners));
+	(void)take_connections(s.fd);
+	for (i = 0; i < 20 && seen == 0; i++) {
+		run_for(&fx, 100);
+		seen = take_connections(s.fd);
+	}
+	CU_ASSERT_TRUE(seen > 0);
+	beat(&fx, 9);
+	CU_ASSERT_FALSE(dh_owners_needed(fx.owners));
+	(void)take_connections(s.fd);
+	run_for(&fx, 600);
+	CU_ASSERT_EQUAL(take_connections(s.fd), 0);
+	end(&fx);
+	silent_server_end(&s);
+}
+
+/* Alone it has nobody to renew leases for. */
+static void
+test_resigned_leader_alone(void)
+{
+	struct silent_server s = silent_server_start();
+	g_autofree char *leader = NULL;
+	struct fixture fx;
+
+	leader = lead_and_order(&fx, &s);
+	dh_owners_resign(fx.owners);
+	CU_ASSERT_FALSE(dh_owners_needed(fx.owners));
+	end(&fx);
+	silent_server_end(&s);
 }
 
 static void
@@ -535,6 +628,8 @@
 		{ "conflict", test_conflict_in_the_store },
 		{ "strong", test_strong_are_named },
 		{ "stalled", test_stalled_leader_orders_nothing },
+		{ "resigned", test_resigned_leader_goes_on },
+		{ "resigned, alone", test_resigned_leader_alone },
 		{ "address", test_address_that_stands },
 		{ "went back", test_leader_goes_on_when_the_store_went_back },
 		{ "went back, lost answer",
