Take-over: a former leader that follows this one is not waited for

Cause: a backend server that is gone holds its keys, for its successor's leader, until the former leader can have renewed them no more: solo_ms and a lease, 17 s. That is so whether or not the former leader still runs.

Ruled out: the planner (the ranges are not idle), silent probes, the restart of all VMs at 32 s (the wait was the same before it).

Change: a record names the VM that wrote it, and says whether no leader before that one gives orders any more ("sole"). A report names the term that its VM follows, giving no orders itself. Who takes a sole record over, and then gets a report from its writer, in this term, waits for leases only (dh_keyspace_alone). A VM's restarted process proves it as well: it has the address.

Tests: test_keyspace "sole leader" and the longer leases, test_owners "former follows", records; schedules with reports that are late, lost or of an earlier term, and with leaders that do not reach a backend server which others do. Mutants SOLE, SOLE_HOLD.

A former leader that is gone for good is still waited for.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -271,6 +271,8 @@
 	uint32_t at = 0;
 	size_t i;
 
+	ks->sole_ms = now_ms + ks->p.solo_ms;
+	ks->former_limit_ms = hold_limit_ms(ks, hold_ms);
 	ks->foreign_ms = now_ms + ks->p.solo_ms + hold_limit_ms(ks, hold_ms);
 	ks->nranges = 0;
 	if (next_fence > ks->next_fence)
@@ -301,6 +303,29 @@
 	return ks->distrusted;
 }
 
+void
+dh_keyspace_alone(struct dh_keyspace *ks, int64_t now_ms)
+{
+	struct range *r;
+	size_t i;
+
+	if (now_ms >= ks->sole_ms)
+		return;
+	ks->sole_ms = now_ms;
+	ks->foreign_ms = now_ms + ks->former_limit_ms;
+	for (i = 0; i < ks->nranges; i++) {
+		r = &ks->ranges[i];
+		if (r->foreign_ms > ks->foreign_ms)
+			r->foreign_ms = ks->foreign_ms;
+	}
+}
+
+bool
+dh_keyspace_sole(const struct dh_keyspace *ks)
+{
+	return ks->sole;
+}
+
 /* Whether the store lacks what was recorded last. */
 static bool
 is_forgotten(const struct dh_keyspace *ks)
@@ -318,6 +343,8 @@
 		return false;
 	ks->lost_serial = ++ks->serial;
 	ks->changed = true;
+	ks->sole_ms = now_ms + ks->p.solo_ms;
+	ks->former_limit_ms = longest_hold_ms(ks);
 	ks->foreign_ms = now_ms + ks->p.solo_ms + longest_hold_ms(ks);
 	if (ks->next_fence <= fence_floor)
 		ks->next_fence = fence_floor + 1;
@@ -568,12 +595,14 @@
 	size_t i;
 
 	if (!ks->changed && ks->stored == ks->serial &&
+	    ks->sole == (now_ms >= ks->sole_ms) &&
 	    !dh_keyspace_urgent(ks, now_ms))
 		return 0;
 	image_room(ks);
 	ks->serial++;
 	ks->changed = false;
 	ks->distrusted = now_ms < ks->distrust_ms;
+	ks->sole = now_ms >= ks->sole_ms;
 	for (i = 0; i < ks->nranges; i++) {
 		r = &ks->ranges[i];
 		if (recordable(r, now_ms)) {
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -79,9 +79,11 @@
 	size_t nranges, ranges_size;
 	struct dh_key_range *image;
 	size_t image_size;
-	int64_t foreign_ms; /* until when a former leader may give orders */
+	int64_t sole_ms; /* from when no former leader gives orders */
+	int64_t former_limit_ms; /* of its grants */
+	int64_t foreign_ms; /* until when its grants may count */
 	int64_t distrust_ms; /* until when nothing is ordered */
-	bool distrusted; /* at the time of the last export */
+	bool distrusted, sole; /* at the time of the last export */
 	/* The last export that the store has lost: only renewals until a later
 	 * one is stored.  0: none was lost. */
 	uint64_t lost_serial;
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -62,6 +62,10 @@
 	struct dh_objects_call *call;
 	bool in_doubt; /* a write may or may not have been taken */
 	bool held; /* nothing may be stored */
+	/* The only one besides this leader that may give orders, as far as is
+	 * known; "": there may be others, or there is none. */
+	char former_vm[DH_NAME_MAX];
+	char former_ip[DH_ADDRESS_MAX];
 	bool lost; /* which revision the object has in the store */
 	uint64_t writing; /* serial under way, 0 for none */
 	uint64_t written_version;
@@ -304,6 +308,11 @@
 	    MAX(r->next_fence, floor + 1), (int64_t)r->hold_ms, dh_clock_ms());
 	if (old)
 		dh_keyspace_distrust(d->ks, UNAWARE_MS);
+	d->former_vm[0] = '\0';
+	if (r->sole && !old) {
+		(void)g_strlcpy(d->former_vm, r->vm, sizeof(d->former_vm));
+		(void)g_strlcpy(d->former_ip, r->ip, sizeof(d->former_ip));
+	}
 	dh_ops(DH_OPS_STATE, "owners.taken_over",
 	    ",\"service\":\"%s\",\"term\":%llu,\"from_term\":%llu,"
 	    "\"from_version\":%llu,\"ranges\":%zu,\"trusted\":%s",
@@ -471,6 +480,9 @@
 	r.version = ++d->version;
 	r.hold_ms = (uint64_t)d->hold_ms;
 	r.distrusted = dh_keyspace_distrusted(d->ks);
+	r.sole = dh_keyspace_sole(d->ks);
+	(void)g_strlcpy(r.vm, d->c.settings->vm, sizeof(r.vm));
+	(void)g_strlcpy(r.ip, d->c.ip, sizeof(r.ip));
 	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
 	text = dh_record_text(&r);
 	d->writing = serial;
@@ -622,6 +634,7 @@
 		return false;
 	dh_objects_cancel(d->call);
 	d->call = NULL;
+	d->former_vm[0] = '\0';
 	d->c.era = era;
 	d->writing = 0;
 	d->in_doubt = false;
@@ -690,6 +703,19 @@
 	dh_keyspace_measured(d->ks, server, work_ms, samples);
 }
 
+void
+dh_duty_followed(struct dh_duty *d, const char *vm, const char *ip)
+{
+	if (d->former_vm[0] == '\0' || strcmp(d->former_vm, vm) != 0 ||
+	    strcmp(d->former_ip, ip) != 0)
+		return;
+	d->former_vm[0] = '\0';
+	dh_keyspace_alone(d->ks, dh_clock_ms());
+	dh_ops(DH_OPS_STATE, "owners.alone",
+	    ",\"service\":\"%s\",\"term\":%llu,\"former\":\"%s\"", d->service,
+	    (unsigned long long)d->c.term, vm);
+}
+
 const struct dh_record *
 dh_duty_record(const struct dh_duty *d)
 {
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -27,6 +27,7 @@
 	struct dh_objects *objects;
 	struct dh_registry *registry;
 	const char *kind; /* of the record's object */
+	const char *ip; /* of this VM */
 	uint64_t term;
 	uint64_t era; /* of the store's data */
 	uint32_t (*vms)(void *arg); /* that are told of changes */
@@ -66,6 +67,10 @@
 void dh_duty_speed(
     struct dh_duty *d, const char *server, uint32_t work_ms, uint32_t samples);
 
+/* dh_duty_followed -- that VM, at that address, gives no orders but follows
+ * this leader.  Its own process that led before counts as well. */
+void dh_duty_followed(struct dh_duty *d, const char *vm, const char *ip);
+
 /* dh_duty_record -- the owners as last published; NULL before the first. */
 const struct dh_record *dh_duty_record(const struct dh_duty *d);
 bool dh_duty_is_newest(
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -160,6 +160,7 @@
 		.objects = o->c.objects,
 		.registry = o->c.registry,
 		.kind = DH_OWNERS_KIND,
+		.ip = o->c.ip,
 		.term = o->term,
 		.era = dh_era_number(owners_known_era(o)),
 		.vms = count_vms,
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -172,6 +172,9 @@
 			    r->servers, struct dh_peer_server, i);
 			dh_duty_speed(value, s->id, s->work_ms, s->samples);
 		}
+	g_hash_table_iter_init(&it, o->duties);
+	while (r->term == o->term && g_hash_table_iter_next(&it, NULL, &value))
+		dh_duty_followed(value, r->vm, ip);
 	for (i = 0; i < r->leaving->len; i++) {
 		const struct dh_peer_leaving *l =
 		    &g_array_index(r->leaving, struct dh_peer_leaving, i);
@@ -240,9 +243,10 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_key));
 	g_autoptr(GArray) servers =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_server));
-	struct dh_peer_report r = {
-		.keys = keys, .servers = servers, .leaving = o->leaving
-	};
+	struct dh_peer_report r = { .term = o->term,
+		.keys = keys,
+		.servers = servers,
+		.leaving = o->leaving };
 
 	(void)g_strlcpy(r.vm, o->c.settings->vm, sizeof(r.vm));
 	report_services(o, &r);
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -284,6 +284,9 @@
 	    !read_keys(l2, &r) || !read_servers(l3, &r) ||
 	    !read_leaving(l4, &r))
 		return false;
+	/* Reports of 0.4 have none. */
+	if (!number_at(a, 6, &r.term))
+		r.term = 0;
 	h->report(h->arg, &r, ip);
 	return true;
 }
@@ -563,7 +566,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 6);
+	msgpack_pack_array(&pk, 7);
 	msgpack_pack_uint32(&pk, MESSAGE_REPORT);
 	pack_text(&pk, r->vm);
 	msgpack_pack_array(&pk, r->nowners);
@@ -599,6 +602,7 @@
 		pack_text(&pk, s->id);
 		msgpack_pack_uint64(&pk, (uint64_t)s->born_ms);
 	}
+	msgpack_pack_uint64(&pk, r->term);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -34,6 +34,7 @@
 /* What a router has seen. */
 struct dh_peer_report {
 	char vm[DH_NAME_MAX];
+	uint64_t term; /* of the leader that it follows, giving no orders */
 	uint32_t nowners; /* services whose owners it knows */
 	struct {
 		char service[DH_NAME_MAX];
--- a/gateway/record.c
+++ b/gateway/record.c
@@ -44,11 +44,12 @@
 	}
 	return g_strdup_printf("{\"term\":%llu,\"version\":%llu,\"next\":%llu,"
 			       "\"hold_ms\":%llu,\"distrusted\":%d,"
+			       "\"vm\":\"%s\",\"ip\":\"%s\",\"sole\":%d,"
 			       "\"servers\":[%s],"
 			       "\"ranges\":[%s]}",
 	    (unsigned long long)r->term, (unsigned long long)r->version,
 	    (unsigned long long)r->next_fence, (unsigned long long)r->hold_ms,
-	    r->distrusted, names->str, ranges->str);
+	    r->distrusted, r->vm, r->ip, r->sole, names->str, ranges->str);
 }
 
 static bool
@@ -133,6 +134,16 @@
 		&k->former_born_ms);
 }
 
+static bool
+read_text(struct json_object *o, const char *name, char *to, size_t size)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, name, &v) &&
+	    json_object_is_type(v, json_type_string) &&
+	    g_strlcpy(to, json_object_get_string(v), size) < size;
+}
+
 bool
 dh_record_parse(struct dh_record *r, struct json_object *o, GError **error)
 {
@@ -153,6 +164,11 @@
 		r->hold_ms = 0;
 	if (number_of(o, "distrusted", &flag))
 		r->distrusted = flag != 0;
+	/* Records of 0.4 do not say who wrote them. */
+	if (number_of(o, "sole", &flag) &&
+	    read_text(o, "vm", r->vm, sizeof(r->vm)) &&
+	    read_text(o, "ip", r->ip, sizeof(r->ip)))
+		r->sole = flag != 0;
 	r->nranges = json_object_array_length(ranges);
 	if (r->nranges > DH_KEYS)
 		return invalid(error, "owners: too many ranges");
--- a/gateway/record.h
+++ b/gateway/record.h
@@ -12,7 +12,8 @@
 
 /*
  * The owners of a service's keys as text: in the store, and between VMs.
- * {"term":1,"version":2,"next":9,"hold_ms":2000,"distrusted":0,"servers":[["ID",BORN],..],
+ * {"term":1,"version":2,"next":9,"hold_ms":2000,"distrusted":0,
+ *  "vm":"NAME","ip":"ADDRESS","sole":1,"servers":[["ID",BORN],..],
  *  "ranges":[[TO,OWNER,FENCE,FORMER,FORMER_FENCE,SETTLED],..]}
  * Ranges follow one another from key 0; OWNER and FORMER are indices into
  * servers, -1 for none.
@@ -23,6 +24,9 @@
 	uint64_t next_fence;
 	uint64_t hold_ms; /* of its grants; 0: not known here */
 	bool distrusted; /* others may hold keys that it does not know of */
+	char vm[DH_NAME_MAX]; /* that wrote it; "" if not known here */
+	char ip[DH_ADDRESS_MAX];
+	bool sole; /* no leader before that one gives orders any more */
 	struct dh_key_range *ranges;
 	size_t nranges;
 };
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -103,6 +103,18 @@
 void dh_keyspace_distrust(struct dh_keyspace *ks, int64_t within_ms);
 bool dh_keyspace_distrusted(const struct dh_keyspace *ks);
 
+/*
+ * dh_keyspace_alone -- all former leaders are known to have given their last
+ * order by now: only leases are waited for.  Else that is taken for granted
+ * after solo_ms.
+ *
+ * dh_keyspace_sole -- whether no former leader gave orders any more at the time
+ * of the last export: whoever takes that record over has only this leader to
+ * wait for.
+ */
+void dh_keyspace_alone(struct dh_keyspace *ks, int64_t now_ms);
+bool dh_keyspace_sole(const struct dh_keyspace *ks);
+
 /*
  * dh_keyspace_forgotten -- the store has lost what this leader stored last.
  * It still knows who holds what: leases are renewed, but nothing else is
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -246,9 +246,10 @@
 	dh_keyspace_free(ks);
 }
 
-/* Where the former leader granted for longer, that is waited out. */
+/* Where the former leader granted for longer, that is waited out.  It is known
+ * to have stopped at alone_ms, or not at all: 0. */
 static void
-test_longer_leases_of_the_former_leader(void)
+check_longer_leases(int64_t alone_ms)
 {
 	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
 	struct dh_key_range record = { .to = DH_KEYS - 1,
@@ -257,7 +258,8 @@
 		.fence = 3,
 		.settled = true };
 	struct dh_keyspace *ks = dh_keyspace_new(&params);
-	const int64_t limit_ms = SOLO_MS + 8000 + 8000 * DRIFT_PERMILLE / 1000;
+	const int64_t limit_ms = (alone_ms == 0 ? SOLO_MS : alone_ms) + 8000 +
+	    8000 * DRIFT_PERMILLE / 1000;
 	const struct dh_key_range *r;
 	struct dh_key_order o;
 	int64_t t;
@@ -268,6 +270,8 @@
 		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
+		if (t == alone_ms)
+			dh_keyspace_alone(ks, t);
 		while (dh_keyspace_next(ks, t, &o))
 			dh_keyspace_answer(ks, o.ticket,
 			    strcmp(o.server, "a") == 0 ? DH_KEY_UNSENT
@@ -281,6 +285,41 @@
 	dh_keyspace_free(ks);
 }
 
+static void
+test_longer_leases_of_the_former_leader(void)
+{
+	check_longer_leases(0);
+	check_longer_leases(1010);
+}
+
+static bool
+stored_as_sole(struct dh_keyspace *ks, int64_t now_ms)
+{
+	store(ks, now_ms);
+	return dh_keyspace_sole(ks);
+}
+
+/* The record says whether a successor has earlier leaders to wait for. */
+static void
+test_record_of_a_sole_leader(void)
+{
+	struct dh_keyspace_server list[1] = { server("a", 1) };
+	struct dh_keyspace *ks = settled(list, 1);
+
+	CU_ASSERT_FALSE(stored_as_sole(ks, SOLO_MS - 10));
+	CU_ASSERT_TRUE(stored_as_sole(ks, SOLO_MS));
+	/* Others have been forgotten with what was stored. */
+	CU_ASSERT_TRUE(dh_keyspace_forgotten(ks, 1000, 20000));
+	CU_ASSERT_FALSE(stored_as_sole(ks, 20000 + SOLO_MS - 10));
+	CU_ASSERT_TRUE(stored_as_sole(ks, 20000 + SOLO_MS));
+	dh_keyspace_free(ks);
+	ks = settled(list, 1);
+	CU_ASSERT_FALSE(stored_as_sole(ks, 1000));
+	dh_keyspace_alone(ks, 2000);
+	CU_ASSERT_TRUE(stored_as_sole(ks, 2000));
+	dh_keyspace_free(ks);
+}
+
 /* The owner starts anew while its keys are about to move: what was renewed may
  * be held by the new life, which has to release it as well. */
 static void
@@ -980,6 +1019,7 @@
 		{ "renewed new life", test_new_life_may_hold_what_was_renewed },
 		{ "longer leases before",
 		    test_longer_leases_of_the_former_leader },
+		{ "sole leader", test_record_of_a_sole_leader },
 		{ "new life under a move",
 		    test_new_life_releases_what_is_about_to_move },
 		{ "order to the life before",
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -31,6 +31,7 @@
 #define UNAWARE_MS 2500
 #define RECLAIM_MS 900
 #define RECLAIM_MOST_MS 1500
+#define REPORT_MS 250
 #define COPIES 5 /* of the store, one a second */
 
 static const struct dh_keyspace_params params = { .hold_ms = HOLD_MS,
@@ -50,7 +51,13 @@
 	uint64_t highest[SAMPLES]; /* token seen */
 };
 
-enum event_kind { EVENT_ORDER, EVENT_ANSWER, EVENT_WRITE, EVENT_WRITTEN };
+enum event_kind {
+	EVENT_ORDER,
+	EVENT_ANSWER,
+	EVENT_WRITE,
+	EVENT_WRITTEN,
+	EVENT_REPORT /* to the leader, by one that follows it */
+};
 
 struct event {
 	int64_t at_ms;
@@ -65,7 +72,8 @@
 	struct dh_key_range *ranges; /* a write */
 	size_t n;
 	uint64_t next, serial, term, revision, era;
-	bool taken, refused, distrusted;
+	bool taken, refused, distrusted, sole;
+	int from; /* who reports */
 };
 
 struct leader {
@@ -77,6 +85,8 @@
 	int64_t wrote_ms;
 	uint64_t era;
 	int64_t back_ms; /* the store went back; 0: it leads in its era */
+	int former; /* the only other one that may give orders; -1: unknown */
+	bool out_of_reach[SERVERS];
 };
 
 /* What the store has. */
@@ -85,10 +95,12 @@
 	size_t n;
 	uint64_t next, term, revision;
 	uint64_t leader_term; /* of the leader's object */
-	bool distrusted;
+	bool distrusted, sole;
+	int writer;
 };
 
 static uint32_t went_back; /* how often a store did */
+static uint32_t alone; /* how often a leader was told so */
 
 struct world {
 	struct dh_rng rng;
@@ -211,7 +223,8 @@
 	e.mute = late || (!calm && chance(w, 4));
 	if (late)
 		e.at_ms += between(w, 100, 6000);
-	post(w, e);
+	if (s == NULL || !w->leaders[l].out_of_reach[s - w->servers])
+		post(w, e);
 	/* Given up then, unless it was answered. */
 	e.kind = EVENT_ANSWER;
 	e.answer = DH_KEY_SILENT;
@@ -254,9 +267,22 @@
 	    w->store.next > dh_era_floor(w->era) ? w->store.next
 						 : dh_era_floor(w->era) + 1,
 	    0, w->now_ms);
+	l->former = w->store.sole ? w->store.writer : -1;
 	if (w->store.n > 0 &&
-	    (dh_era_of(w->store.term) < w->era || w->store.distrusted))
+	    (dh_era_of(w->store.term) < w->era || w->store.distrusted)) {
 		dh_keyspace_distrust(l->ks, UNAWARE_MS);
+		l->former = -1;
+	}
+}
+
+static void
+take_report(struct world *w, struct leader *l, int from)
+{
+	if (l->former != from)
+		return;
+	dh_keyspace_alone(l->ks, w->now_ms);
+	l->former = -1;
+	alone++;
 }
 
 static void
@@ -277,6 +303,7 @@
 	if (e.serial == 0)
 		return;
 	e.distrusted = dh_keyspace_distrusted(l->ks);
+	e.sole = dh_keyspace_sole(l->ks);
 	e.ranges = malloc(e.n * sizeof(*ranges));
 	memcpy(e.ranges, ranges, e.n * sizeof(*ranges));
 	e.at_ms = w->now_ms + between(w, 2, 20);
@@ -302,6 +329,8 @@
 	if (back.taken) {
 		w->store.term = e->term;
 		w->store.distrusted = e->distrusted;
+		w->store.sole = e->sole;
+		w->store.writer = e->leader;
 		free(w->store.ranges);
 		w->store.ranges = e->ranges;
 		w->store.n = e->n;
@@ -326,6 +355,7 @@
 	l->era = w->era;
 	l->back_ms = w->now_ms;
 	l->writing = false;
+	l->former = -1;
 	if (!dh_keyspace_forgotten(l->ks, dh_era_floor(w->era), w->now_ms))
 		depose(l);
 }
@@ -398,6 +428,10 @@
 		if (alive)
 			written(w, e);
 		return;
+	case EVENT_REPORT:
+		if (alive && l->term == e->term)
+			take_report(w, l, e->from);
+		return;
 	}
 }
 
@@ -471,6 +505,36 @@
 		order(w, i, &o);
 }
 
+/* One hears of a leader in a higher term, follows it, and reports to it. */
+static void
+follow(struct world *w, int i, int leader)
+{
+	struct leader *l = &w->leaders[i], *other = &w->leaders[leader];
+	struct event e = { .kind = EVENT_REPORT,
+		.leader = leader,
+		.life = other->life,
+		.term = other->term,
+		.from = i };
+
+	if (other->ks == NULL || other->term < l->term)
+		return;
+	if (i == leader) {
+		take_report(w, l, i);
+		return;
+	}
+	if (l->ks != NULL) {
+		if (other->term == l->term || chance(w, 90))
+			return;
+		depose(l);
+	}
+	l->term = other->term;
+	e.at_ms = w->now_ms + between(w, 1, 20);
+	if (w->now_ms < CALM_MS && chance(w, 10))
+		e.at_ms += between(w, 0, 6000);
+	if (chance(w, 80))
+		post(w, e);
+}
+
 static void
 copy_store(struct stored *to, const struct stored *from)
 {
@@ -481,9 +545,16 @@
 		memcpy(to->ranges, from->ranges, from->n * sizeof(*to->ranges));
 }
 
+static bool
+knows_era(const struct world *w, int leader)
+{
+	return w->leaders[leader].era == w->era;
+}
+
 /* A leader that neither the store nor other VMs reach, but backend servers do,
  * may go on with what the copy lacks: that is not covered, so the store goes
- * back only while nobody is cut off from it. */
+ * back only while nobody is cut off from it, and the one in office hears of it
+ * before it is. */
 static void
 go_back(struct world *w)
 {
@@ -523,7 +594,9 @@
 	}
 	if (chance(w, 4))
 		w->servers[s].leaving = !w->servers[s].leaving;
-	if (chance(w, 4))
+	if (chance(w, 6))
+		w->leaders[l].out_of_reach[s] ^= true;
+	if (chance(w, 4) && (w->leaders[l].ks == NULL || knows_era(w, l)))
 		w->leaders[l].cut = !w->leaders[l].cut;
 	if (w->leaders[l].cut)
 		return;
@@ -584,8 +657,11 @@
 			for (l = 0; l < SERVERS; l++)
 				w.servers[l].dark = w.servers[l].leaving =
 				    false;
-			for (l = 0; l < LEADERS; l++)
+			for (l = 0; l < LEADERS; l++) {
 				w.leaders[l].cut = false;
+				memset(w.leaders[l].out_of_reach, 0,
+				    sizeof(w.leaders[l].out_of_reach));
+			}
 		}
 		best = -1;
 		for (l = 0; l < LEADERS; l++)
@@ -596,6 +672,9 @@
 		for (l = 0; l < LEADERS; l++)
 			if (w.leaders[l].ks != NULL)
 				lead(&w, l);
+		if (w.now_ms % REPORT_MS == 0)
+			for (l = 0; l < LEADERS * LEADERS; l++)
+				follow(&w, l / LEADERS, l % LEADERS);
 		check_holders(&w);
 	}
 	if (w.broken == NULL && held(&w) < SAMPLES * 9 / 10)
@@ -629,6 +708,7 @@
 		}
 	}
 	CU_ASSERT_TRUE(went_back >= count / 2);
+	CU_ASSERT_TRUE(alone >= count);
 }
 
 int
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -171,11 +171,11 @@
 	run_for(fx, 20);
 }
 
-/* The other VM is there, and follows. */
+/* The other VM is there, and follows the leader of that term. */
 static void
-report(struct fixture *fx)
+report(struct fixture *fx, uint64_t term)
 {
-	struct dh_peer_report r = { .vm = "vm-2" };
+	struct dh_peer_report r = { .vm = "vm-2", .term = term };
 
 	r.keys = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_key));
 	r.servers = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_server));
@@ -433,12 +433,11 @@
 test_resigned_leader_goes_on(void)
 {
 	struct silent_server s = silent_server_start();
-	g_autofree char *leader = NULL;
 	struct fixture fx;
 	int i, seen = 0;
 
-	leader = lead_and_order(&fx, &s);
-	report(&fx);
+	g_free(lead_and_order(&fx, &s));
+	report(&fx, 1);
 	dh_owners_resign(fx.owners);
 	CU_ASSERT_TRUE(dh_owners_needed(fx.owners));
 	(void)take_connections(s.fd);
@@ -461,10 +460,9 @@
 test_resigned_leader_alone(void)
 {
 	struct silent_server s = silent_server_start();
-	g_autofree char *leader = NULL;
 	struct fixture fx;
 
-	leader = lead_and_order(&fx, &s);
+	g_free(lead_and_order(&fx, &s));
 	dh_owners_resign(fx.owners);
 	CU_ASSERT_FALSE(dh_owners_needed(fx.owners));
 	end(&fx);
@@ -479,6 +477,49 @@
 	check_stalled(false, true);
 }
 
+/* What a leader stores once the former one, whose record says that no other was
+ * before it, has reported to it from that term on. */
+static void
+check_former_follows(uint64_t term, bool alone)
+{
+	struct fixture fx;
+	int i;
+
+	start(&fx, NULL, 0);
+	beat(&fx, 3);
+	wait_for_question(&fx);
+	answer_with("leader", DH_OBJECTS_OK, 40,
+	    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"x\","
+	    "\"term\":3}");
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	CU_ASSERT_TRUE(dh_owners_leads(fx.owners));
+	run_for(&fx, 100);
+	answer_with("service.s", DH_OBJECTS_OK, 50,
+	    "{\"term\":3,\"version\":2,\"next\":9,\"vm\":\"vm-2\","
+	    "\"ip\":\"127.0.0.2\",\"sole\":1,\"servers\":[[\"a\",7]],"
+	    "\"ranges\":[[65535,0,3,-1,0,1]]}");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(strstr(fake_open("service.s")->put,
+	    "\"vm\":\"vm-1\",\"ip\":\"127.0.0.1\",\"sole\":0"));
+	answer_with("service.s", DH_OBJECTS_OK, 51, "{}");
+	report(&fx, term);
+	for (i = 0; i < 100 && fake_open("service.s") == NULL; i++)
+		run_for(&fx, 20);
+	CU_ASSERT_EQUAL(fake_open("service.s") != NULL &&
+		strstr(fake_open("service.s")->put, "\"sole\":1") != NULL,
+	    alone);
+	end(&fx);
+}
+
+static void
+test_former_leader_follows(void)
+{
+	check_former_follows(4, true);
+	/* Sent before it led, or by one that does not say whom it follows. */
+	check_former_follows(2, false);
+	check_former_follows(0, false);
+}
+
 /* Leads in era 1. */
 static void
 lead_in_first_era(struct fixture *fx)
@@ -630,6 +671,7 @@
 		{ "stalled", test_stalled_leader_orders_nothing },
 		{ "resigned", test_resigned_leader_goes_on },
 		{ "resigned, alone", test_resigned_leader_alone },
+		{ "former follows", test_former_leader_follows },
 		{ "address", test_address_that_stands },
 		{ "went back", test_leader_goes_on_when_the_store_went_back },
 		{ "went back, lost answer",
--- a/tests/test_owners_record.c
+++ b/tests/test_owners_record.c
@@ -13,7 +13,10 @@
 		.version = 9,
 		.next_fence = 40,
 		.hold_ms = 2500,
-		.distrusted = true };
+		.distrusted = true,
+		.vm = "vm-4",
+		.ip = "10.0.0.4",
+		.sole = true };
 
 	r.nranges = 3;
 	r.ranges = g_new0(struct dh_key_range, 3);
@@ -60,6 +63,9 @@
 	CU_ASSERT_EQUAL(back.next_fence, 40);
 	CU_ASSERT_EQUAL(back.hold_ms, 2500);
 	CU_ASSERT_TRUE(back.distrusted);
+	CU_ASSERT_TRUE(back.sole);
+	CU_ASSERT_STRING_EQUAL(back.vm, "vm-4");
+	CU_ASSERT_STRING_EQUAL(back.ip, "10.0.0.4");
 	CU_ASSERT_EQUAL_FATAL(back.nranges, 3);
 	for (i = 0; i < 3; i++) {
 		CU_ASSERT_EQUAL(back.ranges[i].from, r.ranges[i].from);
@@ -160,6 +166,7 @@
 	    &r));
 	CU_ASSERT_EQUAL(r.hold_ms, 0);
 	CU_ASSERT_FALSE(r.distrusted);
+	CU_ASSERT_FALSE(r.sole);
 	CU_ASSERT_STRING_EQUAL(r.ranges[0].owner, "a");
 	dh_record_clear(&r);
 }
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -36,6 +36,10 @@
 mutate LAPSE 's/r->sent_ms \+ longest_hold_ms\(ks\)/r->sent_ms/'
 # A former leader's orders are not waited out.
 mutate FOREIGN 's/now_ms \+ ks->p.solo_ms \+ hold_limit_ms\(ks, hold_ms\);/0;/'
+# A record says that nobody else gives orders, whoever may.
+mutate SOLE 's/ks->sole = now_ms >= ks->sole_ms;/ks->sole = true;/'
+# The leases of a former leader that has stopped are not waited out.
+mutate SOLE_HOLD 's/now_ms \+ ks->former_limit_ms;/now_ms;/'
 # A former leader's longer leases are not waited out.
 mutate FOREIGN_HOLD 's/former_hold_ms > ks->p.hold_ms \?/false ?/'
 # A range that a former leader may renew is moved.
