Peer: a report without a term makes no sense

VMs of 0.4 and 0.5 do not understand each other's datagrams anyway (NEWS): no form without the term is needed. test_owners and test_peer as before.

--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -282,11 +282,8 @@
 	if (!text_at(a, 1, r.vm, sizeof(r.vm)) || l1 == NULL || l2 == NULL ||
 	    l3 == NULL || l4 == NULL || !read_versions(l1, &r) ||
 	    !read_keys(l2, &r) || !read_servers(l3, &r) ||
-	    !read_leaving(l4, &r))
+	    !read_leaving(l4, &r) || !number_at(a, 6, &r.term))
 		return false;
-	/* Reports of 0.4 have none. */
-	if (!number_at(a, 6, &r.term))
-		r.term = 0;
 	h->report(h->arg, &r, ip);
 	return true;
 }
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -515,7 +515,7 @@
 test_former_leader_follows(void)
 {
 	check_former_follows(4, true);
-	/* Sent before it led, or by one that does not say whom it follows. */
+	/* Sent before it led, or before it knew of any leader. */
 	check_former_follows(2, false);
 	check_former_follows(0, false);
 }
