Gateway, keyspace: read the change once more; nothing decides otherwise

- dh_era_answer() has the answer "none" itself: ten callers had a local for it.
- duty: one read_record() for the record that is loaded and the one that is found again, which read it alike.
Found again, an unreadable record now says so in a line, and a higher term in it counts as it does when loaded.
- election: one check of an answer about the leader's object; asking it is confirm() beside reclaim().
- keyspace: until when former leaders' grants count follows from sole_ms and the length of their leases: it is no state any more, set in three places.
- registry: until when entries are recalled follows from went_back_ms.
- gossip: one pass over the duties for a report.

Mutants are the same guards in their new places, and FOREIGN_SOLO besides (the lease is waited out, the former leader's orders are not).

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -59,6 +59,22 @@
 	    ks->p.margin_ms;
 }
 
+/* Until when grants of former leaders may count. */
+static int64_t
+foreign_until_ms(const struct dh_keyspace *ks)
+{
+	return ks->sole_ms + ks->former_limit_ms;
+}
+
+/* Former leaders may give orders from now on as long as one without the store
+ * does, for leases of this length. */
+static void
+expect_former(struct dh_keyspace *ks, int64_t hold_ms, int64_t now_ms)
+{
+	ks->sole_ms = now_ms + ks->p.solo_ms;
+	ks->former_limit_ms = hold_limit_ms(ks, hold_ms);
+}
+
 static int64_t
 longest_hold_ms(const struct dh_keyspace *ks)
 {
@@ -253,7 +269,7 @@
 	r->fence = k->fence;
 	r->former = server_of_record(ks, k->former, k->former_born_ms);
 	r->former_fence = k->former_fence;
-	r->foreign_ms = ks->foreign_ms;
+	r->foreign_ms = foreign_until_ms(ks);
 	if (r->owner == DH_NONE)
 		r->state = RANGE_NONE;
 	else if (r->former != DH_NONE)
@@ -271,9 +287,7 @@
 	uint32_t at = 0;
 	size_t i;
 
-	ks->sole_ms = now_ms + ks->p.solo_ms;
-	ks->former_limit_ms = hold_limit_ms(ks, hold_ms);
-	ks->foreign_ms = now_ms + ks->p.solo_ms + hold_limit_ms(ks, hold_ms);
+	expect_former(ks, hold_ms, now_ms);
 	ks->nranges = 0;
 	if (next_fence > ks->next_fence)
 		ks->next_fence = next_fence;
@@ -294,7 +308,7 @@
 void
 dh_keyspace_distrust(struct dh_keyspace *ks, int64_t within_ms)
 {
-	ks->distrust_ms = ks->foreign_ms - ks->p.solo_ms + within_ms;
+	ks->distrust_ms = foreign_until_ms(ks) - ks->p.solo_ms + within_ms;
 }
 
 bool
@@ -306,18 +320,16 @@
 void
 dh_keyspace_alone(struct dh_keyspace *ks, int64_t now_ms)
 {
-	struct range *r;
+	int64_t until_ms;
 	size_t i;
 
 	if (now_ms >= ks->sole_ms)
 		return;
 	ks->sole_ms = now_ms;
-	ks->foreign_ms = now_ms + ks->former_limit_ms;
-	for (i = 0; i < ks->nranges; i++) {
-		r = &ks->ranges[i];
-		if (r->foreign_ms > ks->foreign_ms)
-			r->foreign_ms = ks->foreign_ms;
-	}
+	until_ms = foreign_until_ms(ks);
+	for (i = 0; i < ks->nranges; i++)
+		if (ks->ranges[i].foreign_ms > until_ms)
+			ks->ranges[i].foreign_ms = until_ms;
 }
 
 bool
@@ -343,13 +355,11 @@
 		return false;
 	ks->lost_serial = ++ks->serial;
 	ks->changed = true;
-	ks->sole_ms = now_ms + ks->p.solo_ms;
-	ks->former_limit_ms = longest_hold_ms(ks);
-	ks->foreign_ms = now_ms + ks->p.solo_ms + longest_hold_ms(ks);
+	expect_former(ks, ks->p.hold_ms, now_ms);
 	if (ks->next_fence <= fence_floor)
 		ks->next_fence = fence_floor + 1;
 	for (i = 0; i < ks->nranges; i++) {
-		ks->ranges[i].foreign_ms = ks->foreign_ms;
+		ks->ranges[i].foreign_ms = foreign_until_ms(ks);
 		ks->ranges[i].taken_ms =
 		    now_ms + within_ms + longest_hold_ms(ks);
 	}
@@ -398,7 +408,7 @@
 		r->ticket_void = r->ticket != 0;
 		r->due_ms = 0;
 		/* A former leader may take the new life for the old one. */
-		r->foreign_ms = ks->foreign_ms;
+		r->foreign_ms = foreign_until_ms(ks);
 		if (r->pending == PENDING_MOVE)
 			continue;
 		r->state = RANGE_GRANTING;
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -83,8 +83,7 @@
 	struct dh_key_range *image;
 	size_t image_size;
 	int64_t sole_ms; /* from when no former leader gives orders */
-	int64_t former_limit_ms; /* of its grants */
-	int64_t foreign_ms; /* until when its grants may count */
+	int64_t former_limit_ms; /* the longest that its grants count */
 	int64_t distrust_ms; /* until when nothing is ordered */
 	bool distrusted, sole; /* at the time of the last export */
 	/* The last export that the store has lost: only renewals until a later
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -356,11 +356,10 @@
 static void
 on_written(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
-	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
+	r = dh_era_answer(dh_registry_era(d->c.registry), r);
 	if (r == NULL)
 		return;
 	switch (r->result) {
@@ -398,11 +397,10 @@
 static void
 on_compared(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_duty *d = arg;
 
 	d->call = NULL;
-	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
+	r = dh_era_answer(dh_registry_era(d->c.registry), r);
 	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
@@ -418,35 +416,50 @@
 	store_failed(d, "cannot read the record back");
 }
 
-/* What the store has of the record after it went back: only its revision
- * matters, for this leader knows better. */
-static void
-on_found_again(void *arg, const struct dh_objects_reply *r)
+/* The object, as it was asked for: its revision, and a record without ranges if
+ * it has none that can be read.  False, with a line why, if there is no answer
+ * or another leader is in office. */
+static bool
+read_record(struct dh_duty *d, const struct dh_objects_reply *r,
+    struct dh_record *record)
 {
-	struct dh_objects_reply none;
-	struct dh_duty *d = arg;
 	g_autoptr(GError) error = NULL;
-	struct dh_record record = { 0 };
 
 	d->call = NULL;
-	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
+	r = dh_era_answer(dh_registry_era(d->c.registry), r);
 	if (r == NULL)
-		return;
+		return false;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
-		if (dh_record_parse(&record, r->items[0].spec, &error) &&
-		    record.term > d->c.term) {
-			dh_record_clear(&record);
-			d->c.deposed(d->c.arg, "the record has a higher term");
-			return;
-		}
-		dh_record_clear(&record);
 		d->revision = r->items[0].revision;
+		if (!dh_record_parse(record, r->items[0].spec, &error))
+			dh_ops(DH_OPS_STATE, "owners.unreadable",
+			    ",\"service\":\"%s\",\"why\":\"%s\"", d->service,
+			    error->message);
 	} else if (r->result == DH_OBJECTS_NOT_FOUND) {
 		d->revision = 0;
 	} else {
-		store_failed(d, "cannot find the record again");
-		return;
+		store_failed(d, "cannot read the record");
+		return false;
+	}
+	if (record->term > d->c.term) {
+		dh_record_clear(record);
+		d->c.deposed(d->c.arg, "the record has a higher term");
+		return false;
 	}
+	return true;
+}
+
+/* What the store has of the record after it went back: only its revision
+ * matters, for this leader knows better. */
+static void
+on_found_again(void *arg, const struct dh_objects_reply *r)
+{
+	struct dh_duty *d = arg;
+	struct dh_record record = { 0 };
+
+	if (!read_record(d, r, &record))
+		return;
+	dh_record_clear(&record);
 	d->lost = false;
 }
 
@@ -530,30 +543,11 @@
 static void
 on_loaded(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_duty *d = arg;
-	g_autoptr(GError) error = NULL;
 	struct dh_record record = { 0 };
 
-	d->call = NULL;
-	r = dh_era_answer(dh_registry_era(d->c.registry), r, &none);
-	if (r == NULL)
+	if (!read_record(d, r, &record))
 		return;
-	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
-		d->revision = r->items[0].revision;
-		if (!dh_record_parse(&record, r->items[0].spec, &error))
-			dh_ops(DH_OPS_STATE, "owners.unreadable",
-			    ",\"service\":\"%s\",\"why\":\"%s\"", d->service,
-			    error->message);
-	} else if (r->result != DH_OBJECTS_NOT_FOUND) {
-		store_failed(d, "cannot read the record");
-		return;
-	}
-	if (record.term > d->c.term) {
-		dh_record_clear(&record);
-		d->c.deposed(d->c.arg, "the record has a higher term");
-		return;
-	}
 	take_over(d, &record);
 	dh_record_clear(&record);
 	d->loaded = true;
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -244,20 +244,27 @@
 	}
 }
 
+/* Whether the leader's object was answered with; *r is what that answer says in
+ * the era that is known. */
+static bool
+is_confirmed(struct dh_owners *o, const struct dh_objects_reply **r)
+{
+	o->call = NULL;
+	*r = dh_era_answer(owners_known_era(o), *r);
+	if (*r == NULL)
+		return false;
+	o->confirm_failed = (*r)->result != DH_OBJECTS_OK || (*r)->nitems != 1;
+	return !o->confirm_failed;
+}
+
 static void
 on_reclaimed(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 	GHashTableIter it;
 	gpointer duty;
 
-	o->call = NULL;
-	r = dh_era_answer(owners_known_era(o), r, &none);
-	if (r == NULL)
-		return;
-	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
-	if (o->confirm_failed)
+	if (!is_confirmed(o, &r))
 		return;
 	o->revision = r->items[0].revision;
 	o->term = next_term(o);
@@ -274,13 +281,12 @@
 static void
 on_reclaim_read(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 	uint64_t era = dh_era_number(owners_known_era(o));
 	uint64_t term;
 
 	o->call = NULL;
-	r = dh_era_answer(owners_known_era(o), r, &none);
+	r = dh_era_answer(owners_known_era(o), r);
 	if (r == NULL)
 		return;
 	o->confirm_failed = false;
@@ -318,15 +324,9 @@
 static void
 on_confirm(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
-	o->call = NULL;
-	r = dh_era_answer(owners_known_era(o), r, &none);
-	if (r == NULL)
-		return;
-	o->confirm_failed = r->result != DH_OBJECTS_OK || r->nitems != 1;
-	if (o->confirm_failed)
+	if (!is_confirmed(o, &r))
 		return;
 	owners_see_leader(o, &r->items[0]);
 	if (o->role == ROLE_LEADER && o->asked_ms > o->confirmed_ms)
@@ -375,11 +375,10 @@
 static void
 on_strong_written(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
 	o->strong_call = NULL;
-	r = dh_era_answer(owners_known_era(o), r, &none);
+	r = dh_era_answer(owners_known_era(o), r);
 	if (r == NULL)
 		return;
 	if (r->nitems == 1)
@@ -454,10 +453,24 @@
 		o->stalled = false;
 }
 
+/* Ask the store whether this VM still leads. */
+static void
+confirm(struct dh_owners *o, int64_t now_ms)
+{
+	int64_t pause_ms = failing(o, now_ms) ? CONFIRM_FAILING_MS : CONFIRM_MS;
+
+	if (o->call != NULL ||
+	    (now_ms - o->asked_ms < pause_ms &&
+		!(o->stalled && o->asked_ms < o->stalled_ms)))
+		return;
+	o->asked_ms = now_ms;
+	o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND, DH_OWNERS_LEADER,
+	    DH_FRESH, CONFIRM_TIMEOUT_MS, on_confirm, o);
+}
+
 void
 owners_lead(struct dh_owners *o, int64_t now_ms)
 {
-	int64_t pause_ms = failing(o, now_ms) ? CONFIRM_FAILING_MS : CONFIRM_MS;
 	bool solo = now_ms - o->confirmed_ms >= o->c.settings->solo_ms ||
 	    (o->went_back_ms != 0 &&
 		now_ms - o->went_back_ms >= DH_RECLAIM_MOST_MS);
@@ -472,17 +485,11 @@
 		    (unsigned long long)o->term,
 		    (long long)(now_ms - o->confirmed_ms));
 	o->solo = solo;
-	if (o->went_back_ms != 0)
+	if (o->went_back_ms != 0) {
 		reclaim(o, now_ms);
-	else
+	} else {
 		ensure_duties(o);
-	if (o->went_back_ms == 0 && o->call == NULL &&
-	    (now_ms - o->asked_ms >= pause_ms ||
-		(o->stalled && o->asked_ms < o->stalled_ms))) {
-		o->asked_ms = now_ms;
-		o->call = dh_objects_get(o->c.objects, DH_OWNERS_KIND,
-		    DH_OWNERS_LEADER, DH_FRESH, CONFIRM_TIMEOUT_MS, on_confirm,
-		    o);
+		confirm(o, now_ms);
 	}
 	if (now_ms - o->beat_ms >= o->c.settings->beat_ms) {
 		o->beat_ms = now_ms;
@@ -511,11 +518,10 @@
 static void
 on_taken(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
 	o->call = NULL;
-	r = dh_era_answer(owners_known_era(o), r, &none);
+	r = dh_era_answer(owners_known_era(o), r);
 	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
@@ -541,13 +547,12 @@
 static void
 on_read(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 	uint64_t term = o->term;
 	bool heard = o->sign_ms > o->asked_ms;
 
 	o->call = NULL;
-	r = dh_era_answer(owners_known_era(o), r, &none);
+	r = dh_era_answer(owners_known_era(o), r);
 	if (r == NULL)
 		return;
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
--- a/gateway/era.c
+++ b/gateway/era.c
@@ -76,15 +76,16 @@
 }
 
 const struct dh_objects_reply *
-dh_era_answer(struct dh_era *e, const struct dh_objects_reply *reply,
-    struct dh_objects_reply *none)
+dh_era_answer(struct dh_era *e, const struct dh_objects_reply *reply)
 {
+	static const struct dh_objects_reply none = { .result =
+							  DH_OBJECTS_UNKNOWN };
+
 	if (dh_era_current(e, reply->era))
 		return reply;
 	if (reply->era == e->number)
 		return NULL;
-	*none = (struct dh_objects_reply){ .result = DH_OBJECTS_UNKNOWN };
-	return none;
+	return &none;
 }
 
 uint64_t
--- a/gateway/era.h
+++ b/gateway/era.h
@@ -38,8 +38,8 @@
  * was known; none, an answer without a result, in an earlier one.  NULL in a
  * later one: those who follow have been called, and who asked may be gone.
  */
-const struct dh_objects_reply *dh_era_answer(struct dh_era *e,
-    const struct dh_objects_reply *reply, struct dh_objects_reply *none);
+const struct dh_objects_reply *dh_era_answer(
+    struct dh_era *e, const struct dh_objects_reply *reply);
 
 /* dh_era_number -- the highest that was heard of; 0: none yet. */
 uint64_t dh_era_number(const struct dh_era *e);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -166,15 +166,15 @@
 			dh_duty_demand(duty, k->key);
 	}
 	g_hash_table_iter_init(&it, o->duties);
-	while (g_hash_table_iter_next(&it, NULL, &value))
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (r->term == o->term)
+			dh_duty_followed(value, r->vm, ip);
 		for (i = 0; i < r->servers->len; i++) {
 			s = &g_array_index(
 			    r->servers, struct dh_peer_server, i);
 			dh_duty_speed(value, s->id, s->work_ms, s->samples);
 		}
-	g_hash_table_iter_init(&it, o->duties);
-	while (r->term == o->term && g_hash_table_iter_next(&it, NULL, &value))
-		dh_duty_followed(value, r->vm, ip);
+	}
 	for (i = 0; i < r->leaving->len; i++) {
 		const struct dh_peer_leaving *l =
 		    &g_array_index(r->leaving, struct dh_peer_leaving, i);
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -201,11 +201,10 @@
 static void
 on_announced(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_objects_reply none;
 	struct dh_owners *o = arg;
 
 	o->announcement = NULL;
-	r = dh_era_answer(owners_known_era(o), r, &none);
+	r = dh_era_answer(owners_known_era(o), r);
 	if (r == NULL)
 		return;
 	o->announced = r->result == DH_OBJECTS_OK ||
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -51,9 +51,7 @@
 	struct dh_view *base; /* without owners of keys; NULL: out of date */
 	int64_t next_change_ms; /* when base is out of date by itself */
 	int64_t awaited_until_ms; /* missing entries may be back until then */
-	/* The store went back, and until when entries may be those of before.
-	 */
-	int64_t went_back_ms, recalled_until_ms;
+	int64_t went_back_ms; /* the store did; 0: never */
 	bool servers_reached;
 	int64_t lost_ms; /* since when it was not */
 	bool (*fine)(void *arg, int64_t since_ms);
@@ -137,7 +135,7 @@
 	k->counted_out = false;
 	k->cold_until_ms = r->cold_left_ms > 0 ? now_ms + r->cold_left_ms : 0;
 	k->recalled = !r->draining && !k->said_leaving &&
-	    now_ms < reg->recalled_until_ms && k->leaving_ms != 0 &&
+	    now_ms - reg->went_back_ms < RECALLED_MS && k->leaving_ms != 0 &&
 	    k->leaving_ms <= reg->went_back_ms;
 	if (!r->draining && !k->said_leaving && !k->recalled)
 		k->leaving_ms = 0;
@@ -244,7 +242,6 @@
 	(void)era;
 	reg->awaited_until_ms = now_ms + reg->settings->return_ms;
 	reg->went_back_ms = now_ms;
-	reg->recalled_until_ms = now_ms + RECALLED_MS;
 	uv_timer_start(reg->recall_timer, on_recall_timer, RECALLED_MS, 0);
 }
 
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -35,11 +35,12 @@
 # A lease is not waited out.
 mutate LAPSE 's/r->sent_ms \+ longest_hold_ms\(ks\)/r->sent_ms/'
 # A former leader's orders are not waited out.
-mutate FOREIGN 's/now_ms \+ ks->p.solo_ms \+ hold_limit_ms\(ks, hold_ms\);/0;/'
+mutate FOREIGN 's/return ks->sole_ms \+ ks->former_limit_ms;/return 0;/'
+mutate FOREIGN_SOLO 's/ks->sole_ms = now_ms \+ ks->p.solo_ms;/ks->sole_ms = now_ms;/'
 # A record says that nobody else gives orders, whoever may.
 mutate SOLE 's/ks->sole = now_ms >= ks->sole_ms;/ks->sole = true;/'
 # The leases of a former leader that has stopped are not waited out.
-mutate SOLE_HOLD 's/now_ms \+ ks->former_limit_ms;/now_ms;/'
+mutate SOLE_HOLD 's/ks->sole_ms \+ ks->former_limit_ms;/ks->sole_ms;/'
 # A former leader's longer leases are not waited out.
 mutate FOREIGN_HOLD 's/former_hold_ms > ks->p.hold_ms \?/false ?/'
 # A range that a former leader may renew is moved.
@@ -76,6 +77,6 @@
 # Tokens do not rise with the era.
 mutate FLOOR 's/ks->next_fence = fence_floor \+ 1;/;/'
 # Nobody else may have been forgotten.
-mutate FORGOTTEN_FOREIGN 's/ks->ranges\[i\].foreign_ms = ks->foreign_ms;/;/'
+mutate FORGOTTEN_FOREIGN 's/ks->ranges\[i\].foreign_ms = foreign_until_ms\(ks\);/;/'
 
 summary
