Tests: one way to start what several tests start

test_choice plays its queues, test_owners takes the lead after the other VM, test_registry begins in the first era, each in one place.

--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -309,6 +309,18 @@
 	}
 }
 
+static void
+run_jobs(struct queue *queues, struct dh_backend_load (*load)[BACKENDS],
+    int backends, int64_t now, int *in_time, int *late)
+{
+	int b;
+
+	for (b = 0; b < backends; b++) {
+		finish_jobs(&queues[b], load, b, now, in_time, late);
+		start_jobs(&queues[b], now);
+	}
+}
+
 /* A router sends one more there. */
 static void
 add_job(struct queue *q, struct dh_backend_load *l, int router, int64_t now)
@@ -355,16 +367,13 @@
 	struct dh_choice c;
 	double due = 0;
 	int64_t now;
-	int b, router;
+	int router;
 
 	memset(queues, 0, sizeof(queues));
 	memset(load, 0, sizeof(load));
 	*in_time = *late = *refused = 0;
 	for (now = ROUND_MS; now < for_ms; now += ROUND_MS) {
-		for (b = 0; b < backends; b++) {
-			finish_jobs(&queues[b], load, b, now, in_time, late);
-			start_jobs(&queues[b], now);
-		}
+		run_jobs(queues, load, backends, now, in_time, late);
 		due += per_s * ROUND_MS / 1000;
 		while (due >= 1) {
 			due -= 1;
@@ -491,10 +500,7 @@
 	memset(load, 0, sizeof(load));
 	*in_time = *late = *refused = *crossed = 0;
 	for (now = ROUND_MS; now < for_ms; now += ROUND_MS) {
-		for (b = 0; b < backends; b++) {
-			finish_jobs(&queues[b], load, b, now, in_time, late);
-			start_jobs(&queues[b], now);
-		}
+		run_jobs(queues, load, backends, now, in_time, late);
 		due += part * backends * SLOTS * ROUND_MS / WORK_MS * 2 *
 		    dh_rng_unit(&rng);
 		while (due >= 1) {
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -25,6 +25,10 @@
     "\"clusters\":[{\"name\":\"s\",\"health_path\":\"/health/\","
     "\"max_conns\":10,\"sharded\":true}]}";
 
+/* The leader's object: the other VM, in term 3. */
+static const char other_leads[] =
+    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"x\",\"term\":3}";
+
 static uint16_t port; /* of all VMs */
 
 struct fixture {
@@ -207,9 +211,7 @@
 	start(&fx, NULL, 0);
 	beat(&fx, 3);
 	wait_for_question(&fx);
-	answer_with("leader", DH_OBJECTS_OK, 40,
-	    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"x\","
-	    "\"term\":3}");
+	answer_with("leader", DH_OBJECTS_OK, 40, other_leads);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader"));
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("leader")->put);
 	CU_ASSERT_EQUAL(fake_open("leader")->revision, 40);
@@ -250,9 +252,7 @@
 	start(&fx, NULL, 0);
 	beat(&fx, 3);
 	wait_for_question(&fx);
-	answer_with("leader", DH_OBJECTS_OK, 40,
-	    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"x\","
-	    "\"term\":3}");
+	answer_with("leader", DH_OBJECTS_OK, 40, other_leads);
 	answer_with("leader", DH_OBJECTS_CONFLICT, 41,
 	    "{\"vm\":\"vm-3\",\"ip\":\"127.0.0.3\",\"incarnation\":\"z\","
 	    "\"term\":4}");
@@ -262,6 +262,17 @@
 	end(&fx);
 }
 
+/* Leads in term 4, after the other VM. */
+static void
+lead_after_other(struct fixture *fx)
+{
+	beat(fx, 3);
+	wait_for_question(fx);
+	answer_with("leader", DH_OBJECTS_OK, 40, other_leads);
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	CU_ASSERT_TRUE(dh_owners_leads(fx->owners));
+}
+
 /* The leader says whom others of a zone begin with. */
 static void
 test_strong_are_named(void)
@@ -274,10 +285,7 @@
 	struct fixture fx;
 
 	start(&fx, &v, 1);
-	beat(&fx, 3);
-	wait_for_question(&fx);
-	answer_with("leader", DH_OBJECTS_OK, 40, "{\"term\":3}");
-	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	lead_after_other(&fx);
 	run_for(&fx, 100);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("strong"));
 	CU_ASSERT_STRING_EQUAL(fake_open("strong")->put,
@@ -486,13 +494,7 @@
 	int i;
 
 	start(&fx, NULL, 0);
-	beat(&fx, 3);
-	wait_for_question(&fx);
-	answer_with("leader", DH_OBJECTS_OK, 40,
-	    "{\"vm\":\"vm-2\",\"ip\":\"127.0.0.2\",\"incarnation\":\"x\","
-	    "\"term\":3}");
-	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
-	CU_ASSERT_TRUE(dh_owners_leads(fx.owners));
+	lead_after_other(&fx);
 	run_for(&fx, 100);
 	answer_with("service.s", DH_OBJECTS_OK, 50,
 	    "{\"term\":3,\"version\":2,\"next\":9,\"vm\":\"vm-2\","
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -208,6 +208,17 @@
 	end(&fx);
 }
 
+/* Knows a backend server, and follows the store itself. */
+static void
+start_in_first_era(struct fixture *fx)
+{
+	fake_era = 1;
+	start(fx);
+	enter_server(100, 11);
+	follow_for(fx, 400);
+	dh_registry_follow(fx->reg, NULL);
+}
+
 /* The store went back to before the backend server had left: it is not used
  * again because of that, unless its entry stands. */
 static void
@@ -218,11 +229,7 @@
 	};
 	struct fixture fx;
 
-	fake_era = 1;
-	start(&fx);
-	enter_server(100, 11);
-	follow_for(&fx, 400);
-	dh_registry_follow(fx.reg, NULL);
+	start_in_first_era(&fx);
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 12, &gone, 1);
 	follow_for(&fx, 100);
 	CU_ASSERT_TRUE(is_leaving(fx.reg));
@@ -248,11 +255,7 @@
 {
 	struct fixture fx;
 
-	fake_era = 1;
-	start(&fx);
-	enter_server(100, 11);
-	follow_for(&fx, 400);
-	dh_registry_follow(fx.reg, NULL);
+	start_in_first_era(&fx);
 	fake_era = 2;
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 11, NULL, 0);
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 9, NULL, 0);
