Registry, mirror: log who told of a change and when a backend server closes

A VM that is late with the news that a backend server leaves could not be told from one that stops using it late. server.changed now has the revision, store.changes says whether the leader or the store told of it, server.closed when this VM sent the last request and how long after it counts the server as leaving.

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -199,6 +199,18 @@
 	return false;
 }
 
+static void
+log_changes(
+    const struct dh_mirror *f, const char *from, uint64_t as_of, size_t n)
+{
+	if (n > 0)
+		dh_opslog_add(DH_OPS_MEMBER, "store.changes",
+		    ",\"kind\":\"%s\",\"from\":\"%s\",\"objects\":%zu,"
+		    "\"since\":%llu,\"as_of\":%llu",
+		    f->kind, from, n, (unsigned long long)f->as_of,
+		    (unsigned long long)as_of);
+}
+
 /* Removes known objects that are not in the list. */
 static void
 remove_unlisted(struct dh_mirror *f)
@@ -282,6 +294,7 @@
 	case DH_OBJECTS_OK:
 		f->poll_once = false;
 		set_reached(f, true, "watch answered");
+		log_changes(f, "store", r->as_of, r->nitems);
 		for (i = 0; i < r->nitems; i++)
 			apply_object(f, &r->items[i]);
 		if (r->as_of > f->as_of)
@@ -408,6 +421,7 @@
 		return false;
 	if (as_of <= f->as_of)
 		return true;
+	log_changes(f, "leader", as_of, n);
 	for (i = 0; i < n; i++)
 		apply_from_leader(f, &items[i]);
 	f->as_of = f->last_change_as_of = as_of;
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -43,6 +43,7 @@
 	/* It had left before the store was restored from a copy, and its entry,
 	 * which says otherwise, may be an old one. */
 	bool return_unconfirmed;
+	bool closed; /* in the last base view */
 };
 
 struct dh_registry {
@@ -126,7 +127,8 @@
 }
 
 static void
-update_server(struct dh_registry *reg, const struct dh_registration *r)
+update_server(
+    struct dh_registry *reg, const struct dh_registration *r, uint64_t revision)
 {
 	struct server_state *k = g_hash_table_lookup(reg->servers, r->id);
 	int64_t now_ms = dh_clock_ms();
@@ -160,9 +162,11 @@
 	dh_opslog_add(DH_OPS_MEMBER,
 	    is_new ? "server.joined" : "server.changed",
 	    ",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
-	    "\"zone\":\"%s\",\"slots\":%u,\"draining\":%s,\"born\":%lld",
+	    "\"zone\":\"%s\",\"slots\":%u,\"draining\":%s,\"born\":%lld,"
+	    "\"revision\":%llu",
 	    r->id, r->service, r->address, r->port, r->zone, r->slots,
-	    r->draining ? "true" : "false", (long long)r->start_ms);
+	    r->draining ? "true" : "false", (long long)r->start_ms,
+	    (unsigned long long)revision);
 }
 
 static void
@@ -180,7 +184,7 @@
 		    (unsigned long long)o->revision, error->message);
 		return;
 	}
-	update_server(reg, &r);
+	update_server(reg, &r, o->revision);
 	invalidate_base_view(reg);
 }
 
@@ -615,6 +619,21 @@
 		    v->by_id, v->servers[i].id, GUINT_TO_POINTER(i + 1));
 }
 
+static void
+log_if_closed(struct server_state *k, bool closed, int64_t now_ms)
+{
+	if (closed && !k->closed)
+		dh_opslog_add(DH_OPS_MEMBER, "server.closed",
+		    ",\"server\":\"%s\",\"born\":%lld,\"leaving_ms\":%lld,"
+		    "\"replaced\":%s",
+		    k->r.id, (long long)k->r.start_ms,
+		    (long long)(k->leaving_since_ms == 0
+			    ? 0
+			    : now_ms - k->leaving_since_ms),
+		    k->address_taken ? "true" : "false");
+	k->closed = closed;
+}
+
 static struct dh_view *
 make_base_view(struct dh_registry *reg, int64_t now_ms)
 {
@@ -628,12 +647,15 @@
 	    g_new0(struct dh_view_server, g_hash_table_size(reg->servers) + 1);
 	g_hash_table_iter_init(&it, reg->servers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct server_state *k = value;
+		struct server_state *k = value;
+		struct dh_view_server *s = &v->servers[v->nservers];
 
 		service = dh_deployment_service(*reg->deployment, k->r.service);
-		if (service != DH_NONE)
-			fill_view_server(reg, k, service, now_ms,
-			    &v->servers[v->nservers++]);
+		if (service == DH_NONE)
+			continue;
+		fill_view_server(reg, k, service, now_ms, s);
+		log_if_closed(k, s->closed, now_ms);
+		v->nservers++;
 	}
 	index_view(v);
 	return v;
