Gateway: count a drain period from the last time the list was complete

Cause: the drain period was counted from when a VM learned that the server leaves, with a fixed 0.8 s for the news. With the leader cut off from the store the news takes 0.5 to 1.25 s: the leader's watch has to time out before its heartbeats say so, and until then the other VMs take their list for complete. A class of its own: a bound that another party counts, measured from the arrival of its news.

Now the mirror knows a time at which it held all changes: from the store's answers, and on VMs that the leader tells from the age in its heartbeats. What becomes known was done after it, so the drain period is counted from there; the same for entries that are missing and for a leaving that others report. A VM whose list is older than half of drain_s asks the store itself. The leader's watch of backend servers waits 0.3 s (0.7 s), which keeps the age small. The margin is 0.5 s and covers the request's own way only.

gateway_soak checks the drain period itself, without half a second on top. A reload of the settings reaches the limit of the age.

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -55,6 +55,13 @@
 	/* Reads are stale until then, as a leader is expected to send what is
 	 * new; 0: no leader is expected. */
 	int64_t stale_reads_until_ms;
+	int64_t call_began_ms; /* start of the open call */
+	int64_t call_wait_ms; /* how long it waits for a change */
+	bool call_fresh; /* the open call is a fresh read of the store */
+	int64_t list_began_ms; /* start of the list being read; 0: stale */
+	int64_t current_ms; /* see dh_mirror_current_ms() */
+	int64_t max_age_ms; /* see dh_mirror_set_max_age(); 0: no limit */
+	int64_t refreshed_ms; /* last call because of max_age_ms */
 	bool fed; /* the leader sends the changes */
 	bool poll_once; /* the next call asks without waiting for a change */
 	bool call_waits; /* the open call waits for a change */
@@ -106,8 +113,33 @@
 watch_wait_ms(const struct dh_mirror *f)
 {
 	int64_t left_ms = f->stale_reads_until_ms - dh_clock_ms();
+	int64_t wait_ms = f->wait_ms;
 
-	return left_ms > 0 && left_ms < f->wait_ms ? left_ms : f->wait_ms;
+	if (f->max_age_ms != 0)
+		wait_ms = MIN(wait_ms, f->max_age_ms / 2);
+	return left_ms > 0 && left_ms < wait_ms ? left_ms : wait_ms;
+}
+
+/* Notes that all changes made before current_ms are known. */
+static void
+set_current(struct dh_mirror *f, int64_t current_ms)
+{
+	f->current_ms = MAX(f->current_ms, current_ms);
+}
+
+/* The store answered a watch.  An answer without changes was made when the wait
+ * was over, any other one at an unknown time after the start of the call. */
+static void
+watch_answered(struct dh_mirror *f, size_t nitems)
+{
+	int64_t made_ms = f->call_began_ms;
+
+	if (!f->call_fresh)
+		return;
+	if (nitems == 0 && f->call_waits)
+		made_ms =
+		    MIN(dh_clock_ms(), f->call_began_ms + f->call_wait_ms);
+	set_current(f, made_ms);
 }
 
 static void
@@ -238,6 +270,7 @@
 	g_hash_table_remove_all(f->listed_names);
 	f->as_of = f->last_change_as_of = f->list_as_of;
 	f->listed = true;
+	set_current(f, f->list_began_ms);
 	set_reached(f, true, "listed");
 }
 
@@ -259,6 +292,8 @@
 		return;
 	}
 	f->source = NULL;
+	if (f->list_after == NULL)
+		f->list_began_ms = f->call_fresh ? f->call_began_ms : 0;
 	if (r->result != DH_OBJECTS_OK && r->result != DH_OBJECTS_NOT_FOUND) {
 		g_clear_pointer(&f->list_after, g_free);
 		g_hash_table_remove_all(f->listed_names);
@@ -299,6 +334,7 @@
 			apply_object(f, &r->items[i]);
 		if (r->as_of > f->as_of)
 			f->as_of = r->as_of;
+		watch_answered(f, r->nitems);
 		if (r->nitems == 0) {
 			start_call(f);
 			return;
@@ -341,6 +377,8 @@
 	if (f->call != NULL)
 		return;
 	f->call_waits = false;
+	f->call_began_ms = dh_clock_ms();
+	f->call_fresh = f->source == NULL && current_freshness(f) == DH_FRESH;
 	if (f->source != NULL)
 		f->call = dh_objects_list(f->source, f->kind, "", DH_FRESH,
 		    SOURCE_TIMEOUT_MS, on_list, f);
@@ -352,6 +390,7 @@
 		/* The first watch after a failure does not wait, to show
 		 * whether the store answers. */
 		f->call_waits = !ask;
+		f->call_wait_ms = wait_ms;
 		f->call = dh_objects_watch(f->objects, f->kind, f->as_of,
 		    ask ? 1 : wait_ms, current_freshness(f),
 		    ask ? LIST_TIMEOUT_MS : wait_ms + grace_ms, on_watch, f);
@@ -447,6 +486,42 @@
 		poll_now(f);
 }
 
+void
+dh_mirror_set_max_age(struct dh_mirror *f, int64_t max_age_ms)
+{
+	f->max_age_ms = max_age_ms;
+}
+
+void
+dh_mirror_note_leader_age(struct dh_mirror *f, int64_t age_ms)
+{
+	if (f->listed)
+		set_current(f, dh_clock_ms() - age_ms);
+}
+
+void
+dh_mirror_check_age(struct dh_mirror *f)
+{
+	int64_t now_ms = dh_clock_ms();
+
+	if (f->max_age_ms == 0 || f->current_ms == 0 ||
+	    now_ms - f->current_ms <= f->max_age_ms ||
+	    now_ms - f->refreshed_ms <= f->max_age_ms / 2)
+		return;
+	dh_opslog_add(DH_OPS_STATE, "store.too_old",
+	    ",\"kind\":\"%s\",\"age_ms\":%lld,\"as_of\":%llu", f->kind,
+	    (long long)(now_ms - f->current_ms), (unsigned long long)f->as_of);
+	f->refreshed_ms = now_ms;
+	f->stale_reads_until_ms = 0;
+	poll_now(f);
+}
+
+int64_t
+dh_mirror_current_ms(const struct dh_mirror *f)
+{
+	return f->current_ms;
+}
+
 uint64_t
 dh_mirror_as_of(const struct dh_mirror *f)
 {
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -75,6 +75,25 @@
 #define DH_MIRROR_WAIT_MS 20000
 void dh_mirror_set_wait(struct dh_mirror *f, int64_t wait_ms);
 
+/*
+ * dh_mirror_current_ms -- a time, of dh_clock_ms(), at which all changes were
+ * known that had been made before it; 0 if there is none yet.  A change that
+ * becomes known was made later than this.
+ *
+ * dh_mirror_note_leader_age -- the leader, whose changes are all known here,
+ * had a copy that was at most age_ms old.
+ *
+ * dh_mirror_set_max_age -- limit the time since dh_mirror_current_ms().  While
+ * the store is watched, it answers at least twice in that time.
+ *
+ * dh_mirror_check_age -- to be called regularly: asks the store, even while the
+ * leader sends the changes, if the limit is exceeded.
+ */
+int64_t dh_mirror_current_ms(const struct dh_mirror *f);
+void dh_mirror_note_leader_age(struct dh_mirror *f, int64_t age_ms);
+void dh_mirror_set_max_age(struct dh_mirror *f, int64_t max_age_ms);
+void dh_mirror_check_age(struct dh_mirror *f);
+
 /*
  * dh_mirror_as_of -- the store's revision up to which all changes are known.
  *
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -104,6 +104,22 @@
 	return true;
 }
 
+/* Ages are absent in heartbeats of an earlier release. */
+static void
+read_ages(const msgpack_object_array *list,
+    struct dh_registry_cursor cursors[DH_REGISTRY_KINDS])
+{
+	uint64_t age_ms;
+	uint32_t i;
+
+	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
+		cursors[i].age_ms = UINT32_MAX;
+		if (list != NULL && number_at(list, i, &age_ms))
+			cursors[i].age_ms =
+			    (uint32_t)MIN(age_ms, (uint64_t)UINT32_MAX);
+	}
+}
+
 static bool
 decode_heartbeat(const struct dh_peer_handler *h, const msgpack_object_array *a,
     const char *ip)
@@ -117,6 +133,7 @@
 	if (!read_cursors(array_at(a, 5, DH_REGISTRY_KINDS), b.cursors) ||
 	    !number_at(a, 6, &b.era))
 		return false;
+	read_ages(array_at(a, 7, DH_REGISTRY_KINDS), b.cursors);
 	b.failing = failing != 0;
 	b.vms = vms > 100000 ? 100000 : (uint32_t)vms;
 	h->heartbeat(h->arg, &b, ip);
@@ -471,7 +488,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 7);
+	msgpack_pack_array(&pk, 8);
 	msgpack_pack_uint32(&pk, DATAGRAM_BEAT);
 	pack_text(&pk, heartbeat->vm);
 	msgpack_pack_uint64(&pk, heartbeat->term);
@@ -484,6 +501,9 @@
 		msgpack_pack_uint32(&pk, heartbeat->cursors[i].reached);
 	}
 	msgpack_pack_uint64(&pk, heartbeat->era);
+	msgpack_pack_array(&pk, DH_REGISTRY_KINDS);
+	for (i = 0; i < DH_REGISTRY_KINDS; i++)
+		msgpack_pack_uint32(&pk, heartbeat->cursors[i].age_ms);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -20,6 +20,9 @@
  * store shows only when the wait is over.  It has to leave them time to notice
  * that the leader is silent and to ask the store themselves. */
 #define LEADER_WATCH_WAIT_MS 700
+/* Shorter for backend servers: the last answer limits how long ago one can have
+ * begun to leave when that becomes known (see leaving_since()). */
+#define LEADER_SERVERS_WAIT_MS 300
 /* A VM that has been behind the leader's revision for this long has lost a
  * datagram and asks the store. */
 #define CATCH_UP_DELAY_MS 300
@@ -33,8 +36,9 @@
 	enum dh_tier tier;
 	uint32_t uid;
 	int64_t cold_until_ms;
-	int64_t leaving_since_ms; /* leaving or gone; 0: neither */
+	int64_t leaving_since_ms; /* see leaving_since(); 0: not leaving */
 	int64_t missing_since_ms; /* the entry is missing; 0: it exists */
+	int64_t existed_until_ms; /* at least: the entry, if it is missing */
 	bool presumed_gone; /* the entry was missing for too long */
 	/* A response of this incarnation said that it is leaving; true until
 	 * the next incarnation. */
@@ -126,6 +130,18 @@
 							  : DH_TIER_REMOTE;
 }
 
+/* When a backend server that has just become known as leaving said so at the
+ * earliest: its drain period runs from then on, however late this VM learns of
+ * it. */
+static int64_t
+leaving_since(const struct dh_registry *reg)
+{
+	int64_t current_ms =
+	    dh_mirror_current_ms(reg->mirrors[DH_REGISTRY_SERVERS]);
+
+	return MAX(MIN(current_ms, dh_clock_ms()), 1);
+}
+
 static void
 update_server(
     struct dh_registry *reg, const struct dh_registration *r, uint64_t revision)
@@ -157,16 +173,17 @@
 	if (!r->draining && !k->reported_leaving && !k->return_unconfirmed)
 		k->leaving_since_ms = 0;
 	else if (k->leaving_since_ms == 0)
-		k->leaving_since_ms = now_ms;
+		k->leaving_since_ms = leaving_since(reg);
 	mark_previous_at_address(reg, k);
 	dh_opslog_add(DH_OPS_MEMBER,
 	    is_new ? "server.joined" : "server.changed",
 	    ",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
 	    "\"zone\":\"%s\",\"slots\":%u,\"draining\":%s,\"born\":%lld,"
-	    "\"revision\":%llu",
+	    "\"revision\":%llu,\"list_age_ms\":%lld",
 	    r->id, r->service, r->address, r->port, r->zone, r->slots,
 	    r->draining ? "true" : "false", (long long)r->start_ms,
-	    (unsigned long long)revision);
+	    (unsigned long long)revision,
+	    (long long)(now_ms - leaving_since(reg)));
 }
 
 static void
@@ -193,7 +210,8 @@
 {
 	k->presumed_gone = true;
 	if (k->leaving_since_ms == 0)
-		k->leaving_since_ms = now_ms;
+		k->leaving_since_ms =
+		    MAX(k->existed_until_ms, reg->missing_tolerated_until_ms);
 	dh_opslog_add(DH_OPS_STATE, "server.left",
 	    ",\"server\":\"%s\",\"missing_ms\":%lld", k->r.id,
 	    (long long)(now_ms - k->missing_since_ms));
@@ -277,6 +295,7 @@
 	if (k == NULL || k->missing_since_ms != 0)
 		return;
 	k->missing_since_ms = dh_clock_ms();
+	k->existed_until_ms = leaving_since(reg);
 	uv_timer_start(reg->missing_timer, on_missing_timer, 0, 0);
 }
 
@@ -428,6 +447,10 @@
 dh_registry_set_leading(struct dh_registry *reg,
     void (*send)(void *arg, const struct dh_registry_changes *n), void *arg)
 {
+	static const int64_t wait_ms[DH_REGISTRY_KINDS] = {
+		[DH_REGISTRY_SERVERS] = LEADER_SERVERS_WAIT_MS,
+		[DH_REGISTRY_CONFIG] = LEADER_WATCH_WAIT_MS,
+	};
 	size_t i;
 
 	reg->send_changes = send;
@@ -436,10 +459,20 @@
 		if (send != NULL)
 			dh_mirror_set_fed_by_leader(reg->mirrors[i], false);
 		dh_mirror_set_wait(reg->mirrors[i],
-		    send != NULL ? LEADER_WATCH_WAIT_MS : DH_MIRROR_WAIT_MS);
+		    send != NULL ? wait_ms[i] : DH_MIRROR_WAIT_MS);
 	}
 }
 
+static uint32_t
+age_ms(const struct dh_mirror *f)
+{
+	int64_t current_ms = dh_mirror_current_ms(f);
+
+	return current_ms == 0 ? UINT32_MAX
+			       : (uint32_t)CLAMP(dh_clock_ms() - current_ms, 0,
+				     (int64_t)UINT32_MAX);
+}
+
 void
 dh_registry_cursors(const struct dh_registry *reg,
     struct dh_registry_cursor cursors[DH_REGISTRY_KINDS])
@@ -449,6 +482,7 @@
 	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
 		cursors[i].as_of = dh_mirror_last_change_as_of(reg->mirrors[i]);
 		cursors[i].reached = dh_mirror_reached(reg->mirrors[i]);
+		cursors[i].age_ms = age_ms(reg->mirrors[i]);
 	}
 }
 
@@ -465,6 +499,9 @@
 		dh_mirror_set_fed_by_leader(f, c->reached && c->as_of != 0);
 	if (c == NULL || c->as_of <= dh_mirror_as_of(f)) {
 		reg->behind_since_ms[kind] = 0;
+		if (c != NULL && c->as_of != 0 && c->age_ms != UINT32_MAX)
+			dh_mirror_note_leader_age(f, c->age_ms);
+		dh_mirror_check_age(f);
 		return;
 	}
 	if (reg->behind_since_ms[kind] == 0) {
@@ -481,6 +518,9 @@
 {
 	size_t i;
 
+	/* The settings may have been reloaded. */
+	dh_mirror_set_max_age(
+	    reg->mirrors[DH_REGISTRY_SERVERS], reg->settings->drain_ms / 2);
 	for (i = 0; i < DH_REGISTRY_KINDS; i++)
 		follow_leader(reg, (enum dh_registry_kind)i,
 		    cursors == NULL ? NULL : &cursors[i]);
@@ -718,7 +758,7 @@
 		return;
 	k->reported_leaving = true;
 	if (k->leaving_since_ms == 0)
-		k->leaving_since_ms = dh_clock_ms();
+		k->leaving_since_ms = leaving_since(reg);
 	dh_opslog_add(DH_OPS_STATE, "server.said_leaving",
 	    ",\"server\":\"%s\",\"born\":%lld", id, (long long)start_ms);
 	invalidate_base_view(reg);
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -54,6 +54,9 @@
 struct dh_registry_cursor {
 	uint64_t as_of; /* the store's revision at the last change */
 	bool reached; /* the store answers the VM */
+	/* Time since all changes were known that had been made by then;
+	 * UINT32_MAX: not known. */
+	uint32_t age_ms;
 };
 
 /* All changes of a kind after revision since, up to and including as_of. */
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -19,11 +19,10 @@
  */
 
 /* A leaving backend server of a keyed service is sent requests until this time
- * before the end of its drain period (drain_s).  The margin covers the delay
- * until a VM that missed the leader's datagram learns that the backend server
- * is leaving (the leader's sending interval, a heartbeat, the wait after it and
- * a call to the leader), and the time for a request to arrive. */
-#define DH_DRAIN_MARGIN_MS 800
+ * before the end of its drain period (drain_s).  The margin covers the delay of
+ * a heartbeat or a view on a busy VM, a new connection (connect_ms), and the
+ * time for a request to arrive. */
+#define DH_DRAIN_MARGIN_MS 500
 
 struct dh_view_server {
 	uint32_t uid; /* unique for id, start_ms and address; not reused */
--- a/tests/failure/gateway_soak.sh
+++ b/tests/failure/gateway_soak.sh
@@ -16,7 +16,7 @@
 fault_s=${SECONDS_OF_FAULTS:-8}
 RECOVER_S=15
 GRACE_S=6
-DRAIN_S=2.7 # drain_s of the gateways, and half a second to hear of it
+DRAIN_S=2 # drain_s of the gateways, by default
 PROBE_MS=1500
 SERVED_PERCENT=95
 
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -474,6 +474,67 @@
 	end(&fx);
 }
 
+/* Reads at the start are stale: nothing says how old the copy is, until the
+ * leader does or a fresh read is answered. */
+static void
+test_age_of_the_copy(void)
+{
+	struct fixture fx;
+	int64_t began_ms;
+
+	start(&fx);
+	CU_ASSERT_EQUAL(dh_mirror_current_ms(fx.f), 0);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	CU_ASSERT_EQUAL(dh_mirror_current_ms(fx.f), 0);
+	dh_mirror_note_leader_age(fx.f, 300);
+	CU_ASSERT_TRUE(dh_mirror_current_ms(fx.f) <= dh_clock_ms() - 300);
+	CU_ASSERT_TRUE(dh_mirror_current_ms(fx.f) >= dh_clock_ms() - 400);
+	/* A fresh read whose answer has a change says nothing of the time
+	 * after it was sent. */
+	began_ms = dh_clock_ms();
+	dh_mirror_set_wait(fx.f, 200);
+	run_for(&fx, 100);
+	fake_answer(KIND, DH_OBJECTS_OK, 11, NULL, 0);
+	CU_ASSERT_TRUE(dh_mirror_current_ms(fx.f) >= began_ms);
+	CU_ASSERT_TRUE(dh_mirror_current_ms(fx.f) < began_ms + 90);
+	/* One that waited without a change does. */
+	began_ms = dh_clock_ms();
+	run_for(&fx, 250);
+	fake_answer(KIND, DH_OBJECTS_OK, 11, NULL, 0);
+	CU_ASSERT_TRUE(dh_mirror_current_ms(fx.f) >= began_ms + 190);
+	CU_ASSERT_TRUE(dh_mirror_current_ms(fx.f) <= began_ms + 240);
+	end(&fx);
+}
+
+static void
+test_limit_of_the_age(void)
+{
+	struct fixture fx;
+
+	start(&fx);
+	dh_mirror_set_max_age(fx.f, 400);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	dh_mirror_set_fed_by_leader(fx.f, true);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	dh_mirror_note_leader_age(fx.f, 0);
+	dh_mirror_check_age(fx.f);
+	CU_ASSERT_PTR_NULL(fake_open(KIND));
+	run_for(&fx, 420);
+	dh_mirror_check_age(fx.f);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open(KIND));
+	CU_ASSERT_EQUAL(fake_open(KIND)->freshness, DH_FRESH);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	CU_ASSERT_TRUE(dh_clock_ms() - dh_mirror_current_ms(fx.f) < 100);
+	dh_mirror_check_age(fx.f);
+	CU_ASSERT_PTR_NULL(fake_open(KIND));
+	/* A watch of its own is answered twice in that time. */
+	dh_mirror_set_fed_by_leader(fx.f, false);
+	fake_answer(KIND, DH_OBJECTS_OK, 10, NULL, 0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open(KIND));
+	CU_ASSERT_EQUAL(fake_open(KIND)->wait_ms, 200);
+	end(&fx);
+}
+
 int
 main(void)
 {
@@ -493,6 +554,8 @@
 		{ "lost store", test_lost_store_is_reported },
 		{ "shorter wait", test_shorter_wait_replaces_the_open_watch },
 		{ "history gone", test_history_gone_lists_again },
+		{ "age of the copy", test_age_of_the_copy },
+		{ "limit of the age", test_limit_of_the_age },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -169,8 +169,9 @@
 	struct dh_leader_heartbeat b = { .vm = "vm-2", .term = term, .vms = 2 };
 
 	b.cursors[DH_REGISTRY_SERVERS] =
-	    (struct dh_registry_cursor){ 10, true };
-	b.cursors[DH_REGISTRY_CONFIG] = (struct dh_registry_cursor){ 10, true };
+	    (struct dh_registry_cursor){ .as_of = 10, .reached = true };
+	b.cursors[DH_REGISTRY_CONFIG] =
+	    (struct dh_registry_cursor){ .as_of = 10, .reached = true };
 	dh_peer_send_heartbeat(fx->other, SELF, &b);
 	run_for(fx, 20);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -125,7 +125,8 @@
 		.failing = true,
 		.vms = 70,
 		.era = 5,
-		.cursors = { { 17, true }, { 1ull << 40, false } } };
+		.cursors = {
+		    { 17, true, 250 }, { 1ull << 40, false, UINT32_MAX } } };
 	struct fixture fx;
 
 	start(&fx);
@@ -140,6 +141,8 @@
 	CU_ASSERT_TRUE(fx.beat.cursors[0].reached);
 	CU_ASSERT_EQUAL(fx.beat.cursors[1].as_of, 1ull << 40);
 	CU_ASSERT_FALSE(fx.beat.cursors[1].reached);
+	CU_ASSERT_EQUAL(fx.beat.cursors[0].age_ms, 250);
+	CU_ASSERT_EQUAL(fx.beat.cursors[1].age_ms, UINT32_MAX);
 	end(&fx);
 }
 
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -39,9 +39,9 @@
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
 	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, NULL, 0);
 	fx->cursors[DH_REGISTRY_SERVERS] =
-	    (struct dh_registry_cursor){ 10, true };
+	    (struct dh_registry_cursor){ .as_of = 10, .reached = true };
 	fx->cursors[DH_REGISTRY_CONFIG] =
-	    (struct dh_registry_cursor){ 10, true };
+	    (struct dh_registry_cursor){ .as_of = 10, .reached = true };
 }
 
 static void
@@ -154,13 +154,13 @@
 }
 
 static void
-answer_server_entry(int64_t born_ms, uint64_t revision)
+answer_server_state(int64_t born_ms, uint64_t revision, const char *state)
 {
 	g_autofree char *text = g_strdup_printf(
 	    "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"z\","
-	    "\"slots\":2,\"state\":\"ready\",\"version\":\"1\","
+	    "\"slots\":2,\"state\":\"%s\",\"version\":\"1\","
 	    "\"cold_left_s\":0,\"sequence\":%llu,\"born\":%lld}",
-	    (unsigned long long)revision, (long long)born_ms);
+	    state, (unsigned long long)revision, (long long)born_ms);
 	struct json_object *spec = json_tokener_parse(text);
 	struct dh_object_view v = {
 		.name = "i-1", .revision = revision, .spec = spec
@@ -170,6 +170,12 @@
 	json_object_put(spec);
 }
 
+static void
+answer_server_entry(int64_t born_ms, uint64_t revision)
+{
+	answer_server_state(born_ms, revision, "ready");
+}
+
 static bool
 is_leaving(const struct dh_registry *reg)
 {
@@ -271,6 +277,170 @@
 	end(&fx);
 }
 
+static const char keyed_config[] =
+    "{\"version\":1,\"limits\":{\"header_bytes\":16384,\"body_bytes\":1000000,"
+    "\"header_timeout_s\":3,\"idle_timeout_s\":15},\"listeners\":[{\"host\":"
+    "\"h.example\",\"rules\":[{\"name\":\"read\",\"type\":\"safe\","
+    "\"target_latency_s\":0.4,\"priority\":1,\"match\":{\"path_prefix\":\"/r/"
+    "\"},\"action\":{\"service\":\"s\",\"timeout_s\":2,\"max_attempts\":3}}]}],"
+    "\"clusters\":[{\"name\":\"s\",\"health_path\":\"/health\","
+    "\"max_conns\":200,\"sharded\":true,\"warm_s\":2.0}]}";
+
+/* A keyed service with one backend server, "ready" at revision 11; the leader
+ * is heard, and a drain period lasts 2 s. */
+static void
+start_keyed(struct fixture *fx)
+{
+	struct json_object *spec = json_tokener_parse(keyed_config);
+	struct dh_object_view config = {
+		.name = dh_wire_config_name, .revision = 11, .spec = spec
+	};
+
+	start(fx);
+	fx->settings.drain_ms = 2000;
+	dh_registry_free(fx->reg);
+	fx->reg = dh_registry_new(
+	    &fx->loop, NULL, NULL, &fx->settings, on_changed, fx);
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 11, &config, 1);
+	json_object_put(spec);
+	answer_server_entry(100, 11);
+	fx->cursors[DH_REGISTRY_SERVERS].as_of = 11;
+	follow_for(fx, 400);
+	answer_open_watches();
+}
+
+static bool
+is_closed(struct dh_registry *reg)
+{
+	struct dh_view *v = dh_registry_view(reg);
+	bool closed;
+
+	if (v == NULL) {
+		CU_FAIL("no view");
+		return false;
+	}
+	CU_ASSERT_EQUAL_FATAL(v->nservers, 1);
+	closed = v->servers[0].closed;
+	dh_view_unref(v);
+	return closed;
+}
+
+/* Runs until ms after since_ms, without a heartbeat. */
+static void
+run_until(struct fixture *fx, int64_t since_ms, int64_t ms)
+{
+	while (dh_clock_ms() < since_ms + ms) {
+		uv_run(&fx->loop, UV_RUN_NOWAIT);
+		g_usleep(5000);
+	}
+}
+
+/* Loses the leader and learns 1 s later, from the store, of a change that may
+ * have been made right after the last heartbeat.  Returns the time of that. */
+static int64_t
+learn_late(struct fixture *fx, void (*answer)(void))
+{
+	int64_t heard_ms;
+
+	follow_for(fx, 40);
+	heard_ms = dh_clock_ms();
+	CU_ASSERT_FALSE(is_closed(fx->reg));
+	run_until(fx, heard_ms, 1000);
+	dh_registry_set_leader_cursors(fx->reg, NULL);
+	answer();
+	run_until(fx, heard_ms, 1020);
+	CU_ASSERT_TRUE(is_leaving(fx->reg));
+	return heard_ms;
+}
+
+static void
+check_closed_in_drain_period(struct fixture *fx, int64_t heard_ms)
+{
+	CU_ASSERT_FALSE(is_closed(fx->reg));
+	run_until(fx, heard_ms, 1200);
+	CU_ASSERT_FALSE(is_closed(fx->reg));
+	run_until(fx, heard_ms, 1800);
+	CU_ASSERT_TRUE(is_closed(fx->reg));
+}
+
+static void
+answer_draining(void)
+{
+	answer_server_state(100, 12, "draining");
+}
+
+static void
+answer_gone(void)
+{
+	struct dh_object_view gone = {
+		.name = "i-1", .revision = 12, .deleted = true
+	};
+
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 12, &gone, 1);
+}
+
+static void
+test_drain_period_of_late_news(void)
+{
+	struct fixture fx;
+
+	start_keyed(&fx);
+	check_closed_in_drain_period(&fx, learn_late(&fx, answer_draining));
+	end(&fx);
+}
+
+static void
+test_drain_period_of_a_missing_entry(void)
+{
+	struct fixture fx;
+
+	start_keyed(&fx);
+	check_closed_in_drain_period(&fx, learn_late(&fx, answer_gone));
+	end(&fx);
+}
+
+static void
+test_drain_period_of_a_reported_leaving(void)
+{
+	struct fixture fx;
+	int64_t heard_ms;
+
+	start_keyed(&fx);
+	follow_for(&fx, 40);
+	heard_ms = dh_clock_ms();
+	run_until(&fx, heard_ms, 1000);
+	dh_registry_mark_leaving(fx.reg, "i-1", 100);
+	check_closed_in_drain_period(&fx, heard_ms);
+	end(&fx);
+}
+
+/* The leader's connection to the store is dead, but its heartbeats arrive: the
+ * store is asked after half of the drain period. */
+static void
+test_leader_whose_copy_is_old(void)
+{
+	struct fixture fx;
+	int64_t cut_ms;
+	uint32_t *age_ms;
+
+	start_keyed(&fx);
+	follow_for(&fx, 40);
+	cut_ms = dh_clock_ms();
+	age_ms = &fx.cursors[DH_REGISTRY_SERVERS].age_ms;
+	do {
+		*age_ms = (uint32_t)(dh_clock_ms() - cut_ms);
+		follow_for(&fx, 20);
+		if (*age_ms < 900)
+			CU_ASSERT_PTR_NULL(fake_open(dh_wire_kind_servers));
+	} while (*age_ms < 1150);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open(dh_wire_kind_servers));
+	CU_ASSERT_EQUAL(fake_open(dh_wire_kind_servers)->freshness, DH_FRESH);
+	answer_draining();
+	check_closed_in_drain_period(&fx, cut_ms);
+	end(&fx);
+}
+
 int
 main(void)
 {
@@ -286,6 +456,12 @@
 		    test_server_that_left_before_a_restore },
 		{ "missing after a restore",
 		    test_entry_missing_after_a_restore },
+		{ "late news of a drain", test_drain_period_of_late_news },
+		{ "late news of a missing entry",
+		    test_drain_period_of_a_missing_entry },
+		{ "leaving reported late",
+		    test_drain_period_of_a_reported_leaving },
+		{ "leader with an old copy", test_leader_whose_copy_is_old },
 		{ "as the leader", test_leader_watches_and_publishes },
 		CU_TEST_INFO_NULL,
 	};
