Platform, worker: decode the rate limit that a backend server names, and log it

server.rate_limit says when a VM reads that a backend server names a limit, a changed one or none any more; it decides nothing yet.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -199,6 +199,29 @@
 			  : strcmp(id, up->rq->id) == 0;
 }
 
+/* A backend server in need names in its answers the rate of requests that it
+ * takes. */
+static void
+note_rate_limit(struct dh_pool *pool, const struct dh_message *answer)
+{
+	const char *text =
+	    dh_message_header(answer, dh_wire_headers.rate_limit);
+	double per_s = -1.0;
+
+	if (text != NULL && !dh_wire_rate_limit(text, &per_s)) {
+		dh_opslog_add(DH_OPS_REQUEST, "rate_limit.ignored",
+		    ",\"server\":\"%s\",\"why\":\"not a number\"", pool->id);
+		return;
+	}
+	if (per_s == pool->rate_limit_per_s)
+		return;
+	dh_opslog_add(DH_OPS_MEMBER, "server.rate_limit",
+	    ",\"server\":\"%s\",\"born\":%lld,\"per_s\":%.3f,"
+	    "\"before\":%.3f",
+	    pool->id, (long long)pool->start_ms, per_s, pool->rate_limit_per_s);
+	pool->rate_limit_per_s = per_s;
+}
+
 static void
 answer_complete(struct dh_upstream *up, bool extra)
 {
@@ -212,6 +235,7 @@
 		upstream_fail(up, DH_ATTEMPT_LOST, "answer without stamp");
 		return;
 	}
+	note_rate_limit(up->pool, &up->in);
 	read_keep_alive(up);
 	keep = !extra &&
 	    dh_pool_accepts_requests(
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -112,6 +112,7 @@
 	pool->tier = s->tier;
 	pool->slots = s->slots;
 	pool->listed = !s->closed;
+	pool->rate_limit_per_s = -1.0;
 	pool->start_ms = s->start_ms;
 	pool->keyed = (*w->view->deployment)->services[s->service].keyed;
 	(void)g_strlcpy(pool->id, s->id, sizeof(pool->id));
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -37,6 +37,9 @@
 	int64_t leaving_since_ms;
 	int64_t leaving_reported_ms; /* last report of leaving, or 0 */
 	bool listed; /* the view has it, and not as closed */
+	/* Requests per second that the last answer named as the limit of all
+	 * VMs together; negative: none. */
+	double rate_limit_per_s;
 };
 
 /* A worker's state of one service. */
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -163,6 +163,25 @@
 	CU_ASSERT_FALSE(dh_wire_key("", &a));
 }
 
+static void
+test_rate_limit(void)
+{
+	double per_s;
+
+	CU_ASSERT_TRUE(dh_wire_rate_limit("4.2", &per_s));
+	CU_ASSERT_DOUBLE_EQUAL(per_s, 4.2, 1e-9);
+	CU_ASSERT_TRUE(dh_wire_rate_limit("120", &per_s));
+	CU_ASSERT_DOUBLE_EQUAL(per_s, 120.0, 1e-9);
+	CU_ASSERT_TRUE(dh_wire_rate_limit("0", &per_s));
+	CU_ASSERT_DOUBLE_EQUAL(per_s, 0.0, 1e-9);
+	CU_ASSERT_FALSE(dh_wire_rate_limit("", &per_s));
+	CU_ASSERT_FALSE(dh_wire_rate_limit("-3", &per_s));
+	CU_ASSERT_FALSE(dh_wire_rate_limit("1e999", &per_s));
+	CU_ASSERT_FALSE(dh_wire_rate_limit("nan", &per_s));
+	CU_ASSERT_FALSE(dh_wire_rate_limit("4,2", &per_s));
+	CU_ASSERT_FALSE(dh_wire_rate_limit("4.2/s", &per_s));
+}
+
 static void
 test_orders(void)
 {
@@ -214,6 +233,7 @@
 		{ "headers", test_headers },
 		{ "orders", test_orders },
 		{ "store's era", test_store_era },
+		{ "rate limit", test_rate_limit },
 		CU_TEST_INFO_NULL,
 	};
 
