Scenario: backend servers name rate limits that no gateway keeps, red

The stand-in names a limit in its answers and counts the requests of each 4 s, as the users' rule does.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -1,9 +1,9 @@
 /*
  * Stand-in for the users' platform: its object store, and backend servers that
  * accept grants of keys, in one process on loopback.  It checks that no two
- * backend servers hold a key, that no key is granted with a lower token, and
- * that no unrepeatable request runs twice.  A violation prints a line that
- * starts with "BROKEN" and makes the exit status 1.
+ * backend servers hold a key, that no key is granted with a lower token, that
+ * no unrepeatable request runs twice, and that rate limits are kept.  A
+ *violation prints a line that starts with "BROKEN" and makes the exit status 1.
  *
  * usage: platform STORE_PORT BACKEND_PORT N [ADVERTISED_PORT]
  * With ADVERTISED_PORT, the store's entries name ports from this one on, which
@@ -14,6 +14,7 @@
  * /_freeze?i=N, /_thaw?i=N	stop and resume its answers
  * /_drain?i=N		announce that it is draining
  * /_closed?i=N		requests to it are violations from now on
+ * /_limit?i=N&per_s=X	its answers name a rate limit; 0: none
  * /_store?mode=M		up, busy, silent, lost (writes take effect but
  *			get no answer), slow, late (calls are executed
  *			after the client's timeout)
@@ -49,6 +50,13 @@
 #define WRITE_AGAIN_MS 800
 /* Exceeds the timeout of all clients of the store. */
 #define LATE_MS 2500
+/* A backend server's rate limit binds from LIMIT_GRACE_MS after it was first
+ * named: in any LIMIT_WINDOW_MS it gets at most LIMIT_FACTOR times as many
+ * requests as it allows, and LIMIT_SLACK more. */
+#define LIMIT_GRACE_MS 3000
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
 /* Factor by which the clocks of backend servers may be slow. */
 #define DRIFT 1.02
 
@@ -74,6 +82,9 @@
 	int64_t until_ms[KEYS];
 	uint64_t highest[KEYS];
 	uint32_t running;
+	double limit_per_s; /* 0: none */
+	int64_t limit_since_ms;
+	GArray *arrivals_ms; /* since the limit binds, within the window */
 };
 
 struct call {
@@ -344,6 +355,40 @@
 	json_object_put(spec);
 }
 
+static void
+set_limit(struct backend *b, double per_s)
+{
+	b->limit_per_s = per_s;
+	b->limit_since_ms = dh_clock_ms();
+	g_array_set_size(b->arrivals_ms, 0);
+}
+
+/* Counts a request to a backend server with a rate limit. */
+static void
+check_limit(struct backend *b)
+{
+	int64_t now_ms = dh_clock_ms();
+	double most = LIMIT_SLACK +
+	    LIMIT_FACTOR * b->limit_per_s * LIMIT_WINDOW_MS / 1000;
+	guint old = 0;
+
+	if (b->limit_per_s == 0 || now_ms < b->limit_since_ms + LIMIT_GRACE_MS)
+		return;
+	while (old < b->arrivals_ms->len &&
+	    g_array_index(b->arrivals_ms, int64_t, old) <=
+		now_ms - LIMIT_WINDOW_MS)
+		old++;
+	if (old > 0)
+		g_array_remove_range(b->arrivals_ms, 0, old);
+	g_array_append_val(b->arrivals_ms, now_ms);
+	if (b->arrivals_ms->len <= most)
+		return;
+	report_violation("more requests than the rate limit", 0, 0);
+	printf("backend server %d, limit %.2f a second: %u in %d ms\n",
+	    b->index, b->limit_per_s, b->arrivals_ms->len, LIMIT_WINDOW_MS);
+	g_array_set_size(b->arrivals_ms, 0);
+}
+
 static gpointer
 expire_entry(gpointer arg)
 {
@@ -365,6 +410,7 @@
 		return;
 	b->up = up;
 	b->draining = b->closed = false;
+	b->limit_per_s = 0;
 	memset(b->until_ms, 0, sizeof(b->until_ms));
 	memset(b->highest, 0, sizeof(b->highest));
 	if (up) {
@@ -488,6 +534,8 @@
 	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "id");
 	const char *ms =
 	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "ms");
+	const char *per_s =
+	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "per_s");
 	g_autofree char *text = NULL;
 
 	if (ms != NULL && strcmp(url, "/_back") == 0) {
@@ -501,8 +549,12 @@
 		    g_hash_table_contains(seen, id) ? "{\"seen\":true}"
 						    : "{\"seen\":false}",
 		    NULL, NULL);
-	if (i != NULL && atoi(i) >= 0 && atoi(i) < nbackends)
+	if (i != NULL && atoi(i) >= 0 && atoi(i) < nbackends) {
 		control_backend(&backends[atoi(i)], url);
+		if (per_s != NULL)
+			set_limit(
+			    &backends[atoi(i)], g_ascii_strtod(per_s, NULL));
+	}
 	if (m != NULL)
 		set_mode(m);
 	if (v != NULL)
@@ -695,6 +747,7 @@
 	struct MHD_Response *r;
 	enum MHD_Result result;
 	int64_t born_ms = b->born_ms;
+	char limit[32];
 	int k = key == NULL ? -1 : atoi(key);
 
 	if (b->closed)
@@ -710,6 +763,7 @@
 		report_violation("ran twice", (uint32_t)k, 0);
 	if (g_hash_table_contains(refused, id))
 		report_violation("ran after it was refused", (uint32_t)k, 0);
+	check_limit(b);
 	ran_total++;
 	b->running++;
 	g_mutex_unlock(&lock);
@@ -726,6 +780,10 @@
 	    strlen(body), body, MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(r, "X-Dogwoodhub-Request-Id", id);
 	MHD_add_response_header(r, "X-Dogwoodhub-Server-Stamp", stamp);
+	if (b->limit_per_s > 0) {
+		(void)g_snprintf(limit, sizeof(limit), "%.3f", b->limit_per_s);
+		MHD_add_response_header(r, "Server-Limit", limit);
+	}
 	result = MHD_queue_response(c, 200, r);
 	MHD_destroy_response(r);
 	return result;
@@ -805,6 +863,8 @@
 	configure(1);
 	for (i = 0; i < nbackends; i++) {
 		backends[i].index = i;
+		backends[i].arrivals_ms =
+		    g_array_new(FALSE, FALSE, sizeof(int64_t));
 		set_up(&backends[i], true);
 		if (listen_on((uint16_t)(backend_port + i), on_backend,
 			&backends[i]) == NULL)
