Worker: a late copy of a refusal is not taken for the answer to a repetition

Reported by other operators: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that ran (REFUSED), or these ran at a second server (TWICE). It happens here where the router repeats a refused request at the same backend server, as for keys: the repetition has the same id and took the same kept connection, so the copy matched it.

A connection on which a request was answered as not run is not used for that request again. Copies of refusals of other requests were skipped before, by their id.

test_worker, 'late copy of a refusal': before, the request ran behind the copy and the caller got 503; now each attempt has a connection of its own.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -56,6 +56,9 @@
 	int64_t idle_since_ms;
 	int64_t idle_max_ms;
 	int64_t idle_before_ms; /* idle time before the request; 0: new */
+	/* Id of the last request that was answered as not run, or "".  A late
+	 * copy of that answer could be taken for one to the same request. */
+	char not_run_id[DH_NAME_MAX * 2];
 	GList link; /* in pool->idle or pool->busy */
 	GString *out; /* being written */
 };
@@ -245,6 +248,9 @@
 		return;
 	}
 	note_rate_limit(up);
+	if (up->in.parser.status_code == 421 ||
+	    dh_message_header(&up->in, dh_wire_headers.not_run) != NULL)
+		(void)g_strlcpy(up->not_run_id, rq->id, sizeof(up->not_run_id));
 	read_keep_alive(up);
 	keep = !extra &&
 	    dh_pool_accepts_requests(
@@ -483,6 +489,10 @@
 		dh_pool_close_idle(pool);
 		return NULL;
 	}
+	if (strcmp(up->not_run_id, rq->id) == 0) {
+		upstream_close(up);
+		return NULL;
+	}
 	up->idle_before_ms = MAX(now_ms - up->idle_since_ms, 1);
 	g_queue_unlink(&pool->idle, link);
 	up->rq = rq;
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -38,6 +38,8 @@
  * guarded by lock. */
 static GMutex lock;
 static int runs, cancelled;
+/* Requests that ran behind a late copy of a refusal; guarded by lock. */
+static int late_copies;
 static char last_head[4096];
 
 static int
@@ -123,6 +125,38 @@
 	return g_atomic_int_get(&concurrent) >= CONCURRENT;
 }
 
+#define FDS_MAX 4096
+/* Whether the first request under /late-copy/ on the connection was refused. */
+static bool refused_on[FDS_MAX];
+
+/* Refuse the first request on a connection, and write the refusal once more
+ * when the next one arrives, before that one's own answer. */
+static void
+send_late_copy(int fd, const char *head, const char *id, const char *good)
+{
+	static char first[FDS_MAX][128];
+	g_autofree char *refusal = NULL;
+	bool copy = refused_on[fd % FDS_MAX];
+
+	if (!copy)
+		(void)g_strlcpy(first[fd % FDS_MAX], id, sizeof(first[0]));
+	refused_on[fd % FDS_MAX] = true;
+	refusal = g_strdup_printf(
+	    "HTTP/1.1 503 No\r\n%s%s%s"
+	    "X-Dogwoodhub-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	    strstr(head, "/no-id/") != NULL ? "" : ID ": ",
+	    strstr(head, "/no-id/") != NULL ? "" : first[fd % FDS_MAX],
+	    strstr(head, "/no-id/") != NULL ? "" : "\r\n");
+	send_text(fd, refusal);
+	if (!copy)
+		return;
+	g_mutex_lock(&lock);
+	late_copies++;
+	g_mutex_unlock(&lock);
+	(void)usleep(20000);
+	send_text(fd, good);
+}
+
 static gint delayed; /* number of requests under /rest/ in progress */
 static bool ran_beside_delayed; /* another request ran at the same time */
 
@@ -160,6 +194,8 @@
 		    "Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n");
 	} else if (strstr(head, "/leaving/") != NULL) {
 		send_text(fd, leaving);
+	} else if (strstr(head, "/late-copy/") != NULL) {
+		send_late_copy(fd, head, id, good);
 	} else if (strstr(head, "/limited/") != NULL) {
 		send_text(fd, limited);
 	} else {
@@ -314,6 +350,7 @@
 	int64_t idle_since_us = 0;
 
 	(void)g_atomic_int_add(&connections, 1);
+	refused_on[c->fd % FDS_MAX] = false;
 	while (serve_one(c->f, c->fd, buf, 1 << 20, &idle_since_us))
 		;
 	(void)g_atomic_int_add(&connections, -1);
@@ -386,6 +423,8 @@
 	add_route(d, "/rest/once/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/leaving/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/limited/keyed/", DH_REPEAT_SAFE, 1);
+	add_route(d, "/late-copy/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
 	return d;
 }
 
@@ -458,7 +497,7 @@
 	worker = dh_worker_new(&settings, 0, &error);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
 	publish(nservers, true);
-	runs = cancelled = 0;
+	runs = cancelled = late_copies = 0;
 }
 
 static void
@@ -690,6 +729,19 @@
 	stop_worker();
 }
 
+static void
+test_late_copy_of_a_refusal_of_the_same_request(void)
+{
+	start_worker(1);
+	CU_ASSERT_EQUAL(
+	    get_once("/late-copy/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf),
+	    503);
+	/* Each attempt was refused; none was taken for refused and ran. */
+	CU_ASSERT_EQUAL(runs, 2);
+	CU_ASSERT_EQUAL(late_copies, 0);
+	stop_worker();
+}
+
 static void
 send_request(int fd, const char *path, const char *id, const char *extra)
 {
@@ -1196,6 +1248,8 @@
 		{ "invalid answers", test_invalid_answers },
 		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
 		{ "not executed", test_not_executed_is_retried },
+		{ "late copy of a refusal",
+		    test_late_copy_of_a_refusal_of_the_same_request },
 		{ "endless answers", test_endless_answers },
 		{ "memory limit of bodies", test_memory_limit_of_bodies },
 		{ "pipelining", test_pipelining },
