Worker: an answer without id on a kept connection is not the awaited one

Found beside the late copies of refusals that other operators reported: an answer without id and with a status of 300 or more was taken for the answer to whatever request waited on the connection, also if that had been kept after another answer. A late refusal without id made the router say 'not run' for a request that the backend server ran (REFUSED).

Such an answer now counts only on a new connection, where no other answer can have come before, and ends it; on a kept one it is skipped like one with another id.

test_worker, 'late copy of a refusal without id' and 'late copy that lost its id' fail without the change.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -192,14 +192,16 @@
 }
 
 /* Whether the complete answer belongs to the request: it has the request's id,
- * or no id and a status that is not a success. */
+ * or no id, a status that is not a success, and no answer before it on this
+ * connection of which it could be a late copy. */
 static bool
 answer_matches_request(struct dh_upstream *up)
 {
 	const char *id = dh_message_header(&up->in, dh_wire_headers.request_id);
 
-	return id == NULL ? up->in.parser.status_code >= 300
-			  : strcmp(id, up->rq->id) == 0;
+	return id == NULL
+	    ? up->in.parser.status_code >= 300 && up->idle_before_ms == 0
+	    : strcmp(id, up->rq->id) == 0;
 }
 
 /* A backend server in need names in its answers the rate of requests that it
@@ -253,6 +255,7 @@
 		(void)g_strlcpy(up->not_run_id, rq->id, sizeof(up->not_run_id));
 	read_keep_alive(up);
 	keep = !extra &&
+	    dh_message_header(&up->in, dh_wire_headers.request_id) != NULL &&
 	    dh_pool_accepts_requests(
 		up->worker, up->pool, dh_worker_now_ms(up->worker)) &&
 	    !up->not_reusable && up->written && up->pool->listed &&
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -136,17 +136,18 @@
 {
 	static char first[FDS_MAX][128];
 	g_autofree char *refusal = NULL;
-	bool copy = refused_on[fd % FDS_MAX];
+	bool copy = refused_on[fd % FDS_MAX], has_id;
 
 	if (!copy)
 		(void)g_strlcpy(first[fd % FDS_MAX], id, sizeof(first[0]));
 	refused_on[fd % FDS_MAX] = true;
-	refusal = g_strdup_printf(
-	    "HTTP/1.1 503 No\r\n%s%s%s"
-	    "X-Dogwoodhub-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	    strstr(head, "/no-id/") != NULL ? "" : ID ": ",
-	    strstr(head, "/no-id/") != NULL ? "" : first[fd % FDS_MAX],
-	    strstr(head, "/no-id/") != NULL ? "" : "\r\n");
+	has_id = strstr(head, "/no-id/") == NULL &&
+	    !(copy && strstr(head, "/lose-id/") != NULL);
+	refusal = g_strdup_printf("HTTP/1.1 503 No\r\n%s%s%s"
+				  "X-Dogwoodhub-Not-Executed: 1\r\n"
+				  "Content-Length: 0\r\n\r\n",
+	    has_id ? ID ": " : "", has_id ? first[fd % FDS_MAX] : "",
+	    has_id ? "\r\n" : "");
 	send_text(fd, refusal);
 	if (!copy)
 		return;
@@ -768,6 +769,44 @@
 }
 
 /* Pipelined repeatable requests run concurrently and are answered in order. */
+/* Send requests under /late-copy/ one after another, each with an id of its
+ * own; returns how many were answered with the status. */
+static int
+count_late_copy_answers(const char *path, unsigned int status)
+{
+	g_autofree char *id = NULL;
+	int fd = connect_to_worker(), found = 0, i;
+
+	for (i = 0; i < 4; i++) {
+		g_free(id);
+		id = g_strdup_printf("r-%d", i);
+		send_request(fd, path, id, "");
+		found += receive(fd, buf) == status;
+	}
+	(void)close(fd);
+	return found;
+}
+
+static void
+test_late_copy_of_a_refusal_without_id(void)
+{
+	start_worker(1);
+	CU_ASSERT_EQUAL(count_late_copy_answers("/late-copy/no-id/", 503), 4);
+	CU_ASSERT_EQUAL(late_copies, 0);
+	stop_worker();
+}
+
+static void
+test_late_copy_that_lost_its_id(void)
+{
+	start_worker(1);
+	/* Every other one finds a kept connection: the copy on it is skipped,
+	 * and the connection is not kept any longer. */
+	CU_ASSERT_EQUAL(count_late_copy_answers("/late-copy/lose-id/", 200), 2);
+	CU_ASSERT_EQUAL(late_copies, 2);
+	stop_worker();
+}
+
 static void
 test_pipelining(void)
 {
@@ -1250,6 +1289,10 @@
 		{ "not executed", test_not_executed_is_retried },
 		{ "late copy of a refusal",
 		    test_late_copy_of_a_refusal_of_the_same_request },
+		{ "late copy of a refusal without id",
+		    test_late_copy_of_a_refusal_without_id },
+		{ "late copy that lost its id",
+		    test_late_copy_that_lost_its_id },
 		{ "endless answers", test_endless_answers },
 		{ "memory limit of bodies", test_memory_limit_of_bodies },
 		{ "pipelining", test_pipelining },
