test_worker: an answer whose head ends early is never a success

Reported by other operators: a backend server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body. The test guards it.

--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -215,6 +215,7 @@
 	    id, f->index);
 	bool open = true;
 	char byte;
+	int cut;
 
 	if (strstr(head, " /ok/") != NULL) {
 		ran_beside_delayed |= g_atomic_int_get(&delayed) > 0;
@@ -275,6 +276,12 @@
 			: good);
 		return true;
 	}
+	if (strstr(head, "/cut-head/") != NULL) {
+		cut = atoi(strstr(head, "/cut-head/") + strlen("/cut-head/"));
+		(void)!write(fd, good, MIN(strlen(good), (size_t)cut));
+		(void)close(fd);
+		return false;
+	}
 	if (handle_special_path(fd, head, id, good, &open))
 		return open;
 	if (strstr(head, " /garbage/") != NULL) {
@@ -425,6 +432,7 @@
 	add_route(d, "/leaving/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/limited/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/late-copy/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/cut-head/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
 	return d;
 }
@@ -671,6 +679,29 @@
 	stop_worker();
 }
 
+/* The backend server closes in the middle of the head of its answer. */
+static void
+test_head_that_ends_early(void)
+{
+	size_t whole = strlen("HTTP/1.1 200 OK\r\n" STAMP ID
+			      ": r1\r\nX-From: 0\r\nContent-Length: 4\r\n"
+			      "\r\nbody");
+	size_t cut;
+
+	start_worker(1);
+	for (cut = 1; cut <= whole; cut++) {
+		g_autofree char *path = g_strdup_printf("/cut-head/%zu/", cut);
+		unsigned int status;
+
+		/* After failures the router may send nothing for a time. */
+		while ((status = get_once(path, "", buf)) == 503)
+			(void)usleep(20000);
+		CU_ASSERT_EQUAL(status, cut < whole ? 502 : 200);
+	}
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\r\n\r\nbody"));
+	stop_worker();
+}
+
 static uint64_t
 retries(void)
 {
@@ -1286,6 +1317,7 @@
 		{ "incomplete heads", test_incomplete_heads_time_out },
 		{ "invalid answers", test_invalid_answers },
 		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
+		{ "head that ends early", test_head_that_ends_early },
 		{ "not executed", test_not_executed_is_retried },
 		{ "late copy of a refusal",
 		    test_late_copy_of_a_refusal_of_the_same_request },
