--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -142,6 +142,16 @@
 	return MAX(MIN(current_ms, dh_clock_ms()), 1);
 }
 
+/* How old the list of backend servers may be, for the log; -1: not known. */
+static long long
+list_age_ms(const struct dh_registry *reg, int64_t now_ms)
+{
+	int64_t current_ms =
+	    dh_mirror_current_ms(reg->mirrors[DH_REGISTRY_SERVERS]);
+
+	return current_ms == 0 ? -1 : (long long)(now_ms - current_ms);
+}
+
 static void
 update_server(
     struct dh_registry *reg, const struct dh_registration *r, uint64_t revision)
@@ -182,8 +192,7 @@
 	    "\"revision\":%llu,\"list_age_ms\":%lld",
 	    r->id, r->service, r->address, r->port, r->zone, r->slots,
 	    r->draining ? "true" : "false", (long long)r->start_ms,
-	    (unsigned long long)revision,
-	    (long long)(now_ms - leaving_since(reg)));
+	    (unsigned long long)revision, list_age_ms(reg, now_ms));
 }
 
 static void
