Rate limits: refuse as limited only where no other server is left; comments

A request whose limited server was left out and whose other servers are full is refused for these, with their time to come back. The log keeps the server of an attempt in progress.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -220,8 +220,9 @@
 	return dh_pool_admit(rq->worker, pool, now_ms);
 }
 
-/* Choose one of the worker's n candidates whose rate limit allows the request;
- * others are removed and noted in rq->rate_limited. */
+/* Choose one of the worker's *n candidates whose rate limit allows the request.
+ * Others that would have been chosen are removed, and rq->rate_limited is set.
+ */
 static struct dh_choice
 choose_candidate(struct dh_request *rq, const struct dh_choice_request *request,
     size_t *n, int64_t now_ms)
@@ -235,9 +236,10 @@
 		if (choice.index == SIZE_MAX ||
 		    is_admitted(rq, choice.index, now_ms))
 			return choice;
-		(void)g_strlcpy(rq->server_id,
-		    w->candidate_servers[choice.index]->id,
-		    sizeof(rq->server_id));
+		if (rq->state != DH_REQUEST_SENT)
+			(void)g_strlcpy(rq->server_id,
+			    w->candidate_servers[choice.index]->id,
+			    sizeof(rq->server_id));
 		rq->rate_limited = true;
 		remove_candidate(w, choice.index, n);
 	}
@@ -352,7 +354,6 @@
 	    dh_backend_requests(w->candidates[choice->nearest].load, now_ms);
 }
 
-/* Callers of a keyed service come back when the keys can have moved. */
 static void
 refuse_rate_limited(struct dh_request *rq)
 {
@@ -380,7 +381,7 @@
 	}
 	rq->misdirected = false;
 	choice = choose(rq, &n);
-	if (choice.index == SIZE_MAX && rq->rate_limited) {
+	if (n == 0 && rq->rate_limited) {
 		refuse_rate_limited(rq);
 		return;
 	}
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -546,7 +546,6 @@
 {
 	g_autoptr(GArray) list =
 	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
-
 	guint i;
 
 	dh_registry_servers(d->c.registry, d->service, list);
--- a/gateway/limits.h
+++ b/gateway/limits.h
@@ -12,10 +12,10 @@
 
 /*
  * Rate limits that backend servers name, on the control thread.  Each VM
- * reports to the leader what its routers read in answers and how many requests
- * they had for limited backend servers.  The leader
- * adds these up, and shares with its heartbeats the limits and the fraction of
- * requests that every router admits (dogwoodhub/ratelimit.h).
+ * reports to the leader what its routers read in answers, and how many requests
+ * they had for limited backend servers.  The leader adds these up, and shares
+ * with its heartbeats the limits and the fraction of requests that every router
+ * admits (dogwoodhub/ratelimit.h).
  */
 struct dh_limits;
 
--- a/include/dogwoodhub/ratelimit.h
+++ b/include/dogwoodhub/ratelimit.h
@@ -32,8 +32,8 @@
 void dh_rate_meter_add(struct dh_rate_meter *m, uint32_t n, int64_t now_ms);
 
 /* dh_rate_meter_per_s -- events per second: the higher of the rates over the
- * last half second and over the last two, so that it follows a rise at once and
- * a fall late. */
+ * last half second and over the last four seconds, so that it follows a rise at
+ * once and a fall late. */
 double dh_rate_meter_per_s(const struct dh_rate_meter *m, int64_t now_ms);
 
 /* One router's state of the limit of one backend server. */
@@ -44,8 +44,8 @@
 	double shared_fraction; /* of the requests that are admitted */
 	int64_t shared_ms; /* when the leader last shared them; 0: never */
 	struct dh_rate_meter offered; /* this router's demand */
-	/* Sum of the fractions of requests that were admitted so far, less the
-	 * requests. */
+	/* Sum of the fractions that were to be admitted of all requests so far,
+	 * less the requests that were: below 1. */
 	double credit;
 };
 
