Choice: the mean work time of a service fades while nothing is measured

Cause: the first answers of the service to this router, which had just started, had waited for silenced connections; their work time became the service's mean. Above 0.9 of the time left every request is refused, so that nothing is measured any more, and the mean, unlike that of a single backend server, did not fade.

It now fades towards the default with the same 6 s. test_worker, 'slow first answer': before, no request in 4 s was served, now all 20 are.

gateway_soak.sh reports the last probe instead of repeating it with the same ids, which the stand-in took for requests that ran twice.

--- a/core/choice.c
+++ b/core/choice.c
@@ -4,6 +4,7 @@
 
 /* Weights of a new sample in the moving averages. */
 #define WORK_GAIN 0.2
+#define WORK_MEAN_GAIN 0.05
 #define OTHERS_GAIN 0.5
 #define FAILURE_GAIN 0.15
 /* Time constants with which estimates decay between updates.  The load from
@@ -111,6 +112,23 @@
 	l->other_routers_updated_ms = now_ms;
 }
 
+void
+dh_work_mean_add(struct dh_work_mean *m, double work_ms, int64_t now_ms)
+{
+	m->ms = m->updated_ms == 0 ? work_ms
+				   : m->ms + WORK_MEAN_GAIN * (work_ms - m->ms);
+	m->updated_ms = now_ms;
+}
+
+double
+dh_work_mean_ms(const struct dh_work_mean *m, double default_ms, int64_t now_ms)
+{
+	if (m->updated_ms == 0)
+		return default_ms;
+	return default_ms +
+	    decayed(m->ms - default_ms, m->updated_ms, now_ms, WORK_DECAY_MS);
+}
+
 /* Stop sending to the backend server for a time that doubles with each
  * consecutive call. */
 static void
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -16,8 +16,6 @@
  * leader moves keys off a limited backend server, or its other callers have
  * left. */
 #define RATE_LIMITED_RETRY_MS 500
-/* Weight of a new sample in a service's mean work time. */
-#define WORK_GAIN 0.05
 
 /* Time for which the backend server asks for no requests: the Retry-After of
  * its 503, or 0. */
@@ -65,9 +63,7 @@
 	r.has_load = load != NULL && dh_wire_load(load, &r.running, &r.waiting);
 	dh_backend_replied(&pool->load, &r, now_ms);
 	if (kind == DH_REPLY_GOOD)
-		s->work_ms = s->work_ms == 0 ? pool->load.work_ms
-					     : s->work_ms +
-			WORK_GAIN * (pool->load.work_ms - s->work_ms);
+		dh_work_mean_add(&s->work, pool->load.work_ms, now_ms);
 }
 
 static void
@@ -258,7 +254,8 @@
 		.left_ms = rq->deadline_ms - now_ms,
 		.kib = (double)rq->in->body->len / 1024 +
 		    rq->service_state->answer_kib,
-		.work_ms = rq->service_state->work_ms,
+		.work_ms = dh_work_mean_ms(
+		    &rq->service_state->work, w->choice.work_ms, now_ms),
 		.rank = dh_demand_rank(
 		    &rq->service_state->seen, rq->route->priority, now_ms),
 	};
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -190,7 +190,8 @@
 		.idempotent = rq->route->repeat == DH_REPEAT_SAFE,
 		.attempt = rq->attempts,
 		.deadline_ms = rq->deadline_ms,
-		.latency_ms = (int64_t)rq->service_state->work_ms,
+		.latency_ms = (int64_t)dh_work_mean_ms(&rq->service_state->work,
+		    rq->worker->choice.work_ms, dh_worker_now_ms(rq->worker)),
 	};
 	struct dh_retry_decision d = dh_retry_decide(&rq->service_state->budget,
 	    &p, &at, &rq->worker->rng, dh_worker_now_ms(rq->worker));
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -52,7 +52,7 @@
 	GQuark quark; /* of name */
 	struct dh_retry_budget budget;
 	struct dh_demand_seen seen; /* recent requests by priority */
-	double work_ms; /* mean work time of its backend servers */
+	struct dh_work_mean work; /* of its backend servers */
 	double answer_kib; /* mean body size of its answers */
 	/* Counts the requests of the weighted routes whose first part is this
 	 * service, from a random start; dh_route_service_of_nth() takes it as
--- a/include/dogwoodhub/choice.h
+++ b/include/dogwoodhub/choice.h
@@ -85,6 +85,24 @@
 void dh_backend_replied(
     struct dh_backend_load *l, const struct dh_reply *r, int64_t now_ms);
 
+/*
+ * The mean work time of a service, over all its backend servers.  A zeroed one
+ * has no measurement.
+ *
+ * dh_work_mean_add -- count a measurement.
+ *
+ * dh_work_mean_ms -- the mean, which fades towards default_ms while there are
+ * no measurements: a wrong one may keep the router from sending the requests
+ * that would correct it.
+ */
+struct dh_work_mean {
+	double ms;
+	int64_t updated_ms;
+};
+void dh_work_mean_add(struct dh_work_mean *m, double work_ms, int64_t now_ms);
+double dh_work_mean_ms(
+    const struct dh_work_mean *m, double default_ms, int64_t now_ms);
+
 /* Costs by tier, and the default work time. */
 struct dh_choice_params {
 	double round_trip_ms[DH_TIERS]; /* network round trip time */
--- a/tests/failure/gateway_soak.sh
+++ b/tests/failure/gateway_soak.sh
@@ -52,10 +52,12 @@
 }
 
 k=1
-until [ "$(probe $k)" -ge $SERVED_PERCENT ]; do
+served=$(probe $k)
+until [ "$served" -ge $SERVED_PERCENT ]; do
 	[ $(($(clock_ms) - healed)) -le $((RECOVER_S * 1000)) ] ||
-	    fail "$(probe $k) % served $RECOVER_S s after the last fault"
+	    fail "$served % served $RECOVER_S s after the last fault"
 	k=$((k + 1))
+	served=$(probe $k)
 done
 echo "served again $(($(clock_ms) - healed)) ms after the last fault"
 for n in $gateways; do
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -591,6 +591,26 @@
 	CU_ASSERT_EQUAL(dh_choice_sample(few, &rng, positions), 64);
 }
 
+/* A service whose only measurements were slow ones: its backend servers are
+ * tried again after some seconds without measurements. */
+static void
+test_mean_work_time_fades(void)
+{
+	struct dh_work_mean m = { 0 };
+	int64_t t = 100000;
+	int i;
+
+	CU_ASSERT_DOUBLE_EQUAL(dh_work_mean_ms(&m, 100, t), 100, 0);
+	dh_work_mean_add(&m, 1855, t);
+	CU_ASSERT_DOUBLE_EQUAL(dh_work_mean_ms(&m, 100, t), 1855, 0);
+	CU_ASSERT_TRUE(dh_work_mean_ms(&m, 100, t + 2000) < 1500);
+	CU_ASSERT_TRUE(dh_work_mean_ms(&m, 100, t + 2000) > 1000);
+	CU_ASSERT_TRUE(dh_work_mean_ms(&m, 100, t + 60000) < 101);
+	for (i = 0; i < 200; i++)
+		dh_work_mean_add(&m, 50, t += 10);
+	CU_ASSERT_DOUBLE_EQUAL(dh_work_mean_ms(&m, 100, t), 50, 1);
+}
+
 int
 main(void)
 {
@@ -618,6 +638,7 @@
 		{ "links between regions", test_requests_stay_in_their_region },
 		{ "load with sampling", test_sample_serves_as_many_as_all },
 		{ "overload", test_overload_serves_what_can_be_served_in_time },
+		{ "mean work time fades", test_mean_work_time_fades },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -195,6 +195,9 @@
 		    "Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n");
 	} else if (strstr(head, "/leaving/") != NULL) {
 		send_text(fd, leaving);
+	} else if (strstr(head, "/delay/") != NULL) {
+		(void)usleep(850000);
+		send_text(fd, good);
 	} else if (strstr(head, "/late-copy/") != NULL) {
 		send_late_copy(fd, head, id, good);
 	} else if (strstr(head, "/limited/") != NULL) {
@@ -420,7 +423,7 @@
 		d->services[i].connections_max = 100;
 		d->services[i].keyed = i == 1;
 	}
-	d->routes = calloc(16, sizeof(*d->routes));
+	d->routes = calloc(32, sizeof(*d->routes));
 	add_route(d, "/", DH_REPEAT_SAFE, 0);
 	add_route(d, "/shed/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/unframed-reset/", DH_REPEAT_NEVER, 0);
@@ -433,6 +436,7 @@
 	add_route(d, "/limited/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/late-copy/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/cut-head/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/delay/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
 	return d;
 }
@@ -1162,6 +1166,25 @@
 	stop_worker();
 }
 
+/* The first answer takes so long that no later request seems to have the time;
+ * only further answers can show that the others are quick. */
+static void
+test_requests_after_a_slow_first_answer(void)
+{
+	int64_t began_ms;
+	int served = 0;
+
+	start_worker(2);
+	CU_ASSERT_EQUAL(get_once("/delay/", "", buf), 200);
+	began_ms = dh_clock_ms();
+	while (dh_clock_ms() - began_ms < 4000 && served < 20) {
+		served += get_once("/ok/", "", buf) == 200;
+		(void)usleep(20000);
+	}
+	CU_ASSERT_EQUAL(served, 20);
+	stop_worker();
+}
+
 static void
 test_rate_limit_is_lifted(void)
 {
@@ -1332,6 +1355,8 @@
 		{ "pipelining, drain", test_pipelining_drain },
 		{ "Retry-After of a server", test_retry_after_of_a_server },
 		{ "leaving server", test_leaving_server },
+		{ "slow first answer",
+		    test_requests_after_a_slow_first_answer },
 		{ "rate limit", test_rate_limit_of_a_server },
 		{ "rate limit lifted", test_rate_limit_is_lifted },
 		{ "rate limit of the leader",
