--- a/core/ratelimit.c
+++ b/core/ratelimit.c
@@ -28,7 +28,7 @@
 	int64_t i;
 
 	for (i = 0; i < nslots; i++)
-		if (slot - i <= m->slot &&
+		if (slot - i >= 0 && slot - i <= m->slot &&
 		    slot - i > m->slot - DH_RATE_METER_SLOTS)
 			sum += m->counts[(slot - i) % DH_RATE_METER_SLOTS];
 	return sum;
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -211,6 +211,18 @@
 	CU_ASSERT_TRUE(dh_rate_limit_per_s(&l, t + 2000) <= 0.1);
 }
 
+/* The clock began less than the meter's time ago. */
+static void
+test_meter_at_the_start_of_the_clock(void)
+{
+	struct dh_rate_meter m = { 0 };
+
+	CU_ASSERT_DOUBLE_EQUAL(dh_rate_meter_per_s(&m, 0), 0, 0);
+	dh_rate_meter_add(&m, 5, 100);
+	CU_ASSERT_DOUBLE_EQUAL(dh_rate_meter_per_s(&m, 1000), 5.0, 5.0);
+	CU_ASSERT_DOUBLE_EQUAL(dh_rate_meter_per_s(&m, 5000), 0, 0);
+}
+
 static void
 test_meter(void)
 {
@@ -237,6 +249,8 @@
 		{ "demand below the limit", test_demand_below_the_limit },
 		{ "end of a limit", test_end_of_a_limit },
 		{ "meter", test_meter },
+		{ "meter at the start of the clock",
+		    test_meter_at_the_start_of_the_clock },
 		CU_TEST_INFO_NULL,
 	};
 
