--- a/core/ratelimit.c
+++ b/core/ratelimit.c
@@ -7,10 +7,10 @@
 #define RECENT_SLOTS INT64_C(2)
 /* Share of the limit that is admitted.  The rest covers the time in which the
  * routers learn of a rise of the demand. */
-#define LIMIT_SHARE 0.85
+#define LIMIT_SHARE 0.8
 /* What was admitted too little in the last four seconds is made up for by at
  * most this factor. */
-#define CORRECTION_MAX 1.2
+#define CORRECTION_MAX 1.5
 /* The limit that is kept where a lower one is named: answers are needed to
  * learn of its end. */
 #define LIMIT_MIN_PER_S 0.1
