--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -381,7 +381,7 @@
 }
 
 static void
-test_drain_period_of_late_news(void)
+test_drain_period_learned_late(void)
 {
 	struct fixture fx;
 
@@ -456,8 +456,8 @@
 		    test_server_that_left_before_a_restore },
 		{ "missing after a restore",
 		    test_entry_missing_after_a_restore },
-		{ "late news of a drain", test_drain_period_of_late_news },
-		{ "late news of a missing entry",
+		{ "drain learned late", test_drain_period_learned_late },
+		{ "missing entry learned late",
 		    test_drain_period_of_a_missing_entry },
 		{ "leaving reported late",
 		    test_drain_period_of_a_reported_leaving },
