--- a/gateway/limits.c
+++ b/gateway/limits.c
@@ -63,8 +63,8 @@
 			(void)g_strlcpy(p->id, r->limits[i].id, sizeof(p->id));
 			g_hash_table_insert(l->reports, p->id, p);
 		}
-		if (r->limits[i].news != DH_LIMIT_NO_NEWS) {
-			p->news = r->limits[i].news;
+		if (r->limits[i].change != DH_LIMIT_UNCHANGED) {
+			p->change = r->limits[i].change;
 			p->per_s = r->limits[i].per_s;
 		}
 		p->start_ms = r->limits[i].start_ms;
@@ -104,13 +104,13 @@
 		g_hash_table_remove(l->known, r->id);
 		k = NULL;
 	}
-	if (r->news == DH_LIMIT_LIFTED) {
+	if (r->change == DH_LIMIT_LIFTED) {
 		if (k != NULL)
 			log_limit(k, DH_RATE_UNLIMITED);
 		g_hash_table_remove(l->known, r->id);
 		return;
 	}
-	if (r->news == DH_LIMIT_NAMED) {
+	if (r->change == DH_LIMIT_NAMED) {
 		if (k == NULL) {
 			k = g_new0(struct limit, 1);
 			(void)g_strlcpy(k->id, r->id, sizeof(k->id));
--- a/gateway/limits.h
+++ b/gateway/limits.h
@@ -23,7 +23,7 @@
 struct dh_limit_report {
 	char id[DH_NAME_MAX];
 	int64_t start_ms; /* start of its incarnation */
-	enum dh_limit_news news;
+	enum dh_limit_change change; /* since the last report */
 	double per_s; /* with DH_LIMIT_NAMED */
 	/* Requests for it since the last report, and those admitted. */
 	uint32_t offered, admitted;
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -326,7 +326,7 @@
 read_limits(const msgpack_object_array *list, struct dh_peer_report *r)
 {
 	struct dh_limit_report s;
-	uint64_t start_ms, news, offered, admitted;
+	uint64_t start_ms, change, offered, admitted;
 	uint32_t i;
 
 	for (i = 0; list != NULL && i < list->size; i++) {
@@ -334,13 +334,13 @@
 
 		if (o == NULL || !text_at(o, 0, s.id, sizeof(s.id)) ||
 		    !number_at(o, 1, &start_ms) || start_ms > INT64_MAX ||
-		    !number_at(o, 2, &news) || news > DH_LIMIT_LIFTED ||
+		    !number_at(o, 2, &change) || change > DH_LIMIT_LIFTED ||
 		    !rate_at(o, 3, &s.per_s) || !number_at(o, 4, &offered) ||
 		    offered > UINT32_MAX || !number_at(o, 5, &admitted) ||
 		    admitted > offered)
 			return false;
 		s.start_ms = (int64_t)start_ms;
-		s.news = (enum dh_limit_news)news;
+		s.change = (enum dh_limit_change)change;
 		s.offered = (uint32_t)offered;
 		s.admitted = (uint32_t)admitted;
 		g_array_append_val(r->limits, s);
@@ -589,7 +589,7 @@
 		msgpack_pack_array(pk, 6);
 		pack_text(pk, s->id);
 		msgpack_pack_uint64(pk, (uint64_t)s->start_ms);
-		msgpack_pack_uint32(pk, (uint32_t)s->news);
+		msgpack_pack_uint32(pk, (uint32_t)s->change);
 		pack_rate(pk, s->per_s);
 		msgpack_pack_uint32(pk, s->offered);
 		msgpack_pack_uint32(pk, s->admitted);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -204,8 +204,8 @@
 	    : strcmp(id, up->rq->id) == 0;
 }
 
-/* A backend server in need names in its answers the rate of requests that it
- * takes from all VMs together. */
+/* An overloaded backend server names in its answers the rate of requests that
+ * it takes from all VMs together. */
 static void
 note_rate_limit(struct dh_upstream *up)
 {
@@ -220,7 +220,8 @@
 		    ",\"server\":\"%s\",\"why\":\"not a number\"", pool->id);
 		return;
 	}
-	/* An answer to a request that was not run says nothing of the end. */
+	/* Only an answer to a request that ran shows that the limit has been
+	 * lifted. */
 	if (per_s < 0 &&
 	    (dh_message_header(&up->in, dh_wire_headers.server_stamp) == NULL ||
 		dh_rate_limit_per_s(
@@ -228,7 +229,7 @@
 		return;
 	dh_rate_limit_answered(
 	    &pool->rate_limit, per_s, dh_worker_now_ms(up->worker));
-	pool->limit_news = per_s < 0 ? DH_LIMIT_LIFTED : DH_LIMIT_NAMED;
+	pool->limit_change = per_s < 0 ? DH_LIMIT_LIFTED : DH_LIMIT_NAMED;
 	if (per_s != before_per_s)
 		dh_opslog_add(DH_OPS_MEMBER, "server.rate_limit",
 		    ",\"server\":\"%s\",\"born\":%lld,\"per_s\":%.3f,"
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -236,16 +236,17 @@
 	    r->nlimits < DH_REPORT_LIMITS) {
 		struct dh_pool *p = value;
 
-		if (p->limit_news == DH_LIMIT_NO_NEWS && p->limit_offered == 0)
+		if (p->limit_change == DH_LIMIT_UNCHANGED &&
+		    p->limit_offered == 0)
 			continue;
 		(void)g_strlcpy(
 		    r->limits[r->nlimits].id, p->id, sizeof(r->limits[0].id));
 		r->limits[r->nlimits].start_ms = p->start_ms;
-		r->limits[r->nlimits].news = p->limit_news;
+		r->limits[r->nlimits].change = p->limit_change;
 		r->limits[r->nlimits].per_s = p->rate_limit.named_per_s;
 		r->limits[r->nlimits].admitted = p->limit_admitted;
 		r->limits[r->nlimits++].offered = p->limit_offered;
-		p->limit_news = DH_LIMIT_NO_NEWS;
+		p->limit_change = DH_LIMIT_UNCHANGED;
 		p->limit_offered = p->limit_admitted = 0;
 	}
 }
--- a/gateway/worker.h
+++ b/gateway/worker.h
@@ -29,8 +29,8 @@
 
 /* What answers of a backend server have said of its rate limit since the last
  * report. */
-enum dh_limit_news {
-	DH_LIMIT_NO_NEWS,
+enum dh_limit_change {
+	DH_LIMIT_UNCHANGED,
 	DH_LIMIT_NAMED,
 	DH_LIMIT_LIFTED, /* there was one before */
 };
@@ -59,7 +59,7 @@
 	struct {
 		char id[DH_NAME_MAX];
 		int64_t start_ms;
-		enum dh_limit_news news;
+		enum dh_limit_change change;
 		double per_s; /* with DH_LIMIT_NAMED */
 		uint32_t offered, admitted; /* requests for it */
 	} limits[DH_REPORT_LIMITS];
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -42,7 +42,7 @@
 	struct dh_rate_limit rate_limit;
 	/* For the next report: what answers said of the limit, and requests
 	 * for the limited backend server. */
-	enum dh_limit_news limit_news;
+	enum dh_limit_change limit_change;
 	uint32_t limit_offered, limit_admitted;
 };
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -54,11 +54,11 @@
 }
 
 static void
-note(struct fixture *fx, const char *id, enum dh_limit_news news, double per_s,
-    uint32_t offered, uint32_t admitted)
+note(struct fixture *fx, const char *id, enum dh_limit_change change,
+    double per_s, uint32_t offered, uint32_t admitted)
 {
 	struct dh_limit_report r = { .start_ms = BORN_MS,
-		.news = news,
+		.change = change,
 		.per_s = per_s,
 		.offered = offered,
 		.admitted = admitted };
@@ -91,14 +91,14 @@
 
 	start(&fx);
 	/* Not known to be limited. */
-	note(&fx, "i-1", DH_LIMIT_NO_NEWS, 0, 50, 50);
+	note(&fx, "i-1", DH_LIMIT_UNCHANGED, 0, 50, 50);
 	list = share(&fx);
 	CU_ASSERT_EQUAL(list->len, 0);
 	note(&fx, "i-1", DH_LIMIT_NAMED, 4.0, 0, 0);
 	/* Ten VMs offer 4 a second each and admit a tenth of it. */
 	for (i = 0; i < 80; i++) {
 		fx.now_ms += 100;
-		note(&fx, "i-1", DH_LIMIT_NO_NEWS, 0, 4, i % 5 < 2);
+		note(&fx, "i-1", DH_LIMIT_UNCHANGED, 0, 4, i % 5 < 2);
 	}
 	g_array_unref(list);
 	list = share(&fx);
@@ -151,19 +151,19 @@
 	start(&fx);
 	(void)g_strlcpy(r->limits[0].id, "i-1", sizeof(r->limits[0].id));
 	r->limits[0].start_ms = BORN_MS;
-	r->limits[0].news = DH_LIMIT_NAMED;
+	r->limits[0].change = DH_LIMIT_NAMED;
 	r->limits[0].per_s = 2.5;
 	r->limits[0].offered = 7;
 	r->limits[0].admitted = 2;
 	r->nlimits = 1;
 	dh_limits_add_worker_report(fx.limits, r);
-	r->limits[0].news = DH_LIMIT_NO_NEWS;
+	r->limits[0].change = DH_LIMIT_UNCHANGED;
 	r->limits[0].per_s = 0;
 	dh_limits_add_worker_report(fx.limits, r);
 	dh_limits_take_reports(fx.limits, list);
 	CU_ASSERT_EQUAL_FATAL(list->len, 1);
 	p = &g_array_index(list, struct dh_limit_report, 0);
-	CU_ASSERT_EQUAL(p->news, DH_LIMIT_NAMED);
+	CU_ASSERT_EQUAL(p->change, DH_LIMIT_NAMED);
 	CU_ASSERT_DOUBLE_EQUAL(p->per_s, 2.5, 0);
 	CU_ASSERT_EQUAL(p->offered, 14);
 	CU_ASSERT_EQUAL(p->admitted, 4);
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -191,7 +191,7 @@
 {
 	struct dh_limit_report l = { .id = "i-1",
 		.start_ms = 7,
-		.news = DH_LIMIT_NAMED,
+		.change = DH_LIMIT_NAMED,
 		.per_s = 0.8,
 		.offered = 90,
 		.admitted = 12 };
@@ -217,7 +217,7 @@
 	CU_ASSERT_EQUAL(fx.reported_limits, 1);
 	CU_ASSERT_STRING_EQUAL(fx.reported.id, "i-1");
 	CU_ASSERT_EQUAL(fx.reported.start_ms, 7);
-	CU_ASSERT_EQUAL(fx.reported.news, DH_LIMIT_NAMED);
+	CU_ASSERT_EQUAL(fx.reported.change, DH_LIMIT_NAMED);
 	CU_ASSERT_DOUBLE_EQUAL(fx.reported.per_s, 0.8, 1e-9);
 	CU_ASSERT_EQUAL(fx.reported.offered, 90);
 	CU_ASSERT_EQUAL(fx.reported.admitted, 12);
