Gateway: log which lost attempts belong to the same request

Repetitions of a request have other ids, so the lines of a request that ends backend servers on several VMs could not be connected. attempt.end now carries a hash of method, Host, target and body, and the caller's address.

test_message, 'digest': equal for another id, order of headers and framing; different for another method, host, target or body.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -74,6 +74,8 @@
 	const struct dh_message *in = rq->in;
 	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
 
+	if (rq->digest == 0)
+		rq->digest = dh_message_digest(in);
 	if (rq->wire == NULL)
 		rq->wire = g_string_sized_new(512 + in->body->len);
 	g_string_printf(rq->wire, "%s %s HTTP/1.1\r\n",
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -76,6 +76,18 @@
 	return call->client->worker;
 }
 
+void
+dh_call_address(const struct dh_call *call, char *ip, size_t size)
+{
+	struct sockaddr_storage address;
+	int len = sizeof(address);
+
+	if (uv_tcp_getpeername(
+		&call->client->tcp, (struct sockaddr *)&address, &len) != 0 ||
+	    uv_ip_name((const struct sockaddr *)&address, ip, size) != 0)
+		ip[0] = '\0';
+}
+
 void
 dh_call_set_request(struct dh_call *call, struct dh_request *rq)
 {
--- a/gateway/message.c
+++ b/gateway/message.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include <xxhash.h>
+
 /* Hop-by-hop headers, and Content-Length, which is computed from the buffered
  * body. */
 static const char *const hop_by_hop_headers[] = { "Connection", "Keep-Alive",
@@ -253,6 +255,19 @@
 	return n;
 }
 
+uint64_t
+dh_message_digest(const struct dh_message *m)
+{
+	const char *host = dh_message_header(m, "Host");
+	uint64_t hash = m->parser.method;
+
+	if (host != NULL)
+		hash = XXH3_64bits_withSeed(host, strlen(host), hash);
+	hash = XXH3_64bits_withSeed(m->target->str, m->target->len, hash);
+	hash = XXH3_64bits_withSeed(m->body->str, m->body->len, hash);
+	return hash == 0 ? 1 : hash;
+}
+
 static bool
 in_list(const char *const *list, const char *name)
 {
--- a/gateway/message.h
+++ b/gateway/message.h
@@ -69,6 +69,10 @@
 /* dh_message_header_count -- the number of headers with a name. */
 uint32_t dh_message_header_count(const struct dh_message *m, const char *name);
 
+/* dh_message_digest -- a hash of a request's method, Host, target and body, by
+ * which its repetitions are recognized: they have other ids.  Never 0. */
+uint64_t dh_message_digest(const struct dh_message *m);
+
 /* dh_message_copy_headers -- append the end-to-end headers as "Name: value"
  * lines, except for the names in skip, which is NULL-terminated or NULL. */
 void dh_message_copy_headers(
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -212,15 +212,19 @@
 static void
 log_attempt(struct dh_request *rq, const char *how, const char *why)
 {
-	char id[DH_NAME_MAX * 2 + 8];
+	char id[DH_NAME_MAX * 2 + 8], caller[DH_ADDRESS_MAX] = "";
 
+	if (rq->call != NULL)
+		dh_call_address(rq->call, caller, sizeof(caller));
 	dh_opslog_add(DH_OPS_REQUEST, "attempt.end",
 	    ",\"id\":%s,\"how\":\"%s\",\"why\":\"%s\",\"server\":\"%s\","
-	    "\"attempt\":%u,\"after_ms\":%lld,\"ahead\":%.1f,\"view\":%llu",
+	    "\"attempt\":%u,\"after_ms\":%lld,\"ahead\":%.1f,\"view\":%llu,"
+	    "\"digest\":\"%016llx\",\"caller\":\"%s\"",
 	    dh_opslog_quote(id, sizeof(id), rq->id), how, why, rq->server_id,
 	    rq->attempts,
 	    (long long)(dh_worker_now_ms(rq->worker) - rq->sent_ms),
-	    rq->requests_ahead, (unsigned long long)rq->view->number);
+	    rq->requests_ahead, (unsigned long long)rq->view->number,
+	    (unsigned long long)rq->digest, caller);
 }
 
 /* The backend server did not execute the request: send it to another one, or
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -147,6 +147,7 @@
 	uint32_t service; /* index in view */
 	struct dh_service_state *service_state;
 	char id[DH_NAME_MAX * 2];
+	uint64_t digest; /* dh_message_digest() of in; 0: not computed yet */
 	bool keyed;
 	uint32_t key;
 	int64_t arrived_ms;
@@ -279,6 +280,9 @@
 void dh_call_set_request(struct dh_call *call, struct dh_request *rq);
 struct dh_worker *dh_call_worker(const struct dh_call *call);
 
+/* dh_call_address -- store the caller's IP address, "" if it is unknown. */
+void dh_call_address(const struct dh_call *call, char *ip, size_t size);
+
 /* dh_client_buffered_bytes -- memory of the connection's buffers, but for the
  * message that is being read. */
 size_t dh_client_buffered_bytes(const struct dh_client *client);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -133,6 +133,44 @@
 	dh_message_clear(&m);
 }
 
+static uint64_t
+digest_of(const char *text)
+{
+	struct dh_message m;
+	uint64_t digest;
+	size_t left;
+
+	dh_message_init(&m, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+	CU_ASSERT_EQUAL(feed(&m, text, 100000, &left), DH_MESSAGE_DONE);
+	digest = dh_message_digest(&m);
+	dh_message_clear(&m);
+	return digest;
+}
+
+static void
+test_digest_ignores_id_and_framing(void)
+{
+	uint64_t digest = digest_of("POST /a HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+				    "Content-Length: 3\r\n\r\nabc");
+
+	CU_ASSERT_EQUAL(digest,
+	    digest_of("POST /a HTTP/1.1\r\nX-Id: 2\r\nHost: h\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n"
+		      "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n"));
+	CU_ASSERT_NOT_EQUAL(digest,
+	    digest_of("POST /a HTTP/1.1\r\nHost: h\r\n"
+		      "Content-Length: 3\r\n\r\nabd"));
+	CU_ASSERT_NOT_EQUAL(digest,
+	    digest_of("PUT /a HTTP/1.1\r\nHost: h\r\n"
+		      "Content-Length: 3\r\n\r\nabc"));
+	CU_ASSERT_NOT_EQUAL(digest,
+	    digest_of("POST /b HTTP/1.1\r\nHost: h\r\n"
+		      "Content-Length: 3\r\n\r\nabc"));
+	CU_ASSERT_NOT_EQUAL(digest,
+	    digest_of("POST /a HTTP/1.1\r\nHost: i\r\n"
+		      "Content-Length: 3\r\n\r\nabc"));
+}
+
 int
 main(void)
 {
@@ -141,6 +179,7 @@
 		{ "request smuggling", test_request_smuggling_is_rejected },
 		{ "limits", test_limits },
 		{ "end of connection", test_end_of_connection },
+		{ "digest", test_digest_ignores_id_and_framing },
 		CU_TEST_INFO_NULL,
 	};
 
