gateway_crashing_request: a request that ends backend servers comes again (red)

A request under /crash/ ends the backend server of the stand-in that runs it. The stand-in counts as the users' rule does: later than 3 s after the third has ended it may arrive three times.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -2,8 +2,11 @@
  * Stand-in for the users' platform: its object store, and backend servers that
  * accept grants of keys, in one process on loopback.  It checks that no two
  * backend servers hold a key, that no key is granted with a lower token, that
- * no unrepeatable request runs twice, and that rate limits are kept.  A
- *violation prints a line that starts with "BROKEN" and makes the exit status 1.
+ * no unrepeatable request runs twice, that rate limits are kept, and that a
+ * request which ends backend servers is not sent to more and more of them.  A
+ * violation prints a line that starts with "BROKEN" and makes the exit
+ *status 1. A request whose path contains "/crash/" ends the backend server that
+ *runs it, which starts again later.
  *
  * usage: platform STORE_PORT BACKEND_PORT N [ADVERTISED_PORT]
  * With ADVERTISED_PORT, the store's entries name ports from this one on, which
@@ -57,6 +60,15 @@
 #define LIMIT_WINDOW_MS 4000
 #define LIMIT_FACTOR 1.5
 #define LIMIT_SLACK 5
+/* A request under /crash/ ends its backend server after CRASH_MS; the next one
+ * starts after CRASH_DOWN_MS. */
+#define CRASH_MS 60
+#define CRASH_DOWN_MS 700
+/* From CRASH_GRACE_MS after such a request has ended CRASHES_MAX backend
+ * servers, it may arrive CRASH_RETRIES_MAX times more. */
+#define CRASHES_MAX 3
+#define CRASH_GRACE_MS 3000
+#define CRASH_RETRIES_MAX 3
 /* Factor by which the clocks of backend servers may be slow. */
 #define DRIFT 1.02
 
@@ -87,6 +99,13 @@
 	GArray *arrivals_ms; /* since the limit binds, within the window */
 };
 
+/* What requests for one path under /crash/ have done. */
+struct crashes {
+	uint32_t ended; /* backend servers */
+	int64_t last_allowed_ms; /* when the last of CRASHES_MAX had ended */
+	uint32_t late; /* arrivals later than CRASH_GRACE_MS after that */
+};
+
 struct call {
 	GString *body;
 	int64_t arrived_ms;
@@ -111,6 +130,7 @@
 static struct backend backends[BACKENDS_MAX];
 static uint64_t highest_token[KEYS]; /* highest token accepted for each key */
 static GHashTable *ran; /* ids of unrepeatable requests that ran */
+static GHashTable *crashes; /* path -> struct crashes */
 static int nbackends, ran_total, misdirected;
 static uint16_t backend_port, advertised_port;
 static bool broken;
@@ -735,8 +755,69 @@
 		g_cond_wait(&changed, &lock);
 }
 
+static struct crashes *
+crashes_of(const char *url)
+{
+	struct crashes *x = g_hash_table_lookup(crashes, url);
+
+	if (x == NULL) {
+		x = g_new0(struct crashes, 1);
+		g_hash_table_insert(crashes, g_strdup(url), x);
+	}
+	return x;
+}
+
+/* Counts the arrival of a request under /crash/. */
+static void
+check_crashes(const struct backend *b, const char *url)
+{
+	struct crashes *x = crashes_of(url);
+
+	if (x->ended < CRASHES_MAX ||
+	    dh_clock_ms() < x->last_allowed_ms + CRASH_GRACE_MS ||
+	    ++x->late <= CRASH_RETRIES_MAX)
+		return;
+	report_violation("a request that ends backend servers", 0, 0);
+	printf(
+	    "%s reaches backend server %d, late for the %u. time; %u ended\n",
+	    url, b->index, x->late, x->ended);
+}
+
+static gpointer
+start_again(gpointer arg)
+{
+	(void)usleep(CRASH_DOWN_MS * 1000);
+	g_mutex_lock(&lock);
+	set_up(arg, true);
+	g_mutex_unlock(&lock);
+	return NULL;
+}
+
+/* Ends a backend server because of a request, if it has not ended since. */
+static enum MHD_Result
+crash(struct backend *b, const char *url)
+{
+	struct crashes *x = crashes_of(url);
+	int64_t born_ms = b->born_ms;
+
+	g_mutex_unlock(&lock);
+	(void)usleep(CRASH_MS * 1000);
+	g_mutex_lock(&lock);
+	if (!b->up || b->born_ms != born_ms)
+		return MHD_NO;
+	if (++x->ended == CRASHES_MAX)
+		x->last_allowed_ms = dh_clock_ms();
+	printf("%s ends backend server %d, the %u. at %lld\n", url, b->index,
+	    x->ended, (long long)dh_clock_wall_ms());
+	(void)fflush(stdout);
+	set_up(b, false);
+	g_thread_unref(g_thread_new("again", start_again, b));
+	return MHD_NO;
+}
+
 static enum MHD_Result
-run_request(struct MHD_Connection *c, struct backend *b, const char *method)
+run_request(struct MHD_Connection *c, struct backend *b, const char *url,
+    const char *method)
 {
 	const char *key = MHD_lookup_connection_value(
 	    c, MHD_HEADER_KIND, "X-Dogwoodhub-Shard-Key");
@@ -754,6 +835,8 @@
 		report_violation("a request after the drain", (uint32_t)k, 0);
 	if (id != NULL)
 		(void)g_hash_table_add(seen, g_strdup(id));
+	if (strstr(url, "/crash/") != NULL)
+		check_crashes(b, url);
 	if (k < 0 || k >= KEYS || id == NULL ||
 	    b->until_ms[k] <= dh_clock_ms()) {
 		misdirected++;
@@ -765,6 +848,8 @@
 		report_violation("ran after it was refused", (uint32_t)k, 0);
 	check_limit(b);
 	ran_total++;
+	if (strstr(url, "/crash/") != NULL)
+		return crash(b, url);
 	b->running++;
 	g_mutex_unlock(&lock);
 	(void)usleep(WORK_MS * 1000);
@@ -814,7 +899,7 @@
 		    : take_release(c, b, o);
 		json_object_put(o);
 	} else {
-		result = run_request(c, b, method);
+		result = run_request(c, b, url, method);
 	}
 	g_mutex_unlock(&lock);
 	return result;
@@ -857,6 +942,8 @@
 	ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	crashes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	backend_port = (uint16_t)atoi(argv[2]);
 	advertised_port = argc == 5 ? (uint16_t)atoi(argv[4]) : backend_port;
 	nbackends = atoi(argv[3]);
