--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,175 @@
+#include <string.h>
+
+#include <dogwoodhub/quarantine.h>
+#include <dogwoodhub/rng.h>
+
+#include "tests/cunit_main.h"
+
+#define HOUR_MS INT64_C(3600000)
+#define ROUTERS 10
+
+static bool
+refused(const struct dh_quarantine *q, uint64_t request)
+{
+	struct dh_suspect s = dh_quarantine_find(q, request);
+
+	return dh_suspect_is_refused(&s);
+}
+
+static void
+crash(struct dh_quarantine *q, uint64_t request, int64_t now_ms)
+{
+	struct dh_suspect sent = dh_quarantine_find(q, request);
+
+	(void)dh_quarantine_add_crash(q, &sent, now_ms);
+}
+
+static void
+test_third_crash_leads_to_refusal(void)
+{
+	struct dh_quarantine q = { 0 };
+
+	crash(&q, 1, 100);
+	crash(&q, 1, 200);
+	crash(&q, 2, 200);
+	CU_ASSERT_FALSE(refused(&q, 1));
+	crash(&q, 1, 300);
+	CU_ASSERT_TRUE(refused(&q, 1));
+	CU_ASSERT_FALSE(refused(&q, 2));
+}
+
+static void
+test_crashes_at_the_same_time_count_once(void)
+{
+	struct dh_quarantine q = { 0 };
+	struct dh_suspect sent = dh_quarantine_find(&q, 1);
+	int i;
+
+	for (i = 0; i < 10; i++)
+		CU_ASSERT_EQUAL(
+		    dh_quarantine_add_crash(&q, &sent, 100 + i), i == 0);
+	CU_ASSERT_EQUAL(dh_quarantine_find(&q, 1).crashes, 1);
+}
+
+static void
+test_answer_clears(void)
+{
+	struct dh_quarantine q = { 0 };
+	struct dh_suspect sent;
+
+	CU_ASSERT_FALSE(dh_quarantine_add_answer(&q, 1, 50));
+	crash(&q, 1, 100);
+	sent = dh_quarantine_find(&q, 1);
+	crash(&q, 1, 200);
+	CU_ASSERT_TRUE(dh_quarantine_add_answer(&q, 1, 300));
+	CU_ASSERT_FALSE(dh_quarantine_add_answer(&q, 1, 300));
+	/* An attempt that was sent before the answer, and crashes after it. */
+	CU_ASSERT_FALSE(dh_quarantine_add_crash(&q, &sent, 400));
+	crash(&q, 1, 500);
+	crash(&q, 1, 600);
+	CU_ASSERT_FALSE(refused(&q, 1));
+	crash(&q, 1, 700);
+	CU_ASSERT_TRUE(refused(&q, 1));
+	/* An answer that was on its way when the request was found. */
+	CU_ASSERT_TRUE(dh_quarantine_add_answer(&q, 1, 800));
+	CU_ASSERT_FALSE(refused(&q, 1));
+}
+
+static void
+test_expiry(void)
+{
+	struct dh_quarantine q = { 0 };
+
+	crash(&q, 1, 0);
+	crash(&q, 2, 0);
+	crash(&q, 2, 0);
+	crash(&q, 2, 0);
+	CU_ASSERT_TRUE(dh_quarantine_expire(&q, HOUR_MS - 1));
+	CU_ASSERT_EQUAL(q.nsuspects, 1);
+	CU_ASSERT_TRUE(refused(&q, 2));
+	CU_ASSERT_EQUAL(dh_suspect_refused_ms(&q.suspects[0], HOUR_MS - 1), 1);
+	CU_ASSERT_TRUE(dh_quarantine_expire(&q, HOUR_MS));
+	CU_ASSERT_FALSE(refused(&q, 2));
+	crash(&q, 2, HOUR_MS);
+	CU_ASSERT_TRUE(refused(&q, 2));
+}
+
+static void
+test_full_table_keeps_refused_requests(void)
+{
+	struct dh_quarantine q = { 0 };
+	uint64_t i;
+
+	for (i = 1; i <= DH_CRASHES_MAX; i++)
+		crash(&q, 1, (int64_t)i);
+	for (i = 2; i <= 10 * DH_SUSPECTS_MAX; i++)
+		crash(&q, i, (int64_t)i + 10);
+	CU_ASSERT_TRUE(refused(&q, 1));
+	CU_ASSERT_EQUAL(q.nsuspects, DH_SUSPECTS_MAX);
+	CU_ASSERT_EQUAL(
+	    dh_quarantine_find(&q, 10 * DH_SUSPECTS_MAX).crashes, 1);
+	CU_ASSERT_EQUAL(dh_quarantine_find(&q, 2).crashes, 0);
+}
+
+/* Entries arrive in any order, several times or late: all routers end with the
+ * same. */
+static void
+test_merge_converges(void)
+{
+	struct dh_quarantine q[ROUTERS];
+	struct dh_suspect sent;
+	struct dh_rng rng = { 7 };
+	uint64_t from, to, step;
+	size_t i;
+
+	memset(q, 0, sizeof(q));
+	for (step = 0; step < 5000; step++) {
+		from = dh_rng_below(&rng, ROUTERS);
+		to = dh_rng_below(&rng, ROUTERS);
+		sent = dh_quarantine_find(&q[from], dh_rng_below(&rng, 20));
+		switch (dh_rng_below(&rng, 4)) {
+		case 0:
+			(void)dh_quarantine_add_crash(
+			    &q[from], &sent, (int64_t)step);
+			break;
+		case 1:
+			if (sent.request % 4 == 0)
+				(void)dh_quarantine_add_answer(
+				    &q[from], sent.request, (int64_t)step);
+			break;
+		default:
+			(void)dh_quarantine_merge(&q[to], &sent, (int64_t)step);
+			break;
+		}
+	}
+	for (from = 0; from < ROUTERS; from++)
+		for (to = 0; to < ROUTERS; to++)
+			for (i = 0; i < q[from].nsuspects; i++)
+				(void)dh_quarantine_merge(
+				    &q[to], &q[from].suspects[i], 6000);
+	for (from = 1; from < ROUTERS; from++)
+		for (step = 0; step < 20; step++) {
+			struct dh_suspect a = dh_quarantine_find(&q[0], step);
+			struct dh_suspect b =
+			    dh_quarantine_find(&q[from], step);
+
+			CU_ASSERT_EQUAL(a.epoch, b.epoch);
+			CU_ASSERT_EQUAL(a.crashes, b.crashes);
+		}
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "third crash", test_third_crash_leads_to_refusal },
+		{ "same time", test_crashes_at_the_same_time_count_once },
+		{ "answer", test_answer_clears },
+		{ "expiry", test_expiry },
+		{ "full table", test_full_table_keeps_refused_requests },
+		{ "merge", test_merge_converges },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("quarantine", tests);
+}
