Gateway: refuse requests under which three backend servers have ended

Callers saw whole services end: a request that crashes each backend server that runs it was retried within a client attempt and taken again with each repetition, on every VM.

Cause: a lost attempt counted against the backend server and the retry budget of the service, never against the request; repetitions have other ids, and VMs told each other nothing of lost attempts. Refusing on each VM's own count would need three crashes on each of ten VMs.

Now each router counts the crashes of a request by core/quarantine, reports them until its view shows them, VMs report to the leader what its last heartbeat did not show, and heartbeats carry all. Both are sent at once after a change. The leader keeps refused requests in the object 'quarantine', so that they are known after all VMs have started anew; its write shares the code of the object of strong VMs. The entries merge in any order, so that lost datagrams and a change of leaders in between cost time only.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -74,8 +74,6 @@
 	const struct dh_message *in = rq->in;
 	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
 
-	if (rq->digest == 0)
-		rq->digest = dh_message_digest(in);
 	if (rq->wire == NULL)
 		rq->wire = g_string_sized_new(512 + in->body->len);
 	g_string_printf(rq->wire, "%s %s HTTP/1.1\r\n",
@@ -372,6 +370,15 @@
 
 	if (rq->state == DH_REQUEST_SENT)
 		rq->state = DH_REQUEST_NEW;
+	if (rq->digest == 0)
+		rq->digest = dh_message_digest(rq->in);
+	rq->suspect = dh_quarantine_find(&w->quarantine, rq->digest);
+	if (dh_suspect_is_refused(&rq->suspect)) {
+		dh_counter_add(w->c.quarantined, 1);
+		dh_request_finish(rq, 503, "the request ends backend servers",
+		    dh_suspect_refused_ms(&rq->suspect, dh_worker_now_ms(w)));
+		return;
+	}
 	/* The owner in this view has refused the key: wait for a newer one. */
 	if (rq->misdirected &&
 	    rq->misdirected_owners_version == w->view->owners_version) {
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -36,6 +36,8 @@
 #define SUCCESSOR_WAIT_BEATS 3
 /* How often the leader checks the object of strong VMs (neighbour.h). */
 #define STRONG_CHECK_MS 1500
+/* How often the leader checks the object of refused requests. */
+#define QUARANTINE_CHECK_MS 250
 /* Heartbeats that may be missed before this VM watches the store itself. */
 #define MISSED_BEATS_MAX 3
 /* Leading takes processor time that a small VM needs for its requests.  If
@@ -374,10 +376,13 @@
 {
 	g_autoptr(GArray) limits =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_shared_limit));
+	g_autoptr(GArray) suspects =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
 	struct dh_leader_heartbeat beat = { .term = o->term,
 		.failing = is_failing(o, now_ms),
 		.era = dh_era_number(owners_store_era(o)),
-		.limits = limits };
+		.limits = limits,
+		.suspects = suspects };
 	GHashTableIter it;
 	gpointer ip, value;
 
@@ -386,6 +391,7 @@
 	dh_limits_share(o->limits, limits, now_ms);
 	if (dh_limits_set_shared(o->limits, limits, now_ms))
 		o->c.changed(o->c.arg);
+	dh_suspects_share(o->suspects, suspects);
 	beat.vms = 1;
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, &value)) {
@@ -404,21 +410,51 @@
 }
 
 static void
-on_strong_written(void *arg, const struct dh_objects_reply *r)
+on_object_written(void *arg, const struct dh_objects_reply *r)
 {
-	struct dh_owners *o = arg;
+	struct leader_object *l = arg;
+	struct dh_owners *o = l->owners;
 
-	o->strong_call = NULL;
+	l->call = NULL;
 	r = dh_era_check_reply(owners_store_era(o), r);
 	if (r == NULL)
 		return;
 	if (r->nitems == 1)
-		o->strong_revision = r->items[0].revision;
+		l->revision = r->items[0].revision;
 	if (r->result == DH_OBJECTS_OK)
 		return;
-	dh_opslog_add(
-	    DH_OPS_STATE, "strong.not_written", ",\"status\":%ld", r->status);
-	g_clear_pointer(&o->strong, g_free);
+	dh_opslog_add(DH_OPS_STATE, "object.not_written",
+	    ",\"name\":\"%s\",\"status\":%ld", l->name, r->status);
+	/* Not the text in the store: it is written again. */
+	g_free(l->text);
+	l->text = g_strdup("");
+	if (l == &o->quarantine && r->nitems == 1)
+		owners_process_quarantine(o, &r->items[0]);
+}
+
+/* Whether the leader may compute the object's text now. */
+static bool
+may_write_object(struct leader_object *l, int64_t interval_ms, int64_t now_ms)
+{
+	if (l->call != NULL || now_ms - l->checked_ms < interval_ms)
+		return false;
+	l->checked_ms = now_ms;
+	return true;
+}
+
+/* Writes the object if its text has changed.  Takes ownership of text. */
+static void
+write_object(struct leader_object *l, char *text)
+{
+	if (g_strcmp0(text, l->text) == 0) {
+		g_free(text);
+		return;
+	}
+	g_free(l->text);
+	l->text = text;
+	l->call = dh_objects_put(l->owners->c.objects, DH_OWNERS_KIND, l->name,
+	    l->revision, l->text, DH_OWNERS_STORE_TIMEOUT_MS, on_object_written,
+	    l);
 }
 
 /* Keeps the object up to date that lists the strong VMs, from which other VMs
@@ -430,14 +466,12 @@
 	    g_array_new(FALSE, TRUE, sizeof(struct dh_neighbour));
 	struct dh_neighbour n = { .core_share_milli =
 				      o->c.settings->core_share_milli };
-	g_autofree char *text = NULL;
 	GHashTableIter it;
 	gpointer ip, value;
+	char *text;
 
-	if (o->strong_call != NULL ||
-	    now_ms - o->strong_checked_ms < STRONG_CHECK_MS)
+	if (!may_write_object(&o->strong, STRONG_CHECK_MS, now_ms))
 		return;
-	o->strong_checked_ms = now_ms;
 	(void)g_strlcpy(n.vm, o->c.settings->vm, sizeof(n.vm));
 	(void)g_strlcpy(n.zone, o->c.settings->zone, sizeof(n.zone));
 	(void)g_strlcpy(n.ip, o->c.ip, sizeof(n.ip));
@@ -454,13 +488,17 @@
 	}
 	text = dh_neighbours_spec(
 	    (struct dh_neighbour *)(void *)list->data, list->len);
-	if (text == NULL || g_strcmp0(text, o->strong) == 0)
-		return;
-	g_free(o->strong);
-	o->strong = g_steal_pointer(&text);
-	o->strong_call = dh_objects_put(o->c.objects, DH_OWNERS_KIND,
-	    DH_NEIGHBOURS_OBJECT, o->strong_revision, o->strong,
-	    DH_OWNERS_STORE_TIMEOUT_MS, on_strong_written, o);
+	if (text != NULL)
+		write_object(&o->strong, text);
+}
+
+/* Keeps the object up to date that lists the refused requests. */
+static void
+write_quarantine(struct dh_owners *o, int64_t now_ms)
+{
+	if (may_write_object(&o->quarantine, QUARANTINE_CHECK_MS, now_ms) &&
+	    (o->quarantine.text != NULL || dh_suspects_refuse(o->suspects)))
+		write_object(&o->quarantine, dh_suspects_spec(o->suspects));
 }
 
 /* Detects that this process was stopped for as long as it takes other VMs to
@@ -539,6 +577,7 @@
 	if (now_ms - o->confirmed_ms < CONFIRM_INTERVAL_MS) {
 		o->election_pause_ms = 0;
 		write_strong(o, now_ms);
+		write_quarantine(o, now_ms);
 	}
 }
 
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -43,6 +43,8 @@
 		o->leader_healthy_ms = dh_clock_ms();
 	if (dh_limits_set_shared(o->limits, beat->limits, dh_clock_ms()))
 		o->c.changed(o->c.arg);
+	if (dh_suspects_note_shared(o->suspects, beat->suspects, dh_clock_ms()))
+		o->c.changed(o->c.arg);
 	if (o->vms != beat->vms) {
 		o->vms = beat->vms;
 		o->c.changed(o->c.arg);
@@ -188,6 +190,8 @@
 		dh_registry_mark_leaving(o->c.registry, l->id, l->start_ms);
 	}
 	dh_limits_note_reports(o->limits, r->limits, dh_clock_ms());
+	if (dh_suspects_note_report(o->suspects, r->suspects, dh_clock_ms()))
+		owners_suspects_changed(o);
 	send_outdated(o, r, ip);
 }
 
@@ -252,14 +256,18 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_server));
 	g_autoptr(GArray) limits =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_limit_report));
+	g_autoptr(GArray) suspects =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
 	struct dh_peer_report r = { .term = o->term,
 		.keys = keys,
 		.servers = servers,
 		.leaving = o->leaving,
-		.limits = limits };
+		.limits = limits,
+		.suspects = suspects };
 
 	(void)g_strlcpy(r.vm, o->c.settings->vm, sizeof(r.vm));
 	dh_limits_take_reports(o->limits, limits);
+	dh_suspects_report(o->suspects, suspects);
 	report_services(o, &r);
 	report_keys(o, &r);
 	if (o->reports++ % WORK_TIME_REPORTS == 0) {
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -68,6 +68,13 @@
 		    service, from, error->message);
 }
 
+void
+owners_suspects_changed(struct dh_owners *o)
+{
+	o->last_report_ms = o->beat_sent_ms = 0;
+	o->c.changed(o->c.arg);
+}
+
 void
 owners_reset_election_timeout(struct dh_owners *o)
 {
@@ -257,6 +264,17 @@
 	    dh_clock_ms() - o->leader_healthy_ms < o->c.settings->silence_ms;
 }
 
+void
+owners_process_quarantine(struct dh_owners *o, const struct dh_object_view *v)
+{
+	o->quarantine.revision = v->revision;
+	g_free(o->quarantine.text);
+	o->quarantine.text = g_strdup(
+	    json_object_to_json_string_ext(v->spec, JSON_C_TO_STRING_PLAIN));
+	if (dh_suspects_note_spec(o->suspects, v->spec, dh_clock_ms()))
+		owners_suspects_changed(o);
+}
+
 static void
 on_object(void *arg, const struct dh_object_view *v)
 {
@@ -265,7 +283,9 @@
 	if (strcmp(v->name, DH_OWNERS_LEADER) == 0)
 		owners_process_leader(o, v);
 	else if (strcmp(v->name, DH_NEIGHBOURS_OBJECT) == 0)
-		o->strong_revision = v->revision;
+		o->strong.revision = v->revision;
+	else if (strcmp(v->name, DH_SUSPECTS_OBJECT) == 0)
+		owners_process_quarantine(o, v);
 	else if (g_str_has_prefix(v->name, VM_PREFIX))
 		process_vm(o, v);
 	else if (g_str_has_prefix(v->name, SERVICE_PREFIX) &&
@@ -296,6 +316,8 @@
 	int64_t now_ms = dh_clock_ms();
 
 	announce(o, now_ms);
+	if (dh_suspects_expire(o->suspects, now_ms))
+		owners_suspects_changed(o);
 	o->full_sends = FULL_SENDS_PER_STEP;
 	if (now_ms - o->last_report_ms >= REPORT_INTERVAL_MS) {
 		o->last_report_ms = now_ms;
@@ -318,6 +340,15 @@
 	    dh_clock_ms() - o->leader_healthy_ms < o->c.settings->silence_ms;
 }
 
+static void
+leader_object_reset(struct leader_object *l)
+{
+	dh_objects_cancel(l->call);
+	l->call = NULL;
+	l->revision = 0;
+	g_clear_pointer(&l->text, g_free);
+}
+
 /* The store was restored from an older copy: objects that this VM wrote may be
  * missing, and known revisions are void. */
 static void
@@ -326,11 +357,11 @@
 	struct dh_owners *o = arg;
 
 	dh_objects_cancel(o->announcement);
-	dh_objects_cancel(o->strong_call);
-	o->announcement = o->strong_call = NULL;
+	o->announcement = NULL;
 	o->announced = false;
-	o->announce_revision = o->strong_revision = 0;
-	g_clear_pointer(&o->strong, g_free);
+	o->announce_revision = 0;
+	leader_object_reset(&o->strong);
+	leader_object_reset(&o->quarantine);
 	owners_store_rolled_back(o, era);
 }
 
@@ -364,6 +395,11 @@
 	o->seen_keys = g_array_new(FALSE, FALSE, sizeof(struct seen_key));
 	o->leaving = g_array_new(FALSE, FALSE, sizeof(struct dh_peer_leaving));
 	o->limits = dh_limits_new(c->registry);
+	o->suspects = dh_suspects_new();
+	o->strong =
+	    (struct leader_object){ .owners = o, .name = DH_NEIGHBOURS_OBJECT };
+	o->quarantine =
+	    (struct leader_object){ .owners = o, .name = DH_SUSPECTS_OBJECT };
 	o->incoming.changes =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_record_change));
 	owners_reset_election_timeout(o);
@@ -388,8 +424,8 @@
 	g_hash_table_destroy(o->duties);
 	dh_objects_cancel(o->call);
 	dh_objects_cancel(o->announcement);
-	dh_objects_cancel(o->strong_call);
-	g_free(o->strong);
+	leader_object_reset(&o->strong);
+	leader_object_reset(&o->quarantine);
 	dh_mirror_free(o->mirror);
 	dh_timer_free(o->timer);
 	dh_peer_free(o->peer);
@@ -399,6 +435,7 @@
 	g_array_free(o->seen_keys, TRUE);
 	g_array_free(o->leaving, TRUE);
 	dh_limits_free(o->limits);
+	dh_suspects_free(o->suspects);
 	g_array_free(o->incoming.changes, TRUE);
 	g_free((char *)(uintptr_t)o->c.ip);
 	g_free(o);
@@ -441,6 +478,7 @@
 	if (o->vms > 0)
 		v->vms = o->vms;
 	dh_limits_fill_view(o->limits, v, dh_clock_ms());
+	dh_suspects_fill_view(o->suspects, v);
 	for (i = 0; i < d->nservices; i++) {
 		k = g_hash_table_lookup(o->known, d->services[i].name);
 		if (d->services[i].keyed && k != NULL)
@@ -479,6 +517,8 @@
 		dh_registry_mark_leaving(o->c.registry, l.id, l.start_ms);
 	}
 	dh_limits_add_worker_report(o->limits, r);
+	if (dh_suspects_add_worker_report(o->suspects, r, dh_clock_ms()))
+		owners_suspects_changed(o);
 	for (i = 0; i < r->nkeys; i++) {
 		k = (struct seen_key){ r->keys[i].service, r->keys[i].key };
 		g_array_append_val(o->seen_keys, k);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -8,6 +8,7 @@
 #include "gateway/owners.h"
 #include "gateway/peer.h"
 #include "gateway/record.h"
+#include "gateway/suspects.h"
 
 /*
  * Private parts of struct dh_owners.
@@ -52,6 +53,16 @@
 	GArray *changes; /* of struct dh_record_change */
 };
 
+/* An object of the store that the leader keeps up to date. */
+struct leader_object {
+	struct dh_owners *owners;
+	const char *name;
+	char *text; /* its spec, as far as known; or NULL */
+	uint64_t revision; /* revision that the next write replaces */
+	int64_t checked_ms; /* when the text was last computed */
+	struct dh_objects_call *call; /* pending write, or NULL */
+};
+
 struct dh_owners {
 	struct dh_owners_context c;
 	struct dh_peer *peer;
@@ -80,11 +91,8 @@
 	/* As leader. */
 	GHashTable *duties; /* service -> struct dh_duty */
 	GHashTable *peers; /* ip -> struct peer_state */
-	/* The object DH_NEIGHBOURS_OBJECT, which lists the strong VMs. */
-	char *strong; /* text of the last write; NULL: none by this VM */
-	uint64_t strong_revision; /* revision that the next write replaces */
-	int64_t strong_checked_ms; /* when the text was last computed */
-	struct dh_objects_call *strong_call; /* pending write, or NULL */
+	struct leader_object strong; /* DH_NEIGHBOURS_OBJECT */
+	struct leader_object quarantine; /* DH_SUSPECTS_OBJECT */
 	/* Start of the last call that the store answered. */
 	int64_t confirmed_ms;
 	int64_t call_began_ms; /* start of the last call */
@@ -110,6 +118,7 @@
 	GHashTable *work_times; /* server id -> struct dh_peer_server */
 	GArray *leaving; /* of struct dh_peer_leaving */
 	struct dh_limits *limits;
+	struct dh_suspects *suspects;
 	int64_t last_report_ms;
 	uint32_t reports; /* number of reports so far */
 };
@@ -125,6 +134,12 @@
  * ranges in any case.  from is the source, for the log. */
 bool owners_learn(struct dh_owners *o, const char *service, struct dh_record *r,
     const char *from);
+/* Handles the object of refused requests, from a list, a watch or a write. */
+void owners_process_quarantine(
+    struct dh_owners *o, const struct dh_object_view *v);
+/* Publishes what is known of requests that crash backend servers: to workers,
+ * and with the next step to other VMs. */
+void owners_suspects_changed(struct dh_owners *o);
 /* Starts a new election timeout, of random length. */
 void owners_reset_election_timeout(struct dh_owners *o);
 /* Notes that another VM leads in this term. */
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -158,13 +158,38 @@
 	return true;
 }
 
+/* Suspects are absent in heartbeats and reports of an earlier release. */
+static bool
+read_suspects(const msgpack_object_array *list, GArray *suspects)
+{
+	struct dh_suspect s = { 0 };
+	uint64_t epoch, crashes;
+	uint32_t i;
+
+	for (i = 0; list != NULL && i < list->size; i++) {
+		const msgpack_object_array *o = array_at(list, i, 3);
+
+		if (o == NULL || !number_at(o, 0, &s.request) ||
+		    !number_at(o, 1, &epoch) || epoch > UINT32_MAX ||
+		    !number_at(o, 2, &crashes) || crashes > DH_CRASHES_MAX)
+			return false;
+		s.epoch = (uint32_t)epoch;
+		s.crashes = (uint32_t)crashes;
+		g_array_append_val(suspects, s);
+	}
+	return true;
+}
+
 static bool
 decode_heartbeat(const struct dh_peer_handler *h, const msgpack_object_array *a,
     const char *ip)
 {
 	g_autoptr(GArray) limits =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_shared_limit));
-	struct dh_leader_heartbeat b = { .limits = limits };
+	g_autoptr(GArray) suspects =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
+	struct dh_leader_heartbeat b = { .limits = limits,
+		.suspects = suspects };
 	uint64_t failing, vms;
 
 	if (!text_at(a, 1, b.vm, sizeof(b.vm)) || !number_at(a, 2, &b.term) ||
@@ -172,7 +197,8 @@
 		return false;
 	if (!read_cursors(array_at(a, 5, DH_REGISTRY_KINDS), b.cursors) ||
 	    !number_at(a, 6, &b.era) ||
-	    !read_shared_limits(array_at(a, 8, DH_SHARED_LIMITS), limits))
+	    !read_shared_limits(array_at(a, 8, DH_SHARED_LIMITS), limits) ||
+	    !read_suspects(array_at(a, 9, DH_SHARED_SUSPECTS), suspects))
 		return false;
 	read_ages(array_at(a, 7, DH_REGISTRY_KINDS), b.cursors);
 	b.failing = failing != 0;
@@ -360,10 +386,13 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_peer_leaving));
 	g_autoptr(GArray) limits =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_limit_report));
+	g_autoptr(GArray) suspects =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
 	struct dh_peer_report r = { .keys = keys,
 		.servers = servers,
 		.leaving = leaving,
-		.limits = limits };
+		.limits = limits,
+		.suspects = suspects };
 	const msgpack_object_array *l1 = array_at(a, 2, DH_PEER_SERVICES);
 	const msgpack_object_array *l2 = array_at(a, 3, REPORT_KEYS_MAX);
 	const msgpack_object_array *l3 = array_at(a, 4, REPORT_SERVERS_MAX);
@@ -373,7 +402,8 @@
 	    l3 == NULL || l4 == NULL || !read_record_versions(l1, &r) ||
 	    !read_keys(l2, &r) || !read_servers(l3, &r) ||
 	    !read_leaving(l4, &r) || !number_at(a, 6, &r.term) ||
-	    !read_limits(array_at(a, 7, REPORT_LIMITS_MAX), &r))
+	    !read_limits(array_at(a, 7, REPORT_LIMITS_MAX), &r) ||
+	    !read_suspects(array_at(a, 8, DH_SHARED_SUSPECTS), suspects))
 		return false;
 	h->report(h->arg, &r, ip);
 	return true;
@@ -596,6 +626,23 @@
 	}
 }
 
+static void
+pack_suspects(msgpack_packer *pk, const GArray *suspects)
+{
+	guint i, n = suspects == NULL ? 0 : suspects->len;
+
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++) {
+		const struct dh_suspect *s =
+		    &g_array_index(suspects, struct dh_suspect, i);
+
+		msgpack_pack_array(pk, 3);
+		msgpack_pack_uint64(pk, s->request);
+		msgpack_pack_uint32(pk, s->epoch);
+		msgpack_pack_uint32(pk, s->crashes);
+	}
+}
+
 void
 dh_peer_send_heartbeat(struct dh_peer *p, const char *ip,
     const struct dh_leader_heartbeat *heartbeat)
@@ -606,7 +653,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 9);
+	msgpack_pack_array(&pk, 10);
 	msgpack_pack_uint32(&pk, DATAGRAM_BEAT);
 	pack_text(&pk, heartbeat->vm);
 	msgpack_pack_uint64(&pk, heartbeat->term);
@@ -623,6 +670,7 @@
 	for (i = 0; i < DH_REGISTRY_KINDS; i++)
 		msgpack_pack_uint32(&pk, heartbeat->cursors[i].age_ms);
 	pack_shared_limits(&pk, heartbeat->limits);
+	pack_suspects(&pk, heartbeat->suspects);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
@@ -706,7 +754,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 8);
+	msgpack_pack_array(&pk, 9);
 	msgpack_pack_uint32(&pk, DATAGRAM_REPORT);
 	pack_text(&pk, r->vm);
 	msgpack_pack_array(&pk, r->nowners);
@@ -744,6 +792,7 @@
 	}
 	msgpack_pack_uint64(&pk, r->term);
 	pack_limits(&pk, r->limits);
+	pack_suspects(&pk, r->suspects);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -12,6 +12,7 @@
 #include "gateway/limits.h"
 #include "gateway/record.h"
 #include "gateway/registry.h"
+#include "gateway/suspects.h"
 
 /*
  * UDP datagrams between VMs, in msgpack.  The leader sends heartbeats, owners
@@ -31,6 +32,7 @@
 	uint64_t era; /* era of the cursors' revisions */
 	struct dh_registry_cursor cursors[DH_REGISTRY_KINDS];
 	GArray *limits; /* of struct dh_shared_limit; borrowed */
+	GArray *suspects; /* of struct dh_suspect; borrowed */
 };
 
 #define DH_PEER_SERVICES 16
@@ -50,6 +52,7 @@
 	GArray *servers; /* of struct dh_peer_server; borrowed */
 	GArray *leaving; /* of struct dh_peer_leaving; borrowed */
 	GArray *limits; /* of struct dh_limit_report; borrowed */
+	GArray *suspects; /* of struct dh_suspect; borrowed */
 };
 
 /* A backend server whose responses say that it is leaving. */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -63,7 +63,7 @@
 	    "\"key\":%d,\"server\":\"%s\",\"attempts\":%u,\"unreachable\":%u,"
 	    "\"age_ms\":%lld,\"left_ms\":%lld,\"sent_ms_ago\":%lld,"
 	    "\"expected_ms\":%.0f,\"ahead\":%.1f,\"config\":%lld,"
-	    "\"view\":%llu,\"owners\":%llu",
+	    "\"view\":%llu,\"owners\":%llu,\"digest\":\"%016llx\"",
 	    dh_opslog_quote(id, sizeof(id), rq->id), status, why,
 	    rq->route == NULL ? "" : rq->route->name,
 	    rq->keyed ? (int)rq->key : -1, rq->server_id, rq->attempts,
@@ -75,7 +75,8 @@
 			     : (long long)(*rq->view->deployment)->version,
 	    rq->view == NULL ? 0ULL : (unsigned long long)rq->view->number,
 	    rq->view == NULL ? 0ULL
-			     : (unsigned long long)rq->view->owners_version);
+			     : (unsigned long long)rq->view->owners_version,
+	    (unsigned long long)rq->digest);
 }
 
 static void
@@ -227,6 +228,17 @@
 	    (unsigned long long)rq->digest, caller);
 }
 
+/* The backend server may have ended because of the request. */
+static void
+add_crash(struct dh_request *rq)
+{
+	struct dh_worker *w = rq->worker;
+
+	if (dh_quarantine_add_crash(
+		&w->quarantine, &rq->suspect, dh_worker_now_ms(w)))
+		w->quarantine_changed = true;
+}
+
 /* The backend server did not execute the request: send it to another one, or
  * wait for the owner of the key. */
 static void
@@ -266,6 +278,10 @@
 	}
 	dh_request_record_reply(
 	    rq, status >= 500 ? DH_REPLY_ERROR : DH_REPLY_GOOD, answer);
+	if (status < 500 &&
+	    dh_quarantine_add_answer(&rq->worker->quarantine, rq->digest,
+		dh_worker_now_ms(rq->worker)))
+		rq->worker->quarantine_changed = true;
 	if (status >= 500 && rq->route->repeat == DH_REPEAT_SAFE) {
 		add_tried(rq);
 		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
@@ -300,10 +316,13 @@
 		return;
 	case DH_ATTEMPT_RESET:
 	case DH_ATTEMPT_LOST:
+	case DH_ATTEMPT_DISCONNECTED:
 		dh_request_record_reply(rq,
-		    how == DH_ATTEMPT_LOST ? DH_REPLY_LOST : DH_REPLY_RESET,
+		    how == DH_ATTEMPT_RESET ? DH_REPLY_RESET : DH_REPLY_LOST,
 		    NULL);
 		log_attempt(rq, "lost", why);
+		if (how == DH_ATTEMPT_DISCONNECTED)
+			add_crash(rq);
 		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
 			dh_request_dispatch(rq);
 			return;
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -143,6 +143,20 @@
 		up->worker->choice.round_trip_ms[up->pool->tier];
 }
 
+/* Whether the request can have begun to run when the connection ended: a
+ * connection that the backend server had dropped before, or does not accept, is
+ * reset within a round trip. */
+static bool
+ended_while_running(const struct dh_upstream *up)
+{
+	double since_ms =
+	    (double)(dh_worker_now_ms(up->worker) - up->rq->sent_ms);
+
+	return up->connected && !reset_on_connect(up) &&
+	    since_ms > RESET_ON_CONNECT_MS +
+		up->worker->choice.round_trip_ms[up->pool->tier];
+}
+
 /* Close the connection and end its attempt, if any, without an answer. */
 static void
 upstream_fail(struct dh_upstream *up, enum dh_attempt_end how, const char *why)
@@ -151,7 +165,8 @@
 
 	if (rq != NULL && how == DH_ATTEMPT_LOST && reset_on_connect(up))
 		how = DH_ATTEMPT_RESET;
-	if (rq != NULL && how == DH_ATTEMPT_LOST &&
+	if (rq != NULL &&
+	    (how == DH_ATTEMPT_LOST || how == DH_ATTEMPT_DISCONNECTED) &&
 	    up->idle_before_ms >= IDLE_RESET_MIN_MS && !up->in.began)
 		lower_idle_limit(rq->service_state, up);
 	upstream_close(up);
@@ -369,7 +384,8 @@
 		answer_complete(up, false);
 		return;
 	}
-	upstream_fail(up, DH_ATTEMPT_LOST,
+	upstream_fail(up,
+	    ended_while_running(up) ? DH_ATTEMPT_DISCONNECTED : DH_ATTEMPT_LOST,
 	    up->in.began ? "answer ended early" : "connection ended");
 }
 
--- a/gateway/view.c
+++ b/gateway/view.c
@@ -87,6 +87,7 @@
 	}
 	g_free(v->services);
 	g_free(v->limits);
+	g_free(v->suspects);
 	if (v->base == NULL) {
 		if (v->by_id != NULL)
 			g_hash_table_destroy(v->by_id);
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -9,6 +9,7 @@
 #include <dogwoodhub/balance.h>
 #include <dogwoodhub/deployment.h>
 #include <dogwoodhub/keyspace.h>
+#include <dogwoodhub/quarantine.h>
 
 #include <glib.h>
 
@@ -67,6 +68,9 @@
 	struct dh_view_service *services; /* in the deployment's order */
 	struct dh_view_limit *limits; /* of this view, also if derived */
 	size_t nlimits;
+	/* Requests that may crash backend servers, of this view as well. */
+	struct dh_suspect *suspects;
+	size_t nsuspects;
 	uint32_t vms; /* number of VMs that share the backend servers */
 	uint64_t number; /* sequence number within this process */
 	uint64_t owners_version; /* newest version of owners in the view */
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -73,6 +73,7 @@
 	c->room = dh_counter_get("dh_gateway_room_bytes", "");
 	c->room_over = dh_counter_get("dh_gateway_room_over_total", "");
 	c->rate_limited = dh_counter_get("dh_gateway_rate_limited_total", "");
+	c->quarantined = dh_counter_get("dh_gateway_quarantined_total", "");
 	c->bad_answers = dh_counter_get("dh_gateway_bad_answers_total", "");
 	for (i = 0; i <= DH_LATENCY_BUCKETS; i++) {
 		g_free(label);
@@ -251,6 +252,31 @@
 	}
 }
 
+static bool
+view_has(const struct dh_view *v, const struct dh_suspect *s)
+{
+	size_t i;
+
+	for (i = 0; v != NULL && i < v->nsuspects; i++)
+		if (v->suspects[i].request == s->request)
+			return !dh_suspect_is_newer(s, &v->suspects[i]);
+	return false;
+}
+
+static void
+report_suspects(struct dh_worker *w)
+{
+	const struct dh_quarantine *q = &w->quarantine;
+	struct dh_worker_report *r = w->report;
+	size_t i;
+
+	r->nsuspects = 0;
+	for (i = 0; i < q->nsuspects && r->nsuspects < DH_REPORT_SUSPECTS; i++)
+		if (!view_has(w->view, &q->suspects[i]))
+			r->suspects[r->nsuspects++] = q->suspects[i];
+	w->quarantine_changed = false;
+}
+
 static void
 publish_report(struct dh_worker *w)
 {
@@ -259,6 +285,7 @@
 	report_servers(w);
 	report_leaving(w);
 	report_limits(w);
+	report_suspects(w);
 	old = ck_pr_fas_ptr(&w->report_out, w->report);
 	if (old == NULL)
 		old = g_new(struct dh_worker_report, 1);
@@ -318,6 +345,9 @@
 	g_hash_table_iter_init(&it, w->pools);
 	while (limits_changed && g_hash_table_iter_next(&it, NULL, &value))
 		set_limit(w, value);
+	for (i = 0; i < v->nsuspects; i++)
+		(void)dh_quarantine_merge(
+		    &w->quarantine, &v->suspects[i], dh_worker_now_ms(w));
 	if (same_servers) {
 		dh_request_view_changed(w);
 		return;
@@ -369,8 +399,9 @@
 	int64_t now_ms = dh_worker_now_ms(w);
 
 	dh_clients_sweep(w, now_ms);
-	if (++w->ticks % REPORT_TICKS == 0)
+	if (++w->ticks % REPORT_TICKS == 0 || w->quarantine_changed)
 		publish_report(w);
+	(void)dh_quarantine_expire(&w->quarantine, now_ms);
 	g_hash_table_foreach_remove(w->pools, pool_is_unused, NULL);
 	if (w->drain_began_ms != 0)
 		drain_step(w, now_ms);
--- a/gateway/worker.h
+++ b/gateway/worker.h
@@ -8,6 +8,7 @@
 #include <uv.h>
 
 #include <dogwoodhub/choice.h>
+#include <dogwoodhub/quarantine.h>
 #include <dogwoodhub/retry.h>
 #include <dogwoodhub/rng.h>
 
@@ -26,6 +27,7 @@
 #define DH_REPORT_SERVERS 256
 #define DH_REPORT_LEAVING 64
 #define DH_REPORT_LIMITS 64
+#define DH_REPORT_SUSPECTS 64
 
 /* What answers of a backend server have said of its rate limit since the last
  * report. */
@@ -64,6 +66,10 @@
 		uint32_t offered, admitted; /* requests for it */
 	} limits[DH_REPORT_LIMITS];
 	uint32_t nlimits;
+	/* Requests that may crash backend servers, as far as the view does not
+	 * show them. */
+	struct dh_suspect suspects[DH_REPORT_SUSPECTS];
+	uint32_t nsuspects;
 };
 
 struct dh_worker;
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -79,6 +79,8 @@
 	struct dh_counter *bad_answers; /* of backend servers */
 	/* Requests not sent to a backend server because of its rate limit. */
 	struct dh_counter *rate_limited;
+	/* Requests refused because they crash backend servers. */
+	struct dh_counter *quarantined;
 	/* Bytes of requests and answers, by tier of the backend server. */
 	struct dh_counter *bytes[DH_TIERS], *keyed_bytes[DH_TIERS];
 	struct dh_counter *latency[DH_LATENCY_BUCKETS + 1];
@@ -115,6 +117,8 @@
 	GQueue requests; /* all requests in progress */
 	struct dh_rng rng;
 	struct dh_choice_params choice;
+	struct dh_quarantine quarantine;
+	bool quarantine_changed; /* since the last report */
 	struct dh_worker_counters c;
 	/* Scratch space of dh_request_dispatch(). */
 	struct dh_candidate candidates[DH_CANDIDATES_MAX];
@@ -129,6 +133,8 @@
 	DH_ATTEMPT_MISDIRECTED, /* sent to a wrong owner or instance */
 	DH_ATTEMPT_RESET, /* a new connection was reset; may have executed */
 	DH_ATTEMPT_LOST, /* no usable answer; may have executed */
+	/* The connection ended while the request ran. */
+	DH_ATTEMPT_DISCONNECTED,
 };
 
 enum dh_request_state {
@@ -148,6 +154,8 @@
 	struct dh_service_state *service_state;
 	char id[DH_NAME_MAX * 2];
 	uint64_t digest; /* dh_message_digest() of in; 0: not computed yet */
+	/* What was known of digest when the current attempt was sent. */
+	struct dh_suspect suspect;
 	bool keyed;
 	uint32_t key;
 	int64_t arrived_ms;
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -16,6 +16,8 @@
 	struct dh_leader_heartbeat beat;
 	guint limits; /* in the last heartbeat */
 	struct dh_shared_limit limit; /* the first of them */
+	guint suspects; /* in the last heartbeat and all reports */
+	struct dh_suspect suspect; /* the first of the last ones */
 	guint reported_limits; /* in all reports */
 	struct dh_limit_report reported; /* the last one */
 	uint32_t beats, parts, items;
@@ -25,6 +27,14 @@
 	uint32_t expected_parts; /* as the parts say */
 };
 
+static void
+take_suspects(struct fixture *fx, const GArray *suspects)
+{
+	fx->suspects += suspects->len;
+	if (suspects->len > 0)
+		fx->suspect = g_array_index(suspects, struct dh_suspect, 0);
+}
+
 static void
 on_beat(void *arg, const struct dh_leader_heartbeat *beat, const char *ip)
 {
@@ -33,6 +43,7 @@
 	CU_ASSERT_STRING_EQUAL(ip, FROM);
 	fx->beat = *beat;
 	fx->beats++;
+	take_suspects(fx, beat->suspects);
 	fx->limits = beat->limits->len;
 	if (beat->limits->len > 0)
 		fx->limit =
@@ -67,6 +78,7 @@
 	guint i;
 
 	(void)ip;
+	take_suspects(fx, r->suspects);
 	for (i = 0; i < r->limits->len; i++) {
 		fx->reported_limits++;
 		fx->reported =
@@ -186,6 +198,44 @@
 	end(&fx);
 }
 
+static void
+test_suspects(void)
+{
+	struct dh_suspect s = {
+		.request = UINT64_MAX, .epoch = 7, .crashes = 3
+	};
+	g_autoptr(GArray) none = g_array_new(FALSE, FALSE, 1);
+	g_autoptr(GArray) suspects =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
+	struct dh_leader_heartbeat beat = { .vm = "vm-1",
+		.suspects = suspects };
+	struct dh_peer_report r = { .vm = "vm-1",
+		.keys = none,
+		.servers = none,
+		.leaving = none,
+		.suspects = suspects };
+	struct fixture fx;
+
+	g_array_append_val(suspects, s);
+	start(&fx);
+	dh_peer_send_heartbeat(fx.from, TO, &beat);
+	run(&fx);
+	CU_ASSERT_EQUAL(fx.beats, 1);
+	CU_ASSERT_EQUAL(fx.suspects, 1);
+	CU_ASSERT_EQUAL(fx.suspect.request, UINT64_MAX);
+	CU_ASSERT_EQUAL(fx.suspect.epoch, 7);
+	CU_ASSERT_EQUAL(fx.suspect.crashes, 3);
+	dh_peer_send_report(fx.from, TO, &r);
+	run(&fx);
+	CU_ASSERT_EQUAL(fx.suspects, 2);
+	/* More crashes than any VM counts. */
+	g_array_index(suspects, struct dh_suspect, 0).crashes = 4;
+	dh_peer_send_report(fx.from, TO, &r);
+	run(&fx);
+	CU_ASSERT_EQUAL(fx.suspects, 2);
+	end(&fx);
+}
+
 static void
 test_limits_in_a_report(void)
 {
@@ -328,6 +378,7 @@
 		{ "heartbeat", test_heartbeat },
 		{ "shared limits", test_shared_limits },
 		{ "limits in a report", test_limits_in_a_report },
+		{ "suspects", test_suspects },
 		{ "changes in parts", test_changes_in_parts },
 		{ "owners in parts", test_owners_in_parts },
 		{ "bad datagrams", test_bad_datagrams },
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -7,6 +7,7 @@
 
 #define HOUR_MS INT64_C(3600000)
 #define ROUTERS 10
+#define REQUESTS (UINT64_C(10) * DH_SUSPECTS_MAX)
 
 static bool
 refused(const struct dh_quarantine *q, uint64_t request)
@@ -102,12 +103,11 @@
 
 	for (i = 1; i <= DH_CRASHES_MAX; i++)
 		crash(&q, 1, (int64_t)i);
-	for (i = 2; i <= 10 * DH_SUSPECTS_MAX; i++)
+	for (i = 2; i <= REQUESTS; i++)
 		crash(&q, i, (int64_t)i + 10);
 	CU_ASSERT_TRUE(refused(&q, 1));
 	CU_ASSERT_EQUAL(q.nsuspects, DH_SUSPECTS_MAX);
-	CU_ASSERT_EQUAL(
-	    dh_quarantine_find(&q, 10 * DH_SUSPECTS_MAX).crashes, 1);
+	CU_ASSERT_EQUAL(dh_quarantine_find(&q, REQUESTS).crashes, 1);
 	CU_ASSERT_EQUAL(dh_quarantine_find(&q, 2).crashes, 0);
 }
 
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -208,6 +208,24 @@
 	return true;
 }
 
+#define CRASH_MS 80
+static gint crashes_left; /* of requests under /crash-some/ */
+
+/* End the connection while the request runs, or before it can have begun. */
+static bool
+crash(int fd, const char *head, const char *good)
+{
+	if (strstr(head, " /crash-some/") != NULL &&
+	    g_atomic_int_add(&crashes_left, -1) <= 0) {
+		send_text(fd, good);
+		return true;
+	}
+	if (strstr(head, "/at-once/") == NULL)
+		(void)usleep(CRASH_MS * 1000);
+	reset_connection(fd);
+	return false;
+}
+
 /* Answer one request; false if the connection was closed. */
 static bool
 handle_request(struct fake_server *f, int fd, const char *head, const char *id)
@@ -285,6 +303,8 @@
 		(void)close(fd);
 		return false;
 	}
+	if (strstr(head, " /crash") != NULL)
+		return crash(fd, head, good);
 	if (handle_special_path(fd, head, id, good, &open))
 		return open;
 	if (strstr(head, " /garbage/") != NULL) {
@@ -706,6 +726,102 @@
 	stop_worker();
 }
 
+#define QUARANTINED "the request ends backend servers"
+
+static void
+test_request_that_ends_backend_servers_is_refused(void)
+{
+	struct dh_worker_report *r;
+	const char *after;
+
+	start_worker(2);
+	CU_ASSERT_EQUAL(get_once("/crash/a", "", buf), 502);
+	CU_ASSERT_EQUAL(runs, 2);
+	/* The third crash, after which the retry is refused. */
+	CU_ASSERT_EQUAL(get_once("/crash/a", "", buf), 502);
+	CU_ASSERT_EQUAL(runs, 3);
+	CU_ASSERT_EQUAL(get_once("/crash/a", "", buf), 503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, QUARANTINED));
+	after = strstr(buf, "Retry-After: ");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(after);
+	CU_ASSERT_TRUE(strtod(after + strlen("Retry-After: "), NULL) > 3000);
+	CU_ASSERT_EQUAL(runs, 3);
+	CU_ASSERT_EQUAL(get_once("/ok/a", "", buf), 200);
+	/* It is reported until the view shows it. */
+	(void)usleep(300000);
+	g_free(dh_worker_take_report(worker));
+	(void)usleep(300000);
+	r = dh_worker_take_report(worker);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT_EQUAL(r->nsuspects, 1);
+	CU_ASSERT_TRUE(dh_suspect_is_refused(&r->suspects[0]));
+	g_free(r);
+	stop_worker();
+}
+
+/* An answer shows that the request does not end its backend servers. */
+static void
+test_answered_request_is_not_refused(void)
+{
+	int i;
+
+	start_worker(2);
+	for (i = 0; i < 3; i++) {
+		g_atomic_int_set(&crashes_left, 2);
+		CU_ASSERT_EQUAL(get_once("/crash-some/", "", buf), 502);
+		CU_ASSERT_EQUAL(get_once("/crash-some/", "", buf), 200);
+	}
+	stop_worker();
+}
+
+/* Connections that are not accepted, or were dropped, are reset at once. */
+static void
+test_resets_within_a_round_trip_are_no_crashes(void)
+{
+	int i;
+
+	start_worker(2);
+	for (i = 0; i < 20; i++) {
+		(void)get_once("/crash/at-once/", "", buf);
+		CU_ASSERT_PTR_NULL(strstr(buf, QUARANTINED));
+		(void)usleep(50000);
+	}
+	CU_ASSERT_TRUE(runs > 3);
+	stop_worker();
+}
+
+/* Another VM has found the request. */
+static void
+test_request_refused_by_the_view(void)
+{
+	struct dh_worker_report *r = NULL;
+	struct dh_view *v;
+	int i;
+
+	start_worker(1);
+	CU_ASSERT_EQUAL(get_once("/crash/b", "", buf), 502);
+	for (i = 0; i < 50 && (r == NULL || r->nsuspects == 0); i++) {
+		g_free(r);
+		(void)usleep(20000);
+		r = dh_worker_take_report(worker);
+	}
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT_EQUAL_FATAL(r->nsuspects, 1);
+	stop_worker();
+	start_worker(1);
+	v = make_view(1, true, 1000000);
+	v->suspects = g_memdup2(r->suspects, sizeof(r->suspects[0]));
+	v->suspects[0].crashes = DH_CRASHES_MAX;
+	v->nsuspects = 1;
+	dh_worker_publish(worker, v);
+	(void)usleep(50000);
+	CU_ASSERT_EQUAL(get_once("/crash/b", "", buf), 503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, QUARANTINED));
+	CU_ASSERT_EQUAL(runs, 0);
+	g_free(r);
+	stop_worker();
+}
+
 static uint64_t
 retries(void)
 {
@@ -1364,6 +1480,13 @@
 		{ "deadline", test_deadline },
 		{ "caller disconnects", test_caller_disconnects },
 		{ "reset of idle connections", test_reset_of_idle_connections },
+		{ "request that ends backend servers",
+		    test_request_that_ends_backend_servers_is_refused },
+		{ "answered request", test_answered_request_is_not_refused },
+		{ "resets within a round trip",
+		    test_resets_within_a_round_trip_are_no_crashes },
+		{ "request refused by the view",
+		    test_request_refused_by_the_view },
 		{ "parked request", test_parked_request },
 		{ "drain", test_drain },
 		{ "drain limit", test_drain_limit },
