Gateway: log when a VM reaches no backend server

No line told a VM that is cut off from all backend servers from one whose backend servers are busy or down. core/reach decides by new connections: four that fail in a row, at different backend servers. Two failures, or 0.6 s of silence of all backend servers that owe answers, call for probes. Lines backends.lost and backends.reached, gauge dh_gateway_backends_lost. Nothing is decided by it yet.

test_reach: one backend server that fails often, an accepted connection in between, few backend servers, silence.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -56,6 +56,7 @@
 	int64_t idle_since_ms;
 	int64_t idle_max_ms;
 	int64_t idle_before_ms; /* idle time before the request; 0: new */
+	int64_t started_ms; /* when the connection was started */
 	/* Id of the last request that was answered as not run, or "".  A late
 	 * copy of that answer could be taken for one to the same request. */
 	char not_run_id[DH_NAME_MAX * 2];
@@ -373,6 +374,8 @@
 		return;
 	}
 	if (n > 0) {
+		dh_reach_heard(
+		    &up->worker->reach, dh_worker_now_ms(up->worker));
 		dh_message_memory_count_read(up->worker, (size_t)n);
 		take_bytes(up, buf->base, (size_t)n);
 		return;
@@ -448,9 +451,12 @@
 		return;
 	uv_timer_stop(&up->timer);
 	if (status < 0) {
+		dh_worker_connect_failed(
+		    up->worker, up->pool->uid, up->started_ms);
 		upstream_fail(up, DH_ATTEMPT_UNREACHABLE, uv_strerror(status));
 		return;
 	}
+	dh_worker_accepted(up->worker);
 	up->connected = true;
 	up->connected_ms = dh_worker_now_ms(up->worker);
 	(void)uv_tcp_nodelay(&up->tcp, 1);
@@ -464,7 +470,10 @@
 static void
 on_connect_timeout(uv_timer_t *timer)
 {
-	upstream_fail(timer->data, DH_ATTEMPT_UNREACHABLE, "connect timed out");
+	struct dh_upstream *up = timer->data;
+
+	dh_worker_connect_failed(up->worker, up->pool->uid, up->started_ms);
+	upstream_fail(up, DH_ATTEMPT_UNREACHABLE, "connect timed out");
 }
 
 static struct dh_upstream *
@@ -478,6 +487,7 @@
 	up->rq = rq;
 	up->link.data = up;
 	up->idle_max_ms = IDLE_MAX_MS;
+	up->started_ms = dh_worker_now_ms(w);
 	answer_init(up);
 	uv_tcp_init(&w->loop, &up->tcp);
 	uv_timer_init(&w->loop, &up->timer);
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -74,6 +74,7 @@
 	c->room_over = dh_counter_get("dh_gateway_room_over_total", "");
 	c->rate_limited = dh_counter_get("dh_gateway_rate_limited_total", "");
 	c->quarantined = dh_counter_get("dh_gateway_quarantined_total", "");
+	c->backends_lost = dh_counter_get("dh_gateway_backends_lost", "");
 	c->bad_answers = dh_counter_get("dh_gateway_bad_answers_total", "");
 	for (i = 0; i <= DH_LATENCY_BUCKETS; i++) {
 		g_free(label);
@@ -402,6 +403,7 @@
 	if (++w->ticks % REPORT_TICKS == 0 || w->quarantine_changed)
 		publish_report(w);
 	(void)dh_quarantine_expire(&w->quarantine, now_ms);
+	dh_worker_probe(w);
 	g_hash_table_foreach_remove(w->pools, pool_is_unused, NULL);
 	if (w->drain_began_ms != 0)
 		drain_step(w, now_ms);
@@ -442,6 +444,7 @@
 
 	dh_requests_finish_all(w);
 	dh_clients_close(w);
+	dh_worker_end_probes(w);
 	g_hash_table_iter_init(&it, w->pools);
 	while (g_hash_table_iter_next(&it, NULL, &pool))
 		dh_pool_close_idle(pool);
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -2,6 +2,7 @@
 #define DH_GATEWAY_WORKER_INTERNAL_H
 
 #include <dogwoodhub/ratelimit.h>
+#include <dogwoodhub/reach.h>
 
 #include "gateway/worker.h"
 #include "gateway/message.h"
@@ -81,6 +82,7 @@
 	struct dh_counter *rate_limited;
 	/* Requests refused because they crash backend servers. */
 	struct dh_counter *quarantined;
+	struct dh_counter *backends_lost; /* 1 while none is reached */
 	/* Bytes of requests and answers, by tier of the backend server. */
 	struct dh_counter *bytes[DH_TIERS], *keyed_bytes[DH_TIERS];
 	struct dh_counter *latency[DH_LATENCY_BUCKETS + 1];
@@ -119,6 +121,8 @@
 	struct dh_choice_params choice;
 	struct dh_quarantine quarantine;
 	bool quarantine_changed; /* since the last report */
+	struct dh_reach reach; /* of backend servers */
+	GQueue probes; /* of struct probe */
 	struct dh_worker_counters c;
 	/* Scratch space of dh_request_dispatch(). */
 	struct dh_candidate candidates[DH_CANDIDATES_MAX];
@@ -308,6 +312,20 @@
 /* dh_clients_sweep -- close connections whose timeouts have expired. */
 void dh_clients_sweep(struct dh_worker *w, int64_t now_ms);
 
+/* probe.c */
+
+/* dh_worker_accepted -- a backend server accepted a connection. */
+void dh_worker_accepted(struct dh_worker *w);
+
+/* dh_worker_connect_failed -- a connection to a backend server, started at
+ * started_ms, failed. */
+void dh_worker_connect_failed(
+    struct dh_worker *w, uint32_t uid, int64_t started_ms);
+
+/* dh_worker_probe -- probe backend servers if it is time for that. */
+void dh_worker_probe(struct dh_worker *w);
+void dh_worker_end_probes(struct dh_worker *w);
+
 /* room.c */
 
 /* dh_message_memory_max -- the worker's limit of memory for messages. */
