--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -62,7 +62,7 @@
 	r.pause_ms = requested_pause_ms(answer, pool);
 	r.has_load = load != NULL && dh_wire_load(load, &r.running, &r.waiting);
 	dh_backend_replied(&pool->load, &r, now_ms);
-	if (kind == DH_REPLY_GOOD)
+	if (kind == DH_REPLY_GOOD && !pool->peer)
 		dh_work_mean_add(&s->work, pool->load.work_ms, now_ms);
 }
 
@@ -80,10 +80,12 @@
 	    http_method_str((enum http_method)in->parser.method),
 	    in->target->str);
 	dh_message_copy_headers(in, skip, rq->wire);
-	g_string_append_printf(rq->wire, "%s: %lld\r\n%s: %s\r\n",
+	g_string_append_printf(rq->wire, "%s: %lld\r\n",
 	    dh_wire_headers.time_left_ms,
-	    (long long)(left_ms > 1 ? left_ms : 1),
-	    dh_wire_headers.expected_server, rq->pool->id);
+	    (long long)(left_ms > 1 ? left_ms : 1));
+	if (!rq->pool->peer)
+		g_string_append_printf(rq->wire, "%s: %s\r\n",
+		    dh_wire_headers.expected_server, rq->pool->id);
 	if (in->body->len > 0 ||
 	    dh_message_header(in, "Content-Length") != NULL ||
 	    dh_message_header(in, "Transfer-Encoding") != NULL)
@@ -129,8 +131,8 @@
 	    &rq->wait_timer, on_park_end, (uint64_t)(until_ms - now_ms), 0);
 }
 
-static bool
-was_tried(const struct dh_request *rq, uint32_t uid)
+bool
+dh_request_was_tried(const struct dh_request *rq, uint32_t uid)
 {
 	uint32_t i;
 
@@ -163,7 +165,7 @@
 		.slow_start_until_ms = s->slow_start_until_ms,
 		.oldest_ms = dh_pool_oldest_ms(pool, now_ms),
 		.no_connection = dh_pool_at_connection_limit(w, pool, limit),
-		.tried = was_tried(rq, s->uid) };
+		.tried = dh_request_was_tried(rq, s->uid) };
 }
 
 /* Fill the worker's candidates for a request; returns their number.  all:
@@ -303,7 +305,7 @@
 	double wait_ms = rq->expected_ms * OVERDUE_FACTOR;
 	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
 
-	if (rq->route->repeat != DH_REPEAT_SAFE ||
+	if (rq->route->repeat != DH_REPEAT_SAFE || rq->pool->peer ||
 	    rq->attempts >= rq->route->attempts_max)
 		return;
 	if (wait_ms < rq->expected_ms + OVERDUE_MIN_MS)
@@ -313,10 +315,9 @@
 		    &rq->wait_timer, on_overdue, (uint64_t)wait_ms, 0);
 }
 
-static void
-send_to(struct dh_request *rq, const struct dh_view_server *server)
+void
+dh_request_send(struct dh_request *rq, struct dh_pool *pool)
 {
-	struct dh_pool *pool = dh_worker_pool(rq->worker, server);
 	int64_t now_ms = dh_worker_now_ms(rq->worker);
 
 	if (rq->state == DH_REQUEST_PARKED)
@@ -379,6 +380,8 @@
 		    dh_suspect_refused_ms(&rq->suspect, dh_worker_now_ms(w)));
 		return;
 	}
+	if (rq->service_state->reach.lost && dh_request_forward(rq))
+		return;
 	/* The owner in this view has refused the key: wait for a newer one. */
 	if (rq->misdirected &&
 	    rq->misdirected_owners_version == w->view->owners_version) {
@@ -397,11 +400,14 @@
 	}
 	rq->expected_ms = choice.expected_ms;
 	if (choice.index == SIZE_MAX) {
+		if (rq->unreachable > 0 && dh_request_forward(rq))
+			return;
 		set_nearest_server(rq, &choice, dh_worker_now_ms(w));
 		dh_request_finish(rq, 503,
 		    n == 0 ? "no backend server" : "no room in time",
 		    choice.retry_after_ms);
 		return;
 	}
-	send_to(rq, w->candidate_servers[choice.index]);
+	dh_request_send(
+	    rq, dh_worker_pool(w, w->candidate_servers[choice.index]));
 }
--- a/gateway/client.c
+++ b/gateway/client.c
@@ -52,6 +52,7 @@
 
 struct dh_client {
 	struct dh_worker *worker;
+	bool from_vm; /* another VM that forwards requests */
 	uv_tcp_t tcp;
 	uv_write_t write;
 	uv_shutdown_t shutdown;
@@ -76,6 +77,12 @@
 	return call->client->worker;
 }
 
+bool
+dh_call_from_vm(const struct dh_call *call)
+{
+	return call->client->from_vm;
+}
+
 void
 dh_call_address(const struct dh_call *call, char *ip, size_t size)
 {
@@ -489,11 +496,12 @@
 }
 
 void
-dh_client_accept(struct dh_worker *w)
+dh_client_accept(struct dh_worker *w, uv_tcp_t *listener)
 {
 	struct dh_client *c = g_new0(struct dh_client, 1);
 
 	c->worker = w;
+	c->from_vm = listener == &w->forward_listener;
 	c->link.data = c;
 	c->unparsed = g_byte_array_new();
 	dh_message_init(&c->in, HTTP_REQUEST, 0, 0);
@@ -502,8 +510,7 @@
 	uv_tcp_init(&w->loop, &c->tcp);
 	c->tcp.data = c;
 	g_queue_push_tail_link(&w->clients, &c->link);
-	if (uv_accept((uv_stream_t *)&w->listener, (uv_stream_t *)&c->tcp) !=
-		0 ||
+	if (uv_accept((uv_stream_t *)listener, (uv_stream_t *)&c->tcp) != 0 ||
 	    w->clients.length > w->settings->connections_max ||
 	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read) != 0) {
 		client_close(c);
--- /dev/null
+++ b/gateway/forward.c
@@ -0,0 +1,135 @@
+/*
+ * Requests forwarded to another VM, while this VM reaches no backend server
+ * that could run them.  The other VM routes a forwarded request like one of its
+ * own callers, but does not forward it again.
+ */
+#include "base/opslog.h"
+#include "gateway/worker_internal.h"
+
+/* Limit of other VMs that a request is sent to. */
+#define FORWARDS_MAX 3
+/* Time for which a VM gets no requests after it has answered that it does not
+ * reach the backend servers either. */
+#define UNREACHED_AVOID_MS 1000
+
+/* Whether a is preferred to b: nearer, but of the VMs of the region the one
+ * with fewer requests, since a whole availability zone may be partitioned. */
+static bool
+is_better(const struct dh_view_peer *a, size_t requests_a,
+    const struct dh_view_peer *b, size_t requests_b)
+{
+	bool remote_a = a->tier == DH_TIER_REMOTE;
+	bool remote_b = b->tier == DH_TIER_REMOTE;
+
+	return remote_a != remote_b ? remote_b : requests_a < requests_b;
+}
+
+/* The VM that the request goes to, or NULL.  Equal ones are taken in turn from
+ * a random start. */
+static const struct dh_view_peer *
+choose_peer(struct dh_request *rq)
+{
+	struct dh_worker *w = rq->worker;
+	const struct dh_view_peers *peers = w->view->peers;
+	const struct dh_view_peer *p, *best = NULL;
+	int64_t now_ms = dh_worker_now_ms(w);
+	const struct dh_pool *pool;
+	size_t i, start, requests, least = 0;
+
+	if (peers == NULL || peers->n == 0)
+		return NULL;
+	start = dh_rng_below(&w->rng, peers->n);
+	for (i = 0; i < peers->n; i++) {
+		p = &peers->list[(start + i) % peers->n];
+		pool = g_hash_table_lookup(w->pools, GUINT_TO_POINTER(p->uid));
+		if (dh_request_was_tried(rq, p->uid) ||
+		    (pool != NULL && now_ms < pool->avoid_until_ms))
+			continue;
+		requests = pool == NULL ? 0 : pool->busy.length;
+		if (best == NULL || is_better(p, requests, best, least)) {
+			best = p;
+			least = requests;
+		}
+	}
+	return best;
+}
+
+bool
+dh_request_forward(struct dh_request *rq)
+{
+	struct dh_worker *w = rq->worker;
+	const struct dh_view_peer *p;
+
+	if (w->settings->forward_port == 0 || rq->from_vm ||
+	    rq->forwards >= FORWARDS_MAX)
+		return false;
+	p = choose_peer(rq);
+	if (p == NULL)
+		return false;
+	rq->forwards++;
+	dh_counter_add(w->c.forwarded, 1);
+	dh_request_send(rq, dh_worker_peer_pool(w, p));
+	return true;
+}
+
+void
+dh_request_forward_answered(struct dh_request *rq, struct dh_message *answer)
+{
+	struct dh_worker *w = rq->worker;
+
+	dh_request_record_reply(rq, DH_REPLY_GOOD, answer);
+	if (dh_message_header(answer, DH_UNREACHED_HEADER) == NULL ||
+	    rq->call == NULL) {
+		dh_request_return(rq, answer);
+		return;
+	}
+	rq->pool->avoid_until_ms = dh_worker_now_ms(w) + UNREACHED_AVOID_MS;
+	rq->may_have_run = false;
+	rq->attempts--;
+	dh_request_add_tried(rq);
+	dh_request_log_attempt(rq, "unreached", "refused by another VM");
+	dh_request_dispatch(rq);
+}
+
+/* Whether the current attempt waits for a backend server that this VM does not
+ * reach: its connection is not open, or nothing was heard since it was sent. */
+static bool
+waits_for_lost_server(const struct dh_request *rq)
+{
+	return rq->state == DH_REQUEST_SENT && rq->upstream != NULL &&
+	    !rq->pool->peer &&
+	    (!rq->may_have_run ||
+		(rq->route->repeat == DH_REPEAT_SAFE &&
+		    rq->service_state->reach.heard_ms < rq->sent_ms));
+}
+
+void
+dh_requests_service_lost(struct dh_worker *w, const struct dh_service_state *s)
+{
+	g_autoptr(GPtrArray) waiting = g_ptr_array_new();
+	struct dh_request *rq;
+	GList *l;
+	guint i;
+
+	for (l = w->requests.head; l != NULL; l = l->next) {
+		rq = l->data;
+		if (rq->service_state == s && !rq->from_vm &&
+		    (rq->state == DH_REQUEST_PARKED ||
+			waits_for_lost_server(rq)))
+			g_ptr_array_add(waiting, rq);
+	}
+	for (i = 0; i < waiting->len; i++) {
+		rq = waiting->pdata[i];
+		if (rq->state == DH_REQUEST_PARKED) {
+			dh_request_dispatch(rq);
+		} else if (!waits_for_lost_server(rq)) {
+			continue;
+		} else if (rq->may_have_run) {
+			dh_request_overdue(rq);
+		} else {
+			dh_upstream_cancel(rq);
+			dh_request_attempt_ended(rq, DH_ATTEMPT_UNREACHABLE,
+			    "no backend server is reached");
+		}
+	}
+}
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -148,6 +148,7 @@
 	if (p != NULL || ip[0] == '\0')
 		return p;
 	p = g_new0(struct peer_state, 1);
+	p->uid = DH_PEER_UID_FIRST + o->peer_uids++;
 	g_hash_table_insert(o->peers, g_strdup(ip), p);
 	return p;
 }
@@ -205,6 +206,7 @@
 		    p->vm, v->name + strlen(VM_PREFIX), sizeof(p->vm));
 		(void)g_strlcpy(
 		    p->zone, string_member(v->spec, "zone"), sizeof(p->zone));
+		o->peers_changed = true;
 	}
 	dh_opslog_add(DH_OPS_MEMBER, "vm.known",
 	    ",\"peer\":\"%s\",\"ip\":\"%s\"", v->name + strlen(VM_PREFIX), ip);
@@ -309,6 +311,63 @@
 	(void)reached;
 }
 
+static enum dh_tier
+peer_tier(const struct dh_owners *o, const char *zone)
+{
+	g_autofree char *region = dh_gateway_region(o->c.settings, zone);
+
+	if (strcmp(zone, o->c.settings->zone) == 0)
+		return DH_TIER_ZONE;
+	return strcmp(region, o->c.settings->region) == 0 ? DH_TIER_REGION
+							  : DH_TIER_REMOTE;
+}
+
+/* Adds a VM to the list for views.  A full list keeps the nearest. */
+static void
+add_view_peer(struct dh_view_peers *v, const struct dh_view_peer *p)
+{
+	size_t i, far = 0;
+
+	if (v->n < DH_VIEW_PEERS_MAX) {
+		v->list[v->n++] = *p;
+		return;
+	}
+	for (i = 1; i < v->n; i++)
+		if (v->list[i].tier > v->list[far].tier)
+			far = i;
+	if (p->tier < v->list[far].tier)
+		v->list[far] = *p;
+}
+
+static void
+make_view_peers(struct dh_owners *o)
+{
+	struct dh_view_peers *v = g_atomic_rc_box_new0(struct dh_view_peers);
+	struct dh_view_peer p;
+	GHashTableIter it;
+	gpointer ip, value;
+
+	o->peers_changed = false;
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, &ip, &value)) {
+		const struct peer_state *s = value;
+
+		memset(&p, 0, sizeof(p));
+		if (s->zone[0] == '\0' ||
+		    uv_ip4_addr(ip, o->c.settings->forward_port, &p.address) !=
+			0)
+			continue;
+		p.uid = s->uid;
+		p.tier = peer_tier(o, s->zone);
+		(void)g_strlcpy(p.vm, s->vm, sizeof(p.vm));
+		add_view_peer(v, &p);
+	}
+	if (o->view_peers != NULL)
+		g_atomic_rc_box_release(o->view_peers);
+	o->view_peers = v;
+	o->c.changed(o->c.arg);
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -316,6 +375,8 @@
 	int64_t now_ms = dh_clock_ms();
 
 	announce(o, now_ms);
+	if (o->peers_changed && o->c.settings->forward_port != 0)
+		make_view_peers(o);
 	if (dh_suspects_expire(o->suspects, now_ms))
 		owners_suspects_changed(o);
 	o->full_sends = FULL_SENDS_PER_STEP;
@@ -436,6 +497,8 @@
 	g_array_free(o->leaving, TRUE);
 	dh_limits_free(o->limits);
 	dh_suspects_free(o->suspects);
+	if (o->view_peers != NULL)
+		g_atomic_rc_box_release(o->view_peers);
 	g_array_free(o->incoming.changes, TRUE);
 	g_free((char *)(uintptr_t)o->c.ip);
 	g_free(o);
@@ -479,6 +542,8 @@
 		v->vms = o->vms;
 	dh_limits_fill_view(o->limits, v, dh_clock_ms());
 	dh_suspects_fill_view(o->suspects, v);
+	if (o->view_peers != NULL)
+		v->peers = g_atomic_rc_box_acquire(o->view_peers);
 	for (i = 0; i < d->nservices; i++) {
 		k = g_hash_table_lookup(o->known, d->services[i].name);
 		if (d->services[i].keyed && k != NULL)
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -37,6 +37,7 @@
 
 /* Another VM. */
 struct peer_state {
+	uint32_t uid; /* in views */
 	int64_t heard_ms; /* when its last report arrived; 0: none yet */
 	int64_t core_share_milli; /* CPU cores of the VM, in thousandths; 0: not
 				   * known */
@@ -91,6 +92,9 @@
 	/* As leader. */
 	GHashTable *duties; /* service -> struct dh_duty */
 	GHashTable *peers; /* ip -> struct peer_state */
+	uint32_t peer_uids; /* number of uids given out */
+	struct dh_view_peers *view_peers; /* g_atomic_rc_box; or NULL */
+	bool peers_changed; /* view_peers has to be made again */
 	struct leader_object strong; /* DH_NEIGHBOURS_OBJECT */
 	struct leader_object quarantine; /* DH_SUSPECTS_OBJECT */
 	/* Start of the last call that the store answered. */
--- a/gateway/probe.c
+++ b/gateway/probe.c
@@ -11,6 +11,7 @@
 
 struct probe {
 	struct dh_worker *worker;
+	struct dh_service_state *service;
 	uv_tcp_t tcp;
 	uv_timer_t timer;
 	uv_connect_t connect;
@@ -21,41 +22,49 @@
 	GList link; /* in worker->probes */
 };
 
-void
-dh_worker_accepted(struct dh_worker *w)
+static void
+count_lost_services(struct dh_worker *w)
 {
-	int64_t now_ms = dh_worker_now_ms(w);
+	GHashTableIter it;
+	gpointer value;
+	uint64_t n = 0;
 
-	if (!dh_reach_accepted(&w->reach, now_ms))
-		return;
-	dh_counter_set(w->c.backends_lost, 0);
-	dh_opslog_add(DH_OPS_STATE, "backends.reached", ",\"after_ms\":%lld",
-	    (long long)(now_ms - w->reach.lost_ms));
+	g_hash_table_iter_init(&it, w->services);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		n += ((struct dh_service_state *)value)->reach.lost;
+	dh_counter_set(w->c.services_lost, n);
 }
 
-static size_t
-count_open_servers(const struct dh_view *v)
+void
+dh_worker_accepted(struct dh_worker *w, struct dh_service_state *s)
 {
-	size_t i, n = 0;
+	int64_t now_ms = dh_worker_now_ms(w);
 
-	for (i = 0; i < v->nservers; i++)
-		n += !v->servers[i].closed;
-	return n;
+	if (!dh_reach_accepted(&s->reach, now_ms))
+		return;
+	count_lost_services(w);
+	dh_opslog_add(DH_OPS_STATE, "backends.reached",
+	    ",\"service\":\"%s\",\"after_ms\":%lld", s->name,
+	    (long long)(now_ms - s->reach.lost_ms));
 }
 
 void
-dh_worker_connect_failed(struct dh_worker *w, uint32_t uid, int64_t started_ms)
+dh_worker_connect_failed(struct dh_worker *w, struct dh_service_state *s,
+    uint32_t uid, int64_t started_ms)
 {
 	int64_t now_ms = dh_worker_now_ms(w);
 
-	if (!dh_reach_failed(&w->reach, uid, started_ms,
-		count_open_servers(w->view), now_ms))
+	if (!dh_reach_failed(
+		&s->reach, uid, started_ms, s->servers_open, now_ms))
 		return;
-	dh_counter_set(w->c.backends_lost, 1);
+	count_lost_services(w);
 	dh_opslog_add(DH_OPS_STATE, "backends.lost",
-	    ",\"accepted_ms_ago\":%lld,\"heard_ms_ago\":%lld",
-	    (long long)(now_ms - w->reach.accepted_ms),
-	    (long long)(now_ms - w->reach.heard_ms));
+	    ",\"service\":\"%s\",\"open\":%zu,\"accepted_ms_ago\":%lld,"
+	    "\"heard_ms_ago\":%lld",
+	    s->name, s->servers_open,
+	    (long long)(now_ms - s->reach.accepted_ms),
+	    (long long)(now_ms - s->reach.heard_ms));
+	dh_requests_service_lost(w, s);
 }
 
 static void
@@ -87,9 +96,10 @@
 	if (p->ended)
 		return;
 	if (status == 0)
-		dh_worker_accepted(p->worker);
+		dh_worker_accepted(p->worker, p->service);
 	else
-		dh_worker_connect_failed(p->worker, p->uid, p->started_ms);
+		dh_worker_connect_failed(
+		    p->worker, p->service, p->uid, p->started_ms);
 	probe_end(p);
 }
 
@@ -98,16 +108,18 @@
 {
 	struct probe *p = timer->data;
 
-	dh_worker_connect_failed(p->worker, p->uid, p->started_ms);
+	dh_worker_connect_failed(p->worker, p->service, p->uid, p->started_ms);
 	probe_end(p);
 }
 
 static void
-probe_start(struct dh_worker *w, const struct dh_view_server *s)
+probe_start(struct dh_worker *w, struct dh_service_state *service,
+    const struct dh_view_server *s)
 {
 	struct probe *p = g_new0(struct probe, 1);
 
 	p->worker = w;
+	p->service = service;
 	p->uid = s->uid;
 	p->started_ms = dh_worker_now_ms(w);
 	p->link.data = p;
@@ -129,49 +141,59 @@
 
 /* A random backend server that is in use and has not failed, or NULL. */
 static const struct dh_view_server *
-choose_server(struct dh_worker *w)
+choose_server(struct dh_worker *w, const struct dh_view_service *vs,
+    const struct dh_reach *reach)
 {
 	const struct dh_view_server *s;
 	int i;
 
-	for (i = 0; i < CHOICES_MAX && w->view->nservers > 0; i++) {
-		s = &w->view->servers[dh_rng_below(&w->rng, w->view->nservers)];
+	for (i = 0; i < CHOICES_MAX && vs->nservers > 0; i++) {
+		s = &w->view->servers[vs->servers[dh_rng_below(
+		    &w->rng, vs->nservers)]];
 		if (!s->closed &&
-		    (w->reach.lost || !dh_reach_has_failed(&w->reach, s->uid)))
+		    (reach->lost || !dh_reach_has_failed(reach, s->uid)))
 			return s;
 	}
 	return NULL;
 }
 
-void
-dh_worker_probe(struct dh_worker *w)
+static void
+probe_service(struct dh_worker *w, uint32_t service, int64_t now_ms)
 {
-	int64_t now_ms = dh_worker_now_ms(w), since_ms = now_ms;
+	const struct dh_view_service *vs = &w->view->services[service];
+	struct dh_service_state *state = dh_worker_service(w, w->view, service);
 	const struct dh_view_server *s;
-	size_t pending = 0, n;
-	GHashTableIter it;
-	gpointer value;
-
-	if (w->view == NULL)
-		return;
-	g_hash_table_iter_init(&it, w->pools);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct dh_pool *pool = value;
-
-		if (pool->busy.length == 0)
+	const struct dh_pool *pool;
+	int64_t oldest_ms = 0;
+	size_t i, n, pending = 0;
+
+	for (i = 0; i < vs->nservers; i++) {
+		s = &w->view->servers[vs->servers[i]];
+		pool = g_hash_table_lookup(w->pools, GUINT_TO_POINTER(s->uid));
+		if (pool == NULL || pool->busy.length == 0)
 			continue;
 		pending++;
-		since_ms =
-		    MIN(since_ms, now_ms - dh_pool_oldest_ms(pool, now_ms));
+		oldest_ms = MAX(oldest_ms, dh_pool_oldest_ms(pool, now_ms));
 	}
-	for (n = dh_reach_probes(&w->reach, pending, since_ms, now_ms); n > 0;
-	     n--) {
-		s = choose_server(w);
+	n = dh_reach_probes(&state->reach, pending, now_ms - oldest_ms, now_ms);
+	for (; n > 0; n--) {
+		s = choose_server(w, vs, &state->reach);
 		if (s != NULL)
-			probe_start(w, s);
+			probe_start(w, state, s);
 	}
 }
 
+void
+dh_worker_probe(struct dh_worker *w)
+{
+	int64_t now_ms = dh_worker_now_ms(w);
+	uint32_t i;
+
+	for (i = 0; w->view != NULL && i < (*w->view->deployment)->nservices;
+	     i++)
+		probe_service(w, i, now_ms);
+}
+
 void
 dh_worker_end_probes(struct dh_worker *w)
 {
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -14,6 +14,9 @@
 #define NO_CONFIG_RETRY_MS 500
 /* Part of retry_share that the VMs use; see retry_params(). */
 #define RETRY_SHARE_USED_PERCENT 70
+/* Time for which another VM gets no requests after a connection to it failed.
+ */
+#define PEER_AVOID_MS 2000
 /* Subtracted from the time that the caller allows, since the caller's timer
  * started before the request arrived here. */
 #define DEADLINE_SLACK_MS 5
@@ -61,13 +64,14 @@
 	dh_opslog_add(DH_OPS_REQUEST, "request.end",
 	    ",\"id\":%s,\"status\":%u,\"why\":\"%s\",\"route\":\"%s\","
 	    "\"key\":%d,\"server\":\"%s\",\"attempts\":%u,\"unreachable\":%u,"
+	    "\"forwards\":%u,"
 	    "\"age_ms\":%lld,\"left_ms\":%lld,\"sent_ms_ago\":%lld,"
 	    "\"expected_ms\":%.0f,\"ahead\":%.1f,\"config\":%lld,"
 	    "\"view\":%llu,\"owners\":%llu,\"digest\":\"%016llx\"",
 	    dh_opslog_quote(id, sizeof(id), rq->id), status, why,
 	    rq->route == NULL ? "" : rq->route->name,
 	    rq->keyed ? (int)rq->key : -1, rq->server_id, rq->attempts,
-	    rq->unreachable, (long long)(now_ms - rq->arrived_ms),
+	    rq->unreachable, rq->forwards, (long long)(now_ms - rq->arrived_ms),
 	    (long long)(rq->deadline_ms - now_ms),
 	    rq->sent_ms == 0 ? -1LL : (long long)(now_ms - rq->sent_ms),
 	    rq->expected_ms, rq->requests_ahead,
@@ -123,13 +127,16 @@
 	if (status == 503 && retry_after_ms > 0)
 		g_string_append_printf(head, "Retry-After: %.3f\r\n",
 		    (double)retry_after_ms / 1000.0);
+	if (rq->from_vm && rq->service_state != NULL &&
+	    rq->service_state->reach.lost && rq->attempts == 0)
+		g_string_append(head, DH_UNREACHED_HEADER ": 1\r\n");
 	g_string_append(head, "Content-Type: text/plain\r\n");
 	request_end(rq);
 	dh_call_answer(call, head, why, strlen(why), false);
 }
 
-static void
-forward_answer(struct dh_request *rq, struct dh_message *answer)
+void
+dh_request_return(struct dh_request *rq, struct dh_message *answer)
 {
 	struct dh_call *call = rq->call;
 	struct dh_worker *w = rq->worker;
@@ -142,7 +149,7 @@
 	if (age_ms > rq->route->target_ms)
 		dh_counter_add(w->c.late, 1);
 	dh_worker_count_latency(w, age_ms);
-	if (status >= 400 || rq->attempts > 1)
+	if (status >= 400 || rq->attempts > 1 || rq->forwards > 0)
 		log_end(rq, status, "answered");
 	rq->service_state->answer_kib += 0.05 *
 	    ((double)answer->body->len / 1024 - rq->service_state->answer_kib);
@@ -203,15 +210,15 @@
 	return true;
 }
 
-static void
-add_tried(struct dh_request *rq)
+void
+dh_request_add_tried(struct dh_request *rq)
 {
 	if (rq->pool != NULL && rq->ntried < DH_ATTEMPTS_MAX)
 		rq->tried[rq->ntried++] = rq->pool->uid;
 }
 
-static void
-log_attempt(struct dh_request *rq, const char *how, const char *why)
+void
+dh_request_log_attempt(struct dh_request *rq, const char *how, const char *why)
 {
 	char id[DH_NAME_MAX * 2 + 8], caller[DH_ADDRESS_MAX] = "";
 
@@ -247,8 +254,9 @@
 	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
 
 	rq->may_have_run = false;
-	add_tried(rq);
-	log_attempt(rq, misdirected ? "misdirected" : "not_run", why);
+	dh_request_add_tried(rq);
+	dh_request_log_attempt(
+	    rq, misdirected ? "misdirected" : "not_run", why);
 	if (!retry_allowed(rq, DH_OUTCOME_NOT_RUN)) {
 		dh_request_finish(rq, 503, why,
 		    dh_retry_after_ms(left_ms / 6, left_ms, &rq->worker->rng));
@@ -268,6 +276,10 @@
 	unsigned int status = answer->parser.status_code;
 
 	uv_timer_stop(&rq->wait_timer);
+	if (rq->pool->peer) {
+		dh_request_forward_answered(rq, answer);
+		return;
+	}
 	if (dh_message_header(answer, dh_wire_headers.not_run) != NULL ||
 	    status == 421) {
 		dh_request_record_reply(rq,
@@ -283,14 +295,15 @@
 		dh_worker_now_ms(rq->worker)))
 		rq->worker->quarantine_changed = true;
 	if (status >= 500 && rq->route->repeat == DH_REPEAT_SAFE) {
-		add_tried(rq);
+		dh_request_add_tried(rq);
 		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
-			log_attempt(rq, "error", "backend server failed");
+			dh_request_log_attempt(
+			    rq, "error", "backend server failed");
 			dh_request_dispatch(rq);
 			return;
 		}
 	}
-	forward_answer(rq, answer);
+	dh_request_return(rq, answer);
 }
 
 void
@@ -300,11 +313,14 @@
 	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
 
 	uv_timer_stop(&rq->wait_timer);
-	add_tried(rq);
+	dh_request_add_tried(rq);
+	if (rq->pool->peer)
+		rq->pool->avoid_until_ms =
+		    dh_worker_now_ms(rq->worker) + PEER_AVOID_MS;
 	switch (how) {
 	case DH_ATTEMPT_UNREACHABLE:
 		dh_request_record_reply(rq, DH_REPLY_UNREACHABLE, NULL);
-		log_attempt(rq, "unreachable", why);
+		dh_request_log_attempt(rq, "unreachable", why);
 		rq->attempts--;
 		rq->unreachable++;
 		if (rq->call != NULL && rq->unreachable < DH_ATTEMPTS_MAX) {
@@ -320,7 +336,7 @@
 		dh_request_record_reply(rq,
 		    how == DH_ATTEMPT_RESET ? DH_REPLY_RESET : DH_REPLY_LOST,
 		    NULL);
-		log_attempt(rq, "lost", why);
+		dh_request_log_attempt(rq, "lost", why);
 		if (how == DH_ATTEMPT_DISCONNECTED)
 			add_crash(rq);
 		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
@@ -345,9 +361,9 @@
 	    !retry_allowed(rq, DH_OUTCOME_UNKNOWN))
 		return;
 	dh_upstream_cancel(rq);
-	add_tried(rq);
+	dh_request_add_tried(rq);
 	dh_request_record_reply(rq, DH_REPLY_LOST, NULL);
-	log_attempt(rq, "lost", "answer overdue");
+	dh_request_log_attempt(rq, "lost", "answer overdue");
 	dh_request_dispatch(rq);
 }
 
@@ -478,6 +494,7 @@
 	rq->link.data = rq;
 	rq->arrived_ms = dh_worker_now_ms(w);
 	rq->deadline_ms = rq->arrived_ms;
+	rq->from_vm = dh_call_from_vm(call);
 	rq->head_only = in->parser.method == HTTP_HEAD;
 	uv_timer_init(&w->loop, &rq->deadline_timer);
 	uv_timer_init(&w->loop, &rq->wait_timer);
@@ -521,7 +538,8 @@
 	if (!route_request(rq))
 		return;
 	set_deadline(rq);
-	if (rq->keyed)
+	/* The VM that the request is forwarded to counts the key. */
+	if (rq->keyed && !rq->service_state->reach.lost)
 		dh_worker_count_key(
 		    rq->worker, rq->service_state->quark, rq->key);
 	p = retry_params(rq);
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -33,6 +33,7 @@
 	FIELD(store_url, DH_FIELD_URL, NULL, 0, 0),
 	INTEGER(peer_port, NULL, 1, UINT16_MAX),
 	INTEGER(metrics_port, "0", 0, UINT16_MAX),
+	INTEGER(forward_port, "0", 0, UINT16_MAX),
 	INTEGER(threads, "1", 1, 64),
 	DECIMAL("core_share", core_share_milli, "1", 0, 1024),
 	INTEGER(memory_mb, "256", 32, 1048576),
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -25,6 +25,9 @@
 	char store_url[256];
 	uint16_t peer_port; /* UDP, the same on all VMs */
 	uint16_t metrics_port; /* 0: no metrics server */
+	/* TCP port for requests that other VMs forward, the same on all VMs;
+	 * 0: no requests are forwarded. */
+	uint16_t forward_port;
 	uint32_t threads; /* number of traffic threads */
 	int64_t core_share_milli; /* CPU cores of this VM, in thousandths */
 	uint32_t memory_mb; /* memory limit of the process */
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -153,7 +153,7 @@
 	double since_ms =
 	    (double)(dh_worker_now_ms(up->worker) - up->rq->sent_ms);
 
-	return up->connected && !reset_on_connect(up) &&
+	return up->connected && !up->pool->peer && !reset_on_connect(up) &&
 	    since_ms > RESET_ON_CONNECT_MS +
 		up->worker->choice.round_trip_ms[up->pool->tier];
 }
@@ -266,7 +266,8 @@
 		upstream_fail(up, DH_ATTEMPT_LOST, "answer without stamp");
 		return;
 	}
-	note_rate_limit(up);
+	if (!up->pool->peer)
+		note_rate_limit(up);
 	if (up->in.parser.status_code == 421 ||
 	    dh_message_header(&up->in, dh_wire_headers.not_run) != NULL)
 		(void)g_strlcpy(up->not_run_id, rq->id, sizeof(up->not_run_id));
@@ -326,7 +327,7 @@
 			upstream_fail(up, DH_ATTEMPT_LOST, "not an answer");
 			return;
 		}
-		if (up->in.parser.status_code >= 200)
+		if (up->in.parser.status_code >= 200 && !up->pool->peer)
 			note_leaving(up);
 		if (up->in.parser.status_code >= 200 &&
 		    answer_matches_request(up)) {
@@ -374,8 +375,9 @@
 		return;
 	}
 	if (n > 0) {
-		dh_reach_heard(
-		    &up->worker->reach, dh_worker_now_ms(up->worker));
+		if (!up->pool->peer)
+			dh_reach_heard(&up->rq->service_state->reach,
+			    dh_worker_now_ms(up->worker));
 		dh_message_memory_count_read(up->worker, (size_t)n);
 		take_bytes(up, buf->base, (size_t)n);
 		return;
@@ -383,7 +385,8 @@
 	if (n == UV_EOF && closed_cleanly(up) && dh_message_eof(&up->in) &&
 	    up->in.parser.status_code >= 200 && answer_matches_request(up)) {
 		up->not_reusable = true;
-		note_leaving(up);
+		if (!up->pool->peer)
+			note_leaving(up);
 		answer_complete(up, false);
 		return;
 	}
@@ -442,6 +445,15 @@
 		upstream_fail(up, DH_ATTEMPT_LOST, "send failed");
 }
 
+static void
+connect_failed(struct dh_upstream *up)
+{
+	if (up->pool->peer)
+		return;
+	dh_worker_connect_failed(
+	    up->worker, up->rq->service_state, up->pool->uid, up->started_ms);
+}
+
 static void
 on_connected(uv_connect_t *req, int status)
 {
@@ -451,12 +463,12 @@
 		return;
 	uv_timer_stop(&up->timer);
 	if (status < 0) {
-		dh_worker_connect_failed(
-		    up->worker, up->pool->uid, up->started_ms);
+		connect_failed(up);
 		upstream_fail(up, DH_ATTEMPT_UNREACHABLE, uv_strerror(status));
 		return;
 	}
-	dh_worker_accepted(up->worker);
+	if (!up->pool->peer)
+		dh_worker_accepted(up->worker, up->rq->service_state);
 	up->connected = true;
 	up->connected_ms = dh_worker_now_ms(up->worker);
 	(void)uv_tcp_nodelay(&up->tcp, 1);
@@ -472,7 +484,7 @@
 {
 	struct dh_upstream *up = timer->data;
 
-	dh_worker_connect_failed(up->worker, up->pool->uid, up->started_ms);
+	connect_failed(up);
 	upstream_fail(up, DH_ATTEMPT_UNREACHABLE, "connect timed out");
 }
 
--- a/gateway/view.c
+++ b/gateway/view.c
@@ -88,6 +88,8 @@
 	g_free(v->services);
 	g_free(v->limits);
 	g_free(v->suspects);
+	if (v->peers != NULL)
+		g_atomic_rc_box_release(v->peers);
 	if (v->base == NULL) {
 		if (v->by_id != NULL)
 			g_hash_table_destroy(v->by_id);
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -58,6 +58,23 @@
 	double fraction; /* of the requests that are admitted */
 };
 
+/* Another VM, to which requests may be forwarded. */
+struct dh_view_peer {
+	uint32_t uid; /* from DH_PEER_UID_FIRST on; not reused */
+	char vm[DH_NAME_MAX];
+	struct sockaddr_in address;
+	enum dh_tier tier; /* distance from this VM */
+};
+
+/* Less than this: uids of backend servers. */
+#define DH_PEER_UID_FIRST UINT32_C(0x80000000)
+#define DH_VIEW_PEERS_MAX 64
+
+struct dh_view_peers {
+	size_t n;
+	struct dh_view_peer list[DH_VIEW_PEERS_MAX];
+};
+
 struct dh_view {
 	gatomicrefcount refs;
 	struct dh_view *base; /* owner of by_id and servers; NULL: itself */
@@ -71,6 +88,7 @@
 	/* Requests that may crash backend servers, of this view as well. */
 	struct dh_suspect *suspects;
 	size_t nsuspects;
+	struct dh_view_peers *peers; /* g_atomic_rc_box; or NULL */
 	uint32_t vms; /* number of VMs that share the backend servers */
 	uint64_t number; /* sequence number within this process */
 	uint64_t owners_version; /* newest version of owners in the view */
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -74,7 +74,8 @@
 	c->room_over = dh_counter_get("dh_gateway_room_over_total", "");
 	c->rate_limited = dh_counter_get("dh_gateway_rate_limited_total", "");
 	c->quarantined = dh_counter_get("dh_gateway_quarantined_total", "");
-	c->backends_lost = dh_counter_get("dh_gateway_backends_lost", "");
+	c->forwarded = dh_counter_get("dh_gateway_forwarded_total", "");
+	c->services_lost = dh_counter_get("dh_gateway_services_lost", "");
 	c->bad_answers = dh_counter_get("dh_gateway_bad_answers_total", "");
 	for (i = 0; i <= DH_LATENCY_BUCKETS; i++) {
 		g_free(label);
@@ -139,6 +140,25 @@
 	return pool;
 }
 
+struct dh_pool *
+dh_worker_peer_pool(struct dh_worker *w, const struct dh_view_peer *p)
+{
+	struct dh_pool *pool =
+	    g_hash_table_lookup(w->pools, GUINT_TO_POINTER(p->uid));
+
+	if (pool != NULL)
+		return pool;
+	pool = g_new0(struct dh_pool, 1);
+	pool->uid = p->uid;
+	pool->address = p->address;
+	pool->tier = p->tier;
+	pool->peer = pool->listed = true;
+	dh_rate_limit_init(&pool->rate_limit, &w->rng);
+	(void)g_strlcpy(pool->id, p->vm, sizeof(pool->id));
+	g_hash_table_insert(w->pools, GUINT_TO_POINTER(p->uid), pool);
+	return pool;
+}
+
 struct dh_service_state *
 dh_worker_service(
     struct dh_worker *w, const struct dh_view *v, uint32_t service)
@@ -329,6 +349,18 @@
 	return admitted;
 }
 
+static void
+count_open_servers(struct dh_worker *w, uint32_t service)
+{
+	const struct dh_view_service *vs = &w->view->services[service];
+	struct dh_service_state *s = dh_worker_service(w, w->view, service);
+	size_t i;
+
+	s->servers_open = 0;
+	for (i = 0; i < vs->nservers; i++)
+		s->servers_open += !w->view->servers[vs->servers[i]].closed;
+}
+
 static void
 set_view(struct dh_worker *w, struct dh_view *v)
 {
@@ -349,6 +381,8 @@
 	for (i = 0; i < v->nsuspects; i++)
 		(void)dh_quarantine_merge(
 		    &w->quarantine, &v->suspects[i], dh_worker_now_ms(w));
+	for (i = 0; i < (*v->deployment)->nservices; i++)
+		count_open_servers(w, (uint32_t)i);
 	if (same_servers) {
 		dh_request_view_changed(w);
 		return;
@@ -365,6 +399,13 @@
 		p->listed = !v->servers[i].closed;
 		p->slots = v->servers[i].slots;
 	}
+	for (i = 0; v->peers != NULL && i < v->peers->n; i++) {
+		struct dh_pool *p = g_hash_table_lookup(
+		    w->pools, GUINT_TO_POINTER(v->peers->list[i].uid));
+
+		if (p != NULL)
+			p->listed = true;
+	}
 	g_hash_table_foreach_remove(w->pools, pool_is_unused, NULL);
 	dh_request_view_changed(w);
 }
@@ -376,6 +417,8 @@
 		return;
 	w->accepting = false;
 	uv_close((uv_handle_t *)&w->listener, NULL);
+	if (w->settings->forward_port != 0)
+		uv_close((uv_handle_t *)&w->forward_listener, NULL);
 }
 
 static void
@@ -431,7 +474,7 @@
 		    ",\"why\":\"%s\"", uv_strerror(status));
 		return;
 	}
-	dh_client_accept(w);
+	dh_client_accept(w, (uv_tcp_t *)listener);
 }
 
 /* Close all handles but wake, which the control thread may still use until
@@ -467,41 +510,52 @@
 
 /* Set SO_REUSEPORT if there are several workers: they listen on one port. */
 static bool
-enable_port_sharing(struct dh_worker *w)
+enable_port_sharing(const struct dh_worker *w, uv_tcp_t *listener)
 {
 	int on = 1, fd;
 
 	if (w->settings->threads < 2)
 		return true;
-	return uv_fileno((uv_handle_t *)&w->listener, &fd) == 0 &&
+	return uv_fileno((uv_handle_t *)listener, &fd) == 0 &&
 	    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0;
 }
 
 static bool
-worker_listen(struct dh_worker *w, GError **error)
+listen_on(struct dh_worker *w, uv_tcp_t *listener, const char *ip,
+    uint16_t port, GError **error)
 {
-	uint16_t port;
-	g_autofree char *ip =
-	    dh_gateway_endpoint(w->settings->listen_url, &port);
 	struct sockaddr_in sin;
 	int rc;
 
-	uv_tcp_init_ex(&w->loop, &w->listener, AF_INET);
-	w->listener.data = w;
+	uv_tcp_init_ex(&w->loop, listener, AF_INET);
+	listener->data = w;
 	rc = uv_ip4_addr(ip, port, &sin);
-	if (rc == 0 && !enable_port_sharing(w))
+	if (rc == 0 && !enable_port_sharing(w, listener))
 		rc = UV_ENOTSUP;
 	if (rc == 0)
-		rc =
-		    uv_tcp_bind(&w->listener, (const struct sockaddr *)&sin, 0);
+		rc = uv_tcp_bind(listener, (const struct sockaddr *)&sin, 0);
 	if (rc == 0)
 		rc = uv_listen(
-		    (uv_stream_t *)&w->listener, LISTEN_BACKLOG, on_connection);
-	if (rc != 0) {
-		g_set_error(error, DH_ERROR, DH_ERROR_IO,
-		    "cannot listen on %s:%u: %s", ip, port, uv_strerror(rc));
+		    (uv_stream_t *)listener, LISTEN_BACKLOG, on_connection);
+	if (rc == 0)
+		return true;
+	g_set_error(error, DH_ERROR, DH_ERROR_IO, "cannot listen on %s:%u: %s",
+	    ip, port, uv_strerror(rc));
+	return false;
+}
+
+static bool
+worker_listen(struct dh_worker *w, GError **error)
+{
+	uint16_t port;
+	g_autofree char *ip =
+	    dh_gateway_endpoint(w->settings->listen_url, &port);
+
+	if (!listen_on(w, &w->listener, ip, port, error) ||
+	    (w->settings->forward_port != 0 &&
+		!listen_on(w, &w->forward_listener, ip,
+		    w->settings->forward_port, error)))
 		return false;
-	}
 	w->accepting = true;
 	return true;
 }
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -23,7 +23,8 @@
 struct dh_client;
 struct dh_upstream;
 
-/* A worker's state of one backend server: its connections and its load. */
+/* A worker's state of one backend server, or of another VM to which it forwards
+ * requests: connections and load. */
 struct dh_pool {
 	uint32_t uid;
 	char id[DH_NAME_MAX];
@@ -40,6 +41,8 @@
 	int64_t leaving_since_ms;
 	int64_t leaving_reported_ms; /* last report of leaving, or 0 */
 	bool listed; /* the view has it, and not as closed */
+	bool peer; /* another VM, to which requests are forwarded */
+	int64_t avoid_until_ms; /* of another VM */
 	struct dh_rate_limit rate_limit;
 	/* For the next report: what answers said of the limit, and requests
 	 * for the limited backend server. */
@@ -54,6 +57,8 @@
 	struct dh_retry_budget budget;
 	struct dh_demand_seen seen; /* recent requests by priority */
 	struct dh_work_mean work; /* of its backend servers */
+	struct dh_reach reach;
+	size_t servers_open; /* backend servers that are in use */
 	double answer_kib; /* mean body size of its answers */
 	/* Counts the requests of the weighted routes whose first part is this
 	 * service, from a random start; dh_route_service_of_nth() takes it as
@@ -82,7 +87,9 @@
 	struct dh_counter *rate_limited;
 	/* Requests refused because they crash backend servers. */
 	struct dh_counter *quarantined;
-	struct dh_counter *backends_lost; /* 1 while none is reached */
+	struct dh_counter *forwarded; /* requests sent to other VMs */
+	/* Services of which no backend server is reached. */
+	struct dh_counter *services_lost;
 	/* Bytes of requests and answers, by tier of the backend server. */
 	struct dh_counter *bytes[DH_TIERS], *keyed_bytes[DH_TIERS];
 	struct dh_counter *latency[DH_LATENCY_BUCKETS + 1];
@@ -96,7 +103,8 @@
 	uint32_t index;
 	pthread_t thread;
 	uv_loop_t loop;
-	uv_tcp_t listener;
+	uv_tcp_t listener; /* of callers */
+	uv_tcp_t forward_listener; /* of other VMs */
 	uv_async_t wake;
 	uv_timer_t tick;
 	struct dh_view *view;
@@ -111,7 +119,7 @@
 	uint32_t ticks;
 	size_t read_bytes; /* read since the last count of message memory */
 	uint32_t done; /* shared: flag, the thread has ended */
-	bool accepting; /* the listener is open */
+	bool accepting; /* the listeners are open */
 	GHashTable *pools; /* uid -> struct dh_pool */
 	GHashTable *services; /* name -> struct dh_service_state */
 	GQueue clients;
@@ -121,7 +129,6 @@
 	struct dh_choice_params choice;
 	struct dh_quarantine quarantine;
 	bool quarantine_changed; /* since the last report */
-	struct dh_reach reach; /* of backend servers */
 	GQueue probes; /* of struct probe */
 	struct dh_worker_counters c;
 	/* Scratch space of dh_request_dispatch(). */
@@ -173,6 +180,8 @@
 	double expected_ms; /* expected duration of the attempt */
 	uint32_t attempts; /* attempts that reached a backend server */
 	uint32_t unreachable; /* attempts that found no connection */
+	bool from_vm; /* another VM has forwarded it */
+	uint32_t forwards; /* attempts that went to other VMs */
 	uint64_t answers_at_send; /* pool->answers as of sent_ms */
 	/* The owner as of misdirected_owners_version refused the key. */
 	bool misdirected;
@@ -217,6 +226,17 @@
  * sent and must not be repeated continues; others end. */
 void dh_request_caller_disconnected(struct dh_request *rq);
 
+/* dh_request_return -- return a backend server's answer to the caller, and end
+ * the request. */
+void dh_request_return(struct dh_request *rq, struct dh_message *answer);
+
+/* dh_request_add_tried -- note that the current attempt has ended. */
+void dh_request_add_tried(struct dh_request *rq);
+
+/* dh_request_log_attempt -- log the end of an attempt that was not the last. */
+void dh_request_log_attempt(
+    struct dh_request *rq, const char *how, const char *why);
+
 /* dh_request_answered -- handle the complete answer to the current attempt. */
 void dh_request_answered(struct dh_request *rq, struct dh_message *answer);
 
@@ -233,14 +253,41 @@
 /* attempt.c */
 
 /* dh_request_dispatch -- choose a backend server and send the request there;
- * otherwise park or refuse the request. */
+ * otherwise forward, park or refuse the request. */
 void dh_request_dispatch(struct dh_request *rq);
 
+/* dh_request_send -- start an attempt at a backend server or another VM. */
+void dh_request_send(struct dh_request *rq, struct dh_pool *pool);
+
+/* dh_request_was_tried -- whether an attempt went to the backend server or VM
+ * before. */
+bool dh_request_was_tried(const struct dh_request *rq, uint32_t uid);
+
 /* dh_request_record_reply -- update the load estimate of the backend server
  * and the byte counters at the end of an attempt.  answer may be NULL. */
 void dh_request_record_reply(struct dh_request *rq, enum dh_reply_kind kind,
     const struct dh_message *answer);
 
+/* forward.c */
+
+/* dh_request_forward -- send the request to another VM, which may reach the
+ * backend servers that this VM does not reach.  False if there is none, or if
+ * the request must stay here. */
+bool dh_request_forward(struct dh_request *rq);
+
+/* dh_request_forward_answered -- handle the complete answer of another VM. */
+void dh_request_forward_answered(
+    struct dh_request *rq, struct dh_message *answer);
+
+/* dh_requests_service_lost -- no backend server of the service is reached:
+ * forward its requests that wait for one. */
+void dh_requests_service_lost(
+    struct dh_worker *w, const struct dh_service_state *s);
+
+/* In a refusal of a request that another VM has forwarded: this VM does not
+ * reach the backend servers either. */
+#define DH_UNREACHED_HEADER "Dogwoodhub-Unreached"
+
 /* upstream.c */
 
 /* dh_upstream_send -- send rq->wire on an idle or a new connection; false if
@@ -281,7 +328,12 @@
 
 /* client.c */
 
-void dh_client_accept(struct dh_worker *w);
+/* dh_client_accept -- accept a connection of a caller, or of another VM that
+ * forwards requests. */
+void dh_client_accept(struct dh_worker *w, uv_tcp_t *listener);
+
+/* dh_call_from_vm -- whether another VM has forwarded the call's request. */
+bool dh_call_from_vm(const struct dh_call *call);
 
 /* dh_call_answer -- queue the answer to a call; it is sent after the answers
  * to earlier calls of the connection.  Takes ownership of head, and ends the
@@ -314,13 +366,14 @@
 
 /* probe.c */
 
-/* dh_worker_accepted -- a backend server accepted a connection. */
-void dh_worker_accepted(struct dh_worker *w);
+/* dh_worker_accepted -- a backend server of the service accepted a connection.
+ */
+void dh_worker_accepted(struct dh_worker *w, struct dh_service_state *s);
 
-/* dh_worker_connect_failed -- a connection to a backend server, started at
- * started_ms, failed. */
-void dh_worker_connect_failed(
-    struct dh_worker *w, uint32_t uid, int64_t started_ms);
+/* dh_worker_connect_failed -- a connection to a backend server of the service,
+ * started at started_ms, failed. */
+void dh_worker_connect_failed(struct dh_worker *w, struct dh_service_state *s,
+    uint32_t uid, int64_t started_ms);
 
 /* dh_worker_probe -- probe backend servers if it is time for that. */
 void dh_worker_probe(struct dh_worker *w);
@@ -342,6 +395,10 @@
 struct dh_pool *dh_worker_pool(
     struct dh_worker *w, const struct dh_view_server *s);
 
+/* dh_worker_peer_pool -- the state of another VM, created if missing. */
+struct dh_pool *dh_worker_peer_pool(
+    struct dh_worker *w, const struct dh_view_peer *p);
+
 /* dh_worker_service -- the state of a service, created if missing. */
 struct dh_service_state *dh_worker_service(
     struct dh_worker *w, const struct dh_view *v, uint32_t service);
--- a/include/dogwoodhub/reach.h
+++ b/include/dogwoodhub/reach.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 /*
- * Decides whether a router reaches any backend server.
+ * Decides whether a router reaches any backend server of a service.
  *
  * New connections decide: while a network is partitioned, those that are open
  * may go silent, be reset, or go on working while new ones fail.  Connections
--- a/tests/failure/gateway_lib.sh
+++ b/tests/failure/gateway_lib.sh
@@ -24,7 +24,8 @@
   "listen_url": "http://127.0.0.$((10 + $1)):$((base + 10))",
   "ready_url": "http://127.0.0.$((10 + $1)):$((base + 11))",
   "store_url": "http://127.0.0.1:$(store_port_of "$1")",
-  "peer_port": $((base + 12)), "log_lines_per_s": 1000 }
+  "peer_port": $((base + 12)), "forward_port": $((base + 13)),
+  "log_lines_per_s": 1000 }
 END
 	"$build/dogwoodhub" --gateway --config "$dir/gw$1.json" \
 	    >>"$dir/gw$1.log" 2>&1 &
--- /dev/null
+++ b/tests/test_forward.c
@@ -0,0 +1,410 @@
+/*
+ * Tests two workers on addresses of their own, as on two VMs: vms[0] does not
+ * reach the backend servers, vms[1] does.
+ */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "gateway/worker.h"
+#include "tests/cunit_main.h"
+
+#define VMS 2
+#define SERVERS 2
+#define ID "X-Dogwoodhub-Request-Id"
+#define ANSWER_MAX 4096
+
+struct vm {
+	char ip[16];
+	struct dh_gateway_settings settings;
+	struct dh_worker *worker;
+};
+
+static struct vm vms[VMS];
+static uint16_t port, forward_port;
+static struct dh_deployment **deployment;
+static uint16_t live_port; /* of the fake backend server */
+static gint runs; /* requests that it got */
+static char buf[ANSWER_MAX];
+
+static int
+listen_on(const char *ip, uint16_t *at, int backlog)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons(*at) };
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+
+	(void)inet_pton(AF_INET, ip, &sin.sin_addr);
+	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+	    listen(fd, backlog) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&sin, &len) != 0)
+		abort();
+	*at = ntohs(sin.sin_port);
+	return fd;
+}
+
+static int
+connect_to(const char *ip, uint16_t at, int type)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons(at) };
+	struct timeval tv = { .tv_sec = 3 };
+	int fd = socket(AF_INET, SOCK_STREAM | type, 0);
+
+	(void)inet_pton(AF_INET, ip, &sin.sin_addr);
+	(void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	(void)connect(fd, (struct sockaddr *)&sin, sizeof(sin));
+	return fd;
+}
+
+/* Reads up to the end of a head without a body. */
+static size_t
+read_head(int fd, char *to, size_t size)
+{
+	size_t len = 0;
+
+	to[0] = '\0';
+	while (len + 1 < size && strstr(to, "\r\n\r\n") == NULL &&
+	    read(fd, to + len, 1) == 1)
+		to[++len] = '\0';
+	return len;
+}
+
+static gpointer
+serve_connection(gpointer arg)
+{
+	int fd = GPOINTER_TO_INT(arg);
+	char head[ANSWER_MAX], id[64], answer[512];
+	const char *at;
+
+	while (read_head(fd, head, sizeof(head)) > 0) {
+		(void)g_atomic_int_add(&runs, 1);
+		at = strstr(head, ID ": ");
+		if (at == NULL || sscanf(at + strlen(ID ": "), "%63s", id) != 1)
+			break;
+		(void)g_snprintf(answer, sizeof(answer),
+		    "HTTP/1.1 200 OK\r\n" ID ": %s\r\n"
+		    "X-Dogwoodhub-Server-Stamp: s\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    id);
+		if (write(fd, answer, strlen(answer)) < 0)
+			break;
+	}
+	(void)close(fd);
+	return NULL;
+}
+
+static gpointer
+accept_all(gpointer arg)
+{
+	int fd;
+
+	while ((fd = accept(GPOINTER_TO_INT(arg), NULL, NULL)) >= 0)
+		g_thread_unref(g_thread_new(
+		    "conn", serve_connection, GINT_TO_POINTER(fd)));
+	return NULL;
+}
+
+static void
+add_route(struct dh_deployment *d, const char *prefix, enum dh_repeat repeat)
+{
+	struct dh_http_route *r = &d->routes[d->nroutes++];
+
+	*r = (struct dh_http_route){ .name = strdup(prefix),
+		.host = strdup("h.example"),
+		.prefix = strdup(prefix),
+		.repeat = repeat,
+		.attempts_max = 2,
+		.target_ms = 400,
+		.timeout_ms = 1500,
+		.nparts = 1 };
+	r->parts = calloc(1, sizeof(*r->parts));
+	r->parts[0] = (struct dh_weighted_service){ 0, 1 };
+}
+
+static struct dh_deployment *
+make_deployment(void)
+{
+	struct dh_deployment *d = dh_deployment_new();
+
+	d->version = 1;
+	d->header_bytes_max = 2000;
+	d->body_bytes_max = 1000;
+	d->header_timeout_ms = 500;
+	d->idle_timeout_ms = 5000;
+	d->services = calloc(1, sizeof(*d->services));
+	d->nservices = 1;
+	d->services[0].name = strdup("any");
+	d->services[0].health_path = strdup("/health");
+	d->services[0].connections_max = 100;
+	d->routes = calloc(2, sizeof(*d->routes));
+	add_route(d, "/r/", DH_REPEAT_SAFE);
+	add_route(d, "/w/", DH_REPEAT_NEVER);
+	return d;
+}
+
+/* Publishes a view with SERVERS backend servers at the port, and the other VM
+ * as peer. */
+static void
+publish(size_t vm, uint16_t server_port)
+{
+	static uint32_t uid;
+	struct dh_view *v = dh_view_new(deployment);
+	struct dh_view_peer *p;
+	size_t i;
+
+	v->vms = VMS;
+	v->nservers = SERVERS;
+	v->servers = g_new0(struct dh_view_server, SERVERS);
+	v->services[0].servers = g_new0(uint32_t, SERVERS);
+	for (i = 0; i < SERVERS; i++) {
+		struct dh_view_server *s = &v->servers[i];
+
+		s->uid = ++uid;
+		(void)g_snprintf(s->id, sizeof(s->id), "i-%zu", i);
+		s->address.sin_family = AF_INET;
+		s->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		s->address.sin_port = htons(server_port);
+		s->slots = 4;
+		v->services[0].servers[v->services[0].nservers++] = (uint32_t)i;
+	}
+	v->peers = g_atomic_rc_box_new0(struct dh_view_peers);
+	v->peers->n = 1;
+	p = &v->peers->list[0];
+	p->uid = DH_PEER_UID_FIRST + (uint32_t)vm;
+	(void)g_strlcpy(p->vm, "other", sizeof(p->vm));
+	(void)uv_ip4_addr(vms[1 - vm].ip, forward_port, &p->address);
+	dh_worker_publish(vms[vm].worker, v);
+	(void)usleep(50000);
+}
+
+static void
+start(void)
+{
+	struct vm *vm;
+	size_t i;
+
+	port = forward_port = 0;
+	(void)close(listen_on("127.0.0.1", &port, 1));
+	(void)close(listen_on("127.0.0.1", &forward_port, 1));
+	for (i = 0; i < VMS; i++) {
+		vm = &vms[i];
+		memset(vm, 0, sizeof(*vm));
+		(void)g_snprintf(vm->ip, sizeof(vm->ip), "127.0.0.%zu", i + 1);
+		(void)g_snprintf(vm->settings.listen_url,
+		    sizeof(vm->settings.listen_url), "http://%s:%u", vm->ip,
+		    port);
+		vm->settings.threads = 1;
+		vm->settings.connections_max = 100;
+		vm->settings.connect_ms = 250;
+		vm->settings.park_ms = 300;
+		vm->settings.memory_mb = 256;
+		vm->settings.retry_share_milli = 200;
+		vm->settings.retry_slack = 60;
+		vm->settings.forward_port = forward_port;
+		vm->worker = dh_worker_new(&vm->settings, 0, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(vm->worker);
+	}
+	g_atomic_int_set(&runs, 0);
+}
+
+static void
+stop_vm(size_t vm)
+{
+	if (vms[vm].worker == NULL)
+		return;
+	dh_worker_drain(vms[vm].worker, 0, 1);
+	dh_worker_free(vms[vm].worker);
+	vms[vm].worker = NULL;
+}
+
+static void
+stop(void)
+{
+	stop_vm(0);
+	stop_vm(1);
+}
+
+/* Sends a request to vms[0]; returns the status. */
+static unsigned int
+ask(const char *method, const char *path)
+{
+	static int n;
+	g_autofree char *text = g_strdup_printf(
+	    "%s %s HTTP/1.1\r\nHost: h.example\r\n" ID ": f%d\r\n"
+	    "Connection: close\r\n\r\n",
+	    method, path, ++n);
+	int fd = connect_to(vms[0].ip, port, 0);
+	unsigned int status = 0;
+
+	(void)!write(fd, text, strlen(text));
+	(void)read_head(fd, buf, sizeof(buf));
+	(void)close(fd);
+	(void)sscanf(buf, "HTTP/1.1 %u", &status);
+	return status;
+}
+
+static uint64_t
+forwarded(void)
+{
+	return dh_counter_value(
+	    dh_counter_get("dh_gateway_forwarded_total", ""));
+}
+
+/* A port at which connections are refused. */
+static uint16_t
+refusing_port(void)
+{
+	uint16_t at = 0;
+
+	(void)close(listen_on("127.0.0.1", &at, 1));
+	return at;
+}
+
+static void
+test_refused_connections(void)
+{
+	int i;
+
+	start();
+	publish(0, refusing_port());
+	publish(1, live_port);
+	for (i = 0; i < 10; i++) {
+		CU_ASSERT_EQUAL(ask("GET", "/r/"), 200);
+		CU_ASSERT_EQUAL(ask("POST", "/w/"), 200);
+	}
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 20);
+	stop();
+}
+
+/* Nothing answers a new connection: its queue is full. */
+static void
+test_silent_connections(void)
+{
+	uint16_t at = 0;
+	int fds[4], fd = listen_on("127.0.0.1", &at, 0);
+	int64_t began_ms;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = connect_to("127.0.0.1", at, SOCK_NONBLOCK);
+	start();
+	publish(0, at);
+	publish(1, live_port);
+	CU_ASSERT_EQUAL(ask("POST", "/w/"), 200);
+	began_ms = dh_clock_ms();
+	CU_ASSERT_EQUAL(ask("POST", "/w/"), 200);
+	CU_ASSERT_TRUE(dh_clock_ms() - began_ms < 200);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 2);
+	stop();
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		(void)close(fds[i]);
+	(void)close(fd);
+}
+
+/* Neither VM reaches a backend server: the request is refused at once and does
+ * not go back and forth. */
+static void
+test_no_vm_reaches_a_backend_server(void)
+{
+	uint64_t before;
+	int64_t began_ms;
+	int i;
+
+	start();
+	publish(0, refusing_port());
+	publish(1, refusing_port());
+	(void)ask("GET", "/r/");
+	(void)usleep(1100000);
+	before = forwarded();
+	began_ms = dh_clock_ms();
+	for (i = 0; i < 10; i++)
+		CU_ASSERT_EQUAL(ask("POST", "/w/"), 503);
+	CU_ASSERT_TRUE(dh_clock_ms() - began_ms < 500);
+	CU_ASSERT_PTR_NULL(strstr(buf, "Dogwoodhub-Unreached"));
+	/* The other VM is not asked again for a second. */
+	CU_ASSERT_TRUE(forwarded() - before <= 2);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 0);
+	stop();
+}
+
+static void
+test_other_vm_is_gone(void)
+{
+	int i;
+
+	start();
+	publish(0, refusing_port());
+	stop_vm(1);
+	for (i = 0; i < 4; i++)
+		CU_ASSERT_EQUAL(ask("POST", "/w/"), 503);
+	stop();
+}
+
+/* Backend servers are probed while none is reached. */
+static void
+test_backend_servers_are_reached_again(void)
+{
+	uint64_t before;
+	uint16_t at = refusing_port();
+	int fd;
+
+	start();
+	publish(0, at);
+	publish(1, live_port);
+	CU_ASSERT_EQUAL(ask("GET", "/r/"), 200);
+	fd = listen_on("127.0.0.1", &at, 64);
+	g_thread_unref(g_thread_new("accept", accept_all, GINT_TO_POINTER(fd)));
+	(void)usleep(500000);
+	before = forwarded();
+	CU_ASSERT_EQUAL(ask("GET", "/r/"), 200);
+	CU_ASSERT_EQUAL(forwarded(), before);
+	stop();
+	(void)shutdown(fd, SHUT_RDWR);
+}
+
+static void
+test_forwarding_is_off(void)
+{
+	start();
+	stop();
+	forward_port = 0;
+	vms[0].settings.forward_port = 0;
+	vms[0].worker = dh_worker_new(&vms[0].settings, 0, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(vms[0].worker);
+	publish(0, refusing_port());
+	CU_ASSERT_EQUAL(ask("GET", "/r/"), 503);
+	CU_ASSERT_EQUAL(ask("GET", "/r/"), 503);
+	stop();
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "refused connections", test_refused_connections },
+		{ "silent connections", test_silent_connections },
+		{ "no VM", test_no_vm_reaches_a_backend_server },
+		{ "other VM gone", test_other_vm_is_gone },
+		{ "reached again", test_backend_servers_are_reached_again },
+		{ "forwarding off", test_forwarding_is_off },
+		CU_TEST_INFO_NULL,
+	};
+	int fd = listen_on("127.0.0.1", &live_port, 64), status;
+
+	deployment = dh_deployment_box(make_deployment());
+	g_thread_unref(g_thread_new("accept", accept_all, GINT_TO_POINTER(fd)));
+	status = cunit_main("forward", tests);
+	dh_deployment_unbox(deployment);
+	return status;
+}
