Election: replace a leader that reaches no backend server of a keyed service

It reaches the store and the other VMs, so that it counted as healthy, but renewed no lease; from 2 s on no key had an owner.

Now the leader judges by core/reach whether its orders are answered, and by its own router; its heartbeats say when no backend server of a keyed service is reached, and a VM that reaches some takes over. While all are cut off nobody does, so that leaders do not follow one another while the backend servers are down.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <dogwoodhub/reach.h>
+
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/opslog.h"
@@ -56,6 +58,7 @@
 	struct dh_http_fetch *fetch;
 	struct dh_key_order o;
 	int64_t start_ms; /* start time of the backend server it was sent to */
+	int64_t sent_ms;
 	GList link;
 };
 
@@ -89,6 +92,7 @@
 	int64_t published_ms; /* time of the last publication */
 	GQueue orders; /* in flight */
 	uint32_t releases; /* number of releases among them */
+	struct dh_reach reach; /* by answers to orders */
 	bool orders_allowed; /* argument of the last dh_duty_step() */
 	int64_t last_step_ms; /* time of the last dh_duty_step() */
 };
@@ -175,6 +179,33 @@
 	return text;
 }
 
+/* A release is answered when the running requests have ended, which may be
+ * after its timeout. */
+static void
+note_reach(const struct order *w, bool answered)
+{
+	struct dh_reach *r = &w->duty->reach;
+	int64_t now_ms = dh_clock_ms();
+	bool changed = false;
+
+	if (answered)
+		changed = dh_reach_accepted(r, now_ms);
+	else if (w->o.kind != DH_KEY_RELEASE)
+		changed = dh_reach_failed(
+		    r, g_str_hash(w->o.server), w->sent_ms, SIZE_MAX, now_ms);
+	if (changed)
+		dh_opslog_add(DH_OPS_STATE, "orders.reach",
+		    ",\"service\":\"%s\",\"lost\":%s,\"term\":%llu",
+		    w->duty->service, r->lost ? "true" : "false",
+		    (unsigned long long)w->duty->c.term);
+}
+
+bool
+dh_duty_is_lost(const struct dh_duty *d)
+{
+	return d->reach.lost;
+}
+
 static void
 on_order_reply(void *arg, const struct dh_http_reply *reply)
 {
@@ -184,6 +215,7 @@
 	bool ours;
 
 	log_order(w, reply->status, answer);
+	note_reach(w, reply->status != 0);
 	if (dh_wire_leaving(dh_http_header(reply, dh_wire_headers.leaving)))
 		dh_registry_mark_leaving(
 		    d->c.registry, w->o.server, w->start_ms);
@@ -245,6 +277,7 @@
 	w->duty = d;
 	w->o = *o;
 	w->start_ms = dh_registry_start_ms(d->c.registry, o->server);
+	w->sent_ms = dh_clock_ms();
 	w->link.data = w;
 	g_queue_push_tail_link(&d->orders, &w->link);
 	d->releases += o->kind == DH_KEY_RELEASE;
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -86,6 +86,10 @@
  * this leader's own VM. */
 void dh_duty_note_follower(struct dh_duty *d, const char *vm, const char *ip);
 
+/* dh_duty_is_lost -- whether none of the backend servers that are sent orders
+ * is reached. */
+bool dh_duty_is_lost(const struct dh_duty *d);
+
 /* dh_duty_record -- the owners as last published; NULL before the first
  * publication. */
 const struct dh_record *dh_duty_record(const struct dh_duty *d);
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -44,6 +44,9 @@
  * another VM has more than twice its core share, a small VM waits this much
  * longer before it tries to lead. */
 #define SMALL_VM_WAIT_MS 400
+/* A VM that reaches no backend server of a keyed service cannot renew leases,
+ * and waits this much longer. */
+#define LOST_VM_WAIT_MS 800
 
 static void
 send_changes(struct dh_owners *o, const char *service,
@@ -371,6 +374,21 @@
 	    now_ms - answered_ms > CONFIRM_INTERVAL_MS + STORE_OVERDUE_MS;
 }
 
+/* Returns true if this VM, as the leader, reaches no backend server of some
+ * keyed service, so that it cannot renew leases. */
+static bool
+is_lost(const struct dh_owners *o)
+{
+	GHashTableIter it;
+	gpointer duty;
+
+	g_hash_table_iter_init(&it, o->duties);
+	while (g_hash_table_iter_next(&it, NULL, &duty))
+		if (dh_duty_is_lost(duty))
+			return true;
+	return o->keyed_lost;
+}
+
 void
 owners_send_beats(struct dh_owners *o, int64_t now_ms)
 {
@@ -380,6 +398,7 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
 	struct dh_leader_heartbeat beat = { .term = o->term,
 		.failing = is_failing(o, now_ms),
+		.lost = is_lost(o),
 		.era = dh_era_number(owners_store_era(o)),
 		.limits = limits,
 		.suspects = suspects };
@@ -696,7 +715,8 @@
 	if (leader_awaits_store(o, now_ms) || o->resigned || o->call != NULL ||
 	    o->role != ROLE_FOLLOWER ||
 	    now_ms - o->leader_healthy_ms < o->election_timeout_ms +
-		    (is_small_vm(o) ? SMALL_VM_WAIT_MS : 0) ||
+		    (is_small_vm(o) ? SMALL_VM_WAIT_MS : 0) +
+		    (o->keyed_lost ? LOST_VM_WAIT_MS : 0) ||
 	    !dh_registry_ready(o->c.registry))
 		return;
 	dh_opslog_add(DH_OPS_STATE, "leader.silent",
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -37,7 +37,8 @@
 	    beat->era == dh_era_number(owners_store_era(o));
 	owners_set_store_source(
 	    o, beat->failing || !current ? NULL : beat->cursors);
-	if (beat->failing)
+	/* A VM that reaches no more backend servers does not replace it. */
+	if (beat->failing || (beat->lost && !o->keyed_lost))
 		o->leader_failing_ms = dh_clock_ms();
 	else
 		o->leader_healthy_ms = dh_clock_ms();
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -581,6 +581,7 @@
 		g_array_append_val(o->leaving, l);
 		dh_registry_mark_leaving(o->c.registry, l.id, l.start_ms);
 	}
+	o->keyed_lost = r->keyed_lost;
 	dh_limits_add_worker_report(o->limits, r);
 	if (dh_suspects_add_worker_report(o->suspects, r, dh_clock_ms()))
 		owners_suspects_changed(o);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -123,6 +123,8 @@
 	GArray *leaving; /* of struct dh_peer_leaving */
 	struct dh_limits *limits;
 	struct dh_suspects *suspects;
+	/* This VM's router reaches no backend server of a keyed service. */
+	bool keyed_lost;
 	int64_t last_report_ms;
 	uint32_t reports; /* number of reports so far */
 };
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -190,7 +190,7 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
 	struct dh_leader_heartbeat b = { .limits = limits,
 		.suspects = suspects };
-	uint64_t failing, vms;
+	uint64_t failing, vms, lost;
 
 	if (!text_at(a, 1, b.vm, sizeof(b.vm)) || !number_at(a, 2, &b.term) ||
 	    !number_at(a, 3, &failing) || !number_at(a, 4, &vms))
@@ -202,6 +202,8 @@
 		return false;
 	read_ages(array_at(a, 7, DH_REGISTRY_KINDS), b.cursors);
 	b.failing = failing != 0;
+	/* Absent in heartbeats of an earlier release. */
+	b.lost = number_at(a, 10, &lost) && lost != 0;
 	b.vms = vms > 100000 ? 100000 : (uint32_t)vms;
 	h->heartbeat(h->arg, &b, ip);
 	return true;
@@ -653,7 +655,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 10);
+	msgpack_pack_array(&pk, 11);
 	msgpack_pack_uint32(&pk, DATAGRAM_BEAT);
 	pack_text(&pk, heartbeat->vm);
 	msgpack_pack_uint64(&pk, heartbeat->term);
@@ -671,6 +673,7 @@
 		msgpack_pack_uint32(&pk, heartbeat->cursors[i].age_ms);
 	pack_shared_limits(&pk, heartbeat->limits);
 	pack_suspects(&pk, heartbeat->suspects);
+	msgpack_pack_uint32(&pk, heartbeat->lost);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -28,6 +28,7 @@
 	char vm[DH_NAME_MAX];
 	uint64_t term;
 	bool failing; /* it cannot reach the store, or is stopping */
+	bool lost; /* it reaches no backend server of a keyed service */
 	uint32_t vms; /* VMs that report to it, itself included */
 	uint64_t era; /* era of the cursors' revisions */
 	struct dh_registry_cursor cursors[DH_REGISTRY_KINDS];
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -298,6 +298,22 @@
 	w->quarantine_changed = false;
 }
 
+static bool
+is_keyed_service_lost(struct dh_worker *w)
+{
+	const struct dh_deployment *d;
+	uint32_t i;
+
+	if (w->view == NULL)
+		return false;
+	d = *w->view->deployment;
+	for (i = 0; i < d->nservices; i++)
+		if (d->services[i].keyed &&
+		    dh_worker_service(w, w->view, i)->reach.lost)
+			return true;
+	return false;
+}
+
 static void
 publish_report(struct dh_worker *w)
 {
@@ -307,6 +323,7 @@
 	report_leaving(w);
 	report_limits(w);
 	report_suspects(w);
+	w->report->keyed_lost = is_keyed_service_lost(w);
 	old = ck_pr_fas_ptr(&w->report_out, w->report);
 	if (old == NULL)
 		old = g_new(struct dh_worker_report, 1);
--- a/gateway/worker.h
+++ b/gateway/worker.h
@@ -70,6 +70,8 @@
 	 * show them. */
 	struct dh_suspect suspects[DH_REPORT_SUSPECTS];
 	uint32_t nsuspects;
+	/* No backend server of some keyed service is reached. */
+	bool keyed_lost;
 };
 
 struct dh_worker;
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -46,12 +46,14 @@
 	(void)arg;
 }
 
+static bool leader_lost; /* as its last heartbeat says */
+
 static void
 on_beat(void *arg, const struct dh_leader_heartbeat *beat, const char *ip)
 {
 	(void)arg;
-	(void)beat;
 	(void)ip;
+	leader_lost = beat->lost;
 }
 
 static void
@@ -164,9 +166,11 @@
 }
 
 static void
-send_beat(struct fixture *fx, uint64_t term)
+send_beat_of(struct fixture *fx, uint64_t term, bool lost)
 {
-	struct dh_leader_heartbeat b = { .vm = "vm-2", .term = term, .vms = 2 };
+	struct dh_leader_heartbeat b = {
+		.vm = "vm-2", .term = term, .lost = lost, .vms = 2
+	};
 
 	b.cursors[DH_REGISTRY_SERVERS] =
 	    (struct dh_registry_cursor){ .as_of = 10, .reached = true };
@@ -176,6 +180,24 @@
 	run_for(fx, 20);
 }
 
+static void
+send_beat(struct fixture *fx, uint64_t term)
+{
+	send_beat_of(fx, term, false);
+}
+
+/* The routers of this VM reach backend servers of the keyed service, or none.
+ */
+static void
+set_keyed_lost(struct fixture *fx, bool lost)
+{
+	struct dh_worker_report *r = g_new0(struct dh_worker_report, 1);
+
+	r->keyed_lost = lost;
+	dh_owners_add_report(fx->owners, r);
+	g_free(r);
+}
+
 /* Sends a report of the other VM, which follows the leader of that term. */
 static void
 send_report(struct fixture *fx, uint64_t term)
@@ -274,6 +296,63 @@
 	CU_ASSERT_TRUE(dh_owners_is_leader(fx->owners));
 }
 
+/* The leader reaches the store and this VM, but no backend server: leases would
+ * end. */
+static void
+test_leader_without_backend_servers_is_replaced(void)
+{
+	struct fixture fx;
+	int i;
+
+	start(&fx, NULL, 0);
+	for (i = 0; i < 30 && fake_open("leader") == NULL; i++) {
+		send_beat_of(&fx, 3, true);
+		run_for(&fx, 40);
+	}
+	CU_ASSERT_PTR_NOT_NULL(fake_open("leader"));
+	stop(&fx);
+	/* This VM reaches none either, and does not replace it. */
+	start(&fx, NULL, 0);
+	set_keyed_lost(&fx, true);
+	for (i = 0; i < 30; i++) {
+		send_beat_of(&fx, 3, true);
+		run_for(&fx, 40);
+	}
+	CU_ASSERT_PTR_NULL(fake_open("leader"));
+	/* Nor is one that reaches them, whatever this VM does. */
+	for (i = 0; i < 30; i++) {
+		send_beat_of(&fx, 3, false);
+		run_for(&fx, 40);
+	}
+	CU_ASSERT_PTR_NULL(fake_open("leader"));
+	stop(&fx);
+}
+
+static void
+test_leader_says_that_it_lacks_backend_servers(void)
+{
+	struct json_object *o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.2\",\"core_share_milli\":500,\"zone\":\"z\"}");
+	struct dh_object_view v = {
+		.name = "vm.vm-2", .revision = 7, .spec = o
+	};
+	struct fixture fx;
+
+	start(&fx, &v, 1);
+	lead_after_other(&fx);
+	run_for(&fx, 150);
+	CU_ASSERT_FALSE(leader_lost);
+	set_keyed_lost(&fx, true);
+	run_for(&fx, 150);
+	CU_ASSERT_TRUE(leader_lost);
+	CU_ASSERT_TRUE(dh_owners_is_leader(fx.owners));
+	set_keyed_lost(&fx, false);
+	run_for(&fx, 150);
+	CU_ASSERT_FALSE(leader_lost);
+	stop(&fx);
+	json_object_put(o);
+}
+
 /* The leader stores the list of the strong VMs of each availability zone. */
 static void
 test_strong_vms_are_listed(void)
@@ -676,6 +755,10 @@
 		{ "leader heard during the read",
 		    test_leader_heard_during_read },
 		{ "conflict in the store", test_conflict_in_store },
+		{ "leader without backend servers",
+		    test_leader_without_backend_servers_is_replaced },
+		{ "leader says so",
+		    test_leader_says_that_it_lacks_backend_servers },
 		{ "list of strong VMs", test_strong_vms_are_listed },
 		{ "stalled leader", test_stalled_leader_orders_nothing },
 		{ "resigned leader renews leases",
