--- a/gateway/request.c
+++ b/gateway/request.c
@@ -506,6 +506,20 @@
 	return rq;
 }
 
+/* Whether the drain may end before the request does.  Requests are taken until
+ * the listeners close, and later only from callers that are slow to send; the
+ * end of the drain would interrupt those without an answer. */
+static bool
+may_outlast_drain(const struct dh_request *rq)
+{
+	const struct dh_worker *w = rq->worker;
+
+	return w->drain_began_ms != 0 &&
+	    rq->arrived_ms >= w->drain_began_ms + w->drain_quiet_ms &&
+	    rq->deadline_ms >=
+	    w->drain_began_ms + w->drain_limit_ms - DH_LAST_ANSWERS_MS;
+}
+
 bool
 dh_request_is_repeatable(const struct dh_worker *w, const struct dh_message *in)
 {
@@ -538,6 +552,10 @@
 	if (!route_request(rq))
 		return;
 	set_deadline(rq);
+	if (may_outlast_drain(rq)) {
+		dh_request_finish(rq, 503, "stopping", 1);
+		return;
+	}
 	/* The VM that the request is forwarded to counts the key. */
 	if (rq->keyed && !rq->service_state->reach.lost)
 		dh_worker_count_key(
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -18,8 +18,6 @@
 /* Reports of a leaving backend server are repeated, since one may be lost. */
 #define LEAVING_REPORT_INTERVAL_MS 1000
 #define LISTEN_BACKLOG 1024
-/* Time for sending the last answers before the end of a drain. */
-#define LAST_ANSWERS_MS 300
 /* Assumed network round trip times: within an availability zone, between zones,
  * between regions. */
 #define ROUND_TRIP_ZONE_MS 1.0
@@ -446,7 +444,7 @@
 	if (since_ms < w->drain_quiet_ms)
 		return;
 	stop_listening(w);
-	if (since_ms >= w->drain_limit_ms - LAST_ANSWERS_MS)
+	if (since_ms >= w->drain_limit_ms - DH_LAST_ANSWERS_MS)
 		dh_requests_finish_all(w);
 	if ((w->clients.length == 0 && w->requests.length == 0) ||
 	    since_ms >= w->drain_limit_ms)
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -11,6 +11,8 @@
  * of the retry_slack setting.  Ten VMs make 40 such retries at most, which is
  * less than the setting's default of 60. */
 #define DH_RETRY_BURST 4
+/* Time for sending the last answers before the end of a drain. */
+#define DH_LAST_ANSWERS_MS 300
 /* Limit of attempts per request, whatever the route allows. */
 #define DH_ATTEMPTS_MAX 8
 /* Limit of backend servers considered for one request. */
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -1446,6 +1446,49 @@
 	dh_worker_free(worker);
 }
 
+/* Sends a request whose head ends 350 ms after the drain began, which ends
+ * after 1500 ms; returns the status of its answer. */
+static unsigned int
+send_late_in_drain(const char *path, const char *header, int64_t *answer_ms)
+{
+	g_autofree char *head = g_strdup_printf(
+	    "POST %s HTTP/1.1\r\nHost: h.example\r\n" ID ": r8\r\n%s", path,
+	    header);
+	unsigned int status;
+	int64_t sent_ms;
+	int fd;
+
+	start_worker(1);
+	fd = connect_to_worker();
+	send_text(fd, head);
+	(void)usleep(50000);
+	dh_worker_drain(worker, 100, 1500);
+	(void)usleep(350000);
+	sent_ms = dh_clock_ms();
+	send_text(fd, "\r\n");
+	status = receive(fd, buf);
+	*answer_ms = dh_clock_ms() - sent_ms;
+	(void)close(fd);
+	dh_worker_free(worker);
+	return status;
+}
+
+static void
+test_request_that_may_outlast_the_drain_is_not_sent(void)
+{
+	int64_t answer_ms;
+
+	CU_ASSERT_EQUAL(
+	    send_late_in_drain("/silent-once/", "", &answer_ms), 503);
+	CU_ASSERT_EQUAL(runs, 0);
+	CU_ASSERT_TRUE(answer_ms < 50);
+	/* One that ends before the drain does. */
+	CU_ASSERT_EQUAL(send_late_in_drain("/ok/once/",
+			    "X-Dogwoodhub-Deadline-Ms: 700\r\n", &answer_ms),
+	    200);
+	CU_ASSERT_EQUAL(runs, 1);
+}
+
 int
 main(void)
 {
@@ -1489,6 +1532,8 @@
 		{ "parked request", test_parked_request },
 		{ "drain", test_drain },
 		{ "drain limit", test_drain_limit },
+		{ "late in a drain",
+		    test_request_that_may_outlast_the_drain_is_not_sent },
 		CU_TEST_INFO_NULL,
 	};
 	int i;
