Gateway: probes of backend servers follow the service's mean work time

A fixed silence of 0.6 s is usual for a VM with few requests to a service whose work takes 0.6 s, as on the large site: each such silence would have opened four connections. It is now four times the mean work time, 0.6 s at the least, and the pass over all backend servers for it is one over those that are in use.

test_reach: no probe where the silence is not unusual.

--- a/core/reach.c
+++ b/core/reach.c
@@ -6,9 +6,7 @@
 #define LOST_PROBES 2
 /* Failed backend servers that call for probes. */
 #define SUSPICIOUS_FAILURES 2
-/* Backend servers that owe an answer for this time, while none answers, call
- * for probes. */
-#define SILENCE_MS 600
+/* Backend servers that owe an answer, and do not answer, call for probes. */
 #define SILENT_SERVERS 2
 
 bool
@@ -59,11 +57,11 @@
 
 size_t
 dh_reach_probes(struct dh_reach *r, size_t pending, int64_t pending_since_ms,
-    int64_t now_ms)
+    int64_t silence_ms, int64_t now_ms)
 {
 	bool silent = pending >= SILENT_SERVERS &&
-	    now_ms - pending_since_ms >= SILENCE_MS &&
-	    now_ms - r->heard_ms >= SILENCE_MS;
+	    now_ms - pending_since_ms >= silence_ms &&
+	    now_ms - r->heard_ms >= silence_ms;
 
 	if (now_ms - r->probed_ms < PROBE_INTERVAL_MS ||
 	    (!r->lost && r->nfailed < SUSPICIOUS_FAILURES && !silent))
--- a/gateway/probe.c
+++ b/gateway/probe.c
@@ -8,6 +8,10 @@
 
 /* Random choices among the backend servers, for each probe. */
 #define CHOICES_MAX 8
+/* Time without answers of a service that calls for probes: the mean work time
+ * of its requests multiplied by SILENCE_FACTOR, at least SILENCE_MIN_MS. */
+#define SILENCE_FACTOR 4
+#define SILENCE_MIN_MS INT64_C(600)
 
 struct probe {
 	struct dh_worker *worker;
@@ -162,35 +166,45 @@
 {
 	const struct dh_view_service *vs = &w->view->services[service];
 	struct dh_service_state *state = dh_worker_service(w, w->view, service);
+	double work_ms =
+	    dh_work_mean_ms(&state->work, w->choice.work_ms, now_ms);
 	const struct dh_view_server *s;
-	const struct dh_pool *pool;
-	int64_t oldest_ms = 0;
-	size_t i, n, pending = 0;
-
-	for (i = 0; i < vs->nservers; i++) {
-		s = &w->view->servers[vs->servers[i]];
-		pool = g_hash_table_lookup(w->pools, GUINT_TO_POINTER(s->uid));
-		if (pool == NULL || pool->busy.length == 0)
-			continue;
-		pending++;
-		oldest_ms = MAX(oldest_ms, dh_pool_oldest_ms(pool, now_ms));
-	}
-	n = dh_reach_probes(&state->reach, pending, now_ms - oldest_ms, now_ms);
+	size_t n;
+
+	n = dh_reach_probes(&state->reach, state->servers_pending,
+	    now_ms - state->oldest_ms,
+	    MAX(SILENCE_MIN_MS, (int64_t)(work_ms * SILENCE_FACTOR)), now_ms);
 	for (; n > 0; n--) {
 		s = choose_server(w, vs, &state->reach);
 		if (s != NULL)
 			probe_start(w, state, s);
 	}
+	state->servers_pending = 0;
+	state->oldest_ms = 0;
 }
 
 void
 dh_worker_probe(struct dh_worker *w)
 {
 	int64_t now_ms = dh_worker_now_ms(w);
+	GHashTableIter it;
+	gpointer value;
 	uint32_t i;
 
-	for (i = 0; w->view != NULL && i < (*w->view->deployment)->nservices;
-	     i++)
+	if (w->view == NULL)
+		return;
+	g_hash_table_iter_init(&it, w->pools);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct dh_pool *pool = value;
+		struct dh_service_state *s = pool->service;
+
+		if (s == NULL || pool->busy.length == 0)
+			continue;
+		s->servers_pending++;
+		s->oldest_ms =
+		    MAX(s->oldest_ms, dh_pool_oldest_ms(pool, now_ms));
+	}
+	for (i = 0; i < (*w->view->deployment)->nservices; i++)
 		probe_service(w, i, now_ms);
 }
 
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -127,6 +127,7 @@
 	pool->uid = s->uid;
 	pool->address = s->address;
 	pool->tier = s->tier;
+	pool->service = dh_worker_service(w, w->view, s->service);
 	pool->slots = s->slots;
 	pool->listed = !s->closed;
 	dh_rate_limit_init(&pool->rate_limit, &w->rng);
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -32,6 +32,7 @@
 	char id[DH_NAME_MAX];
 	struct sockaddr_in address;
 	enum dh_tier tier;
+	struct dh_service_state *service; /* NULL for another VM */
 	uint32_t slots;
 	struct dh_backend_load load;
 	GQueue idle; /* of struct dh_upstream, last used at the head */
@@ -61,6 +62,10 @@
 	struct dh_work_mean work; /* of its backend servers */
 	struct dh_reach reach;
 	size_t servers_open; /* backend servers that are in use */
+	/* For dh_worker_probe(): backend servers that owe an answer, and how
+	 * long the oldest has been awaited. */
+	size_t servers_pending;
+	int64_t oldest_ms;
 	double answer_kib; /* mean body size of its answers */
 	/* Counts the requests of the weighted routes whose first part is this
 	 * service, from a random start; dh_route_service_of_nth() takes it as
--- a/include/dogwoodhub/reach.h
+++ b/include/dogwoodhub/reach.h
@@ -53,8 +53,9 @@
 
 /* dh_reach_probes -- the number of backend servers to be probed now, which
  * counts as done.  pending is the number of backend servers that owe an answer,
- * since pending_since_ms the longest. */
+ * since pending_since_ms the longest.  silence_ms is the time without any
+ * answer that is unusual for the service. */
 size_t dh_reach_probes(struct dh_reach *r, size_t pending,
-    int64_t pending_since_ms, int64_t now_ms);
+    int64_t pending_since_ms, int64_t silence_ms, int64_t now_ms);
 
 #endif
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -17,16 +17,17 @@
 	for (i = 0; i < 20; i++)
 		CU_ASSERT_FALSE(
 		    dh_reach_failed(&r, 1, 1100 + i, SERVERS, 1200));
-	CU_ASSERT_EQUAL(dh_reach_probes(&r, 0, 1300, 1300), 0);
+	CU_ASSERT_EQUAL(dh_reach_probes(&r, 0, 1300, 600, 1300), 0);
 	CU_ASSERT_FALSE(dh_reach_failed(&r, 2, 1100, SERVERS, 1300));
-	CU_ASSERT_EQUAL(dh_reach_probes(&r, 0, 1300, 1300), DH_REACH_FAILURES);
-	CU_ASSERT_EQUAL(dh_reach_probes(&r, 0, 1400, 1400), 0);
+	CU_ASSERT_EQUAL(
+	    dh_reach_probes(&r, 0, 1300, 600, 1300), DH_REACH_FAILURES);
+	CU_ASSERT_EQUAL(dh_reach_probes(&r, 0, 1400, 600, 1400), 0);
 	CU_ASSERT_FALSE(dh_reach_failed(&r, 3, 1300, SERVERS, 1350));
 	CU_ASSERT_TRUE(dh_reach_failed(&r, 4, 1300, SERVERS, 1550));
 	CU_ASSERT_TRUE(r.lost);
 	CU_ASSERT_EQUAL(r.lost_ms, 1550);
 	CU_ASSERT_FALSE(dh_reach_failed(&r, 5, 1300, SERVERS, 1560));
-	CU_ASSERT_TRUE(dh_reach_probes(&r, 0, 1600, 1600) > 0);
+	CU_ASSERT_TRUE(dh_reach_probes(&r, 0, 1600, 600, 1600) > 0);
 	CU_ASSERT_TRUE(dh_reach_accepted(&r, 1700));
 	CU_ASSERT_FALSE(r.lost);
 	CU_ASSERT_FALSE(dh_reach_accepted(&r, 1800));
@@ -64,10 +65,13 @@
 	(void)dh_reach_accepted(&r, 1000);
 	dh_reach_heard(&r, 2000);
 	/* A slow request alone, and slow ones beside answers. */
-	CU_ASSERT_EQUAL(dh_reach_probes(&r, 1, 1000, 4000), 0);
+	CU_ASSERT_EQUAL(dh_reach_probes(&r, 1, 1000, 600, 4000), 0);
 	dh_reach_heard(&r, 4000);
-	CU_ASSERT_EQUAL(dh_reach_probes(&r, 5, 1000, 4100), 0);
-	CU_ASSERT_EQUAL(dh_reach_probes(&r, 5, 4050, 4700), DH_REACH_FAILURES);
+	CU_ASSERT_EQUAL(dh_reach_probes(&r, 5, 1000, 600, 4100), 0);
+	/* Not unusual for slow requests. */
+	CU_ASSERT_EQUAL(dh_reach_probes(&r, 5, 4050, 2000, 4700), 0);
+	CU_ASSERT_EQUAL(
+	    dh_reach_probes(&r, 5, 4050, 600, 4700), DH_REACH_FAILURES);
 	CU_ASSERT_FALSE(r.lost);
 }
 
