Forwarding: the VM that the caller asked routes the request

Cause: a forwarded request was routed once more by the VM that it was forwarded to, which had an earlier configuration; and the other way round callers could see a newer version and then the VM's own.

The VM that the caller asked now names service, kind of repetition, priority, attempts and latency objective in a header; the other VM only chooses the backend server, and says that it cannot where it does not know the service.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -70,7 +70,7 @@
 build_request(struct dh_request *rq)
 {
 	const char *const skip[] = { dh_wire_headers.time_left_ms,
-		dh_wire_headers.expected_server, NULL };
+		dh_wire_headers.expected_server, DH_FORWARDED_HEADER, NULL };
 	const struct dh_message *in = rq->in;
 	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
 
@@ -83,7 +83,9 @@
 	g_string_append_printf(rq->wire, "%s: %lld\r\n",
 	    dh_wire_headers.time_left_ms,
 	    (long long)(left_ms > 1 ? left_ms : 1));
-	if (!rq->pool->peer)
+	if (rq->pool->peer)
+		dh_forward_add_header(rq, rq->wire);
+	else
 		g_string_append_printf(rq->wire, "%s: %s\r\n",
 		    dh_wire_headers.expected_server, rq->pool->id);
 	if (in->body->len > 0 ||
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -3,15 +3,64 @@
  * that could run them.  The other VM routes a forwarded request like one of its
  * own callers, but does not forward it again.
  */
-#include "base/opslog.h"
+#include <stdlib.h>
+#include <string.h>
+
 #include "gateway/worker_internal.h"
 
+/* The deadline of a forwarded request is the one that the other VM names. */
+#define FORWARDED_TIMEOUT_MS INT64_C(3600000)
+/* Numbers in the header that a request is forwarded with. */
+#define HEADER_NUMBERS 4
 /* Limit of other VMs that a request is sent to. */
 #define FORWARDS_MAX 3
 /* Time for which a VM gets no requests after it has answered that it does not
  * reach the backend servers either. */
 #define UNREACHED_AVOID_MS 1000
 
+void
+dh_forward_add_header(const struct dh_request *rq, GString *out)
+{
+	int64_t target_ms = rq->arrived_ms + rq->route->target_ms -
+	    dh_worker_now_ms(rq->worker);
+
+	g_string_append_printf(out, "%s: %u %u %u %lld %s\r\n",
+	    DH_FORWARDED_HEADER, rq->route->repeat, rq->route->priority,
+	    rq->route->attempts_max, (long long)(target_ms > 0 ? target_ms : 0),
+	    rq->service_state->name);
+}
+
+bool
+dh_forward_read_header(const struct dh_message *in,
+    const struct dh_deployment *d, struct dh_http_route *route,
+    uint32_t *service)
+{
+	const char *text = dh_message_header(in, DH_FORWARDED_HEADER);
+	unsigned long long numbers[HEADER_NUMBERS];
+	char *end;
+	int i;
+
+	if (text == NULL)
+		return false;
+	for (i = 0; i < HEADER_NUMBERS; i++) {
+		numbers[i] = strtoull(text, &end, 10);
+		if (end == text || *end != ' ' || numbers[i] > UINT32_MAX)
+			return false;
+		text = end + 1;
+	}
+	*service = dh_deployment_service(d, text);
+	if (numbers[0] > DH_REPEAT_NEVER || *service == DH_NONE)
+		return false;
+	*route = (struct dh_http_route){
+		.repeat = (enum dh_repeat)numbers[0],
+		.priority = (uint32_t)numbers[1],
+		.attempts_max = (uint32_t)numbers[2],
+		.target_ms = (int64_t)numbers[3],
+		.timeout_ms = FORWARDED_TIMEOUT_MS,
+	};
+	return true;
+}
+
 /* Whether a is preferred to b: nearer, but of the VMs of the region the one
  * with fewer requests, since a whole availability zone may be partitioned. */
 static bool
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -69,7 +69,7 @@
 	    "\"expected_ms\":%.0f,\"ahead\":%.1f,\"config\":%lld,"
 	    "\"view\":%llu,\"owners\":%llu,\"digest\":\"%016llx\"",
 	    dh_opslog_quote(id, sizeof(id), rq->id), status, why,
-	    rq->route == NULL ? "" : rq->route->name,
+	    rq->route == NULL || rq->from_vm ? "" : rq->route->name,
 	    rq->keyed ? (int)rq->key : -1, rq->server_id, rq->attempts,
 	    rq->unreachable, rq->forwards, (long long)(now_ms - rq->arrived_ms),
 	    (long long)(rq->deadline_ms - now_ms),
@@ -101,6 +101,15 @@
 	}
 }
 
+/* Whether the VM that has forwarded the request may ask another one: this VM
+ * does not know the service, or does not reach it either. */
+static bool
+is_unreached(const struct dh_request *rq)
+{
+	return rq->from_vm && rq->attempts == 0 &&
+	    (rq->service_state == NULL || rq->service_state->reach.lost);
+}
+
 void
 dh_request_finish(struct dh_request *rq, unsigned int status, const char *why,
     int64_t retry_after_ms)
@@ -127,8 +136,7 @@
 	if (status == 503 && retry_after_ms > 0)
 		g_string_append_printf(head, "Retry-After: %.3f\r\n",
 		    (double)retry_after_ms / 1000.0);
-	if (rq->from_vm && rq->service_state != NULL &&
-	    rq->service_state->reach.lost && rq->attempts == 0)
+	if (is_unreached(rq))
 		g_string_append(head, DH_UNREACHED_HEADER ": 1\r\n");
 	g_string_append(head, "Content-Type: text/plain\r\n");
 	request_end(rq);
@@ -434,29 +442,46 @@
 	uv_timer_start(&rq->deadline_timer, on_deadline, (uint64_t)left_ms, 0);
 }
 
+/* Find the route of a caller's request; false if there is none. */
+static bool
+match_route(struct dh_request *rq, const struct dh_deployment *d)
+{
+	const char *host = dh_message_header(rq->in, "Host");
+
+	rq->route = dh_deployment_match(d, host, rq->in->target->str);
+	if (rq->route == NULL)
+		return false;
+	rq->service = rq->route->parts[0].service;
+	if (rq->route->nparts > 1)
+		rq->service = dh_route_service_of_nth(rq->route,
+		    dh_worker_service(rq->worker, rq->view, rq->service)
+			->route_counter++);
+	return true;
+}
+
 /* Find route and service in the worker's view; false if the request has been
  * answered with an error. */
 static bool
 route_request(struct dh_request *rq)
 {
 	struct dh_worker *w = rq->worker;
-	const char *host = dh_message_header(rq->in, "Host");
 	const char *key = dh_message_header(rq->in, dh_wire_headers.key);
 	const struct dh_deployment *d;
 
 	dh_view_unref(rq->view);
 	rq->view = dh_view_ref(w->view);
 	d = *rq->view->deployment;
-	rq->route = dh_deployment_match(d, host, rq->in->target->str);
-	if (rq->route == NULL) {
+	if (rq->from_vm) {
+		rq->route = &rq->forwarded_route;
+		if (!dh_forward_read_header(
+			rq->in, d, &rq->forwarded_route, &rq->service)) {
+			dh_request_finish(rq, 503, "no such service", 1);
+			return false;
+		}
+	} else if (!match_route(rq, d)) {
 		dh_request_finish(rq, 404, "no such route", 0);
 		return false;
 	}
-	rq->service = rq->route->parts[0].service;
-	if (rq->route->nparts > 1)
-		rq->service = dh_route_service_of_nth(rq->route,
-		    dh_worker_service(w, rq->view, rq->service)
-			->route_counter++);
 	rq->service_state = dh_worker_service(w, rq->view, rq->service);
 	rq->keyed = d->services[rq->service].keyed;
 	if (rq->keyed && (key == NULL || !dh_wire_key(key, &rq->key))) {
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -168,6 +168,7 @@
 	struct dh_message *in; /* owned by call; NULL when call is NULL */
 	struct dh_view *view; /* the view that routed the request */
 	const struct dh_http_route *route;
+	struct dh_http_route forwarded_route; /* route if from_vm */
 	uint32_t service; /* index in view */
 	struct dh_service_state *service_state;
 	char id[DH_NAME_MAX * 2];
@@ -291,6 +292,17 @@
 void dh_requests_service_lost(
     struct dh_worker *w, const struct dh_service_state *s);
 
+/* dh_forward_add_header, dh_forward_read_header -- write and read the header
+ * with which a VM forwards a request that it has routed: what it knows of the
+ * route, so that the other VM's configuration has no part in it.  The route
+ * read from in has no names; service is as dh_request's.  False if the header
+ * is malformed, or names a service that d does not have. */
+void dh_forward_add_header(const struct dh_request *rq, GString *out);
+bool dh_forward_read_header(const struct dh_message *in,
+    const struct dh_deployment *d, struct dh_http_route *route,
+    uint32_t *service);
+
+#define DH_FORWARDED_HEADER "Dogwoodhub-Forwarded"
 /* In a refusal of a request that another VM has forwarded: this VM does not
  * reach the backend servers either. */
 #define DH_UNREACHED_HEADER "Dogwoodhub-Unreached"
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -31,8 +31,10 @@
 static struct vm vms[VMS];
 static uint16_t port, forward_port;
 static struct dh_deployment **deployment;
+static struct dh_deployment **earlier; /* has no route "/w/" */
 static uint16_t live_port; /* of the fake backend server */
 static gint runs; /* requests that it got */
+static char last_head[ANSWER_MAX]; /* of the last of them */
 static char buf[ANSWER_MAX];
 
 static int
@@ -88,6 +90,7 @@
 	const char *at;
 
 	while (read_head(fd, head, sizeof(head)) > 0) {
+		(void)g_strlcpy(last_head, head, sizeof(last_head));
 		(void)g_atomic_int_add(&runs, 1);
 		at = strstr(head, ID ": ");
 		if (at == NULL || sscanf(at + strlen(ID ": "), "%63s", id) != 1)
@@ -133,11 +136,11 @@
 }
 
 static struct dh_deployment *
-make_deployment(void)
+make_deployment(int64_t version)
 {
 	struct dh_deployment *d = dh_deployment_new();
 
-	d->version = 1;
+	d->version = version;
 	d->header_bytes_max = 2000;
 	d->body_bytes_max = 1000;
 	d->header_timeout_ms = 500;
@@ -149,17 +152,18 @@
 	d->services[0].connections_max = 100;
 	d->routes = calloc(2, sizeof(*d->routes));
 	add_route(d, "/r/", DH_REPEAT_SAFE);
-	add_route(d, "/w/", DH_REPEAT_NEVER);
+	if (version > 1)
+		add_route(d, "/w/", DH_REPEAT_NEVER);
 	return d;
 }
 
 /* Publishes a view with SERVERS backend servers at the port, and the other VM
  * as peer. */
 static void
-publish(size_t vm, uint16_t server_port)
+publish_config(size_t vm, uint16_t server_port, struct dh_deployment **config)
 {
 	static uint32_t uid;
-	struct dh_view *v = dh_view_new(deployment);
+	struct dh_view *v = dh_view_new(config);
 	struct dh_view_peer *p;
 	size_t i;
 
@@ -188,6 +192,12 @@
 	(void)usleep(50000);
 }
 
+static void
+publish(size_t vm, uint16_t server_port)
+{
+	publish_config(vm, server_port, deployment);
+}
+
 static void
 start(void)
 {
@@ -373,6 +383,20 @@
 	(void)shutdown(fd, SHUT_RDWR);
 }
 
+/* The VM that the caller asked routes the request. */
+static void
+test_other_vm_has_an_earlier_configuration(void)
+{
+	start();
+	publish(0, refusing_port());
+	publish_config(1, live_port, earlier);
+	CU_ASSERT_EQUAL(ask("POST", "/w/"), 200);
+	CU_ASSERT_EQUAL(ask("POST", "/x/"), 404);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 1);
+	CU_ASSERT_PTR_NULL(strstr(last_head, "Dogwoodhub-Forwarded"));
+	stop();
+}
+
 static void
 test_forwarding_is_off(void)
 {
@@ -397,14 +421,18 @@
 		{ "no VM", test_no_vm_reaches_a_backend_server },
 		{ "other VM gone", test_other_vm_is_gone },
 		{ "reached again", test_backend_servers_are_reached_again },
+		{ "earlier configuration",
+		    test_other_vm_has_an_earlier_configuration },
 		{ "forwarding off", test_forwarding_is_off },
 		CU_TEST_INFO_NULL,
 	};
 	int fd = listen_on("127.0.0.1", &live_port, 64), status;
 
-	deployment = dh_deployment_box(make_deployment());
+	deployment = dh_deployment_box(make_deployment(2));
+	earlier = dh_deployment_box(make_deployment(1));
 	g_thread_unref(g_thread_new("accept", accept_all, GINT_TO_POINTER(fd)));
 	status = cunit_main("forward", tests);
 	dh_deployment_unbox(deployment);
+	dh_deployment_unbox(earlier);
 	return status;
 }
