History check: a grant of an earlier leader ends no lease of a later one

Traced by a kept history: b7 checks no fences. It was granted the slot under 3.15 at 3,420 ms by a new leader, and under 2.15 at 3,437 ms by the former one, whose last renewal crossed the take-over. Both leases, of 398 ms each, had not ended when the request ran under 3.15 at 3,531 ms; there was one owner throughout. The check kept the last grant only, so that the later fence seemed never granted. A backend server that checks fences refuses the later renewal and is checked as before.

test_history: such a request is allowed; not allowed are one after the higher lease has ended, one after the slot was released, and one on a backend server that checks fences.

--- a/check/ownership.c
+++ b/check/ownership.c
@@ -7,6 +7,10 @@
 	struct dh_fence fence;
 	int64_t until_us;
 	bool held; /* not released, expired or lost by a restart */
+	/* The highest fence whose lease has not ended, and that end: of a
+	 * backend server that does not check fences it may be above fence. */
+	struct dh_fence highest;
+	int64_t highest_until_us;
 	struct dh_where at;
 };
 
@@ -172,6 +176,11 @@
 	    slot_get(h->ownership, ev->lease.group, ev->lease.slot);
 	struct hold *hd = hold_get(h->ownership, s, g_intern_string(ev->src));
 
+	if (!owns(hd, ev->t_us) || ev->t_us >= hd->highest_until_us ||
+	    dh_fence_cmp(ev->lease.fence, hd->highest) >= 0) {
+		hd->highest = ev->lease.fence;
+		hd->highest_until_us = ev->lease.until_us;
+	}
 	hd->fence = ev->lease.fence;
 	hd->until_us = ev->lease.until_us;
 	hd->held = true;
@@ -230,18 +239,23 @@
 
 /*
  * A backend server that does not check fences may also run requests sent under
- * an earlier fence of the slot, but it must own the slot.
+ * an earlier fence of the slot, but it must own the slot.  It also takes a
+ * grant of an earlier leader after one of a later leader, and may then run
+ * requests sent under the later fence until that lease ends.
  */
 static bool
-fence_allowed(struct dh_history *h, const char *backend,
-    struct dh_fence granted, struct dh_fence asked)
+fence_allowed(struct dh_history *h, const struct hold *hd,
+    struct dh_fence asked, int64_t t_us)
 {
-	int cmp = dh_fence_cmp(granted, asked);
+	int cmp = dh_fence_cmp(hd->fence, asked);
 
-	return cmp == 0 ||
-	    (cmp > 0 &&
-		g_hash_table_contains(
-		    h->ownership->unchecked, g_intern_string(backend)));
+	if (cmp == 0)
+		return true;
+	if (!g_hash_table_contains(h->ownership->unchecked, hd->backend))
+		return false;
+	return cmp > 0 ||
+	    (t_us < hd->highest_until_us &&
+		dh_fence_cmp(hd->highest, asked) >= 0);
 }
 
 static void
@@ -260,7 +274,7 @@
 		dh_history_broken(h, DH_PROMISE_SINGLE_OWNER, at,
 		    "request %s starts on %s, which does not own slot %s then",
 		    run->id, ev->src, s->name);
-	else if (!fence_allowed(h, ev->src, hd->fence, run->fence))
+	else if (!fence_allowed(h, hd, run->fence, ev->t_us))
 		dh_history_broken(h, DH_PROMISE_SINGLE_OWNER, at,
 		    "request %s starts on %s under fence %" PRIu64 ".%" PRIu64
 		    ", slot %s was granted with %" PRIu64 ".%" PRIu64
