test_forward: invalid requests on the port of other VMs

Without the header, with one that is malformed, and one that names an unknown service: refused as one that another VM may take, and not sent.

--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -397,6 +397,43 @@
 	stop();
 }
 
+/* A request on the port of other VMs that names no route, or no service that is
+ * known, is left to another VM. */
+static void
+test_invalid_forwarded_requests(void)
+{
+	static const char *const headers[] = { "", "Dogwoodhub-Forwarded: \r\n",
+		"Dogwoodhub-Forwarded: 0 0 2 400\r\n",
+		"Dogwoodhub-Forwarded: 0 0 x 400 any\r\n",
+		"Dogwoodhub-Forwarded: 2 0 2 400 any\r\n",
+		"Dogwoodhub-Forwarded: 0 0 2 99999999999 any\r\n",
+		"Dogwoodhub-Forwarded: 0 0 2 400 other\r\n" };
+	size_t i;
+	int fd;
+
+	start();
+	publish(0, live_port);
+	for (i = 0; i <= G_N_ELEMENTS(headers); i++) {
+		bool valid = i == G_N_ELEMENTS(headers);
+		g_autofree char *text =
+		    g_strdup_printf("GET /r/ HTTP/1.1\r\nHost: h.example\r\n" ID
+				    ": h%zu\r\n%sConnection: close\r\n\r\n",
+			i,
+			valid ? "Dogwoodhub-Forwarded: 0 0 2 400 any\r\n"
+			      : headers[i]);
+
+		fd = connect_to(vms[0].ip, forward_port, 0);
+		(void)!write(fd, text, strlen(text));
+		(void)read_head(fd, buf, sizeof(buf));
+		(void)close(fd);
+		CU_ASSERT_EQUAL(strstr(buf, "HTTP/1.1 200") != NULL, valid);
+		CU_ASSERT_EQUAL(
+		    strstr(buf, "Dogwoodhub-Unreached: 1") == NULL, valid);
+	}
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 1);
+	stop();
+}
+
 static void
 test_forwarding_is_off(void)
 {
@@ -423,6 +460,7 @@
 		{ "reached again", test_backend_servers_are_reached_again },
 		{ "earlier configuration",
 		    test_other_vm_has_an_earlier_configuration },
+		{ "invalid requests", test_invalid_forwarded_requests },
 		{ "forwarding off", test_forwarding_is_off },
 		CU_TEST_INFO_NULL,
 	};
