test_apply: order descriptors of two event loops for the thread sanitizer

By hand 1 of 6 runs failed.

Cause: one thread closes its loop's descriptors and ends, the other one then opens a loop and gets the same numbers. The kernel orders the two, but the sanitizer keeps its state of a descriptor by number and sees no order.

--- a/tests/test_apply.c
+++ b/tests/test_apply.c
@@ -19,6 +19,11 @@
 	struct dh_apply apply;
 };
 
+/* Orders the closing of an event loop before the opening of another one that
+ * gets the same file descriptors, which the thread sanitizer takes for a race:
+ * it does not see the order that the kernel keeps. */
+static pthread_mutex_t descriptors = PTHREAD_MUTEX_INITIALIZER;
+
 static void
 client_open(struct client *c, const char *writer)
 {
@@ -32,8 +37,10 @@
 	    "http://127.0.0.1:%u", dh_standin_store_port(standin));
 
 	*c = (struct client){ 0 };
+	(void)pthread_mutex_lock(&descriptors);
 	uv_loop_init(&c->loop);
 	c->http = dh_http_new(&c->loop);
+	(void)pthread_mutex_unlock(&descriptors);
 	c->apply.store = dh_store_new(c->http, url, writer);
 	dh_store_set_times(c->apply.store, &times);
 }
@@ -44,7 +51,9 @@
 	dh_store_free(c->apply.store);
 	dh_http_free(c->http);
 	uv_run(&c->loop, UV_RUN_DEFAULT);
+	(void)pthread_mutex_lock(&descriptors);
 	uv_loop_close(&c->loop);
+	(void)pthread_mutex_unlock(&descriptors);
 }
 
 static void
