--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -63,8 +63,13 @@
 	const msgpack_object *o = &a->ptr[i];
 
 	if (i >= a->size || o->type != MSGPACK_OBJECT_STR ||
-	    o->via.str.size >= size ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL)
+	    o->via.str.size >= size)
+		return false;
+	to[0] = '\0';
+	/* The text of length 0 may be a null pointer. */
+	if (o->via.str.size == 0)
+		return true;
+	if (memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL)
 		return false;
 	memcpy(to, o->via.str.ptr, o->via.str.size);
 	to[o->via.str.size] = '\0';
