--- a/review/build.sh
+++ b/review/build.sh
@@ -16,3 +16,4 @@
 }
 
 program route route.c
+program foreign foreign.c keyed_common.c
