Review, case 3: an extra answer passes for that of a release (OWNER)

Cause: orders go on kept connections without an id, and any 200 counts as the answer to the last one. Change: a script in which an upstream sends one answer to an order twice, late.

--- a/review/build.sh
+++ b/review/build.sh
@@ -17,3 +17,4 @@
 
 program route route.c
 program foreign foreign.c keyed_common.c
+program extra extra.c keyed_common.c
