Review, case 4: a request that has run is answered 503 (REFUSED)

Cause: an upstream's 503 without X-Dogwoodhub-Not-Executed is passed on for unsafe routes. Change: a script in which an upstream fails requests that it has run with 503.

--- a/review/build.sh
+++ b/review/build.sh
@@ -18,3 +18,4 @@
 program route route.c
 program foreign foreign.c keyed_common.c
 program extra extra.c keyed_common.c
+program refused refused.c
