Review, case 5: a request that ends upstreams at once goes on (BUDGET)

Cause: the end of a connection within 10 ms and a round trip is not counted as a crash of the request.

--- a/review/build.sh
+++ b/review/build.sh
@@ -19,3 +19,4 @@
 program foreign foreign.c keyed_common.c
 program extra extra.c keyed_common.c
 program refused refused.c
+program poison poison.c
