Review, case 3: a stale leader renews beside the next one (OWNER)

Cause: after the store has returned from a copy, a successor waits 2.5 s and a lease for former leaders; one that is cut off goes on for 15 s. Change: a script with a drill while the leader is cut off from the store and the other gateways.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,9 +1,19 @@
 #!/bin/sh
-# OWNER: the answer to an order comes a second time, where the next is expected.
-# TROUBLE=0: without that answer.
+# OWNER: the store returns from a copy that is some seconds old, while the leader
+# is cut off from it and from the other gateways.  TROUBLE=0: neither of both; the
+# upstream leaves all the same.
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../lib.sh"
-start_standin extra
+
+store_port() {
+	echo $((base + $1))
+}
+
+peer_port() {
+	echo $((base + 39 + $1))
+}
+
+start_standin drill
 for g in $gateways; do
 	start_gateway "$g"
 done
--- a/review/build.sh
+++ b/review/build.sh
@@ -17,6 +17,6 @@
 
 program route route.c
 program foreign foreign.c keyed_common.c
+program drill drill.c keyed_common.c
 program extra extra.c keyed_common.c
-program refused refused.c
 program poison poison.c
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -46,6 +46,16 @@
 	cannot_run "no free block of ports"
 }
 
+# Ports by which gateway N reaches the store and the other gateways.  A script
+# replaces these functions where its stand-in is the network in between.
+store_port() {
+	echo "$base"
+}
+
+peer_port() {
+	echo $((base + 12))
+}
+
 # start_gateway N: as the deploy file says, with the settings that
 # platform/settings.template renders to on a machine of a small deployment.
 start_gateway() {
@@ -57,10 +67,10 @@
 	"zones": "z1=r1",
 	"listen_url": "http://127.0.0.$((10 + $1)):$((base + 10))",
 	"ready_url": "http://127.0.0.$((10 + $1)):$((base + 11))",
-	"store_url": "http://127.0.0.1:$base",
+	"store_url": "http://127.0.0.1:$(store_port "$1")",
 	"core_share": 0.2,
 	"memory_mb": 260,
-	"peer_port": $((base + 12)),
+	"peer_port": $(peer_port "$1"),
 	"metrics_port": 0,
 	"forward_port": $((base + 13)),
 	"drain_s": 2,
--- a/review/standin/keyed.h
+++ b/review/standin/keyed.h
@@ -12,9 +12,15 @@
 #define UPSTREAMS 4
 #define SERVICE "diary-feed"
 
-/* keyed_open -- start the store and the upstreams, write the configuration, and
- * wait until each gateway serves keys of all parts of the key space.  Exits
- * with 2 if they do not. */
+/*
+ * keyed_start -- start the store and the upstreams, and write the
+ * configuration. keyed_configure -- write it again. keyed_wait -- wait until
+ * each gateway serves keys of all parts of the key space.  Exits with 2 if they
+ * do not. keyed_open -- start and wait.
+ */
+void keyed_start(int base, const char *record_path, struct upstream **list);
+void keyed_configure(void);
+void keyed_wait(int base);
 void keyed_open(int base, const char *record_path, struct upstream **list);
 
 /* keyed_request -- a safe request for a key, for clients_start(). */
--- a/review/standin/keyed_common.c
+++ b/review/standin/keyed_common.c
@@ -43,24 +43,42 @@
 }
 
 void
-keyed_open(int base, const char *record_path, struct upstream **list)
+keyed_configure(void)
+{
+	store_put("config", "main", configuration);
+}
+
+void
+keyed_start(int base, const char *record_path, struct upstream **list)
 {
 	char id[32];
 	int i;
 
 	site_open((uint16_t)base, record_path);
-	store_put("config", "main", configuration);
+	keyed_configure();
 	for (i = 0; i < UPSTREAMS; i++) {
 		snprintf(id, sizeof(id), "i-feed-%d", i);
 		list[i] =
 		    site_upstream(id, SERVICE, (uint16_t)(base + 20 + i), true);
 	}
+}
+
+void
+keyed_wait(int base)
+{
 	if (!is_served((uint16_t)(base + 10))) {
 		printf("not served at the start\n");
 		exit(2);
 	}
 }
 
+void
+keyed_open(int base, const char *record_path, struct upstream **list)
+{
+	keyed_start(base, record_path, list);
+	keyed_wait(base);
+}
+
 int
 keyed_judge(void)
 {
--- a/review/standin/route.c
+++ b/review/standin/route.c
@@ -14,11 +14,11 @@
 #define GATEWAYS 3
 #define FIRST_IP 11
 #define START_S 15
-#define ROUNDS 4
-#define QUIET_MS 2000 /* before a storm of changes */
+#define ROUNDS 6
+#define QUIET_MS 1000 /* before a storm of changes */
 #define CHANGE_MS 330 /* between changes of a storm */
 #define CHANGES 12 /* of a storm, 4 s long */
-#define CRASH_AT_MS 200 /* after a change in the middle of the storm */
+#define CRASH_AT_MS 130 /* after a change in the middle of the storm */
 #define CRASHED_MS 5000 /* time for which it is down */
 #define UPSTREAMS 8 /* of each service; one of them crashes */
 
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -60,6 +60,28 @@
 void store_put(const char *kind, const char *name, const char *spec);
 void store_delete(const char *kind, const char *name);
 
+/*
+ * The network of a site whose gateways reach the store and one another through
+ * the stand-in.  Gateway i, from 0, has the address 127.0.0.(first_ip + i), its
+ * store at store_port + 1 + i and its peer_port at peer_port + i.
+ *
+ * site_network -- open it.
+ * site_cut -- cut gateway i off from the store and from all other gateways, or
+ * heal the cut.
+ * store_away -- let the store answer nobody, or return it to service.
+ * store_copy, store_restore -- copy the store's data, and bring the copy back
+ * with the next Store-Era.  entries_again() writes the upstreams' entries.
+ */
+void site_network(int first_ip, int n, uint16_t store_port, uint16_t peer_port);
+void site_cut(int gateway, bool cut);
+void store_away(bool away);
+void store_copy(void);
+void store_restore(void);
+void entries_again(void);
+/* The gateway that wrote the object "leader" of the system's own kind last, or
+ * -1. */
+int store_leader(int first_ip);
+
 /* Called, with the site locked, when an upstream begins to run a request. */
 extern void (*on_run)(const char *id, const char *path, const char *service,
     const char *upstream);
