Requests: route again before a retry under another configuration

Cause: a request keeps the index of its service in the deployment that routed it, and a retry used that index in the worker's present view. The look for another backend server when an answer is overdue did the same.

Change: each dispatch routes the request again if the deployment is another one, as parked requests were; the look for an overdue answer finds the service by name. A retry that the new route does not allow ends with 502 (503 if it has not run). This works because no index outlives its view any more.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -150,9 +150,8 @@
 {
 	struct dh_worker *w = rq->worker;
 	const struct dh_view *v = w->view;
-	uint32_t limit =
-	    (*v->deployment)->services[rq->service].connections_max;
 	const struct dh_view_server *s = &v->servers[server];
+	uint32_t limit = (*v->deployment)->services[s->service].connections_max;
 	struct dh_pool *pool;
 
 	if (s->closed || *found == DH_CANDIDATES_MAX)
@@ -170,21 +169,22 @@
 		.tried = dh_request_was_tried(rq, s->uid) };
 }
 
-/* Fill the worker's candidates for a request; returns their number.  all:
- * consider all backend servers of the service, not a sample. */
+/* Fill the worker's candidates for a request; returns their number.  service is
+ * an index in the worker's view.  all: consider all backend servers of the
+ * service, not a sample. */
 static size_t
-find_candidates(struct dh_request *rq, bool all)
+find_candidates(struct dh_request *rq, uint32_t service, bool all)
 {
 	struct dh_worker *w = rq->worker;
 	const struct dh_view *v = w->view;
-	const struct dh_view_service *s = &v->services[rq->service];
+	const struct dh_view_service *s = &v->services[service];
 	int64_t now_ms = dh_worker_now_ms(w);
 	const struct dh_view_range *range;
 	uint32_t positions[DH_SAMPLE_MAX];
 	size_t i, n, found = 0;
 
 	if (rq->keyed) {
-		range = dh_view_owner(v, rq->service, rq->key);
+		range = dh_view_owner(v, service, rq->key);
 		if (range != NULL && range->server != DH_NONE && range->settled)
 			add_candidate(rq, range->server, &found, now_ms);
 		return found;
@@ -245,10 +245,10 @@
 	}
 }
 
-/* Choose a backend server from the worker's candidates, whose number is stored
- * in *n. */
+/* Choose a backend server of a service, which is an index in the worker's view.
+ * The number of the worker's candidates is stored in *n. */
 static struct dh_choice
-choose(struct dh_request *rq, size_t *n)
+choose(struct dh_request *rq, uint32_t service, size_t *n)
 {
 	struct dh_worker *w = rq->worker;
 	int64_t now_ms = dh_worker_now_ms(w);
@@ -263,17 +263,17 @@
 		.rank = dh_demand_rank(
 		    &rq->service_state->seen, rq->route->priority, now_ms),
 	};
-	bool all = rq->keyed ||
-	    w->view->services[rq->service].nservers <= DH_SAMPLE_MAX;
+	bool all =
+	    rq->keyed || w->view->services[service].nservers <= DH_SAMPLE_MAX;
 	struct dh_choice choice;
 
 	rq->rate_limited = false;
-	*n = find_candidates(rq, all);
+	*n = find_candidates(rq, service, all);
 	choice = choose_candidate(rq, &request, n, now_ms);
 	if (choice.index != SIZE_MAX || all)
 		return choice;
 	/* Before the request is refused, all backend servers are considered. */
-	*n = find_candidates(rq, true);
+	*n = find_candidates(rq, service, true);
 	return choose_candidate(rq, &request, n, now_ms);
 }
 
@@ -283,6 +283,7 @@
 	struct dh_request *rq = timer->data;
 	const struct dh_pool *pool = rq->pool;
 	int64_t now_ms = dh_worker_now_ms(rq->worker);
+	uint32_t service = dh_request_current_service(rq);
 	size_t n;
 
 	/* A retry would go to the same owner, which may just be slow.  The
@@ -297,7 +298,7 @@
 		return;
 	}
 	/* The attempt continues if no backend server can take another. */
-	if (choose(rq, &n).index != SIZE_MAX)
+	if (service != DH_NONE && choose(rq, service, &n).index != SIZE_MAX)
 		dh_request_overdue(rq);
 }
 
@@ -373,6 +374,8 @@
 
 	if (rq->state == DH_REQUEST_SENT)
 		rq->state = DH_REQUEST_NEW;
+	if (!dh_request_update_route(rq))
+		return;
 	if (rq->digest == 0)
 		rq->digest = dh_message_digest(rq->in);
 	rq->suspect = dh_quarantine_find(&w->quarantine, rq->digest);
@@ -391,7 +394,7 @@
 		return;
 	}
 	rq->misdirected = false;
-	choice = choose(rq, &n);
+	choice = choose(rq, rq->service, &n);
 	if (n == 0 && rq->rate_limited) {
 		refuse_rate_limited(rq);
 		return;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -479,6 +479,7 @@
 		return false;
 	}
 	rq->service_state = dh_worker_service(w, rq->view, rq->service);
+	rq->misdirected = false;
 	rq->keyed = d->services[rq->service].keyed;
 	if (rq->keyed && (key == NULL || !dh_wire_key(key, &rq->key))) {
 		dh_request_finish(rq, 400, "no key, or none that is valid", 0);
@@ -487,6 +488,47 @@
 	return true;
 }
 
+uint32_t
+dh_request_current_service(const struct dh_request *rq)
+{
+	const struct dh_view *v = rq->worker->view;
+
+	return rq->view->deployment == v->deployment
+	    ? rq->service
+	    : dh_deployment_service(*v->deployment, rq->service_state->name);
+}
+
+bool
+dh_request_update_route(struct dh_request *rq)
+{
+	struct dh_worker *w = rq->worker;
+	int64_t before = (*rq->view->deployment)->version;
+	char id[DH_NAME_MAX * 2 + 8];
+
+	if (rq->view->deployment == w->view->deployment) {
+		dh_view_unref(rq->view);
+		rq->view = dh_view_ref(w->view);
+		return true;
+	}
+	if (!route_request(rq))
+		return false;
+	dh_opslog_add(DH_OPS_REQUEST, "request.routed_again",
+	    ",\"id\":%s,\"version\":%lld,\"before\":%lld,"
+	    "\"service\":\"%s\",\"attempts\":%u",
+	    dh_opslog_quote(id, sizeof(id), rq->id),
+	    (long long)(*rq->view->deployment)->version, (long long)before,
+	    rq->service_state->name, rq->attempts);
+	/* A retry was decided by the limits of the earlier route. */
+	if (rq->attempts > 0 &&
+	    (rq->attempts >= rq->route->attempts_max ||
+		(rq->may_have_run && rq->route->repeat != DH_REPEAT_SAFE))) {
+		dh_request_finish(
+		    rq, 503, "the new route allows no further attempt", 1);
+		return false;
+	}
+	return true;
+}
+
 /* The error of a request that is invalid under any configuration, or NULL. */
 static const char *
 request_error(const struct dh_message *in)
@@ -598,15 +640,7 @@
 		g_ptr_array_add(list, l->data);
 	for (i = 0; i < list->len; i++) {
 		rq = list->pdata[i];
-		if (rq->state != DH_REQUEST_PARKED)
-			continue;
-		if (rq->view->deployment != w->view->deployment) {
-			if (!route_request(rq))
-				continue;
-		} else {
-			dh_view_unref(rq->view);
-			rq->view = dh_view_ref(w->view);
-		}
-		dh_request_dispatch(rq);
+		if (rq->state == DH_REQUEST_PARKED)
+			dh_request_dispatch(rq);
 	}
 }
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -167,7 +167,9 @@
 	struct dh_view *view; /* the view that routed the request */
 	const struct dh_http_route *route;
 	struct dh_http_route forwarded_route; /* route if from_vm */
-	uint32_t service; /* index in view */
+	/* Index in view only: a later view may have other services.  See
+	 * dh_request_current_service(). */
+	uint32_t service;
 	struct dh_service_state *service_state;
 	char id[DH_NAME_MAX * 2];
 	uint64_t digest; /* dh_message_digest() of in; 0: not computed yet */
@@ -220,6 +222,16 @@
 /* dh_request_view_changed -- dispatch the parked requests by the new view. */
 void dh_request_view_changed(struct dh_worker *w);
 
+/* dh_request_current_service -- the index of the request's service in the
+ * worker's present view, or DH_NONE if that has no such service. */
+uint32_t dh_request_current_service(const struct dh_request *rq);
+
+/* dh_request_update_route -- make the worker's present view the request's: if
+ * its deployment is another one, route the request again.  No attempt may be in
+ * progress.  False if the request has been answered with an error, because it
+ * has no route any more, or one by which it may not be sent once more. */
+bool dh_request_update_route(struct dh_request *rq);
+
 /* dh_request_overdue -- give up the current attempt and start another one, if
  * a retry is allowed. */
 void dh_request_overdue(struct dh_request *rq);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -1403,6 +1403,140 @@
 	stop_worker();
 }
 
+/* Publishes a view by a later deployment, which has the service "added" in
+ * place of the first one.  If any_repeat is not negative, the service "any" and
+ * its route follow, which may be repeated as any_repeat says. */
+static void
+publish_changed_deployment(int any_repeat)
+{
+	static const char *const names[] = { "added", "any" };
+	static const char *const ids[] = { "i-added", "i-0", "i-1" };
+	struct dh_deployment *d = dh_deployment_new();
+	struct dh_deployment **box;
+	struct dh_view *v;
+	uint32_t i, service;
+
+	d->version = 2;
+	d->header_bytes_max = 2000;
+	d->body_bytes_max = 100000;
+	d->header_timeout_ms = 500;
+	d->idle_timeout_ms = 5000;
+	d->services = calloc(2, sizeof(*d->services));
+	d->routes = calloc(2, sizeof(*d->routes));
+	d->nservices = any_repeat < 0 ? 1 : 2;
+	for (i = 0; i < d->nservices; i++) {
+		d->services[i].name = strdup(names[i]);
+		d->services[i].health_path = strdup("/health");
+		d->services[i].connections_max = 100;
+	}
+	add_route(d, "/added/", DH_REPEAT_SAFE, 0);
+	if (any_repeat >= 0)
+		add_route(d, "/", (enum dh_repeat)any_repeat, 1);
+	box = dh_deployment_box(d);
+	v = dh_view_new(box);
+	dh_deployment_unbox(box);
+	v->vms = 1;
+	v->number = v->owners_version = 1000;
+	v->servers = g_new0(struct dh_view_server, G_N_ELEMENTS(ids));
+	for (i = 0; i < (any_repeat < 0 ? 1 : G_N_ELEMENTS(ids)); i++) {
+		struct dh_view_server *x = &v->servers[v->nservers];
+
+		service = i == 0 ? 0 : 1;
+		x->uid = i == 0 ? 100 : i;
+		(void)g_strlcpy(x->id, ids[i], sizeof(x->id));
+		x->address.sin_family = AF_INET;
+		x->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		x->address.sin_port = htons(servers[i == 2].port);
+		x->service = service;
+		x->slots = slots;
+		if (v->services[service].servers == NULL)
+			v->services[service].servers =
+			    g_new0(uint32_t, G_N_ELEMENTS(ids));
+		v->services[service].servers[v->services[service].nservers++] =
+		    (uint32_t)v->nservers++;
+	}
+	dh_worker_publish(worker, v);
+}
+
+/* Sends a request and publishes another deployment while it is in progress;
+ * returns the status of the answer. */
+static unsigned int
+get_during_change(const char *path, int any_repeat)
+{
+	int fd = connect_to_worker();
+	g_autofree char *text = g_strdup_printf(
+	    "GET %s HTTP/1.1\r\nHost: h.example\r\n" ID ": r\r\n\r\n", path);
+	unsigned int status;
+
+	send_text(fd, text);
+	(void)usleep(CRASH_MS * 1000 / 4);
+	publish_changed_deployment(any_repeat);
+	status = receive(fd, buf);
+	(void)close(fd);
+	return status;
+}
+
+/* Guards against a retry that goes to another service, whose index in a later
+ * deployment is that of the request's service in an earlier one. */
+static void
+test_retry_after_a_change_of_the_services(void)
+{
+	start_worker(1);
+	crashes_left = 1;
+	CU_ASSERT_EQUAL(get_during_change("/crash-some/", DH_REPEAT_SAFE), 200);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(last_head, "X-Dogwoodhub-Target-Instance: i-1\r\n"));
+	CU_ASSERT_EQUAL(runs, 2);
+	stop_worker();
+}
+
+/* Guards against a retry by the index of a service that is gone. */
+static void
+test_retry_after_the_route_has_gone(void)
+{
+	start_worker(1);
+	crashes_left = 1;
+	CU_ASSERT_EQUAL(get_during_change("/crash-some/", -1), 404);
+	CU_ASSERT_EQUAL(runs, 1);
+	stop_worker();
+}
+
+/* Guards against a repetition that only an earlier deployment allowed. */
+static void
+test_retry_after_the_route_forbids_repetition(void)
+{
+	start_worker(1);
+	crashes_left = 1;
+	CU_ASSERT_EQUAL(
+	    get_during_change("/crash-some/", DH_REPEAT_NEVER), 502);
+	CU_ASSERT_EQUAL(runs, 1);
+	stop_worker();
+}
+
+/* Guards against a second attempt at another service when the answer to the
+ * first is overdue. */
+static void
+test_overdue_after_a_change_of_the_services(void)
+{
+	start_worker(1);
+	CU_ASSERT_EQUAL(get_during_change("/silent/", DH_REPEAT_SAFE), 504);
+	CU_ASSERT_EQUAL(runs, 2);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(last_head, "X-Dogwoodhub-Target-Instance: i-1\r\n"));
+	stop_worker();
+}
+
+/* Guards against the index of a service that is gone when an answer is overdue:
+ * the attempt continues, since no route leads anywhere else. */
+static void
+test_overdue_after_the_route_has_gone(void)
+{
+	start_worker(1);
+	CU_ASSERT_EQUAL(get_during_change("/silent/", -1), 504);
+	CU_ASSERT_EQUAL(runs, 1);
+	stop_worker();
+}
+
 static void
 test_drain(void)
 {
@@ -1531,6 +1665,16 @@
 		{ "request refused by the view",
 		    test_request_refused_by_the_view },
 		{ "parked request", test_parked_request },
+		{ "retry after a change of the services",
+		    test_retry_after_a_change_of_the_services },
+		{ "retry after the route has gone",
+		    test_retry_after_the_route_has_gone },
+		{ "retry after the route forbids it",
+		    test_retry_after_the_route_forbids_repetition },
+		{ "overdue after a change of the services",
+		    test_overdue_after_a_change_of_the_services },
+		{ "overdue after the route has gone",
+		    test_overdue_after_the_route_has_gone },
 		{ "drain", test_drain },
 		{ "drain limit", test_drain_limit },
 		{ "late in a drain",
