Owners: after a restore of the store, wait for leaders that are cut off

Cause: a leader that distrusts its record waited 2.5 s and a lease, the time within which another leader hears of the new era. One that reaches neither the store nor another VM does not hear of it and renews for solo_ms (15 s). The leader in office made the same assumption for ranges that it cannot renew.

Change: other leaders count as former leaders, which stop after solo_ms, or when every VM that this one knows of has reported that it follows. A VM that follows gives no orders, so that no order can come from elsewhere by then.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -321,10 +321,9 @@
 }
 
 void
-dh_keyspace_mark_record_stale(struct dh_keyspace *ks, int64_t within_ms)
+dh_keyspace_mark_record_stale(struct dh_keyspace *ks)
 {
-	ks->no_orders_until_ms =
-	    former_leases_end_ms(ks) - ks->p.storeless_max_ms + within_ms;
+	ks->no_orders_until_ms = former_leases_end_ms(ks);
 }
 
 bool
@@ -333,6 +332,13 @@
 	return ks->record_stale;
 }
 
+static void
+lower(int64_t *value, int64_t limit)
+{
+	if (*value > limit)
+		*value = limit;
+}
+
 void
 dh_keyspace_former_leaders_stopped(struct dh_keyspace *ks, int64_t now_ms)
 {
@@ -343,9 +349,11 @@
 		return;
 	ks->former_stop_ms = now_ms;
 	lease_end_ms = former_leases_end_ms(ks);
-	for (i = 0; i < ks->nranges; i++)
-		if (ks->ranges[i].former_lease_until_ms > lease_end_ms)
-			ks->ranges[i].former_lease_until_ms = lease_end_ms;
+	lower(&ks->no_orders_until_ms, lease_end_ms);
+	for (i = 0; i < ks->nranges; i++) {
+		lower(&ks->ranges[i].former_lease_until_ms, lease_end_ms);
+		lower(&ks->ranges[i].unknown_lease_until_ms, lease_end_ms);
+	}
 }
 
 bool
@@ -362,8 +370,8 @@
 }
 
 bool
-dh_keyspace_record_lost(struct dh_keyspace *ks, uint64_t fence_floor,
-    int64_t within_ms, int64_t now_ms)
+dh_keyspace_record_lost(
+    struct dh_keyspace *ks, uint64_t fence_floor, int64_t now_ms)
 {
 	size_t i;
 
@@ -376,8 +384,7 @@
 		ks->next_fence = fence_floor + 1;
 	for (i = 0; i < ks->nranges; i++) {
 		ks->ranges[i].former_lease_until_ms = former_leases_end_ms(ks);
-		ks->ranges[i].unknown_lease_until_ms =
-		    now_ms + within_ms + own_lease_limit_ms(ks);
+		ks->ranges[i].unknown_lease_until_ms = former_leases_end_ms(ks);
 	}
 	return true;
 }
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -40,11 +40,6 @@
  * servers accept (hold_max_ms). */
 #define LEASE_BASE_SERVERS 300
 #define LEASE_HOLD_MAX_PERCENT 80
-/* A leader that reaches the store stops sending orders within this time after
- * the store was restored from an older copy, if another VM leads in the new
- * era.  It learns of the new era from a watch, and may go on for
- * DH_RECLAIM_MAX_MS without a term of that era. */
-#define OTHER_LEADER_MAX_MS (DH_RECLAIM_MAX_MS + 1000)
 /* Longest reply to an order, in bytes; only status and headers are used. */
 #define REPLY_MAX 4096
 /* Orders in flight at a time, apart from releases and for releases.  A release
@@ -78,6 +73,9 @@
 	 * present leader by now. */
 	char former_vm[DH_NAME_MAX];
 	char former_ip[DH_ADDRESS_MAX];
+	/* The store may have lost the record of another leader, which may still
+	 * send orders: any other VM may be that one. */
+	bool former_unknown;
 	bool revision_unknown; /* the object's revision has to be read first */
 	uint64_t pending_serial; /* serial of the pending write, 0 for none */
 	uint64_t written_version; /* of the last write */
@@ -342,7 +340,9 @@
 }
 
 /* Starts from the record of a former leader.  A record of an earlier era is
- * distrusted: the store may have lost a later record of that leader. */
+ * distrusted: the store may have lost a later record of that leader or of the
+ * next one, which may reach neither the store nor another VM and so go on
+ * without knowing of the new era. */
 static void
 take_over(struct dh_duty *d, const struct dh_record *r)
 {
@@ -352,7 +352,8 @@
 	dh_keyspace_take_over(d->ks, r->ranges, r->nranges,
 	    MAX(r->next_fence, floor + 1), (int64_t)r->hold_ms, dh_clock_ms());
 	if (distrust)
-		dh_keyspace_mark_record_stale(d->ks, OTHER_LEADER_MAX_MS);
+		dh_keyspace_mark_record_stale(d->ks);
+	d->former_unknown = distrust;
 	d->former_vm[0] = '\0';
 	if (r->sole && !distrust) {
 		(void)g_strlcpy(d->former_vm, r->vm, sizeof(d->former_vm));
@@ -680,12 +681,12 @@
 dh_duty_store_rolled_back(struct dh_duty *d, uint64_t era)
 {
 	if (!d->loaded ||
-	    !dh_keyspace_record_lost(
-		d->ks, dh_era_floor(era), OTHER_LEADER_MAX_MS, dh_clock_ms()))
+	    !dh_keyspace_record_lost(d->ks, dh_era_floor(era), dh_clock_ms()))
 		return false;
 	dh_objects_cancel(d->call);
 	d->call = NULL;
 	d->former_vm[0] = '\0';
+	d->former_unknown = true;
 	d->c.era = era;
 	d->pending_serial = 0;
 	d->in_doubt = false;
@@ -754,6 +755,15 @@
 	dh_keyspace_add_service_time(d->ks, server, work_ms, samples);
 }
 
+static void
+note_former_leaders_stopped(struct dh_duty *d, const char *former)
+{
+	dh_keyspace_former_leaders_stopped(d->ks, dh_clock_ms());
+	dh_opslog_add(DH_OPS_STATE, "owners.alone",
+	    ",\"service\":\"%s\",\"term\":%llu,\"former\":\"%s\"", d->service,
+	    (unsigned long long)d->c.term, former);
+}
+
 void
 dh_duty_note_follower(struct dh_duty *d, const char *vm, const char *ip)
 {
@@ -761,10 +771,20 @@
 	    strcmp(d->former_ip, ip) != 0)
 		return;
 	d->former_vm[0] = '\0';
-	dh_keyspace_former_leaders_stopped(d->ks, dh_clock_ms());
-	dh_opslog_add(DH_OPS_STATE, "owners.alone",
-	    ",\"service\":\"%s\",\"term\":%llu,\"former\":\"%s\"", d->service,
-	    (unsigned long long)d->c.term, vm);
+	note_former_leaders_stopped(d, vm);
+}
+
+bool
+dh_duty_awaits_followers(const struct dh_duty *d)
+{
+	return d->former_unknown && !d->writes_suspended;
+}
+
+void
+dh_duty_note_all_follow(struct dh_duty *d)
+{
+	d->former_unknown = false;
+	note_former_leaders_stopped(d, "any");
 }
 
 const struct dh_record *
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -86,6 +86,18 @@
  * this leader's own VM. */
 void dh_duty_note_follower(struct dh_duty *d, const char *vm, const char *ip);
 
+/*
+ * dh_duty_awaits_followers -- whether the record may lack moves of a leader
+ * that nobody here knows of: few orders are sent before
+ * dh_duty_note_all_follow(), or before the time is over for which a leader goes
+ * on without the store.
+ *
+ * dh_duty_note_all_follow -- all other VMs that may have led follow this
+ * leader.
+ */
+bool dh_duty_awaits_followers(const struct dh_duty *d);
+void dh_duty_note_all_follow(struct dh_duty *d);
+
 /* dh_duty_is_lost -- whether none of the backend servers that are sent orders
  * is reached. */
 bool dh_duty_is_lost(const struct dh_duty *d);
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -545,6 +545,23 @@
 		o->stalled = false;
 }
 
+/* Returns true if every other VM that this one knows of has reported that it
+ * follows this leader in the present term, so that none sends orders. */
+static bool
+all_vms_follow(const struct dh_owners *o)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (!dh_mirror_listed(o->mirror))
+		return false;
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((struct peer_state *)value)->followed_term != o->term)
+			return false;
+	return true;
+}
+
 /* Asks the store whether this VM still leads. */
 static void
 confirm(struct dh_owners *o, int64_t now_ms)
@@ -591,8 +608,11 @@
 		owners_send_beats(o, now_ms);
 	}
 	g_hash_table_iter_init(&it, o->duties);
-	while (g_hash_table_iter_next(&it, NULL, &duty))
+	while (g_hash_table_iter_next(&it, NULL, &duty)) {
+		if (dh_duty_awaits_followers(duty) && all_vms_follow(o))
+			dh_duty_note_all_follow(duty);
 		dh_duty_step(duty, !solo_expired && !o->stalled);
+	}
 	if (now_ms - o->confirmed_ms < CONFIRM_INTERVAL_MS) {
 		o->election_pause_ms = 0;
 		write_strong(o, now_ms);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -163,6 +163,7 @@
 	if (strcmp(ip, o->c.ip) != 0) {
 		p = owners_get_peer(o, ip);
 		p->heard_ms = dh_clock_ms();
+		p->followed_term = r->term;
 	}
 	for (i = 0; i < r->keys->len; i++) {
 		const struct dh_peer_key *k =
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -97,6 +97,8 @@
 	o->term = term;
 	(void)g_strlcpy(o->leader_vm, vm, sizeof(o->leader_vm));
 	(void)g_strlcpy(o->leader_ip, ip, sizeof(o->leader_ip));
+	if (strcmp(ip, o->c.ip) != 0)
+		(void)owners_get_peer(o, ip);
 	owners_reset_election_timeout(o);
 }
 
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -39,6 +39,7 @@
 struct peer_state {
 	uint32_t uid; /* in views */
 	int64_t heard_ms; /* when its last report arrived; 0: none yet */
+	uint64_t followed_term; /* of this leader, as its last report said */
 	int64_t core_share_milli; /* CPU cores of the VM, in thousandths; 0: not
 				   * known */
 	char vm[DH_NAME_MAX];
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -113,9 +113,8 @@
  *
  * dh_keyspace_mark_record_stale -- report that the record just taken over may
  * be stale: later writes may be missing from it, so that backend servers other
- * than the recorded owners may hold keys.  No order is sent until the former
- * leader has stopped, which it does within within_ms, and its leases have
- * expired.
+ * than the recorded owners may hold keys.  No order is sent until all former
+ * leaders have stopped and their leases have expired.
  *
  * dh_keyspace_record_is_stale -- return whether the last exported record was
  * marked as possibly stale.  A leader that takes over that record has to call
@@ -124,7 +123,7 @@
 void dh_keyspace_take_over(struct dh_keyspace *ks,
     const struct dh_key_range *ranges, size_t n, uint64_t next_fence,
     int64_t former_lease_ms, int64_t now_ms);
-void dh_keyspace_mark_record_stale(struct dh_keyspace *ks, int64_t within_ms);
+void dh_keyspace_mark_record_stale(struct dh_keyspace *ks);
 bool dh_keyspace_record_is_stale(const struct dh_keyspace *ks);
 
 /*
@@ -146,16 +145,17 @@
  * owners: it renews their leases, but sends no other order before its record is
  * stored again.  New tokens are above fence_floor.
  *
- * The store may have lost the record of another leader as well, which may send
- * orders for up to within_ms.  Therefore a range is not moved before its owner
- * has accepted a renewal, and a range that cannot be renewed is granted to no
- * backend server before the leases of that other leader have expired.
+ * The store may have lost the record of another leader as well, which counts as
+ * a former leader that may still send orders.  Therefore a range is not moved
+ * before its owner has accepted a renewal, and a range that cannot be renewed
+ * is granted to no backend server before the leases of that other leader have
+ * expired.
  *
  * Returns false if this leader has not stored a record yet: it does not know
  * the owners then and cannot continue.
  */
-bool dh_keyspace_record_lost(struct dh_keyspace *ks, uint64_t fence_floor,
-    int64_t within_ms, int64_t now_ms);
+bool dh_keyspace_record_lost(
+    struct dh_keyspace *ks, uint64_t fence_floor, int64_t now_ms);
 
 /* dh_keyspace_set_servers -- set the list of known backend servers.  One that
  * is missing from the list counts as leaving and may still hold its keys. */
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -12,6 +12,8 @@
 #define RENEW_MS 500
 #define SOLO_MS 15000
 #define DRIFT_PERMILLE 20
+/* A lease, waited out with drift and margin. */
+#define LEASE_END_MS (HOLD_MS * 102 / 100 + 60)
 
 static const struct dh_keyspace_params params = { .lease_ms = HOLD_MS,
 	.renew_ms = RENEW_MS,
@@ -313,7 +315,7 @@
 	CU_ASSERT_FALSE(stored_as_sole(ks, SOLO_MS - 10));
 	CU_ASSERT_TRUE(stored_as_sole(ks, SOLO_MS));
 	/* The store may have lost the records of other leaders as well. */
-	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 1500, 20000));
+	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 20000));
 	CU_ASSERT_FALSE(stored_as_sole(ks, 20000 + SOLO_MS - 10));
 	CU_ASSERT_TRUE(stored_as_sole(ks, 20000 + SOLO_MS));
 	dh_keyspace_free(ks);
@@ -711,7 +713,7 @@
 	dh_keyspace_set_servers(ks, list, 2);
 	dh_keyspace_plan(ks, 300);
 	store(ks, 300);
-	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 1500, 300));
+	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 300));
 	for (t = 310; t < 2000; t += 100)
 		for (i = 0; i < 50 && dh_keyspace_next_order(ks, t, &o); i++) {
 			CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
@@ -727,6 +729,8 @@
 	CU_ASSERT_NOT_EQUAL(serial, 0);
 	CU_ASSERT_TRUE(next > 1000);
 	dh_keyspace_record_stored(ks, serial);
+	/* No other leader is left that may have granted the keys on the move. */
+	dh_keyspace_former_leaders_stopped(ks, t);
 	for (; t < 8000; t += 100) {
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
@@ -763,7 +767,7 @@
 	struct dh_key_order o;
 	int64_t t;
 
-	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 1500, 300));
+	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 300));
 	list[0].leaving = true;
 	for (t = 310; t < 300 + SOLO_MS; t += 20) {
 		dh_keyspace_set_servers(ks, list, 2);
@@ -787,23 +791,23 @@
 	struct dh_keyspace *ks = dh_keyspace_new(&params);
 
 	dh_keyspace_take_over(ks, NULL, 0, 1, 0, 0);
-	CU_ASSERT_FALSE(dh_keyspace_record_lost(ks, 1000, 1500, 300));
+	CU_ASSERT_FALSE(dh_keyspace_record_lost(ks, 1000, 300));
 	dh_keyspace_free(ks);
 }
 
-/* Another leader whose record the store has lost may have granted a range that
- * has no owner here.  Until its lease has expired, the range is granted to no
- * backend server and the record says that it may be stale. */
+/* stopped_ms: when the former leaders are reported to have stopped. */
 static void
-test_range_without_owner_when_the_record_was_lost(void)
+check_range_without_owner(int64_t stopped_ms)
 {
 	struct dh_keyspace_server list[1] = { server("a", 1) };
 	struct dh_keyspace *ks = new_settled(NULL, 0);
 	struct dh_key_order o;
-	int64_t t, expiry_ms = 1000 + HOLD_MS * 102 / 100 + 60 + 1500;
+	int64_t t, expiry_ms = stopped_ms + LEASE_END_MS;
 
-	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 1500, 1000));
+	CU_ASSERT_TRUE(dh_keyspace_record_lost(ks, 1000, 1000));
 	for (t = 1000; t < expiry_ms; t += 20) {
+		if (t == stopped_ms)
+			dh_keyspace_former_leaders_stopped(ks, t);
 		dh_keyspace_set_servers(ks, list, 1);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
@@ -818,10 +822,21 @@
 	dh_keyspace_free(ks);
 }
 
-/* The record may not be the last one of its leader.  Unknown backend servers
- * may hold keys until that leader has stopped and its leases have expired. */
+/* Another leader whose record the store has lost may have granted a range that
+ * has no owner here.  Until it has stopped and its lease has expired, the range
+ * is granted to no backend server and the record says that it may be stale.
+ * Guards against a leader that is cut off and renews for longer than the wait.
+ */
 static void
-test_record_may_be_stale(void)
+test_range_without_owner_when_the_record_was_lost(void)
+{
+	check_range_without_owner(1000 + SOLO_MS);
+	check_range_without_owner(1400);
+}
+
+/* stopped_ms: when the former leaders are reported to have stopped. */
+static void
+check_record_may_be_stale(int64_t stopped_ms)
 {
 	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
 	struct dh_key_range record = { .to = DH_KEYS - 1,
@@ -831,11 +846,13 @@
 		.settled = true };
 	struct dh_keyspace *ks = dh_keyspace_new(&params);
 	struct dh_key_order o;
-	int64_t t, expiry_ms = 1000 + HOLD_MS * 102 / 100 + 60 + 1500;
+	int64_t t, expiry_ms = stopped_ms + LEASE_END_MS;
 
 	dh_keyspace_take_over(ks, &record, 1, 5000, 0, 1000);
-	dh_keyspace_mark_record_stale(ks, 1500);
+	dh_keyspace_mark_record_stale(ks);
 	for (t = 1000; t < expiry_ms; t += 20) {
+		if (t == stopped_ms)
+			dh_keyspace_former_leaders_stopped(ks, t);
 		dh_keyspace_set_servers(ks, list, 2);
 		dh_keyspace_plan(ks, t);
 		store(ks, t);
@@ -847,6 +864,15 @@
 	dh_keyspace_free(ks);
 }
 
+/* The record may not be the last one of its leader.  Unknown backend servers
+ * may hold keys until that leader has stopped and its leases have expired. */
+static void
+test_record_may_be_stale(void)
+{
+	check_record_may_be_stale(1000 + SOLO_MS);
+	check_record_may_be_stale(1400);
+}
+
 static void
 test_refused_grant_shows_another_leader(void)
 {
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -22,15 +22,13 @@
 #define LEADERS 3
 #define CHECKED_KEYS 64 /* number of keys that are checked */
 #define STEP_MS 10
-#define LENGTH_MS 40000
+#define LENGTH_MS 60000
 #define CALM_MS (LENGTH_MS * 3 / 4) /* no faults from this time on */
 #define EVENTS_MAX 4096
 #define HOLD_MS 2000
-#define SOLO_MS 4000
+#define SOLO_MS 9000
 #define CONFIRM_MS 2000
 #define WATCH_MS 700 /* interval at which a leader notices a restore */
-/* The longest time that a leader sends orders without knowing of a restore. */
-#define UNAWARE_MS 2500
 /* After noticing a restore, a leader takes a new term after RECLAIM_MS at the
  * earliest, and sends no orders after RECLAIM_MAX_MS without one. */
 #define RECLAIM_MS 900
@@ -92,6 +90,10 @@
 	 * term of the current era. */
 	int64_t restore_noticed_ms;
 	int former; /* the only other possible leader; -1 if not known */
+	/* Of other instances, if the record may be stale: bit i is set once
+	 * instance i follows.  Any of them may be a former leader. */
+	bool stale;
+	uint32_t followers;
 	bool unreachable[SERVERS];
 };
 
@@ -108,6 +110,8 @@
 /* Totals over all schedules: restores of a store, and calls of
  * dh_keyspace_former_leaders_stopped(). */
 static uint32_t restores, former_stopped_calls;
+/* Those of the latter calls that ended the wait after a stale record. */
+static uint32_t all_followed;
 
 struct world {
 	struct dh_rng rng;
@@ -276,21 +280,28 @@
 						 : dh_era_floor(w->era) + 1,
 	    0, w->now_ms);
 	l->former = w->store.sole ? w->store.writer : -1;
+	l->stale = false;
 	if (w->store.n > 0 &&
 	    (dh_era_of(w->store.term) < w->era || w->store.record_stale)) {
-		dh_keyspace_mark_record_stale(l->ks, UNAWARE_MS);
+		dh_keyspace_mark_record_stale(l->ks);
 		l->former = -1;
+		l->stale = true;
+		l->followers = 0;
 	}
 }
 
 static void
 handle_report(struct world *w, struct leader *l, int from)
 {
-	if (l->former != from)
+	l->followers |= 1u << from;
+	if (l->former != from &&
+	    !(l->stale && l->followers == (1u << LEADERS) - 1))
 		return;
 	dh_keyspace_former_leaders_stopped(l->ks, w->now_ms);
 	l->former = -1;
 	former_stopped_calls++;
+	all_followed += l->stale;
+	l->stale = false;
 }
 
 static void
@@ -364,8 +375,9 @@
 	l->restore_noticed_ms = w->now_ms;
 	l->writing = false;
 	l->former = -1;
-	if (!dh_keyspace_record_lost(
-		l->ks, dh_era_floor(w->era), UNAWARE_MS, w->now_ms))
+	l->stale = true;
+	l->followers = 0;
+	if (!dh_keyspace_record_lost(l->ks, dh_era_floor(w->era), w->now_ms))
 		end_leadership(l);
 }
 
@@ -386,6 +398,7 @@
 	l->revision = w->store.revision;
 	l->confirmed_ms = w->now_ms;
 	l->restore_noticed_ms = 0;
+	l->followers = 0;
 }
 
 static void
@@ -556,26 +569,14 @@
 		memcpy(to->ranges, from->ranges, from->n * sizeof(*to->ranges));
 }
 
-static bool
-knows_era(const struct world *w, int leader)
-{
-	return w->leaders[leader].era == w->era;
-}
-
-/* Restores the store from a copy.  Not covered by the protocol is a leader that
- * reaches backend servers but neither the store nor other VMs: it may continue
- * with a record that the copy lacks.  Therefore the store is restored only
- * while all leaders reach it, and a leader is cut off only after it has noticed
- * the restore. */
+/* Restores the store from a copy, also while a leader is cut off: one that
+ * reaches backend servers but neither the store nor other VMs continues with a
+ * record that the copy lacks. */
 static void
 restore_store(struct world *w)
 {
-	int l, copy;
+	int copy = (int)dh_rng_below(&w->rng, COPIES);
 
-	for (l = 0; l < LEADERS; l++)
-		if (w->leaders[l].cut_off)
-			return;
-	copy = (int)dh_rng_below(&w->rng, COPIES);
 	if (w->copies[copy].ranges == NULL)
 		return;
 	copy_store(&w->store, &w->copies[copy]);
@@ -608,7 +609,7 @@
 		w->servers[s].leaving = !w->servers[s].leaving;
 	if (chance(w, 6))
 		w->leaders[l].unreachable[s] ^= true;
-	if (chance(w, 4) && (w->leaders[l].ks == NULL || knows_era(w, l)))
+	if (chance(w, 4))
 		w->leaders[l].cut_off = !w->leaders[l].cut_off;
 	if (w->leaders[l].cut_off)
 		return;
@@ -727,6 +728,7 @@
 	}
 	CU_ASSERT_TRUE(restores >= count / 2);
 	CU_ASSERT_TRUE(former_stopped_calls >= count);
+	CU_ASSERT_TRUE(all_followed >= count / 2);
 }
 
 int
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -728,6 +728,55 @@
 	stop(&fx);
 }
 
+/* The other VM led in the era before.  Guards against a successor that grants
+ * keys by a copy while a leader that is cut off may renew others: until that
+ * one reports, the record stays distrusted and says so. */
+static void
+test_successor_awaits_a_leader_that_is_cut_off(void)
+{
+	struct fixture fx;
+	char record[512];
+	int i;
+
+	fake_era = 2;
+	start(&fx, NULL, 0);
+	fx.settings.hold_ms = 200;
+	send_beat(&fx, (UINT64_C(1) << 32) + 7);
+	wait_for_read(&fx);
+	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	CU_ASSERT_TRUE(dh_owners_is_leader(fx.owners));
+	run_for(&fx, 60);
+	(void)snprintf(record, sizeof(record),
+	    "{\"term\":%llu,\"version\":2,\"next\":9,\"servers\":[[\"a\",7]],"
+	    "\"ranges\":[[65535,0,3,-1,0,1]]}",
+	    (1ull << 32) + 6);
+	answer_with("service.s", DH_OBJECTS_OK, 50, record);
+	/* Longer than a leader that knows of the new era sends orders. */
+	for (i = 0; i < 350; i++) {
+		run_for(&fx, 10);
+		if (fake_open("service.s") == NULL)
+			continue;
+		CU_ASSERT_PTR_NOT_NULL(
+		    strstr(fake_open("service.s")->put, "\"distrusted\":1"));
+		answer_with(
+		    "service.s", DH_OBJECTS_OK, (uint64_t)(51 + i), "{}");
+	}
+	send_report(&fx, (UINT64_C(2) << 32) + 1);
+	for (i = 0; i < 100; i++) {
+		run_for(&fx, 10);
+		if (fake_open("service.s") == NULL)
+			continue;
+		if (strstr(fake_open("service.s")->put, "\"distrusted\":0"))
+			break;
+		answer_with(
+		    "service.s", DH_OBJECTS_OK, (uint64_t)(500 + i), "{}");
+	}
+	CU_ASSERT_TRUE(i < 100);
+	fake_era = 0;
+	stop(&fx);
+}
+
 /* Another VM became the leader first in the new era: this one follows it. */
 static void
 test_leader_replaced_after_store_restore(void)
@@ -771,6 +820,8 @@
 		{ "store restored, answer lost",
 		    test_lost_answer_after_store_restore },
 		{ "answer of an earlier era", test_answer_of_earlier_era },
+		{ "store restored, former leader cut off",
+		    test_successor_awaits_a_leader_that_is_cut_off },
 		{ "store restored, leader replaced",
 		    test_leader_replaced_after_store_restore },
 		CU_TEST_INFO_NULL,
