Registry: entries of undeclared services are no proof of death

Cause: any entry that could be decoded marked the earlier ones at its address as ended, before its service was looked up. The leader takes that for proof and grants the keys without waiting for the lease.

Change: an entry supersedes others only if the configuration names its service; entries of services that a later configuration names first are looked at when it comes into force.

--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -86,14 +86,23 @@
 	reg->changed(reg->arg);
 }
 
+static bool
+is_declared(const struct dh_deployment *d, const char *service)
+{
+	return d != NULL && dh_deployment_service(d, service) != DH_NONE;
+}
+
 /* Marks the other backend servers at the address of k as replaced, unless they
- * started later. */
+ * started later.  An entry of a service that the configuration does not name
+ * proves nothing, as it may be anybody's. */
 static void
 mark_previous_at_address(struct dh_registry *reg, const struct server_state *k)
 {
 	GHashTableIter it;
 	gpointer value;
 
+	if (!is_declared(dh_registry_deployment(reg), k->r.service))
+		return;
 	g_hash_table_iter_init(&it, reg->servers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct server_state *o = value;
@@ -189,9 +198,11 @@
 	    is_new ? "server.joined" : "server.changed",
 	    ",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
 	    "\"zone\":\"%s\",\"slots\":%u,\"draining\":%s,\"born\":%lld,"
-	    "\"revision\":%llu,\"list_age_ms\":%lld",
+	    "\"declared\":%s,\"revision\":%llu,\"list_age_ms\":%lld",
 	    r->id, r->service, r->address, r->port, r->zone, r->slots,
 	    r->draining ? "true" : "false", (long long)r->start_ms,
+	    is_declared(dh_registry_deployment(reg), r->service) ? "true"
+								 : "false",
 	    (unsigned long long)revision, list_age_ms(reg, now_ms));
 }
 
@@ -332,10 +343,29 @@
 	uv_timer_start(reg->missing_timer, on_missing_timer, 0, 0);
 }
 
+/* Takes account of the entries of services that the configuration before did
+ * not name; it may be NULL. */
+static void
+accept_declared_servers(
+    struct dh_registry *reg, const struct dh_deployment *before)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct server_state *k = value;
+
+		if (!is_declared(before, k->r.service))
+			mark_previous_at_address(reg, k);
+	}
+}
+
 static void
 on_config_changed(void *arg, const struct dh_object_view *o)
 {
 	struct dh_registry *reg = arg;
+	struct dh_deployment **before = reg->deployment;
 	g_autoptr(GError) error = NULL;
 	struct dh_deployment *d;
 
@@ -360,8 +390,9 @@
 	    reg->deployment == NULL ? -1LL
 				    : (long long)(*reg->deployment)->version,
 	    (unsigned long long)o->revision, d->nroutes, d->nservices);
-	dh_deployment_unbox(reg->deployment);
 	reg->deployment = dh_deployment_box(d);
+	accept_declared_servers(reg, before == NULL ? NULL : *before);
+	dh_deployment_unbox(before);
 	invalidate_base_view(reg);
 }
 
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -326,6 +326,82 @@
 	return closed;
 }
 
+/* Answers the open watch of backend servers with an entry of another service at
+ * the address of i-1, which started later. */
+static void
+answer_foreign_entry(uint64_t revision)
+{
+	struct json_object *spec = json_tokener_parse(
+	    "{\"service\":\"agent\",\"address\":\"127.0.0.1:80\","
+	    "\"zone\":\"z\",\"slots\":2,\"state\":\"ready\",\"version\":\"1\","
+	    "\"cold_left_s\":0,\"sequence\":1,\"born\":900}");
+	struct dh_object_view v = {
+		.name = "agent-0", .revision = revision, .spec = spec
+	};
+
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, revision, &v, 1);
+	json_object_put(spec);
+}
+
+/* A later configuration, which declares the services "s" and name. */
+static void
+answer_config_with(const char *name, int version)
+{
+	struct json_object *spec = json_tokener_parse(keyed_config), *list, *c;
+	struct dh_object_view v = { .name = dh_wire_config_name,
+		.revision = (uint64_t)version,
+		.spec = spec };
+
+	json_object_object_add(spec, "version", json_object_new_int(version));
+	(void)json_object_object_get_ex(spec, "clusters", &list);
+	c = json_object_new_object();
+	json_object_object_add(c, "name", json_object_new_string(name));
+	json_object_object_add(
+	    c, "health_path", json_object_new_string("/health"));
+	json_object_object_add(c, "max_conns", json_object_new_int(200));
+	json_object_array_add(list, c);
+	fake_answer(
+	    dh_wire_kind_config, DH_OBJECTS_OK, (uint64_t)version, &v, 1);
+	json_object_put(spec);
+}
+
+static bool
+is_dead(const struct dh_registry *reg)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
+
+	dh_registry_servers(reg, "s", list);
+	CU_ASSERT_EQUAL_FATAL(list->len, 1);
+	return g_array_index(list, struct dh_keyspace_server, 0).dead;
+}
+
+/* Guards against an entry of a service that no configuration names, which takes
+ * the keys of the living backend server at its address away.  Once the service
+ * is declared, the entry says that its address has changed hands. */
+static void
+test_entry_of_an_undeclared_service(void)
+{
+	struct fixture fx;
+
+	start_keyed(&fx);
+	dh_registry_set_leader_cursors(fx.reg, NULL);
+	answer_foreign_entry(12);
+	CU_ASSERT_EQUAL(dh_registry_start_ms(fx.reg, "agent-0"), 900);
+	CU_ASSERT_FALSE(is_dead(fx.reg));
+	CU_ASSERT_FALSE(is_closed(fx.reg));
+	answer_config_with("unrelated", 13);
+	CU_ASSERT_EQUAL(dh_registry_deployment(fx.reg)->version, 13);
+	CU_ASSERT_FALSE(is_dead(fx.reg));
+	g_usleep(400000);
+	follow_for(&fx, 20);
+	dh_registry_set_leader_cursors(fx.reg, NULL);
+	answer_config_with("agent", 14);
+	CU_ASSERT_EQUAL(dh_registry_deployment(fx.reg)->version, 14);
+	CU_ASSERT_TRUE(is_dead(fx.reg));
+	end(&fx);
+}
+
 /* Runs until ms after since_ms, without a heartbeat. */
 static void
 run_until(struct fixture *fx, int64_t since_ms, int64_t ms)
@@ -462,6 +538,8 @@
 		{ "leaving reported late",
 		    test_drain_period_of_a_reported_leaving },
 		{ "leader with an old copy", test_leader_whose_copy_is_old },
+		{ "entry of an undeclared service",
+		    test_entry_of_an_undeclared_service },
 		{ "as the leader", test_leader_watches_and_publishes },
 		CU_TEST_INFO_NULL,
 	};
