--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -109,8 +109,8 @@
 	g_string_append_printf(fx->body,
 	    "%s{\"metadata\":{\"name\":\"%s\",\"revision\":7,\"created\":1},"
 	    "\"spec\":{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
-	    "\"slots\":%s,\"state\":\"ready\",\"cold_left_s\":0,"
-	    "\"sequence\":1,\"born\":100}}",
+	    "\"version\":\"1\",\"slots\":%s,\"state\":\"ready\","
+	    "\"cold_left_s\":0,\"sequence\":1,\"born\":100}}",
 	    g_str_has_suffix(fx->body->str, "[") ? "" : ",", name, address,
 	    slots);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -64,6 +64,27 @@
 		CU_ASSERT_FALSE(decode_entry(bad[i], &r));
 }
 
+/* Guards against an entry of another writer that lacks the version, or has one
+ * of another type, and supersedes a backend server. */
+static void
+test_entry_without_version(void)
+{
+	static const char *const versions[] = { "", "\"version\":1,",
+		"\"version\":null,", "\"version\":{}," };
+	struct dh_registration r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(versions); i++) {
+		g_autofree char *entry = g_strdup_printf(
+		    "{%s\"service\":\"s\",\"address\":\"10.1.2.3:8080\","
+		    "\"zone\":\"z\",\"slots\":6,\"state\":\"ready\","
+		    "\"sequence\":4,\"cold_left_s\":0,\"born\":1}",
+		    versions[i]);
+
+		CU_ASSERT_FALSE(decode_entry(entry, &r));
+	}
+}
+
 static const char config[] =
     "{\"version\":7,\"limits\":{\"header_bytes\":16384,\"body_bytes\":67108864,"
     "\"header_timeout_s\":3,\"idle_timeout_s\":15},\"listeners\":[{\"host\":"
@@ -228,6 +249,7 @@
 	CU_TestInfo tests[] = {
 		{ "entry", test_entry },
 		{ "invalid entries", test_invalid_entries },
+		{ "entry without version", test_entry_without_version },
 		{ "configuration", test_configuration },
 		{ "invalid configurations", test_invalid_configurations },
 		{ "headers", test_headers },
