--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -759,8 +759,7 @@
 			continue;
 		CU_ASSERT_PTR_NOT_NULL(
 		    strstr(fake_open("service.s")->put, "\"distrusted\":1"));
-		answer_with(
-		    "service.s", DH_OBJECTS_OK, (uint64_t)(51 + i), "{}");
+		answer_with("service.s", DH_OBJECTS_OK, 51 + (uint64_t)i, "{}");
 	}
 	send_report(&fx, (UINT64_C(2) << 32) + 1);
 	for (i = 0; i < 100; i++) {
@@ -770,7 +769,7 @@
 		if (strstr(fake_open("service.s")->put, "\"distrusted\":0"))
 			break;
 		answer_with(
-		    "service.s", DH_OBJECTS_OK, (uint64_t)(500 + i), "{}");
+		    "service.s", DH_OBJECTS_OK, 500 + (uint64_t)i, "{}");
 	}
 	CU_ASSERT_TRUE(i < 100);
 	fake_era = 0;
