Quarantine: count crashes of a request by backend server

Cause: a crash made the number that was known when the attempt was sent one more, so that crashes side by side in several VMs counted once, and the count rose by a generation.

Change: a suspect has the set of the incarnations that crashed, three at most; merging unites the sets within an epoch. An answer clears a request that was merely in progress on servers that end together, as before. The servers go in a field of their own at the end of heartbeats and reports, since earlier VMs reject longer entries; from those, the number counts.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -23,11 +23,43 @@
 			     : q->suspects[i];
 }
 
+static bool
+has_server(const struct dh_suspect *s, uint32_t server)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->nservers; i++)
+		if (s->servers[i] == server)
+			return true;
+	return false;
+}
+
+/* Adds the backend servers of b to those of a, and counts them. */
+static void
+merge_servers(struct dh_suspect *a, const struct dh_suspect *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->nservers && a->nservers < DH_CRASHES_MAX; i++)
+		if (!has_server(a, b->servers[i]))
+			a->servers[a->nservers++] = b->servers[i];
+	if (a->crashes < b->crashes)
+		a->crashes = b->crashes;
+	if (a->crashes < a->nservers)
+		a->crashes = a->nservers;
+}
+
 bool
 dh_suspect_is_newer(const struct dh_suspect *a, const struct dh_suspect *b)
 {
-	return a->epoch > b->epoch ||
-	    (a->epoch == b->epoch && a->crashes > b->crashes);
+	struct dh_suspect merged = *b;
+
+	if (a->epoch != b->epoch)
+		return a->epoch > b->epoch;
+	if (dh_suspect_is_refused(b))
+		return false;
+	merge_servers(&merged, a);
+	return merged.crashes != b->crashes || merged.nservers != b->nservers;
 }
 
 bool
@@ -77,6 +109,8 @@
 
 	if (!dh_suspect_is_newer(s, &known))
 		return false;
+	if (entry.epoch == known.epoch)
+		merge_servers(&entry, &known);
 	entry.changed_ms = now_ms;
 	i = find(q, s->request);
 	if (i == SIZE_MAX)
@@ -88,12 +122,17 @@
 }
 
 bool
-dh_quarantine_add_crash(
-    struct dh_quarantine *q, const struct dh_suspect *sent, int64_t now_ms)
+dh_quarantine_add_crash(struct dh_quarantine *q, const struct dh_suspect *sent,
+    uint32_t server, int64_t now_ms)
 {
-	struct dh_suspect s = *sent;
+	struct dh_suspect s = dh_quarantine_find(q, sent->request);
 
-	s.crashes++;
+	if (s.epoch != sent->epoch || s.nservers == DH_CRASHES_MAX ||
+	    has_server(&s, server))
+		return false;
+	s.servers[s.nservers++] = server;
+	if (s.crashes < DH_CRASHES_MAX)
+		s.crashes++;
 	return dh_quarantine_merge(q, &s, now_ms);
 }
 
@@ -106,7 +145,7 @@
 	if (i == SIZE_MAX || q->suspects[i].crashes == 0)
 		return false;
 	q->suspects[i].epoch++;
-	q->suspects[i].crashes = 0;
+	q->suspects[i].crashes = q->suspects[i].nservers = 0;
 	q->suspects[i].changed_ms = now_ms;
 	return true;
 }
@@ -124,6 +163,7 @@
 		    dh_suspect_refused_ms(s, now_ms) == 0) {
 			s->epoch++;
 			s->crashes = DH_CRASHES_MAX - 1;
+			s->nservers = 0;
 			s->changed_ms = now_ms;
 			changed = true;
 		} else if (!dh_suspect_is_refused(s) &&
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -185,6 +185,30 @@
 	return true;
 }
 
+/* Reads the crashed backend servers of suspects, which are absent in datagrams
+ * of an earlier release: its suspects have the number of crashes only. */
+static bool
+read_crashed_servers(const msgpack_object_array *list, GArray *suspects)
+{
+	const msgpack_object_array *o;
+	struct dh_suspect *s;
+	uint64_t server;
+	uint32_t i, j;
+
+	for (i = 0; list != NULL && i < list->size && i < suspects->len; i++) {
+		s = &g_array_index(suspects, struct dh_suspect, i);
+		o = array_at(list, i, DH_CRASHES_MAX);
+		if (o == NULL || o->size > s->crashes)
+			return false;
+		for (j = 0; j < o->size; j++) {
+			if (!number_at(o, j, &server) || server > UINT32_MAX)
+				return false;
+			s->servers[s->nservers++] = (uint32_t)server;
+		}
+	}
+	return true;
+}
+
 static bool
 decode_heartbeat(const struct dh_peer_handler *h, const msgpack_object_array *a,
     const char *ip)
@@ -203,7 +227,9 @@
 	if (!read_cursors(array_at(a, 5, DH_REGISTRY_KINDS), b.cursors) ||
 	    !number_at(a, 6, &b.era) ||
 	    !read_shared_limits(array_at(a, 8, DH_SHARED_LIMITS), limits) ||
-	    !read_suspects(array_at(a, 9, DH_SHARED_SUSPECTS), suspects))
+	    !read_suspects(array_at(a, 9, DH_SHARED_SUSPECTS), suspects) ||
+	    !read_crashed_servers(
+		array_at(a, 11, DH_SHARED_SUSPECTS), suspects))
 		return false;
 	read_ages(array_at(a, 7, DH_REGISTRY_KINDS), b.cursors);
 	b.failing = failing != 0;
@@ -410,7 +436,8 @@
 	    !read_keys(l2, &r) || !read_servers(l3, &r) ||
 	    !read_leaving(l4, &r) || !number_at(a, 6, &r.term) ||
 	    !read_limits(array_at(a, 7, REPORT_LIMITS_MAX), &r) ||
-	    !read_suspects(array_at(a, 8, DH_SHARED_SUSPECTS), suspects))
+	    !read_suspects(array_at(a, 8, DH_SHARED_SUSPECTS), suspects) ||
+	    !read_crashed_servers(array_at(a, 9, DH_SHARED_SUSPECTS), suspects))
 		return false;
 	h->report(h->arg, &r, ip);
 	return true;
@@ -650,6 +677,25 @@
 	}
 }
 
+/* Of a refused request nobody counts any more. */
+static void
+pack_crashed_servers(msgpack_packer *pk, const GArray *suspects)
+{
+	guint i, n = suspects == NULL ? 0 : suspects->len;
+	uint32_t j, nservers;
+
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++) {
+		const struct dh_suspect *s =
+		    &g_array_index(suspects, struct dh_suspect, i);
+
+		nservers = dh_suspect_is_refused(s) ? 0 : s->nservers;
+		msgpack_pack_array(pk, nservers);
+		for (j = 0; j < nservers; j++)
+			msgpack_pack_uint32(pk, s->servers[j]);
+	}
+}
+
 void
 dh_peer_send_heartbeat(struct dh_peer *p, const char *ip,
     const struct dh_leader_heartbeat *heartbeat)
@@ -660,7 +706,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 11);
+	msgpack_pack_array(&pk, 12);
 	msgpack_pack_uint32(&pk, DATAGRAM_BEAT);
 	pack_text(&pk, heartbeat->vm);
 	msgpack_pack_uint64(&pk, heartbeat->term);
@@ -679,6 +725,7 @@
 	pack_shared_limits(&pk, heartbeat->limits);
 	pack_suspects(&pk, heartbeat->suspects);
 	msgpack_pack_uint32(&pk, heartbeat->lost);
+	pack_crashed_servers(&pk, heartbeat->suspects);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
@@ -762,7 +809,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 9);
+	msgpack_pack_array(&pk, 10);
 	msgpack_pack_uint32(&pk, DATAGRAM_REPORT);
 	pack_text(&pk, r->vm);
 	msgpack_pack_array(&pk, r->nowners);
@@ -801,6 +848,7 @@
 	msgpack_pack_uint64(&pk, r->term);
 	pack_limits(&pk, r->limits);
 	pack_suspects(&pk, r->suspects);
+	pack_crashed_servers(&pk, r->suspects);
 	send_buffer(p, ip, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -248,8 +248,8 @@
 {
 	struct dh_worker *w = rq->worker;
 
-	if (dh_quarantine_add_crash(
-		&w->quarantine, &rq->suspect, dh_worker_now_ms(w)))
+	if (dh_quarantine_add_crash(&w->quarantine, &rq->suspect,
+		rq->pool->incarnation, dh_worker_now_ms(w)))
 		w->quarantine_changed = true;
 }
 
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <ck_pr.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -135,6 +136,7 @@
 	pool->start_ms = s->start_ms;
 	pool->keyed = (*w->view->deployment)->services[s->service].keyed;
 	(void)g_strlcpy(pool->id, s->id, sizeof(pool->id));
+	pool->incarnation = XXH32(s->id, strlen(s->id), (uint32_t)s->start_ms);
 	g_hash_table_insert(w->pools, GUINT_TO_POINTER(s->uid), pool);
 	return pool;
 }
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -40,6 +40,7 @@
 	uint64_t answers; /* number of answers received */
 	bool keyed; /* the service is keyed */
 	int64_t start_ms; /* start time of the backend server */
+	uint32_t incarnation; /* hash of id and start_ms */
 	/* Time of the first answer with the leaving header, or 0. */
 	int64_t leaving_since_ms;
 	int64_t leaving_reported_ms; /* last report of leaving, or 0 */
--- a/include/dogwoodhub/quarantine.h
+++ b/include/dogwoodhub/quarantine.h
@@ -10,15 +10,14 @@
  * them.
  *
  * A request is told by a digest, so that repetitions with another id count as
- * the same one.  Each attempt carries the number of crashes that were known
- * when it was sent; if the backend server ends while it runs the request, that
- * number rises by one.  Attempts that were in progress at the same time count
- * once: many requests are in progress on backend servers that end together for
- * another reason.  Any answer to the request starts a new epoch without
- * crashes.
+ * the same one.  Each backend server that ends while it runs the request counts
+ * once, whichever routers had sent it there.  Any answer to the request starts
+ * a new epoch without crashes: a request that was merely in progress on backend
+ * servers that ended is answered by others.
  *
  * Entries of several routers are merged in any order and any number of times:
- * the later epoch wins, and within an epoch the higher number of crashes.
+ * the later epoch wins, and within an epoch the crashed backend servers of both
+ * count, or the higher number of crashes.
  *
  * The functions have no side effects beyond their arguments and read no clock.
  */
@@ -32,7 +31,11 @@
 struct dh_suspect {
 	uint64_t request; /* its digest */
 	uint32_t epoch;
-	uint32_t crashes;
+	uint32_t crashes; /* at least nservers */
+	/* Hashes of the incarnations of backend servers that crashed.  Some may
+	 * be missing: routers of an earlier release tell the number only. */
+	uint32_t servers[DH_CRASHES_MAX];
+	uint32_t nservers;
 	int64_t changed_ms; /* by this router's clock */
 };
 
@@ -52,10 +55,11 @@
     struct dh_quarantine *q, const struct dh_suspect *s, int64_t now_ms);
 
 /* dh_quarantine_add_crash -- a backend server ended while it ran the request.
- * sent is what was known of the request when it was sent.  Returns as
- * dh_quarantine_merge(). */
-bool dh_quarantine_add_crash(
-    struct dh_quarantine *q, const struct dh_suspect *sent, int64_t now_ms);
+ * sent is what was known of the request when it was sent, and server the hash
+ * of the incarnation that ended.  False if it was known, if the request has
+ * been answered since it was sent, or if there is no place for it. */
+bool dh_quarantine_add_crash(struct dh_quarantine *q,
+    const struct dh_suspect *sent, uint32_t server, int64_t now_ms);
 
 /* dh_quarantine_add_answer -- a backend server has run the request and
  * answered.  False if the request was not suspected. */
