Requests: the evidence for a crash is the end of the backend server

Cause: a crash was told from other ends by how long the connection had lasted, which says nothing of either.

Change: an attempt that lost its connection starts a check (crash.c): the server has ended if no earlier connection of this VM to it is left 10 ms later and a new one is refused, while another server accepts one. A request that is suspected is retried only after such a check.

"resets within a round trip are no crashes" became "ends of connections": its resets at once remain and those after 80 ms are added.

--- a/gateway/probe.c
+++ b/gateway/probe.c
@@ -1,5 +1,6 @@
 /*
- * Probes: connections that only show whether a backend server accepts them.
+ * Connections that only show whether a backend server accepts them: probes of
+ * the services that may not be reached, and those of crash checks.
  */
 #include <string.h>
 
@@ -15,7 +16,10 @@
 
 struct probe {
 	struct dh_worker *worker;
-	struct dh_service_state *service;
+	/* Called with the result; UV_ECANCELED if the worker ends before. */
+	void (*done)(void *arg, int status);
+	void *arg;
+	struct dh_service_state *service; /* NULL: of a crash check */
 	uv_tcp_t tcp;
 	uv_timer_t timer;
 	uv_connect_t connect;
@@ -81,7 +85,7 @@
 }
 
 static void
-probe_end(struct probe *p)
+probe_end(struct probe *p, int status)
 {
 	if (p->ended)
 		return;
@@ -90,40 +94,40 @@
 	p->closing = 2;
 	uv_close((uv_handle_t *)&p->timer, on_closed);
 	uv_close((uv_handle_t *)&p->tcp, on_closed);
+	p->done(p->arg, status);
 }
 
 static void
 on_connected(uv_connect_t *connect, int status)
 {
-	struct probe *p = connect->data;
-
-	if (p->ended)
-		return;
-	if (status == 0)
-		dh_worker_accepted(p->worker, p->service);
-	else
-		dh_worker_connect_failed(
-		    p->worker, p->service, p->uid, p->started_ms);
-	probe_end(p);
+	probe_end(connect->data, status);
 }
 
 static void
 on_timeout(uv_timer_t *timer)
 {
-	struct probe *p = timer->data;
-
-	dh_worker_connect_failed(p->worker, p->service, p->uid, p->started_ms);
-	probe_end(p);
+	probe_end(timer->data, UV_ETIMEDOUT);
 }
 
+/* The result of a probe of a service. */
 static void
-probe_start(struct dh_worker *w, struct dh_service_state *service,
-    const struct dh_view_server *s)
+on_probe_done(void *arg, int status)
+{
+	struct probe *p = arg;
+
+	if (status == 0)
+		dh_worker_accepted(p->worker, p->service);
+	else if (status != UV_ECANCELED)
+		dh_worker_connect_failed(
+		    p->worker, p->service, p->uid, p->started_ms);
+}
+
+static struct probe *
+probe_start(struct dh_worker *w, const struct dh_view_server *s)
 {
 	struct probe *p = g_new0(struct probe, 1);
 
 	p->worker = w;
-	p->service = service;
 	p->uid = s->uid;
 	p->started_ms = dh_worker_now_ms(w);
 	p->link.data = p;
@@ -132,15 +136,26 @@
 	uv_timer_init(&w->loop, &p->timer);
 	p->tcp.data = p->timer.data = p->connect.data = p;
 	dh_counter_add(w->c.connects, 1);
-	if (uv_tcp_connect(&p->connect, &p->tcp,
-		(const struct sockaddr *)&s->address, on_connected) != 0) {
-		probe_end(p);
-		return;
-	}
 	uv_timer_start(&p->timer, on_timeout,
 	    (uint64_t)w->settings->connect_ms +
 		(uint64_t)w->choice.round_trip_ms[s->tier],
 	    0);
+	/* Without a socket the timer ends the probe. */
+	if (uv_tcp_connect(&p->connect, &p->tcp,
+		(const struct sockaddr *)&s->address, on_connected) != 0)
+		dh_opslog_add(DH_OPS_STATE, "probe.no_socket",
+		    ",\"server\":\"%s\"", s->id);
+	return p;
+}
+
+void
+dh_worker_try_connect(struct dh_worker *w, const struct dh_view_server *s,
+    void (*done)(void *arg, int status), void *arg)
+{
+	struct probe *p = probe_start(w, s);
+
+	p->done = done;
+	p->arg = arg;
 }
 
 /* A random backend server that is in use and has not failed, or NULL. */
@@ -169,6 +184,7 @@
 	double work_ms =
 	    dh_work_mean_ms(&state->work, w->choice.work_ms, now_ms);
 	const struct dh_view_server *s;
+	struct probe *p;
 	size_t n;
 
 	n = dh_reach_probes(&state->reach, state->servers_pending,
@@ -176,8 +192,12 @@
 	    MAX(SILENCE_MIN_MS, (int64_t)(work_ms * SILENCE_FACTOR)), now_ms);
 	for (; n > 0; n--) {
 		s = choose_server(w, vs, &state->reach);
-		if (s != NULL)
-			probe_start(w, state, s);
+		if (s == NULL)
+			continue;
+		p = probe_start(w, s);
+		p->service = state;
+		p->done = on_probe_done;
+		p->arg = p;
 	}
 	state->servers_pending = 0;
 	state->oldest_ms = 0;
@@ -212,5 +232,5 @@
 dh_worker_end_probes(struct dh_worker *w)
 {
 	while (w->probes.head != NULL)
-		probe_end(w->probes.head->data);
+		probe_end(w->probes.head->data, UV_ECANCELED);
 }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -243,14 +243,25 @@
 	    (unsigned long long)rq->digest, caller);
 }
 
-void
-dh_request_add_crash(struct dh_request *rq)
+static void
+on_retry_time(uv_timer_t *timer)
 {
-	struct dh_worker *w = rq->worker;
+	dh_request_dispatch(timer->data);
+}
 
-	if (dh_quarantine_add_crash(&w->quarantine, &rq->suspect,
-		rq->pool->incarnation, dh_worker_now_ms(w)))
-		w->quarantine_changed = true;
+/* Sends a request again whose attempt was lost.  One that is suspected of
+ * crashing backend servers waits until it is known whether it has done so. */
+static void
+retry_lost(struct dh_request *rq)
+{
+	if (dh_quarantine_find(&rq->worker->quarantine, rq->digest).crashes ==
+	    0) {
+		dh_request_dispatch(rq);
+		return;
+	}
+	rq->state = DH_REQUEST_NEW;
+	uv_timer_start(
+	    &rq->wait_timer, on_retry_time, (uint64_t)dh_crash_check_ms(rq), 0);
 }
 
 /* The backend server did not execute the request: send it to another one, or
@@ -344,7 +355,7 @@
 		    NULL);
 		dh_request_log_attempt(rq, "lost", why);
 		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
-			dh_request_dispatch(rq);
+			retry_lost(rq);
 			return;
 		}
 		dh_request_finish(rq, 502, why, 0);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -36,9 +36,6 @@
 /* A new connection that is reset within this time plus the round trip time
  * exceeded the backend server's connection limit. */
 #define RESET_ON_CONNECT_MS 30
-/* A request that runs for less than this is not taken for the cause when its
- * connection ends. */
-#define RUN_MIN_MS 10
 /* Part of a backend server's connection limit that all routers together use. */
 #define CONNECTIONS_PERCENT 80
 #define CONNECTIONS_MIN 2
@@ -147,18 +144,10 @@
 		up->worker->choice.round_trip_ms[up->pool->tier];
 }
 
-/* Whether the request can have begun to run when the connection ended: one that
- * the backend server had dropped before, or does not accept, is reset within a
- * round trip. */
-static bool
-ended_while_running(const struct dh_upstream *up)
+bool
+dh_upstream_connected_before(const struct dh_upstream *up, int64_t ms)
 {
-	double since_ms =
-	    (double)(dh_worker_now_ms(up->worker) - up->rq->sent_ms);
-
-	return up->connected && !up->pool->peer &&
-	    since_ms >
-	    RUN_MIN_MS + up->worker->choice.round_trip_ms[up->pool->tier];
+	return up->connected && up->connected_ms < ms;
 }
 
 /* Close the connection and end its attempt, if any, without an answer. */
@@ -392,8 +381,7 @@
 		answer_complete(up, false);
 		return;
 	}
-	if (ended_while_running(up))
-		dh_request_add_crash(up->rq);
+	dh_request_connection_lost(up->rq);
 	upstream_fail(up, DH_ATTEMPT_LOST,
 	    up->in.began ? "answer ended early" : "connection ended");
 }
@@ -416,8 +404,10 @@
 	if (up->out != NULL)
 		g_string_free(up->out, TRUE);
 	up->out = NULL;
-	if (status < 0 && !up->closed && up->rq != NULL)
+	if (status < 0 && !up->closed && up->rq != NULL) {
+		dh_request_connection_lost(up->rq);
 		upstream_fail(up, DH_ATTEMPT_LOST, "send failed");
+	}
 }
 
 static void
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -506,6 +506,7 @@
 	dh_requests_finish_all(w);
 	dh_clients_close(w);
 	dh_worker_end_probes(w);
+	dh_worker_end_crash_checks(w);
 	g_hash_table_iter_init(&it, w->pools);
 	while (g_hash_table_iter_next(&it, NULL, &pool))
 		dh_pool_close_idle(pool);
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -138,6 +138,7 @@
 	struct dh_quarantine quarantine;
 	bool quarantine_changed; /* since the last report */
 	GQueue probes; /* of struct probe */
+	GQueue crash_checks; /* of struct crash_check */
 	struct dh_worker_counters c;
 	/* Scratch space of dh_request_dispatch(). */
 	struct dh_candidate candidates[DH_CANDIDATES_MAX];
@@ -259,10 +260,6 @@
 /* dh_request_answered -- handle the complete answer to the current attempt. */
 void dh_request_answered(struct dh_request *rq, struct dh_message *answer);
 
-/* dh_request_add_crash -- the backend server may have ended because of the
- * request; the attempt is still to be ended. */
-void dh_request_add_crash(struct dh_request *rq);
-
 /* dh_request_attempt_ended -- handle the end of an attempt without an answer;
  * why is a text for the log and the caller. */
 void dh_request_attempt_ended(
@@ -398,8 +395,30 @@
 /* dh_clients_sweep -- close connections whose timeouts have expired. */
 void dh_clients_sweep(struct dh_worker *w, int64_t now_ms);
 
+/* dh_upstream_connected_before -- whether the connection was accepted before
+ * that time. */
+bool dh_upstream_connected_before(const struct dh_upstream *up, int64_t ms);
+
+/* crash.c */
+
+/* dh_request_connection_lost -- the connection of the current attempt ended
+ * without an answer: find out whether the backend server has ended, and then
+ * count a crash against the request.  The attempt is still to be ended. */
+void dh_request_connection_lost(const struct dh_request *rq);
+
+/* dh_crash_check_ms -- how long that takes for the backend server of the last
+ * attempt. */
+int64_t dh_crash_check_ms(const struct dh_request *rq);
+void dh_worker_end_crash_checks(struct dh_worker *w);
+
 /* probe.c */
 
+/* dh_worker_try_connect -- open a connection to a backend server and close it.
+ * done is called once, with 0 or the error of libuv: UV_ETIMEDOUT after
+ * connect_ms and a round trip, UV_ECANCELED at the worker's end. */
+void dh_worker_try_connect(struct dh_worker *w, const struct dh_view_server *s,
+    void (*done)(void *arg, int status), void *arg);
+
 /* dh_worker_accepted -- a backend server of the service accepted a connection.
  */
 void dh_worker_accepted(struct dh_worker *w, struct dh_service_state *s);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -26,6 +26,7 @@
 	int fd;
 	uint16_t port;
 	int index;
+	GArray *connections; /* descriptors; guarded by lock */
 };
 
 static struct fake_server servers[SERVERS];
@@ -42,10 +43,12 @@
 static int late_copies;
 static char last_head[4096];
 
+/* Listens on the port *out, or on a free one if it is 0. */
 static int
 listen_on(uint16_t *out)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET };
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons(*out) };
 	socklen_t len = sizeof(sin);
 	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
 
@@ -209,12 +212,30 @@
 }
 
 #define CRASH_MS 80
+#define DOWN_MS 60 /* time until a fake server that crashed starts again */
 static gint crashes_left; /* of requests under /crash-some/ */
 
-/* End the connection while the request runs, or before it can have begun. */
+/* End the fake server: all its connections, and for DOWN_MS its listener. */
+static void
+end_server(struct fake_server *f)
+{
+	guint i;
+
+	g_mutex_lock(&lock);
+	(void)shutdown(f->fd, SHUT_RDWR);
+	for (i = 0; i < f->connections->len; i++)
+		(void)shutdown(
+		    g_array_index(f->connections, int, i), SHUT_RDWR);
+	g_mutex_unlock(&lock);
+}
+
+/* End the fake server while the request runs, or at once.  Under /alone/ only
+ * the connection ends, under /all/ all fake servers end. */
 static bool
-crash(int fd, const char *head, const char *good)
+crash(struct fake_server *f, int fd, const char *head, const char *good)
 {
+	size_t i;
+
 	if (strstr(head, " /crash-some/") != NULL &&
 	    g_atomic_int_add(&crashes_left, -1) <= 0) {
 		send_text(fd, good);
@@ -222,6 +243,10 @@
 	}
 	if (strstr(head, "/at-once/") == NULL)
 		(void)usleep(CRASH_MS * 1000);
+	for (i = 0; i < SERVERS; i++)
+		if (&servers[i] == f ? strstr(head, "/alone/") == NULL
+				     : strstr(head, "/all/") != NULL)
+			end_server(&servers[i]);
 	reset_connection(fd);
 	return false;
 }
@@ -304,7 +329,7 @@
 		return false;
 	}
 	if (strstr(head, " /crash") != NULL)
-		return crash(fd, head, good);
+		return crash(f, fd, head, good);
 	if (handle_special_path(fd, head, id, good, &open))
 		return open;
 	if (strstr(head, " /garbage/") != NULL) {
@@ -373,6 +398,20 @@
 
 static gint connections; /* open connections to the fake servers */
 
+static void
+forget_connection(struct fake_server *f, int fd)
+{
+	guint i;
+
+	g_mutex_lock(&lock);
+	for (i = 0; i < f->connections->len; i++)
+		if (g_array_index(f->connections, int, i) == fd) {
+			g_array_remove_index_fast(f->connections, i);
+			break;
+		}
+	g_mutex_unlock(&lock);
+}
+
 static gpointer
 serve(gpointer arg)
 {
@@ -382,8 +421,12 @@
 
 	(void)g_atomic_int_add(&connections, 1);
 	refused_on[c->fd % FDS_MAX] = false;
+	g_mutex_lock(&lock);
+	g_array_append_val(c->f->connections, c->fd);
+	g_mutex_unlock(&lock);
 	while (serve_one(c->f, c->fd, buf, 1 << 20, &idle_since_us))
 		;
+	forget_connection(c->f, c->fd);
 	(void)g_atomic_int_add(&connections, -1);
 	g_free(buf);
 	g_free(c);
@@ -397,7 +440,15 @@
 	struct fake_connection *c;
 	int fd;
 
-	while ((fd = accept(f->fd, NULL, NULL)) >= 0) {
+	for (;;) {
+		fd = accept(f->fd, NULL, NULL);
+		if (fd < 0) {
+			/* The fake server has ended. */
+			(void)close(f->fd);
+			(void)usleep(DOWN_MS * 1000);
+			f->fd = listen_on(&f->port);
+			continue;
+		}
 		c = g_new0(struct fake_connection, 1);
 		c->f = f;
 		c->fd = fd;
@@ -456,6 +507,7 @@
 	add_route(d, "/limited/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/late-copy/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/cut-head/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/crash/once/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/delay/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
 	return d;
@@ -525,8 +577,10 @@
 start_worker(size_t nservers)
 {
 	g_autoptr(GError) error = NULL;
-	int fd = listen_on(&port);
+	int fd;
 
+	port = 0;
+	fd = listen_on(&port);
 	(void)close(fd);
 	(void)g_snprintf(settings.listen_url, sizeof(settings.listen_url),
 	    "http://127.0.0.1:%u", port);
@@ -748,6 +802,7 @@
 	start_worker(2);
 	CU_ASSERT_EQUAL(get_once("/crash/a", "", buf), 502);
 	CU_ASSERT_EQUAL(runs, 2);
+	(void)usleep(2 * DOWN_MS * 1000);
 	publish_restart(2);
 	/* The third crash, after which the retry is refused. */
 	CU_ASSERT_EQUAL(get_once("/crash/a", "", buf), 502);
@@ -758,6 +813,7 @@
 	CU_ASSERT_TRUE(after != NULL &&
 	    strtod(after + strlen("Retry-After: "), NULL) > 3000);
 	CU_ASSERT_EQUAL(runs, 3);
+	(void)usleep(2 * DOWN_MS * 1000);
 	CU_ASSERT_EQUAL(get_once("/ok/a", "", buf), 200);
 	/* It is reported until the view shows it. */
 	(void)usleep(300000);
@@ -780,28 +836,75 @@
 	for (i = 0; i < 3; i++) {
 		g_atomic_int_set(&crashes_left, 2);
 		CU_ASSERT_EQUAL(get_once("/crash-some/", "", buf), 502);
+		(void)usleep(2 * DOWN_MS * 1000);
 		CU_ASSERT_EQUAL(get_once("/crash-some/", "", buf), 200);
 	}
 	stop_worker();
 }
 
-/* Connections that are not accepted, or were dropped, are reset at once. */
+/* Guards against a request that is never refused, because it ends its backend
+ * server before it has run for some time. */
 static void
-test_resets_within_a_round_trip_are_no_crashes(void)
+test_request_that_ends_backend_servers_at_once_is_refused(void)
+{
+	int i;
+
+	start_worker(2);
+	for (i = 0; i < DH_CRASHES_MAX; i++) {
+		CU_ASSERT_EQUAL(get_once("/crash/once/at-once/", "", buf), 502);
+		(void)usleep(2 * DOWN_MS * 1000);
+		publish_restart(2);
+	}
+	CU_ASSERT_EQUAL(get_once("/crash/once/at-once/", "", buf), 503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, QUARANTINED));
+	CU_ASSERT_EQUAL(runs, DH_CRASHES_MAX);
+	stop_worker();
+}
+
+static void
+check_ends_of_connections(const char *path)
 {
 	int i;
 
 	start_worker(2);
 	/* Until enough of them have been sent: the router also pauses. */
 	for (i = 0; i < 40 && runs < 2 * DH_CRASHES_MAX; i++) {
-		(void)get_once("/crash/at-once/", "", buf);
+		(void)get_once(path, "", buf);
 		CU_ASSERT_PTR_NULL(strstr(buf, QUARANTINED));
-		(void)usleep(50000);
+		/* More backend servers than there are listeners. */
+		publish_restart(2);
 	}
 	CU_ASSERT_TRUE(runs >= 2 * DH_CRASHES_MAX);
 	stop_worker();
 }
 
+/* Guards against a refusal of requests whose connections a backend server ends
+ * that lives on: at once, like those over its limit, or while they run. */
+static void
+test_ends_of_connections_are_no_crashes(void)
+{
+	check_ends_of_connections("/crash/alone/at-once/");
+	check_ends_of_connections("/crash/alone/");
+}
+
+/* Guards against a refusal of requests that were lost when this VM was cut off
+ * from all backend servers, which refuse its connections. */
+static void
+test_lost_path_to_all_servers_is_no_crash(void)
+{
+	int i;
+
+	start_worker(2);
+	for (i = 0; i < 2 * DH_CRASHES_MAX; i++) {
+		(void)get_once("/crash/once/all/", "", buf);
+		CU_ASSERT_PTR_NULL(strstr(buf, QUARANTINED));
+		(void)usleep(2 * DOWN_MS * 1000);
+		publish_restart(2);
+	}
+	CU_ASSERT_EQUAL(runs, 2 * DH_CRASHES_MAX);
+	stop_worker();
+}
+
 /* Another VM has found the request. */
 static void
 test_request_refused_by_the_view(void)
@@ -1672,8 +1775,12 @@
 		{ "request that ends backend servers",
 		    test_request_that_ends_backend_servers_is_refused },
 		{ "answered request", test_answered_request_is_not_refused },
-		{ "resets within a round trip",
-		    test_resets_within_a_round_trip_are_no_crashes },
+		{ "request that ends backend servers at once",
+		    test_request_that_ends_backend_servers_at_once_is_refused },
+		{ "ends of connections",
+		    test_ends_of_connections_are_no_crashes },
+		{ "lost path to all servers",
+		    test_lost_path_to_all_servers_is_no_crash },
 		{ "request refused by the view",
 		    test_request_refused_by_the_view },
 		{ "parked request", test_parked_request },
@@ -1698,6 +1805,7 @@
 	deployment = dh_deployment_box(make_deployment());
 	for (i = 0; i < (int)SERVERS; i++) {
 		servers[i].index = i;
+		servers[i].connections = g_array_new(FALSE, FALSE, sizeof(int));
 		servers[i].fd = listen_on(&servers[i].port);
 		g_thread_unref(g_thread_new("fake", accept_all, &servers[i]));
 	}
