Quarantine: a crash after a known one leads to refusal

Cause: a crash by an attempt that was sent although an earlier crash was known proves more than crashes side by side, but counted the same.

Change: such a crash leads to refusal at once. Servers that end together cannot cause it, so that a request that is merely in progress on them still needs three, and is cleared by the next answer.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -131,7 +131,9 @@
 	    has_server(&s, server))
 		return false;
 	s.servers[s.nservers++] = server;
-	if (s.crashes < DH_CRASHES_MAX)
+	if (sent->crashes > 0)
+		s.crashes = DH_CRASHES_MAX;
+	else if (s.crashes < DH_CRASHES_MAX)
 		s.crashes++;
 	return dh_quarantine_merge(q, &s, now_ms);
 }
--- a/include/dogwoodhub/quarantine.h
+++ b/include/dogwoodhub/quarantine.h
@@ -11,9 +11,11 @@
  *
  * A request is told by a digest, so that repetitions with another id count as
  * the same one.  Each backend server that ends while it runs the request counts
- * once, whichever routers had sent it there.  Any answer to the request starts
- * a new epoch without crashes: a request that was merely in progress on backend
- * servers that ended is answered by others.
+ * once, whichever routers had sent it there.  An attempt that was sent when an
+ * earlier crash was known, and ends its backend server too, decides at once:
+ * the two did not end together.  Any answer to the request starts a new epoch
+ * without crashes: a request that was merely in progress on backend servers
+ * that ended is answered by others.
  *
  * Entries of several routers are merged in any order and any number of times:
  * the later epoch wins, and within an epoch the crashed backend servers of both
