HTTP client: a limit for the headers and trailers of an answer

Callers would see: a VM that runs out of memory, and their requests with it, because an upstream answers an order with trailers that do not end.

Cause: each header was kept as it arrived; bodies had a limit, heads only the library's own.

Change: all header bytes of an answer count, and more than 64 KiB end it.

Evidence: test_http, "endless trailers": over 8 MiB taken and no end before the timeout of 4 s before, passes after.

--- a/base/http.c
+++ b/base/http.c
@@ -10,6 +10,8 @@
 
 /* Number of unanswered keepalive probes that closes a connection. */
 #define KEEPALIVE_PROBES 2
+/* Limit of an answer's head, of interim answers before it and of trailers. */
+#define HEADERS_MAX 65536
 
 struct dh_http {
 	CURLM *multi;
@@ -204,6 +206,7 @@
 	dh_http_reply_fn done;
 	void *arg;
 	size_t answer_max;
+	size_t header_bytes; /* received so far */
 	uint32_t keepalive_s;
 	bool reset_on_close;
 };
@@ -249,9 +252,14 @@
 on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct dh_http_fetch *f = arg;
-	g_autofree char *line = g_strndup(data, size * n);
-	char *colon = strchr(line, ':');
+	g_autofree char *line = NULL;
+	char *colon;
 
+	f->header_bytes += size * n;
+	if (f->header_bytes > HEADERS_MAX)
+		return 0;
+	line = g_strndup(data, size * n);
+	colon = strchr(line, ':');
 	if (colon == NULL)
 		return size * n;
 	*colon = '\0';
--- a/base/http.h
+++ b/base/http.h
@@ -86,7 +86,7 @@
  * dh_http_fetch -- send rq.  The call-back runs exactly once, never before the
  * function has returned.  The result may be passed to dh_http_fetch_cancel()
  * until the call-back runs.  An answer of more than answer_max bytes is an
- * error.
+ * error, and so is one with more than 64 KiB of headers, trailers included.
  *
  * dh_http_fetch_cancel -- cancel the exchange without running its call-back.
  */
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,148 @@
+/*
+ * The client of the store and of orders, against servers whose answers do not
+ * end.
+ */
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/http.h"
+#include "tests/cunit_main.h"
+
+#define TIMEOUT_MS 4000
+/* More than any answer may have. */
+#define SENT_MAX ((size_t)8 << 20)
+
+struct endless_server {
+	int fd;
+	uint16_t port;
+	const char *begin; /* sent once */
+	const char *part; /* sent again and again, with a number */
+	size_t sent;
+};
+
+static gpointer
+send_endlessly(gpointer arg)
+{
+	struct endless_server *s = arg;
+	int fd = accept(s->fd, NULL, NULL);
+	char text[512], request[4096];
+	size_t i = 0;
+	ssize_t n;
+	int len;
+
+	if (fd < 0 || read(fd, request, sizeof(request)) <= 0)
+		abort();
+	n = send(fd, s->begin, strlen(s->begin), MSG_NOSIGNAL);
+	while (n > 0) {
+		len = g_snprintf(text, sizeof(text), s->part, i++);
+		n = send(fd, text, (size_t)len, MSG_NOSIGNAL);
+		s->sent += n > 0 ? (size_t)n : 0;
+	}
+	(void)close(fd);
+	return NULL;
+}
+
+static void
+on_reply(void *arg, const struct dh_http_reply *reply)
+{
+	CU_ASSERT_NOT_EQUAL(reply->result, CURLE_OK);
+	*(bool *)arg = true;
+}
+
+static void
+check_endless(const char *begin, const char *part)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+	struct endless_server s = { .begin = begin, .part = part };
+	g_autofree char *url = NULL;
+	struct dh_http_request rq = {
+		.method = "POST", .answer_max = 4096, .timeout_ms = TIMEOUT_MS
+	};
+	int64_t began_ms = dh_clock_ms();
+	bool done = false;
+	struct dh_http *h;
+	GThread *thread;
+	uv_loop_t loop;
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	s.fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    bind(s.fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(s.fd, 4), 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    getsockname(s.fd, (struct sockaddr *)&sin, &len), 0);
+	thread = g_thread_new("endless", send_endlessly, &s);
+	uv_loop_init(&loop);
+	h = dh_http_new(&loop);
+	url = g_strdup_printf("http://127.0.0.1:%u/", ntohs(sin.sin_port));
+	rq.url = url;
+	(void)dh_http_fetch(h, &rq, on_reply, &done);
+	while (!done && dh_clock_ms() < began_ms + TIMEOUT_MS + 1000) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+	CU_ASSERT_TRUE(done);
+	CU_ASSERT_TRUE(dh_clock_ms() < began_ms + TIMEOUT_MS);
+	dh_http_free(h);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
+	g_thread_join(thread);
+	(void)close(s.fd);
+	CU_ASSERT_TRUE(s.sent < SENT_MAX);
+}
+
+/* Guards against the memory of an answer whose head does not end: each header
+ * is kept until the answer is complete. */
+static void
+test_endless_head(void)
+{
+	check_endless("HTTP/1.1 200 OK\r\n", "X-%zu: y\r\n");
+}
+
+static void
+test_endless_interim_answers(void)
+{
+	check_endless("", "HTTP/1.1 100 Continue\r\nX-%zu: y\r\n\r\n");
+}
+
+static void
+test_endless_trailers(void)
+{
+	check_endless(
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	    "X-%zu: y\r\n");
+}
+
+static void
+test_endless_body(void)
+{
+	check_endless("HTTP/1.1 200 OK\r\n\r\n", "body %zu");
+}
+
+static void
+test_endless_bytes_without_a_line(void)
+{
+	check_endless("HTTP/1.1 200 OK\r\nX", "%zu");
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+		{ "endless head", test_endless_head },
+		{ "endless interim answers", test_endless_interim_answers },
+		{ "endless trailers", test_endless_trailers },
+		{ "endless body", test_endless_body },
+		{ "endless bytes without a line",
+		    test_endless_bytes_without_a_line },
+		CU_TEST_INFO_NULL,
+	};
+
+	return cunit_main("http", tests);
+}
