--- a/gateway/suspects.c
+++ b/gateway/suspects.c
@@ -54,6 +54,24 @@
 	return s->nrefused > 0;
 }
 
+/* Logs where the refusal of a request begins or ends; what this VM merely hears
+ * of is logged by the VM that counted it. */
+static void
+log_refusal(const struct dh_suspect *before, const struct dh_suspect *now,
+    const char *from)
+{
+	bool refused = dh_suspect_is_refused(now);
+
+	if (refused == dh_suspect_is_refused(before))
+		return;
+	dh_opslog_add(DH_OPS_STATE,
+	    refused ? "suspect.refused" : "suspect.cleared",
+	    ",\"digest\":\"%016llx\",\"crashes\":%u,\"epoch\":%u,"
+	    "\"crashes_before\":%u,\"from\":\"%s\"",
+	    (unsigned long long)now->request, now->crashes, now->epoch,
+	    before->crashes, from);
+}
+
 static bool
 merge(struct dh_suspects *s, const struct dh_suspect *entries, size_t n,
     const char *from, int64_t now_ms)
@@ -65,16 +83,13 @@
 		const struct dh_suspect *e = &entries[i];
 		struct dh_suspect before =
 		    dh_quarantine_find(&s->quarantine, e->request);
+		struct dh_suspect after;
 
 		if (!dh_quarantine_merge(&s->quarantine, e, now_ms))
 			continue;
 		changed = true;
-		dh_opslog_add(DH_OPS_STATE, "suspect.changed",
-		    ",\"digest\":\"%016llx\",\"crashes\":%u,\"epoch\":%u,"
-		    "\"crashes_before\":%u,\"refused\":%s,\"from\":\"%s\"",
-		    (unsigned long long)e->request, e->crashes, e->epoch,
-		    before.crashes, dh_suspect_is_refused(e) ? "true" : "false",
-		    from);
+		after = dh_quarantine_find(&s->quarantine, e->request);
+		log_refusal(&before, &after, from);
 	}
 	if (changed)
 		count_refused(s);
