Duty: send a release on a connection of its own

Cause: orders share kept connections, and the next 200 on one counts as the answer to the order that is awaited there.

Change: a release opens a new connection, on which no answer to an earlier order can come.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -261,6 +261,9 @@
 		body = dh_wire_release(o);
 		/* Answered when the running requests have ended. */
 		rq.timeout_ms = d->lease_ms;
+		/* On a used connection, a late copy of the answer to an earlier
+		 * order would pass for this one's. */
+		rq.fresh_connection = true;
 		break;
 	case DH_KEY_PROBE:
 		url = g_strconcat("http://", address, health_path(d), NULL);
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -517,6 +517,105 @@
 	silent_server_end(&s);
 }
 
+#define CONNECTIONS_MAX 256
+
+/* Connections to the listening sockets of two backend servers, which accept
+ * each order. */
+struct order_connections {
+	int fds[CONNECTIONS_MAX];
+	int orders[CONNECTIONS_MAX]; /* number received on each */
+	int n;
+	int releases, releases_behind_another_order;
+};
+
+static void
+answer_orders(struct order_connections *c, int listener)
+{
+	static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	char text[2048];
+	ssize_t len;
+	int i, fd;
+
+	while (c->n < CONNECTIONS_MAX &&
+	    (fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
+		c->orders[c->n] = 0;
+		c->fds[c->n++] = fd;
+	}
+	for (i = 0; i < c->n; i++) {
+		len = recv(c->fds[i], text, sizeof(text) - 1, MSG_DONTWAIT);
+		if (len <= 0)
+			continue;
+		text[len] = '\0';
+		if (strstr(text, "/release ") != NULL) {
+			c->releases++;
+			c->releases_behind_another_order += c->orders[i] > 0;
+		}
+		c->orders[i]++;
+		(void)!write(c->fds[i], ok, strlen(ok));
+	}
+}
+
+/* Answers what the leader asks of the store about its service. */
+static void
+answer_service_calls(bool *loaded)
+{
+	if (fake_open("service.s") == NULL)
+		return;
+	if (fake_open("service.s")->put == NULL && !*loaded) {
+		*loaded = true;
+		answer_with("service.s", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	} else {
+		answer_with("service.s", DH_OBJECTS_OK, 50, "{}");
+	}
+}
+
+/* Guards against a late copy of the answer to a grant that passes for the
+ * answer to a release behind it: the release has a connection of its own. */
+static void
+test_release_has_a_connection_of_its_own(void)
+{
+	struct silent_server s[2] = { silent_server_start(),
+		silent_server_start() };
+	struct order_connections c = { .n = 0 };
+	struct dh_object_view v[2];
+	struct fixture fx;
+	bool loaded = false;
+	int i;
+
+	start(&fx, NULL, 0);
+	run_for(&fx, 350);
+	for (i = 0; i < 2; i++)
+		v[i] = (struct dh_object_view){ .name = i == 0 ? "i-1" : "i-2",
+			.revision = 11,
+			.spec = json_tokener_parse(s[i].entry) };
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 11, v, 2);
+	wait_for_read(&fx);
+	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	CU_ASSERT_TRUE(dh_owners_is_leader(fx.owners));
+	for (i = 0; i < 300 && c.releases == 0; i++) {
+		run_for(&fx, 10);
+		answer_service_calls(&loaded);
+		answer_orders(&c, s[0].fd);
+		answer_orders(&c, s[1].fd);
+		if (i != 150)
+			continue;
+		json_object_object_add(
+		    v[0].spec, "state", json_object_new_string("draining"));
+		v[0].revision = 12;
+		fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 12, v, 1);
+	}
+	CU_ASSERT_TRUE(c.releases > 0);
+	CU_ASSERT_EQUAL(c.releases_behind_another_order, 0);
+	stop(&fx);
+	for (i = 0; i < c.n; i++)
+		(void)close(c.fds[i]);
+	for (i = 0; i < 2; i++) {
+		json_object_put(v[i].spec);
+		silent_server_end(&s[i]);
+	}
+}
+
 /* A leader that is about to stop sends orders until another VM leads.  Without
  * the store no other VM can lead, and leases have to be renewed. */
 static void
@@ -809,6 +908,8 @@
 		    test_leader_says_that_it_lacks_backend_servers },
 		{ "list of strong VMs", test_strong_vms_are_listed },
 		{ "stalled leader", test_stalled_leader_orders_nothing },
+		{ "release has a connection of its own",
+		    test_release_has_a_connection_of_its_own },
 		{ "resigned leader renews leases",
 		    test_resigned_leader_renews_leases },
 		{ "resigned leader without other VMs",
