--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -729,7 +729,8 @@
 	CU_ASSERT_NOT_EQUAL(serial, 0);
 	CU_ASSERT_TRUE(next > 1000);
 	dh_keyspace_record_stored(ks, serial);
-	/* No other leader is left that may have granted the keys on the move. */
+	/* No other leader is left that may have granted the keys on the move.
+	 */
 	dh_keyspace_former_leaders_stopped(ks, t);
 	for (; t < 8000; t += 100) {
 		dh_keyspace_plan(ks, t);
