--- a/standin/platform.c
+++ b/standin/platform.c
@@ -783,12 +783,20 @@
 	    url, b->index, x->late, x->ended);
 }
 
+static void listen_for_backend(struct backend *b);
+
+/* Ends all connections and the listener, as the end of a process does, until
+ * the backend server starts again. */
 static gpointer
-start_again(gpointer arg)
+restart(gpointer arg)
 {
+	struct backend *b = arg;
+
+	MHD_stop_daemon(b->daemon);
 	(void)usleep(CRASH_DOWN_MS * 1000);
+	listen_for_backend(b);
 	g_mutex_lock(&lock);
-	set_up(arg, true);
+	set_up(b, true);
 	g_mutex_unlock(&lock);
 	return NULL;
 }
@@ -811,7 +819,7 @@
 	    x->ended, (long long)dh_clock_wall_ms());
 	(void)fflush(stdout);
 	set_up(b, false);
-	g_thread_unref(g_thread_new("again", start_again, b));
+	g_thread_unref(g_thread_new("restart", restart, b));
 	return MHD_NO;
 }
 
@@ -919,6 +927,17 @@
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
 }
 
+static void
+listen_for_backend(struct backend *b)
+{
+	b->daemon =
+	    listen_on((uint16_t)(backend_port + b->index), on_backend, b);
+	if (b->daemon == NULL) {
+		fprintf(stderr, "backend server %d: no port\n", b->index);
+		exit(2);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -953,9 +972,7 @@
 		backends[i].arrivals_ms =
 		    g_array_new(FALSE, FALSE, sizeof(int64_t));
 		set_up(&backends[i], true);
-		if (listen_on((uint16_t)(backend_port + i), on_backend,
-			&backends[i]) == NULL)
-			return 2;
+		listen_for_backend(&backends[i]);
 	}
 	if (listen_on((uint16_t)atoi(argv[1]), on_store, NULL) == NULL)
 		return 2;
