--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -516,6 +516,20 @@
 static uint32_t slots = 4; /* slots of each fake server */
 static uint32_t restarts; /* of all fake servers, as the views say */
 
+static void
+set_view_server(struct dh_view_server *x, uint32_t uid, const char *id,
+    size_t fake, uint32_t service)
+{
+	x->uid = uid;
+	x->start_ms = restarts + 1;
+	(void)g_strlcpy(x->id, id, sizeof(x->id));
+	x->address.sin_family = AF_INET;
+	x->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	x->address.sin_port = htons(servers[fake].port);
+	x->service = service;
+	x->slots = slots;
+}
+
 /* Make a view in which the first nservers backend servers of each service are
  * open.  The first server owns keys up to 999; other keys have no owner. */
 static struct dh_view *
@@ -533,15 +547,10 @@
 		for (i = 0; i < SERVERS; i++) {
 			struct dh_view_server *x = &v->servers[s * SERVERS + i];
 
-			x->uid = (uint32_t)(s * SERVERS + i + 1) +
-			    restarts * 2 * SERVERS;
-			x->start_ms = restarts + 1;
-			(void)g_snprintf(x->id, sizeof(x->id), "i-%zu", i);
-			x->address.sin_family = AF_INET;
-			x->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-			x->address.sin_port = htons(servers[i].port);
-			x->service = (uint32_t)s;
-			x->slots = slots;
+			set_view_server(x,
+			    (uint32_t)(s * SERVERS + i + 1) +
+				restarts * 2 * SERVERS,
+			    i == 0 ? "i-0" : "i-1", i, (uint32_t)s);
 			x->closed = i >= nservers;
 			v->services[s].servers[v->services[s].nservers++] =
 			    (uint32_t)(s * SERVERS + i);
@@ -1554,16 +1563,10 @@
 	v->number = v->owners_version = 1000;
 	v->servers = g_new0(struct dh_view_server, G_N_ELEMENTS(ids));
 	for (i = 0; i < (any_repeat < 0 ? 1 : G_N_ELEMENTS(ids)); i++) {
-		struct dh_view_server *x = &v->servers[v->nservers];
-
 		service = i == 0 ? 0 : 1;
-		x->uid = i == 0 ? 1000 : i + restarts * 2 * SERVERS;
-		(void)g_strlcpy(x->id, ids[i], sizeof(x->id));
-		x->address.sin_family = AF_INET;
-		x->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		x->address.sin_port = htons(servers[i == 2].port);
-		x->service = service;
-		x->slots = slots;
+		set_view_server(&v->servers[v->nservers],
+		    i == 0 ? 1000 : i + restarts * 2 * SERVERS, ids[i], i == 2,
+		    service);
 		if (v->services[service].servers == NULL)
 			v->services[service].servers =
 			    g_new0(uint32_t, G_N_ELEMENTS(ids));
