Crash check: ask a witness as far away as the checked backend server

Callers would see: requests refused that were lost when their VM was cut off from another region, whose backend servers refuse its connections.

Cause: any backend server that accepts a connection vouched for the VM's path, also one of its own zone for the path to another region.

Change: a backend server of the same distance is asked, and another only if there is none.

Evidence: test_worker, "lost path to a region", failed in 3 of 3 runs before (refused from the third request on), 3 of 3 runs pass after.

--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -82,13 +82,21 @@
 	check_end(c);
 }
 
+static bool
+may_witness(const struct crash_check *c, const struct dh_view_server *s)
+{
+	return !s->closed && s->uid != c->server.uid &&
+	    memcmp(&s->address, &c->server.address, sizeof(s->address)) != 0;
+}
+
 /* A random backend server that is in use, but not the one that is checked; NULL
- * if there is none. */
+ * if there is none.  One as far away is preferred: it shares a path that may
+ * have been lost. */
 static const struct dh_view_server *
 choose_witness(const struct crash_check *c)
 {
 	const struct dh_view *v = c->worker->view;
-	const struct dh_view_server *s;
+	const struct dh_view_server *s, *other = NULL;
 	size_t i, start;
 
 	if (v->nservers == 0)
@@ -96,12 +104,13 @@
 	start = dh_rng_below(&c->worker->rng, v->nservers);
 	for (i = 0; i < v->nservers; i++) {
 		s = &v->servers[(start + i) % v->nservers];
-		if (!s->closed && s->uid != c->server.uid &&
-		    memcmp(&s->address, &c->server.address,
-			sizeof(s->address)) != 0)
+		if (!may_witness(c, s))
+			continue;
+		if (s->tier == c->server.tier)
 			return s;
+		other = s;
 	}
-	return NULL;
+	return other;
 }
 
 static void on_witness(void *arg, int status);
@@ -133,7 +142,7 @@
 }
 
 static void
-on_answer(void *arg, int status)
+on_reconnect(void *arg, int status)
 {
 	struct crash_check *c = arg;
 
@@ -167,7 +176,7 @@
 		check_end(c);
 		return;
 	}
-	dh_worker_try_connect(c->worker, &c->server, on_answer, c);
+	dh_worker_try_connect(c->worker, &c->server, on_reconnect, c);
 }
 
 static struct crash_check *
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -508,6 +508,7 @@
 	add_route(d, "/late-copy/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/cut-head/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/crash/once/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/crash/once/keyed/", DH_REPEAT_NEVER, 1);
 	add_route(d, "/delay/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
 	return d;
@@ -914,6 +915,37 @@
 	stop_worker();
 }
 
+/* Guards against a refusal of requests that were lost when this VM was cut off
+ * from another region, whose backend servers refuse its connections, while one
+ * of its own zone accepts them. */
+static void
+test_lost_path_to_a_region_is_no_crash(void)
+{
+	static uint64_t version = 2000000;
+	uint16_t unused = 0;
+	struct dh_view *v;
+	int i;
+
+	(void)close(listen_on(&unused));
+	start_worker(2);
+	for (i = 0; i < 5; i++) {
+		restarts++;
+		v = make_view(2, true, ++version);
+		v->servers[0].closed = true;
+		v->servers[SERVERS].tier = DH_TIER_REMOTE;
+		v->servers[SERVERS + 1].tier = DH_TIER_REMOTE;
+		v->servers[SERVERS + 1].address.sin_port = htons(unused);
+		dh_worker_publish(worker, v);
+		(void)usleep(50000);
+		(void)get_once(
+		    "/crash/once/keyed/", "X-Dogwoodhub-Shard-Key: 5\r\n", buf);
+		CU_ASSERT_PTR_NULL(strstr(buf, QUARANTINED));
+		(void)usleep(2 * DOWN_MS * 1000);
+	}
+	CU_ASSERT_EQUAL(runs, 5);
+	stop_worker();
+}
+
 /* Another VM has found the request. */
 static void
 test_request_refused_by_the_view(void)
@@ -1784,6 +1816,8 @@
 		    test_ends_of_connections_are_no_crashes },
 		{ "lost path to all servers",
 		    test_lost_path_to_all_servers_is_no_crash },
+		{ "lost path to a region",
+		    test_lost_path_to_a_region_is_no_crash },
 		{ "request refused by the view",
 		    test_request_refused_by_the_view },
 		{ "parked request", test_parked_request },
