Probes: one that cannot be started is no failed connection

Since probes share their code with crash checks, a VM without a free descriptor took its own probes for failed connections, and could have taken a service for lost. As before that, such a probe ends without a result; its line says why. No test runs out of descriptors: this was not shown to fail.

--- a/gateway/probe.c
+++ b/gateway/probe.c
@@ -25,6 +25,7 @@
 	uv_connect_t connect;
 	uint32_t uid;
 	int64_t started_ms;
+	int start_error; /* of libuv: no connection could be started; or 0 */
 	int closing; /* number of handles being closed */
 	bool ended;
 	GList link; /* in worker->probes */
@@ -106,10 +107,13 @@
 static void
 on_timeout(uv_timer_t *timer)
 {
-	probe_end(timer->data, UV_ETIMEDOUT);
+	struct probe *p = timer->data;
+
+	probe_end(p, p->start_error != 0 ? p->start_error : UV_ETIMEDOUT);
 }
 
-/* The result of a probe of a service. */
+/* The result of a probe of a service.  One that could not be started says
+ * nothing of the service. */
 static void
 on_probe_done(void *arg, int status)
 {
@@ -117,7 +121,7 @@
 
 	if (status == 0)
 		dh_worker_accepted(p->worker, p->service);
-	else if (status != UV_ECANCELED)
+	else if (status != UV_ECANCELED && p->start_error == 0)
 		dh_worker_connect_failed(
 		    p->worker, p->service, p->uid, p->started_ms);
 }
@@ -136,15 +140,17 @@
 	uv_timer_init(&w->loop, &p->timer);
 	p->tcp.data = p->timer.data = p->connect.data = p;
 	dh_counter_add(w->c.connects, 1);
+	p->start_error = uv_tcp_connect(&p->connect, &p->tcp,
+	    (const struct sockaddr *)&s->address, on_connected);
+	if (p->start_error != 0)
+		dh_opslog_add(DH_OPS_STATE, "probe.no_socket",
+		    ",\"server\":\"%s\",\"why\":\"%s\"", s->id,
+		    uv_strerror(p->start_error));
 	uv_timer_start(&p->timer, on_timeout,
-	    (uint64_t)w->settings->connect_ms +
-		(uint64_t)w->choice.round_trip_ms[s->tier],
+	    p->start_error != 0 ? 0
+				: (uint64_t)w->settings->connect_ms +
+		    (uint64_t)w->choice.round_trip_ms[s->tier],
 	    0);
-	/* Without a socket the timer ends the probe. */
-	if (uv_tcp_connect(&p->connect, &p->tcp,
-		(const struct sockaddr *)&s->address, on_connected) != 0)
-		dh_opslog_add(DH_OPS_STATE, "probe.no_socket",
-		    ",\"server\":\"%s\"", s->id);
 	return p;
 }
 
