--- a/gateway/suspects.c
+++ b/gateway/suspects.c
@@ -184,8 +184,17 @@
 bool
 dh_suspects_expire(struct dh_suspects *s, int64_t now_ms)
 {
+	struct dh_quarantine before = s->quarantine;
+	struct dh_suspect after;
+	size_t i;
+
 	if (!dh_quarantine_expire(&s->quarantine, now_ms))
 		return false;
+	for (i = 0; i < before.nsuspects; i++) {
+		after = dh_quarantine_find(
+		    &s->quarantine, before.suspects[i].request);
+		log_refusal(&before.suspects[i], &after, "expiry");
+	}
 	count_refused(s);
 	return true;
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -1,5 +1,8 @@
+#include <fcntl.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "base/opslog.h"
 #include "gateway/suspects.h"
 #include "tests/cunit_main.h"
 
@@ -127,10 +130,47 @@
 	dh_suspects_free(s);
 }
 
+static int log_fds[2];
+
+/* The lines logged since the last call. */
+static const char *
+read_log(void)
+{
+	static char text[65536];
+	ssize_t n, len = 0;
+
+	while ((n = read(log_fds[0], text + len,
+		    sizeof(text) - 1 - (size_t)len)) > 0)
+		len += n;
+	text[len] = '\0';
+	return text;
+}
+
+/* Guards against a line for each change that a VM hears of, and against a
+ * refusal whose end has none. */
+static void
+test_lines_of_a_refusal(void)
+{
+	struct dh_suspects *s = dh_suspects_new();
+
+	(void)read_log();
+	(void)note_crashes(s, 5, 1, 100);
+	(void)note_crashes(s, 6, 2, 100);
+	CU_ASSERT_STRING_EQUAL(read_log(), "");
+	(void)note_crashes(s, 5, 3, 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(read_log(), "\"suspect.refused\""));
+	(void)note_crashes(s, 5, 3, 300);
+	CU_ASSERT_STRING_EQUAL(read_log(), "");
+	CU_ASSERT_TRUE(dh_suspects_expire(s, 200 + 3600 * 1000));
+	CU_ASSERT_PTR_NOT_NULL(strstr(read_log(), "\"suspect.cleared\""));
+	dh_suspects_free(s);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
+		{ "lines of a refusal", test_lines_of_a_refusal },
 		{ "report", test_report_is_repeated_until_the_leader_has_it },
 		{ "importance", test_refused_requests_are_shared_first },
 		{ "store", test_store_has_refused_requests },
@@ -138,5 +178,8 @@
 		CU_TEST_INFO_NULL,
 	};
 
+	if (pipe(log_fds) != 0 || fcntl(log_fds[0], F_SETFL, O_NONBLOCK) != 0)
+		return 1;
+	dh_opslog_open(log_fds[1], "vm-1", 1000);
 	return cunit_main("suspects", tests);
 }
