--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -332,6 +332,7 @@
 	return ks->record_stale;
 }
 
+/* Lowers *value to limit if it is above. */
 static void
 lower(int64_t *value, int64_t limit)
 {
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -94,7 +94,7 @@
 
 /* Marks the other backend servers at the address of k as replaced, unless they
  * started later.  An entry of a service that the configuration does not name
- * proves nothing, as it may be anybody's. */
+ * may come from any writer, and is no evidence. */
 static void
 mark_previous_at_address(struct dh_registry *reg, const struct server_state *k)
 {
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -129,6 +129,8 @@
 /*
  * dh_keyspace_former_leaders_stopped -- report that all former leaders have
  * stopped sending orders by now_ms, so that only their leases have to expire.
+ * This also ends the waits of dh_keyspace_mark_record_stale() and
+ * dh_keyspace_record_lost() for other leaders.
  * Without this call they are assumed to have stopped storeless_max_ms after the
  * takeover.
  *
