Gateway: number heartbeats, log missed ones and what the leader sends

Nothing told a lost heartbeat from a late one, or how much a leader sends.

A VM that misses more than two heartbeats logs heartbeats.missed when it hears the next: the gap, how many numbers are missing, and the longest pause of its own timer meanwhile. The leader logs peer.sent once a second: datagrams and bytes by kind, and its own longest pause. dh_peer_sent_bytes_total has the label kind.

--- a/gateway/election.c
+++ b/gateway/election.c
@@ -400,6 +400,7 @@
 		.failing = is_failing(o, now_ms),
 		.lost = is_lost(o),
 		.era = dh_era_number(owners_store_era(o)),
+		.number = ++o->beat_number,
 		.limits = limits,
 		.suspects = suspects };
 	GHashTableIter it;
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -10,9 +10,33 @@
 #include "base/clock.h"
 #include "base/opslog.h"
 
+/* Heartbeats that may be missing before the gap is logged. */
+#define BEATS_MISSING_MAX 2
 /* Work times change slowly: only each WORK_TIME_REPORTS-th report has them. */
 #define WORK_TIME_REPORTS 4
 
+/* Logs a gap between heartbeats: how many were lost on the way, and whether
+ * this VM's own steps were late. */
+static void
+log_heartbeat_gap(const struct dh_owners *o,
+    const struct dh_leader_heartbeat *beat, int64_t now_ms)
+{
+	int64_t gap_ms = now_ms - o->beat_received_ms;
+	uint64_t lost = 0;
+
+	if (o->beat_received_ms == 0 ||
+	    gap_ms <= (BEATS_MISSING_MAX + 1) * o->c.settings->beat_ms)
+		return;
+	if (o->beat_number != 0 && beat->number > o->beat_number)
+		lost = beat->number - o->beat_number - 1;
+	dh_opslog_add(DH_OPS_STATE, "heartbeats.missed",
+	    ",\"leader\":\"%s\",\"term\":%llu,\"gap_ms\":%lld,"
+	    "\"lost\":%llu,\"number\":%llu,\"step_pause_ms\":%lld",
+	    beat->vm, (unsigned long long)beat->term, (long long)gap_ms,
+	    (unsigned long long)lost, (unsigned long long)beat->number,
+	    (long long)o->step_pause_ms);
+}
+
 static void
 on_beat(void *arg, const struct dh_leader_heartbeat *beat, const char *ip)
 {
@@ -29,7 +53,11 @@
 	if (beat->term > o->term || strcmp(o->leader_ip, ip) != 0) {
 		o->leader_ip[0] = '\0';
 		owners_set_leader(o, beat->term, beat->vm, ip);
+		o->beat_number = 0;
 	}
+	log_heartbeat_gap(o, beat, dh_clock_ms());
+	o->beat_number = beat->number;
+	o->step_pause_ms = 0;
 	o->beat_received_ms = dh_clock_ms();
 	/* A leader of an earlier era does not know yet that the store was
 	 * restored from an older copy; its cursors are not used. */
@@ -284,6 +312,30 @@
 	g_array_set_size(o->leaving, 0);
 }
 
+void
+owners_log_traffic(struct dh_owners *o)
+{
+	struct dh_peer_traffic t = dh_peer_take_traffic(o->peer);
+
+	dh_opslog_add(DH_OPS_STATE, "peer.sent",
+	    ",\"term\":%llu,\"vms\":%u,\"heartbeats\":%llu,"
+	    "\"heartbeat_bytes\":%llu,\"owners\":%llu,"
+	    "\"owners_bytes\":%llu,\"deltas\":%llu,\"delta_bytes\":%llu,"
+	    "\"changes\":%llu,\"changes_bytes\":%llu,\"unsent\":%llu,"
+	    "\"step_pause_ms\":%lld",
+	    (unsigned long long)o->term, o->vms,
+	    (unsigned long long)t.datagrams[DH_PEER_HEARTBEAT],
+	    (unsigned long long)t.bytes[DH_PEER_HEARTBEAT],
+	    (unsigned long long)t.datagrams[DH_PEER_OWNERS],
+	    (unsigned long long)t.bytes[DH_PEER_OWNERS],
+	    (unsigned long long)t.datagrams[DH_PEER_DELTA],
+	    (unsigned long long)t.bytes[DH_PEER_DELTA],
+	    (unsigned long long)t.datagrams[DH_PEER_CHANGES],
+	    (unsigned long long)t.bytes[DH_PEER_CHANGES],
+	    (unsigned long long)t.unsent, (long long)o->step_pause_ms);
+	o->step_pause_ms = 0;
+}
+
 struct dh_peer_handler
 owners_peer_handler(struct dh_owners *o)
 {
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -17,6 +17,7 @@
 /* How many heartbeat intervals a restarted VM waits for the leader before it
  * tries to lead. */
 #define RESTART_WAIT_BEATS 2
+#define TRAFFIC_LOG_MS 1000
 
 static void
 known_free(gpointer p)
@@ -376,7 +377,16 @@
 	struct dh_owners *o = timer->data;
 	int64_t now_ms = dh_clock_ms();
 
+	if (o->stepped_ms != 0)
+		o->step_pause_ms =
+		    MAX(o->step_pause_ms, now_ms - o->stepped_ms);
+	o->stepped_ms = now_ms;
 	announce(o, now_ms);
+	if (o->role == ROLE_LEADER &&
+	    now_ms - o->traffic_logged_ms >= TRAFFIC_LOG_MS) {
+		o->traffic_logged_ms = now_ms;
+		owners_log_traffic(o);
+	}
 	if (o->peers_changed && o->c.settings->forward_port != 0)
 		make_view_peers(o);
 	if (dh_suspects_expire(o->suspects, now_ms))
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -127,6 +127,11 @@
 	/* This VM's router reaches no backend server of a keyed service. */
 	bool keyed_lost;
 	int64_t last_report_ms;
+	uint64_t beat_number; /* of the last heartbeat, sent or received */
+	/* Longest pause between two steps since the last heartbeat. */
+	int64_t step_pause_ms;
+	int64_t stepped_ms; /* time of the last step */
+	int64_t traffic_logged_ms;
 	uint32_t reports; /* number of reports so far */
 };
 
@@ -178,5 +183,7 @@
 /* gossip.c */
 struct dh_peer_handler owners_peer_handler(struct dh_owners *o);
 void owners_send_report(struct dh_owners *o);
+/* Logs, as the leader, what was sent to other VMs since the last call. */
+void owners_log_traffic(struct dh_owners *o);
 
 #endif
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -32,19 +32,13 @@
  * new one. */
 #define SPEC_BYTES_TARGET 20000
 
-enum datagram_kind {
-	DATAGRAM_BEAT = 1,
-	DATAGRAM_OWNERS = 2,
-	DATAGRAM_REPORT = 3,
-	DATAGRAM_DELTA = 4,
-	DATAGRAM_CHANGES = 5,
-};
-
 struct dh_peer {
 	uv_udp_t udp;
 	uint16_t port;
 	struct dh_peer_handler h;
-	struct dh_counter *bad_datagrams, *bytes;
+	struct dh_counter *bad_datagrams, *unsent;
+	struct dh_counter *bytes[DH_PEER_KINDS]; /* by kind */
+	struct dh_peer_traffic traffic;
 	char buffer[65536];
 };
 
@@ -235,6 +229,8 @@
 	b.failing = failing != 0;
 	/* Absent in heartbeats of an earlier release. */
 	b.lost = number_at(a, 10, &lost) && lost != 0;
+	if (!number_at(a, 12, &b.number))
+		b.number = 0;
 	b.vms = vms > 100000 ? 100000 : (uint32_t)vms;
 	h->heartbeat(h->arg, &b, ip);
 	return true;
@@ -502,15 +498,15 @@
 	if (o->type != MSGPACK_OBJECT_ARRAY || !number_at(a, 0, &kind))
 		return false;
 	switch (kind) {
-	case DATAGRAM_BEAT:
+	case DH_PEER_HEARTBEAT:
 		return decode_heartbeat(h, a, ip);
-	case DATAGRAM_OWNERS:
+	case DH_PEER_OWNERS:
 		return decode_owners(h, a);
-	case DATAGRAM_DELTA:
+	case DH_PEER_DELTA:
 		return decode_delta(h, a);
-	case DATAGRAM_REPORT:
+	case DH_PEER_REPORT:
 		return decode_report(h, a, ip);
-	case DATAGRAM_CHANGES:
+	case DH_PEER_CHANGES:
 		return decode_changes(h, a);
 	default: /* sent by a later release */
 		return false;
@@ -558,13 +554,27 @@
 dh_peer_new(uv_loop_t *loop, const char *ip, uint16_t port,
     const struct dh_peer_handler *h, GError **error)
 {
+	static const struct {
+		enum dh_peer_kind kind;
+		const char *label;
+	} kinds[] = {
+		{ DH_PEER_HEARTBEAT, "kind=\"heartbeat\"" },
+		{ DH_PEER_OWNERS, "kind=\"owners\"" },
+		{ DH_PEER_REPORT, "kind=\"report\"" },
+		{ DH_PEER_DELTA, "kind=\"delta\"" },
+		{ DH_PEER_CHANGES, "kind=\"changes\"" },
+	};
 	struct dh_peer *p = g_new0(struct dh_peer, 1);
 	struct sockaddr_in sin;
+	size_t i;
 	int rc;
 
 	p->port = port;
 	p->h = *h;
-	p->bytes = dh_counter_get("dh_peer_sent_bytes_total", "");
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++)
+		p->bytes[kinds[i].kind] =
+		    dh_counter_get("dh_peer_sent_bytes_total", kinds[i].label);
+	p->unsent = dh_counter_get("dh_peer_unsent_datagrams_total", "");
 	p->bad_datagrams = dh_counter_get("dh_peer_bad_datagrams_total", "");
 	uv_udp_init(loop, &p->udp);
 	p->udp.data = p;
@@ -594,18 +604,31 @@
 		uv_close((uv_handle_t *)&p->udp, on_closed);
 }
 
+struct dh_peer_traffic
+dh_peer_take_traffic(struct dh_peer *p)
+{
+	struct dh_peer_traffic t = p->traffic;
+
+	memset(&p->traffic, 0, sizeof(p->traffic));
+	return t;
+}
+
 static void
-send_buffer(struct dh_peer *p, const char *ip, const msgpack_sbuffer *b)
+send_buffer(struct dh_peer *p, const char *ip, enum dh_peer_kind kind,
+    const msgpack_sbuffer *b)
 {
 	uv_buf_t buf = uv_buf_init(b->data, (unsigned int)b->size);
 	struct sockaddr_in sin;
 
-	dh_counter_add(p->bytes, b->size);
+	dh_counter_add(p->bytes[kind], b->size);
+	p->traffic.bytes[kind] += b->size;
+	p->traffic.datagrams[kind]++;
 	if (b->size > DATAGRAM_MAX || uv_ip4_addr(ip, p->port, &sin) != 0 ||
 	    uv_udp_try_send(&p->udp, &buf, 1, (const struct sockaddr *)&sin) <
-		0)
-		dh_counter_add(
-		    dh_counter_get("dh_peer_unsent_datagrams_total", ""), 1);
+		0) {
+		dh_counter_add(p->unsent, 1);
+		p->traffic.unsent++;
+	}
 }
 
 static void
@@ -706,8 +729,8 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 12);
-	msgpack_pack_uint32(&pk, DATAGRAM_BEAT);
+	msgpack_pack_array(&pk, 13);
+	msgpack_pack_uint32(&pk, DH_PEER_HEARTBEAT);
 	pack_text(&pk, heartbeat->vm);
 	msgpack_pack_uint64(&pk, heartbeat->term);
 	msgpack_pack_uint32(&pk, heartbeat->failing);
@@ -726,7 +749,8 @@
 	pack_suspects(&pk, heartbeat->suspects);
 	msgpack_pack_uint32(&pk, heartbeat->lost);
 	pack_crashed_servers(&pk, heartbeat->suspects);
-	send_buffer(p, ip, &b);
+	msgpack_pack_uint64(&pk, heartbeat->number);
+	send_buffer(p, ip, DH_PEER_HEARTBEAT, &b);
 	msgpack_sbuffer_destroy(&b);
 }
 
@@ -762,7 +786,7 @@
 		msgpack_sbuffer_init(&b);
 		msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
 		msgpack_pack_array(&pk, 7);
-		msgpack_pack_uint32(&pk, DATAGRAM_OWNERS);
+		msgpack_pack_uint32(&pk, DH_PEER_OWNERS);
 		pack_text(&pk, service);
 		msgpack_pack_uint64(&pk, record->term);
 		msgpack_pack_uint64(&pk, record->version);
@@ -771,7 +795,7 @@
 		at = (size_t)part * PART_CHANGES;
 		pack_changes(&pk, all + at,
 		    MIN((size_t)PART_CHANGES, changes->len - at));
-		send_buffer(p, ip, &b);
+		send_buffer(p, ip, DH_PEER_OWNERS, &b);
 		msgpack_sbuffer_destroy(&b);
 	}
 	dh_record_clear(&none);
@@ -787,7 +811,7 @@
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, 6);
-	msgpack_pack_uint32(&pk, DATAGRAM_DELTA);
+	msgpack_pack_uint32(&pk, DH_PEER_DELTA);
 	pack_text(&pk, d->service);
 	msgpack_pack_uint64(&pk, d->term);
 	msgpack_pack_uint64(&pk, d->base);
@@ -795,7 +819,7 @@
 	pack_changes(&pk,
 	    &g_array_index(d->changes, struct dh_record_change, 0),
 	    d->changes->len);
-	send_buffer(p, ip, &b);
+	send_buffer(p, ip, DH_PEER_DELTA, &b);
 	msgpack_sbuffer_destroy(&b);
 }
 
@@ -810,7 +834,7 @@
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, 10);
-	msgpack_pack_uint32(&pk, DATAGRAM_REPORT);
+	msgpack_pack_uint32(&pk, DH_PEER_REPORT);
 	pack_text(&pk, r->vm);
 	msgpack_pack_array(&pk, r->nowners);
 	for (i = 0; i < r->nowners; i++) {
@@ -849,7 +873,7 @@
 	pack_limits(&pk, r->limits);
 	pack_suspects(&pk, r->suspects);
 	pack_crashed_servers(&pk, r->suspects);
-	send_buffer(p, ip, &b);
+	send_buffer(p, ip, DH_PEER_REPORT, &b);
 	msgpack_sbuffer_destroy(&b);
 }
 
@@ -873,7 +897,7 @@
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, 7);
-	msgpack_pack_uint32(&pk, DATAGRAM_CHANGES);
+	msgpack_pack_uint32(&pk, DH_PEER_CHANGES);
 	msgpack_pack_uint64(&pk, term);
 	msgpack_pack_uint32(&pk, n->kind);
 	msgpack_pack_uint64(&pk, n->since);
@@ -889,7 +913,7 @@
 	}
 	msgpack_pack_uint64(&pk, n->era);
 	for (i = 0; i < nips; i++)
-		send_buffer(p, ips[i], &b);
+		send_buffer(p, ips[i], DH_PEER_CHANGES, &b);
 	msgpack_sbuffer_destroy(&b);
 }
 
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -31,6 +31,8 @@
 	bool lost; /* it reaches no backend server of a keyed service */
 	uint32_t vms; /* VMs that report to it, itself included */
 	uint64_t era; /* era of the cursors' revisions */
+	/* Rises by one with each heartbeat to the VM; 0: an earlier release. */
+	uint64_t number;
 	struct dh_registry_cursor cursors[DH_REGISTRY_KINDS];
 	GArray *limits; /* of struct dh_shared_limit; borrowed */
 	GArray *suspects; /* of struct dh_suspect; borrowed */
@@ -93,6 +95,23 @@
 	GArray *changes; /* of struct dh_record_change; borrowed */
 };
 
+/* Kinds of datagrams, as they are numbered on the wire. */
+enum dh_peer_kind {
+	DH_PEER_HEARTBEAT = 1,
+	DH_PEER_OWNERS = 2,
+	DH_PEER_REPORT = 3,
+	DH_PEER_DELTA = 4,
+	DH_PEER_CHANGES = 5,
+	DH_PEER_KINDS,
+};
+
+/* What was sent since the last call of dh_peer_take_traffic(). */
+struct dh_peer_traffic {
+	uint64_t bytes[DH_PEER_KINDS];
+	uint64_t datagrams[DH_PEER_KINDS];
+	uint64_t unsent; /* datagrams that the socket did not take */
+};
+
 struct dh_peer_handler {
 	void (*heartbeat)(void *arg, const struct dh_leader_heartbeat *beat,
 	    const char *from_ip);
@@ -116,6 +135,9 @@
     const struct dh_peer_handler *h, GError **error);
 void dh_peer_free(struct dh_peer *p);
 
+/* dh_peer_take_traffic -- return what was sent since the last call. */
+struct dh_peer_traffic dh_peer_take_traffic(struct dh_peer *p);
+
 /*
  * These send to the same port of other VMs.  Failures are only counted.
  *
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -151,8 +151,10 @@
 		.failing = true,
 		.vms = 70,
 		.era = 5,
+		.number = 3,
 		.cursors = {
 		    { 17, true, 250 }, { 1ull << 40, false, UINT32_MAX } } };
+	struct dh_peer_traffic traffic;
 	struct fixture fx;
 
 	start(&fx);
@@ -163,6 +165,7 @@
 	CU_ASSERT_EQUAL(fx.beat.term, UINT64_MAX);
 	CU_ASSERT_TRUE(fx.beat.failing);
 	CU_ASSERT_EQUAL(fx.beat.era, 5);
+	CU_ASSERT_EQUAL(fx.beat.number, 3);
 	CU_ASSERT_EQUAL(fx.beat.cursors[0].as_of, 17);
 	CU_ASSERT_TRUE(fx.beat.cursors[0].reached);
 	CU_ASSERT_EQUAL(fx.beat.cursors[1].as_of, 1ull << 40);
@@ -170,6 +173,13 @@
 	CU_ASSERT_EQUAL(fx.beat.cursors[0].age_ms, 250);
 	CU_ASSERT_EQUAL(fx.beat.cursors[1].age_ms, UINT32_MAX);
 	CU_ASSERT_EQUAL(fx.limits, 0);
+	traffic = dh_peer_take_traffic(fx.from);
+	CU_ASSERT_EQUAL(traffic.datagrams[DH_PEER_HEARTBEAT], 1);
+	CU_ASSERT_TRUE(traffic.bytes[DH_PEER_HEARTBEAT] > 0);
+	CU_ASSERT_EQUAL(traffic.datagrams[DH_PEER_REPORT], 0);
+	CU_ASSERT_EQUAL(traffic.unsent, 0);
+	traffic = dh_peer_take_traffic(fx.from);
+	CU_ASSERT_EQUAL(traffic.datagrams[DH_PEER_HEARTBEAT], 0);
 	end(&fx);
 }
 
