test_owners: two tests of what a leader sends, red

A report that crossed a delta is answered by the whole record of owners; a change in the store is sent to each of 48 VMs by the leader itself.

--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "gateway/owners.h"
 #include "gateway/peer.h"
 #include "platform/wire.h"
@@ -56,18 +57,29 @@
 	leader_lost = beat->lost;
 }
 
+static uint32_t whole_records; /* parts of them that the other VM got */
+static uint32_t deltas; /* that it got */
+/* The other VM answers each delta by a report of the version before: a report
+ * that was under way when the leader published. */
+static bool report_crosses_delta;
+
 static void
 on_owners(void *arg, const struct dh_peer_part *p)
 {
 	(void)arg;
 	(void)p;
+	whole_records++;
 }
 
+static void send_report_of_version(
+    struct fixture *fx, uint64_t term, uint64_t version);
+
 static void
 on_delta(void *arg, const struct dh_peer_delta *d)
 {
-	(void)arg;
-	(void)d;
+	deltas++;
+	if (report_crosses_delta)
+		send_report_of_version(arg, d->term, d->base);
 }
 
 static void
@@ -116,7 +128,7 @@
 start(struct fixture *fx, const struct dh_object_view *items, size_t n)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_news, NULL };
+		on_news, fx };
 	struct json_object *o = json_tokener_parse(config);
 	struct dh_object_view v = {
 		.name = dh_wire_config_name, .revision = 5, .spec = o
@@ -198,22 +210,45 @@
 	g_free(r);
 }
 
-/* Sends a report of the other VM, which follows the leader of that term. */
+/* Sends a report of a VM that has that version of the owners of service s; 0:
+ * it knows no keyed service. */
 static void
-send_report(struct fixture *fx, uint64_t term)
+send_report_from(
+    struct dh_peer *from, const char *vm, uint64_t term, uint64_t version)
 {
-	struct dh_peer_report r = { .vm = "vm-2", .term = term };
-
+	struct dh_peer_report r = { .term = term };
+
+	(void)g_strlcpy(r.vm, vm, sizeof(r.vm));
+	if (version != 0) {
+		r.nowners = 1;
+		(void)g_strlcpy(
+		    r.owners[0].service, "s", sizeof(r.owners[0].service));
+		r.owners[0].term = term;
+		r.owners[0].version = version;
+	}
 	r.keys = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_key));
 	r.servers = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_server));
 	r.leaving = g_array_new(FALSE, TRUE, sizeof(struct dh_peer_leaving));
-	dh_peer_send_report(fx->other, SELF, &r);
-	run_for(fx, 100);
+	dh_peer_send_report(from, SELF, &r);
 	g_array_unref(r.keys);
 	g_array_unref(r.servers);
 	g_array_unref(r.leaving);
 }
 
+static void
+send_report_of_version(struct fixture *fx, uint64_t term, uint64_t version)
+{
+	send_report_from(fx->other, "vm-2", term, version);
+}
+
+/* Sends a report of the other VM, which follows the leader of that term. */
+static void
+send_report(struct fixture *fx, uint64_t term)
+{
+	send_report_of_version(fx, term, 0);
+	run_for(fx, 100);
+}
+
 /* Runs until this VM reads the leader's object from the store. */
 static void
 wait_for_read(struct fixture *fx)
@@ -616,6 +651,141 @@
 	}
 }
 
+/* Makes this VM the leader of a service with two backend servers, which accept
+ * all orders, and lets the first one leave once keys are owned.  Runs until
+ * enough() is true, for at most 4 s. */
+static void
+lead_while_keys_move(struct fixture *fx, bool (*enough)(void))
+{
+	struct silent_server s[2] = { silent_server_start(),
+		silent_server_start() };
+	struct json_object *vm = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.2\",\"core_share_milli\":500,\"zone\":\"z\"}");
+	struct dh_object_view other = {
+		.name = "vm.vm-2", .revision = 7, .spec = vm
+	};
+	struct order_connections c = { .n = 0 };
+	struct dh_object_view v[2];
+	bool loaded = false;
+	int i;
+
+	start(fx, &other, 1);
+	run_for(fx, 350);
+	for (i = 0; i < 2; i++)
+		v[i] = (struct dh_object_view){ .name = i == 0 ? "i-1" : "i-2",
+			.revision = 11,
+			.spec = json_tokener_parse(s[i].entry) };
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 11, v, 2);
+	wait_for_read(fx);
+	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	for (i = 0; i < 400 && !enough(); i++) {
+		run_for(fx, 10);
+		answer_service_calls(&loaded);
+		answer_orders(&c, s[0].fd);
+		answer_orders(&c, s[1].fd);
+		if (i != 100)
+			continue;
+		json_object_object_add(
+		    v[0].spec, "state", json_object_new_string("draining"));
+		v[0].revision = 12;
+		fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 12, v, 1);
+	}
+	CU_ASSERT_TRUE(enough());
+	stop(fx);
+	for (i = 0; i < c.n; i++)
+		(void)close(c.fds[i]);
+	for (i = 0; i < 2; i++) {
+		json_object_put(v[i].spec);
+		silent_server_end(&s[i]);
+	}
+	json_object_put(vm);
+}
+
+static bool
+three_deltas_sent(void)
+{
+	return deltas >= 3;
+}
+
+/* Guards against a leader whose link is filled by whole records for VMs whose
+ * reports were under way when it published. */
+static void
+test_whole_record_for_a_report_that_crossed_a_delta(void)
+{
+	struct fixture fx;
+
+	whole_records = deltas = 0;
+	report_crosses_delta = true;
+	lead_while_keys_move(&fx, three_deltas_sent);
+	report_crosses_delta = false;
+	CU_ASSERT_EQUAL(whole_records, 0);
+}
+
+#define FLEET_ZONES 3
+#define FLEET_ZONE_VMS 16
+#define FLEET_VMS (FLEET_ZONES * FLEET_ZONE_VMS)
+/* The leader sends news at most this often to an availability zone. */
+#define ZONE_COPIES_MAX 4
+#define NEWS_BYTES 4000
+
+/* Bytes of news that all dh_peer of this process have sent. */
+static uint64_t
+news_bytes(void)
+{
+	return dh_counter_value(
+	    dh_counter_get("dh_peer_sent_bytes_total", "kind=\"changes\""));
+}
+
+/* Guards against a leader that sends each change in the store to each VM, which
+ * fills its link: heartbeats and changes are lost. */
+static void
+test_news_to_many_vms(void)
+{
+	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
+		on_news, NULL };
+	struct dh_object_view vms[FLEET_VMS];
+	struct dh_peer *peers[FLEET_VMS];
+	char names[FLEET_VMS][32], spec[128], ip[DH_ADDRESS_MAX];
+	g_autofree char *filler = g_strnfill(NEWS_BYTES, 'x');
+	g_autofree char *news = g_strdup_printf("{\"x\":\"%s\"}", filler);
+	uint64_t before;
+	struct fixture fx;
+	int i;
+
+	for (i = 0; i < FLEET_VMS; i++) {
+		(void)g_snprintf(names[i], sizeof(names[i]), "vm.fleet-%d", i);
+		(void)g_snprintf(spec, sizeof(spec),
+		    "{\"ip\":\"127.0.1.%d\",\"core_share_milli\":100,"
+		    "\"zone\":\"z%d\"}",
+		    i + 1, i % FLEET_ZONES);
+		vms[i] = (struct dh_object_view){ .name = names[i],
+			.revision = 7,
+			.spec = json_tokener_parse(spec) };
+	}
+	start(&fx, vms, FLEET_VMS);
+	for (i = 0; i < FLEET_VMS; i++) {
+		(void)g_snprintf(ip, sizeof(ip), "127.0.1.%d", i + 1);
+		peers[i] = dh_peer_new(&fx.loop, ip, port, &h, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(peers[i]);
+	}
+	lead_after_other(&fx);
+	for (i = 0; i < FLEET_VMS; i++)
+		send_report_from(peers[i], names[i] + strlen("vm."), 4, 0);
+	run_for(&fx, 50);
+	before = news_bytes();
+	answer_with(dh_wire_kind_servers, DH_OBJECTS_OK, 11, news);
+	run_for(&fx, 50);
+	CU_ASSERT_TRUE(news_bytes() - before >= NEWS_BYTES);
+	CU_ASSERT_TRUE((news_bytes() - before) / NEWS_BYTES <=
+	    FLEET_ZONES * ZONE_COPIES_MAX);
+	for (i = 0; i < FLEET_VMS; i++) {
+		dh_peer_free(peers[i]);
+		json_object_put(vms[i].spec);
+	}
+	stop(&fx);
+}
+
 /* A leader that is about to stop sends orders until another VM leads.  Without
  * the store no other VM can lead, and leases have to be renewed. */
 static void
@@ -910,6 +1080,9 @@
 		{ "stalled leader", test_stalled_leader_orders_nothing },
 		{ "release has a connection of its own",
 		    test_release_has_a_connection_of_its_own },
+		{ "whole record for a report that crossed a delta",
+		    test_whole_record_for_a_report_that_crossed_a_delta },
+		{ "news to many VMs", test_news_to_many_vms },
 		{ "resigned leader renews leases",
 		    test_resigned_leader_renews_leases },
 		{ "resigned leader without other VMs",
