Owners: send lost changes again, not the whole record

What callers saw: requests at backend servers that had left (DRAIN, large site), refusals for keys that had moved. The leader's link of 25 MB/s was full, and heartbeats and changes were lost on it.

Cause, first part: a report that names an earlier version than the last published was answered by the whole record, 14 KB.

The leader now keeps the last 64 publications. What a report lacks counts as under way for 500 ms; after that the publications since the version that the VM has are sent again, and the whole record only if they are no longer kept.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -85,6 +85,7 @@
 	int64_t last_plan_ms; /* time of the last plan */
 	uint64_t version; /* last one used to publish or store */
 	struct dh_record published; /* last one passed to published() */
+	struct dh_backlog *backlog; /* the publications before it */
 	uint64_t published_change; /* change number of
 				      dh_keyspace_current_ranges() */
 	int64_t published_ms; /* time of the last publication */
@@ -298,6 +299,7 @@
 publish(struct dh_duty *d)
 {
 	struct dh_record r = { .term = d->c.term }, before = d->published;
+	const struct dh_backlog_step *step = NULL;
 	const struct dh_key_range *ranges;
 	uint64_t number = dh_keyspace_current_ranges(d->ks, NULL, NULL);
 	int64_t now_ms = dh_clock_ms();
@@ -311,7 +313,10 @@
 	r.version = ++d->version;
 	r.ranges = (struct dh_key_range *)(uintptr_t)ranges;
 	d->published = dh_record_copy(&r);
-	d->c.published(d->c.arg, d->service, &before, &d->published);
+	if (before.ranges != NULL)
+		step = dh_backlog_add(d->backlog, before.version, r.version,
+		    dh_record_diff(&before, &d->published), now_ms);
+	d->c.published(d->c.arg, d->service, &d->published, step);
 	dh_record_clear(&before);
 }
 
@@ -654,6 +659,7 @@
 	d->service = g_strdup(service);
 	d->object = g_strconcat("service.", service, NULL);
 	d->ks = dh_keyspace_new(&p);
+	d->backlog = dh_backlog_new();
 	d->lease_ms = duration_ms;
 	d->retry_pause_ms = STORE_PAUSE_MIN_MS;
 	load_record(d);
@@ -674,6 +680,7 @@
 	}
 	dh_objects_cancel(d->call);
 	dh_keyspace_free(d->ks);
+	dh_backlog_free(d->backlog);
 	dh_record_clear(&d->published);
 	g_free(d->service);
 	g_free(d->object);
@@ -706,6 +713,7 @@
 	d->retry_pause_ms = STORE_PAUSE_MIN_MS;
 	/* Publishes all owners again, as a record of the new term. */
 	dh_record_clear(&d->published);
+	dh_backlog_clear(d->backlog);
 	d->published_ms = 0;
 }
 
@@ -800,5 +808,13 @@
 dh_duty_is_up_to_date(const struct dh_duty *d, uint64_t term, uint64_t version)
 {
 	return term > d->c.term ||
-	    (term == d->c.term && version >= d->published.version);
+	    (term == d->c.term &&
+		(version >= d->published.version ||
+		    dh_backlog_may_arrive(d->backlog, version, dh_clock_ms())));
+}
+
+const struct dh_backlog_step *
+dh_duty_step_after(const struct dh_duty *d, uint64_t term, uint64_t version)
+{
+	return term == d->c.term ? dh_backlog_after(d->backlog, version) : NULL;
 }
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "base/http.h"
+#include "gateway/backlog.h"
 #include "gateway/record.h"
 #include "gateway/registry.h"
 #include "gateway/settings.h"
@@ -37,10 +38,10 @@
 	/* Returns the rate limit that a backend server has named, in requests
 	 * per second; negative: none. */
 	double (*rate_limit)(void *arg, const char *id, int64_t start_ms);
-	/* Called when the owners have changed.  before has no ranges the first
-	 * time in a term; both records are valid only during the call. */
+	/* Called when the owners have changed.  step is NULL the first time in
+	 * a term; it and the record are valid only during the call. */
 	void (*published)(void *arg, const char *service,
-	    const struct dh_record *before, const struct dh_record *now);
+	    const struct dh_record *now, const struct dh_backlog_step *step);
 	/* Called when the store has accepted a write of this term that was
 	 * sent at began_ms: up to then no other leader stored a record. */
 	void (*confirmed)(void *arg, int64_t began_ms);
@@ -107,8 +108,14 @@
 const struct dh_record *dh_duty_record(const struct dh_duty *d);
 
 /* dh_duty_is_up_to_date -- whether a VM that knows the owners as of this term
- * and version has nothing to learn from the published record. */
+ * and version lacks nothing of the published record but what may be on its way
+ * to it.
+ *
+ * dh_duty_step_after -- the publication that followed this version in the
+ * present term; NULL if it is no longer known. */
 bool dh_duty_is_up_to_date(
     const struct dh_duty *d, uint64_t term, uint64_t version);
+const struct dh_backlog_step *dh_duty_step_after(
+    const struct dh_duty *d, uint64_t term, uint64_t version);
 
 #endif
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -49,34 +49,29 @@
 #define LOST_VM_WAIT_MS 800
 
 static void
-send_changes(struct dh_owners *o, const char *service,
-    const struct dh_record *before, const struct dh_record *now)
-{
-	g_autoptr(GArray) changes = dh_record_diff(before, now);
-	struct dh_peer_delta d = { .term = now->term,
-		.base = before->version,
-		.version = now->version,
-		.changes = changes };
+send_step(struct dh_owners *o, const char *service, uint64_t term,
+    const struct dh_backlog_step *step)
+{
+	struct dh_peer_delta d = owners_delta(service, term, step);
 	GHashTableIter it;
 	gpointer ip;
 
-	(void)g_strlcpy(d.service, service, sizeof(d.service));
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, NULL))
 		dh_peer_send_delta(o->peer, ip, &d);
 }
 
 static void
-on_published(void *arg, const char *service, const struct dh_record *before,
-    const struct dh_record *now)
+on_published(void *arg, const char *service, const struct dh_record *now,
+    const struct dh_backlog_step *step)
 {
 	struct dh_record copy = dh_record_copy(now);
 
 	(void)owners_learn(arg, service, &copy, "leader");
 	/* The first record of a term is sent to each VM when its report shows
 	 * that the VM lacks it. */
-	if (before->ranges != NULL)
-		send_changes(arg, service, before, now);
+	if (step != NULL)
+		send_step(arg, service, now->term, step);
 }
 
 static void
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -151,6 +151,39 @@
 		dh_registry_apply_changes(o->c.registry, n);
 }
 
+struct dh_peer_delta
+owners_delta(
+    const char *service, uint64_t term, const struct dh_backlog_step *step)
+{
+	struct dh_peer_delta d = { .term = term,
+		.base = step->base,
+		.version = step->version,
+		.changes = step->changes };
+
+	(void)g_strlcpy(d.service, service, sizeof(d.service));
+	return d;
+}
+
+/* Sends a VM again what followed this version; returns false if that is no
+ * longer known. */
+static bool
+send_missing_steps(struct dh_owners *o, const struct dh_duty *duty,
+    const char *service, uint64_t term, uint64_t version, const char *ip)
+{
+	const struct dh_backlog_step *step =
+	    dh_duty_step_after(duty, term, version);
+	struct dh_peer_delta d;
+
+	if (step == NULL)
+		return false;
+	for (; step != NULL;
+	     step = dh_duty_step_after(duty, term, step->version)) {
+		d = owners_delta(service, term, step);
+		dh_peer_send_delta(o->peer, ip, &d);
+	}
+	return true;
+}
+
 static void
 send_outdated(
     struct dh_owners *o, const struct dh_peer_report *r, const char *ip)
@@ -171,6 +204,10 @@
 		if (dh_duty_record(duty) == NULL || o->full_sends == 0)
 			continue;
 		o->full_sends--;
+		if (i < r->nowners &&
+		    send_missing_steps(o, duty, service, r->owners[i].term,
+			r->owners[i].version, ip))
+			continue;
 		dh_peer_send_owners(o->peer, ip, service, dh_duty_record(duty));
 	}
 }
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -183,6 +183,9 @@
 /* gossip.c */
 struct dh_peer_handler owners_peer_handler(struct dh_owners *o);
 void owners_send_report(struct dh_owners *o);
+/* Returns the step as a datagram; it borrows the step's changes. */
+struct dh_peer_delta owners_delta(
+    const char *service, uint64_t term, const struct dh_backlog_step *step);
 /* Logs, as the leader, what was sent to other VMs since the last call. */
 void owners_log_traffic(struct dh_owners *o);
 
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -62,6 +62,11 @@
 /* The other VM answers each delta by a report of the version before: a report
  * that was under way when the leader published. */
 static bool report_crosses_delta;
+/* The other VM has lost all deltas from the first on: its reports name the
+ * version before it. */
+static bool first_delta_lost;
+static uint64_t first_base; /* of the first delta; 0: none came yet */
+static uint32_t first_delta_again; /* times that it was sent again */
 
 static void
 on_owners(void *arg, const struct dh_peer_part *p)
@@ -78,7 +83,13 @@
 on_delta(void *arg, const struct dh_peer_delta *d)
 {
 	deltas++;
-	if (report_crosses_delta)
+	if (first_base == 0)
+		first_base = d->base;
+	else if (d->base == first_base)
+		first_delta_again++;
+	if (first_delta_lost)
+		send_report_of_version(arg, d->term, first_base);
+	else if (report_crosses_delta)
 		send_report_of_version(arg, d->term, d->base);
 }
 
@@ -722,6 +733,25 @@
 	CU_ASSERT_EQUAL(whole_records, 0);
 }
 
+static bool
+lost_delta_sent_again(void)
+{
+	return first_delta_again > 0;
+}
+
+static void
+test_lost_delta_is_sent_again(void)
+{
+	struct fixture fx;
+
+	whole_records = deltas = first_delta_again = 0;
+	first_base = 0;
+	first_delta_lost = true;
+	lead_while_keys_move(&fx, lost_delta_sent_again);
+	first_delta_lost = false;
+	CU_ASSERT_EQUAL(whole_records, 0);
+}
+
 #define FLEET_ZONES 3
 #define FLEET_ZONE_VMS 16
 #define FLEET_VMS (FLEET_ZONES * FLEET_ZONE_VMS)
@@ -1082,6 +1112,7 @@
 		    test_release_has_a_connection_of_its_own },
 		{ "whole record for a report that crossed a delta",
 		    test_whole_record_for_a_report_that_crossed_a_delta },
+		{ "lost delta", test_lost_delta_is_sent_again },
 		{ "news to many VMs", test_news_to_many_vms },
 		{ "resigned leader renews leases",
 		    test_resigned_leader_renews_leases },
