Gateway: pass the leader's news on over relays in each zone

What callers saw: requests at backend servers that had left (DRAIN, large site), since VMs learned seconds late.

Cause, second part: the leader sent each change to each VM itself. While 40 % of the servers are released, one batch of 86 servers is 48 KB; for 294 VMs 14 MB at once over a link of 25 MB/s, and what does not fit is lost: the batch, and the heartbeats behind it. Then all VMs take the leader for silent and ask the store at the same moment.

With more than 32 other VMs the leader now sends changes in the store and of owners to at most four relays a zone, the largest VMs first, which pass them on, in more than one step if they are many. Which VM relays for which others changes with each datagram. A VM that was not heard for 700 ms, or whose build does not pass datagrams on, is no relay. Heartbeats go directly, since a VM counts them.

--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -72,11 +72,28 @@
 		abort();
 }
 
+static void
+on_relayed(void *arg, const uint32_t *addresses, size_t n, const void *datagram,
+    size_t len)
+{
+	g_autoptr(dh_fanout) f = dh_fanout_split(addresses, n);
+	size_t total = 0;
+	guint i;
+
+	(void)arg;
+	(void)datagram;
+	(void)len;
+	for (i = 0; i < f->groups->len; i++)
+		total += g_array_index(f->groups, struct dh_fanout_group, i).n;
+	if (total != n)
+		abort();
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
 {
 	static const struct dh_peer_handler h = { on_beat, on_owners, on_delta,
-		on_report, on_news, NULL };
+		on_report, on_news, on_relayed, NULL };
 
 	(void)dh_peer_decode(&h, data, len, "127.0.0.1");
 	return 0;
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -53,12 +53,9 @@
     const struct dh_backlog_step *step)
 {
 	struct dh_peer_delta d = owners_delta(service, term, step);
-	GHashTableIter it;
-	gpointer ip;
+	g_autoptr(dh_fanout) f = owners_fanout(o);
 
-	g_hash_table_iter_init(&it, o->peers);
-	while (g_hash_table_iter_next(&it, &ip, NULL))
-		dh_peer_send_delta(o->peer, ip, &d);
+	dh_peer_publish_delta(o->peer, f, &d);
 }
 
 static void
@@ -130,17 +127,16 @@
 on_changes(void *arg, const struct dh_registry_changes *n)
 {
 	struct dh_owners *o = arg;
-	g_autofree const char **ips =
-	    (const char **)g_hash_table_get_keys_as_array(o->peers, NULL);
+	g_autoptr(dh_fanout) f = owners_fanout(o);
 
-	dh_peer_send_changes(
-	    o->peer, ips, g_hash_table_size(o->peers), n, o->term);
+	dh_peer_publish_changes(o->peer, f, n, o->term);
 }
 
 static void
 become_leader(struct dh_owners *o, int64_t began_ms)
 {
 	o->role = ROLE_LEADER;
+	o->elected_ms = dh_clock_ms();
 	dh_mirror_set_fed_by_leader(o->mirror, false);
 	dh_registry_set_leading(o->c.registry, on_changes, o);
 	o->confirm_failed = false;
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -5,6 +5,7 @@
  */
 #include "gateway/owners_internal.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -12,6 +13,8 @@
 
 /* Heartbeats that may be missing before the gap is logged. */
 #define BEATS_MISSING_MAX 2
+/* A VM that the leader has not heard from for this long is no relay. */
+#define RELAY_SILENT_MS 700
 /* Work times change slowly: only each WORK_TIME_REPORTS-th report has them. */
 #define WORK_TIME_REPORTS 4
 
@@ -151,6 +154,33 @@
 		dh_registry_apply_changes(o->c.registry, n);
 }
 
+struct dh_fanout *
+owners_fanout(struct dh_owners *o)
+{
+	g_autofree struct dh_fanout_vm *vms =
+	    g_new0(struct dh_fanout_vm, g_hash_table_size(o->peers) + 1);
+	int64_t now_ms = dh_clock_ms();
+	GHashTableIter it;
+	gpointer ip, value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, &ip, &value)) {
+		const struct peer_state *p = value;
+		struct in_addr address;
+
+		if (inet_pton(AF_INET, ip, &address) != 1)
+			continue;
+		vms[n++] = (struct dh_fanout_vm){ .address = address.s_addr,
+			.zone = p->zone,
+			.core_share_milli = p->core_share_milli,
+			.relays = p->relays,
+			.silent = now_ms - MAX(p->heard_ms, o->elected_ms) >
+			    RELAY_SILENT_MS };
+	}
+	return dh_fanout_new(vms, n, o->fanout_turn++);
+}
+
 struct dh_peer_delta
 owners_delta(
     const char *service, uint64_t term, const struct dh_backlog_step *step)
@@ -229,6 +259,7 @@
 		p = owners_get_peer(o, ip);
 		p->heard_ms = dh_clock_ms();
 		p->followed_term = r->term;
+		p->relays = r->relays;
 	}
 	for (i = 0; i < r->keys->len; i++) {
 		const struct dh_peer_key *k =
@@ -373,9 +404,18 @@
 	o->step_pause_ms = 0;
 }
 
+static void
+on_relayed(void *arg, const uint32_t *addresses, size_t n, const void *datagram,
+    size_t len)
+{
+	struct dh_owners *o = arg;
+
+	dh_peer_pass_on(o->peer, addresses, n, datagram, len);
+}
+
 struct dh_peer_handler
 owners_peer_handler(struct dh_owners *o)
 {
 	return (struct dh_peer_handler){ on_beat, on_owners, on_delta,
-		on_report, on_peer_changes, o };
+		on_report, on_peer_changes, on_relayed, o };
 }
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -182,6 +182,7 @@
 	if (o->announced || o->announcement != NULL ||
 	    strcmp(ip, o->c.ip) != 0 ||
 	    strcmp(string_member(v->spec, "zone"), o->c.settings->zone) != 0 ||
+	    dh_json_int(v->spec, "relays") != 1 ||
 	    core_share_milli != o->c.settings->core_share_milli)
 		return;
 	o->announced = true;
@@ -205,6 +206,8 @@
 	if (strcmp(ip, o->c.ip) != 0 && ip[0] != '\0') {
 		p = owners_get_peer(o, ip);
 		p->core_share_milli = core_share_milli;
+		if (p->heard_ms == 0)
+			p->relays = dh_json_int(v->spec, "relays") == 1;
 		(void)g_strlcpy(
 		    p->vm, v->name + strlen(VM_PREFIX), sizeof(p->vm));
 		(void)g_strlcpy(
@@ -249,7 +252,8 @@
 		return;
 	name = g_strconcat(VM_PREFIX, o->c.settings->vm, NULL);
 	spec = g_strdup_printf(
-	    "{\"ip\":\"%s\",\"core_share_milli\":%lld,\"zone\":\"%s\"}",
+	    "{\"ip\":\"%s\",\"core_share_milli\":%lld,\"zone\":\"%s\","
+	    "\"relays\":1}",
 	    o->c.ip, (long long)o->c.settings->core_share_milli,
 	    o->c.settings->zone);
 	o->announcement = dh_objects_put(o->c.objects, DH_OWNERS_KIND, name,
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -44,6 +44,7 @@
 				   * known */
 	char vm[DH_NAME_MAX];
 	char zone[DH_NAME_MAX]; /* "" if not known */
+	bool relays; /* its build passes datagrams on, as far as known */
 };
 
 /* The owners of a service, sent in several parts, until all have arrived. */
@@ -93,6 +94,8 @@
 	/* As leader. */
 	GHashTable *duties; /* service -> struct dh_duty */
 	GHashTable *peers; /* ip -> struct peer_state */
+	int64_t elected_ms; /* when this VM began to lead */
+	uint32_t fanout_turn; /* rises with each fan-out */
 	uint32_t peer_uids; /* number of uids given out */
 	struct dh_view_peers *view_peers; /* g_atomic_rc_box; or NULL */
 	bool peers_changed; /* view_peers has to be made again */
@@ -183,6 +186,9 @@
 /* gossip.c */
 struct dh_peer_handler owners_peer_handler(struct dh_owners *o);
 void owners_send_report(struct dh_owners *o);
+/* Returns how datagrams of the leader reach all other VMs; the caller frees it.
+ */
+struct dh_fanout *owners_fanout(struct dh_owners *o);
 /* Returns the step as a datagram; it borrows the step's changes. */
 struct dh_peer_delta owners_delta(
     const char *service, uint64_t term, const struct dh_backlog_step *step);
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -31,6 +31,10 @@
 /* Once the specs in a datagram take this many bytes, the next object starts a
  * new one. */
 #define SPEC_BYTES_TARGET 20000
+/* VMs that one datagram is passed on to at most. */
+#define RELAY_ADDRESSES_MAX 4096u
+/* Bits of what a VM's build can do, in its reports. */
+#define FEATURE_RELAYS 1u
 
 struct dh_peer {
 	uv_udp_t udp;
@@ -426,6 +430,7 @@
 	const msgpack_object_array *l2 = array_at(a, 3, REPORT_KEYS_MAX);
 	const msgpack_object_array *l3 = array_at(a, 4, REPORT_SERVERS_MAX);
 	const msgpack_object_array *l4 = array_at(a, 5, REPORT_SERVERS_MAX);
+	uint64_t features;
 
 	if (!text_at(a, 1, r.vm, sizeof(r.vm)) || l1 == NULL || l2 == NULL ||
 	    l3 == NULL || l4 == NULL || !read_record_versions(l1, &r) ||
@@ -435,6 +440,9 @@
 	    !read_suspects(array_at(a, 8, DH_SHARED_SUSPECTS), suspects) ||
 	    !read_crashed_servers(array_at(a, 9, DH_SHARED_SUSPECTS), suspects))
 		return false;
+	/* Absent in reports of an earlier release. */
+	r.relays =
+	    number_at(a, 10, &features) && (features & FEATURE_RELAYS) != 0;
 	h->report(h->arg, &r, ip);
 	return true;
 }
@@ -488,9 +496,38 @@
 	return ok;
 }
 
+static bool decode(const struct dh_peer_handler *h, const void *data,
+    size_t len, const char *ip, bool relayed);
+
+/* A datagram that the leader wants passed on.  Heartbeats and reports are not:
+ * their sender matters. */
+static bool
+decode_relayed(const struct dh_peer_handler *h, const msgpack_object_array *a,
+    const char *ip)
+{
+	uint32_t addresses[RELAY_ADDRESSES_MAX];
+	const msgpack_object *to = &a->ptr[1], *datagram = &a->ptr[2];
+	uint32_t n;
+
+	if (a->size < 3 || to->type != MSGPACK_OBJECT_BIN ||
+	    datagram->type != MSGPACK_OBJECT_BIN ||
+	    to->via.bin.size % sizeof(addresses[0]) != 0 ||
+	    to->via.bin.size > sizeof(addresses))
+		return false;
+	n = to->via.bin.size / (uint32_t)sizeof(addresses[0]);
+	if (n > 0)
+		memcpy(addresses, to->via.bin.ptr, to->via.bin.size);
+	if (!decode(h, datagram->via.bin.ptr, datagram->via.bin.size, ip, true))
+		return false;
+	if (h->relayed != NULL)
+		h->relayed(h->arg, addresses, n, datagram->via.bin.ptr,
+		    datagram->via.bin.size);
+	return true;
+}
+
 static bool
-decode_message(
-    const struct dh_peer_handler *h, const msgpack_object *o, const char *ip)
+decode_message(const struct dh_peer_handler *h, const msgpack_object *o,
+    const char *ip, bool relayed)
 {
 	const msgpack_object_array *a = &o->via.array;
 	uint64_t kind;
@@ -499,23 +536,25 @@
 		return false;
 	switch (kind) {
 	case DH_PEER_HEARTBEAT:
-		return decode_heartbeat(h, a, ip);
+		return !relayed && decode_heartbeat(h, a, ip);
 	case DH_PEER_OWNERS:
 		return decode_owners(h, a);
 	case DH_PEER_DELTA:
 		return decode_delta(h, a);
 	case DH_PEER_REPORT:
-		return decode_report(h, a, ip);
+		return !relayed && decode_report(h, a, ip);
 	case DH_PEER_CHANGES:
 		return decode_changes(h, a);
+	case DH_PEER_RELAYED:
+		return !relayed && decode_relayed(h, a, ip);
 	default: /* sent by a later release */
 		return false;
 	}
 }
 
-bool
-dh_peer_decode(const struct dh_peer_handler *h, const void *data, size_t len,
-    const char *ip)
+static bool
+decode(const struct dh_peer_handler *h, const void *data, size_t len,
+    const char *ip, bool relayed)
 {
 	msgpack_unpacked m;
 	size_t at = 0;
@@ -526,11 +565,18 @@
 	msgpack_unpacked_init(&m);
 	ok =
 	    msgpack_unpack_next(&m, data, len, &at) == MSGPACK_UNPACK_SUCCESS &&
-	    decode_message(h, &m.data, ip);
+	    decode_message(h, &m.data, ip, relayed);
 	msgpack_unpacked_destroy(&m);
 	return ok;
 }
 
+bool
+dh_peer_decode(const struct dh_peer_handler *h, const void *data, size_t len,
+    const char *ip)
+{
+	return decode(h, data, len, ip, false);
+}
+
 static void
 on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
     const struct sockaddr *from, unsigned int flags)
@@ -563,6 +609,7 @@
 		{ DH_PEER_REPORT, "kind=\"report\"" },
 		{ DH_PEER_DELTA, "kind=\"delta\"" },
 		{ DH_PEER_CHANGES, "kind=\"changes\"" },
+		{ DH_PEER_RELAYED, "kind=\"relayed\"" },
 	};
 	struct dh_peer *p = g_new0(struct dh_peer, 1);
 	struct sockaddr_in sin;
@@ -614,23 +661,80 @@
 }
 
 static void
-send_buffer(struct dh_peer *p, const char *ip, enum dh_peer_kind kind,
-    const msgpack_sbuffer *b)
+send_bytes(struct dh_peer *p, const struct sockaddr_in *to,
+    enum dh_peer_kind kind, const char *data, size_t len)
 {
-	uv_buf_t buf = uv_buf_init(b->data, (unsigned int)b->size);
-	struct sockaddr_in sin;
+	uv_buf_t buf = uv_buf_init((char *)(uintptr_t)data, (unsigned int)len);
 
-	dh_counter_add(p->bytes[kind], b->size);
-	p->traffic.bytes[kind] += b->size;
+	dh_counter_add(p->bytes[kind], len);
+	p->traffic.bytes[kind] += len;
 	p->traffic.datagrams[kind]++;
-	if (b->size > DATAGRAM_MAX || uv_ip4_addr(ip, p->port, &sin) != 0 ||
-	    uv_udp_try_send(&p->udp, &buf, 1, (const struct sockaddr *)&sin) <
+	if (len > DATAGRAM_MAX ||
+	    uv_udp_try_send(&p->udp, &buf, 1, (const struct sockaddr *)to) <
 		0) {
 		dh_counter_add(p->unsent, 1);
 		p->traffic.unsent++;
 	}
 }
 
+static void
+send_buffer(struct dh_peer *p, const char *ip, enum dh_peer_kind kind,
+    const msgpack_sbuffer *b)
+{
+	struct sockaddr_in sin;
+
+	if (uv_ip4_addr(ip, p->port, &sin) == 0)
+		send_bytes(p, &sin, kind, b->data, b->size);
+}
+
+static void
+send_to_group(struct dh_peer *p, const struct dh_fanout_group *g,
+    enum dh_peer_kind kind, const void *datagram, size_t len)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons(p->port),
+		.sin_addr.s_addr = g->addresses[0] };
+	size_t to_bytes = (g->n - 1) * sizeof(g->addresses[0]);
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+
+	if (g->n == 1) {
+		send_bytes(p, &sin, kind, datagram, len);
+		return;
+	}
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_uint32(&pk, DH_PEER_RELAYED);
+	msgpack_pack_bin(&pk, to_bytes);
+	msgpack_pack_bin_body(&pk, g->addresses + 1, to_bytes);
+	msgpack_pack_bin(&pk, len);
+	msgpack_pack_bin_body(&pk, datagram, len);
+	send_bytes(p, &sin, kind, b.data, b.size);
+	msgpack_sbuffer_destroy(&b);
+}
+
+static void
+send_to_groups(struct dh_peer *p, const struct dh_fanout *f,
+    enum dh_peer_kind kind, const void *datagram, size_t len)
+{
+	guint i;
+
+	for (i = 0; i < f->groups->len; i++)
+		send_to_group(p,
+		    &g_array_index(f->groups, struct dh_fanout_group, i), kind,
+		    datagram, len);
+}
+
+void
+dh_peer_pass_on(struct dh_peer *p, const uint32_t *addresses, size_t n,
+    const void *datagram, size_t len)
+{
+	g_autoptr(dh_fanout) f = dh_fanout_split(addresses, n);
+
+	send_to_groups(p, f, DH_PEER_RELAYED, datagram, len);
+}
+
 static void
 pack_text(msgpack_packer *pk, const char *text)
 {
@@ -801,6 +905,19 @@
 	dh_record_clear(&none);
 }
 
+static void
+pack_delta(msgpack_packer *pk, const struct dh_peer_delta *d)
+{
+	msgpack_pack_array(pk, 6);
+	msgpack_pack_uint32(pk, DH_PEER_DELTA);
+	pack_text(pk, d->service);
+	msgpack_pack_uint64(pk, d->term);
+	msgpack_pack_uint64(pk, d->base);
+	msgpack_pack_uint64(pk, d->version);
+	pack_changes(pk, &g_array_index(d->changes, struct dh_record_change, 0),
+	    d->changes->len);
+}
+
 void
 dh_peer_send_delta(
     struct dh_peer *p, const char *ip, const struct dh_peer_delta *d)
@@ -810,19 +927,25 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 6);
-	msgpack_pack_uint32(&pk, DH_PEER_DELTA);
-	pack_text(&pk, d->service);
-	msgpack_pack_uint64(&pk, d->term);
-	msgpack_pack_uint64(&pk, d->base);
-	msgpack_pack_uint64(&pk, d->version);
-	pack_changes(&pk,
-	    &g_array_index(d->changes, struct dh_record_change, 0),
-	    d->changes->len);
+	pack_delta(&pk, d);
 	send_buffer(p, ip, DH_PEER_DELTA, &b);
 	msgpack_sbuffer_destroy(&b);
 }
 
+void
+dh_peer_publish_delta(
+    struct dh_peer *p, const struct dh_fanout *f, const struct dh_peer_delta *d)
+{
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	pack_delta(&pk, d);
+	send_to_groups(p, f, DH_PEER_DELTA, b.data, b.size);
+	msgpack_sbuffer_destroy(&b);
+}
+
 void
 dh_peer_send_report(
     struct dh_peer *p, const char *ip, const struct dh_peer_report *r)
@@ -833,7 +956,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 10);
+	msgpack_pack_array(&pk, 11);
 	msgpack_pack_uint32(&pk, DH_PEER_REPORT);
 	pack_text(&pk, r->vm);
 	msgpack_pack_array(&pk, r->nowners);
@@ -873,6 +996,7 @@
 	pack_limits(&pk, r->limits);
 	pack_suspects(&pk, r->suspects);
 	pack_crashed_servers(&pk, r->suspects);
+	msgpack_pack_uint32(&pk, FEATURE_RELAYS);
 	send_buffer(p, ip, DH_PEER_REPORT, &b);
 	msgpack_sbuffer_destroy(&b);
 }
@@ -886,7 +1010,7 @@
 }
 
 static void
-send_changes(struct dh_peer *p, const char *const *ips, size_t nips,
+publish_part(struct dh_peer *p, const struct dh_fanout *f,
     const struct dh_registry_changes *n, uint64_t term)
 {
 	const struct dh_object_view *o;
@@ -912,13 +1036,12 @@
 		pack_text(&pk, spec_text(o));
 	}
 	msgpack_pack_uint64(&pk, n->era);
-	for (i = 0; i < nips; i++)
-		send_buffer(p, ips[i], DH_PEER_CHANGES, &b);
+	send_to_groups(p, f, DH_PEER_CHANGES, b.data, b.size);
 	msgpack_sbuffer_destroy(&b);
 }
 
 void
-dh_peer_send_changes(struct dh_peer *p, const char *const *ips, size_t nips,
+dh_peer_publish_changes(struct dh_peer *p, const struct dh_fanout *f,
     const struct dh_registry_changes *changes, uint64_t term)
 {
 	struct dh_registry_changes part = *changes;
@@ -943,7 +1066,7 @@
 		}
 		if (i + part.nitems == changes->nitems)
 			part.as_of = changes->as_of;
-		send_changes(p, ips, nips, &part, term);
+		publish_part(p, f, &part, term);
 		part.since = part.as_of;
 	}
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -9,6 +9,7 @@
 
 #include <dogwoodhub/types.h>
 
+#include "gateway/fanout.h"
 #include "gateway/limits.h"
 #include "gateway/record.h"
 #include "gateway/registry.h"
@@ -46,6 +47,8 @@
 	/* Term of the leader that the VM follows.  A VM that reports a term
 	 * sends no orders to backend servers itself. */
 	uint64_t term;
+	/* Whether its build passes datagrams on; set by the receiver. */
+	bool relays;
 	uint32_t nowners; /* services whose owners it knows */
 	struct {
 		char service[DH_NAME_MAX];
@@ -102,6 +105,7 @@
 	DH_PEER_REPORT = 3,
 	DH_PEER_DELTA = 4,
 	DH_PEER_CHANGES = 5,
+	DH_PEER_RELAYED = 6, /* another datagram, to be passed on */
 	DH_PEER_KINDS,
 };
 
@@ -122,6 +126,10 @@
 	/* changes and all that it refers to are borrowed. */
 	void (*changes)(void *arg, const struct dh_registry_changes *changes,
 	    uint64_t term);
+	/* A datagram that this VM is to pass on by dh_peer_pass_on(); it is
+	 * also handled as if it had come by itself. */
+	void (*relayed)(void *arg, const uint32_t *addresses, size_t n,
+	    const void *datagram, size_t len);
 	void *arg;
 };
 
@@ -144,8 +152,12 @@
  * dh_peer_send_owners -- send the complete list of a service's key owners, in
  * as many datagrams as it takes.
  *
- * dh_peer_send_changes -- send changes of objects in the store to each of ips,
- * in as many datagrams as it takes; term is the leader's.
+ * dh_peer_publish_delta -- send changes of owners to all VMs of f.
+ *
+ * dh_peer_publish_changes -- send changes of objects in the store to all VMs of
+ * f, in as many datagrams as it takes; term is the leader's.
+ *
+ * dh_peer_pass_on -- pass a datagram of the leader on to other VMs.
  */
 void dh_peer_send_heartbeat(
     struct dh_peer *p, const char *ip, const struct dh_leader_heartbeat *beat);
@@ -153,8 +165,12 @@
     const struct dh_record *record);
 void dh_peer_send_delta(
     struct dh_peer *p, const char *ip, const struct dh_peer_delta *d);
-void dh_peer_send_changes(struct dh_peer *p, const char *const *ips,
-    size_t nips, const struct dh_registry_changes *changes, uint64_t term);
+void dh_peer_publish_delta(struct dh_peer *p, const struct dh_fanout *f,
+    const struct dh_peer_delta *d);
+void dh_peer_publish_changes(struct dh_peer *p, const struct dh_fanout *f,
+    const struct dh_registry_changes *changes, uint64_t term);
+void dh_peer_pass_on(struct dh_peer *p, const uint32_t *addresses, size_t n,
+    const void *datagram, size_t len);
 void dh_peer_send_report(
     struct dh_peer *p, const char *ip, const struct dh_peer_report *r);
 
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -139,7 +139,7 @@
 start(struct fixture *fx, const struct dh_object_view *items, size_t n)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_news, fx };
+		on_news, NULL, fx };
 	struct json_object *o = json_tokener_parse(config);
 	struct dh_object_view v = {
 		.name = dh_wire_config_name, .revision = 5, .spec = o
@@ -425,7 +425,8 @@
 test_address_in_store(void)
 {
 	struct json_object *o = json_tokener_parse(
-	    "{\"ip\":\"127.0.0.1\",\"core_share_milli\":500,\"zone\":\"z\"}");
+	    "{\"ip\":\"127.0.0.1\",\"core_share_milli\":500,\"zone\":\"z\","
+	    "\"relays\":1}");
 	struct dh_object_view v = {
 		.name = "vm.vm-1", .revision = 7, .spec = o
 	};
@@ -436,6 +437,17 @@
 	CU_ASSERT_PTR_NULL(fake_open("vm.vm-1"));
 	stop(&fx);
 	json_object_put(o);
+	/* An entry of an earlier release is replaced. */
+	o = json_tokener_parse("{\"ip\":\"127.0.0.1\",\"core_share_milli\":500,"
+			       "\"zone\":\"z\"}");
+	v.spec = o;
+	start(&fx, &v, 1);
+	run_for(&fx, 150);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("vm.vm-1"));
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("vm.vm-1")->put, "\"relays\":1"));
+	stop(&fx);
+	json_object_put(o);
 	/* An entry with another address is replaced. */
 	o = json_tokener_parse(
 	    "{\"ip\":\"127.0.0.9\",\"core_share_milli\":500}");
@@ -773,7 +785,7 @@
 test_news_to_many_vms(void)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_news, NULL };
+		on_news, NULL, NULL };
 	struct dh_object_view vms[FLEET_VMS];
 	struct dh_peer *peers[FLEET_VMS];
 	char names[FLEET_VMS][32], spec[128], ip[DH_ADDRESS_MAX];
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,4 +1,8 @@
+#include <arpa/inet.h>
 #include <string.h>
+#include <unistd.h>
+
+#include <msgpack.h>
 
 #include "gateway/peer.h"
 #include "tests/cunit_main.h"
@@ -112,7 +116,7 @@
 start(struct fixture *fx)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_changes, fx };
+		on_changes, NULL, fx };
 
 	memset(fx, 0, sizeof(*fx));
 	fx->in_order = true;
@@ -306,7 +310,8 @@
 static void
 test_changes_in_parts(void)
 {
-	static const char *const ips[] = { TO };
+	struct dh_fanout_vm to = { .address = inet_addr(TO), .zone = "z" };
+	g_autoptr(dh_fanout) f = dh_fanout_new(&to, 1, 0);
 	struct dh_object_view items[ITEMS];
 	struct dh_registry_changes news = { DH_REGISTRY_CONFIG, 100,
 		100 + ITEMS, items, ITEMS, 6 };
@@ -323,7 +328,7 @@
 			.spec = i % 3 == 0 ? NULL : spec };
 	start(&fx);
 	fx.as_of = 100;
-	dh_peer_send_changes(fx.from, ips, 1, &news, 9);
+	dh_peer_publish_changes(fx.from, f, &news, 9);
 	run(&fx);
 	CU_ASSERT_TRUE(fx.parts > 1);
 	CU_ASSERT_EQUAL(fx.items, ITEMS);
@@ -335,6 +340,139 @@
 	end(&fx);
 }
 
+#define FLEET_VMS 40
+
+/* A VM that a datagram is passed on to. */
+struct fleet_vm {
+	struct dh_peer *peer;
+	uint32_t deltas, relayed;
+};
+
+static void
+count_delta(void *arg, const struct dh_peer_delta *d)
+{
+	CU_ASSERT_EQUAL(d->version, 8);
+	CU_ASSERT_EQUAL(d->changes->len, 1);
+	((struct fleet_vm *)arg)->deltas++;
+}
+
+static void
+pass_on(void *arg, const uint32_t *addresses, size_t n, const void *datagram,
+    size_t len)
+{
+	struct fleet_vm *vm = arg;
+
+	vm->relayed++;
+	dh_peer_pass_on(vm->peer, addresses, n, datagram, len);
+}
+
+static void
+test_datagram_passed_on_to_all(void)
+{
+	struct dh_record_change change = { .to = 9, .owner = "a" };
+	struct dh_peer_delta d = { .service = "keyed",
+		.term = 4,
+		.base = 7,
+		.version = 8,
+		.changes = g_array_new(
+		    FALSE, FALSE, sizeof(struct dh_record_change)) };
+	struct fleet_vm fleet[FLEET_VMS] = { 0 };
+	struct dh_fanout_vm vms[FLEET_VMS];
+	g_autoptr(dh_fanout) f = NULL;
+	struct dh_peer_traffic traffic;
+	struct fixture fx;
+	char ip[32];
+	int i, relays = 0;
+
+	start(&fx);
+	g_array_append_val(d.changes, change);
+	for (i = 0; i < FLEET_VMS; i++) {
+		struct dh_peer_handler h = { on_beat, on_owners, count_delta,
+			on_report, on_changes, pass_on, &fleet[i] };
+
+		(void)g_snprintf(ip, sizeof(ip), "127.0.1.%d", i + 1);
+		fleet[i].peer = dh_peer_new(&fx.loop, ip, port, &h, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(fleet[i].peer);
+		vms[i] = (struct dh_fanout_vm){ .address = inet_addr(ip),
+			.zone = i % 2 == 0 ? "y" : "z",
+			.relays = true };
+	}
+	f = dh_fanout_new(vms, FLEET_VMS, 0);
+	dh_peer_publish_delta(fx.from, f, &d);
+	run(&fx);
+	for (i = 0; i < FLEET_VMS; i++) {
+		CU_ASSERT_EQUAL(fleet[i].deltas, 1);
+		relays += fleet[i].relayed > 0;
+		dh_peer_free(fleet[i].peer);
+	}
+	CU_ASSERT_EQUAL(relays, (int)f->groups->len);
+	traffic = dh_peer_take_traffic(fx.from);
+	CU_ASSERT_EQUAL(traffic.datagrams[DH_PEER_DELTA], f->groups->len);
+	g_array_unref(d.changes);
+	end(&fx);
+}
+
+/* The bytes of a heartbeat; returns their number. */
+static size_t
+heartbeat_bytes(struct fixture *fx, char *bytes, size_t size)
+{
+	struct dh_leader_heartbeat beat = { .vm = "vm-1", .term = 1 };
+	struct sockaddr_in to = { .sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = inet_addr("127.0.0.3") };
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	ssize_t n;
+
+	CU_ASSERT_EQUAL_FATAL(
+	    bind(fd, (const struct sockaddr *)&to, sizeof(to)), 0);
+	dh_peer_send_heartbeat(fx->from, "127.0.0.3", &beat);
+	n = recv(fd, bytes, size, 0);
+	CU_ASSERT_TRUE_FATAL(n > 0);
+	(void)close(fd);
+	return (size_t)n;
+}
+
+/* Packs a datagram that is to be passed on to nobody. */
+static void
+pack_relayed(msgpack_sbuffer *b, const char *bytes, size_t len)
+{
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(b);
+	msgpack_packer_init(&pk, b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_uint32(&pk, DH_PEER_RELAYED);
+	msgpack_pack_bin(&pk, 0);
+	msgpack_pack_bin(&pk, len);
+	msgpack_pack_bin_body(&pk, bytes, len);
+}
+
+/* A heartbeat is taken for one of its sender, and a datagram that is passed on
+ * again and again would have no end. */
+static void
+test_datagrams_that_are_not_passed_on(void)
+{
+	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
+		on_changes, NULL, NULL };
+	msgpack_sbuffer relayed, twice;
+	struct fixture fx;
+	char bytes[512];
+	size_t len;
+
+	start(&fx);
+	h.arg = &fx;
+	len = heartbeat_bytes(&fx, bytes, sizeof(bytes));
+	CU_ASSERT_TRUE(dh_peer_decode(&h, bytes, len, FROM));
+	pack_relayed(&relayed, bytes, len);
+	CU_ASSERT_FALSE(dh_peer_decode(&h, relayed.data, relayed.size, FROM));
+	pack_relayed(&twice, relayed.data, relayed.size);
+	CU_ASSERT_FALSE(dh_peer_decode(&h, twice.data, twice.size, FROM));
+	CU_ASSERT_EQUAL(fx.beats, 1);
+	msgpack_sbuffer_destroy(&relayed);
+	msgpack_sbuffer_destroy(&twice);
+	end(&fx);
+}
+
 /* A record of 4096 ranges; every second range has no owner. */
 static void
 test_owners_in_parts(void)
@@ -402,6 +540,8 @@
 		{ "limits in a report", test_limits_in_a_report },
 		{ "suspects", test_suspects },
 		{ "changes in parts", test_changes_in_parts },
+		{ "datagram passed on", test_datagram_passed_on_to_all },
+		{ "not passed on", test_datagrams_that_are_not_passed_on },
 		{ "owners in parts", test_owners_in_parts },
 		{ "bad datagrams", test_bad_datagrams },
 		CU_TEST_INFO_NULL,
