Worker: check the end of a drain period when a request is sent

Cause: that a server is closed was a flag in a view, turned by the control thread and read once, when the server was chosen. Class: a condition with an end that is checked before a wait and not after it.

The end travels as a time on the workers' clock (close_ms). dh_pool_accepts_requests() decides by it, for the choice and, with the time read anew, when the request is handed to the socket. There the configuration and the refusal of crashing requests are checked as well. A request that is found too late has not run: its attempt does not count, and it goes to the choice again.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -154,7 +154,7 @@
 	uint32_t limit = (*v->deployment)->services[s->service].connections_max;
 	struct dh_pool *pool;
 
-	if (s->closed || *found == DH_CANDIDATES_MAX)
+	if (*found == DH_CANDIDATES_MAX)
 		return;
 	pool = dh_worker_pool(w, s);
 	if (!dh_pool_accepts_requests(w, pool, now_ms))
--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -85,7 +85,8 @@
 static bool
 may_witness(const struct crash_check *c, const struct dh_view_server *s)
 {
-	return !s->closed && s->uid != c->server.uid &&
+	return !dh_view_server_is_closed(s, dh_worker_now_ms(c->worker)) &&
+	    s->uid != c->server.uid &&
 	    memcmp(&s->address, &c->server.address, sizeof(s->address)) != 0;
 }
 
--- a/gateway/probe.c
+++ b/gateway/probe.c
@@ -175,7 +175,7 @@
 	for (i = 0; i < CHOICES_MAX && vs->nservers > 0; i++) {
 		s = &w->view->servers[vs->servers[dh_rng_below(
 		    &w->rng, vs->nservers)]];
-		if (!s->closed &&
+		if (!dh_view_server_is_closed(s, dh_worker_now_ms(w)) &&
 		    (reach->lost || !dh_reach_has_failed(reach, s->uid)))
 			return s;
 	}
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -630,26 +630,33 @@
 	    (keyed && keyed_drain_ms > 0 ? keyed_drain_ms : 0);
 }
 
+/* Converts to the workers' clock, which stands still while the VM is suspended;
+ * the error is harmless. */
+static int64_t
+worker_clock_ms(int64_t at_ms, int64_t now_ms)
+{
+	return (int64_t)(uv_hrtime() / 1000000) + at_ms - now_ms;
+}
+
 static void
 fill_view_server(struct dh_registry *reg, const struct server_state *k,
     uint32_t service, int64_t now_ms, struct dh_view_server *s)
 {
 	const struct dh_deployment *d = *reg->deployment;
+	int64_t close_ms = close_time_ms(reg, k, d->services[service].keyed);
 
 	*s = (struct dh_view_server){ .uid = k->uid,
 		.start_ms = k->r.start_ms,
 		.address = k->address,
 		.tier = k->tier,
 		.service = service,
-		.slots = k->r.slots,
-		.closed = now_ms >=
-		    close_time_ms(reg, k, d->services[service].keyed) };
+		.slots = k->r.slots };
 	(void)g_strlcpy(s->id, k->r.id, sizeof(s->id));
-	/* Convert to the workers' clock, which stands still while the VM is
-	 * suspended; the error is harmless. */
+	if (close_ms != INT64_MAX)
+		s->close_ms = MAX(worker_clock_ms(close_ms, now_ms), 1);
 	if (k->cold_until_ms != 0)
-		s->slow_start_until_ms = (int64_t)(uv_hrtime() / 1000000) +
-		    k->cold_until_ms - now_ms;
+		s->slow_start_until_ms =
+		    worker_clock_ms(k->cold_until_ms, now_ms);
 }
 
 /* When the next leaving backend server gets its last request; INT64_MAX if none
@@ -734,7 +741,10 @@
 		if (service == DH_NONE)
 			continue;
 		fill_view_server(reg, k, service, now_ms, s);
-		log_if_closed(k, s->closed, now_ms);
+		log_if_closed(k,
+		    now_ms >= close_time_ms(reg, k,
+				  (*reg->deployment)->services[service].keyed),
+		    now_ms);
 		v->nservers++;
 	}
 	index_view(v);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -348,6 +348,17 @@
 		dh_request_finish(rq, 503, "backend server unreachable",
 		    dh_retry_after_ms(left_ms / 6, left_ms, &rq->worker->rng));
 		return;
+	case DH_ATTEMPT_UNSENT:
+		dh_request_record_reply(rq, DH_REPLY_ABANDONED, NULL);
+		dh_request_log_attempt(rq, "unsent", why);
+		rq->attempts--;
+		if (rq->call != NULL && ++rq->unsent < DH_ATTEMPTS_MAX) {
+			dh_request_dispatch(rq);
+			return;
+		}
+		dh_request_finish(rq, 503, why,
+		    dh_retry_after_ms(left_ms / 6, left_ms, &rq->worker->rng));
+		return;
 	case DH_ATTEMPT_RESET:
 	case DH_ATTEMPT_LOST:
 		dh_request_record_reply(rq,
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -410,13 +410,41 @@
 	}
 }
 
+/* Why the request may no longer be sent to the backend server, or NULL.  Since
+ * it was chosen, time may have passed: a connection was opened, or this thread
+ * stood still. */
+static const char *
+why_unsent(const struct dh_upstream *up)
+{
+	const struct dh_request *rq = up->rq;
+	struct dh_worker *w = up->worker;
+	struct dh_suspect suspect =
+	    dh_quarantine_find(&w->quarantine, rq->digest);
+
+	uv_update_time(&w->loop);
+	if (!dh_pool_accepts_requests(w, up->pool, dh_worker_now_ms(w)))
+		return "the backend server is closed";
+	if (rq->view->deployment != w->view->deployment)
+		return "another configuration is in force";
+	if (dh_suspect_is_refused(&suspect))
+		return "the request is refused";
+	return NULL;
+}
+
 static void
 send_request(struct dh_upstream *up)
 {
 	struct dh_request *rq = up->rq;
+	const char *why = why_unsent(up);
 	uv_buf_t buf = uv_buf_init(rq->wire->str, (unsigned int)rq->wire->len);
-	int n = uv_try_write((uv_stream_t *)&up->tcp, &buf, 1);
+	int n;
 
+	if (why != NULL) {
+		dh_counter_add(up->worker->c.unsent, 1);
+		upstream_fail(up, DH_ATTEMPT_UNSENT, why);
+		return;
+	}
+	n = uv_try_write((uv_stream_t *)&up->tcp, &buf, 1);
 	set_expected_answer(up);
 	rq->may_have_run = true;
 	if (n == (int)rq->wire->len) {
@@ -598,6 +626,10 @@
 {
 	int64_t limit_ms = w->settings->drain_ms - DH_DRAIN_MARGIN_MS;
 
+	if (pool->peer)
+		return true;
+	if (!pool->listed || (pool->close_ms != 0 && now_ms >= pool->close_ms))
+		return false;
 	if (pool->leaving_since_ms == 0)
 		return true;
 	/* The owner of keys is used until the keys can have moved. */
--- a/gateway/view.c
+++ b/gateway/view.c
@@ -100,6 +100,12 @@
 	g_free(v);
 }
 
+bool
+dh_view_server_is_closed(const struct dh_view_server *s, int64_t now_ms)
+{
+	return s->close_ms != 0 && now_ms >= s->close_ms;
+}
+
 const struct dh_view_range *
 dh_view_owner(const struct dh_view *v, uint32_t service, uint32_t key)
 {
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -33,7 +33,9 @@
 	enum dh_tier tier; /* distance from this VM */
 	uint32_t service;
 	uint32_t slots; /* limit of concurrent requests */
-	bool closed; /* is sent no requests: left, replaced or leaving */
+	/* From then on it is sent no requests, as it has left, is leaving or
+	 * was replaced: a time of the workers' clock; 0: it is in use. */
+	int64_t close_ms;
 	int64_t slow_start_until_ms; /* end of the slow start, or 0 */
 };
 
@@ -114,6 +116,10 @@
 struct dh_deployment **dh_deployment_box(struct dh_deployment *d);
 void dh_deployment_unbox(struct dh_deployment **box);
 
+/* dh_view_server_is_closed -- whether the backend server is sent no requests at
+ * now_ms, a time of the workers' clock. */
+bool dh_view_server_is_closed(const struct dh_view_server *s, int64_t now_ms);
+
 /* dh_view_owner -- the range that contains a key, or NULL. */
 const struct dh_view_range *dh_view_owner(
     const struct dh_view *v, uint32_t service, uint32_t key);
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -68,6 +68,7 @@
 	c->callers_left = dh_counter_get("dh_gateway_callers_left_total", "");
 	c->retries = dh_counter_get("dh_gateway_retries_total", "");
 	c->connects = dh_counter_get("dh_gateway_connects_total", "");
+	c->unsent = dh_counter_get("dh_gateway_unsent_total", "");
 	c->parked = dh_counter_get("dh_gateway_parked_total", "");
 	c->room = dh_counter_get("dh_gateway_room_bytes", "");
 	c->room_over = dh_counter_get("dh_gateway_room_over_total", "");
@@ -130,7 +131,8 @@
 	pool->tier = s->tier;
 	pool->service = dh_worker_service(w, w->view, s->service);
 	pool->slots = s->slots;
-	pool->listed = !s->closed;
+	pool->close_ms = s->close_ms;
+	pool->listed = !dh_view_server_is_closed(s, dh_worker_now_ms(w));
 	dh_rate_limit_init(&pool->rate_limit, &w->rng);
 	set_limit(w, pool);
 	pool->start_ms = s->start_ms;
@@ -376,7 +378,8 @@
 
 	s->servers_open = 0;
 	for (i = 0; i < vs->nservers; i++)
-		s->servers_open += !w->view->servers[vs->servers[i]].closed;
+		s->servers_open += !dh_view_server_is_closed(
+		    &w->view->servers[vs->servers[i]], dh_worker_now_ms(w));
 }
 
 static void
@@ -414,7 +417,9 @@
 
 		if (p == NULL)
 			continue;
-		p->listed = !v->servers[i].closed;
+		p->close_ms = v->servers[i].close_ms;
+		p->listed = !dh_view_server_is_closed(
+		    &v->servers[i], dh_worker_now_ms(w));
 		p->slots = v->servers[i].slots;
 	}
 	for (i = 0; v->peers != NULL && i < v->peers->n; i++) {
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -45,6 +45,7 @@
 	int64_t leaving_since_ms;
 	int64_t leaving_reported_ms; /* last report of leaving, or 0 */
 	bool listed; /* the view has it, and not as closed */
+	int64_t close_ms; /* as in the view */
 	bool peer; /* another VM, to which requests are forwarded */
 	int64_t avoid_until_ms; /* of another VM */
 	struct dh_rate_limit rate_limit;
@@ -91,6 +92,9 @@
 	 * queue. */
 	struct dh_counter *callers_left, *retries, *connects, *parked;
 	struct dh_counter *bad_answers; /* of backend servers */
+	/* Requests that were chosen for a backend server, but could no longer
+	 * be sent there when the connection was ready. */
+	struct dh_counter *unsent;
 	/* Requests not sent to a backend server because of its rate limit. */
 	struct dh_counter *rate_limited;
 	/* Requests refused because they crash backend servers. */
@@ -149,6 +153,7 @@
 /* Result of an attempt that ended without an answer to return. */
 enum dh_attempt_end {
 	DH_ATTEMPT_UNREACHABLE, /* no connection; nothing was sent */
+	DH_ATTEMPT_UNSENT, /* no longer allowed when it was to be sent */
 	DH_ATTEMPT_NOT_RUN, /* the request was not executed */
 	DH_ATTEMPT_MISDIRECTED, /* sent to a wrong owner or instance */
 	DH_ATTEMPT_RESET, /* a new connection was reset; may have executed */
@@ -190,6 +195,7 @@
 	double expected_ms; /* expected duration of the attempt */
 	uint32_t attempts; /* attempts that reached a backend server */
 	uint32_t unreachable; /* attempts that found no connection */
+	uint32_t unsent; /* attempts that were no longer allowed */
 	bool from_vm; /* another VM has forwarded it */
 	uint32_t forwards; /* attempts that went to other VMs */
 	uint64_t answers_at_send; /* pool->answers as of sent_ms */
@@ -335,8 +341,10 @@
  * false if its rate limit allows no request now. */
 bool dh_pool_admit(struct dh_worker *w, struct dh_pool *pool, int64_t now_ms);
 
-/* dh_pool_accepts_requests -- false once the backend server's own answers have
- * said that it is leaving; for a keyed service, some time after that. */
+/* dh_pool_accepts_requests -- false once the view has closed the backend
+ * server, or its own answers have said that it is leaving; for a keyed service,
+ * some time after that.  Asked when a backend server is chosen, and again when
+ * the request is handed to the socket. */
 bool dh_pool_accepts_requests(
     const struct dh_worker *w, const struct dh_pool *pool, int64_t now_ms);
 
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -321,7 +321,8 @@
 		return false;
 	}
 	CU_ASSERT_EQUAL_FATAL(v->nservers, 1);
-	closed = v->servers[0].closed;
+	closed = dh_view_server_is_closed(
+	    &v->servers[0], (int64_t)(uv_hrtime() / 1000000));
 	dh_view_unref(v);
 	return closed;
 }
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -511,6 +512,8 @@
 	add_route(d, "/crash/once/keyed/", DH_REPEAT_NEVER, 1);
 	add_route(d, "/delay/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
+	add_route(d, "/ok/keyed/slow/", DH_REPEAT_SAFE, 1);
+	d->routes[d->nroutes - 1].timeout_ms = 3000;
 	return d;
 }
 
@@ -552,7 +555,7 @@
 			    (uint32_t)(s * SERVERS + i + 1) +
 				restarts * 2 * SERVERS,
 			    i == 0 ? "i-0" : "i-1", i, (uint32_t)s);
-			x->closed = i >= nservers;
+			x->close_ms = i >= nservers ? 1 : 0;
 			v->services[s].servers[v->services[s].nservers++] =
 			    (uint32_t)(s * SERVERS + i);
 		}
@@ -931,7 +934,7 @@
 	for (i = 0; i < 5; i++) {
 		restarts++;
 		v = make_view(2, true, ++version);
-		v->servers[0].closed = true;
+		v->servers[0].close_ms = 1;
 		v->servers[SERVERS].tier = DH_TIER_REMOTE;
 		v->servers[SERVERS + 1].tier = DH_TIER_REMOTE;
 		v->servers[SERVERS + 1].address.sin_port = htons(unused);
@@ -1386,6 +1389,130 @@
 	settings.drain_ms = 0;
 }
 
+/* A listener whose queue of connections is full: the next one is accepted when
+ * its opening packet is sent again after a second, if there is room by then. */
+struct full_listener {
+	int fd;
+	uint16_t port;
+	int waiting[2]; /* connections that fill the queue */
+};
+
+static void
+full_listener_start(struct full_listener *l)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	size_t i;
+
+	l->port = 0;
+	l->fd = listen_on(&l->port);
+	CU_ASSERT_EQUAL_FATAL(listen(l->fd, 0), 0);
+	sin.sin_port = htons(l->port);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (i = 0; i < G_N_ELEMENTS(l->waiting); i++) {
+		l->waiting[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(
+		    l->waiting[i], (struct sockaddr *)&sin, sizeof(sin));
+	}
+}
+
+/* Accepts connections for ms; returns the number of bytes that came on them. */
+static size_t
+full_listener_run(struct full_listener *l, int64_t ms, int *accepted)
+{
+	int64_t end_ms = dh_clock_ms() + ms;
+	char text[4096];
+	struct pollfd listener = { .fd = l->fd, .events = POLLIN };
+	int fds[8], n = 0, i;
+	size_t bytes = 0;
+	ssize_t got;
+
+	while (dh_clock_ms() < end_ms) {
+		if (n < (int)G_N_ELEMENTS(fds) && poll(&listener, 1, 0) == 1 &&
+		    (fds[n] = accept4(l->fd, NULL, NULL, SOCK_NONBLOCK)) >= 0)
+			n++;
+		for (i = 0; i < n; i++) {
+			got = recv(fds[i], text, sizeof(text), MSG_DONTWAIT);
+			bytes += got > 0 ? (size_t)got : 0;
+		}
+		(void)usleep(5000);
+	}
+	for (i = 0; i < n; i++)
+		(void)close(fds[i]);
+	*accepted = n;
+	return bytes;
+}
+
+static void
+full_listener_end(struct full_listener *l)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(l->waiting); i++)
+		(void)close(l->waiting[i]);
+	(void)close(l->fd);
+}
+
+/* Publishes a view in which the owner of the keys listens on that port, and
+ * closes at that time. */
+static void
+publish_owner_at(uint16_t owner_port, int64_t close_ms)
+{
+	static uint64_t version = 1000;
+	struct dh_view *v = make_view(1, true, ++version);
+
+	v->servers[SERVERS].address.sin_port = htons(owner_port);
+	v->servers[SERVERS].close_ms = close_ms;
+	dh_worker_publish(worker, v);
+	(void)usleep(50000);
+}
+
+/* Guards against a request that is sent to an owner whose drain period has
+ * ended while the connection to it was opened. */
+static void
+test_owner_closes_while_a_connection_opens(void)
+{
+	struct full_listener l = { .fd = -1 };
+	int fd, accepted;
+
+	start_worker(1);
+	settings.connect_ms = 2500;
+	full_listener_start(&l);
+	publish_owner_at(l.port, 0);
+	fd = connect_to_worker();
+	send_text(fd,
+	    "GET /ok/keyed/slow/ HTTP/1.1\r\nHost: h.example\r\n" ID
+	    ": r\r\nX-Dogwoodhub-Shard-Key: 5\r\n\r\n");
+	(void)usleep(300000);
+	publish_owner_at(l.port, 1);
+	CU_ASSERT_EQUAL(full_listener_run(&l, 1500, &accepted), 0);
+	CU_ASSERT_TRUE(accepted > 2);
+	CU_ASSERT_EQUAL(receive(fd, buf), 503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Retry-After: "));
+	(void)close(fd);
+	full_listener_end(&l);
+	stop_worker();
+}
+
+/* The end of the drain period takes effect without a later view. */
+static void
+test_owner_closes_by_itself(void)
+{
+	int i;
+
+	start_worker(1);
+	publish_owner_at(
+	    servers[0].port, (int64_t)(uv_hrtime() / 1000000) + 400);
+	CU_ASSERT_EQUAL(
+	    get_once("/ok/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf), 200);
+	(void)usleep(400000);
+	for (i = 0; i < 2; i++)
+		CU_ASSERT_EQUAL(get_once("/ok/keyed/",
+				    "X-Dogwoodhub-Shard-Key: 7\r\n", buf),
+		    503);
+	CU_ASSERT_EQUAL(runs, 1);
+	stop_worker();
+}
+
 /* Sends requests for 3 s; returns how many ran in the last 2 s, in *refused the
  * number that was refused then. */
 static int
@@ -1798,6 +1925,9 @@
 		{ "pipelining, drain", test_pipelining_drain },
 		{ "Retry-After of a server", test_retry_after_of_a_server },
 		{ "leaving server", test_leaving_server },
+		{ "owner closes by itself", test_owner_closes_by_itself },
+		{ "owner closes while a connection opens",
+		    test_owner_closes_while_a_connection_opens },
 		{ "slow first answer",
 		    test_requests_after_a_slow_first_answer },
 		{ "rate limit", test_rate_limit_of_a_server },
