Gateway: one VM of a zone reads the store while no leader does

Cause: every VM that heard no leader asked the store for three kinds at the same moment, and again each time a call failed. 295 VMs are more than the store takes: its answers were late or refusals, candidates got no answer within a second, and lists grew older than the drain period allows. Class: a fall-back of one VM that all VMs take at once.

Without a leader that reads the store, the VMs of a zone now take turns, the largest first, 0.2 s apart. One that reads sends the others of its zone its cursors each 0.2 s and what changes, as the leader does; they follow it as they would the leader. One that does not reach the store is not followed, and the next VM's turn comes. A list that is too old is still asked for by each VM, spread over 0.4 s, with growing pauses while there is no answer; a VM that another one tells does not repeat failed calls.

test_owners "store is read in turn" failed before; "reader of the zone is followed" and "VM reads for its zone" are new, without a run before.

--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -93,7 +93,7 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
 {
 	static const struct dh_peer_handler h = { on_beat, on_owners, on_delta,
-		on_report, on_news, on_relayed, NULL };
+		on_report, on_news, on_relayed, NULL, NULL };
 
 	(void)dh_peer_decode(&h, data, len, "127.0.0.1");
 	return 0;
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -53,7 +53,7 @@
     const struct dh_backlog_step *step)
 {
 	struct dh_peer_delta d = owners_delta(service, term, step);
-	g_autoptr(dh_fanout) f = owners_fanout(o);
+	g_autoptr(dh_fanout) f = owners_fanout(o, NULL);
 
 	dh_peer_publish_delta(o->peer, f, &d);
 }
@@ -127,7 +127,7 @@
 on_changes(void *arg, const struct dh_registry_changes *n)
 {
 	struct dh_owners *o = arg;
-	g_autoptr(dh_fanout) f = owners_fanout(o);
+	g_autoptr(dh_fanout) f = owners_fanout(o, NULL);
 
 	dh_peer_publish_changes(o->peer, f, n, o->term);
 }
@@ -137,6 +137,8 @@
 {
 	o->role = ROLE_LEADER;
 	o->elected_ms = dh_clock_ms();
+	owners_stop_reading_for_zone(o);
+	o->unfed_since_ms = o->zone_heard_ms = 0;
 	dh_mirror_set_fed_by_leader(o->mirror, false);
 	dh_registry_set_leading(o->c.registry, on_changes, o);
 	o->confirm_failed = false;
@@ -710,14 +712,6 @@
 	return false;
 }
 
-void
-owners_set_store_source(
-    struct dh_owners *o, const struct dh_registry_cursor *cursors)
-{
-	dh_mirror_set_fed_by_leader(o->mirror, cursors != NULL);
-	dh_registry_set_leader_cursors(o->c.registry, cursors);
-}
-
 void
 owners_step_follower(struct dh_owners *o, int64_t now_ms)
 {
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -155,7 +155,7 @@
 }
 
 struct dh_fanout *
-owners_fanout(struct dh_owners *o)
+owners_fanout(struct dh_owners *o, const char *zone)
 {
 	g_autofree struct dh_fanout_vm *vms =
 	    g_new0(struct dh_fanout_vm, g_hash_table_size(o->peers) + 1);
@@ -169,14 +169,17 @@
 		const struct peer_state *p = value;
 		struct in_addr address;
 
-		if (inet_pton(AF_INET, ip, &address) != 1)
+		if (inet_pton(AF_INET, ip, &address) != 1 ||
+		    (zone != NULL && strcmp(p->zone, zone) != 0))
 			continue;
 		vms[n++] = (struct dh_fanout_vm){ .address = address.s_addr,
 			.zone = p->zone,
 			.core_share_milli = p->core_share_milli,
 			.relays = p->relays,
-			.silent = now_ms - MAX(p->heard_ms, o->elected_ms) >
-			    RELAY_SILENT_MS };
+			/* Only the leader gets reports. */
+			.silent = o->role == ROLE_LEADER &&
+			    now_ms - MAX(p->heard_ms, o->elected_ms) >
+				RELAY_SILENT_MS };
 	}
 	return dh_fanout_new(vms, n, o->fanout_turn++);
 }
@@ -404,6 +407,12 @@
 	o->step_pause_ms = 0;
 }
 
+static void
+on_cursors(void *arg, const struct dh_peer_cursors *c, const char *ip)
+{
+	owners_zone_cursors(arg, c, ip);
+}
+
 static void
 on_relayed(void *arg, const uint32_t *addresses, size_t n, const void *datagram,
     size_t len)
@@ -417,5 +426,5 @@
 owners_peer_handler(struct dh_owners *o)
 {
 	return (struct dh_peer_handler){ on_beat, on_owners, on_delta,
-		on_report, on_peer_changes, on_relayed, o };
+		on_report, on_peer_changes, on_relayed, on_cursors, o };
 }
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -32,6 +32,9 @@
 /* Pause after a failed call; doubles with each failure. */
 #define RETRY_PAUSE_MIN_MS 100
 #define RETRY_PAUSE_MAX_MS 500
+/* The pause between calls because of the list's age doubles this often while
+ * the store does not answer. */
+#define REFRESH_DOUBLINGS_MAX 2
 
 struct dh_mirror {
 	uv_timer_t *timer;
@@ -62,6 +65,8 @@
 	int64_t current_ms; /* see dh_mirror_current_ms() */
 	int64_t max_age_ms; /* see dh_mirror_set_max_age(); 0: no limit */
 	int64_t refreshed_ms; /* last call because of max_age_ms */
+	/* Such calls since one was answered: the pause between them grows. */
+	uint32_t refreshes;
 	bool fed; /* the leader sends the changes */
 	bool poll_once; /* the next call asks without waiting for a change */
 	bool call_waits; /* the open call waits for a change */
@@ -124,7 +129,10 @@
 static void
 set_current(struct dh_mirror *f, int64_t current_ms)
 {
-	f->current_ms = MAX(f->current_ms, current_ms);
+	if (current_ms <= f->current_ms)
+		return;
+	f->current_ms = current_ms;
+	f->refreshes = 0;
 }
 
 /* The store answered a watch.  An answer without changes was made when the wait
@@ -360,7 +368,12 @@
 	case DH_OBJECTS_NOT_FOUND:
 	case DH_OBJECTS_CONFLICT:
 	case DH_OBJECTS_REJECTED:
-		retry_later(f, "watch failed");
+		/* If another VM sends the changes, the next check of the age or
+		 * of the revision asks again. */
+		if (f->fed)
+			f->poll_once = false;
+		else
+			retry_later(f, "watch failed");
 		return;
 	}
 }
@@ -503,11 +516,14 @@
 dh_mirror_check_age(struct dh_mirror *f)
 {
 	int64_t now_ms = dh_clock_ms();
+	int64_t pause_ms = f->max_age_ms / 2
+	    << MIN(f->refreshes, (uint32_t)REFRESH_DOUBLINGS_MAX);
 
 	if (f->max_age_ms == 0 || f->current_ms == 0 ||
 	    now_ms - f->current_ms <= f->max_age_ms ||
-	    now_ms - f->refreshed_ms <= f->max_age_ms / 2)
+	    now_ms - f->refreshed_ms <= pause_ms)
 		return;
+	f->refreshes++;
 	dh_opslog_add(DH_OPS_STATE, "store.too_old",
 	    ",\"kind\":\"%s\",\"age_ms\":%lld,\"as_of\":%llu", f->kind,
 	    (long long)(now_ms - f->current_ms), (unsigned long long)f->as_of);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -18,6 +18,7 @@
  * election.c   election of the leader, and the leader's own work
  * gossip.c     datagrams between VMs: heartbeats, owners, changes in the
  *              store, reports of routers
+ * zonefeed.c   who reads the store while no leader does
  */
 
 #define DH_OWNERS_LEADER "leader" /* name of the leader's object */
@@ -135,6 +136,11 @@
 	int64_t step_pause_ms;
 	int64_t stepped_ms; /* time of the last step */
 	int64_t traffic_logged_ms;
+	/* Since when no leader reads the store for this VM; 0: one does. */
+	int64_t unfed_since_ms;
+	bool reads_for_zone; /* this VM reads it, for its zone */
+	int64_t cursors_sent_ms; /* to the zone */
+	int64_t zone_heard_ms; /* last cursors of the VM that reads; 0: none */
 	uint32_t reports; /* number of reports so far */
 };
 
@@ -178,17 +184,24 @@
 void owners_step_leader(struct dh_owners *o, int64_t now_ms);
 void owners_step_follower(struct dh_owners *o, int64_t now_ms);
 void owners_send_beats(struct dh_owners *o, int64_t now_ms);
+
+/* zonefeed.c */
 /* Sets how this VM learns of changes in the store: from the leader, whose
- * heartbeat names the current cursors, or, with NULL, from the store. */
+ * heartbeat names the current cursors, or, with NULL, by turns in the zone.  To
+ * be called at each step without a leader that reaches the store. */
 void owners_set_store_source(
     struct dh_owners *o, const struct dh_registry_cursor *cursors);
+/* Handles the cursors of the VM at this address, which reads for the zone. */
+void owners_zone_cursors(
+    struct dh_owners *o, const struct dh_peer_cursors *c, const char *ip);
+void owners_stop_reading_for_zone(struct dh_owners *o);
 
 /* gossip.c */
 struct dh_peer_handler owners_peer_handler(struct dh_owners *o);
 void owners_send_report(struct dh_owners *o);
-/* Returns how datagrams of the leader reach all other VMs; the caller frees it.
- */
-struct dh_fanout *owners_fanout(struct dh_owners *o);
+/* Returns how datagrams reach all other VMs, or those of a zone if it is not
+ * NULL; the caller frees it. */
+struct dh_fanout *owners_fanout(struct dh_owners *o, const char *zone);
 /* Returns the step as a datagram; it borrows the step's changes. */
 struct dh_peer_delta owners_delta(
     const char *service, uint64_t term, const struct dh_backlog_step *step);
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -240,6 +240,24 @@
 	return true;
 }
 
+static bool
+decode_cursors(const struct dh_peer_handler *h, const msgpack_object_array *a,
+    const char *ip)
+{
+	struct dh_peer_cursors c;
+	uint64_t core_share_milli;
+
+	if (!number_at(a, 1, &core_share_milli) ||
+	    core_share_milli > INT64_MAX || !number_at(a, 2, &c.era) ||
+	    !read_cursors(array_at(a, 3, DH_REGISTRY_KINDS), c.cursors))
+		return false;
+	c.core_share_milli = (int64_t)core_share_milli;
+	read_ages(array_at(a, 4, DH_REGISTRY_KINDS), c.cursors);
+	if (h->cursors != NULL)
+		h->cursors(h->arg, &c, ip);
+	return true;
+}
+
 static bool
 read_changes(const msgpack_object_array *list, GArray *changes)
 {
@@ -547,6 +565,8 @@
 		return decode_changes(h, a);
 	case DH_PEER_RELAYED:
 		return !relayed && decode_relayed(h, a, ip);
+	case DH_PEER_CURSORS:
+		return !relayed && decode_cursors(h, a, ip);
 	default: /* sent by a later release */
 		return false;
 	}
@@ -610,6 +630,7 @@
 		{ DH_PEER_DELTA, "kind=\"delta\"" },
 		{ DH_PEER_CHANGES, "kind=\"changes\"" },
 		{ DH_PEER_RELAYED, "kind=\"relayed\"" },
+		{ DH_PEER_CURSORS, "kind=\"cursors\"" },
 	};
 	struct dh_peer *p = g_new0(struct dh_peer, 1);
 	struct sockaddr_in sin;
@@ -823,13 +844,56 @@
 	}
 }
 
+static void
+pack_cursors(msgpack_packer *pk,
+    const struct dh_registry_cursor cursors[DH_REGISTRY_KINDS])
+{
+	uint32_t i;
+
+	msgpack_pack_array(pk, DH_REGISTRY_KINDS);
+	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, cursors[i].as_of);
+		msgpack_pack_uint32(pk, cursors[i].reached);
+	}
+}
+
+static void
+pack_ages(msgpack_packer *pk,
+    const struct dh_registry_cursor cursors[DH_REGISTRY_KINDS])
+{
+	uint32_t i;
+
+	msgpack_pack_array(pk, DH_REGISTRY_KINDS);
+	for (i = 0; i < DH_REGISTRY_KINDS; i++)
+		msgpack_pack_uint32(pk, cursors[i].age_ms);
+}
+
+void
+dh_peer_send_cursors(
+    struct dh_peer *p, const char *ip, const struct dh_peer_cursors *c)
+{
+	msgpack_sbuffer b;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 5);
+	msgpack_pack_uint32(&pk, DH_PEER_CURSORS);
+	msgpack_pack_uint64(&pk, (uint64_t)MAX(c->core_share_milli, 0));
+	msgpack_pack_uint64(&pk, c->era);
+	pack_cursors(&pk, c->cursors);
+	pack_ages(&pk, c->cursors);
+	send_buffer(p, ip, DH_PEER_CURSORS, &b);
+	msgpack_sbuffer_destroy(&b);
+}
+
 void
 dh_peer_send_heartbeat(struct dh_peer *p, const char *ip,
     const struct dh_leader_heartbeat *heartbeat)
 {
 	msgpack_sbuffer b;
 	msgpack_packer pk;
-	uint32_t i;
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
@@ -839,16 +903,9 @@
 	msgpack_pack_uint64(&pk, heartbeat->term);
 	msgpack_pack_uint32(&pk, heartbeat->failing);
 	msgpack_pack_uint32(&pk, heartbeat->vms);
-	msgpack_pack_array(&pk, DH_REGISTRY_KINDS);
-	for (i = 0; i < DH_REGISTRY_KINDS; i++) {
-		msgpack_pack_array(&pk, 2);
-		msgpack_pack_uint64(&pk, heartbeat->cursors[i].as_of);
-		msgpack_pack_uint32(&pk, heartbeat->cursors[i].reached);
-	}
+	pack_cursors(&pk, heartbeat->cursors);
 	msgpack_pack_uint64(&pk, heartbeat->era);
-	msgpack_pack_array(&pk, DH_REGISTRY_KINDS);
-	for (i = 0; i < DH_REGISTRY_KINDS; i++)
-		msgpack_pack_uint32(&pk, heartbeat->cursors[i].age_ms);
+	pack_ages(&pk, heartbeat->cursors);
 	pack_shared_limits(&pk, heartbeat->limits);
 	pack_suspects(&pk, heartbeat->suspects);
 	msgpack_pack_uint32(&pk, heartbeat->lost);
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -39,6 +39,13 @@
 	GArray *suspects; /* of struct dh_suspect; borrowed */
 };
 
+/* How far a VM has read the store for the VMs of its zone. */
+struct dh_peer_cursors {
+	int64_t core_share_milli; /* of the VM */
+	uint64_t era; /* of the cursors' revisions */
+	struct dh_registry_cursor cursors[DH_REGISTRY_KINDS];
+};
+
 #define DH_PEER_SERVICES 16
 
 /* What the router of a VM has observed; sent to the leader. */
@@ -106,6 +113,7 @@
 	DH_PEER_DELTA = 4,
 	DH_PEER_CHANGES = 5,
 	DH_PEER_RELAYED = 6, /* another datagram, to be passed on */
+	DH_PEER_CURSORS = 7,
 	DH_PEER_KINDS,
 };
 
@@ -130,6 +138,8 @@
 	 * also handled as if it had come by itself. */
 	void (*relayed)(void *arg, const uint32_t *addresses, size_t n,
 	    const void *datagram, size_t len);
+	void (*cursors)(
+	    void *arg, const struct dh_peer_cursors *c, const char *from_ip);
 	void *arg;
 };
 
@@ -161,6 +171,8 @@
  */
 void dh_peer_send_heartbeat(
     struct dh_peer *p, const char *ip, const struct dh_leader_heartbeat *beat);
+void dh_peer_send_cursors(
+    struct dh_peer *p, const char *ip, const struct dh_peer_cursors *c);
 void dh_peer_send_owners(struct dh_peer *p, const char *ip, const char *service,
     const struct dh_record *record);
 void dh_peer_send_delta(
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -566,6 +566,18 @@
 		    cursors == NULL ? NULL : &cursors[i]);
 }
 
+void
+dh_registry_check_age(struct dh_registry *reg, int64_t spread_ms)
+{
+	struct dh_mirror *f = reg->mirrors[DH_REGISTRY_SERVERS];
+	int64_t current_ms = dh_mirror_current_ms(f);
+
+	if (current_ms != 0 &&
+	    dh_clock_ms() - current_ms >
+		reg->settings->drain_ms / 2 + spread_ms)
+		dh_mirror_check_age(f);
+}
+
 void
 dh_registry_apply_changes(
     struct dh_registry *reg, const struct dh_registry_changes *changes)
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -93,6 +93,11 @@
 void dh_registry_apply_changes(
     struct dh_registry *r, const struct dh_registry_changes *changes);
 
+/* dh_registry_check_age -- ask the store for changes of backend servers if
+ * their list has been too old for spread_ms.  To be called regularly while
+ * dh_registry_set_leader_cursors() is not. */
+void dh_registry_check_age(struct dh_registry *r, int64_t spread_ms);
+
 /* dh_registry_era -- the era of the store's data, shared by all modules that
  * read the store; freed with the registry. */
 struct dh_era *dh_registry_era(const struct dh_registry *r);
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -101,12 +101,26 @@
 	(void)ip;
 }
 
+static uint32_t news_got; /* changes in the store that the other VM got */
+
 static void
 on_news(void *arg, const struct dh_registry_changes *n, uint64_t term)
 {
 	(void)arg;
-	(void)n;
 	(void)term;
+	news_got += (uint32_t)n->nitems;
+}
+
+static uint32_t cursors; /* datagrams that the other VM got */
+static struct dh_peer_cursors last_cursors;
+
+static void
+on_cursors(void *arg, const struct dh_peer_cursors *c, const char *ip)
+{
+	(void)arg;
+	(void)ip;
+	cursors++;
+	last_cursors = *c;
 }
 
 static void
@@ -139,7 +153,7 @@
 start(struct fixture *fx, const struct dh_object_view *items, size_t n)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_news, NULL, fx };
+		on_news, NULL, on_cursors, fx };
 	struct json_object *o = json_tokener_parse(config);
 	struct dh_object_view v = {
 		.name = dh_wire_config_name, .revision = 5, .spec = o
@@ -203,6 +217,18 @@
 	run_for(fx, 20);
 }
 
+/* The leader says that it does not reach the store. */
+static void
+send_failing_beat(struct fixture *fx, uint64_t term)
+{
+	struct dh_leader_heartbeat b = {
+		.vm = "vm-2", .term = term, .failing = true, .vms = 2
+	};
+
+	dh_peer_send_heartbeat(fx->other, SELF, &b);
+	run_for(fx, 20);
+}
+
 static void
 send_beat(struct fixture *fx, uint64_t term)
 {
@@ -342,6 +368,131 @@
 	CU_ASSERT_TRUE(dh_owners_is_leader(fx->owners));
 }
 
+/* Guards against all VMs that ask the store at the same moment, when the leader
+ * falls silent: another VM of the zone goes first. */
+static void
+test_store_is_read_in_turn(void)
+{
+	struct json_object *o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.3\",\"core_share_milli\":900,\"zone\":\"z\","
+	    "\"relays\":1}");
+	struct dh_object_view v = {
+		.name = "vm.vm-3", .revision = 7, .spec = o
+	};
+	struct fixture fx;
+	int i;
+
+	start(&fx, &v, 1);
+	fx.settings.silence_ms = 2000;
+	for (i = 0; i < 20; i++) {
+		send_beat(&fx, 3);
+		if (fake_open(dh_wire_kind_servers) != NULL)
+			fake_answer(
+			    dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	}
+	CU_ASSERT_PTR_NULL(fake_open(dh_wire_kind_servers));
+	/* Three heartbeats and a step are missing: the leader is silent. */
+	run_for(&fx, 3 * fx.settings.beat_ms + 80);
+	CU_ASSERT_PTR_NULL(fake_open(dh_wire_kind_servers));
+	/* The other VM does not read it either: this one does. */
+	run_for(&fx, 400);
+	CU_ASSERT_PTR_NOT_NULL(fake_open(dh_wire_kind_servers));
+	stop(&fx);
+	json_object_put(o);
+}
+
+/* Sends the cursors of the other VM, which is larger than this one and reads
+ * the store for its zone. */
+static void
+send_cursors(struct fixture *fx, bool reached)
+{
+	struct dh_peer_cursors c = { .core_share_milli = 900 };
+
+	c.cursors[DH_REGISTRY_SERVERS] =
+	    (struct dh_registry_cursor){ .as_of = 10, .reached = reached };
+	c.cursors[DH_REGISTRY_CONFIG] =
+	    (struct dh_registry_cursor){ .as_of = 10, .reached = reached };
+	dh_peer_send_cursors(fx->other, SELF, &c);
+	run_for(fx, 40);
+}
+
+static void
+test_reader_of_the_zone_is_followed(void)
+{
+	struct fixture fx;
+	int i;
+
+	start(&fx, NULL, 0);
+	fx.settings.silence_ms = 4000;
+	fx.settings.drain_ms = 1000;
+	for (i = 0; i < 20; i++) {
+		send_beat(&fx, 3);
+		if (fake_open(dh_wire_kind_servers) != NULL)
+			fake_answer(
+			    dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	}
+	CU_ASSERT_PTR_NULL(fake_open(dh_wire_kind_servers));
+	/* The leader says that it lacks the store, and this VM starts to read
+	 * before it hears of the other one; its open watch is answered. */
+	fx.settings.core_share_milli = 100;
+	for (i = 0; i < 30; i++) {
+		send_cursors(&fx, true);
+		send_failing_beat(&fx, 3);
+		if (i > 2)
+			CU_ASSERT_PTR_NULL(fake_open(dh_wire_kind_servers));
+		if (fake_open(dh_wire_kind_servers) != NULL)
+			fake_answer(
+			    dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	}
+	/* One that does not reach the store is not followed. */
+	for (i = 0; i < 10 && fake_open(dh_wire_kind_servers) == NULL; i++)
+		send_cursors(&fx, false);
+	CU_ASSERT_PTR_NOT_NULL(fake_open(dh_wire_kind_servers));
+	stop(&fx);
+}
+
+static void
+test_vm_reads_for_its_zone(void)
+{
+	struct json_object *o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.2\",\"core_share_milli\":100,\"zone\":\"z\","
+	    "\"relays\":1}");
+	struct json_object *elsewhere = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.3\",\"core_share_milli\":900,\"zone\":\"y\","
+	    "\"relays\":1}");
+	struct dh_object_view v[] = {
+		{ .name = "vm.vm-2", .revision = 7, .spec = o },
+		{ .name = "vm.vm-3", .revision = 8, .spec = elsewhere },
+	};
+	struct fixture fx;
+	int i;
+
+	news_got = cursors = 0;
+	start(&fx, v, 2);
+	fx.settings.silence_ms = 2000;
+	send_beat(&fx, 3);
+	if (fake_open(dh_wire_kind_servers) != NULL)
+		fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	run_for(&fx, 4 * fx.settings.beat_ms);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open(dh_wire_kind_servers));
+	answer_with(dh_wire_kind_servers, DH_OBJECTS_OK, 11, "{}");
+	for (i = 0; i < 20 && !last_cursors.cursors[0].reached; i++)
+		run_for(&fx, 20);
+	CU_ASSERT_TRUE(cursors > 0);
+	CU_ASSERT_EQUAL(news_got, 1);
+	CU_ASSERT_EQUAL(last_cursors.cursors[DH_REGISTRY_SERVERS].as_of, 11);
+	/* A leader that reaches the store ends it. */
+	send_beat(&fx, 4);
+	run_for(&fx, 20);
+	cursors = 0;
+	for (i = 0; i < 10; i++)
+		send_beat(&fx, 4);
+	CU_ASSERT_EQUAL(cursors, 0);
+	stop(&fx);
+	json_object_put(o);
+	json_object_put(elsewhere);
+}
+
 /* The leader reaches the store and this VM, but no backend server: leases would
  * end. */
 static void
@@ -785,7 +936,7 @@
 test_news_to_many_vms(void)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_news, NULL, NULL };
+		on_news, NULL, NULL, NULL };
 	struct dh_object_view vms[FLEET_VMS];
 	struct dh_peer *peers[FLEET_VMS];
 	char names[FLEET_VMS][32], spec[128], ip[DH_ADDRESS_MAX];
@@ -1114,6 +1265,10 @@
 		{ "leader heard during the read",
 		    test_leader_heard_during_read },
 		{ "conflict in the store", test_conflict_in_store },
+		{ "store is read in turn", test_store_is_read_in_turn },
+		{ "reader of the zone is followed",
+		    test_reader_of_the_zone_is_followed },
+		{ "VM reads for its zone", test_vm_reads_for_its_zone },
 		{ "leader without backend servers",
 		    test_leader_without_backend_servers_is_replaced },
 		{ "leader says so",
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -116,7 +116,7 @@
 start(struct fixture *fx)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_changes, NULL, fx };
+		on_changes, NULL, NULL, fx };
 
 	memset(fx, 0, sizeof(*fx));
 	fx->in_order = true;
@@ -388,7 +388,7 @@
 	g_array_append_val(d.changes, change);
 	for (i = 0; i < FLEET_VMS; i++) {
 		struct dh_peer_handler h = { on_beat, on_owners, count_delta,
-			on_report, on_changes, pass_on, &fleet[i] };
+			on_report, on_changes, pass_on, NULL, &fleet[i] };
 
 		(void)g_snprintf(ip, sizeof(ip), "127.0.1.%d", i + 1);
 		fleet[i].peer = dh_peer_new(&fx.loop, ip, port, &h, NULL);
@@ -453,7 +453,7 @@
 test_datagrams_that_are_not_passed_on(void)
 {
 	struct dh_peer_handler h = { on_beat, on_owners, on_delta, on_report,
-		on_changes, NULL, NULL };
+		on_changes, NULL, NULL, NULL };
 	msgpack_sbuffer relayed, twice;
 	struct fixture fx;
 	char bytes[512];
