--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -915,12 +915,12 @@
 	CU_ASSERT_EQUAL(whole_records, 0);
 }
 
-#define FLEET_ZONES 3
-#define FLEET_ZONE_VMS 16
-#define FLEET_VMS (FLEET_ZONES * FLEET_ZONE_VMS)
+#define FLEET_ZONES 3u
+#define FLEET_ZONE_VMS 16u
+#define FLEET_VMS ((size_t)FLEET_ZONES * FLEET_ZONE_VMS)
 /* The leader sends news at most this often to an availability zone. */
-#define ZONE_COPIES_MAX 4
-#define NEWS_BYTES 4000
+#define ZONE_COPIES_MAX 4u
+#define NEWS_BYTES 4000u
 
 /* Bytes of news that all dh_peer of this process have sent. */
 static uint64_t
@@ -944,13 +944,13 @@
 	g_autofree char *news = g_strdup_printf("{\"x\":\"%s\"}", filler);
 	uint64_t before;
 	struct fixture fx;
-	int i;
+	uint32_t i;
 
 	for (i = 0; i < FLEET_VMS; i++) {
-		(void)g_snprintf(names[i], sizeof(names[i]), "vm.fleet-%d", i);
+		(void)g_snprintf(names[i], sizeof(names[i]), "vm.fleet-%u", i);
 		(void)g_snprintf(spec, sizeof(spec),
-		    "{\"ip\":\"127.0.1.%d\",\"core_share_milli\":100,"
-		    "\"zone\":\"z%d\"}",
+		    "{\"ip\":\"127.0.1.%u\",\"core_share_milli\":100,"
+		    "\"zone\":\"z%u\"}",
 		    i + 1, i % FLEET_ZONES);
 		vms[i] = (struct dh_object_view){ .name = names[i],
 			.revision = 7,
@@ -958,7 +958,7 @@
 	}
 	start(&fx, vms, FLEET_VMS);
 	for (i = 0; i < FLEET_VMS; i++) {
-		(void)g_snprintf(ip, sizeof(ip), "127.0.1.%d", i + 1);
+		(void)g_snprintf(ip, sizeof(ip), "127.0.1.%u", i + 1);
 		peers[i] = dh_peer_new(&fx.loop, ip, port, &h, NULL);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(peers[i]);
 	}
@@ -971,7 +971,7 @@
 	run_for(&fx, 50);
 	CU_ASSERT_TRUE(news_bytes() - before >= NEWS_BYTES);
 	CU_ASSERT_TRUE((news_bytes() - before) / NEWS_BYTES <=
-	    FLEET_ZONES * ZONE_COPIES_MAX);
+	    (uint64_t)FLEET_ZONES * ZONE_COPIES_MAX);
 	for (i = 0; i < FLEET_VMS; i++) {
 		dh_peer_free(peers[i]);
 		json_object_put(vms[i].spec);
