Gateway: VMs that wait for their turn learn of an outage of the store

Entries of backend servers that lapse while the store is away would have been taken for gone at its return, and a leader that only lacks the store replaced.

If nobody reads the store for 600 ms, it counts as away; the cursors of a VM that reaches it end that.

test_owners "outage known without a turn" failed before.

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -426,8 +426,11 @@
 void
 dh_mirror_set_fed_by_leader(struct dh_mirror *f, bool fed)
 {
-	if (f->fed == fed)
+	if (f->fed == fed) {
+		if (fed && f->listed)
+			set_reached(f, true, "told by another VM");
 		return;
+	}
 	f->fed = fed;
 	dh_opslog_add(DH_OPS_STATE,
 	    fed ? "store.fed_by_leader" : "store.asked_again",
@@ -441,6 +444,13 @@
 	poll_now(f);
 }
 
+void
+dh_mirror_note_outage(struct dh_mirror *f)
+{
+	if (f->fed && f->listed)
+		set_reached(f, false, "nobody reads the store");
+}
+
 void
 dh_mirror_leader_silent(struct dh_mirror *f)
 {
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -54,6 +54,10 @@
  * dh_mirror_leader_silent -- the leader is no longer heard from: the store is
  * asked at once and watched, for half a second with stale reads.
  *
+ * dh_mirror_note_outage -- the VM that sends the changes does not reach the
+ * store, and no other one has taken its place.  The next call of
+ * dh_mirror_set_fed_by_leader() with true ends that.
+ *
  * dh_mirror_apply -- apply changes that the leader sent, as its batch handler
  * got them.  False if changes between this VM's revision and since are missing.
  *
@@ -62,6 +66,7 @@
  */
 void dh_mirror_set_fed_by_leader(struct dh_mirror *f, bool fed);
 void dh_mirror_leader_silent(struct dh_mirror *f);
+void dh_mirror_note_outage(struct dh_mirror *f);
 bool dh_mirror_apply(struct dh_mirror *f, uint64_t since, uint64_t as_of,
     const struct dh_object_view *items, size_t n);
 void dh_mirror_catch_up(struct dh_mirror *f);
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -566,6 +566,15 @@
 		    cursors == NULL ? NULL : &cursors[i]);
 }
 
+void
+dh_registry_note_outage(struct dh_registry *reg)
+{
+	size_t i;
+
+	for (i = 0; i < DH_REGISTRY_KINDS; i++)
+		dh_mirror_note_outage(reg->mirrors[i]);
+}
+
 void
 dh_registry_check_age(struct dh_registry *reg, int64_t spread_ms)
 {
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -93,6 +93,10 @@
 void dh_registry_apply_changes(
     struct dh_registry *r, const struct dh_registry_changes *changes);
 
+/* dh_registry_note_outage -- no VM is known to reach the store: entries that
+ * are missing when it is reached again may have expired meanwhile. */
+void dh_registry_note_outage(struct dh_registry *r);
+
 /* dh_registry_check_age -- ask the store for changes of backend servers if
  * their list has been too old for spread_ms.  To be called regularly while
  * dh_registry_set_leader_cursors() is not. */
--- a/gateway/zonefeed.c
+++ b/gateway/zonefeed.c
@@ -15,6 +15,9 @@
 #define TURN_MS 200
 /* Cursors that may be missing before the VM that reads counts as silent. */
 #define CURSORS_MISSING_MAX 3
+/* If nobody reads the store for this long, it counts as away.  Less than the
+ * time after which a leader is replaced: one is not while the store is away. */
+#define OUTAGE_MS 600
 /* VMs whose lists have grown too old ask the store within this time of each
  * other. */
 #define TOO_OLD_SPREAD_MS 400
@@ -129,6 +132,10 @@
 	if (now_ms - o->zone_heard_ms <=
 	    CURSORS_MISSING_MAX * o->c.settings->beat_ms + DH_OWNERS_STEP_MS)
 		return;
+	if (now_ms - MAX(o->unfed_since_ms, o->zone_heard_ms) > OUTAGE_MS) {
+		dh_mirror_note_outage(o->mirror);
+		dh_registry_note_outage(o->c.registry);
+	}
 	place = place_in_turn(o);
 	if (now_ms - MAX(o->unfed_since_ms, o->zone_heard_ms) >=
 	    (int64_t)place * TURN_MS)
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -451,6 +451,52 @@
 	stop(&fx);
 }
 
+/* Guards against backend servers that are presumed gone, and a leader that is
+ * replaced, after an outage of the store that this VM did not ask in. */
+static void
+test_outage_is_known_without_a_turn(void)
+{
+	struct json_object *o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.3\",\"core_share_milli\":900,\"zone\":\"z\","
+	    "\"relays\":1}");
+	struct dh_object_view v[8];
+	struct dh_registry_cursor known[DH_REGISTRY_KINDS];
+	char names[G_N_ELEMENTS(v)][16], ip[32];
+	struct fixture fx;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(v); i++) {
+		(void)g_snprintf(
+		    names[i], sizeof(names[i]), "vm.vm-%zu", i + 3);
+		(void)g_snprintf(ip, sizeof(ip), "127.0.0.%zu", i + 3);
+		v[i] = (struct dh_object_view){
+			.name = names[i], .revision = 7 + i, .spec = NULL
+		};
+		json_object_deep_copy(o, &v[i].spec, NULL);
+		json_object_object_add(
+		    v[i].spec, "ip", json_object_new_string(ip));
+	}
+	start(&fx, v, G_N_ELEMENTS(v));
+	fx.settings.silence_ms = 5000;
+	for (i = 0; i < 20; i++) {
+		send_beat(&fx, 3);
+		if (fake_open(dh_wire_kind_servers) != NULL)
+			fake_answer(
+			    dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	}
+	for (i = 0; i < 50; i++)
+		send_failing_beat(&fx, 3);
+	dh_registry_cursors(fx.reg, known);
+	CU_ASSERT_FALSE(known[DH_REGISTRY_SERVERS].reached);
+	send_cursors(&fx, true);
+	dh_registry_cursors(fx.reg, known);
+	CU_ASSERT_TRUE(known[DH_REGISTRY_SERVERS].reached);
+	stop(&fx);
+	for (i = 0; i < G_N_ELEMENTS(v); i++)
+		json_object_put(v[i].spec);
+	json_object_put(o);
+}
+
 static void
 test_vm_reads_for_its_zone(void)
 {
@@ -1268,6 +1314,8 @@
 		{ "store is read in turn", test_store_is_read_in_turn },
 		{ "reader of the zone is followed",
 		    test_reader_of_the_zone_is_followed },
+		{ "outage known without a turn",
+		    test_outage_is_known_without_a_turn },
 		{ "VM reads for its zone", test_vm_reads_for_its_zone },
 		{ "leader without backend servers",
 		    test_leader_without_backend_servers_is_replaced },
