--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -136,7 +136,8 @@
 	int64_t step_pause_ms;
 	int64_t stepped_ms; /* time of the last step */
 	int64_t traffic_logged_ms;
-	/* Since when no leader reads the store for this VM; 0: one does. */
+	/* Since when no leader, and no VM of the zone, has read the store for
+	 * this VM; 0: the leader does. */
 	int64_t unfed_since_ms;
 	bool reads_for_zone; /* this VM reads it, for its zone */
 	int64_t cursors_sent_ms; /* to the zone */
--- a/gateway/zonefeed.c
+++ b/gateway/zonefeed.c
@@ -129,16 +129,20 @@
 	}
 	dh_registry_check_age(
 	    o->c.registry, g_random_int_range(0, TOO_OLD_SPREAD_MS));
-	if (now_ms - o->zone_heard_ms <=
-	    CURSORS_MISSING_MAX * o->c.settings->beat_ms + DH_OWNERS_STEP_MS)
-		return;
-	if (now_ms - MAX(o->unfed_since_ms, o->zone_heard_ms) > OUTAGE_MS) {
+	if (o->zone_heard_ms != 0) {
+		if (now_ms - o->zone_heard_ms <=
+		    CURSORS_MISSING_MAX * o->c.settings->beat_ms +
+			DH_OWNERS_STEP_MS)
+			return;
+		o->unfed_since_ms = now_ms;
+		o->zone_heard_ms = 0;
+	}
+	if (now_ms - o->unfed_since_ms > OUTAGE_MS) {
 		dh_mirror_note_outage(o->mirror);
 		dh_registry_note_outage(o->c.registry);
 	}
 	place = place_in_turn(o);
-	if (now_ms - MAX(o->unfed_since_ms, o->zone_heard_ms) >=
-	    (int64_t)place * TURN_MS)
+	if (now_ms - o->unfed_since_ms >= (int64_t)place * TURN_MS)
 		start_reading(o, now_ms, place);
 }
 
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -491,6 +491,11 @@
 	send_cursors(&fx, true);
 	dh_registry_cursors(fx.reg, known);
 	CU_ASSERT_TRUE(known[DH_REGISTRY_SERVERS].reached);
+	/* The VM that reads falls silent: the turns begin anew. */
+	for (i = 0; i < 35; i++)
+		send_failing_beat(&fx, 3);
+	dh_registry_cursors(fx.reg, known);
+	CU_ASSERT_TRUE(known[DH_REGISTRY_SERVERS].reached);
 	stop(&fx);
 	for (i = 0; i < G_N_ELEMENTS(v); i++)
 		json_object_put(v[i].spec);
