Registry: an entry is no evidence of who is at an address

Cause: a registration with a later start marked the others at its address as ended, on every VM and for the leader, before anybody had asked there; the leader then granted their keys without a release and without waiting for the lease.

Change: entries that name the same address dispute it. The leader asks for each one at the address with a health check that names its id (gateway/identity.c); 421 or another id tells that it is not there. Until then the one that was there before keeps its keys and requests. 421 to a request without a key has that one reason as well: the VM sends that backend server nothing for 10 s. Why this works: only a process that listens at the address can give the answer, and a request that names another one doesn't run.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/opslog.h"
 #include "gateway/era.h"
+#include "gateway/identity.h"
 #include "gateway/record.h"
 #include "platform/wire.h"
 
@@ -89,6 +90,7 @@
 	uint64_t published_change; /* change number of
 				      dh_keyspace_current_ranges() */
 	int64_t published_ms; /* time of the last publication */
+	struct dh_identity *identity;
 	GQueue orders; /* in flight */
 	uint32_t releases; /* number of releases among them */
 	struct dh_reach reach; /* by answers to orders */
@@ -218,6 +220,9 @@
 	if (dh_wire_leaving(dh_http_header(reply, dh_wire_headers.leaving)))
 		dh_registry_mark_leaving(
 		    d->c.registry, w->o.server, w->start_ms);
+	if (reply->status == 421)
+		dh_registry_note_instance(
+		    d->c.registry, w->o.server, w->start_ms, false);
 	ours = dh_keyspace_handle_answer(
 	    d->ks, w->o.order_id, answer, reply_handover(reply), dh_clock_ms());
 	order_free(w);
@@ -642,6 +647,15 @@
 	return MAX(ms, c->settings->hold_ms);
 }
 
+/* An answer has shown which backend server is at an address: plan by that. */
+static void
+on_identified(void *arg)
+{
+	struct dh_duty *d = arg;
+
+	d->last_plan_ms = 0;
+}
+
 struct dh_duty *
 dh_duty_new(const struct dh_duty_context *c, const char *service)
 {
@@ -660,6 +674,7 @@
 	d->object = g_strconcat("service.", service, NULL);
 	d->ks = dh_keyspace_new(&p);
 	d->backlog = dh_backlog_new();
+	d->identity = dh_identity_new(c->http, c->registry, on_identified, d);
 	d->lease_ms = duration_ms;
 	d->retry_pause_ms = STORE_PAUSE_MIN_MS;
 	load_record(d);
@@ -679,6 +694,7 @@
 		order_free(w);
 	}
 	dh_objects_cancel(d->call);
+	dh_identity_free(d->identity);
 	dh_keyspace_free(d->ks);
 	dh_backlog_free(d->backlog);
 	dh_record_clear(&d->published);
@@ -740,6 +756,7 @@
 
 	d->orders_allowed = send_orders;
 	d->last_step_ms = now_ms;
+	dh_identity_step(d->identity, d->service, health_path(d), now_ms);
 	if (!d->loaded) {
 		load_record(d);
 		return;
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -29,6 +29,13 @@
 /* Number of VMs that share the backend servers, until the leader sends it. */
 #define DEFAULT_VM_COUNT 8
 
+/* What an answer from the address of a backend server has shown. */
+enum answered_as {
+	ANSWERED_NOT, /* there was none */
+	ANSWERED_AS_ITSELF,
+	ANSWERED_AS_OTHER, /* another instance is at the address */
+};
+
 /* A backend server.  Times are of dh_clock_ms(). */
 struct server_state {
 	struct dh_registration r; /* its last valid entry in the store */
@@ -43,7 +50,14 @@
 	/* A response of this incarnation said that it is leaving; true until
 	 * the next incarnation. */
 	bool reported_leaving;
-	bool address_taken; /* by a backend server that started later */
+	enum answered_as answered;
+	/* Another backend server is at the address, or is taken to be there as
+	 * the entry of this one is missing. */
+	bool address_taken;
+	bool ended; /* an answer has shown that another one is there */
+	bool disputed; /* other entries name the address, and no answer tells */
+	bool settled; /* it was in use before the address was disputed */
+	bool waits; /* disputed, and one that was there before is not */
 	/* It had left before the store was restored from a copy, and its entry,
 	 * which says otherwise, may be an old one. */
 	bool return_unconfirmed;
@@ -59,6 +73,7 @@
 	void (*send_changes)(void *arg, const struct dh_registry_changes *n);
 	void *send_arg;
 	GHashTable *servers; /* id -> struct server_state */
+	GHashTable *by_address; /* address_key() -> GPtrArray of them */
 	struct dh_deployment **deployment;
 	uint32_t next_uid;
 	uint64_t views;
@@ -92,29 +107,136 @@
 	return d != NULL && dh_deployment_service(d, service) != DH_NONE;
 }
 
-/* Marks the other backend servers at the address of k as replaced, unless they
- * started later.  An entry of a service that the configuration does not name
- * may come from any writer, and is no evidence. */
+static gint64
+address_key(const struct sockaddr_in *a)
+{
+	return (gint64)a->sin_addr.s_addr << 16 | a->sin_port;
+}
+
+/* The backend servers whose entries name an address; NULL if none does. */
+static GPtrArray *
+servers_at(const struct dh_registry *reg, const struct sockaddr_in *a)
+{
+	gint64 key = address_key(a);
+
+	return g_hash_table_lookup(reg->by_address, &key);
+}
+
 static void
-mark_previous_at_address(struct dh_registry *reg, const struct server_state *k)
+add_to_address(struct dh_registry *reg, struct server_state *k)
 {
-	GHashTableIter it;
-	gpointer value;
+	GPtrArray *there = servers_at(reg, &k->address);
+	gint64 *key;
+
+	if (there == NULL) {
+		there = g_ptr_array_new();
+		key = g_new(gint64, 1);
+		*key = address_key(&k->address);
+		g_hash_table_insert(reg->by_address, key, there);
+	}
+	g_ptr_array_add(there, k);
+}
 
-	if (!is_declared(dh_registry_deployment(reg), k->r.service))
+static void
+remove_from_address(struct dh_registry *reg, struct server_state *k)
+{
+	GPtrArray *there = servers_at(reg, &k->address);
+	gint64 key = address_key(&k->address);
+
+	if (there == NULL || !g_ptr_array_remove_fast(there, k))
 		return;
-	g_hash_table_iter_init(&it, reg->servers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct server_state *o = value;
+	if (there->len == 0)
+		g_hash_table_remove(reg->by_address, &key);
+}
+
+/* Whether the entry of o, at the address of k, counts against k.  One
+ * of a service that the configuration does not name may come from any writer,
+ * and never does. */
+static bool
+is_rival(const struct dh_registry *reg, const struct server_state *k,
+    const struct server_state *o)
+{
+	return o != k && o->missing_since_ms == 0 &&
+	    o->answered != ANSWERED_AS_OTHER &&
+	    is_declared(dh_registry_deployment(reg), o->r.service);
+}
+
+/* Whether o is at the address rather than k as long as no answer tells. */
+static bool
+goes_before(const struct server_state *o, const struct server_state *k)
+{
+	if (o->settled != k->settled)
+		return o->settled;
+	return o->r.start_ms < k->r.start_ms;
+}
 
-		if (o == k || o->address_taken || o->r.port != k->r.port ||
-		    strcmp(o->r.address, k->r.address) != 0 ||
-		    o->r.start_ms > k->r.start_ms)
+static void
+log_if_address_changed(
+    const struct server_state *k, bool was_taken, bool was_disputed)
+{
+	if (k->address_taken != was_taken || k->disputed != was_disputed)
+		dh_opslog_add(DH_OPS_STATE, "server.address",
+		    ",\"server\":\"%s\",\"born\":%lld,\"address\":\"%s:%u\","
+		    "\"taken\":%s,\"by_answer\":%s,\"disputed\":%s",
+		    k->r.id, (long long)k->r.start_ms, k->r.address, k->r.port,
+		    k->address_taken ? "true" : "false",
+		    k->ended ? "true" : "false",
+		    k->disputed ? "true" : "false");
+}
+
+static void
+review_instance(
+    struct dh_registry *reg, struct server_state *k, const GPtrArray *there)
+{
+	bool was_taken = k->address_taken, was_disputed = k->disputed;
+	bool rivals = false, replaced = false;
+	const struct server_state *o;
+	guint i;
+
+	k->ended = k->answered == ANSWERED_AS_OTHER;
+	k->waits = false;
+	for (i = 0; i < there->len; i++) {
+		o = g_ptr_array_index(there, i);
+		if (!is_rival(reg, k, o))
 			continue;
-		o->address_taken = true;
-		dh_opslog_add(DH_OPS_STATE, "server.replaced",
-		    ",\"server\":\"%s\",\"by\":\"%s\",\"address\":\"%s:%u\"",
-		    o->r.id, k->r.id, k->r.address, k->r.port);
+		rivals = true;
+		k->ended |= o->answered == ANSWERED_AS_ITSELF;
+		k->waits |= goes_before(o, k);
+		replaced |=
+		    k->missing_since_ms != 0 && k->r.start_ms <= o->r.start_ms;
+	}
+	k->address_taken = k->ended || replaced;
+	k->disputed = rivals && !k->ended && k->answered == ANSWERED_NOT;
+	k->waits &= k->disputed;
+	k->settled |= !k->address_taken && !k->disputed &&
+	    is_declared(dh_registry_deployment(reg), k->r.service);
+	log_if_address_changed(k, was_taken, was_disputed);
+}
+
+/* Finds out again which backend servers count as being at an address. */
+static void
+review_address(struct dh_registry *reg, const struct sockaddr_in *address)
+{
+	const GPtrArray *there = servers_at(reg, address);
+	guint i;
+
+	for (i = 0; there != NULL && i < there->len; i++)
+		review_instance(reg, g_ptr_array_index(there, i), there);
+}
+
+/* The incarnation k has come to its address: what others there have answered
+ * before says nothing about it. */
+static void
+forget_answers_at(struct dh_registry *reg, const struct server_state *k)
+{
+	const GPtrArray *there = servers_at(reg, &k->address);
+	struct server_state *o;
+	guint i;
+
+	for (i = 0; there != NULL && i < there->len; i++) {
+		o = g_ptr_array_index(there, i);
+		if (o->answered == ANSWERED_AS_ITSELF)
+			o->answered = ANSWERED_NOT;
 	}
 }
 
@@ -167,7 +289,8 @@
 {
 	struct server_state *k = g_hash_table_lookup(reg->servers, r->id);
 	int64_t now_ms = dh_clock_ms();
-	bool is_new = k == NULL;
+	bool is_new = k == NULL, moved = false;
+	struct sockaddr_in before;
 
 	if (is_new) {
 		k = g_new0(struct server_state, 1);
@@ -176,10 +299,20 @@
 	if (is_new || is_other_incarnation(k, r)) {
 		k->uid = ++reg->next_uid;
 		k->address_taken = k->reported_leaving = false;
+		k->disputed = k->settled = false;
+		k->answered = ANSWERED_NOT;
 		k->leaving_since_ms = 0;
+		moved = true;
 	}
 	k->r = *r;
-	(void)uv_ip4_addr(r->address, r->port, &k->address);
+	if (moved) {
+		before = k->address;
+		remove_from_address(reg, k);
+		(void)uv_ip4_addr(r->address, r->port, &k->address);
+		forget_answers_at(reg, k);
+		add_to_address(reg, k);
+		review_address(reg, &before);
+	}
 	k->tier = tier_of_zone(reg, r->zone);
 	k->missing_since_ms = 0;
 	k->presumed_gone = false;
@@ -193,7 +326,7 @@
 		k->leaving_since_ms = 0;
 	else if (k->leaving_since_ms == 0)
 		k->leaving_since_ms = leaving_since(reg);
-	mark_previous_at_address(reg, k);
+	review_address(reg, &k->address);
 	dh_opslog_add(DH_OPS_MEMBER,
 	    is_new ? "server.joined" : "server.changed",
 	    ",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
@@ -262,8 +395,10 @@
 		if (k->missing_since_ms != 0 && !k->presumed_gone)
 			presume_gone(reg, k, now_ms);
 		else if (k->presumed_gone &&
-		    now_ms - k->missing_since_ms > GONE_RETENTION_MS)
+		    now_ms - k->missing_since_ms > GONE_RETENTION_MS) {
+			remove_from_address(reg, k);
 			g_hash_table_iter_remove(&it);
+		}
 	}
 }
 
@@ -316,6 +451,9 @@
 		return;
 	k->missing_since_ms = dh_clock_ms();
 	k->existed_until_ms = leaving_since(reg);
+	review_address(reg, &k->address);
+	if (k->address_taken)
+		invalidate_base_view(reg);
 	uv_timer_start(reg->missing_timer, on_missing_timer, 0, 0);
 }
 
@@ -357,7 +495,7 @@
 		const struct server_state *k = value;
 
 		if (!is_declared(before, k->r.service))
-			mark_previous_at_address(reg, k);
+			review_address(reg, &k->address);
 	}
 }
 
@@ -454,6 +592,8 @@
 	reg->arg = arg;
 	reg->servers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	reg->by_address = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    g_free, (GDestroyNotify)g_ptr_array_unref);
 	reg->missing_timer = dh_timer_new(loop, reg);
 	reg->return_timer = dh_timer_new(loop, reg);
 	reg->era = dh_era_new();
@@ -478,6 +618,7 @@
 	dh_timer_free(reg->return_timer);
 	dh_era_free(reg->era);
 	dh_view_unref(reg->base_view);
+	g_hash_table_destroy(reg->by_address);
 	g_hash_table_destroy(reg->servers);
 	dh_deployment_unbox(reg->deployment);
 	g_free(reg);
@@ -808,17 +949,50 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct server_state *k = value;
 
-		if (strcmp(k->r.service, service) != 0)
+		if (strcmp(k->r.service, service) != 0 || k->waits)
 			continue;
 		s = (struct dh_keyspace_server){ .start_ms = k->r.start_ms,
 			.slots = k->r.slots,
 			.leaving = k->leaving_since_ms != 0,
-			.dead = k->address_taken };
+			.dead = k->ended };
 		(void)g_strlcpy(s.id, k->r.id, sizeof(s.id));
 		g_array_append_val(list, s);
 	}
 }
 
+void
+dh_registry_disputed(
+    const struct dh_registry *reg, const char *service, GArray *list)
+{
+	struct dh_instance i;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct server_state *k = value;
+
+		if (!k->disputed || strcmp(k->r.service, service) != 0)
+			continue;
+		i = (struct dh_instance){ .start_ms = k->r.start_ms };
+		(void)g_strlcpy(i.id, k->r.id, sizeof(i.id));
+		g_array_append_val(list, i);
+	}
+}
+
+void
+dh_registry_note_instance(
+    struct dh_registry *reg, const char *id, int64_t start_ms, bool there)
+{
+	struct server_state *k = g_hash_table_lookup(reg->servers, id);
+
+	if (k == NULL || k->r.start_ms != start_ms || !k->disputed)
+		return;
+	k->answered = there ? ANSWERED_AS_ITSELF : ANSWERED_AS_OTHER;
+	review_address(reg, &k->address);
+	invalidate_base_view(reg);
+}
+
 void
 dh_registry_mark_leaving(
     struct dh_registry *reg, const char *id, int64_t start_ms)
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -125,10 +125,35 @@
 
 /* dh_registry_servers -- append a service's backend servers to a GArray of
  * struct dh_keyspace_server.  Those that are gone are included for at least
- * a minute, marked as leaving. */
+ * a minute, marked as leaving.  Left out are those whose address another one
+ * has, as far as is known; see dh_registry_disputed(). */
 void dh_registry_servers(
     const struct dh_registry *r, const char *service, GArray *list);
 
+/* One incarnation of a backend server. */
+struct dh_instance {
+	char id[DH_NAME_MAX];
+	int64_t start_ms;
+};
+
+/*
+ * Several entries may name the same address: an address is used again after
+ * the end of a backend server, and an entry may come from another writer.  An
+ * entry is no evidence of which one is there; only an answer from the address
+ * is.
+ *
+ * dh_registry_disputed -- append the backend servers of a service whose address
+ * other entries name too, and of which no answer has told whether they are
+ * there, to a GArray of struct dh_instance.
+ *
+ * dh_registry_note_instance -- an answer from the address of an incarnation has
+ * shown that it is there, or that another one is.
+ */
+void dh_registry_disputed(
+    const struct dh_registry *r, const char *service, GArray *list);
+void dh_registry_note_instance(
+    struct dh_registry *r, const char *id, int64_t start_ms, bool there);
+
 /* dh_registry_mark_leaving -- mark a backend server as leaving because one of
  * its responses said so.  The mark holds, whatever its entry in the store says,
  * for the incarnation that started at start_ms; another one is not marked. */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -20,6 +20,9 @@
 /* Subtracted from the time that the caller allows, since the caller's timer
  * started before the request arrived here. */
 #define DEADLINE_SLACK_MS 5
+/* Time for which a backend server gets no requests after another instance has
+ * answered at its address.  Its entry is removed sooner, unless it is wrong. */
+#define OTHER_INSTANCE_MS 10000
 
 static void
 on_timer_closed(uv_handle_t *handle)
@@ -288,6 +291,20 @@
 	dh_request_dispatch(rq);
 }
 
+/* Without a key there is one reason to answer 421: another instance is at the
+ * address. */
+static void
+note_other_instance(struct dh_request *rq)
+{
+	struct dh_pool *pool = rq->pool;
+
+	pool->other_instance_until_ms =
+	    dh_worker_now_ms(rq->worker) + OTHER_INSTANCE_MS;
+	dh_opslog_add(DH_OPS_STATE, "server.other_instance",
+	    ",\"server\":\"%s\",\"born\":%lld,\"for_ms\":%d", pool->id,
+	    (long long)pool->start_ms, OTHER_INSTANCE_MS);
+}
+
 void
 dh_request_answered(struct dh_request *rq, struct dh_message *answer)
 {
@@ -300,6 +317,8 @@
 	}
 	if (dh_message_header(answer, dh_wire_headers.not_run) != NULL ||
 	    status == 421) {
+		if (status == 421 && !rq->keyed)
+			note_other_instance(rq);
 		dh_request_record_reply(rq,
 		    status == 503 ? DH_REPLY_SHED : DH_REPLY_ABANDONED, answer);
 		handle_not_run(rq, status == 421,
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -628,7 +628,9 @@
 
 	if (pool->peer)
 		return true;
-	if (!pool->listed || (pool->close_ms != 0 && now_ms >= pool->close_ms))
+	if (!pool->listed ||
+	    (pool->close_ms != 0 && now_ms >= pool->close_ms) ||
+	    now_ms < pool->other_instance_until_ms)
 		return false;
 	if (pool->leaving_since_ms == 0)
 		return true;
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -44,6 +44,9 @@
 	/* Time of the first answer with the leaving header, or 0. */
 	int64_t leaving_since_ms;
 	int64_t leaving_reported_ms; /* last report of leaving, or 0 */
+	/* Until then it is sent no requests, as another instance has answered
+	 * at its address. */
+	int64_t other_instance_until_ms;
 	bool listed; /* the view has it, and not as closed */
 	int64_t close_ms; /* as in the view */
 	bool peer; /* another VM, to which requests are forwarded */
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -360,21 +360,28 @@
 }
 
 static void
-write_server_entry(struct backend *b)
+write_entry(const struct backend *b, const char *name, int64_t born_ms)
 {
-	g_autofree char *name = g_strdup_printf("i-%d", b->index);
 	g_autofree char *text = g_strdup_printf(
 	    "{\"service\":\"keyed\",\"address\":\"127.0.0.1:%d\",\"zone\":"
 	    "\"z1\",\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
 	    "\"cold_left_s\":0,\"sequence\":1,\"born\":%lld}",
 	    advertised_port + b->index, SLOTS,
-	    b->draining ? "draining" : "ready", (long long)b->born_ms);
+	    b->draining ? "draining" : "ready", (long long)born_ms);
 	struct json_object *spec = json_tokener_parse(text);
 
 	(void)write_object("servers", name, spec);
 	json_object_put(spec);
 }
 
+static void
+write_server_entry(struct backend *b)
+{
+	g_autofree char *name = g_strdup_printf("i-%d", b->index);
+
+	write_entry(b, name, b->born_ms);
+}
+
 static void
 set_limit(struct backend *b, double per_s)
 {
@@ -526,6 +533,9 @@
 	else if (strcmp(url, "/_drain") == 0 && b->up) {
 		b->draining = true;
 		write_server_entry(b);
+	} else if (strcmp(url, "/_foreign") == 0) {
+		/* Another writer's entry has the address of b. */
+		write_entry(b, "agent-0", dh_clock_wall_ms());
 	} else if (strcmp(url, "/_freeze") == 0 || strcmp(url, "/_thaw") == 0) {
 		b->frozen = strcmp(url, "/_freeze") == 0;
 		g_cond_broadcast(&changed);
@@ -882,6 +892,17 @@
 	return result;
 }
 
+/* Whether a request or an order names another backend server. */
+static bool
+is_for_another(struct MHD_Connection *c, const struct backend *b)
+{
+	const char *id = MHD_lookup_connection_value(
+	    c, MHD_HEADER_KIND, "X-Dogwoodhub-Target-Instance");
+
+	return id != NULL &&
+	    (strncmp(id, "i-", 2) != 0 || atoi(id + 2) != b->index);
+}
+
 static enum MHD_Result
 on_backend(void *arg, struct MHD_Connection *c, const char *url,
     const char *method, const char *version, const char *data, size_t *len,
@@ -890,6 +911,7 @@
 	struct backend *b = arg;
 	struct json_object *o;
 	enum MHD_Result result;
+	char id[16];
 
 	(void)version;
 	if (!collect_body(state, data, len))
@@ -898,8 +920,12 @@
 	wait_while_frozen(b);
 	if (!b->up) {
 		result = MHD_NO;
+	} else if (is_for_another(c, b)) {
+		misdirected++;
+		result = reply(c, 421, "{}", "X-Dogwoodhub-Not-Executed", "1");
 	} else if (strcmp(url, "/health") == 0) {
-		result = reply(c, 200, "{}", NULL, NULL);
+		(void)g_snprintf(id, sizeof(id), "i-%d", b->index);
+		result = reply(c, 200, "{}", "X-Dogwoodhub-Instance-Id", id);
 	} else if (g_str_has_prefix(url, "/dogwoodhub/")) {
 		o = json_tokener_parse(((struct call *)*state)->body->str);
 		result = strcmp(url, "/dogwoodhub/grant") == 0
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -310,40 +310,60 @@
 	answer_open_watches();
 }
 
+/* Whether a backend server is sent no requests; true if the view lacks it. */
 static bool
-is_closed(struct dh_registry *reg)
+is_closed_of(struct dh_registry *reg, const char *id)
 {
 	struct dh_view *v = dh_registry_view(reg);
-	bool closed;
+	bool closed = true;
+	uint32_t i;
 
 	if (v == NULL) {
 		CU_FAIL("no view");
 		return false;
 	}
-	CU_ASSERT_EQUAL_FATAL(v->nservers, 1);
-	closed = dh_view_server_is_closed(
-	    &v->servers[0], (int64_t)(uv_hrtime() / 1000000));
+	i = dh_view_find(v, id);
+	if (i != DH_NONE)
+		closed = dh_view_server_is_closed(
+		    &v->servers[i], (int64_t)(uv_hrtime() / 1000000));
 	dh_view_unref(v);
 	return closed;
 }
 
-/* Answers the open watch of backend servers with an entry of another service at
- * the address of i-1, which started later. */
-static void
-answer_foreign_entry(uint64_t revision)
+static bool
+is_closed(struct dh_registry *reg)
 {
-	struct json_object *spec = json_tokener_parse(
-	    "{\"service\":\"agent\",\"address\":\"127.0.0.1:80\","
-	    "\"zone\":\"z\",\"slots\":2,\"state\":\"ready\",\"version\":\"1\","
-	    "\"cold_left_s\":0,\"sequence\":1,\"born\":900}");
+	return is_closed_of(reg, "i-1");
+}
+
+/* Answers the open watch of backend servers with an entry that has the address
+ * of i-1. */
+static void
+answer_entry(
+    const char *id, const char *service, int64_t born_ms, uint64_t revision)
+{
+	g_autofree char *text =
+	    g_strdup_printf("{\"service\":\"%s\",\"address\":\"127.0.0.1:80\","
+			    "\"zone\":\"z\",\"slots\":2,\"state\":\"ready\","
+			    "\"version\":\"1\",\"cold_left_s\":0,"
+			    "\"sequence\":1,\"born\":%lld}",
+		service, (long long)born_ms);
+	struct json_object *spec = json_tokener_parse(text);
 	struct dh_object_view v = {
-		.name = "agent-0", .revision = revision, .spec = spec
+		.name = id, .revision = revision, .spec = spec
 	};
 
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, revision, &v, 1);
 	json_object_put(spec);
 }
 
+/* An entry of another writer, which started later than i-1. */
+static void
+answer_foreign_entry(const char *service, uint64_t revision)
+{
+	answer_entry("agent-0", service, 900, revision);
+}
+
 /* A later configuration, which declares the services "s" and name. */
 static void
 answer_config_with(const char *name, int version)
@@ -366,6 +386,25 @@
 	json_object_put(spec);
 }
 
+/* Whether the leader knows that a backend server has ended; false if it is not
+ * told of it. */
+static bool
+is_dead_of(const struct dh_registry *reg, const char *id)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
+	const struct dh_keyspace_server *s;
+	guint i;
+
+	dh_registry_servers(reg, "s", list);
+	for (i = 0; i < list->len; i++) {
+		s = &g_array_index(list, struct dh_keyspace_server, i);
+		if (strcmp(s->id, id) == 0)
+			return s->dead;
+	}
+	return false;
+}
+
 static bool
 is_dead(const struct dh_registry *reg)
 {
@@ -374,12 +413,22 @@
 
 	dh_registry_servers(reg, "s", list);
 	CU_ASSERT_EQUAL_FATAL(list->len, 1);
-	return g_array_index(list, struct dh_keyspace_server, 0).dead;
+	return is_dead_of(reg, "i-1");
+}
+
+static guint
+count_disputed(const struct dh_registry *reg)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_instance));
+
+	dh_registry_disputed(reg, "s", list);
+	return list->len;
 }
 
 /* Guards against an entry of a service that no configuration names, which takes
  * the keys of the living backend server at its address away.  Once the service
- * is declared, the entry says that its address has changed hands. */
+ * is declared, two entries name the address, and the answers there decide. */
 static void
 test_entry_of_an_undeclared_service(void)
 {
@@ -387,19 +436,99 @@
 
 	start_keyed(&fx);
 	dh_registry_set_leader_cursors(fx.reg, NULL);
-	answer_foreign_entry(12);
+	answer_foreign_entry("agent", 12);
 	CU_ASSERT_EQUAL(dh_registry_start_ms(fx.reg, "agent-0"), 900);
 	CU_ASSERT_FALSE(is_dead(fx.reg));
 	CU_ASSERT_FALSE(is_closed(fx.reg));
 	answer_config_with("unrelated", 13);
 	CU_ASSERT_EQUAL(dh_registry_deployment(fx.reg)->version, 13);
 	CU_ASSERT_FALSE(is_dead(fx.reg));
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 0);
 	g_usleep(400000);
 	follow_for(&fx, 20);
 	dh_registry_set_leader_cursors(fx.reg, NULL);
 	answer_config_with("agent", 14);
 	CU_ASSERT_EQUAL(dh_registry_deployment(fx.reg)->version, 14);
+	CU_ASSERT_FALSE(is_dead(fx.reg));
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 1);
+	dh_registry_note_instance(fx.reg, "i-1", 100, false);
 	CU_ASSERT_TRUE(is_dead(fx.reg));
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 0);
+	end(&fx);
+}
+
+/* Guards against an entry that names the service and the address of a living
+ * backend server, and a later start, and so takes its keys and its requests
+ * away before anybody has asked at that address. */
+static void
+test_entry_takes_the_address_of_a_living_server(void)
+{
+	struct fixture fx;
+
+	start_keyed(&fx);
+	dh_registry_set_leader_cursors(fx.reg, NULL);
+	answer_foreign_entry("s", 12);
+	CU_ASSERT_FALSE(is_dead(fx.reg));
+	CU_ASSERT_FALSE(is_closed_of(fx.reg, "i-1"));
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 2);
+	/* It answers: the other entry names no backend server. */
+	dh_registry_note_instance(fx.reg, "i-1", 100, true);
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 0);
+	CU_ASSERT_FALSE(is_closed_of(fx.reg, "i-1"));
+	CU_ASSERT_TRUE(is_closed_of(fx.reg, "agent-0"));
+	end(&fx);
+}
+
+/* An entry that is written once more with a later start is asked about anew,
+ * and the earlier answer does not count for it. */
+static void
+test_second_start_at_a_disputed_address(void)
+{
+	struct fixture fx;
+
+	start_keyed(&fx);
+	dh_registry_set_leader_cursors(fx.reg, NULL);
+	answer_foreign_entry("s", 12);
+	dh_registry_note_instance(fx.reg, "i-1", 100, true);
+	g_usleep(400000);
+	follow_for(&fx, 20);
+	dh_registry_set_leader_cursors(fx.reg, NULL);
+	answer_entry("agent-0", "s", 950, 13);
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 2);
+	/* An answer that the start before gave says nothing about this one. */
+	dh_registry_note_instance(fx.reg, "agent-0", 900, true);
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 2);
+	dh_registry_note_instance(fx.reg, "agent-0", 950, true);
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 0);
+	CU_ASSERT_TRUE(is_closed_of(fx.reg, "i-1"));
+	CU_ASSERT_FALSE(is_closed_of(fx.reg, "agent-0"));
+	end(&fx);
+}
+
+/* The entry of a backend server that was really replaced is removed: requests
+ * go to the other one at once, and the leader asks before it takes the keys. */
+static void
+test_missing_entry_at_a_disputed_address(void)
+{
+	struct dh_object_view gone = {
+		.name = "i-1", .revision = 13, .deleted = true
+	};
+	struct fixture fx;
+
+	start_keyed(&fx);
+	dh_registry_set_leader_cursors(fx.reg, NULL);
+	answer_foreign_entry("s", 12);
+	g_usleep(400000);
+	follow_for(&fx, 20);
+	dh_registry_set_leader_cursors(fx.reg, NULL);
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 13, &gone, 1);
+	CU_ASSERT_TRUE(is_closed_of(fx.reg, "i-1"));
+	CU_ASSERT_FALSE(is_closed_of(fx.reg, "agent-0"));
+	CU_ASSERT_FALSE(is_dead_of(fx.reg, "i-1"));
+	CU_ASSERT_EQUAL(count_disputed(fx.reg), 1);
+	dh_registry_note_instance(fx.reg, "i-1", 100, false);
+	CU_ASSERT_TRUE(is_dead_of(fx.reg, "i-1"));
+	CU_ASSERT_FALSE(is_dead_of(fx.reg, "agent-0"));
 	end(&fx);
 }
 
@@ -541,6 +670,12 @@
 		{ "leader with an old copy", test_leader_whose_copy_is_old },
 		{ "entry of an undeclared service",
 		    test_entry_of_an_undeclared_service },
+		{ "entry takes the address of a living server",
+		    test_entry_takes_the_address_of_a_living_server },
+		{ "second start at a disputed address",
+		    test_second_start_at_a_disputed_address },
+		{ "missing entry at a disputed address",
+		    test_missing_entry_at_a_disputed_address },
 		{ "as the leader", test_leader_watches_and_publishes },
 		CU_TEST_INFO_NULL,
 	};
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -315,6 +315,12 @@
 		send_text(fd, text);
 		return true;
 	}
+	if (strstr(head, " /other/") != NULL && f->index == 0) {
+		send_text(fd,
+		    "HTTP/1.1 421 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
+		    "Content-Length: 0\r\n\r\n");
+		return true;
+	}
 	if (strstr(head, " /shed/") != NULL) {
 		send_text(fd,
 		    f->index == 0
@@ -1040,6 +1046,26 @@
 	stop_worker();
 }
 
+/* Guards against requests to the address of a backend server at which another
+ * instance has answered: one attempt each time. */
+static void
+test_other_instance_at_an_address(void)
+{
+	int i, before;
+
+	start_worker(1);
+	CU_ASSERT_EQUAL(get_once("/other/", "", buf), 503);
+	before = runs;
+	for (i = 0; i < 8; i++)
+		CU_ASSERT_EQUAL(get_once("/ok/", "", buf), 503);
+	CU_ASSERT_EQUAL(runs, before);
+	/* The other backend server is used instead. */
+	publish(2, true);
+	CU_ASSERT_EQUAL(get_once("/ok/", "", buf), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "X-From: 1"));
+	stop_worker();
+}
+
 static void
 test_late_copy_of_a_refusal_of_the_same_request(void)
 {
@@ -1912,6 +1938,7 @@
 		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
 		{ "head that ends early", test_head_that_ends_early },
 		{ "not executed", test_not_executed_is_retried },
+		{ "other instance", test_other_instance_at_an_address },
 		{ "late copy of a refusal",
 		    test_late_copy_of_a_refusal_of_the_same_request },
 		{ "late copy of a refusal without id",
