Homes: a route is served in its home regions only

A backend server outside the homes of the route is no candidate of an attempt, so it gets no first try, no repetition and no second try; a keyed request whose owner is outside is refused at once. A request is forwarded to VMs in a home only, and carries the homes, since the other VM's configuration has no part in it. Keys of a service are owned where all routes to it may be served: backend servers elsewhere count as leaving for the leader. A route without homes costs nothing more.

Downloads are repeatable, as safe requests are.

With the checks taken out, test_worker "homes" and test_forward "homes" fail.

--- a/core/deployment.c
+++ b/core/deployment.c
@@ -26,6 +26,7 @@
 		free(d->routes[i].host);
 		free(d->routes[i].prefix);
 		free(d->routes[i].parts);
+		free(d->routes[i].homes);
 	}
 	for (i = 0; i < d->nservices; i++) {
 		free(d->services[i].name);
@@ -100,3 +101,46 @@
 	}
 	return r->parts[r->nparts - 1].service;
 }
+
+bool
+dh_homes_include(const char *homes, const char *region)
+{
+	size_t len, region_len;
+
+	if (homes == NULL)
+		return true;
+	region_len = strlen(region);
+	for (;;) {
+		len = strcspn(homes, ",");
+		if (len == region_len && memcmp(homes, region, len) == 0)
+			return len > 0;
+		if (homes[len] == '\0')
+			return false;
+		homes += len + 1;
+	}
+}
+
+static bool
+leads_to(const struct dh_http_route *r, uint32_t service)
+{
+	size_t i;
+
+	for (i = 0; i < r->nparts; i++)
+		if (r->parts[i].service == service)
+			return true;
+	return false;
+}
+
+bool
+dh_deployment_keys_allowed(
+    const struct dh_deployment *d, uint32_t service, const char *region)
+{
+	size_t i;
+
+	for (i = 0; i < d->nroutes; i++)
+		if (d->routes[i].homes != NULL &&
+		    leads_to(&d->routes[i], service) &&
+		    !dh_homes_include(d->routes[i].homes, region))
+			return false;
+	return true;
+}
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -16,6 +16,8 @@
  * leader moves keys off a limited backend server, or its other callers have
  * left. */
 #define RATE_LIMITED_RETRY_MS 500
+/* Time after which a key that may not stay where it is can have moved. */
+#define KEY_MOVE_RETRY_MS 500
 
 /* Time for which the backend server asks for no requests: the Retry-After of
  * its 503, or 0. */
@@ -156,6 +158,10 @@
 
 	if (*found == DH_CANDIDATES_MAX)
 		return;
+	if (!dh_homes_include(rq->route->homes, s->region)) {
+		rq->outside_homes = true;
+		return;
+	}
 	pool = dh_worker_pool(w, s);
 	if (!dh_pool_accepts_requests(w, pool, now_ms))
 		return;
@@ -267,7 +273,7 @@
 	    rq->keyed || w->view->services[service].nservers <= DH_SAMPLE_MAX;
 	struct dh_choice choice;
 
-	rq->rate_limited = false;
+	rq->rate_limited = rq->outside_homes = false;
 	*n = find_candidates(rq, service, all);
 	choice = choose_candidate(rq, &request, n, now_ms);
 	if (choice.index != SIZE_MAX || all)
@@ -365,6 +371,17 @@
 		RATE_LIMITED_RETRY_MS, left_ms, &rq->worker->rng));
 }
 
+/* The owner of the key is in no home of the route.  The leader moves the key if
+ * a home has a backend server. */
+static void
+refuse_outside_homes(struct dh_request *rq)
+{
+	int64_t left_ms = rq->deadline_ms - dh_worker_now_ms(rq->worker);
+
+	dh_request_finish(rq, 503, "the owner is in no home region",
+	    dh_retry_after_ms(KEY_MOVE_RETRY_MS, left_ms, &rq->worker->rng));
+}
+
 void
 dh_request_dispatch(struct dh_request *rq)
 {
@@ -399,6 +416,10 @@
 		refuse_rate_limited(rq);
 		return;
 	}
+	if (n == 0 && rq->keyed && rq->outside_homes) {
+		refuse_outside_homes(rq);
+		return;
+	}
 	if (n == 0 && rq->keyed) {
 		park(rq);
 		return;
@@ -409,7 +430,10 @@
 			return;
 		set_nearest_server(rq, &choice, dh_worker_now_ms(w));
 		dh_request_finish(rq, 503,
-		    n == 0 ? "no backend server" : "no room in time",
+		    n > 0 ? "no room in time"
+			: rq->outside_homes
+			? "no backend server in a home region"
+			: "no backend server",
 		    choice.retry_after_ms);
 		return;
 	}
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -10,6 +10,8 @@
 
 /* The deadline of a forwarded request is the one that the other VM names. */
 #define FORWARDED_TIMEOUT_MS INT64_C(3600000)
+/* Follows the name of the service in the header, before the route's homes. */
+#define HOMES_MARK " homes="
 /* Numbers in the header that a request is forwarded with. */
 #define HEADER_NUMBERS 4
 /* Limit of other VMs that a request is sent to. */
@@ -24,10 +26,13 @@
 	int64_t target_ms = rq->arrived_ms + rq->route->target_ms -
 	    dh_worker_now_ms(rq->worker);
 
-	g_string_append_printf(out, "%s: %u %u %u %lld %s\r\n",
+	/* A VM of an earlier release takes the homes for a part of the name,
+	 * knows no such service, and refuses. */
+	g_string_append_printf(out, "%s: %u %u %u %lld %s%s%s\r\n",
 	    DH_FORWARDED_HEADER, rq->route->repeat, rq->route->priority,
 	    rq->route->attempts_max, (long long)(target_ms > 0 ? target_ms : 0),
-	    rq->service_state->name);
+	    rq->service_state->name, rq->route->homes == NULL ? "" : HOMES_MARK,
+	    rq->route->homes == NULL ? "" : rq->route->homes);
 }
 
 bool
@@ -36,6 +41,8 @@
     uint32_t *service)
 {
 	const char *text = dh_message_header(in, DH_FORWARDED_HEADER);
+	g_autofree char *name = NULL;
+	const char *homes;
 	unsigned long long numbers[HEADER_NUMBERS];
 	char *end;
 	int i;
@@ -48,7 +55,10 @@
 			return false;
 		text = end + 1;
 	}
-	*service = dh_deployment_service(d, text);
+	homes = strstr(text, HOMES_MARK);
+	name = homes == NULL ? g_strdup(text)
+			     : g_strndup(text, (gsize)(homes - text));
+	*service = dh_deployment_service(d, name);
 	if (numbers[0] > DH_REPEAT_NEVER || *service == DH_NONE)
 		return false;
 	*route = (struct dh_http_route){
@@ -57,6 +67,8 @@
 		.attempts_max = (uint32_t)numbers[2],
 		.target_ms = (int64_t)numbers[3],
 		.timeout_ms = FORWARDED_TIMEOUT_MS,
+		.homes =
+		    homes == NULL ? NULL : strdup(homes + strlen(HOMES_MARK)),
 	};
 	return true;
 }
@@ -92,6 +104,7 @@
 		p = &peers->list[(start + i) % peers->n];
 		pool = g_hash_table_lookup(w->pools, GUINT_TO_POINTER(p->uid));
 		if (dh_request_was_tried(rq, p->uid) ||
+		    !dh_homes_include(rq->route->homes, p->region) ||
 		    (pool != NULL && now_ms < pool->avoid_until_ms))
 			continue;
 		requests = pool == NULL ? 0 : pool->busy.length;
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -329,6 +329,14 @@
 							  : DH_TIER_REMOTE;
 }
 
+static const char *
+peer_region(const struct dh_owners *o, const char *zone)
+{
+	g_autofree char *region = dh_gateway_region(o->c.settings, zone);
+
+	return g_intern_string(region);
+}
+
 /* Adds a VM to the list for views.  A full list keeps the nearest. */
 static void
 add_view_peer(struct dh_view_peers *v, const struct dh_view_peer *p)
@@ -366,6 +374,7 @@
 			continue;
 		p.uid = s->uid;
 		p.tier = peer_tier(o, s->zone);
+		p.region = peer_region(o, s->zone);
 		(void)g_strlcpy(p.vm, s->vm, sizeof(p.vm));
 		add_view_peer(v, &p);
 	}
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -41,6 +41,7 @@
 	struct dh_registration r; /* its last valid entry in the store */
 	struct sockaddr_in address;
 	enum dh_tier tier;
+	const char *region; /* interned */
 	uint32_t uid;
 	int64_t cold_until_ms;
 	int64_t leaving_since_ms; /* see leaving_since(); 0: not leaving */
@@ -249,16 +250,19 @@
 	    strcmp(k->r.service, r->service) != 0;
 }
 
-static enum dh_tier
-tier_of_zone(const struct dh_registry *reg, const char *zone)
+static void
+locate(const struct dh_registry *reg, struct server_state *k)
 {
-	g_autofree char *region = NULL;
+	const struct dh_gateway_settings *s = reg->settings;
+	g_autofree char *region = dh_gateway_region(s, k->r.zone);
 
-	if (strcmp(zone, reg->settings->zone) == 0)
-		return DH_TIER_ZONE;
-	region = dh_gateway_region(reg->settings, zone);
-	return strcmp(region, reg->settings->region) == 0 ? DH_TIER_REGION
-							  : DH_TIER_REMOTE;
+	/* Of the zones that the settings name, so there are few. */
+	k->region = g_intern_string(region);
+	if (strcmp(k->r.zone, s->zone) == 0)
+		k->tier = DH_TIER_ZONE;
+	else
+		k->tier = strcmp(region, s->region) == 0 ? DH_TIER_REGION
+							 : DH_TIER_REMOTE;
 }
 
 /* When a backend server that has just become known as leaving said so at the
@@ -313,7 +317,7 @@
 		add_to_address(reg, k);
 		review_address(reg, &before);
 	}
-	k->tier = tier_of_zone(reg, r->zone);
+	locate(reg, k);
 	k->missing_since_ms = 0;
 	k->presumed_gone = false;
 	k->cold_until_ms =
@@ -811,6 +815,7 @@
 		.start_ms = k->r.start_ms,
 		.address = k->address,
 		.tier = k->tier,
+		.region = k->region,
 		.service = service,
 		.slots = k->r.slots };
 	(void)g_strlcpy(s->id, k->r.id, sizeof(s->id));
@@ -937,10 +942,63 @@
 	return reg->base_view == NULL ? INT64_MAX : reg->base_expiry_ms;
 }
 
+/* Whether keys of a service may be owned in a region.  Where the routes that
+ * lead to it have no home in common that has a backend server, they may be
+ * anywhere. */
+struct key_regions {
+	const struct dh_deployment *deployment;
+	uint32_t service;
+	GHashTable *allowed; /* interned region -> 1: yes, 2: no */
+};
+
+static bool
+may_own_keys(struct key_regions *kr, const char *region)
+{
+	gpointer known = g_hash_table_lookup(kr->allowed, region);
+
+	if (known == NULL) {
+		known =
+		    GUINT_TO_POINTER(dh_deployment_keys_allowed(
+					 kr->deployment, kr->service, region)
+			    ? 1
+			    : 2);
+		g_hash_table_insert(kr->allowed, (gpointer)region, known);
+	}
+	return GPOINTER_TO_UINT(known) == 1;
+}
+
+/* Marks backend servers outside the homes as leaving, so that their keys move.
+ * regions holds the region of each one in list. */
+static void
+keep_keys_at_home(const struct dh_registry *reg, const char *service,
+    GArray *list, const GPtrArray *regions)
+{
+	struct key_regions kr = { .deployment = dh_registry_deployment(reg) };
+	struct dh_keyspace_server *s;
+	bool any = false;
+	guint i;
+
+	if (kr.deployment == NULL)
+		return;
+	kr.service = dh_deployment_service(kr.deployment, service);
+	kr.allowed = g_hash_table_new(g_direct_hash, g_direct_equal);
+	for (i = 0; i < list->len && !any; i++) {
+		s = &g_array_index(list, struct dh_keyspace_server, i);
+		any = !s->leaving && !s->dead &&
+		    may_own_keys(&kr, regions->pdata[i]);
+	}
+	for (i = 0; any && i < list->len; i++) {
+		s = &g_array_index(list, struct dh_keyspace_server, i);
+		s->leaving |= !may_own_keys(&kr, regions->pdata[i]);
+	}
+	g_hash_table_destroy(kr.allowed);
+}
+
 void
 dh_registry_servers(
     const struct dh_registry *reg, const char *service, GArray *list)
 {
+	g_autoptr(GPtrArray) regions = g_ptr_array_new();
 	struct dh_keyspace_server s;
 	GHashTableIter it;
 	gpointer value;
@@ -957,7 +1015,9 @@
 			.dead = k->ended };
 		(void)g_strlcpy(s.id, k->r.id, sizeof(s.id));
 		g_array_append_val(list, s);
+		g_ptr_array_add(regions, (gpointer)k->region);
 	}
+	keep_keys_at_home(reg, service, list, regions);
 }
 
 void
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -34,6 +34,7 @@
 	dh_view_unref(rq->view);
 	if (rq->wire != NULL)
 		g_string_free(rq->wire, TRUE);
+	free(rq->forwarded_route.homes);
 	g_free(rq);
 }
 
@@ -510,6 +511,8 @@
 	d = *rq->view->deployment;
 	if (rq->from_vm) {
 		rq->route = &rq->forwarded_route;
+		free(rq->forwarded_route.homes);
+		rq->forwarded_route.homes = NULL;
 		if (!dh_forward_read_header(
 			rq->in, d, &rq->forwarded_route, &rq->service)) {
 			dh_request_finish(rq, 503, "no such service", 1);
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -31,6 +31,7 @@
 	int64_t start_ms; /* start time of the backend server's process */
 	struct sockaddr_in address;
 	enum dh_tier tier; /* distance from this VM */
+	const char *region; /* interned; "" if the zone is not known */
 	uint32_t service;
 	uint32_t slots; /* limit of concurrent requests */
 	/* From then on it is sent no requests, as it has left, is leaving or
@@ -66,6 +67,7 @@
 	char vm[DH_NAME_MAX];
 	struct sockaddr_in address;
 	enum dh_tier tier; /* distance from this VM */
+	const char *region; /* interned; "" if the zone is not known */
 };
 
 /* Less than this: uids of backend servers. */
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -208,6 +208,8 @@
 	bool may_have_run; /* a backend server may have executed it */
 	/* The last choice left out a backend server for its rate limit. */
 	bool rate_limited;
+	/* The last choice left out a backend server outside the homes. */
+	bool outside_homes;
 	bool head_only; /* the method is HEAD */
 	uint32_t tried[DH_ATTEMPTS_MAX]; /* uids of backend servers */
 	uint32_t ntried;
@@ -316,8 +318,9 @@
 /* dh_forward_add_header, dh_forward_read_header -- write and read the header
  * with which a VM forwards a request that it has routed: what it knows of the
  * route, so that the other VM's configuration has no part in it.  The route
- * read from in has no names; service is as dh_request's.  False if the header
- * is malformed, or names a service that d does not have. */
+ * read from in has no names, and homes that are to be freed with free(3);
+ * service is as dh_request's.  False, with nothing to free, if the header is
+ * malformed, or names a service that d does not have. */
 void dh_forward_add_header(const struct dh_request *rq, GString *out);
 bool dh_forward_read_header(const struct dh_message *in,
     const struct dh_deployment *d, struct dh_http_route *route,
--- a/include/dogwoodhub/deployment.h
+++ b/include/dogwoodhub/deployment.h
@@ -36,6 +36,9 @@
 	int64_t timeout_ms; /* limit from arrival to the final response */
 	struct dh_weighted_service *parts;
 	size_t nparts;
+	/* Regions that may serve the requests and get their bodies, separated
+	 * by commas; NULL: all. */
+	char *homes;
 };
 
 struct dh_http_service {
@@ -79,6 +82,16 @@
  * weight. */
 uint32_t dh_route_service_of_nth(const struct dh_http_route *r, uint64_t nth);
 
+/*
+ * dh_homes_include -- whether region is one of homes, as in a route.
+ *
+ * dh_deployment_keys_allowed -- whether all routes that lead to a service may
+ * be served in region, so that keys of the service may be owned there.
+ */
+bool dh_homes_include(const char *homes, const char *region);
+bool dh_deployment_keys_allowed(
+    const struct dh_deployment *d, uint32_t service, const char *region);
+
 /* What a backend server reports about itself. */
 struct dh_registration {
 	char id[DH_NAME_MAX];
--- a/tests/test_deployment.c
+++ b/tests/test_deployment.c
@@ -76,12 +76,47 @@
 	}
 }
 
+static void
+test_homes(void)
+{
+	CU_ASSERT_TRUE(dh_homes_include(NULL, "north"));
+	CU_ASSERT_TRUE(dh_homes_include("north", "north"));
+	CU_ASSERT_TRUE(dh_homes_include("south,north", "north"));
+	CU_ASSERT_TRUE(dh_homes_include("south,north", "south"));
+	CU_ASSERT_FALSE(dh_homes_include("south,north", "east"));
+	CU_ASSERT_FALSE(dh_homes_include("south,north", "nor"));
+	CU_ASSERT_FALSE(dh_homes_include("south,north", "northern"));
+	/* A region that is not known is no home. */
+	CU_ASSERT_FALSE(dh_homes_include("south,north", ""));
+}
+
+/* Keys are owned where all routes to their service may be served. */
+static void
+test_homes_of_keys(void)
+{
+	struct dh_http_route with_homes[4];
+	struct dh_deployment homed = d;
+	char first[] = "north,south", second[] = "south,east";
+
+	memcpy(with_homes, routes, sizeof(with_homes));
+	homed.routes = with_homes;
+	with_homes[1].homes = first;
+	with_homes[2].homes = second;
+	CU_ASSERT_FALSE(dh_deployment_keys_allowed(&homed, 0, "north"));
+	CU_ASSERT_TRUE(dh_deployment_keys_allowed(&homed, 0, "south"));
+	CU_ASSERT_FALSE(dh_deployment_keys_allowed(&homed, 0, "east"));
+	CU_ASSERT_TRUE(dh_deployment_keys_allowed(&homed, 1, "north"));
+	CU_ASSERT_TRUE(dh_deployment_keys_allowed(&d, 0, "north"));
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 		{ "match", test_longest_prefix_for_host },
 		{ "weights", test_weights_in_any_sequence },
+		{ "homes", test_homes },
+		{ "homes of keys", test_homes_of_keys },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -150,13 +150,17 @@
 	d->services[0].name = strdup("any");
 	d->services[0].health_path = strdup("/health");
 	d->services[0].connections_max = 100;
-	d->routes = calloc(2, sizeof(*d->routes));
+	d->routes = calloc(3, sizeof(*d->routes));
 	add_route(d, "/r/", DH_REPEAT_SAFE);
 	if (version > 1)
 		add_route(d, "/w/", DH_REPEAT_NEVER);
+	add_route(d, "/h/", DH_REPEAT_NEVER);
+	d->routes[d->nroutes - 1].homes = strdup("north");
 	return d;
 }
 
+static const char *server_region = "", *peer_region = "";
+
 /* Publishes a view with SERVERS backend servers at the port, and the other VM
  * as peer. */
 static void
@@ -180,12 +184,14 @@
 		s->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		s->address.sin_port = htons(server_port);
 		s->slots = 4;
+		s->region = server_region;
 		v->services[0].servers[v->services[0].nservers++] = (uint32_t)i;
 	}
 	v->peers = g_atomic_rc_box_new0(struct dh_view_peers);
 	v->peers->n = 1;
 	p = &v->peers->list[0];
 	p->uid = DH_PEER_UID_FIRST + (uint32_t)vm;
+	p->region = peer_region;
 	(void)g_strlcpy(p->vm, "other", sizeof(p->vm));
 	(void)uv_ip4_addr(vms[1 - vm].ip, forward_port, &p->address);
 	dh_worker_publish(vms[vm].worker, v);
@@ -434,6 +440,38 @@
 	stop();
 }
 
+/* Guards against the body of a request in a region that is no home of its
+ * route, and against another VM that sends it to a backend server there. */
+static void
+test_homes_of_a_forwarded_request(void)
+{
+	uint64_t before;
+
+	start();
+	server_region = peer_region = "south";
+	publish(0, refusing_port());
+	publish(1, live_port);
+	before = forwarded();
+	CU_ASSERT_EQUAL(ask("POST", "/h/"), 503);
+	CU_ASSERT_EQUAL(forwarded(), before);
+	/* The other VM is at home, its backend servers are not. */
+	peer_region = "north";
+	server_region = "north";
+	publish(0, refusing_port());
+	server_region = "south";
+	publish(1, live_port);
+	CU_ASSERT_EQUAL(ask("POST", "/h/"), 503);
+	CU_ASSERT_TRUE(forwarded() > before);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 0);
+	server_region = "north";
+	publish(1, live_port);
+	(void)usleep(1100000);
+	CU_ASSERT_EQUAL(ask("POST", "/h/"), 200);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 1);
+	server_region = peer_region = "";
+	stop();
+}
+
 static void
 test_forwarding_is_off(void)
 {
@@ -462,6 +500,7 @@
 		    test_other_vm_has_an_earlier_configuration },
 		{ "invalid requests", test_invalid_forwarded_requests },
 		{ "forwarding off", test_forwarding_is_off },
+		{ "homes", test_homes_of_a_forwarded_request },
 		CU_TEST_INFO_NULL,
 	};
 	int fd = listen_on("127.0.0.1", &live_port, 64), status;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -532,6 +532,92 @@
 	end(&fx);
 }
 
+/* Whether the leader has to move the keys of a backend server of "s". */
+static bool
+is_leaving_of(const struct dh_registry *reg, const char *id)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_keyspace_server));
+	const struct dh_keyspace_server *s;
+	guint i;
+
+	dh_registry_servers(reg, "s", list);
+	for (i = 0; i < list->len; i++) {
+		s = &g_array_index(list, struct dh_keyspace_server, i);
+		if (strcmp(s->id, id) == 0)
+			return s->leaving;
+	}
+	CU_FAIL("the backend server is not known");
+	return false;
+}
+
+/* Lists a keyed service with a backend server in each of two regions, and a
+ * route to it that has homes: a JSON list. */
+static void
+start_in_regions(struct fixture *fx, const char *homes)
+{
+	struct json_object *spec = json_tokener_parse(keyed_config);
+	struct dh_object_view config = {
+		.name = dh_wire_config_name, .revision = 11, .spec = spec
+	};
+	static const char *const ids[] = { "i-north", "i-south" };
+	struct dh_object_view v[2];
+	struct json_object *o;
+	size_t i;
+
+	start(fx);
+	(void)g_strlcpy(fx->settings.zones, "n1=north,s1=south",
+	    sizeof(fx->settings.zones));
+	dh_registry_free(fx->reg);
+	fx->reg = dh_registry_new(
+	    &fx->loop, NULL, NULL, &fx->settings, on_changed, fx);
+	for (i = 0; i < 2; i++) {
+		g_autofree char *text = g_strdup_printf(
+		    "{\"service\":\"s\",\"address\":\"127.0.0.1:%zu\","
+		    "\"zone\":\"%s\",\"slots\":2,\"state\":\"ready\","
+		    "\"version\":\"1\",\"cold_left_s\":0,\"sequence\":1,"
+		    "\"born\":100}",
+		    80 + i, i == 0 ? "n1" : "s1");
+
+		v[i] = (struct dh_object_view){ .name = ids[i],
+			.revision = 10,
+			.spec = json_tokener_parse(text) };
+	}
+	(void)json_object_object_get_ex(spec, "listeners", &o);
+	(void)json_object_object_get_ex(
+	    json_object_array_get_idx(o, 0), "rules", &o);
+	(void)json_object_object_get_ex(
+	    json_object_array_get_idx(o, 0), "action", &o);
+	json_object_object_add(o, "home_regions", json_tokener_parse(homes));
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, v, 2);
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 11, &config, 1);
+	json_object_put(spec);
+	for (i = 0; i < 2; i++)
+		json_object_put(v[i].spec);
+}
+
+/* Guards against keys that are owned where a route to their service may not be
+ * served. */
+static void
+test_keys_are_owned_in_the_homes(void)
+{
+	struct fixture fx;
+
+	start_in_regions(&fx, "[]");
+	CU_ASSERT_FALSE(is_leaving_of(fx.reg, "i-north"));
+	CU_ASSERT_FALSE(is_leaving_of(fx.reg, "i-south"));
+	end(&fx);
+	start_in_regions(&fx, "[\"south\"]");
+	CU_ASSERT_TRUE(is_leaving_of(fx.reg, "i-north"));
+	CU_ASSERT_FALSE(is_leaving_of(fx.reg, "i-south"));
+	end(&fx);
+	/* No home has a backend server. */
+	start_in_regions(&fx, "[\"east\"]");
+	CU_ASSERT_FALSE(is_leaving_of(fx.reg, "i-north"));
+	CU_ASSERT_FALSE(is_leaving_of(fx.reg, "i-south"));
+	end(&fx);
+}
+
 /* Runs until ms after since_ms, without a heartbeat. */
 static void
 run_until(struct fixture *fx, int64_t since_ms, int64_t ms)
@@ -676,6 +762,7 @@
 		    test_second_start_at_a_disputed_address },
 		{ "missing entry at a disputed address",
 		    test_missing_entry_at_a_disputed_address },
+		{ "keys in the homes", test_keys_are_owned_in_the_homes },
 		{ "as the leader", test_leader_watches_and_publishes },
 		CU_TEST_INFO_NULL,
 	};
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -123,6 +123,77 @@
 	json_object_put(o);
 }
 
+/* Replaces the first occurrence of from in the configuration and decodes it. */
+static struct dh_deployment *
+decode_changed(const char *from, const char *to)
+{
+	const char *at = strstr(config, from);
+	g_autofree char *text = NULL;
+	struct dh_deployment *d;
+	struct json_object *o;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	text = g_strdup_printf(
+	    "%.*s%s%s", (int)(at - config), config, to, at + strlen(from));
+	o = json_tokener_parse(text);
+	d = dh_wire_deployment(o, NULL);
+	json_object_put(o);
+	return d;
+}
+
+static void
+test_homes(void)
+{
+	static const struct {
+		const char *list, *homes;
+	} cases[] = { { "[]", NULL }, { "[\"north\"]", "north" },
+		{ "[\"north\",\"south\"]", "north,south" } };
+	static const char *const invalid[] = { "7", "[7]", "[\"\"]",
+		"[\"a,b\"]" };
+	struct dh_deployment *d;
+	char field[64];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		(void)g_snprintf(field, sizeof(field),
+		    "\"home_regions\":%s,\"timeout_s\":1,", cases[i].list);
+		d = decode_changed("\"timeout_s\":1,", field);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+		CU_ASSERT_EQUAL(
+		    g_strcmp0(d->routes[0].homes, cases[i].homes), 0);
+		CU_ASSERT_PTR_NULL(d->routes[1].homes);
+		dh_deployment_free(d);
+	}
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		(void)g_snprintf(field, sizeof(field),
+		    "\"home_regions\":%s,\"timeout_s\":1,", invalid[i]);
+		CU_ASSERT_PTR_NULL(decode_changed("\"timeout_s\":1,", field));
+	}
+}
+
+/* A download may be repeated; a type that is not known may not. */
+static void
+test_types(void)
+{
+	static const struct {
+		const char *type;
+		enum dh_repeat repeat;
+	} cases[] = { { "download", DH_REPEAT_SAFE },
+		{ "unsafe", DH_REPEAT_NEVER }, { "later", DH_REPEAT_NEVER } };
+	struct dh_deployment *d;
+	char field[32];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		(void)g_snprintf(
+		    field, sizeof(field), "\"type\":\"%s\"", cases[i].type);
+		d = decode_changed("\"type\":\"safe\"", field);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+		CU_ASSERT_EQUAL(d->routes[0].repeat, cases[i].repeat);
+		dh_deployment_free(d);
+	}
+}
+
 /* A configuration with one value of the wrong type is refused. */
 static void
 test_invalid_configurations(void)
@@ -251,6 +322,8 @@
 		{ "invalid entries", test_invalid_entries },
 		{ "entry without version", test_entry_without_version },
 		{ "configuration", test_configuration },
+		{ "homes", test_homes },
+		{ "types", test_types },
 		{ "invalid configurations", test_invalid_configurations },
 		{ "headers", test_headers },
 		{ "orders", test_orders },
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -520,10 +520,15 @@
 	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
 	add_route(d, "/ok/keyed/slow/", DH_REPEAT_SAFE, 1);
 	d->routes[d->nroutes - 1].timeout_ms = 3000;
+	add_route(d, "/ok/north/", DH_REPEAT_SAFE, 0);
+	d->routes[d->nroutes - 1].homes = strdup("north");
+	add_route(d, "/ok/north/keyed/", DH_REPEAT_SAFE, 1);
+	d->routes[d->nroutes - 1].homes = strdup("north");
 	return d;
 }
 
 static uint32_t slots = 4; /* slots of each fake server */
+static const char *regions[SERVERS] = { "home", "home" }; /* by fake server */
 static uint32_t restarts; /* of all fake servers, as the views say */
 
 static void
@@ -537,6 +542,7 @@
 	x->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	x->address.sin_port = htons(servers[fake].port);
 	x->service = service;
+	x->region = regions[fake];
 	x->slots = slots;
 }
 
@@ -1046,6 +1052,37 @@
 	stop_worker();
 }
 
+/* Guards against a request that goes to a region that is none of its route's
+ * homes, also since
+ * the owner of its key is there.  It is refused at once. */
+static void
+test_homes_of_a_route(void)
+{
+	int64_t began_us;
+	int i, before;
+
+	regions[1] = "north";
+	start_worker(2);
+	for (i = 0; i < 8; i++) {
+		CU_ASSERT_EQUAL(get_once("/ok/north/", "", buf), 200);
+		CU_ASSERT_PTR_NOT_NULL(strstr(buf, "X-From: 1"));
+	}
+	before = runs;
+	began_us = g_get_monotonic_time();
+	CU_ASSERT_EQUAL(
+	    get_once("/ok/north/keyed/", "X-Dogwoodhub-Shard-Key: 7\r\n", buf),
+	    503);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Retry-After: "));
+	publish(1, true);
+	CU_ASSERT_EQUAL(get_once("/ok/north/", "", buf), 503);
+	CU_ASSERT_TRUE(g_get_monotonic_time() - began_us < 250000);
+	CU_ASSERT_EQUAL(runs, before);
+	/* The homes hold for this route only. */
+	CU_ASSERT_EQUAL(get_once("/ok/", "", buf), 200);
+	regions[1] = "home";
+	stop_worker();
+}
+
 /* Guards against requests to the address of a backend server at which another
  * instance has answered: one attempt each time. */
 static void
@@ -1939,6 +1976,7 @@
 		{ "head that ends early", test_head_that_ends_early },
 		{ "not executed", test_not_executed_is_retried },
 		{ "other instance", test_other_instance_at_an_address },
+		{ "homes", test_homes_of_a_route },
 		{ "late copy of a refusal",
 		    test_late_copy_of_a_refusal_of_the_same_request },
 		{ "late copy of a refusal without id",
