Rate limits: the pace that starting backend servers bear

warmup_per_s of a service limits the requests of all VMs while an entry's cold_left_s lasts, as a rate limit that the backend server names does, but from the first request on: a VM earns its share by the time since its last request for the server, at most half a second's, and nothing before it knows how many VMs there are; the leader shares a fraction once it has added up a second of reports, by which a VM sends at most twice its equal share. The planner knows the pace as well. A service without warmup_per_s is served as before.

--- a/core/ratelimit.c
+++ b/core/ratelimit.c
@@ -20,6 +20,12 @@
 /* An answer without a limit goes before what the leader shares for this time:
  * the leader hears of it from this router's report. */
 #define ANSWER_PRECEDENCE_MS 1000
+/* Multiple of its equal share that a router may admit to a starting backend
+ * server, where the demand is uneven. */
+#define START_UNEVEN_MAX 2.0
+/* A router that had no request for a starting backend server for longer has
+ * earned no more: all routers may get requests for it at the same time. */
+#define START_ACCRUAL_MAX_MS INT64_C(500)
 
 static uint32_t
 count_slots(const struct dh_rate_meter *m, int64_t slot, int64_t nslots)
@@ -90,6 +96,19 @@
 	l->shared_ms = now_ms;
 }
 
+void
+dh_rate_limit_set_start(struct dh_rate_limit *l, double per_s, int64_t until_ms)
+{
+	l->start_per_s = per_s;
+	l->start_until_ms = until_ms;
+}
+
+static bool
+is_starting(const struct dh_rate_limit *l, int64_t now_ms)
+{
+	return now_ms < l->start_until_ms;
+}
+
 double
 dh_rate_limit_per_s(const struct dh_rate_limit *l, int64_t now_ms)
 {
@@ -100,6 +119,8 @@
 	if (l->shared_per_s >= 0 && !lifted &&
 	    (per_s < 0 || l->shared_per_s < per_s))
 		per_s = l->shared_per_s;
+	if (is_starting(l, now_ms) && (per_s < 0 || l->start_per_s < per_s))
+		per_s = l->start_per_s;
 	return per_s >= 0 && per_s < LIMIT_MIN_PER_S ? LIMIT_MIN_PER_S : per_s;
 }
 
@@ -134,25 +155,63 @@
 	    next_per_s, dh_rate_meter_per_s(&t->offered, now_ms));
 }
 
+static bool
+is_shared(const struct dh_rate_limit *l, int64_t now_ms)
+{
+	return l->shared_per_s >= 0 &&
+	    now_ms - l->shared_ms < SHARED_TIMEOUT_MS;
+}
+
 /* The fraction of its requests that this router admits. */
 static double
 current_fraction(
     const struct dh_rate_limit *l, uint32_t routers, int64_t now_ms)
 {
-	if (l->shared_per_s >= 0 && now_ms - l->shared_ms < SHARED_TIMEOUT_MS)
+	if (is_shared(l, now_ms))
 		return l->shared_fraction;
 	return fraction_of(
 	    LIMIT_SHARE * dh_rate_limit_per_s(l, now_ms) / routers,
 	    dh_rate_meter_per_s(&l->offered, now_ms));
 }
 
+/* The same while the backend server starts.  A meter follows a sudden demand
+ * too late for that; what counts is the time since the last request. */
+static double
+start_fraction(const struct dh_rate_limit *l, uint32_t routers,
+    int64_t offered_ms, int64_t now_ms)
+{
+	int64_t since_ms = now_ms - offered_ms;
+	double share_per_s =
+	    LIMIT_SHARE * dh_rate_limit_per_s(l, now_ms) / routers;
+	double most = 1.0;
+
+	if (since_ms > START_ACCRUAL_MAX_MS)
+		since_ms = START_ACCRUAL_MAX_MS;
+	if (is_shared(l, now_ms)) {
+		most = l->shared_fraction;
+		share_per_s *= START_UNEVEN_MAX;
+	}
+	share_per_s *= (double)since_ms / 1000;
+	return share_per_s < most ? share_per_s : most;
+}
+
 bool
 dh_rate_limit_admit(struct dh_rate_limit *l, uint32_t routers, int64_t now_ms)
 {
+	int64_t offered_ms = l->offered_ms;
+
 	dh_rate_meter_add(&l->offered, 1, now_ms);
+	l->offered_ms = now_ms;
 	if (dh_rate_limit_per_s(l, now_ms) < 0)
 		return true;
-	l->credit += current_fraction(l, routers > 0 ? routers : 1, now_ms);
+	if (is_starting(l, now_ms)) {
+		if (routers == 0)
+			return false;
+		l->credit += start_fraction(l, routers, offered_ms, now_ms);
+	} else {
+		l->credit +=
+		    current_fraction(l, routers > 0 ? routers : 1, now_ms);
+	}
 	if (l->credit < 1.0)
 		return false;
 	l->credit -= 1.0;
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -601,8 +601,11 @@
 		    &g_array_index(list, struct dh_keyspace_server, i);
 		double per_s = d->c.rate_limit(d->c.arg, s->id, s->start_ms);
 
-		s->limited = per_s >= 0;
-		s->rate_limit_per_s = MAX(per_s, 0);
+		if (per_s >= 0 &&
+		    (!s->limited || per_s < s->rate_limit_per_s)) {
+			s->limited = true;
+			s->rate_limit_per_s = per_s;
+		}
 	}
 	dh_keyspace_set_servers(d->ks,
 	    (const struct dh_keyspace_server *)(void *)list->data, list->len);
--- a/gateway/limits.c
+++ b/gateway/limits.c
@@ -9,12 +9,21 @@
 /* Shared limits are not used for longer: the leader has been silent. */
 #define SHARED_MAX_AGE_MS 1000
 
+/* The fraction for a starting backend server is shared after this time, when
+ * all VMs have reported what they have for it; until then they admit equal
+ * shares. */
+#define START_SUMS_MS 1000
+
 /* A limit that the leader knows. */
 struct limit {
 	char id[DH_NAME_MAX];
 	int64_t start_ms;
 	double per_s;
 	struct dh_rate_total total; /* requests of all VMs */
+	/* The configuration limits it while the backend server starts, and no
+	 * answer has named a limit; 0: it is not of that kind. */
+	int64_t starting_since_ms;
+	bool still_starting;
 };
 
 struct dh_limits {
@@ -94,6 +103,61 @@
 	    k->id, (long long)k->start_ms, per_s, k->per_s);
 }
 
+static struct limit *
+add_limit(struct dh_limits *l, const char *id, int64_t start_ms)
+{
+	struct limit *k = g_new0(struct limit, 1);
+
+	(void)g_strlcpy(k->id, id, sizeof(k->id));
+	k->start_ms = start_ms;
+	k->per_s = DH_RATE_UNLIMITED;
+	g_hash_table_insert(l->known, k->id, k);
+	return k;
+}
+
+/* Adds the backend servers that start, and removes those that have started. */
+static void
+update_starting(struct dh_limits *l, int64_t now_ms)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, TRUE, sizeof(struct dh_starting_server));
+	const struct dh_starting_server *s;
+	struct limit *k;
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	dh_registry_starting(l->registry, list);
+	for (i = 0; i < list->len; i++) {
+		s = &g_array_index(list, struct dh_starting_server, i);
+		k = g_hash_table_lookup(l->known, s->id);
+		if (k != NULL && k->start_ms != s->start_ms) {
+			g_hash_table_remove(l->known, s->id);
+			k = NULL;
+		}
+		if (k == NULL) {
+			k = add_limit(l, s->id, s->start_ms);
+			k->starting_since_ms = now_ms;
+		}
+		k->still_starting = true;
+		if (k->starting_since_ms == 0)
+			continue;
+		if (k->per_s != s->per_s)
+			log_limit(k, s->per_s);
+		k->per_s = s->per_s;
+	}
+	g_hash_table_iter_init(&it, l->known);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		k = value;
+		if (k->starting_since_ms != 0 && !k->still_starting) {
+			log_limit(k, DH_RATE_UNLIMITED);
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		k->still_starting = false;
+	}
+}
+
 static void
 note_report(
     struct dh_limits *l, const struct dh_limit_report *r, int64_t now_ms)
@@ -111,13 +175,9 @@
 		return;
 	}
 	if (r->change == DH_LIMIT_NAMED) {
-		if (k == NULL) {
-			k = g_new0(struct limit, 1);
-			(void)g_strlcpy(k->id, r->id, sizeof(k->id));
-			k->start_ms = r->start_ms;
-			k->per_s = DH_RATE_UNLIMITED;
-			g_hash_table_insert(l->known, k->id, k);
-		}
+		if (k == NULL)
+			k = add_limit(l, r->id, r->start_ms);
+		k->starting_since_ms = 0;
 		if (k->per_s != r->per_s)
 			log_limit(k, r->per_s);
 		k->per_s = r->per_s;
@@ -152,6 +212,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	update_starting(l, now_ms);
 	g_hash_table_iter_init(&it, l->known);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct limit *k = value;
@@ -160,6 +221,9 @@
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
+		if (k->starting_since_ms != 0 &&
+		    now_ms - k->starting_since_ms < START_SUMS_MS)
+			continue;
 		s = (struct dh_shared_limit){ .start_ms = k->start_ms,
 			.per_s = k->per_s,
 			.fraction = dh_rate_total_fraction(
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -565,6 +565,8 @@
 	v->owners_version = o->known_changes;
 	if (o->vms > 0)
 		v->vms = o->vms;
+	if (o->vms > 0 || o->role == ROLE_LEADER)
+		v->vms_max = MAX(v->vms, g_hash_table_size(o->peers) + 1);
 	dh_limits_fill_view(o->limits, v, dh_clock_ms());
 	dh_suspects_fill_view(o->suspects, v);
 	if (o->view_peers != NULL)
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -335,9 +335,11 @@
 	    is_new ? "server.joined" : "server.changed",
 	    ",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
 	    "\"zone\":\"%s\",\"slots\":%u,\"draining\":%s,\"born\":%lld,"
+	    "\"slow_start_ms\":%lld,"
 	    "\"declared\":%s,\"revision\":%llu,\"list_age_ms\":%lld",
 	    r->id, r->service, r->address, r->port, r->zone, r->slots,
 	    r->draining ? "true" : "false", (long long)r->start_ms,
+	    (long long)r->slow_start_left_ms,
 	    is_declared(dh_registry_deployment(reg), r->service) ? "true"
 								 : "false",
 	    (unsigned long long)revision, list_age_ms(reg, now_ms));
@@ -821,9 +823,11 @@
 	(void)g_strlcpy(s->id, k->r.id, sizeof(s->id));
 	if (close_ms != INT64_MAX)
 		s->close_ms = MAX(worker_clock_ms(close_ms, now_ms), 1);
-	if (k->cold_until_ms != 0)
+	if (k->cold_until_ms != 0) {
 		s->slow_start_until_ms =
 		    worker_clock_ms(k->cold_until_ms, now_ms);
+		s->slow_start_per_s = d->services[service].slow_start_per_s;
+	}
 }
 
 /* When the next leaving backend server gets its last request; INT64_MAX if none
@@ -942,6 +946,41 @@
 	return reg->base_view == NULL ? INT64_MAX : reg->base_expiry_ms;
 }
 
+/* Requests per second that a backend server bears because it starts; 0: no
+ * bound is known. */
+static double
+start_limit_per_s(const struct dh_registry *reg, const struct server_state *k)
+{
+	const struct dh_deployment *d = dh_registry_deployment(reg);
+	uint32_t i =
+	    d == NULL ? DH_NONE : dh_deployment_service(d, k->r.service);
+
+	return i == DH_NONE || dh_clock_ms() >= k->cold_until_ms
+	    ? 0
+	    : d->services[i].slow_start_per_s;
+}
+
+void
+dh_registry_starting(const struct dh_registry *reg, GArray *list)
+{
+	struct dh_starting_server s;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, reg->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct server_state *k = value;
+
+		s = (struct dh_starting_server){ .start_ms = k->r.start_ms };
+		if (k->cold_until_ms != 0)
+			s.per_s = start_limit_per_s(reg, k);
+		if (s.per_s <= 0)
+			continue;
+		(void)g_strlcpy(s.id, k->r.id, sizeof(s.id));
+		g_array_append_val(list, s);
+	}
+}
+
 /* Whether keys of a service may be owned in a region.  Where the routes that
  * lead to it have no home in common that has a backend server, they may be
  * anywhere. */
@@ -1014,6 +1053,8 @@
 			.leaving = k->leaving_since_ms != 0,
 			.dead = k->ended };
 		(void)g_strlcpy(s.id, k->r.id, sizeof(s.id));
+		s.rate_limit_per_s = start_limit_per_s(reg, k);
+		s.limited = s.rate_limit_per_s > 0;
 		g_array_append_val(list, s);
 		g_ptr_array_add(regions, (gpointer)k->region);
 	}
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -130,6 +130,16 @@
 void dh_registry_servers(
     const struct dh_registry *r, const char *service, GArray *list);
 
+/* dh_registry_starting -- append the backend servers that start, and for which
+ * the configuration says how many requests they bear meanwhile, to a GArray of
+ * struct dh_starting_server. */
+struct dh_starting_server {
+	char id[DH_NAME_MAX];
+	int64_t start_ms; /* start of its incarnation */
+	double per_s; /* from all VMs together */
+};
+void dh_registry_starting(const struct dh_registry *r, GArray *list);
+
 /* One incarnation of a backend server. */
 struct dh_instance {
 	char id[DH_NAME_MAX];
--- a/gateway/view.h
+++ b/gateway/view.h
@@ -38,6 +38,9 @@
 	 * was replaced: a time of the workers' clock; 0: it is in use. */
 	int64_t close_ms;
 	int64_t slow_start_until_ms; /* end of the slow start, or 0 */
+	/* Requests per second that it bears until then from all VMs; 0: no
+	 * bound is known. */
+	double slow_start_per_s;
 };
 
 struct dh_view_range {
@@ -94,6 +97,9 @@
 	size_t nsuspects;
 	struct dh_view_peers *peers; /* g_atomic_rc_box; or NULL */
 	uint32_t vms; /* number of VMs that share the backend servers */
+	/* At least as many as there are, with those that may have ended; 0: not
+	 * known. */
+	uint32_t vms_max;
 	uint64_t number; /* sequence number within this process */
 	uint64_t owners_version; /* newest version of owners in the view */
 };
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -117,6 +117,19 @@
 			    dh_worker_now_ms(w));
 }
 
+/* Takes over what a new view says of a backend server. */
+static void
+update_pool(
+    struct dh_worker *w, struct dh_pool *pool, const struct dh_view_server *s)
+{
+	pool->close_ms = s->close_ms;
+	pool->listed = !dh_view_server_is_closed(s, dh_worker_now_ms(w));
+	pool->slots = s->slots;
+	if (s->slow_start_per_s > 0)
+		dh_rate_limit_set_start(&pool->rate_limit, s->slow_start_per_s,
+		    s->slow_start_until_ms);
+}
+
 struct dh_pool *
 dh_worker_pool(struct dh_worker *w, const struct dh_view_server *s)
 {
@@ -130,10 +143,8 @@
 	pool->address = s->address;
 	pool->tier = s->tier;
 	pool->service = dh_worker_service(w, w->view, s->service);
-	pool->slots = s->slots;
-	pool->close_ms = s->close_ms;
-	pool->listed = !dh_view_server_is_closed(s, dh_worker_now_ms(w));
 	dh_rate_limit_init(&pool->rate_limit, &w->rng);
+	update_pool(w, pool, s);
 	set_limit(w, pool);
 	pool->start_ms = s->start_ms;
 	pool->keyed = (*w->view->deployment)->services[s->service].keyed;
@@ -357,8 +368,10 @@
 dh_pool_admit(struct dh_worker *w, struct dh_pool *pool, int64_t now_ms)
 {
 	bool limited = dh_rate_limit_per_s(&pool->rate_limit, now_ms) >= 0;
+	bool starting = now_ms < pool->rate_limit.start_until_ms;
+	uint32_t vms = starting ? w->view->vms_max : w->view->vms;
 	bool admitted = dh_rate_limit_admit(
-	    &pool->rate_limit, w->view->vms * w->settings->threads, now_ms);
+	    &pool->rate_limit, vms * w->settings->threads, now_ms);
 
 	if (limited) {
 		pool->limit_offered++;
@@ -415,12 +428,8 @@
 		struct dh_pool *p = g_hash_table_lookup(
 		    w->pools, GUINT_TO_POINTER(v->servers[i].uid));
 
-		if (p == NULL)
-			continue;
-		p->close_ms = v->servers[i].close_ms;
-		p->listed = !dh_view_server_is_closed(
-		    &v->servers[i], dh_worker_now_ms(w));
-		p->slots = v->servers[i].slots;
+		if (p != NULL)
+			update_pool(w, p, &v->servers[i]);
 	}
 	for (i = 0; v->peers != NULL && i < v->peers->n; i++) {
 		struct dh_pool *p = g_hash_table_lookup(
--- a/include/dogwoodhub/deployment.h
+++ b/include/dogwoodhub/deployment.h
@@ -46,6 +46,9 @@
 	char *health_path;
 	uint32_t connections_max; /* total that one backend server accepts */
 	bool keyed; /* requests carry a key, which one backend server owns */
+	/* Requests per second that a backend server bears from all routers
+	 * together while it starts; 0: no bound is known. */
+	double slow_start_per_s;
 	int64_t cold_keys_ms; /* how long a key stays slow after a backend
 			       * server took it over without a handover */
 };
--- a/include/dogwoodhub/ratelimit.h
+++ b/include/dogwoodhub/ratelimit.h
@@ -43,7 +43,10 @@
 	double shared_per_s; /* by the leader */
 	double shared_fraction; /* of the requests that are admitted */
 	int64_t shared_ms; /* when the leader last shared them; 0: never */
+	double start_per_s; /* while the backend server starts */
+	int64_t start_until_ms; /* end of that; 0: it is not known to start */
 	struct dh_rate_meter offered; /* this router's demand */
+	int64_t offered_ms; /* time of the last request */
 	/* Sum of the fractions that were to be admitted of all requests so far,
 	 * less the requests that were: below 1. */
 	double credit;
@@ -63,6 +66,17 @@
 void dh_rate_limit_share(
     struct dh_rate_limit *l, double per_s, double fraction, int64_t now_ms);
 
+/*
+ * dh_rate_limit_set_start -- until until_ms the backend server starts, and
+ * bears per_s requests per second from all routers.  This limit holds at once,
+ * whether the leader has shared it or not, and other than a limit that the
+ * backend server names, it may not be exceeded while the routers learn of a
+ * rise of the demand: whatever the leader shares, a router admits at most twice
+ * its equal share.
+ */
+void dh_rate_limit_set_start(
+    struct dh_rate_limit *l, double per_s, int64_t until_ms);
+
 /* Requests of all routers for one backend server, added up by the leader. */
 struct dh_rate_total {
 	struct dh_rate_meter offered, admitted;
@@ -82,7 +96,8 @@
 
 /* dh_rate_limit_admit -- count a request that would be sent to the backend
  * server, and decide whether it may be.  routers is the number of routers that
- * share the limit, this one included. */
+ * share the limit, this one included; 0: not known, and then a starting backend
+ * server gets no request. */
 bool dh_rate_limit_admit(
     struct dh_rate_limit *l, uint32_t routers, int64_t now_ms);
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -176,6 +176,55 @@
 
 /* A view has the shared limits of the incarnations that it knows, unless the
  * leader has been silent. */
+/* A backend server that starts is limited by the configuration, without an
+ * answer that says so: the fraction is shared once reports have been added up,
+ * and no longer when it has started. */
+static void
+test_starting_server(void)
+{
+	static const char text[] =
+	    "{\"version\":1,\"limits\":{\"header_bytes\":16384,"
+	    "\"body_bytes\":1000,\"header_timeout_s\":3,\"idle_timeout_s\":15},"
+	    "\"listeners\":[],\"clusters\":[{\"name\":\"s\",\"health_path\":"
+	    "\"/health\",\"max_conns\":200,\"warmup_s\":3,"
+	    "\"warmup_per_s\":6.5}]}";
+	static const char entry[] =
+	    "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":2,\"state\":\"ready\",\"version\":\"1\","
+	    "\"cold_left_s\":0.3,\"sequence\":2,\"born\":100}";
+	struct json_object *spec = json_tokener_parse(text);
+	struct json_object *server = json_tokener_parse(entry);
+	struct dh_object_view config = {
+		.name = dh_wire_config_name, .revision = 10, .spec = spec
+	};
+	struct dh_object_view v = {
+		.name = "i-1", .revision = 11, .spec = server
+	};
+	g_autoptr(GArray) shared =
+	    g_array_new(FALSE, FALSE, sizeof(struct dh_shared_limit));
+	struct fixture fx;
+
+	start(&fx);
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, &config, 1);
+	dh_limits_share(fx.limits, shared, fx.now_ms);
+	CU_ASSERT_EQUAL(shared->len, 0);
+	CU_ASSERT_TRUE(dh_limits_per_s(fx.limits, "i-1", BORN_MS) < 0);
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 11, &v, 1);
+	dh_limits_share(fx.limits, shared, fx.now_ms);
+	CU_ASSERT_EQUAL(shared->len, 0);
+	CU_ASSERT_EQUAL(dh_limits_per_s(fx.limits, "i-1", BORN_MS), 6.5);
+	dh_limits_share(fx.limits, shared, fx.now_ms + 1000);
+	CU_ASSERT_EQUAL(shared->len, 1);
+	g_usleep(350000);
+	g_array_set_size(shared, 0);
+	dh_limits_share(fx.limits, shared, fx.now_ms + 1200);
+	CU_ASSERT_EQUAL(shared->len, 0);
+	CU_ASSERT_TRUE(dh_limits_per_s(fx.limits, "i-1", BORN_MS) < 0);
+	json_object_put(spec);
+	json_object_put(server);
+	end(&fx);
+}
+
 static void
 test_limits_in_a_view(void)
 {
@@ -228,6 +277,7 @@
 		{ "reports of several workers",
 		    test_reports_of_several_workers },
 		{ "limits in a view", test_limits_in_a_view },
+		{ "starting server", test_starting_server },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -185,6 +185,104 @@
 	CU_ASSERT_TRUE(r.admitted >= r.offered * 97 / 100);
 }
 
+/* A starting backend server tolerates in any second START_FACTOR times its pace
+ * and START_SLACK more, from its first request on. */
+#define START_FACTOR 1.5
+#define START_SLACK 8.0
+#define START_PLAY_MS 6000
+
+struct start_play {
+	uint32_t routers, routers_assumed;
+	double pace_per_s, demand_per_s;
+	double shared_fraction; /* negative: no leader */
+	bool uneven;
+};
+
+/* Plays the demand for a backend server that starts for START_PLAY_MS; returns
+ * the requests admitted, and in *most those of the worst second. */
+static uint32_t
+play_start(const struct start_play *p, uint64_t seed, uint32_t *most)
+{
+	const struct play weights = { .uneven = p->uneven };
+	uint32_t admitted = 0, in_second = 0, i;
+	struct dh_rng rng = { .state = seed };
+	int64_t t, now_ms;
+
+	memset(admitted_at, 0, sizeof(admitted_at));
+	for (i = 0; i < p->routers; i++) {
+		dh_rate_limit_init(&limits[i], &rng);
+		dh_rate_limit_set_start(
+		    &limits[i], p->pace_per_s, 1000 + START_PLAY_MS);
+	}
+	*most = 0;
+	for (t = 0; t < START_PLAY_MS; t++) {
+		now_ms = 1000 + t;
+		for (i = 0; i < p->routers; i++) {
+			if (p->shared_fraction >= 0 && t % SHARE_MS == 0)
+				dh_rate_limit_share(&limits[i], p->pace_per_s,
+				    p->shared_fraction, now_ms);
+			if (dh_rng_unit(&rng) < p->demand_per_s *
+				    weight(&weights, i) / p->routers / 1000 &&
+			    dh_rate_limit_admit(
+				&limits[i], p->routers_assumed, now_ms))
+				admitted_at[t]++;
+		}
+		admitted += admitted_at[t];
+		in_second += admitted_at[t];
+		if (t >= 1000)
+			in_second -= admitted_at[t - 1000];
+		*most = in_second > *most ? in_second : *most;
+	}
+	return admitted;
+}
+
+/* Many callers ask for the keys of a backend server that has just started, and
+ * would fall over above its pace: fleets of several sizes, without a leader and
+ * with one whose sums are still too low. */
+static void
+test_starting_server_is_not_flooded(void)
+{
+	static const uint32_t sizes[] = { 2, 11, 31, 76, 295 };
+	static const double fractions[] = { -1, 1.0, 0.2 };
+	struct start_play p = { .pace_per_s = 6.1, .demand_per_s = 120 };
+	double total = 0, allowed = START_FACTOR * 6.1 + START_SLACK;
+	uint64_t seed;
+	uint32_t most;
+	size_t i, k;
+
+	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
+		for (k = 0; k < 3; k++)
+			for (seed = 1; seed <= 10; seed++) {
+				p.routers = p.routers_assumed = sizes[i];
+				p.shared_fraction = fractions[k];
+				p.uneven = seed % 2 == 0;
+				total += play_start(&p, seed, &most);
+				CU_ASSERT_TRUE(most <= allowed);
+			}
+	/* Nor is it left idle. */
+	CU_ASSERT_TRUE(total / 150 * 1000 / START_PLAY_MS >= 0.5 * 6.1);
+}
+
+/* A router that has not heard how many there are sends nothing to a starting
+ * backend server, and a limit ends with the start. */
+static void
+test_number_of_routers_is_not_known(void)
+{
+	struct start_play p = { .routers = 76,
+		.pace_per_s = 6.1,
+		.demand_per_s = 120,
+		.shared_fraction = -1 };
+	uint32_t most;
+
+	CU_ASSERT_EQUAL(play_start(&p, 1, &most), 0);
+	CU_ASSERT_EQUAL(
+	    dh_rate_limit_per_s(&limits[0], 1000 + START_PLAY_MS - 1), 6.1);
+	CU_ASSERT_TRUE(
+	    dh_rate_limit_per_s(&limits[0], 1000 + START_PLAY_MS) < 0);
+	CU_ASSERT_TRUE(
+	    dh_rate_limit_admit(&limits[0], 0, 1000 + START_PLAY_MS));
+}
+
 static void
 test_end_of_a_limit(void)
 {
@@ -247,6 +345,8 @@
 		{ "shared by all routers", test_limit_shared_by_all_routers },
 		{ "without a leader", test_limit_without_a_leader },
 		{ "demand below the limit", test_demand_below_the_limit },
+		{ "starting server", test_starting_server_is_not_flooded },
+		{ "routers not known", test_number_of_routers_is_not_known },
 		{ "end of a limit", test_end_of_a_limit },
 		{ "meter", test_meter },
 		{ "meter at the start of the clock",
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -171,6 +171,22 @@
 	}
 }
 
+static void
+test_pace_of_starting_servers(void)
+{
+	struct dh_deployment *d =
+	    decode_changed("\"new_field\":1", "\"warmup_per_s\":6.5");
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+	CU_ASSERT_EQUAL(d->services[0].slow_start_per_s, 6.5);
+	CU_ASSERT_EQUAL(d->services[1].slow_start_per_s, 0);
+	dh_deployment_free(d);
+	CU_ASSERT_PTR_NULL(
+	    decode_changed("\"new_field\":1", "\"warmup_per_s\":\"6\""));
+	CU_ASSERT_PTR_NULL(
+	    decode_changed("\"new_field\":1", "\"warmup_per_s\":-1"));
+}
+
 /* A download may be repeated; a type that is not known may not. */
 static void
 test_types(void)
@@ -324,6 +340,7 @@
 		{ "configuration", test_configuration },
 		{ "homes", test_homes },
 		{ "types", test_types },
+		{ "pace of starting servers", test_pace_of_starting_servers },
 		{ "invalid configurations", test_invalid_configurations },
 		{ "headers", test_headers },
 		{ "orders", test_orders },
