Forward: the other VM makes the attempts that are left

Cause: the header with which a request is forwarded named the limit of the route, not what is left of it.

Change: the header names the attempts that are left. If the other VM is lost, it may have made all of them, so none is made after that.

test_forward "attempts" failed before (2 requests at the other VM's server after 1 of 2 attempts) and passes.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -20,6 +20,16 @@
  * reach the backend servers either. */
 #define UNREACHED_AVOID_MS 1000
 
+/* Attempts that are left to the other VM.  The present one, which goes there, is
+ * counted already. */
+static uint32_t
+attempts_left(const struct dh_request *rq)
+{
+	uint32_t max = rq->route->attempts_max;
+
+	return rq->attempts < max ? max - rq->attempts + 1 : 1;
+}
+
 void
 dh_forward_add_header(const struct dh_request *rq, GString *out)
 {
@@ -30,7 +40,7 @@
 	 * knows no such service, and refuses. */
 	g_string_append_printf(out, "%s: %u %u %u %lld %s%s%s\r\n",
 	    DH_FORWARDED_HEADER, rq->route->repeat, rq->route->priority,
-	    rq->route->attempts_max, (long long)(target_ms > 0 ? target_ms : 0),
+	    attempts_left(rq), (long long)(target_ms > 0 ? target_ms : 0),
 	    rq->service_state->name, rq->route->homes == NULL ? "" : HOMES_MARK,
 	    rq->route->homes == NULL ? "" : rq->route->homes);
 }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -385,6 +385,10 @@
 		    how == DH_ATTEMPT_LOST ? DH_REPLY_LOST : DH_REPLY_RESET,
 		    NULL);
 		dh_request_log_attempt(rq, "lost", why);
+		/* The other VM may have made all attempts that were left. */
+		if (rq->pool->peer)
+			rq->attempts =
+			    MAX(rq->attempts, rq->route->attempts_max);
 		if (retry_allowed(rq, DH_OUTCOME_UNKNOWN)) {
 			retry_lost(rq);
 			return;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -440,6 +440,61 @@
 	stop();
 }
 
+/* Reads the requests of a number of connections, one each, and ends them
+ * without an answer; the listener ends before the last one does. */
+struct loser {
+	int fd;
+	int connections;
+	int requests; /* that were read */
+};
+
+static gpointer
+lose_requests(gpointer arg)
+{
+	struct loser *l = arg;
+	char head[ANSWER_MAX];
+	int fd;
+
+	while (l->connections > 0 && (fd = accept(l->fd, NULL, NULL)) >= 0) {
+		if (--l->connections == 0) {
+			(void)close(l->fd);
+			l->fd = -1;
+		}
+		l->requests += read_head(fd, head, sizeof(head)) > 0;
+		(void)close(fd);
+	}
+	return NULL;
+}
+
+/* Guards against a request that another VM sends as often as its route allows,
+ * though this VM has sent it before. */
+static void
+test_attempts_of_a_forwarded_request(void)
+{
+	struct loser l[VMS] = { { .connections = 1 }, { .connections = 2 } };
+	uint16_t ports[VMS] = { 0, 0 };
+	GThread *threads[VMS];
+	size_t i;
+
+	start();
+	for (i = 0; i < VMS; i++) {
+		l[i].fd = listen_on("127.0.0.1", &ports[i], 16);
+		threads[i] = g_thread_new("loser", lose_requests, &l[i]);
+		publish(i, ports[i]);
+	}
+	CU_ASSERT_EQUAL(ask("GET", "/r/"), 502);
+	stop();
+	/* Ends a thread that still waits. */
+	for (i = 0; i < VMS; i++) {
+		(void)shutdown(l[i].fd, SHUT_RDWR);
+		(void)g_thread_join(threads[i]);
+		if (l[i].fd >= 0)
+			(void)close(l[i].fd);
+	}
+	CU_ASSERT_EQUAL(l[0].requests, 1);
+	CU_ASSERT_EQUAL(l[1].requests, 1);
+}
+
 /* Guards against the body of a request in a region that is no home of its
  * route, and against another VM that sends it to a backend server there. */
 static void
@@ -500,6 +555,7 @@
 		    test_other_vm_has_an_earlier_configuration },
 		{ "invalid requests", test_invalid_forwarded_requests },
 		{ "forwarding off", test_forwarding_is_off },
+		{ "attempts", test_attempts_of_a_forwarded_request },
 		{ "homes", test_homes_of_a_forwarded_request },
 		CU_TEST_INFO_NULL,
 	};
