Evacuation: nothing is sent to the backend servers of a named zone

Operators ask by an entry at evacuations/ZONE that nothing more is sent to a zone; nobody read it. The leader watches the entries, if the settings name evacuate_s, and its heartbeats name the zones: no other VM asks the store. Backend servers there count as leaving, so their keys move; without keys they get no request from then on, for their keys for 0.3 of evacuate_s more. VMs keep what they know while no leader tells them otherwise, and a new leader says nothing before it has read the entries. A heartbeat without such settings has the bytes it had.

--- a/gateway/election.c
+++ b/gateway/election.c
@@ -112,6 +112,7 @@
 	}
 	o->role = ROLE_FOLLOWER;
 	dh_limits_forget(o->limits);
+	g_clear_pointer(&o->evacuations, dh_evacuations_free);
 	o->solo_expired = false;
 	o->store_restored_ms = 0;
 	o->leader_ip[0] = '\0';
@@ -141,6 +142,9 @@
 	o->unfed_since_ms = o->zone_heard_ms = 0;
 	dh_mirror_set_fed_by_leader(o->mirror, false);
 	dh_registry_set_leading(o->c.registry, on_changes, o);
+	if (o->c.settings->evacuate_ms > 0 && o->evacuations == NULL)
+		o->evacuations = dh_evacuations_new(
+		    o->c.loop, o->c.objects, owners_store_era(o));
 	o->confirm_failed = false;
 	o->stalled = false;
 	o->last_step_ms = 0;
@@ -382,6 +386,13 @@
 	return o->keyed_lost;
 }
 
+void
+owners_set_evacuated(struct dh_owners *o, const GPtrArray *zones)
+{
+	if (zones != NULL && dh_registry_set_evacuated(o->c.registry, zones))
+		o->c.changed(o->c.arg);
+}
+
 void
 owners_send_beats(struct dh_owners *o, int64_t now_ms)
 {
@@ -396,6 +407,7 @@
 		.number = ++o->beat_number,
 		.limits = limits,
 		.suspects = suspects };
+	g_autoptr(GPtrArray) evacuated = NULL;
 	GHashTableIter it;
 	gpointer ip, value;
 
@@ -405,6 +417,10 @@
 	if (dh_limits_set_shared(o->limits, limits, now_ms))
 		o->c.changed(o->c.arg);
 	dh_suspects_share(o->suspects, suspects);
+	if (o->evacuations != NULL)
+		evacuated = dh_evacuations_zones(o->evacuations);
+	beat.evacuated = evacuated;
+	owners_set_evacuated(o, evacuated);
 	beat.vms = 1;
 	g_hash_table_iter_init(&it, o->peers);
 	while (g_hash_table_iter_next(&it, &ip, &value)) {
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -77,6 +77,7 @@
 		o->c.changed(o->c.arg);
 	if (dh_suspects_note_shared(o->suspects, beat->suspects, dh_clock_ms()))
 		o->c.changed(o->c.arg);
+	owners_set_evacuated(o, beat->evacuated);
 	if (o->vms != beat->vms) {
 		o->vms = beat->vms;
 		o->c.changed(o->c.arg);
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -512,6 +512,7 @@
 	dh_objects_cancel(o->announcement);
 	leader_object_reset(&o->strong);
 	leader_object_reset(&o->quarantine);
+	dh_evacuations_free(o->evacuations);
 	dh_mirror_free(o->mirror);
 	dh_timer_free(o->timer);
 	dh_peer_free(o->peer);
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -2,6 +2,7 @@
 #define DH_GATEWAY_OWNERS_INTERNAL_H
 
 #include "gateway/duty.h"
+#include "gateway/evacuation.h"
 #include "gateway/limits.h"
 #include "gateway/mirror.h"
 #include "gateway/neighbour.h"
@@ -127,6 +128,8 @@
 	GHashTable *work_times; /* server id -> struct dh_peer_server */
 	GArray *leaving; /* of struct dh_peer_leaving */
 	struct dh_limits *limits;
+	/* As leader, if the settings ask for it; else NULL. */
+	struct dh_evacuations *evacuations;
 	struct dh_suspects *suspects;
 	/* This VM's router reaches no backend server of a keyed service. */
 	bool keyed_lost;
@@ -184,6 +187,8 @@
 /* The timer's step of a leader, and of any other VM. */
 void owners_step_leader(struct dh_owners *o, int64_t now_ms);
 void owners_step_follower(struct dh_owners *o, int64_t now_ms);
+/* owners_set_evacuated -- take over the evacuated zones; NULL: not known. */
+void owners_set_evacuated(struct dh_owners *o, const GPtrArray *zones);
 void owners_send_beats(struct dh_owners *o, int64_t now_ms);
 
 /* zonefeed.c */
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -1,3 +1,4 @@
+#include "gateway/evacuation.h"
 #include "gateway/peer.h"
 
 #include <string.h>
@@ -207,6 +208,20 @@
 	return true;
 }
 
+static bool
+read_names(const msgpack_object_array *list, GPtrArray *names)
+{
+	char name[DH_NAME_MAX];
+	uint32_t i;
+
+	for (i = 0; i < list->size; i++) {
+		if (!text_at(list, i, name, sizeof(name)))
+			return false;
+		g_ptr_array_add(names, g_strdup(name));
+	}
+	return true;
+}
+
 static bool
 decode_heartbeat(const struct dh_peer_handler *h, const msgpack_object_array *a,
     const char *ip)
@@ -215,8 +230,10 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_shared_limit));
 	g_autoptr(GArray) suspects =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
+	g_autoptr(GPtrArray) evacuated = NULL;
 	struct dh_leader_heartbeat b = { .limits = limits,
 		.suspects = suspects };
+	const msgpack_object_array *zones;
 	uint64_t failing, vms, lost;
 
 	if (!text_at(a, 1, b.vm, sizeof(b.vm)) || !number_at(a, 2, &b.term) ||
@@ -235,6 +252,13 @@
 	b.lost = number_at(a, 10, &lost) && lost != 0;
 	if (!number_at(a, 12, &b.number))
 		b.number = 0;
+	zones = array_at(a, 13, DH_EVACUATED_ZONES_MAX);
+	if (zones != NULL) {
+		b.evacuated = evacuated =
+		    g_ptr_array_new_with_free_func(g_free);
+		if (!read_names(zones, evacuated))
+			return false;
+	}
 	b.vms = vms > 100000 ? 100000 : (uint32_t)vms;
 	h->heartbeat(h->arg, &b, ip);
 	return true;
@@ -888,6 +912,16 @@
 	msgpack_sbuffer_destroy(&b);
 }
 
+static void
+pack_names(msgpack_packer *pk, const GPtrArray *names)
+{
+	guint i;
+
+	msgpack_pack_array(pk, names->len);
+	for (i = 0; i < names->len; i++)
+		pack_text(pk, names->pdata[i]);
+}
+
 void
 dh_peer_send_heartbeat(struct dh_peer *p, const char *ip,
     const struct dh_leader_heartbeat *heartbeat)
@@ -897,7 +931,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 13);
+	msgpack_pack_array(&pk, heartbeat->evacuated == NULL ? 13 : 14);
 	msgpack_pack_uint32(&pk, DH_PEER_HEARTBEAT);
 	pack_text(&pk, heartbeat->vm);
 	msgpack_pack_uint64(&pk, heartbeat->term);
@@ -911,6 +945,8 @@
 	msgpack_pack_uint32(&pk, heartbeat->lost);
 	pack_crashed_servers(&pk, heartbeat->suspects);
 	msgpack_pack_uint64(&pk, heartbeat->number);
+	if (heartbeat->evacuated != NULL)
+		pack_names(&pk, heartbeat->evacuated);
 	send_buffer(p, ip, DH_PEER_HEARTBEAT, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -37,6 +37,9 @@
 	struct dh_registry_cursor cursors[DH_REGISTRY_KINDS];
 	GArray *limits; /* of struct dh_shared_limit; borrowed */
 	GArray *suspects; /* of struct dh_suspect; borrowed */
+	/* Names of the evacuated zones; borrowed; NULL: the leader does not
+	 * know them. */
+	GPtrArray *evacuated;
 };
 
 /* How far a VM has read the store for the VMs of its zone. */
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -28,6 +28,10 @@
 #define CATCH_UP_DELAY_MS 300
 /* Number of VMs that share the backend servers, until the leader sends it. */
 #define DEFAULT_VM_COUNT 8
+/* Part of evacuate_s for which backend servers of an evacuated zone are still
+ * sent requests for their keys.  The rest is for a change of leaders, which
+ * delays the news. */
+#define EVACUATION_KEYED_PERCENT 30
 
 /* What an answer from the address of a backend server has shown. */
 enum answered_as {
@@ -77,6 +81,8 @@
 	GHashTable *by_address; /* address_key() -> GPtrArray of them */
 	struct dh_deployment **deployment;
 	uint32_t next_uid;
+	GHashTable
+	    *evacuated; /* zone -> since when, gint64; see close_time_ms() */
 	uint64_t views;
 	struct dh_view *base_view; /* without key owners; NULL: out of date */
 	int64_t base_expiry_ms; /* base_view is out of date from then on */
@@ -598,6 +604,8 @@
 	reg->arg = arg;
 	reg->servers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	reg->evacuated =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	reg->by_address = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    g_free, (GDestroyNotify)g_ptr_array_unref);
 	reg->missing_timer = dh_timer_new(loop, reg);
@@ -624,6 +632,7 @@
 	dh_timer_free(reg->return_timer);
 	dh_era_free(reg->era);
 	dh_view_unref(reg->base_view);
+	g_hash_table_destroy(reg->evacuated);
 	g_hash_table_destroy(reg->by_address);
 	g_hash_table_destroy(reg->servers);
 	dh_deployment_unbox(reg->deployment);
@@ -782,6 +791,17 @@
 	    dh_mirror_listed(reg->mirrors[DH_REGISTRY_SERVERS]);
 }
 
+/* Since when the zone of a backend server has been evacuated; 0: it is not. */
+static int64_t
+evacuated_since_ms(const struct dh_registry *reg, const struct server_state *k)
+{
+	const gint64 *since_ms = g_hash_table_size(reg->evacuated) == 0
+	    ? NULL
+	    : g_hash_table_lookup(reg->evacuated, k->r.zone);
+
+	return since_ms == NULL ? 0 : *since_ms;
+}
+
 /* When the backend server gets its last request; INT64_MAX if it is not
  * leaving. */
 static int64_t
@@ -790,12 +810,20 @@
 {
 	int64_t keyed_drain_ms = reg->settings->drain_ms - DH_DRAIN_MARGIN_MS;
 
+	int64_t at_ms = INT64_MAX, evacuated_ms = evacuated_since_ms(reg, k);
+
 	if (k->address_taken)
 		return 0;
-	if (k->leaving_since_ms == 0)
-		return INT64_MAX;
-	return k->leaving_since_ms +
-	    (keyed && keyed_drain_ms > 0 ? keyed_drain_ms : 0);
+	if (k->leaving_since_ms != 0)
+		at_ms = k->leaving_since_ms +
+		    (keyed && keyed_drain_ms > 0 ? keyed_drain_ms : 0);
+	if (evacuated_ms != 0)
+		at_ms = MIN(at_ms,
+		    evacuated_ms +
+			(keyed ? reg->settings->evacuate_ms *
+				    EVACUATION_KEYED_PERCENT / 100
+			       : 0));
+	return at_ms;
 }
 
 /* Converts to the workers' clock, which stands still while the VM is suspended;
@@ -946,6 +974,56 @@
 	return reg->base_view == NULL ? INT64_MAX : reg->base_expiry_ms;
 }
 
+static bool
+has_name(const GPtrArray *names, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < names->len; i++)
+		if (strcmp(names->pdata[i], name) == 0)
+			return true;
+	return false;
+}
+
+static void
+log_zone(const char *event, const char *zone)
+{
+	char name[DH_NAME_MAX * 2 + 8];
+
+	dh_opslog_add(DH_OPS_STATE, event, ",\"zone\":%s",
+	    dh_opslog_quote(name, sizeof(name), zone));
+}
+
+bool
+dh_registry_set_evacuated(struct dh_registry *reg, const GPtrArray *zones)
+{
+	gint64 now_ms = dh_clock_ms();
+	bool changed = false;
+	GHashTableIter it;
+	gpointer zone;
+	guint i;
+
+	g_hash_table_iter_init(&it, reg->evacuated);
+	while (g_hash_table_iter_next(&it, &zone, NULL)) {
+		if (has_name(zones, zone))
+			continue;
+		log_zone("zone.in_use", zone);
+		g_hash_table_iter_remove(&it);
+		changed = true;
+	}
+	for (i = 0; i < zones->len; i++) {
+		if (g_hash_table_contains(reg->evacuated, zones->pdata[i]))
+			continue;
+		log_zone("zone.evacuated", zones->pdata[i]);
+		g_hash_table_insert(reg->evacuated, g_strdup(zones->pdata[i]),
+		    g_memdup2(&now_ms, sizeof(now_ms)));
+		changed = true;
+	}
+	if (changed)
+		invalidate_base_view(reg);
+	return changed;
+}
+
 /* Requests per second that a backend server bears because it starts; 0: no
  * bound is known. */
 static double
@@ -1050,7 +1128,8 @@
 			continue;
 		s = (struct dh_keyspace_server){ .start_ms = k->r.start_ms,
 			.slots = k->r.slots,
-			.leaving = k->leaving_since_ms != 0,
+			.leaving = k->leaving_since_ms != 0 ||
+			    evacuated_since_ms(reg, k) != 0,
 			.dead = k->ended };
 		(void)g_strlcpy(s.id, k->r.id, sizeof(s.id));
 		s.rate_limit_per_s = start_limit_per_s(reg, k);
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -130,6 +130,11 @@
 void dh_registry_servers(
     const struct dh_registry *r, const char *service, GArray *list);
 
+/* dh_registry_set_evacuated -- set the zones whose backend servers are to get
+ * no requests, by name.  Keys are moved off them, and they are sent requests
+ * for their keys for some time more.  True if the next view will differ. */
+bool dh_registry_set_evacuated(struct dh_registry *r, const GPtrArray *zones);
+
 /* dh_registry_starting -- append the backend servers that start, and for which
  * the configuration says how many requests they bear meanwhile, to a GArray of
  * struct dh_starting_server. */
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -41,6 +41,7 @@
 	INTEGER(connections_max, "3000", 1, 1000000),
 	DECIMAL("drain_s", drain_ms, "2", 0, 3600),
 	DECIMAL("grace_s", grace_ms, "6", 1, 3600),
+	DECIMAL("evacuate_s", evacuate_ms, "0", 0, 3600),
 	DECIMAL("hold_max_s", hold_max_ms, "10", 1, 3600),
 	INTEGER(hold_ms, "2000", 200, HOUR_MS),
 	INTEGER(renew_ms, "500", 50, HOUR_MS),
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -35,6 +35,9 @@
 	uint32_t connections_max; /* connections of callers per thread */
 	int64_t drain_ms; /* drain period of a leaving backend server */
 	int64_t grace_ms; /* time between SIGTERM and SIGKILL */
+	/* Time in which the backend servers of an evacuated zone get their last
+	 * request; 0: zones are not evacuated. */
+	int64_t evacuate_ms;
 	int64_t hold_max_ms; /* longest lease that a backend server accepts */
 	int64_t hold_ms; /* duration of a lease */
 	int64_t renew_ms; /* interval of renewals of a lease */
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -602,6 +602,33 @@
 }
 
 /* The leader stores the list of the strong VMs of each availability zone. */
+/* Guards against zones that come back into use when the leader is lost: the
+ * successor names none before it has read the entries. */
+static void
+test_evacuated_zone_outlives_the_leader(void)
+{
+	g_autoptr(GPtrArray) zones = g_ptr_array_new();
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	struct dh_leader_heartbeat b = {
+		.vm = "vm-2", .term = 7, .vms = 2, .evacuated = zones
+	};
+	struct fixture fx;
+
+	g_ptr_array_add(zones, (gpointer)(uintptr_t) "z1");
+	start(&fx, NULL, 0);
+	dh_peer_send_heartbeat(fx.other, SELF, &b);
+	run_for(&fx, 20);
+	CU_ASSERT_FALSE(dh_registry_set_evacuated(fx.reg, zones));
+	send_beat(&fx, 8);
+	CU_ASSERT_FALSE(dh_registry_set_evacuated(fx.reg, zones));
+	b.term = 8;
+	b.evacuated = none;
+	dh_peer_send_heartbeat(fx.other, SELF, &b);
+	run_for(&fx, 20);
+	CU_ASSERT_TRUE(dh_registry_set_evacuated(fx.reg, zones));
+	stop(&fx);
+}
+
 static void
 test_strong_vms_are_listed(void)
 {
@@ -1348,6 +1375,8 @@
 		    test_successor_awaits_a_leader_that_is_cut_off },
 		{ "store restored, leader replaced",
 		    test_leader_replaced_after_store_restore },
+		{ "evacuated zone and leader",
+		    test_evacuated_zone_outlives_the_leader },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -19,6 +19,7 @@
 	struct dh_peer *from, *to;
 	struct dh_leader_heartbeat beat;
 	guint limits; /* in the last heartbeat */
+	char zones[32]; /* the first one evacuated, by the last heartbeat */
 	struct dh_shared_limit limit; /* the first of them */
 	guint suspects; /* in the last heartbeat and all reports */
 	struct dh_suspect suspect; /* the first of the last ones */
@@ -48,6 +49,11 @@
 	fx->beat = *beat;
 	fx->beats++;
 	take_suspects(fx, beat->suspects);
+	(void)g_strlcpy(fx->zones, "unknown", sizeof(fx->zones));
+	if (beat->evacuated != NULL)
+		(void)g_strlcpy(fx->zones,
+		    beat->evacuated->len > 0 ? beat->evacuated->pdata[0] : "",
+		    sizeof(fx->zones));
 	fx->limits = beat->limits->len;
 	if (beat->limits->len > 0)
 		fx->limit =
@@ -147,6 +153,31 @@
 	CU_ASSERT_EQUAL(uv_loop_close(&fx->loop), 0);
 }
 
+/* A leader that knows of no evacuated zone, and one that does not know yet, are
+ * told apart. */
+static void
+test_evacuated_zones(void)
+{
+	g_autoptr(GPtrArray) zones = g_ptr_array_new();
+	struct dh_leader_heartbeat beat = { .vm = "vm-1", .term = 2 };
+	struct fixture fx;
+
+	start(&fx);
+	dh_peer_send_heartbeat(fx.from, TO, &beat);
+	run(&fx);
+	CU_ASSERT_STRING_EQUAL(fx.zones, "unknown");
+	beat.evacuated = zones;
+	dh_peer_send_heartbeat(fx.from, TO, &beat);
+	run(&fx);
+	CU_ASSERT_STRING_EQUAL(fx.zones, "");
+	g_ptr_array_add(zones, (gpointer)(uintptr_t) "z1");
+	dh_peer_send_heartbeat(fx.from, TO, &beat);
+	run(&fx);
+	CU_ASSERT_STRING_EQUAL(fx.zones, "z1");
+	CU_ASSERT_EQUAL(fx.beats, 3);
+	end(&fx);
+}
+
 static void
 test_heartbeat(void)
 {
@@ -536,6 +567,7 @@
 {
 	CU_TestInfo tests[] = {
 		{ "heartbeat", test_heartbeat },
+		{ "evacuated zones", test_evacuated_zones },
 		{ "shared limits", test_shared_limits },
 		{ "limits in a report", test_limits_in_a_report },
 		{ "suspects", test_suspects },
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -618,6 +618,40 @@
 	end(&fx);
 }
 
+static void
+set_evacuated(struct fixture *fx, const char *zone, bool changes)
+{
+	g_autoptr(GPtrArray) zones = g_ptr_array_new();
+
+	if (zone != NULL)
+		g_ptr_array_add(zones, (gpointer)(uintptr_t)zone);
+	CU_ASSERT_EQUAL(dh_registry_set_evacuated(fx->reg, zones), changes);
+}
+
+/* Keys leave the backend servers of an evacuated zone, which still get requests
+ * for them for a part of evacuate_s, and none after that until the zone is in
+ * use again. */
+static void
+test_evacuated_zone(void)
+{
+	struct fixture fx;
+
+	start_in_regions(&fx, "[]");
+	fx.settings.evacuate_ms = 500;
+	set_evacuated(&fx, "n1", true);
+	set_evacuated(&fx, "n1", false);
+	CU_ASSERT_TRUE(is_leaving_of(fx.reg, "i-north"));
+	CU_ASSERT_FALSE(is_leaving_of(fx.reg, "i-south"));
+	CU_ASSERT_FALSE(is_closed_of(fx.reg, "i-north"));
+	g_usleep(200000);
+	CU_ASSERT_TRUE(is_closed_of(fx.reg, "i-north"));
+	CU_ASSERT_FALSE(is_closed_of(fx.reg, "i-south"));
+	set_evacuated(&fx, NULL, true);
+	CU_ASSERT_FALSE(is_leaving_of(fx.reg, "i-north"));
+	CU_ASSERT_FALSE(is_closed_of(fx.reg, "i-north"));
+	end(&fx);
+}
+
 /* Runs until ms after since_ms, without a heartbeat. */
 static void
 run_until(struct fixture *fx, int64_t since_ms, int64_t ms)
@@ -763,6 +797,7 @@
 		{ "missing entry at a disputed address",
 		    test_missing_entry_at_a_disputed_address },
 		{ "keys in the homes", test_keys_are_owned_in_the_homes },
+		{ "evacuated zone", test_evacuated_zone },
 		{ "as the leader", test_leader_watches_and_publishes },
 		CU_TEST_INFO_NULL,
 	};
