Choice: how slow a machine that others use as well is now

Where the load header has a fourth figure, the expected answer time is multiplied by it; what an answer said fades with 200 ms, as the figure changes many times a second. A header without it is read as before.

--- a/core/choice.c
+++ b/core/choice.c
@@ -12,6 +12,9 @@
 #define OTHERS_DECAY_MS 600.0
 #define FAILURE_DECAY_MS 3000.0
 #define WORK_DECAY_MS 6000.0
+/* The slowness of a machine that others use as well changes several times a
+ * second, so it is not known for longer. */
+#define SLOWNESS_DECAY_MS 200.0
 /* Backoff after a failed or immediately reset connection. */
 #define BACKOFF_MIN_MS 200
 #define BACKOFF_MAX_MS 2000
@@ -152,6 +155,10 @@
 		l->own_requests--;
 	if (r->has_load)
 		update_other_routers(l, r, now_ms);
+	if (r->has_load && r->slowness > 0) {
+		l->slowness = r->slowness;
+		l->slowness_updated_ms = now_ms;
+	}
 	if (r->pause_ms > 0 && now_ms + r->pause_ms > l->pause_until_ms)
 		l->pause_until_ms = now_ms + r->pause_ms;
 	switch (r->kind) {
@@ -203,6 +210,10 @@
 			WORK_DECAY_MS);
 	if (now_ms < c->slow_start_until_ms)
 		work_ms *= COLD_FACTOR;
+	if (l->slowness_updated_ms != 0)
+		work_ms *= 1 +
+		    decayed(l->slowness - 1, l->slowness_updated_ms, now_ms,
+			SLOWNESS_DECAY_MS);
 	/* A request in flight for longer than twice the work time shows that
 	 * the backend server has become slower. */
 	if ((double)c->oldest_ms > 2 * work_ms)
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -62,7 +62,8 @@
 		    rq->wire->len + answer->header_text->len +
 			answer->body->len);
 	r.pause_ms = requested_pause_ms(answer, pool);
-	r.has_load = load != NULL && dh_wire_load(load, &r.running, &r.waiting);
+	r.has_load = load != NULL &&
+	    dh_wire_load(load, &r.running, &r.waiting, &r.slowness);
 	dh_backend_replied(&pool->load, &r, now_ms);
 	if (kind == DH_REPLY_GOOD && !pool->peer)
 		dh_work_mean_add(&s->work, pool->load.work_ms, now_ms);
--- a/include/dogwoodhub/choice.h
+++ b/include/dogwoodhub/choice.h
@@ -41,6 +41,10 @@
 	int64_t other_routers_updated_ms;
 	double failure_rate; /* share of recent requests that failed */
 	int64_t failure_rate_updated_ms;
+	/* How long work takes there now, as a multiple of the usual time, as
+	 * the last answer said. */
+	double slowness;
+	int64_t slowness_updated_ms; /* 0: no answer has said so */
 	uint32_t own_requests; /* this router's requests in flight */
 	/* End of the backoff that follows an unreachable backend server or an
 	 * immediately reset connection. */
@@ -72,6 +76,7 @@
 	uint32_t slots;
 	bool has_load; /* the reply contained running and waiting */
 	uint32_t running, waiting; /* requests at the backend server */
+	double slowness; /* see struct dh_backend_load; 0: not reported */
 	int64_t pause_ms; /* pause asked for by the backend server; 0: none */
 };
 
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -59,6 +59,34 @@
 	    dh_choose(&params, list, 2, &large, &rng, 1000).index, 1);
 }
 
+/* A machine that is slow at the moment is avoided, but not for long: what it
+ * said holds for parts of a second. */
+static void
+test_slowness_of_a_machine(void)
+{
+	struct dh_backend_load l[2] = { { 0 } };
+	struct dh_candidate list[2] = { candidate(&l[0], DH_TIER_ZONE),
+		candidate(&l[1], DH_TIER_REGION) };
+	struct dh_choice_request w = request(1);
+	struct dh_reply slow = { .kind = DH_REPLY_GOOD,
+		.latency_ms = WORK_MS,
+		.slots = SLOTS,
+		.has_load = true,
+		.running = 1,
+		.slowness = 3 };
+	struct dh_reply usual = slow;
+	struct dh_rng own = { .state = 7 };
+
+	CU_ASSERT_EQUAL(dh_choose(&params, list, 2, &w, &own, 1000).index, 0);
+	dh_backend_replied(&l[0], &slow, 1000);
+	CU_ASSERT_EQUAL(dh_choose(&params, list, 2, &w, &own, 1010).index, 1);
+	CU_ASSERT_EQUAL(dh_choose(&params, list, 2, &w, &own, 2500).index, 0);
+	dh_backend_replied(&l[0], &slow, 3000);
+	usual.slowness = 1;
+	dh_backend_replied(&l[0], &usual, 3020);
+	CU_ASSERT_EQUAL(dh_choose(&params, list, 2, &w, &own, 3030).index, 0);
+}
+
 static void
 test_retry_delay_is_at_most_a_third(void)
 {
@@ -615,6 +643,7 @@
 main(void)
 {
 	CU_TestInfo tests[] = {
+		{ "slowness of a machine", test_slowness_of_a_machine },
 		{ "own zone first", test_own_zone_first },
 		{ "price against waiting",
 		    test_price_of_bytes_against_waiting },
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -244,12 +244,21 @@
 {
 	int64_t ms;
 	uint32_t a, b;
+	double slowness;
 
-	CU_ASSERT_TRUE(dh_wire_load("3,1,8", &a, &b));
+	CU_ASSERT_TRUE(dh_wire_load("3,1,8", &a, &b, &slowness));
 	CU_ASSERT_EQUAL(a, 3);
 	CU_ASSERT_EQUAL(b, 1);
-	CU_ASSERT_FALSE(dh_wire_load("3", &a, &b));
-	CU_ASSERT_FALSE(dh_wire_load("x,1,2", &a, &b));
+	CU_ASSERT_EQUAL(slowness, 0);
+	CU_ASSERT_TRUE(dh_wire_load("3,1,8,150", &a, &b, &slowness));
+	CU_ASSERT_EQUAL(b, 1);
+	CU_ASSERT_EQUAL(slowness, 1.5);
+	CU_ASSERT_TRUE(dh_wire_load("3,1,8,x", &a, &b, &slowness));
+	CU_ASSERT_EQUAL(slowness, 0);
+	CU_ASSERT_TRUE(dh_wire_load("3,1,8,99999999", &a, &b, &slowness));
+	CU_ASSERT_EQUAL(slowness, 20);
+	CU_ASSERT_FALSE(dh_wire_load("3", &a, &b, &slowness));
+	CU_ASSERT_FALSE(dh_wire_load("x,1,2", &a, &b, &slowness));
 	CU_ASSERT_TRUE(dh_wire_leaving("1"));
 	CU_ASSERT_FALSE(dh_wire_leaving("0"));
 	CU_ASSERT_FALSE(dh_wire_leaving(NULL));
@@ -263,7 +272,7 @@
 	CU_ASSERT_FALSE(
 	    dh_wire_retry_after("Fri, 31 Dec 1999 23:59:59 GMT", &ms));
 	CU_ASSERT_FALSE(dh_wire_retry_after("2 s", &ms));
-	CU_ASSERT_FALSE(dh_wire_load("3,99999999999,2", &a, &b));
+	CU_ASSERT_FALSE(dh_wire_load("3,99999999999,2", &a, &b, &slowness));
 	CU_ASSERT_TRUE(dh_wire_key("65535", &a));
 	CU_ASSERT_FALSE(dh_wire_key("65536", &a));
 	CU_ASSERT_FALSE(dh_wire_key("-1", &a));
