--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -20,8 +20,8 @@
  * reach the backend servers either. */
 #define UNREACHED_AVOID_MS 1000
 
-/* Attempts that are left to the other VM.  The present one, which goes there, is
- * counted already. */
+/* Attempts that are left to the other VM.  The present one, which goes there,
+ * is counted already. */
 static uint32_t
 attempts_left(const struct dh_request *rq)
 {
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -44,8 +44,8 @@
 {
 	g_autoptr(GPtrArray) zones = dh_evacuations_zones(fx->evacuations);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(zones);
-	return zones->len;
+	CU_ASSERT_PTR_NOT_NULL(zones);
+	return zones == NULL ? G_MAXUINT : zones->len;
 }
 
 static void
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -158,7 +158,9 @@
 		(void)g_snprintf(field, sizeof(field),
 		    "\"home_regions\":%s,\"timeout_s\":1,", cases[i].list);
 		d = decode_changed("\"timeout_s\":1,", field);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+		CU_ASSERT_PTR_NOT_NULL(d);
+		if (d == NULL)
+			return;
 		CU_ASSERT_EQUAL(
 		    g_strcmp0(d->routes[0].homes, cases[i].homes), 0);
 		CU_ASSERT_PTR_NULL(d->routes[1].homes);
@@ -177,7 +179,9 @@
 	struct dh_deployment *d =
 	    decode_changed("\"new_field\":1", "\"warmup_per_s\":6.5");
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+	CU_ASSERT_PTR_NOT_NULL(d);
+	if (d == NULL)
+		return;
 	CU_ASSERT_EQUAL(d->services[0].slow_start_per_s, 6.5);
 	CU_ASSERT_EQUAL(d->services[1].slow_start_per_s, 0);
 	dh_deployment_free(d);
@@ -204,7 +208,9 @@
 		(void)g_snprintf(
 		    field, sizeof(field), "\"type\":\"%s\"", cases[i].type);
 		d = decode_changed("\"type\":\"safe\"", field);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+		CU_ASSERT_PTR_NOT_NULL(d);
+		if (d == NULL)
+			return;
 		CU_ASSERT_EQUAL(d->routes[0].repeat, cases[i].repeat);
 		dh_deployment_free(d);
 	}
