--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -1059,9 +1059,7 @@
 	}
 }
 
-/* Whether keys of a service may be owned in a region.  Where the routes that
- * lead to it have no home in common that has a backend server, they may be
- * anywhere. */
+/* The regions in which keys of a service may be owned, as found so far. */
 struct key_regions {
 	const struct dh_deployment *deployment;
 	uint32_t service;
@@ -1085,7 +1083,9 @@
 }
 
 /* Marks backend servers outside the homes as leaving, so that their keys move.
- * regions holds the region of each one in list. */
+ * Where the routes that lead to the service have no home in common that has a
+ * backend server, keys may be anywhere.  regions holds the region of each one
+ * in list. */
 static void
 keep_keys_at_home(const struct dh_registry *reg, const char *service,
     GArray *list, const GPtrArray *regions)
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -125,9 +125,8 @@
 	pool->close_ms = s->close_ms;
 	pool->listed = !dh_view_server_is_closed(s, dh_worker_now_ms(w));
 	pool->slots = s->slots;
-	if (s->slow_start_per_s > 0)
-		dh_rate_limit_set_start(&pool->rate_limit, s->slow_start_per_s,
-		    s->slow_start_until_ms);
+	dh_rate_limit_set_start(&pool->rate_limit, s->slow_start_per_s,
+	    s->slow_start_per_s > 0 ? s->slow_start_until_ms : 0);
 }
 
 struct dh_pool *
--- a/tests/failure/gateway_soak_lib.sh
+++ b/tests/failure/gateway_soak_lib.sh
@@ -35,6 +35,11 @@
 *" store_back "*) ALL_KINDS="$ALL_KINDS
 store_back:500,1500,3000,5000" ;;
 esac
+# Another writer's entry with the address of a backend server.
+case " ${FAULT_KINDS:-} " in
+*" foreign "*) ALL_KINDS="$ALL_KINDS
+foreign:0,1,2,3,4,5" ;;
+esac
 
 store_port_of() {
 	echo $((base + 400 + $1))
@@ -217,6 +222,7 @@
 	drain_backend) platform_control "/_drain?i=$target" >/dev/null ;;
 	store) platform_control "/_store?mode=$target" >/dev/null ;;
 	store_back) platform_control "/_back?ms=$target" >/dev/null ;;
+	foreign) platform_control "/_foreign?i=$target" >/dev/null ;;
 	config)
 		version=$((version + 1))
 		platform_control "/_config?version=$version" >/dev/null
@@ -240,7 +246,7 @@
 		platform_control "/_start?i=$target" >/dev/null
 		;;
 	store) platform_control "/_store?mode=up" >/dev/null ;;
-	config | store_back) ;;
+	config | store_back | foreign) ;;
 	*) end_pair "$1" ;;
 	esac
 }
