--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,12 @@
 # some seconds after the first start: the store's copy is older than the first
 # record of owners.  See claim.txt.  TROUBLE=0: the stop without the drill.
 here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt # what was sent, answered and run
 . "$here/../lib-2.sh"
 
+# The copy is "some seconds old"; with an older one the case is not run.
+COPY_MAX_MS=6000
+
 start_platform 5
 # The last backend server joins later.
 control '/_kill?i=4'
@@ -23,7 +27,7 @@
 others=$(echo "$gateways" | sed "s/$l//")
 for g in $others; do
 	load "c$g" 8 "$g" &
-	pids="$pids $!"
+	loaders="$loaders $!"
 done
 sleep 0.5
 eval "stopped=\$gw$l"
@@ -34,11 +38,12 @@
 	control '/_store?mode=busy'
 	sleep 0.3
 	age=$(($(date +%s%3N) - copy))
+	[ "$age" -le "$COPY_MAX_MS" ] || cannot_run "the copy is $age ms old"
 	say "the store comes back from a copy that is $age ms old"
 	control "/_back?ms=$age"
 	control '/_store?mode=up'
 fi
-wait "$stopped"
+stop_gateway "$stopped"
 say "gw$l has ended, and starts again"
 start_gateway "$l"
 sleep 3
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,26 +1,30 @@
 # Functions of this review's scripts: the stand-in for the platform, and three
 # gateways with the command of the deploy file and settings as its template
 # renders them, on loopback addresses.  A script sets "here" to its folder and
-# sources this file.
+# "record" to its record.txt, and sources this file.
 
 root=$(cd "$here/../.." && pwd)
 trouble=${TROUBLE:-1}
-record=$here/record.txt
 work=$(mktemp -d "${TMPDIR:-/tmp}/dh-review.XXXXXX") || exit 2
 gateways="1 2 3"
-pids=
+pids= loaders=
 : >"$record"
+GRACE_S=6
 
 say() {
 	echo "$(($(date +%s%3N) - began)) script: $*" >>"$work/script.log"
 }
 
-# Ends each process that this script started, by its pid.
+# Ends each process that this script started, by its pid; the loaders end when
+# they see the file, after their present request.
 cleanup() {
+	: >"$work/stop"
 	for p in $pids; do
 		kill -CONT "$p" 2>/dev/null
 		kill -KILL "$p" 2>/dev/null
 	done
+	# shellcheck disable=SC2086
+	[ -z "$loaders" ] || wait $loaders 2>/dev/null
 	rm -rf "$work"
 }
 trap cleanup EXIT
@@ -36,7 +40,7 @@
 start_platform() {
 	try=0
 	while [ "$try" -lt 20 ]; do
-		base=$((20000 + ($$ + try * 7) % 100 * 100))
+		base=$((11000 + ($$ + try * 7) % 80 * 100))
 		"$root/target/review-2/platform" "$base" $((base + 50)) "$1" \
 		    >"$work/platform.log" 2>&1 &
 		platform=$!
@@ -88,9 +92,22 @@
 	pids="$pids $!"
 }
 
+# stop_gateway PID: waits for the end of a gateway that got SIGTERM, which the
+# platform kills after GRACE_S.
+stop_gateway() {
+	k=0
+	while kill -0 "$1" 2>/dev/null && [ "$k" -lt $((GRACE_S * 20)) ]; do
+		sleep 0.05
+		k=$((k + 1))
+	done
+	kill -KILL "$1" 2>/dev/null && say "pid $1 killed after grace_s"
+	wait "$1" 2>/dev/null
+	pids=$(for p in $pids; do [ "$p" = "$1" ] || printf '%s ' "$p"; done)
+}
+
 # ask GATEWAY METHOD PATH KEY ID: prints the status.
 ask() {
-	curl -s -o /dev/null -m 3 -w '%{http_code}' -X "$2" \
+	curl -s -o /dev/null -m 2.5 -w '%{http_code}' -X "$2" \
 	    -H 'Host: h.example' -H "X-Dogwoodhub-Request-Id: $5" \
 	    -H 'X-Dogwoodhub-Deadline-Ms: 2000' \
 	    -H "X-Dogwoodhub-Shard-Key: $4" \
@@ -99,8 +116,8 @@
 
 # Waits until each gateway serves keys of all parts of the key space.
 wait_served() {
-	tries=0
-	while [ "$tries" -lt 100 ]; do
+	tries=0 served_end=$(($(date +%s) + 20))
+	while [ "$(date +%s)" -lt "$served_end" ]; do
 		all=yes
 		for g in $gateways; do
 			for k in 9 9000 17000 25000 33000 41000 49000 57000; do
@@ -125,7 +142,7 @@
 # four is unsafe.
 load() {
 	load_end=$(($(date +%s%3N) + $2 * 1000)) n=0
-	while [ "$(date +%s%3N)" -lt "$load_end" ]; do
+	while [ "$(date +%s%3N)" -lt "$load_end" ] && [ ! -e "$work/stop" ]; do
 		for g in $3; do
 			m=GET p=/r/ key=$((n * 9973 % 65536))
 			[ $((n % 4)) -ne 0 ] || m=POST p=/w/
@@ -141,9 +158,13 @@
 # Ends the stand-in, writes the record, and exits: 1 if the rule was broken, as
 # the stand-in or a client has written.
 judge() {
+	# shellcheck disable=SC2086
+	[ -z "$loaders" ] || wait $loaders
+	loaders=
 	kill -TERM "$platform"
 	wait "$platform"
 	status=$?
+	pids=$(for p in $pids; do [ "$p" = "$platform" ] || printf '%s ' "$p"; done)
 	cat "$work/platform.log" "$work/script.log" "$work"/client-*.log |
 	    sort -n >"$record"
 	[ "$status" -le 1 ] || cannot_run "the stand-in ended with $status"
--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -805,6 +805,7 @@
 watch_holders(gpointer arg)
 {
 	static int64_t since_ms[KEYS];
+	static int pair[KEYS]; /* the two holders since then */
 	int64_t now_ms;
 	int i, a, b;
 	uint32_t k;
@@ -825,8 +826,11 @@
 			}
 			if (b < 0) {
 				since_ms[k] = 0;
-			} else if (since_ms[k] == 0) {
+			} else if (since_ms[k] == 0 ||
+			    (since_ms[k] > 0 &&
+				pair[k] != b * BACKENDS_MAX + a)) {
 				since_ms[k] = now_ms;
+				pair[k] = b * BACKENDS_MAX + a;
 			} else if (since_ms[k] > 0 &&
 			    now_ms - since_ms[k] > HELD_MS) {
 				note("BROKEN OWNER: key %u is held by i-%d "
