Gateway: a record that a restored store lacks counts as lost

Cause: take_over() distrusted a record of an earlier era only if it had ranges. An object that the restored store lacks counted as one that never was, so the next leader granted all keys at once by a plan of its own, while the grants of the one before ran on for up to 2 s.

Change: a missing record is trusted only in the first era, or if the store gives none (dh_era_may_lack_writes()). In a later one nothing is granted before no former leader can be left, and a lease, as for any distrusted record. Nobody has written a missing record in this era, so the wait counts from the start of the term: a service that is added later does not wait.

--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -68,12 +68,14 @@
 	return ks->former_stop_ms + ks->former_lease_max_ms;
 }
 
-/* Assumes that former leaders may send orders from now on, for as long as a
- * leader that cannot reach the store does, with leases of lease_ms. */
+/* Assumes that former leaders, which last reached the store by last_write_ms,
+ * send orders for as long as a leader that cannot reach the store does, with
+ * leases of lease_ms. */
 static void
-assume_former_leaders(struct dh_keyspace *ks, int64_t lease_ms, int64_t now_ms)
+assume_former_leaders(
+    struct dh_keyspace *ks, int64_t lease_ms, int64_t last_write_ms)
 {
-	ks->former_stop_ms = now_ms + ks->p.storeless_max_ms;
+	ks->former_stop_ms = last_write_ms + ks->p.storeless_max_ms;
 	ks->former_lease_max_ms = lease_limit_ms(ks, lease_ms);
 }
 
@@ -295,14 +297,15 @@
 
 void
 dh_keyspace_take_over(struct dh_keyspace *ks, const struct dh_key_range *ranges,
-    size_t n, uint64_t next_fence, int64_t former_lease_ms, int64_t now_ms)
+    size_t n, uint64_t next_fence, int64_t former_lease_ms,
+    int64_t last_write_ms)
 {
 	int64_t lease_ms =
 	    former_lease_ms > ks->p.lease_ms ? former_lease_ms : ks->p.lease_ms;
 	uint32_t at = 0;
 	size_t i;
 
-	assume_former_leaders(ks, lease_ms, now_ms);
+	assume_former_leaders(ks, lease_ms, last_write_ms);
 	ks->nranges = 0;
 	if (next_fence > ks->next_fence)
 		ks->next_fence = next_fence;
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -352,18 +352,23 @@
 	run_due_work(d);
 }
 
-/* Starts from the record of a former leader.  A record of an earlier era is
- * distrusted: the store may have lost a later record of that leader or of the
- * next one, which may reach neither the store nor another VM and so go on
- * without knowing of the new era. */
+/*
+ * Starts from the record of a former leader, or without ranges if there is no
+ * record.  A record of an earlier era is distrusted, and so is a missing one
+ * unless the era is the first: the store may have lost a later record of that
+ * leader or of the next one, which may reach neither the store nor another VM
+ * and so go on without knowing of the new era.  No former leader has written to
+ * the store after last_write_ms.
+ */
 static void
-take_over(struct dh_duty *d, const struct dh_record *r)
+take_over(struct dh_duty *d, const struct dh_record *r, int64_t last_write_ms)
 {
-	uint64_t floor = dh_era_floor(d->c.era);
-	bool distrust = r->nranges > 0 && (r->term < floor || r->distrusted);
+	bool distrust =
+	    r->distrusted || dh_era_may_lack_writes(d->c.era, r->term);
 
 	dh_keyspace_take_over(d->ks, r->ranges, r->nranges,
-	    MAX(r->next_fence, floor + 1), (int64_t)r->hold_ms, dh_clock_ms());
+	    MAX(r->next_fence, dh_era_floor(d->c.era) + 1), (int64_t)r->hold_ms,
+	    last_write_ms);
 	if (distrust)
 		dh_keyspace_mark_record_stale(d->ks);
 	d->former_unknown = distrust;
@@ -404,7 +409,7 @@
 	}
 	/* The former leader stored a record after this VM had read it. */
 	if (r.term < d->c.term && o->revision != d->revision)
-		take_over(d, &r);
+		take_over(d, &r, dh_clock_ms());
 	dh_record_clear(&r);
 	/* The write did not take effect.  The next one changes the revision,
 	 * and then a delayed copy of this write is refused. */
@@ -621,7 +626,10 @@
 
 	if (!read_record(d, r, &record))
 		return;
-	take_over(d, &record);
+	/* Without an object nobody has written a record in this era, and other
+	 * leaders have written nothing at all since this VM took its term. */
+	take_over(
+	    d, &record, d->revision == 0 ? d->c.term_began_ms : dh_clock_ms());
 	dh_record_clear(&record);
 	d->loaded = true;
 	dh_duty_step(d, d->orders_allowed);
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -32,6 +32,7 @@
 	const char *kind; /* store kind of the object that holds the record */
 	const char *ip; /* address of this VM */
 	uint64_t term; /* in which this VM leads */
+	int64_t term_began_ms; /* when the store had accepted the term */
 	uint64_t era; /* of the store's data */
 	/* Returns the number of VMs that changes are sent to. */
 	uint32_t (*count_vms)(void *arg);
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -137,7 +137,7 @@
 become_leader(struct dh_owners *o, int64_t began_ms)
 {
 	o->role = ROLE_LEADER;
-	o->elected_ms = dh_clock_ms();
+	o->elected_ms = o->term_began_ms = dh_clock_ms();
 	owners_stop_reading_for_zone(o);
 	o->unfed_since_ms = o->zone_heard_ms = 0;
 	dh_mirror_set_fed_by_leader(o->mirror, false);
@@ -181,6 +181,7 @@
 		.kind = DH_OWNERS_KIND,
 		.ip = o->c.ip,
 		.term = o->term,
+		.term_began_ms = o->term_began_ms,
 		.era = dh_era_number(owners_store_era(o)),
 		.count_vms = count_vms,
 		.rate_limit = rate_limit,
@@ -294,6 +295,7 @@
 		return;
 	o->revision = r->items[0].revision;
 	o->term = next_term(o);
+	o->term_began_ms = dh_clock_ms();
 	o->confirmed_ms = o->call_began_ms;
 	o->store_restored_ms = 0;
 	o->stalled = false;
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -98,6 +98,7 @@
 	GHashTable *duties; /* service -> struct dh_duty */
 	GHashTable *peers; /* ip -> struct peer_state */
 	int64_t elected_ms; /* when this VM began to lead */
+	int64_t term_began_ms; /* when the store had accepted its term */
 	uint32_t fanout_turn; /* rises with each fan-out */
 	uint32_t peer_uids; /* number of uids given out */
 	struct dh_view_peers *view_peers; /* g_atomic_rc_box; or NULL */
--- a/include/dogwoodhub/era.h
+++ b/include/dogwoodhub/era.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODHUB_ERA_H
 #define DOGWOODHUB_ERA_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -15,6 +16,9 @@
  * as floating point gets the exact value. */
 #define DH_ERA_COUNT_BITS 32
 #define DH_ERA_MASK ((1u << 20) - 1)
+/* The era of a store that has never been restored; 0 for one that gives no
+ * era. */
+#define DH_ERA_FIRST 1
 
 /* dh_era_floor -- return the exclusive lower bound of the terms and tokens of
  * an era. */
@@ -32,4 +36,15 @@
 	return term >> DH_ERA_COUNT_BITS;
 }
 
+/* dh_era_may_lack_writes -- return whether the store may have lost the last
+ * writes of an object.  term is that of the object, 0 if there is no such
+ * object. */
+static inline bool
+dh_era_may_lack_writes(uint64_t era, uint64_t term)
+{
+	if (term == 0)
+		return era > DH_ERA_FIRST;
+	return term < dh_era_floor(era);
+}
+
 #endif
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -107,9 +107,10 @@
 /*
  * dh_keyspace_take_over -- start from the ownership record of a former leader;
  * n may be 0.  former_lease_ms is the duration of the former leader's leases,
- * or 0 if they are not longer than p->lease_ms.  Each range that has an owner
- * gets a new token of at least next_fence.  No order is sent before the new
- * record is stored.
+ * or 0 if they are not longer than p->lease_ms; last_write_ms is a time since
+ * which no former leader has written to the store.  Each range that has an
+ * owner gets a new token of at least next_fence.  No order is sent before the
+ * new record is stored.
  *
  * dh_keyspace_mark_record_stale -- report that the record just taken over may
  * be stale: later writes may be missing from it, so that backend servers other
@@ -122,7 +123,7 @@
  */
 void dh_keyspace_take_over(struct dh_keyspace *ks,
     const struct dh_key_range *ranges, size_t n, uint64_t next_fence,
-    int64_t former_lease_ms, int64_t now_ms);
+    int64_t former_lease_ms, int64_t last_write_ms);
 void dh_keyspace_mark_record_stale(struct dh_keyspace *ks);
 bool dh_keyspace_record_is_stale(const struct dh_keyspace *ks);
 
@@ -132,7 +133,7 @@
  * This also ends the waits of dh_keyspace_mark_record_stale() and
  * dh_keyspace_record_lost() for other leaders.
  * Without this call they are assumed to have stopped storeless_max_ms after the
- * takeover.
+ * takeover's last_write_ms.
  *
  * dh_keyspace_is_sole_leader -- return whether all former leaders had stopped
  * sending orders at the time of the last export.  A leader that takes over that
--- a/tests/test_era.c
+++ b/tests/test_era.c
@@ -62,6 +62,18 @@
 	CU_ASSERT_TRUE(dh_era_floor(UINT64_MAX) < 1ull << 53);
 }
 
+/* A missing object is a lost one unless the store has never been restored. */
+static void
+test_writes_that_may_be_lost(void)
+{
+	CU_ASSERT_FALSE(dh_era_may_lack_writes(0, 0));
+	CU_ASSERT_FALSE(dh_era_may_lack_writes(DH_ERA_FIRST, 0));
+	CU_ASSERT_TRUE(dh_era_may_lack_writes(DH_ERA_FIRST + 1, 0));
+	CU_ASSERT_FALSE(dh_era_may_lack_writes(0, 7));
+	CU_ASSERT_FALSE(dh_era_may_lack_writes(2, dh_era_floor(2) + 1));
+	CU_ASSERT_TRUE(dh_era_may_lack_writes(2, dh_era_floor(1) + 9));
+}
+
 int
 main(void)
 {
@@ -70,6 +82,7 @@
 		{ "later era is reported once",
 		    test_later_era_is_reported_once },
 		{ "terms rise with the era", test_terms_rise_with_the_era },
+		{ "writes that may be lost", test_writes_that_may_be_lost },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -107,9 +107,9 @@
 	int writer;
 };
 
-/* Totals over all schedules: restores of a store, and calls of
- * dh_keyspace_former_leaders_stopped(). */
-static uint32_t restores, former_stopped_calls;
+/* Totals over all schedules: restores of a store, those from a copy made before
+ * the first record, and calls of dh_keyspace_former_leaders_stopped(). */
+static uint32_t restores, without_record, former_stopped_calls;
 /* Those of the latter calls that ended the wait after a stale record. */
 static uint32_t all_followed;
 
@@ -281,8 +281,8 @@
 	    0, w->now_ms);
 	l->former = w->store.sole ? w->store.writer : -1;
 	l->stale = false;
-	if (w->store.n > 0 &&
-	    (dh_era_of(w->store.term) < w->era || w->store.record_stale)) {
+	if (dh_era_may_lack_writes(w->era, w->store.term) ||
+	    w->store.record_stale) {
 		dh_keyspace_mark_record_stale(l->ks);
 		l->former = -1;
 		l->stale = true;
@@ -577,8 +577,7 @@
 {
 	int copy = (int)dh_rng_below(&w->rng, COPIES);
 
-	if (w->copies[copy].ranges == NULL)
-		return;
+	without_record += w->copies[copy].n == 0;
 	copy_store(&w->store, &w->copies[copy]);
 	w->era++;
 	restores++;
@@ -668,7 +667,9 @@
 	memset(&w, 0, sizeof(w));
 	w.rng.state = seed;
 	w.store.next = 1;
-	w.era = 1;
+	w.era = DH_ERA_FIRST;
+	for (l = 0; l < COPIES; l++)
+		copy_store(&w.copies[l], &w.store);
 	for (l = 0; l < SERVERS; l++) {
 		(void)snprintf(
 		    w.servers[l].id, sizeof(w.servers[l].id), "s%d", l);
@@ -727,6 +728,7 @@
 		}
 	}
 	CU_ASSERT_TRUE(restores >= count / 2);
+	CU_ASSERT_TRUE(without_record >= count / 10);
 	CU_ASSERT_TRUE(former_stopped_calls >= count);
 	CU_ASSERT_TRUE(all_followed >= count / 2);
 }
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -1268,30 +1268,37 @@
 	stop(&fx);
 }
 
-/* The other VM led in the era before.  Guards against a successor that grants
- * keys by a copy while a leader that is cut off may renew others: until that
- * one reports, the record stays distrusted and says so. */
+/* Makes this VM the leader in era 2, after the other VM led in the era before.
+ * Returns once the record is being read. */
 static void
-test_successor_awaits_a_leader_that_is_cut_off(void)
+lead_after_restore(struct fixture *fx, int64_t solo_ms)
 {
-	struct fixture fx;
-	char record[512];
-	int i;
-
 	fake_era = 2;
-	start(&fx, NULL, 0);
-	fx.settings.hold_ms = 200;
-	send_beat(&fx, (UINT64_C(1) << 32) + 7);
-	wait_for_read(&fx);
+	start(fx, NULL, 0);
+	fx->settings.hold_ms = 200;
+	fx->settings.solo_ms = solo_ms;
+	send_beat(fx, (UINT64_C(1) << 32) + 7);
+	wait_for_read(fx);
 	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
 	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
-	CU_ASSERT_TRUE(dh_owners_is_leader(fx.owners));
-	run_for(&fx, 60);
-	(void)snprintf(record, sizeof(record),
-	    "{\"term\":%llu,\"version\":2,\"next\":9,\"servers\":[[\"a\",7]],"
-	    "\"ranges\":[[65535,0,3,-1,0,1]]}",
-	    (1ull << 32) + 6);
-	answer_with("service.s", DH_OBJECTS_OK, 50, record);
+	CU_ASSERT_TRUE(dh_owners_is_leader(fx->owners));
+	run_for(fx, 60);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+}
+
+/* Checks that the record of a new leader stays distrusted, and says so, until
+ * the other VM reports.  result and record: what the store answers to the
+ * leader that reads the record. */
+static void
+check_successor_awaits_followers(
+    enum dh_objects_result result, const char *record)
+{
+	struct fixture fx;
+	int i;
+
+	lead_after_restore(&fx, 15000);
+	answer_with(
+	    "service.s", result, result == DH_OBJECTS_OK ? 50 : 0, record);
 	/* Longer than a leader that knows of the new era sends orders. */
 	for (i = 0; i < 350; i++) {
 		run_for(&fx, 10);
@@ -1316,6 +1323,47 @@
 	stop(&fx);
 }
 
+/* Guards against a successor that grants keys by a copy while a leader that is
+ * cut off may renew others. */
+static void
+test_successor_awaits_a_leader_that_is_cut_off(void)
+{
+	char record[512];
+
+	(void)snprintf(record, sizeof(record),
+	    "{\"term\":%llu,\"version\":2,\"next\":9,\"servers\":[[\"a\",7]],"
+	    "\"ranges\":[[65535,0,3,-1,0,1]]}",
+	    (1ull << 32) + 6);
+	check_successor_awaits_followers(DH_OBJECTS_OK, record);
+}
+
+/* Guards against a successor that takes a record which the restored store lacks
+ * for one that never existed, and grants keys beside their owners. */
+static void
+test_record_missing_after_a_restore(void)
+{
+	check_successor_awaits_followers(DH_OBJECTS_NOT_FOUND, "{}");
+}
+
+/* A service that is added long after a restore has no former leader: its keys
+ * are granted without a wait. */
+static void
+test_service_added_after_a_restore(void)
+{
+	struct fixture fx;
+
+	lead_after_restore(&fx, 300);
+	/* solo_ms, and a lease of 200 ms with its allowances. */
+	run_for(&fx, 600);
+	answer_with("service.s", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s")->put);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("service.s")->put, "\"distrusted\":0"));
+	fake_era = 0;
+	stop(&fx);
+}
+
 /* Another VM became the leader first in the new era: this one follows it. */
 static void
 test_leader_replaced_after_store_restore(void)
@@ -1373,6 +1421,10 @@
 		{ "answer of an earlier era", test_answer_of_earlier_era },
 		{ "store restored, former leader cut off",
 		    test_successor_awaits_a_leader_that_is_cut_off },
+		{ "store restored, record missing",
+		    test_record_missing_after_a_restore },
+		{ "store restored, service added later",
+		    test_service_added_after_a_restore },
 		{ "store restored, leader replaced",
 		    test_leader_replaced_after_store_restore },
 		{ "evacuated zone and leader",
