Gateway: a record that can't be read or was removed is not "no record"

What callers would see: two owners of a key after a change of leaders, where the record of owners can't be read (another build or program wrote it), or where it was removed between the new leader's read and its first write, maybe with a later record in it.

Cause: the same as of the record that a restored store lacks: take_over() went by the ranges alone, and on_record_reread() forgot the record that it had relied on.

Change: both are distrusted: nothing is granted before no former leader can be left, and a lease. A leader that has stored a record since its take-over knows the owners and goes on. New line owners.removed.

Tests: test_owners "unreadable record" and "record removed before the first write" fail without the change to gateway/duty.c ("distrusted":0 in the next record) and pass with it.

--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -65,6 +65,7 @@
 	struct dh_keyspace *ks;
 	int64_t lease_ms; /* lease of this term's grants */
 	bool loaded; /* the former leader's record has been taken over */
+	bool stored; /* a record has been stored since then */
 	uint64_t revision; /* of the object */
 	struct dh_objects_call *call; /* pending store call, or NULL */
 	bool in_doubt; /* whether the last write took effect is unknown */
@@ -344,6 +345,7 @@
 	uint64_t serial = d->pending_serial;
 
 	d->revision = revision;
+	d->stored = true;
 	d->pending_serial = 0;
 	d->in_doubt = false;
 	d->retry_pause_ms = STORE_PAUSE_MIN_MS;
@@ -372,6 +374,7 @@
 	if (distrust)
 		dh_keyspace_mark_record_stale(d->ks);
 	d->former_unknown = distrust;
+	d->stored = false;
 	d->former_vm[0] = '\0';
 	if (r->sole && !distrust) {
 		(void)g_strlcpy(d->former_vm, r->vm, sizeof(d->former_vm));
@@ -459,6 +462,22 @@
 	}
 }
 
+/* The object has been removed, and with it maybe a record that the former
+ * leader stored after this VM had read its last one. */
+static void
+record_removed(struct dh_duty *d)
+{
+	if (!d->stored) {
+		dh_keyspace_mark_record_stale(d->ks);
+		d->former_unknown = true;
+	}
+	dh_opslog_add(DH_OPS_STATE, "owners.removed",
+	    ",\"service\":\"%s\",\"term\":%llu,\"revision\":%llu,"
+	    "\"trusted\":%s",
+	    d->service, (unsigned long long)d->c.term,
+	    (unsigned long long)d->revision, d->stored ? "true" : "false");
+}
+
 static void
 on_record_reread(void *arg, const struct dh_objects_reply *r)
 {
@@ -473,6 +492,8 @@
 		return;
 	}
 	if (r->result == DH_OBJECTS_NOT_FOUND) {
+		if (d->revision != 0)
+			record_removed(d);
 		d->revision = 0;
 		d->pending_serial = 0;
 		d->in_doubt = false;
@@ -482,8 +503,9 @@
 }
 
 /* Takes the object's revision and its record from a reply.  The record has no
- * ranges if there is no object or its text is invalid.  Returns false if the
- * call failed or another VM leads in a later term. */
+ * ranges if there is no object or its text is invalid; in the latter case it
+ * is distrusted, since somebody held the keys.  Returns false if the call
+ * failed or another VM leads in a later term. */
 static bool
 read_record(struct dh_duty *d, const struct dh_objects_reply *r,
     struct dh_record *record)
@@ -496,10 +518,12 @@
 		return false;
 	if (r->result == DH_OBJECTS_OK && r->nitems == 1) {
 		d->revision = r->items[0].revision;
-		if (!dh_record_parse(record, r->items[0].spec, &error))
+		if (!dh_record_parse(record, r->items[0].spec, &error)) {
+			record->distrusted = true;
 			dh_opslog_add(DH_OPS_STATE, "owners.unreadable",
 			    ",\"service\":\"%s\",\"why\":\"%s\"", d->service,
 			    error->message);
+		}
 	} else if (r->result == DH_OBJECTS_NOT_FOUND) {
 		d->revision = 0;
 	} else {
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -1345,6 +1345,62 @@
 	check_successor_awaits_followers(DH_OBJECTS_NOT_FOUND, "{}");
 }
 
+/* Makes this VM the leader after the other one, without eras, and answers its
+ * read of the record. */
+static void
+lead_with_record(struct fixture *fx, const char *record)
+{
+	start(fx, NULL, 0);
+	lead_after_other(fx);
+	run_for(fx, 100);
+	answer_with("service.s", DH_OBJECTS_OK, 50, record);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s")->put);
+}
+
+/* Guards against a leader that takes a record which it can't read for none, and
+ * grants keys beside their owners. */
+static void
+test_unreadable_record(void)
+{
+	struct fixture fx;
+
+	lead_with_record(&fx, "{\"term\":3,\"layout\":2}");
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("service.s")->put, "\"distrusted\":1"));
+	stop(&fx);
+}
+
+/* Guards against a leader that relies on the record it has read although the
+ * object has been removed since, maybe with a later record. */
+static void
+test_record_removed_before_the_first_write(void)
+{
+	struct fixture fx;
+	int i;
+
+	lead_with_record(&fx,
+	    "{\"term\":3,\"version\":2,\"next\":9,\"servers\":[[\"a\",7]],"
+	    "\"ranges\":[[65535,0,3,-1,0,1]]}");
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("service.s")->put, "\"distrusted\":0"));
+	fake_answer("service.s", DH_OBJECTS_NOT_FOUND, 0, NULL, 0);
+	for (i = 0; i < 100; i++) {
+		run_for(&fx, 20);
+		if (fake_open("service.s") == NULL)
+			continue;
+		if (fake_open("service.s")->put != NULL)
+			break;
+		answer_with("service.s", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	}
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open("service.s")->put);
+	CU_ASSERT_EQUAL(fake_open("service.s")->revision, 0);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fake_open("service.s")->put, "\"distrusted\":1"));
+	stop(&fx);
+}
+
 /* A service that is added long after a restore has no former leader: its keys
  * are granted without a wait. */
 static void
@@ -1423,6 +1479,9 @@
 		    test_successor_awaits_a_leader_that_is_cut_off },
 		{ "store restored, record missing",
 		    test_record_missing_after_a_restore },
+		{ "unreadable record", test_unreadable_record },
+		{ "record removed before the first write",
+		    test_record_removed_before_the_first_write },
 		{ "store restored, service added later",
 		    test_service_added_after_a_restore },
 		{ "store restored, leader replaced",
