Registry: a restore of the store does not end an evacuation

What callers would see: requests reach backend servers of an evacuated zone after a drill, until the operators have written the entry again.

Cause: as of the record of owners: an entry that the restored store lacks counted as removed.

Change: for return_ms after a restore a VM puts no zone back into use, as it awaits the entries of backend servers.

Tests: test_registry "evacuated zone, store restored" fails without the change to gateway/registry.c (the zone is in use at once) and passes with it.

--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -999,6 +999,9 @@
 dh_registry_set_evacuated(struct dh_registry *reg, const GPtrArray *zones)
 {
 	gint64 now_ms = dh_clock_ms();
+	/* The restored store may lack entries that operators write again. */
+	bool awaits_entries = reg->store_restored_ms != 0 &&
+	    now_ms < reg->store_restored_ms + reg->settings->return_ms;
 	bool changed = false;
 	GHashTableIter it;
 	gpointer zone;
@@ -1006,7 +1009,7 @@
 
 	g_hash_table_iter_init(&it, reg->evacuated);
 	while (g_hash_table_iter_next(&it, &zone, NULL)) {
-		if (has_name(zones, zone))
+		if (awaits_entries || has_name(zones, zone))
 			continue;
 		log_zone("zone.in_use", zone);
 		g_hash_table_iter_remove(&it);
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -652,6 +652,26 @@
 	end(&fx);
 }
 
+/* Guards against a zone that is put back into use because the restored store
+ * lacks the operators' entry, which is written again. */
+static void
+test_evacuated_zone_after_a_restore(void)
+{
+	struct fixture fx;
+
+	start_in_era_1(&fx);
+	set_evacuated(&fx, "n1", true);
+	fake_era = 2;
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 11, NULL, 0);
+	set_evacuated(&fx, NULL, false);
+	follow_for(&fx, 1500);
+	set_evacuated(&fx, NULL, false);
+	follow_for(&fx, 1000);
+	set_evacuated(&fx, NULL, true);
+	fake_era = 0;
+	end(&fx);
+}
+
 /* Runs until ms after since_ms, without a heartbeat. */
 static void
 run_until(struct fixture *fx, int64_t since_ms, int64_t ms)
@@ -798,6 +818,8 @@
 		    test_missing_entry_at_a_disputed_address },
 		{ "keys in the homes", test_keys_are_owned_in_the_homes },
 		{ "evacuated zone", test_evacuated_zone },
+		{ "evacuated zone, store restored",
+		    test_evacuated_zone_after_a_restore },
 		{ "as the leader", test_leader_watches_and_publishes },
 		CU_TEST_INFO_NULL,
 	};
