Gateway: an answer with a status outside 100 to 599 is no answer

Cause: http_parser accepts each status of up to three digits, and nothing behind it compared the status with more than 200.

Change: the parser of messages rejects the head (RFC 9110, section 15), so the attempt ends at once with "not an answer": a safe request is repeated, others get 502. Answers between VMs pass the same parser.

Tests: test_message "status out of range" and test_worker "answer with an invalid status" fail without the change (600 and 999 passed on; no 502 within 400 ms for 000 and 099) and pass with it.

--- a/gateway/message.c
+++ b/gateway/message.c
@@ -12,6 +12,10 @@
 	"Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 	NULL };
 
+/* Range of valid status codes (RFC 9110, section 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 /* Limit of body memory that a connection keeps between messages. */
 #define BODY_KEPT_MAX 16384
 
@@ -98,6 +102,14 @@
 	return true;
 }
 
+/* http_parser accepts each status of up to three digits. */
+static bool
+status_is_valid(const http_parser *p)
+{
+	return p->type != HTTP_RESPONSE ||
+	    (p->status_code >= STATUS_MIN && p->status_code <= STATUS_MAX);
+}
+
 /* Returns 1 for a message without a body, -1 for an invalid one, as http_parser
  * expects. */
 static int
@@ -106,7 +118,7 @@
 	struct dh_message *m = p->data;
 
 	end_value(m);
-	if (!names_are_tokens(m))
+	if (!names_are_tokens(m) || !status_is_valid(p))
 		return -1;
 	m->head_done = true;
 	return m->no_body ? 1 : 0;
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -133,6 +133,36 @@
 	dh_message_clear(&m);
 }
 
+static enum dh_message_state
+parse_answer(const char *status)
+{
+	g_autofree char *text = g_strdup_printf(
+	    "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", status);
+	enum dh_message_state state;
+	struct dh_message m;
+	size_t left;
+
+	dh_message_init(&m, HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
+	state = feed(&m, text, 100000, &left);
+	dh_message_clear(&m);
+	return state;
+}
+
+/* Guards against bytes that are no HTTP answer and are passed on as one. */
+static void
+test_status_out_of_range(void)
+{
+	static const char *const valid[] = { "100", "200", "503", "599" };
+	static const char *const invalid[] = { "000", "099", "600", "999",
+		"1000", "20", "-20" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(valid); i++)
+		CU_ASSERT_EQUAL(parse_answer(valid[i]), DH_MESSAGE_DONE);
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++)
+		CU_ASSERT_EQUAL(parse_answer(invalid[i]), DH_MESSAGE_INVALID);
+}
+
 static uint64_t
 digest_of(const char *text)
 {
@@ -179,6 +209,7 @@
 		{ "request smuggling", test_request_smuggling_is_rejected },
 		{ "limits", test_limits },
 		{ "end of connection", test_end_of_connection },
+		{ "status out of range", test_status_out_of_range },
 		{ "digest", test_digest_ignores_id_and_framing },
 		CU_TEST_INFO_NULL,
 	};
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -318,6 +318,15 @@
 		(void)close(fd);
 		return false;
 	}
+	if (strstr(head, " /status/") != NULL) {
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 %.3s X\r\n" STAMP ID
+				    ": %s\r\nContent-Length: 4\r\n\r\nbody",
+			strstr(head, " /status/") + strlen(" /status/"), id);
+
+		send_text(fd, text);
+		return true;
+	}
 	if (strstr(head, " /nostamp/") != NULL) {
 		g_autofree char *text =
 		    g_strdup_printf("HTTP/1.1 200 OK\r\n" ID
@@ -791,6 +800,29 @@
 	stop_worker();
 }
 
+/* Guards against an answer of a backend server in trouble, with a status that
+ * HTTP does not know, that is passed on, or waited behind until the deadline.
+ */
+static void
+test_answer_with_invalid_status(void)
+{
+	static const char *const statuses[] = { "000", "099", "600", "999" };
+	g_autofree char *path = NULL;
+	int64_t began;
+	size_t i;
+
+	start_worker(2);
+	CU_ASSERT_EQUAL(get_once("/status/599/", "", buf), 599);
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		g_free(path);
+		path = g_strdup_printf("/status/%s/", statuses[i]);
+		began = dh_clock_ms();
+		CU_ASSERT_EQUAL(get_once(path, "", buf), 502);
+		CU_ASSERT_TRUE(dh_clock_ms() - began < 400);
+	}
+	stop_worker();
+}
+
 /* An unrepeatable request that may have run is not sent again, and the answer
  * is not 503, which would say that it has not run. */
 static void
@@ -1996,6 +2028,8 @@
 		{ "gateway errors", test_gateway_errors },
 		{ "incomplete heads", test_incomplete_heads_time_out },
 		{ "invalid answers", test_invalid_answers },
+		{ "answer with an invalid status",
+		    test_answer_with_invalid_status },
 		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
 		{ "head that ends early", test_head_that_ends_early },
 		{ "not executed", test_not_executed_is_retried },
