Router: an answer with a status outside 100 to 599 is no answer

Cause: libcurl accepts them, and the status was compared with 200 alone. It rejects 000 and 099 itself.

Change: the head is rejected; libcurl then closes the connection, and the outcome is "unknown". One check serves both data paths (dh_http_status_is_valid()).

Tests: test_datapath_faults "answer with an invalid status" fails without the change to router/upstream.c (600 and 999 passed on, the connection used again) and passes with it.

--- a/base/http.h
+++ b/base/http.h
@@ -73,6 +73,14 @@
 	GHashTable *headers; /* lower-case name -> value; same lifetime */
 };
 
+/* dh_http_status_is_valid -- returns whether a status code is one of HTTP (RFC
+ * 9110, section 15).  Parsers accept all numbers of three digits. */
+static inline bool
+dh_http_status_is_valid(unsigned int status)
+{
+	return status >= 100 && status <= 599;
+}
+
 /* dh_http_header -- returns the value of a header, or NULL if it is missing.
  * The name is matched case-insensitively.  The value has the lifetime of reply.
  */
--- a/gateway/message.c
+++ b/gateway/message.c
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include "base/http.h"
+
 /* Hop-by-hop headers, and Content-Length, which is computed from the buffered
  * body. */
 static const char *const hop_by_hop_headers[] = { "Connection", "Keep-Alive",
@@ -12,10 +14,6 @@
 	"Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 	NULL };
 
-/* Range of valid status codes (RFC 9110, section 15). */
-#define STATUS_MIN 100
-#define STATUS_MAX 599
-
 /* Limit of body memory that a connection keeps between messages. */
 #define BODY_KEPT_MAX 16384
 
@@ -102,12 +100,11 @@
 	return true;
 }
 
-/* http_parser accepts each status of up to three digits. */
 static bool
 status_is_valid(const http_parser *p)
 {
 	return p->type != HTTP_RESPONSE ||
-	    (p->status_code >= STATUS_MIN && p->status_code <= STATUS_MAX);
+	    dh_http_status_is_valid(p->status_code);
 }
 
 /* Returns 1 for a message without a body, -1 for an invalid one, as http_parser
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -97,7 +97,8 @@
 	g_ptr_array_add(ex->answer_headers, g_strdup(value));
 }
 
-static void
+/* Returns false if the status line is not one of HTTP. */
+static bool
 begin_head(struct dh_exchange *ex, const char *line)
 {
 	const char *space = strchr(line, ' ');
@@ -112,6 +113,7 @@
 	if (ex->answer_headers != NULL)
 		g_ptr_array_unref(ex->answer_headers);
 	ex->answer_headers = g_ptr_array_new_with_free_func(g_free);
+	return dh_http_status_is_valid(ex->status);
 }
 
 static size_t
@@ -123,7 +125,9 @@
 
 	g_strchomp(line);
 	if (g_str_has_prefix(line, "HTTP/")) {
-		begin_head(ex, line);
+		/* After an error libcurl does not use the connection again. */
+		if (!begin_head(ex, line))
+			return 0;
 	} else if (line[0] == '\0') {
 		ex->headers_complete = true;
 		/* The connection delivers another request's answer: return an
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -309,6 +309,18 @@
 	    "HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n"
 	    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate",
 	    false },
+	{ "status-000", "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad",
+	    false },
+	{ "status-099", "HTTP/1.1 099 X\r\nContent-Length: 3\r\n\r\nbad",
+	    false },
+	{ "status-600", "HTTP/1.1 600 X\r\nContent-Length: 3\r\n\r\nbad",
+	    false },
+	{ "status-999", "HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nbad",
+	    false },
+	{ "status-000-refusal",
+	    "HTTP/1.1 000 X\r\nDh-Outcome: not-run\r\nContent-Length: 0\r\n"
+	    "\r\n",
+	    false },
 	{ "fault", "HTTP/1.1 500 Bad\r\nContent-Length: 3\r\n\r\nbad", false },
 };
 
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -37,6 +37,36 @@
 	fixture_stop(&fx);
 }
 
+/* Guards against an answer with a status that HTTP does not know and that is
+ * passed on, or believed when it says that the request has not run. */
+static void
+test_answer_with_invalid_status(void)
+{
+	static const char *const paths[] = { "/web/status-000",
+		"/web/status-099", "/web/status-600", "/web/status-999",
+		"/web/status-000-refusal" };
+	g_autofree char *text = NULL;
+	uint32_t opened;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		fixture_start(&fx);
+		g_free(text);
+		text = g_strdup_printf("POST %s HTTP/1.1\r\n" HOST
+				       "Content-Length: 4\r\n\r\nbody",
+		    paths[i]);
+		send_request(&fx, &r, text);
+		CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
+		CU_ASSERT_EQUAL(fake_seen(&fx.fake, paths[i]), 1);
+		/* The connection is not used again. */
+		opened = fx.fake.opened;
+		send_request(&fx, &r, GET("/web/echo"));
+		CU_ASSERT_EQUAL(r.status, 200);
+		CU_ASSERT_EQUAL(fx.fake.opened, opened + 1);
+		fixture_stop(&fx);
+	}
+}
+
 static void
 test_mismatched_answer(void)
 {
@@ -512,6 +542,8 @@
 {
 	CU_TestInfo tests[] = {
 		{ "cut answer", test_cut_answer },
+		{ "answer with an invalid status",
+		    test_answer_with_invalid_status },
 		{ "mismatched answer", test_mismatched_answer },
 		{ "stale answer", test_stale_answer },
 		{ "reused connection breaks", test_reused_connection_breaks },
