Gateway: the end of a connection ends an answer only once the request is there

Cause: the end of the stream ended the answer at once, while most of the upload was unsent or in flight. The reset came behind it; after a half-close recv() goes on to say "end", and only SO_ERROR tells of the reset.

Change: an answer that ends with the connection is complete once the other side has acknowledged the request (SIOCOUTQ), checked every 20 ms; a reset until then makes it a lost attempt: 502, and no repetition of what must not run twice. A backend server that reads the rest of the upload after a half-close is served as before, that much later. If it never reads on, the limits of the attempt hold. Answers between VMs pass the same code.

Not covered: a reset after the other side's kernel has taken the whole request, unread. Nothing tells it from an orderly end at that moment.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -2,9 +2,11 @@
  * Connections to backend servers.  A connection carries one request at a time,
  * and is reused only after a complete answer without extra bytes behind it.
  */
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/clock.h"
@@ -36,6 +38,9 @@
 /* A new connection that is reset within this time plus the round trip time
  * exceeded the backend server's connection limit. */
 #define RESET_ON_CONNECT_MS 30
+/* Time between checks whether a request has been delivered whose answer has
+ * ended. */
+#define DELIVERY_CHECK_MS 20
 /* Part of a backend server's connection limit that all routers together use. */
 #define CONNECTIONS_PERCENT 80
 #define CONNECTIONS_MIN 2
@@ -49,7 +54,7 @@
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_write_t write;
-	uv_timer_t timer; /* connect timeout */
+	uv_timer_t timer; /* connect timeout, then delivery checks */
 	int closing; /* number of handles being closed */
 	bool connected, written, closed, not_reusable;
 	int64_t connected_ms;
@@ -358,15 +363,64 @@
 }
 
 /* Whether the end of the connection is an orderly close: libuv reports UV_EOF
- * also for a connection that was reset after its last bytes. */
+ * also for a connection that was reset after its last bytes.  A reset that
+ * follows an orderly close shows in SO_ERROR only. */
 static bool
 closed_cleanly(struct dh_upstream *up)
 {
+	int fd, error = 0;
+	socklen_t len = sizeof(error);
 	char byte;
-	int fd;
 
 	return uv_fileno((uv_handle_t *)&up->tcp, &fd) == 0 &&
-	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0 &&
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
+	    error == 0;
+}
+
+/* Whether the other side has acknowledged all bytes of the request; if that
+ * cannot be told, whether all have been written. */
+static bool
+request_delivered(struct dh_upstream *up)
+{
+	int fd, unacked;
+
+	if (!up->written || uv_fileno((uv_handle_t *)&up->tcp, &fd) != 0)
+		return false;
+	return ioctl(fd, SIOCOUTQ, &unacked) != 0 || unacked == 0;
+}
+
+static void on_delivery_check(uv_timer_t *timer);
+
+/* Handles the end of the connection, which also ends an answer without a
+ * length.  As long as the request is still being sent, a reset may follow that
+ * shows that the answer was cut: the answer is complete once the request has
+ * been delivered. */
+static void
+connection_ended(struct dh_upstream *up)
+{
+	if (!closed_cleanly(up) || !dh_message_eof(&up->in) ||
+	    up->in.parser.status_code < 200 || !answer_matches_request(up)) {
+		dh_request_connection_lost(up->rq);
+		upstream_fail(up, DH_ATTEMPT_LOST,
+		    up->in.began ? "answer ended early" : "connection ended");
+		return;
+	}
+	if (!request_delivered(up)) {
+		uv_timer_start(
+		    &up->timer, on_delivery_check, DELIVERY_CHECK_MS, 0);
+		return;
+	}
+	up->not_reusable = true;
+	if (!up->pool->peer)
+		note_leaving(up);
+	answer_complete(up, false);
+}
+
+static void
+on_delivery_check(uv_timer_t *timer)
+{
+	connection_ended(timer->data);
 }
 
 /* Whether the answer is read at the pace of large ones. */
@@ -419,12 +473,8 @@
 		take_bytes(up, buf->base, (size_t)n);
 		return;
 	}
-	if (n == UV_EOF && closed_cleanly(up) && dh_message_eof(&up->in) &&
-	    up->in.parser.status_code >= 200 && answer_matches_request(up)) {
-		up->not_reusable = true;
-		if (!up->pool->peer)
-			note_leaving(up);
-		answer_complete(up, false);
+	if (n == UV_EOF) {
+		connection_ended(up);
 		return;
 	}
 	dh_request_connection_lost(up->rq);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -113,6 +113,31 @@
 	return false;
 }
 
+#define UPLOAD_BYTES_MAX ((size_t)900 << 10)
+
+/* Answer without a length when only the head of an upload has been read, and
+ * end the answer by a half-close.  Under /cut/ the connection is reset 50 ms
+ * later; else the rest of the upload is read then. */
+static bool
+send_early_answer(int fd, const char *head, const char *id)
+{
+	g_autofree char *text = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\n" STAMP ID ": %s\r\n\r\nbody", id);
+	char part[4096];
+
+	send_text(fd, text);
+	(void)shutdown(fd, SHUT_WR);
+	(void)usleep(50000);
+	if (strstr(head, "/cut/") != NULL) {
+		reset_connection(fd);
+		return false;
+	}
+	while (read(fd, part, sizeof(part)) > 0)
+		;
+	(void)close(fd);
+	return false;
+}
+
 #define LIMIT_PER_S 4.0
 #define CONCURRENT 3
 static gint concurrent; /* number of requests under /together/ */
@@ -216,6 +241,8 @@
 		send_text(fd,
 		    "HTTP/1.1 503 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
 		    "Content-Length: 0\r\n\r\n");
+	} else if (strstr(head, "/early/") != NULL) {
+		*open = send_early_answer(fd, head, id);
 	} else if (strstr(head, "/limited/") != NULL) {
 		send_text(fd, limited);
 	} else {
@@ -387,7 +414,8 @@
 	ssize_t n;
 
 	while (end == NULL || len < want) {
-		n = read(fd, buf + len, size - 1 - len);
+		/* Small reads leave the rest of an upload to the socket. */
+		n = read(fd, buf + len, MIN(size - 1 - len, 2048));
 		if (n <= 0) {
 			(void)close(fd);
 			return false;
@@ -398,8 +426,9 @@
 		if (end == NULL)
 			continue;
 		body = strstr(buf, "Content-Length: ");
-		want = (size_t)(end - buf) + 4 +
-		    (body == NULL ? 0 : strtoul(body + 16, NULL, 10));
+		want = (size_t)(end - buf) + 4;
+		if (body != NULL && strstr(buf, "/early/") == NULL)
+			want += strtoul(body + 16, NULL, 10);
 	}
 	if (idle_reset_ms != 0 && *idle_since_us != 0 &&
 	    g_get_monotonic_time() - *idle_since_us >= idle_reset_ms * 1000) {
@@ -511,7 +540,7 @@
 
 	d->version = 1;
 	d->header_bytes_max = 2000;
-	d->body_bytes_max = 100000;
+	d->body_bytes_max = UPLOAD_BYTES_MAX;
 	d->header_timeout_ms = 500;
 	d->idle_timeout_ms = 5000;
 	d->services = calloc(2, sizeof(*d->services));
@@ -527,6 +556,7 @@
 	add_route(d, "/shed/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/unframed-reset/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/short/", DH_REPEAT_NEVER, 0);
+	add_route(d, "/early/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/silent-once/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/ok/keyed/", DH_REPEAT_SAFE, 1);
 	add_route(d, "/ok/once/", DH_REPEAT_NEVER, 0);
@@ -837,6 +867,46 @@
 	stop_worker();
 }
 
+static unsigned int
+upload(const char *path, size_t len)
+{
+	g_autofree char *body = g_strnfill(len, 'u');
+	g_autofree char *text = g_strdup_printf(
+	    "POST %s HTTP/1.1\r\nHost: h.example\r\n" ID
+	    ": r1\r\nX-Dogwoodhub-Deadline-Ms: 900\r\nContent-Length: "
+	    "%zu\r\n\r\n%s",
+	    path, len, body);
+	int fd = connect_to_worker();
+	unsigned int status;
+
+	send_text(fd, text);
+	status = receive(fd, buf);
+	(void)close(fd);
+	return status;
+}
+
+/* Guards against an answer without a length that counts as complete although
+ * the connection is reset while the upload is being sent. */
+static void
+test_answer_that_is_cut_during_an_upload(void)
+{
+	/* The smaller one fits into the worker's send buffer. */
+	static const size_t sizes[] = { (size_t)200 << 10, UPLOAD_BYTES_MAX };
+	size_t i;
+
+	start_worker(2);
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		runs = 0;
+		CU_ASSERT_EQUAL(upload("/early/cut/", sizes[i]), 502);
+		CU_ASSERT_EQUAL(runs, 1);
+		/* The rest of the upload is read: the answer was complete. */
+		CU_ASSERT_EQUAL(upload("/early/", sizes[i]), 200);
+		CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\r\n\r\nbody"));
+		CU_ASSERT_EQUAL(runs, 2);
+	}
+	stop_worker();
+}
+
 /* The backend server closes in the middle of the head of its answer. */
 static void
 test_head_that_ends_early(void)
@@ -2031,6 +2101,8 @@
 		{ "answer with an invalid status",
 		    test_answer_with_invalid_status },
 		{ "unrepeatable", test_unrepeatable_request_is_sent_once },
+		{ "answer that is cut during an upload",
+		    test_answer_that_is_cut_during_an_upload },
 		{ "head that ends early", test_head_that_ends_early },
 		{ "not executed", test_not_executed_is_retried },
 		{ "refusal after a lost attempt",
