Tests: the load of test_runqueue does not depend on the order of arguments

Cause: play() drew the priority and the work of a request in two arguments of one call.

Change: the work is drawn first, in a statement of its own, as gcc on x86-64 did.

--- a/tests/test_runqueue.c
+++ b/tests/test_runqueue.c
@@ -272,16 +272,20 @@
 {
 	static struct play p;
 	struct dh_rng rng = { 7 };
-	double per_ms = (double)SLOTS / WORK_MS, rate;
+	double per_ms = (double)SLOTS / WORK_MS, rate, work_ms;
 	int64_t t;
 
 	memset(&p, 0, sizeof(p));
 	dh_run_queue_init(&p.q);
 	for (t = 0; t < 20000; t++) {
 		rate = per_ms * (t >= 1000 && t < 6000 ? load : 0.5);
-		if (t < 14000 && dh_rng_unit(&rng) < rate)
-			arrive(&p, (uint32_t)dh_rng_below(&rng, 2),
-			    -log(1 - dh_rng_unit(&rng)) * WORK_MS, ordered, t);
+		if (t < 14000 && dh_rng_unit(&rng) < rate) {
+			/* A statement of its own: the order of draws in
+			 * arguments differs between compilers. */
+			work_ms = -log(1 - dh_rng_unit(&rng)) * WORK_MS;
+			arrive(&p, (uint32_t)dh_rng_below(&rng, 2), work_ms,
+			    ordered, t);
+		}
 		step(&p, t);
 	}
 	return p.o;
