--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -132,8 +132,8 @@
 
 /* dh_registry_set_evacuated -- set the zones whose backend servers are to get
  * no requests, by name.  Keys are moved off them, and they are sent requests
- * for their keys for some time more.  For return_ms after a restore of the store
- * no zone is put back into use.  True if the next view will differ. */
+ * for their keys for some time more.  For return_ms after a restore of the
+ * store no zone is put back into use.  True if the next view will differ. */
 bool dh_registry_set_evacuated(struct dh_registry *r, const GPtrArray *zones);
 
 /* dh_registry_starting -- append the backend servers that start, and for which
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -116,6 +116,18 @@
 	return false;
 }
 
+/* Answer with the status that the path names, in three digits. */
+static void
+send_status(int fd, const char *head, const char *id)
+{
+	g_autofree char *text = g_strdup_printf("HTTP/1.1 %.3s X\r\n" STAMP ID
+						": %s\r\nContent-Length: 4\r\n"
+						"\r\nbody",
+	    strstr(head, " /status/") + strlen(" /status/"), id);
+
+	send_text(fd, text);
+}
+
 #define UPLOAD_BYTES_MAX ((size_t)900 << 10)
 
 /* Answer without a length when only the head of an upload has been read, and
@@ -244,6 +256,8 @@
 		send_text(fd,
 		    "HTTP/1.1 503 No\r\nX-Dogwoodhub-Not-Executed: 1\r\n"
 		    "Content-Length: 0\r\n\r\n");
+	} else if (strstr(head, " /status/") != NULL) {
+		send_status(fd, head, id);
 	} else if (strstr(head, "/early/") != NULL) {
 		*open = send_early_answer(fd, head, id);
 	} else if (strstr(head, "/limited/") != NULL) {
@@ -348,15 +362,6 @@
 		(void)close(fd);
 		return false;
 	}
-	if (strstr(head, " /status/") != NULL) {
-		g_autofree char *text =
-		    g_strdup_printf("HTTP/1.1 %.3s X\r\n" STAMP ID
-				    ": %s\r\nContent-Length: 4\r\n\r\nbody",
-			strstr(head, " /status/") + strlen(" /status/"), id);
-
-		send_text(fd, text);
-		return true;
-	}
 	if (strstr(head, " /nostamp/") != NULL) {
 		g_autofree char *text =
 		    g_strdup_printf("HTTP/1.1 200 OK\r\n" ID
