Gateway: a VM that reads for its zone says so once the store has answered

Cause: a VM that begins to read the store for its zone sent cursors at once, with the "reached" of the leader that had sent it the changes. Until its own first call had timed out, and for three cursors more, the others of the zone relied on it.

Change: it sends cursors once the store itself has answered it for each kind (dh_registry_reads_store()). Until then the next VM takes its turn.

Tests: test_owners "reader without the store" fails without the change to gateway/zonefeed.c (cursors are sent) and passes with it. "VM reads for its zone" answers its call for the configuration too, as the VM has to have read both kinds now.

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -68,6 +68,7 @@
 	/* Such calls since one was answered: the pause between them grows. */
 	uint32_t refreshes;
 	bool fed; /* the leader sends the changes */
+	bool answered; /* the store has answered since it is asked again */
 	bool poll_once; /* the next call asks without waiting for a change */
 	bool call_waits; /* the open call waits for a change */
 	bool listed;
@@ -169,6 +170,14 @@
 	f->h.reached(f->h.arg, reached);
 }
 
+/* The store answered a call for the list or for changes. */
+static void
+store_answered(struct dh_mirror *f, const char *why)
+{
+	f->answered = true;
+	set_reached(f, true, why);
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -279,7 +288,7 @@
 	f->as_of = f->last_change_as_of = f->list_as_of;
 	f->listed = true;
 	set_current(f, f->list_began_ms);
-	set_reached(f, true, "listed");
+	store_answered(f, "listed");
 }
 
 static void
@@ -336,7 +345,7 @@
 	switch (r->result) {
 	case DH_OBJECTS_OK:
 		f->poll_once = false;
-		set_reached(f, true, "watch answered");
+		store_answered(f, "watch answered");
 		log_changes(f, "store", r->as_of, r->nitems);
 		for (i = 0; i < r->nitems; i++)
 			apply_object(f, &r->items[i]);
@@ -432,6 +441,7 @@
 		return;
 	}
 	f->fed = fed;
+	f->answered = false;
 	dh_opslog_add(DH_OPS_STATE,
 	    fed ? "store.fed_by_leader" : "store.asked_again",
 	    ",\"kind\":\"%s\",\"as_of\":%llu", f->kind,
@@ -634,6 +644,12 @@
 	return f->listed;
 }
 
+bool
+dh_mirror_reads_store(const struct dh_mirror *f)
+{
+	return !f->fed && f->answered && f->reached;
+}
+
 int64_t
 dh_mirror_reached_ms(const struct dh_mirror *f)
 {
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -112,6 +112,11 @@
  * answers. */
 bool dh_mirror_reached(const struct dh_mirror *f);
 
+/* dh_mirror_reads_store -- whether the store itself answers.  False between the
+ * end of what another VM sent and the first answer of the store: until then
+ * dh_mirror_reached() says what the other VM did. */
+bool dh_mirror_reads_store(const struct dh_mirror *f);
+
 /* dh_mirror_listed -- whether the kind has been listed once. */
 bool dh_mirror_listed(const struct dh_mirror *f);
 
--- a/gateway/registry.c
+++ b/gateway/registry.c
@@ -682,6 +682,17 @@
 	}
 }
 
+bool
+dh_registry_reads_store(const struct dh_registry *reg)
+{
+	size_t i;
+
+	for (i = 0; i < DH_REGISTRY_KINDS; i++)
+		if (!dh_mirror_reads_store(reg->mirrors[i]))
+			return false;
+	return true;
+}
+
 static void
 follow_leader(struct dh_registry *reg, enum dh_registry_kind kind,
     const struct dh_registry_cursor *c)
--- a/gateway/registry.h
+++ b/gateway/registry.h
@@ -78,6 +78,9 @@
  * dh_registry_cursors -- how far this VM has read each kind; the leader sends
  * this to the other VMs.
  *
+ * dh_registry_reads_store -- whether the store itself answers this VM, for each
+ * kind; before its first answer the cursors are those of the leader before.
+ *
  * dh_registry_set_leader_cursors -- set how far the leader has read each kind.
  * A VM that stays behind asks the store.  NULL: there is no leader or it is
  * silent, and this VM watches the store itself.
@@ -88,6 +91,7 @@
     void (*send)(void *arg, const struct dh_registry_changes *n), void *arg);
 void dh_registry_cursors(const struct dh_registry *r,
     struct dh_registry_cursor cursors[DH_REGISTRY_KINDS]);
+bool dh_registry_reads_store(const struct dh_registry *r);
 void dh_registry_set_leader_cursors(
     struct dh_registry *r, const struct dh_registry_cursor *cursors);
 void dh_registry_apply_changes(
--- a/gateway/zonefeed.c
+++ b/gateway/zonefeed.c
@@ -105,7 +105,9 @@
 	GHashTableIter it;
 	gpointer ip, value;
 
-	if (now_ms - o->cursors_sent_ms < o->c.settings->beat_ms)
+	/* Others would rely on a VM that does not reach the store either. */
+	if (now_ms - o->cursors_sent_ms < o->c.settings->beat_ms ||
+	    !dh_registry_reads_store(o->c.registry))
 		return;
 	o->cursors_sent_ms = now_ms;
 	dh_registry_cursors(o->c.registry, c.cursors);
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -527,6 +527,7 @@
 	run_for(&fx, 4 * fx.settings.beat_ms);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open(dh_wire_kind_servers));
 	answer_with(dh_wire_kind_servers, DH_OBJECTS_OK, 11, "{}");
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, NULL, 0);
 	for (i = 0; i < 20 && !last_cursors.cursors[0].reached; i++)
 		run_for(&fx, 20);
 	CU_ASSERT_TRUE(cursors > 0);
@@ -544,6 +545,41 @@
 	json_object_put(elsewhere);
 }
 
+/* Guards against a VM that reads for its zone, does not reach the store, and
+ * keeps the other VMs there from reading it themselves. */
+static void
+test_reader_without_the_store_says_nothing(void)
+{
+	struct json_object *o = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.2\",\"core_share_milli\":100,\"zone\":\"z\","
+	    "\"relays\":1}");
+	struct dh_object_view v = {
+		.name = "vm.vm-2", .revision = 7, .spec = o
+	};
+	struct fixture fx;
+	int i;
+
+	start(&fx, &v, 1);
+	fx.settings.silence_ms = 2000;
+	send_beat(&fx, 3);
+	if (fake_open(dh_wire_kind_servers) != NULL)
+		fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	cursors = 0;
+	run_for(&fx, 12 * fx.settings.beat_ms);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fake_open(dh_wire_kind_servers));
+	CU_ASSERT_EQUAL(cursors, 0);
+	/* Half of what it reads is not enough. */
+	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
+	run_for(&fx, 4 * fx.settings.beat_ms);
+	CU_ASSERT_EQUAL(cursors, 0);
+	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, NULL, 0);
+	for (i = 0; i < 20 && cursors == 0; i++)
+		run_for(&fx, 20);
+	CU_ASSERT_TRUE(cursors > 0);
+	stop(&fx);
+	json_object_put(o);
+}
+
 /* The leader reaches the store and this VM, but no backend server: leases would
  * end. */
 static void
@@ -1453,6 +1489,8 @@
 		{ "outage known without a turn",
 		    test_outage_is_known_without_a_turn },
 		{ "VM reads for its zone", test_vm_reads_for_its_zone },
+		{ "reader without the store",
+		    test_reader_without_the_store_says_nothing },
 		{ "leader without backend servers",
 		    test_leader_without_backend_servers_is_replaced },
 		{ "leader says so",
