Router: the delivery of a request is asked of the transfer's own socket

Repeated by twelve processes side by side: 168 of 480 times.

Cause: the progress callback asked libcurl for the socket. It tells that only after the end of a transfer (-1 in a trial that printed it), so that only the bytes written counted, and under load all of them were in the send buffer.

Change: the HTTP client keeps the socket of each transfer, from libcurl's socket callback (dh_http_socket()).

--- a/base/http.c
+++ b/base/http.c
@@ -23,6 +23,7 @@
 struct transfer {
 	dh_http_done_fn done;
 	void *arg;
+	curl_socket_t fd; /* CURL_SOCKET_BAD: none yet */
 };
 
 struct socket_watch {
@@ -83,9 +84,11 @@
 {
 	struct dh_http *h = arg;
 	struct socket_watch *w = socket_arg;
+	struct transfer *tr = g_hash_table_lookup(h->transfers, easy);
 	int events = 0;
 
-	(void)easy;
+	if (tr != NULL && what != CURL_POLL_REMOVE)
+		tr->fd = fd;
 	if (what == CURL_POLL_REMOVE) {
 		if (w != NULL) {
 			uv_poll_stop(&w->poll);
@@ -186,10 +189,19 @@
 
 	tr->done = done;
 	tr->arg = arg;
+	tr->fd = CURL_SOCKET_BAD;
 	g_hash_table_insert(h->transfers, easy, tr);
 	curl_multi_add_handle(h->multi, easy);
 }
 
+curl_socket_t
+dh_http_socket(const struct dh_http *h, CURL *easy)
+{
+	const struct transfer *tr = g_hash_table_lookup(h->transfers, easy);
+
+	return tr == NULL ? CURL_SOCKET_BAD : tr->fd;
+}
+
 void
 dh_http_cancel(struct dh_http *h, CURL *easy)
 {
--- a/base/http.h
+++ b/base/http.h
@@ -37,6 +37,10 @@
 void dh_http_start(
     struct dh_http *h, CURL *easy, dh_http_done_fn done, void *arg);
 
+/* dh_http_socket -- returns the socket that a running transfer uses, or
+ * CURL_SOCKET_BAD if it has none yet.  libcurl tells it only after the end. */
+curl_socket_t dh_http_socket(const struct dh_http *h, CURL *easy);
+
 /* dh_http_cancel -- cancel a transfer without running its call-back. */
 void dh_http_cancel(struct dh_http *h, CURL *easy);
 
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -164,7 +164,7 @@
     curl_off_t request_all, curl_off_t request_now)
 {
 	struct dh_exchange *ex = arg;
-	curl_socket_t fd = CURL_SOCKET_BAD;
+	curl_socket_t fd = dh_http_socket(ex->lane->http, ex->easy);
 	int unacked = 0;
 
 	(void)answer_all;
@@ -172,7 +172,6 @@
 	(void)request_all;
 	if (!answer_ends_with_connection(ex))
 		return 0;
-	curl_easy_getinfo(ex->easy, CURLINFO_ACTIVESOCKET, &fd);
 	if (fd != CURL_SOCKET_BAD && ioctl(fd, SIOCOUTQ, &unacked) != 0)
 		unacked = 0;
 	ex->request_undelivered = unacked > 0 || !ex->request_ended ||
