--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -36,7 +36,7 @@
 mutate LAPSE 's/r->grant_arrival_ms \+ own_lease_limit_ms\(ks\)/r->grant_arrival_ms/'
 # The last orders of a former leader are not waited for.
 mutate FOREIGN 's/return ks->former_stop_ms \+ ks->former_lease_max_ms;/return 0;/'
-mutate FOREIGN_SOLO 's/ks->former_stop_ms = now_ms \+ ks->p.storeless_max_ms;/ks->former_stop_ms = now_ms;/'
+mutate FOREIGN_SOLO 's/ks->former_stop_ms = last_write_ms \+ ks->p.storeless_max_ms;/ks->former_stop_ms = last_write_ms;/'
 # The record says that no former leader sends orders, although one may.
 mutate SOLE 's/ks->sole_leader = now_ms >= ks->former_stop_ms;/ks->sole_leader = true;/'
 # The leases of a former leader that has stopped are not waited for.
