--- /dev/null
+++ b/review/standin-3/relay.c
@@ -0,0 +1,2 @@
+#include "http3.h"
+int main(void){return 0;}
