Review 3, case 11: a stale leader grants keys that have other owners

Cause: a leader that froze orders again 0.6 s after it woke, without an answer of the store and cut off from its successor; an upstream that has started again knows no tokens and takes the old ones.

--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -62,10 +62,12 @@
 	start store $bin/store "$store_port" "$record" "$1"
 }
 
-# start_upstream I SERVICE SLOTS KEYED
+# start_upstream I SERVICE SLOTS KEYED [ADVERTISED_PORT ZONE]
 start_upstream() {
-	start "up$1" $bin/upstream "i-$1" "$2" $((upstream_port + $1)) \
-	    "$store_port" "$3" "$4" "$record"
+	i=$1 service=$2 slots=$3 keyed=$4
+	shift 4
+	start "up$i" $bin/upstream "i-$i" "$service" $((upstream_port + i)) \
+	    "$store_port" "$slots" "$keyed" "$record" "$@"
 }
 
 # The address at which gateway $1 reaches the store, and its port for peers.
@@ -79,7 +81,7 @@
 	"vm": "front-z1-$1",
 	"zone": "z1",
 	"region": "r1",
-	"zones": "z1=r1",
+	"zones": "z1=r1,z2=r2",
 	"listen_url": "http://127.0.0.$((10 + $1)):$front_port",
 	"ready_url": "http://127.0.0.$((10 + $1)):$ready_port",
 	"store_url": "http://127.0.0.1:$(store_port_of "$1")",
--- a/review/standin-3/upstream.c
+++ b/review/standin-3/upstream.c
@@ -6,6 +6,9 @@
  * whose key it holds.
  *
  * usage: upstream ID SERVICE PORT STORE_PORT SLOTS KEYED RECORD
+ *     [ADVERTISED_PORT ZONE]
+ * With ADVERTISED_PORT its entry names that port, which belongs to a stand-in
+ * for the network.
  */
 #include "http3.h"
 
@@ -15,8 +18,8 @@
 #define QUEUE_MAX 12
 #define BEAT_MS 870
 
-static const char *id, *service;
-static int port, store_port, slots;
+static const char *id, *service, *zone = "z1";
+static int port, advertised_port, store_port, slots;
 static bool keyed;
 static int64_t born_ms;
 static int running, waiting;
@@ -62,10 +65,10 @@
 	for (;; (void)usleep(BEAT_MS * 1000)) {
 		(void)snprintf(body, sizeof(body),
 		    "{\"metadata\":{\"name\":\"%s\"},\"spec\":{\"service\":"
-		    "\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
+		    "\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
 		    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
 		    "\"cold_left_s\":0,\"sequence\":%d,\"born\":%lld}}",
-		    id, service, port, slots, ++sequence, (long long)born_ms);
+		    id, service, advertised_port, zone, slots, ++sequence, (long long)born_ms);
 		(void)snprintf(path, sizeof(path),
 		    "/dogwoodhub/objects/servers/%s", id);
 		if (call_store("PUT", path, body) == 404)
@@ -273,7 +276,7 @@
 	pthread_t t;
 	int fd;
 
-	if (argc != 8)
+	if (argc != 8 && argc != 10)
 		return 2;
 	(void)signal(SIGPIPE, SIG_IGN);
 	id = argv[1];
@@ -283,6 +286,8 @@
 	slots = atoi(argv[5]);
 	keyed = atoi(argv[6]) != 0;
 	record_open(argv[7]);
+	advertised_port = argc == 10 ? atoi(argv[8]) : port;
+	zone = argc == 10 ? argv[9] : zone;
 	born_ms = wall_ms();
 	fd = listen_on("127.0.0.1", port);
 	record("start %s born=%lld pid=%d", id, (long long)born_ms,
