--- a/review/standin-3/store.c
+++ b/review/standin-3/store.c
@@ -243,6 +243,24 @@
 	return j;
 }
 
+/* Decodes %XX in place. */
+static void
+unescape(char *s)
+{
+	char *to = s;
+	unsigned int c;
+
+	for (; *s != '\0'; s++) {
+		if (*s == '%' && sscanf(s + 1, "%2x", &c) == 1) {
+			*to++ = (char)c;
+			s += 2;
+		} else {
+			*to++ = *s;
+		}
+	}
+	*to = '\0';
+}
+
 static void *
 serve(void *arg)
 {
@@ -264,6 +282,8 @@
 		name = strchr(kind, '/');
 		if (name != NULL)
 			*name++ = '\0';
+		if (name != NULL)
+			unescape(name);
 		pthread_mutex_lock(&lock);
 		j = strcmp(m->method, "GET") == 0
 		    ? get(kind, name, query, &status)
