--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -2,6 +2,8 @@
 # The leader freezes and is cut off from the store and the other machines; an
 # upstream crashes meanwhile and starts again under its id.  See claim.txt.
 here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt
+trouble=${TROUBLE:-1} # 0: without the disruption
 . "$here/../lib-3.sh"
 
 # Gateway 1 reaches the store and the other gateways through proxies.
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,6 +2,8 @@
 # A gateway gets SIGTERM while clients upload and others place orders.  See
 # claim.txt.
 here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt
+trouble=${TROUBLE:-1} # 0: without the disruption
 . "$here/../lib-3.sh"
 
 cat >"$dir/config.json" <<END
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,12 +1,11 @@
 # Functions of the scripts in review/11 to review/15: a small deployment on
 # loopback addresses, with one process for the store, each upstream, each client
-# and each gateway.  A script sets $here, its folder, and sources this file.
+# and each gateway.  A script sets $here, its folder, $record, the file of what was
+# sent, answered and run, and $trouble, and sources this file.
 
 root=$(cd "$here/../.." && pwd)
 cd "$root" || exit 2
 bin=target/review-3
-trouble=${TROUBLE:-1}
-record=$here/record.txt
 dir=$(mktemp -d "${TMPDIR:-/tmp}/review.XXXXXX") || exit 2
 pids=
 
