--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -49,7 +49,7 @@
 	wait_served 10 "$g" GET /feed/w $keys
 done
 [ "$(leader 1 2 3 4 5 6)" = 1 ] || cannot_run "gateway 1 does not lead"
-sleep 2
+sleep 3.8
 
 # An empty upstream comes: the leader moves keys to it.
 # shellcheck disable=SC2154
