--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -69,6 +69,8 @@
 	    "$record" | head -n 1)
 	[ $(($(ms) - began)) -lt 8000 ] || cannot_run "no keys move to i-8"
 done
+[ "$trouble" = 0 ] || grep -q ' store down: ' "$record" ||
+	cannot_run "the store did not go down at a move"
 began=$(ms)
 key=$from
 note "key $key moves to i-8"
