--- a/base/http.c
+++ b/base/http.c
@@ -223,6 +223,15 @@
 	bool reset_on_close;
 };
 
+static curl_socket_t
+refuse_socket(void *arg, curlsocktype purpose, struct curl_sockaddr *address)
+{
+	(void)arg;
+	(void)purpose;
+	(void)address;
+	return CURL_SOCKET_BAD;
+}
+
 static int
 on_socket_created(void *arg, curl_socket_t fd, curlsocktype purpose)
 {
@@ -365,6 +374,9 @@
 		    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)rq->connect_ms);
 	if (rq->fresh_connection)
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	if (rq->kept_connection)
+		curl_easy_setopt(
+		    easy, CURLOPT_OPENSOCKETFUNCTION, refuse_socket);
 	dh_http_start(h, easy, fetch_done, f);
 	return f;
 }
--- a/base/http.h
+++ b/base/http.h
@@ -58,6 +58,8 @@
 	int64_t timeout_ms; /* of the whole exchange */
 	int64_t connect_ms; /* timeout of connecting; 0: only timeout_ms */
 	bool fresh_connection; /* open a new connection */
+	/* Use a kept connection only; without one the request fails unsent. */
+	bool kept_connection;
 	/* TCP keepalive of a connection that this request opens: the kernel
 	 * sends the first probe after keepalive_s of silence and closes the
 	 * connection after about three times that.  0: no keepalive. */
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -750,11 +750,15 @@
 		copy_string(
 		    order->handover, sizeof(order->handover), r->handover);
 	r->order_id = order->order_id;
-	r->order_outdated = false;
+	r->order_outdated = r->withheld = false;
 	r->order_kind = kind;
 	r->order_sent_ms = now_ms;
-	if (kind == DH_KEY_GRANT)
+	if (kind == DH_KEY_GRANT) {
+		order->same_process =
+		    now_ms >= ks->leading_ms + ks->p.leading_valid_ms;
+		r->earlier_arrival_ms = r->grant_arrival_ms;
 		r->grant_arrival_ms = now_ms;
+	}
 	return true;
 }
 
@@ -783,12 +787,55 @@
 	}
 }
 
+/* Returns whether the range, which has an owner, may be granted to it. */
+static bool
+may_grant(const struct dh_keyspace *ks, const struct range *r)
+{
+	const struct server *s = &ks->servers[r->owner];
+
+	/* A record stored after this incarnation became known confirms that
+	 * this leader still leads; before, nothing is granted. */
+	if (s->dead || s->unresponsive ||
+	    ks->stored_serial <= s->first_seen_serial)
+		return false;
+	/* If the record may contain the move, a new leader may have had the
+	 * range released; a renewal would revive the lease. */
+	return !(r->pending == PENDING_MOVE && r->pending_first_serial != 0);
+}
+
+void
+dh_keyspace_note_leading(struct dh_keyspace *ks, int64_t at_ms)
+{
+	size_t i;
+
+	if (at_ms <= ks->leading_ms)
+		return;
+	ks->leading_ms = at_ms;
+	for (i = 0; i < ks->nranges; i++)
+		if (ks->ranges[i].withheld)
+			ks->ranges[i].due_ms = at_ms;
+}
+
+bool
+dh_keyspace_is_withholding(const struct dh_keyspace *ks)
+{
+	const struct range *r;
+	size_t i;
+
+	for (i = 0; i < ks->nranges; i++) {
+		r = &ks->ranges[i];
+		if (r->withheld && r->order_id == 0 &&
+		    (r->state == RANGE_GRANTING || r->state == RANGE_SETTLED) &&
+		    may_grant(ks, r))
+			return true;
+	}
+	return false;
+}
+
 static bool
 next_range_order(struct dh_keyspace *ks, struct range *r, int64_t now_ms,
     struct dh_key_order *order)
 {
-	struct server *s;
-
 	if (r->order_id != 0 || now_ms < r->due_ms)
 		return false;
 	if (r->state != RANGE_SETTLED && now_ms < r->unknown_lease_until_ms)
@@ -808,15 +855,7 @@
 		return true;
 	case RANGE_GRANTING:
 	case RANGE_SETTLED:
-		s = &ks->servers[r->owner];
-		/* A record stored after this incarnation became known confirms
-		 * that this leader still leads; before, nothing is granted. */
-		if (s->dead || s->unresponsive ||
-		    ks->stored_serial <= s->first_seen_serial)
-			return false;
-		/* If the record may contain the move, a new leader may have
-		 * had the range released; a renewal would revive the lease. */
-		if (r->pending == PENDING_MOVE && r->pending_first_serial != 0)
+		if (!may_grant(ks, r))
 			return false;
 		return fill_order(ks, r, r->owner, DH_KEY_GRANT, now_ms, order);
 	}
@@ -893,6 +932,11 @@
 		s->unresponsive = true;
 		s->probe_ms = now_ms + ks->p.probe_ms;
 		return true;
+	case DH_KEY_WITHHELD:
+		r->grant_arrival_ms = r->earlier_arrival_ms;
+		r->due_ms = now_ms + ks->p.probe_ms;
+		r->withheld = true;
+		return true;
 	}
 	return true;
 }
--- a/core/keyspace_internal.h
+++ b/core/keyspace_internal.h
@@ -75,6 +75,8 @@
 	bool order_outdated;
 	/* The latest time at which the last grant may have arrived. */
 	int64_t grant_arrival_ms;
+	int64_t earlier_arrival_ms; /* the same, before the order in flight */
+	bool withheld; /* the last grant was, and no order has followed */
 	/* A grant that was not answered may be executed until this time, also
 	 * after later orders. */
 	int64_t late_grant_until_ms;
@@ -114,6 +116,8 @@
 	/* Serial of the last export that the store has lost; 0 if none.  Only
 	 * renewals are sent until a later export is stored. */
 	uint64_t lost_serial;
+	/* No later leader was in office at this time. */
+	int64_t leading_ms;
 	uint64_t next_fence;
 	uint64_t order_count; /* number of orders made */
 	uint64_t serial; /* serial of the last export */
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -123,8 +123,10 @@
 static enum dh_key_answer
 classify_reply(const struct order *w, const struct dh_http_reply *reply)
 {
+	if (reply->status == 0 && reply->sent)
+		return DH_KEY_UNANSWERED;
 	if (reply->status == 0)
-		return reply->sent ? DH_KEY_UNANSWERED : DH_KEY_NOT_SENT;
+		return w->o.same_process ? DH_KEY_WITHHELD : DH_KEY_NOT_SENT;
 	if (w->o.kind == DH_KEY_PROBE)
 		return reply->status == 421 ? DH_KEY_NOT_SENT : DH_KEY_ACCEPTED;
 	switch (reply->status) {
@@ -157,7 +159,7 @@
 log_order(const struct order *w, long status, enum dh_key_answer answer)
 {
 	static const char *const names[] = { "accepted", "refused", "silent",
-		"unsent" };
+		"unsent", "withheld" };
 
 	if (answer == DH_KEY_ACCEPTED && w->o.kind == DH_KEY_GRANT)
 		return;
@@ -217,7 +219,8 @@
 	bool ours;
 
 	log_order(w, reply->status, answer);
-	note_reach(w, reply->status != 0);
+	if (answer != DH_KEY_WITHHELD)
+		note_reach(w, reply->status != 0);
 	if (dh_wire_leaving(dh_http_header(reply, dh_wire_headers.leaving)))
 		dh_registry_mark_leaving(
 		    d->c.registry, w->o.server, w->start_ms);
@@ -246,6 +249,7 @@
 	    g_strconcat(dh_wire_headers.expected_server, ": ", o->server, NULL);
 	const char *const headers[] = { "Content-Type: application/json",
 		expected, NULL };
+	struct dh_http *http = d->c.http;
 	struct dh_http_request rq = { .method = "POST",
 		.headers = headers,
 		.answer_max = REPLY_MAX,
@@ -261,6 +265,10 @@
 	case DH_KEY_GRANT:
 		url = g_strconcat("http://", address, dh_wire_grant_path, NULL);
 		body = dh_wire_grant(o);
+		/* Each kept connection of this client was opened for a grant
+		 * of a leader that was in office. */
+		http = d->c.grants;
+		rq.kept_connection = o->same_process;
 		break;
 	case DH_KEY_RELEASE:
 		url =
@@ -289,7 +297,7 @@
 	w->link.data = w;
 	g_queue_push_tail_link(&d->orders, &w->link);
 	d->releases += o->kind == DH_KEY_RELEASE;
-	w->fetch = dh_http_fetch(d->c.http, &rq, on_order_reply, w);
+	w->fetch = dh_http_fetch(http, &rq, on_order_reply, w);
 }
 
 static int64_t
@@ -350,6 +358,7 @@
 	d->in_doubt = false;
 	d->retry_pause_ms = STORE_PAUSE_MIN_MS;
 	d->c.confirmed(d->c.arg, d->write_began_ms);
+	dh_keyspace_note_leading(d->ks, d->write_began_ms);
 	dh_keyspace_record_stored(d->ks, serial);
 	run_due_work(d);
 }
@@ -656,7 +665,7 @@
 	    d, &record, d->revision == 0 ? d->c.term_began_ms : dh_clock_ms());
 	dh_record_clear(&record);
 	d->loaded = true;
-	dh_duty_step(d, d->orders_allowed);
+	dh_duty_step(d, d->orders_allowed, 0);
 }
 
 static void
@@ -702,7 +711,10 @@
 		.probe_ms = PROBE_INTERVAL_MS,
 		.storeless_max_ms = c->settings->solo_ms,
 		.drift_permille = CLOCK_DRIFT_PERMILLE,
-		.margin_ms = LEASE_MARGIN_MS };
+		.margin_ms = LEASE_MARGIN_MS,
+		/* VMs that have just heard this leader elect no other one for
+		 * that long. */
+		.leading_valid_ms = c->settings->silence_ms };
 
 	d->c = *c;
 	d->service = g_strdup(service);
@@ -784,11 +796,18 @@
 	    s.ranges, s.moving, s.servers, s.unresponsive);
 }
 
+bool
+dh_duty_is_withholding(const struct dh_duty *d)
+{
+	return dh_keyspace_is_withholding(d->ks);
+}
+
 void
-dh_duty_step(struct dh_duty *d, bool send_orders)
+dh_duty_step(struct dh_duty *d, bool send_orders, int64_t leading_ms)
 {
 	int64_t now_ms = dh_clock_ms();
 
+	dh_keyspace_note_leading(d->ks, leading_ms);
 	d->orders_allowed = send_orders;
 	d->last_step_ms = now_ms;
 	dh_identity_step(d->identity, d->service, health_path(d), now_ms);
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -26,7 +26,8 @@
 
 struct dh_duty_context {
 	const struct dh_gateway_settings *settings;
-	struct dh_http *http;
+	struct dh_http *http; /* for releases and probes */
+	struct dh_http *grants; /* sends grants, and nothing else */
 	struct dh_objects *objects;
 	struct dh_registry *registry;
 	const char *kind; /* store kind of the object that holds the record */
@@ -57,10 +58,15 @@
     const struct dh_duty_context *c, const char *service);
 void dh_duty_free(struct dh_duty *d);
 
-/* dh_duty_step -- plan changes, store the record and send the orders that are
- * due; orders are sent only if send_orders is true.  The caller does this every
- * few tens of milliseconds. */
-void dh_duty_step(struct dh_duty *d, bool send_orders);
+/*
+ * dh_duty_step -- plan changes, store the record and send the orders that are
+ * due; orders are sent only if send_orders is true.  No later leader was in
+ * office at leading_ms.  The caller does this every few tens of milliseconds.
+ *
+ * dh_duty_is_withholding -- whether a grant waits for a later leading_ms.
+ */
+void dh_duty_step(struct dh_duty *d, bool send_orders, int64_t leading_ms);
+bool dh_duty_is_withholding(const struct dh_duty *d);
 
 /*
  * dh_duty_store_rolled_back -- the store was restored from an older copy, in a
--- a/gateway/election.c
+++ b/gateway/election.c
@@ -15,6 +15,8 @@
  * while it cannot reach the store. */
 #define CONFIRM_INTERVAL_MS 2000
 #define CONFIRM_RETRY_MS 500
+/* How often it asks while a grant waits for the answer. */
+#define CONFIRM_AWAITED_MS 250
 /* How often the leader reads the object "leader" after the store was restored
  * from an older copy, until it has a term of the new era. */
 #define RECLAIM_RETRY_MS 250
@@ -133,6 +135,19 @@
 	dh_peer_publish_changes(o->peer, f, n, o->term);
 }
 
+/* A new term begins: reports of the earlier one say nothing of it. */
+static void
+forget_followers(struct dh_owners *o)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	memset(o->beats_ms, 0, sizeof(o->beats_ms));
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct peer_state *)value)->followed_ms = 0;
+}
+
 static void
 become_leader(struct dh_owners *o, int64_t began_ms)
 {
@@ -148,7 +163,9 @@
 	o->confirm_failed = false;
 	o->stalled = false;
 	o->last_step_ms = 0;
-	o->confirmed_ms = began_ms;
+	o->confirmed_ms = o->leading_ms = began_ms;
+	o->unconfirmed = false;
+	forget_followers(o);
 	o->call_began_ms = dh_clock_ms();
 	(void)g_strlcpy(o->leader_vm, o->c.settings->vm, sizeof(o->leader_vm));
 	(void)g_strlcpy(o->leader_ip, o->c.ip, sizeof(o->leader_ip));
@@ -176,6 +193,7 @@
 	const struct dh_deployment *d = dh_registry_deployment(o->c.registry);
 	struct dh_duty_context c = { .settings = o->c.settings,
 		.http = o->c.http,
+		.grants = o->c.grants,
 		.objects = o->c.objects,
 		.registry = o->c.registry,
 		.kind = DH_OWNERS_KIND,
@@ -297,6 +315,7 @@
 	o->term = next_term(o);
 	o->term_began_ms = dh_clock_ms();
 	o->confirmed_ms = o->call_began_ms;
+	forget_followers(o);
 	o->store_restored_ms = 0;
 	o->stalled = false;
 	g_hash_table_iter_init(&it, o->duties);
@@ -413,6 +432,7 @@
 	GHashTableIter it;
 	gpointer ip, value;
 
+	o->beats_ms[beat.number % DH_OWNERS_BEATS_KEPT] = now_ms;
 	(void)g_strlcpy(beat.vm, o->c.settings->vm, sizeof(beat.vm));
 	dh_registry_cursors(o->c.registry, beat.cursors);
 	dh_limits_share(o->limits, limits, now_ms);
@@ -574,12 +594,78 @@
 	return true;
 }
 
+void
+owners_note_follower(struct dh_owners *o, struct peer_state *p, uint64_t beat)
+{
+	if (beat == 0 || beat > o->beat_number ||
+	    o->beat_number - beat >= DH_OWNERS_BEATS_KEPT)
+		return;
+	p->followed_ms =
+	    MAX(p->followed_ms, o->beats_ms[beat % DH_OWNERS_BEATS_KEPT]);
+}
+
+/* Returns a time at which all other VMs followed this leader, or 0.  A VM does
+ * not count that had been silent for some time when the store confirmed that
+ * this VM leads: had it reached the store, it would have been elected. */
+static int64_t
+followed_by_all_ms(const struct dh_owners *o)
+{
+	int64_t counted_ms = o->confirmed_ms - PEER_TIMEOUT_MS;
+	int64_t all_ms = INT64_MAX;
+	GHashTableIter it;
+	gpointer value;
+
+	if (!dh_mirror_listed(o->mirror))
+		return 0;
+	g_hash_table_iter_init(&it, o->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer_state *p = value;
+
+		if (MAX(p->heard_ms, o->elected_ms) >= counted_ms)
+			all_ms = MIN(all_ms, p->followed_ms);
+	}
+	return all_ms == INT64_MAX ? 0 : all_ms;
+}
+
+/* Updates leading_ms from what the store and the other VMs have said. */
+static void
+update_leading(struct dh_owners *o, int64_t now_ms)
+{
+	bool unconfirmed;
+
+	o->leading_ms =
+	    MAX(o->leading_ms, MAX(o->confirmed_ms, followed_by_all_ms(o)));
+	unconfirmed = is_failing(o, now_ms) &&
+	    now_ms - o->leading_ms >= o->c.settings->silence_ms;
+	if (unconfirmed != o->unconfirmed)
+		dh_opslog_add(DH_OPS_STATE,
+		    unconfirmed ? "leader.unconfirmed" : "leader.confirmed",
+		    ",\"term\":%llu,\"leading_ms_ago\":%lld",
+		    (unsigned long long)o->term,
+		    (long long)(now_ms - o->leading_ms));
+	o->unconfirmed = unconfirmed;
+}
+
+static bool
+is_withholding(const struct dh_owners *o)
+{
+	GHashTableIter it;
+	gpointer duty;
+
+	g_hash_table_iter_init(&it, o->duties);
+	while (g_hash_table_iter_next(&it, NULL, &duty))
+		if (dh_duty_is_withholding(duty))
+			return true;
+	return false;
+}
+
 /* Asks the store whether this VM still leads. */
 static void
 confirm(struct dh_owners *o, int64_t now_ms)
 {
-	int64_t pause_ms =
-	    is_failing(o, now_ms) ? CONFIRM_RETRY_MS : CONFIRM_INTERVAL_MS;
+	int64_t pause_ms = is_withholding(o) ? CONFIRM_AWAITED_MS
+	    : is_failing(o, now_ms)	     ? CONFIRM_RETRY_MS
+					     : CONFIRM_INTERVAL_MS;
 
 	if (o->call != NULL ||
 	    (now_ms - o->call_began_ms < pause_ms &&
@@ -619,11 +705,12 @@
 		o->beat_sent_ms = now_ms;
 		owners_send_beats(o, now_ms);
 	}
+	update_leading(o, now_ms);
 	g_hash_table_iter_init(&it, o->duties);
 	while (g_hash_table_iter_next(&it, NULL, &duty)) {
 		if (dh_duty_awaits_followers(duty) && all_vms_follow(o))
 			dh_duty_note_all_follow(duty);
-		dh_duty_step(duty, !solo_expired && !o->stalled);
+		dh_duty_step(duty, !solo_expired && !o->stalled, o->leading_ms);
 	}
 	if (now_ms - o->confirmed_ms < CONFIRM_INTERVAL_MS) {
 		o->election_pause_ms = 0;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -25,8 +25,8 @@
 #define ADMIN_CONNECTIONS 64
 #define ADMIN_MEMORY 8192
 #define ADMIN_IDLE_S 30
-/* Limit of idle connections to the store and, for orders, to backend servers.
- */
+/* Limit of idle connections of the client that calls the store, and of the one
+ * that sends grants to backend servers. */
 #define CONNECTIONS_KEPT 512
 /* Time after SIGTERM for which new connections are accepted: the load balancer
  * sends connections until two readiness checks, one per second, have failed. */
@@ -43,6 +43,7 @@
 	uv_idle_t publish_soon;
 	uv_signal_t signals[3];
 	struct dh_http *http;
+	struct dh_http *grants; /* sends grants of keys only */
 	struct dh_objects *objects;
 	struct dh_registry *registry;
 	struct dh_owners *owners;
@@ -350,6 +351,7 @@
 	char text[512];
 	struct dh_owners_context c = { .loop = &g->loop,
 		.http = g->http,
+		.grants = g->grants,
 		.objects = g->objects,
 		.settings = &g->settings,
 		.ip = ip,
@@ -387,6 +389,8 @@
 
 	g->http = dh_http_new(&g->loop);
 	dh_http_set_idle_max(g->http, CONNECTIONS_KEPT);
+	g->grants = dh_http_new(&g->loop);
+	dh_http_set_idle_max(g->grants, CONNECTIONS_KEPT);
 	g->objects = dh_objects_new(g->http, g->settings.store_url);
 	g->search = dh_neighbour_find(
 	    g->objects, DH_OWNERS_KIND, &g->settings, on_neighbour_found, g);
@@ -417,6 +421,7 @@
 	dh_httpd_free(g->ready);
 	dh_httpd_free(g->lists);
 	dh_httpd_free(g->metrics);
+	dh_http_free(g->grants);
 	dh_http_free(g->http);
 	dh_timer_free(g->tick);
 	g_free(g->workers);
--- a/gateway/gossip.c
+++ b/gateway/gossip.c
@@ -56,7 +56,6 @@
 	if (beat->term > o->term || strcmp(o->leader_ip, ip) != 0) {
 		o->leader_ip[0] = '\0';
 		owners_set_leader(o, beat->term, beat->vm, ip);
-		o->beat_number = 0;
 	}
 	log_heartbeat_gap(o, beat, dh_clock_ms());
 	o->beat_number = beat->number;
@@ -263,6 +262,8 @@
 		p = owners_get_peer(o, ip);
 		p->heard_ms = dh_clock_ms();
 		p->followed_term = r->term;
+		if (r->term == o->term)
+			owners_note_follower(o, p, r->beat);
 		p->relays = r->relays;
 	}
 	for (i = 0; i < r->keys->len; i++) {
@@ -361,6 +362,7 @@
 	g_autoptr(GArray) suspects =
 	    g_array_new(FALSE, FALSE, sizeof(struct dh_suspect));
 	struct dh_peer_report r = { .term = o->term,
+		.beat = o->beat_number,
 		.keys = keys,
 		.servers = servers,
 		.leaving = o->leaving,
--- a/gateway/owners.c
+++ b/gateway/owners.c
@@ -96,6 +96,7 @@
 	    ",\"leader\":\"%s\",\"term\":%llu,\"before\":%llu", vm,
 	    (unsigned long long)term, (unsigned long long)o->term);
 	o->term = term;
+	o->beat_number = 0;
 	(void)g_strlcpy(o->leader_vm, vm, sizeof(o->leader_vm));
 	(void)g_strlcpy(o->leader_ip, ip, sizeof(o->leader_ip));
 	if (strcmp(ip, o->c.ip) != 0)
--- a/gateway/owners.h
+++ b/gateway/owners.h
@@ -29,6 +29,7 @@
 struct dh_owners_context {
 	uv_loop_t *loop;
 	struct dh_http *http;
+	struct dh_http *grants; /* sends grants of keys, and nothing else */
 	struct dh_objects *objects;
 	struct dh_registry *registry;
 	const struct dh_gateway_settings *settings;
--- a/gateway/owners_internal.h
+++ b/gateway/owners_internal.h
@@ -25,6 +25,8 @@
 #define DH_OWNERS_LEADER "leader" /* name of the leader's object */
 #define DH_OWNERS_STEP_MS 40 /* interval of the timer that drives all this */
 #define DH_OWNERS_STORE_TIMEOUT_MS 1000
+/* Number of the last heartbeats whose times a leader keeps. */
+#define DH_OWNERS_BEATS_KEPT 16
 
 enum role {
 	ROLE_FOLLOWER,
@@ -42,6 +44,9 @@
 	uint32_t uid; /* in views */
 	int64_t heard_ms; /* when its last report arrived; 0: none yet */
 	uint64_t followed_term; /* of this leader, as its last report said */
+	/* When this leader sent the last heartbeat of its term that the VM has
+	 * received, as its reports said; 0: none yet. */
+	int64_t followed_ms;
 	int64_t core_share_milli; /* CPU cores of the VM, in thousandths; 0: not
 				   * known */
 	int64_t link_kbps; /* rate of its network link; 0: not known */
@@ -108,6 +113,12 @@
 	struct leader_object quarantine; /* DH_SUSPECTS_OBJECT */
 	/* Start of the last call that the store answered. */
 	int64_t confirmed_ms;
+	/* No later leader was in office at this time, by the store or by the
+	 * other VMs. */
+	int64_t leading_ms;
+	/* The store does not answer, and the other VMs do not show either that
+	 * this VM still leads. */
+	bool unconfirmed;
 	int64_t call_began_ms; /* start of the last call */
 	bool confirm_failed; /* the last call to confirm the lead failed */
 	int64_t beat_sent_ms; /* last heartbeat of this VM */
@@ -138,6 +149,9 @@
 	bool keyed_lost;
 	int64_t last_report_ms;
 	uint64_t beat_number; /* of the last heartbeat, sent or received */
+	/* As leader, when the last heartbeats of this term were sent: that of
+	 * number n in element n modulo the length.  0: not sent. */
+	int64_t beats_ms[DH_OWNERS_BEATS_KEPT];
 	/* Longest pause between two steps since the last heartbeat. */
 	int64_t step_pause_ms;
 	int64_t stepped_ms; /* time of the last step */
@@ -193,6 +207,10 @@
 /* owners_set_evacuated -- take over the evacuated zones; NULL: not known. */
 void owners_set_evacuated(struct dh_owners *o, const GPtrArray *zones);
 void owners_send_beats(struct dh_owners *o, int64_t now_ms);
+/* owners_note_follower -- a report of the VM has answered the heartbeat of that
+ * number, 0 for none, as one that follows this leader. */
+void owners_note_follower(
+    struct dh_owners *o, struct peer_state *p, uint64_t beat);
 
 /* zonefeed.c */
 /* Sets how this VM learns of changes in the store: from the leader, whose
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -485,6 +485,7 @@
 	/* Absent in reports of an earlier release. */
 	r.relays =
 	    number_at(a, 10, &features) && (features & FEATURE_RELAYS) != 0;
+	(void)number_at(a, 11, &r.beat);
 	h->report(h->arg, &r, ip);
 	return true;
 }
@@ -1049,7 +1050,7 @@
 
 	msgpack_sbuffer_init(&b);
 	msgpack_packer_init(&pk, &b, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 11);
+	msgpack_pack_array(&pk, 12);
 	msgpack_pack_uint32(&pk, DH_PEER_REPORT);
 	pack_text(&pk, r->vm);
 	msgpack_pack_array(&pk, r->nowners);
@@ -1090,6 +1091,7 @@
 	pack_suspects(&pk, r->suspects);
 	pack_crashed_servers(&pk, r->suspects);
 	msgpack_pack_uint32(&pk, FEATURE_RELAYS);
+	msgpack_pack_uint64(&pk, r->beat);
 	send_buffer(p, ip, DH_PEER_REPORT, &b);
 	msgpack_sbuffer_destroy(&b);
 }
--- a/gateway/peer.h
+++ b/gateway/peer.h
@@ -57,6 +57,9 @@
 	/* Term of the leader that the VM follows.  A VM that reports a term
 	 * sends no orders to backend servers itself. */
 	uint64_t term;
+	/* Number of the last heartbeat of that leader that the VM had received
+	 * when it sent this report; 0: none, or its build does not tell. */
+	uint64_t beat;
 	/* Whether its build passes datagrams on; set by the receiver. */
 	bool relays;
 	uint32_t nowners; /* services whose owners it knows */
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -38,6 +38,11 @@
 	int64_t storeless_max_ms;
 	uint32_t drift_permille; /* how much an owner's clock may run slow */
 	int64_t margin_ms; /* added when waiting for a lease to expire */
+	/* For how long a report of dh_keyspace_note_leading() counts.  It must
+	 * be shorter than the time in which another leader can be elected and
+	 * give a backend server a token, and that backend server can restart.
+	 */
+	int64_t leading_valid_ms;
 };
 
 struct dh_keyspace_server {
@@ -83,6 +88,10 @@
 	uint32_t from, to;
 	uint64_t fence;
 	int64_t lease_ms; /* duration of the lease */
+	/* A grant that only a backend server process may get that has had one
+	 * of this leader's already: it is sent on a connection that has been
+	 * open since, or else answered with DH_KEY_WITHHELD. */
+	bool same_process;
 	/* Data from the former owner's release, for the new owner; "" for
 	 * none. */
 	char handover[DH_HANDOVER_MAX];
@@ -95,6 +104,9 @@
 	 * still do so. */
 	DH_KEY_UNANSWERED,
 	DH_KEY_NOT_SENT, /* the order was not sent */
+	/* The order was not sent, as no connection was left on which it may be
+	 * (same_process).  This says nothing about the backend server. */
+	DH_KEY_WITHHELD,
 };
 
 struct dh_keyspace;
@@ -160,6 +172,21 @@
 bool dh_keyspace_record_lost(
     struct dh_keyspace *ks, uint64_t fence_floor, int64_t now_ms);
 
+/*
+ * dh_keyspace_note_leading -- report that no later leader was in office at
+ * at_ms; earlier times than the last one reported are ignored.
+ *
+ * A backend server refuses the grants of a leader that has been replaced, as it
+ * has accepted a higher token.  One that has restarted under its id knows no
+ * tokens, and the leader may not know of the restart.  Therefore grants have
+ * same_process set unless a report of the last leading_valid_ms allows them.
+ *
+ * dh_keyspace_is_withholding -- return whether a grant was answered with
+ * DH_KEY_WITHHELD and is due again.  A later report makes it due at once.
+ */
+void dh_keyspace_note_leading(struct dh_keyspace *ks, int64_t at_ms);
+bool dh_keyspace_is_withholding(const struct dh_keyspace *ks);
+
 /* dh_keyspace_set_servers -- set the list of known backend servers.  One that
  * is missing from the list counts as leaving and may still hold its keys. */
 void dh_keyspace_set_servers(
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,6 @@
 /*
  * The client of the store and of orders, against servers whose answers do not
- * end.
+ * end, and servers that end connections without an answer.
  */
 #include <netinet/in.h>
 #include <string.h>
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/http.h"
 #include "tests/cunit_main.h"
+#include "tests/scripted_server.h"
 
 #define TIMEOUT_MS 4000
 /* More than any answer may have. */
@@ -131,6 +132,76 @@
 	check_endless("HTTP/1.1 200 OK\r\nX", "%zu");
 }
 
+struct exchange {
+	bool done, sent;
+	long status;
+};
+
+static void
+on_exchange(void *arg, const struct dh_http_reply *reply)
+{
+	struct exchange *x = arg;
+
+	x->done = true;
+	x->sent = reply->sent;
+	x->status = reply->status;
+}
+
+/* Sends rq and waits for its end. */
+static struct exchange
+fetch(struct dh_http *h, struct dh_http_request rq, uint16_t port)
+{
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u/", port);
+	int64_t end_ms = dh_clock_ms() + TIMEOUT_MS;
+	struct exchange x = { .done = false };
+
+	rq.method = "PUT";
+	rq.url = url;
+	rq.body = "x";
+	rq.body_len = 1;
+	rq.timeout_ms = TIMEOUT_MS;
+	(void)dh_http_fetch(h, &rq, on_exchange, &x);
+	while (!x.done && dh_clock_ms() < end_ms) {
+		uv_run(dh_http_loop(h), UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+	CU_ASSERT_TRUE(x.done);
+	return x;
+}
+
+/* Guards against a request for one process that reaches another one, which has
+ * the address since: it needs a connection that was open before. */
+static void
+test_request_for_a_kept_connection_opens_none(void)
+{
+	static const char *const script[] = { HTTP_ANSWER("200 OK"),
+		HTTP_ANSWER("200 OK"), NULL };
+	struct dh_http_request kept = { .kept_connection = true }, any = { 0 };
+	struct scripted_server s;
+	struct exchange x;
+	struct dh_http *h;
+	uv_loop_t loop;
+
+	scripted_server_start(&s, script);
+	uv_loop_init(&loop);
+	h = dh_http_new(&loop);
+	x = fetch(h, kept, s.port);
+	CU_ASSERT_EQUAL(x.status, 0);
+	CU_ASSERT_FALSE(x.sent);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&s.connections), 0);
+	CU_ASSERT_EQUAL(fetch(h, any, s.port).status, 200);
+	CU_ASSERT_EQUAL(fetch(h, kept, s.port).status, 200);
+	/* The connection ends without an answer. */
+	x = fetch(h, kept, s.port);
+	CU_ASSERT_EQUAL(x.status, 0);
+	CU_ASSERT_TRUE(x.sent);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&s.connections), 1);
+	dh_http_free(h);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
+	scripted_server_stop(&s);
+}
+
 int
 main(void)
 {
@@ -141,6 +212,8 @@
 		{ "endless body", test_endless_body },
 		{ "endless bytes without a line",
 		    test_endless_bytes_without_a_line },
+		{ "kept connection",
+		    test_request_for_a_kept_connection_opens_none },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_keyspace.c
+++ b/tests/test_keyspace.c
@@ -12,6 +12,7 @@
 #define RENEW_MS 500
 #define SOLO_MS 15000
 #define DRIFT_PERMILLE 20
+#define LEADING_VALID_MS 800
 /* A lease, waited out with drift and margin. */
 #define LEASE_END_MS (HOLD_MS * 102 / 100 + 60)
 
@@ -20,7 +21,8 @@
 	.probe_ms = 250,
 	.storeless_max_ms = SOLO_MS,
 	.drift_permille = DRIFT_PERMILLE,
-	.margin_ms = 60 };
+	.margin_ms = 60,
+	.leading_valid_ms = LEADING_VALID_MS };
 
 static struct dh_keyspace_server
 server(const char *id, int64_t born_ms)
@@ -532,6 +534,86 @@
 	dh_keyspace_free(ks);
 }
 
+/* Returns whether all grants that are due are restricted to known processes; at
+ * least one must be due.  Each is answered by answer. */
+static bool
+all_for_same_process(
+    struct dh_keyspace *ks, enum dh_key_answer answer, int64_t now_ms)
+{
+	struct dh_key_order o;
+	bool all = true;
+	int n = 0;
+
+	while (dh_keyspace_next_order(ks, now_ms, &o)) {
+		CU_ASSERT_EQUAL(o.kind, DH_KEY_GRANT);
+		all &= o.same_process;
+		n++;
+		CU_ASSERT_TRUE(dh_keyspace_handle_answer(
+		    ks, o.order_id, answer, NULL, now_ms));
+	}
+	CU_ASSERT_TRUE(n > 0);
+	return all;
+}
+
+/* Guards against a replaced leader that grants keys to a backend server which
+ * has restarted under its id, unknown to that leader, and knows no tokens. */
+static void
+test_unconfirmed_leader_grants_to_known_processes_only(void)
+{
+	struct dh_keyspace_server list[1] = { server("a", 1) };
+	struct dh_keyspace *ks = new_settled(list, 1);
+	struct dh_key_order o;
+
+	dh_keyspace_note_leading(ks, 200);
+	CU_ASSERT_FALSE(all_for_same_process(ks, DH_KEY_ACCEPTED, 999));
+	CU_ASSERT_TRUE(all_for_same_process(ks, DH_KEY_ACCEPTED, 1500));
+	/* An earlier report changes nothing. */
+	dh_keyspace_note_leading(ks, 100);
+	CU_ASSERT_FALSE(dh_keyspace_is_withholding(ks));
+	CU_ASSERT_TRUE(all_for_same_process(ks, DH_KEY_WITHHELD, 2000));
+	/* The backend server does not count as unresponsive: no probe. */
+	CU_ASSERT_TRUE(dh_keyspace_is_withholding(ks));
+	CU_ASSERT_FALSE(dh_keyspace_next_order(ks, 2010, &o));
+	CU_ASSERT_TRUE(all_for_same_process(ks, DH_KEY_WITHHELD, 2250));
+	/* A report makes the grant due at once. */
+	dh_keyspace_note_leading(ks, 2260);
+	CU_ASSERT_FALSE(all_for_same_process(ks, DH_KEY_ACCEPTED, 2270));
+	CU_ASSERT_FALSE(dh_keyspace_is_withholding(ks));
+	dh_keyspace_free(ks);
+}
+
+/* Guards against keys that stay without an owner because a renewal which was
+ * not sent counts as one that may have arrived. */
+static void
+test_withheld_renewal_extends_no_lease(void)
+{
+	struct dh_keyspace_server list[2] = { server("a", 1), server("b", 1) };
+	struct dh_keyspace *ks = new_settled(list, 2);
+	struct dh_key_order o;
+	bool granted = false;
+	int64_t t;
+
+	(void)answer_all(ks, DH_KEY_ACCEPTED, 700);
+	for (t = 1200; t < 2400; t += 20)
+		(void)answer_all(ks, DH_KEY_WITHHELD, t);
+	list[0].leaving = true;
+	for (; t < 700 + LEASE_END_MS + 100 && !granted; t += 20) {
+		dh_keyspace_set_servers(ks, list, 2);
+		dh_keyspace_plan(ks, t);
+		store(ks, t);
+		while (dh_keyspace_next_order(ks, t, &o)) {
+			granted |= o.kind == DH_KEY_GRANT && o.from == 0 &&
+			    strcmp(o.server, "b") == 0;
+			(void)dh_keyspace_handle_answer(ks, o.order_id,
+			    o.kind == DH_KEY_RELEASE ? DH_KEY_NOT_SENT
+						     : DH_KEY_WITHHELD,
+			    NULL, t);
+		}
+	}
+	CU_ASSERT_TRUE(granted);
+	dh_keyspace_free(ks);
+}
+
 static void
 test_leaving_owner_releases_before_another_is_granted(void)
 {
@@ -1154,6 +1236,9 @@
 		    test_unresponsive_owner_keeps_keys_until_lease_expires },
 		{ "restarted owner",
 		    test_restarted_owner_is_granted_again_at_once },
+		{ "leader that may have been replaced",
+		    test_unconfirmed_leader_grants_to_known_processes_only },
+		{ "withheld renewal", test_withheld_renewal_extends_no_lease },
 		{ "leaving owner",
 		    test_leaving_owner_releases_before_another_is_granted },
 		{ "unanswered grant",
--- a/tests/test_keyspace_schedule.c
+++ b/tests/test_keyspace_schedule.c
@@ -2,9 +2,10 @@
  * Randomized test of the leaders of one service, in simulated time.  The faults
  * come from a seed: lost and late answers, orders that are executed late,
  * backend servers that stop responding, restart or leave, leaders that lose the
- * store or are replaced, and a store that is restored from a copy some seconds
- * old.  At no time may two backend servers hold the same key, and no key may be
- * accepted with a lower token than before.
+ * store, freeze or are replaced, and a store that is restored from a copy some
+ * seconds old.  A leader without the store does not hear of restarts.  At no
+ * time may two backend servers hold the same key, and no key may be accepted
+ * with a lower token than before.
  *
  * usage: test_keyspace_schedule [FIRST COUNT]
  */
@@ -34,6 +35,7 @@
 #define RECLAIM_MS 900
 #define RECLAIM_MAX_MS 1500
 #define REPORT_MS 250
+#define RESTART_MS 800 /* a backend server restarts no faster */
 #define COPIES 5 /* number of copies of the store, one made each second */
 
 static const struct dh_keyspace_params params = { .lease_ms = HOLD_MS,
@@ -41,12 +43,14 @@
 	.probe_ms = 250,
 	.storeless_max_ms = SOLO_MS,
 	.drift_permille = 20,
-	.margin_ms = 60 };
+	.margin_ms = 60,
+	.leading_valid_ms = RESTART_MS };
 
 struct model_server {
 	char id[8];
 	int64_t born_ms;
 	bool unresponsive; /* executes and answers no order */
+	int64_t restart_ms; /* it has ended, and starts again then; or 0 */
 	bool leaving;
 	int64_t lease_end_ms[CHECKED_KEYS]; /* end of the lease of each key */
 	uint64_t held_fence[CHECKED_KEYS];
@@ -95,6 +99,13 @@
 	bool stale;
 	uint32_t followers;
 	bool unreachable[SERVERS];
+	/* The backend servers as this leader knows them: it hears of none while
+	 * it is cut off. */
+	struct dh_keyspace_server known[SERVERS];
+	/* Start time of the process that the open connection to each backend
+	 * server leads to. */
+	int64_t connected_ms[SERVERS];
+	int64_t frozen_until_ms; /* its process does not run before */
 };
 
 /* Contents of the store. */
@@ -107,6 +118,10 @@
 	int writer;
 };
 
+/* Grants that were withheld over all schedules, and those of them that would
+ * have reached a process that the leader did not know of. */
+static uint32_t withheld, unknown_process;
+
 /* Totals over all schedules: restores of a store, those from a copy made before
  * the first record, and calls of dh_keyspace_former_leaders_stopped(). */
 static uint32_t restores, without_record, former_stopped_calls;
@@ -229,13 +244,26 @@
 	struct model_server *s = find_server(w, o->server);
 	bool calm = w->now_ms >= CALM_MS;
 	bool late = !calm && chance(w, 4);
-
+	int64_t *connected_ms = &w->leaders[l].connected_ms[s - w->servers];
+
+	if (o->same_process && *connected_ms != s->born_ms) {
+		withheld++;
+		unknown_process +=
+		    w->leaders[l].known[s - w->servers].start_ms != s->born_ms;
+		e.kind = EVENT_ANSWER;
+		e.answer = DH_KEY_WITHHELD;
+		e.at_ms = w->now_ms;
+		post_event(w, e);
+		return;
+	}
+	if (o->kind == DH_KEY_GRANT)
+		*connected_ms = s->born_ms;
 	e.at_ms = e.arrived_ms = w->now_ms + between(w, 1, 20);
-	e.born_ms = s == NULL ? 0 : s->born_ms;
+	e.born_ms = s->born_ms;
 	e.answer_lost = late || (!calm && chance(w, 4));
 	if (late)
 		e.at_ms += between(w, 100, 6000);
-	if (s == NULL || !w->leaders[l].unreachable[s - w->servers])
+	if (!w->leaders[l].unreachable[s - w->servers])
 		post_event(w, e);
 	/* The leader gives up after 400 ms unless an answer comes first. */
 	e.kind = EVENT_ANSWER;
@@ -275,6 +303,9 @@
 	l->term = w->store.leader_term = next_term(w, l);
 	l->revision = w->store.revision;
 	l->confirmed_ms = w->now_ms;
+	memset(l->connected_ms, 0, sizeof(l->connected_ms));
+	l->frozen_until_ms = 0;
+	dh_keyspace_note_leading(l->ks, w->now_ms);
 	dh_keyspace_take_over(l->ks, w->store.ranges, w->store.n,
 	    w->store.next > dh_era_floor(w->era) ? w->store.next
 						 : dh_era_floor(w->era) + 1,
@@ -397,6 +428,7 @@
 	l->term = w->store.leader_term = next_term(w, l);
 	l->revision = w->store.revision;
 	l->confirmed_ms = w->now_ms;
+	dh_keyspace_note_leading(l->ks, w->now_ms);
 	l->restore_noticed_ms = 0;
 	l->followers = 0;
 }
@@ -424,6 +456,7 @@
 	}
 	l->revision = e->revision;
 	l->confirmed_ms = l->wrote_ms;
+	dh_keyspace_note_leading(l->ks, l->wrote_ms);
 	dh_keyspace_record_stored(l->ks, e->serial);
 }
 
@@ -433,6 +466,12 @@
 	struct leader *l = &w->leaders[e->leader];
 	bool alive = l->ks != NULL && l->incarnation == e->incarnation;
 
+	if (alive && w->now_ms < l->frozen_until_ms && e->kind != EVENT_ORDER &&
+	    e->kind != EVENT_WRITE) {
+		e->at_ms = l->frozen_until_ms;
+		post_event(w, *e);
+		return;
+	}
 	switch (e->kind) {
 	case EVENT_ORDER:
 		execute_order(w, e);
@@ -478,19 +517,21 @@
 run_leader(struct world *w, int i)
 {
 	struct leader *l = &w->leaders[i];
-	struct dh_keyspace_server list[SERVERS];
 	struct dh_key_order o;
 	int s, k;
 
-	for (s = 0; s < SERVERS; s++) {
-		list[s] =
+	if (w->now_ms < l->frozen_until_ms)
+		return;
+	for (s = 0; s < SERVERS && !l->cut_off; s++) {
+		l->known[s] =
 		    (struct dh_keyspace_server){ .start_ms =
 						     w->servers[s].born_ms,
 			    .slots = 4,
 			    .leaving = w->servers[s].leaving };
-		memcpy(list[s].id, w->servers[s].id, sizeof(w->servers[s].id));
+		memcpy(
+		    l->known[s].id, w->servers[s].id, sizeof(w->servers[s].id));
 	}
-	dh_keyspace_set_servers(l->ks, list, SERVERS);
+	dh_keyspace_set_servers(l->ks, l->known, SERVERS);
 	if (w->now_ms % 250 == 0) {
 		for (k = 0; k < 40; k++)
 			dh_keyspace_count_request(
@@ -519,6 +560,7 @@
 			return;
 		}
 		l->confirmed_ms = w->now_ms;
+		dh_keyspace_note_leading(l->ks, w->now_ms);
 	}
 	if (w->now_ms - l->confirmed_ms >= SOLO_MS ||
 	    (l->restore_noticed_ms != 0 &&
@@ -540,7 +582,9 @@
 		.term = other->term,
 		.from = i };
 
-	if (other->ks == NULL || other->term < l->term)
+	if (other->ks == NULL || other->term < l->term ||
+	    w->now_ms < l->frozen_until_ms ||
+	    w->now_ms < other->frozen_until_ms)
 		return;
 	if (i == leader) {
 		handle_report(w, l, i);
@@ -583,6 +627,33 @@
 	restores++;
 }
 
+/* Ends the process of a backend server.  The next one, under the same id, knows
+ * nothing of it. */
+static void
+end_server(struct world *w, struct model_server *s)
+{
+	if (s->restart_ms != 0)
+		return;
+	s->unresponsive = true;
+	s->restart_ms = w->now_ms + between(w, RESTART_MS, 5000);
+	memset(s->lease_end_ms, 0, sizeof(s->lease_end_ms));
+}
+
+static void
+restart_servers(struct world *w)
+{
+	struct model_server *s;
+
+	for (s = w->servers; s < w->servers + SERVERS; s++) {
+		if (s->restart_ms == 0 || w->now_ms < s->restart_ms)
+			continue;
+		s->born_ms = w->now_ms;
+		s->unresponsive = false;
+		s->restart_ms = 0;
+		memset(s->highest, 0, sizeof(s->highest));
+	}
+}
+
 static void
 inject_faults(struct world *w)
 {
@@ -595,21 +666,25 @@
 		copy_store(&w->copies[w->now_ms / 1000 % COPIES], &w->store);
 	if (chance(w, 4))
 		restore_store(w);
-	if (chance(w, 3))
+	if (chance(w, 3) && w->servers[s].restart_ms == 0)
 		w->servers[s].unresponsive = !w->servers[s].unresponsive;
-	if (chance(w, 2)) {
-		w->servers[s].born_ms = w->now_ms;
-		w->servers[s].unresponsive = false;
-		memset(w->servers[s].lease_end_ms, 0,
-		    sizeof(w->servers[s].lease_end_ms));
-		memset(w->servers[s].highest, 0, sizeof(w->servers[s].highest));
-	}
+	if (chance(w, 3))
+		end_server(w, &w->servers[s]);
 	if (chance(w, 4))
 		w->servers[s].leaving = !w->servers[s].leaving;
 	if (chance(w, 6))
 		w->leaders[l].unreachable[s] ^= true;
 	if (chance(w, 4))
 		w->leaders[l].cut_off = !w->leaders[l].cut_off;
+	/* A leader that freezes is replaced, and may be cut off meanwhile. */
+	if (chance(w, 3)) {
+		w->leaders[l].frozen_until_ms =
+		    w->now_ms + between(w, 100, 6000);
+		w->leaders[l].cut_off |= chance(w, 50);
+		l = (l + 1) % LEADERS;
+		if (!w->leaders[l].cut_off)
+			become_leader(w, l);
+	}
 	if (w->leaders[l].cut_off)
 		return;
 	/* A new leader takes over although the former one may be running. */
@@ -648,10 +723,13 @@
 {
 	int i;
 
-	for (i = 0; i < SERVERS; i++)
-		w->servers[i].unresponsive = w->servers[i].leaving = false;
+	for (i = 0; i < SERVERS; i++) {
+		w->servers[i].unresponsive = w->servers[i].restart_ms != 0;
+		w->servers[i].leaving = false;
+	}
 	for (i = 0; i < LEADERS; i++) {
 		w->leaders[i].cut_off = false;
+		w->leaders[i].frozen_until_ms = 0;
 		memset(w->leaders[i].unreachable, 0,
 		    sizeof(w->leaders[i].unreachable));
 	}
@@ -679,6 +757,7 @@
 	while (w.now_ms < LENGTH_MS && w.violation == NULL) {
 		w.now_ms += STEP_MS;
 		run_events(&w);
+		restart_servers(&w);
 		if (w.now_ms < CALM_MS)
 			inject_faults(&w);
 		if (w.now_ms == CALM_MS)
@@ -731,6 +810,8 @@
 	CU_ASSERT_TRUE(without_record >= count / 10);
 	CU_ASSERT_TRUE(former_stopped_calls >= count);
 	CU_ASSERT_TRUE(all_followed >= count / 2);
+	CU_ASSERT_TRUE(withheld >= count);
+	CU_ASSERT_TRUE(unknown_process >= count / 2);
 }
 
 int
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -34,7 +34,7 @@
 
 struct fixture {
 	uv_loop_t loop;
-	struct dh_http *http;
+	struct dh_http *http, *grants;
 	struct dh_registry *reg;
 	struct dh_owners *owners;
 	struct dh_peer *other;
@@ -48,6 +48,7 @@
 }
 
 static bool leader_lost; /* as its last heartbeat says */
+static uint64_t last_beat; /* number of that heartbeat */
 
 static void
 on_beat(void *arg, const struct dh_leader_heartbeat *beat, const char *ip)
@@ -55,6 +56,7 @@
 	(void)arg;
 	(void)ip;
 	leader_lost = beat->lost;
+	last_beat = beat->number;
 }
 
 static uint32_t whole_records; /* parts of them that the other VM got */
@@ -177,12 +179,14 @@
 	fx->settings.core_share_milli = 500;
 	uv_loop_init(&fx->loop);
 	fx->http = dh_http_new(&fx->loop);
+	fx->grants = dh_http_new(&fx->loop);
 	fx->reg = dh_registry_new(
 	    &fx->loop, NULL, NULL, &fx->settings, on_changed, NULL);
 	fake_answer(dh_wire_kind_servers, DH_OBJECTS_OK, 10, NULL, 0);
 	fake_answer(dh_wire_kind_config, DH_OBJECTS_OK, 10, &v, 1);
 	json_object_put(o);
 	c.http = fx->http;
+	c.grants = fx->grants;
 	c.registry = fx->reg;
 	fx->owners = dh_owners_new(&c, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fx->owners);
@@ -197,6 +201,7 @@
 	dh_peer_free(fx->other);
 	dh_owners_free(fx->owners);
 	dh_registry_free(fx->reg);
+	dh_http_free(fx->grants);
 	dh_http_free(fx->http);
 	uv_run(&fx->loop, UV_RUN_DEFAULT);
 	CU_ASSERT_EQUAL(uv_loop_close(&fx->loop), 0);
@@ -253,7 +258,7 @@
 send_report_from(
     struct dh_peer *from, const char *vm, uint64_t term, uint64_t version)
 {
-	struct dh_peer_report r = { .term = term };
+	struct dh_peer_report r = { .term = term, .beat = last_beat };
 
 	(void)g_strlcpy(r.vm, vm, sizeof(r.vm));
 	if (version != 0) {
@@ -848,7 +853,7 @@
 	int fds[CONNECTIONS_MAX];
 	int orders[CONNECTIONS_MAX]; /* number received on each */
 	int n;
-	int releases, releases_behind_another_order;
+	int grants, releases, releases_behind_another_order;
 };
 
 static void
@@ -873,6 +878,7 @@
 			c->releases++;
 			c->releases_behind_another_order += c->orders[i] > 0;
 		}
+		c->grants += strstr(text, "/grant ") != NULL;
 		c->orders[i]++;
 		(void)!write(c->fds[i], ok, strlen(ok));
 	}
@@ -939,6 +945,91 @@
 	}
 }
 
+/* Ends all connections, as the end of a backend server's process does. */
+static void
+end_connections(struct order_connections *c)
+{
+	while (c->n > 0)
+		(void)close(c->fds[--c->n]);
+}
+
+/* Answers orders for some time; returns the number of grants. */
+static int
+count_grants(
+    struct fixture *fx, struct order_connections *c, int listener, int64_t ms)
+{
+	int64_t end_ms = dh_clock_ms() + ms;
+
+	c->grants = 0;
+	while (dh_clock_ms() < end_ms) {
+		run_for(fx, 10);
+		answer_orders(c, listener);
+	}
+	return c->grants;
+}
+
+/* Guards against a leader that was replaced unknown to it, by a cut or a
+ * freeze, and grants its old keys to a backend server that has restarted: the
+ * new process knows no token of the successor. */
+static void
+test_unconfirmed_leader_grants_on_open_connections_only(void)
+{
+	struct silent_server s = silent_server_start();
+	struct json_object *vm = json_tokener_parse(
+	    "{\"ip\":\"127.0.0.2\",\"core_share_milli\":500,\"zone\":\"z\"}");
+	struct dh_object_view other = {
+		.name = "vm.vm-2", .revision = 7, .spec = vm
+	};
+	struct order_connections c = { .n = 0 };
+	struct fixture fx;
+	bool loaded = false;
+	int i;
+
+	start(&fx, &other, 1);
+	run_for(&fx, 350);
+	answer_with(dh_wire_kind_servers, DH_OBJECTS_OK, 11, s.entry);
+	wait_for_read(&fx);
+	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	for (i = 0; i < 100 && c.grants == 0; i++) {
+		run_for(&fx, 10);
+		answer_service_calls(&loaded);
+		answer_orders(&c, s.fd);
+	}
+	CU_ASSERT_TRUE(c.grants > 0);
+	/* Neither the store nor the other VM says anything: the leader renews
+	 * on the connections that it has, and on no other. */
+	(void)count_grants(&fx, &c, s.fd, 300);
+	CU_ASSERT_TRUE(count_grants(&fx, &c, s.fd, 300) > 0);
+	end_connections(&c);
+	CU_ASSERT_EQUAL(count_grants(&fx, &c, s.fd, 600), 0);
+	/* The other VM follows another leader, or an earlier heartbeat. */
+	send_report(&fx, 0);
+	CU_ASSERT_EQUAL(count_grants(&fx, &c, s.fd, 300), 0);
+	last_beat = 1;
+	send_report(&fx, 1);
+	CU_ASSERT_EQUAL(count_grants(&fx, &c, s.fd, 50), 0);
+	/* It has just heard this leader. */
+	run_for(&fx, 100);
+	send_report(&fx, 1);
+	CU_ASSERT_TRUE(count_grants(&fx, &c, s.fd, 100) > 0);
+	end_connections(&c);
+	run_for(&fx, 300);
+	CU_ASSERT_EQUAL(count_grants(&fx, &c, s.fd, 300), 0);
+	/* The store names this leader: the answer to a call that was made long
+	 * before says nothing, the one to the next call does. */
+	answer_with("leader", DH_OBJECTS_OK, 41, "{\"term\":1}");
+	CU_ASSERT_EQUAL(count_grants(&fx, &c, s.fd, 50), 0);
+	for (i = 0; i < 100 && fake_open("leader") == NULL; i++)
+		run_for(&fx, 10);
+	answer_with("leader", DH_OBJECTS_OK, 41, "{\"term\":1}");
+	CU_ASSERT_TRUE(count_grants(&fx, &c, s.fd, 100) > 0);
+	end_connections(&c);
+	stop(&fx);
+	silent_server_end(&s);
+	json_object_put(vm);
+}
+
 /* Makes this VM the leader of a service with two backend servers, which accept
  * all orders, and lets the first one leave once keys are owned.  Runs until
  * enough() is true, for at most 4 s. */
@@ -1496,6 +1587,8 @@
 		{ "leader says so",
 		    test_leader_says_that_it_lacks_backend_servers },
 		{ "list of strong VMs", test_strong_vms_are_listed },
+		{ "leader that may have been replaced",
+		    test_unconfirmed_leader_grants_on_open_connections_only },
 		{ "stalled leader", test_stalled_leader_orders_nothing },
 		{ "release has a connection of its own",
 		    test_release_has_a_connection_of_its_own },
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -81,5 +81,10 @@
 mutate FLOOR 's/ks->next_fence = fence_floor \+ 1;/;/'
 # Leases of another leader whose record the store has lost are not waited for.
 mutate FORGOTTEN_FOREIGN 's/ks->ranges\[i\].former_lease_until_ms = former_leases_end_ms\(ks\);/;/'
+# A leader that may have been replaced grants keys to a process that it has never
+# granted any to.
+mutate SAME_PROCESS 's/now_ms >= ks->leading_ms \+ ks->p.leading_valid_ms/false/'
+# A grant that was withheld counts as one that may have arrived.
+mutate WITHHELD 's/r->grant_arrival_ms = r->earlier_arrival_ms;//'
 
 summary
