HTTP client, store clients: a write is sent once

Cause: libcurl sends a request again by itself if a kept connection ends before the answer begins, and the reply is then the answer to the second copy. The store had carried out the leader's write of a move and went down; the 503 to the copy counted as "the write was not done", so the leader went on renewing the former owner, which its successor, by that record, had release the keys. In the same way a 429, 409 or 404 to a copy can hide the fate of the first one.

Reads are still sent again.

--- a/base/http.c
+++ b/base/http.c
@@ -221,6 +221,7 @@
 	size_t header_bytes; /* received so far */
 	uint32_t keepalive_s;
 	bool reset_on_close;
+	bool began; /* the request was begun to be sent */
 };
 
 static curl_socket_t
@@ -232,6 +233,21 @@
 	return CURL_SOCKET_BAD;
 }
 
+/* Called before each copy of a request is sent. */
+static int
+before_request(void *arg, char *ip, char *local_ip, int port, int local_port)
+{
+	struct dh_http_fetch *f = arg;
+	bool again = f->began;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	f->began = true;
+	return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static int
 on_socket_created(void *arg, curl_socket_t fd, curlsocktype purpose)
 {
@@ -309,7 +325,7 @@
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply.status);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
 	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &reply.os_errno);
-	reply.sent = sent > 0;
+	reply.sent = sent > 0 || f->began;
 	reply.body = f->body->str;
 	reply.body_len = f->body->len;
 	reply.headers = f->reply_headers;
@@ -377,6 +393,10 @@
 	if (rq->kept_connection)
 		curl_easy_setopt(
 		    easy, CURLOPT_OPENSOCKETFUNCTION, refuse_socket);
+	if (rq->send_once) {
+		curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+		curl_easy_setopt(easy, CURLOPT_PREREQDATA, f);
+	}
 	dh_http_start(h, easy, fetch_done, f);
 	return f;
 }
--- a/base/http.h
+++ b/base/http.h
@@ -60,6 +60,10 @@
 	bool fresh_connection; /* open a new connection */
 	/* Use a kept connection only; without one the request fails unsent. */
 	bool kept_connection;
+	/* Never send the request a second time.  Without this, libcurl does so
+	 * by itself when a kept connection ends before the answer begins, and
+	 * the reply is then the answer to the second copy only. */
+	bool send_once;
 	/* TCP keepalive of a connection that this request opens: the kernel
 	 * sends the first probe after keepalive_s of silence and closes the
 	 * connection after about three times that.  0: no keepalive. */
--- a/store/call.c
+++ b/store/call.c
@@ -12,8 +12,8 @@
  * however many writes followed.  If the version has this call's writer id, the
  * write took effect; if it has another id, the write never will.  If the
  * version does not exist yet, the same write is sent again; its condition
- * keeps it from taking effect twice, also when the HTTP library itself resends
- * it on a new connection.
+ * keeps it from taking effect twice.  The HTTP library itself must not send it
+ * again: a store that refuses the copy has not refused the write.
  */
 enum call_kind { CALL_GET, CALL_PUT, CALL_LIST };
 
@@ -356,6 +356,7 @@
 	rq->headers = headers;
 	rq->body = c->put.value;
 	rq->body_len = c->put.len;
+	rq->send_once = true;
 	c->fetch = dh_http_fetch(c->store->http, rq, call_replied, c);
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -169,6 +169,48 @@
 	return x;
 }
 
+/* Sends one request after another to a server that ends its first connection
+ * without an answer to the second request.  Returns the second one's end. */
+static struct exchange
+fetch_twice(const struct dh_http_request *second, struct scripted_server *s)
+{
+	static const char *const script[] = { HTTP_ANSWER("200 OK"), "",
+		HTTP_ANSWER("503 Busy"), NULL };
+	struct dh_http_request first = { .method = "PUT" };
+	struct exchange x;
+	struct dh_http *h;
+	uv_loop_t loop;
+
+	scripted_server_start(s, script);
+	uv_loop_init(&loop);
+	h = dh_http_new(&loop);
+	x = fetch(h, first, s->port);
+	CU_ASSERT_EQUAL(x.status, 200);
+	x = fetch(h, *second, s->port);
+	dh_http_free(h);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
+	scripted_server_stop(s);
+	return x;
+}
+
+/* Guards against a request that was carried out, and counts as refused because
+ * libcurl has sent it again: only the copy was refused. */
+static void
+test_request_on_a_connection_that_ends_is_sent_once(void)
+{
+	struct dh_http_request once = { .send_once = true }, any = { 0 };
+	struct scripted_server s;
+	struct exchange x = fetch_twice(&once, &s);
+
+	CU_ASSERT_EQUAL(x.status, 0);
+	CU_ASSERT_TRUE(x.sent);
+	CU_ASSERT_EQUAL(s.requests, 2);
+	x = fetch_twice(&any, &s);
+	CU_ASSERT_EQUAL(x.status, 503);
+	CU_ASSERT_EQUAL(s.requests, 3);
+}
+
 /* Guards against a request for one process that reaches another one, which has
  * the address since: it needs a connection that was open before. */
 static void
@@ -212,6 +254,8 @@
 		{ "endless body", test_endless_body },
 		{ "endless bytes without a line",
 		    test_endless_bytes_without_a_line },
+		{ "sent once on a connection that ends",
+		    test_request_on_a_connection_that_ends_is_sent_once },
 		{ "kept connection",
 		    test_request_for_a_kept_connection_opens_none },
 		CU_TEST_INFO_NULL,
--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -4,6 +4,7 @@
 #include "platform/objects.h"
 #include "platform/wire.h"
 #include "tests/cunit_main.h"
+#include "tests/scripted_server.h"
 
 #define TURNS_MAX 2000
 
@@ -240,6 +241,54 @@
 	end(&fx);
 }
 
+/* Reads an object, and then writes it on the same connection, which ends
+ * without an answer to the write.  Another copy of it would get the last
+ * answer. */
+static enum dh_objects_result
+write_without_answer(uint64_t revision, const char *copy_answer)
+{
+	const char *const script[] = { HTTP_ANSWER("200 OK"), "", copy_answer,
+		NULL };
+	struct scripted_server s;
+	struct fixture fx;
+	g_autofree char *url = NULL;
+
+	start(&fx);
+	scripted_server_start(&s, script);
+	dh_objects_free(fx.objects);
+	url = g_strdup_printf("http://127.0.0.1:%u", s.port);
+	fx.objects = dh_objects_new(fx.http, url);
+	(void)dh_objects_get(
+	    fx.objects, "kind", "o", DH_FRESH, 2000, on_objects, &fx);
+	run(&fx);
+	fx.answered = false;
+	(void)dh_objects_put(
+	    fx.objects, "kind", "o", revision, "{}", 2000, on_objects, &fx);
+	run(&fx);
+	end(&fx);
+	scripted_server_stop(&s);
+	CU_ASSERT_EQUAL(s.requests, 2);
+	return fx.result;
+}
+
+/* Guards against a write that was carried out and counts as refused, or as a
+ * conflict with another writer, by the answer to a copy that libcurl sent. */
+static void
+test_write_on_a_connection_that_ends_is_in_doubt(void)
+{
+	static const char *const answers[] = { HTTP_ANSWER("503 Busy"),
+		HTTP_ANSWER("429 Too Many Requests"),
+		HTTP_ANSWER("409 Conflict"), HTTP_ANSWER("404 Not Found") };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		CU_ASSERT_EQUAL(
+		    write_without_answer(7, answers[i]), DH_OBJECTS_UNKNOWN);
+		CU_ASSERT_EQUAL(
+		    write_without_answer(0, answers[i]), DH_OBJECTS_UNKNOWN);
+	}
+}
+
 int
 main(void)
 {
@@ -250,6 +299,8 @@
 		{ "watch with a deeply nested entry",
 		    test_watch_with_a_deeply_nested_entry },
 		{ "not JSON", test_answer_that_is_not_json },
+		{ "write on a connection that ends",
+		    test_write_on_a_connection_that_ends_is_in_doubt },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -4,6 +4,7 @@
 #include "standin/lib/store.h"
 #include "store/store.h"
 #include "tests/cunit_main.h"
+#include "tests/scripted_server.h"
 
 #define OK (-1)
 
@@ -650,6 +651,38 @@
 	teardown();
 }
 
+/* Guards against a write that was carried out and is reported as one that was
+ * not: libcurl sends it again, and the store refuses the copy. */
+static void
+test_write_on_a_connection_that_ends_is_in_doubt(void)
+{
+	const char *script[20] = { HTTP_ANSWER("404 Not Found"), "" };
+	struct dh_store_times brief = quick;
+	struct scripted_server s;
+	struct result r = { 0 };
+	g_autofree char *url = NULL;
+	struct dh_store *st;
+	size_t i;
+
+	for (i = 2; i + 1 < G_N_ELEMENTS(script); i++)
+		script[i] = HTTP_ANSWER("503 Busy");
+	setup();
+	scripted_server_start(&s, script);
+	url = g_strdup_printf("http://127.0.0.1:%u", s.port);
+	st = dh_store_new(http, url, "w");
+	brief.call_ms = 300;
+	brief.backoff_min_ms = brief.backoff_max_ms = 100;
+	dh_store_set_times(st, &brief);
+	get(st, "a", 0, &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_NOT_FOUND);
+	put(st, "a", 0, "1", &r);
+	CU_ASSERT_EQUAL(r.code, DH_ERROR_TIMEOUT);
+	clear(&r);
+	dh_store_free(st);
+	teardown();
+	scripted_server_stop(&s);
+}
+
 int
 main(void)
 {
@@ -659,6 +692,8 @@
 		{ "list pages", test_list_over_pages },
 		{ "lost reply", test_lost_reply_is_read_back },
 		{ "lost, overwritten", test_lost_reply_then_overwritten },
+		{ "write on a connection that ends",
+		    test_write_on_a_connection_that_ends_is_in_doubt },
 		{ "lost request", test_lost_request_races_another_writer },
 		{ "outage", test_outage_reports_whether_write_took_effect },
 		{ "no listener", test_no_listener_is_unavailable },
