Soak: replaced leaders that do not know it

The proxy passes datagrams on between gateways. A backend server's end ends its listener and connections in all scenarios.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -13,14 +13,17 @@
  * belong to a stand-in for the network, instead of the backend servers' ports.
  *
  * Control calls on the store's port, for soak tests and scenarios:
- * /_kill?i=N, /_start?i=N	end and start a backend server
+ * /_kill?i=N, /_start?i=N	end the process of a backend server and start
+ *another
  * /_freeze?i=N, /_thaw?i=N	stop and resume its answers
  * /_drain?i=N		announce that it is draining
  * /_closed?i=N		requests to it are violations from now on
  * /_limit?i=N&per_s=X	its answers name a rate limit; 0: none
  * /_store?mode=M		up, busy, silent, lost (writes take effect but
  *			get no answer), slow, late (calls are executed
- *			after the client's timeout)
+ *			after the client's timeout), dies (the next write
+ *			takes effect, its connection ends without an
+ *			answer, and the store is busy from then on)
  * /_back?ms=N		restore the store's state of N ms ago; entries
  *			not written by gateways are written again later
  * /_config?version=N	write a higher version N, with an added route /vN/
@@ -88,9 +91,10 @@
 struct backend {
 	int index;
 	bool up, frozen, closed;
+	bool starting; /* a thread waits to start its next process */
 	bool draining;
 	int64_t born_ms;
-	struct MHD_Daemon *daemon;
+	struct MHD_Daemon *daemon; /* NULL: the process has ended */
 	int64_t until_ms[KEYS];
 	uint64_t highest[KEYS];
 	uint32_t running;
@@ -123,7 +127,8 @@
 	STORE_SILENT,
 	STORE_LOST,
 	STORE_SLOW,
-	STORE_LATE
+	STORE_LATE,
+	STORE_DIES
 } mode;
 static GHashTable *refused; /* ids reported as not run, which must not run */
 static GHashTable *seen; /* ids received by a backend server */
@@ -316,7 +321,7 @@
 		    !g_cond_wait_until(&changed, &lock, end))
 			break;
 	}
-	if (mode != STORE_UP)
+	if (mode != STORE_UP && mode != STORE_DIES)
 		return reply(c, 503, "{}", NULL, NULL);
 	if (text == NULL)
 		text = g_strdup_printf("{\"events\":[],\"as_of\":%llu}",
@@ -445,9 +450,62 @@
 		write_server_entry(b);
 	} else {
 		g_thread_unref(g_thread_new("lapse", expire_entry, b));
+		g_cond_broadcast(&changed);
 	}
 }
 
+static void listen_for_backend(struct backend *b);
+
+static gpointer
+end_connections(gpointer arg)
+{
+	struct backend *b = arg;
+
+	MHD_stop_daemon(b->daemon);
+	g_mutex_lock(&lock);
+	b->daemon = NULL;
+	g_cond_broadcast(&changed);
+	g_mutex_unlock(&lock);
+	return NULL;
+}
+
+/* Ends the process of a backend server: its listener and all its connections.
+ * The lock must be held. */
+static void
+end_process(struct backend *b)
+{
+	if (!b->up)
+		return;
+	set_up(b, false);
+	g_thread_unref(g_thread_new("end", end_connections, b));
+}
+
+static gpointer
+await_start(gpointer arg)
+{
+	struct backend *b = arg;
+
+	g_mutex_lock(&lock);
+	while (b->daemon != NULL)
+		g_cond_wait(&changed, &lock);
+	listen_for_backend(b);
+	b->starting = false;
+	set_up(b, true);
+	g_mutex_unlock(&lock);
+	return NULL;
+}
+
+/* Starts the next process once the one before has ended.  The lock must be
+ * held. */
+static void
+start_process(struct backend *b)
+{
+	if (b->up || b->starting)
+		return;
+	b->starting = true;
+	g_thread_unref(g_thread_new("start", await_start, b));
+}
+
 static const char configuration[] =
     "{\"version\":1,\"limits\":{\"header_bytes\":16384,\"body_bytes\":1000000,"
     "\"header_timeout_s\":3,\"idle_timeout_s\":15},\"listeners\":[{\"host\":"
@@ -532,7 +590,7 @@
 set_mode(const char *name)
 {
 	static const char *const names[] = { "up", "busy", "silent", "lost",
-		"slow", "late" };
+		"slow", "late", "dies" };
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(names); i++)
@@ -545,9 +603,9 @@
 control_backend(struct backend *b, const char *url)
 {
 	if (strcmp(url, "/_start") == 0)
-		set_up(b, true);
+		start_process(b);
 	else if (strcmp(url, "/_kill") == 0)
-		set_up(b, false);
+		end_process(b);
 	else if (strcmp(url, "/_closed") == 0)
 		b->closed = true;
 	else if (strcmp(url, "/_drain") == 0 && b->up) {
@@ -691,8 +749,13 @@
 		    ? store_get(c, path[0], path[1])
 		    : store_write(c, path[0], path[1],
 			  ((struct call *)*state)->body->str);
-		if (mode == STORE_LOST && strcmp(method, "GET") != 0)
+		if ((mode == STORE_LOST || mode == STORE_DIES) &&
+		    strcmp(method, "GET") != 0)
 			result = MHD_NO;
+		if (mode == STORE_DIES && result == MHD_NO) {
+			mode = STORE_BUSY;
+			g_cond_broadcast(&changed);
+		}
 	}
 	g_mutex_unlock(&lock);
 	return result;
@@ -817,20 +880,14 @@
 	    url, b->index, x->late, x->ended);
 }
 
-static void listen_for_backend(struct backend *b);
-
-/* Ends all connections and the listener, as the end of a process does, until
- * the backend server starts again. */
 static gpointer
-restart(gpointer arg)
+restart_later(gpointer arg)
 {
 	struct backend *b = arg;
 
-	MHD_stop_daemon(b->daemon);
 	(void)usleep(CRASH_DOWN_MS * 1000);
-	listen_for_backend(b);
 	g_mutex_lock(&lock);
-	set_up(b, true);
+	start_process(b);
 	g_mutex_unlock(&lock);
 	return NULL;
 }
@@ -852,8 +909,8 @@
 	printf("%s ends backend server %d, the %u. at %lld\n", url, b->index,
 	    x->ended, (long long)dh_clock_wall_ms());
 	(void)fflush(stdout);
-	set_up(b, false);
-	g_thread_unref(g_thread_new("restart", restart, b));
+	end_process(b);
+	g_thread_unref(g_thread_new("restart", restart_later, b));
 	return MHD_NO;
 }
 
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -5,10 +5,13 @@
  *
  * usage: wire CONTROL_PORT MAP...
  * A MAP is SRC,DST,LISTEN_PORT,TARGET_PORT.  With SRC "*" the source is the VM
- * named in the HELLO message of the internal protocol.
- * POST / with {"cut": [["v1", "v2"], ...]} sets the pairs that are cut, in
- * either order; {"cut": []} ends all cuts.  {"cut_to": [["v1", "v2"], ...]}
- * sets those where only bytes from the first to the second are held back;
+ * named in the HELLO message of the internal protocol.  A MAP
+ * datagrams,NAME,IP,PORT is a process that receives UDP datagrams there; each
+ * of these sends to the others' addresses, but to its own port, and the
+ * stand-in passes that on unless the pair is cut. POST / with {"cut": [["v1",
+ * "v2"], ...]} sets the pairs that are cut, in either order; {"cut": []} ends
+ * all cuts.  {"cut_to": [["v1", "v2"], ...]} sets those where only bytes from
+ * the first to the second are held back;
  * {"slow": [...]} those where each direction is delayed by {"slow_ms": N}.
  * {"silence": [...]} permanently stops all bytes on the present connections
  * of these pairs, {"reset": [...]} resets them; new connections work.
@@ -70,8 +73,24 @@
 	GList link;
 };
 
+/* A process that receives datagrams. */
+struct endpoint {
+	char *name;
+	struct sockaddr_in at;
+};
+
+/* The datagrams from one process to another: received at the address of the one
+ * and the port of the other, and sent from the socket of the way back. */
+struct passage {
+	struct wire *wire;
+	const struct endpoint *from, *to;
+	struct passage *back;
+	uv_udp_t udp;
+};
+
 struct wire {
 	uv_loop_t loop;
+	GPtrArray *endpoints; /* of struct endpoint */
 	GQueue relays;
 	GPtrArray *cut, *cut_to, *slow; /* each "A B" */
 	uint64_t slow_ms;
@@ -366,6 +385,72 @@
 		uv_tcp_nodelay(&r->out, 1);
 }
 
+static void
+on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+    const struct sockaddr *from, unsigned flags)
+{
+	struct passage *p = udp->data;
+	const char *a = p->from->name, *b = p->to->name;
+	uv_buf_t out = uv_buf_init(buf->base, n > 0 ? (unsigned)n : 0);
+
+	(void)flags;
+	if (n > 0 && from != NULL && !has_pair(p->wire->cut, a, b) &&
+	    !has_ordered_pair(p->wire->cut_to, a, b))
+		(void)uv_udp_try_send(&p->back->udp, &out, 1,
+		    (const struct sockaddr *)&p->to->at);
+	g_free(buf->base);
+}
+
+static struct passage *
+passage_open(
+    struct wire *w, const struct endpoint *from, const struct endpoint *to)
+{
+	struct passage *p = g_new0(struct passage, 1);
+	struct sockaddr_in at = to->at;
+
+	p->wire = w;
+	p->from = from;
+	p->to = to;
+	at.sin_port = from->at.sin_port;
+	uv_udp_init(&w->loop, &p->udp);
+	p->udp.data = p;
+	if (uv_udp_bind(&p->udp, (struct sockaddr *)&at, 0) != 0 ||
+	    uv_udp_recv_start(&p->udp, on_alloc, on_datagram) != 0)
+		return NULL;
+	return p;
+}
+
+/* Passes datagrams on between all endpoints. */
+static bool
+passages_open(struct wire *w)
+{
+	struct passage *there, *back;
+	guint i, j;
+
+	for (i = 0; i < w->endpoints->len; i++)
+		for (j = 0; j < i; j++) {
+			there = passage_open(
+			    w, w->endpoints->pdata[i], w->endpoints->pdata[j]);
+			back = passage_open(
+			    w, w->endpoints->pdata[j], w->endpoints->pdata[i]);
+			if (there == NULL || back == NULL)
+				return false;
+			there->back = back;
+			back->back = there;
+		}
+	return true;
+}
+
+static bool
+endpoint_add(struct wire *w, char **parts)
+{
+	struct endpoint *e = g_new0(struct endpoint, 1);
+
+	e->name = g_strdup(parts[1]);
+	g_ptr_array_add(w->endpoints, e);
+	return uv_ip4_addr(parts[2], atoi(parts[3]), &e->at) == 0;
+}
+
 static bool
 map_open(struct wire *w, const char *text)
 {
@@ -376,6 +461,8 @@
 	m->parts = g_strsplit(text, ",", 4);
 	if (g_strv_length(m->parts) != 4)
 		return false;
+	if (strcmp(m->parts[0], "datagrams") == 0)
+		return endpoint_add(w, m->parts);
 	uv_tcp_init(&w->loop, &m->server);
 	m->server.data = m;
 	uv_ip4_addr("127.0.0.1", atoi(m->parts[2]), &at);
@@ -484,6 +571,7 @@
 	w.cut = g_ptr_array_new_with_free_func(g_free);
 	w.cut_to = g_ptr_array_new_with_free_func(g_free);
 	w.slow = g_ptr_array_new_with_free_func(g_free);
+	w.endpoints = g_ptr_array_new();
 	o.port = (uint16_t)strtoul(argv[1], NULL, 10);
 	if (dh_httpd_new(&w.loop, &o, &error) == NULL) {
 		fprintf(stderr, "wire: %s\n", error->message);
@@ -494,5 +582,9 @@
 			fprintf(stderr, "wire: cannot map %s\n", argv[i]);
 			return 1;
 		}
+	if (!passages_open(&w)) {
+		fprintf(stderr, "wire: cannot pass datagrams on\n");
+		return 1;
+	}
 	return uv_run(&w.loop, UV_RUN_DEFAULT);
 }
--- a/tests/failure/gateway_lib.sh
+++ b/tests/failure/gateway_lib.sh
@@ -18,13 +18,18 @@
 	echo "$store_port"
 }
 
+# The port of a gateway for datagrams between gateways.
+peer_port_of() {
+	echo $((base + 12))
+}
+
 start_gateway() {
 	cat >"$dir/gw$1.json" <<END
 { "vm": "gw$1", "zone": "z1", "region": "r1", "zones": "z1=r1",
   "listen_url": "http://127.0.0.$((10 + $1)):$((base + 10))",
   "ready_url": "http://127.0.0.$((10 + $1)):$((base + 11))",
   "store_url": "http://127.0.0.1:$(store_port_of "$1")",
-  "peer_port": $((base + 12)), "forward_port": $((base + 13)),
+  "peer_port": $(peer_port_of "$1"), "forward_port": $((base + 13)),
   "log_lines_per_s": 1000 }
 END
 	"$build/dogwoodhub" --gateway --config "$dir/gw$1.json" \
--- a/tests/failure/gateway_soak.sh
+++ b/tests/failure/gateway_soak.sh
@@ -1,13 +1,13 @@
 #!/bin/sh
 # usage: [SEED=N] [SECONDS_OF_FAULTS=S] [FAULT_KINDS="..."]
-#     [SOAK_GATEWAYS="1 2 3 4"] [SOAK_ATTENDED=1] gateway_soak.sh BUILD
+#     [SOAK_GATEWAYS="1 2 3 4"] [SOAK_ATTENDED=1] [SOAK_PARTS=1] gateway_soak.sh BUILD
 # Faults drawn from a seed hit gateways, their connections, backend servers and
 # the store, overlapping and repeated, while callers keep their connections and
 # check every answer and the stand-in of the platform every grant and run.
 # Then all faults end: within RECOVER_S nearly all requests must be served, the
 # last configuration must be in force, and a backend server that is drained must
 # receive no more requests.  SOAK_ATTENDED: the configuration lets gateways
-# attend backend servers.
+# attend backend servers.  SOAK_PARTS: gateways may lose each other, too.
 # docs/SOAK.md.
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/gateway_lib.sh"
--- a/tests/failure/gateway_soak_lib.sh
+++ b/tests/failure/gateway_soak_lib.sh
@@ -41,6 +41,23 @@
 foreign:0,1,2,3,4,5" ;;
 esac
 
+# Gateways that lose the store and the other gateways and get them back in parts,
+# also while they are paused, and a store that goes down at a write that it has
+# carried out.
+if [ "${SOAK_PARTS:-}" ]; then
+	ALL_KINDS="$ALL_KINDS
+isolate_gateway:leader,leader,$g
+pause_isolated:leader,leader,$g
+isolate_leader:leader
+pause_isolated_leader:leader
+store_dies:dies
+lose_backends:all
+restart_backend:0,1,2,3,4,5"
+	peer_port_of() {
+		echo $((base + 450 + $1))
+	}
+fi
+
 store_port_of() {
 	echo $((base + 400 + $1))
 }
@@ -50,6 +67,8 @@
 	maps=
 	for n in $gateways; do
 		maps="$maps g$n,store,$(store_port_of "$n"),$store_port"
+		[ -z "${SOAK_PARTS:-}" ] ||
+			maps="$maps datagrams,g$n,127.0.0.$((10 + n)),$(peer_port_of "$n")"
 	done
 	n=0
 	while [ "$n" -lt "$BACKENDS" ]; do
@@ -205,6 +224,48 @@
 	apply_all
 }
 
+# Cuts gateway $2 off from the store and, under another number, from the other
+# gateways.
+isolate() {
+	cuts="$cuts $1s:[\"g$2\",\"store\"]"
+	for n in $gateways; do
+		[ "$n" = "$2" ] || cuts="$cuts $1p:[\"g$2\",\"g$n\"]"
+	done
+	apply_all
+}
+
+# Numbers of cuts that are ended one at a time, at each following end of a fault.
+left=
+
+heal_part() {
+	[ "$left" ] || return 0
+	part=${left%% *}
+	left=${left#"$part"}
+	left=${left# }
+	end_pair "$part"
+}
+
+# heal_in_parts NUMBER: the store first, or the other gateways.
+heal_in_parts() {
+	if [ $(($1 % 2)) -eq 0 ]; then
+		left="$left${left:+ }$1s $1p"
+	else
+		left="$left${left:+ }$1p $1s"
+	fi
+}
+
+# Cuts all gateways off from all backend servers, in two halves.
+lose_backends() {
+	n=0
+	while [ "$n" -lt "$BACKENDS" ]; do
+		half=s
+		[ $((n % 2)) -eq 0 ] || half=p
+		cuts="$cuts $1$half:[\"any\",\"b$n\"]"
+		n=$((n + 1))
+	done
+	apply_all
+}
+
 version=1
 
 begin() {
@@ -220,7 +281,16 @@
 	kill_backend) platform_control "/_kill?i=$target" >/dev/null ;;
 	freeze_backend) platform_control "/_freeze?i=$target" >/dev/null ;;
 	drain_backend) platform_control "/_drain?i=$target" >/dev/null ;;
-	store) platform_control "/_store?mode=$target" >/dev/null ;;
+	store | store_dies)
+		platform_control "/_store?mode=$target" >/dev/null
+		;;
+	isolate_gateway | isolate_leader) isolate "$1" "$target" ;;
+	pause_isolated | pause_isolated_leader)
+		pause_gateway "$target"
+		isolate "$1" "$target"
+		;;
+	lose_backends) lose_backends "$1" ;;
+	restart_backend) platform_control "/_kill?i=$target" >/dev/null ;;
 	store_back) platform_control "/_back?ms=$target" >/dev/null ;;
 	foreign) platform_control "/_foreign?i=$target" >/dev/null ;;
 	config)
@@ -234,18 +304,29 @@
 end() {
 	eval "target=\${target_$1:-}"
 	[ "$target" ] || return
+	heal_part
 	case $2 in
 	kill_gateway) start_again "$target" ;;
 	pause_gateway) resume_gateway "$target" ;;
 	stop_gateway) end_stop_gateway "$target" ;;
 	kill_all) for n in $gateways; do start_again "$n"; done ;;
-	kill_backend) platform_control "/_start?i=$target" >/dev/null ;;
+	kill_backend | restart_backend)
+		platform_control "/_start?i=$target" >/dev/null
+		;;
+	isolate_gateway | isolate_leader | lose_backends)
+		heal_in_parts "$1"
+		heal_part
+		;;
+	pause_isolated | pause_isolated_leader)
+		resume_gateway "$target"
+		heal_in_parts "$1"
+		;;
 	freeze_backend) platform_control "/_thaw?i=$target" >/dev/null ;;
 	drain_backend)
 		platform_control "/_kill?i=$target" >/dev/null
 		platform_control "/_start?i=$target" >/dev/null
 		;;
-	store) platform_control "/_store?mode=up" >/dev/null ;;
+	store | store_dies) platform_control "/_store?mode=up" >/dev/null ;;
 	config | store_back | foreign) ;;
 	*) end_pair "$1" ;;
 	esac
@@ -253,7 +334,7 @@
 
 heal_all() {
 	platform_control "/_store?mode=up" >/dev/null
-	cuts= cuts_to= slows=
+	cuts= cuts_to= slows= left=
 	apply_all
 	n=0
 	while [ "$n" -lt "$BACKENDS" ]; do
