Router: a request whose second copy is refused may have run

Callers saw: 503 "not-run" for a repeatable request that a backend server had received, and may have run.

The router took the refusal of the copy for the fate of the request.

Change: libcurl's call-back before each copy notes the second one; a refusal is then answered as 502 "unknown", like one after an earlier attempt that was lost. Requests that must not be repeated have connections of their own, as before.

Evidence: test_datapath_faults "copy refused after reuse" gets 503 "not-run" without the change and passes with it.

--- a/router/exchange.h
+++ b/router/exchange.h
@@ -104,7 +104,8 @@
 	bool permitted;
 	bool close_requested; /* closing the id was tried or is pointless */
 	bool id_closed; /* leader and deputy confirm: the id has not run */
-	bool may_have_run; /* an earlier attempt may have run */
+	bool may_have_run; /* an earlier attempt or copy may have run */
+	bool copy_sent; /* libcurl has begun to send a copy of this attempt */
 	bool resent; /* sent again after its connection became silent */
 
 	/* connection of the caller */
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -2,9 +2,10 @@
  * Sends an exchange's request to a backend server, with libcurl.
  *
  * When a reused connection breaks before the answer, libcurl sends the request
- * again without reporting it.  Without a seek function it can't do so once a
- * byte of the body was sent.  A request that is unrepeatable, or that is not
- * safe to repeat and has no body, therefore gets a new connection.
+ * again by itself, and only the answer to the last copy is seen.  Without a
+ * seek function it can't do so once a byte of the body was sent.  A request
+ * that is unrepeatable, or that is not safe to repeat and has no body,
+ * therefore gets a new connection.
  */
 #include <inttypes.h>
 #include <linux/sockios.h>
@@ -267,6 +268,21 @@
 	return CURL_SOCKOPT_OK;
 }
 
+/* libcurl calls this before each copy of a request that it sends. */
+static int
+on_copy(void *arg, char *ip, char *local_ip, int port, int local_port)
+{
+	struct dh_exchange *ex = arg;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	ex->may_have_run |= ex->copy_sent;
+	ex->copy_sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
 static enum MHD_Result
 copy_header(
     void *arg, enum MHD_ValueKind kind, const char *name, const char *value)
@@ -366,6 +382,8 @@
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_S);
 	curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, CONNECTION_LIFE_S);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_copy);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, ex);
 	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BLOCK_BYTES);
 	curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, BLOCK_BYTES);
 	if (needs_own_connection(ex) ||
@@ -388,6 +406,7 @@
 	ex->sent_us = dh_clock_us();
 	ex->easy = easy;
 	ex->not_run = false;
+	ex->copy_sent = false;
 	ex->id_mismatch = false;
 	ex->request_undelivered = false;
 	ex->refused_reason[0] = '\0';
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -366,6 +366,18 @@
 	void (*run)(struct fake_conn *c, const struct fake_request *rq);
 };
 
+static void
+fake_die_refuse(struct fake_conn *c, const struct fake_request *rq)
+{
+	if (c->served > 0) {
+		fake_die(c, rq);
+		return;
+	}
+	fake_send_text(c->fd,
+	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
+	    "Dh-Reason: draining\r\nContent-Length: 2\r\n\r\nno");
+}
+
 static const struct fake_kind fake_kinds[] = {
 	{ "echo", fake_echo }, /* answers with what it received */
 	{ "hold", fake_hold }, /* waits for fake_release(), then echoes */
@@ -374,6 +386,7 @@
 	{ "hang", fake_hang }, /* never answers */
 	{ "early-cut",
 	    fake_early_cut }, /* answers, and does not read the body */
+	{ "die-refuse", fake_die_refuse }, /* as "die"; refuses the next copy */
 	{ "die", fake_die }, /* closes a reused connection unanswered */
 };
 
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -192,6 +192,19 @@
 	fixture_stop(&fx);
 }
 
+/* Guards against "not run" for a request that a backend server has received:
+ * the connection ends, and the copy that libcurl sends by itself is refused. */
+static void
+test_copy_refused_after_reuse(void)
+{
+	fixture_start(&fx);
+	open_idle_connection();
+	send_request(&fx, &r, GET("/web/die-refuse"));
+	CU_ASSERT(fake_seen(&fx.fake, "/web/die-refuse") > 1);
+	CU_ASSERT(is_router_answer(&r, 502, "unknown", "refused"));
+	fixture_stop(&fx);
+}
+
 static void
 test_refused(void)
 {
@@ -581,6 +594,7 @@
 		{ "reused connection breaks", test_reused_connection_breaks },
 		{ "backend server fails after reuse",
 		    test_backend_fails_after_reuse },
+		{ "copy refused after reuse", test_copy_refused_after_reuse },
 		{ "refused", test_refused },
 		{ "close", test_close },
 		{ "close budget", test_close_budget },
