Gateway: a grant is checked again when its connection is opened

What is suspected: an order that was made before the pause is sent by libcurl after it, and opens its connection then.

Change: an order carries the time from which only a known process may get it, and the HTTP client compares it with the clock, which counts pauses, when it opens a socket, also for a second copy. Before, the order was judged when it was made.

--- a/base/http.c
+++ b/base/http.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/timer.h"
 
@@ -221,16 +222,21 @@
 	size_t header_bytes; /* received so far */
 	uint32_t keepalive_s;
 	bool reset_on_close;
+	int64_t connect_until_ms;
 	bool began; /* the request was begun to be sent */
 };
 
 static curl_socket_t
-refuse_socket(void *arg, curlsocktype purpose, struct curl_sockaddr *address)
+open_socket(void *arg, curlsocktype purpose, struct curl_sockaddr *address)
 {
-	(void)arg;
+	const struct dh_http_fetch *f = arg;
+
 	(void)purpose;
-	(void)address;
-	return CURL_SOCKET_BAD;
+	/* The process may have been stopped since the request was made. */
+	if (dh_clock_ms() >= f->connect_until_ms)
+		return CURL_SOCKET_BAD;
+	return socket(address->family, address->socktype | SOCK_CLOEXEC,
+	    address->protocol);
 }
 
 /* Called before each copy of a request is sent. */
@@ -390,9 +396,11 @@
 		    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)rq->connect_ms);
 	if (rq->fresh_connection)
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-	if (rq->kept_connection)
-		curl_easy_setopt(
-		    easy, CURLOPT_OPENSOCKETFUNCTION, refuse_socket);
+	f->connect_until_ms = rq->connect_until_ms;
+	if (f->connect_until_ms != 0) {
+		curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+		curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, f);
+	}
 	if (rq->send_once) {
 		curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
 		curl_easy_setopt(easy, CURLOPT_PREREQDATA, f);
--- a/base/http.h
+++ b/base/http.h
@@ -58,8 +58,10 @@
 	int64_t timeout_ms; /* of the whole exchange */
 	int64_t connect_ms; /* timeout of connecting; 0: only timeout_ms */
 	bool fresh_connection; /* open a new connection */
-	/* Use a kept connection only; without one the request fails unsent. */
-	bool kept_connection;
+	/* Open no connection from this time on (dh_clock_ms()), also for a
+	 * second copy: without a kept one the request fails unsent.  0: no
+	 * limit. */
+	int64_t connect_until_ms;
 	/* Never send the request a second time.  Without this, libcurl does so
 	 * by itself when a kept connection ends before the answer begins, and
 	 * the reply is then the answer to the second copy only. */
--- a/core/keyspace.c
+++ b/core/keyspace.c
@@ -754,8 +754,8 @@
 	r->order_kind = kind;
 	r->order_sent_ms = now_ms;
 	if (kind == DH_KEY_GRANT) {
-		order->same_process =
-		    now_ms >= ks->leading_ms + ks->p.leading_valid_ms;
+		order->same_process_from_ms =
+		    ks->leading_ms + ks->p.leading_valid_ms;
 		r->earlier_arrival_ms = r->grant_arrival_ms;
 		r->grant_arrival_ms = now_ms;
 	}
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -126,7 +126,10 @@
 	if (reply->status == 0 && reply->sent)
 		return DH_KEY_UNANSWERED;
 	if (reply->status == 0)
-		return w->o.same_process ? DH_KEY_WITHHELD : DH_KEY_NOT_SENT;
+		return w->o.kind == DH_KEY_GRANT &&
+			dh_clock_ms() >= w->o.same_process_from_ms
+		    ? DH_KEY_WITHHELD
+		    : DH_KEY_NOT_SENT;
 	if (w->o.kind == DH_KEY_PROBE)
 		return reply->status == 421 ? DH_KEY_NOT_SENT : DH_KEY_ACCEPTED;
 	switch (reply->status) {
@@ -268,7 +271,7 @@
 		/* Each kept connection of this client was opened for a grant
 		 * of a leader that was in office. */
 		http = d->c.grants;
-		rq.kept_connection = o->same_process;
+		rq.connect_until_ms = o->same_process_from_ms;
 		break;
 	case DH_KEY_RELEASE:
 		url =
--- a/include/dogwoodhub/keyspace.h
+++ b/include/dogwoodhub/keyspace.h
@@ -88,10 +88,10 @@
 	uint32_t from, to;
 	uint64_t fence;
 	int64_t lease_ms; /* duration of the lease */
-	/* A grant that only a backend server process may get that has had one
-	 * of this leader's already: it is sent on a connection that has been
-	 * open since, or else answered with DH_KEY_WITHHELD. */
-	bool same_process;
+	/* From this time on only a backend server process may get the grant
+	 * that has had one of this leader's already: it is sent on a connection
+	 * that has been open since, or else answered with DH_KEY_WITHHELD. */
+	int64_t same_process_from_ms;
 	/* Data from the former owner's release, for the new owner; "" for
 	 * none. */
 	char handover[DH_HANDOVER_MAX];
@@ -105,7 +105,8 @@
 	DH_KEY_UNANSWERED,
 	DH_KEY_NOT_SENT, /* the order was not sent */
 	/* The order was not sent, as no connection was left on which it may be
-	 * (same_process).  This says nothing about the backend server. */
+	 * (same_process_from_ms).  This says nothing about the backend server.
+	 */
 	DH_KEY_WITHHELD,
 };
 
@@ -178,8 +179,9 @@
  *
  * A backend server refuses the grants of a leader that has been replaced, as it
  * has accepted a higher token.  One that has restarted under its id knows no
- * tokens, and the leader may not know of the restart.  Therefore grants have
- * same_process set unless a report of the last leading_valid_ms allows them.
+ * tokens, and the leader may not know of the restart.  Therefore a process that
+ * has had no grant gets one only within leading_valid_ms of a report
+ * (same_process_from_ms).
  *
  * dh_keyspace_is_withholding -- return whether a grant was answered with
  * DH_KEY_WITHHELD and is due again.  A later report makes it due at once.
--- a/tools/mutate_keyspace.sh
+++ b/tools/mutate_keyspace.sh
@@ -83,7 +83,7 @@
 mutate FORGOTTEN_FOREIGN 's/ks->ranges\[i\].former_lease_until_ms = former_leases_end_ms\(ks\);/;/'
 # A leader that may have been replaced grants keys to a process that it has never
 # granted any to.
-mutate SAME_PROCESS 's/now_ms >= ks->leading_ms \+ ks->p.leading_valid_ms/false/'
+mutate SAME_PROCESS 's/ks->leading_ms \+ ks->p.leading_valid_ms/INT64_MAX/'
 # A grant that was withheld counts as one that may have arrived.
 mutate WITHHELD 's/r->grant_arrival_ms = r->earlier_arrival_ms;//'
 
