Gateway: for memory only messages are given up that hold some

Cause: bodies that have been passed on count towards the limit and cannot be given up, so the worker went on to the awaited answers, each counted with the 128 bytes of its empty buffer, until none was left.

Change: what takes no more than a connection may keep between messages (16 KiB) is counted, but not given up: that frees nothing.

--- a/gateway/message.c
+++ b/gateway/message.c
@@ -14,9 +14,6 @@
 	"Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 	NULL };
 
-/* Limit of body memory that a connection keeps between messages. */
-#define BODY_KEPT_MAX 16384
-
 static bool
 count_head_bytes(struct dh_message *m, size_t len)
 {
@@ -184,7 +181,7 @@
 void
 dh_message_free_body(struct dh_message *m)
 {
-	if (m->body->allocated_len <= BODY_KEPT_MAX) {
+	if (m->body->allocated_len <= DH_MESSAGE_BODY_KEPT_MAX) {
 		g_string_truncate(m->body, 0);
 		return;
 	}
--- a/gateway/message.h
+++ b/gateway/message.h
@@ -49,8 +49,9 @@
  * connection. */
 void dh_message_reset(struct dh_message *m);
 
-/* dh_message_free_body -- empty the body, and free its memory unless it is
- * small. */
+/* dh_message_free_body -- empty the body, and free its memory unless it takes
+ * no more than DH_MESSAGE_BODY_KEPT_MAX bytes, which a connection may keep. */
+#define DH_MESSAGE_BODY_KEPT_MAX 16384
 void dh_message_free_body(struct dh_message *m);
 
 /* dh_message_feed -- parse bytes.  *used is set to how many of them belong to
--- a/gateway/room.c
+++ b/gateway/room.c
@@ -21,6 +21,9 @@
 	    MESSAGE_MEMORY_PERCENT / w->settings->threads;
 }
 
+/* Adds a message that may be given up.  One that takes no more than a
+ * connection may keep anyway is counted, but not given up: that would free
+ * nothing. */
 static void
 add_message(
     GArray *list, size_t bytes, uint32_t priority, void *owner, size_t *total)
@@ -28,7 +31,8 @@
 	struct dh_room_message u = { bytes, priority, owner };
 
 	*total += bytes;
-	g_array_append_val(list, u);
+	if (bytes > DH_MESSAGE_BODY_KEPT_MAX)
+		g_array_append_val(list, u);
 }
 
 static size_t
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -1525,6 +1525,50 @@
 	settings.memory_mb = 256;
 }
 
+/* Uploads that have been passed on exceed the memory limit, and more are read.
+ * Guards against awaited answers to small requests that are given up then,
+ * which frees nothing. */
+static void
+test_memory_limit_keeps_small_requests(void)
+{
+	static char body[60000];
+	struct caller orders[4];
+	g_autofree char *head = g_strdup_printf(
+	    "POST /delay/ HTTP/1.1\r\nHost: h.example\r\n" ID
+	    ": u\r\nX-Dogwoodhub-Deadline-Ms: 3000\r\nContent-Length: "
+	    "%zu\r\n\r\n",
+	    sizeof(body));
+	const struct dh_counter *room;
+	int fds[10];
+	size_t i;
+
+	settings.memory_mb = 2;
+	slots = 16;
+	start_worker(1);
+	room = dh_counter_get("dh_gateway_room_bytes", "");
+	for (i = 0; i < G_N_ELEMENTS(orders); i++) {
+		orders[i].path = "/delay/";
+		orders[i].thread =
+		    g_thread_new("order", get_in_thread, &orders[i]);
+	}
+	(void)usleep(100000);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = connect_to_worker();
+		send_text(fds[i], head);
+		(void)send(fds[i], body, sizeof(body), MSG_NOSIGNAL);
+	}
+	for (i = 0; i < G_N_ELEMENTS(orders); i++) {
+		(void)g_thread_join(orders[i].thread);
+		CU_ASSERT_EQUAL(orders[i].status, 200);
+	}
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		(void)close(fds[i]);
+	CU_ASSERT_TRUE(dh_counter_value(room) > ((uint64_t)2 << 20) / 3);
+	stop_worker();
+	settings.memory_mb = 256;
+	slots = 4;
+}
+
 /* A backend server that refuses a request with Retry-After is sent no request
  * for that time.  If it is the only one, requests are refused meanwhile. */
 static void
@@ -2125,6 +2169,8 @@
 		    test_late_copy_that_lost_its_id },
 		{ "endless answers", test_endless_answers },
 		{ "memory limit of bodies", test_memory_limit_of_bodies },
+		{ "memory limit and small requests",
+		    test_memory_limit_keeps_small_requests },
 		{ "pipelining", test_pipelining },
 		{ "pipelining, unrepeatable", test_pipelining_unrepeatable },
 		{ "pipelining, drain", test_pipelining_drain },
