--- a/standin/platform.c
+++ b/standin/platform.c
@@ -13,8 +13,7 @@
  * belong to a stand-in for the network, instead of the backend servers' ports.
  *
  * Control calls on the store's port, for soak tests and scenarios:
- * /_kill?i=N, /_start?i=N	end the process of a backend server and start
- *another
+ * /_kill?i=N, /_start?i=N	end a backend server's process, start the next
  * /_freeze?i=N, /_thaw?i=N	stop and resume its answers
  * /_drain?i=N		announce that it is draining
  * /_closed?i=N		requests to it are violations from now on
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -8,10 +8,11 @@
  * named in the HELLO message of the internal protocol.  A MAP
  * datagrams,NAME,IP,PORT is a process that receives UDP datagrams there; each
  * of these sends to the others' addresses, but to its own port, and the
- * stand-in passes that on unless the pair is cut. POST / with {"cut": [["v1",
- * "v2"], ...]} sets the pairs that are cut, in either order; {"cut": []} ends
- * all cuts.  {"cut_to": [["v1", "v2"], ...]} sets those where only bytes from
- * the first to the second are held back;
+ * stand-in passes that on unless the pair is cut.
+ *
+ * POST / with {"cut": [["v1", "v2"], ...]} sets the pairs that are cut, in
+ * either order; {"cut": []} ends all cuts.  {"cut_to": [["v1", "v2"], ...]}
+ * sets those where only bytes from the first to the second are held back;
  * {"slow": [...]} those where each direction is delayed by {"slow_ms": N}.
  * {"silence": [...]} permanently stops all bytes on the present connections
  * of these pairs, {"reset": [...]} resets them; new connections work.
