Gateway: log which connection carried a request, and skipped answers

No decision changes. The hypotheses of the incident could not be told apart: no line named the connection of an attempt, what it had carried before, or the answers that were skipped on it.

Change: connection, carried and skipped in attempt.end and request.end; the lines answer.skipped and connection.same_id, with a counter each.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -413,6 +413,8 @@
 	rq->attempts++;
 	rq->ran_before = rq->may_have_run;
 	rq->sent_ms = now_ms;
+	rq->connection = 0;
+	rq->carried = rq->skipped = 0;
 	rq->requests_ahead = dh_backend_requests(&pool->load, now_ms);
 	rq->answers_at_send = pool->answers;
 	dh_backend_sent(&pool->load);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -70,7 +70,8 @@
 	    "\"key\":%d,\"server\":\"%s\",\"attempts\":%u,\"unreachable\":%u,"
 	    "\"forwards\":%u,"
 	    "\"age_ms\":%lld,\"left_ms\":%lld,\"sent_ms_ago\":%lld,"
-	    "\"expected_ms\":%.0f,\"ahead\":%.1f,\"config\":%lld,"
+	    "\"expected_ms\":%.0f,\"ahead\":%.1f,\"connection\":%llu,"
+	    "\"carried\":%u,\"skipped\":%u,\"config\":%lld,"
 	    "\"view\":%llu,\"owners\":%llu,\"digest\":\"%016llx\"",
 	    dh_opslog_quote(id, sizeof(id), rq->id), status, why,
 	    rq->route == NULL || rq->from_vm ? "" : rq->route->name,
@@ -79,6 +80,7 @@
 	    (long long)(rq->deadline_ms - now_ms),
 	    rq->sent_ms == 0 ? -1LL : (long long)(now_ms - rq->sent_ms),
 	    rq->expected_ms, rq->requests_ahead,
+	    (unsigned long long)rq->connection, rq->carried, rq->skipped,
 	    rq->view == NULL ? -1LL
 			     : (long long)(*rq->view->deployment)->version,
 	    rq->view == NULL ? 0ULL : (unsigned long long)rq->view->number,
@@ -259,12 +261,14 @@
 		dh_call_address(rq->call, caller, sizeof(caller));
 	dh_opslog_add(DH_OPS_REQUEST, "attempt.end",
 	    ",\"id\":%s,\"how\":\"%s\",\"why\":\"%s\",\"server\":\"%s\","
-	    "\"attempt\":%u,\"after_ms\":%lld,\"ahead\":%.1f,\"view\":%llu,"
+	    "\"attempt\":%u,\"after_ms\":%lld,\"ahead\":%.1f,"
+	    "\"connection\":%llu,\"carried\":%u,\"skipped\":%u,\"view\":%llu,"
 	    "\"digest\":\"%016llx\",\"caller\":\"%s\"",
 	    dh_opslog_quote(id, sizeof(id), rq->id), how, why, rq->server_id,
 	    rq->attempts,
 	    (long long)(dh_worker_now_ms(rq->worker) - rq->sent_ms),
-	    rq->requests_ahead, (unsigned long long)rq->view->number,
+	    rq->requests_ahead, (unsigned long long)rq->connection, rq->carried,
+	    rq->skipped, (unsigned long long)rq->view->number,
 	    (unsigned long long)rq->digest, caller);
 }
 
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -64,6 +64,8 @@
 	int64_t idle_max_ms;
 	int64_t idle_before_ms; /* idle time before the request; 0: new */
 	int64_t started_ms; /* when the connection was started */
+	uint64_t number; /* of the connection, in the worker */
+	uint32_t carried; /* requests sent on it so far */
 	/* Id of the last request that was answered as not run, or "".  A late
 	 * copy of that answer could be taken for one to the same request. */
 	char not_run_id[DH_NAME_MAX * 2];
@@ -297,6 +299,25 @@
 	dh_message_clear(&answer);
 }
 
+static void
+log_skipped_answer(const struct dh_upstream *up)
+{
+	const struct dh_message *m = &up->in;
+	const char *other = dh_message_header(m, dh_wire_headers.request_id);
+	char id[DH_NAME_MAX * 2 + 8], other_id[DH_NAME_MAX * 2 + 8];
+
+	dh_opslog_add(DH_OPS_REQUEST, "answer.skipped",
+	    ",\"id\":%s,\"server\":\"%s\",\"connection\":%llu,"
+	    "\"carried\":%u,\"status\":%u,\"bytes\":%zu,\"names\":%s,"
+	    "\"after_ms\":%lld",
+	    dh_opslog_quote(id, sizeof(id), up->rq->id), up->pool->id,
+	    (unsigned long long)up->number, up->rq->carried,
+	    m->parser.status_code, m->body->len,
+	    dh_opslog_quote(
+		other_id, sizeof(other_id), other == NULL ? "" : other),
+	    (long long)(dh_worker_now_ms(up->worker) - up->rq->sent_ms));
+}
+
 /* A backend server that is leaving says so in a header of all its answers. */
 static void
 note_leaving(struct dh_upstream *up)
@@ -342,6 +363,9 @@
 		if (up->in.parser.status_code >= 200) {
 			up->not_reusable = true;
 			dh_counter_add(up->worker->c.bad_answers, 1);
+			dh_counter_add(up->worker->c.skipped_answers, 1);
+			up->rq->skipped++;
+			log_skipped_answer(up);
 			if (++up->foreign_answers > FOREIGN_ANSWERS_MAX) {
 				upstream_fail(up, DH_ATTEMPT_LOST,
 				    "answers to other requests");
@@ -537,6 +561,29 @@
 	return NULL;
 }
 
+/* Log a request whose id the connection has carried before, and remember it. */
+static void
+note_sent(struct dh_upstream *up)
+{
+	struct dh_worker *w = up->worker;
+	struct dh_request *rq = up->rq;
+	char id[DH_NAME_MAX * 2 + 8];
+
+	rq->connection = up->number;
+	rq->carried = up->carried++;
+	if (rq->carried > 0 &&
+	    dh_sent_log_has(&w->sent_log, up->number, rq->id)) {
+		dh_counter_add(w->c.same_ids, 1);
+		dh_opslog_add(DH_OPS_REQUEST, "connection.same_id",
+		    ",\"id\":%s,\"server\":\"%s\",\"attempt\":%u,"
+		    "\"connection\":%llu,\"carried\":%u,\"idle_ms\":%lld",
+		    dh_opslog_quote(id, sizeof(id), rq->id), up->pool->id,
+		    rq->attempts, (unsigned long long)up->number, rq->carried,
+		    (long long)up->idle_before_ms);
+	}
+	dh_sent_log_add(&w->sent_log, up->number, rq->id);
+}
+
 static void
 send_request(struct dh_upstream *up)
 {
@@ -550,6 +597,7 @@
 		upstream_fail(up, DH_ATTEMPT_UNSENT, why);
 		return;
 	}
+	note_sent(up);
 	n = uv_try_write((uv_stream_t *)&up->tcp, &buf, 1);
 	set_expected_answer(up);
 	rq->may_have_run = true;
@@ -627,6 +675,7 @@
 	up->link.data = up;
 	up->idle_max_ms = IDLE_MAX_MS;
 	up->started_ms = dh_worker_now_ms(w);
+	up->number = ++w->connections;
 	answer_init(up);
 	uv_tcp_init(&w->loop, &up->tcp);
 	uv_timer_init(&w->loop, &up->timer);
--- a/gateway/worker.c
+++ b/gateway/worker.c
@@ -22,6 +22,9 @@
 /* Reports of a leaving backend server are repeated, since one may be lost. */
 #define LEAVING_REPORT_INTERVAL_MS 1000
 #define LISTEN_BACKLOG 1024
+/* Requests of all connections whose ids are remembered.  A connection is
+ * replaced at the latest after as many. */
+#define SENT_LOG_MAX (1u << 18)
 /* Assumed network round trip times: within an availability zone, between zones,
  * between regions. */
 #define ROUND_TRIP_ZONE_MS 1.0
@@ -84,6 +87,9 @@
 	c->queued_ms = dh_counter_get("dh_gateway_queued_ms_total", "");
 	c->services_lost = dh_counter_get("dh_gateway_services_lost", "");
 	c->bad_answers = dh_counter_get("dh_gateway_bad_answers_total", "");
+	c->skipped_answers =
+	    dh_counter_get("dh_gateway_skipped_answers_total", "");
+	c->same_ids = dh_counter_get("dh_gateway_same_ids_total", "");
 	for (i = 0; i <= DH_LATENCY_BUCKETS; i++) {
 		g_free(label);
 		label = i == DH_LATENCY_BUCKETS
@@ -635,6 +641,7 @@
 	w->index = index;
 	w->rng.state = (uint64_t)dh_clock_us() ^ g_str_hash(s->vm) ^ index;
 	w->pools = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	dh_sent_log_init(&w->sent_log, SENT_LOG_MAX);
 	w->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	w->report = g_new0(struct dh_worker_report, 1);
@@ -699,6 +706,7 @@
 	dh_view_unref(w->view);
 	dh_view_unref(ck_pr_fas_ptr(&w->next_view, NULL));
 	g_hash_table_destroy(w->pools);
+	dh_sent_log_clear(&w->sent_log);
 	g_hash_table_destroy(w->services);
 	g_free(w->report);
 	g_free(ck_pr_fas_ptr(&w->report_out, NULL));
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -6,6 +6,7 @@
 #include <dogwoodhub/ratelimit.h>
 #include <dogwoodhub/reach.h>
 #include <dogwoodhub/runqueue.h>
+#include <dogwoodhub/sentlog.h>
 
 #include "gateway/worker.h"
 #include "gateway/message.h"
@@ -120,6 +121,9 @@
 	 * queue. */
 	struct dh_counter *callers_left, *retries, *connects, *parked;
 	struct dh_counter *bad_answers; /* of backend servers */
+	/* Answers skipped since they name another request, and requests whose
+	 * id a connection had carried before. */
+	struct dh_counter *skipped_answers, *same_ids;
 	/* Requests that were chosen for a backend server, but could no longer
 	 * be sent there when the connection was ready. */
 	struct dh_counter *unsent;
@@ -171,6 +175,8 @@
 	uint32_t done; /* shared: flag, the thread has ended */
 	bool accepting; /* the listeners are open */
 	GHashTable *pools; /* uid -> struct dh_pool */
+	struct dh_sent_log sent_log; /* ids by connection */
+	uint64_t connections; /* opened so far */
 	GHashTable *services; /* name -> struct dh_service_state */
 	GQueue clients;
 	GQueue parked; /* requests that wait for an owner of their key */
@@ -230,6 +236,10 @@
 	struct dh_pool *pool; /* backend server of the current attempt */
 	char server_id[DH_NAME_MAX]; /* of the last attempt, for the log */
 	int64_t sent_ms; /* start of the current attempt */
+	/* Of the current attempt: number of its connection, requests that this
+	 * had carried before, and answers to others that came on it. */
+	uint64_t connection;
+	uint32_t carried, skipped;
 	double requests_ahead; /* at the backend server, as of sent_ms */
 	double expected_ms; /* expected duration of the attempt */
 	uint32_t attempts; /* attempts that reached a backend server */
