Tests: late copies of answers, red

test_worker, on the present code: - "late copy to a request that came again": an id is sent again on a connection that has carried it, others in between. "requests share a connection" passes and is to stay so: 300 requests on one connection.

--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "gateway/worker.h"
 #include "tests/cunit_main.h"
 
@@ -202,6 +203,101 @@
 	send_text(fd, good);
 }
 
+/* Requests that a fake server has answered on one connection. */
+struct fake_past {
+	char ids[8][128];
+	int n;
+	char previous[128]; /* id of the last one */
+};
+static struct fake_past pasts[FDS_MAX];
+
+static bool
+was_answered(const struct fake_past *p, const char *id)
+{
+	int i;
+
+	for (i = 0; i < p->n; i++)
+		if (strcmp(p->ids[i], id) == 0)
+			return true;
+	return false;
+}
+
+/* The answer to the first request with an id, in the form that the path names.
+ */
+static char *
+first_answer(const char *head, const char *id)
+{
+	bool failed = strstr(head, "/failed/") != NULL;
+	bool refused = strstr(head, "/refused/") != NULL;
+
+	return g_strdup_printf("HTTP/1.1 %s\r\n%s" ID ": %s\r\n%s%s",
+	    refused	 ? "503 No"
+		: failed ? "500 Failed"
+			 : "200 OK",
+	    refused ? "X-Dogwoodhub-Not-Executed: 1\r\n" : STAMP, id,
+	    strstr(head, "/unframed/") != NULL ? "" : "Content-Length: 5\r\n",
+	    strstr(head, "/half/") != NULL ? "\r\nol" : "\r\nfirst");
+}
+
+/* Answer a request whose id the connection has carried before with a copy of
+ * the first answer, and then with its own.  An answer without a length can't
+ * be a first one. */
+static void
+send_stuttering(int fd, const char *head, const char *id)
+{
+	struct fake_past *p = &pasts[fd % FDS_MAX];
+	g_autofree char *first = first_answer(head, id);
+	g_autofree char *own = g_strdup_printf("HTTP/1.1 200 OK\r\n" STAMP ID
+					       ": %s\r\nContent-Length: 5\r\n"
+					       "\r\nother",
+	    id);
+
+	if (was_answered(p, id)) {
+		send_text(fd, first);
+		g_mutex_lock(&lock);
+		late_copies++;
+		g_mutex_unlock(&lock);
+		(void)usleep(20000);
+		send_text(fd, own);
+		return;
+	}
+	(void)g_strlcpy(p->ids[p->n % 8], id, sizeof(p->ids[0]));
+	p->n = MIN(p->n + 1, 8);
+	send_text(fd,
+	    strstr(head, "/failed/") != NULL ||
+		    strstr(head, "/refused/") != NULL
+		? first
+		: own);
+}
+
+/* Send the beginning of an answer that is not the first on its connection
+ * twice, the first time only a part of its head. */
+static void
+send_behind_part(int fd, const char *head, const char *id)
+{
+	struct fake_past *p = &pasts[fd % FDS_MAX];
+	bool failed = strstr(head, "/failed/") != NULL;
+	g_autofree char *own = g_strdup_printf(
+	    "HTTP/1.1 %s\r\n" STAMP ID ": %s\r\nContent-Length: 5\r\n\r\nother",
+	    p->n > 0 && failed ? "500 Failed" : "200 OK", id);
+
+	if (p->n++ > 0) {
+		if (strstr(head, "/refusal/") != NULL)
+			send_text(fd,
+			    "HTTP/1.1 503 No\r\n"
+			    "X-Dogwoodhub-Not-Executed: 1");
+		else if (strstr(head, "/reason/") != NULL)
+			send_text(fd, "HTTP/1.1 200 O");
+		else
+			send_text(fd, "HTTP/1.1 200 OK\r\nX-Part: te");
+		g_mutex_lock(&lock);
+		late_copies++;
+		g_mutex_unlock(&lock);
+		(void)usleep(20000);
+	}
+	send_text(fd, own);
+}
+
 static gint delayed; /* number of requests under /rest/ in progress */
 static bool ran_beside_delayed; /* another request ran at the same time */
 
@@ -246,6 +342,10 @@
 		send_text(fd, good);
 	} else if (strstr(head, "/late-copy/") != NULL) {
 		send_late_copy(fd, head, id, good);
+	} else if (strstr(head, "/stutter/") != NULL) {
+		send_stuttering(fd, head, id);
+	} else if (strstr(head, "/part/") != NULL) {
+		send_behind_part(fd, head, id);
 	} else if (strstr(head, "/lost-then-refused/") != NULL) {
 		if (g_atomic_int_add(&lost, 1) == 0) {
 			(void)usleep(60000);
@@ -486,6 +586,7 @@
 
 	(void)g_atomic_int_add(&connections, 1);
 	refused_on[c->fd % FDS_MAX] = false;
+	memset(&pasts[c->fd % FDS_MAX], 0, sizeof(pasts[0]));
 	g_mutex_lock(&lock);
 	g_array_append_val(c->f->connections, c->fd);
 	g_mutex_unlock(&lock);
@@ -579,6 +680,10 @@
 	add_route(d, "/late-copy/keyed/", DH_REPEAT_NEVER, 1);
 	add_route(d, "/ok/keyed/slow/", DH_REPEAT_SAFE, 1);
 	d->routes[d->nroutes - 1].timeout_ms = 3000;
+	add_route(d, "/stutter/", DH_REPEAT_NEVER, 0);
+	d->routes[d->nroutes - 1].attempts_max = 1;
+	add_route(d, "/stutter/failed/keyed/", DH_REPEAT_SAFE, 1);
+	add_route(d, "/part/", DH_REPEAT_NEVER, 0);
 	add_route(d, "/ok/north/", DH_REPEAT_SAFE, 0);
 	d->routes[d->nroutes - 1].homes = strdup("north");
 	add_route(d, "/ok/north/keyed/", DH_REPEAT_SAFE, 1);
@@ -1314,6 +1419,101 @@
 	stop_worker();
 }
 
+static unsigned int
+ask_with_id(const char *path, const char *id)
+{
+	int fd = connect_to_worker();
+	unsigned int status;
+
+	send_request(fd, path, id, "X-Dogwoodhub-Shard-Key: 7\r\n");
+	status = receive(fd, buf);
+	(void)close(fd);
+	return status;
+}
+
+/* Guards against a late copy of the answer to an earlier request with the same
+ * id that passes for the answer to this one. */
+static void
+test_late_copy_to_a_request_that_came_again(void)
+{
+	static const struct {
+		const char *path;
+		unsigned int first;
+	} cases[] = { { "/stutter/whole/", 200 }, { "/stutter/half/", 200 },
+		{ "/stutter/unframed/", 200 }, { "/stutter/failed/", 500 },
+		{ "/stutter/refused/", 503 } };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		start_worker(1);
+		CU_ASSERT_EQUAL(
+		    ask_with_id(cases[i].path, "x"), cases[i].first);
+		/* Others use the connection meanwhile. */
+		CU_ASSERT_EQUAL(
+		    ask_with_id(cases[i].path, "y"), cases[i].first);
+		CU_ASSERT_EQUAL(
+		    ask_with_id(cases[i].path, "z"), cases[i].first);
+		CU_ASSERT_EQUAL(
+		    ask_with_id(cases[i].path, "x"), cases[i].first);
+		CU_ASSERT_EQUAL(late_copies, 0);
+		CU_ASSERT_EQUAL(runs, 4);
+		if (cases[i].first == 200)
+			CU_ASSERT_PTR_NOT_NULL(strstr(buf, "\r\n\r\nother"));
+		stop_worker();
+	}
+}
+
+/* The same for the next attempt of one request. */
+static void
+test_late_copy_to_the_next_attempt(void)
+{
+	start_worker(1);
+	CU_ASSERT_EQUAL(ask_with_id("/stutter/failed/keyed/", "x"), 500);
+	CU_ASSERT_EQUAL(runs, 2);
+	CU_ASSERT_EQUAL(late_copies, 0);
+	stop_worker();
+}
+
+/* Guards against a head that begins with a part of another answer's head. */
+static void
+test_part_of_a_head_before_an_answer(void)
+{
+	static const char *const paths[] = { "/part/failed/",
+		"/part/reason/failed/", "/part/refusal/" };
+	char id[16];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		start_worker(1);
+		(void)g_snprintf(id, sizeof(id), "p-%zu", i);
+		CU_ASSERT_EQUAL(ask_with_id(paths[i], id), 200);
+		(void)g_snprintf(id, sizeof(id), "q-%zu", i);
+		CU_ASSERT_EQUAL(ask_with_id(paths[i], id), 502);
+		CU_ASSERT_EQUAL(late_copies, 1);
+		CU_ASSERT_EQUAL(runs, 2);
+		stop_worker();
+	}
+}
+
+/* Requests with ids of their own share one connection. */
+static void
+test_requests_share_a_connection(void)
+{
+	struct dh_counter *opened =
+	    dh_counter_get("dh_gateway_connects_total", "");
+	uint64_t before = dh_counter_value(opened);
+	char id[16];
+	int i;
+
+	start_worker(1);
+	for (i = 0; i < 300; i++) {
+		(void)g_snprintf(id, sizeof(id), "n-%d", i);
+		CU_ASSERT_EQUAL(ask_with_id("/ok/", id), 200);
+	}
+	CU_ASSERT_EQUAL(dh_counter_value(opened), before + 1);
+	stop_worker();
+}
+
 static void
 test_pipelining(void)
 {
@@ -2167,6 +2367,14 @@
 		    test_late_copy_of_a_refusal_without_id },
 		{ "late copy that lost its id",
 		    test_late_copy_that_lost_its_id },
+		{ "late copy to a request that came again",
+		    test_late_copy_to_a_request_that_came_again },
+		{ "late copy to the next attempt",
+		    test_late_copy_to_the_next_attempt },
+		{ "part of a head before an answer",
+		    test_part_of_a_head_before_an_answer },
+		{ "requests share a connection",
+		    test_requests_share_a_connection },
 		{ "endless answers", test_endless_answers },
 		{ "memory limit of bodies", test_memory_limit_of_bodies },
 		{ "memory limit and small requests",
