Gateway: an id is sent once on a connection

Cause: answers on a connection are told apart by the request's id only. A request comes again under its id: from the VM that handed it over, from the next attempt, from a caller. On the connection that has carried it before, a late copy of the first answer names the awaited id. Half of a copy takes the second answer's bytes for its end; a copy of a refusal says "not run" of what runs. not_run_id knew the last refusal of a connection only.

Change: the ids that each connection has carried are looked up in the worker's log before one is taken; another idle connection serves the request, or a new one in place of the used one. Requests with ids of their own share connections as before.

test_worker "late copy to a request that came again" and "late copy to the next attempt" failed before (10 assertions) and pass. Callers in test_worker used one id for all requests; each has its own now, as callers do: "reset of idle connections" reuses connections.

--- a/core/sentlog.c
+++ b/core/sentlog.c
@@ -12,7 +12,10 @@
 static uint64_t
 hash_of(uint64_t connection, const char *id)
 {
-	return XXH3_64bits_withSeed(id, strlen(id), connection);
+	/* As a seed, the number could make up for a difference of short ids. */
+	uint64_t pair[] = { XXH3_64bits(id, strlen(id)), connection };
+
+	return XXH3_64bits(pair, sizeof(pair));
 }
 
 static uint32_t
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -1,6 +1,10 @@
 /*
  * Connections to backend servers.  A connection carries one request at a time,
  * and is reused only after a complete answer without extra bytes behind it.
+ *
+ * Late copies of earlier answers may still come, whole or in part.  They name
+ * other requests than the one that waits, since an id is sent at most once on a
+ * connection.
  */
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -65,10 +69,8 @@
 	int64_t idle_before_ms; /* idle time before the request; 0: new */
 	int64_t started_ms; /* when the connection was started */
 	uint64_t number; /* of the connection, in the worker */
+	uint64_t opened_at; /* end of the worker's sent_log at that time */
 	uint32_t carried; /* requests sent on it so far */
-	/* Id of the last request that was answered as not run, or "".  A late
-	 * copy of that answer could be taken for one to the same request. */
-	char not_run_id[DH_NAME_MAX * 2];
 	GList link; /* in pool->idle or pool->busy */
 	bool waits_for_turn; /* in worker->paced_in; nothing is read */
 	GList paced_link;
@@ -275,9 +277,6 @@
 	}
 	if (!up->pool->peer)
 		note_rate_limit(up);
-	if (up->in.parser.status_code == 421 ||
-	    dh_message_header(&up->in, dh_wire_headers.not_run) != NULL)
-		(void)g_strlcpy(up->not_run_id, rq->id, sizeof(up->not_run_id));
 	read_keep_alive(up);
 	keep = !extra &&
 	    dh_message_header(&up->in, dh_wire_headers.request_id) != NULL &&
@@ -561,27 +560,14 @@
 	return NULL;
 }
 
-/* Log a request whose id the connection has carried before, and remember it. */
 static void
 note_sent(struct dh_upstream *up)
 {
-	struct dh_worker *w = up->worker;
 	struct dh_request *rq = up->rq;
-	char id[DH_NAME_MAX * 2 + 8];
 
 	rq->connection = up->number;
 	rq->carried = up->carried++;
-	if (rq->carried > 0 &&
-	    dh_sent_log_has(&w->sent_log, up->number, rq->id)) {
-		dh_counter_add(w->c.same_ids, 1);
-		dh_opslog_add(DH_OPS_REQUEST, "connection.same_id",
-		    ",\"id\":%s,\"server\":\"%s\",\"attempt\":%u,"
-		    "\"connection\":%llu,\"carried\":%u,\"idle_ms\":%lld",
-		    dh_opslog_quote(id, sizeof(id), rq->id), up->pool->id,
-		    rq->attempts, (unsigned long long)up->number, rq->carried,
-		    (long long)up->idle_before_ms);
-	}
-	dh_sent_log_add(&w->sent_log, up->number, rq->id);
+	dh_sent_log_add(&up->worker->sent_log, up->number, rq->id);
 }
 
 static void
@@ -676,6 +662,7 @@
 	up->idle_max_ms = IDLE_MAX_MS;
 	up->started_ms = dh_worker_now_ms(w);
 	up->number = ++w->connections;
+	up->opened_at = dh_sent_log_end(&w->sent_log);
 	answer_init(up);
 	uv_tcp_init(&w->loop, &up->tcp);
 	uv_timer_init(&w->loop, &up->timer);
@@ -685,37 +672,67 @@
 	return up;
 }
 
-static struct dh_upstream *
-take_idle(struct dh_request *rq, struct dh_pool *pool, int64_t now_ms)
+static int64_t
+idle_limit_ms(const struct dh_request *rq, int64_t now_ms)
 {
+	const struct dh_service_state *s = rq->service_state;
 	int64_t limit_ms = rq->route->repeat == DH_REPEAT_SAFE
 	    ? IDLE_MAX_MS
 	    : IDLE_UNREPEATABLE_MAX_MS;
-	const struct dh_service_state *s = rq->service_state;
-	struct dh_upstream *up;
-	GList *link = pool->idle.head;
-
-	if (link == NULL)
-		return NULL;
-	up = link->data;
-	if (now_ms < s->idle_limit_until_ms)
-		limit_ms = MIN(limit_ms, s->idle_limit_ms);
-	/* The other connections have been idle for longer.  They are closed,
-	 * since they count for the backend server's connection limit. */
-	if (now_ms - up->idle_since_ms >= limit_ms ||
-	    now_ms - up->idle_since_ms >= up->idle_max_ms) {
-		dh_pool_close_idle(pool);
-		return NULL;
-	}
-	if (strcmp(up->not_run_id, rq->id) == 0) {
-		upstream_close(up);
-		return NULL;
+
+	return now_ms < s->idle_limit_until_ms ? MIN(limit_ms, s->idle_limit_ms)
+					       : limit_ms;
+}
+
+/* Whether the connection has not carried the request's id before. */
+static bool
+is_new_to(const struct dh_upstream *up, const struct dh_request *rq)
+{
+	struct dh_worker *w = up->worker;
+	char id[DH_NAME_MAX * 2 + 8];
+
+	if (!dh_sent_log_has(&w->sent_log, up->number, rq->id))
+		return true;
+	dh_counter_add(w->c.same_ids, 1);
+	dh_opslog_add(DH_OPS_STATE, "connection.same_id",
+	    ",\"id\":%s,\"server\":\"%s\",\"attempt\":%u,"
+	    "\"connection\":%llu,\"carried\":%u",
+	    dh_opslog_quote(id, sizeof(id), rq->id), up->pool->id, rq->attempts,
+	    (unsigned long long)up->number, up->carried);
+	return false;
+}
+
+/* An idle connection for the request, or NULL.  Connections that may not be
+ * used are closed, since they count for the backend server's limit. */
+static struct dh_upstream *
+take_idle(struct dh_request *rq, struct dh_pool *pool, int64_t now_ms)
+{
+	int64_t limit_ms = idle_limit_ms(rq, now_ms), idle_ms;
+	struct dh_upstream *up, *used = NULL;
+	GList *link, *next;
+
+	for (link = pool->idle.head; link != NULL; link = next) {
+		next = link->next;
+		up = link->data;
+		idle_ms = now_ms - up->idle_since_ms;
+		if (idle_ms >= limit_ms || idle_ms >= up->idle_max_ms ||
+		    !dh_sent_log_covers(&rq->worker->sent_log, up->opened_at)) {
+			upstream_close(up);
+			continue;
+		}
+		if (!is_new_to(up, rq)) {
+			used = up;
+			continue;
+		}
+		up->idle_before_ms = MAX(idle_ms, 1);
+		g_queue_unlink(&pool->idle, link);
+		up->rq = rq;
+		g_queue_push_tail_link(&pool->busy, &up->link);
+		return up;
 	}
-	up->idle_before_ms = MAX(now_ms - up->idle_since_ms, 1);
-	g_queue_unlink(&pool->idle, link);
-	up->rq = rq;
-	g_queue_push_tail_link(&pool->busy, &up->link);
-	return up;
+	if (used != NULL)
+		upstream_close(used);
+	return NULL;
 }
 
 bool
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -121,8 +121,8 @@
 	 * queue. */
 	struct dh_counter *callers_left, *retries, *connects, *parked;
 	struct dh_counter *bad_answers; /* of backend servers */
-	/* Answers skipped since they name another request, and requests whose
-	 * id a connection had carried before. */
+	/* Answers skipped since they name another request, and idle
+	 * connections passed over since they had carried the id. */
 	struct dh_counter *skipped_answers, *same_ids;
 	/* Requests that were chosen for a backend server, but could no longer
 	 * be sent there when the connection was ready. */
--- a/tests/test_sentlog.c
+++ b/tests/test_sentlog.c
@@ -44,6 +44,25 @@
 	dh_sent_log_clear(&l);
 }
 
+/* Guards against short ids that hash alike on neighbouring connections. */
+static void
+test_short_ids(void)
+{
+	struct dh_sent_log l;
+	uint64_t connection;
+	char id[4] = "r-";
+	int c;
+
+	dh_sent_log_init(&l, CAPACITY * 8);
+	for (connection = 1; connection <= 64; connection++)
+		for (c = '!'; c <= '~'; c++) {
+			id[2] = (char)c;
+			CU_ASSERT_FALSE(dh_sent_log_has(&l, connection, id));
+			dh_sent_log_add(&l, connection, id);
+		}
+	dh_sent_log_clear(&l);
+}
+
 /* Guards against a connection that is taken for one that has not carried an id
  * because the log has forgotten it. */
 static void
@@ -92,6 +111,7 @@
 	CU_TestInfo tests[] = {
 		{ "id on its connection",
 		    test_id_is_known_on_its_connection_only },
+		{ "short ids", test_short_ids },
 		{ "connection is covered",
 		    test_a_connection_is_covered_until_the_log_forgets },
 		{ "memory grows with use", test_memory_grows_with_use },
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -231,7 +231,7 @@
 	bool refused = strstr(head, "/refused/") != NULL;
 
 	return g_strdup_printf("HTTP/1.1 %s\r\n%s" ID ": %s\r\n%s%s",
-	    refused	 ? "503 No"
+	    refused	 ? "429 No"
 		: failed ? "500 Failed"
 			 : "200 OK",
 	    refused ? "X-Dogwoodhub-Not-Executed: 1\r\n" : STAMP, id,
@@ -837,13 +837,15 @@
 	return status;
 }
 
+/* As callers do, each request names another id. */
 static unsigned int
 send_get(int fd, const char *path, const char *extra, char *buf)
 {
-	g_autofree char *text =
-	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n" ID
-			    ": r1\r\nX-Dogwoodhub-Deadline-Ms: 900\r\n%s\r\n",
-		path, extra);
+	static int last_id;
+	g_autofree char *text = g_strdup_printf(
+	    "GET %s HTTP/1.1\r\nHost: h.example\r\n" ID
+	    ": g%04d\r\nX-Dogwoodhub-Deadline-Ms: 900\r\n%s\r\n",
+	    path, ++last_id, extra);
 
 	send_text(fd, text);
 	return receive(fd, buf);
@@ -1025,7 +1027,7 @@
 test_head_that_ends_early(void)
 {
 	size_t whole = strlen("HTTP/1.1 200 OK\r\n" STAMP ID
-			      ": r1\r\nX-From: 0\r\nContent-Length: 4\r\n"
+			      ": g0000\r\nX-From: 0\r\nContent-Length: 4\r\n"
 			      "\r\nbody");
 	size_t cut;
 
