Gateway: a head behind a part of another one is no answer

What a caller could get: the status of an earlier answer with the stamp and body of its own, so 200 for a 500; or "not run" (503) for a request that ran.

Cause: a copy that breaks off in the value of a header, or in the reason phrase, takes the status line of the next answer for its rest. The head that follows names the awaited id.

Change: an answer with a status line inside its head, on a connection that has carried another request, ends the attempt as lost. On a first request it can only be a header of the backend server's: it is passed on, and the connection is not kept.

test_worker "part of a head before an answer" failed before (200 for a 500 twice, 503 for a 200) and passes.

--- a/gateway/message.c
+++ b/gateway/message.c
@@ -22,8 +22,9 @@
 	return !m->head_over;
 }
 
+/* The target of a request, or the reason phrase of a response. */
 static int
-on_url(http_parser *p, const char *at, size_t len)
+on_start_line(http_parser *p, const char *at, size_t len)
 {
 	struct dh_message *m = p->data;
 
@@ -142,7 +143,8 @@
 }
 
 static const http_parser_settings callbacks = {
-	.on_url = on_url,
+	.on_url = on_start_line,
+	.on_status = on_start_line,
 	.on_header_field = on_field,
 	.on_header_value = on_value,
 	.on_headers_complete = on_head,
@@ -261,6 +263,30 @@
 	return n;
 }
 
+static bool
+has_status_line(const char *text, size_t len)
+{
+	static const char version[] = "HTTP/1.";
+	const size_t n = sizeof(version) - 1;
+	const char *end = text + len, *p = text;
+
+	while ((p = memmem(p, (size_t)(end - p), version, n)) != NULL) {
+		p += n;
+		if (end - p >= 5 && g_ascii_isdigit(p[0]) && p[1] == ' ' &&
+		    g_ascii_isdigit(p[2]) && g_ascii_isdigit(p[3]) &&
+		    g_ascii_isdigit(p[4]))
+			return true;
+	}
+	return false;
+}
+
+bool
+dh_message_has_inner_status_line(const struct dh_message *m)
+{
+	return has_status_line(m->target->str, m->target->len) ||
+	    has_status_line(m->header_text->str, m->header_text->len);
+}
+
 uint64_t
 dh_message_digest(const struct dh_message *m)
 {
--- a/gateway/message.h
+++ b/gateway/message.h
@@ -12,7 +12,7 @@
  */
 struct dh_message {
 	http_parser parser;
-	GString *target; /* request target, unchanged */
+	GString *target; /* request target, unchanged; or reason phrase */
 	GString *header_text; /* NUL-terminated header names and values */
 	GArray *fields; /* of struct dh_message_field */
 	GString *body;
@@ -70,6 +70,11 @@
 /* dh_message_header_count -- the number of headers with a name. */
 uint32_t dh_message_header_count(const struct dh_message *m, const char *name);
 
+/* dh_message_has_inner_status_line -- whether a status line stands in the
+ * reason phrase or in a header of a response.  Two heads look so if the first
+ * one breaks off and the other follows it. */
+bool dh_message_has_inner_status_line(const struct dh_message *m);
+
 /* dh_message_digest -- a hash of a request's method, Host, target and body, by
  * which its repetitions are recognized: they have other ids.  Never 0. */
 uint64_t dh_message_digest(const struct dh_message *m);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -352,6 +352,17 @@
 			upstream_fail(up, DH_ATTEMPT_LOST, "not an answer");
 			return;
 		}
+		if (dh_message_has_inner_status_line(&up->in)) {
+			/* May also be a header of the backend server's, which
+			 * then gets a connection for each request. */
+			up->not_reusable = true;
+			if (up->carried > 1) {
+				dh_counter_add(up->worker->c.bad_answers, 1);
+				upstream_fail(up, DH_ATTEMPT_LOST,
+				    "parts of two answers");
+				return;
+			}
+		}
 		if (up->in.parser.status_code >= 200 && !up->pool->peer)
 			note_leaving(up);
 		if (up->in.parser.status_code >= 200 &&
