HTTP client: bytes left on a kept connection are no answer

What a caller could get: the late copy of an earlier answer as the reply to its request, with each later reply shifted by one, for as long as the connection lasts. So a 409 that deposes a leader, or a 200 to a write that was refused.

Change: before a request is sent on a kept connection, the client looks for unread bytes there (one recv() that leaves them); if there are any, it closes the connection, logs http.unread, and sends the request on another one within the same timeout. libcurl tells the local port only, so the client keeps the open connections by port; dh_http_has_unread() is for other users of dh_http_start(). A request that may open no connection fails unsent. Memory is bounded by the open connections. An end that waits was already detected by libcurl.

--- a/base/http.c
+++ b/base/http.c
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -19,6 +20,16 @@
 	uv_loop_t *loop;
 	uv_timer_t *timer;
 	GHashTable *transfers; /* CURL * -> struct transfer */
+	GHashTable *connections; /* socket -> struct connection */
+	GHashTable *by_port; /* local port -> first struct connection */
+};
+
+/* An open connection. */
+struct connection {
+	int port; /* local */
+	curl_socket_t fd;
+	bool idle; /* no transfer uses it */
+	struct connection *next; /* with the same local port */
 };
 
 struct transfer {
@@ -80,6 +91,88 @@
 	finish_transfers(h);
 }
 
+/* Returns 0 for sockets of another kind, which libcurl's resolver opens and
+ * closes without close_socket(). */
+static int
+port_of(curl_socket_t fd)
+{
+	struct sockaddr_storage address = { 0 };
+	socklen_t len = sizeof(address);
+
+	if (getsockname(fd, (struct sockaddr *)&address, &len) != 0)
+		return 0;
+	if (address.ss_family == AF_INET)
+		return ntohs(((struct sockaddr_in *)&address)->sin_port);
+	if (address.ss_family == AF_INET6)
+		return ntohs(((struct sockaddr_in6 *)&address)->sin6_port);
+	return 0;
+}
+
+static void
+set_first(struct dh_http *h, int port, struct connection *first)
+{
+	if (first == NULL)
+		g_hash_table_remove(h->by_port, GINT_TO_POINTER(port));
+	else
+		g_hash_table_insert(h->by_port, GINT_TO_POINTER(port), first);
+}
+
+static void
+connection_set_idle(struct dh_http *h, curl_socket_t fd, bool idle)
+{
+	struct connection *c =
+	    g_hash_table_lookup(h->connections, GINT_TO_POINTER(fd));
+	int port;
+
+	if (c == NULL) {
+		port = port_of(fd);
+		if (port == 0)
+			return;
+		c = g_new0(struct connection, 1);
+		c->fd = fd;
+		c->port = port;
+		c->next =
+		    g_hash_table_lookup(h->by_port, GINT_TO_POINTER(port));
+		set_first(h, port, c);
+		g_hash_table_insert(h->connections, GINT_TO_POINTER(fd), c);
+	}
+	c->idle = idle;
+}
+
+static int
+close_socket(void *arg, curl_socket_t fd)
+{
+	struct dh_http *h = arg;
+	struct connection *c =
+	    g_hash_table_lookup(h->connections, GINT_TO_POINTER(fd));
+	struct connection *first, **at;
+
+	if (c != NULL) {
+		first =
+		    g_hash_table_lookup(h->by_port, GINT_TO_POINTER(c->port));
+		for (at = &first; *at != c; at = &(*at)->next)
+			;
+		*at = c->next;
+		set_first(h, c->port, first);
+		g_hash_table_remove(h->connections, GINT_TO_POINTER(fd));
+	}
+	return close(fd);
+}
+
+bool
+dh_http_has_unread(const struct dh_http *h, int local_port)
+{
+	const struct connection *c =
+	    g_hash_table_lookup(h->by_port, GINT_TO_POINTER(local_port));
+	char byte;
+
+	for (; c != NULL; c = c->next)
+		if (c->idle &&
+		    recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+			return true;
+	return false;
+}
+
 static int
 on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *socket_arg)
 {
@@ -95,6 +188,7 @@
 			uv_poll_stop(&w->poll);
 			curl_multi_assign(h->multi, fd, NULL);
 			uv_close((uv_handle_t *)&w->poll, handle_closed);
+			connection_set_idle(h, fd, true);
 		}
 		return 0;
 	}
@@ -105,6 +199,7 @@
 		uv_poll_init_socket(h->loop, &w->poll, fd);
 		w->poll.data = w;
 		curl_multi_assign(h->multi, fd, w);
+		connection_set_idle(h, fd, false);
 	}
 	if (what != CURL_POLL_IN)
 		events |= UV_WRITABLE;
@@ -144,6 +239,8 @@
 
 	h->loop = loop;
 	h->transfers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	h->connections = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	h->by_port = g_hash_table_new(NULL, NULL);
 	h->timer = dh_timer_new(loop, h);
 	h->multi = curl_multi_init();
 	g_assert(h->multi != NULL);
@@ -179,6 +276,8 @@
 		curl_multi_remove_handle(h->multi, easy);
 	g_hash_table_destroy(h->transfers);
 	curl_multi_cleanup(h->multi);
+	g_hash_table_destroy(h->by_port);
+	g_hash_table_destroy(h->connections);
 	dh_timer_free(h->timer);
 	g_free(h);
 }
@@ -192,6 +291,8 @@
 	tr->arg = arg;
 	tr->fd = CURL_SOCKET_BAD;
 	g_hash_table_insert(h->transfers, easy, tr);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, h);
 	curl_multi_add_handle(h->multi, easy);
 }
 
@@ -223,7 +324,11 @@
 	uint32_t keepalive_s;
 	bool reset_on_close;
 	int64_t connect_until_ms;
+	int64_t end_ms; /* of its timeout; INT64_MAX: none */
+	long opened; /* number of connections opened for this transfer */
+	bool send_once;
 	bool began; /* the request was begun to be sent */
+	bool unread; /* its connection had unread bytes */
 };
 
 static curl_socket_t
@@ -244,14 +349,21 @@
 before_request(void *arg, char *ip, char *local_ip, int port, int local_port)
 {
 	struct dh_http_fetch *f = arg;
-	bool again = f->began;
+	long opened = f->opened;
 
-	(void)ip;
 	(void)local_ip;
-	(void)port;
-	(void)local_port;
+	if (f->began && f->send_once)
+		return CURL_PREREQFUNC_ABORT;
+	curl_easy_getinfo(f->easy, CURLINFO_NUM_CONNECTS, &f->opened);
+	f->unread =
+	    f->opened == opened && dh_http_has_unread(f->http, local_port);
+	if (f->unread) {
+		dh_log(DH_LOG_WARN, "http.unread",
+		    "server=%s:%d port=%d result=closed", ip, port, local_port);
+		return CURL_PREREQFUNC_ABORT;
+	}
 	f->began = true;
-	return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+	return CURL_PREREQFUNC_OK;
 }
 
 static int
@@ -321,6 +433,24 @@
 	g_free(f);
 }
 
+static void fetch_done(void *arg, CURL *easy, CURLcode result);
+
+/* Starts the transfer again.  Returns false if its timeout is over. */
+static bool
+fetch_again(struct dh_http_fetch *f)
+{
+	int64_t left_ms = f->end_ms - dh_clock_ms();
+
+	if (left_ms <= 0)
+		return false;
+	if (f->end_ms != INT64_MAX)
+		curl_easy_setopt(f->easy, CURLOPT_TIMEOUT_MS, (long)left_ms);
+	f->unread = false;
+	f->opened = 0;
+	dh_http_start(f->http, f->easy, fetch_done, f);
+	return true;
+}
+
 static void
 fetch_done(void *arg, CURL *easy, CURLcode result)
 {
@@ -328,6 +458,11 @@
 	struct dh_http_reply reply = { .result = result };
 	long sent = 0;
 
+	if (result == CURLE_ABORTED_BY_CALLBACK && f->unread) {
+		if (fetch_again(f))
+			return;
+		reply.result = CURLE_OPERATION_TIMEDOUT;
+	}
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply.status);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
 	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &reply.os_errno);
@@ -401,10 +536,11 @@
 		curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
 		curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, f);
 	}
-	if (rq->send_once) {
-		curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
-		curl_easy_setopt(easy, CURLOPT_PREREQDATA, f);
-	}
+	f->send_once = rq->send_once;
+	f->end_ms =
+	    rq->timeout_ms > 0 ? dh_clock_ms() + rq->timeout_ms : INT64_MAX;
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, f);
 	dh_http_start(h, easy, fetch_done, f);
 	return f;
 }
--- a/base/http.h
+++ b/base/http.h
@@ -41,6 +41,17 @@
  * CURL_SOCKET_BAD if it has none yet.  libcurl tells it only after the end. */
 curl_socket_t dh_http_socket(const struct dh_http *h, CURL *easy);
 
+/*
+ * dh_http_has_unread -- returns whether bytes wait unread on an idle connection
+ * with this local port.  They are not the answer to a request that is yet to be
+ * sent.  libcurl doesn't look for them before it reuses a connection, so
+ * CURLOPT_PREREQFUNCTION, which is given the port, has to.  Connections to
+ * different servers may share a port: the function then returns true if bytes
+ * wait on any that is idle.  A new connection must not be asked about for that
+ * reason; CURLINFO_NUM_CONNECTS tells it.
+ */
+bool dh_http_has_unread(const struct dh_http *h, int local_port);
+
 /* dh_http_cancel -- cancel a transfer without running its call-back. */
 void dh_http_cancel(struct dh_http *h, CURL *easy);
 
@@ -106,7 +117,9 @@
  * dh_http_fetch -- send rq.  The call-back runs exactly once, never before the
  * function has returned.  The result may be passed to dh_http_fetch_cancel()
  * until the call-back runs.  An answer of more than answer_max bytes is an
- * error, and so is one with more than 64 KiB of headers, trailers included.
+ * error, and so is one with more than 64 KiB of headers, trailers included.  A
+ * kept connection on which bytes of an earlier answer wait unread is closed,
+ * and the request goes on another one.
  *
  * dh_http_fetch_cancel -- cancel the exchange without running its call-back.
  */
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -3,7 +3,8 @@
 
 /*
  * An HTTP server in a thread.  It answers the requests that it reads with the
- * texts of a script in turn; "" ends the connection without an answer.  After
+ * texts of a script in turn; "" ends the connection without an answer, and what
+ * follows a LATE is sent LATE_US later, or ends it if nothing follows.  After
  * the script it ends each connection.  One connection is served at a time.
  */
 #include <netinet/in.h>
@@ -20,6 +21,9 @@
 	"HTTP/1.1 " status "\r\nContent-Type: application/json\r\n" \
 	"Content-Length: 2\r\n\r\n{}"
 
+#define LATE "\f"
+#define LATE_US 30000UL
+
 struct scripted_server {
 	int fd;
 	uint16_t port;
@@ -56,6 +60,21 @@
 	return false;
 }
 
+/* Returns false if the connection is to end. */
+static bool
+send_answer(int fd, const char *text)
+{
+	size_t len = strcspn(text, LATE);
+	const char *late = text + len;
+
+	(void)!send(fd, text, len, MSG_NOSIGNAL);
+	if (*late == '\0')
+		return true;
+	g_usleep(LATE_US);
+	(void)!send(fd, late + 1, strlen(late + 1), MSG_NOSIGNAL);
+	return late[1] != '\0';
+}
+
 static gpointer
 serve_script(gpointer arg)
 {
@@ -73,8 +92,8 @@
 				answer++;
 				break;
 			}
-			(void)!send(fd, *answer, strlen(*answer), MSG_NOSIGNAL);
-			answer++;
+			if (!send_answer(fd, *answer++))
+				break;
 		}
 		(void)close(fd);
 	}
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -246,6 +246,46 @@
 	scripted_server_stop(&s);
 }
 
+/* Guards against a late copy of an answer that passes for the next request's,
+ * with each later answer for the one after it. */
+static void
+test_connection_with_unread_bytes_is_not_used(void)
+{
+	static const char *const script[] = {
+		HTTP_ANSWER("200 OK") LATE HTTP_ANSWER("409 Conflict"),
+		HTTP_ANSWER("200 OK"), HTTP_ANSWER("201 Created") LATE "H",
+		HTTP_ANSWER("202 Accepted") LATE, HTTP_ANSWER("203 Other"), NULL
+	};
+	struct dh_http_request any = { 0 }, once = { .send_once = true };
+	struct dh_http_request kept = { .connect_until_ms = dh_clock_ms() };
+	struct scripted_server s;
+	struct exchange x;
+	struct dh_http *h;
+	uv_loop_t loop;
+
+	scripted_server_start(&s, script);
+	uv_loop_init(&loop);
+	h = dh_http_new(&loop);
+	CU_ASSERT_EQUAL(fetch(h, any, s.port).status, 200);
+	g_usleep(3 * LATE_US);
+	CU_ASSERT_EQUAL(fetch(h, once, s.port).status, 200);
+	CU_ASSERT_EQUAL(fetch(h, once, s.port).status, 201);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&s.connections), 2);
+	g_usleep(3 * LATE_US);
+	x = fetch(h, kept, s.port);
+	CU_ASSERT_EQUAL(x.status, 0);
+	CU_ASSERT_FALSE(x.sent);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&s.requests), 3);
+	CU_ASSERT_EQUAL(fetch(h, once, s.port).status, 202);
+	g_usleep(3 * LATE_US);
+	CU_ASSERT_EQUAL(fetch(h, once, s.port).status, 203);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&s.connections), 4);
+	dh_http_free(h);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
+	scripted_server_stop(&s);
+}
+
 int
 main(void)
 {
@@ -260,6 +300,8 @@
 		    test_request_on_a_connection_that_ends_is_sent_once },
 		{ "kept connection",
 		    test_request_for_a_kept_connection_opens_none },
+		{ "connection with unread bytes",
+		    test_connection_with_unread_bytes_is_not_used },
 		CU_TEST_INFO_NULL,
 	};
 
