Gateway: a connection that has refused an order carries no other

What the leader could get: the late copy of a 409 as the answer to a grant that was accepted, so it gives up its office; or of another refusal, so the backend server counts as silent and its keys are not renewed until a probe.

Cause: the answer to an order names no order, and a copy that comes when the next one has been sent is the first thing on the connection.

Change: the connection of an order is kept only after status 200 (keep_after_200_only of struct dh_http_request). Accepted orders share a connection as before. A late copy of a 200 is still possible.

--- a/base/http.c
+++ b/base/http.c
@@ -323,6 +323,7 @@
 	size_t header_bytes; /* received so far */
 	uint32_t keepalive_s;
 	bool reset_on_close;
+	bool keep_after_200_only;
 	int64_t connect_until_ms;
 	int64_t end_ms; /* of its timeout; INT64_MAX: none */
 	long opened; /* number of connections opened for this transfer */
@@ -408,11 +409,17 @@
 {
 	struct dh_http_fetch *f = arg;
 	g_autofree char *line = NULL;
+	long status = 0;
 	char *colon;
 
 	f->header_bytes += size * n;
 	if (f->header_bytes > HEADERS_MAX)
 		return 0;
+	if (f->keep_after_200_only) {
+		curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
+		curl_easy_setopt(
+		    f->easy, CURLOPT_FORBID_REUSE, status == 200 ? 0L : 1L);
+	}
 	line = g_strndup(data, size * n);
 	colon = strchr(line, ':');
 	if (colon == NULL)
@@ -503,6 +510,7 @@
 	f->answer_max = rq->answer_max > 0 ? rq->answer_max : DH_HTTP_FETCH_MAX;
 	f->keepalive_s = rq->keepalive_s;
 	f->reset_on_close = rq->reset_on_close;
+	f->keep_after_200_only = rq->keep_after_200_only;
 	if (f->keepalive_s > 0 || f->reset_on_close) {
 		curl_easy_setopt(
 		    easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
--- a/base/http.h
+++ b/base/http.h
@@ -84,6 +84,9 @@
 	/* Close the connection with a reset, which discards unsent data, so
 	 * that none of it arrives later. */
 	bool reset_on_close;
+	/* Close the connection after an answer with another status than 200: a
+	 * late copy of it would pass for the answer to the next request. */
+	bool keep_after_200_only;
 };
 
 struct dh_http_reply {
--- a/gateway/duty.c
+++ b/gateway/duty.c
@@ -257,7 +257,8 @@
 		.headers = headers,
 		.answer_max = REPLY_MAX,
 		.timeout_ms = d->c.settings->order_ms,
-		.reset_on_close = true };
+		.reset_on_close = true,
+		.keep_after_200_only = true };
 
 	if (address == NULL) {
 		(void)dh_keyspace_handle_answer(
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -286,6 +286,37 @@
 	scripted_server_stop(&s);
 }
 
+/* Guards against a late copy of a refusal that passes for the answer to a
+ * request that was accepted. */
+static void
+test_connection_with_a_refusal_is_not_kept(void)
+{
+	static const char *const script[] = { HTTP_ANSWER("200 OK"),
+		"HTTP/1.1 102 Wait\r\n\r\n" HTTP_ANSWER("200 OK"),
+		HTTP_ANSWER("409 Conflict"), HTTP_ANSWER("204 None"),
+		HTTP_ANSWER("200 OK"), NULL };
+	static const long statuses[] = { 200, 200, 409, 204, 200 };
+	static const int connections[] = { 1, 1, 1, 2, 3 };
+	struct dh_http_request rq = { .keep_after_200_only = true };
+	struct scripted_server s;
+	struct dh_http *h;
+	uv_loop_t loop;
+	size_t i;
+
+	scripted_server_start(&s, script);
+	uv_loop_init(&loop);
+	h = dh_http_new(&loop);
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		CU_ASSERT_EQUAL(fetch(h, rq, s.port).status, statuses[i]);
+		CU_ASSERT_EQUAL(
+		    g_atomic_int_get(&s.connections), connections[i]);
+	}
+	dh_http_free(h);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
+	scripted_server_stop(&s);
+}
+
 int
 main(void)
 {
@@ -302,6 +333,8 @@
 		    test_request_for_a_kept_connection_opens_none },
 		{ "connection with unread bytes",
 		    test_connection_with_unread_bytes_is_not_used },
+		{ "connection with a refusal",
+		    test_connection_with_a_refusal_is_not_kept },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_owners.c
+++ b/tests/test_owners.c
@@ -852,14 +852,21 @@
 struct order_connections {
 	int fds[CONNECTIONS_MAX];
 	int orders[CONNECTIONS_MAX]; /* number received on each */
+	bool has_refused[CONNECTIONS_MAX];
 	int n;
 	int grants, releases, releases_behind_another_order;
+	int refused; /* number of grants to answer by 500 */
+	int behind_a_refusal; /* orders on such a connection */
 };
 
 static void
 answer_orders(struct order_connections *c, int listener)
 {
-	static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+	};
+	bool refuse;
 	char text[2048];
 	ssize_t len;
 	int i, fd;
@@ -867,6 +874,7 @@
 	while (c->n < CONNECTIONS_MAX &&
 	    (fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
 		c->orders[c->n] = 0;
+		c->has_refused[c->n] = false;
 		c->fds[c->n++] = fd;
 	}
 	for (i = 0; i < c->n; i++) {
@@ -880,7 +888,12 @@
 		}
 		c->grants += strstr(text, "/grant ") != NULL;
 		c->orders[i]++;
-		(void)!write(c->fds[i], ok, strlen(ok));
+		c->behind_a_refusal += c->has_refused[i];
+		refuse = c->refused > 0 && strstr(text, "/grant ") != NULL;
+		c->refused -= refuse;
+		c->has_refused[i] |= refuse;
+		(void)!write(
+		    c->fds[i], answers[refuse], strlen(answers[refuse]));
 	}
 }
 
@@ -968,6 +981,40 @@
 	return c->grants;
 }
 
+/* Guards against a late copy of a refusal that passes for the answer to the
+ * next grant, and of a 409, which deposes the leader. */
+static void
+test_no_order_follows_a_refusal(void)
+{
+	struct silent_server s = silent_server_start();
+	struct order_connections c = { .refused = 3 };
+	struct fixture fx;
+	bool loaded = false;
+	int i, n;
+
+	start(&fx, NULL, 0);
+	run_for(&fx, 350);
+	answer_with(dh_wire_kind_servers, DH_OBJECTS_OK, 11, s.entry);
+	wait_for_read(&fx);
+	answer_with("leader", DH_OBJECTS_NOT_FOUND, 0, "{}");
+	answer_with("leader", DH_OBJECTS_OK, 41, "{}");
+	for (i = 0; i < 300 && (c.refused > 0 || c.grants < 8); i++) {
+		run_for(&fx, 10);
+		answer_service_calls(&loaded);
+		answer_orders(&c, s.fd);
+	}
+	CU_ASSERT_EQUAL(c.refused, 0);
+	CU_ASSERT_TRUE(c.grants >= 8);
+	CU_ASSERT_EQUAL(c.behind_a_refusal, 0);
+	/* Accepted ones share a connection. */
+	n = c.n;
+	CU_ASSERT_TRUE(count_grants(&fx, &c, s.fd, 300) > 0);
+	CU_ASSERT_EQUAL(c.n, n);
+	end_connections(&c);
+	stop(&fx);
+	silent_server_end(&s);
+}
+
 /* Guards against a leader that was replaced unknown to it, by a cut or a
  * freeze, and grants its old keys to a backend server that has restarted: the
  * new process knows no token of the successor. */
@@ -1592,6 +1639,8 @@
 		{ "stalled leader", test_stalled_leader_orders_nothing },
 		{ "release has a connection of its own",
 		    test_release_has_a_connection_of_its_own },
+		{ "no order follows a refusal",
+		    test_no_order_follows_a_refusal },
 		{ "whole record for a report that crossed a delta",
 		    test_whole_record_for_a_report_that_crossed_a_delta },
 		{ "lost delta", test_lost_delta_is_sent_again },
