Orders: a late copy of an earlier answer is no answer

What the leader could get: "releasing": 0 of an earlier order as the answer to a release, so it grants slots whose requests still run: two owners. Or an acceptance of a grant that the backend server never got.

Cause: orders share kept connections, and the answer names no order.

Change: an acceptance with a lower token than the order's own counts as no answer. A backend server that has accepted an order gives at least the order's token: the leader raises it with each order, the deputy's renewal repeats the highest, a hello has none. Where no token is given, a copy can't be told, so releases have a fresh connection each, as the gateway's have. A connection that has refused an order is not kept.

--- a/backend/order.c
+++ b/backend/order.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/jsonfield.h"
+#include "base/log.h"
 
 /* Timeout of the probe on a new connection. */
 #define PROBE_MS 50
@@ -12,6 +13,7 @@
 struct pending_order {
 	struct dh_http *http;
 	char *probe_url;
+	struct dh_fence fence; /* of the order */
 	dh_order_fn done;
 	void *arg;
 };
@@ -163,6 +165,18 @@
 	    result == CURLE_SEND_ERROR || result == CURLE_PARTIAL_FILE;
 }
 
+/* Whether the answer is to an earlier order: the backend server has not
+ * accepted this one's token.  Without a token it can't be told. */
+static bool
+is_late_copy(const struct pending_order *p, const struct dh_order_reply *reply)
+{
+	static const struct dh_fence none = { 0, 0 };
+
+	return reply->result == DH_ORDER_ACCEPTED &&
+	    dh_fence_cmp(reply->highest, none) > 0 &&
+	    dh_fence_cmp(reply->highest, p->fence) < 0;
+}
+
 static void
 on_reply(void *arg, const struct dh_http_reply *http)
 {
@@ -177,6 +191,14 @@
 		reply.result = DH_ORDER_CONNECTION_REFUSED;
 	else if (http->result == CURLE_OK && !order_decode(&reply, http->body))
 		reply.result = DH_ORDER_NO_ANSWER;
+	if (is_late_copy(p, &reply)) {
+		dh_log(DH_LOG_WARN, "order.late_copy",
+		    "server=%s fence=%" PRIu64 ".%" PRIu64 " answer=%" PRIu64
+		    ".%" PRIu64,
+		    p->probe_url, p->fence.term, p->fence.counter,
+		    reply.highest.term, reply.highest.counter);
+		reply = (struct dh_order_reply){ .result = DH_ORDER_NO_ANSWER };
+	}
 	finish(p, &reply);
 }
 
@@ -195,11 +217,15 @@
 		.headers = headers,
 		.body = body,
 		.body_len = strlen(body),
-		.timeout_ms = timeout_ms };
+		.timeout_ms = timeout_ms,
+		/* A late copy of an earlier answer can't come on it. */
+		.fresh_connection = o->kind == DH_GROUP_ORDER_RELEASE,
+		.keep_after_200_only = true };
 	struct pending_order *p = g_new0(struct pending_order, 1);
 
 	p->http = http;
 	p->probe_url = g_strdup_printf("http://%s:%u/_dh/load", address, port);
+	p->fence = o->fence;
 	p->done = done;
 	p->arg = arg;
 	dh_http_fetch(http, &rq, on_reply, p);
