Router: an answer without an id is none on a reused connection

What callers could get: the answer to an earlier request. A backend server that does not name the request's id and sends an answer twice, the second time late, gave the copy to the next request on the connection, and from then on each request the answer to the one before. A copied refusal said "not run" of a request that ran.

Cause: answers are told apart by their id, and one without an id was accepted on any connection.

Change: such an answer is accepted only as the first one of its connection, which is then closed. On a connection that has carried another request it ends the attempt as lost, and the connection. libcurl calls the socket option call-back when it opens a connection for a transfer; otherwise the connection is a reused one. Of two ids in one head both must be the request's.

test_datapath_faults "answer without an id" failed before (5 assertions: the body of the first answer for the second request, 200 and 503 for 502) and passes. The fixed answers of the fake backend server name the id, as backend servers do; with them all other tests passed on the code before, too.

--- a/router/exchange.h
+++ b/router/exchange.h
@@ -129,7 +129,9 @@
 	bool request_undelivered; /* not all of it has been acknowledged */
 	GPtrArray *answer_headers; /* name, value, name, value, ... */
 	bool not_run; /* the backend server answered "not run" */
-	bool id_mismatch; /* the answer names another request's id */
+	bool connection_reused; /* it has carried another request before */
+	bool id_named; /* the answer names an id */
+	bool id_mismatch; /* the answer is that to another request */
 	char refused_reason[32];
 	uint64_t bytes_moved; /* in both directions */
 	uint64_t bytes_moved_seen; /* bytes_moved at the last stall check */
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -6,6 +6,10 @@
  * seek function it can't do so once a byte of the body was sent.  A request
  * that is unrepeatable, or that is not safe to repeat and has no body,
  * therefore gets a new connection.
+ *
+ * A backend server may send an answer twice, the second time late.  Answers on
+ * a connection are told apart by the request's id, so that only the first one
+ * may lack it.
  */
 #include <inttypes.h>
 #include <linux/sockios.h>
@@ -82,6 +86,13 @@
 	return len;
 }
 
+static void
+note_id(struct dh_exchange *ex, const char *id)
+{
+	ex->id_named = true;
+	ex->id_mismatch |= strcmp(id, ex->id) != 0;
+}
+
 static void
 save_header(struct dh_exchange *ex, const char *name, const char *value)
 {
@@ -90,7 +101,7 @@
 	else if (g_ascii_strcasecmp(name, "Transfer-Encoding") == 0)
 		ex->answer_chunked = true;
 	else if (g_ascii_strcasecmp(name, "Dh-Request-Id") == 0)
-		ex->id_mismatch = strcmp(value, ex->id) != 0;
+		note_id(ex, value);
 	else if (g_ascii_strcasecmp(name, "Dh-Outcome") == 0)
 		ex->not_run = strcmp(value, "not-run") == 0;
 	else if (g_ascii_strcasecmp(name, "Dh-Reason") == 0)
@@ -114,6 +125,7 @@
 	ex->answer_bytes = -1;
 	ex->answer_chunked = false;
 	ex->not_run = false;
+	ex->id_named = false;
 	ex->id_mismatch = false;
 	ex->headers_complete = false;
 	if (ex->answer_headers != NULL)
@@ -122,6 +134,33 @@
 	return dh_http_status_is_valid(ex->status);
 }
 
+static void
+count_bad_answer(const char *why)
+{
+	g_autofree char *labels = g_strdup_printf("why=\"%s\"", why);
+
+	dh_counter_add(dh_counter_get("dh_bad_answers_total", labels), 1);
+}
+
+/* Whether a head whose last line was received is that of an answer to this
+ * request. */
+static bool
+is_own_head(struct dh_exchange *ex)
+{
+	if (!ex->id_named && ex->status >= 200) {
+		if (ex->connection_reused) {
+			count_bad_answer("no-id");
+			ex->id_mismatch = true;
+			return false;
+		}
+		/* A copy of this answer could not be told from the next one. */
+		curl_easy_setopt(ex->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	if (ex->id_mismatch)
+		count_bad_answer("other-id");
+	return !ex->id_mismatch;
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *arg)
 {
@@ -138,7 +177,7 @@
 		ex->headers_complete = true;
 		/* The connection delivers another request's answer: return an
 		 * error, so that libcurl does not use it again. */
-		if (ex->id_mismatch)
+		if (!is_own_head(ex))
 			return 0;
 		if (ex->status >= 200 && !ex->not_run)
 			dh_exchange_on_headers(ex);
@@ -257,13 +296,15 @@
 		(ex->write_paused ? CURLPAUSE_RECV : 0));
 }
 
+/* libcurl calls this when it opens a connection for the exchange. */
 static int
 on_socket(void *arg, curl_socket_t fd, curlsocktype purpose)
 {
+	struct dh_exchange *ex = arg;
 	unsigned int ms = UNACKED_TIMEOUT_MS;
 
-	(void)arg;
 	(void)purpose;
+	ex->connection_reused = false;
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	return CURL_SOCKOPT_OK;
 }
@@ -382,6 +423,7 @@
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_S);
 	curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, CONNECTION_LIFE_S);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, ex);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_copy);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, ex);
 	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BLOCK_BYTES);
@@ -407,6 +449,8 @@
 	ex->easy = easy;
 	ex->not_run = false;
 	ex->copy_sent = false;
+	ex->connection_reused = true;
+	ex->id_named = false;
 	ex->id_mismatch = false;
 	ex->request_undelivered = false;
 	ex->refused_reason[0] = '\0';
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -52,6 +52,7 @@
 	int fd;
 	uint32_t number; /* counts from 1 */
 	uint32_t served;
+	char *late; /* sent before the next answer, or NULL */
 	GString *in;
 	bool closed;
 };
@@ -281,13 +282,17 @@
 	c->closed = true;
 }
 
-/* Fixed answers. */
+/* Fixed answers.  "@" stands for the request's id.  What follows "|" is sent
+ * before the answer to the next request on the connection. */
 struct fake_text {
 	const char *name;
 	const char *text;
 	bool cut; /* the connection is closed after it */
 };
 
+#define FAKE_ID "Dh-Request-Id: @\r\n"
+#define FAKE_NAMELESS "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+
 static const struct fake_text fake_texts[] = {
 	{ "cut-length", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf",
 	    true },
@@ -299,10 +304,11 @@
 	{ "cut-refusal", "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\nContent-Le",
 	    true },
 	{ "chunks",
-	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Transfer-Encoding: chunked\r\n\r\n"
 	    "4\r\nall \r\n5\r\nof it\r\n0\r\n\r\n",
 	    false },
-	{ "to-end", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end",
+	{ "to-end",
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Connection: close\r\n\r\nto the end",
 	    true },
 	{ "foreign",
 	    "HTTP/1.1 200 OK\r\nDh-Request-Id: other\r\n"
@@ -313,32 +319,45 @@
 	    "Dh-Request-Id: other\r\nContent-Length: 6\r\n\r\nsecret",
 	    false },
 	{ "refuse",
-	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
+	    "HTTP/1.1 503 No\r\n" FAKE_ID "Dh-Outcome: not-run\r\n"
 	    "Dh-Reason: draining\r\nContent-Length: 2\r\n\r\nno",
 	    false },
 	{ "double",
-	    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
-	    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale",
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 5\r\n\r\nfirst"
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 5\r\n\r\nstale",
+	    false },
+	{ "none", "HTTP/1.1 204 None\r\n" FAKE_ID "\r\n", false },
+	{ "same", "HTTP/1.1 304 Same\r\n" FAKE_ID "ETag: \"a\"\r\n\r\n",
 	    false },
-	{ "none", "HTTP/1.1 204 None\r\n\r\n", false },
-	{ "same", "HTTP/1.1 304 Same\r\nETag: \"a\"\r\n\r\n", false },
 	{ "early",
 	    "HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n"
-	    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate",
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 4\r\n\r\nlate",
 	    false },
-	{ "status-000", "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad",
+	{ "status-000",
+	    "HTTP/1.1 000 X\r\n" FAKE_ID "Content-Length: 3\r\n\r\nbad",
 	    false },
-	{ "status-099", "HTTP/1.1 099 X\r\nContent-Length: 3\r\n\r\nbad",
+	{ "status-099",
+	    "HTTP/1.1 099 X\r\n" FAKE_ID "Content-Length: 3\r\n\r\nbad",
 	    false },
-	{ "status-600", "HTTP/1.1 600 X\r\nContent-Length: 3\r\n\r\nbad",
+	{ "status-600",
+	    "HTTP/1.1 600 X\r\n" FAKE_ID "Content-Length: 3\r\n\r\nbad",
 	    false },
-	{ "status-999", "HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nbad",
+	{ "status-999",
+	    "HTTP/1.1 999 X\r\n" FAKE_ID "Content-Length: 3\r\n\r\nbad",
 	    false },
 	{ "status-000-refusal",
-	    "HTTP/1.1 000 X\r\nDh-Outcome: not-run\r\nContent-Length: 0\r\n"
+	    "HTTP/1.1 000 X\r\n" FAKE_ID
+	    "Dh-Outcome: not-run\r\nContent-Length: 0\r\n"
 	    "\r\n",
 	    false },
-	{ "fault", "HTTP/1.1 500 Bad\r\nContent-Length: 3\r\n\r\nbad", false },
+	{ "fault",
+	    "HTTP/1.1 500 Bad\r\n" FAKE_ID "Content-Length: 3\r\n\r\nbad",
+	    false },
+	{ "nameless", FAKE_NAMELESS "|" FAKE_NAMELESS, false },
+	{ "nameless-refusal",
+	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    false },
 };
 
 /* Requests that fake_leaseless() refuses before it runs one. */
@@ -402,12 +421,31 @@
 	fake_send_text(c->fd, text);
 }
 
+static void
+fake_send_fixed(struct fake_conn *c, const char *text, const char *id)
+{
+	GString *s = g_string_new(text);
+	char *late;
+
+	g_string_replace(s, "@", id, 0);
+	late = strchr(s->str, '|');
+	if (late != NULL) {
+		*late = '\0';
+		c->late = g_strdup(late + 1);
+	}
+	fake_send_text(c->fd, s->str);
+	g_string_free(s, TRUE);
+}
+
 static void
 fake_answer(struct fake_conn *c, const struct fake_request *rq)
 {
 	const char *name = strrchr(rq->path, '/') + 1;
 	size_t len = strcspn(name, "?"), i;
 
+	if (c->late != NULL)
+		fake_send_text(c->fd, c->late);
+	g_clear_pointer(&c->late, g_free);
 	for (i = 0; i < G_N_ELEMENTS(fake_kinds); i++)
 		if (strlen(fake_kinds[i].name) == len &&
 		    strncmp(name, fake_kinds[i].name, len) == 0)
@@ -416,7 +454,7 @@
 		if (strlen(fake_texts[i].name) != len ||
 		    strncmp(name, fake_texts[i].name, len) != 0)
 			continue;
-		fake_send_text(c->fd, fake_texts[i].text);
+		fake_send_fixed(c, fake_texts[i].text, rq->id);
 		if (fake_texts[i].cut)
 			c->closed = true;
 	}
@@ -463,6 +501,7 @@
 	(void)close(c->fd);
 	pthread_mutex_unlock(&c->fake->lock);
 	g_string_free(c->in, TRUE);
+	g_free(c->late);
 	g_free(c);
 	return NULL;
 }
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -144,6 +144,34 @@
 	CU_ASSERT_EQUAL_FATAL(r.status, 200);
 }
 
+/* Guards against a late copy without an id that is taken for the answer to the
+ * next request on the connection. */
+static void
+test_answer_without_id(void)
+{
+	static const char *const paths[] = { "/web/nameless",
+		"/web/nameless-refusal" };
+	size_t i;
+
+	fixture_start(&fx);
+	send_request(&fx, &r, GET("/web/nameless"));
+	CU_ASSERT_STRING_EQUAL(r.body, "first");
+	open_idle_connection();
+	CU_ASSERT(g_str_has_prefix(r.body, "GET /web/echo "));
+	CU_ASSERT_EQUAL(fx.fake.opened, 2);
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		open_idle_connection();
+		open_idle_connection();
+		CU_ASSERT_EQUAL(fx.fake.opened, 2 + i);
+		send_request(&fx, &r,
+		    "POST %s HTTP/1.1\r\n" HOST "Content-Length: 4\r\n\r\nbody",
+		    paths[i]);
+		CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
+		CU_ASSERT_EQUAL(fake_seen(&fx.fake, paths[i]), 1 + (i == 0));
+	}
+	fixture_stop(&fx);
+}
+
 static void
 test_reused_connection_breaks(void)
 {
@@ -591,6 +619,7 @@
 		    test_answer_with_invalid_status },
 		{ "mismatched answer", test_mismatched_answer },
 		{ "stale answer", test_stale_answer },
+		{ "answer without an id", test_answer_without_id },
 		{ "reused connection breaks", test_reused_connection_breaks },
 		{ "backend server fails after reuse",
 		    test_backend_fails_after_reuse },
