Router: a request is sent once on a connection

What callers could get: "not run" (503), or the refusal's "lost", for a request that ran; a POST ran twice. A backend server that sends a refusal twice, the second time late, gave the copy to the next attempt on the same connection, whose id it names.

Cause: an exchange has one id for all its attempts, and the next one may take the kept connection that carried the last one.

Change: an exchange remembers the local ports of the connections that carried it, 8 at most; after that any kept connection counts as one. When libcurl is about to send it on one of these, the transfer ends unsent, libcurl closes the connection, and a new one carries the attempt. Other kept connections serve it as before.

Cost: at most one connection for each attempt after the first. A request that is not sent again opens none.

The refusals "lease" of the fake backend server name the id now: 8 of them on kept connections.

--- a/router/exchange.h
+++ b/router/exchange.h
@@ -46,6 +46,10 @@
 	DH_ATTEMPT_LOST, /* any other end: the request may have run */
 };
 
+/* Connections that an exchange remembers to have been sent on.  After that many
+ * each further attempt opens one. */
+#define DH_EXCHANGE_CARRIED_MAX 8u
+
 struct dh_exchange {
 	struct dh_lane *lane;
 	GList link; /* in lane->exchanges */
@@ -130,6 +134,10 @@
 	GPtrArray *answer_headers; /* name, value, name, value, ... */
 	bool not_run; /* the backend server answered "not run" */
 	bool connection_reused; /* it has carried another request before */
+	bool connection_refused; /* the kept one may not carry the request */
+	/* Local ports of the connections that carried an attempt or a copy. */
+	uint16_t carried[DH_EXCHANGE_CARRIED_MAX];
+	uint32_t ncarried;
 	bool id_named; /* the answer names an id */
 	bool id_mismatch; /* the answer is that to another request */
 	char refused_reason[32];
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -9,7 +9,7 @@
  *
  * A backend server may send an answer twice, the second time late.  Answers on
  * a connection are told apart by the request's id, so that only the first one
- * may lack it.
+ * may lack it, and a connection carries a request only once.
  */
 #include <inttypes.h>
 #include <linux/sockios.h>
@@ -255,16 +255,6 @@
 	ex->write_paused = false;
 }
 
-static void
-on_done(void *arg, CURL *easy, CURLcode result)
-{
-	struct dh_exchange *ex = arg;
-	enum dh_attempt_end end = attempt_end_of(ex, easy, result);
-
-	release_easy(ex);
-	dh_exchange_on_end(ex, end);
-}
-
 void
 dh_exchange_cancel_attempt(struct dh_exchange *ex)
 {
@@ -309,7 +299,19 @@
 	return CURL_SOCKOPT_OK;
 }
 
-/* libcurl calls this before each copy of a request that it sends. */
+static bool
+has_carried(const struct dh_exchange *ex, uint16_t port)
+{
+	uint32_t i;
+
+	for (i = 0; i < ex->ncarried; i++)
+		if (ex->carried[i] == port)
+			return true;
+	return ex->ncarried == DH_EXCHANGE_CARRIED_MAX;
+}
+
+/* libcurl calls this before each copy of a request that it sends.  After an
+ * error it closes the connection. */
 static int
 on_copy(void *arg, char *ip, char *local_ip, int port, int local_port)
 {
@@ -318,7 +320,12 @@
 	(void)ip;
 	(void)local_ip;
 	(void)port;
-	(void)local_port;
+	ex->connection_refused =
+	    ex->connection_reused && has_carried(ex, (uint16_t)local_port);
+	if (ex->connection_refused)
+		return CURL_PREREQFUNC_ABORT;
+	if (ex->ncarried < DH_EXCHANGE_CARRIED_MAX)
+		ex->carried[ex->ncarried++] = (uint16_t)local_port;
 	ex->may_have_run |= ex->copy_sent;
 	ex->copy_sent = true;
 	return CURL_PREREQFUNC_OK;
@@ -433,23 +440,35 @@
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
-void
-dh_exchange_start_attempt(struct dh_exchange *ex)
+static void send_attempt(struct dh_exchange *ex, bool on_new_connection);
+
+static void
+on_done(void *arg, CURL *easy, CURLcode result)
+{
+	struct dh_exchange *ex = arg;
+	enum dh_attempt_end end = attempt_end_of(ex, easy, result);
+
+	release_easy(ex);
+	if (ex->connection_refused && !ex->copy_sent) {
+		send_attempt(ex, true);
+		return;
+	}
+	dh_exchange_on_end(ex, end);
+}
+
+static void
+send_attempt(struct dh_exchange *ex, bool on_new_connection)
 {
 	CURL *easy = dh_lane_easy_get(ex->lane);
 	g_autofree char *url =
 	    g_strdup_printf("http://%s:%u%s", ex->address, ex->port, ex->url);
 
 	g_assert(ex->easy == NULL);
-	if (ex->attempt++ == 0)
-		dh_retry_count_first_attempt(
-		    &ex->service->budget, &ex->service->retry);
-	ex->phase = DH_PHASE_SENT;
-	ex->sent_us = dh_clock_us();
 	ex->easy = easy;
 	ex->not_run = false;
 	ex->copy_sent = false;
 	ex->connection_reused = true;
+	ex->connection_refused = false;
 	ex->id_named = false;
 	ex->id_mismatch = false;
 	ex->request_undelivered = false;
@@ -464,5 +483,18 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, ex);
 	set_body(ex, easy);
 	set_connection(ex, easy);
+	if (on_new_connection)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 	dh_http_start(ex->lane->http, easy, on_done, ex);
 }
+
+void
+dh_exchange_start_attempt(struct dh_exchange *ex)
+{
+	if (ex->attempt++ == 0)
+		dh_retry_count_first_attempt(
+		    &ex->service->budget, &ex->service->retry);
+	ex->phase = DH_PHASE_SENT;
+	ex->sent_us = dh_clock_us();
+	send_attempt(ex, false);
+}
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -191,6 +191,17 @@
 	return ok;
 }
 
+static inline uint32_t
+fake_seen(struct fake *f, const char *path)
+{
+	guint n;
+
+	pthread_mutex_lock(&f->lock);
+	n = GPOINTER_TO_UINT(g_hash_table_lookup(f->seen, path));
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
+
 /* Wait for the router to close this connection. */
 static void
 fake_wait_closed(struct fake_conn *c)
@@ -292,6 +303,10 @@
 
 #define FAKE_ID "Dh-Request-Id: @\r\n"
 #define FAKE_NAMELESS "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+#define FAKE_REFUSAL                                                          \
+	"HTTP/1.1 503 No\r\n" FAKE_ID                                         \
+	"Dh-Outcome: not-run\r\nDh-Reason: draining\r\nContent-Length: 2\r\n" \
+	"\r\nno"
 
 static const struct fake_text fake_texts[] = {
 	{ "cut-length", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf",
@@ -318,10 +333,7 @@
 	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
 	    "Dh-Request-Id: other\r\nContent-Length: 6\r\n\r\nsecret",
 	    false },
-	{ "refuse",
-	    "HTTP/1.1 503 No\r\n" FAKE_ID "Dh-Outcome: not-run\r\n"
-	    "Dh-Reason: draining\r\nContent-Length: 2\r\n\r\nno",
-	    false },
+	{ "refuse", FAKE_REFUSAL, false },
 	{ "double",
 	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 5\r\n\r\nfirst"
 	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 5\r\n\r\nstale",
@@ -360,6 +372,33 @@
 	    false },
 };
 
+/* Send a fixed answer. */
+static void
+fake_send_fixed(struct fake_conn *c, const char *text, const char *id)
+{
+	GString *s = g_string_new(text);
+	char *late;
+
+	g_string_replace(s, "@", id, 0);
+	late = strchr(s->str, '|');
+	if (late != NULL) {
+		*late = '\0';
+		c->late = g_strdup(late + 1);
+	}
+	fake_send_text(c->fd, s->str);
+	g_string_free(s, TRUE);
+}
+
+/* Refuse the first request, and send the refusal twice. */
+static void
+fake_refuse_once(struct fake_conn *c, const struct fake_request *rq)
+{
+	if (fake_seen(c->fake, rq->path) > 1)
+		fake_echo(c, rq);
+	else
+		fake_send_fixed(c, FAKE_REFUSAL "|" FAKE_REFUSAL, rq->id);
+}
+
 /* Requests that fake_leaseless() refuses before it runs one. */
 #define FAKE_LEASELESS 8u
 
@@ -367,17 +406,13 @@
 static void
 fake_leaseless(struct fake_conn *c, const struct fake_request *rq)
 {
-	guint n;
-
-	pthread_mutex_lock(&c->fake->lock);
-	n = GPOINTER_TO_UINT(g_hash_table_lookup(c->fake->seen, rq->path));
-	pthread_mutex_unlock(&c->fake->lock);
-	if (n > FAKE_LEASELESS)
+	if (fake_seen(c->fake, rq->path) > FAKE_LEASELESS)
 		fake_echo(c, rq);
 	else
-		fake_send_text(c->fd,
-		    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
-		    "Dh-Reason: lease\r\nContent-Length: 0\r\n\r\n");
+		fake_send_fixed(c,
+		    "HTTP/1.1 503 No\r\n" FAKE_ID "Dh-Outcome: not-run\r\n"
+		    "Dh-Reason: lease\r\nContent-Length: 0\r\n\r\n",
+		    rq->id);
 }
 
 struct fake_kind {
@@ -402,6 +437,7 @@
 	{ "hold", fake_hold }, /* waits for fake_release(), then echoes */
 	{ "big", fake_big }, /* answers with FAKE_BIG bytes */
 	{ "leaseless", fake_leaseless }, /* at first has no lease */
+	{ "refuse-once", fake_refuse_once }, /* then echoes */
 	{ "hang", fake_hang }, /* never answers */
 	{ "early-cut",
 	    fake_early_cut }, /* answers, and does not read the body */
@@ -421,22 +457,6 @@
 	fake_send_text(c->fd, text);
 }
 
-static void
-fake_send_fixed(struct fake_conn *c, const char *text, const char *id)
-{
-	GString *s = g_string_new(text);
-	char *late;
-
-	g_string_replace(s, "@", id, 0);
-	late = strchr(s->str, '|');
-	if (late != NULL) {
-		*late = '\0';
-		c->late = g_strdup(late + 1);
-	}
-	fake_send_text(c->fd, s->str);
-	g_string_free(s, TRUE);
-}
-
 static void
 fake_answer(struct fake_conn *c, const struct fake_request *rq)
 {
@@ -584,17 +604,6 @@
 	pthread_cond_destroy(&f->cond);
 }
 
-static inline uint32_t
-fake_seen(struct fake *f, const char *path)
-{
-	guint n;
-
-	pthread_mutex_lock(&f->lock);
-	n = GPOINTER_TO_UINT(g_hash_table_lookup(f->seen, path));
-	pthread_mutex_unlock(&f->lock);
-	return n;
-}
-
 static inline struct timespec
 fake_limit(void)
 {
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -172,6 +172,24 @@
 	fixture_stop(&fx);
 }
 
+/* Guards against a late copy of a refusal that is taken for the answer to the
+ * next attempt of the request. */
+static void
+test_late_refusal(void)
+{
+	fixture_start(&fx);
+	send_request(&fx, &r, POST("/web/refuse-once?new", ""));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/refuse-once?new"), 2);
+	CU_ASSERT_EQUAL(fx.fake.opened, 2);
+	send_request(&fx, &r, POST("/web/refuse-once?kept", ""));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/refuse-once?kept"), 2);
+	open_idle_connection();
+	CU_ASSERT_EQUAL(fx.fake.opened, 3);
+	fixture_stop(&fx);
+}
+
 static void
 test_reused_connection_breaks(void)
 {
@@ -620,6 +638,7 @@
 		{ "mismatched answer", test_mismatched_answer },
 		{ "stale answer", test_stale_answer },
 		{ "answer without an id", test_answer_without_id },
+		{ "late copy of a refusal", test_late_refusal },
 		{ "reused connection breaks", test_reused_connection_breaks },
 		{ "backend server fails after reuse",
 		    test_backend_fails_after_reuse },
