Router: a body without a complete head is not kept

What callers could get: bytes of a lost attempt's answer before the answer of the next one, within its length: a 200 with a wrong body.

Cause: libcurl passes on the bytes behind a head of status 101, and behind a line that begins with a bare CR, which it takes for the end of a head. The router took neither for an answer, ended the attempt as lost, and kept the bytes in the exchange's buffer.

Change: bytes that come before the answer has begun end the attempt as lost.

test_datapath_faults "body without a head" failed before (2 assertions: the body of the second attempt begins with "stale") and passes.

--- a/router/upstream.c
+++ b/router/upstream.c
@@ -67,6 +67,14 @@
 	return got;
 }
 
+static void
+count_bad_answer(const char *why)
+{
+	g_autofree char *labels = g_strdup_printf("why=\"%s\"", why);
+
+	dh_counter_add(dh_counter_get("dh_bad_answers_total", labels), 1);
+}
+
 static size_t
 on_write(char *data, size_t size, size_t n, void *arg)
 {
@@ -75,6 +83,11 @@
 
 	if (ex->not_run || ex->id_mismatch)
 		return len;
+	/* A body without a complete head of an answer before it. */
+	if (!ex->answer_started) {
+		count_bad_answer("no-head");
+		return 0;
+	}
 	if (dh_buffer_room(&ex->answer_body) < len) {
 		ex->write_paused = true;
 		return CURL_WRITEFUNC_PAUSE;
@@ -134,14 +147,6 @@
 	return dh_http_status_is_valid(ex->status);
 }
 
-static void
-count_bad_answer(const char *why)
-{
-	g_autofree char *labels = g_strdup_printf("why=\"%s\"", why);
-
-	dh_counter_add(dh_counter_get("dh_bad_answers_total", labels), 1);
-}
-
 /* Whether a head whose last line was received is that of an answer to this
  * request. */
 static bool
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -293,7 +293,8 @@
 	c->closed = true;
 }
 
-/* Fixed answers.  "@" stands for the request's id.  What follows "|" is sent
+/* Fixed answers; those of "once-" to the first request of a path, then it is
+ * echoed.  "@" stands for the request's id.  What follows "|" is sent
  * before the answer to the next request on the connection. */
 struct fake_text {
 	const char *name;
@@ -365,6 +366,13 @@
 	{ "fault",
 	    "HTTP/1.1 500 Bad\r\n" FAKE_ID "Content-Length: 3\r\n\r\nbad",
 	    false },
+	{ "once-refused", FAKE_REFUSAL "|" FAKE_REFUSAL, false },
+	{ "once-switched", "HTTP/1.1 101 Switch\r\n" FAKE_ID "\r\nstale",
+	    true },
+	{ "once-bare-cr",
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 5\r\n"
+	    "\rX: y\r\nstale",
+	    false },
 	{ "nameless", FAKE_NAMELESS "|" FAKE_NAMELESS, false },
 	{ "nameless-refusal",
 	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
@@ -389,16 +397,6 @@
 	g_string_free(s, TRUE);
 }
 
-/* Refuse the first request, and send the refusal twice. */
-static void
-fake_refuse_once(struct fake_conn *c, const struct fake_request *rq)
-{
-	if (fake_seen(c->fake, rq->path) > 1)
-		fake_echo(c, rq);
-	else
-		fake_send_fixed(c, FAKE_REFUSAL "|" FAKE_REFUSAL, rq->id);
-}
-
 /* Requests that fake_leaseless() refuses before it runs one. */
 #define FAKE_LEASELESS 8u
 
@@ -437,7 +435,6 @@
 	{ "hold", fake_hold }, /* waits for fake_release(), then echoes */
 	{ "big", fake_big }, /* answers with FAKE_BIG bytes */
 	{ "leaseless", fake_leaseless }, /* at first has no lease */
-	{ "refuse-once", fake_refuse_once }, /* then echoes */
 	{ "hang", fake_hang }, /* never answers */
 	{ "early-cut",
 	    fake_early_cut }, /* answers, and does not read the body */
@@ -474,6 +471,11 @@
 		if (strlen(fake_texts[i].name) != len ||
 		    strncmp(name, fake_texts[i].name, len) != 0)
 			continue;
+		if (g_str_has_prefix(name, "once-") &&
+		    fake_seen(c->fake, rq->path) > 1) {
+			fake_echo(c, rq);
+			return;
+		}
 		fake_send_fixed(c, fake_texts[i].text, rq->id);
 		if (fake_texts[i].cut)
 			c->closed = true;
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -172,19 +172,32 @@
 	fixture_stop(&fx);
 }
 
+/* Guards against a body without a complete head that is passed on before the
+ * next attempt's. */
+static void
+test_body_without_head(void)
+{
+	fixture_start(&fx);
+	send_request(&fx, &r, GET("/web/once-switched"));
+	CU_ASSERT(g_str_has_prefix(r.body, "GET /web/once-switched "));
+	send_request(&fx, &r, GET("/web/once-bare-cr"));
+	CU_ASSERT(g_str_has_prefix(r.body, "GET /web/once-bare-cr "));
+	fixture_stop(&fx);
+}
+
 /* Guards against a late copy of a refusal that is taken for the answer to the
  * next attempt of the request. */
 static void
 test_late_refusal(void)
 {
 	fixture_start(&fx);
-	send_request(&fx, &r, POST("/web/refuse-once?new", ""));
+	send_request(&fx, &r, POST("/web/once-refused?new", ""));
 	CU_ASSERT_EQUAL(r.status, 200);
-	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/refuse-once?new"), 2);
+	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/once-refused?new"), 2);
 	CU_ASSERT_EQUAL(fx.fake.opened, 2);
-	send_request(&fx, &r, POST("/web/refuse-once?kept", ""));
+	send_request(&fx, &r, POST("/web/once-refused?kept", ""));
 	CU_ASSERT_EQUAL(r.status, 200);
-	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/refuse-once?kept"), 2);
+	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/once-refused?kept"), 2);
 	open_idle_connection();
 	CU_ASSERT_EQUAL(fx.fake.opened, 3);
 	fixture_stop(&fx);
@@ -638,6 +651,7 @@
 		{ "mismatched answer", test_mismatched_answer },
 		{ "stale answer", test_stale_answer },
 		{ "answer without an id", test_answer_without_id },
+		{ "body without a head", test_body_without_head },
 		{ "late copy of a refusal", test_late_refusal },
 		{ "reused connection breaks", test_reused_connection_breaks },
 		{ "backend server fails after reuse",
