Router: an interim head does not refuse

What callers could get: "not run" (503) for a request that may have run, and a POST a second time, after "Dh-Outcome: not-run" in a head of status 1xx and the end of the connection. A copy of such a head needed no id on a reused connection.

Cause: a refusal counted whatever the status of its head.

Change: a refusal is a final answer.

test_datapath_faults "cut answer" has this case; its 2 assertions failed before (503, the request reaches the backend server more than once) and pass.

--- a/router/upstream.c
+++ b/router/upstream.c
@@ -116,7 +116,8 @@
 	else if (g_ascii_strcasecmp(name, "Dh-Request-Id") == 0)
 		note_id(ex, value);
 	else if (g_ascii_strcasecmp(name, "Dh-Outcome") == 0)
-		ex->not_run = strcmp(value, "not-run") == 0;
+		ex->not_run =
+		    ex->status >= 200 && strcmp(value, "not-run") == 0;
 	else if (g_ascii_strcasecmp(name, "Dh-Reason") == 0)
 		g_strlcpy(
 		    ex->refused_reason, value, sizeof(ex->refused_reason));
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -34,6 +34,9 @@
 	send_request(&fx, &r, POST("/web/cut-refusal", ""));
 	CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
 	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/cut-refusal"), 1);
+	send_request(&fx, &r, POST("/web/early-refusal", ""));
+	CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/early-refusal"), 1);
 	fixture_stop(&fx);
 }
 
