Objects: a reply to an earlier call is no answer to this one

What the leader could get: the late copy of a read, or of an earlier write, as the success of a write that another VM's had overtaken: two leaders. Or an old conflict, and so a leader that takes over an old record, or gives up its office.

Cause: the store's replies name no call, and the client took any of them.

A copy of a refusal (429, 503, 404), and of a list or watch for another, can't be told this way.

--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -289,6 +289,91 @@
 	}
 }
 
+#define OBJECT(name, revision, x)                                          \
+	"{\"metadata\":{\"name\":\"" name "\",\"revision\":" revision "}," \
+	"\"spec\":{\"x\":" x "}}"
+
+static enum dh_objects_result
+reply_to(struct fixture *fx, char call, const char *status, const char *body)
+{
+	g_autofree char *text =
+	    g_strdup_printf("HTTP/1.1 %s X\r\nContent-Length: %zu\r\n\r\n%s",
+		status, strlen(body), body);
+	const char *const script[] = { text, NULL };
+	g_autofree char *url = NULL;
+	struct scripted_server s;
+
+	start(fx);
+	scripted_server_start(&s, script);
+	dh_objects_free(fx->objects);
+	url = g_strdup_printf("http://127.0.0.1:%u", s.port);
+	fx->objects = dh_objects_new(fx->http, url);
+	if (call == 'l')
+		(void)dh_objects_list(
+		    fx->objects, "k", "", DH_FRESH, 2000, on_objects, fx);
+	else if (call == 'w')
+		(void)dh_objects_watch(
+		    fx->objects, "k", 8, 10, DH_FRESH, 2000, on_objects, fx);
+	else if (call == 'g')
+		(void)dh_objects_get(
+		    fx->objects, "k", "o", DH_FRESH, 2000, on_objects, fx);
+	else
+		(void)dh_objects_put(fx->objects, "k", "o", call == 'p' ? 7 : 0,
+		    "{\"x\":1}", 2000, on_objects, fx);
+	run(fx);
+	end(fx);
+	scripted_server_stop(&s);
+	return fx->result;
+}
+
+/* Guards against a second leader: the late copy of a reply to an earlier call
+ * says that its write has taken effect, or that another one has. */
+static void
+test_reply_to_an_earlier_call_is_no_answer(void)
+{
+	static const struct {
+		char call; /* list, watch, get, put, or create */
+		const char *status, *body;
+		enum dh_objects_result result;
+	} replies[] = {
+		{ 'p', "200", OBJECT("o", "8", "1"), DH_OBJECTS_OK },
+		{ 'p', "200", OBJECT("o", "7", "1"), DH_OBJECTS_OK },
+		{ 'p', "200", OBJECT("o", "7", "2"), DH_OBJECTS_UNKNOWN },
+		{ 'p', "200", OBJECT("o", "6", "1"), DH_OBJECTS_UNKNOWN },
+		{ 'p', "200", OBJECT("a", "8", "1"), DH_OBJECTS_UNKNOWN },
+		{ 'p', "200", "{\"events\":[],\"as_of\":9}",
+		    DH_OBJECTS_UNKNOWN },
+		{ 'p', "409", OBJECT("o", "8", "2"), DH_OBJECTS_CONFLICT },
+		{ 'p', "409", "{}", DH_OBJECTS_CONFLICT },
+		{ 'p', "409", OBJECT("o", "7", "2"), DH_OBJECTS_UNKNOWN },
+		{ 'p', "409", OBJECT("a", "8", "2"), DH_OBJECTS_UNKNOWN },
+		{ 'c', "201", OBJECT("o", "1", "1"), DH_OBJECTS_OK },
+		{ 'c', "201", OBJECT("a", "1", "1"), DH_OBJECTS_UNKNOWN },
+		{ 'c', "409", OBJECT("o", "1", "2"), DH_OBJECTS_CONFLICT },
+		{ 'g', "200", OBJECT("o", "1", "2"), DH_OBJECTS_OK },
+		{ 'g', "200", OBJECT("a", "1", "2"), DH_OBJECTS_UNKNOWN },
+		{ 'g', "404", "{}", DH_OBJECTS_NOT_FOUND },
+		{ 'l', "200", "{\"items\":[],\"as_of\":9}", DH_OBJECTS_OK },
+		{ 'l', "200", OBJECT("o", "8", "1"), DH_OBJECTS_UNKNOWN },
+		{ 'l', "200", "{\"events\":[],\"as_of\":9}",
+		    DH_OBJECTS_UNKNOWN },
+		{ 'w', "200", "{\"events\":[],\"as_of\":9}", DH_OBJECTS_OK },
+		{ 'w', "200", OBJECT("o", "8", "1"), DH_OBJECTS_UNKNOWN },
+		{ 'w', "200", "{\"items\":[],\"as_of\":9}",
+		    DH_OBJECTS_UNKNOWN },
+	};
+	struct fixture fx;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(replies); i++) {
+		CU_ASSERT_EQUAL(reply_to(&fx, replies[i].call,
+				    replies[i].status, replies[i].body),
+		    replies[i].result);
+		if (replies[i].result == DH_OBJECTS_UNKNOWN)
+			CU_ASSERT_EQUAL(fx.nitems, 0);
+	}
+}
+
 int
 main(void)
 {
@@ -301,6 +386,8 @@
 		{ "not JSON", test_answer_that_is_not_json },
 		{ "write on a connection that ends",
 		    test_write_on_a_connection_that_ends_is_in_doubt },
+		{ "reply to an earlier call",
+		    test_reply_to_an_earlier_call_is_no_answer },
 		CU_TEST_INFO_NULL,
 	};
 
