Store: a reply with another version is no answer to a write

What a caller could get: success, with a version that is not its write's, for a write that another writer's had overtaken: two leaders of a group. Or a conflict for a write that took effect, from a read back of another version.

Cause: the reply to a write that succeeded was taken whatever version it gave.

Change: a 200 or 201 whose version is not the expected one plus one, or whose writer is another, does not say what became of the write: it is read back on a new connection, as after a lost reply. A copy for another object with the same version and no writer can't be told, and a copy of a refusal neither.

test_store "reply to an earlier call" failed before (6 assertions) and passes.

--- a/store/call.c
+++ b/store/call.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log.h"
 #include "base/timer.h"
 #include "store/store_internal.h"
 
@@ -199,6 +200,32 @@
 		    c, DH_ERROR_CONFLICT, "another writer wrote this version");
 }
 
+/* Whether a reply with status 200 or 201 tells of version expect + 1.  A late
+ * copy of the reply to an earlier call mostly has another version or writer. */
+static bool
+put_is_answer(const struct store_call *c, const struct dh_http_reply *reply)
+{
+	const char *writer = g_hash_table_lookup(reply->headers, "x-writer");
+
+	if (reply_version(reply) != c->put.expect + 1)
+		return false;
+	return c->put.reading_back || writer == NULL ||
+	    strcmp(writer, c->put.writer_id) == 0;
+}
+
+/* Reads back what became of the write. */
+static void
+put_not_answered(struct store_call *c, const struct dh_http_reply *reply)
+{
+	dh_log(DH_LOG_WARN, "store.not_an_answer",
+	    "name=%s version=%" G_GUINT64_FORMAT " expected=%" G_GUINT64_FORMAT,
+	    c->name, reply_version(reply), c->put.expect + 1);
+	c->put.effect_unknown = true;
+	c->put.reading_back = true;
+	c->fresh_connection = true;
+	call_retry(c, 0, "the answer is to another call");
+}
+
 static void
 put_read_back(struct store_call *c, const struct dh_http_reply *reply)
 {
@@ -222,6 +249,11 @@
 {
 	uint64_t version = reply_version(reply);
 
+	if ((reply->status == 200 || reply->status == 201) &&
+	    !put_is_answer(c, reply)) {
+		put_not_answered(c, reply);
+		return;
+	}
 	if (c->put.reading_back) {
 		put_read_back(c, reply);
 		return;
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -683,6 +683,50 @@
 	scripted_server_stop(&s);
 }
 
+#define STORED(version, writer)                                         \
+	"HTTP/1.1 200 OK\r\nETag: \"" version "\"\r\nX-Writer: " writer \
+	"\r\nContent-Length: 0\r\n\r\n"
+
+/* Guards against a write of another writer that counts as this one, by the late
+ * copy of the reply to an earlier call. */
+static void
+test_reply_to_an_earlier_call_is_no_answer(void)
+{
+	static const struct {
+		const char *script[4];
+		int code;
+	} cases[] = {
+		{ { STORED("7", "w/0") LATE, STORED("8", "w/1") LATE }, OK },
+		{ { STORED("8", "v/1") LATE, STORED("8", "w/1") LATE }, OK },
+		{ { STORED("7", "w/0") LATE, STORED("7", "w/0") LATE,
+		      STORED("8", "v/3") LATE },
+		    DH_ERROR_CONFLICT },
+	};
+	struct scripted_server s;
+	struct result r = { 0 };
+	struct dh_store *st;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *url = NULL;
+
+		setup();
+		scripted_server_start(&s, cases[i].script);
+		url = g_strdup_printf("http://127.0.0.1:%u", s.port);
+		st = dh_store_new(http, url, "w");
+		dh_store_set_times(st, &quick);
+		put(st, "a", 7, "1", &r);
+		CU_ASSERT_EQUAL(r.code, cases[i].code);
+		if (r.code == OK)
+			CU_ASSERT_EQUAL(r.object->version, 8);
+		clear(&r);
+		dh_store_free(st);
+		teardown();
+		scripted_server_stop(&s);
+		CU_ASSERT_PTR_NULL(cases[i].script[s.requests]);
+	}
+}
+
 int
 main(void)
 {
@@ -709,6 +753,8 @@
 		{ "watch freed", test_watch_freed_in_callback },
 		{ "free", test_free_drops_calls },
 		{ "faults checked", test_faults_are_checked },
+		{ "reply to an earlier call",
+		    test_reply_to_an_earlier_call_is_no_answer },
 		CU_TEST_INFO_NULL,
 	};
 
