Router: a foreign refusal does not send a request again

What callers could get: a POST to a keyed service that ran twice or more, until its deadline. The refusal "lease" or "wrong-owner" of another request, as a late copy gives it, or one whose head broke off, had the request sent to the owner again.

Cause: such an attempt is lost, but the request waited for an owner whenever the head had said "not run" with one of these reasons.

Change: only a request that has not run waits so.

test_datapath_faults "mismatched answer" has this case; its 2 assertions failed before (no 502 "lost", the request reaches the backend server more than once) and pass.

--- a/router/exchange.c
+++ b/router/exchange.c
@@ -667,8 +667,8 @@
 		timer_at(ex, dh_clock_ms() + d.delay_ms);
 		return;
 	}
-	if (is_ownership_failure(ex, reason) && !ex->aborted &&
-	    d.verdict != DH_RETRY_DEADLINE &&
+	if (outcome == DH_OUTCOME_NOT_RUN && is_ownership_failure(ex, reason) &&
+	    !ex->aborted && d.verdict != DH_RETRY_DEADLINE &&
 	    park_for_owner(ex, strcmp(reason, "connect") != 0))
 		return;
 	finish_locally(ex, status, outcome, reason, RETRY_AFTER_MS);
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -334,6 +334,11 @@
 	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
 	    "Dh-Request-Id: other\r\nContent-Length: 6\r\n\r\nsecret",
 	    false },
+	{ "foreign-lease",
+	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
+	    "Dh-Reason: lease\r\nDh-Request-Id: other\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    false },
 	{ "refuse", FAKE_REFUSAL, false },
 	{ "double",
 	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 5\r\n\r\nfirst"
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -120,6 +120,9 @@
 	send_request(&fx, &r, POST("/web/foreign-refusal", ""));
 	CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
 	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/foreign-refusal"), 1);
+	send_request(&fx, &r, POST("/feed/k/foreign-lease", ""));
+	CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
+	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/feed/k/foreign-lease"), 1);
 	fixture_stop(&fx);
 }
 
