Router: a head behind a part of another one is no answer

What callers could get: the status of an earlier answer with the headers and body of their own, so 500 for a request that was done, or the reverse.

Cause: a late copy that breaks off in its head takes the status line of the next answer for its rest, or its lines stand before that line. The merged head names the awaited id.

Change: on a connection that has carried another request, a status line inside a header, in a header's name or in the reason phrase ends the attempt as lost. On a new connection it can only be a header of the backend server's: the answer is passed on, and the connection is not kept. A line of a head, or a trailer, that begins as a status line ends the attempt on any connection: libcurl goes by the first status, the router went by the last one. The check of the text moves from gateway/message.c to base/http.c, for both.

--- a/base/http.c
+++ b/base/http.c
@@ -481,6 +481,23 @@
 	fetch_free(f);
 }
 
+bool
+dh_http_has_status_line(const char *text, size_t len)
+{
+	static const char version[] = "HTTP/1.";
+	const size_t n = sizeof(version) - 1;
+	const char *end = text + len, *p = text;
+
+	while ((p = memmem(p, (size_t)(end - p), version, n)) != NULL) {
+		p += n;
+		if (end - p >= 5 && g_ascii_isdigit(p[0]) && p[1] == ' ' &&
+		    g_ascii_isdigit(p[2]) && g_ascii_isdigit(p[3]) &&
+		    g_ascii_isdigit(p[4]))
+			return true;
+	}
+	return false;
+}
+
 const char *
 dh_http_header(const struct dh_http_reply *reply, const char *name)
 {
--- a/gateway/message.c
+++ b/gateway/message.c
@@ -263,28 +263,11 @@
 	return n;
 }
 
-static bool
-has_status_line(const char *text, size_t len)
-{
-	static const char version[] = "HTTP/1.";
-	const size_t n = sizeof(version) - 1;
-	const char *end = text + len, *p = text;
-
-	while ((p = memmem(p, (size_t)(end - p), version, n)) != NULL) {
-		p += n;
-		if (end - p >= 5 && g_ascii_isdigit(p[0]) && p[1] == ' ' &&
-		    g_ascii_isdigit(p[2]) && g_ascii_isdigit(p[3]) &&
-		    g_ascii_isdigit(p[4]))
-			return true;
-	}
-	return false;
-}
-
 bool
 dh_message_has_inner_status_line(const struct dh_message *m)
 {
-	return has_status_line(m->target->str, m->target->len) ||
-	    has_status_line(m->header_text->str, m->header_text->len);
+	return dh_http_has_status_line(m->target->str, m->target->len) ||
+	    dh_http_has_status_line(m->header_text->str, m->header_text->len);
 }
 
 uint64_t
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -124,6 +124,7 @@
 	struct curl_slist *headers; /* of the request sent */
 	struct dh_buffer answer_body;
 	bool read_paused, write_paused; /* libcurl's callbacks returned PAUSE */
+	bool in_head; /* between a status line and the end of its head */
 	bool headers_complete; /* all headers of the answer were received */
 	bool answer_started; /* the received headers go to the caller */
 	bool answer_ended, answer_failed;
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -31,6 +31,7 @@
 /* Subtracted from the time that a backend server is given, so that its answer
  * "not run" arrives before the router gives up with the outcome unknown. */
 #define DEADLINE_MARGIN_MS 20
+#define STATUS_LINE_PREFIX "HTTP/"
 
 static const char *const hop_headers[] = { "Connection", "Keep-Alive",
 	"Transfer-Encoding", "TE", "Trailer", "Upgrade", "Proxy-Connection",
@@ -142,6 +143,7 @@
 	ex->id_named = false;
 	ex->id_mismatch = false;
 	ex->headers_complete = false;
+	ex->in_head = true;
 	if (ex->answer_headers != NULL)
 		g_ptr_array_unref(ex->answer_headers);
 	ex->answer_headers = g_ptr_array_new_with_free_func(g_free);
@@ -167,20 +169,44 @@
 	return !ex->id_mismatch;
 }
 
+/* Whether a line of a head does not show that it is made of parts of two. */
+static bool
+is_line_of_one_head(
+    struct dh_exchange *ex, const char *line, size_t len, bool begins_head)
+{
+	size_t from = begins_head ? strlen(STATUS_LINE_PREFIX) : 0;
+
+	if (begins_head && (ex->in_head || ex->answer_started))
+		return false;
+	if (ex->answer_started ||
+	    !dh_http_has_status_line(line + from, len - from))
+		return true;
+	/* May also be a header of the backend server's. */
+	curl_easy_setopt(ex->easy, CURLOPT_FORBID_REUSE, 1L);
+	return !ex->connection_reused;
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct dh_exchange *ex = arg;
 	g_autofree char *line = g_strndup(data, size * n);
+	bool begins_head = g_str_has_prefix(line, STATUS_LINE_PREFIX);
 	char *colon;
 
+	if (!is_line_of_one_head(ex, data, size * n, begins_head)) {
+		count_bad_answer("two-heads");
+		ex->id_mismatch = true;
+		return 0;
+	}
 	g_strchomp(line);
-	if (g_str_has_prefix(line, "HTTP/")) {
+	if (begins_head) {
 		/* After an error libcurl does not use the connection again. */
 		if (!begin_head(ex, line))
 			return 0;
 	} else if (line[0] == '\0') {
 		ex->headers_complete = true;
+		ex->in_head = false;
 		/* The connection delivers another request's answer: return an
 		 * error, so that libcurl does not use it again. */
 		if (!is_own_head(ex))
@@ -480,6 +506,7 @@
 	ex->request_undelivered = false;
 	ex->refused_reason[0] = '\0';
 	ex->headers_complete = false;
+	ex->in_head = false;
 	build_headers(ex);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, ex->headers);
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -303,6 +303,7 @@
 };
 
 #define FAKE_ID "Dh-Request-Id: @\r\n"
+#define FAKE_DONE "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 2\r\n\r\nok"
 #define FAKE_NAMELESS "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
 #define FAKE_REFUSAL                                                          \
 	"HTTP/1.1 503 No\r\n" FAKE_ID                                         \
@@ -381,6 +382,17 @@
 	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Content-Length: 5\r\n"
 	    "\rX: y\r\nstale",
 	    false },
+	{ "part-of-value", FAKE_DONE "|HTTP/1.1 500 Bad\r\nX-Part: a", false },
+	{ "part-of-name", FAKE_DONE "|HTTP/1.1 500 Bad\r\nX-Pa", false },
+	{ "part-of-reason", FAKE_DONE "|HTTP/1.1 500 Ba", false },
+	{ "part-of-lines", FAKE_DONE "|HTTP/1.1 204 No\r\nX-Part: a\r\n",
+	    false },
+	{ "part-with-cr", FAKE_DONE "|HTTP/1.1 500 Bad\r\nX-Part: a\r\n\r",
+	    false },
+	{ "quoted-status",
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "X-Via: HTTP/1.1 200 OK\r\n"
+	    "Content-Length: 2\r\n\r\nok",
+	    false },
 	{ "nameless", FAKE_NAMELESS "|" FAKE_NAMELESS, false },
 	{ "nameless-refusal",
 	    "HTTP/1.1 503 No\r\nDh-Outcome: not-run\r\n"
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -178,6 +178,32 @@
 	fixture_stop(&fx);
 }
 
+/* Guards against an answer with the head of an earlier one that broke off. */
+static void
+test_part_of_a_head(void)
+{
+	static const char *const paths[] = { "/web/part-of-value",
+		"/web/part-of-name", "/web/part-of-reason",
+		"/web/part-of-lines", "/web/part-with-cr" };
+	size_t i;
+
+	fixture_start(&fx);
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		send_request(
+		    &fx, &r, "GET %s HTTP/1.1\r\n" HOST "\r\n", paths[i]);
+		CU_ASSERT_EQUAL(r.status, 200);
+		send_request(&fx, &r, POST("/web/echo", ""));
+		CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
+		CU_ASSERT_EQUAL(fx.fake.opened, i + 1);
+	}
+	/* A header of the backend server's may look so. */
+	send_request(&fx, &r, GET("/web/quoted-status"));
+	CU_ASSERT_EQUAL(r.status, 200);
+	open_idle_connection();
+	CU_ASSERT_EQUAL(fx.fake.opened, i + 2);
+	fixture_stop(&fx);
+}
+
 /* Guards against a body without a complete head that is passed on before the
  * next attempt's. */
 static void
@@ -657,6 +683,7 @@
 		{ "mismatched answer", test_mismatched_answer },
 		{ "stale answer", test_stale_answer },
 		{ "answer without an id", test_answer_without_id },
+		{ "part of a head", test_part_of_a_head },
 		{ "body without a head", test_body_without_head },
 		{ "late copy of a refusal", test_late_refusal },
 		{ "reused connection breaks", test_reused_connection_breaks },
