Tests: a late copy after a second attempt between VMs

The order of events that the users reported: a keyed, repeatable request is handed over; the VM with the caller gives the first attempt up as overdue when the attending VM has just answered it; the same id goes to the same backend server again. A proxy between the VMs puts the word "overdue" before the first answer. The fake backend server answers an id that its connection has carried with a copy of the first answer, whole or without its last four bytes, and then with its own. Then another request, and the id again from the caller.

Answers of the fake backend server have a body with the id and the number of the run. At the end of each test: no caller got a wrong body, and no connection to the backend server or between the VMs carried an id twice.

--- a/tests/test_attend.c
+++ b/tests/test_attend.c
@@ -43,12 +43,42 @@
 static gint runs; /* requests that it got */
 static gint running, most_running; /* at a time */
 static char last_head[ANSWER_MAX]; /* of the last of them */
+static gint same_ids; /* ids that came again on a connection */
+static gint wrong_bodies; /* of answers that callers got */
 
-/* Answers by the path: after some time, or never. */
+/* Reads an answer with a length; its size, or 0 if it does not come. */
+static size_t
+read_answer(int fd, char *to, size_t size)
+{
+	size_t len = read_head(fd, to, size), body = 0;
+	const char *at = strstr(to, "\r\nContent-Length: ");
+
+	if (at != NULL)
+		body = strtoul(at + strlen("\r\nContent-Length: "), NULL, 10);
+	for (; len > 0 && body > 0 && len + 1 < size; body--) {
+		if (read(fd, to + len, 1) != 1)
+			return 0;
+		to[++len] = '\0';
+	}
+	return len;
+}
+
+static bool
+read_id(const char *head, char *id)
+{
+	const char *at = strstr(head, ID ": ");
+
+	return at != NULL && sscanf(at + strlen(ID ": "), "%63s", id) == 1;
+}
+
+/* Answers by the path: after some time, or never.  An id that the connection
+ * has carried before is answered with a late copy of its first answer, or half
+ * of that, before its own one. */
 static bool
-serve(int fd, const char *head, const char *id)
+serve(int fd, const char *head, const char *id, int run, GHashTable *answers)
 {
-	char answer[512];
+	const char *first = g_hash_table_lookup(answers, id);
+	char answer[512], body[128];
 	int n = g_atomic_int_add(&running, 1) + 1;
 
 	if (n > g_atomic_int_get(&most_running))
@@ -64,11 +94,19 @@
 	(void)g_atomic_int_add(&running, -1);
 	if (strstr(head, "/lose/") != NULL)
 		return false;
+	if (first != NULL) {
+		(void)g_atomic_int_add(&same_ids, 1);
+		write_all(fd, first,
+		    strlen(first) - (strstr(head, "/half/") != NULL ? 4 : 0));
+		(void)usleep(20000);
+	}
+	(void)g_snprintf(body, sizeof(body), "%s, run %04d", id, run);
 	(void)g_snprintf(answer, sizeof(answer),
 	    "HTTP/1.1 200 OK\r\n" ID ": %s\r\n"
 	    "X-Dogwoodhub-Server-Stamp: s\r\n"
-	    "Content-Length: 0\r\n\r\n",
-	    id);
+	    "Content-Length: %zu\r\n\r\n%s",
+	    id, strlen(body), body);
+	g_hash_table_replace(answers, g_strdup(id), g_strdup(answer));
 	return write(fd, answer, strlen(answer)) > 0;
 }
 
@@ -77,29 +115,68 @@
 {
 	int fd = GPOINTER_TO_INT(arg);
 	char head[ANSWER_MAX], id[64];
-	const char *at;
+	GHashTable *answers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	int run;
 
 	while (read_head(fd, head, sizeof(head)) > 0) {
 		(void)g_strlcpy(last_head, head, sizeof(last_head));
-		(void)g_atomic_int_add(&runs, 1);
-		at = strstr(head, ID ": ");
-		if (at == NULL ||
-		    sscanf(at + strlen(ID ": "), "%63s", id) != 1 ||
-		    !serve(fd, head, id))
+		run = g_atomic_int_add(&runs, 1) + 1;
+		if (!read_id(head, id) || !serve(fd, head, id, run, answers))
 			break;
 	}
+	g_hash_table_destroy(answers);
 	(void)close(fd);
 	return NULL;
 }
 
+static gint overdue_left; /* answers that the hop holds back */
+
+/* Stands between the VMs.  An answer that it holds back comes behind the word
+ * that it is overdue. */
+static gpointer
+pass_hop(gpointer arg)
+{
+	static const char late[] =
+	    "HTTP/1.1 102 Processing\r\nDogwoodhub-Overdue: 1\r\n\r\n";
+	int fd = GPOINTER_TO_INT(arg);
+	int vm = connect_to(vms[1].ip, forward_port, 0, 0);
+	char head[ANSWER_MAX], answer[ANSWER_MAX], id[64];
+	g_autoptr(GHashTable) ids =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	size_t len;
+
+	while (read_head(fd, head, sizeof(head)) > 0 && read_id(head, id)) {
+		if (!g_hash_table_add(ids, g_strdup(id)))
+			(void)g_atomic_int_add(&same_ids, 1);
+		write_all(vm, head, strlen(head));
+		do {
+			len = read_answer(vm, answer, sizeof(answer));
+			if (strstr(answer, " 200 OK\r\n") != NULL &&
+			    g_atomic_int_add(&overdue_left, -1) > 0)
+				write_all(fd, late, strlen(late));
+			write_all(fd, answer, len);
+		} while (strstr(answer, "HTTP/1.1 102") != NULL);
+	}
+	(void)close(vm);
+	(void)close(fd);
+	return NULL;
+}
+
+struct listener {
+	int fd;
+	GThreadFunc serve;
+};
+
 static gpointer
 accept_all(gpointer arg)
 {
+	const struct listener *l = arg;
 	int fd;
 
-	while ((fd = accept(GPOINTER_TO_INT(arg), NULL, NULL)) >= 0)
-		g_thread_unref(g_thread_new(
-		    "conn", serve_connection, GINT_TO_POINTER(fd)));
+	while ((fd = accept(l->fd, NULL, NULL)) >= 0)
+		g_thread_unref(
+		    g_thread_new("conn", l->serve, GINT_TO_POINTER(fd)));
 	return NULL;
 }
 
@@ -205,6 +282,8 @@
 {
 	stop_vm(0);
 	stop_vm(1);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&wrong_bodies), 0);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&same_ids), 0);
 }
 
 static void
@@ -229,10 +308,14 @@
 	(void)usleep(50000);
 	g_atomic_int_set(&runs, 0);
 	g_atomic_int_set(&most_running, 0);
+	g_atomic_int_set(&wrong_bodies, 0);
+	g_atomic_int_set(&same_ids, 0);
 }
 
 struct call {
 	const char *method, *path;
+	const char *id; /* NULL: one of its own */
+	int run; /* that its answer must be of; 0: any */
 	unsigned int status;
 	int64_t took_ms;
 	bool has_retry_after;
@@ -245,17 +328,25 @@
 	static gint n;
 	struct call *c = arg;
 	char buf[ANSWER_MAX];
+	g_autofree char *id = c->id != NULL
+	    ? g_strdup(c->id)
+	    : g_strdup_printf("a%d", g_atomic_int_add(&n, 1));
 	g_autofree char *text = g_strdup_printf(
-	    "%s %s HTTP/1.1\r\nHost: h.example\r\n" ID ": a%d\r\n"
+	    "%s %s HTTP/1.1\r\nHost: h.example\r\n" ID ": %s\r\n"
 	    "X-Dogwoodhub-Shard-Key: 7\r\nConnection: close\r\n\r\n",
-	    c->method, c->path, g_atomic_int_add(&n, 1));
+	    c->method, c->path, id);
+	g_autofree char *body = c->run == 0
+	    ? g_strdup_printf("\r\n\r\n%s, run ", id)
+	    : g_strdup_printf("\r\n\r\n%s, run %04d", id, c->run);
 	int64_t began_ms = dh_clock_ms();
 	int fd = connect_to(vms[0].ip, port, 0, 0);
 
 	(void)!write(fd, text, strlen(text));
-	(void)read_head(fd, buf, sizeof(buf));
+	(void)read_answer(fd, buf, sizeof(buf));
 	(void)close(fd);
 	(void)sscanf(buf, "HTTP/1.1 %u", &c->status);
+	if (c->status == 200 && strstr(buf, body) == NULL)
+		(void)g_atomic_int_add(&wrong_bodies, 1);
 	c->took_ms = dh_clock_ms() - began_ms;
 	c->has_retry_after = strstr(buf, "\r\nRetry-After: ") != NULL;
 	return NULL;
@@ -428,6 +519,39 @@
 	stop();
 }
 
+/* Guards against a late copy of the answer to a first attempt, or a part of
+ * one, that passes for the answer to the second one. */
+static void
+test_late_copy_after_a_second_attempt(void)
+{
+	static const char *const paths[] = { "/r/whole/", "/r/half/" };
+	static struct listener hop = { .serve = pass_hop };
+	struct setup u = usual_keyed;
+	struct call again = { .method = "GET", .id = "x", .run = 2 };
+	size_t i;
+
+	hop.fd = listen_on("127.0.0.2", &u.attending_port, 16);
+	g_thread_unref(g_thread_new("hop", accept_all, &hop));
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		again.path = paths[i];
+		start(&u);
+		g_atomic_int_set(&overdue_left, 1);
+		(void)call_run(&again);
+		CU_ASSERT_EQUAL(again.status, 200);
+		CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 2);
+		CU_ASSERT_EQUAL(ask("GET", paths[i]), 200);
+		/* The caller sends it again. */
+		again.run = 4;
+		(void)call_run(&again);
+		CU_ASSERT_EQUAL(again.status, 200);
+		CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 4);
+		again.run = 2;
+		stop();
+	}
+	(void)shutdown(hop.fd, SHUT_RDWR);
+	(void)close(hop.fd);
+}
+
 /* A VM that drains repeats nothing, so it waits for the answer. */
 static void
 test_overdue_answer_in_a_drain(void)
@@ -586,6 +710,8 @@
 		{ "late answers of a full owner",
 		    test_late_answers_of_a_full_owner },
 		{ "overdue answer", test_overdue_answer },
+		{ "late copy after a second attempt",
+		    test_late_copy_after_a_second_attempt },
 		{ "overdue answer in a drain", test_overdue_answer_in_a_drain },
 		{ "lost answer", test_lost_answer },
 		{ "full owner", test_full_owner },
@@ -595,8 +721,9 @@
 		{ "pace of a starting server", test_pace_of_a_starting_server },
 		CU_TEST_INFO_NULL,
 	};
+	static struct listener server = { .serve = serve_connection };
 
-	g_thread_unref(g_thread_new("accept", accept_all,
-	    GINT_TO_POINTER(listen_on("127.0.0.1", &server_port, 64))));
+	server.fd = listen_on("127.0.0.1", &server_port, 64);
+	g_thread_unref(g_thread_new("accept", accept_all, &server));
 	return cunit_main("attend", tests);
 }
