Gateway: another VM's 408 after a lost attempt is unknown

What a caller could get: 408, which says that the request has not run, for a repeatable one whose first attempt may have run.

Cause: of the refusals of another VM only 503 was taken for one that says nothing of the attempts before. A VM also refuses with 408, if a request takes long to arrive. Found by reading, not seen in a play.

Change: 408, 421 and 429 of another VM are treated as 503 is.

test_attend "rejected after a lost attempt" failed before (status not 502) and passes.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -148,6 +148,17 @@
 	return true;
 }
 
+/* Whether the other VM says of its own that the request has not run. */
+static bool
+says_not_run(const struct dh_message *answer)
+{
+	unsigned int status = answer->parser.status_code;
+
+	return (status == 503 || status == 429 || status == 421 ||
+		   status == 408) &&
+	    dh_message_header(answer, dh_wire_headers.server_stamp) == NULL;
+}
+
 void
 dh_request_forward_answered(struct dh_request *rq, struct dh_message *answer)
 {
@@ -158,8 +169,7 @@
 	    dh_request_hand_over_answered(rq, answer))
 		return;
 	/* The other VM's refusal says nothing about the attempts before. */
-	if (answer->parser.status_code == 503 && rq->ran_before &&
-	    dh_message_header(answer, dh_wire_headers.server_stamp) == NULL) {
+	if (rq->ran_before && says_not_run(answer)) {
 		dh_request_finish(rq, 502, "refused after a lost attempt", 0);
 		return;
 	}
--- a/tests/test_attend.c
+++ b/tests/test_attend.c
@@ -130,6 +130,8 @@
 	return NULL;
 }
 
+static const char overdue[] =
+    "HTTP/1.1 102 Processing\r\nDogwoodhub-Overdue: 1\r\n\r\n";
 static gint overdue_left; /* answers that the hop holds back */
 
 /* Stands between the VMs.  An answer that it holds back comes behind the word
@@ -137,8 +139,6 @@
 static gpointer
 pass_hop(gpointer arg)
 {
-	static const char late[] =
-	    "HTTP/1.1 102 Processing\r\nDogwoodhub-Overdue: 1\r\n\r\n";
 	int fd = GPOINTER_TO_INT(arg);
 	int vm = connect_to(vms[1].ip, forward_port, 0, 0);
 	char head[ANSWER_MAX], answer[ANSWER_MAX], id[64];
@@ -154,7 +154,7 @@
 			len = read_answer(vm, answer, sizeof(answer));
 			if (strstr(answer, " 200 OK\r\n") != NULL &&
 			    g_atomic_int_add(&overdue_left, -1) > 0)
-				write_all(fd, late, strlen(late));
+				write_all(fd, overdue, strlen(overdue));
 			write_all(fd, answer, len);
 		} while (strstr(answer, "HTTP/1.1 102") != NULL);
 	}
@@ -163,6 +163,27 @@
 	return NULL;
 }
 
+/* Stands for a VM that gives no answer to a first request, and has not read the
+ * next ones in time. */
+static gpointer
+reject_second(gpointer arg)
+{
+	static const char rejected[] = "HTTP/1.1 408 Request Timeout\r\n"
+				       "Content-Length: 0\r\n"
+				       "Connection: close\r\n\r\n";
+	int fd = GPOINTER_TO_INT(arg);
+	char head[ANSWER_MAX];
+
+	while (read_head(fd, head, sizeof(head)) > 0) {
+		if (g_atomic_int_add(&overdue_left, -1) > 0)
+			write_all(fd, overdue, strlen(overdue));
+		else
+			write_all(fd, rejected, strlen(rejected));
+	}
+	(void)close(fd);
+	return NULL;
+}
+
 struct listener {
 	int fd;
 	GThreadFunc serve;
@@ -552,6 +573,24 @@
 	(void)close(hop.fd);
 }
 
+/* Guards against a refusal of the second attempt that is passed on as "not run"
+ * though the first one may have run. */
+static void
+test_rejected_after_a_lost_attempt(void)
+{
+	static struct listener vm = { .serve = reject_second };
+	struct setup u = usual_keyed;
+
+	vm.fd = listen_on("127.0.0.2", &u.attending_port, 16);
+	g_thread_unref(g_thread_new("vm", accept_all, &vm));
+	start(&u);
+	g_atomic_int_set(&overdue_left, 1);
+	CU_ASSERT_EQUAL(ask("GET", "/r/"), 502);
+	stop();
+	(void)shutdown(vm.fd, SHUT_RDWR);
+	(void)close(vm.fd);
+}
+
 /* A VM that drains repeats nothing, so it waits for the answer. */
 static void
 test_overdue_answer_in_a_drain(void)
@@ -712,6 +751,8 @@
 		{ "overdue answer", test_overdue_answer },
 		{ "late copy after a second attempt",
 		    test_late_copy_after_a_second_attempt },
+		{ "rejected after a lost attempt",
+		    test_rejected_after_a_lost_attempt },
 		{ "overdue answer in a drain", test_overdue_answer_in_a_drain },
 		{ "lost answer", test_lost_answer },
 		{ "full owner", test_full_owner },
