Gateway: "unreached" is another VM's word only

What could happen: a request that may not be repeated ran twice.

Cause: a header by which one VM tells another that it reaches no backend server was passed on if a backend server's answer had it. The VM that had handed the request over took it for not sent. Found by reading; no backend server is known to send it.

Change: the header of a backend server's answer is not passed on.

test_attend "unreached by a backend server" failed before (2 runs of a POST) and passes.

--- a/gateway/request.c
+++ b/gateway/request.c
@@ -164,7 +164,8 @@
 	struct dh_worker *w = rq->worker;
 	unsigned int status = answer->parser.status_code;
 	int64_t age_ms = dh_worker_now_ms(w) - rq->arrived_ms;
-	const char *const skip[] = { DH_LEAVING_HEADER, NULL };
+	const char *const skip[] = { DH_LEAVING_HEADER, DH_UNREACHED_HEADER,
+		NULL };
 	const char *length;
 	GString *head;
 
--- a/tests/test_attend.c
+++ b/tests/test_attend.c
@@ -103,9 +103,12 @@
 	(void)g_snprintf(body, sizeof(body), "%s, run %04d", id, run);
 	(void)g_snprintf(answer, sizeof(answer),
 	    "HTTP/1.1 200 OK\r\n" ID ": %s\r\n"
-	    "X-Dogwoodhub-Server-Stamp: s\r\n"
+	    "X-Dogwoodhub-Server-Stamp: s\r\n%s"
 	    "Content-Length: %zu\r\n\r\n%s",
-	    id, strlen(body), body);
+	    id,
+	    strstr(head, "/unreached/") != NULL ? "Dogwoodhub-Unreached: 1\r\n"
+						: "",
+	    strlen(body), body);
 	g_hash_table_replace(answers, g_strdup(id), g_strdup(answer));
 	return write(fd, answer, strlen(answer)) > 0;
 }
@@ -591,6 +594,16 @@
 	(void)close(vm.fd);
 }
 
+/* Guards against a backend server whose word passes for that of a VM. */
+static void
+test_unreached_by_a_backend_server(void)
+{
+	start(&usual_keyed);
+	CU_ASSERT_EQUAL(ask("POST", "/w/unreached/"), 200);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 1);
+	stop();
+}
+
 /* A VM that drains repeats nothing, so it waits for the answer. */
 static void
 test_overdue_answer_in_a_drain(void)
@@ -753,6 +766,8 @@
 		    test_late_copy_after_a_second_attempt },
 		{ "rejected after a lost attempt",
 		    test_rejected_after_a_lost_attempt },
+		{ "unreached by a backend server",
+		    test_unreached_by_a_backend_server },
 		{ "overdue answer in a drain", test_overdue_answer_in_a_drain },
 		{ "lost answer", test_lost_answer },
 		{ "full owner", test_full_owner },
