Gateway: room for the headers that VMs add

What a caller could get: 431 for a request within the limit of its head, if it is handed over or forwarded. By reading, not run: on a connection between VMs that had been used before, a lost attempt, as that refusal names no id.

Cause: the VM that gets the request held the caller's headers and those that the first VM adds to the one limit.

Change: 4 KiB more for requests of other VMs.

test_attend "large head to another VM" failed before (GET and POST) and passes.

--- a/gateway/client.c
+++ b/gateway/client.c
@@ -15,6 +15,8 @@
 /* Limits before a configuration is known. */
 #define HEAD_MAX_DEFAULT 16384u
 #define BODY_MAX_DEFAULT (64u << 20)
+/* Room for the headers that another VM adds to a caller's. */
+#define VM_HEAD_EXTRA 4096u
 #define HEADER_TIMEOUT_DEFAULT_MS 3000
 #define IDLE_TIMEOUT_DEFAULT_MS 15000
 /* Time for the caller to read the last answer and to close the connection. */
@@ -163,6 +165,8 @@
 
 	c->in.head_max =
 	    v == NULL ? HEAD_MAX_DEFAULT : (*v->deployment)->header_bytes_max;
+	if (c->from_vm)
+		c->in.head_max += VM_HEAD_EXTRA;
 	c->in.body_max =
 	    v == NULL ? BODY_MAX_DEFAULT : (*v->deployment)->body_bytes_max;
 }
--- a/tests/test_attend.c
+++ b/tests/test_attend.c
@@ -340,6 +340,7 @@
 	const char *method, *path;
 	const char *id; /* NULL: one of its own */
 	int run; /* that its answer must be of; 0: any */
+	const char *header; /* another one, with its end of line; or NULL */
 	unsigned int status;
 	int64_t took_ms;
 	bool has_retry_after;
@@ -357,8 +358,8 @@
 	    : g_strdup_printf("a%d", g_atomic_int_add(&n, 1));
 	g_autofree char *text = g_strdup_printf(
 	    "%s %s HTTP/1.1\r\nHost: h.example\r\n" ID ": %s\r\n"
-	    "X-Dogwoodhub-Shard-Key: 7\r\nConnection: close\r\n\r\n",
-	    c->method, c->path, id);
+	    "X-Dogwoodhub-Shard-Key: 7\r\n%sConnection: close\r\n\r\n",
+	    c->method, c->path, id, c->header == NULL ? "" : c->header);
 	g_autofree char *body = c->run == 0
 	    ? g_strdup_printf("\r\n\r\n%s, run ", id)
 	    : g_strdup_printf("\r\n\r\n%s, run %04d", id, c->run);
@@ -604,6 +605,27 @@
 	stop();
 }
 
+/* Guards against a request of proper size that is too large with the headers
+ * which one VM adds for another. */
+static void
+test_large_head_to_another_vm(void)
+{
+	static const char *const methods[] = { "GET", "POST" };
+	g_autofree char *pad = g_strnfill(1880, 'p');
+	g_autofree char *header = g_strdup_printf("X-Pad: %s\r\n", pad);
+	struct call c = { .header = header };
+	size_t i;
+
+	start(&usual_keyed);
+	for (i = 0; i < G_N_ELEMENTS(methods); i++) {
+		c.method = methods[i];
+		c.path = i == 0 ? "/r/" : "/w/";
+		(void)call_run(&c);
+		CU_ASSERT_EQUAL(c.status, 200);
+	}
+	stop();
+}
+
 /* A VM that drains repeats nothing, so it waits for the answer. */
 static void
 test_overdue_answer_in_a_drain(void)
@@ -768,6 +790,7 @@
 		    test_rejected_after_a_lost_attempt },
 		{ "unreached by a backend server",
 		    test_unreached_by_a_backend_server },
+		{ "large head to another VM", test_large_head_to_another_vm },
 		{ "overdue answer in a drain", test_overdue_answer_in_a_drain },
 		{ "lost answer", test_lost_answer },
 		{ "full owner", test_full_owner },
