Router: bytes left on a kept connection cost no request

What callers got: 502 "lost" for a POST that was sent on a kept connection on which a late copy of the answer before it waited unread.

Change: before a request is sent on a kept connection, dh_http_has_unread() looks for them. If there are any, the connection is closed and a new one carries the request, as for one that has carried it before.

Cost: one recv() for each request on a kept connection. A connection without bytes left over is shared as before.

--- a/router/upstream.c
+++ b/router/upstream.c
@@ -331,15 +331,21 @@
 	return CURL_SOCKOPT_OK;
 }
 
+/* Whether a kept connection may not carry the request. */
 static bool
-has_carried(const struct dh_exchange *ex, uint16_t port)
+refuses_connection(const struct dh_exchange *ex, int local_port)
 {
 	uint32_t i;
 
 	for (i = 0; i < ex->ncarried; i++)
-		if (ex->carried[i] == port)
+		if (ex->carried[i] == local_port)
 			return true;
-	return ex->ncarried == DH_EXCHANGE_CARRIED_MAX;
+	if (ex->ncarried == DH_EXCHANGE_CARRIED_MAX)
+		return true;
+	if (!dh_http_has_unread(ex->lane->http, local_port))
+		return false;
+	count_bad_answer("unread");
+	return true;
 }
 
 /* libcurl calls this before each copy of a request that it sends.  After an
@@ -353,7 +359,7 @@
 	(void)local_ip;
 	(void)port;
 	ex->connection_refused =
-	    ex->connection_reused && has_carried(ex, (uint16_t)local_port);
+	    ex->connection_reused && refuses_connection(ex, local_port);
 	if (ex->connection_refused)
 		return CURL_PREREQFUNC_ABORT;
 	if (ex->ncarried < DH_EXCHANGE_CARRIED_MAX)
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -244,6 +244,19 @@
 	fake_echo(c, rq);
 }
 
+/* Echo, and echo again when the answer has been read. */
+static void
+fake_twice(struct fake_conn *c, const struct fake_request *rq)
+{
+	fake_echo(c, rq);
+	g_usleep(30000);
+	fake_echo(c, rq);
+	pthread_mutex_lock(&c->fake->lock);
+	g_queue_push_tail(&c->fake->held, g_strdup(rq->path));
+	pthread_cond_broadcast(&c->fake->cond);
+	pthread_mutex_unlock(&c->fake->lock);
+}
+
 static void
 fake_big(struct fake_conn *c, const struct fake_request *rq)
 {
@@ -453,6 +466,7 @@
 static const struct fake_kind fake_kinds[] = {
 	{ "echo", fake_echo }, /* answers with what it received */
 	{ "hold", fake_hold }, /* waits for fake_release(), then echoes */
+	{ "twice", fake_twice }, /* fake_wait_held() waits for the second */
 	{ "big", fake_big }, /* answers with FAKE_BIG bytes */
 	{ "leaseless", fake_leaseless }, /* at first has no lease */
 	{ "hang", fake_hang }, /* never answers */
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -178,6 +178,26 @@
 	fixture_stop(&fx);
 }
 
+/* Guards against a request that is lost on a connection on which a late copy
+ * waits. */
+static void
+test_unread_copy(void)
+{
+	g_autofree char *path = NULL;
+
+	fixture_start(&fx);
+	send_request(&fx, &r, GET("/web/twice"));
+	path = fake_wait_held(&fx.fake);
+	CU_ASSERT_PTR_NOT_NULL(path);
+	send_request(&fx, &r, POST("/web/echo?late", ""));
+	CU_ASSERT_EQUAL(r.status, 200);
+	CU_ASSERT(g_str_has_prefix(r.body, "POST /web/echo?late "));
+	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/echo?late"), 1);
+	open_idle_connection();
+	CU_ASSERT_EQUAL(fx.fake.opened, 2);
+	fixture_stop(&fx);
+}
+
 /* Guards against an answer with the head of an earlier one that broke off. */
 static void
 test_part_of_a_head(void)
@@ -683,6 +703,7 @@
 		{ "mismatched answer", test_mismatched_answer },
 		{ "stale answer", test_stale_answer },
 		{ "answer without an id", test_answer_without_id },
+		{ "unread copy", test_unread_copy },
 		{ "part of a head", test_part_of_a_head },
 		{ "body without a head", test_body_without_head },
 		{ "late copy of a refusal", test_late_refusal },
