Router: a length beside chunks does not cut a body

What callers could get: the beginning of an answer as the whole one, when a backend server names a length beside "Transfer-Encoding: chunked" and the body comes after the head.

Cause: libcurl goes by the chunks, the caller was given the length.

Change: beside chunks a length is ignored.

test_datapath_faults "cut answer" has this case; its assertion failed before (the body does not equal "all of it") and passes.

--- a/router/upstream.c
+++ b/router/upstream.c
@@ -211,6 +211,9 @@
 		 * error, so that libcurl does not use it again. */
 		if (!is_own_head(ex))
 			return 0;
+		/* A length beside chunks is not that of the body. */
+		if (ex->answer_chunked)
+			ex->answer_bytes = -1;
 		if (ex->status >= 200 && !ex->not_run)
 			dh_exchange_on_headers(ex);
 	} else if ((colon = strchr(line, ':')) != NULL && !ex->answer_started) {
--- a/tests/datapath_fake.h
+++ b/tests/datapath_fake.h
@@ -463,7 +463,20 @@
 	    "Dh-Reason: draining\r\nContent-Length: 2\r\n\r\nno");
 }
 
+/* Answer in chunks beside a length that is not theirs, the head first. */
+static void
+fake_chunks_and_length(struct fake_conn *c, const struct fake_request *rq)
+{
+	fake_send_fixed(c,
+	    "HTTP/1.1 200 OK\r\n" FAKE_ID "Transfer-Encoding: chunked\r\n"
+	    "Content-Length: 3\r\n\r\n",
+	    rq->id);
+	g_usleep(30000);
+	fake_send_text(c->fd, "4\r\nall \r\n5\r\nof it\r\n0\r\n\r\n");
+}
+
 static const struct fake_kind fake_kinds[] = {
+	{ "chunks-and-length", fake_chunks_and_length },
 	{ "echo", fake_echo }, /* answers with what it received */
 	{ "hold", fake_hold }, /* waits for fake_release(), then echoes */
 	{ "twice", fake_twice }, /* fake_wait_held() waits for the second */
--- a/tests/test_datapath_faults.c
+++ b/tests/test_datapath_faults.c
@@ -28,6 +28,8 @@
 	send_request(&fx, &r, GET("/web/cut-chunks"));
 	CU_ASSERT(!r.complete);
 	CU_ASSERT(r.status == 200 || r.status == 0);
+	send_request(&fx, &r, GET("/web/chunks-and-length"));
+	CU_ASSERT_STRING_EQUAL(r.body, "all of it");
 	send_request(&fx, &r, POST("/web/cut-head", ""));
 	CU_ASSERT(is_router_answer(&r, 502, "unknown", "lost"));
 	CU_ASSERT_EQUAL(fake_seen(&fx.fake, "/web/cut-head"), 1);
