Tests: part of a head before an answer without length, red

What a caller could get: the status of an earlier answer with the body of its own, so 200 for a 500; or a second run of a request that may run only once, since a refusal broken off in its head counts as "not run" of what ran.

Cause: connection_ended() takes an answer that the end of the connection ends without the check of for a status line inside its head.

--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -271,15 +271,18 @@
 }
 
 /* Send the beginning of an answer that is not the first on its connection
- * twice, the first time only a part of its head. */
-static void
+ * twice, the first time only a part of its head.  Under /unframed/ that answer
+ * has no length. */
+static bool
 send_behind_part(int fd, const char *head, const char *id)
 {
 	struct fake_past *p = &pasts[fd % FDS_MAX];
 	bool failed = strstr(head, "/failed/") != NULL;
-	g_autofree char *own = g_strdup_printf(
-	    "HTTP/1.1 %s\r\n" STAMP ID ": %s\r\nContent-Length: 5\r\n\r\nother",
-	    p->n > 0 && failed ? "500 Failed" : "200 OK", id);
+	bool unframed = p->n > 0 && strstr(head, "/unframed/") != NULL;
+	g_autofree char *own =
+	    g_strdup_printf("HTTP/1.1 %s\r\n" STAMP ID ": %s\r\n%s\r\nother",
+		p->n > 0 && failed ? "500 Failed" : "200 OK", id,
+		unframed ? "" : "Content-Length: 5\r\n");
 
 	if (p->n++ > 0) {
 		if (strstr(head, "/refusal/") != NULL)
@@ -296,6 +299,9 @@
 		(void)usleep(20000);
 	}
 	send_text(fd, own);
+	if (unframed)
+		(void)close(fd);
+	return !unframed;
 }
 
 static gint delayed; /* number of requests under /rest/ in progress */
@@ -345,7 +351,7 @@
 	} else if (strstr(head, "/stutter/") != NULL) {
 		send_stuttering(fd, head, id);
 	} else if (strstr(head, "/part/") != NULL) {
-		send_behind_part(fd, head, id);
+		*open = send_behind_part(fd, head, id);
 	} else if (strstr(head, "/lost-then-refused/") != NULL) {
 		if (g_atomic_int_add(&lost, 1) == 0) {
 			(void)usleep(60000);
@@ -1497,6 +1503,27 @@
 	}
 }
 
+/* The same for an answer that the end of the connection ends. */
+static void
+test_part_of_a_head_before_an_answer_without_length(void)
+{
+	static const char *const paths[] = { "/part/unframed/failed/",
+		"/part/unframed/reason/failed/", "/part/unframed/refusal/" };
+	char id[16];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		start_worker(1);
+		(void)g_snprintf(id, sizeof(id), "p-%zu", i);
+		CU_ASSERT_EQUAL(ask_with_id(paths[i], id), 200);
+		(void)g_snprintf(id, sizeof(id), "q-%zu", i);
+		CU_ASSERT_EQUAL(ask_with_id(paths[i], id), 502);
+		CU_ASSERT_EQUAL(late_copies, 1);
+		CU_ASSERT_EQUAL(runs, 2);
+		stop_worker();
+	}
+}
+
 /* Requests with ids of their own share one connection. */
 static void
 test_requests_share_a_connection(void)
@@ -2375,6 +2402,8 @@
 		    test_late_copy_to_the_next_attempt },
 		{ "part of a head before an answer",
 		    test_part_of_a_head_before_an_answer },
+		{ "part of a head before an answer without length",
+		    test_part_of_a_head_before_an_answer_without_length },
 		{ "requests share a connection",
 		    test_requests_share_a_connection },
 		{ "endless answers", test_endless_answers },
