Tests: copy behind an answer without length, red

What a caller could get: a 200 whose body is the backend server's with a whole second answer, head and body, behind it.

Cause: an answer without a length takes all bytes up to the end of its connection. The copy names the awaited id in its own head, inside the body.

--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -272,13 +272,14 @@
 
 /* Send the beginning of an answer that is not the first on its connection
  * twice, the first time only a part of its head.  Under /unframed/ that answer
- * has no length. */
+ * has no length, under /copy/ the whole of it comes again behind it. */
 static bool
 send_behind_part(int fd, const char *head, const char *id)
 {
 	struct fake_past *p = &pasts[fd % FDS_MAX];
 	bool failed = strstr(head, "/failed/") != NULL;
 	bool unframed = p->n > 0 && strstr(head, "/unframed/") != NULL;
+	bool copy = strstr(head, "/copy/") != NULL;
 	g_autofree char *own =
 	    g_strdup_printf("HTTP/1.1 %s\r\n" STAMP ID ": %s\r\n%s\r\nother",
 		p->n > 0 && failed ? "500 Failed" : "200 OK", id,
@@ -292,7 +293,8 @@
 		else if (strstr(head, "/reason/") != NULL)
 			send_text(fd, "HTTP/1.1 200 O");
 		else
-			send_text(fd, "HTTP/1.1 200 OK\r\nX-Part: te");
+			send_text(
+			    fd, copy ? own : "HTTP/1.1 200 OK\r\nX-Part: te");
 		g_mutex_lock(&lock);
 		late_copies++;
 		g_mutex_unlock(&lock);
@@ -1524,6 +1526,19 @@
 	}
 }
 
+/* Guards against a copy of an answer without a length that counts as the rest
+ * of its body. */
+static void
+test_copy_behind_an_answer_without_length(void)
+{
+	start_worker(1);
+	CU_ASSERT_EQUAL(ask_with_id("/part/unframed/copy/", "p"), 200);
+	CU_ASSERT_EQUAL(ask_with_id("/part/unframed/copy/", "q"), 502);
+	CU_ASSERT_EQUAL(late_copies, 1);
+	CU_ASSERT_EQUAL(runs, 2);
+	stop_worker();
+}
+
 /* Requests with ids of their own share one connection. */
 static void
 test_requests_share_a_connection(void)
@@ -2404,6 +2419,8 @@
 		    test_part_of_a_head_before_an_answer },
 		{ "part of a head before an answer without length",
 		    test_part_of_a_head_before_an_answer_without_length },
+		{ "copy behind an answer without length",
+		    test_copy_behind_an_answer_without_length },
 		{ "requests share a connection",
 		    test_requests_share_a_connection },
 		{ "endless answers", test_endless_answers },
