Tests: call behind a reply to another, red

What the leader could get: no answer to a call that the store has answered, or the reply to the call before it, for as long as the connection lasts.

Cause: a reply that counts as one to another call shows that its connection is out of step, but the connection is kept. The unread bytes are seen only if they have come before the next call is sent.

--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -374,6 +374,43 @@
 	}
 }
 
+/* Guards against a connection that is out of step after a late copy, and gives
+ * each later call the reply to the one before. */
+static void
+test_call_behind_a_reply_to_another(void)
+{
+	static const char *const script[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"
+		"{\"items\":[]}" LATE
+		"HTTP/1.1 200 OK\r\nContent-Length: 53\r\n\r\n" OBJECT(
+		    "o", "8", "1"),
+		"HTTP/1.1 200 OK\r\nContent-Length: 53\r\n\r\n" OBJECT(
+		    "a", "5", "1"),
+		NULL
+	};
+	g_autofree char *url = NULL;
+	struct scripted_server s;
+	struct fixture fx;
+
+	start(&fx);
+	scripted_server_start(&s, script);
+	dh_objects_free(fx.objects);
+	url = g_strdup_printf("http://127.0.0.1:%u", s.port);
+	fx.objects = dh_objects_new(fx.http, url);
+	(void)dh_objects_put(
+	    fx.objects, "k", "o", 7, "{\"x\":1}", 2000, on_objects, &fx);
+	run(&fx);
+	CU_ASSERT_EQUAL(fx.result, DH_OBJECTS_UNKNOWN);
+	fx.answered = false;
+	(void)dh_objects_get(
+	    fx.objects, "k", "a", DH_FRESH, 2000, on_objects, &fx);
+	run(&fx);
+	CU_ASSERT_EQUAL(fx.result, DH_OBJECTS_OK);
+	CU_ASSERT_STRING_EQUAL(fx.names, "a ");
+	end(&fx);
+	scripted_server_stop(&s);
+}
+
 int
 main(void)
 {
@@ -388,6 +425,8 @@
 		    test_write_on_a_connection_that_ends_is_in_doubt },
 		{ "reply to an earlier call",
 		    test_reply_to_an_earlier_call_is_no_answer },
+		{ "call behind a reply to another",
+		    test_call_behind_a_reply_to_another },
 		CU_TEST_INFO_NULL,
 	};
 
