Tests: put answered with another text, red

What a VM could get: success of a write, from the late copy of a reply with another VM's text. After a removal, the copy of an earlier read answers a create of the same object so: two leaders.

Cause: is_written() compares the text only if the revision is the one replaced; with any later one the reply counts, though it holds what was not written.

--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -338,6 +338,9 @@
 	} replies[] = {
 		{ 'p', "200", OBJECT("o", "8", "1"), DH_OBJECTS_OK },
 		{ 'p', "200", OBJECT("o", "7", "1"), DH_OBJECTS_OK },
+		{ 'p', "200", OBJECT("o", "8", "2"), DH_OBJECTS_UNKNOWN },
+		{ 'c', "201", OBJECT("o", "1", "2"), DH_OBJECTS_UNKNOWN },
+		{ 'c', "200", OBJECT("o", "1", "2"), DH_OBJECTS_UNKNOWN },
 		{ 'p', "200", OBJECT("o", "7", "2"), DH_OBJECTS_UNKNOWN },
 		{ 'p', "200", OBJECT("o", "6", "1"), DH_OBJECTS_UNKNOWN },
 		{ 'p', "200", OBJECT("a", "8", "1"), DH_OBJECTS_UNKNOWN },
