Soak: backend servers that send answers twice

Stand-in: a backend server that stutters sends a second copy of an earlier answer of the connection, refusals too, where the next answer is expected: whole, broken off anywhere in its head or body, or without its length; that of the awaited id if the connection has carried it, else one time in four another one. Drawn from the seed, apart from the other faults, so that existing seeds keep their schedules; with FAULT_KINDS, only if it names stutter_backend, as gateway_soak_parts does. Refusals name the request's id, as backend servers' do.

Callers: one in eight repeatable requests is given up, or its answer lost, within 60 ms and sent again under its id. A body names the caller's attempt and the run of its stamp.

--- a/standin/caller.c
+++ b/standin/caller.c
@@ -36,6 +36,10 @@
 /* Time after the deadline within which the final answer must arrive. */
 #define ANSWER_SLACK_MS 3000
 #define THINK_MS 40UL
+/* One in AGAIN_SHARE repeatable requests is given up, or its answer lost,
+ * within GIVE_UP_MS, and sent again under its id. */
+#define AGAIN_SHARE 8
+#define GIVE_UP_MS 60
 #define KEYS 65536
 
 enum result { DONE, REFUSED, UNKNOWN, LOST, RESULTS };
@@ -234,13 +238,17 @@
 		    &counts[second][r], 1, __ATOMIC_RELAXED);
 }
 
+/* The stamp ends with the number of the run. */
 static void
-check_done(const struct caller *c, const struct answer *a, const char *id)
+check_done(
+    const struct caller *c, const struct answer *a, const char *id, int attempt)
 {
-	g_autofree char *body = g_strdup_printf("body of %s", id);
-	g_autofree char *stamp = g_strdup_printf("s-%s", id);
+	g_autofree char *stamp = g_strdup_printf("s-%s-", id);
+	g_autofree char *body = g_strdup_printf(
+	    "body of %s, attempt %d, run %s", id, attempt,
+	    g_str_has_prefix(a->stamp, stamp) ? a->stamp + strlen(stamp) : "");
 
-	if (strcmp(a->id, id) != 0 || strcmp(a->stamp, stamp) != 0 ||
+	if (strcmp(a->id, id) != 0 || !g_str_has_prefix(a->stamp, stamp) ||
 	    strcmp(a->body->str, body) != 0)
 		report_violation("not its own whole answer", id, c);
 }
@@ -260,11 +268,11 @@
 
 static void
 check_answer(const struct caller *c, const struct answer *a, const char *id,
-    bool repeatable)
+    bool repeatable, int attempt)
 {
 	switch (a->status) {
 	case 200:
-		check_done(c, a, id);
+		check_done(c, a, id, attempt);
 		count(DONE);
 		return;
 	case 408:
@@ -301,23 +309,31 @@
 }
 
 static void
-call_once(struct caller *c)
+disconnect(struct caller *c)
+{
+	(void)close(c->fd);
+	c->fd = -1;
+}
+
+/* Sends a request once.  give_up_ms: 0, or the time after which the caller
+ * disconnects without an answer. */
+static void
+ask_gateway(struct caller *c, const char *id, const char *line, uint64_t key,
+    int attempt, int64_t give_up_ms)
 {
 	struct answer a = { .body = g_string_new(NULL) };
 	g_autoptr(GString) text = g_string_new(NULL);
-	bool repeatable = dh_rng_below(&c->rng, 4) != 0, keep = false, answered;
+	bool repeatable = line[0] == 'G', keep = false, answered;
 	int64_t now_ms = dh_clock_ms(), now_wall_ms = dh_clock_wall_ms();
-	char id[64];
+	int64_t wait_ms =
+	    give_up_ms > 0 ? give_up_ms : DEADLINE_MS + ANSWER_SLACK_MS;
 
-	g_snprintf(id, sizeof(id), "c%llx-%d-%llx-%u",
-	    (unsigned long long)run_seed, c->gateway,
-	    (unsigned long long)c->rng.state, ++c->sent);
 	g_string_printf(text,
 	    "%s HTTP/1.1\r\nHost: h.example\r\n"
 	    "X-Dogwoodhub-Request-Id: %s\r\nX-Dogwoodhub-Deadline-Ms: %d\r\n"
-	    "X-Dogwoodhub-Shard-Key: %u\r\nContent-Length: 0\r\n\r\n",
-	    repeatable ? "GET /r/" : "POST /w/", id, DEADLINE_MS,
-	    (unsigned int)dh_rng_below(&c->rng, KEYS));
+	    "X-Dogwoodhub-Shard-Key: %u\r\nSoak-Attempt: %d\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    line, id, DEADLINE_MS, (unsigned int)key, attempt);
 	if (c->fd < 0)
 		c->fd = connect_to(&gateways[c->gateway]);
 	if (c->fd < 0) {
@@ -328,23 +344,40 @@
 		return;
 	}
 	answered = send_all(c->fd, text) &&
-	    read_answer(
-		c->fd, &a, now_ms + DEADLINE_MS + ANSWER_SLACK_MS, &keep);
+	    read_answer(c->fd, &a, now_ms + wait_ms, &keep);
 	if (answered && a.whole)
-		check_answer(c, &a, id, repeatable);
-	else if (answered || dh_clock_ms() < now_ms + DEADLINE_MS)
+		check_answer(c, &a, id, repeatable, attempt);
+	else if (give_up_ms == 0 &&
+	    (answered || dh_clock_ms() < now_ms + DEADLINE_MS))
 		check_lost(c, id, now_wall_ms);
-	else if (!was_disrupted(c->gateway, now_wall_ms))
+	else if (give_up_ms == 0 && !was_disrupted(c->gateway, now_wall_ms))
 		report_violation("no answer", id, c);
 	else
 		count(LOST);
-	if (!keep) {
-		(void)close(c->fd);
-		c->fd = -1;
-	}
+	if (!keep || give_up_ms > 0)
+		disconnect(c);
 	g_string_free(a.body, TRUE);
 }
 
+static void
+call_once(struct caller *c)
+{
+	bool repeatable = dh_rng_below(&c->rng, 4) != 0;
+	bool again = repeatable && dh_rng_below(&c->rng, AGAIN_SHARE) == 0;
+	const char *line = repeatable ? "GET /r/" : "POST /w/";
+	uint64_t key;
+	char id[64];
+
+	g_snprintf(id, sizeof(id), "c%llx-%d-%llx-%u",
+	    (unsigned long long)run_seed, c->gateway,
+	    (unsigned long long)c->rng.state, ++c->sent);
+	key = dh_rng_below(&c->rng, KEYS);
+	if (again)
+		ask_gateway(c, id, line, key, 1,
+		    1 + (int64_t)dh_rng_below(&c->rng, GIVE_UP_MS));
+	ask_gateway(c, id, line, key, again ? 2 : 1, 0);
+}
+
 static void *
 run(void *arg)
 {
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -15,6 +15,8 @@
  * Control calls on the store's port, for soak tests and scenarios:
  * /_kill?i=N, /_start?i=N	end a backend server's process, start the next
  * /_freeze?i=N, /_thaw?i=N	stop and resume its answers
+ * /_stutter?i=N&seed=S	its answers come twice, the second time late, until
+ * /_steady?i=N
  * /_drain?i=N		announce that it is draining
  * /_closed?i=N		requests to it are violations from now on
  * /_limit?i=N&per_s=X	its answers name a rate limit; 0: none
@@ -43,6 +45,7 @@
 #include <microhttpd.h>
 
 #include "base/clock.h"
+#include "standin/lib/stutter.h"
 
 #define KEYS 65536
 #define BACKENDS_MAX 16
@@ -90,6 +93,8 @@
 struct backend {
 	int index;
 	bool up, frozen, closed;
+	bool stutters;
+	struct dh_rng rng; /* of what stutters */
 	bool starting; /* a thread waits to start its next process */
 	bool draining;
 	int64_t born_ms;
@@ -610,6 +615,8 @@
 	else if (strcmp(url, "/_drain") == 0 && b->up) {
 		b->draining = true;
 		write_server_entry(b);
+	} else if (strcmp(url, "/_steady") == 0) {
+		b->stutters = false;
 	} else if (strcmp(url, "/_foreign") == 0) {
 		/* Another writer's entry has the address of b. */
 		write_entry(b, "agent-0", dh_clock_wall_ms());
@@ -643,6 +650,8 @@
 	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "ms");
 	const char *per_s =
 	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "per_s");
+	const char *seed =
+	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "seed");
 	const char *bound =
 	    MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "bound");
 	g_autofree char *text = NULL;
@@ -665,6 +674,10 @@
 		if (per_s != NULL)
 			set_limit(
 			    &backends[atoi(i)], g_ascii_strtod(per_s, NULL));
+		if (seed != NULL) {
+			backends[atoi(i)].stutters = true;
+			backends[atoi(i)].rng.state = strtoull(seed, NULL, 10);
+		}
 	}
 	if (m != NULL)
 		set_mode(m);
@@ -913,21 +926,89 @@
 	return MHD_NO;
 }
 
+static void
+on_connection(void *arg, struct MHD_Connection *c, void **context,
+    enum MHD_ConnectionNotificationCode what)
+{
+	(void)arg;
+	(void)c;
+	if (what == MHD_CONNECTION_NOTIFY_STARTED)
+		*context = stutter_new();
+	else
+		stutter_free(*context);
+}
+
+static struct stutter *
+stutter_of(struct MHD_Connection *c)
+{
+	return MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+	    ->socket_context;
+}
+
+static enum MHD_Result
+add_header(
+    void *arg, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	(void)kind;
+	g_string_append_printf(arg, "%s: %s\r\n", name, value);
+	return MHD_YES;
+}
+
+/* Answers a request that has an id. */
+static enum MHD_Result
+answer(struct MHD_Connection *c, unsigned int status, const char *id,
+    const char *body, struct MHD_Response *r)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	enum MHD_Result result;
+
+	MHD_add_response_header(r, "X-Dogwoodhub-Request-Id", id);
+	g_string_printf(text, "HTTP/1.1 %u Twice\r\n", status);
+	(void)MHD_get_response_headers(r, add_header, text);
+	g_string_append_printf(
+	    text, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
+	stutter_note(stutter_of(c), id, text->str);
+	result = MHD_queue_response(c, status, r);
+	MHD_destroy_response(r);
+	return result;
+}
+
+static enum MHD_Result
+refuse(struct MHD_Connection *c, const char *id)
+{
+	struct MHD_Response *r;
+
+	misdirected++;
+	if (id == NULL)
+		return reply(c, 421, "{}", "X-Dogwoodhub-Not-Executed", "1");
+	r = MHD_create_response_from_buffer(
+	    2, (void *)(uintptr_t) "{}", MHD_RESPMEM_PERSISTENT);
+	MHD_add_response_header(r, "X-Dogwoodhub-Not-Executed", "1");
+	return answer(c, 421, id, "{}", r);
+}
+
+static const char *
+id_of(struct MHD_Connection *c)
+{
+	return MHD_lookup_connection_value(
+	    c, MHD_HEADER_KIND, "X-Dogwoodhub-Request-Id");
+}
+
 static enum MHD_Result
 run_request(struct MHD_Connection *c, struct backend *b, const char *url,
     const char *method)
 {
 	const char *key = MHD_lookup_connection_value(
 	    c, MHD_HEADER_KIND, "X-Dogwoodhub-Shard-Key");
-	const char *id = MHD_lookup_connection_value(
-	    c, MHD_HEADER_KIND, "X-Dogwoodhub-Request-Id");
+	const char *attempt =
+	    MHD_lookup_connection_value(c, MHD_HEADER_KIND, "Soak-Attempt");
+	const char *id = id_of(c);
 	g_autofree char *body = NULL;
 	g_autofree char *stamp = NULL;
 	struct MHD_Response *r;
-	enum MHD_Result result;
 	int64_t born_ms = b->born_ms;
 	char limit[32];
-	int k = key == NULL ? -1 : atoi(key);
+	int run, k = key == NULL ? -1 : atoi(key);
 
 	if (b->closed)
 		report_violation("a request after the drain", (uint32_t)k, 0);
@@ -935,17 +1016,14 @@
 		(void)g_hash_table_add(seen, g_strdup(id));
 	if (strstr(url, "/crash/") != NULL)
 		check_crashes(b, url);
-	if (k < 0 || k >= KEYS || id == NULL ||
-	    b->until_ms[k] <= dh_clock_ms()) {
-		misdirected++;
-		return reply(c, 421, "{}", "X-Dogwoodhub-Not-Executed", "1");
-	}
+	if (k < 0 || k >= KEYS || id == NULL || b->until_ms[k] <= dh_clock_ms())
+		return refuse(c, id);
 	if (strcmp(method, "GET") != 0 && !g_hash_table_add(ran, g_strdup(id)))
 		report_violation("ran twice", (uint32_t)k, 0);
 	if (g_hash_table_contains(refused, id))
 		report_violation("ran after it was refused", (uint32_t)k, 0);
 	check_limit(b);
-	ran_total++;
+	run = ++ran_total;
 	if (strstr(url, "/crash/") != NULL)
 		return crash(b, url);
 	b->running++;
@@ -957,19 +1035,17 @@
 	wait_while_frozen(b);
 	if (!b->up || b->born_ms != born_ms)
 		return MHD_NO;
-	body = g_strdup_printf("body of %s", id);
-	stamp = g_strdup_printf("s-%s", id);
+	body = g_strdup_printf("body of %s, attempt %s, run %d", id,
+	    attempt == NULL ? "" : attempt, run);
+	stamp = g_strdup_printf("s-%s-%d", id, run);
 	r = MHD_create_response_from_buffer(
 	    strlen(body), body, MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(r, "X-Dogwoodhub-Request-Id", id);
 	MHD_add_response_header(r, "X-Dogwoodhub-Server-Stamp", stamp);
 	if (b->limit_per_s > 0) {
 		(void)g_snprintf(limit, sizeof(limit), "%.3f", b->limit_per_s);
 		MHD_add_response_header(r, "Server-Limit", limit);
 	}
-	result = MHD_queue_response(c, 200, r);
-	MHD_destroy_response(r);
-	return result;
+	return answer(c, 200, id, body, r);
 }
 
 /* Whether a request or an order names another backend server. */
@@ -998,11 +1074,16 @@
 		return MHD_YES;
 	g_mutex_lock(&lock);
 	wait_while_frozen(b);
+	if (b->up && b->stutters && id_of(c) != NULL)
+		stutter_send(stutter_of(c),
+		    MHD_get_connection_info(
+			c, MHD_CONNECTION_INFO_CONNECTION_FD)
+			->connect_fd,
+		    id_of(c), &b->rng);
 	if (!b->up) {
 		result = MHD_NO;
 	} else if (is_for_another(c, b)) {
-		misdirected++;
-		result = reply(c, 421, "{}", "X-Dogwoodhub-Not-Executed", "1");
+		result = refuse(c, id_of(c));
 	} else if (strcmp(url, "/health") == 0) {
 		(void)g_snprintf(id, sizeof(id), "i-%d", b->index);
 		result = reply(c, 200, "{}", "X-Dogwoodhub-Instance-Id", id);
@@ -1030,6 +1111,7 @@
 	    MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
 	    port, NULL, NULL, handler, arg, MHD_OPTION_SOCK_ADDR, &sin,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
 }
 
--- a/tests/failure/gateway_soak.sh
+++ b/tests/failure/gateway_soak.sh
@@ -21,7 +21,10 @@
 PROBE_MS=1500
 SERVED_PERCENT=95
 
-draw_schedule "$seed" "$((fault_s * 1000))" >"$dir/schedule"
+{
+	draw_schedule "$seed" "$((fault_s * 1000))"
+	draw_stutters "$seed" "$((fault_s * 1000))"
+} | sort -n >"$dir/schedule"
 echo "seed $seed, $fault_s s of faults"
 mkdir "$dir/excuses"
 start_soak_wire
--- a/tests/failure/gateway_soak_lib.sh
+++ b/tests/failure/gateway_soak_lib.sh
@@ -41,6 +41,18 @@
 foreign:0,1,2,3,4,5" ;;
 esac
 
+# Backend servers that send answers twice, the second time late.  Drawn by
+# themselves, with numbers of their own, so that existing seeds keep their
+# schedules; if FAULT_KINDS names kinds, only if it names this one.
+draw_stutters() {
+	case " ${FAULT_KINDS:-stutter_backend} " in
+	*" stutter_backend "*) ;;
+	*) return ;;
+	esac
+	(ALL_KINDS="stutter_backend:0,1,2,3,4,5" FAULT_KINDS=
+	draw_schedule "$(($1 + 100000))" "$2") | sed 's/\(begin\|end\) /&s/'
+}
+
 # Gateways that lose the store and the other gateways and get them back in parts,
 # also while they are paused, and a store that goes down at a write that it has
 # carried out.
@@ -293,6 +305,10 @@
 	restart_backend) platform_control "/_kill?i=$target" >/dev/null ;;
 	store_back) platform_control "/_back?ms=$target" >/dev/null ;;
 	foreign) platform_control "/_foreign?i=$target" >/dev/null ;;
+	stutter_backend)
+		platform_control "/_stutter?i=$target&seed=$seed${1#s}" \
+		    >/dev/null
+		;;
 	config)
 		version=$((version + 1))
 		platform_control "/_config?version=$version" >/dev/null
@@ -327,6 +343,7 @@
 		platform_control "/_start?i=$target" >/dev/null
 		;;
 	store | store_dies) platform_control "/_store?mode=up" >/dev/null ;;
+	stutter_backend) platform_control "/_steady?i=$target" >/dev/null ;;
 	config | store_back | foreign) ;;
 	*) end_pair "$1" ;;
 	esac
@@ -339,6 +356,7 @@
 	n=0
 	while [ "$n" -lt "$BACKENDS" ]; do
 		platform_control "/_thaw?i=$n" >/dev/null
+		platform_control "/_steady?i=$n" >/dev/null
 		platform_control "/_start?i=$n" >/dev/null
 		n=$((n + 1))
 	done
--- a/tests/failure/gateway_soak_parts.sh
+++ b/tests/failure/gateway_soak_parts.sh
@@ -5,6 +5,6 @@
 FAULT_KINDS="isolate_gateway pause_isolated isolate_leader \
 pause_isolated_leader lose_backends restart_backend store_dies kill_gateway \
 pause_gateway cut_store cut_backend reset_store reset_backend store \
-drain_backend"
+drain_backend stutter_backend"
 export SOAK_PARTS FAULT_KINDS
 exec sh "$(dirname "$0")/gateway_soak.sh" "$@"
--- a/tests/failure/schedule_lib.sh
+++ b/tests/failure/schedule_lib.sh
@@ -34,7 +34,7 @@
 		state = (seed * 7919 + 12345) % 2147483646 + 1
 		for (i = 0; i < 8; i++)
 			draw(2)
-		for (t = draw(500); t < end; t += 50 + draw(900)) {
+		for (t = draw(500); kinds && t < end; t += 50 + draw(900)) {
 			k = kind[draw(kinds)]
 			count = split(targets[k], target, ",")
 			one = target[draw(count) + 1]
