Gateway: parts of two heads are none without a length either

What a caller could get: the status of an earlier answer with the body of its own, so 200 for a 500; or a second run of a request that may run only once.

Cause: an answer that the end of the connection ends was taken without the look for a status line inside its head.

Change: both ends of an answer ask the same function.

test_worker "part of a head before an answer without length" failed before (4 assertions) and passes.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -229,6 +229,19 @@
 	    : strcmp(id, up->rq->id) == 0;
 }
 
+/* Whether the complete answer is made of parts of two: its head broke off and
+ * another one followed. */
+static bool
+is_mixed(struct dh_upstream *up)
+{
+	if (!dh_message_has_inner_status_line(&up->in))
+		return false;
+	/* On a first request it is a header of the backend server's, which then
+	 * gets a connection for each request. */
+	up->not_reusable = true;
+	return up->carried > 1;
+}
+
 /* An overloaded backend server names in its answers the rate of requests that
  * it takes from all VMs together. */
 static void
@@ -352,16 +365,11 @@
 			upstream_fail(up, DH_ATTEMPT_LOST, "not an answer");
 			return;
 		}
-		if (dh_message_has_inner_status_line(&up->in)) {
-			/* May also be a header of the backend server's, which
-			 * then gets a connection for each request. */
-			up->not_reusable = true;
-			if (up->carried > 1) {
-				dh_counter_add(up->worker->c.bad_answers, 1);
-				upstream_fail(up, DH_ATTEMPT_LOST,
-				    "parts of two answers");
-				return;
-			}
+		if (is_mixed(up)) {
+			dh_counter_add(up->worker->c.bad_answers, 1);
+			upstream_fail(
+			    up, DH_ATTEMPT_LOST, "parts of two answers");
+			return;
 		}
 		if (up->in.parser.status_code >= 200 && !up->pool->peer)
 			note_leaving(up);
@@ -440,6 +448,11 @@
 		    up->in.began ? "answer ended early" : "connection ended");
 		return;
 	}
+	if (is_mixed(up)) {
+		dh_counter_add(up->worker->c.bad_answers, 1);
+		upstream_fail(up, DH_ATTEMPT_LOST, "parts of two answers");
+		return;
+	}
 	if (!request_delivered(up)) {
 		uv_timer_start(
 		    &up->timer, on_delivery_check, DELIVERY_CHECK_MS, 0);
