Gateway: an answer without a length holds no other answer

What a caller could get: a 200 whose body is the backend server's with a whole second answer, head and body, behind it.

Cause: an answer without a length takes all bytes up to the end of its connection.

Change: a status line in such a body, with the name of the request id's header behind it, ends the attempt as lost. Bodies with a length are not looked at. A body that holds a transcript of this very exchange, and has no length, is lost too. A copy that breaks off before the id can't be told.

--- a/base/http.c
+++ b/base/http.c
@@ -481,8 +481,8 @@
 	fetch_free(f);
 }
 
-bool
-dh_http_has_status_line(const char *text, size_t len)
+const char *
+dh_http_find_status_line(const char *text, size_t len)
 {
 	static const char version[] = "HTTP/1.";
 	const size_t n = sizeof(version) - 1;
@@ -493,9 +493,9 @@
 		if (end - p >= 5 && g_ascii_isdigit(p[0]) && p[1] == ' ' &&
 		    g_ascii_isdigit(p[2]) && g_ascii_isdigit(p[3]) &&
 		    g_ascii_isdigit(p[4]))
-			return true;
+			return p - n;
 	}
-	return false;
+	return NULL;
 }
 
 const char *
--- a/base/http.h
+++ b/base/http.h
@@ -107,10 +107,10 @@
 	return status >= 100 && status <= 599;
 }
 
-/* dh_http_has_status_line -- returns whether a status line begins anywhere in
- * text.  In a reason phrase or in a header it is the sign that a head broke off
- * and another one followed it. */
-bool dh_http_has_status_line(const char *text, size_t len);
+/* dh_http_find_status_line -- returns where the first status line begins in
+ * text, or NULL.  In a reason phrase or in a header it is the sign that a head
+ * broke off and another one followed it. */
+const char *dh_http_find_status_line(const char *text, size_t len);
 
 /* dh_http_header -- returns the value of a header, or NULL if it is missing.
  * The name is matched case-insensitively.  The value has the lifetime of reply.
--- a/gateway/message.c
+++ b/gateway/message.c
@@ -266,8 +266,20 @@
 bool
 dh_message_has_inner_status_line(const struct dh_message *m)
 {
-	return dh_http_has_status_line(m->target->str, m->target->len) ||
-	    dh_http_has_status_line(m->header_text->str, m->header_text->len);
+	return dh_http_find_status_line(m->target->str, m->target->len) !=
+	    NULL ||
+	    dh_http_find_status_line(
+		m->header_text->str, m->header_text->len) != NULL;
+}
+
+bool
+dh_message_body_has_head(const struct dh_message *m, const char *header)
+{
+	const char *end = m->body->str + m->body->len;
+	const char *line = dh_http_find_status_line(m->body->str, m->body->len);
+
+	return line != NULL &&
+	    memmem(line, (size_t)(end - line), header, strlen(header)) != NULL;
 }
 
 uint64_t
--- a/gateway/message.h
+++ b/gateway/message.h
@@ -75,6 +75,10 @@
  * one breaks off and the other follows it. */
 bool dh_message_has_inner_status_line(const struct dh_message *m);
 
+/* dh_message_body_has_head -- whether the body contains a status line with the
+ * name of this header somewhere behind it. */
+bool dh_message_body_has_head(const struct dh_message *m, const char *header);
+
 /* dh_message_digest -- a hash of a request's method, Host, target and body, by
  * which its repetitions are recognized: they have other ids.  Never 0. */
 uint64_t dh_message_digest(const struct dh_message *m);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -448,7 +448,9 @@
 		    up->in.began ? "answer ended early" : "connection ended");
 		return;
 	}
-	if (is_mixed(up)) {
+	/* Without a length, a copy behind the answer looks like its body. */
+	if (is_mixed(up) ||
+	    dh_message_body_has_head(&up->in, dh_wire_headers.request_id)) {
 		dh_counter_add(up->worker->c.bad_answers, 1);
 		upstream_fail(up, DH_ATTEMPT_LOST, "parts of two answers");
 		return;
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -179,7 +179,7 @@
 	if (begins_head && (ex->in_head || ex->answer_started))
 		return false;
 	if (ex->answer_started ||
-	    !dh_http_has_status_line(line + from, len - from))
+	    dh_http_find_status_line(line + from, len - from) == NULL)
 		return true;
 	/* May also be a header of the backend server's. */
 	curl_easy_setopt(ex->easy, CURLOPT_FORBID_REUSE, 1L);
