Tests: status line in a header between VMs, red

What callers get: 502 for a request that was done, when the backend server's answer has a status line in a header (X-Via: HTTP/1.1 200 OK). The attending VM passes it on as the first of its connection; the VM with the caller loses it, since the connection between the VMs has carried other requests.

--- a/tests/test_attend.c
+++ b/tests/test_attend.c
@@ -74,6 +74,19 @@
 	return at != NULL && sscanf(at + strlen(ID ": "), "%63s", id) == 1;
 }
 
+/* One more header of the answer, by the path. */
+static const char *
+other_header(const char *head)
+{
+	if (strstr(head, "/unreached/") != NULL)
+		return "Dogwoodhub-Unreached: 1\r\n";
+	if (strstr(head, "/close/") != NULL)
+		return "Connection: close\r\n";
+	if (strstr(head, "/quoted/") != NULL)
+		return "X-Via: HTTP/1.1 200 OK\r\n";
+	return "";
+}
+
 /* Answers by the path: after some time, or never.  An id that the connection
  * has carried before is answered with a late copy of its first answer, or half
  * of that, before its own one. */
@@ -108,10 +121,7 @@
 	    "HTTP/1.1 200 OK\r\n" ID ": %s\r\n"
 	    "X-Dogwoodhub-Server-Stamp: s\r\n%s"
 	    "Content-Length: %zu\r\n\r\n%s",
-	    id,
-	    strstr(head, "/unreached/") != NULL ? "Dogwoodhub-Unreached: 1\r\n"
-						: "",
-	    strlen(body), body);
+	    id, other_header(head), strlen(body), body);
 	g_hash_table_replace(answers, g_strdup(id), g_strdup(answer));
 	return write(fd, answer, strlen(answer)) > 0;
 }
@@ -773,6 +783,19 @@
 	stop();
 }
 
+/* Guards against an answer of a backend server that the attending VM passes on,
+ * and that is lost between the VMs. */
+static void
+test_status_line_in_a_header(void)
+{
+	start(&usual_keyed);
+	CU_ASSERT_EQUAL(ask("POST", "/w/quoted/"), 200);
+	CU_ASSERT_EQUAL(ask("POST", "/w/close/"), 200);
+	CU_ASSERT_EQUAL(ask("POST", "/w/quoted/"), 200);
+	CU_ASSERT_EQUAL(g_atomic_int_get(&runs), 3);
+	stop();
+}
+
 int
 main(void)
 {
@@ -794,6 +817,7 @@
 		{ "unreached by a backend server",
 		    test_unreached_by_a_backend_server },
 		{ "large head to another VM", test_large_head_to_another_vm },
+		{ "status line in a header", test_status_line_in_a_header },
 		{ "overdue answer in a drain", test_overdue_answer_in_a_drain },
 		{ "lost answer", test_lost_answer },
 		{ "full owner", test_full_owner },
