Gateway: a status line in a header loses one answer at most

What a caller could get: 502 for a POST that ran, if its backend server names a status line in a header of some of its answers (X-Via: HTTP/1.1 200 OK): always between VMs, as the attending VM's connection had carried others, and on each used connection to the backend server.

Cause: such a header on a used connection counts as parts of two heads, each time anew.

Change: answers of other VMs, which are made whole there, are not looked at. After such an answer the connections to that backend server are not reused for 60 s, so that the header is the backend server's own and passed on. A status line may have several spaces, as the parsers take it. connection.same_id is a line about a request and shares their limit.

test_attend "status line in a header" failed before (502 for a POST) and passes.

--- a/base/http.c
+++ b/base/http.c
@@ -486,14 +486,18 @@
 {
 	static const char version[] = "HTTP/1.";
 	const size_t n = sizeof(version) - 1;
-	const char *end = text + len, *p = text;
+	const char *end = text + len, *p = text, *line, *status;
 
 	while ((p = memmem(p, (size_t)(end - p), version, n)) != NULL) {
+		line = p;
 		p += n;
-		if (end - p >= 5 && g_ascii_isdigit(p[0]) && p[1] == ' ' &&
-		    g_ascii_isdigit(p[2]) && g_ascii_isdigit(p[3]) &&
-		    g_ascii_isdigit(p[4]))
-			return p - n;
+		if (p == end || !g_ascii_isdigit(*p++))
+			continue;
+		for (status = p; p < end && *p == ' '; p++)
+			;
+		if (p > status && end - p >= 3 && g_ascii_isdigit(p[0]) &&
+		    g_ascii_isdigit(p[1]) && g_ascii_isdigit(p[2]))
+			return line;
 	}
 	return NULL;
 }
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -39,6 +39,9 @@
 /* A connection that was idle for less was reset for another reason. */
 #define IDLE_RESET_MIN_MS 100
 #define IDLE_RESET_MEMORY_MS 10000
+/* Time for which connections are not reused after an answer with a status line
+ * inside its head. */
+#define MIXED_MEMORY_MS 60000
 /* A new connection that is reset within this time plus the round trip time
  * exceeded the backend server's connection limit. */
 #define RESET_ON_CONNECT_MS 30
@@ -224,21 +227,22 @@
 {
 	const char *id = dh_message_header(&up->in, dh_wire_headers.request_id);
 
-	return id == NULL
-	    ? up->in.parser.status_code >= 300 && up->idle_before_ms == 0
-	    : strcmp(id, up->rq->id) == 0;
+	return id == NULL ? up->in.parser.status_code >= 300 && up->carried == 1
+			  : strcmp(id, up->rq->id) == 0;
 }
 
 /* Whether the complete answer is made of parts of two: its head broke off and
- * another one followed. */
+ * another one followed.  On a first request, it is a header of the backend
+ * server's that looks so.  In either case its connections are not reused for
+ * some time.  Other VMs pass on such a header. */
 static bool
 is_mixed(struct dh_upstream *up)
 {
-	if (!dh_message_has_inner_status_line(&up->in))
+	if (up->pool->peer || !dh_message_has_inner_status_line(&up->in))
 		return false;
-	/* On a first request it is a header of the backend server's, which then
-	 * gets a connection for each request. */
 	up->not_reusable = true;
+	up->pool->mixed_until_ms =
+	    dh_worker_now_ms(up->worker) + MIXED_MEMORY_MS;
 	return up->carried > 1;
 }
 
@@ -720,7 +724,7 @@
 	if (!dh_sent_log_has(&w->sent_log, up->number, rq->id))
 		return true;
 	dh_counter_add(w->c.same_ids, 1);
-	dh_opslog_add(DH_OPS_STATE, "connection.same_id",
+	dh_opslog_add(DH_OPS_REQUEST, "connection.same_id",
 	    ",\"id\":%s,\"server\":\"%s\",\"attempt\":%u,"
 	    "\"connection\":%llu,\"carried\":%u",
 	    dh_opslog_quote(id, sizeof(id), rq->id), up->pool->id, rq->attempts,
@@ -741,7 +745,8 @@
 		next = link->next;
 		up = link->data;
 		idle_ms = now_ms - up->idle_since_ms;
-		if (idle_ms >= limit_ms || idle_ms >= up->idle_max_ms ||
+		if (now_ms < pool->mixed_until_ms || idle_ms >= limit_ms ||
+		    idle_ms >= up->idle_max_ms ||
 		    !dh_sent_log_covers(&rq->worker->sent_log, up->opened_at)) {
 			upstream_close(up);
 			continue;
--- a/gateway/worker_internal.h
+++ b/gateway/worker_internal.h
@@ -59,6 +59,7 @@
 	/* Until then it is sent no requests, as another instance has answered
 	 * at its address. */
 	int64_t other_instance_until_ms;
+	int64_t mixed_until_ms; /* until then, connections are not reused */
 	bool listed; /* the view has it, and not as closed */
 	int64_t close_ms; /* as in the view */
 	bool peer; /* another VM, to which requests are forwarded */
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -42,7 +42,7 @@
  * guarded by lock. */
 static GMutex lock;
 static int runs, cancelled;
-/* Requests that ran behind a late copy of a refusal; guarded by lock. */
+/* Late copies, or parts of them, that were sent; guarded by lock. */
 static int late_copies;
 static char last_head[4096];
 
