HTTP client: a connection out of step carries no other request

What the leader could get: no answer to a call that the store has answered, or the reply to the call before it, for as long as the connection lasts.

Cause: a reply that can only be to another call counted as none, but its connection was kept.

Change: dh_http_set_out_of_step() marks it; it is closed when a request would go on it. The platform's store, the own store and orders use it.

A backend server that checks no fences may give its last grant's, and a release has a connection of its own: only grants are checked, and test_order says so.

test_objects "call behind a reply to another" (2 assertions) and "reply to an earlier call" (6) failed before and pass; test_order has the grant's case.

--- a/backend/order.c
+++ b/backend/order.c
@@ -13,6 +13,7 @@
 struct pending_order {
 	struct dh_http *http;
 	char *probe_url;
+	enum dh_group_order_kind kind;
 	struct dh_fence fence; /* of the order */
 	dh_order_fn done;
 	void *arg;
@@ -165,14 +166,16 @@
 	    result == CURLE_SEND_ERROR || result == CURLE_PARTIAL_FILE;
 }
 
-/* Whether the answer is to an earlier order: the backend server has not
- * accepted this one's token.  Without a token it can't be told. */
+/* Whether the answer is to an order before this grant: the backend server has
+ * not accepted its token.  Without a token it can't be told, nor for a renewal,
+ * as one that checks no fences may give the token of its last grant. */
 static bool
 is_late_copy(const struct pending_order *p, const struct dh_order_reply *reply)
 {
 	static const struct dh_fence none = { 0, 0 };
 
-	return reply->result == DH_ORDER_ACCEPTED &&
+	return p->kind == DH_GROUP_ORDER_GRANT &&
+	    reply->result == DH_ORDER_ACCEPTED &&
 	    dh_fence_cmp(reply->highest, none) > 0 &&
 	    dh_fence_cmp(reply->highest, p->fence) < 0;
 }
@@ -197,6 +200,7 @@
 		    ".%" PRIu64,
 		    p->probe_url, p->fence.term, p->fence.counter,
 		    reply.highest.term, reply.highest.counter);
+		dh_http_set_out_of_step(p->http, http->local_port);
 		reply = (struct dh_order_reply){ .result = DH_ORDER_NO_ANSWER };
 	}
 	finish(p, &reply);
@@ -225,6 +229,7 @@
 
 	p->http = http;
 	p->probe_url = g_strdup_printf("http://%s:%u/_dh/load", address, port);
+	p->kind = o->kind;
 	p->fence = o->fence;
 	p->done = done;
 	p->arg = arg;
--- a/base/http.c
+++ b/base/http.c
@@ -29,6 +29,7 @@
 	int port; /* local */
 	curl_socket_t fd;
 	bool idle; /* no transfer uses it */
+	bool out_of_step; /* see dh_http_set_out_of_step() */
 	struct connection *next; /* with the same local port */
 };
 
@@ -167,12 +168,23 @@
 	char byte;
 
 	for (; c != NULL; c = c->next)
-		if (c->idle &&
-		    recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+		if (c->out_of_step ||
+		    (c->idle &&
+			recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0))
 			return true;
 	return false;
 }
 
+void
+dh_http_set_out_of_step(struct dh_http *h, int local_port)
+{
+	struct connection *c =
+	    g_hash_table_lookup(h->by_port, GINT_TO_POINTER(local_port));
+
+	for (; c != NULL; c = c->next)
+		c->out_of_step = true;
+}
+
 static int
 on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *socket_arg)
 {
@@ -330,6 +342,7 @@
 	bool send_once;
 	bool began; /* the request was begun to be sent */
 	bool unread; /* its connection had unread bytes */
+	int local_port; /* of the connection that was used last */
 };
 
 static curl_socket_t
@@ -364,6 +377,7 @@
 		return CURL_PREREQFUNC_ABORT;
 	}
 	f->began = true;
+	f->local_port = local_port;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -477,6 +491,7 @@
 	reply.body = f->body->str;
 	reply.body_len = f->body->len;
 	reply.headers = f->reply_headers;
+	reply.local_port = f->local_port;
 	f->done(f->arg, &reply);
 	fetch_free(f);
 }
--- a/base/http.h
+++ b/base/http.h
@@ -43,15 +43,20 @@
 
 /*
  * dh_http_has_unread -- returns whether bytes wait unread on an idle connection
- * with this local port.  They are not the answer to a request that is yet to be
- * sent.  libcurl doesn't look for them before it reuses a connection, so
- * CURLOPT_PREREQFUNCTION, which is given the port, has to.  Connections to
- * different servers may share a port: the function then returns true if bytes
- * wait on any that is idle.  A new connection must not be asked about for that
- * reason; CURLINFO_NUM_CONNECTS tells it.
+ * with this local port, or whether it is out of step.  They are not the answer
+ * to a request that is yet to be sent.  libcurl doesn't look for them before it
+ * reuses a connection, so CURLOPT_PREREQFUNCTION, which is given the port, has
+ * to.  Connections to different servers may share a port: the function then
+ * returns true if bytes wait on any that is idle.  A new connection must not be
+ * asked about for that reason; CURLINFO_NUM_CONNECTS tells it.
  */
 bool dh_http_has_unread(const struct dh_http *h, int local_port);
 
+/* dh_http_set_out_of_step -- no further request is to use the connection with
+ * this local port, since it has delivered an answer to another one.  It is
+ * closed when one would. */
+void dh_http_set_out_of_step(struct dh_http *h, int local_port);
+
 /* dh_http_cancel -- cancel a transfer without running its call-back. */
 void dh_http_cancel(struct dh_http *h, CURL *easy);
 
@@ -97,6 +102,7 @@
 	const char *body; /* NUL-terminated; valid during the call-back */
 	size_t body_len;
 	GHashTable *headers; /* lower-case name -> value; same lifetime */
+	int local_port; /* of the connection that was used, or 0 */
 };
 
 /* dh_http_status_is_valid -- returns whether a status code is one of HTTP (RFC
--- a/store/call.c
+++ b/store/call.c
@@ -223,6 +223,7 @@
 	c->put.effect_unknown = true;
 	c->put.reading_back = true;
 	c->fresh_connection = true;
+	dh_http_set_out_of_step(c->store->http, reply->local_port);
 	call_retry(c, 0, "the answer is to another call");
 }
 
