Orders: a release needs a new connection only without a token

What it cost: a release is repeated each 20 ms until its slots have finished, and each copy opened a connection.

Change: on a kept connection an acceptance has to give the release's token; without it, it counts as none, and the next copy of the release has a new connection, where no copy of an earlier answer can come.

--- a/backend/order.c
+++ b/backend/order.c
@@ -166,18 +166,30 @@
 	    result == CURLE_SEND_ERROR || result == CURLE_PARTIAL_FILE;
 }
 
-/* Whether the answer is to an order before this grant: the backend server has
- * not accepted its token.  Without a token it can't be told, nor for a renewal,
- * as one that checks no fences may give the token of its last grant. */
+/* Whether the answer may be to an earlier order: it gives a lower token than
+ * this one's, or none.  A grant may be answered without a token.  A backend
+ * server that checks no fences may give its last grant's; what it says to a
+ * release counts on a connection of its own only. */
 static bool
-is_late_copy(const struct pending_order *p, const struct dh_order_reply *reply)
+is_late_copy(const struct pending_order *p, const struct dh_http_reply *http,
+    const struct dh_order_reply *reply)
 {
 	static const struct dh_fence none = { 0, 0 };
 
-	return p->kind == DH_GROUP_ORDER_GRANT &&
-	    reply->result == DH_ORDER_ACCEPTED &&
-	    dh_fence_cmp(reply->highest, none) > 0 &&
-	    dh_fence_cmp(reply->highest, p->fence) < 0;
+	if (reply->result != DH_ORDER_ACCEPTED ||
+	    dh_fence_cmp(reply->highest, p->fence) >= 0)
+		return false;
+	switch (p->kind) {
+	case DH_GROUP_ORDER_GRANT:
+		return dh_fence_cmp(reply->highest, none) > 0;
+	case DH_GROUP_ORDER_RELEASE:
+		return !http->new_connection;
+	case DH_GROUP_ORDER_HELLO:
+	case DH_GROUP_ORDER_RENEW:
+	case DH_GROUP_ORDER_WARM:
+		return false;
+	}
+	g_assert_not_reached();
 }
 
 static void
@@ -194,7 +206,7 @@
 		reply.result = DH_ORDER_CONNECTION_REFUSED;
 	else if (http->result == CURLE_OK && !order_decode(&reply, http->body))
 		reply.result = DH_ORDER_NO_ANSWER;
-	if (is_late_copy(p, &reply)) {
+	if (is_late_copy(p, http, &reply)) {
 		dh_log(DH_LOG_WARN, "order.late_copy",
 		    "server=%s fence=%" PRIu64 ".%" PRIu64 " answer=%" PRIu64
 		    ".%" PRIu64,
@@ -222,8 +234,6 @@
 		.body = body,
 		.body_len = strlen(body),
 		.timeout_ms = timeout_ms,
-		/* A late copy of an earlier answer can't come on it. */
-		.fresh_connection = o->kind == DH_GROUP_ORDER_RELEASE,
 		.keep_after_200_only = true };
 	struct pending_order *p = g_new0(struct pending_order, 1);
 
--- a/backend/order.h
+++ b/backend/order.h
@@ -41,8 +41,7 @@
  * dh_order_send -- send a copy of o to the backend server at address and port.
  * The call-back runs exactly once, never before the function has returned.  An
  * answer that takes longer than timeout_ms counts as DH_ORDER_NO_ANSWER, and so
- * does an acceptance of a grant that gives a lower token than it: it answers an
- * earlier order.
+ * does an acceptance that may be one of an earlier order.
  */
 void dh_order_send(struct dh_http *http, const char *address, uint16_t port,
     const char *group, const struct dh_group_order *o, int64_t timeout_ms,
--- a/base/http.c
+++ b/base/http.c
@@ -492,6 +492,7 @@
 	reply.body_len = f->body->len;
 	reply.headers = f->reply_headers;
 	reply.local_port = f->local_port;
+	reply.new_connection = f->opened > 0;
 	f->done(f->arg, &reply);
 	fetch_free(f);
 }
--- a/base/http.h
+++ b/base/http.h
@@ -103,6 +103,7 @@
 	size_t body_len;
 	GHashTable *headers; /* lower-case name -> value; same lifetime */
 	int local_port; /* of the connection that was used, or 0 */
+	bool new_connection; /* it was opened for this request */
 };
 
 /* dh_http_status_is_valid -- returns whether a status code is one of HTTP (RFC
