Soak: what a caller gives up is not a lost request

Cause: a caller that gave a request up by itself counted it as lost.

Change: a request that its caller gives up is not counted; a connection that ends before is checked as for others. The stand-in remembers ids with the caller's attempt.

--- a/standin/caller.c
+++ b/standin/caller.c
@@ -294,18 +294,22 @@
 	}
 }
 
-/* Checks a call whose connection closed before the answer was complete. */
+/* Checks a call that was not answered; closed: its connection ended. */
 static void
-check_lost(const struct caller *c, const char *id, int64_t sent_wall_ms)
+check_unanswered(const struct caller *c, const char *id, int attempt,
+    int64_t sent_wall_ms, bool closed)
 {
-	g_autofree char *path = g_strdup_printf("/_seen?id=%s", id);
+	g_autofree char *path = g_strdup_printf("/_seen?id=%s-%d", id, attempt);
+	bool disrupted = was_disrupted(c->gateway, sent_wall_ms);
 
 	/* A request that crosses an orderly close was not forwarded. */
-	if (!was_disrupted(c->gateway, sent_wall_ms) &&
-	    ask_platform(path, "\"seen\":true"))
+	if (closed && !disrupted && ask_platform(path, "\"seen\":true"))
 		report_violation(
 		    "passed on and closed without an answer", id, c);
-	count(LOST);
+	if (!closed && !disrupted)
+		report_violation("no answer", id, c);
+	else
+		count(LOST);
 }
 
 static void
@@ -316,7 +320,7 @@
 }
 
 /* Sends a request once.  give_up_ms: 0, or the time after which the caller
- * disconnects without an answer. */
+ * disconnects without an answer, which is not counted. */
 static void
 ask_gateway(struct caller *c, const char *id, const char *line, uint64_t key,
     int attempt, int64_t give_up_ms)
@@ -347,13 +351,9 @@
 	    read_answer(c->fd, &a, now_ms + wait_ms, &keep);
 	if (answered && a.whole)
 		check_answer(c, &a, id, repeatable, attempt);
-	else if (give_up_ms == 0 &&
-	    (answered || dh_clock_ms() < now_ms + DEADLINE_MS))
-		check_lost(c, id, now_wall_ms);
-	else if (give_up_ms == 0 && !was_disrupted(c->gateway, now_wall_ms))
-		report_violation("no answer", id, c);
-	else
-		count(LOST);
+	else if (give_up_ms == 0 || dh_clock_ms() < now_ms + give_up_ms)
+		check_unanswered(c, id, attempt, now_wall_ms,
+		    answered || dh_clock_ms() < now_ms + DEADLINE_MS);
 	if (!keep || give_up_ms > 0)
 		disconnect(c);
 	g_string_free(a.body, TRUE);
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -29,7 +29,8 @@
  *			not written by gateways are written again later
  * /_config?version=N	write a higher version N, with an added route /vN/
  * /_refused?id=X		a client was told that X has not run
- * /_seen?id=X		whether a backend server has received X
+ * /_seen?id=X-N		whether a backend server has received X from its
+ *			caller's attempt N
  * /_report		number of requests that ran
  */
 #include <arpa/inet.h>
@@ -135,7 +136,7 @@
 	STORE_DIES
 } mode;
 static GHashTable *refused; /* ids reported as not run, which must not run */
-static GHashTable *seen; /* ids received by a backend server */
+static GHashTable *seen; /* ID-ATTEMPT received by a backend server */
 static struct backend backends[BACKENDS_MAX];
 static uint64_t highest_token[KEYS]; /* highest token accepted for each key */
 static GHashTable *ran; /* ids of unrepeatable requests that ran */
@@ -1013,7 +1014,9 @@
 	if (b->closed)
 		report_violation("a request after the drain", (uint32_t)k, 0);
 	if (id != NULL)
-		(void)g_hash_table_add(seen, g_strdup(id));
+		(void)g_hash_table_add(seen,
+		    g_strdup_printf(
+			"%s-%s", id, attempt == NULL ? "" : attempt));
 	if (strstr(url, "/crash/") != NULL)
 		check_crashes(b, url);
 	if (k < 0 || k >= KEYS || id == NULL || b->until_ms[k] <= dh_clock_ms())
