--- a/base/http.c
+++ b/base/http.c
@@ -7,7 +7,9 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "base/log.h"
+#include "base/opslog.h"
 #include "base/timer.h"
 
 /* Number of unanswered keepalive probes that closes a connection. */
@@ -358,6 +360,18 @@
 	    address->protocol);
 }
 
+/* The gateway's log and that of the other programs are two. */
+static void
+log_unread(const char *ip, int port, int local_port)
+{
+	dh_counter_add(dh_counter_get("dh_http_unread_total", ""), 1);
+	dh_log(DH_LOG_WARN, "http.unread", "server=%s:%d port=%d result=closed",
+	    ip, port, local_port);
+	dh_opslog_add(DH_OPS_STATE, "http.unread",
+	    ",\"server\":\"%s:%d\",\"port\":%d,\"result\":\"closed\"", ip, port,
+	    local_port);
+}
+
 /* Called before each copy of a request is sent. */
 static int
 before_request(void *arg, char *ip, char *local_ip, int port, int local_port)
@@ -372,8 +386,7 @@
 	f->unread =
 	    f->opened == opened && dh_http_has_unread(f->http, local_port);
 	if (f->unread) {
-		dh_log(DH_LOG_WARN, "http.unread",
-		    "server=%s:%d port=%d result=closed", ip, port, local_port);
+		log_unread(ip, port, local_port);
 		return CURL_PREREQFUNC_ABORT;
 	}
 	f->began = true;
